--- /dev/null
+++ b/cmake/libraries.cmake
@@ -0,0 +1,17 @@
+# Every library, by its pkg-config name; scripts/install_deps.sh installs
+# the Debian package of each.
+find_package(PkgConfig REQUIRED)
+pkg_check_modules(GLIB REQUIRED IMPORTED_TARGET glib-2.0)
+pkg_check_modules(JANSSON REQUIRED IMPORTED_TARGET jansson)
+pkg_check_modules(SODIUM REQUIRED IMPORTED_TARGET libsodium)
+pkg_check_modules(XXHASH REQUIRED IMPORTED_TARGET libxxhash)
+pkg_check_modules(PROTOBUFC REQUIRED IMPORTED_TARGET libprotobuf-c)
+pkg_check_modules(EVENT REQUIRED IMPORTED_TARGET libevent)
+pkg_check_modules(EVENT_OPENSSL REQUIRED IMPORTED_TARGET libevent_openssl)
+pkg_check_modules(OPENSSL REQUIRED IMPORTED_TARGET openssl)
+pkg_check_modules(LIBPQ REQUIRED IMPORTED_TARGET libpq)
+pkg_check_modules(ZLIB REQUIRED IMPORTED_TARGET zlib)
+pkg_check_modules(SQLITE REQUIRED IMPORTED_TARGET sqlite3)
+pkg_check_modules(CURL REQUIRED IMPORTED_TARGET libcurl)
+find_path(CUNIT_INCLUDE CUnit/CUnit.h REQUIRED)
+find_library(CUNIT_LIBRARY cunit REQUIRED)
--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,276 @@
+#!/usr/bin/env bash
+# Runs a small fleet on loopback: three control instances, three entry
+# instances and one database of three stand-in members, one of each in each
+# of three failure domains.  Ends cleanly on Ctrl-C or SIGTERM.
+#
+#   demo.sh [--build DIR] [--dir DIR] [--entries-per-domain N] [--quiet]
+#
+# DIR/endpoints.json names addresses, the operator's token file, a team's
+# key, the stand-ins' command addresses and all pids.
+set -euo pipefail
+
+root=$(cd "$(dirname "$0")/.." && pwd)
+build="$root/build"
+dir=""
+per_domain=1
+quiet=0
+resources="$root/examples/demo/fleet.toml"
+init_sql="$root/examples/demo/init.sql"
+service_us=500
+lag_ms=0
+databases="rounds1"
+team="parish"
+while [ $# -gt 0 ]; do
+    case "$1" in
+    --build) build=$2; shift 2 ;;
+    --dir) dir=$2; shift 2 ;;
+    --entries-per-domain) per_domain=$2; shift 2 ;;
+    --resources) resources=$2; shift 2 ;;
+    --init-sql) init_sql=$2; shift 2 ;;
+    --service-us) service_us=$2; shift 2 ;;
+    --lag-ms) lag_ms=$2; shift 2 ;;
+    --databases) databases=$2; shift 2 ;;
+    --team) team=$2; shift 2 ;;
+    --quiet) quiet=1; shift ;;
+    *) echo "demo.sh: unknown argument $1" >&2; exit 2 ;;
+    esac
+done
+dir=${dir:-$build/demo}
+domains=(suva nadi lautoka)
+
+rm -rf "$dir"
+mkdir -p "$dir"
+chmod 700 "$dir"
+cd "$dir"
+
+# Free ports: the kernel's own choice could be taken again before use, so
+# a block below the ephemeral range is probed.
+next_port=$((20000 + (RANDOM % 100) * 100))
+free_port() {
+    while (exec 3<>"/dev/tcp/127.0.0.1/$next_port") 2>/dev/null; do
+        next_port=$((next_port + 1))
+    done
+    port=$next_port
+    next_port=$((next_port + 1))
+}
+
+random_hex() { head -c "$1" /dev/urandom | od -An -tx1 | tr -d ' \n'; }
+random_hex 32 >secret
+random_hex 24 >operator.token
+random_hex 24 >platform.key
+chmod 600 secret operator.token platform.key
+
+pids=()
+names=()
+launch() {
+    local name=$1
+    shift
+    "$@" >"$name.out" 2>"$name.log" &
+    pids+=($!)
+    names+=("$name")
+}
+
+stopping=0
+stop_all() {
+    [ $stopping -eq 1 ] && return
+    stopping=1
+    trap - INT TERM EXIT
+    # Entry instances drain before control and the databases go.
+    for round in entry control standin; do
+        for i in "${!pids[@]}"; do
+            case "${names[$i]}" in
+            $round*) kill -TERM "${pids[$i]}" 2>/dev/null || true ;;
+            esac
+        done
+        for i in "${!pids[@]}"; do
+            case "${names[$i]}" in
+            $round*) wait "${pids[$i]}" 2>/dev/null || true ;;
+            esac
+        done
+    done
+    [ $quiet -eq 1 ] || echo "demo: stopped"
+    exit 0
+}
+trap stop_all INT TERM EXIT
+
+control_table=""
+control_peer=()
+control_http=()
+for i in 0 1 2; do
+    free_port; control_peer[i]=$port
+    free_port; control_http[i]=$port
+    control_table+="
+[[control]]
+id = \"control-${domains[$i]}\"
+failure_domain = \"${domains[$i]}\"
+address = \"127.0.0.1:${control_peer[$i]}\"
+"
+done
+
+for i in 0 1 2; do
+    cat >"control-${domains[$i]}.toml" <<TOML
+[instance]
+id = "control-${domains[$i]}"
+failure_domain = "${domains[$i]}"
+
+[listen]
+http = "127.0.0.1:${control_http[$i]}"
+peer = "127.0.0.1:${control_peer[$i]}"
+
+[cluster]
+name = "demo"
+secret_file = "$dir/secret"
+
+[data]
+folder = "$dir/data-control-${domains[$i]}"
+$control_table
+TOML
+    launch "control-${domains[$i]}" "$build/sapphireweir-control" \
+        --settings "$dir/control-${domains[$i]}.toml" --bootstrap
+done
+
+entry_http=()
+entry_ids=()
+for i in 0 1 2; do
+    for n in $(seq 1 "$per_domain"); do
+        id="entry-${domains[$i]}-$n"
+        free_port; http=$port
+        free_port; peer=$port
+        entry_http+=("$http")
+        entry_ids+=("$id")
+        cat >"$id.toml" <<TOML
+[instance]
+id = "$id"
+failure_domain = "${domains[$i]}"
+
+[listen]
+http = "127.0.0.1:$http"
+peer = "127.0.0.1:$peer"
+
+[cluster]
+name = "demo"
+secret_file = "$dir/secret"
+
+[operator]
+token_file = "$dir/operator.token"
+
+[platform]
+key_file = "$dir/platform.key"
+$control_table
+TOML
+        launch "$id" "$build/sapphireweir-entry" --settings "$dir/$id.toml"
+    done
+done
+
+entry_list=$(printf '127.0.0.1:%s,' "${entry_http[@]}")
+standin_json=""
+for database in $databases; do
+    primary=""
+    for i in 0 1 2; do
+        free_port; sql=$port
+        free_port; faults=$port
+        member="m$((i + 1))"
+        args=(--name "$member" --database "$database"
+            --failure-domain "${domains[$i]}" --listen "127.0.0.1:$sql"
+            --faults "127.0.0.1:$faults" --data "$dir/data-$database-$member"
+            --entries "${entry_list%,}" --platform-key "$(cat platform.key)"
+            --ordinal "$i" --service-us "$service_us" --lag-ms "$lag_ms")
+        if [ "$i" -eq 0 ]; then
+            args+=(--init-sql "$init_sql")
+            primary="127.0.0.1:$sql"
+        else
+            args+=(--primary "$primary")
+        fi
+        launch "standin-$database-$member" "$build/sapphireweir-standin" \
+            "${args[@]}"
+        standin_json+="{\"database\":\"$database\",\"member\":\"$member\",\
+\"sql\":\"127.0.0.1:$sql\",\"faults\":\"127.0.0.1:$faults\",\
+\"pid\":${pids[-1]}},"
+    done
+done
+
+ctl=("$build/sapphireweirctl" --token-file "$dir/operator.token")
+for http in "${entry_http[@]}"; do
+    ctl+=(--entry "http://127.0.0.1:$http")
+done
+
+wait_for() {
+    for _ in $(seq 1 200); do
+        if "$@" >/dev/null 2>&1; then
+            return 0
+        fi
+        sleep 0.1
+    done
+    echo "demo: gave up waiting for: $*" >&2
+    exit 1
+}
+
+wait_for "${ctl[@]}" status
+"${ctl[@]}" --wait apply "$resources" >apply.out
+key=$("${ctl[@]}" --wait key issue "$team" | sed -n 's/^key //p')
+
+pid_json=""
+for i in "${!pids[@]}"; do
+    pid_json+="\"${names[$i]}\":${pids[$i]},"
+done
+entry_json=""
+for i in "${!entry_http[@]}"; do
+    entry_json+="{\"id\":\"${entry_ids[$i]}\",\
+\"address\":\"127.0.0.1:${entry_http[$i]}\"},"
+done
+control_json=""
+for i in 0 1 2; do
+    control_json+="{\"id\":\"control-${domains[$i]}\",\
+\"address\":\"127.0.0.1:${control_http[$i]}\",\
+\"peer\":\"127.0.0.1:${control_peer[$i]}\"},"
+done
+
+call_works() {
+    curl -sf -m 2 -X POST "http://127.0.0.1:$1/v1/rounds/find" \
+        -H "Authorization: Bearer $key" -d '{"args":{"green":"none"}}'
+}
+if [ "$team" = parish ]; then
+    for http in "${entry_http[@]}"; do
+        wait_for call_works "$http"
+    done
+fi
+
+cat >endpoints.json.new <<JSON
+{
+  "entries": [${entry_json%,}],
+  "controls": [${control_json%,}],
+  "standins": [${standin_json%,}],
+  "operator_token_file": "$dir/operator.token",
+  "platform_key_file": "$dir/platform.key",
+  "team": "$team",
+  "key": "$key",
+  "pids": {${pid_json%,}}
+}
+JSON
+mv endpoints.json.new endpoints.json
+
+if [ $quiet -eq 0 ]; then
+    a=${entry_http[0]}
+    b=${entry_http[1]}
+    cat <<TEXT
+The demo runs; $dir/endpoints.json tells everything. Try:
+
+# book through one entry instance
+curl -i -X POST http://127.0.0.1:$a/v1/rounds/book \\
+  -H 'Authorization: Bearer $key' -H 'Idempotency-Key: call-1' \\
+  -d '{"args":{"green":"Nasova","day":"2026-12-07","note":"gate left"}}'
+
+# read it through another; add the Session-Token header of the answer above
+curl -i -X POST http://127.0.0.1:$b/v1/rounds/find-stale \\
+  -H 'Authorization: Bearer $key' -d '{"args":{"green":"Nasova"}}'
+
+# what the operator sees
+${ctl[*]} status
+
+Ctrl-C stops it.
+TEXT
+fi
+while true; do
+    sleep 1 &
+    wait $! || true
+done
--- /dev/null
+++ b/src/sapphireweir/adapter/disk.h
@@ -0,0 +1,30 @@
+#ifndef SAPPHIREWEIR_ADAPTER_DISK_H
+#define SAPPHIREWEIR_ADAPTER_DISK_H
+
+#include <glib.h>
+#include <stdint.h>
+
+#include "core/consensus_defs.h"
+#include "port/storage.h"
+
+typedef struct Disk Disk;
+
+typedef struct {
+    const char *folder;
+    const char *instance_id;
+    const char *cluster;
+    gboolean bootstrap; /* this folder is one of the first voters' */
+} DiskSettings;
+
+Disk *disk_open(const DiskSettings *settings, GError **error);
+void disk_close(Disk *d);
+const char *disk_identity(const Disk *d);
+const char *disk_bootstrap_identity(const char *cluster,
+                                    const char *instance_id, char *out,
+                                    size_t out_bytes);
+gboolean disk_is_new(const Disk *d);
+const ConsensusSaved *disk_saved(const Disk *d);
+StoragePort disk_port(Disk *d);
+uint64_t disk_syncs(const Disk *d);
+
+#endif
--- /dev/null
+++ b/src/sapphireweir/adapter/http.c
@@ -0,0 +1,312 @@
+#include "adapter/http.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/bufferevent_ssl.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <openssl/err.h>
+#include <openssl/ssl.h>
+#include <string.h>
+
+#include "core/error.h"
+
+/* The HTTP side of an entry instance: libevent's evhttp, with TLS through
+ * OpenSSL bufferevents when a certificate is set. */
+
+typedef struct {
+    Http *http;
+    uint64_t id;
+    struct evhttp_request *request;
+    struct evhttp_connection *connection;
+} Open;
+
+struct Http {
+    struct event_base *base;
+    HttpSettings settings;
+    HttpEvents events;
+    struct evhttp *server;
+    struct evhttp_bound_socket *socket;
+    SSL_CTX *tls;
+    GHashTable *open;        /* id -> Open */
+    GHashTable *connections; /* evhttp_connection -> its open request id */
+    uint64_t next_id;
+};
+
+enum { kIdleTimeoutS = 120 };
+
+/* ---- TLS ---- */
+
+static SSL_CTX *
+load_tls(const HttpSettings *s, GError **error)
+{
+    SSL_CTX *tls = SSL_CTX_new(TLS_server_method());
+    SSL_CTX_set_min_proto_version(tls, TLS1_2_VERSION);
+    if (SSL_CTX_use_certificate_chain_file(tls, s->tls_certificate) != 1 ||
+        SSL_CTX_use_PrivateKey_file(tls, s->tls_key, SSL_FILETYPE_PEM) != 1 ||
+        SSL_CTX_check_private_key(tls) != 1) {
+        g_set_error(error, CORE_ERROR, kCoreErrorIo,
+                    "cannot use certificate %s with key %s: %s",
+                    s->tls_certificate, s->tls_key,
+                    ERR_reason_error_string(ERR_peek_last_error()));
+        ERR_clear_error();
+        SSL_CTX_free(tls);
+        return NULL;
+    }
+    return tls;
+}
+
+/* Loads certificate and key again; connections that are open keep the old
+ * ones.  On an error the old ones stay in use. */
+gboolean
+http_reload_tls(Http *h, GError **error)
+{
+    if (h->settings.tls_certificate == NULL) {
+        return TRUE;
+    }
+    SSL_CTX *fresh = load_tls(&h->settings, error);
+    if (fresh == NULL) {
+        return FALSE;
+    }
+    if (h->tls != NULL) {
+        SSL_CTX_free(h->tls);
+    }
+    h->tls = fresh;
+    return TRUE;
+}
+
+static struct bufferevent *
+make_bufferevent(struct event_base *base, void *ctx)
+{
+    Http *h = ctx;
+    if (h->tls == NULL) {
+        return bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
+    }
+    struct bufferevent *bev = bufferevent_openssl_socket_new(
+        base, -1, SSL_new(h->tls), BUFFEREVENT_SSL_ACCEPTING,
+        BEV_OPT_CLOSE_ON_FREE);
+    bufferevent_openssl_set_allow_dirty_shutdown(bev, 1);
+    return bev;
+}
+
+/* ---- requests ---- */
+
+static void
+on_connection_closed(struct evhttp_connection *connection, void *ctx)
+{
+    Http *h = ctx;
+    uint64_t *id = g_hash_table_lookup(h->connections, connection);
+
+    if (id == NULL) {
+        return;
+    }
+    uint64_t request_id = *id;
+    g_hash_table_remove(h->connections, connection);
+    if (g_hash_table_remove(h->open, &request_id)) {
+        h->events.abandoned(h->events.ctx, request_id);
+    }
+}
+
+static const char *
+method_name(enum evhttp_cmd_type type)
+{
+    return type == EVHTTP_REQ_GET ? "GET" : "POST";
+}
+
+static void
+fill_headers(struct evhttp_request *request, CallerRequest *r)
+{
+    struct evkeyvalq *h = evhttp_request_get_input_headers(request);
+    r->authorization = evhttp_find_header(h, "Authorization");
+    r->session_token = evhttp_find_header(h, "Session-Token");
+    r->idempotency_key = evhttp_find_header(h, "Idempotency-Key");
+    r->max_staleness_ms = evhttp_find_header(h, "Max-Staleness-Ms");
+    r->request_timeout_ms = evhttp_find_header(h, "Request-Timeout-Ms");
+    r->if_match = evhttp_find_header(h, "If-Match");
+    r->operation_id = evhttp_find_header(h, "Operation-Id");
+}
+
+static void
+too_busy(struct evhttp_request *request)
+{
+    static const char body[] =
+        "{\"type\":\"urn:sapphireweir:problem:busy\",\"status\":503,"
+        "\"outcome\":\"not_run\",\"detail\":\"too many open requests\"}";
+    struct evkeyvalq *out = evhttp_request_get_output_headers(request);
+
+    evhttp_add_header(out, "Content-Type", "application/problem+json");
+    evhttp_add_header(out, "Retry-After", "1");
+    evbuffer_add(evhttp_request_get_output_buffer(request), body,
+                 sizeof(body) - 1);
+    evhttp_send_reply(request, 503, "Service Unavailable", NULL);
+}
+
+static void
+on_request(struct evhttp_request *request, void *ctx)
+{
+    Http *h = ctx;
+    struct evbuffer *in = evhttp_request_get_input_buffer(request);
+    size_t bytes = evbuffer_get_length(in);
+    char *path = g_strdup(evhttp_request_get_uri(request));
+
+    if (g_hash_table_size(h->open) >= h->settings.max_requests) {
+        too_busy(request);
+        g_free(path);
+        return;
+    }
+    Open *o = g_new(Open, 1);
+    *o = (Open){h, ++h->next_id, request,
+                evhttp_request_get_connection(request)};
+    g_hash_table_insert(h->open, &o->id, o);
+    evhttp_connection_set_closecb(o->connection, on_connection_closed, h);
+    uint64_t *id = g_new(uint64_t, 1);
+    *id = o->id;
+    g_hash_table_insert(h->connections, o->connection, id);
+
+    path[strcspn(path, "?")] = '\0';
+    CallerRequest r = {
+        .id = o->id,
+        .method = method_name(evhttp_request_get_command(request)),
+        .path = path,
+        .body = bytes == 0 ? "" : (const char *)evbuffer_pullup(in, -1),
+        .body_bytes = bytes,
+    };
+    fill_headers(request, &r);
+    h->events.request(h->events.ctx, &r);
+    g_free(path);
+}
+
+static const char *
+status_text(uint32_t status)
+{
+    switch (status) {
+    case 200:
+        return "OK";
+    case 202:
+        return "Accepted";
+    case 400:
+        return "Bad Request";
+    case 401:
+        return "Unauthorized";
+    case 403:
+        return "Forbidden";
+    case 404:
+        return "Not Found";
+    case 405:
+        return "Method Not Allowed";
+    case 409:
+        return "Conflict";
+    case 422:
+        return "Unprocessable Content";
+    case 429:
+        return "Too Many Requests";
+    case 503:
+        return "Service Unavailable";
+    case 504:
+        return "Gateway Timeout";
+    default:
+        return "Status";
+    }
+}
+
+/* Answers an open request; an id that is no longer open is ignored. */
+void
+http_respond(Http *h, uint64_t request_id, const CallerResponse *response)
+{
+    Open *o = g_hash_table_lookup(h->open, &request_id);
+    char retry[16];
+
+    if (o == NULL) {
+        return;
+    }
+    struct evhttp_request *request = o->request;
+    struct evkeyvalq *out = evhttp_request_get_output_headers(request);
+    g_hash_table_remove(h->connections, o->connection);
+    g_hash_table_remove(h->open, &request_id);
+
+    evhttp_add_header(out, "Content-Type", response->content_type);
+    if (response->session_token != NULL) {
+        evhttp_add_header(out, "Session-Token", response->session_token);
+    }
+    if (response->retry_after_s > 0) {
+        g_snprintf(retry, sizeof(retry), "%u", response->retry_after_s);
+        evhttp_add_header(out, "Retry-After", retry);
+    }
+    if (response->close) {
+        evhttp_add_header(out, "Connection", "close");
+    }
+    evbuffer_add(evhttp_request_get_output_buffer(request), response->body,
+                 response->body_bytes);
+    evhttp_send_reply(request, (int)response->status,
+                      status_text(response->status), NULL);
+}
+
+/* ---- life ---- */
+
+/* Opens the HTTP port.  Fails with kCoreErrorIo when the port or the
+ * certificate cannot be used.  The strings of settings must outlive it. */
+Http *
+http_new(struct event_base *base, const HttpSettings *settings,
+         const HttpEvents *events, GError **error)
+{
+    Http *h = g_new0(Http, 1);
+    char *host =
+        g_strndup(settings->address, (gsize)(strrchr(settings->address, ':') -
+                                             settings->address));
+    guint64 port =
+        g_ascii_strtoull(strrchr(settings->address, ':') + 1, NULL, 10);
+
+    h->base = base;
+    h->settings = *settings;
+    h->events = *events;
+    h->open = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+    h->connections =
+        g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
+    h->server = evhttp_new(base);
+    evhttp_set_gencb(h->server, on_request, h);
+    evhttp_set_bevcb(h->server, make_bufferevent, h);
+    evhttp_set_allowed_methods(h->server, EVHTTP_REQ_GET | EVHTTP_REQ_POST);
+    evhttp_set_max_body_size(h->server, settings->max_body_bytes);
+    evhttp_set_max_headers_size(h->server, settings->max_header_bytes);
+    evhttp_set_timeout(h->server, kIdleTimeoutS);
+    if (!http_reload_tls(h, error)) {
+        g_free(host);
+        http_free(h);
+        return NULL;
+    }
+    h->socket =
+        evhttp_bind_socket_with_handle(h->server, host, (uint16_t)port);
+    g_free(host);
+    if (h->socket == NULL) {
+        g_set_error(error, CORE_ERROR, kCoreErrorIo,
+                    "cannot listen for callers at %s", settings->address);
+        http_free(h);
+        return NULL;
+    }
+    return h;
+}
+
+/* Closes the port and all connections. */
+void
+http_free(Http *h)
+{
+    g_hash_table_remove_all(h->open);
+    g_hash_table_remove_all(h->connections);
+    evhttp_free(h->server);
+    if (h->tls != NULL) {
+        SSL_CTX_free(h->tls);
+    }
+    g_hash_table_destroy(h->connections);
+    g_hash_table_destroy(h->open);
+    g_free(h);
+}
+
+/* Takes no new connections; open ones go on. */
+void
+http_stop_listening(Http *h)
+{
+    if (h->socket != NULL) {
+        evhttp_del_accept_socket(h->server, h->socket);
+        h->socket = NULL;
+    }
+}
--- /dev/null
+++ b/src/sapphireweir/adapter/http.h
@@ -0,0 +1,35 @@
+#ifndef SAPPHIREWEIR_ADAPTER_HTTP_H
+#define SAPPHIREWEIR_ADAPTER_HTTP_H
+
+#include <event2/event.h>
+#include <glib.h>
+#include <stdint.h>
+
+#include "port/entry.h"
+
+typedef struct Http Http;
+
+typedef struct {
+    void *ctx;
+    void (*request)(void *ctx, const CallerRequest *request);
+    void (*abandoned)(void *ctx, uint64_t request_id);
+} HttpEvents;
+
+typedef struct {
+    const char *address;
+    const char *tls_certificate; /* NULL: plain HTTP */
+    const char *tls_key;
+    uint32_t max_body_bytes;
+    uint32_t max_header_bytes;
+    uint32_t max_requests;
+} HttpSettings;
+
+Http *http_new(struct event_base *base, const HttpSettings *settings,
+               const HttpEvents *events, GError **error);
+void http_free(Http *h);
+gboolean http_reload_tls(Http *h, GError **error);
+void http_respond(Http *h, uint64_t request_id,
+                  const CallerResponse *response);
+void http_stop_listening(Http *h);
+
+#endif
--- /dev/null
+++ b/src/sapphireweir/adapter/log.c
@@ -0,0 +1,91 @@
+#include "adapter/log.h"
+
+#include <jansson.h>
+#include <stdio.h>
+#include <string.h>
+
+/* Writes GLib's log messages to standard error, one line each, as text or
+ * as JSON. */
+
+typedef struct {
+    const char *program;
+    const char *instance_id;
+    gboolean json;
+    gboolean debug;
+} LogSettings;
+
+static LogSettings settings;
+
+static const char *
+level_name(GLogLevelFlags level)
+{
+    switch (level & G_LOG_LEVEL_MASK) {
+    case G_LOG_LEVEL_ERROR:
+        return "fatal";
+    case G_LOG_LEVEL_CRITICAL:
+        return "critical";
+    case G_LOG_LEVEL_WARNING:
+        return "warning";
+    case G_LOG_LEVEL_MESSAGE:
+    case G_LOG_LEVEL_INFO:
+        return "info";
+    default:
+        return "debug";
+    }
+}
+
+static const char *
+find_message(const GLogField *fields, gsize count)
+{
+    for (gsize i = 0; i < count; i++) {
+        if (strcmp(fields[i].key, "MESSAGE") == 0) {
+            return fields[i].value;
+        }
+    }
+    return "";
+}
+
+static void
+write_json(const char *time, const char *level, const char *message)
+{
+    json_t *line =
+        json_pack("{s:s, s:s, s:s, s:s, s:s}", "time", time, "level", level,
+                  "program", settings.program, "instance",
+                  settings.instance_id, "message", message);
+    char *text = json_dumps(line, JSON_COMPACT);
+    fprintf(stderr, "%s\n", text);
+    free(text);
+    json_decref(line);
+}
+
+static GLogWriterOutput
+write_line(GLogLevelFlags level, const GLogField *fields, gsize count,
+           void *data)
+{
+    (void)data;
+    if ((level & G_LOG_LEVEL_DEBUG) != 0 && !settings.debug) {
+        return G_LOG_WRITER_HANDLED;
+    }
+    const char *message = find_message(fields, count);
+    GDateTime *now = g_date_time_new_now_utc();
+    char *time = g_date_time_format(now, "%Y-%m-%dT%H:%M:%S.%fZ");
+    if (settings.json) {
+        write_json(time, level_name(level), message);
+    }
+    else {
+        fprintf(stderr, "%s %s %s %s: %s\n", time, level_name(level),
+                settings.program, settings.instance_id, message);
+    }
+    g_free(time);
+    g_date_time_unref(now);
+    return G_LOG_WRITER_HANDLED;
+}
+
+/* Sets how this process logs; the strings must outlive it. */
+void
+log_start(const char *program, const char *instance_id, gboolean json,
+          gboolean debug)
+{
+    settings = (LogSettings){program, instance_id, json, debug};
+    g_log_set_writer_func(write_line, NULL, NULL);
+}
--- /dev/null
+++ b/src/sapphireweir/adapter/peer.h
@@ -0,0 +1,27 @@
+#ifndef SAPPHIREWEIR_ADAPTER_PEER_H
+#define SAPPHIREWEIR_ADAPTER_PEER_H
+
+#include <event2/event.h>
+#include <glib.h>
+#include <stdint.h>
+
+#include "proto/sapphireweir.pb-c.h"
+
+typedef struct Peer Peer;
+
+/* What a peer link reports; the frame is good for the call only. */
+typedef struct {
+    void *ctx;
+    void (*frame)(void *ctx, const char *from, const Sw__Frame *frame);
+    void (*down)(void *ctx, const char *peer);
+    void (*garbage)(void *ctx);
+} PeerEvents;
+
+Peer *peer_new(struct event_base *base, const char *id, uint64_t incarnation,
+               const uint8_t *secret, const char *listen_address,
+               const PeerEvents *events, GError **error);
+void peer_free(Peer *p);
+void peer_set_address(Peer *p, const char *id, const char *address);
+gboolean peer_send(Peer *p, const char *to, const Sw__Frame *frame);
+
+#endif
--- /dev/null
+++ b/src/sapphireweir/adapter/program.c
@@ -0,0 +1,59 @@
+#include "adapter/program.h"
+
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "core/error.h"
+
+/* Parses the command line of a server.  --help and --version end the
+ * process.  Fails with a message for the user. */
+gboolean
+program_parse_options(int *argc, char ***argv, const char *summary,
+                      gboolean with_bootstrap, ProgramOptions *out,
+                      GError **error)
+{
+    gboolean version = FALSE;
+    GOptionEntry entries[] = {
+        {"settings", 's', 0, G_OPTION_ARG_FILENAME, &out->settings_path,
+         "TOML file with the settings", "FILE"},
+        {"check", 'c', 0, G_OPTION_ARG_NONE, &out->check,
+         "Check the settings and end", NULL},
+        {"settings-reference", 0, 0, G_OPTION_ARG_NONE, &out->reference,
+         "Print the reference of all settings and end", NULL},
+        {"version", 'V', 0, G_OPTION_ARG_NONE, &version,
+         "Print the version and end", NULL},
+        {"bootstrap", 0, 0, G_OPTION_ARG_NONE, &out->bootstrap,
+         "Make a new data folder as one of the first voters", NULL},
+        {NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL},
+    };
+    GOptionContext *context = g_option_context_new(NULL);
+
+    if (!with_bootstrap) {
+        entries[4] = entries[5];
+    }
+    g_option_context_set_summary(context, summary);
+    g_option_context_add_main_entries(context, entries, NULL);
+    gboolean ok = g_option_context_parse(context, argc, argv, error);
+    g_option_context_free(context);
+    if (ok && version) {
+        printf("%s %s\n", g_get_prgname(), SAPPHIREWEIR_VERSION);
+        exit(kExitOk);
+    }
+    if (ok && out->settings_path == NULL && !out->reference) {
+        g_set_error_literal(error, CORE_ERROR, kCoreErrorInvalid,
+                            "--settings FILE is needed; see --help");
+        return FALSE;
+    }
+    return ok;
+}
+
+/* Returns a random number for the core's random port. */
+uint64_t
+program_random(void *ctx)
+{
+    uint64_t value;
+    (void)ctx;
+    randombytes_buf(&value, sizeof(value));
+    return value;
+}
--- /dev/null
+++ b/src/sapphireweir/core/admin.c
@@ -0,0 +1,408 @@
+#include <sodium.h>
+#include <string.h>
+
+#include "core/entry_defs.h"
+#include "core/schema.h"
+
+/* The operators' interface of an entry instance.  Requests go to control
+ * and come back with its answer; one that control did not answer is sent
+ * again to another control instance under the same operation id. */
+
+enum {
+    kAdminPatienceUs = 1200000,
+    kAdminDeadlineUs = 6000000,
+    kKeyIdBytes = 8,
+};
+
+static const char kAdminPrefix[] = "/admin/v1/";
+
+/* An operator's request that waits for control. */
+typedef struct {
+    uint64_t frame_id;
+    uint64_t request_id;
+    uint64_t resend_us;
+    uint64_t deadline_us;
+    char *verb;
+    char *key;
+    char *body;
+    char *operation;
+    char *actor;
+} AdminCall;
+
+/* Frees a waiting request. */
+void
+admin_call_free(void *call)
+{
+    AdminCall *a = call;
+    g_free(a->verb);
+    g_free(a->key);
+    g_free(a->body);
+    g_free(a->operation);
+    g_free(a->actor);
+    g_free(a);
+}
+
+/* Tells, in constant time, whether an Authorization header carries the
+ * expected secret. */
+gboolean
+bearer_matches(const char *authorization, const char *expected)
+{
+    static const char scheme[] = "Bearer ";
+    uint8_t given_hash[crypto_generichash_BYTES];
+    uint8_t expected_hash[crypto_generichash_BYTES];
+
+    if (authorization == NULL || expected == NULL ||
+        !g_str_has_prefix(authorization, scheme)) {
+        return FALSE;
+    }
+    const char *given = authorization + sizeof(scheme) - 1;
+    crypto_generichash(given_hash, sizeof(given_hash), (const uint8_t *)given,
+                       strlen(given), NULL, 0);
+    crypto_generichash(expected_hash, sizeof(expected_hash),
+                       (const uint8_t *)expected, strlen(expected), NULL, 0);
+    return sodium_memcmp(given_hash, expected_hash, sizeof(given_hash)) == 0;
+}
+
+static void
+send_call(EntryCore *e, uint64_t now_us, AdminCall *a)
+{
+    Sw__AdminRequest r = SW__ADMIN_REQUEST__INIT;
+    const char *control = lease_control(e);
+
+    r.verb = a->verb;
+    r.key = a->key;
+    r.operation_id = a->operation;
+    r.actor = a->actor;
+    r.body.data = (uint8_t *)a->body;
+    r.body.len = strlen(a->body);
+    a->resend_us = now_us + kAdminPatienceUs;
+    if (control != NULL) {
+        entry_send(e, control, a->frame_id, SW__FRAME__BODY_ADMIN_REQUEST, &r);
+    }
+}
+
+static void
+start_call(EntryCore *e, uint64_t now_us, const CallerRequest *r,
+           const char *verb, const char *key, char *body, const char *actor)
+{
+    AdminCall *a = g_new0(AdminCall, 1);
+
+    a->frame_id = entry_next_frame(e);
+    a->request_id = r->id;
+    a->deadline_us = now_us + kAdminDeadlineUs;
+    a->verb = g_strdup(verb);
+    a->key = g_strdup(key);
+    a->body = body;
+    a->actor = g_strdup(actor);
+    a->operation = g_strdup(r->operation_id == NULL ? "" : r->operation_id);
+    g_hash_table_insert(e->admin_calls, &a->frame_id, a);
+    send_call(e, now_us, a);
+}
+
+static void
+bad_request(EntryCore *e, const CallerRequest *r, const char *detail)
+{
+    caller_respond_problem(e, r->id, 400, "admin", "not_run", detail, 0);
+}
+
+/* ---- changes ---- */
+
+static void
+post_changes(EntryCore *e, uint64_t now_us, const CallerRequest *r,
+             const json_t *body)
+{
+    const json_t *changes = json_object_get(body, "changes");
+    if (!json_is_array(changes) || r->operation_id == NULL) {
+        bad_request(e, r, "send {\"changes\": [...]} with an Operation-Id");
+        return;
+    }
+    char *text = json_dumps(changes, JSON_COMPACT);
+    start_call(e, now_us, r, "apply", "", g_strdup(text),
+               json_text_or(body, "actor", "operator"));
+    free(text);
+}
+
+static void
+apply_one(EntryCore *e, uint64_t now_us, const CallerRequest *r,
+          const json_t *body, const char *key, json_t *spec, uint64_t if_match)
+{
+    json_t *changes = json_pack("[{s:s, s:o, s:I}]", "key", key, "spec", spec,
+                                "if_match", (json_int_t)if_match);
+    char *text = json_dumps(changes, JSON_COMPACT);
+
+    start_call(e, now_us, r, "apply", "", g_strdup(text),
+               json_text_or(body, "actor", "operator"));
+    free(text);
+    json_decref(changes);
+}
+
+/* A key arrives here once, over the operators' interface; only its keyed
+ * hash is kept. */
+static void
+post_key(EntryCore *e, uint64_t now_us, const CallerRequest *r,
+         const json_t *body)
+{
+    enum { kKeyLeast = 24 };
+    const char *key = json_text_or(body, "key", "");
+    uint8_t hash[kKeyHashBytes];
+    char hex[kKeyHashBytes * 2 + 1];
+
+    if (strlen(key) < kKeyLeast || r->operation_id == NULL) {
+        bad_request(e, r,
+                    "send team and key, of 24 characters at least, "
+                    "with an Operation-Id");
+        return;
+    }
+    entry_key_hash(e->config.secret, key, hash);
+    sodium_bin2hex(hex, sizeof(hex), hash, sizeof(hash));
+    char *name = g_strdup_printf("key/%.*s", kKeyIdBytes * 2, hex);
+    json_t *spec = json_pack(
+        "{s:s, s:s, s:I, s:b}", "team", json_text_or(body, "team", ""), "hash",
+        hex, "expires_ms", (json_int_t)json_integer_or(body, "expires_ms", 0),
+        "withdrawn", 0);
+    apply_one(e, now_us, r, body, name, spec, 0);
+    g_free(name);
+}
+
+static void
+post_key_withdraw(EntryCore *e, uint64_t now_us, const CallerRequest *r,
+                  const json_t *body, const char *id)
+{
+    char *key = g_strdup_printf("key/%s", id);
+    const Resource *known = catalog_resource(e->catalog, key);
+
+    if (known == NULL || r->operation_id == NULL) {
+        caller_respond_problem(e, r->id, 404, "admin", "not_run",
+                               "there is no such key, or no Operation-Id", 0);
+        g_free(key);
+        return;
+    }
+    json_t *spec = json_deep_copy(known->spec);
+    json_object_set_new(spec, "withdrawn", json_true());
+    apply_one(e, now_us, r, body, key, spec, known->version);
+    g_free(key);
+}
+
+/* ---- dispatch ---- */
+
+static void
+respond_local(EntryCore *e, uint64_t now_us, const CallerRequest *r)
+{
+    EntryStatus s = entry_core_status(e, now_us);
+    json_t *body = json_pack(
+        "{s:s, s:s, s:b, s:b, s:I, s:i, s:s}", "id", e->config.id,
+        "failure_domain", e->config.failure_domain, "lease", s.lease_valid,
+        "draining", s.draining, "applied_index", (json_int_t)s.applied_index,
+        "requests_open", (int)s.requests_open, "control",
+        lease_control(e) == NULL ? "" : lease_control(e));
+    char *text = json_dumps(body, JSON_COMPACT);
+    CallerResponse response = {
+        200, "application/json", text, strlen(text), NULL, 0, FALSE};
+    e->port.respond(e->port.ctx, r->id, &response);
+    free(text);
+    json_decref(body);
+}
+
+static void
+dispatch_get(EntryCore *e, uint64_t now_us, const CallerRequest *r,
+             const char *what)
+{
+    static const struct {
+        const char *prefix;
+        const char *verb;
+    } reads[] = {
+        {"resources/", "get"},
+        {"list/", "list"},
+        {"audit/", "audit"},
+        {"status", "status"},
+    };
+
+    if (strcmp(what, "local") == 0) {
+        respond_local(e, now_us, r);
+        return;
+    }
+    for (size_t i = 0; i < G_N_ELEMENTS(reads); i++) {
+        if (g_str_has_prefix(what, reads[i].prefix)) {
+            start_call(e, now_us, r, reads[i].verb,
+                       what + strlen(reads[i].prefix), g_strdup(""),
+                       "operator");
+            return;
+        }
+    }
+    caller_respond_problem(e, r->id, 404, "admin", "not_run",
+                           "there is nothing at this path", 0);
+}
+
+static void
+dispatch_post(EntryCore *e, uint64_t now_us, const CallerRequest *r,
+              const char *what, const json_t *body)
+{
+    static const char withdraw[] = "/withdraw";
+
+    if (strcmp(what, "changes") == 0) {
+        post_changes(e, now_us, r, body);
+        return;
+    }
+    if (strcmp(what, "keys") == 0) {
+        post_key(e, now_us, r, body);
+        return;
+    }
+    if (g_str_has_prefix(what, "keys/") && g_str_has_suffix(what, withdraw)) {
+        const char *id = what + strlen("keys/");
+        char *name = g_strndup(id, strlen(id) - strlen(withdraw));
+        post_key_withdraw(e, now_us, r, body, name);
+        g_free(name);
+        return;
+    }
+    if (strcmp(what, "control-members/add") == 0 ||
+        strcmp(what, "control-members/remove") == 0) {
+        gboolean add = g_str_has_suffix(what, "add");
+        start_call(e, now_us, r, add ? "member-add" : "member-remove", "",
+                   g_strndup(r->body, r->body_bytes), "operator");
+        return;
+    }
+    caller_respond_problem(e, r->id, 404, "admin", "not_run",
+                           "there is nothing at this path", 0);
+}
+
+/* Takes in an operator's request. */
+void
+admin_request(EntryCore *e, uint64_t now_us, const CallerRequest *r)
+{
+    if (!bearer_matches(r->authorization, e->config.operator_token)) {
+        caller_respond_problem(e, r->id, 401, "operator", "not_run",
+                               "this needs the operator's token", 0);
+        return;
+    }
+    const char *what = r->path + strlen(kAdminPrefix);
+    if (strcmp(r->method, "GET") == 0) {
+        dispatch_get(e, now_us, r, what);
+        return;
+    }
+    json_error_t why;
+    json_t *body = json_loadb(r->body_bytes == 0 ? "{}" : r->body,
+                              r->body_bytes == 0 ? 2 : r->body_bytes,
+                              JSON_REJECT_DUPLICATES, &why);
+    if (!json_is_object(body)) {
+        bad_request(e, r, "the body must be a JSON object");
+        json_decref(body);
+        return;
+    }
+    dispatch_post(e, now_us, r, what, body);
+    json_decref(body);
+}
+
+/* Takes in control's answer. */
+void
+admin_reply(EntryCore *e, uint64_t frame_id, const Sw__AdminReply *r)
+{
+    enum { kUnavailable = 503 };
+    AdminCall *a = g_hash_table_lookup(e->admin_calls, &frame_id);
+
+    if (a == NULL) {
+        return;
+    }
+    if (r->status == kUnavailable) {
+        return; /* no leader just now: the next resend may find one */
+    }
+    CallerResponse response = {
+        .status = r->status,
+        .content_type = "application/json",
+        .body = (const char *)r->body.data,
+        .body_bytes = r->body.len,
+    };
+    e->port.respond(e->port.ctx, a->request_id, &response);
+    g_hash_table_remove(e->admin_calls, &frame_id);
+}
+
+/* The operator of a waiting request went away. */
+void
+admin_abandon(EntryCore *e, uint64_t request_id)
+{
+    GHashTableIter it;
+    void *value;
+
+    g_hash_table_iter_init(&it, e->admin_calls);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        if (((AdminCall *)value)->request_id == request_id) {
+            g_hash_table_iter_remove(&it);
+            return;
+        }
+    }
+}
+
+/* Lets time pass: sends again what control did not answer. */
+void
+admin_tick(EntryCore *e, uint64_t now_us)
+{
+    GHashTableIter it;
+    void *value;
+
+    g_hash_table_iter_init(&it, e->admin_calls);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        AdminCall *a = value;
+        if (now_us >= a->deadline_us) {
+            caller_respond_problem(
+                e, a->request_id, 504, "control", "unknown",
+                "control did not answer; send it again with the same "
+                "Operation-Id",
+                1);
+            g_hash_table_iter_remove(&it);
+            continue;
+        }
+        if (now_us >= a->resend_us) {
+            send_call(e, now_us, a);
+        }
+    }
+}
+
+/* ---- announcements ---- */
+
+static const Field announcement_fields[] = {
+    {"database", kFieldText, TRUE, 0, 0, NULL, "its group"},
+    {"member", kFieldText, TRUE, 0, 0, NULL, "its id in the group"},
+    {"address", kFieldText, TRUE, 0, 0, NULL, "IP:PORT"},
+    {"failure_domain", kFieldText, TRUE, 0, 0, NULL, "where it runs"},
+    {"leaving", kFieldBoolean, FALSE, 0, 0, NULL, "takes no new work"},
+};
+
+/* Takes in a backend server's announcement and passes it to control. */
+void
+admin_announcement(EntryCore *e, uint64_t now_us, const CallerRequest *r)
+{
+    (void)now_us;
+    if (!bearer_matches(r->authorization, e->config.platform_key)) {
+        caller_respond_problem(e, r->id, 401, "platform", "not_run",
+                               "this needs the platform's key", 0);
+        return;
+    }
+    SchemaErrors errors;
+    GError *error = NULL;
+    json_t *body =
+        json_loadb(r->body_bytes == 0 ? "" : r->body, r->body_bytes, 0, NULL);
+    schema_errors_init(&errors);
+    schema_check_object(body, announcement_fields,
+                        G_N_ELEMENTS(announcement_fields), "announcement",
+                        &errors);
+    if (!schema_errors_raise(&errors, &error)) {
+        bad_request(e, r, error->message);
+        g_error_free(error);
+        json_decref(body);
+        return;
+    }
+    Sw__Announcement a = SW__ANNOUNCEMENT__INIT;
+    a.database = (char *)json_text_or(body, "database", "");
+    a.member = (char *)json_text_or(body, "member", "");
+    a.address = (char *)json_text_or(body, "address", "");
+    a.failure_domain = (char *)json_text_or(body, "failure_domain", "");
+    a.leaving = json_flag(body, "leaving");
+    if (lease_control(e) != NULL) {
+        entry_send(e, lease_control(e), 0, SW__FRAME__BODY_ANNOUNCEMENT, &a);
+    }
+    static const char accepted[] = "{\"detail\":\"passed to control\"}";
+    CallerResponse response = {
+        202,  "application/json", accepted, sizeof(accepted) - 1, NULL, 0,
+        FALSE};
+    e->port.respond(e->port.ctx, r->id, &response);
+    json_decref(body);
+}
--- /dev/null
+++ b/src/sapphireweir/core/caller.c
@@ -0,0 +1,661 @@
+#include <sodium.h>
+#include <string.h>
+
+#include "core/call_defs.h"
+#include "core/schema.h"
+
+/* Carries a caller's request through admission, routing, work at a pool
+ * owner and retries, to exactly one answer. */
+
+enum {
+    kAttemptsMax = 5,
+    kReadAttemptUs = 700000,
+    kWriteAttemptUs = 1800000,
+    kParkedRetryUs = 20000,
+    kAnswerGraceUs = 100000,
+    kBudgetPerRequestMilli = 100, /* a tenth of a retry a request */
+    kBudgetMaxMilli = 20000,
+    kRetryMilli = 1000,
+    kMicrosPerSecondRounding = 999999,
+};
+
+static void call_route(EntryCore *e, uint64_t now_us, Call *c);
+
+/* ---- answers ---- */
+
+/* Answers a request with an RFC 9457 problem.  outcome says what became of
+ * the request: "not_run", "unknown" or "completed". */
+void
+caller_respond_problem(EntryCore *e, uint64_t request_id, uint32_t status,
+                       const char *type, const char *outcome,
+                       const char *detail, uint32_t retry_after_s)
+{
+    json_t *body =
+        json_pack("{s:s+, s:i, s:s, s:s}", "type",
+                  "urn:sapphireweir:problem:", type, "status", (int)status,
+                  "outcome", outcome, "detail", detail == NULL ? "" : detail);
+    char *text = json_dumps(body, JSON_COMPACT);
+    CallerResponse response = {
+        .status = status,
+        .content_type = "application/problem+json",
+        .body = text,
+        .body_bytes = strlen(text),
+        .retry_after_s = retry_after_s,
+        .close = e->draining,
+    };
+    metrics_count(&e->metrics, strcmp(outcome, "unknown") == 0
+                                   ? kMetricRefusedUnknown
+                                   : kMetricRefusedNotRun);
+    e->port.respond(e->port.ctx, request_id, &response);
+    free(text);
+    json_decref(body);
+}
+
+static void
+call_remove(EntryCore *e, Call *c)
+{
+    if (c->state == kCallWorking) {
+        g_hash_table_remove(e->attempts, &c->frame_id);
+    }
+    g_hash_table_remove(e->calls, &c->id);
+}
+
+static void
+call_refuse(EntryCore *e, Call *c, uint32_t status, const char *type,
+            const char *outcome, const char *detail, uint32_t retry_after_s)
+{
+    uint64_t id = c->id;
+    char *type_copy = g_strdup(type);
+    char *detail_copy = g_strdup(detail);
+    const char *said = c->ever_unknown ? "unknown" : outcome;
+
+    call_remove(e, c);
+    caller_respond_problem(e, id, status, type_copy, said, detail_copy,
+                           retry_after_s);
+    g_free(type_copy);
+    g_free(detail_copy);
+}
+
+static char *
+answer_body(const Call *c, const Sw__WorkReply *r, size_t *length)
+{
+    GString *out = g_string_new(NULL);
+    const char *rows = (const char *)r->rows.data;
+    size_t bytes = r->rows.len;
+
+    switch (c->kind) {
+    case kCallStatement:
+    case kCallRun:
+        /* The one element of the array. */
+        g_string_append_len(out, rows + 1, (gssize)bytes - 2);
+        break;
+    case kCallTransaction:
+        g_string_append(out, "{\"results\":");
+        g_string_append_len(out, rows, (gssize)bytes);
+        g_string_append_c(out, '}');
+        break;
+    case kCallOpen:
+        g_string_append_printf(out, "{\"transaction\":\"%s\"}",
+                               r->transaction_id);
+        break;
+    case kCallCommit:
+    case kCallRollback:
+        g_string_append_printf(out, "{\"outcome\":\"%s\"}",
+                               c->kind == kCallCommit ? "committed"
+                                                      : "rolled_back");
+        break;
+    }
+    *length = out->len;
+    return g_string_free(out, FALSE);
+}
+
+static void
+count_answer(EntryCore *e, const Call *c, const Sw__WorkReply *r)
+{
+    Metrics *m = &e->metrics;
+    metrics_count(m, kMetricAnswered);
+    if (c->write) {
+        metrics_count(m, kMetricWrites);
+    }
+    else if (c->on_primary) {
+        metrics_count(m, kMetricReadsPrimary);
+        metrics_count(m, c->primary_reason);
+    }
+    else {
+        metrics_count(m, kMetricReadsReplica);
+    }
+    if (c->counted_eligible) {
+        metrics_count(m, kMetricReadsEligible);
+    }
+    (void)r;
+}
+
+static void
+call_answer(EntryCore *e, uint64_t now_us, Call *c, const Sw__WorkReply *r)
+{
+    uint8_t nonce[kSessionTokenNonceBytes];
+    size_t length;
+    char *body = answer_body(c, r, &length);
+
+    if (r->term != 0) {
+        session_raise(&c->session, c->database,
+                      (LogPosition){r->term, r->position});
+    }
+    for (size_t i = 0; i < sizeof(nonce); i += sizeof(uint64_t)) {
+        uint64_t random = e->port.random(e->port.ctx);
+        memcpy(nonce + i, &random, sizeof(random));
+    }
+    char *token = session_token_seal(&c->session, e->keys.token, nonce);
+    CallerResponse response = {
+        .status = 200,
+        .content_type = "application/json",
+        .body = body,
+        .body_bytes = length,
+        .session_token = token,
+        .close = e->draining,
+    };
+    count_answer(e, c, r);
+    metrics_observe(&e->metrics, kHistogramRequestTime, now_us - c->began_us);
+    uint64_t id = c->id;
+    call_remove(e, c);
+    e->port.respond(e->port.ctx, id, &response);
+    g_free(token);
+    g_free(body);
+}
+
+/* ---- sending work ---- */
+
+static Sw__WorkKind
+work_kind(const Call *c)
+{
+    switch (c->kind) {
+    case kCallOpen:
+        return SW__WORK_KIND__WORK_OPEN;
+    case kCallRun:
+        return SW__WORK_KIND__WORK_RUN;
+    case kCallCommit:
+        return SW__WORK_KIND__WORK_COMMIT;
+    case kCallRollback:
+        return SW__WORK_KIND__WORK_ROLLBACK;
+    case kCallStatement:
+    case kCallTransaction:
+        break;
+    }
+    return c->write ? SW__WORK_KIND__WORK_WRITE : SW__WORK_KIND__WORK_READ;
+}
+
+static void
+fill_work(const Call *c, uint64_t now_us, const DatabaseInfo *d,
+          Sw__WorkRequest *r)
+{
+    LogPosition needed = session_get(&c->session, c->database);
+
+    sw__work_request__init(r);
+    r->kind = work_kind(c);
+    r->database = c->database;
+    r->member = c->member < 0 ? (char *)"" : d->members[c->member].id;
+    r->team = c->team;
+    r->key_id = c->key_id;
+    r->worth = c->worth;
+    r->n_statements = c->statements->len;
+    r->statements = (Sw__Statement **)c->statements->pdata;
+    r->idempotency_key =
+        c->idempotency_key == NULL ? (char *)"" : c->idempotency_key;
+    r->args_hash = c->args_hash;
+    r->min_term = needed.term;
+    r->min_position = needed.position;
+    r->max_staleness_us = c->max_staleness_us;
+    r->deadline_us = c->deadline_us - now_us;
+    r->transaction_id =
+        c->transaction_id == NULL ? (char *)"" : c->transaction_id;
+    r->repeatable = c->repeatable;
+    r->open_route = c->open_route;
+    r->database_term = c->write ? d->term : 0;
+}
+
+static void
+call_sent(EntryCore *e, uint64_t now_us, Call *c, const char *to)
+{
+    uint64_t patience_us = c->write ? kWriteAttemptUs : kReadAttemptUs;
+    c->state = kCallWorking;
+    c->frame_id = entry_next_frame(e);
+    c->attempts++;
+    g_free(c->sent_to);
+    c->sent_to = g_strdup(to);
+    c->attempt_due_us =
+        MIN(now_us + patience_us, c->deadline_us + kAnswerGraceUs);
+    g_hash_table_insert(e->attempts, &c->frame_id, c);
+}
+
+/* Sends the work to an instance.  FALSE: there is no link to it, and the
+ * work was certainly not sent. */
+static gboolean
+call_send(EntryCore *e, uint64_t now_us, Call *c, const DatabaseInfo *d,
+          const char *to)
+{
+    Sw__WorkRequest r;
+
+    fill_work(c, now_us, d, &r);
+    call_sent(e, now_us, c, to);
+    if (strcmp(to, e->config.id) == 0) {
+        pool_submit(e, now_us, NULL, c->frame_id, &r);
+        return TRUE;
+    }
+    if (entry_send(e, to, c->frame_id, SW__FRAME__BODY_WORK_REQUEST, &r)) {
+        metrics_count(&e->metrics, kMetricRelayed);
+        return TRUE;
+    }
+    g_hash_table_remove(e->attempts, &c->frame_id);
+    c->state = kCallParked;
+    return FALSE;
+}
+
+static void
+call_park(Call *c, uint64_t now_us)
+{
+    c->state = kCallParked;
+    c->retry_due_us = now_us + kParkedRetryUs;
+}
+
+static void
+set_reason(Call *c, const char *reason, const char *detail)
+{
+    char *r = g_strdup(reason);
+    char *d = g_strdup(detail);
+    g_free(c->last_reason);
+    g_free(c->last_detail);
+    c->last_reason = r;
+    c->last_detail = d;
+}
+
+/* Sends a request of an interactive transaction to the instance that its
+ * id names. */
+static void
+route_to_transaction(EntryCore *e, uint64_t now_us, Call *c,
+                     const DatabaseInfo *d)
+{
+    const char *dot = strrchr(c->transaction_id, '.');
+    char *owner = dot == NULL ? g_strdup("")
+                              : g_strndup(c->transaction_id,
+                                          (gsize)(dot - c->transaction_id));
+    gboolean sent = FALSE;
+
+    c->member = d->primary;
+    if (c->member >= 0 && dot != NULL) {
+        sent = call_send(e, now_us, c, d, owner);
+    }
+    g_free(owner);
+    if (!sent) {
+        call_refuse(e, c, 409, "no-transaction",
+                    c->kind == kCallRun ? "not_run" : "unknown",
+                    "the instance that holds the transaction is not there", 0);
+    }
+}
+
+static void
+call_route(EntryCore *e, uint64_t now_us, Call *c)
+{
+    const DatabaseInfo *d = catalog_database(e->catalog, c->database);
+    const InstanceInfo *owners[kOwnerRanksMax];
+
+    if (d == NULL) {
+        call_refuse(e, c, 503, "route", "not_run", "no such database", 1);
+        return;
+    }
+    if (c->transaction_id != NULL) {
+        route_to_transaction(e, now_us, c, d);
+        return;
+    }
+    RouteChoice choice =
+        router_choose(e, d, c->write, c->max_staleness_us, c->tried);
+    c->counted_eligible = choice.eligible;
+    if (choice.member < 0) {
+        set_reason(c, "no-primary", "the primary is being replaced");
+        call_park(c, now_us);
+        return;
+    }
+    c->member = choice.member;
+    c->on_primary = choice.member == d->primary;
+    if (c->on_primary && !(choice.eligible && c->tried != 0)) {
+        c->primary_reason = choice.reason;
+    }
+    uint32_t count = router_owners(e, d, c->member, owners);
+    for (uint32_t i = 0; i < count; i++) {
+        uint32_t rank = (c->owner_rank + i) % count;
+        if (call_send(e, now_us, c, d, owners[rank]->id)) {
+            return;
+        }
+    }
+    c->tried |= 1u << c->member;
+    set_reason(c, "no-owner", "no instance near the member can be reached");
+    call_park(c, now_us);
+}
+
+/* ---- requests ---- */
+
+/* Takes in a caller's request. */
+void
+caller_request(EntryCore *e, uint64_t now_us, const CallerRequest *r)
+{
+    CallRefusal refusal;
+    Call *c = call_parse(e, now_us, r, &refusal);
+
+    metrics_count(&e->metrics, kMetricRequests);
+    if (c == NULL) {
+        if (refusal.status == 400 || refusal.status == 404) {
+            metrics_count(&e->metrics, kMetricRefusedInput);
+        }
+        caller_respond_problem(e, r->id, refusal.status, refusal.type,
+                               "not_run", refusal.detail,
+                               refusal.status == 503 ? 1 : 0);
+        g_free(refusal.detail);
+        return;
+    }
+    e->retry_budget_milli =
+        MIN(e->retry_budget_milli + kBudgetPerRequestMilli, kBudgetMaxMilli);
+    g_hash_table_insert(e->calls, &c->id, c);
+    gboolean within = c->kind == kCallCommit || c->kind == kCallRollback;
+    if (c->open_route || within) {
+        call_route(e, now_us, c);
+        return;
+    }
+    c->state = kCallAdmission;
+    limiter_admit(e, now_us, c->team, c->id);
+}
+
+/* The limiter's verdict on a call. */
+void
+caller_verdict(void *ctx, uint64_t now_us, uint64_t call, gboolean admitted,
+               uint64_t retry_after_us)
+{
+    EntryCore *e = ctx;
+    Call *c = g_hash_table_lookup(e->calls, &call);
+
+    if (c == NULL) {
+        return;
+    }
+    if (admitted) {
+        call_route(e, now_us, c);
+        return;
+    }
+    metrics_count(&e->metrics, kMetricRefusedRate);
+    uint64_t wait_us = MIN(retry_after_us, (uint64_t)60 * kSecondUs);
+    call_refuse(e, c, 429, "rate", "not_run",
+                "the team's rate and burst are used up",
+                (uint32_t)((wait_us + kMicrosPerSecondRounding) / kSecondUs));
+}
+
+/* The caller of a request went away. */
+void
+caller_abandon(EntryCore *e, uint64_t now_us, uint64_t request_id)
+{
+    Call *c = g_hash_table_lookup(e->calls, &request_id);
+    if (c == NULL) {
+        return;
+    }
+    if (c->state == kCallAdmission) {
+        limiter_forget(e, c->id);
+    }
+    if (c->state == kCallWorking && !c->write) {
+        if (strcmp(c->sent_to, e->config.id) == 0) {
+            pool_cancel(e, now_us, NULL, c->frame_id);
+        }
+        else {
+            Sw__CancelWork cancel = SW__CANCEL_WORK__INIT;
+            entry_send(e, c->sent_to, c->frame_id, SW__FRAME__BODY_CANCEL_WORK,
+                       &cancel);
+        }
+    }
+    call_remove(e, c);
+}
+
+/* ---- replies and retries ---- */
+
+static gboolean
+safe_to_repeat(const Call *c)
+{
+    return !c->write || c->repeatable || c->idempotency_key != NULL;
+}
+
+static gboolean
+take_retry_budget(EntryCore *e)
+{
+    if (e->retry_budget_milli < kRetryMilli) {
+        metrics_count(&e->metrics, kMetricRetryBudgetEmpty);
+        return FALSE;
+    }
+    e->retry_budget_milli -= kRetryMilli;
+    return TRUE;
+}
+
+static void
+refuse_not_run(EntryCore *e, Call *c, const Sw__WorkReply *r)
+{
+    if (strcmp(r->reason, "key") == 0) {
+        metrics_count(&e->metrics, kMetricRefusedKey);
+        call_refuse(e, c, 401, "key", "not_run", r->detail, 0);
+        return;
+    }
+    if (strcmp(r->reason, "no-transaction") == 0 ||
+        strcmp(r->reason, "busy") == 0) {
+        call_refuse(e, c, 409, r->reason, "not_run", r->detail, 0);
+        return;
+    }
+    metrics_count(&e->metrics, kMetricRefusedRoute);
+    call_refuse(e, c, 503, r->reason, "not_run", r->detail, 1);
+}
+
+static gboolean
+reason_is(const Sw__WorkReply *r, const char *const *reasons)
+{
+    return g_strv_contains(reasons, r->reason);
+}
+
+static void
+note_primary_reason(Call *c, const Sw__WorkReply *r)
+{
+    if (strcmp(r->reason, "behind") == 0) {
+        c->primary_reason = kMetricPrimaryToken;
+    }
+    else if (strcmp(r->reason, "stale") == 0) {
+        c->primary_reason = kMetricPrimaryStale;
+    }
+    else {
+        c->primary_reason = kMetricPrimaryNoReplica;
+    }
+}
+
+/* The work did not run.  It goes to another member, waits for the primary,
+ * or is refused. */
+static void
+on_not_run(EntryCore *e, uint64_t now_us, Call *c, const Sw__WorkReply *r)
+{
+    static const char *const final[] = {"key", "no-transaction", "busy",
+                                        "deadline", NULL};
+    static const char *const unfit[] = {"behind", "stale", "leaving",
+                                        "unknown-member", NULL};
+    static const char *const waiting[] = {"not-primary", "unreachable",
+                                          "connection-lost", NULL};
+
+    set_reason(c, r->reason, r->detail);
+    if (c->transaction_id != NULL || reason_is(r, final) ||
+        now_us >= c->deadline_us) {
+        refuse_not_run(e, c, r);
+        return;
+    }
+    metrics_count(&e->metrics, kMetricRetries);
+    if (!c->on_primary) {
+        /* A replica that cannot serve is passed over once. */
+        c->tried |= 1u << c->member;
+        note_primary_reason(c, r);
+        if (reason_is(r, unfit) || take_retry_budget(e)) {
+            call_route(e, now_us, c);
+            return;
+        }
+        refuse_not_run(e, c, r);
+        return;
+    }
+    if (reason_is(r, waiting)) {
+        c->owner_rank++;
+        call_park(c, now_us);
+        return;
+    }
+    refuse_not_run(e, c, r);
+}
+
+/* The outcome of the work is unknown.  What may be repeated is, and a
+ * repeat under an idempotency key finds out what became of it. */
+static void
+on_unknown(EntryCore *e, uint64_t now_us, Call *c, const char *reason,
+           const char *detail)
+{
+    set_reason(c, reason, detail);
+    c->ever_unknown = c->ever_unknown || c->write;
+    if (c->transaction_id == NULL && safe_to_repeat(c) &&
+        c->attempts < kAttemptsMax && now_us < c->deadline_us &&
+        take_retry_budget(e)) {
+        metrics_count(&e->metrics, kMetricRetries);
+        c->owner_rank++;
+        if (!c->on_primary && c->member >= 0) {
+            c->tried |= 1u << c->member;
+        }
+        call_park(c, now_us);
+        return;
+    }
+    call_refuse(e, c, 504, reason, "unknown", detail, 0);
+}
+
+/* Takes in the answer to work this instance sent. */
+void
+caller_work_reply(EntryCore *e, uint64_t now_us, uint64_t frame_id,
+                  const Sw__WorkReply *r)
+{
+    Call *c = g_hash_table_lookup(e->attempts, &frame_id);
+    if (c == NULL) {
+        return; /* late: the request was answered otherwise */
+    }
+    g_hash_table_remove(e->attempts, &frame_id);
+    c->state = kCallParked;
+    switch (r->status) {
+    case SW__WORK_STATUS__WORK_DONE:
+        call_answer(e, now_us, c, r);
+        break;
+    case SW__WORK_STATUS__WORK_NOT_RUN:
+        on_not_run(e, now_us, c, r);
+        break;
+    case SW__WORK_STATUS__WORK_FAILED:
+        call_refuse(
+            e, c, strcmp(r->reason, "idempotency-key-reused") == 0 ? 409 : 422,
+            r->reason, "not_run", r->detail, 0);
+        break;
+    default:
+        on_unknown(e, now_us, c, r->reason, r->detail);
+        break;
+    }
+}
+
+/* The link to a peer broke: what was sent there may or may not run. */
+void
+caller_peer_down(EntryCore *e, uint64_t now_us, const char *peer)
+{
+    GHashTableIter it;
+    void *value;
+    GPtrArray *lost = g_ptr_array_new();
+
+    g_hash_table_iter_init(&it, e->attempts);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        if (strcmp(((Call *)value)->sent_to, peer) == 0) {
+            g_ptr_array_add(lost, value);
+        }
+    }
+    for (guint i = 0; i < lost->len; i++) {
+        Call *c = g_ptr_array_index(lost, i);
+        g_hash_table_remove(e->attempts, &c->frame_id);
+        c->state = kCallParked;
+        on_unknown(e, now_us, c, "peer-lost",
+                   "the link to the pool owner broke");
+    }
+    g_ptr_array_unref(lost);
+}
+
+/* ---- time ---- */
+
+static void
+call_timed_out(EntryCore *e, uint64_t now_us, Call *c)
+{
+    if (c->state == kCallWorking) {
+        g_hash_table_remove(e->attempts, &c->frame_id);
+        c->state = kCallParked;
+        on_unknown(e, now_us, c, "timeout",
+                   "no answer came before the deadline");
+        return;
+    }
+    if (c->state == kCallAdmission) {
+        limiter_forget(e, c->id);
+    }
+    metrics_count(&e->metrics, kMetricRefusedRoute);
+    call_refuse(e, c, 503, c->last_reason == NULL ? "timeout" : c->last_reason,
+                "not_run", c->last_detail, 1);
+}
+
+static void
+call_tick(EntryCore *e, uint64_t now_us, Call *c)
+{
+    switch (c->state) {
+    case kCallWorking:
+        if (now_us >= c->attempt_due_us) {
+            call_timed_out(e, now_us, c);
+        }
+        break;
+    case kCallParked:
+        if (now_us >= c->deadline_us) {
+            call_timed_out(e, now_us, c);
+        }
+        else if (now_us >= c->retry_due_us) {
+            call_route(e, now_us, c);
+        }
+        break;
+    case kCallAdmission:
+        if (now_us >= c->deadline_us) {
+            call_timed_out(e, now_us, c);
+        }
+        break;
+    }
+}
+
+/* Lets time pass for all requests under way. */
+void
+caller_tick(EntryCore *e, uint64_t now_us)
+{
+    GList *ids = g_hash_table_get_values(e->calls);
+    GArray *open = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+
+    for (GList *l = ids; l != NULL; l = l->next) {
+        g_array_append_val(open, ((Call *)l->data)->id);
+    }
+    g_list_free(ids);
+    for (guint i = 0; i < open->len; i++) {
+        Call *c =
+            g_hash_table_lookup(e->calls, &g_array_index(open, uint64_t, i));
+        if (c != NULL) {
+            call_tick(e, now_us, c);
+        }
+    }
+    g_array_unref(open);
+}
+
+/* Newer state was applied: a parked request may find its member now. */
+void
+caller_state_applied(EntryCore *e, uint64_t now_us)
+{
+    GHashTableIter it;
+    void *value;
+
+    g_hash_table_iter_init(&it, e->calls);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        Call *c = value;
+        if (c->state == kCallParked) {
+            c->retry_due_us = now_us;
+        }
+    }
+}
--- /dev/null
+++ b/src/sapphireweir/core/catalog.c
@@ -0,0 +1,568 @@
+#include "core/catalog.h"
+
+#include <sodium.h>
+#include <string.h>
+
+#include "core/error.h"
+#include "core/resource.h"
+#include "core/schema.h"
+
+/* An entry instance's copy of the replicated state.  Typed records are made
+ * from the JSON on first use and dropped when something they were made
+ * from changes. */
+
+struct Catalog {
+    char *cluster; /* NULL: no state yet */
+    uint64_t index;
+    GHashTable *resources; /* key -> Resource */
+    InstanceView view;
+    uint64_t known_since_us; /* departures before this are not known */
+    GQueue departures;       /* of Departure, oldest first */
+    GHashTable *services;    /* name -> ServiceInfo */
+    GHashTable *teams;       /* name -> TeamInfo */
+    GHashTable *keys;        /* id -> KeyInfo */
+    GHashTable *databases;   /* name -> DatabaseInfo */
+};
+
+/* An instance that stopped owning what it owned. */
+typedef struct {
+    InstanceInfo *instance;
+    uint64_t at_us;
+} Departure;
+
+enum { kDeparturesKept = 1024 };
+
+static void
+departure_free(void *data)
+{
+    Departure *d = data;
+    instance_info_free(d->instance);
+    g_free(d);
+}
+
+static void
+statement_free(void *data)
+{
+    StatementInfo *s = data;
+    g_ptr_array_unref(s->args);
+    g_free(s->name);
+    g_free(s->sql);
+    g_free(s);
+}
+
+static void
+service_free(void *data)
+{
+    ServiceInfo *s = data;
+    g_hash_table_destroy(s->statements);
+    g_strfreev(s->teams);
+    g_free(s->database);
+    g_free(s->name);
+    g_free(s);
+}
+
+static void
+team_free(void *data)
+{
+    TeamInfo *t = data;
+    g_free(t->name);
+    g_free(t);
+}
+
+static void
+key_free(void *data)
+{
+    KeyInfo *k = data;
+    g_free(k->id);
+    g_free(k->team);
+    g_free(k);
+}
+
+static void
+database_free(void *data)
+{
+    DatabaseInfo *d = data;
+    for (uint32_t i = 0; i < d->member_count; i++) {
+        g_free(d->members[i].id);
+        g_free(d->members[i].failure_domain);
+        g_free(d->members[i].address);
+    }
+    g_free(d->name);
+    g_free(d);
+}
+
+/* Makes an empty catalog. */
+Catalog *
+catalog_new(void)
+{
+    Catalog *c = g_new0(Catalog, 1);
+    c->resources =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, resource_free);
+    c->services =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, service_free);
+    c->teams = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, team_free);
+    c->keys = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, key_free);
+    c->databases =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, database_free);
+    instance_view_init(&c->view);
+    g_queue_init(&c->departures);
+    return c;
+}
+
+/* Frees the catalog. */
+void
+catalog_free(Catalog *c)
+{
+    g_queue_clear_full(&c->departures, departure_free);
+    instance_view_clear(&c->view);
+    g_hash_table_destroy(c->databases);
+    g_hash_table_destroy(c->keys);
+    g_hash_table_destroy(c->teams);
+    g_hash_table_destroy(c->services);
+    g_hash_table_destroy(c->resources);
+    g_free(c->cluster);
+    g_free(c);
+}
+
+/* Returns the log index of the state. */
+uint64_t
+catalog_index(const Catalog *c)
+{
+    return c->index;
+}
+
+/* Returns since when, at the latest, an instance owns a resource that it
+ * owns now: the last departure of one that outranked it, or the time this
+ * catalog began to know. */
+uint64_t
+catalog_owner_since_us(const Catalog *c, const char *resource,
+                       const char *failure_domain, const char *owner)
+{
+    const InstanceInfo *own = instance_view_find(&c->view, owner);
+    if (own == NULL) {
+        return UINT64_MAX;
+    }
+    for (GList *l = c->departures.tail; l != NULL; l = l->prev) {
+        const Departure *d = l->data;
+        if (ownership_outranks(resource, failure_domain, d->instance, own)) {
+            return MAX(d->at_us, c->known_since_us);
+        }
+    }
+    return c->known_since_us;
+}
+
+/* Returns the live entry instances. */
+const InstanceView *
+catalog_view(const Catalog *c)
+{
+    return &c->view;
+}
+
+/* Returns a resource or NULL. */
+const Resource *
+catalog_resource(const Catalog *c, const char *key)
+{
+    return g_hash_table_lookup(c->resources, key);
+}
+
+/* ---- updates ---- */
+
+/* Notes an instance that leaves or begins to drain. */
+static void
+note_departure(Catalog *c, uint64_t now_us, const char *id, const json_t *spec)
+{
+    const InstanceInfo *old = instance_view_find(&c->view, id);
+    if (old == NULL || old->draining ||
+        (spec != NULL && !json_flag(spec, "draining"))) {
+        return;
+    }
+    Departure *d = g_new(Departure, 1);
+    *d = (Departure){instance_info_copy(old), now_us};
+    g_queue_push_tail(&c->departures, d);
+    if (c->departures.length > kDeparturesKept) {
+        Departure *oldest = g_queue_pop_head(&c->departures);
+        c->known_since_us = MAX(c->known_since_us, oldest->at_us);
+        departure_free(oldest);
+    }
+}
+
+static void
+drop_typed(Catalog *c, uint64_t now_us, ResourceKind kind, const char *key,
+           const json_t *spec)
+{
+    const char *name = resource_name_of(key);
+    switch (kind) {
+    case kResourceTemplate:
+        g_hash_table_remove_all(c->services);
+        g_hash_table_remove_all(c->teams);
+        break;
+    case kResourceService:
+        g_hash_table_remove(c->services, name);
+        break;
+    case kResourceTeam:
+        g_hash_table_remove(c->teams, name);
+        break;
+    case kResourceKey:
+        g_hash_table_remove(c->keys, name);
+        break;
+    case kResourceDatabase:
+    case kResourcePrimary:
+    case kResourceServer: {
+        char *database = g_strndup(name, strcspn(name, "/"));
+        g_hash_table_remove(c->databases, database);
+        g_free(database);
+        break;
+    }
+    case kResourceInstance:
+        note_departure(c, now_us, name, spec);
+        instance_view_set(&c->view, name, spec);
+        break;
+    case kResourceFleet:
+        c->view.epoch++;
+        c->known_since_us = now_us;
+        break;
+    case kResourceKindCount:
+        break;
+    }
+}
+
+static gboolean
+apply_change(Catalog *c, uint64_t now_us, const Sw__Change *w, GError **error)
+{
+    ResourceKind kind;
+    json_t *spec = NULL;
+
+    if (!resource_kind_of(w->key, &kind)) {
+        g_set_error(error, CORE_ERROR, kCoreErrorInvalid,
+                    "unknown kind of resource: %s", w->key);
+        return FALSE;
+    }
+    if (w->spec.len > 0) {
+        spec = json_loadb((const char *)w->spec.data, w->spec.len, 0, NULL);
+        if (spec == NULL) {
+            g_set_error(error, CORE_ERROR, kCoreErrorInvalid,
+                        "%s is not valid JSON", w->key);
+            return FALSE;
+        }
+    }
+    drop_typed(c, now_us, kind, w->key, spec);
+    if (spec == NULL) {
+        g_hash_table_remove(c->resources, w->key);
+        return TRUE;
+    }
+    Resource *r = resource_new(w->key, w->version, w->index, spec);
+    g_hash_table_replace(c->resources, r->key, r);
+    return TRUE;
+}
+
+static void
+catalog_clear(Catalog *c)
+{
+    g_hash_table_remove_all(c->resources);
+    g_hash_table_remove_all(c->services);
+    g_hash_table_remove_all(c->teams);
+    g_hash_table_remove_all(c->keys);
+    g_hash_table_remove_all(c->databases);
+    g_hash_table_remove_all(c->view.instances);
+}
+
+/* Applies a delta or a full state.  Older and already known ones are
+ * ignored; a gap or another cluster is an error, and nothing changes. */
+gboolean
+catalog_update(Catalog *c, uint64_t now_us, const Sw__StateUpdate *update,
+               GError **error)
+{
+    if (c->cluster != NULL && strcmp(c->cluster, update->cluster) != 0) {
+        g_set_error(error, CORE_ERROR, kCoreErrorConflict,
+                    "state of cluster \"%s\", this one is \"%s\"",
+                    update->cluster, c->cluster);
+        return FALSE;
+    }
+    if (update->to_index <= c->index) {
+        return TRUE;
+    }
+    if (!update->full && update->from_index > c->index) {
+        g_set_error(error, CORE_ERROR, kCoreErrorConflict,
+                    "delta begins at %" G_GUINT64_FORMAT
+                    ", the state is at %" G_GUINT64_FORMAT,
+                    update->from_index, c->index);
+        return FALSE;
+    }
+    if (update->full) {
+        catalog_clear(c);
+        c->view.epoch++;
+        c->known_since_us = now_us;
+    }
+    for (size_t i = 0; i < update->n_changes; i++) {
+        const Sw__Change *w = update->changes[i];
+        if (!update->full && w->index <= c->index) {
+            continue;
+        }
+        if (!apply_change(c, now_us, w, error)) {
+            return FALSE;
+        }
+    }
+    if (c->cluster == NULL) {
+        c->cluster = g_strdup(update->cluster);
+    }
+    c->index = update->to_index;
+    return TRUE;
+}
+
+/* ---- typed records ---- */
+
+static const Resource *
+find_resource(const Catalog *c, ResourceKind kind, const char *name)
+{
+    char *key = g_strdup_printf("%s/%s", resource_kind_name(kind), name);
+    const Resource *r = g_hash_table_lookup(c->resources, key);
+    g_free(key);
+    return r;
+}
+
+static StatementInfo *
+statement_make(const char *name, const json_t *spec)
+{
+    enum { kDefaultWorth = 1, kMicrosPerMilli = 1000 };
+    StatementInfo *s = g_new0(StatementInfo, 1);
+    size_t i;
+    json_t *arg;
+
+    s->name = g_strdup(name);
+    s->sql = g_strdup(json_text_or(spec, "sql", ""));
+    s->write = strcmp(json_text_or(spec, "kind", ""), "write") == 0;
+    s->open = json_flag(spec, "open");
+    s->repeatable = json_flag(spec, "repeatable");
+    s->max_staleness_us =
+        (uint64_t)json_integer_or(spec, "max_staleness_ms", 0) *
+        kMicrosPerMilli;
+    s->worth = (uint32_t)json_integer_or(spec, "worth", kDefaultWorth);
+    s->args = g_ptr_array_new_with_free_func(g_free);
+    json_array_foreach(json_object_get(spec, "args"), i, arg)
+    {
+        g_ptr_array_add(s->args, g_strdup(json_string_value(arg)));
+    }
+    return s;
+}
+
+static ServiceInfo *
+service_make(const Catalog *c, const Resource *r)
+{
+    ServiceInfo *s = g_new0(ServiceInfo, 1);
+    const Resource *t = find_resource(c, kResourceTemplate,
+                                      json_text_or(r->spec, "template", ""));
+    const json_t *teams = json_object_get(r->spec, "teams");
+    const char *name;
+    json_t *statement;
+
+    s->name = g_strdup(resource_name_of(r->key));
+    s->database = g_strdup(json_text_or(r->spec, "database", ""));
+    s->statements =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, statement_free);
+    if (teams != NULL) {
+        s->teams = g_new0(char *, json_array_size(teams) + 1);
+        for (size_t i = 0; i < json_array_size(teams); i++) {
+            s->teams[i] =
+                g_strdup(json_string_value(json_array_get(teams, i)));
+        }
+    }
+    if (t == NULL) {
+        return s;
+    }
+    json_object_foreach(json_object_get(t->spec, "statements"), name,
+                        statement)
+    {
+        StatementInfo *info = statement_make(name, statement);
+        g_hash_table_insert(s->statements, info->name, info);
+    }
+    return s;
+}
+
+/* Returns a service by name or NULL. */
+const ServiceInfo *
+catalog_service(Catalog *c, const char *name)
+{
+    ServiceInfo *s = g_hash_table_lookup(c->services, name);
+    if (s != NULL) {
+        return s;
+    }
+    const Resource *r = find_resource(c, kResourceService, name);
+    if (r == NULL) {
+        return NULL;
+    }
+    s = service_make(c, r);
+    g_hash_table_insert(c->services, s->name, s);
+    return s;
+}
+
+/* Returns a statement of a service or NULL. */
+const StatementInfo *
+catalog_statement(const ServiceInfo *s, const char *name)
+{
+    return g_hash_table_lookup(s->statements, name);
+}
+
+/* Tells whether a service is there for a team. */
+gboolean
+catalog_service_serves(const ServiceInfo *s, const char *team)
+{
+    return s->teams == NULL ||
+           g_strv_contains((const char *const *)s->teams, team);
+}
+
+/* Returns a team by name or NULL. */
+const TeamInfo *
+catalog_team(Catalog *c, const char *name)
+{
+    TeamInfo *t = g_hash_table_lookup(c->teams, name);
+    if (t != NULL) {
+        return t;
+    }
+    const Resource *r = find_resource(c, kResourceTeam, name);
+    if (r == NULL) {
+        return NULL;
+    }
+    const Resource *template = find_resource(
+        c, kResourceTemplate, json_text_or(r->spec, "template", ""));
+    t = g_new0(TeamInfo, 1);
+    t->name = g_strdup(name);
+    t->version = MAX(r->version, template == NULL ? 0 : template->version);
+    resource_team_parameters(template == NULL ? NULL : template->spec, r->spec,
+                             &t->parameters);
+    g_hash_table_insert(c->teams, t->name, t);
+    return t;
+}
+
+/* Returns a key record by its id or NULL. */
+const KeyInfo *
+catalog_key(Catalog *c, const char *id)
+{
+    KeyInfo *k = g_hash_table_lookup(c->keys, id);
+    if (k != NULL) {
+        return k;
+    }
+    const Resource *r = find_resource(c, kResourceKey, id);
+    if (r == NULL) {
+        return NULL;
+    }
+    const char *hash = json_text_or(r->spec, "hash", "");
+    size_t hash_bytes = 0;
+    k = g_new0(KeyInfo, 1);
+    k->id = g_strdup(id);
+    k->team = g_strdup(json_text_or(r->spec, "team", ""));
+    k->expires_ms = (uint64_t)json_integer_or(r->spec, "expires_ms", 0);
+    k->withdrawn = json_flag(r->spec, "withdrawn");
+    if (sodium_hex2bin(k->hash, sizeof(k->hash), hash, strlen(hash), NULL,
+                       &hash_bytes, NULL) != 0 ||
+        hash_bytes != sizeof(k->hash)) {
+        k->withdrawn = TRUE;
+    }
+    g_hash_table_insert(c->keys, k->id, k);
+    return k;
+}
+
+/* Tells whether a key may be used at a wall-clock time. */
+gboolean
+catalog_key_valid(const KeyInfo *k, uint64_t wall_ms)
+{
+    return !k->withdrawn && (k->expires_ms == 0 || wall_ms < k->expires_ms);
+}
+
+static void
+member_fill(const Catalog *c, const char *database, const json_t *spec,
+            MemberInfo *m)
+{
+    m->id = g_strdup(json_text_or(spec, "id", ""));
+    m->failure_domain = g_strdup(json_text_or(spec, "failure_domain", ""));
+    char *name = g_strdup_printf("%s/%s", database, m->id);
+    const Resource *server = find_resource(c, kResourceServer, name);
+    g_free(name);
+    if (server == NULL) {
+        return;
+    }
+    m->address = g_strdup(json_text_or(server->spec, "address", ""));
+    m->usable = !json_flag(server->spec, "leaving") &&
+                !json_flag(server->spec, "missing");
+}
+
+/* Returns a database by name or NULL. */
+const DatabaseInfo *
+catalog_database(Catalog *c, const char *name)
+{
+    DatabaseInfo *d = g_hash_table_lookup(c->databases, name);
+    if (d != NULL) {
+        return d;
+    }
+    const Resource *r = find_resource(c, kResourceDatabase, name);
+    if (r == NULL) {
+        return NULL;
+    }
+    size_t i;
+    json_t *member;
+    d = g_new0(DatabaseInfo, 1);
+    d->name = g_strdup(name);
+    d->slots = (uint32_t)json_integer_or(r->spec, "slots", 1);
+    d->connections = (uint32_t)json_integer_or(r->spec, "connections", 1);
+    json_array_foreach(json_object_get(r->spec, "members"), i, member)
+    {
+        if (d->member_count < kCatalogMembersMax) {
+            member_fill(c, name, member, &d->members[d->member_count++]);
+        }
+    }
+    d->primary = -1;
+    const Resource *p = find_resource(c, kResourcePrimary, name);
+    if (p != NULL) {
+        d->primary =
+            catalog_member_index(d, json_text_or(p->spec, "member", ""));
+        d->term = (uint64_t)json_integer_or(p->spec, "term", 0);
+        d->promotion = (uint64_t)json_integer_or(p->spec, "promotion", 0);
+        d->stable = strcmp(json_text_or(p->spec, "phase", ""), "stable") == 0;
+    }
+    g_hash_table_insert(c->databases, d->name, d);
+    return d;
+}
+
+/* Returns the place of a member in its database, -1 when it has none. */
+int32_t
+catalog_member_index(const DatabaseInfo *d, const char *member)
+{
+    for (uint32_t i = 0; i < d->member_count; i++) {
+        if (strcmp(d->members[i].id, member) == 0) {
+            return (int32_t)i;
+        }
+    }
+    return -1;
+}
+
+/* Returns all databases by name, as DatabaseInfo. */
+const GHashTable *
+catalog_databases(Catalog *c)
+{
+    GHashTableIter it;
+    void *value;
+
+    g_hash_table_iter_init(&it, c->resources);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        const Resource *r = value;
+        if (r->kind == kResourceDatabase) {
+            catalog_database(c, resource_name_of(r->key));
+        }
+    }
+    return c->databases;
+}
+
+/* Fills out with the names of the failure domains, in their order; returns
+ * how many there are. */
+uint32_t
+catalog_failure_domains(const Catalog *c, const char **out)
+{
+    const Resource *r = g_hash_table_lookup(c->resources, "fleet/main");
+    const json_t *list =
+        r == NULL ? NULL : json_object_get(r->spec, "failure_domains");
+    uint32_t count = (uint32_t)MIN(json_array_size(list), kCatalogDomainsMax);
+
+    for (uint32_t i = 0; i < count; i++) {
+        out[i] = json_string_value(json_array_get(list, i));
+    }
+    return count;
+}
--- /dev/null
+++ b/src/sapphireweir/core/control_admin.c
@@ -0,0 +1,340 @@
+#include <string.h>
+
+#include "core/control_defs.h"
+#include "core/error.h"
+#include "core/schema.h"
+
+/* Operators' requests.  Changes go through the log and are answered when
+ * they are applied; reads are answered once the leader is confirmed, so
+ * that they never show an older state than an accepted change left. */
+
+enum { kAuditLinesMax = 1000 };
+
+static void
+reply_problem(ControlCore *k, const char *to, uint64_t request_id,
+              uint32_t status, const char *detail)
+{
+    control_reply_admin(k, to, request_id, status,
+                        json_pack("{s:s}", "detail", detail));
+}
+
+static gboolean
+verb_is(const Sw__AdminRequest *r, const char *verb)
+{
+    return strcmp(r->verb, verb) == 0;
+}
+
+/* ---- changes ---- */
+
+/* Operators may not write what control itself writes. */
+static gboolean
+changes_allowed(const json_t *changes, const char **refused)
+{
+    size_t i;
+    json_t *change;
+
+    json_array_foreach((json_t *)changes, i, change)
+    {
+        ResourceKind kind;
+        const char *key = json_text_or(change, "key", "");
+        if (resource_kind_of(key, &kind) && kind >= kResourceInstance) {
+            *refused = key;
+            return FALSE;
+        }
+    }
+    return TRUE;
+}
+
+static void
+wait_for_commit(ControlCore *k, uint64_t now_us, const char *to,
+                uint64_t request_id, uint64_t index)
+{
+    WaitingChange *w = g_new(WaitingChange, 1);
+    *w = (WaitingChange){index, consensus_term(k->consensus),
+                         now_us + kForwardExpiryUs, g_strdup(to), request_id};
+    g_queue_push_tail(&k->waiting_changes, w);
+}
+
+static void
+admin_apply(ControlCore *k, uint64_t now_us, const char *from,
+            uint64_t request_id, const Sw__AdminRequest *r)
+{
+    json_error_t why;
+    json_t *changes =
+        json_loadb((const char *)r->body.data, r->body.len, 0, &why);
+    const char *refused = NULL;
+
+    if (!json_is_array(changes) || r->operation_id[0] == '\0') {
+        json_decref(changes);
+        reply_problem(k, from, request_id, 400,
+                      "a change needs an operation id and a list of changes");
+        return;
+    }
+    if (!changes_allowed(changes, &refused)) {
+        json_decref(changes);
+        reply_problem(k, from, request_id, 422,
+                      "instance, server and primary are the system's own");
+        return;
+    }
+    int64_t wall_us = (int64_t)now_us + k->config.wall_offset_us;
+    json_t *command = json_pack("{s:s, s:s, s:I, s:o}", "operation",
+                                r->operation_id, "actor", r->actor, "time_ms",
+                                (json_int_t)(wall_us / kMicrosPerMillisecond),
+                                "changes", changes);
+    uint64_t index = control_propose(k, now_us, command);
+    if (index == 0) {
+        reply_problem(k, from, request_id, 503, "no leader; send it again");
+        return;
+    }
+    wait_for_commit(k, now_us, from, request_id, index);
+}
+
+/* Answers the operator whose change was applied at an index.  An entry of
+ * another term in its place means the change was not accepted there. */
+void
+control_admin_applied(ControlCore *k, uint64_t index, uint64_t term,
+                      const StateOutcome *outcome)
+{
+    while (k->waiting_changes.length > 0) {
+        WaitingChange *w = g_queue_peek_head(&k->waiting_changes);
+        if (w->index > index) {
+            return;
+        }
+        g_queue_pop_head(&k->waiting_changes);
+        if (w->index == index && w->term == term) {
+            control_reply_admin(k, w->to, w->request_id, outcome->status,
+                                json_incref(outcome->body));
+        }
+        else {
+            reply_problem(k, w->to, w->request_id, 503,
+                          "the leader changed; send the operation again");
+        }
+        g_free(w->to);
+        g_free(w);
+    }
+}
+
+/* Answers changes whose commit takes too long: they may yet be accepted,
+ * and a resend of the operation id tells. */
+void
+control_admin_expire(ControlCore *k, uint64_t now_us)
+{
+    while (k->waiting_changes.length > 0) {
+        WaitingChange *w = g_queue_peek_head(&k->waiting_changes);
+        if (w->due_us > now_us) {
+            return;
+        }
+        g_queue_pop_head(&k->waiting_changes);
+        reply_problem(k, w->to, w->request_id, 504,
+                      "not committed in time; send the operation again");
+        g_free(w->to);
+        g_free(w);
+    }
+}
+
+static void
+admin_member_change(ControlCore *k, uint64_t now_us, const char *from,
+                    uint64_t request_id, const Sw__AdminRequest *r)
+{
+    json_t *body =
+        json_loadb((const char *)r->body.data, r->body.len, 0, NULL);
+    GError *error = NULL;
+    gboolean ok;
+
+    if (verb_is(r, "member-add")) {
+        ConsensusMember *m = consensus_member_new(
+            json_text_or(body, "id", ""), json_text_or(body, "disk", ""),
+            json_text_or(body, "peer_address", ""),
+            json_text_or(body, "failure_domain", ""), FALSE);
+        ok = consensus_member_add(k->consensus, now_us, m, &error);
+        consensus_member_free(m);
+    }
+    else {
+        ok = consensus_member_remove(k->consensus, now_us,
+                                     json_text_or(body, "id", ""), &error);
+    }
+    json_decref(body);
+    if (!ok) {
+        uint32_t status = error->code == kCoreErrorConflict ? 409 : 422;
+        reply_problem(k, from, request_id, status, error->message);
+        g_error_free(error);
+        return;
+    }
+    control_reply_admin(k, from, request_id, 202,
+                        json_pack("{s:s}", "detail", "under way"));
+}
+
+/* Takes in an operator's request, or passes it to the leader. */
+void
+control_admin_request(ControlCore *k, uint64_t now_us, const char *from,
+                      uint64_t request_id, const Sw__AdminRequest *r)
+{
+    if (!control_core_leads(k)) {
+        Sw__Frame frame = SW__FRAME__INIT;
+        Sw__AdminRequest passed = *r;
+        passed.forwarded = TRUE;
+        frame.request_id = request_id;
+        frame.body_case = SW__FRAME__BODY_ADMIN_REQUEST;
+        frame.admin_request = &passed;
+        if (r->forwarded || !control_forward(k, now_us, from, &frame)) {
+            reply_problem(k, from, request_id, 503,
+                          "no leader; send it again");
+        }
+        return;
+    }
+    if (verb_is(r, "apply")) {
+        admin_apply(k, now_us, from, request_id, r);
+        return;
+    }
+    if (verb_is(r, "member-add") || verb_is(r, "member-remove")) {
+        admin_member_change(k, now_us, from, request_id, r);
+        return;
+    }
+    control_wait_read(k, now_us, from, request_id, NULL, r);
+}
+
+/* ---- reads ---- */
+
+static json_t *
+resource_to_json(const Resource *r)
+{
+    return json_pack("{s:s, s:I, s:O}", "key", r->key, "version",
+                     (json_int_t)r->version, "spec", r->spec);
+}
+
+static void
+admin_get(ControlCore *k, const char *to, uint64_t request_id,
+          const Sw__AdminRequest *r)
+{
+    const Resource *found = state_lookup(k->state, r->key);
+    if (found == NULL) {
+        reply_problem(k, to, request_id, 404, "there is no such resource");
+        return;
+    }
+    control_reply_admin(k, to, request_id, 200, resource_to_json(found));
+}
+
+static int
+compare_keys(const void *a, const void *b)
+{
+    const Resource *x = *(const Resource *const *)a;
+    const Resource *y = *(const Resource *const *)b;
+    return strcmp(x->key, y->key);
+}
+
+static void
+admin_list(ControlCore *k, const char *to, uint64_t request_id,
+           const Sw__AdminRequest *r)
+{
+    GPtrArray *found = g_ptr_array_new();
+    json_t *list = json_array();
+    GHashTableIter it;
+    void *value;
+
+    g_hash_table_iter_init(&it, state_resources(k->state));
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        const Resource *each = value;
+        if (g_str_has_prefix(each->key, r->key)) {
+            g_ptr_array_add(found, value);
+        }
+    }
+    g_ptr_array_sort(found, compare_keys);
+    for (guint i = 0; i < found->len; i++) {
+        json_array_append_new(list,
+                              resource_to_json(g_ptr_array_index(found, i)));
+    }
+    g_ptr_array_unref(found);
+    control_reply_admin(k, to, request_id, 200,
+                        json_pack("{s:o, s:I}", "resources", list, "index",
+                                  (json_int_t)state_index(k->state)));
+}
+
+static void
+admin_audit(ControlCore *k, const char *to, uint64_t request_id,
+            const Sw__AdminRequest *r)
+{
+    json_t *lines = json_array();
+    uint64_t after = g_ascii_strtoull(r->key, NULL, 10);
+    const GList *l = state_audit(k->state)->head;
+
+    for (; l != NULL && json_array_size(lines) < kAuditLinesMax; l = l->next) {
+        if ((uint64_t)json_integer_or(l->data, "index", 0) > after) {
+            json_array_append(lines, l->data);
+        }
+    }
+    control_reply_admin(k, to, request_id, 200,
+                        json_pack("{s:o}", "audit", lines));
+}
+
+static json_t *
+status_instances(const ControlCore *k, uint64_t now_us)
+{
+    json_t *list = json_array();
+    GHashTableIter it;
+    void *value;
+
+    g_hash_table_iter_init(&it, k->view.instances);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        const InstanceInfo *i = value;
+        const InstanceTrack *t = g_hash_table_lookup(k->instances, i->id);
+        json_array_append_new(
+            list,
+            json_pack(
+                "{s:s, s:s, s:b, s:I, s:I}", "id", i->id, "failure_domain",
+                i->failure_domain, "draining", i->draining, "applied_index",
+                (json_int_t)(t == NULL ? 0 : t->applied_index), "silent_ms",
+                (json_int_t)(t == NULL
+                                 ? -1
+                                 : (int64_t)((now_us - t->heard_us) / 1000))));
+    }
+    return list;
+}
+
+static json_t *
+status_members(const ControlCore *k)
+{
+    json_t *list = json_array();
+    const GPtrArray *members = consensus_members(k->consensus);
+    for (guint i = 0; i < members->len; i++) {
+        const ConsensusMember *m = g_ptr_array_index(members, i);
+        json_array_append_new(list,
+                              json_pack("{s:s, s:s, s:s, s:b}", "id", m->id,
+                                        "disk", m->disk, "failure_domain",
+                                        m->failure_domain, "voter", m->voter));
+    }
+    return list;
+}
+
+static void
+admin_status(ControlCore *k, uint64_t now_us, const char *to,
+             uint64_t request_id)
+{
+    json_t *body =
+        json_pack("{s:s, s:I, s:I, s:o, s:o}", "leader", k->id, "term",
+                  (json_int_t)consensus_term(k->consensus), "commit_index",
+                  (json_int_t)consensus_commit_index(k->consensus), "control",
+                  status_members(k), "instances", status_instances(k, now_us));
+    control_reply_admin(k, to, request_id, 200, body);
+}
+
+/* Answers a read of a confirmed leader. */
+void
+control_admin_read(ControlCore *k, uint64_t now_us, const char *to,
+                   uint64_t request_id, const Sw__AdminRequest *r)
+{
+    if (verb_is(r, "get")) {
+        admin_get(k, to, request_id, r);
+    }
+    else if (verb_is(r, "list")) {
+        admin_list(k, to, request_id, r);
+    }
+    else if (verb_is(r, "audit")) {
+        admin_audit(k, to, request_id, r);
+    }
+    else if (verb_is(r, "status")) {
+        admin_status(k, now_us, to, request_id);
+    }
+    else {
+        reply_problem(k, to, request_id, 400, "unknown request");
+    }
+}
--- /dev/null
+++ b/src/sapphireweir/core/entry_core.c
@@ -0,0 +1,329 @@
+#include "core/entry_core.h"
+
+#include <sodium.h>
+#include <string.h>
+
+#include "core/entry_defs.h"
+
+/* ---- life ---- */
+
+static void
+derive_key(const uint8_t *secret, const char *purpose, uint8_t *key)
+{
+    crypto_generichash(key, kEntrySecretBytes, (const uint8_t *)purpose,
+                       strlen(purpose), secret, kEntrySecretBytes);
+}
+
+/* Makes an entry instance.  The strings of config must outlive it. */
+EntryCore *
+entry_core_new(const EntryConfig *config, const EntryPort *port,
+               uint64_t now_us)
+{
+    EntryCore *e = g_new0(EntryCore, 1);
+
+    (void)now_us;
+    e->config = *config;
+    e->port = *port;
+    derive_key(config->secret, "sapphireweir session token", e->keys.token);
+    e->catalog = catalog_new();
+    e->lease = lease_client_new(e);
+    e->limiter = limiter_new(e, caller_verdict, e);
+    e->pools = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, pool_free);
+    e->connections = g_hash_table_new(g_int64_hash, g_int64_equal);
+    e->calls =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, call_free);
+    e->attempts = g_hash_table_new(g_int64_hash, g_int64_equal);
+    e->admin_calls = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+                                           admin_call_free);
+    e->positions = position_questions_new();
+    /* Frame ids of an earlier life must not meet answers of this one. */
+    e->next_frame = config->incarnation << 32;
+    return e;
+}
+
+/* Frees the instance. */
+void
+entry_core_free(EntryCore *e)
+{
+    g_hash_table_destroy(e->admin_calls);
+    g_hash_table_destroy(e->attempts);
+    g_hash_table_destroy(e->calls);
+    g_hash_table_destroy(e->positions);
+    g_hash_table_destroy(e->pools);
+    g_hash_table_destroy(e->connections);
+    limiter_free(e->limiter);
+    lease_client_free(e->lease);
+    catalog_free(e->catalog);
+    g_free(e);
+}
+
+/* ---- helpers of the modules ---- */
+
+/* Returns a fresh frame id. */
+uint64_t
+entry_next_frame(EntryCore *e)
+{
+    return ++e->next_frame;
+}
+
+/* Returns the wall clock in milliseconds since 1970. */
+uint64_t
+entry_wall_ms(const EntryCore *e, uint64_t now_us)
+{
+    return (uint64_t)((int64_t)now_us + e->config.wall_offset_us) /
+           kMillisecondUs;
+}
+
+/* Sends one message; the union member of body_case takes the pointer.
+ * FALSE: there is no link, and it was certainly not sent. */
+gboolean
+entry_send(EntryCore *e, const char *to, uint64_t frame_id,
+           Sw__Frame__BodyCase body_case, void *body)
+{
+    Sw__Frame frame = SW__FRAME__INIT;
+    frame.request_id = frame_id;
+    frame.body_case = body_case;
+    /* All members of the union are pointers. */
+    frame.hello = body;
+    return e->port.send(e->port.ctx, to, &frame);
+}
+
+/* Answers work to the instance it came from, NULL for this one. */
+void
+entry_work_reply(EntryCore *e, uint64_t now_us, const char *origin,
+                 uint64_t frame_id, const Sw__WorkReply *r)
+{
+    if (origin == NULL) {
+        caller_work_reply(e, now_us, frame_id, r);
+        return;
+    }
+    entry_send(e, origin, frame_id, SW__FRAME__BODY_WORK_REPLY, (void *)r);
+}
+
+/* ---- requests ---- */
+
+static void
+respond_text(EntryCore *e, uint64_t request_id, uint32_t status,
+             const char *type, const char *text)
+{
+    CallerResponse response = {
+        .status = status,
+        .content_type = type,
+        .body = text,
+        .body_bytes = strlen(text),
+    };
+    e->port.respond(e->port.ctx, request_id, &response);
+}
+
+static void
+respond_health(EntryCore *e, uint64_t now_us, uint64_t request_id)
+{
+    gboolean ready = lease_valid(e, now_us);
+    if (e->draining) {
+        respond_text(e, request_id, 503, "text/plain", "draining\n");
+        return;
+    }
+    respond_text(e, request_id, ready ? 200 : 503, "text/plain",
+                 ready ? "ready\n" : "no control lease\n");
+}
+
+static void
+respond_metrics(EntryCore *e, uint64_t now_us, uint64_t request_id)
+{
+    GString *text = g_string_new(NULL);
+    metrics_write_text(&e->metrics, text);
+    g_string_append_printf(text,
+                           "# TYPE sapphireweir_lease_valid gauge\n"
+                           "sapphireweir_lease_valid %d\n"
+                           "# TYPE sapphireweir_applied_index gauge\n"
+                           "sapphireweir_applied_index %" G_GUINT64_FORMAT "\n"
+                           "# TYPE sapphireweir_requests_open gauge\n"
+                           "sapphireweir_requests_open %u\n",
+                           lease_valid(e, now_us), catalog_index(e->catalog),
+                           g_hash_table_size(e->calls));
+    respond_text(e, request_id, 200, "text/plain; version=0.0.4", text->str);
+    g_string_free(text, TRUE);
+}
+
+/* Takes in a request; exactly one answer follows through respond, unless
+ * it is abandoned before. */
+void
+entry_core_request(EntryCore *e, uint64_t now_us, const CallerRequest *request)
+{
+    if (strcmp(request->path, "/healthz") == 0) {
+        respond_health(e, now_us, request->id);
+    }
+    else if (strcmp(request->path, "/metrics") == 0) {
+        respond_metrics(e, now_us, request->id);
+    }
+    else if (strcmp(request->path, "/v1/announcements") == 0) {
+        admin_announcement(e, now_us, request);
+    }
+    else if (g_str_has_prefix(request->path, "/admin/v1/")) {
+        admin_request(e, now_us, request);
+    }
+    else {
+        caller_request(e, now_us, request);
+    }
+}
+
+/* The caller of a request has gone; no answer is wanted any more. */
+void
+entry_core_abandon(EntryCore *e, uint64_t now_us, uint64_t request_id)
+{
+    caller_abandon(e, now_us, request_id);
+    admin_abandon(e, request_id);
+}
+
+/* ---- frames ---- */
+
+static void
+take_state_update(EntryCore *e, uint64_t now_us, const Sw__StateUpdate *u)
+{
+    GError *error = NULL;
+    uint64_t before = catalog_index(e->catalog);
+
+    if (!catalog_update(e->catalog, now_us, u, &error)) {
+        metrics_count(&e->metrics, kMetricPeerGarbage);
+        g_debug("state update refused: %s", error->message);
+        g_error_free(error);
+        return;
+    }
+    if (catalog_index(e->catalog) == before) {
+        return;
+    }
+    metrics_count(&e->metrics, kMetricStateUpdates);
+    GHashTableIter it;
+    void *value;
+    g_hash_table_iter_init(&it, catalog_view(e->catalog)->instances);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        const InstanceInfo *i = value;
+        e->port.peer_address(e->port.ctx, i->id, i->peer_address);
+    }
+    lease_state_applied(e, now_us);
+    caller_state_applied(e, now_us);
+}
+
+/* Takes in one frame of another instance. */
+void
+entry_core_frame(EntryCore *e, uint64_t now_us, const char *from,
+                 const Sw__Frame *frame)
+{
+    uint64_t id = frame->request_id;
+    switch (frame->body_case) {
+    case SW__FRAME__BODY_LEASE_REPLY:
+        lease_reply(e, now_us, frame->lease_reply);
+        break;
+    case SW__FRAME__BODY_STATE_UPDATE:
+        take_state_update(e, now_us, frame->state_update);
+        break;
+    case SW__FRAME__BODY_ADMIN_REPLY:
+        admin_reply(e, id, frame->admin_reply);
+        break;
+    case SW__FRAME__BODY_WORK_REQUEST:
+        pool_submit(e, now_us, from, id, frame->work_request);
+        break;
+    case SW__FRAME__BODY_WORK_REPLY:
+        caller_work_reply(e, now_us, id, frame->work_reply);
+        break;
+    case SW__FRAME__BODY_CANCEL_WORK:
+        pool_cancel(e, now_us, from, id);
+        break;
+    case SW__FRAME__BODY_TOKEN_REQUEST:
+        limiter_request(e, now_us, from, id, frame->token_request);
+        break;
+    case SW__FRAME__BODY_TOKEN_REPLY:
+        limiter_reply(e, now_us, id, frame->token_reply);
+        break;
+    case SW__FRAME__BODY_POSITION_REQUEST:
+        pool_position_request(e, now_us, from, id, frame->position_request);
+        break;
+    case SW__FRAME__BODY_POSITION_REPLY:
+        pool_position_reply(e, now_us, id, frame->position_reply);
+        break;
+    case SW__FRAME__BODY_MEMBER_COMMAND:
+        pool_member_command(e, now_us, from, frame->member_command);
+        break;
+    default:
+        metrics_count(&e->metrics, kMetricPeerGarbage);
+        break;
+    }
+}
+
+/* The link to a peer broke. */
+void
+entry_core_peer_down(EntryCore *e, uint64_t now_us, const char *peer)
+{
+    caller_peer_down(e, now_us, peer);
+}
+
+/* A connection attempt ended. */
+void
+entry_core_backend_connected(EntryCore *e, uint64_t now_us,
+                             uint64_t connection, gboolean ok)
+{
+    pool_connected(e, now_us, connection, ok);
+}
+
+/* A query was answered, or its connection lost. */
+void
+entry_core_backend_result(EntryCore *e, uint64_t now_us, uint64_t connection,
+                          const BackendResult *result)
+{
+    pool_result(e, now_us, connection, result);
+}
+
+/* ---- time ---- */
+
+/* Lets time pass; call it every few milliseconds. */
+void
+entry_core_tick(EntryCore *e, uint64_t now_us)
+{
+    lease_tick(e, now_us);
+    limiter_tick(e, now_us);
+    pool_tick_all(e, now_us);
+    caller_tick(e, now_us);
+    admin_tick(e, now_us);
+    if (e->draining && entry_core_status(e, now_us).idle) {
+        lease_leave(e, now_us);
+    }
+}
+
+/* Begins a planned stop: the balancer is told by /healthz, owned pools and
+ * shards go to others, and what is under way ends. */
+void
+entry_core_drain(EntryCore *e, uint64_t now_us)
+{
+    (void)now_us;
+    e->draining = TRUE;
+    lease_health_changed(e);
+}
+
+/* Returns what a driver needs to know for a planned stop. */
+EntryStatus
+entry_core_status(const EntryCore *e, uint64_t now_us)
+{
+    EntryStatus s = {
+        .lease_valid = lease_valid(e, now_us),
+        .draining = e->draining,
+        .applied_index = catalog_index(e->catalog),
+        .requests_open = g_hash_table_size(e->calls),
+    };
+    s.idle = s.requests_open == 0 && pools_idle(e) &&
+             g_hash_table_size(e->admin_calls) == 0;
+    return s;
+}
+
+/* Tells whether a drained instance has left the membership and may end. */
+gboolean
+entry_core_has_left(const EntryCore *e)
+{
+    return lease_left(e);
+}
+
+/* Returns the instance's counters. */
+Metrics *
+entry_core_metrics(EntryCore *e)
+{
+    return &e->metrics;
+}
--- /dev/null
+++ b/src/sapphireweir/core/entry_defs.h
@@ -0,0 +1,148 @@
+#ifndef SAPPHIREWEIR_CORE_ENTRY_DEFS_H
+#define SAPPHIREWEIR_CORE_ENTRY_DEFS_H
+
+#include "core/catalog.h"
+#include "core/entry_core.h"
+#include "core/fair_queue.h"
+#include "core/session_token.h"
+#include "core/token_bucket.h"
+
+/* Internal to the entry core: shared by its modules. */
+
+enum {
+    kMillisecondUs = 1000,
+    kSecondUs = 1000000,
+    kRequestTimeoutUs = 3000000,
+    kRequestTimeoutMaxUs = 30000000,
+};
+
+typedef struct Pool Pool;
+typedef struct Limiter Limiter;
+typedef struct LeaseClient LeaseClient;
+
+/* Derived from the cluster's secret, one for each use. */
+typedef struct {
+    uint8_t token[kSessionTokenKeyBytes];
+} EntryKeys;
+
+struct EntryCore {
+    EntryConfig config;
+    EntryPort port;
+    EntryKeys keys;
+    Metrics metrics;
+    Catalog *catalog;
+    LeaseClient *lease;
+    Limiter *limiter;
+    GHashTable *pools;       /* "db/member" -> Pool */
+    GHashTable *connections; /* id -> PoolConnection, the pools' */
+    GHashTable *calls;       /* caller request id -> Call */
+    GHashTable *attempts;    /* frame id -> Call, work sent to an owner */
+    GHashTable *admin_calls; /* frame id -> AdminCall */
+    GHashTable *positions;   /* frame id -> what a PositionRequest was for */
+    uint64_t next_connection;
+    uint64_t next_frame;
+    uint64_t retry_budget_milli;
+    gboolean draining;
+    uint64_t pools_checked_epoch;
+    uint64_t pools_checked_index;
+};
+
+/* ---- lease.c ---- */
+LeaseClient *lease_client_new(EntryCore *e);
+void lease_client_free(LeaseClient *l);
+void lease_tick(EntryCore *e, uint64_t now_us);
+void lease_reply(EntryCore *e, uint64_t now_us, const Sw__LeaseReply *r);
+void lease_state_applied(EntryCore *e, uint64_t now_us);
+void lease_health_changed(EntryCore *e);
+gboolean lease_valid(const EntryCore *e, uint64_t now_us);
+gboolean lease_valid_for(const EntryCore *e, uint64_t now_us,
+                         uint64_t grace_us);
+const char *lease_control(const EntryCore *e);
+void lease_leave(EntryCore *e, uint64_t now_us);
+gboolean lease_left(const EntryCore *e);
+
+/* ---- limiter.c ---- */
+typedef void (*LimiterVerdict)(void *ctx, uint64_t now_us, uint64_t call,
+                               gboolean admitted, uint64_t retry_after_us);
+
+Limiter *limiter_new(EntryCore *e, LimiterVerdict verdict, void *ctx);
+void limiter_free(Limiter *l);
+void limiter_admit(EntryCore *e, uint64_t now_us, const char *team,
+                   uint64_t call);
+void limiter_forget(EntryCore *e, uint64_t call);
+void limiter_request(EntryCore *e, uint64_t now_us, const char *from,
+                     uint64_t frame_id, const Sw__TokenRequest *r);
+void limiter_reply(EntryCore *e, uint64_t now_us, uint64_t frame_id,
+                   const Sw__TokenReply *r);
+void limiter_tick(EntryCore *e, uint64_t now_us);
+uint64_t limiter_token_life_us(const TeamParameters *p);
+
+/* ---- pool.c, job.c, monitor.c ---- */
+Pool *pool_get(EntryCore *e, uint64_t now_us, const char *database,
+               const char *member);
+void pool_submit(EntryCore *e, uint64_t now_us, const char *origin,
+                 uint64_t frame_id, const Sw__WorkRequest *r);
+void pool_cancel(EntryCore *e, uint64_t now_us, const char *origin,
+                 uint64_t frame_id);
+void pool_origin_down(EntryCore *e, uint64_t now_us, const char *origin);
+void pool_tick_all(EntryCore *e, uint64_t now_us);
+void pool_free(void *pool);
+gboolean pools_idle(const EntryCore *e);
+void pool_connected(EntryCore *e, uint64_t now_us, uint64_t connection,
+                    gboolean ok);
+void pool_result(EntryCore *e, uint64_t now_us, uint64_t connection,
+                 const BackendResult *result);
+size_t pool_health(EntryCore *e, uint64_t now_us, GPtrArray *out);
+void pool_position_request(EntryCore *e, uint64_t now_us, const char *from,
+                           uint64_t frame_id, const Sw__PositionRequest *r);
+void pool_position_reply(EntryCore *e, uint64_t now_us, uint64_t frame_id,
+                         const Sw__PositionReply *r);
+GHashTable *position_questions_new(void);
+void pool_member_command(EntryCore *e, uint64_t now_us, const char *from,
+                         const Sw__MemberCommand *c);
+
+/* ---- router.c ---- */
+typedef struct {
+    int32_t member;    /* -1: none can serve */
+    gboolean eligible; /* a replica was allowed */
+    MetricId reason;   /* why the primary, where it is */
+} RouteChoice;
+
+RouteChoice router_choose(EntryCore *e, const DatabaseInfo *d, gboolean write,
+                          uint64_t max_staleness_us, uint32_t tried);
+uint32_t router_owners(EntryCore *e, const DatabaseInfo *d, int32_t member,
+                       const InstanceInfo **out);
+
+/* ---- caller.c ---- */
+void caller_request(EntryCore *e, uint64_t now_us, const CallerRequest *r);
+void caller_abandon(EntryCore *e, uint64_t now_us, uint64_t request_id);
+void caller_verdict(void *ctx, uint64_t now_us, uint64_t call,
+                    gboolean admitted, uint64_t retry_after_us);
+void caller_work_reply(EntryCore *e, uint64_t now_us, uint64_t frame_id,
+                       const Sw__WorkReply *r);
+void caller_peer_down(EntryCore *e, uint64_t now_us, const char *peer);
+void caller_state_applied(EntryCore *e, uint64_t now_us);
+void caller_tick(EntryCore *e, uint64_t now_us);
+void call_free(void *call);
+void caller_respond_problem(EntryCore *e, uint64_t request_id, uint32_t status,
+                            const char *type, const char *outcome,
+                            const char *detail, uint32_t retry_after_s);
+
+/* ---- admin.c ---- */
+void admin_request(EntryCore *e, uint64_t now_us, const CallerRequest *r);
+void admin_reply(EntryCore *e, uint64_t frame_id, const Sw__AdminReply *r);
+void admin_announcement(EntryCore *e, uint64_t now_us, const CallerRequest *r);
+void admin_abandon(EntryCore *e, uint64_t request_id);
+void admin_tick(EntryCore *e, uint64_t now_us);
+void admin_call_free(void *call);
+gboolean bearer_matches(const char *authorization, const char *expected);
+
+/* ---- entry_core.c ---- */
+uint64_t entry_next_frame(EntryCore *e);
+void entry_work_reply(EntryCore *e, uint64_t now_us, const char *origin,
+                      uint64_t frame_id, const Sw__WorkReply *r);
+gboolean entry_send(EntryCore *e, const char *to, uint64_t frame_id,
+                    Sw__Frame__BodyCase body_case, void *body);
+uint64_t entry_wall_ms(const EntryCore *e, uint64_t now_us);
+
+#endif
--- /dev/null
+++ b/src/sapphireweir/core/job.c
@@ -0,0 +1,658 @@
+#include <string.h>
+
+#include "core/pool_defs.h"
+#include "core/schema.h"
+
+/* One piece of work as a sequence of queries on one connection.
+ *
+ * A write commits its request record, when it has an idempotency key, in
+ * the same transaction, and is done only when a majority of the members
+ * holds its position on the primary's term.  "Not run" is said only where
+ * the commit was certainly never sent or was undone. */
+
+#define RECORD_TABLE "sapphireweir_request"
+
+static const char kCreateRecordsSql[] =
+    "CREATE TABLE IF NOT EXISTS " RECORD_TABLE
+    " (team TEXT NOT NULL, idempotency_key TEXT NOT NULL,"
+    " args_hash TEXT NOT NULL, answer TEXT, created_ms BIGINT NOT NULL,"
+    " PRIMARY KEY (team, idempotency_key))";
+static const char kInsertRecordSql[] =
+    "INSERT INTO " RECORD_TABLE
+    " (team, idempotency_key, args_hash, created_ms)"
+    " VALUES ($1, $2, $3, $4) ON CONFLICT DO NOTHING";
+static const char kLookupRecordSql[] =
+    "SELECT args_hash, answer FROM " RECORD_TABLE
+    " WHERE team = $1 AND idempotency_key = $2";
+static const char kAnswerRecordSql[] =
+    "UPDATE " RECORD_TABLE
+    " SET answer = $1 WHERE team = $2 AND idempotency_key = $3";
+
+enum { kMajorityPatienceUs = 1500000 };
+
+/* Makes a job; takes a copy of the request. */
+Job *
+job_new(Pool *p, uint64_t now_us, const char *origin, uint64_t frame_id,
+        const Sw__WorkRequest *r)
+{
+    size_t size = sw__work_request__get_packed_size(r);
+    uint8_t *packed = g_malloc(size);
+    Job *j = g_new0(Job, 1);
+
+    sw__work_request__pack(r, packed);
+    j->request = sw__work_request__unpack(NULL, size, packed);
+    g_free(packed);
+    j->pool = p;
+    j->origin = g_strdup(origin);
+    j->frame_id = frame_id;
+    j->queued_us = now_us;
+    j->deadline_us = now_us + r->deadline_us;
+    j->answers = json_array();
+    j->failed_status = SW__WORK_STATUS__WORK_DONE;
+    return j;
+}
+
+static void
+job_free(Job *j)
+{
+    if (j->transaction != NULL) {
+        j->transaction->job = NULL;
+    }
+    sw__work_request__free_unpacked(j->request, NULL);
+    json_decref(j->answers);
+    json_decref(j->recorded);
+    g_free(j->failed_reason);
+    g_free(j->failed_detail);
+    g_free(j->origin);
+    g_free(j);
+}
+
+static gboolean
+has_record(const Job *j)
+{
+    return j->request->kind == SW__WORK_KIND__WORK_WRITE &&
+           j->request->idempotency_key[0] != '\0';
+}
+
+/* Ends a job with an answer to whoever sent it, and frees it.  Its
+ * connection must have been released or dropped before. */
+void
+job_finish(Job *j, uint64_t now_us, Sw__WorkStatus status, const char *reason,
+           const char *detail)
+{
+    EntryCore *e = j->pool->core;
+    Sw__WorkReply reply = SW__WORK_REPLY__INIT;
+    char *rows = NULL;
+
+    reply.status = status;
+    reply.reason = (char *)reason;
+    reply.detail = (char *)detail;
+    if (status == SW__WORK_STATUS__WORK_DONE) {
+        rows = json_dumps(j->recorded != NULL ? j->recorded : j->answers,
+                          JSON_COMPACT);
+        reply.rows.data = (uint8_t *)rows;
+        reply.rows.len = strlen(rows);
+        reply.term = j->position.term;
+        reply.position = j->position.position;
+        reply.replayed = j->recorded != NULL;
+        reply.transaction_id =
+            j->transaction == NULL ? (char *)"" : j->transaction->id;
+    }
+    if (j->started_us != 0) {
+        metrics_observe(&e->metrics, kHistogramQueueTime,
+                        j->started_us - j->queued_us);
+    }
+    char *origin = g_strdup(j->origin);
+    uint64_t frame_id = j->frame_id;
+    job_free(j);
+    entry_work_reply(e, now_us, origin, frame_id, &reply);
+    g_free(origin);
+    free(rows);
+}
+
+/* ---- steps ---- */
+
+static void
+send_statement(Job *j, uint64_t now_us)
+{
+    const Sw__Statement *s = j->request->statements[j->statement];
+    const char *parameters[64] = {NULL};
+    size_t count = MIN(s->n_args, G_N_ELEMENTS(parameters));
+
+    for (size_t i = 0; i < count; i++) {
+        gboolean null = i < 64 && ((s->null_mask >> i) & 1) != 0;
+        parameters[i] = null ? NULL : s->args[i];
+    }
+    pool_send(j->connection, now_us, MAX(j->deadline_us, now_us) - now_us,
+              s->sql, count, parameters);
+}
+
+static void
+send_record_insert(Job *j, uint64_t now_us)
+{
+    char created[24];
+    const char *parameters[] = {j->request->team, j->request->idempotency_key,
+                                j->request->args_hash, created};
+
+    g_snprintf(created, sizeof(created), "%" G_GUINT64_FORMAT,
+               entry_wall_ms(j->pool->core, now_us));
+    pool_send(j->connection, now_us, MAX(j->deadline_us, now_us) - now_us,
+              kInsertRecordSql, G_N_ELEMENTS(parameters), parameters);
+}
+
+static void
+send_record_lookup(Job *j, uint64_t now_us)
+{
+    const char *parameters[] = {j->request->team, j->request->idempotency_key};
+    pool_send(j->connection, now_us, kSilenceUs, kLookupRecordSql,
+              G_N_ELEMENTS(parameters), parameters);
+}
+
+static void
+send_record_answer(Job *j, uint64_t now_us)
+{
+    char *answer = json_dumps(j->answers, JSON_COMPACT);
+    const char *parameters[] = {answer, j->request->team,
+                                j->request->idempotency_key};
+    pool_send(j->connection, now_us, kSilenceUs, kAnswerRecordSql,
+              G_N_ELEMENTS(parameters), parameters);
+    free(answer);
+}
+
+static void
+send_commit(Job *j, uint64_t now_us)
+{
+    j->commit_sent = TRUE;
+    pool_send(j->connection, now_us,
+              MAX(j->deadline_us, now_us) - now_us + kSilenceUs, "COMMIT", 0,
+              NULL);
+}
+
+static void
+run_step(Job *j, uint64_t now_us, JobStep step)
+{
+    PoolConnection *c = j->connection;
+    j->step = step;
+    switch (step) {
+    case kStepPing:
+        pool_send(c, now_us, kSilenceUs, "SELECT 1", 0, NULL);
+        break;
+    case kStepPositionBefore:
+    case kStepPositionAfter:
+        pool_send(c, now_us, kSilenceUs, kStatusSql, 0, NULL);
+        break;
+    case kStepRecords:
+        pool_send(c, now_us, kSecondUs, kCreateRecordsSql, 0, NULL);
+        break;
+    case kStepBegin:
+        pool_send(c, now_us, kSilenceUs,
+                  j->read_only ? "BEGIN READ ONLY" : "BEGIN", 0, NULL);
+        break;
+    case kStepRecordInsert:
+        send_record_insert(j, now_us);
+        break;
+    case kStepRecordLookup:
+        send_record_lookup(j, now_us);
+        break;
+    case kStepStatement:
+        send_statement(j, now_us);
+        break;
+    case kStepRecordAnswer:
+        send_record_answer(j, now_us);
+        break;
+    case kStepCommit:
+        send_commit(j, now_us);
+        break;
+    case kStepRollback:
+        pool_send(c, now_us, kSilenceUs, "ROLLBACK", 0, NULL);
+        break;
+    case kStepMajority:
+        break;
+    }
+}
+
+/* Tells whether the work runs inside BEGIN and COMMIT. */
+static gboolean
+in_transaction_block(const Job *j)
+{
+    return !j->read_only || pool_is_primary(j->pool) ||
+           j->request->n_statements > 1;
+}
+
+static void
+run_first_step(Job *j, uint64_t now_us)
+{
+    const Sw__WorkRequest *r = j->request;
+    LogPosition needed = {r->min_term, r->min_position};
+
+    switch (r->kind) {
+    case SW__WORK_KIND__WORK_RUN:
+        run_step(j, now_us, kStepStatement);
+        return;
+    case SW__WORK_KIND__WORK_COMMIT:
+        run_step(j, now_us, kStepCommit);
+        return;
+    case SW__WORK_KIND__WORK_ROLLBACK:
+        run_step(j, now_us, kStepRollback);
+        return;
+    default:
+        break;
+    }
+    if (j->read_only && !pool_is_primary(j->pool) &&
+        log_position_compare(j->pool->status.replayed, needed) < 0) {
+        run_step(j, now_us, kStepPositionBefore);
+        return;
+    }
+    if (has_record(j) && !j->pool->records_ready) {
+        run_step(j, now_us, kStepRecords);
+        return;
+    }
+    run_step(j, now_us, in_transaction_block(j) ? kStepBegin : kStepStatement);
+}
+
+/* Starts a job on a free connection, or a request of a transaction on the
+ * transaction's own. */
+void
+job_start(Job *j, uint64_t now_us, PoolConnection *c)
+{
+    j->connection = c;
+    j->started_us = now_us;
+    j->read_only = j->request->kind == SW__WORK_KIND__WORK_READ;
+    c->job = j;
+    c->state = kConnectionBusy;
+    if (j->transaction == NULL && now_us - c->proven_us > kProvenUs) {
+        run_step(j, now_us, kStepPing);
+        return;
+    }
+    run_first_step(j, now_us);
+}
+
+/* ---- ends ---- */
+
+static void
+measure_service(Job *j, uint64_t now_us)
+{
+    enum { kAverageOver = 8 };
+    Pool *p = j->pool;
+    uint64_t took_us = now_us - j->started_us;
+    p->service_us =
+        (p->service_us * (kAverageOver - 1) + took_us) / kAverageOver;
+    p->service_us = MAX(p->service_us, 1);
+    metrics_observe(&p->core->metrics, kHistogramServiceTime, took_us);
+}
+
+static void
+detach_connection(Job *j, uint64_t now_us)
+{
+    PoolConnection *c = j->connection;
+    j->connection = NULL;
+    if (c == NULL) {
+        return;
+    }
+    if (c->transaction != NULL) {
+        PoolTransaction *t = c->transaction;
+        c->transaction = NULL;
+        j->transaction = NULL;
+        t->job = NULL;
+        pool_transaction_free(t);
+    }
+    pool_connection_release(c, now_us);
+}
+
+static void
+complete(Job *j, uint64_t now_us)
+{
+    measure_service(j, now_us);
+    detach_connection(j, now_us);
+    job_finish(j, now_us, SW__WORK_STATUS__WORK_DONE, "", "");
+}
+
+/* Undoes the transaction, then ends in the given status. */
+static void
+roll_back(Job *j, uint64_t now_us, Sw__WorkStatus status, const char *reason,
+          const char *detail)
+{
+    j->failed_status = status;
+    g_free(j->failed_reason);
+    g_free(j->failed_detail);
+    j->failed_reason = g_strdup(reason);
+    j->failed_detail = g_strdup(detail);
+    run_step(j, now_us, kStepRollback);
+}
+
+static void
+await_majority(Job *j, uint64_t now_us)
+{
+    Pool *p = j->pool;
+    measure_service(j, now_us);
+    detach_connection(j, now_us);
+    j->step = kStepMajority;
+    j->majority_since_us = now_us;
+    metrics_count(&p->core->metrics, kMetricCommitWaits);
+    g_ptr_array_add(p->majority, j);
+    monitor_commit_waits(p, now_us);
+    job_majority_check(p, now_us);
+}
+
+/* Ends the commits that a majority holds by now. */
+void
+job_majority_check(Pool *p, uint64_t now_us)
+{
+    for (guint i = p->majority->len; i > 0; i--) {
+        Job *j = g_ptr_array_index(p->majority, i - 1);
+        if (j->position.term != p->held_term ||
+            j->position.position > p->held_position) {
+            continue;
+        }
+        g_ptr_array_remove_index(p->majority, i - 1);
+        metrics_observe(&p->core->metrics, kHistogramCommitTime,
+                        now_us - j->majority_since_us);
+        job_finish(j, now_us, SW__WORK_STATUS__WORK_DONE, "", "");
+    }
+}
+
+/* Ends the commits that wait in vain: their outcome is unknown. */
+void
+job_majority_tick(Pool *p, uint64_t now_us)
+{
+    for (guint i = p->majority->len; i > 0; i--) {
+        Job *j = g_ptr_array_index(p->majority, i - 1);
+        gboolean replaced = !pool_is_primary(p);
+        if (!replaced && now_us < j->deadline_us &&
+            now_us - j->majority_since_us < kMajorityPatienceUs) {
+            continue;
+        }
+        g_ptr_array_remove_index(p->majority, i - 1);
+        metrics_count(&p->core->metrics, kMetricCommitUnheld);
+        job_finish(j, now_us, SW__WORK_STATUS__WORK_UNKNOWN, "not-held",
+                   "committed, but no majority of members confirmed it");
+    }
+}
+
+/* ---- results ---- */
+
+static void
+on_position_before(Job *j, uint64_t now_us, const BackendResult *result)
+{
+    LogPosition needed = {j->request->min_term, j->request->min_position};
+    Pool *p = j->pool;
+
+    monitor_take_status(p, now_us, j->connection->asked_us,
+                        json_array_get(result->rows, 0));
+    if (log_position_compare(p->status.replayed, needed) >= 0) {
+        run_step(j, now_us,
+                 in_transaction_block(j) ? kStepBegin : kStepStatement);
+        return;
+    }
+    detach_connection(j, now_us);
+    job_finish(j, now_us, SW__WORK_STATUS__WORK_NOT_RUN, "behind",
+               "the replica has not replayed what the session knows");
+}
+
+static void
+on_begin(Job *j, uint64_t now_us)
+{
+    if (j->request->kind == SW__WORK_KIND__WORK_OPEN) {
+        PoolTransaction *t = g_new0(PoolTransaction, 1);
+        EntryCore *e = j->pool->core;
+        t->pool = j->pool;
+        t->id = g_strdup_printf("%s.%016" G_GINT64_MODIFIER "x", e->config.id,
+                                e->port.random(e->port.ctx));
+        t->team = g_strdup(j->request->team);
+        t->key_id = g_strdup(j->request->key_id);
+        t->connection = j->connection;
+        t->idle_due_us = now_us + kTransactionIdleUs;
+        t->end_due_us = now_us + kTransactionMaxUs;
+        j->connection->transaction = t;
+        j->connection->job = NULL;
+        j->connection = NULL;
+        j->transaction = t;
+        g_hash_table_insert(j->pool->transactions, t->id, t);
+        job_finish(j, now_us, SW__WORK_STATUS__WORK_DONE, "", "");
+        return;
+    }
+    run_step(j, now_us, has_record(j) ? kStepRecordInsert : kStepStatement);
+}
+
+static void
+on_record_lookup(Job *j, uint64_t now_us, const BackendResult *result)
+{
+    const json_t *row = json_array_get(result->rows, 0);
+    const char *hash = json_text_or(row, "args_hash", "");
+    const char *answer = json_text_or(row, "answer", "");
+
+    if (strcmp(hash, j->request->args_hash) != 0) {
+        roll_back(j, now_us, SW__WORK_STATUS__WORK_FAILED,
+                  "idempotency-key-reused",
+                  "the idempotency key was used with another request");
+        return;
+    }
+    j->recorded = json_loads(answer, 0, NULL);
+    if (j->recorded == NULL) {
+        roll_back(j, now_us, SW__WORK_STATUS__WORK_UNKNOWN, "record-damaged",
+                  "the request ran; its record cannot be read");
+        return;
+    }
+    metrics_count(&j->pool->core->metrics, kMetricReplayed);
+    run_step(j, now_us, kStepRollback);
+}
+
+static void
+on_statement(Job *j, uint64_t now_us, const BackendResult *result)
+{
+    json_t *rows = result->rows;
+    size_t count = json_array_size(rows);
+    gboolean changed = count == 0 && result->affected > 0;
+
+    json_array_append_new(
+        j->answers,
+        json_pack("{s:O, s:I}", "rows", rows, "row_count",
+                  (json_int_t)(changed ? result->affected : count)));
+    j->statement++;
+    if (j->request->kind == SW__WORK_KIND__WORK_RUN) {
+        PoolTransaction *t = j->transaction;
+        t->idle_due_us = now_us + kTransactionIdleUs;
+        j->connection->job = NULL;
+        j->connection = NULL;
+        job_finish(j, now_us, SW__WORK_STATUS__WORK_DONE, "", "");
+        return;
+    }
+    if (j->statement < j->request->n_statements) {
+        run_step(j, now_us, kStepStatement);
+        return;
+    }
+    if (j->read_only) {
+        run_step(j, now_us, kStepPositionAfter);
+        return;
+    }
+    run_step(j, now_us, has_record(j) ? kStepRecordAnswer : kStepCommit);
+}
+
+static gboolean
+on_own_term(const Job *j)
+{
+    const DatabaseInfo *d = pool_database(j->pool);
+    return d != NULL && !j->pool->status.in_recovery &&
+           j->pool->status.timeline == d->term && pool_is_primary(j->pool);
+}
+
+static void
+on_position_after(Job *j, uint64_t now_us, const BackendResult *result)
+{
+    Pool *p = j->pool;
+    gboolean taken = monitor_take_status(p, now_us, j->connection->asked_us,
+                                         json_array_get(result->rows, 0));
+    j->position = p->status.replayed;
+    if (j->read_only && in_transaction_block(j)) {
+        run_step(j, now_us, kStepCommit);
+        return;
+    }
+    if (j->read_only) {
+        complete(j, now_us);
+        return;
+    }
+    if (!taken || !on_own_term(j)) {
+        detach_connection(j, now_us);
+        metrics_count(&p->core->metrics, kMetricCommitUnheld);
+        job_finish(j, now_us, SW__WORK_STATUS__WORK_UNKNOWN, "term-changed",
+                   "the primary was replaced while the write committed");
+        return;
+    }
+    await_majority(j, now_us);
+}
+
+static void
+on_rollback(Job *j, uint64_t now_us)
+{
+    if (j->recorded != NULL) {
+        /* The first run's commit must be held before it is vouched for. */
+        run_step(j, now_us, kStepPositionAfter);
+        return;
+    }
+    Sw__WorkStatus status = j->failed_status;
+    char *reason = g_steal_pointer(&j->failed_reason);
+    char *detail = g_steal_pointer(&j->failed_detail);
+    detach_connection(j, now_us);
+    job_finish(j, now_us, status, reason == NULL ? "" : reason,
+               detail == NULL ? "" : detail);
+    g_free(reason);
+    g_free(detail);
+}
+
+static void
+on_error(Job *j, uint64_t now_us, const BackendResult *result)
+{
+    char *detail =
+        g_strdup_printf("%s: %s", result->sqlstate, result->message);
+
+    if (j->step == kStepRollback || j->step == kStepPing ||
+        j->step == kStepPositionBefore || j->step == kStepPositionAfter) {
+        /* The connection is of no use; what was sent decides the rest. */
+        pool_connection_drop(j->connection, now_us);
+        g_free(detail);
+        return;
+    }
+    if (j->step == kStepCommit) {
+        /* An error answer to COMMIT means that it was undone. */
+        detach_connection(j, now_us);
+        job_finish(j, now_us, SW__WORK_STATUS__WORK_FAILED, "statement-failed",
+                   detail);
+        g_free(detail);
+        return;
+    }
+    roll_back(j, now_us,
+              j->abandoned ? SW__WORK_STATUS__WORK_NOT_RUN
+                           : SW__WORK_STATUS__WORK_FAILED,
+              j->abandoned ? "abandoned" : "statement-failed", detail);
+    g_free(detail);
+}
+
+static void
+on_commit(Job *j, uint64_t now_us)
+{
+    if (j->read_only) {
+        complete(j, now_us);
+        return;
+    }
+    run_step(j, now_us, kStepPositionAfter);
+}
+
+/* Takes in the answer to the job's query and goes on. */
+void
+job_result(Job *j, uint64_t now_us, const BackendResult *result)
+{
+    if (result->status == kBackendError) {
+        on_error(j, now_us, result);
+        return;
+    }
+    switch (j->step) {
+    case kStepPing:
+        run_first_step(j, now_us);
+        break;
+    case kStepPositionBefore:
+        on_position_before(j, now_us, result);
+        break;
+    case kStepRecords:
+        j->pool->records_ready = TRUE;
+        run_step(j, now_us, kStepBegin);
+        break;
+    case kStepBegin:
+        on_begin(j, now_us);
+        break;
+    case kStepRecordInsert:
+        j->ran_before = result->affected == 0;
+        run_step(j, now_us,
+                 j->ran_before ? kStepRecordLookup : kStepStatement);
+        break;
+    case kStepRecordLookup:
+        on_record_lookup(j, now_us, result);
+        break;
+    case kStepStatement:
+        on_statement(j, now_us, result);
+        break;
+    case kStepRecordAnswer:
+        run_step(j, now_us, kStepCommit);
+        break;
+    case kStepCommit:
+        on_commit(j, now_us);
+        break;
+    case kStepPositionAfter:
+        on_position_after(j, now_us, result);
+        break;
+    case kStepRollback:
+        on_rollback(j, now_us);
+        break;
+    case kStepMajority:
+        break;
+    }
+}
+
+static void
+requeue(Job *j, uint64_t now_us)
+{
+    Pool *p = j->pool;
+    const TeamInfo *t = catalog_team(p->core->catalog, j->request->team);
+
+    j->requeues++;
+    j->statement = 0;
+    json_array_clear(j->answers);
+    if (!fair_queue_push(p->queue, j->request->team,
+                         t == NULL ? 1 : t->parameters.weight,
+                         j->request->worth, p->service_us, j)) {
+        job_finish(j, now_us, SW__WORK_STATUS__WORK_NOT_RUN, "overload",
+                   "the team's queue is full");
+        return;
+    }
+    pool_dispatch(p, now_us);
+}
+
+/* The job's connection is gone (silent: it no longer answers).  Before the
+ * commit was sent nothing has happened, and the work may start again on
+ * another connection; a request of an interactive transaction cannot. */
+void
+job_connection_lost(Job *j, uint64_t now_us, gboolean silent)
+{
+    gboolean within = j->request->kind == SW__WORK_KIND__WORK_RUN ||
+                      j->request->kind == SW__WORK_KIND__WORK_COMMIT ||
+                      j->request->kind == SW__WORK_KIND__WORK_ROLLBACK;
+
+    if ((j->commit_sent && !j->read_only) || j->ran_before) {
+        metrics_count(&j->pool->core->metrics, kMetricCommitUnheld);
+        job_finish(j, now_us, SW__WORK_STATUS__WORK_UNKNOWN, "connection-lost",
+                   "the connection was lost while the write committed");
+        return;
+    }
+    if (within) {
+        job_finish(j, now_us, SW__WORK_STATUS__WORK_NOT_RUN, "no-transaction",
+                   "the connection was lost and the transaction undone");
+        return;
+    }
+    gboolean again = silent && j->requeues < kJobRequeuesMax &&
+                     now_us + kSilenceUs < j->deadline_us;
+    if (again) {
+        requeue(j, now_us);
+        return;
+    }
+    job_finish(j, now_us, SW__WORK_STATUS__WORK_NOT_RUN, "connection-lost",
+               "the connection was lost before the commit was sent");
+}
--- /dev/null
+++ b/src/sapphireweir/core/lease.c
@@ -0,0 +1,242 @@
+#include <string.h>
+
+#include "core/entry_defs.h"
+
+/* The entry instance's side of the control lease.  The lease runs from the
+ * moment its request was sent, and counts only once the state that the
+ * reply confirms has been applied here. */
+
+enum {
+    kRenewUs = 300000,
+    kJoinUs = 40000,
+    kReplyPatienceUs = 500000,
+    kPreferredRetryUs = 10000000,
+    kSentKept = 32,
+};
+
+struct LeaseClient {
+    uint32_t *order; /* controls, own failure domain first */
+    uint32_t current;
+    uint64_t sequence;
+    uint64_t sent_us[kSentKept];
+    uint64_t due_us;
+    uint64_t waiting_since_us; /* first request without an answer */
+    uint64_t preferred_due_us;
+    uint64_t valid_until_us;
+    uint64_t pending_until_us; /* valid once pending_index is applied */
+    uint64_t pending_index;
+    gboolean was_valid;
+    gboolean leaving;
+    gboolean left;
+};
+
+/* Makes the lease client of an entry instance. */
+LeaseClient *
+lease_client_new(EntryCore *e)
+{
+    LeaseClient *l = g_new0(LeaseClient, 1);
+    const EntryConfig *c = &e->config;
+    uint32_t at = 0;
+
+    l->order = g_new0(uint32_t, c->control_count + 1);
+    for (int own = 1; own >= 0; own--) {
+        for (uint32_t i = 0; i < c->control_count; i++) {
+            gboolean near =
+                strcmp(c->controls[i].failure_domain, c->failure_domain) == 0;
+            if (near == own) {
+                l->order[at++] = i;
+            }
+        }
+    }
+    return l;
+}
+
+/* Frees the client. */
+void
+lease_client_free(LeaseClient *l)
+{
+    g_free(l->order);
+    g_free(l);
+}
+
+/* Returns the id of the control instance that is followed now, NULL when
+ * none is configured. */
+const char *
+lease_control(const EntryCore *e)
+{
+    const LeaseClient *l = e->lease;
+    if (e->config.control_count == 0) {
+        return NULL;
+    }
+    return e->config.controls[l->order[l->current]].id;
+}
+
+/* Tells whether keyed work may start and go on. */
+gboolean
+lease_valid(const EntryCore *e, uint64_t now_us)
+{
+    return now_us < e->lease->valid_until_us;
+}
+
+/* The same with a team's grace, for those who accept the risk of keys
+ * withdrawn meanwhile. */
+gboolean
+lease_valid_for(const EntryCore *e, uint64_t now_us, uint64_t grace_us)
+{
+    return e->lease->valid_until_us != 0 &&
+           now_us < e->lease->valid_until_us + grace_us;
+}
+
+static void
+send_request(EntryCore *e, uint64_t now_us)
+{
+    LeaseClient *l = e->lease;
+    Sw__LeaseRequest r = SW__LEASE_REQUEST__INIT;
+    GPtrArray *health = g_ptr_array_new_with_free_func(g_free);
+
+    r.sequence = ++l->sequence;
+    l->sent_us[r.sequence % kSentKept] = now_us;
+    r.instance_id = (char *)e->config.id;
+    r.failure_domain = (char *)e->config.failure_domain;
+    r.peer_address = (char *)e->config.peer_address;
+    r.http_address = (char *)e->config.http_address;
+    r.incarnation = e->config.incarnation;
+    r.applied_index = catalog_index(e->catalog);
+    r.draining = e->draining;
+    r.leaving = l->leaving;
+    r.n_health = pool_health(e, now_us, health);
+    r.health = (Sw__MemberHealth **)health->pdata;
+    entry_send(e, lease_control(e), entry_next_frame(e),
+               SW__FRAME__BODY_LEASE_REQUEST, &r);
+    g_ptr_array_unref(health);
+    if (l->waiting_since_us == 0) {
+        l->waiting_since_us = now_us;
+    }
+    l->due_us =
+        now_us + (lease_valid(e, now_us) && !l->leaving ? kRenewUs : kJoinUs);
+}
+
+static void
+choose_control(EntryCore *e, uint64_t now_us)
+{
+    LeaseClient *l = e->lease;
+    gboolean silent = l->waiting_since_us != 0 &&
+                      now_us - l->waiting_since_us > kReplyPatienceUs;
+
+    if (silent) {
+        l->current = (l->current + 1) % (uint32_t)e->config.control_count;
+        l->waiting_since_us = 0;
+        l->due_us = now_us;
+        l->preferred_due_us = now_us + kPreferredRetryUs;
+        return;
+    }
+    if (l->current != 0 && now_us >= l->preferred_due_us) {
+        l->current = 0;
+        l->waiting_since_us = 0;
+    }
+}
+
+static void
+note_validity(EntryCore *e, uint64_t now_us)
+{
+    LeaseClient *l = e->lease;
+    gboolean valid = lease_valid(e, now_us);
+    if (valid == l->was_valid) {
+        return;
+    }
+    l->was_valid = valid;
+    if (!valid) {
+        metrics_count(&e->metrics, kMetricLeaseLosses);
+    }
+    g_message("control lease %s", valid ? "held" : "lost");
+}
+
+/* Lets time pass: renews the lease, and changes to another control
+ * instance when the present one is silent. */
+void
+lease_tick(EntryCore *e, uint64_t now_us)
+{
+    LeaseClient *l = e->lease;
+
+    if (e->config.control_count == 0 || l->left) {
+        return;
+    }
+    note_validity(e, now_us);
+    choose_control(e, now_us);
+    if (now_us >= l->due_us) {
+        send_request(e, now_us);
+    }
+}
+
+static void
+adopt_pending(EntryCore *e)
+{
+    LeaseClient *l = e->lease;
+    if (l->pending_until_us > l->valid_until_us &&
+        catalog_index(e->catalog) >= l->pending_index &&
+        catalog_index(e->catalog) > 0) {
+        l->valid_until_us = l->pending_until_us;
+        metrics_count(&e->metrics, kMetricLeaseRenewals);
+    }
+}
+
+/* Takes in the answer to a lease request. */
+void
+lease_reply(EntryCore *e, uint64_t now_us, const Sw__LeaseReply *r)
+{
+    LeaseClient *l = e->lease;
+
+    l->waiting_since_us = 0;
+    if (r->sequence > l->sequence || l->sequence - r->sequence >= kSentKept) {
+        return;
+    }
+    uint64_t sent_us = l->sent_us[r->sequence % kSentKept];
+    metrics_observe(&e->metrics, kHistogramLeaseTime, now_us - sent_us);
+    if (!r->granted) {
+        return;
+    }
+    if (l->leaving) {
+        l->left = TRUE;
+        l->valid_until_us = MIN(l->valid_until_us, now_us);
+        return;
+    }
+    uint64_t until_us = sent_us + (uint64_t)r->valid_for_ms * kMillisecondUs;
+    if (until_us > l->pending_until_us) {
+        l->pending_until_us = until_us;
+        l->pending_index = r->confirmed_index;
+    }
+    adopt_pending(e);
+    note_validity(e, now_us);
+}
+
+/* Called when newer state was applied. */
+void
+lease_state_applied(EntryCore *e, uint64_t now_us)
+{
+    adopt_pending(e);
+    note_validity(e, now_us);
+}
+
+/* Has the next renewal, with the members' health, sent at once. */
+void
+lease_health_changed(EntryCore *e)
+{
+    e->lease->due_us = 0;
+}
+
+/* Begins to leave the membership at the end of a planned stop. */
+void
+lease_leave(EntryCore *e, uint64_t now_us)
+{
+    if (!e->lease->leaving) {
+        e->lease->leaving = TRUE;
+        e->lease->due_us = now_us;
+    }
+}
+
+/* Tells whether control confirmed that this instance left. */
+gboolean
+lease_left(const EntryCore *e)
+{
+    return e->lease->left;
+}
--- /dev/null
+++ b/src/sapphireweir/core/limiter.c
@@ -0,0 +1,459 @@
+#include "core/entry_defs.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+/* Rates of teams across the fleet.
+ *
+ * A team's rate and burst are split into shards, one for each failure
+ * domain, fewer for a small burst.  Each shard has one owner, chosen by
+ * rendezvous hashing; it alone hands out the shard's tokens.  An entry
+ * instance asks the shard of its own failure domain first and the others
+ * when that one is empty, so a team can spend its whole rate through one
+ * instance.
+ *
+ * A token is good for a short life, counted by the asker from the moment it
+ * asked; shards hold back rate x life of the burst, so that in any window
+ * no more than rate x time + burst is admitted.  A new owner starts with
+ * nothing, and only when the old one's lease has certainly run out. */
+
+enum {
+    kTokenLifeUs = 100000,
+    kTokenLifeLeastUs = 2000,
+    kBurstPerShard = 4,
+    kOwnerQuietUs = 4000000, /* control lease and a margin */
+    kUnreachableUs = 300000,
+    kWaitingMax = 4096,
+};
+
+typedef struct {
+    uint64_t empty_until_us;
+} ShardHint;
+
+/* One team's waiting requests at an entry instance. */
+typedef struct {
+    char *team;
+    GQueue waiting; /* of uint64_t call ids, allocated */
+    uint64_t asked_frame;
+    uint64_t asked_us;
+    uint32_t asked_shard;
+    uint32_t asked_count;
+    ShardHint hints[kCatalogDomainsMax];
+} TeamWait;
+
+/* A shard that this instance owns. */
+typedef struct {
+    TokenBucket bucket;
+    uint64_t usable_us;
+    uint32_t shards;
+} Shard;
+
+struct Limiter {
+    EntryCore *core;
+    LimiterVerdict verdict;
+    void *ctx;
+    GHashTable *waits;  /* team -> TeamWait */
+    GHashTable *shards; /* "team/shard" -> Shard */
+    uint64_t shards_epoch;
+};
+
+/* How a team's rate is split. */
+typedef struct {
+    uint32_t count;
+    const char *domains[kCatalogDomainsMax]; /* of shard 0, 1, ... */
+    TeamParameters parameters;
+} Split;
+
+static void
+team_wait_free(void *data)
+{
+    TeamWait *w = data;
+    g_queue_clear_full(&w->waiting, g_free);
+    g_free(w->team);
+    g_free(w);
+}
+
+/* Makes the limiter; verdict is told of every admission or refusal. */
+Limiter *
+limiter_new(EntryCore *e, LimiterVerdict verdict, void *ctx)
+{
+    Limiter *l = g_new0(Limiter, 1);
+    l->core = e;
+    l->verdict = verdict;
+    l->ctx = ctx;
+    l->waits =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, team_wait_free);
+    l->shards = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    return l;
+}
+
+/* Frees the limiter. */
+void
+limiter_free(Limiter *l)
+{
+    g_hash_table_destroy(l->waits);
+    g_hash_table_destroy(l->shards);
+    g_free(l);
+}
+
+/* Returns how long a token is good, in microseconds: short against the
+ * time in which the team's rate fills its burst. */
+uint64_t
+limiter_token_life_us(const TeamParameters *p)
+{
+    uint64_t half_burst_us =
+        (uint64_t)p->burst * kSecondUs / (2 * (uint64_t)p->rate_per_s);
+    return MAX(MIN(half_burst_us, kTokenLifeUs), kTokenLifeLeastUs);
+}
+
+static gboolean
+split_team(EntryCore *e, const char *team, Split *s)
+{
+    const TeamInfo *t = catalog_team(e->catalog, team);
+    const char *domains[kCatalogDomainsMax];
+    uint32_t count = catalog_failure_domains(e->catalog, domains);
+
+    if (t == NULL || count == 0) {
+        return FALSE;
+    }
+    s->parameters = t->parameters;
+    s->count = CLAMP(t->parameters.burst / kBurstPerShard, 1, count);
+    uint32_t first = XXH3_64bits(team, strlen(team)) % count;
+    for (uint32_t i = 0; i < s->count; i++) {
+        s->domains[i] = domains[(first + i) % count];
+    }
+    return TRUE;
+}
+
+static const char *
+shard_owner(EntryCore *e, const char *team, const Split *s, uint32_t shard)
+{
+    const InstanceInfo *owner;
+    char *resource = g_strdup_printf("limit/%s/%u", team, shard);
+    uint32_t found = ownership_rank(catalog_view(e->catalog), resource,
+                                    s->domains[shard], 1, &owner);
+    g_free(resource);
+    return found == 0 ? NULL : owner->id;
+}
+
+/* ---- owner of a shard ---- */
+
+static void
+shard_parameters(const Split *s, uint64_t *rate_micro, uint64_t *burst_micro)
+{
+    uint64_t held_back =
+        limiter_token_life_us(&s->parameters) * s->parameters.rate_per_s;
+    uint64_t burst = (uint64_t)s->parameters.burst * kMicroTokens;
+    *rate_micro = (uint64_t)s->parameters.rate_per_s * kMicroTokens / s->count;
+    *burst_micro = (burst - MIN(held_back, burst)) / s->count;
+}
+
+static void
+shards_drop_if_view_changed(EntryCore *e)
+{
+    Limiter *l = e->limiter;
+    GHashTableIter it;
+    void *key;
+
+    if (l->shards_epoch == catalog_view(e->catalog)->epoch) {
+        return;
+    }
+    l->shards_epoch = catalog_view(e->catalog)->epoch;
+    g_hash_table_iter_init(&it, l->shards);
+    while (g_hash_table_iter_next(&it, &key, NULL)) {
+        char *team = g_strndup(key, strcspn(key, "/"));
+        uint32_t shard =
+            (uint32_t)g_ascii_strtoull(strchr(key, '/') + 1, NULL, 10);
+        Split s;
+        gboolean keep = split_team(e, team, &s) && shard < s.count;
+        keep = keep &&
+               g_strcmp0(shard_owner(e, team, &s, shard), e->config.id) == 0;
+        g_free(team);
+        if (!keep) {
+            g_hash_table_iter_remove(&it);
+        }
+    }
+}
+
+/* Returns the bucket of an owned shard, made when missing: empty, and
+ * unused until an earlier owner's lease must be over. */
+static Shard *
+shard_get(EntryCore *e, uint64_t now_us, const char *team, const Split *s,
+          uint32_t shard)
+{
+    Limiter *l = e->limiter;
+    uint64_t rate;
+    uint64_t burst;
+    char *name = g_strdup_printf("%s/%u", team, shard);
+    Shard *found = g_hash_table_lookup(l->shards, name);
+
+    shard_parameters(s, &rate, &burst);
+    if (found != NULL && found->shards == s->count) {
+        g_free(name);
+        token_bucket_set(&found->bucket, now_us, rate, burst);
+        return found;
+    }
+    /* A changed split takes its time too: others may hold the old one. */
+    uint64_t since_us = now_us;
+    if (found == NULL) {
+        char *resource = g_strdup_printf("limit/%s", name);
+        since_us = catalog_owner_since_us(e->catalog, resource,
+                                          s->domains[shard], e->config.id);
+        g_free(resource);
+    }
+    found = g_new0(Shard, 1);
+    found->usable_us = since_us + kOwnerQuietUs;
+    found->shards = s->count;
+    token_bucket_init(&found->bucket, found->usable_us, rate, burst);
+    g_hash_table_replace(l->shards, name, found);
+    return found;
+}
+
+static Sw__TokenReply
+shard_take(EntryCore *e, uint64_t now_us, const Sw__TokenRequest *r)
+{
+    Sw__TokenReply reply = SW__TOKEN_REPLY__INIT;
+    Split s;
+
+    shards_drop_if_view_changed(e);
+    if (!split_team(e, r->team, &s) || r->shard >= s.count ||
+        !lease_valid_for(e, now_us, s.parameters.lease_grace_us) ||
+        g_strcmp0(shard_owner(e, r->team, &s, r->shard), e->config.id) != 0) {
+        return reply;
+    }
+    reply.owner = TRUE;
+    Shard *shard = shard_get(e, now_us, r->team, &s, r->shard);
+    if (now_us < shard->usable_us + s.parameters.lease_grace_us) {
+        reply.retry_after_us =
+            shard->usable_us + s.parameters.lease_grace_us - now_us;
+        return reply;
+    }
+    reply.granted = token_bucket_take(&shard->bucket, now_us, r->wanted);
+    metrics_add(&e->metrics, kMetricTokensGranted, reply.granted);
+    if (reply.granted < r->wanted) {
+        reply.retry_after_us = token_bucket_wait_us(&shard->bucket, now_us);
+    }
+    return reply;
+}
+
+/* Answers another instance that asks for tokens of a shard. */
+void
+limiter_request(EntryCore *e, uint64_t now_us, const char *from,
+                uint64_t frame_id, const Sw__TokenRequest *r)
+{
+    Sw__TokenReply reply = shard_take(e, now_us, r);
+    entry_send(e, from, frame_id, SW__FRAME__BODY_TOKEN_REPLY, &reply);
+}
+
+/* ---- asking for tokens ---- */
+
+static TeamWait *
+team_wait_get(Limiter *l, const char *team)
+{
+    TeamWait *w = g_hash_table_lookup(l->waits, team);
+    if (w == NULL) {
+        w = g_new0(TeamWait, 1);
+        w->team = g_strdup(team);
+        g_queue_init(&w->waiting);
+        g_hash_table_insert(l->waits, w->team, w);
+    }
+    return w;
+}
+
+static void
+pronounce(EntryCore *e, uint64_t now_us, TeamWait *w, gboolean admitted,
+          uint64_t retry_after_us)
+{
+    uint64_t *call = g_queue_pop_head(&w->waiting);
+    uint64_t id = *call;
+    g_free(call);
+    e->limiter->verdict(e->limiter->ctx, now_us, id, admitted, retry_after_us);
+}
+
+/* Returns the first shard, the own failure domain's before others, that is
+ * not known to be empty; -1 when all are. */
+static int32_t
+pick_shard(EntryCore *e, uint64_t now_us, const TeamWait *w, const Split *s)
+{
+    int32_t other = -1;
+    uint64_t turn = w->asked_frame;
+
+    for (uint32_t i = 0; i < s->count; i++) {
+        uint32_t shard = (uint32_t)((turn + i) % s->count);
+        if (now_us < w->hints[shard].empty_until_us) {
+            continue;
+        }
+        if (strcmp(s->domains[shard], e->config.failure_domain) == 0) {
+            return (int32_t)shard;
+        }
+        if (other < 0) {
+            other = (int32_t)shard;
+        }
+    }
+    return other;
+}
+
+static uint64_t
+soonest_hint_us(const TeamWait *w, const Split *s, uint64_t now_us)
+{
+    uint64_t soonest_us = UINT64_MAX;
+    for (uint32_t i = 0; i < s->count; i++) {
+        soonest_us = MIN(soonest_us, w->hints[i].empty_until_us);
+    }
+    return soonest_us > now_us ? soonest_us - now_us : 0;
+}
+
+static void take_grant(EntryCore *e, uint64_t now_us, TeamWait *w,
+                       const Sw__TokenReply *r);
+
+/* Asks a shard for what waits, or refuses it all when every shard is
+ * empty. */
+static void
+ask(EntryCore *e, uint64_t now_us, TeamWait *w)
+{
+    Split s;
+
+    while (w->waiting.length > 0 && w->asked_count == 0) {
+        if (!split_team(e, w->team, &s)) {
+            pronounce(e, now_us, w, FALSE, kSecondUs);
+            continue;
+        }
+        int32_t shard = pick_shard(e, now_us, w, &s);
+        if (shard < 0) {
+            pronounce(e, now_us, w, FALSE, soonest_hint_us(w, &s, now_us));
+            continue;
+        }
+        Sw__TokenRequest r = SW__TOKEN_REQUEST__INIT;
+        r.team = w->team;
+        r.shard = (uint32_t)shard;
+        r.wanted = w->waiting.length;
+        w->asked_frame = entry_next_frame(e);
+        w->asked_us = now_us;
+        w->asked_shard = r.shard;
+        w->asked_count = r.wanted;
+        const char *owner = shard_owner(e, w->team, &s, r.shard);
+        if (g_strcmp0(owner, e->config.id) == 0) {
+            Sw__TokenReply reply = shard_take(e, now_us, &r);
+            take_grant(e, now_us, w, &reply);
+            continue;
+        }
+        if (owner == NULL || !entry_send(e, owner, w->asked_frame,
+                                         SW__FRAME__BODY_TOKEN_REQUEST, &r)) {
+            w->asked_count = 0;
+            w->hints[shard].empty_until_us = now_us + kUnreachableUs;
+        }
+    }
+}
+
+static void
+take_grant(EntryCore *e, uint64_t now_us, TeamWait *w, const Sw__TokenReply *r)
+{
+    Split s;
+    uint32_t granted = r->granted;
+    uint32_t asked = w->asked_count;
+
+    w->asked_count = 0;
+    if (!split_team(e, w->team, &s)) {
+        return;
+    }
+    if (now_us - w->asked_us > limiter_token_life_us(&s.parameters)) {
+        metrics_add(&e->metrics, kMetricTokensExpired, granted);
+        granted = 0;
+    }
+    if (!r->owner) {
+        w->hints[w->asked_shard].empty_until_us = now_us + kTokenLifeUs;
+    }
+    else if (r->granted < asked) {
+        w->hints[w->asked_shard].empty_until_us =
+            r->retry_after_us > UINT64_MAX - now_us
+                ? UINT64_MAX
+                : now_us + r->retry_after_us;
+    }
+    while (granted > 0 && w->waiting.length > 0) {
+        granted--;
+        pronounce(e, now_us, w, TRUE, 0);
+    }
+}
+
+/* Asks for admission of one call of a team; the verdict may come at
+ * once. */
+void
+limiter_admit(EntryCore *e, uint64_t now_us, const char *team, uint64_t call)
+{
+    Limiter *l = e->limiter;
+    TeamWait *w = team_wait_get(l, team);
+
+    if (w->waiting.length >= kWaitingMax) {
+        l->verdict(l->ctx, now_us, call, FALSE, kSecondUs);
+        return;
+    }
+    uint64_t *id = g_new(uint64_t, 1);
+    *id = call;
+    g_queue_push_tail(&w->waiting, id);
+    ask(e, now_us, w);
+}
+
+/* Forgets a call that no longer waits for admission. */
+void
+limiter_forget(EntryCore *e, uint64_t call)
+{
+    GHashTableIter it;
+    void *value;
+
+    g_hash_table_iter_init(&it, e->limiter->waits);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        TeamWait *w = value;
+        for (GList *l = w->waiting.head; l != NULL; l = l->next) {
+            if (*(uint64_t *)l->data == call) {
+                g_free(l->data);
+                g_queue_delete_link(&w->waiting, l);
+                return;
+            }
+        }
+    }
+}
+
+/* Takes in a shard owner's answer.  A late answer to an earlier question
+ * is dropped; its tokens stay spent. */
+void
+limiter_reply(EntryCore *e, uint64_t now_us, uint64_t frame_id,
+              const Sw__TokenReply *r)
+{
+    GHashTableIter it;
+    void *value;
+
+    g_hash_table_iter_init(&it, e->limiter->waits);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        TeamWait *w = value;
+        if (w->asked_count > 0 && w->asked_frame == frame_id) {
+            take_grant(e, now_us, w, r);
+            ask(e, now_us, w);
+            return;
+        }
+    }
+    metrics_add(&e->metrics, kMetricTokensExpired, r->granted);
+}
+
+/* Lets time pass: questions without an answer go to another shard. */
+void
+limiter_tick(EntryCore *e, uint64_t now_us)
+{
+    GHashTableIter it;
+    void *value;
+    GPtrArray *late = g_ptr_array_new();
+
+    g_hash_table_iter_init(&it, e->limiter->waits);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        TeamWait *w = value;
+        if (w->asked_count > 0 && now_us - w->asked_us > kTokenLifeUs) {
+            g_ptr_array_add(late, w);
+        }
+    }
+    for (guint i = 0; i < late->len; i++) {
+        TeamWait *w = g_ptr_array_index(late, i);
+        w->hints[w->asked_shard].empty_until_us = now_us + kUnreachableUs;
+        w->asked_count = 0;
+        ask(e, now_us, w);
+    }
+    g_ptr_array_unref(late);
+}
--- /dev/null
+++ b/src/sapphireweir/core/metrics_defs.h
@@ -0,0 +1,84 @@
+#ifndef SAPPHIREWEIR_CORE_METRICS_DEFS_H
+#define SAPPHIREWEIR_CORE_METRICS_DEFS_H
+
+#include <stdint.h>
+
+/* Every counter: enum constant, exposed name, help text. */
+#define METRICS_COUNTERS(X)                                                   \
+    X(Requests, "requests_total", "Caller requests received")                 \
+    X(Answered, "answers_total", "Requests answered with a result")           \
+    X(RefusedNotRun, "refused_not_run_total", "Refusals certain not to run")  \
+    X(RefusedUnknown, "refused_unknown_total", "Refusals, outcome unknown")   \
+    X(RefusedInput, "refused_input_total", "Requests that were malformed")    \
+    X(RefusedKey, "refused_key_total", "Missing, unknown or withdrawn keys")  \
+    X(RefusedRate, "refused_rate_total", "Requests above the team's rate")    \
+    X(RefusedLease, "refused_lease_total", "Keyed work without a lease")      \
+    X(RefusedQueue, "refused_queue_total", "Queue full or deadline unmet")    \
+    X(RefusedRoute, "refused_route_total", "No member could serve")           \
+    X(ReadsReplica, "reads_replica_total", "Reads served by replicas")        \
+    X(ReadsPrimary, "reads_primary_total", "Reads served by primaries")       \
+    X(ReadsEligible, "reads_eligible_total", "Reads a replica may serve")     \
+    X(PrimaryNoReplica, "primary_no_replica_total", "No live replica")        \
+    X(PrimaryToken, "primary_token_total", "No replica covered the token")    \
+    X(PrimaryStale, "primary_stale_total", "No replica was fresh enough")     \
+    X(PrimaryStrict, "primary_strict_total", "Read accepts no staleness")     \
+    X(Writes, "writes_total", "Writes acknowledged")                          \
+    X(Replayed, "replayed_total", "Repeats answered from their record")       \
+    X(Retries, "retries_total", "Attempts after the first")                   \
+    X(RetryBudgetEmpty, "retry_budget_empty_total", "Retries not allowed")    \
+    X(Relayed, "relayed_total", "Work sent to another pool owner")            \
+    X(PoolConnects, "pool_connects_total", "Backend connections opened")      \
+    X(PoolSilent, "pool_silent_total", "Connections dropped as silent")       \
+    X(PoolLost, "pool_lost_total", "Backend connections lost")                \
+    X(CommitWaits, "commit_waits_total", "Commits that awaited a majority")   \
+    X(CommitUnheld, "commit_unheld_total", "Commits not held by a majority")  \
+    X(TokensGranted, "tokens_granted_total", "Rate tokens handed out")        \
+    X(TokensExpired, "tokens_expired_total", "Rate tokens discarded as late") \
+    X(LeaseRenewals, "lease_renewals_total", "Control lease renewals")        \
+    X(LeaseLosses, "lease_losses_total", "Times the control lease ran out")   \
+    X(StateUpdates, "state_updates_total", "Configuration updates applied")   \
+    X(TokensForged, "session_tokens_forged_total", "Bad session tokens")      \
+    X(PeerGarbage, "peer_garbage_total", "Peer frames that made no sense")    \
+    X(Elections, "elections_total", "Elections started")                      \
+    X(Commits, "log_commits_total", "Log entries applied")                    \
+    X(Snapshots, "snapshots_total", "Snapshots written")                      \
+    X(Syncs, "syncs_total", "Disk syncs")                                     \
+    X(Promotions, "promotions_total", "Promotions finished")                  \
+    X(MembersExpired, "instances_expired_total", "Instances removed")
+
+typedef enum {
+#define X(id, name, help) kMetric##id,
+    METRICS_COUNTERS(X)
+#undef X
+        kMetricCount,
+} MetricId;
+
+#define METRICS_HISTOGRAMS(X)                                                 \
+    X(RequestTime, "request_time_us", "Caller request time")                  \
+    X(QueueTime, "queue_time_us", "Time in a pool owner's queue")             \
+    X(ServiceTime, "service_time_us", "Time on a backend server")             \
+    X(CommitTime, "commit_wait_us", "Wait for a majority of members")         \
+    X(LeaseTime, "lease_time_us", "Control lease round trip")
+
+typedef enum {
+#define X(id, name, help) kHistogram##id,
+    METRICS_HISTOGRAMS(X)
+#undef X
+        kHistogramCount,
+} HistogramId;
+
+/* Four buckets for each power of two up to 2^40 us. */
+enum { kHistogramBuckets = 160 };
+
+typedef struct {
+    uint64_t buckets[kHistogramBuckets];
+    uint64_t count;
+    uint64_t sum_us;
+} Histogram;
+
+typedef struct {
+    uint64_t counters[kMetricCount];
+    Histogram histograms[kHistogramCount];
+} Metrics;
+
+#endif
--- /dev/null
+++ b/src/sapphireweir/core/monitor.c
@@ -0,0 +1,696 @@
+#include <string.h>
+
+#include "core/pool_defs.h"
+#include "core/schema.h"
+
+/* Watches one member over a connection of its own: role, term, positions,
+ * whether its stream lives; on the primary, which position a majority of
+ * the declared members holds; on a replica, how old its data is.  It also
+ * carries out the leader's commands to the member. */
+
+const char kStatusSql[] =
+    "SELECT pg_is_in_recovery() AS in_recovery,"
+    " (SELECT timeline_id FROM pg_control_checkpoint()) AS timeline,"
+    " CASE WHEN pg_is_in_recovery() THEN pg_last_wal_receive_lsn()"
+    " ELSE pg_current_wal_lsn() END AS received,"
+    " CASE WHEN pg_is_in_recovery() THEN pg_last_wal_replay_lsn()"
+    " ELSE pg_current_wal_lsn() END AS replayed,"
+    " (SELECT count(*) FROM pg_stat_wal_receiver) AS receivers,"
+    " (SELECT last_msg_receipt_time FROM pg_stat_wal_receiver) AS heard";
+
+static const char kReplicationSql[] =
+    "SELECT application_name, flush_lsn FROM pg_stat_replication"
+    " WHERE state = 'streaming'";
+static const char kGuardSql[] = "SHOW primary_conninfo";
+static const char kReloadSql[] = "SELECT pg_reload_conf()";
+static const char kPromoteSql[] = "SELECT pg_promote(true, 5)";
+
+static const char kPromotionMark[] = "promotion_";
+
+enum {
+    kStatusEveryUs = 150000,
+    kStatusActiveUs = 50000,
+    kReplicationGapUs = 500,
+    kSampleActiveUs = 50000,
+    kSampleIdleUs = 1000000,
+    kStaleReadsActiveUs = 5000000,
+    kStreamSilenceUs = 300000,
+    kCommandPollsMax = 50,
+    kHexDigits = 16,
+    kLowBits = 32,
+};
+
+/* Reads a position as PostgreSQL writes it, "16/B374D848".  FALSE when the
+ * text is none. */
+gboolean
+log_position_parse(const char *text, uint64_t *position)
+{
+    char *end = NULL;
+    uint64_t high = g_ascii_strtoull(text, &end, kHexDigits);
+    if (end == text || *end != '/') {
+        return FALSE;
+    }
+    const char *rest = end + 1;
+    uint64_t low = g_ascii_strtoull(rest, &end, kHexDigits);
+    if (end == rest || *end != '\0') {
+        return FALSE;
+    }
+    *position = (high << kLowBits) | low;
+    return TRUE;
+}
+
+static uint64_t
+position_of(const json_t *row, const char *name)
+{
+    uint64_t position = 0;
+    const char *text = json_text_or(row, name, NULL);
+    if (text != NULL) {
+        log_position_parse(text, &position);
+    }
+    return position;
+}
+
+static gboolean
+flag_of(const json_t *row, const char *name)
+{
+    const json_t *value = json_object_get(row, name);
+    return json_is_true(value) ||
+           strcmp(json_text_or(row, name, ""), "t") == 0;
+}
+
+/* ---- status ---- */
+
+static void
+take_samples(Pool *p)
+{
+    while (p->samples.length > 0) {
+        FreshSample *s = g_queue_peek_head(&p->samples);
+        if (s->at.term != p->status.replayed.term ||
+            s->at.position > p->status.replayed.position) {
+            return;
+        }
+        p->fresh_as_of_us = MAX(p->fresh_as_of_us, s->as_of_us);
+        g_free(g_queue_pop_head(&p->samples));
+    }
+}
+
+static void
+note_stream(Pool *p, uint64_t now_us, const json_t *row)
+{
+    MemberStatus *s = &p->status;
+    const json_t *value = json_object_get(row, "heard");
+    char *mark = json_dumps(value, JSON_ENCODE_ANY | JSON_COMPACT);
+    gboolean moved = s->receivers > 0 && g_strcmp0(mark, s->stream_mark) != 0;
+
+    if (moved) {
+        s->stream_heard_us = now_us;
+        g_free(s->stream_mark);
+        s->stream_mark = g_strdup(mark);
+    }
+    free(mark);
+    gboolean alive =
+        s->receivers > 0 && now_us - s->stream_heard_us < kStreamSilenceUs;
+    if (alive != s->stream_alive) {
+        s->stream_alive = alive;
+        lease_health_changed(p->core);
+    }
+}
+
+static void
+note_reachable(Pool *p)
+{
+    if (p->unreachable_since_us != 0 || !p->ever_reached) {
+        lease_health_changed(p->core);
+    }
+    p->unreachable_since_us = 0;
+    p->ever_reached = TRUE;
+}
+
+/* Takes in a status row that was asked for at asked_us.  FALSE when the
+ * row makes no sense. */
+gboolean
+monitor_take_status(Pool *p, uint64_t now_us, uint64_t asked_us,
+                    const json_t *row)
+{
+    MemberStatus *s = &p->status;
+    uint64_t timeline = (uint64_t)json_integer_or(row, "timeline", 0);
+    gboolean in_recovery = flag_of(row, "in_recovery");
+
+    if (timeline == 0) {
+        metrics_count(&p->core->metrics, kMetricPeerGarbage);
+        return FALSE;
+    }
+    if (s->known &&
+        (in_recovery != s->in_recovery || timeline != s->timeline)) {
+        p->records_ready = FALSE;
+        lease_health_changed(p->core);
+    }
+    s->known = TRUE;
+    s->in_recovery = in_recovery;
+    s->timeline = timeline;
+    s->received = (LogPosition){timeline, position_of(row, "received")};
+    s->replayed = (LogPosition){timeline, position_of(row, "replayed")};
+    s->receivers = (uint32_t)json_integer_or(row, "receivers", 0);
+    s->asked_us = asked_us;
+    s->heard_us = now_us;
+    note_stream(p, now_us, row);
+    note_reachable(p);
+    take_samples(p);
+    return TRUE;
+}
+
+static void
+ask_status(Pool *p, uint64_t now_us)
+{
+    p->monitor_state = kMonitorStatus;
+    pool_send(p->monitor, now_us, kSilenceUs, kStatusSql, 0, NULL);
+}
+
+/* ---- majority ---- */
+
+static int
+compare_descending(const void *a, const void *b)
+{
+    uint64_t x = *(const uint64_t *)a;
+    uint64_t y = *(const uint64_t *)b;
+    return x < y ? 1 : x > y ? -1 : 0;
+}
+
+static void
+take_replication(Pool *p, uint64_t now_us, const json_t *rows)
+{
+    const DatabaseInfo *d = pool_database(p);
+    uint64_t held[kCatalogMembersMax] = {0};
+    size_t i;
+    json_t *row;
+
+    if (d == NULL || p->status.in_recovery) {
+        return;
+    }
+    /* The primary itself holds all it has written. */
+    held[catalog_member_index(d, p->member)] = UINT64_MAX;
+    json_array_foreach((json_t *)rows, i, row)
+    {
+        int32_t m =
+            catalog_member_index(d, json_text_or(row, "application_name", ""));
+        if (m >= 0) {
+            held[m] = MAX(held[m], position_of(row, "flush_lsn"));
+        }
+    }
+    qsort(held, d->member_count, sizeof(held[0]), compare_descending);
+    p->held_position = held[d->member_count / 2];
+    p->held_term = p->status.timeline;
+    job_majority_check(p, now_us);
+}
+
+static void
+ask_replication(Pool *p, uint64_t now_us)
+{
+    p->monitor_state = kMonitorReplication;
+    pool_send(p->monitor, now_us, kSilenceUs, kReplicationSql, 0, NULL);
+}
+
+/* Called when a commit begins to wait for a majority: one watch serves all
+ * that wait. */
+void
+monitor_commit_waits(Pool *p, uint64_t now_us)
+{
+    if (p->monitor != NULL && p->monitor_state == kMonitorIdle) {
+        ask_replication(p, now_us);
+    }
+}
+
+/* ---- commands of the leader ---- */
+
+static void
+pending_command_free(PendingCommand *c)
+{
+    sw__member_command__free_unpacked(c->command, NULL);
+    g_free(c->from);
+    g_free(c);
+}
+
+static void
+command_reply(Pool *p, const PendingCommand *c, gboolean ok, const char *error)
+{
+    Sw__MemberResult r = SW__MEMBER_RESULT__INIT;
+    r.database = p->database;
+    r.member = p->member;
+    r.action = c->command->action;
+    r.promotion = c->command->promotion;
+    r.ok = ok;
+    r.error = (char *)error;
+    r.timeline = p->status.timeline;
+    r.position = p->status.received.position;
+    r.in_recovery = p->status.in_recovery;
+    entry_send(p->core, c->from, 0, SW__FRAME__BODY_MEMBER_RESULT, &r);
+}
+
+static void
+command_end(Pool *p, uint64_t now_us, gboolean ok, const char *error)
+{
+    PendingCommand *c = g_queue_pop_head(&p->commands);
+    if (!ok) {
+        g_message("command to %s refused: %s", p->name, error);
+    }
+    command_reply(p, c, ok, error);
+    pending_command_free(c);
+    p->monitor_state = kMonitorIdle;
+    p->monitor_due_us = now_us;
+}
+
+static char *
+conninfo_for(const Pool *p, const Sw__MemberCommand *c)
+{
+    if (c->action == SW__MEMBER_ACTION__MEMBER_FENCE) {
+        return g_strdup_printf(
+            "host=127.0.0.1 port=1 "
+            "fallback_application_name=%s%" G_GUINT64_FORMAT,
+            kPromotionMark, c->promotion);
+    }
+    char **parts = g_strsplit(c->target_address, ":", 2);
+    char *text = g_strdup_printf(
+        "host=%s port=%s application_name=%s "
+        "fallback_application_name=%s%" G_GUINT64_FORMAT,
+        parts[0], parts[0] == NULL || parts[1] == NULL ? "0" : parts[1],
+        p->member, kPromotionMark, c->promotion);
+    g_strfreev(parts);
+    return text;
+}
+
+static void
+command_run(Pool *p, uint64_t now_us, PendingCommand *c, CommandStep step)
+{
+    c->step = step;
+    p->monitor_state = kMonitorCommand;
+    switch (step) {
+    case kCommandGuard:
+        pool_send(p->monitor, now_us, kSilenceUs, kGuardSql, 0, NULL);
+        break;
+    case kCommandSet: {
+        char *conninfo = conninfo_for(p, c->command);
+        char *sql = g_strdup_printf("ALTER SYSTEM SET primary_conninfo = '%s'",
+                                    conninfo);
+        pool_send(p->monitor, now_us, kSecondUs, sql, 0, NULL);
+        g_free(sql);
+        g_free(conninfo);
+        break;
+    }
+    case kCommandReload:
+        pool_send(p->monitor, now_us, kSecondUs, kReloadSql, 0, NULL);
+        break;
+    case kCommandPromote:
+        pool_send(p->monitor, now_us, kSecondUs, kPromoteSql, 0, NULL);
+        break;
+    case kCommandStatus:
+        pool_send(p->monitor, now_us, kSilenceUs, kStatusSql, 0, NULL);
+        break;
+    }
+}
+
+/* Returns the promotion that last set where the member follows. */
+static uint64_t
+guard_promotion(const json_t *row)
+{
+    const char *conninfo = json_text_or(row, "primary_conninfo", "");
+    const char *mark = strstr(conninfo, kPromotionMark);
+    return mark == NULL
+               ? 0
+               : g_ascii_strtoull(mark + strlen(kPromotionMark), NULL, 10);
+}
+
+static void
+on_guard(Pool *p, uint64_t now_us, PendingCommand *c, const json_t *row)
+{
+    uint64_t last = guard_promotion(row);
+    gboolean promote = c->command->action == SW__MEMBER_ACTION__MEMBER_PROMOTE;
+
+    if (last > c->command->promotion) {
+        command_end(p, now_us, FALSE, "a later promotion was here");
+        return;
+    }
+    if (promote && last != c->command->promotion && p->status.in_recovery) {
+        command_end(p, now_us, FALSE, "not fenced for this promotion");
+        return;
+    }
+    command_run(p, now_us, c, promote ? kCommandPromote : kCommandSet);
+}
+
+static void
+on_command_status(Pool *p, uint64_t now_us, PendingCommand *c,
+                  const json_t *row)
+{
+    Sw__MemberAction action = c->command->action;
+    monitor_take_status(p, now_us, p->monitor->asked_us, row);
+    gboolean waiting =
+        (action == SW__MEMBER_ACTION__MEMBER_FENCE &&
+         p->status.receivers > 0) ||
+        (action == SW__MEMBER_ACTION__MEMBER_PROMOTE && p->status.in_recovery);
+    if (waiting && c->polls++ < kCommandPollsMax) {
+        command_run(p, now_us, c, kCommandStatus);
+        return;
+    }
+    command_end(p, now_us, !waiting, waiting ? "took no effect" : "");
+}
+
+static void
+on_command_result(Pool *p, uint64_t now_us, const BackendResult *result)
+{
+    PendingCommand *c = g_queue_peek_head(&p->commands);
+    const json_t *row = json_array_get(result->rows, 0);
+
+    if (result->status != kBackendOk) {
+        char *error = g_strdup(result->message);
+        command_end(p, now_us, FALSE, error);
+        g_free(error);
+        return;
+    }
+    switch (c->step) {
+    case kCommandGuard:
+        on_guard(p, now_us, c, row);
+        break;
+    case kCommandSet:
+        command_run(p, now_us, c, kCommandReload);
+        break;
+    case kCommandReload:
+    case kCommandPromote:
+        command_run(p, now_us, c, kCommandStatus);
+        break;
+    case kCommandStatus:
+        on_command_status(p, now_us, c, row);
+        break;
+    }
+}
+
+/* Takes in a command of the control leader.  One of an earlier promotion
+ * than the state names is dropped: it comes from a leader that was
+ * replaced, or late. */
+void
+pool_member_command(EntryCore *e, uint64_t now_us, const char *from,
+                    const Sw__MemberCommand *c)
+{
+    const DatabaseInfo *d = catalog_database(e->catalog, c->database);
+    if (d == NULL || c->promotion < d->promotion ||
+        catalog_member_index(d, c->member) < 0) {
+        return;
+    }
+    Pool *p = pool_get(e, now_us, c->database, c->member);
+    for (GList *l = p->commands.head; l != NULL; l = l->next) {
+        const PendingCommand *known = l->data;
+        if (known->command->action == c->action &&
+            known->command->promotion == c->promotion) {
+            return;
+        }
+    }
+    size_t size = sw__member_command__get_packed_size(c);
+    uint8_t *packed = g_malloc(size);
+    sw__member_command__pack(c, packed);
+    PendingCommand *added = g_new0(PendingCommand, 1);
+    added->from = g_strdup(from);
+    added->command = sw__member_command__unpack(NULL, size, packed);
+    g_free(packed);
+    g_queue_push_tail(&p->commands, added);
+    if (p->monitor != NULL && p->monitor_state == kMonitorIdle) {
+        command_run(p, now_us, added, kCommandGuard);
+    }
+}
+
+/* ---- the monitor's connection ---- */
+
+/* Frees what the monitor holds. */
+void
+monitor_clear(Pool *p)
+{
+    while (p->commands.length > 0) {
+        pending_command_free(g_queue_pop_head(&p->commands));
+    }
+    g_queue_clear_full(&p->samples, g_free);
+}
+
+/* The monitor's connection is gone. */
+void
+monitor_lost(Pool *p, uint64_t now_us)
+{
+    if (p->monitor != NULL) {
+        pool_connection_drop(p->monitor, now_us);
+    }
+    p->monitor_state = kMonitorOff;
+    p->monitor_due_us = now_us + kReconnectUs;
+    while (p->commands.length > 0) {
+        PendingCommand *c = g_queue_pop_head(&p->commands);
+        command_reply(p, c, FALSE, "connection lost");
+        pending_command_free(c);
+    }
+    if (p->unreachable_since_us == 0) {
+        p->unreachable_since_us = now_us;
+        lease_health_changed(p->core);
+    }
+}
+
+/* The monitor's connection attempt ended. */
+void
+monitor_connected(Pool *p, uint64_t now_us, gboolean ok)
+{
+    if (!ok) {
+        monitor_lost(p, now_us);
+        return;
+    }
+    p->monitor->state = kConnectionIdle;
+    ask_status(p, now_us);
+}
+
+static void
+next_question(Pool *p, uint64_t now_us)
+{
+    PendingCommand *c = g_queue_peek_head(&p->commands);
+    if (c != NULL) {
+        command_run(p, now_us, c, kCommandGuard);
+        return;
+    }
+    p->monitor_state = kMonitorIdle;
+    if (p->majority->len > 0) {
+        ask_replication(p, now_us);
+    }
+}
+
+/* Takes in the answer to the monitor's query. */
+void
+monitor_result(Pool *p, uint64_t now_us, const BackendResult *result)
+{
+    if (p->monitor_state == kMonitorCommand) {
+        on_command_result(p, now_us, result);
+        if (p->monitor != NULL && p->monitor_state == kMonitorIdle) {
+            next_question(p, now_us);
+        }
+        return;
+    }
+    if (result->status != kBackendOk) {
+        monitor_lost(p, now_us);
+        return;
+    }
+    if (p->monitor_state == kMonitorReplication) {
+        take_replication(p, now_us, result->rows);
+        if (p->majority->len > 0 && p->commands.length == 0) {
+            ask_replication(p, now_us);
+            return;
+        }
+        next_question(p, now_us);
+        return;
+    }
+    monitor_take_status(p, now_us, p->monitor->asked_us,
+                        json_array_get(result->rows, 0));
+    next_question(p, now_us);
+}
+
+/* ---- age of a replica's data ---- */
+
+static void
+take_position(Pool *p, LogPosition at, uint64_t as_of_us)
+{
+    FreshSample *s = g_new(FreshSample, 1);
+    *s = (FreshSample){at, as_of_us};
+    if (p->samples.length >= kFreshSamplesMax) {
+        /* Far behind: thin the samples out instead of losing the oldest. */
+        gboolean drop = FALSE;
+        for (GList *l = p->samples.head; l != NULL;) {
+            GList *next = l->next;
+            if (drop) {
+                g_free(l->data);
+                g_queue_delete_link(&p->samples, l);
+            }
+            drop = !drop;
+            l = next;
+        }
+    }
+    g_queue_push_tail(&p->samples, s);
+    take_samples(p);
+}
+
+/* Answers what position the primary had, and how long ago it was asked. */
+void
+pool_position_request(EntryCore *e, uint64_t now_us, const char *from,
+                      uint64_t frame_id, const Sw__PositionRequest *r)
+{
+    Sw__PositionReply reply = SW__POSITION_REPLY__INIT;
+    const DatabaseInfo *d = catalog_database(e->catalog, r->database);
+
+    if (d != NULL && d->primary >= 0) {
+        Pool *p = pool_get(e, now_us, r->database, d->members[d->primary].id);
+        p->last_stale_read_us = now_us;
+        reply.known = p->status.known && pool_is_primary(p) &&
+                      !p->status.in_recovery && p->status.timeline == d->term;
+        reply.term = p->status.replayed.term;
+        reply.position = p->status.replayed.position;
+        reply.age_us = now_us - p->status.asked_us;
+    }
+    entry_send(e, from, frame_id, SW__FRAME__BODY_POSITION_REPLY, &reply);
+}
+
+typedef struct {
+    char *pool;
+    uint64_t sent_us;
+} PositionQuestion;
+
+static void
+position_question_free(void *data)
+{
+    PositionQuestion *q = data;
+    g_free(q->pool);
+    g_free(q);
+}
+
+/* Makes the table of open position questions. */
+GHashTable *
+position_questions_new(void)
+{
+    return g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+                                 position_question_free);
+}
+
+/* Takes in the primary's position.  The data of a replica that replayed it
+ * is as old as the question, plus the age of the answer. */
+void
+pool_position_reply(EntryCore *e, uint64_t now_us, uint64_t frame_id,
+                    const Sw__PositionReply *r)
+{
+    PositionQuestion *q = g_hash_table_lookup(e->positions, &frame_id);
+    (void)now_us;
+    if (q == NULL) {
+        return;
+    }
+    Pool *p = g_hash_table_lookup(e->pools, q->pool);
+    if (p != NULL && r->known && r->age_us < q->sent_us) {
+        take_position(p, (LogPosition){r->term, r->position},
+                      q->sent_us - r->age_us);
+    }
+    g_hash_table_remove(e->positions, &frame_id);
+}
+
+static gboolean
+question_old(void *key, void *value, void *ctx)
+{
+    (void)key;
+    return *(uint64_t *)ctx - ((PositionQuestion *)value)->sent_us > kSecondUs;
+}
+
+static void
+ask_position(Pool *p, uint64_t now_us)
+{
+    EntryCore *e = p->core;
+    const DatabaseInfo *d = pool_database(p);
+    const InstanceInfo *owners[kOwnerRanksMax];
+    gboolean active = now_us - p->last_stale_read_us < kStaleReadsActiveUs;
+
+    if (now_us < p->sample_due_us || !p->status.in_recovery || d == NULL ||
+        d->primary < 0 || !d->stable ||
+        router_owners(e, d, d->primary, owners) == 0) {
+        return;
+    }
+    p->sample_due_us = now_us + (active ? kSampleActiveUs : kSampleIdleUs);
+    g_hash_table_foreach_remove(e->positions, question_old, &now_us);
+    if (strcmp(owners[0]->id, e->config.id) == 0) {
+        Pool *primary =
+            pool_get(e, now_us, p->database, d->members[d->primary].id);
+        primary->last_stale_read_us = now_us;
+        if (primary->status.known && !primary->status.in_recovery &&
+            primary->status.timeline == d->term) {
+            take_position(p, primary->status.replayed,
+                          primary->status.asked_us);
+        }
+        return;
+    }
+    Sw__PositionRequest r = SW__POSITION_REQUEST__INIT;
+    r.database = p->database;
+    uint64_t frame_id = entry_next_frame(e);
+    PositionQuestion *q = g_new(PositionQuestion, 1);
+    *q = (PositionQuestion){g_strdup(p->name), now_us};
+    uint64_t *key = g_new(uint64_t, 1);
+    *key = frame_id;
+    g_hash_table_insert(e->positions, key, q);
+    entry_send(e, owners[0]->id, frame_id, SW__FRAME__BODY_POSITION_REQUEST,
+               &r);
+}
+
+/* ---- time ---- */
+
+/* Lets time pass: keeps the connection, asks for the status, drops a
+ * connection that went silent. */
+void
+monitor_tick(Pool *p, uint64_t now_us)
+{
+    gboolean active = now_us - p->last_stale_read_us < kStaleReadsActiveUs;
+
+    if (p->monitor == NULL) {
+        if (now_us >= p->monitor_due_us) {
+            p->monitor = pool_connection_open(p, now_us, TRUE);
+            p->monitor_state = kMonitorConnecting;
+            p->monitor_due_us = now_us + kReconnectUs;
+        }
+        return;
+    }
+    gboolean waiting =
+        p->monitor->in_query || p->monitor->state == kConnectionConnecting;
+    if (waiting && now_us >= p->monitor->deadline_us) {
+        metrics_count(&p->core->metrics, kMetricPoolSilent);
+        p->suspect_before_us =
+            MAX(p->suspect_before_us, p->monitor->opened_us + 1);
+        monitor_lost(p, now_us);
+        p->monitor_due_us = now_us;
+        return;
+    }
+    if (p->monitor_state == kMonitorIdle && now_us >= p->monitor_due_us) {
+        p->monitor_due_us =
+            now_us + (active ? kStatusActiveUs : kStatusEveryUs);
+        ask_status(p, now_us);
+    }
+    ask_position(p, now_us);
+}
+
+/* Appends the health of every watched member for the control leader, as
+ * Sw__MemberHealth whose strings stay the pools'.  Returns how many. */
+size_t
+pool_health(EntryCore *e, uint64_t now_us, GPtrArray *out)
+{
+    GHashTableIter it;
+    void *value;
+
+    (void)now_us;
+    g_hash_table_iter_init(&it, e->pools);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        const Pool *p = value;
+        if (p->monitor == NULL && p->unreachable_since_us == 0) {
+            continue;
+        }
+        Sw__MemberHealth *h = g_new(Sw__MemberHealth, 1);
+        sw__member_health__init(h);
+        h->database = p->database;
+        h->member = p->member;
+        h->reachable = p->ever_reached && p->unreachable_since_us == 0;
+        h->stream_alive = p->status.stream_alive;
+        h->in_recovery = p->status.in_recovery;
+        h->timeline = p->status.timeline;
+        h->position = p->status.received.position;
+        g_ptr_array_add(out, h);
+    }
+    return out->len;
+}
--- /dev/null
+++ b/src/sapphireweir/core/ownership.h
@@ -0,0 +1,39 @@
+#ifndef SAPPHIREWEIR_CORE_OWNERSHIP_H
+#define SAPPHIREWEIR_CORE_OWNERSHIP_H
+
+#include <glib.h>
+#include <jansson.h>
+#include <stdint.h>
+
+/* A live entry instance as the replicated state has it. */
+typedef struct {
+    char *id;
+    char *failure_domain;
+    char *peer_address;
+    uint64_t incarnation;
+    gboolean draining;
+} InstanceInfo;
+
+/* The live entry instances.  Two views with equal content name the same
+ * owners, in every process. */
+typedef struct {
+    GHashTable *instances; /* id -> InstanceInfo, owned */
+    uint64_t epoch;        /* rises with every change */
+} InstanceView;
+
+void instance_view_init(InstanceView *v);
+void instance_view_clear(InstanceView *v);
+void instance_view_set(InstanceView *v, const char *id, const json_t *spec);
+const InstanceInfo *instance_view_find(const InstanceView *v, const char *id);
+InstanceInfo *instance_info_copy(const InstanceInfo *from);
+void instance_info_free(void *info);
+gboolean ownership_outranks(const char *resource, const char *failure_domain,
+                            const InstanceInfo *a, const InstanceInfo *b);
+
+enum { kOwnerRanksMax = 3 };
+
+uint32_t ownership_rank(const InstanceView *v, const char *resource,
+                        const char *failure_domain, uint32_t ranks,
+                        const InstanceInfo **out);
+
+#endif
