--- /dev/null
+++ b/src/sapphireweir/core/pool.c
@@ -0,0 +1,740 @@
+#include <string.h>
+
+#include "core/pool_defs.h"
+
+/* The pool owner of one member of a database group: its connections, slots
+ * and the fair queue before them.  A connection runs one transaction at a
+ * time and serves another only after that one has ended. */
+
+static void
+connection_forget(PoolConnection *c)
+{
+    Pool *p = c->pool;
+    if (c->state == kConnectionConnecting && !c->monitor) {
+        p->connecting--;
+    }
+    g_hash_table_remove(p->core->connections, &c->id);
+    if (p->monitor == c) {
+        p->monitor = NULL;
+        g_free(c);
+        return;
+    }
+    g_ptr_array_remove(p->connections, c);
+}
+
+/* Returns the database's record, NULL when it is gone. */
+const DatabaseInfo *
+pool_database(Pool *p)
+{
+    return catalog_database(p->core->catalog, p->database);
+}
+
+/* Tells whether the log names this member as the stable primary. */
+gboolean
+pool_is_primary(Pool *p)
+{
+    const DatabaseInfo *d = pool_database(p);
+    return d != NULL && d->stable && d->primary >= 0 &&
+           strcmp(d->members[d->primary].id, p->member) == 0;
+}
+
+static void
+pool_follow_catalog(Pool *p, uint64_t now_us)
+{
+    const DatabaseInfo *d = pool_database(p);
+    int32_t i = d == NULL ? -1 : catalog_member_index(d, p->member);
+    const char *address = i < 0 ? NULL : d->members[i].address;
+
+    if (g_strcmp0(address, p->address) == 0) {
+        return;
+    }
+    g_free(p->address);
+    p->address = g_strdup(address);
+    for (guint k = p->connections->len; k > 0; k--) {
+        PoolConnection *c = g_ptr_array_index(p->connections, k - 1);
+        c->closing = TRUE;
+        if (c->state != kConnectionBusy) {
+            pool_connection_drop(c, now_us);
+        }
+    }
+    if (p->monitor != NULL) {
+        monitor_lost(p, now_us);
+    }
+}
+
+/* Returns the pool of a member, made when missing. */
+Pool *
+pool_get(EntryCore *e, uint64_t now_us, const char *database,
+         const char *member)
+{
+    char *name = g_strdup_printf("%s/%s", database, member);
+    Pool *p = g_hash_table_lookup(e->pools, name);
+
+    if (p != NULL) {
+        g_free(name);
+        return p;
+    }
+    p = g_new0(Pool, 1);
+    p->core = e;
+    p->name = name;
+    p->database = g_strdup(database);
+    p->member = g_strdup(member);
+    p->queue = fair_queue_new(kTeamQueueMax);
+    p->connections = g_ptr_array_new_with_free_func(g_free);
+    p->transactions =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, NULL);
+    p->majority = g_ptr_array_new();
+    p->service_us = kFirstServiceUs;
+    g_queue_init(&p->commands);
+    g_queue_init(&p->samples);
+    g_hash_table_insert(e->pools, p->name, p);
+    pool_follow_catalog(p, now_us);
+    return p;
+}
+
+/* Frees a pool.  Its jobs must have ended. */
+void
+pool_free(void *pool)
+{
+    Pool *p = pool;
+    monitor_clear(p);
+    fair_queue_free(p->queue);
+    g_ptr_array_unref(p->connections);
+    g_hash_table_destroy(p->transactions);
+    g_ptr_array_unref(p->majority);
+    g_free(p->status.stream_mark);
+    g_free(p->address);
+    g_free(p->database);
+    g_free(p->member);
+    g_free(p->name);
+    g_free(p);
+}
+
+/* ---- connections ---- */
+
+/* The owner's part of the database's connections.  Each member has an
+ * equal share, and an owner uses at most half of it, so that it and a
+ * successor fit together; one of them is the monitor's. */
+static uint32_t
+connection_budget(const DatabaseInfo *d)
+{
+    uint32_t half = d->connections / d->member_count / 2;
+    return half > 2 ? half - 1 : 1;
+}
+
+/* Opens a connection; NULL when the member's address is unknown. */
+PoolConnection *
+pool_connection_open(Pool *p, uint64_t now_us, gboolean monitor)
+{
+    EntryCore *e = p->core;
+    if (p->address == NULL || p->address[0] == '\0') {
+        return NULL;
+    }
+    PoolConnection *c = g_new0(PoolConnection, 1);
+    c->id = ++e->next_connection;
+    c->pool = p;
+    c->monitor = monitor;
+    c->opened_us = now_us;
+    c->deadline_us = now_us + kConnectTimeoutUs;
+    g_hash_table_insert(e->connections, &c->id, c);
+    if (!monitor) {
+        g_ptr_array_add(p->connections, c);
+        p->connecting++;
+    }
+    metrics_count(&e->metrics, kMetricPoolConnects);
+    e->port.backend_connect(e->port.ctx, c->id, p->address, p->database);
+    return c;
+}
+
+/* Closes a connection and tells its job. */
+void
+pool_connection_drop(PoolConnection *c, uint64_t now_us)
+{
+    EntryCore *e = c->pool->core;
+    Job *job = c->job;
+    PoolTransaction *t = c->transaction;
+
+    e->port.backend_close(e->port.ctx, c->id);
+    c->job = NULL;
+    c->transaction = NULL;
+    connection_forget(c);
+    if (t != NULL) {
+        pool_transaction_free(t);
+    }
+    if (job != NULL) {
+        job->connection = NULL;
+        job_connection_lost(job, now_us, FALSE);
+    }
+}
+
+/* Gives a connection back after its transaction ended. */
+void
+pool_connection_release(PoolConnection *c, uint64_t now_us)
+{
+    c->job = NULL;
+    c->transaction = NULL;
+    c->state = kConnectionIdle;
+    if (c->closing) {
+        pool_connection_drop(c, now_us);
+    }
+}
+
+/* Sends one query; no answer within silence_us drops the connection. */
+void
+pool_send(PoolConnection *c, uint64_t now_us, uint64_t silence_us,
+          const char *sql, size_t count, const char *const *parameters)
+{
+    EntryCore *e = c->pool->core;
+    c->in_query = TRUE;
+    c->asked_us = now_us;
+    c->deadline_us = now_us + silence_us;
+    e->port.backend_query(e->port.ctx, c->id, sql, count, parameters);
+}
+
+static PoolConnection *
+idle_connection(Pool *p)
+{
+    PoolConnection *best = NULL;
+    for (guint i = 0; i < p->connections->len; i++) {
+        PoolConnection *c = g_ptr_array_index(p->connections, i);
+        if (c->state == kConnectionIdle && !c->closing &&
+            (best == NULL || c->proven_us > best->proven_us)) {
+            best = c;
+        }
+    }
+    return best;
+}
+
+static uint32_t
+busy_count(const Pool *p)
+{
+    uint32_t busy = 0;
+    for (guint i = 0; i < p->connections->len; i++) {
+        PoolConnection *c = g_ptr_array_index(p->connections, i);
+        busy += c->state == kConnectionBusy ? 1 : 0;
+    }
+    return busy;
+}
+
+/* Keeps enough connections open ahead of need. */
+static void
+keep_warm(Pool *p, uint64_t now_us, const DatabaseInfo *d)
+{
+    gboolean active =
+        p->last_work_us != 0 && now_us - p->last_work_us < kPoolIdleUs;
+    uint32_t wanted = active ? MIN(d->slots, connection_budget(d)) : 1;
+
+    while (p->connections->len < wanted && now_us >= p->next_connect_us) {
+        if (pool_connection_open(p, now_us, FALSE) == NULL) {
+            return;
+        }
+    }
+}
+
+/* ---- permission and admission ---- */
+
+/* Tells whether work of a team may start or go on now: the control lease
+ * is held and the key it came with is still valid. */
+gboolean
+pool_work_allowed(Pool *p, uint64_t now_us, const char *team,
+                  const char *key_id, gboolean open_route)
+{
+    EntryCore *e = p->core;
+    if (open_route) {
+        return TRUE;
+    }
+    const TeamInfo *t = catalog_team(e->catalog, team);
+    const KeyInfo *k = catalog_key(e->catalog, key_id);
+    return t != NULL && k != NULL &&
+           lease_valid_for(e, now_us, t->parameters.lease_grace_us) &&
+           strcmp(k->team, team) == 0 &&
+           catalog_key_valid(k, entry_wall_ms(e, now_us));
+}
+
+static gboolean
+job_may_run(Job *j, uint64_t now_us)
+{
+    Sw__WorkRequest *r = j->request;
+    if (now_us >= j->deadline_us) {
+        metrics_count(&j->pool->core->metrics, kMetricRefusedQueue);
+        job_finish(j, now_us, SW__WORK_STATUS__WORK_NOT_RUN, "deadline",
+                   "the deadline passed in the queue");
+        return FALSE;
+    }
+    if (!pool_work_allowed(j->pool, now_us, r->team, r->key_id,
+                           r->open_route)) {
+        job_finish(j, now_us, SW__WORK_STATUS__WORK_NOT_RUN, "key",
+                   "the key was withdrawn or the control lease ran out");
+        return FALSE;
+    }
+    return TRUE;
+}
+
+/* Starts queued work while there are slots and connections. */
+void
+pool_dispatch(Pool *p, uint64_t now_us)
+{
+    const DatabaseInfo *d = pool_database(p);
+    if (d == NULL) {
+        return;
+    }
+    while (fair_queue_length(p->queue) > 0 && busy_count(p) < d->slots) {
+        PoolConnection *c = idle_connection(p);
+        if (c == NULL) {
+            if (p->connecting == 0 && now_us >= p->next_connect_us &&
+                p->connections->len < connection_budget(d)) {
+                pool_connection_open(p, now_us, FALSE);
+            }
+            return;
+        }
+        Job *j = fair_queue_pop(p->queue);
+        if (job_may_run(j, now_us)) {
+            job_start(j, now_us, c);
+        }
+    }
+}
+
+static void
+refuse(EntryCore *e, uint64_t now_us, const char *origin, uint64_t frame_id,
+       const char *reason, const char *detail)
+{
+    Sw__WorkReply reply = SW__WORK_REPLY__INIT;
+    reply.status = SW__WORK_STATUS__WORK_NOT_RUN;
+    reply.reason = (char *)reason;
+    reply.detail = (char *)detail;
+    entry_work_reply(e, now_us, origin, frame_id, &reply);
+}
+
+/* Returns why a member cannot take a piece of work at all, or NULL. */
+static const char *
+unfit_reason(Pool *p, uint64_t now_us, const Sw__WorkRequest *r)
+{
+    const DatabaseInfo *d = pool_database(p);
+    int32_t i = d == NULL ? -1 : catalog_member_index(d, p->member);
+    gboolean read = r->kind == SW__WORK_KIND__WORK_READ;
+
+    if (i < 0 || d->members[i].address == NULL) {
+        return "unknown-member";
+    }
+    if (!d->members[i].usable) {
+        return "leaving";
+    }
+    if (p->unreachable_since_us != 0 &&
+        now_us - p->unreachable_since_us > kSilenceUs) {
+        return "unreachable";
+    }
+    if (!read && (!pool_is_primary(p) ||
+                  (r->database_term != 0 && r->database_term != d->term))) {
+        return "not-primary";
+    }
+    if (read && i != d->primary && r->max_staleness_us > 0) {
+        p->last_stale_read_us = now_us;
+    }
+    if (read && i != d->primary &&
+        (p->fresh_as_of_us == 0 ||
+         now_us - p->fresh_as_of_us > r->max_staleness_us)) {
+        return "stale";
+    }
+    if (read && i == d->primary && !d->stable) {
+        return "not-primary";
+    }
+    return NULL;
+}
+
+static gboolean
+deadline_can_be_met(Pool *p, const Sw__WorkRequest *r, uint32_t weight)
+{
+    const DatabaseInfo *d = pool_database(p);
+    uint64_t wait_us =
+        fair_queue_wait_us(p->queue, r->team, weight) / MAX(d->slots, 1);
+    return wait_us + p->service_us < r->deadline_us;
+}
+
+static void
+transaction_submit(Pool *p, uint64_t now_us, Job *j)
+{
+    PoolTransaction *t =
+        g_hash_table_lookup(p->transactions, j->request->transaction_id);
+    if (t == NULL || t->connection == NULL ||
+        strcmp(t->team, j->request->team) != 0) {
+        gboolean run = j->request->kind == SW__WORK_KIND__WORK_RUN;
+        job_finish(j, now_us,
+                   run ? SW__WORK_STATUS__WORK_NOT_RUN
+                       : SW__WORK_STATUS__WORK_UNKNOWN,
+                   "no-transaction",
+                   "there is no such transaction here, or it has ended");
+        return;
+    }
+    if (t->job != NULL) {
+        job_finish(j, now_us, SW__WORK_STATUS__WORK_NOT_RUN, "busy",
+                   "the transaction is running another request");
+        return;
+    }
+    if (!pool_work_allowed(p, now_us, t->team, j->request->key_id, FALSE)) {
+        job_finish(j, now_us, SW__WORK_STATUS__WORK_NOT_RUN, "key",
+                   "the key was withdrawn or the control lease ran out");
+        pool_transaction_end(t, now_us);
+        return;
+    }
+    t->job = j;
+    j->transaction = t;
+    job_start(j, now_us, t->connection);
+}
+
+/* Takes in work for a member that this instance owns or may serve. */
+void
+pool_submit(EntryCore *e, uint64_t now_us, const char *origin,
+            uint64_t frame_id, const Sw__WorkRequest *r)
+{
+    Pool *p = pool_get(e, now_us, r->database, r->member);
+    gboolean within = r->kind == SW__WORK_KIND__WORK_RUN ||
+                      r->kind == SW__WORK_KIND__WORK_COMMIT ||
+                      r->kind == SW__WORK_KIND__WORK_ROLLBACK;
+    p->last_work_us = now_us;
+    if (within) {
+        transaction_submit(p, now_us, job_new(p, now_us, origin, frame_id, r));
+        return;
+    }
+    const char *unfit = unfit_reason(p, now_us, r);
+    if (unfit != NULL) {
+        refuse(e, now_us, origin, frame_id, unfit,
+               "this member cannot serve it now");
+        return;
+    }
+    const TeamInfo *t = catalog_team(e->catalog, r->team);
+    uint32_t weight = t == NULL ? 1 : t->parameters.weight;
+    if (!deadline_can_be_met(p, r, weight)) {
+        metrics_count(&e->metrics, kMetricRefusedQueue);
+        refuse(e, now_us, origin, frame_id, "overload",
+               "the deadline cannot be met");
+        return;
+    }
+    Job *j = job_new(p, now_us, origin, frame_id, r);
+    if (!fair_queue_push(p->queue, r->team, weight, r->worth, p->service_us,
+                         j)) {
+        metrics_count(&e->metrics, kMetricRefusedQueue);
+        job_finish(j, now_us, SW__WORK_STATUS__WORK_NOT_RUN, "overload",
+                   "the team's queue is full");
+        return;
+    }
+    pool_dispatch(p, now_us);
+}
+
+/* ---- interactive transactions ---- */
+
+/* Forgets a transaction whose connection is no longer its own. */
+void
+pool_transaction_free(PoolTransaction *t)
+{
+    g_hash_table_remove(t->pool->transactions, t->id);
+    if (t->job != NULL) {
+        t->job->transaction = NULL;
+    }
+    g_free(t->id);
+    g_free(t->team);
+    g_free(t->key_id);
+    g_free(t);
+}
+
+/* Ends a transaction between its requests: closing its connection undoes
+ * what it did. */
+void
+pool_transaction_end(PoolTransaction *t, uint64_t now_us)
+{
+    PoolConnection *c = t->connection;
+    pool_transaction_free(t);
+    if (c != NULL) {
+        c->transaction = NULL;
+        pool_connection_drop(c, now_us);
+    }
+}
+
+static void
+transactions_tick(Pool *p, uint64_t now_us)
+{
+    GHashTableIter it;
+    void *value;
+    GPtrArray *over = g_ptr_array_new();
+
+    g_hash_table_iter_init(&it, p->transactions);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        PoolTransaction *t = value;
+        gboolean late = now_us >= t->end_due_us ||
+                        (t->job == NULL && now_us >= t->idle_due_us);
+        if (t->job == NULL && (late || !pool_work_allowed(p, now_us, t->team,
+                                                          t->key_id, FALSE))) {
+            g_ptr_array_add(over, t);
+        }
+    }
+    for (guint i = 0; i < over->len; i++) {
+        pool_transaction_end(g_ptr_array_index(over, i), now_us);
+    }
+    g_ptr_array_unref(over);
+}
+
+/* ---- events ---- */
+
+/* Takes in the outcome of a connection attempt. */
+void
+pool_connected(EntryCore *e, uint64_t now_us, uint64_t connection, gboolean ok)
+{
+    PoolConnection *c = g_hash_table_lookup(e->connections, &connection);
+    if (c == NULL) {
+        return;
+    }
+    Pool *p = c->pool;
+    if (c->monitor) {
+        c->proven_us = now_us;
+        monitor_connected(p, now_us, ok);
+        return;
+    }
+    if (!ok) {
+        p->next_connect_us = now_us + kReconnectUs;
+        pool_connection_drop(c, now_us);
+        return;
+    }
+    p->connecting--;
+    c->state = kConnectionIdle;
+    c->proven_us = now_us;
+    pool_dispatch(p, now_us);
+}
+
+/* Takes in the answer to a query, or the loss of a connection. */
+void
+pool_result(EntryCore *e, uint64_t now_us, uint64_t connection,
+            const BackendResult *result)
+{
+    PoolConnection *c = g_hash_table_lookup(e->connections, &connection);
+    if (c == NULL) {
+        return;
+    }
+    Pool *p = c->pool;
+    if (result->status == kBackendLost) {
+        metrics_count(&e->metrics, kMetricPoolLost);
+        if (c->monitor) {
+            monitor_lost(p, now_us);
+            return;
+        }
+        pool_connection_drop(c, now_us);
+        pool_dispatch(p, now_us);
+        return;
+    }
+    c->in_query = FALSE;
+    c->proven_us = now_us;
+    if (c->monitor) {
+        monitor_result(p, now_us, result);
+        return;
+    }
+    if (c->job != NULL) {
+        job_result(c->job, now_us, result);
+    }
+    pool_dispatch(p, now_us);
+}
+
+static void
+drop_silent(Pool *p, uint64_t now_us, PoolConnection *c)
+{
+    Job *job = c->job;
+    metrics_count(&p->core->metrics, kMetricPoolSilent);
+    /* What a middlebox forgot, it forgot for all connections of that age:
+     * idle ones are not trusted any more. */
+    p->suspect_before_us = MAX(p->suspect_before_us, c->opened_us + 1);
+    c->job = NULL;
+    pool_connection_drop(c, now_us);
+    if (job != NULL) {
+        job->connection = NULL;
+        job_connection_lost(job, now_us, TRUE);
+    }
+}
+
+static void
+connections_tick(Pool *p, uint64_t now_us)
+{
+    for (guint i = p->connections->len; i > 0; i--) {
+        if (i > p->connections->len) {
+            continue;
+        }
+        PoolConnection *c = g_ptr_array_index(p->connections, i - 1);
+        gboolean suspect =
+            c->state == kConnectionIdle && c->opened_us < p->suspect_before_us;
+        if (suspect) {
+            pool_connection_drop(c, now_us);
+            continue;
+        }
+        gboolean waiting = c->in_query || c->state == kConnectionConnecting;
+        if (!waiting || now_us < c->deadline_us) {
+            continue;
+        }
+        if (c->state == kConnectionConnecting) {
+            p->next_connect_us = now_us + kReconnectUs;
+            pool_connection_drop(c, now_us);
+            continue;
+        }
+        drop_silent(p, now_us, c);
+    }
+}
+
+static void
+queue_expire(Pool *p, uint64_t now_us)
+{
+    /* Work before a member that cannot be reached is refused at once, so
+     * that its entry instance can try elsewhere in time. */
+    if (p->unreachable_since_us == 0 ||
+        now_us - p->unreachable_since_us <= kSilenceUs) {
+        return;
+    }
+    while (fair_queue_length(p->queue) > 0) {
+        Job *j = fair_queue_pop(p->queue);
+        job_finish(j, now_us, SW__WORK_STATUS__WORK_NOT_RUN, "unreachable",
+                   "the member cannot be reached");
+    }
+}
+
+/* Makes the pools of all members this instance owns, so that they are
+ * watched without any work. */
+static void
+pools_follow_ownership(EntryCore *e, uint64_t now_us)
+{
+    GHashTableIter it;
+    void *value;
+
+    if (e->pools_checked_epoch == catalog_view(e->catalog)->epoch &&
+        e->pools_checked_index == catalog_index(e->catalog)) {
+        return;
+    }
+    e->pools_checked_epoch = catalog_view(e->catalog)->epoch;
+    e->pools_checked_index = catalog_index(e->catalog);
+    g_hash_table_iter_init(&it, (GHashTable *)catalog_databases(e->catalog));
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        const DatabaseInfo *d = value;
+        for (uint32_t i = 0; i < d->member_count; i++) {
+            const InstanceInfo *owners[kOwnerRanksMax];
+            if (router_owners(e, d, (int32_t)i, owners) > 0 &&
+                strcmp(owners[0]->id, e->config.id) == 0) {
+                pool_get(e, now_us, d->name, d->members[i].id);
+            }
+        }
+    }
+}
+
+static gboolean
+pool_is_owned(Pool *p)
+{
+    const DatabaseInfo *d = pool_database(p);
+    const InstanceInfo *owners[kOwnerRanksMax];
+    int32_t i = d == NULL ? -1 : catalog_member_index(d, p->member);
+
+    return i >= 0 && router_owners(p->core, d, i, owners) > 0 &&
+           strcmp(owners[0]->id, p->core->config.id) == 0;
+}
+
+static gboolean
+pool_is_idle(const Pool *p)
+{
+    return fair_queue_length(p->queue) == 0 && busy_count(p) == 0 &&
+           p->majority->len == 0 && p->commands.length == 0;
+}
+
+/* A pool that is no longer owned keeps nothing open once it is idle. */
+static void
+pool_shrink(Pool *p, uint64_t now_us)
+{
+    if (!pool_is_idle(p) ||
+        (p->last_work_us != 0 && now_us - p->last_work_us < kSecondUs)) {
+        return;
+    }
+    while (p->connections->len > 0) {
+        pool_connection_drop(g_ptr_array_index(p->connections, 0), now_us);
+    }
+    if (p->monitor != NULL) {
+        monitor_lost(p, now_us);
+    }
+}
+
+static void
+pool_tick(Pool *p, uint64_t now_us)
+{
+    const DatabaseInfo *d = pool_database(p);
+    gboolean owned = pool_is_owned(p);
+
+    pool_follow_catalog(p, now_us);
+    if (d != NULL && (owned || !pool_is_idle(p))) {
+        monitor_tick(p, now_us);
+        keep_warm(p, now_us, d);
+    }
+    connections_tick(p, now_us);
+    transactions_tick(p, now_us);
+    job_majority_tick(p, now_us);
+    queue_expire(p, now_us);
+    pool_dispatch(p, now_us);
+    if (!owned || d == NULL) {
+        pool_shrink(p, now_us);
+    }
+}
+
+/* Lets time pass for all pools. */
+void
+pool_tick_all(EntryCore *e, uint64_t now_us)
+{
+    GList *pools;
+
+    pools_follow_ownership(e, now_us);
+    pools = g_hash_table_get_values(e->pools);
+    for (GList *l = pools; l != NULL; l = l->next) {
+        pool_tick(l->data, now_us);
+    }
+    g_list_free(pools);
+}
+
+/* Tells whether no pool has work or an open transaction. */
+gboolean
+pools_idle(const EntryCore *e)
+{
+    GHashTableIter it;
+    void *value;
+
+    g_hash_table_iter_init(&it, e->pools);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        if (!pool_is_idle(value)) {
+            return FALSE;
+        }
+    }
+    return TRUE;
+}
+
+static Job *
+pool_find_job(Pool *p, const char *origin, uint64_t frame_id)
+{
+    for (guint i = 0; i < p->connections->len; i++) {
+        PoolConnection *c = g_ptr_array_index(p->connections, i);
+        if (c->job != NULL && c->job->frame_id == frame_id &&
+            g_strcmp0(c->job->origin, origin) == 0) {
+            return c->job;
+        }
+    }
+    return NULL;
+}
+
+/* Cancels work whose caller went away: a running statement is cancelled
+ * unless its commit was sent. */
+void
+pool_cancel(EntryCore *e, uint64_t now_us, const char *origin,
+            uint64_t frame_id)
+{
+    GHashTableIter it;
+    void *value;
+
+    (void)now_us;
+    g_hash_table_iter_init(&it, e->pools);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        Job *j = pool_find_job(value, origin, frame_id);
+        if (j == NULL) {
+            continue;
+        }
+        j->abandoned = TRUE;
+        if (!j->commit_sent && j->connection->in_query) {
+            e->port.backend_cancel(e->port.ctx, j->connection->id);
+        }
+        return;
+    }
+}
--- /dev/null
+++ b/src/sapphireweir/core/router.c
@@ -0,0 +1,81 @@
+#include <string.h>
+
+#include "core/entry_defs.h"
+
+/* Chooses the member of a database group for a request, and the entry
+ * instance that owns the member's pool. */
+
+static gboolean
+replica_may_serve(const DatabaseInfo *d, uint32_t i, uint32_t tried)
+{
+    return (int32_t)i != d->primary && d->members[i].usable &&
+           d->members[i].address != NULL && (tried & (1u << i)) == 0;
+}
+
+static int32_t
+choose_replica(EntryCore *e, const DatabaseInfo *d, uint32_t tried)
+{
+    int32_t others[kCatalogMembersMax];
+    uint32_t count = 0;
+
+    for (uint32_t i = 0; i < d->member_count; i++) {
+        if (!replica_may_serve(d, i, tried)) {
+            continue;
+        }
+        if (strcmp(d->members[i].failure_domain, e->config.failure_domain) ==
+            0) {
+            return (int32_t)i;
+        }
+        others[count++] = (int32_t)i;
+    }
+    if (count == 0) {
+        return -1;
+    }
+    return others[e->port.random(e->port.ctx) % count];
+}
+
+static int32_t
+stable_primary(const DatabaseInfo *d)
+{
+    return d->stable && d->primary >= 0 &&
+                   d->members[d->primary].address != NULL
+               ? d->primary
+               : -1;
+}
+
+/* Chooses a member.  A read that accepts stale data goes to a replica, the
+ * own failure domain's first, that was not tried yet (bit i of tried is
+ * member i); everything else goes to the primary. */
+RouteChoice
+router_choose(EntryCore *e, const DatabaseInfo *d, gboolean write,
+              uint64_t max_staleness_us, uint32_t tried)
+{
+    RouteChoice choice = {stable_primary(d), FALSE, kMetricPrimaryStrict};
+
+    if (write || max_staleness_us == 0 || !e->config.read_replicas) {
+        return choice;
+    }
+    choice.eligible = TRUE;
+    int32_t replica = choose_replica(e, d, tried);
+    if (replica >= 0) {
+        choice.member = replica;
+        return choice;
+    }
+    choice.reason = kMetricPrimaryNoReplica;
+    return choice;
+}
+
+/* Fills out with the owner of a member's pool and its successors; returns
+ * how many there are.  Owners are live instances of the member's failure
+ * domain, or of any other when it has none. */
+uint32_t
+router_owners(EntryCore *e, const DatabaseInfo *d, int32_t member,
+              const InstanceInfo **out)
+{
+    const MemberInfo *m = &d->members[member];
+    char resource[160];
+
+    g_snprintf(resource, sizeof(resource), "pool/%s/%s", d->name, m->id);
+    return ownership_rank(catalog_view(e->catalog), resource,
+                          m->failure_domain, kOwnerRanksMax, out);
+}
--- /dev/null
+++ b/src/sapphireweir/core/state.h
@@ -0,0 +1,42 @@
+#ifndef SAPPHIREWEIR_CORE_STATE_H
+#define SAPPHIREWEIR_CORE_STATE_H
+
+#include <glib.h>
+#include <jansson.h>
+#include <stdint.h>
+
+#include "core/resource.h"
+
+typedef struct State State;
+
+/* One change of one resource at one log index. */
+typedef struct {
+    uint64_t index;
+    uint64_t version;
+    char *key;
+    json_t *spec; /* NULL: deleted */
+} StateChange;
+
+/* Result of a command; the same for every resend of it. */
+typedef struct {
+    uint32_t status; /* as HTTP: 200, 409, 422 */
+    json_t *body;
+} StateOutcome;
+
+State *state_new(const char *cluster);
+void state_free(State *s);
+
+StateOutcome state_apply(State *s, uint64_t index, const json_t *command);
+const Resource *state_lookup(const State *s, const char *key);
+GHashTable *state_resources(State *s);
+uint64_t state_index(const State *s);
+const char *state_cluster(const State *s);
+const GQueue *state_audit(const State *s);
+const json_t *state_operation(const State *s, const char *operation_id);
+
+gboolean state_changes_since(State *s, uint64_t index, GPtrArray *out);
+
+char *state_dump(const State *s);
+gboolean state_load(State *s, const char *text, size_t length, GError **error);
+
+#endif
--- /dev/null
+++ b/src/sapphireweir/core/token_bucket.c
@@ -0,0 +1,79 @@
+#include "core/token_bucket.h"
+
+#include <glib.h>
+
+enum { kMicrosPerSecond = 1000000 };
+
+/* Adds what accrued since the last update.  The remainder of the division
+ * is carried on, so no fraction is lost or invented. */
+static void
+token_bucket_refill(TokenBucket *b, uint64_t now_us)
+{
+    if (now_us <= b->updated_us) {
+        return;
+    }
+    unsigned __int128 accrued =
+        (unsigned __int128)(now_us - b->updated_us) * b->rate_micro_per_s +
+        b->remainder;
+    b->updated_us = now_us;
+    b->remainder = (uint64_t)(accrued % kMicrosPerSecond);
+    unsigned __int128 level = b->level_micro + accrued / kMicrosPerSecond;
+    if (level >= b->capacity_micro) {
+        b->level_micro = b->capacity_micro;
+        b->remainder = 0;
+        return;
+    }
+    b->level_micro = (uint64_t)level;
+}
+
+/* Makes an empty bucket: what an earlier owner handed out is unknown, so a
+ * new one starts with nothing. */
+void
+token_bucket_init(TokenBucket *b, uint64_t now_us, uint64_t rate_micro_per_s,
+                  uint64_t capacity_micro)
+{
+    *b = (TokenBucket){
+        .capacity_micro = capacity_micro,
+        .rate_micro_per_s = rate_micro_per_s,
+        .updated_us = now_us,
+    };
+}
+
+/* Changes rate and capacity from now on; a level above the new capacity is
+ * cut. */
+void
+token_bucket_set(TokenBucket *b, uint64_t now_us, uint64_t rate_micro_per_s,
+                 uint64_t capacity_micro)
+{
+    token_bucket_refill(b, now_us);
+    b->rate_micro_per_s = rate_micro_per_s;
+    b->capacity_micro = capacity_micro;
+    b->level_micro = MIN(b->level_micro, capacity_micro);
+}
+
+/* Takes up to the wanted number of whole tokens; returns how many. */
+uint32_t
+token_bucket_take(TokenBucket *b, uint64_t now_us, uint32_t wanted)
+{
+    token_bucket_refill(b, now_us);
+    uint64_t whole = b->level_micro / kMicroTokens;
+    uint32_t taken = (uint32_t)MIN((uint64_t)wanted, whole);
+    b->level_micro -= (uint64_t)taken * kMicroTokens;
+    return taken;
+}
+
+/* Returns the microseconds until one whole token is there, zero when it is
+ * now and UINT64_MAX when it never will be. */
+uint64_t
+token_bucket_wait_us(TokenBucket *b, uint64_t now_us)
+{
+    token_bucket_refill(b, now_us);
+    if (b->level_micro >= kMicroTokens) {
+        return 0;
+    }
+    if (b->rate_micro_per_s == 0 || b->capacity_micro < kMicroTokens) {
+        return UINT64_MAX;
+    }
+    uint64_t missing = kMicroTokens - b->level_micro;
+    return missing * kMicrosPerSecond / b->rate_micro_per_s + 1;
+}
--- /dev/null
+++ b/src/sapphireweir/ctl/client.c
@@ -0,0 +1,137 @@
+#include "client.h"
+
+#include <curl/curl.h>
+#include <sodium.h>
+#include <string.h>
+#include <unistd.h>
+
+enum {
+    kTimeoutMs = 8000,
+    kConnectTimeoutMs = 1500,
+    kRounds = 3,
+    kRoundPauseUs = 300000,
+    kOperationIdBytes = 12,
+};
+
+static size_t
+collect(char *data, size_t size, size_t count, void *ctx)
+{
+    g_string_append_len(ctx, data, (gssize)(size * count));
+    return size * count;
+}
+
+static struct curl_slist *
+make_headers(const Client *c, const char *operation_id)
+{
+    char *authorization =
+        g_strconcat("Authorization: Bearer ", c->token, NULL);
+    struct curl_slist *list = curl_slist_append(NULL, authorization);
+
+    list = curl_slist_append(list, "Content-Type: application/json");
+    list = curl_slist_append(list, "Expect:");
+    if (operation_id != NULL) {
+        char *header = g_strconcat("Operation-Id: ", operation_id, NULL);
+        list = curl_slist_append(list, header);
+        g_free(header);
+    }
+    g_free(authorization);
+    return list;
+}
+
+static Reply
+exchange(const Client *c, const char *entry, const char *path,
+         const char *body, const char *operation_id)
+{
+    CURL *curl = curl_easy_init();
+    GString *answer = g_string_new(NULL);
+    char *url = g_strconcat(entry, path, NULL);
+    struct curl_slist *headers = make_headers(c, operation_id);
+    long status = 0;
+    Reply reply = {0, NULL};
+
+    curl_easy_setopt(curl, CURLOPT_URL, url);
+    curl_easy_setopt(curl, CURLOPT_HTTPHEADER, headers);
+    curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, collect);
+    curl_easy_setopt(curl, CURLOPT_WRITEDATA, answer);
+    curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, (long)kTimeoutMs);
+    curl_easy_setopt(curl, CURLOPT_CONNECTTIMEOUT_MS, (long)kConnectTimeoutMs);
+    curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
+    if (c->ca_file != NULL) {
+        curl_easy_setopt(curl, CURLOPT_CAINFO, c->ca_file);
+    }
+    if (body != NULL) {
+        curl_easy_setopt(curl, CURLOPT_POSTFIELDS, body);
+    }
+    if (curl_easy_perform(curl) == CURLE_OK) {
+        curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &status);
+        reply.status = (uint32_t)status;
+        reply.body = json_loadb(answer->str, answer->len, 0, NULL);
+    }
+    curl_slist_free_all(headers);
+    curl_easy_cleanup(curl);
+    g_string_free(answer, TRUE);
+    g_free(url);
+    return reply;
+}
+
+/* Tells whether another entry instance may know better. */
+static gboolean
+worth_retrying(const Reply *r)
+{
+    return r->status == 0 || r->status == 503 || r->status == 504;
+}
+
+static Reply
+exchange_any(const Client *c, const char *path, const char *body,
+             const char *operation_id)
+{
+    Reply reply = {0, NULL};
+    for (int round = 0; round < kRounds; round++) {
+        for (char **entry = c->entries; *entry != NULL; entry++) {
+            json_decref(reply.body);
+            reply = exchange(c, *entry, path, body, operation_id);
+            if (!worth_retrying(&reply)) {
+                return reply;
+            }
+        }
+        usleep(kRoundPauseUs);
+    }
+    return reply;
+}
+
+/* Reads from any entry instance.  The caller owns the reply's body. */
+Reply
+client_get(const Client *c, const char *path)
+{
+    return exchange_any(c, path, NULL, NULL);
+}
+
+/* Reads from one given entry instance. */
+Reply
+client_get_from(const Client *c, const char *entry, const char *path)
+{
+    return exchange(c, entry, path, NULL, NULL);
+}
+
+/* Sends a change; it is sent again, under the same operation id, until an
+ * entry instance answers, and so takes effect at most once. */
+Reply
+client_post(const Client *c, const char *path, const json_t *body,
+            const char *operation_id)
+{
+    char *text = json_dumps(body, JSON_COMPACT);
+    Reply reply = exchange_any(c, path, text, operation_id);
+    free(text);
+    return reply;
+}
+
+/* Returns a fresh operation id; the caller frees it. */
+char *
+client_new_operation_id(void)
+{
+    uint8_t random[kOperationIdBytes];
+    char hex[kOperationIdBytes * 2 + 1];
+    randombytes_buf(random, sizeof(random));
+    sodium_bin2hex(hex, sizeof(hex), random, sizeof(random));
+    return g_strdup(hex);
+}
--- /dev/null
+++ b/src/sapphireweir/ctl/main.c
@@ -0,0 +1,761 @@
+#include <curl/curl.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "adapter/program.h"
+#include "adapter/toml.h"
+#include "client.h"
+#include "core/error.h"
+#include "core/schema.h"
+
+/* sapphireweirctl: the operators' command line. */
+
+enum {
+    kWaitPatienceMs = 20000,
+    kWaitPollMs = 50,
+    kKeyBytes = 32,
+    kTextMax = 256,
+};
+
+typedef struct {
+    char **entries;
+    char *token_file;
+    char *ca_file;
+    char *operation;
+    char *actor;
+    gboolean json;
+    gboolean wait;
+    gint64 expires_ms;
+    Client client;
+} Ctl;
+
+typedef struct {
+    const char *name;
+    const char *arguments;
+    const char *help;
+    int least;
+    ExitCode (*run)(Ctl *c, char **arguments);
+} Command;
+
+/* ---- output ---- */
+
+static void
+print_json(const json_t *value)
+{
+    char *text = json_dumps(value, JSON_INDENT(2) | JSON_SORT_KEYS);
+    printf("%s\n", text == NULL ? "null" : text);
+    free(text);
+}
+
+static ExitCode
+exit_code_of(const Reply *r)
+{
+    if (r->status >= 200 && r->status < 300) {
+        return kExitOk;
+    }
+    if (r->status == 409) {
+        return kExitConflict;
+    }
+    return r->status == 400 || r->status == 422 ? kExitUsage : kExitFailure;
+}
+
+static ExitCode
+report_failure(const Reply *r)
+{
+    if (r->status == 0) {
+        fprintf(stderr, "no entry instance answered\n");
+        return kExitFailure;
+    }
+    fprintf(stderr, "refused (%u): %s\n", r->status,
+            json_text_or(r->body, "detail", "no reason given"));
+    if (r->status == 409) {
+        fprintf(stderr, "the current version is %" G_GINT64_FORMAT "\n",
+                json_integer_or(r->body, "current_version", 0));
+    }
+    return exit_code_of(r);
+}
+
+/* Prints a reply as JSON when it was asked for, or a failure. */
+static gboolean
+finished(Ctl *c, const Reply *r, ExitCode *code)
+{
+    *code = exit_code_of(r);
+    if (*code != kExitOk) {
+        *code = report_failure(r);
+        return TRUE;
+    }
+    if (c->json) {
+        print_json(r->body);
+        return TRUE;
+    }
+    return FALSE;
+}
+
+/* ---- resources in files ---- */
+
+static const char *const file_kinds[] = {"fleet", "template", "database",
+                                         "service", "team"};
+
+static void
+collect_resources(const json_t *root, json_t *out)
+{
+    const char *name;
+    json_t *spec;
+
+    for (size_t i = 0; i < G_N_ELEMENTS(file_kinds); i++) {
+        json_object_foreach(json_object_get(root, file_kinds[i]), name, spec)
+        {
+            char *key = g_strdup_printf("%s/%s", file_kinds[i], name);
+            json_array_append_new(
+                out, json_pack("{s:s, s:O}", "key", key, "spec", spec));
+            g_free(key);
+        }
+    }
+}
+
+static gboolean
+kinds_known(const json_t *root, const char *path)
+{
+    const char *kind;
+    json_t *value;
+    gboolean ok = TRUE;
+
+    json_object_foreach((json_t *)root, kind, value)
+    {
+        gboolean known = FALSE;
+        for (size_t i = 0; i < G_N_ELEMENTS(file_kinds); i++) {
+            known = known || strcmp(kind, file_kinds[i]) == 0;
+        }
+        if (!known) {
+            fprintf(stderr,
+                    "%s: [%s.*] is not known; allowed are fleet, "
+                    "template, database, service and team\n",
+                    path, kind);
+            ok = FALSE;
+        }
+    }
+    return ok;
+}
+
+/* Reads the resources of files into a list; NULL after telling why. */
+static json_t *
+load_resources(char **paths)
+{
+    json_t *list = json_array();
+    for (char **p = paths; *p != NULL; p++) {
+        char *why = NULL;
+        json_t *root = toml_read_file(*p, &why);
+        if (root == NULL || !kinds_known(root, *p)) {
+            if (why != NULL) {
+                fprintf(stderr, "%s\n", why);
+            }
+            free(why);
+            json_decref(root);
+            json_decref(list);
+            return NULL;
+        }
+        collect_resources(root, list);
+        json_decref(root);
+    }
+    return list;
+}
+
+static json_t *
+list_current(Ctl *c, const char *prefix, Reply *reply)
+{
+    char *path = g_strconcat("/admin/v1/list/", prefix, NULL);
+    *reply = client_get(&c->client, path);
+    g_free(path);
+    return exit_code_of(reply) == kExitOk
+               ? json_object_get(reply->body, "resources")
+               : NULL;
+}
+
+static const json_t *
+find_key(const json_t *list, const char *key)
+{
+    size_t i;
+    json_t *item;
+    json_array_foreach((json_t *)list, i, item)
+    {
+        if (strcmp(json_text_or(item, "key", ""), key) == 0) {
+            return item;
+        }
+    }
+    return NULL;
+}
+
+/* Keeps what differs from the current resources, each with the version it
+ * builds on. */
+static json_t *
+make_changes(const json_t *wanted, const json_t *current)
+{
+    json_t *changes = json_array();
+    size_t i;
+    json_t *item;
+
+    json_array_foreach((json_t *)wanted, i, item)
+    {
+        const char *key = json_text_or(item, "key", "");
+        const json_t *known = find_key(current, key);
+        json_t *spec = json_object_get(item, "spec");
+        if (known != NULL &&
+            json_equal(json_object_get(known, "spec"), spec)) {
+            continue;
+        }
+        json_array_append_new(
+            changes,
+            json_pack("{s:s, s:O, s:I}", "key", key, "spec", spec, "if_match",
+                      (json_int_t)json_integer_or(known, "version", 0)));
+    }
+    return changes;
+}
+
+/* ---- waiting until a change is in force ---- */
+
+static gboolean
+everywhere(Ctl *c, int64_t index, GString *pending)
+{
+    Reply r = client_get(&c->client, "/admin/v1/status");
+    const json_t *instances = json_object_get(r.body, "instances");
+    size_t i;
+    json_t *item;
+
+    g_string_truncate(pending, 0);
+    json_array_foreach((json_t *)instances, i, item)
+    {
+        if (json_integer_or(item, "applied_index", 0) < index) {
+            g_string_append_printf(pending, " %s",
+                                   json_text_or(item, "id", "?"));
+        }
+    }
+    gboolean ok = exit_code_of(&r) == kExitOk && pending->len == 0 &&
+                  json_array_size(instances) > 0;
+    json_decref(r.body);
+    return ok;
+}
+
+static ExitCode
+wait_in_force(Ctl *c, int64_t index)
+{
+    GString *pending = g_string_new(NULL);
+    gint64 began_us = g_get_monotonic_time();
+    ExitCode code = kExitFailure;
+
+    while (g_get_monotonic_time() - began_us < kWaitPatienceMs * 1000) {
+        if (everywhere(c, index, pending)) {
+            printf("in force everywhere after %" G_GINT64_FORMAT " ms\n",
+                   (g_get_monotonic_time() - began_us) / 1000);
+            code = kExitOk;
+            break;
+        }
+        usleep(kWaitPollMs * 1000);
+    }
+    if (code != kExitOk) {
+        fprintf(stderr, "accepted, but still pending at:%s\n", pending->str);
+    }
+    g_string_free(pending, TRUE);
+    return code;
+}
+
+static ExitCode
+send_change(Ctl *c, const char *path, json_t *body)
+{
+    char *operation = c->operation != NULL ? g_strdup(c->operation)
+                                           : client_new_operation_id();
+    ExitCode code;
+
+    json_object_set_new(body, "actor", json_string(c->actor));
+    Reply r = client_post(&c->client, path, body, operation);
+    if (!finished(c, &r, &code)) {
+        printf("accepted as version %" G_GINT64_FORMAT ", operation %s\n",
+               json_integer_or(r.body, "version", 0), operation);
+    }
+    else if (r.status == 0 || r.status == 504) {
+        fprintf(stderr, "send it again with --operation %s\n", operation);
+    }
+    if (code == kExitOk && c->wait) {
+        code = wait_in_force(c, json_integer_or(r.body, "index", 0));
+    }
+    json_decref(r.body);
+    json_decref(body);
+    g_free(operation);
+    return code;
+}
+
+/* ---- commands ---- */
+
+static ExitCode
+run_check(Ctl *c, char **arguments)
+{
+    json_t *wanted = load_resources(arguments);
+    (void)c;
+    if (wanted == NULL) {
+        return kExitUsage;
+    }
+    printf("%zu resources read\n", json_array_size(wanted));
+    json_decref(wanted);
+    return kExitOk;
+}
+
+static ExitCode
+with_changes(Ctl *c, char **arguments, gboolean send)
+{
+    json_t *wanted = load_resources(arguments);
+    Reply current = {0, NULL};
+    ExitCode code = kExitOk;
+
+    if (wanted == NULL) {
+        return kExitUsage;
+    }
+    const json_t *list = list_current(c, "", &current);
+    if (list == NULL) {
+        code = report_failure(&current);
+        json_decref(current.body);
+        json_decref(wanted);
+        return code;
+    }
+    json_t *changes = make_changes(wanted, list);
+    size_t i;
+    json_t *change;
+    json_array_foreach(changes, i, change)
+    {
+        printf("%s %s\n",
+               json_integer_or(change, "if_match", 0) == 0 ? "add   "
+                                                           : "change",
+               json_text_or(change, "key", ""));
+    }
+    if (json_array_size(changes) == 0) {
+        printf("nothing differs\n");
+    }
+    else if (send) {
+        code = send_change(c, "/admin/v1/changes",
+                           json_pack("{s:O}", "changes", changes));
+    }
+    json_decref(changes);
+    json_decref(current.body);
+    json_decref(wanted);
+    return code;
+}
+
+static ExitCode
+run_apply(Ctl *c, char **arguments)
+{
+    return with_changes(c, arguments, TRUE);
+}
+
+static ExitCode
+run_diff(Ctl *c, char **arguments)
+{
+    return with_changes(c, arguments, FALSE);
+}
+
+static ExitCode
+run_delete(Ctl *c, char **arguments)
+{
+    return send_change(
+        c, "/admin/v1/changes",
+        json_pack("{s:[{s:s, s:n}]}", "changes", "key", arguments[0], "spec"));
+}
+
+static ExitCode
+run_get(Ctl *c, char **arguments)
+{
+    Reply r;
+    if (arguments[0] == NULL) {
+        list_current(c, "", &r);
+    }
+    else if (strchr(arguments[0], '/') != NULL) {
+        char *path = g_strconcat("/admin/v1/resources/", arguments[0], NULL);
+        r = client_get(&c->client, path);
+        g_free(path);
+    }
+    else {
+        list_current(c, arguments[0], &r);
+    }
+    ExitCode code;
+    const json_t *list = json_object_get(r.body, "resources");
+    if (!finished(c, &r, &code)) {
+        size_t i;
+        json_t *item;
+        if (list == NULL) {
+            print_json(r.body);
+        }
+        json_array_foreach((json_t *)list, i, item)
+        {
+            char *spec = json_dumps(json_object_get(item, "spec"),
+                                    JSON_COMPACT | JSON_SORT_KEYS);
+            printf("%-32s %8" G_GINT64_FORMAT "  %.100s\n",
+                   json_text_or(item, "key", ""),
+                   json_integer_or(item, "version", 0), spec);
+            free(spec);
+        }
+    }
+    json_decref(r.body);
+    return code;
+}
+
+static ExitCode
+key_issue(Ctl *c, const char *team)
+{
+    uint8_t random[kKeyBytes];
+    char text[kTextMax];
+    char key[kTextMax];
+
+    randombytes_buf(random, sizeof(random));
+    sodium_bin2base64(text, sizeof(text), random, sizeof(random),
+                      sodium_base64_VARIANT_URLSAFE_NO_PADDING);
+    g_snprintf(key, sizeof(key), "sw_%s", text);
+    ExitCode code =
+        send_change(c, "/admin/v1/keys",
+                    json_pack("{s:s, s:s, s:I}", "team", team, "key", key,
+                              "expires_ms", (json_int_t)c->expires_ms));
+    if (code == kExitOk) {
+        printf("key %s\n", key);
+    }
+    sodium_memzero(key, sizeof(key));
+    sodium_memzero(text, sizeof(text));
+    return code;
+}
+
+static ExitCode
+key_list(Ctl *c)
+{
+    Reply r;
+    ExitCode code;
+    list_current(c, "key/", &r);
+    if (!finished(c, &r, &code)) {
+        size_t i;
+        json_t *item;
+        json_array_foreach(json_object_get(r.body, "resources"), i, item)
+        {
+            const json_t *spec = json_object_get(item, "spec");
+            printf("%-18s %-24s %s\n",
+                   json_text_or(item, "key", "key/") + strlen("key/"),
+                   json_text_or(spec, "team", ""),
+                   json_flag(spec, "withdrawn") ? "withdrawn" : "valid");
+        }
+    }
+    json_decref(r.body);
+    return code;
+}
+
+static ExitCode
+run_key(Ctl *c, char **arguments)
+{
+    if (strcmp(arguments[0], "list") == 0) {
+        return key_list(c);
+    }
+    if (arguments[1] != NULL && strcmp(arguments[0], "issue") == 0) {
+        return key_issue(c, arguments[1]);
+    }
+    if (arguments[1] != NULL && strcmp(arguments[0], "withdraw") == 0) {
+        char *path =
+            g_strdup_printf("/admin/v1/keys/%s/withdraw", arguments[1]);
+        ExitCode code = send_change(c, path, json_object());
+        g_free(path);
+        return code;
+    }
+    fprintf(stderr, "key issue TEAM, key withdraw ID or key list\n");
+    return kExitUsage;
+}
+
+static ExitCode
+run_member(Ctl *c, char **arguments)
+{
+    guint count = g_strv_length(arguments);
+    json_t *body;
+    const char *path;
+
+    if (count == 5 && strcmp(arguments[0], "add") == 0) {
+        path = "/admin/v1/control-members/add";
+        body = json_pack("{s:s, s:s, s:s, s:s}", "id", arguments[1], "disk",
+                         arguments[2], "peer_address", arguments[3],
+                         "failure_domain", arguments[4]);
+    }
+    else if (count == 2 && strcmp(arguments[0], "remove") == 0) {
+        path = "/admin/v1/control-members/remove";
+        body = json_pack("{s:s}", "id", arguments[1]);
+    }
+    else {
+        fprintf(stderr, "member add ID DISK IP:PORT FAILURE_DOMAIN or "
+                        "member remove ID\n");
+        return kExitUsage;
+    }
+    Reply r = client_post(&c->client, path, body, NULL);
+    ExitCode code;
+    if (!finished(c, &r, &code)) {
+        printf("under way; see status\n");
+    }
+    json_decref(r.body);
+    json_decref(body);
+    return code;
+}
+
+static ExitCode
+run_status(Ctl *c, char **arguments)
+{
+    Reply r = client_get(&c->client, "/admin/v1/status");
+    ExitCode code;
+    size_t i;
+    json_t *item;
+
+    (void)arguments;
+    if (!finished(c, &r, &code)) {
+        printf("leader %s, term %" G_GINT64_FORMAT ", commit %" G_GINT64_FORMAT
+               "\n\n",
+               json_text_or(r.body, "leader", "?"),
+               json_integer_or(r.body, "term", 0),
+               json_integer_or(r.body, "commit_index", 0));
+        printf("%-20s %-16s %s\n", "CONTROL", "FAILURE DOMAIN", "ROLE");
+        json_array_foreach(json_object_get(r.body, "control"), i, item)
+        {
+            printf("%-20s %-16s %s\n", json_text_or(item, "id", ""),
+                   json_text_or(item, "failure_domain", ""),
+                   json_flag(item, "voter") ? "voter" : "learner");
+        }
+        printf("\n%-20s %-16s %10s %10s\n", "ENTRY", "FAILURE DOMAIN",
+               "APPLIED", "SILENT MS");
+        json_array_foreach(json_object_get(r.body, "instances"), i, item)
+        {
+            printf("%-20s %-16s %10" G_GINT64_FORMAT " %10" G_GINT64_FORMAT
+                   "%s\n",
+                   json_text_or(item, "id", ""),
+                   json_text_or(item, "failure_domain", ""),
+                   json_integer_or(item, "applied_index", 0),
+                   json_integer_or(item, "silent_ms", 0),
+                   json_flag(item, "draining") ? "  draining" : "");
+        }
+    }
+    json_decref(r.body);
+    return code;
+}
+
+static void
+print_audit_line(const json_t *line)
+{
+    GDateTime *when = g_date_time_new_from_unix_utc(
+        json_integer_or(line, "time_ms", 0) / 1000);
+    char *time = g_date_time_format(when, "%Y-%m-%dT%H:%M:%SZ");
+    json_t *before = json_object_get(line, "before");
+    json_t *after = json_object_get(line, "after");
+    char *was = json_dumps(before, JSON_COMPACT | JSON_ENCODE_ANY);
+    char *is = json_dumps(after, JSON_COMPACT | JSON_ENCODE_ANY);
+
+    printf("%6" G_GINT64_FORMAT " %s %-12s %s\n       before %s\n"
+           "       after  %s\n",
+           json_integer_or(line, "index", 0), time,
+           json_text_or(line, "actor", ""), json_text_or(line, "key", ""),
+           was == NULL ? "null" : was, is == NULL ? "null" : is);
+    free(was);
+    free(is);
+    g_free(time);
+    g_date_time_unref(when);
+}
+
+static ExitCode
+print_audit(Ctl *c, const char *after, const char *key)
+{
+    char *path = g_strconcat("/admin/v1/audit/", after, NULL);
+    Reply r = client_get(&c->client, path);
+    ExitCode code;
+    size_t i;
+    json_t *line;
+
+    g_free(path);
+    if (!finished(c, &r, &code)) {
+        json_array_foreach(json_object_get(r.body, "audit"), i, line)
+        {
+            if (key == NULL ||
+                strcmp(json_text_or(line, "key", ""), key) == 0) {
+                print_audit_line(line);
+            }
+        }
+    }
+    json_decref(r.body);
+    return code;
+}
+
+static ExitCode
+run_audit(Ctl *c, char **arguments)
+{
+    return print_audit(c, arguments[0] == NULL ? "0" : arguments[0], NULL);
+}
+
+static void
+explain_members(Ctl *c, const char *database)
+{
+    char *prefix = g_strdup_printf("server/%s/", database);
+    Reply r;
+    const json_t *list = list_current(c, prefix, &r);
+    size_t i;
+    json_t *item;
+
+    json_array_foreach((json_t *)list, i, item)
+    {
+        const json_t *spec = json_object_get(item, "spec");
+        printf("  %-24s %-22s %s%s%s\n",
+               json_text_or(item, "key", "") + strlen(prefix),
+               json_text_or(spec, "address", ""),
+               json_text_or(spec, "failure_domain", ""),
+               json_flag(spec, "leaving") ? ", leaving" : "",
+               json_flag(spec, "missing") ? ", missing" : "");
+    }
+    json_decref(r.body);
+    g_free(prefix);
+}
+
+static ExitCode
+run_explain(Ctl *c, char **arguments)
+{
+    char *key = g_strdup_printf("primary/%s", arguments[0]);
+    char *path = g_strconcat("/admin/v1/resources/", key, NULL);
+    Reply r = client_get(&c->client, path);
+    ExitCode code;
+
+    if (!finished(c, &r, &code)) {
+        const json_t *spec = json_object_get(r.body, "spec");
+        printf("%s: primary %s on term %" G_GINT64_FORMAT ", %s, %" //
+               G_GINT64_FORMAT " promotions\n",
+               arguments[0], json_text_or(spec, "member", "?"),
+               json_integer_or(spec, "term", 0),
+               json_text_or(spec, "phase", "?"),
+               json_integer_or(spec, "promotion", 0));
+        printf("members announced:\n");
+        explain_members(c, arguments[0]);
+        printf("what was done to it:\n");
+        print_audit(c, "0", key);
+    }
+    json_decref(r.body);
+    g_free(path);
+    g_free(key);
+    return code;
+}
+
+static const Command commands[] = {
+    {"check", "FILE...", "read resource files without sending them", 1,
+     run_check},
+    {"diff", "FILE...", "show what apply would change", 1, run_diff},
+    {"apply", "FILE...", "make the fleet's resources as in the files", 1,
+     run_apply},
+    {"get", "[KIND/NAME|PREFIX]", "show resources", 0, run_get},
+    {"delete", "KIND/NAME", "delete a resource", 1, run_delete},
+    {"key", "issue TEAM | withdraw ID | list", "keys of teams", 1, run_key},
+    {"member", "add ID DISK IP:PORT DOMAIN | remove ID", "control instances",
+     1, run_member},
+    {"status", "", "leader, control and entry instances", 0, run_status},
+    {"audit", "[AFTER]", "the audit trail after an index", 0, run_audit},
+    {"explain", "DATABASE", "who is primary, and why", 1, run_explain},
+};
+
+/* ---- start ---- */
+
+static char *
+command_summary(void)
+{
+    GString *text = g_string_new("Drives a sapphireweir fleet.\n\nCommands:");
+    for (size_t i = 0; i < G_N_ELEMENTS(commands); i++) {
+        g_string_append_printf(text, "\n  %-8s %-40s %s", commands[i].name,
+                               commands[i].arguments, commands[i].help);
+    }
+    g_string_append(text, "\n\nExit codes: 0 done, 1 failed, 2 wrong input, "
+                          "3 conflict with another change");
+    return g_string_free(text, FALSE);
+}
+
+static gboolean
+parse(Ctl *c, int *argc, char ***argv, GError **error)
+{
+    const GOptionEntry entries[] = {
+        {"entry", 'e', 0, G_OPTION_ARG_STRING_ARRAY, &c->entries,
+         "Entry instance; may be given several times", "URL"},
+        {"token-file", 't', 0, G_OPTION_ARG_FILENAME, &c->token_file,
+         "File with the operator's token", "FILE"},
+        {"ca-file", 0, 0, G_OPTION_ARG_FILENAME, &c->ca_file,
+         "Certificates to trust", "FILE"},
+        {"operation", 0, 0, G_OPTION_ARG_STRING, &c->operation,
+         "Operation id of a change that is sent again", "ID"},
+        {"actor", 0, 0, G_OPTION_ARG_STRING, &c->actor,
+         "Name for the audit trail", "NAME"},
+        {"wait", 'w', 0, G_OPTION_ARG_NONE, &c->wait,
+         "Wait until the change is in force everywhere", NULL},
+        {"expires-ms", 0, 0, G_OPTION_ARG_INT64, &c->expires_ms,
+         "End of a new key, ms since 1970", "MS"},
+        {"json", 'j', 0, G_OPTION_ARG_NONE, &c->json, "Print JSON", NULL},
+        {NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL},
+    };
+    char *summary = command_summary();
+    GOptionContext *context = g_option_context_new("COMMAND [ARGUMENT...]");
+    g_option_context_set_summary(context, summary);
+    g_option_context_add_main_entries(context, entries, NULL);
+    gboolean ok = g_option_context_parse(context, argc, argv, error);
+    g_option_context_free(context);
+    g_free(summary);
+    return ok;
+}
+
+static const Command *
+find_command(const char *name, int arguments)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(commands); i++) {
+        if (strcmp(commands[i].name, name) == 0 &&
+            arguments >= commands[i].least) {
+            return &commands[i];
+        }
+    }
+    return NULL;
+}
+
+static gboolean
+prepare_client(Ctl *c)
+{
+    GError *error = NULL;
+    if (c->entries == NULL || c->token_file == NULL) {
+        fprintf(stderr, "--entry and --token-file are needed\n");
+        return FALSE;
+    }
+    if (!g_file_get_contents(c->token_file, &c->client.token, NULL, &error)) {
+        fprintf(stderr, "%s\n", error->message);
+        g_error_free(error);
+        return FALSE;
+    }
+    g_strstrip(c->client.token);
+    c->client.entries = c->entries;
+    c->client.ca_file = c->ca_file;
+    return TRUE;
+}
+
+int
+main(int argc, char **argv)
+{
+    Ctl c = {0};
+    GError *error = NULL;
+
+    if (sodium_init() < 0 || curl_global_init(CURL_GLOBAL_DEFAULT) != 0 ||
+        !parse(&c, &argc, &argv, &error)) {
+        fprintf(stderr, "%s\n",
+                error == NULL ? "cannot start" : error->message);
+        return kExitUsage;
+    }
+    const Command *command = argc < 2 ? NULL : find_command(argv[1], argc - 2);
+    if (command == NULL) {
+        fprintf(stderr, "no such command, or arguments are missing; see "
+                        "--help\n");
+        return kExitUsage;
+    }
+    if (c.actor == NULL) {
+        c.actor = g_strdup(g_get_user_name());
+    }
+    if (command->run != run_check && !prepare_client(&c)) {
+        return kExitUsage;
+    }
+    ExitCode code = command->run(&c, argv + 2);
+    g_strfreev(c.entries);
+    g_free(c.client.token);
+    g_free(c.token_file);
+    g_free(c.actor);
+    curl_global_cleanup();
+    return (int)code;
+}
--- /dev/null
+++ b/src/sapphireweir/entry/main.c
@@ -0,0 +1,359 @@
+#include <event2/event.h>
+#include <signal.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "adapter/backend.h"
+#include "adapter/clock.h"
+#include "adapter/http.h"
+#include "adapter/log.h"
+#include "adapter/peer.h"
+#include "adapter/program.h"
+#include "adapter/settings.h"
+#include "core/entry_core.h"
+
+/* sapphireweir-entry: wires the entry core to HTTP, peers, libpq and
+ * time. */
+
+enum {
+    kTickMs = 10,
+    kDrainNoticeUs = 1000000, /* lets the balancer see /healthz first */
+    kDrainPatienceUs = 40000000,
+};
+
+typedef struct {
+    Settings settings;
+    struct event_base *base;
+    struct event *tick;
+    struct event *signals[3];
+    Peer *peer;
+    Http *http;
+    Backend *backend;
+    EntryCore *core;
+    EntryControl *controls;
+    uint64_t drain_since_us; /* zero: not stopping */
+} Entry;
+
+/* ---- time and signals ---- */
+
+static void
+on_tick(evutil_socket_t fd, short what, void *ctx)
+{
+    Entry *e = ctx;
+    uint64_t now_us = clock_now_us();
+    (void)fd;
+    (void)what;
+    entry_core_tick(e->core, now_us);
+    if (e->drain_since_us == 0 ||
+        now_us - e->drain_since_us < kDrainNoticeUs) {
+        return;
+    }
+    if (entry_core_has_left(e->core) ||
+        now_us - e->drain_since_us > kDrainPatienceUs) {
+        event_base_loopbreak(e->base);
+    }
+}
+
+static void
+on_stop_signal(evutil_socket_t fd, short what, void *ctx)
+{
+    Entry *e = ctx;
+    (void)fd;
+    (void)what;
+    if (e->drain_since_us == 0) {
+        g_message("drains; requests under way will finish");
+        e->drain_since_us = clock_now_us();
+        entry_core_drain(e->core, e->drain_since_us);
+    }
+}
+
+static void
+on_reload_signal(evutil_socket_t fd, short what, void *ctx)
+{
+    Entry *e = ctx;
+    GError *error = NULL;
+    (void)fd;
+    (void)what;
+    if (http_reload_tls(e->http, &error)) {
+        g_message("certificate and key loaded again");
+        return;
+    }
+    g_warning("%s; the old ones stay in use", error->message);
+    g_error_free(error);
+}
+
+/* ---- ports ---- */
+
+static void
+port_respond(void *ctx, uint64_t request_id, const CallerResponse *response)
+{
+    Entry *e = ctx;
+    http_respond(e->http, request_id, response);
+}
+
+static gboolean
+port_send(void *ctx, const char *to, const Sw__Frame *frame)
+{
+    Entry *e = ctx;
+    return peer_send(e->peer, to, frame);
+}
+
+static void
+port_peer_address(void *ctx, const char *id, const char *address)
+{
+    Entry *e = ctx;
+    peer_set_address(e->peer, id, address);
+}
+
+static void
+port_backend_connect(void *ctx, uint64_t connection, const char *address,
+                     const char *database)
+{
+    Entry *e = ctx;
+    backend_connect(e->backend, connection, address, database);
+}
+
+static void
+port_backend_query(void *ctx, uint64_t connection, const char *sql,
+                   size_t count, const char *const *parameters)
+{
+    Entry *e = ctx;
+    backend_query(e->backend, connection, sql, count, parameters);
+}
+
+static void
+port_backend_cancel(void *ctx, uint64_t connection)
+{
+    Entry *e = ctx;
+    backend_cancel(e->backend, connection);
+}
+
+static void
+port_backend_close(void *ctx, uint64_t connection)
+{
+    Entry *e = ctx;
+    backend_close(e->backend, connection);
+}
+
+/* ---- events ---- */
+
+static void
+on_frame(void *ctx, const char *from, const Sw__Frame *frame)
+{
+    Entry *e = ctx;
+    entry_core_frame(e->core, clock_now_us(), from, frame);
+}
+
+static void
+on_peer_down(void *ctx, const char *peer)
+{
+    Entry *e = ctx;
+    entry_core_peer_down(e->core, clock_now_us(), peer);
+}
+
+static void
+on_garbage(void *ctx)
+{
+    Entry *e = ctx;
+    entry_core_metrics(e->core)->counters[kMetricPeerGarbage]++;
+}
+
+static void
+on_connected(void *ctx, uint64_t connection, gboolean ok)
+{
+    Entry *e = ctx;
+    entry_core_backend_connected(e->core, clock_now_us(), connection, ok);
+}
+
+static void
+on_result(void *ctx, uint64_t connection, const BackendResult *result)
+{
+    Entry *e = ctx;
+    entry_core_backend_result(e->core, clock_now_us(), connection, result);
+}
+
+static void
+on_request(void *ctx, const CallerRequest *request)
+{
+    Entry *e = ctx;
+    entry_core_request(e->core, clock_now_us(), request);
+}
+
+static void
+on_abandoned(void *ctx, uint64_t request_id)
+{
+    Entry *e = ctx;
+    entry_core_abandon(e->core, clock_now_us(), request_id);
+}
+
+/* ---- life ---- */
+
+static void
+make_core(Entry *e, uint64_t incarnation)
+{
+    const Settings *s = &e->settings;
+    EntryPort port = {
+        .ctx = e,
+        .respond = port_respond,
+        .send = port_send,
+        .peer_address = port_peer_address,
+        .backend_connect = port_backend_connect,
+        .backend_query = port_backend_query,
+        .backend_cancel = port_backend_cancel,
+        .backend_close = port_backend_close,
+        .random = program_random,
+    };
+    EntryConfig config = {
+        .id = s->id,
+        .failure_domain = s->failure_domain,
+        .peer_address = s->advertise_peer,
+        .http_address = s->advertise_http,
+        .incarnation = incarnation,
+        .control_count = s->controls->len,
+        .operator_token = s->operator_token,
+        .platform_key = s->platform_key,
+        .wall_offset_us = clock_wall_offset_us(),
+        .read_replicas = s->read_replicas,
+    };
+
+    e->controls = g_new0(EntryControl, s->controls->len);
+    for (guint i = 0; i < s->controls->len; i++) {
+        SettingsControlInstance *c =
+            &g_array_index(s->controls, SettingsControlInstance, i);
+        e->controls[i] = (EntryControl){c->id, c->failure_domain};
+        peer_set_address(e->peer, c->id, c->address);
+    }
+    config.controls = e->controls;
+    memcpy(config.secret, s->secret, sizeof(config.secret));
+    e->core = entry_core_new(&config, &port, clock_now_us());
+}
+
+static gboolean
+start(Entry *e, GError **error)
+{
+    enum { kIncarnationBits = 31 };
+    const Settings *s = &e->settings;
+    PeerEvents peer_events = {e, on_frame, on_peer_down, on_garbage};
+    HttpEvents http_events = {e, on_request, on_abandoned};
+    BackendEvents backend_events = {e, on_connected, on_result};
+    HttpSettings http = {s->http_address,     s->tls_certificate,
+                         s->tls_key,          s->max_body_bytes,
+                         s->max_header_bytes, s->max_requests};
+    uint64_t incarnation = program_random(NULL) >> (64 - kIncarnationBits);
+    char *application = g_strdup_printf("sapphireweir/%s", s->id);
+
+    e->base = event_base_new();
+    e->peer = peer_new(e->base, s->id, incarnation, s->secret, s->peer_address,
+                       &peer_events, error);
+    e->backend = backend_new(e->base, application, s->backend_user,
+                             s->backend_password, &backend_events);
+    g_free(application);
+    if (e->peer == NULL) {
+        return FALSE;
+    }
+    make_core(e, incarnation);
+    e->http = http_new(e->base, &http, &http_events, error);
+    return e->http != NULL;
+}
+
+static void
+add_signal(Entry *e, size_t slot, int number, event_callback_fn callback)
+{
+    e->signals[slot] = evsignal_new(e->base, number, callback, e);
+    event_add(e->signals[slot], NULL);
+}
+
+static void
+run(Entry *e)
+{
+    struct timeval every = {0, kTickMs * 1000};
+
+    signal(SIGPIPE, SIG_IGN);
+    add_signal(e, 0, SIGTERM, on_stop_signal);
+    add_signal(e, 1, SIGINT, on_stop_signal);
+    add_signal(e, 2, SIGHUP, on_reload_signal);
+    e->tick = event_new(e->base, -1, EV_PERSIST, on_tick, e);
+    event_add(e->tick, &every);
+    g_message("serves; callers at %s, peers at %s", e->settings.http_address,
+              e->settings.peer_address);
+    event_base_dispatch(e->base);
+    g_message("ended");
+}
+
+static void
+stop(Entry *e)
+{
+    if (e->http != NULL) {
+        http_free(e->http);
+    }
+    if (e->core != NULL) {
+        entry_core_free(e->core);
+    }
+    if (e->backend != NULL) {
+        backend_free(e->backend);
+    }
+    if (e->peer != NULL) {
+        peer_free(e->peer);
+    }
+    for (size_t i = 0; i < G_N_ELEMENTS(e->signals); i++) {
+        if (e->signals[i] != NULL) {
+            event_free(e->signals[i]);
+        }
+    }
+    if (e->tick != NULL) {
+        event_free(e->tick);
+    }
+    if (e->base != NULL) {
+        event_base_free(e->base);
+    }
+    g_free(e->controls);
+    settings_clear(&e->settings);
+}
+
+int
+main(int argc, char **argv)
+{
+    ProgramOptions options = {0};
+    Entry e = {0};
+    GError *error = NULL;
+    int exit_code = kExitOk;
+
+    if (sodium_init() < 0 ||
+        !program_parse_options(
+            &argc, &argv, "An entry instance of sapphireweir: serves callers.",
+            FALSE, &options, &error)) {
+        fprintf(stderr, "%s\n",
+                error == NULL ? "no random source" : error->message);
+        return kExitUsage;
+    }
+    if (options.reference) {
+        GString *text = g_string_new(NULL);
+        settings_write_reference(kSettingsEntry, text);
+        fputs(text->str, stdout);
+        g_string_free(text, TRUE);
+        return kExitOk;
+    }
+    if (!settings_load(options.settings_path, kSettingsEntry, &e.settings,
+                       &error)) {
+        fprintf(stderr, "%s\n", error->message);
+        return kExitUsage;
+    }
+    if (options.check) {
+        printf("%s: fine\n", options.settings_path);
+        return kExitOk;
+    }
+    log_start("sapphireweir-entry", e.settings.id, e.settings.log_json,
+              e.settings.log_debug);
+    if (start(&e, &error)) {
+        run(&e);
+    }
+    else {
+        g_critical("%s", error->message);
+        g_error_free(error);
+        exit_code = kExitFailure;
+    }
+    stop(&e);
+    g_free(options.settings_path);
+    return exit_code;
+}
