Test the core: consensus, rates, promotion and sessions under failure

Cause: the promises had no proof yet.

Change: CUnit suites; an in-process fleet of control cores with fake disks and network; a whole system of control and entry cores with database groups in memory. Random schedules are checked against naive models.

--- a/src/sapphireweir/core/control_core.c
+++ b/src/sapphireweir/core/control_core.c
@@ -476,6 +476,26 @@
     return consensus_role(k->consensus) == kConsensusLeader;
 }
 
+/* Returns the present term. */
+uint64_t
+control_core_term(const ControlCore *k)
+{
+    return consensus_term(k->consensus);
+}
+
+/* Returns how many control instances vote. */
+uint32_t
+control_core_voter_count(const ControlCore *k)
+{
+    const GPtrArray *members = consensus_members(k->consensus);
+    uint32_t count = 0;
+    for (guint i = 0; i < members->len; i++) {
+        const ConsensusMember *m = g_ptr_array_index(members, i);
+        count += m->voter ? 1 : 0;
+    }
+    return count;
+}
+
 /* Returns the known leader's id or NULL. */
 const char *
 control_core_leader(const ControlCore *k)
--- a/src/sapphireweir/core/control_core.h
+++ b/src/sapphireweir/core/control_core.h
@@ -39,6 +39,8 @@
 
 gboolean control_core_failed(const ControlCore *k);
 gboolean control_core_leads(const ControlCore *k);
+uint64_t control_core_term(const ControlCore *k);
+uint32_t control_core_voter_count(const ControlCore *k);
 const char *control_core_leader(const ControlCore *k);
 uint64_t control_core_commit_index(const ControlCore *k);
 State *control_core_state(ControlCore *k);
--- /dev/null
+++ b/test/support/control_fleet.c
@@ -0,0 +1,480 @@
+#include "control_fleet.h"
+
+#include <string.h>
+
+enum { kStepUs = 1000, kTickUs = 10000 };
+
+typedef struct {
+    uint64_t due_us;
+    uint32_t from;
+    uint32_t to;
+    uint8_t *packed;
+    size_t size;
+} Message;
+
+static void
+message_free(void *data)
+{
+    Message *m = data;
+    g_free(m->packed);
+    g_free(m);
+}
+
+static int
+message_compare(const void *a, const void *b, void *ctx)
+{
+    const Message *x = a;
+    const Message *y = b;
+    (void)ctx;
+    return x->due_us < y->due_us ? -1 : x->due_us > y->due_us ? 1 : 0;
+}
+
+/* ---- fake disk ---- */
+
+static void
+saved_clear(ConsensusSaved *s)
+{
+    g_free(s->voted_for);
+    if (s->snapshot != NULL) {
+        g_bytes_unref(s->snapshot);
+    }
+    if (s->entries != NULL) {
+        g_ptr_array_unref(s->entries);
+    }
+    *s = (ConsensusSaved){0};
+}
+
+static void
+saved_init(ConsensusSaved *s)
+{
+    *s = (ConsensusSaved){0};
+    s->entries = g_ptr_array_new_with_free_func(consensus_entry_free);
+}
+
+static void
+saved_copy(const ConsensusSaved *from, ConsensusSaved *to)
+{
+    saved_clear(to);
+    saved_init(to);
+    to->term = from->term;
+    to->voted_for = g_strdup(from->voted_for);
+    to->snapshot_index = from->snapshot_index;
+    to->snapshot_term = from->snapshot_term;
+    to->snapshot =
+        from->snapshot == NULL ? NULL : g_bytes_ref(from->snapshot);
+    for (guint i = 0; i < from->entries->len; i++) {
+        const ConsensusEntry *e = g_ptr_array_index(from->entries, i);
+        g_ptr_array_add(to->entries,
+                        consensus_entry_new(e->index, e->term,
+                                            g_bytes_ref(e->command)));
+    }
+}
+
+static gboolean
+disk_save_vote(void *ctx, uint64_t term, const char *voted_for)
+{
+    FleetNode *n = ctx;
+    g_free(n->disk.written.voted_for);
+    n->disk.written.voted_for = g_strdup(voted_for);
+    n->disk.written.term = term;
+    return TRUE;
+}
+
+static void
+drop_from(GPtrArray *entries, uint64_t index)
+{
+    while (entries->len > 0) {
+        const ConsensusEntry *last =
+            g_ptr_array_index(entries, entries->len - 1);
+        if (last->index < index) {
+            return;
+        }
+        g_ptr_array_set_size(entries, (gint)entries->len - 1);
+    }
+}
+
+static gboolean
+disk_save_entry(void *ctx, uint64_t index, uint64_t term, GBytes *command)
+{
+    FleetNode *n = ctx;
+    drop_from(n->disk.written.entries, index);
+    g_ptr_array_add(n->disk.written.entries,
+                    consensus_entry_new(index, term, g_bytes_ref(command)));
+    return TRUE;
+}
+
+static gboolean
+disk_save_truncate(void *ctx, uint64_t from_index)
+{
+    FleetNode *n = ctx;
+    drop_from(n->disk.written.entries, from_index);
+    return TRUE;
+}
+
+static gboolean
+disk_sync(void *ctx)
+{
+    FleetNode *n = ctx;
+    if (n->disk.fail_next_sync) {
+        return FALSE;
+    }
+    n->disk.syncs++;
+    saved_copy(&n->disk.written, &n->disk.synced);
+    return TRUE;
+}
+
+static gboolean
+disk_save_snapshot(void *ctx, uint64_t index, uint64_t term, GBytes *snapshot,
+                   const GPtrArray *entries)
+{
+    FleetNode *n = ctx;
+    ConsensusSaved *w = &n->disk.written;
+    if (w->snapshot != NULL) {
+        g_bytes_unref(w->snapshot);
+    }
+    w->snapshot = g_bytes_ref(snapshot);
+    w->snapshot_index = index;
+    w->snapshot_term = term;
+    g_ptr_array_set_size(w->entries, 0);
+    for (guint i = 0; i < entries->len; i++) {
+        const ConsensusEntry *e = g_ptr_array_index(entries, i);
+        g_ptr_array_add(w->entries,
+                        consensus_entry_new(e->index, e->term,
+                                            g_bytes_ref(e->command)));
+    }
+    return disk_sync(n);
+}
+
+/* ---- fake network ---- */
+
+static int
+node_index(ControlFleet *f, const char *id)
+{
+    for (uint32_t i = 0; i < f->count; i++) {
+        if (strcmp(f->nodes[i].id, id) == 0) {
+            return (int)i;
+        }
+    }
+    return -1;
+}
+
+static void
+enqueue(ControlFleet *f, uint32_t from, uint32_t to, const Sw__Frame *frame)
+{
+    Message *m = g_new0(Message, 1);
+    m->from = from;
+    m->to = to;
+    m->size = sw__frame__get_packed_size(frame);
+    m->packed = g_malloc(m->size + 1);
+    sw__frame__pack(frame, m->packed);
+    m->due_us = f->now_us + 1 +
+                (uint64_t)g_rand_int_range(f->rand, 0,
+                                           (gint)f->delay_max_us + 1);
+    g_sequence_insert_sorted(f->messages, m, message_compare, NULL);
+}
+
+static void
+note_reply(ControlFleet *f, const Sw__Frame *frame)
+{
+    uint64_t *key = g_new(uint64_t, 1);
+    *key = frame->request_id;
+    if (frame->body_case == SW__FRAME__BODY_ADMIN_REPLY) {
+        g_hash_table_replace(f->replies, key,
+                             GUINT_TO_POINTER(frame->admin_reply->status));
+        return;
+    }
+    if (frame->body_case == SW__FRAME__BODY_LEASE_REPLY &&
+        frame->lease_reply->granted) {
+        g_hash_table_replace(
+            f->leases, key,
+            GSIZE_TO_POINTER(frame->lease_reply->confirmed_index + 1));
+        return;
+    }
+    g_free(key);
+}
+
+static void
+port_send(void *ctx, const char *to, const Sw__Frame *frame)
+{
+    FleetNode *n = ctx;
+    ControlFleet *f = n->fleet;
+    int target = node_index(f, to);
+
+    f->messages_sent++;
+    f->bytes_sent += sw__frame__get_packed_size(frame);
+    if (target < 0) {
+        note_reply(f, frame);
+        if (f->outside != NULL && !n->cut) {
+            f->outside(f->outside_ctx, n->id, to, frame);
+        }
+        return;
+    }
+    if ((uint32_t)g_rand_int_range(f->rand, 0, 100) < f->loss_percent) {
+        return;
+    }
+    enqueue(f, n->index, (uint32_t)target, frame);
+    if ((uint32_t)g_rand_int_range(f->rand, 0, 100) < f->duplicate_percent) {
+        enqueue(f, n->index, (uint32_t)target, frame);
+    }
+}
+
+static void
+port_peer_address(void *ctx, const char *id, const char *address)
+{
+    (void)ctx;
+    (void)id;
+    (void)address;
+}
+
+static uint64_t
+port_random(void *ctx)
+{
+    FleetNode *n = ctx;
+    return ((uint64_t)g_rand_int(n->fleet->rand) << 32) |
+           g_rand_int(n->fleet->rand);
+}
+
+/* ---- life ---- */
+
+/* Makes a fleet of control instances that are not started yet. */
+ControlFleet *
+control_fleet_new(uint32_t count, uint32_t seed)
+{
+    ControlFleet *f = g_new0(ControlFleet, 1);
+    f->count = count;
+    f->now_us = 1000000;
+    f->rand = g_rand_new_with_seed(seed);
+    f->messages = g_sequence_new(message_free);
+    f->delay_max_us = 2000;
+    f->snapshot_every = 50;
+    f->suspect_us = 300000;
+    f->replies =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
+    f->leases =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
+    f->leaders =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
+    for (uint32_t i = 0; i < count; i++) {
+        FleetNode *n = &f->nodes[i];
+        n->fleet = f;
+        n->index = i;
+        n->id = g_strdup_printf("control-%u", i);
+        n->disk_identity = g_strdup_printf("disk-%u", i);
+        saved_init(&n->disk.synced);
+        saved_init(&n->disk.written);
+    }
+    return f;
+}
+
+/* Frees the fleet. */
+void
+control_fleet_free(ControlFleet *f)
+{
+    for (uint32_t i = 0; i < f->count; i++) {
+        FleetNode *n = &f->nodes[i];
+        if (n->core != NULL) {
+            control_core_free(n->core);
+        }
+        saved_clear(&n->disk.synced);
+        saved_clear(&n->disk.written);
+        g_free(n->id);
+        g_free(n->disk_identity);
+    }
+    g_sequence_free(f->messages);
+    g_hash_table_destroy(f->replies);
+    g_hash_table_destroy(f->leases);
+    g_hash_table_destroy(f->leaders);
+    g_rand_free(f->rand);
+    g_free(f);
+}
+
+/* Starts an instance from its disk. */
+void
+control_fleet_start(ControlFleet *f, uint32_t node, gboolean bootstrap)
+{
+    FleetNode *n = &f->nodes[node];
+    ControlConfig config = {
+        .id = n->id,
+        .disk = n->disk_identity,
+        .cluster = "test",
+        .failure_domain = "d",
+        .timing = {50000, 200000, 400000, f->snapshot_every},
+        .lease_us = 3000000,
+        .announce_silence_us = 3000000,
+        .suspect_us = f->suspect_us,
+    };
+    ControlPort port = {
+        .ctx = n,
+        .send = port_send,
+        .peer_address = port_peer_address,
+        .random = port_random,
+        .storage = {n, disk_save_vote, disk_save_entry, disk_save_truncate,
+                    disk_save_snapshot, disk_sync},
+    };
+    GPtrArray *members =
+        g_ptr_array_new_with_free_func(consensus_member_free);
+    GError *error = NULL;
+
+    for (uint32_t i = 0; i < f->count; i++) {
+        g_ptr_array_add(members, consensus_member_new(
+                                     f->nodes[i].id, f->nodes[i].disk_identity,
+                                     "127.0.0.1:1", "d", TRUE));
+    }
+    n->core = control_core_new(&config, &port);
+    saved_copy(&n->disk.synced, &n->disk.written);
+    if (!control_core_start(n->core, f->now_us, &n->disk.synced,
+                            bootstrap ? members : NULL, &error)) {
+        g_error("start: %s", error->message);
+    }
+    g_ptr_array_unref(members);
+}
+
+/* Ends an instance at once: what was not synced is lost. */
+void
+control_fleet_crash(ControlFleet *f, uint32_t node)
+{
+    FleetNode *n = &f->nodes[node];
+    if (n->core != NULL) {
+        control_core_free(n->core);
+        n->core = NULL;
+    }
+    n->disk.fail_next_sync = FALSE;
+}
+
+/* Empties the disk of a crashed instance; it gets a new identity. */
+void
+control_fleet_lose_disk(ControlFleet *f, uint32_t node)
+{
+    FleetNode *n = &f->nodes[node];
+    char *identity = g_strconcat(n->disk_identity, "+", NULL);
+    g_free(n->disk_identity);
+    n->disk_identity = identity;
+    saved_clear(&n->disk.synced);
+    saved_init(&n->disk.synced);
+    saved_clear(&n->disk.written);
+    saved_init(&n->disk.written);
+}
+
+static gboolean
+passes(const ControlFleet *f, const Message *m)
+{
+    return f->nodes[m->to].core != NULL && !f->nodes[m->to].cut &&
+           !f->nodes[m->from].cut;
+}
+
+static void
+deliver_due(ControlFleet *f)
+{
+    for (;;) {
+        GSequenceIter *first = g_sequence_get_begin_iter(f->messages);
+        if (g_sequence_iter_is_end(first)) {
+            return;
+        }
+        Message *m = g_sequence_get(first);
+        if (m->due_us > f->now_us) {
+            return;
+        }
+        if (passes(f, m)) {
+            Sw__Frame *frame = sw__frame__unpack(NULL, m->size, m->packed);
+            control_core_frame(f->nodes[m->to].core, f->now_us,
+                               f->nodes[m->from].id, frame);
+            sw__frame__free_unpacked(frame, NULL);
+        }
+        g_sequence_remove(first);
+    }
+}
+
+static void
+note_leader(ControlFleet *f, FleetNode *n)
+{
+    uint64_t term = control_core_term(n->core);
+    if (!control_core_leads(n->core)) {
+        return;
+    }
+    void *known = g_hash_table_lookup(f->leaders, &term);
+    if (known == NULL) {
+        uint64_t *key = g_new(uint64_t, 1);
+        *key = term;
+        g_hash_table_insert(f->leaders, key, GUINT_TO_POINTER(n->index + 1));
+        return;
+    }
+    f->two_leaders =
+        f->two_leaders || GPOINTER_TO_UINT(known) != n->index + 1;
+}
+
+/* Lets time pass. */
+void
+control_fleet_run(ControlFleet *f, uint64_t us)
+{
+    uint64_t end_us = f->now_us + us;
+    while (f->now_us < end_us) {
+        f->now_us += kStepUs;
+        deliver_due(f);
+        for (uint32_t i = 0; i < f->count; i++) {
+            FleetNode *n = &f->nodes[i];
+            if (n->core == NULL) {
+                continue;
+            }
+            if (f->now_us % kTickUs == 0) {
+                control_core_tick(n->core, f->now_us);
+            }
+            control_core_flush(n->core, f->now_us);
+            note_leader(f, n);
+        }
+    }
+}
+
+/* Returns the leader of the highest term, NULL when nobody leads. */
+FleetNode *
+control_fleet_leader(ControlFleet *f)
+{
+    FleetNode *best = NULL;
+    for (uint32_t i = 0; i < f->count; i++) {
+        FleetNode *n = &f->nodes[i];
+        if (n->core == NULL || !control_core_leads(n->core)) {
+            continue;
+        }
+        if (best == NULL ||
+            control_core_term(n->core) > control_core_term(best->core)) {
+            best = n;
+        }
+    }
+    return best;
+}
+
+/* Hands a frame from outside to an instance. */
+void
+control_fleet_frame(ControlFleet *f, uint32_t node, const char *from,
+                    const Sw__Frame *frame)
+{
+    FleetNode *n = &f->nodes[node];
+    if (n->core != NULL && !n->cut) {
+        control_core_frame(n->core, f->now_us, from, frame);
+    }
+}
+
+/* Sends an operator's request to an instance. */
+void
+control_fleet_admin(ControlFleet *f, uint32_t node, uint64_t request_id,
+                    const char *verb, const char *operation, const char *body)
+{
+    Sw__Frame frame = SW__FRAME__INIT;
+    Sw__AdminRequest r = SW__ADMIN_REQUEST__INIT;
+
+    r.verb = (char *)verb;
+    r.operation_id = (char *)operation;
+    r.actor = (char *)"tester";
+    r.body.data = (uint8_t *)body;
+    r.body.len = strlen(body);
+    frame.request_id = request_id;
+    frame.body_case = SW__FRAME__BODY_ADMIN_REQUEST;
+    frame.admin_request = &r;
+    control_fleet_frame(f, node, "operator", &frame);
+}
+
+/* Returns the status of an answer to an operator, zero when none came. */
+uint32_t
+control_fleet_status(ControlFleet *f, uint64_t request_id)
+{
+    return GPOINTER_TO_UINT(g_hash_table_lookup(f->replies, &request_id));
+}
--- /dev/null
+++ b/test/support/system.h
@@ -0,0 +1,67 @@
+#ifndef SAPPHIREWEIR_TEST_SYSTEM_H
+#define SAPPHIREWEIR_TEST_SYSTEM_H
+
+#include "control_fleet.h"
+#include "core/entry_core.h"
+#include "fake_group.h"
+
+/* A whole system in one process: control cores, entry cores and database
+ * groups in memory, driven through the ports alone. */
+
+enum {
+    kSystemEntriesMax = 64,
+    kSystemGroupsMax = 4,
+};
+
+typedef struct System System;
+
+typedef struct {
+    System *system;
+    uint32_t index;
+    char *id;
+    char *domain;
+    EntryCore *core; /* NULL: crashed */
+    uint64_t incarnation;
+    gboolean cut;
+    GHashTable *connections; /* id -> connection of the fake backend */
+} SystemEntry;
+
+/* What a caller got. */
+typedef struct {
+    uint32_t status;
+    char *body;
+    char *session_token;
+    uint64_t answered_us;
+} SystemAnswer;
+
+struct System {
+    ControlFleet *control;
+    SystemEntry entries[kSystemEntriesMax];
+    uint32_t entry_count;
+    FakeGroup *groups[kSystemGroupsMax];
+    uint32_t group_count;
+    GSequence *events; /* by due time */
+    uint64_t delay_us; /* one way between instances */
+    uint64_t service_us;
+    GHashTable *answers; /* request id -> SystemAnswer */
+    uint64_t next_request;
+    uint8_t secret[kEntrySecretBytes];
+    EntryControl controls[kFleetNodesMax];
+    gboolean mute_announcements;
+};
+
+System *system_new(uint32_t entries, uint32_t groups, uint32_t seed);
+void system_free(System *s);
+void system_run(System *s, uint64_t us);
+void system_entry_start(System *s, uint32_t entry);
+void system_entry_crash(System *s, uint32_t entry);
+void system_apply(System *s, const char *changes);
+uint64_t system_call(System *s, uint32_t entry, const char *path,
+                     const char *key, const char *idempotency_key,
+                     const char *session_token, const char *body);
+const SystemAnswer *system_answer(System *s, uint64_t request);
+void system_add_team(System *s, const char *team, uint32_t rate,
+                     uint32_t burst, const char *key);
+uint64_t system_now(const System *s);
+
+#endif
--- /dev/null
+++ b/test/unit/test_fair_queue.c
@@ -0,0 +1,110 @@
+#include <string.h>
+
+#include "core/fair_queue.h"
+#include "suite.h"
+
+static char item_a[] = "a";
+static char item_b[] = "b";
+
+static void
+shares_follow_weights_and_costs(void)
+{
+    /* Both teams always have work; the served time follows the weights
+     * whatever the cost of an item. */
+    static const struct {
+        uint32_t weight_a;
+        uint32_t weight_b;
+        uint64_t cost_a;
+        uint64_t cost_b;
+    } cases[] = {
+        {1, 1, 1000, 1000}, {2, 1, 1000, 1000}, {1, 1, 5000, 500},
+        {1, 4, 2000, 300},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        FairQueue *q = fair_queue_new(100);
+        uint64_t time_a = 0;
+        uint64_t time_b = 0;
+        for (int k = 0; k < 20; k++) {
+            fair_queue_push(q, "a", cases[i].weight_a, 1, cases[i].cost_a,
+                            item_a);
+            fair_queue_push(q, "b", cases[i].weight_b, 1, cases[i].cost_b,
+                            item_b);
+        }
+        while (time_a + time_b < 1000000) {
+            void *item = fair_queue_pop(q);
+            if (item == item_a) {
+                time_a += cases[i].cost_a;
+                fair_queue_push(q, "a", cases[i].weight_a, 1,
+                                cases[i].cost_a, item_a);
+            }
+            else {
+                time_b += cases[i].cost_b;
+                fair_queue_push(q, "b", cases[i].weight_b, 1,
+                                cases[i].cost_b, item_b);
+            }
+        }
+        double expected = (double)cases[i].weight_a / cases[i].weight_b;
+        double got = (double)time_a / (double)time_b;
+        CU_ASSERT(got > expected * 0.9 && got < expected * 1.1);
+        fair_queue_free(q);
+    }
+}
+
+static void
+a_full_team_leaves_room_for_others(void)
+{
+    FairQueue *q = fair_queue_new(3);
+    for (int i = 0; i < 3; i++) {
+        CU_ASSERT(fair_queue_push(q, "a", 1, 1, 100, item_a));
+    }
+    CU_ASSERT(!fair_queue_push(q, "a", 1, 1, 100, item_a));
+    CU_ASSERT(fair_queue_push(q, "b", 1, 1, 100, item_b));
+    CU_ASSERT_EQUAL(fair_queue_length(q), 4);
+    fair_queue_free(q);
+}
+
+static void
+more_worth_goes_first_within_a_team(void)
+{
+    FairQueue *q = fair_queue_new(10);
+    char items[4];
+    fair_queue_push(q, "a", 1, 1, 100, &items[0]);
+    fair_queue_push(q, "a", 1, 5, 100, &items[1]);
+    fair_queue_push(q, "a", 1, 5, 100, &items[2]);
+    fair_queue_push(q, "a", 1, 9, 100, &items[3]);
+    CU_ASSERT_PTR_EQUAL(fair_queue_pop(q), &items[3]);
+    CU_ASSERT_PTR_EQUAL(fair_queue_pop(q), &items[1]);
+    CU_ASSERT_PTR_EQUAL(fair_queue_pop(q), &items[2]);
+    CU_ASSERT_PTR_EQUAL(fair_queue_pop(q), &items[0]);
+    CU_ASSERT_PTR_NULL(fair_queue_pop(q));
+    fair_queue_free(q);
+}
+
+static void
+the_named_wait_bounds_a_quiet_team(void)
+{
+    FairQueue *q = fair_queue_new(1000);
+    for (int i = 0; i < 500; i++) {
+        fair_queue_push(q, "loud", 1, 1, 1000, item_a);
+    }
+    /* A quiet team waits for about one turn of the loud one. */
+    CU_ASSERT(fair_queue_wait_us(q, "quiet", 1) <= 2000);
+    CU_ASSERT(fair_queue_wait_us(q, "loud", 1) >= 500000);
+    CU_ASSERT(fair_queue_remove(q, item_a));
+    CU_ASSERT_EQUAL(fair_queue_length(q), 499);
+    fair_queue_free(q);
+}
+
+void
+add_fair_queue_suite(void)
+{
+    CU_pSuite s = CU_add_suite("fair_queue", NULL, NULL);
+    CU_add_test(s, "shares follow weights and costs",
+                shares_follow_weights_and_costs);
+    CU_add_test(s, "a full team leaves room for others",
+                a_full_team_leaves_room_for_others);
+    CU_add_test(s, "more worth goes first within a team",
+                more_worth_goes_first_within_a_team);
+    CU_add_test(s, "the named wait bounds a quiet team",
+                the_named_wait_bounds_a_quiet_team);
+}
--- /dev/null
+++ b/test/unit/test_session_token.c
@@ -0,0 +1,112 @@
+#include <string.h>
+
+#include "core/session_token.h"
+#include "suite.h"
+
+static const uint8_t key[kSessionTokenKeyBytes] = {1, 2, 3};
+static const uint8_t other_key[kSessionTokenKeyBytes] = {9};
+static const uint8_t nonce[kSessionTokenNonceBytes] = {7};
+
+static char *
+sealed_example(void)
+{
+    Session s;
+    session_init(&s);
+    session_raise(&s, "rounds1", (LogPosition){3, 500});
+    session_raise(&s, "rounds2", (LogPosition){1, 42});
+    char *text = session_token_seal(&s, key, nonce);
+    session_clear(&s);
+    return text;
+}
+
+static void
+positions_come_back(void)
+{
+    char *text = sealed_example();
+    Session s;
+    session_init(&s);
+    CU_ASSERT(session_token_open(text, key, &s, NULL));
+    CU_ASSERT_EQUAL(session_get(&s, "rounds1").position, 500);
+    CU_ASSERT_EQUAL(session_get(&s, "rounds1").term, 3);
+    CU_ASSERT_EQUAL(session_get(&s, "rounds2").position, 42);
+    CU_ASSERT_EQUAL(session_get(&s, "unknown").position, 0);
+    session_clear(&s);
+    g_free(text);
+}
+
+static void
+every_changed_character_is_refused(void)
+{
+    char *text = sealed_example();
+    for (size_t i = 0; i < strlen(text); i++) {
+        char *forged = g_strdup(text);
+        Session s;
+        forged[i] = forged[i] == 'A' ? 'B' : 'A';
+        session_init(&s);
+        /* The last character may carry unused bits only. */
+        gboolean opened = session_token_open(forged, key, &s, NULL);
+        CU_ASSERT(!opened);
+        session_clear(&s);
+        g_free(forged);
+    }
+    g_free(text);
+}
+
+static void
+foreign_and_odd_texts_are_refused(void)
+{
+    static const char *const texts[] = {"", "x", "!!!", "AAAAAAAA",
+                                        "AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA"
+                                        "AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA"};
+    char *text = sealed_example();
+    Session s;
+    session_init(&s);
+    CU_ASSERT(!session_token_open(text, other_key, &s, NULL));
+    for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
+        CU_ASSERT(!session_token_open(texts[i], key, &s, NULL));
+    }
+    char *huge = g_strnfill(100000, 'A');
+    CU_ASSERT(!session_token_open(huge, key, &s, NULL));
+    g_free(huge);
+    session_clear(&s);
+    g_free(text);
+}
+
+static void
+positions_only_rise_and_terms_go_first(void)
+{
+    static const struct {
+        LogPosition a;
+        LogPosition b;
+        int order;
+    } cases[] = {
+        {{1, 900}, {2, 1}, -1},
+        {{2, 5}, {2, 5}, 0},
+        {{2, 6}, {2, 5}, 1},
+        {{3, 0}, {2, 99}, 1},
+    };
+    Session s;
+    session_init(&s);
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        CU_ASSERT_EQUAL(log_position_compare(cases[i].a, cases[i].b),
+                        cases[i].order);
+    }
+    session_raise(&s, "d", (LogPosition){2, 10});
+    session_raise(&s, "d", (LogPosition){1, 99});
+    CU_ASSERT_EQUAL(session_get(&s, "d").term, 2);
+    CU_ASSERT_EQUAL(session_get(&s, "d").position, 10);
+    session_clear(&s);
+}
+
+void
+add_session_token_suite(void)
+{
+    CU_pSuite s = CU_add_suite("session_token", NULL, NULL);
+    CU_add_test(s, "positions come back", positions_come_back);
+    CU_add_test(s, "every changed character is refused",
+                every_changed_character_is_refused);
+    CU_add_test(s, "foreign and odd texts are refused",
+                foreign_and_odd_texts_are_refused);
+    CU_add_test(s, "positions only rise and terms go first",
+                positions_only_rise_and_terms_go_first);
+}
--- /dev/null
+++ b/test/unit/test_token_bucket.c
@@ -0,0 +1,104 @@
+#include <glib.h>
+
+#include "core/token_bucket.h"
+#include "suite.h"
+
+/* Naive twin: exact arithmetic over the whole history. */
+static uint64_t
+naive_level_micro(uint64_t rate, uint64_t capacity, const uint64_t *times,
+                  const uint32_t *taken, size_t count, uint64_t now_us)
+{
+    unsigned __int128 level = 0; /* in micro tokens x microseconds */
+    uint64_t at = 0;
+    for (size_t i = 0; i <= count; i++) {
+        uint64_t next = i < count ? times[i] : now_us;
+        level += (unsigned __int128)(next - at) * rate;
+        if (level > (unsigned __int128)capacity * 1000000) {
+            level = (unsigned __int128)capacity * 1000000;
+        }
+        if (i < count) {
+            level -= (unsigned __int128)taken[i] * kMicroTokens * 1000000;
+        }
+        at = next;
+    }
+    return (uint64_t)(level / 1000000);
+}
+
+static void
+agrees_with_exact_arithmetic(void)
+{
+    static const struct {
+        uint32_t seed;
+        uint64_t rate;
+        uint64_t capacity;
+    } cases[] = {
+        {1, 7 * kMicroTokens, 3 * kMicroTokens},
+        {2, 333333, 1 * kMicroTokens},
+        {3, (uint64_t)1000 * kMicroTokens, (uint64_t)50 * kMicroTokens},
+        {4, 1, 2 * kMicroTokens},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        GRand *rand = g_rand_new_with_seed(cases[i].seed);
+        uint64_t times[200];
+        uint32_t taken[200];
+        uint64_t now_us = 0;
+        TokenBucket b;
+        token_bucket_init(&b, 0, cases[i].rate, cases[i].capacity);
+        for (size_t k = 0; k < 200; k++) {
+            now_us += (uint64_t)g_rand_int_range(rand, 0, 400000);
+            uint64_t expected =
+                naive_level_micro(cases[i].rate, cases[i].capacity, times,
+                                  taken, k, now_us);
+            times[k] = now_us;
+            taken[k] = token_bucket_take(
+                &b, now_us, (uint32_t)g_rand_int_range(rand, 0, 5));
+            uint64_t left =
+                expected - (uint64_t)taken[k] * kMicroTokens;
+            CU_ASSERT(left - b.level_micro <= 1);
+        }
+        g_rand_free(rand);
+    }
+}
+
+static void
+never_gives_more_than_rate_and_capacity(void)
+{
+    GRand *rand = g_rand_new_with_seed(11);
+    TokenBucket b;
+    uint64_t now_us = 0;
+    uint64_t given = 0;
+    token_bucket_init(&b, 0, (uint64_t)10 * kMicroTokens,
+                      (uint64_t)5 * kMicroTokens);
+    for (int i = 0; i < 20000; i++) {
+        now_us += (uint64_t)g_rand_int_range(rand, 0, 30000);
+        given += token_bucket_take(&b, now_us, 3);
+        CU_ASSERT(given <= 5 + now_us * 10 / 1000000);
+    }
+    g_rand_free(rand);
+}
+
+static void
+the_wait_it_names_is_enough(void)
+{
+    TokenBucket b;
+    token_bucket_init(&b, 0, 3 * kMicroTokens, 2 * kMicroTokens);
+    for (uint64_t now_us = 0; now_us < 5000000;) {
+        uint64_t wait_us = token_bucket_wait_us(&b, now_us);
+        now_us += wait_us;
+        CU_ASSERT_EQUAL(token_bucket_take(&b, now_us, 1), 1);
+    }
+    token_bucket_init(&b, 0, 0, kMicroTokens);
+    CU_ASSERT_EQUAL(token_bucket_wait_us(&b, 5), UINT64_MAX);
+}
+
+void
+add_token_bucket_suite(void)
+{
+    CU_pSuite s = CU_add_suite("token_bucket", NULL, NULL);
+    CU_add_test(s, "agrees with exact arithmetic",
+                agrees_with_exact_arithmetic);
+    CU_add_test(s, "never gives more than rate and capacity",
+                never_gives_more_than_rate_and_capacity);
+    CU_add_test(s, "the wait it names is enough",
+                the_wait_it_names_is_enough);
+}
