--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,8 @@
 BUILD ?= build
+SEED ?= 1
 
-.PHONY: all deps build run test unit functional lint format bench capacity \
-	soak sanitize clean
+.PHONY: all deps build run test unit functional lint format sanitize soak \
+	bench capacity fuzz clean
 
 all: build
 
@@ -15,5 +16,26 @@
 run: deps build
 	./scripts/demo.sh --build "$(abspath $(BUILD))"
 
+test: deps build unit functional
+
+unit: build
+	./$(BUILD)/test/unit_tests
+
+functional: build
+	./$(BUILD)/test/functional_tests
+
+lint:
+	./scripts/lint.sh $(BUILD)
+
+format:
+	git ls-files '*.c' '*.h' | grep -v pb-c | xargs clang-format -i
+
+sanitize:
+	$(MAKE) BUILD=build-sanitize SANITIZE=ON unit
+
+# A longer run of the random schedules: make soak SEED=1000
+soak: build
+	SAPPHIREWEIR_SOAK_SEED=$(SEED) ./$(BUILD)/test/unit_tests
+
 clean:
 	rm -rf build build-*
--- a/src/sapphireweir/core/entry_core.c
+++ b/src/sapphireweir/core/entry_core.c
@@ -284,9 +284,6 @@
     pool_tick_all(e, now_us);
     caller_tick(e, now_us);
     admin_tick(e, now_us);
-    if (e->draining && entry_core_status(e, now_us).idle) {
-        lease_leave(e, now_us);
-    }
 }
 
 /* Begins a planned stop: the balancer is told by /healthz, owned pools and
@@ -299,6 +296,14 @@
     lease_health_changed(e);
 }
 
+/* Leaves the membership after a drain: the driver takes no more requests
+ * and nothing is under way.  entry_core_has_left tells when it is done. */
+void
+entry_core_leave(EntryCore *e, uint64_t now_us)
+{
+    lease_leave(e, now_us);
+}
+
 /* Returns what a driver needs to know for a planned stop. */
 EntryStatus
 entry_core_status(const EntryCore *e, uint64_t now_us)
--- a/src/sapphireweir/core/entry_core.h
+++ b/src/sapphireweir/core/entry_core.h
@@ -61,6 +61,7 @@
                                const BackendResult *result);
 void entry_core_tick(EntryCore *e, uint64_t now_us);
 void entry_core_drain(EntryCore *e, uint64_t now_us);
+void entry_core_leave(EntryCore *e, uint64_t now_us);
 
 EntryStatus entry_core_status(const EntryCore *e, uint64_t now_us);
 gboolean entry_core_has_left(const EntryCore *e);
--- a/src/sapphireweir/core/monitor.c
+++ b/src/sapphireweir/core/monitor.c
@@ -74,7 +74,7 @@
 flag_of(const json_t *row, const char *name)
 {
     const json_t *value = json_object_get(row, name);
-    return json_is_true(value) ||
+    return json_is_true(value) || json_integer_value(value) != 0 ||
            strcmp(json_text_or(row, name, ""), "t") == 0;
 }
 
--- a/src/sapphireweir/entry/main.c
+++ b/src/sapphireweir/entry/main.c
@@ -19,6 +19,7 @@
 enum {
     kTickMs = 10,
     kDrainNoticeUs = 1000000, /* lets the balancer see /healthz first */
+    kDrainQuietUs = 300000,   /* without a request before it leaves */
     kDrainPatienceUs = 40000000,
 };
 
@@ -33,10 +34,33 @@
     EntryCore *core;
     EntryControl *controls;
     uint64_t drain_since_us; /* zero: not stopping */
+    uint64_t busy_us;        /* last time anything was under way */
 } Entry;
 
 /* ---- time and signals ---- */
 
+/* Goes on with a planned stop: after the balancer had time to notice, the
+ * port closes; once all is quiet the instance leaves the membership. */
+static void
+drain_step(Entry *e, uint64_t now_us)
+{
+    if (now_us - e->drain_since_us < kDrainNoticeUs) {
+        e->busy_us = now_us;
+        return;
+    }
+    http_stop_listening(e->http);
+    if (!entry_core_status(e->core, now_us).idle) {
+        e->busy_us = now_us;
+    }
+    if (now_us - e->busy_us > kDrainQuietUs) {
+        entry_core_leave(e->core, now_us);
+    }
+    if (entry_core_has_left(e->core) ||
+        now_us - e->drain_since_us > kDrainPatienceUs) {
+        event_base_loopbreak(e->base);
+    }
+}
+
 static void
 on_tick(evutil_socket_t fd, short what, void *ctx)
 {
@@ -45,13 +69,8 @@
     (void)fd;
     (void)what;
     entry_core_tick(e->core, now_us);
-    if (e->drain_since_us == 0 ||
-        now_us - e->drain_since_us < kDrainNoticeUs) {
-        return;
-    }
-    if (entry_core_has_left(e->core) ||
-        now_us - e->drain_since_us > kDrainPatienceUs) {
-        event_base_loopbreak(e->base);
+    if (e->drain_since_us != 0) {
+        drain_step(e, now_us);
     }
 }
 
--- a/src/tools/standin/store.c
+++ b/src/tools/standin/store.c
@@ -37,7 +37,7 @@
     Store *s = sqlite3_user_data(c);
     (void)n;
     (void)v;
-    sqlite3_result_text(c, s->in_recovery ? "t" : "f", 1, SQLITE_STATIC);
+    sqlite3_result_int(c, s->in_recovery);
 }
 
 static void
--- a/test/support/control_fleet.c
+++ b/test/support/control_fleet.c
@@ -60,13 +60,12 @@
     to->voted_for = g_strdup(from->voted_for);
     to->snapshot_index = from->snapshot_index;
     to->snapshot_term = from->snapshot_term;
-    to->snapshot =
-        from->snapshot == NULL ? NULL : g_bytes_ref(from->snapshot);
+    to->snapshot = from->snapshot == NULL ? NULL : g_bytes_ref(from->snapshot);
     for (guint i = 0; i < from->entries->len; i++) {
         const ConsensusEntry *e = g_ptr_array_index(from->entries, i);
-        g_ptr_array_add(to->entries,
-                        consensus_entry_new(e->index, e->term,
-                                            g_bytes_ref(e->command)));
+        g_ptr_array_add(
+            to->entries,
+            consensus_entry_new(e->index, e->term, g_bytes_ref(e->command)));
     }
 }
 
@@ -138,9 +137,9 @@
     g_ptr_array_set_size(w->entries, 0);
     for (guint i = 0; i < entries->len; i++) {
         const ConsensusEntry *e = g_ptr_array_index(entries, i);
-        g_ptr_array_add(w->entries,
-                        consensus_entry_new(e->index, e->term,
-                                            g_bytes_ref(e->command)));
+        g_ptr_array_add(
+            w->entries,
+            consensus_entry_new(e->index, e->term, g_bytes_ref(e->command)));
     }
     return disk_sync(n);
 }
@@ -167,9 +166,9 @@
     m->size = sw__frame__get_packed_size(frame);
     m->packed = g_malloc(m->size + 1);
     sw__frame__pack(frame, m->packed);
-    m->due_us = f->now_us + 1 +
-                (uint64_t)g_rand_int_range(f->rand, 0,
-                                           (gint)f->delay_max_us + 1);
+    m->due_us =
+        f->now_us + 1 +
+        (uint64_t)g_rand_int_range(f->rand, 0, (gint)f->delay_max_us + 1);
     g_sequence_insert_sorted(f->messages, m, message_compare, NULL);
 }
 
@@ -311,8 +310,7 @@
         .storage = {n, disk_save_vote, disk_save_entry, disk_save_truncate,
                     disk_save_snapshot, disk_sync},
     };
-    GPtrArray *members =
-        g_ptr_array_new_with_free_func(consensus_member_free);
+    GPtrArray *members = g_ptr_array_new_with_free_func(consensus_member_free);
     GError *error = NULL;
 
     for (uint32_t i = 0; i < f->count; i++) {
@@ -398,8 +396,7 @@
         g_hash_table_insert(f->leaders, key, GUINT_TO_POINTER(n->index + 1));
         return;
     }
-    f->two_leaders =
-        f->two_leaders || GPOINTER_TO_UINT(known) != n->index + 1;
+    f->two_leaders = f->two_leaders || GPOINTER_TO_UINT(known) != n->index + 1;
 }
 
 /* Lets time pass. */
--- a/test/support/fake_group.c
+++ b/test/support/fake_group.c
@@ -32,8 +32,7 @@
         m->in_recovery = i != 0;
         m->timeline = 1;
         m->log = g_ptr_array_new_with_free_func(entry_free);
-        m->conninfo = g_strdup_printf("host=127.%u.0.1 port=5432",
-                                      number + 1);
+        m->conninfo = g_strdup_printf("host=127.%u.0.1 port=5432", number + 1);
     }
     return g;
 }
@@ -256,8 +255,8 @@
 commit(FakeMember *m, FakeTransaction *t)
 {
     for (guint i = 0; i < t->writes->len && !m->in_recovery; i++) {
-        g_ptr_array_add(m->log, entry_new(m->timeline, g_ptr_array_index(
-                                                           t->writes, i)));
+        g_ptr_array_add(
+            m->log, entry_new(m->timeline, g_ptr_array_index(t->writes, i)));
     }
     g_ptr_array_set_size(t->writes, 0);
     t->open = FALSE;
--- a/test/support/fake_group.h
+++ b/test/support/fake_group.h
@@ -34,9 +34,9 @@
     char *conninfo;
     gboolean reload;
     gboolean streaming;
-    uint32_t heard;   /* rises with every word of the primary */
-    gboolean cut;     /* nothing gets through */
-    gboolean down;    /* the process is gone, its data stays */
+    uint32_t heard; /* rises with every word of the primary */
+    gboolean cut;   /* nothing gets through */
+    gboolean down;  /* the process is gone, its data stays */
     uint32_t flushed_by[kFakeMembers]; /* as the replicas told it */
 } FakeMember;
 
--- a/test/support/system.c
+++ b/test/support/system.c
@@ -140,7 +140,7 @@
 {
     System *s = ctx;
     SystemEntry *peer = find_entry(s, to);
-    if (peer != NULL && !peer->cut) {
+    if (peer != NULL && !peer->cut && !peer->deaf) {
         post_frame(s, from, peer, frame);
     }
 }
@@ -406,8 +406,8 @@
     Event *answer = post(s, kEventResult, e->to, 100);
     answer->connection = e->connection;
     if (c->member->down) {
-        answer->result = (BackendResult){.status = kBackendLost,
-                                         .rows = json_array()};
+        answer->result =
+            (BackendResult){.status = kBackendLost, .rows = json_array()};
         return;
     }
     fake_member_query(c->member, &c->transaction, e->sql, e->parameter_count,
--- a/test/support/system.h
+++ b/test/support/system.h
@@ -23,6 +23,7 @@
     EntryCore *core; /* NULL: crashed */
     uint64_t incarnation;
     gboolean cut;
+    gboolean deaf;           /* hears nothing of control */
     GHashTable *connections; /* id -> connection of the fake backend */
 } SystemEntry;
 
--- a/test/unit/test_consensus.c
+++ b/test/unit/test_consensus.c
@@ -54,10 +54,9 @@
 {
     o->request_id = ++r->next_request;
     o->attempts++;
-    control_fleet_admin(r->f,
-                        (uint32_t)g_rand_int_range(r->f->rand, 0,
-                                                   (gint)r->f->count),
-                        o->request_id, "apply", o->operation, o->body);
+    control_fleet_admin(
+        r->f, (uint32_t)g_rand_int_range(r->f->rand, 0, (gint)r->f->count),
+        o->request_id, "apply", o->operation, o->body);
 }
 
 static void
@@ -203,8 +202,8 @@
 run_schedule(uint32_t nodes, uint32_t seed)
 {
     Run r = {.f = control_fleet_new(nodes, seed),
-             .accepted = g_hash_table_new_full(g_str_hash, g_str_equal,
-                                               g_free, NULL)};
+             .accepted =
+                 g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL)};
     start_all(r.f);
     for (uint32_t i = 0; i < kOperators; i++) {
         operator_next(&r, &r.operators[i]);
@@ -258,9 +257,9 @@
     FleetNode *fresh = control_fleet_leader(f);
     CU_ASSERT_PTR_NOT_NULL_FATAL(fresh);
     CU_ASSERT(fresh != old);
-    control_fleet_admin(f, fresh->index, 77, "apply", "later",
-                        "[{\"key\":\"team/z\",\"spec\":{\"template\":\"t\"}}]"
-                        );
+    control_fleet_admin(
+        f, fresh->index, 77, "apply", "later",
+        "[{\"key\":\"team/z\",\"spec\":{\"template\":\"t\"}}]");
     control_fleet_run(f, 300000);
     CU_ASSERT_EQUAL(control_fleet_status(f, 77), 200);
     /* The cut-off instance can confirm nothing, so it grants no lease. */
@@ -289,9 +288,9 @@
     start_all(f);
     FleetNode *leader = control_fleet_leader(f);
     leader->disk.fail_next_sync = TRUE;
-    control_fleet_admin(f, leader->index, 5, "apply", "never",
-                        "[{\"key\":\"team/z\",\"spec\":{\"template\":\"t\"}}]"
-                        );
+    control_fleet_admin(
+        f, leader->index, 5, "apply", "never",
+        "[{\"key\":\"team/z\",\"spec\":{\"template\":\"t\"}}]");
     control_fleet_run(f, 100000);
     CU_ASSERT(control_core_failed(leader->core));
     CU_ASSERT_NOT_EQUAL(control_fleet_status(f, 5), 200);
--- a/test/unit/test_disk.c
+++ b/test/unit/test_disk.c
@@ -95,8 +95,7 @@
     StoragePort p = disk_port(d);
     GBytes *snapshot = g_bytes_new("state", 5);
     GPtrArray *kept = g_ptr_array_new_with_free_func(consensus_entry_free);
-    g_ptr_array_add(kept,
-                    consensus_entry_new(10, 3, g_bytes_new("Dx", 2)));
+    g_ptr_array_add(kept, consensus_entry_new(10, 3, g_bytes_new("Dx", 2)));
     CU_ASSERT(p.save_snapshot(p.ctx, 9, 3, snapshot, kept));
     write_entries(d, 11, 2);
     disk_close(d);
@@ -189,8 +188,7 @@
     CU_add_test(s, "what was synced comes back", what_was_synced_comes_back);
     CU_add_test(s, "a folder serves one process and one instance",
                 a_folder_serves_one_process_and_one_instance);
-    CU_add_test(s, "a snapshot replaces the log",
-                a_snapshot_replaces_the_log);
+    CU_add_test(s, "a snapshot replaces the log", a_snapshot_replaces_the_log);
     CU_add_test(s, "a torn tail is cut at every byte",
                 a_torn_tail_is_cut_at_every_byte);
     CU_add_test(s, "damage in the middle is refused with its place",
--- a/test/unit/test_fair_queue.c
+++ b/test/unit/test_fair_queue.c
@@ -17,7 +17,9 @@
         uint64_t cost_a;
         uint64_t cost_b;
     } cases[] = {
-        {1, 1, 1000, 1000}, {2, 1, 1000, 1000}, {1, 1, 5000, 500},
+        {1, 1, 1000, 1000},
+        {2, 1, 1000, 1000},
+        {1, 1, 5000, 500},
         {1, 4, 2000, 300},
     };
     for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
@@ -34,13 +36,13 @@
             void *item = fair_queue_pop(q);
             if (item == item_a) {
                 time_a += cases[i].cost_a;
-                fair_queue_push(q, "a", cases[i].weight_a, 1,
-                                cases[i].cost_a, item_a);
+                fair_queue_push(q, "a", cases[i].weight_a, 1, cases[i].cost_a,
+                                item_a);
             }
             else {
                 time_b += cases[i].cost_b;
-                fair_queue_push(q, "b", cases[i].weight_b, 1,
-                                cases[i].cost_b, item_b);
+                fair_queue_push(q, "b", cases[i].weight_b, 1, cases[i].cost_b,
+                                item_b);
             }
         }
         double expected = (double)cases[i].weight_a / cases[i].weight_b;
--- a/test/unit/test_limiter.c
+++ b/test/unit/test_limiter.c
@@ -56,8 +56,7 @@
             uint64_t from = g_array_index(l->admitted, uint64_t, i);
             uint64_t to = g_array_index(l->admitted, uint64_t, k);
             int64_t allowed =
-                kBurst +
-                (int64_t)((to - from + slack_us) * kRate / 1000000);
+                kBurst + (int64_t)((to - from + slack_us) * kRate / 1000000);
             worst = MAX(worst, (int64_t)(k - i + 1) - allowed);
         }
     }
@@ -124,6 +123,31 @@
     }
 }
 
+static void
+an_owner_that_has_not_heard_of_its_successor(void)
+{
+    /* Entry 3 owns what entry 0 owned before; entry 0 comes back while
+     * entry 3 hears nothing of control but still holds its lease. */
+    for (uint32_t seed = 20; seed < 26; seed++) {
+        Load l = load_new(seed);
+        system_entry_crash(l.s, 0);
+        system_run(l.s, 9000000);
+        for (uint32_t ms = 0; ms < 12000; ms += 5) {
+            if (ms == 4000) {
+                l.s->entries[3].deaf = TRUE;
+                system_entry_start(l.s, 0);
+            }
+            for (uint32_t i = 1; i < 6; i++) {
+                ask(&l, i);
+            }
+            system_run(l.s, 5000);
+            collect(&l);
+        }
+        CU_ASSERT(surplus(&l, 20000) <= 0);
+        load_free(&l);
+    }
+}
+
 static void
 a_team_may_spend_its_whole_rate_through_one_instance(void)
 {
@@ -180,6 +204,8 @@
     CU_pSuite s = CU_add_suite("limiter", NULL, NULL);
     CU_add_test(s, "no more than rate and burst through failures",
                 no_more_than_rate_and_burst_through_failures);
+    CU_add_test(s, "an owner that has not heard of its successor",
+                an_owner_that_has_not_heard_of_its_successor);
     CU_add_test(s, "a team may spend its whole rate through one instance",
                 a_team_may_spend_its_whole_rate_through_one_instance);
     CU_add_test(s, "the whole burst is there at once",
--- a/test/unit/test_promotion.c
+++ b/test/unit/test_promotion.c
@@ -57,9 +57,7 @@
     const Resource *r = state_lookup(
         control_core_state(control_fleet_leader(s->control)->core),
         "primary/db0");
-    return r == NULL
-               ? 0
-               : (uint64_t)json_integer_or(r->spec, "promotion", 0);
+    return r == NULL ? 0 : (uint64_t)json_integer_or(r->spec, "promotion", 0);
 }
 
 static uint32_t
@@ -306,8 +304,8 @@
             continue;
         }
         char *token = g_strdup(wrote->session_token);
-        uint64_t r = system_call(s, (i + 1) % 6, "/v1/s0/list", team_key,
-                                 NULL, token, body);
+        uint64_t r = system_call(s, (i + 1) % 6, "/v1/s0/list", team_key, NULL,
+                                 token, body);
         system_run(s, 60000);
         const SystemAnswer *read = system_answer(s, r);
         wrong += read == NULL || strstr(read->body, "\"found\":1") == NULL;
--- a/test/unit/test_schema.c
+++ b/test/unit/test_schema.c
@@ -77,12 +77,11 @@
     for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
         GError *error = NULL;
         json_t *spec = json_loads(cases[i].spec, 0, NULL);
-        gboolean ok = resource_check(cases[i].key, spec, find_in_table, known,
-                                     &error);
+        gboolean ok =
+            resource_check(cases[i].key, spec, find_in_table, known, &error);
         CU_ASSERT_EQUAL(ok, cases[i].complaint == NULL);
         if (!ok && cases[i].complaint != NULL) {
-            CU_ASSERT_PTR_NOT_NULL(
-                strstr(error->message, cases[i].complaint));
+            CU_ASSERT_PTR_NOT_NULL(strstr(error->message, cases[i].complaint));
         }
         g_clear_error(&error);
         json_decref(spec);
--- a/test/unit/test_session_token.c
+++ b/test/unit/test_session_token.c
@@ -55,9 +55,10 @@
 static void
 foreign_and_odd_texts_are_refused(void)
 {
-    static const char *const texts[] = {"", "x", "!!!", "AAAAAAAA",
-                                        "AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA"
-                                        "AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA"};
+    static const char *const texts[] = {
+        "", "x", "!!!", "AAAAAAAA",
+        "AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA"
+        "AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA"};
     char *text = sealed_example();
     Session s;
     session_init(&s);
--- a/test/unit/test_token_bucket.c
+++ b/test/unit/test_token_bucket.c
@@ -46,14 +46,12 @@
         token_bucket_init(&b, 0, cases[i].rate, cases[i].capacity);
         for (size_t k = 0; k < 200; k++) {
             now_us += (uint64_t)g_rand_int_range(rand, 0, 400000);
-            uint64_t expected =
-                naive_level_micro(cases[i].rate, cases[i].capacity, times,
-                                  taken, k, now_us);
+            uint64_t expected = naive_level_micro(
+                cases[i].rate, cases[i].capacity, times, taken, k, now_us);
             times[k] = now_us;
             taken[k] = token_bucket_take(
                 &b, now_us, (uint32_t)g_rand_int_range(rand, 0, 5));
-            uint64_t left =
-                expected - (uint64_t)taken[k] * kMicroTokens;
+            uint64_t left = expected - (uint64_t)taken[k] * kMicroTokens;
             CU_ASSERT(left - b.level_micro <= 1);
         }
         g_rand_free(rand);
@@ -99,6 +97,5 @@
                 agrees_with_exact_arithmetic);
     CU_add_test(s, "never gives more than rate and capacity",
                 never_gives_more_than_rate_and_capacity);
-    CU_add_test(s, "the wait it names is enough",
-                the_wait_it_names_is_enough);
+    CU_add_test(s, "the wait it names is enough", the_wait_it_names_is_enough);
 }
