Strengthen the tests that mutations survived

Cause: of eleven deliberate faults in the core, four passed unseen: tokens used late, a session token ignored, one fenced member taken for enough, a lease that confirms no state.

Change: fakes show a replica's replayed data only, links get jitter, an instance may be denied state or control; a test for each of the four.

Conclusion: each of the four faults now has a test aimed at it.

--- a/src/sapphireweir/adapter/peer.c
+++ b/src/sapphireweir/adapter/peer.c
@@ -505,8 +505,8 @@
 void
 peer_free(Peer *p)
 {
-    while (p->links->len > 0) {
-        link_free(g_ptr_array_index(p->links, 0));
+    for (guint i = p->links->len; i > 0; i--) {
+        link_free(g_ptr_array_index(p->links, i - 1));
     }
     if (p->timer != NULL) {
         event_free(p->timer);
--- a/src/sapphireweir/core/pool.c
+++ b/src/sapphireweir/core/pool.c
@@ -643,8 +643,8 @@
         (p->last_work_us != 0 && now_us - p->last_work_us < kSecondUs)) {
         return;
     }
-    while (p->connections->len > 0) {
-        pool_connection_drop(g_ptr_array_index(p->connections, 0), now_us);
+    for (guint i = p->connections->len; i > 0; i--) {
+        pool_connection_drop(g_ptr_array_index(p->connections, i - 1), now_us);
     }
     if (p->monitor != NULL) {
         monitor_lost(p, now_us);
--- a/src/tools/standin/session.c
+++ b/src/tools/standin/session.c
@@ -264,8 +264,8 @@
     GPtrArray *cells; /* char *, NULL is SQL NULL */
     int columns;
     int rows;
-    int *types; /* zero: no value seen */
-    char **names;
+    int *types;       /* zero: no value seen */
+    GPtrArray *names; /* char * */
 } Rows;
 
 static void
@@ -275,9 +275,9 @@
     r->rows = 0;
     r->cells = g_ptr_array_new_with_free_func(g_free);
     r->types = g_new0(int, (gsize)r->columns + 1);
-    r->names = g_new0(char *, (gsize)r->columns + 1);
+    r->names = g_ptr_array_new_with_free_func(g_free);
     for (int i = 0; i < r->columns; i++) {
-        r->names[i] = g_strdup(sqlite3_column_name(stmt, i));
+        g_ptr_array_add(r->names, g_strdup(sqlite3_column_name(stmt, i)));
     }
 }
 
@@ -285,7 +285,7 @@
 rows_clear(Rows *r)
 {
     g_ptr_array_unref(r->cells);
-    g_strfreev(r->names);
+    g_ptr_array_unref(r->names);
     g_free(r->types);
 }
 
@@ -325,7 +325,7 @@
     GByteArray *b = g_byte_array_new();
     add_u16(b, (uint16_t)r->columns);
     for (int i = 0; i < r->columns; i++) {
-        add_text(b, r->names[i]);
+        add_text(b, g_ptr_array_index(r->names, i));
         add_u32(b, 0);
         add_u16(b, 0);
         add_u32(b, r->types[i] == 0 ? kTypeText : (uint32_t)r->types[i]);
@@ -482,11 +482,12 @@
 show_conninfo(Session *s)
 {
     int type = kTypeText;
-    char *name = (char *)"primary_conninfo";
-    Rows rows = {g_ptr_array_new(), 1, 1, &type, &name};
+    Rows rows = {g_ptr_array_new(), 1, 1, &type, g_ptr_array_new()};
+    g_ptr_array_add(rows.names, (char *)"primary_conninfo");
     g_ptr_array_add(rows.cells, (char *)store_conninfo(s->member->store));
     rows_send(s, &rows);
     put_complete(s, "SHOW");
+    g_ptr_array_unref(rows.names);
     g_ptr_array_unref(rows.cells);
 }
 
@@ -1060,8 +1061,8 @@
 void
 sessions_close_all(Member *m)
 {
-    while (m->sessions->len > 0) {
-        session_free(g_ptr_array_index(m->sessions, 0));
+    for (guint i = m->sessions->len; i > 0; i--) {
+        session_free(g_ptr_array_index(m->sessions, i - 1));
     }
 }
 
--- a/test/functional/fleet.c
+++ b/test/functional/fleet.c
@@ -27,7 +27,7 @@
 static pid_t
 launch(const char *script, const char *dir, const char *const *arguments)
 {
-    const char *argv[32] = {script, "--quiet", "--build", SAPPHIREWEIR_BUILD,
+    const char *argv[32] = {script,  "--quiet", "--build", SAPPHIREWEIR_BUILD,
                             "--dir", dir};
     size_t count = 6;
     for (; arguments != NULL && *arguments != NULL && count < 30;
@@ -51,8 +51,8 @@
         g_build_filename(SAPPHIREWEIR_SOURCE, "scripts", "demo.sh", NULL);
     Fleet *f = g_new0(Fleet, 1);
 
-    f->dir = g_build_filename(SAPPHIREWEIR_BUILD, "functional", dir_name,
-                              NULL);
+    f->dir =
+        g_build_filename(SAPPHIREWEIR_BUILD, "functional", dir_name, NULL);
     g_mkdir_with_parents(f->dir, 0700);
     char *file = g_build_filename(f->dir, "endpoints.json", NULL);
     unlink(file);
@@ -104,8 +104,7 @@
 const char *
 fleet_entry(const Fleet *f, size_t i)
 {
-    json_t *e =
-        json_array_get(json_object_get(f->endpoints, "entries"), i);
+    json_t *e = json_array_get(json_object_get(f->endpoints, "entries"), i);
     return json_string_value(json_object_get(e, "address"));
 }
 
@@ -249,7 +248,8 @@
 {
     size_t i;
     json_t *s;
-    json_array_foreach(json_object_get(f->endpoints, "standins"), i, s) {
+    json_array_foreach(json_object_get(f->endpoints, "standins"), i, s)
+    {
         const char *name = json_string_value(json_object_get(s, "member"));
         if (strcmp(name, member) == 0) {
             return json_string_value(json_object_get(s, "faults"));
@@ -262,8 +262,8 @@
 void
 fleet_fault(const Fleet *f, const char *member, const char *fault)
 {
-    Answer a = fleet_post(member_faults(f, member), "/fault", NULL, NULL,
-                          NULL, fault);
+    Answer a = fleet_post(member_faults(f, member), "/fault", NULL, NULL, NULL,
+                          fault);
     answer_clear(&a);
 }
 
@@ -306,8 +306,7 @@
     g_ptr_array_add(argv, g_build_filename(f->dir, "operator.token", NULL));
     for (size_t i = 0; i < fleet_entry_count(f); i++) {
         g_ptr_array_add(argv, g_strdup("--entry"));
-        g_ptr_array_add(argv,
-                        g_strdup_printf("http://%s", fleet_entry(f, i)));
+        g_ptr_array_add(argv, g_strdup_printf("http://%s", fleet_entry(f, i)));
     }
     va_start(args, output);
     while ((argument = va_arg(args, const char *)) != NULL) {
--- a/test/functional/test_fleet.c
+++ b/test/functional/test_fleet.c
@@ -27,8 +27,7 @@
 }
 
 static Answer
-find(size_t entry, const char *statement, const char *token,
-     const char *green)
+find(size_t entry, const char *statement, const char *token, const char *green)
 {
     char *path = g_strdup_printf("/v1/rounds/%s", statement);
     char *body = g_strdup_printf("{\"args\":{\"green\":\"%s\"}}", green);
@@ -103,8 +102,7 @@
 {
     CU_ASSERT(fleet_wait(all_follow, NULL, kPatienceMs));
     for (size_t i = 0; i < fleet_entry_count(fleet); i++) {
-        CU_ASSERT(
-            fleet_wait(writes_work, GSIZE_TO_POINTER(i), kPatienceMs));
+        CU_ASSERT(fleet_wait(writes_work, GSIZE_TO_POINTER(i), kPatienceMs));
     }
 }
 
@@ -138,8 +136,8 @@
         char green[16];
         g_snprintf(green, sizeof(green), "lag-%d", i);
         Answer w = book((size_t)i % 3, NULL, green);
-        Answer r = find((size_t)(i + 1) % 3, "find-stale", w.session_token,
-                        green);
+        Answer r =
+            find((size_t)(i + 1) % 3, "find-stale", w.session_token, green);
         CU_ASSERT(answer_has(&r, green));
         answer_clear(&r);
         /* Without the token a replica serves it within its staleness. */
@@ -201,17 +199,16 @@
          "statements"},
     };
     for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
-        Answer a = fleet_post(fleet_entry(fleet, 0), cases[i].path,
-                              fleet->key, NULL, cases[i].token,
-                              cases[i].body);
+        Answer a = fleet_post(fleet_entry(fleet, 0), cases[i].path, fleet->key,
+                              NULL, cases[i].token, cases[i].body);
         CU_ASSERT_EQUAL(a.status, cases[i].status);
         CU_ASSERT(answer_has(&a, cases[i].text));
         CU_ASSERT(answer_has(&a, "\"outcome\":\"not_run\""));
         answer_clear(&a);
     }
     char *huge = g_strnfill(3 << 20, ' ');
-    Answer a = fleet_post(fleet_entry(fleet, 0), "/v1/rounds/find",
-                          fleet->key, NULL, NULL, huge);
+    Answer a = fleet_post(fleet_entry(fleet, 0), "/v1/rounds/find", fleet->key,
+                          NULL, NULL, huge);
     CU_ASSERT(a.status == 413 || a.status == 400 || a.status == 0);
     answer_clear(&a);
     g_free(huge);
@@ -241,12 +238,12 @@
 static char *
 open_transaction(size_t entry)
 {
-    Answer a = fleet_post(fleet_entry(fleet, entry),
-                          "/v1/rounds/transactions/open", fleet->key, NULL,
-                          NULL, "{}");
+    Answer a =
+        fleet_post(fleet_entry(fleet, entry), "/v1/rounds/transactions/open",
+                   fleet->key, NULL, NULL, "{}");
     json_t *body = json_loads(a.body, 0, NULL);
-    char *id = g_strdup(
-        json_string_value(json_object_get(body, "transaction")));
+    char *id =
+        g_strdup(json_string_value(json_object_get(body, "transaction")));
     json_decref(body);
     answer_clear(&a);
     return id == NULL ? g_strdup("none") : id;
@@ -276,8 +273,7 @@
     CU_ASSERT_EQUAL(transaction_step(1, id, "run", run, "rows"), 200);
     CU_ASSERT_EQUAL(count_bookings("inter"), 0);
     CU_ASSERT_EQUAL(transaction_step(2, id, "run", run, "rows"), 200);
-    CU_ASSERT_EQUAL(transaction_step(0, id, "commit", "{}", "committed"),
-                    200);
+    CU_ASSERT_EQUAL(transaction_step(0, id, "commit", "{}", "committed"), 200);
     CU_ASSERT_EQUAL(count_bookings("inter"), 2);
     /* What is over cannot be committed again, and nobody claims it was
      * undone. */
@@ -365,8 +361,7 @@
                     0);
     g_free(output);
     /* The same operation again gets the first answer. */
-    CU_ASSERT_EQUAL(fleet_ctl(fleet, &output, "get", "team/council", NULL),
-                    0);
+    CU_ASSERT_EQUAL(fleet_ctl(fleet, &output, "get", "team/council", NULL), 0);
     CU_ASSERT_PTR_NOT_NULL(strstr(output, "\"weight\": 3"));
     g_free(output);
     char *token_file = g_build_filename(fleet->dir, "operator.token", NULL);
@@ -445,8 +440,7 @@
     char *output = NULL;
     CU_ASSERT_EQUAL(fleet_ctl(fleet, &output, "--json", "status", NULL), 0);
     json_t *status = json_loads(output, 0, NULL);
-    const char *leader =
-        json_string_value(json_object_get(status, "leader"));
+    const char *leader = json_string_value(json_object_get(status, "leader"));
     g_free(output);
     CU_ASSERT_PTR_NOT_NULL_FATAL(leader);
     kill(fleet_pid(fleet, leader), SIGKILL);
@@ -456,8 +450,8 @@
                         "[team.council]\ntemplate = \"standard-team\"\n"
                         "parameters = { weight = 4 }\n",
                         -1, NULL);
-    CU_ASSERT_EQUAL(
-        fleet_ctl(fleet, &output, "--wait", "apply", path, NULL), 0);
+    CU_ASSERT_EQUAL(fleet_ctl(fleet, &output, "--wait", "apply", path, NULL),
+                    0);
     g_free(output);
     Answer w = book(0, NULL, "after-leader");
     CU_ASSERT_EQUAL(w.status, 200);
@@ -493,12 +487,10 @@
          one_request_transactions_are_all_or_nothing},
         {"a withdrawn key stops on an open connection",
          a_withdrawn_key_stops_on_an_open_connection},
-        {"racing operators have one winner",
-         racing_operators_have_one_winner},
+        {"racing operators have one winner", racing_operators_have_one_winner},
         {"a killed control leader is replaced",
          a_killed_control_leader_is_replaced},
-        {"a lost commit answer is resolved",
-         a_lost_commit_answer_is_resolved},
+        {"a lost commit answer is resolved", a_lost_commit_answer_is_resolved},
         {"a planned stop cuts off no request",
          a_planned_stop_cuts_off_no_request},
     };
--- a/test/support/fake_group.c
+++ b/test/support/fake_group.c
@@ -69,12 +69,13 @@
     m->streaming = FALSE;
 }
 
-/* Returns how often a value stands in the member's log. */
+/* Returns how often a value stands in what the member has replayed. */
 uint32_t
 fake_member_count(const FakeMember *m, const char *value)
 {
     uint32_t count = 0;
-    for (guint i = 0; i < m->log->len; i++) {
+    guint visible = m->in_recovery ? m->replayed : m->log->len;
+    for (guint i = 0; i < visible; i++) {
         count += strcmp(((FakeEntry *)g_ptr_array_index(m->log, i))->value,
                         value) == 0;
     }
--- a/test/support/system.c
+++ b/test/support/system.c
@@ -102,7 +102,9 @@
 post_frame(System *s, const char *from, SystemEntry *to,
            const Sw__Frame *frame)
 {
-    Event *e = post(s, kEventFrame, to, s->delay_us);
+    uint64_t extra_us =
+        s->jitter_us == 0 ? 0 : g_rand_int(s->control->rand) % s->jitter_us;
+    Event *e = post(s, kEventFrame, to, s->delay_us + extra_us);
     e->from = g_strdup(from);
     e->size = sw__frame__get_packed_size(frame);
     e->packed = g_malloc(e->size + 1);
@@ -140,6 +142,10 @@
 {
     System *s = ctx;
     SystemEntry *peer = find_entry(s, to);
+    if (peer != NULL && peer->stale &&
+        frame->body_case == SW__FRAME__BODY_STATE_UPDATE) {
+        return;
+    }
     if (peer != NULL && !peer->cut && !peer->deaf) {
         post_frame(s, from, peer, frame);
     }
--- a/test/support/system.h
+++ b/test/support/system.h
@@ -24,6 +24,7 @@
     uint64_t incarnation;
     gboolean cut;
     gboolean deaf;           /* hears nothing of control */
+    gboolean stale;          /* state updates do not reach it */
     GHashTable *connections; /* id -> connection of the fake backend */
 } SystemEntry;
 
@@ -41,8 +42,9 @@
     uint32_t entry_count;
     FakeGroup *groups[kSystemGroupsMax];
     uint32_t group_count;
-    GSequence *events; /* by due time */
-    uint64_t delay_us; /* one way between instances */
+    GSequence *events;  /* by due time */
+    uint64_t delay_us;  /* one way between instances */
+    uint64_t jitter_us; /* at most so much more, at random */
     uint64_t service_us;
     GHashTable *answers; /* request id -> SystemAnswer */
     uint64_t next_request;
--- a/test/unit/test_limiter.c
+++ b/test/unit/test_limiter.c
@@ -148,6 +148,25 @@
     }
 }
 
+static void
+late_tokens_are_not_used(void)
+{
+    /* Answers of shard owners take up to four token lives. */
+    for (uint32_t seed = 40; seed < 44; seed++) {
+        Load l = load_new(seed);
+        l.s->jitter_us = 400000;
+        for (uint32_t ms = 0; ms < 15000; ms += 5) {
+            for (uint32_t i = 0; i < 6; i++) {
+                ask(&l, i);
+            }
+            system_run(l.s, 5000);
+            collect(&l);
+        }
+        CU_ASSERT(surplus(&l, 0) <= 0);
+        load_free(&l);
+    }
+}
+
 static void
 a_team_may_spend_its_whole_rate_through_one_instance(void)
 {
@@ -206,6 +225,7 @@
                 no_more_than_rate_and_burst_through_failures);
     CU_add_test(s, "an owner that has not heard of its successor",
                 an_owner_that_has_not_heard_of_its_successor);
+    CU_add_test(s, "late tokens are not used", late_tokens_are_not_used);
     CU_add_test(s, "a team may spend its whole rate through one instance",
                 a_team_may_spend_its_whole_rate_through_one_instance);
     CU_add_test(s, "the whole burst is there at once",
--- a/test/unit/test_promotion.c
+++ b/test/unit/test_promotion.c
@@ -285,6 +285,35 @@
     system_free(s);
 }
 
+static void
+a_lagging_replica_is_not_promoted_alone(void)
+{
+    System *s = start_system(33);
+    GArray *writes = g_array_new(FALSE, FALSE, sizeof(Write));
+    FakeMember *m = s->groups[0]->members;
+    /* The third member misses what the first two acknowledge. */
+    m[2].cut = TRUE;
+    for (int i = 0; i < 30; i++) {
+        send_write(s, writes, (uint32_t)i % 6);
+        system_run(s, 30000);
+    }
+    CU_ASSERT_EQUAL(check_writes(s, writes, TRUE), 30);
+    /* Then the others go, and it is back alone. */
+    m[0].cut = TRUE;
+    m[1].cut = TRUE;
+    m[2].cut = FALSE;
+    system_run(s, 5000000);
+    send_write(s, writes, 2);
+    system_run(s, 5000000);
+    const SystemAnswer *a =
+        system_answer(s, g_array_index(writes, Write, 30).id);
+    CU_ASSERT(a != NULL && a->status != 200);
+    heal_all(s);
+    CU_ASSERT(check_writes(s, writes, TRUE) >= 30);
+    g_array_unref(writes);
+    system_free(s);
+}
+
 static void
 a_session_reads_its_writes_on_lagging_replicas(void)
 {
@@ -330,8 +359,10 @@
         "[{\"key\":\"key/%.16s\",\"spec\":{\"team\":\"crews\",\"hash\":\"%s\","
         "\"withdrawn\":true}}]",
         hex, hex);
-    /* One instance cannot hear of it: its lease runs out instead. */
+    /* Two cannot hear of it: one is cut off, the other gets leases but no
+     * state.  The lease of neither holds. */
     s->entries[3].cut = TRUE;
+    s->entries[4].stale = TRUE;
     system_apply(s, change);
     system_run(s, 3000000);
     for (uint32_t i = 0; i < 6; i++) {
@@ -341,7 +372,7 @@
                                     "{\"args\":{\"v\":\"x\"}}");
         system_run(s, 50000);
         const SystemAnswer *a = system_answer(s, id);
-        CU_ASSERT(a != NULL && a->status == (i == 3 ? 503u : 401u));
+        CU_ASSERT(a != NULL && a->status == (i == 3 || i == 4 ? 503u : 401u));
         const SystemAnswer *b = system_answer(s, open);
         CU_ASSERT(i == 3 || (b != NULL && b->status == 200));
     }
@@ -359,6 +390,8 @@
                 a_lost_primary_is_replaced_within_a_second);
     CU_add_test(s, "a side without majority acknowledges nothing",
                 a_side_without_majority_acknowledges_nothing);
+    CU_add_test(s, "a lagging replica is not promoted alone",
+                a_lagging_replica_is_not_promoted_alone);
     CU_add_test(s, "a session reads its writes on lagging replicas",
                 a_session_reads_its_writes_on_lagging_replicas);
     CU_add_test(s, "a withdrawn key stops everywhere",
