Measure what each instance, database, team and change costs

Change: make capacity runs the decision core in one process at rising sizes and prints a table with base, slope and points.

--- a/Makefile
+++ b/Makefile
@@ -37,5 +37,9 @@
 soak: build
 	SAPPHIREWEIR_SOAK_SEED=$(SEED) ./$(BUILD)/test/unit_tests
 
+# Slopes of the decision core; docs/CAPACITY.md quotes the table.
+capacity: build
+	./$(BUILD)/test/capacity | tee $(BUILD)/capacity.md
+
 clean:
 	rm -rf build build-*
