Work out pool owners once for each change of the live instances

Cause: the owner of a member's pool was found anew by hashing over all instances for each request and each pool tick.

Change: the router keeps owners per member and epoch of the instance view.

--- a/src/sapphireweir/core/entry_defs.h
+++ b/src/sapphireweir/core/entry_defs.h
@@ -35,6 +35,7 @@
     Limiter *limiter;
     GHashTable *pools;       /* "db/member" -> Pool */
     GHashTable *connections; /* id -> PoolConnection, the pools' */
+    GHashTable *owners;      /* "pool/db/member" -> its owners, cached */
     GHashTable *calls;       /* caller request id -> Call */
     GHashTable *attempts;    /* frame id -> Call, work sent to an owner */
     GHashTable *admin_calls; /* frame id -> AdminCall */
@@ -110,6 +111,7 @@
 
 RouteChoice router_choose(EntryCore *e, const DatabaseInfo *d, gboolean write,
                           uint64_t max_staleness_us, uint32_t tried);
+GHashTable *router_cache_new(void);
 uint32_t router_owners(EntryCore *e, const DatabaseInfo *d, int32_t member,
                        const InstanceInfo **out);
 
--- a/src/sapphireweir/core/router.c
+++ b/src/sapphireweir/core/router.c
@@ -65,17 +65,46 @@
     return choice;
 }
 
+/* Owners of one member's pool as of an epoch of the instance view. */
+typedef struct {
+    uint64_t epoch;
+    uint32_t count;
+    const InstanceInfo *owners[kOwnerRanksMax];
+} OwnerEntry;
+
+/* Makes the cache of pool owners. */
+GHashTable *
+router_cache_new(void)
+{
+    return g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+}
+
 /* Fills out with the owner of a member's pool and its successors; returns
  * how many there are.  Owners are live instances of the member's failure
- * domain, or of any other when it has none. */
+ * domain, or of any other when it has none.  They are worked out once for
+ * each change of the live instances, not for each request. */
 uint32_t
 router_owners(EntryCore *e, const DatabaseInfo *d, int32_t member,
               const InstanceInfo **out)
 {
     const MemberInfo *m = &d->members[member];
+    const InstanceView *view = catalog_view(e->catalog);
     char resource[160];
 
     g_snprintf(resource, sizeof(resource), "pool/%s/%s", d->name, m->id);
-    return ownership_rank(catalog_view(e->catalog), resource,
-                          m->failure_domain, kOwnerRanksMax, out);
+    OwnerEntry *known = g_hash_table_lookup(e->owners, resource);
+    if (known == NULL) {
+        known = g_new0(OwnerEntry, 1);
+        g_hash_table_insert(e->owners, g_strdup(resource), known);
+        known->epoch = view->epoch - 1;
+    }
+    if (known->epoch != view->epoch) {
+        known->epoch = view->epoch;
+        known->count = ownership_rank(view, resource, m->failure_domain,
+                                      kOwnerRanksMax, known->owners);
+    }
+    for (uint32_t i = 0; i < known->count; i++) {
+        out[i] = known->owners[i];
+    }
+    return known->count;
 }
--- a/test/bench/capacity.c
+++ b/test/bench/capacity.c
@@ -238,8 +238,8 @@
         series_add(&reply_bytes, n, (double)(f->bytes_sent - bytes) / 3);
         control_fleet_free(f);
     }
-    report("control group: one lease round of all instances", "instance",
-           "us", &lease);
+    report("control group: one lease round of all instances", "instance", "us",
+           &lease);
     report("control group: join of all instances", "instance", "us", &join);
     report("control group: bytes sent in a lease round", "instance", "bytes",
            &reply_bytes);
@@ -440,9 +440,9 @@
 {
     static const EntryControl control = {"control-0", "d0"};
     SinkEntry *s = g_new0(SinkEntry, 1);
-    EntryPort port = {s,           sink_respond, sink_send,
-                      sink_address, sink_connect, sink_query,
-                      sink_close,  sink_close,   sink_random};
+    EntryPort port = {
+        s,          sink_respond, sink_send,  sink_address, sink_connect,
+        sink_query, sink_close,   sink_close, sink_random};
     EntryConfig config = {
         .id = "entry-0",
         .failure_domain = "d0",
@@ -472,10 +472,10 @@
 static void
 answer_queries(SinkEntry *s)
 {
-    json_t *rows = json_pack("[{s:b, s:i, s:s, s:s, s:i, s:s}]",
-                             "in_recovery", 0, "timeline", 1, "received",
-                             "0/1000", "replayed", "0/1000", "receivers", 0,
-                             "heard", "x");
+    json_t *rows =
+        json_pack("[{s:b, s:i, s:s, s:s, s:i, s:s}]", "in_recovery", 0,
+                  "timeline", 1, "received", "0/1000", "replayed", "0/1000",
+                  "receivers", 0, "heard", "x");
     BackendResult ok = {.status = kBackendOk, .rows = rows};
     guint count = pending.length;
     for (guint i = 0; i < count; i++) {
@@ -528,8 +528,7 @@
     uint64_t index;
 } Update;
 
-static void
-update_add(Update *u, const char *key, const char *format, ...)
+static void update_add(Update *u, const char *key, const char *format, ...)
     G_GNUC_PRINTF(3, 4);
 
 static void
@@ -580,8 +579,9 @@
 fill_fleet(Update *u, uint32_t instances)
 {
     char key[64];
-    update_add(u, "fleet/main", "{\"failure_domains\":[\"d0\",\"d1\",\"d2\","
-                                "\"d3\",\"d4\",\"d5\"]}");
+    update_add(u, "fleet/main",
+               "{\"failure_domains\":[\"d0\",\"d1\",\"d2\","
+               "\"d3\",\"d4\",\"d5\"]}");
     update_add(u, "template/t", "{\"for\":\"team\"}");
     update_add(u, "template/s",
                "{\"for\":\"service\",\"statements\":{\"get\":{\"kind\":"
@@ -657,8 +657,8 @@
     report("entry, one of 300: heap", "database of the fleet", "bytes",
            &memory);
     report("entry: full state applied", "database of the fleet", "us", &load);
-    report("entry, one of 300: one idle second", "database of the fleet",
-           "us", &tick);
+    report("entry, one of 300: one idle second", "database of the fleet", "us",
+           &tick);
     report("entry, one of 300: probes in an idle second",
            "database of the fleet", "queries", &queries);
     report("entry, one of 300: bytes of lease requests in a second",
@@ -743,8 +743,7 @@
                 answer_queries(s);
             }
         }
-        series_add(&request, instances[i],
-                   (cpu_us() - before) / kRequests);
+        series_add(&request, instances[i], (cpu_us() - before) / kRequests);
         sink_run(s, 5000000);
         sink_free(s);
         g_ptr_array_unref(u.changes);
