Look at healthy database groups four times a second only

Cause: the control leader went through all resources in every 10 ms tick to find groups that need a new primary.

Change: groups with a reported fault or a promotion under way are looked at in every tick, all others in turn once in 250 ms; expiry scans likewise.

--- a/src/sapphireweir/core/control_core.c
+++ b/src/sapphireweir/core/control_core.c
@@ -61,7 +61,19 @@
 view_follow(ControlCore *k, const char *key, const json_t *spec)
 {
     ResourceKind kind;
-    if (!resource_kind_of(key, &kind) || kind != kResourceInstance) {
+    if (!resource_kind_of(key, &kind)) {
+        return;
+    }
+    if (kind == kResourceDatabase) {
+        g_clear_pointer(&k->databases, g_ptr_array_unref);
+    }
+    if (kind == kResourceServer || kind == kResourcePrimary) {
+        char *database = g_strndup(resource_name_of(key),
+                                   strcspn(resource_name_of(key), "/"));
+        promotion_attend(k, database);
+        g_free(database);
+    }
+    if (kind != kResourceInstance) {
         return;
     }
     instance_view_set(&k->view, resource_name_of(key), spec);
@@ -118,6 +130,7 @@
     void *value;
 
     g_hash_table_remove_all(k->view.instances);
+    g_clear_pointer(&k->databases, g_ptr_array_unref);
     g_hash_table_iter_init(&it, state_resources(k->state));
     while (g_hash_table_iter_next(&it, NULL, &value)) {
         const Resource *r = value;
@@ -191,6 +204,8 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     k->promotions = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
                                           promotion_track_free);
+    k->attention =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     k->forwards = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
                                         forward_free);
     g_queue_init(&k->waiting_reads);
@@ -205,6 +220,8 @@
     g_queue_clear_full(&k->waiting_reads, waiting_read_free);
     g_queue_clear_full(&k->waiting_changes, waiting_change_free);
     g_hash_table_destroy(k->forwards);
+    g_hash_table_destroy(k->attention);
+    g_clear_pointer(&k->databases, g_ptr_array_unref);
     g_hash_table_destroy(k->promotions);
     g_hash_table_destroy(k->subscribers);
     g_hash_table_destroy(k->members);
@@ -435,10 +452,15 @@
     consensus_tick(k->consensus, now_us);
     k->metrics.counters[kMetricElections] = consensus_elections(k->consensus);
     leadership_follow(k, now_us);
-    g_hash_table_foreach_remove(k->forwards, forward_expired, &now_us);
     control_admin_expire(k, now_us);
+    if (now_us >= k->slow_tick_due_us) {
+        k->slow_tick_due_us = now_us + kSlowTickUs;
+        g_hash_table_foreach_remove(k->forwards, forward_expired, &now_us);
+        if (control_core_leads(k)) {
+            control_lease_expire(k, now_us);
+        }
+    }
     if (control_core_leads(k)) {
-        control_lease_expire(k, now_us);
         promotion_tick(k, now_us);
     }
 }
--- a/src/sapphireweir/core/control_defs.h
+++ b/src/sapphireweir/core/control_defs.h
@@ -16,6 +16,8 @@
     kSubscriberExpiryUs = 5000000,
     kUpdateResendUs = 500000,
     kUpdateChangesMax = 2000,
+    kSlowTickUs = 250000,  /* scans over everything the leader knows */
+    kGroupScanUs = 250000, /* each healthy group is looked at so often */
 };
 
 /* What the leader knows of an entry instance beyond the log. */
@@ -108,6 +110,11 @@
     uint64_t next_forward;
     uint64_t led_since_us; /* zero: does not lead */
     gboolean stopping;
+    uint64_t slow_tick_due_us;
+    GHashTable *attention; /* databases to look at in every tick */
+    GPtrArray *databases;  /* names of all, NULL: to be listed anew */
+    uint32_t scan_at;      /* next of them to look at */
+    uint64_t scanned_us;
 };
 
 /* control_core.c */
@@ -146,6 +153,7 @@
 
 /* promotion.c */
 void promotion_tick(ControlCore *k, uint64_t now_us);
+void promotion_attend(ControlCore *k, const char *database);
 void promotion_result(ControlCore *k, uint64_t now_us,
                       const Sw__MemberResult *r);
 void promotion_track_free(void *track);
--- a/src/sapphireweir/core/control_lease.c
+++ b/src/sapphireweir/core/control_lease.c
@@ -55,6 +55,7 @@
     }
     else if (t->failing_since_us == 0) {
         t->failing_since_us = now_us;
+        promotion_attend(k, h->database);
     }
 }
 
--- a/src/sapphireweir/core/promotion.c
+++ b/src/sapphireweir/core/promotion.c
@@ -345,39 +345,105 @@
     }
 }
 
-/* Lets the leader look at every database group. */
+static gboolean
+group_find(ControlCore *k, const char *database, Group *g)
+{
+    char *key = g_strdup_printf("database/%s", database);
+    const Resource *r = state_lookup(k->state, key);
+    g_free(key);
+    if (r == NULL) {
+        return FALSE;
+    }
+    group_load(k, r, g);
+    return TRUE;
+}
+
+/* Tells whether a group must be looked at in every tick: its primary is
+ * being replaced, or someone reported a fault.  Silence alone is found by
+ * the scan. */
+static gboolean
+group_urgent(ControlCore *k, const Group *g)
+{
+    if (strcmp(g->phase, "stable") != 0 || primary_leaving(k, g)) {
+        return TRUE;
+    }
+    for (uint32_t i = 0; i < g->count; i++) {
+        const MemberTrack *t =
+            control_member_track(k, g->database, g->members[i]);
+        if (t->failing_since_us != 0) {
+            return TRUE;
+        }
+    }
+    return FALSE;
+}
+
+/* Has a database looked at in every tick while it is urgent. */
 void
-promotion_tick(ControlCore *k, uint64_t now_us)
+promotion_attend(ControlCore *k, const char *database)
+{
+    if (!g_hash_table_contains(k->attention, database)) {
+        g_hash_table_add(k->attention, g_strdup(database));
+    }
+}
+
+static GPtrArray *
+list_databases(ControlCore *k)
 {
+    GPtrArray *names = g_ptr_array_new_with_free_func(g_free);
     GHashTableIter it;
     void *value;
-    GPtrArray *databases = g_ptr_array_new();
 
     g_hash_table_iter_init(&it, state_resources(k->state));
     while (g_hash_table_iter_next(&it, NULL, &value)) {
-        if (((Resource *)value)->kind == kResourceDatabase) {
-            g_ptr_array_add(databases, value);
+        const Resource *r = value;
+        if (r->kind == kResourceDatabase) {
+            g_ptr_array_add(names, g_strdup(resource_name_of(r->key)));
         }
     }
-    for (guint i = 0; i < databases->len; i++) {
+    return names;
+}
+
+/* Looks at a part of all groups, so that each has its turn once in
+ * kGroupScanUs: silence shows only by looking. */
+static void
+scan_some(ControlCore *k, uint64_t now_us)
+{
+    if (k->databases == NULL) {
+        k->databases = list_databases(k);
+        k->scan_at = 0;
+    }
+    uint64_t passed_us = MIN(now_us - k->scanned_us, kGroupScanUs);
+    uint64_t share =
+        (k->databases->len * passed_us + kGroupScanUs - 1) / kGroupScanUs;
+    k->scanned_us = now_us;
+    for (uint64_t i = 0; i < share; i++) {
         Group g;
-        group_load(k, g_ptr_array_index(databases, i), &g);
-        group_tick(k, now_us, &g);
+        k->scan_at = (k->scan_at + 1) % k->databases->len;
+        const char *name = g_ptr_array_index(k->databases, k->scan_at);
+        if (group_find(k, name, &g)) {
+            group_tick(k, now_us, &g);
+        }
     }
-    g_ptr_array_unref(databases);
 }
 
-static gboolean
-group_find(ControlCore *k, const char *database, Group *g)
+/* Lets the leader look at the groups that need it. */
+void
+promotion_tick(ControlCore *k, uint64_t now_us)
 {
-    char *key = g_strdup_printf("database/%s", database);
-    const Resource *r = state_lookup(k->state, key);
-    g_free(key);
-    if (r == NULL) {
-        return FALSE;
+    scan_some(k, now_us);
+    GList *names = g_hash_table_get_keys(k->attention);
+    for (GList *l = names; l != NULL; l = l->next) {
+        Group g;
+        if (!group_find(k, l->data, &g)) {
+            g_hash_table_remove(k->attention, l->data);
+            continue;
+        }
+        group_tick(k, now_us, &g);
+        if (!group_urgent(k, &g)) {
+            g_hash_table_remove(k->attention, l->data);
+        }
     }
-    group_load(k, r, g);
-    return TRUE;
+    g_list_free(names);
 }
 
 static void
