Send state updates together and make each only once

Cause: every commit was written out as JSON once for each entry instance, so a join of N instances cost N times N.

Change: updates go out every 10 ms at most, and one prepared update serves all followers that lack the same changes. The capacity tool lets leaving instances go before it measures idle time, and its fake disks keep nothing.

--- a/src/sapphireweir/core/control_defs.h
+++ b/src/sapphireweir/core/control_defs.h
@@ -15,6 +15,7 @@
     kForwardExpiryUs = 3000000,
     kSubscriberExpiryUs = 5000000,
     kUpdateResendUs = 500000,
+    kDistributeUs = 10000, /* state updates go out no more often */
     kUpdateChangesMax = 2000,
     kSlowTickUs = 250000,  /* scans over everything the leader knows */
     kGroupScanUs = 250000, /* each healthy group is looked at so often */
@@ -111,6 +112,8 @@
     uint64_t led_since_us; /* zero: does not lead */
     gboolean stopping;
     uint64_t slow_tick_due_us;
+    uint64_t distributed_us;
+    uint64_t distributed_index;
     GHashTable *attention; /* databases to look at in every tick */
     GPtrArray *databases;  /* names of all, NULL: to be listed anew */
     uint32_t scan_at;      /* next of them to look at */
--- a/src/sapphireweir/core/control_lease.c
+++ b/src/sapphireweir/core/control_lease.c
@@ -392,42 +392,76 @@
     g_free(w);
 }
 
+/* A state update in the making; one serves all followers that lack the
+ * same changes. */
+typedef struct {
+    Sw__StateUpdate update;
+    GPtrArray *changes; /* Sw__Change, owned */
+    uint64_t from;
+    gboolean made;
+} PreparedUpdate;
+
 static void
-send_update(ControlCore *k, const char *to, uint64_t from)
+prepared_clear(PreparedUpdate *p)
 {
-    Sw__Frame frame = SW__FRAME__INIT;
-    Sw__StateUpdate update = SW__STATE_UPDATE__INIT;
-    GPtrArray *changes = g_ptr_array_new_with_free_func(wire_change_free);
+    if (p->made) {
+        g_ptr_array_unref(p->changes);
+        p->made = FALSE;
+    }
+}
 
-    if (!fill_delta(k, from, &update, changes)) {
-        fill_full(k, &update, changes);
+static void
+prepare_update(ControlCore *k, PreparedUpdate *p, uint64_t from)
+{
+    if (p->made && p->from == from) {
+        return;
     }
-    update.cluster = (char *)state_cluster(k->state);
-    update.n_changes = changes->len;
-    update.changes = (Sw__Change **)changes->pdata;
-    frame.body_case = SW__FRAME__BODY_STATE_UPDATE;
-    frame.state_update = &update;
-    k->port.send(k->port.ctx, to, &frame);
-    g_ptr_array_unref(changes);
+    prepared_clear(p);
+    p->changes = g_ptr_array_new_with_free_func(wire_change_free);
+    p->from = from;
+    p->made = TRUE;
+    sw__state_update__init(&p->update);
+    if (!fill_delta(k, from, &p->update, p->changes)) {
+        fill_full(k, &p->update, p->changes);
+    }
+    p->update.cluster = (char *)state_cluster(k->state);
+    p->update.n_changes = p->changes->len;
+    p->update.changes = (Sw__Change **)p->changes->pdata;
 }
 
-/* Sends each follower of this instance what it lacks. */
+/* Sends each follower of this instance what it lacks.  Changes that come
+ * close together go out together. */
 void
 control_distribute(ControlCore *k, uint64_t now_us)
 {
     uint64_t index = state_index(k->state);
+    PreparedUpdate prepared = {.made = FALSE};
     GHashTableIter it;
     void *id;
     void *value;
 
+    if (k->distributed_index == index &&
+        now_us - k->distributed_us < kUpdateResendUs / 10) {
+        return;
+    }
+    if (now_us - k->distributed_us < kDistributeUs) {
+        return;
+    }
+    k->distributed_us = now_us;
+    k->distributed_index = index;
     g_hash_table_iter_init(&it, k->subscribers);
     while (g_hash_table_iter_next(&it, &id, &value)) {
         Subscriber *s = value;
         if (s->sent_index >= index) {
             continue;
         }
-        send_update(k, id, s->sent_index);
+        Sw__Frame frame = SW__FRAME__INIT;
+        prepare_update(k, &prepared, s->sent_index);
+        frame.body_case = SW__FRAME__BODY_STATE_UPDATE;
+        frame.state_update = &prepared.update;
+        k->port.send(k->port.ctx, id, &frame);
         s->sent_index = index;
         s->sent_us = now_us;
     }
+    prepared_clear(&prepared);
 }
--- a/test/bench/capacity.c
+++ b/test/bench/capacity.c
@@ -100,9 +100,10 @@
 }
 
 static ControlFleet *
-control_started(void)
+control_started(gboolean keep)
 {
     ControlFleet *f = control_fleet_new(3, 1);
+    f->disks_keep_nothing = !keep;
     f->snapshot_every = 1000000;
     for (uint32_t i = 0; i < 3; i++) {
         control_fleet_start(f, i, TRUE);
@@ -221,7 +222,7 @@
     Series reply_bytes = {0};
 
     for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
-        ControlFleet *f = control_started();
+        ControlFleet *f = control_started(FALSE);
         uint32_t n = sizes[i];
         double base = idle_cpu_us(f, 900000);
         double before = cpu_us();
@@ -255,13 +256,14 @@
     Series dump = {0};
     Series dump_time = {0};
     double empty = heap_bytes();
-    ControlFleet *f = control_started();
+    ControlFleet *f = control_started(FALSE);
     uint32_t have = 0;
 
     for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
         add_databases(f, have, sizes[i]);
         have = sizes[i];
-        control_fleet_run(f, 1000000);
+        /* Instances of the last size leave first. */
+        control_fleet_run(f, 6000000);
         series_add(&memory, have, (heap_bytes() - empty) / 3);
         series_add(&tick, have, idle_cpu_us(f, 1000000));
         double base = idle_cpu_us(f, 900000);
@@ -280,14 +282,30 @@
     report("control group: one idle second", "database", "us", &tick);
     report("control group: lease round of 300 instances with health",
            "database", "us", &health);
-    report("control instance: heap with log and disk fake", "database",
-           "bytes", &memory);
+    report("control instance: heap with the log", "database", "bytes",
+           &memory);
     report("snapshot: size", "database and service", "bytes", &dump);
     report("snapshot: time to write out", "database and service", "us",
            &dump_time);
     control_fleet_free(f);
 }
 
+static void
+make_changes(ControlFleet *f, uint32_t leader, uint32_t count)
+{
+    for (uint32_t k = 0; k < count; k++) {
+        char operation[32];
+        char body[128];
+        g_snprintf(operation, sizeof(operation), "c-%u", k);
+        g_snprintf(body, sizeof(body),
+                   "[{\"key\":\"team/t%u\",\"spec\":{\"template\":\"t\","
+                   "\"parameters\":{\"rate\":%u}}}]",
+                   k, k + 1);
+        control_fleet_admin(f, leader, 50000 + k, "apply", operation, body);
+        control_fleet_run(f, 1000);
+    }
+}
+
 static void
 measure_changes(void)
 {
@@ -297,26 +315,19 @@
     Series syncs = {0};
 
     for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
-        ControlFleet *f = control_started();
+        ControlFleet *f = control_started(FALSE);
         uint32_t leader = control_fleet_leader(f)->index;
         uint64_t synced = f->nodes[leader].disk.syncs;
         double before = cpu_us();
-        for (uint32_t k = 0; k < sizes[i]; k++) {
-            char operation[32];
-            char body[128];
-            g_snprintf(operation, sizeof(operation), "c-%u", k);
-            g_snprintf(body, sizeof(body),
-                       "[{\"key\":\"team/t%u\",\"spec\":{\"template\":\"t\","
-                       "\"parameters\":{\"rate\":%u}}}]",
-                       k, k + 1);
-            control_fleet_admin(f, leader, 50000 + k, "apply", operation,
-                                body);
-            control_fleet_run(f, 1000);
-        }
+        make_changes(f, leader, sizes[i]);
         control_fleet_run(f, 100000);
         series_add(&commit, sizes[i], cpu_us() - before);
         series_add(&syncs, sizes[i],
                    (double)(f->nodes[leader].disk.syncs - synced));
+        control_fleet_free(f);
+        f = control_started(TRUE);
+        leader = control_fleet_leader(f)->index;
+        make_changes(f, leader, sizes[i]);
         control_fleet_crash(f, leader);
         before = cpu_us();
         control_fleet_start(f, leader, FALSE);
--- a/test/support/control_fleet.c
+++ b/test/support/control_fleet.c
@@ -96,6 +96,9 @@
 disk_save_entry(void *ctx, uint64_t index, uint64_t term, GBytes *command)
 {
     FleetNode *n = ctx;
+    if (n->fleet->disks_keep_nothing) {
+        return TRUE;
+    }
     drop_from(n->disk.written.entries, index);
     g_ptr_array_add(n->disk.written.entries,
                     consensus_entry_new(index, term, g_bytes_ref(command)));
@@ -118,6 +121,9 @@
         return FALSE;
     }
     n->disk.syncs++;
+    if (n->fleet->disks_keep_nothing) {
+        return TRUE;
+    }
     saved_copy(&n->disk.written, &n->disk.synced);
     return TRUE;
 }
--- a/test/support/control_fleet.h
+++ b/test/support/control_fleet.h
@@ -54,6 +54,7 @@
                     const Sw__Frame *frame);
     void *outside_ctx;
     uint64_t suspect_us;
+    gboolean disks_keep_nothing; /* for measurements without restarts */
 };
 
 ControlFleet *control_fleet_new(uint32_t count, uint32_t seed);
