Add the load and experiment tool, and pass over members out of reach

Change: sapphireweir-load with faults on a schedule and checks of the promises; a member whose owner cannot reach it is passed over for 400 ms, and its quick refusals cost no retry budget.

--- a/src/sapphireweir/core/caller.c
+++ b/src/sapphireweir/core/caller.c
@@ -307,7 +307,7 @@
         return;
     }
     RouteChoice choice =
-        router_choose(e, d, c->write, c->max_staleness_us, c->tried);
+        router_choose(e, now_us, d, c->write, c->max_staleness_us, c->tried);
     c->counted_eligible = choice.eligible;
     if (choice.member < 0) {
         set_reason(c, "no-primary", "the primary is being replaced");
@@ -472,8 +472,8 @@
 {
     static const char *const final[] = {"key", "no-transaction", "busy",
                                         "deadline", NULL};
-    static const char *const unfit[] = {"behind", "stale", "leaving",
-                                        "unknown-member", NULL};
+    static const char *const unfit[] = {
+        "behind", "stale", "leaving", "unknown-member", "unreachable", NULL};
     static const char *const waiting[] = {"not-primary", "unreachable",
                                           "connection-lost", NULL};
 
@@ -488,6 +488,9 @@
         /* A replica that cannot serve is passed over once. */
         c->tried |= 1u << c->member;
         note_primary_reason(c, r);
+        if (strcmp(r->reason, "unreachable") == 0) {
+            router_avoid(e, now_us, c->database, c->member);
+        }
         if (reason_is(r, unfit) || take_retry_budget(e)) {
             call_route(e, now_us, c);
             return;
--- a/src/sapphireweir/core/entry_core.c
+++ b/src/sapphireweir/core/entry_core.c
@@ -31,6 +31,7 @@
     e->pools = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, pool_free);
     e->connections = g_hash_table_new(g_int64_hash, g_int64_equal);
     e->owners = router_cache_new();
+    e->avoided = router_cache_new();
     e->calls =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, call_free);
     e->attempts = g_hash_table_new(g_int64_hash, g_int64_equal);
@@ -51,6 +52,7 @@
     g_hash_table_destroy(e->calls);
     g_hash_table_destroy(e->positions);
     g_hash_table_destroy(e->owners);
+    g_hash_table_destroy(e->avoided);
     g_hash_table_destroy(e->pools);
     g_hash_table_destroy(e->connections);
     limiter_free(e->limiter);
--- a/src/sapphireweir/core/entry_defs.h
+++ b/src/sapphireweir/core/entry_defs.h
@@ -36,6 +36,7 @@
     GHashTable *pools;       /* "db/member" -> Pool */
     GHashTable *connections; /* id -> PoolConnection, the pools' */
     GHashTable *owners;      /* "pool/db/member" -> its owners, cached */
+    GHashTable *avoided;     /* database -> until when, by member */
     GHashTable *calls;       /* caller request id -> Call */
     GHashTable *attempts;    /* frame id -> Call, work sent to an owner */
     GHashTable *admin_calls; /* frame id -> AdminCall */
@@ -109,8 +110,11 @@
     MetricId reason;   /* why the primary, where it is */
 } RouteChoice;
 
-RouteChoice router_choose(EntryCore *e, const DatabaseInfo *d, gboolean write,
-                          uint64_t max_staleness_us, uint32_t tried);
+RouteChoice router_choose(EntryCore *e, uint64_t now_us, const DatabaseInfo *d,
+                          gboolean write, uint64_t max_staleness_us,
+                          uint32_t tried);
+void router_avoid(EntryCore *e, uint64_t now_us, const char *database,
+                  int32_t member);
 GHashTable *router_cache_new(void);
 uint32_t router_owners(EntryCore *e, const DatabaseInfo *d, int32_t member,
                        const InstanceInfo **out);
--- a/src/sapphireweir/core/router.c
+++ b/src/sapphireweir/core/router.c
@@ -5,6 +5,26 @@
 /* Chooses the member of a database group for a request, and the entry
  * instance that owns the member's pool. */
 
+enum { kAvoidUs = 400000 };
+
+/* Until when the members of a database are passed over. */
+typedef struct {
+    uint64_t until_us[kCatalogMembersMax];
+} Avoidance;
+
+/* Passes a member over for a while: its owner could not reach it. */
+void
+router_avoid(EntryCore *e, uint64_t now_us, const char *database,
+             int32_t member)
+{
+    Avoidance *a = g_hash_table_lookup(e->avoided, database);
+    if (a == NULL) {
+        a = g_new0(Avoidance, 1);
+        g_hash_table_insert(e->avoided, g_strdup(database), a);
+    }
+    a->until_us[member] = now_us + kAvoidUs;
+}
+
 static gboolean
 replica_may_serve(const DatabaseInfo *d, uint32_t i, uint32_t tried)
 {
@@ -13,13 +33,16 @@
 }
 
 static int32_t
-choose_replica(EntryCore *e, const DatabaseInfo *d, uint32_t tried)
+choose_replica(EntryCore *e, uint64_t now_us, const DatabaseInfo *d,
+               uint32_t tried)
 {
+    const Avoidance *a = g_hash_table_lookup(e->avoided, d->name);
     int32_t others[kCatalogMembersMax];
     uint32_t count = 0;
 
     for (uint32_t i = 0; i < d->member_count; i++) {
-        if (!replica_may_serve(d, i, tried)) {
+        gboolean avoided = a != NULL && now_us < a->until_us[i];
+        if (avoided || !replica_may_serve(d, i, tried)) {
             continue;
         }
         if (strcmp(d->members[i].failure_domain, e->config.failure_domain) ==
@@ -47,8 +70,8 @@
  * own failure domain's first, that was not tried yet (bit i of tried is
  * member i); everything else goes to the primary. */
 RouteChoice
-router_choose(EntryCore *e, const DatabaseInfo *d, gboolean write,
-              uint64_t max_staleness_us, uint32_t tried)
+router_choose(EntryCore *e, uint64_t now_us, const DatabaseInfo *d,
+              gboolean write, uint64_t max_staleness_us, uint32_t tried)
 {
     RouteChoice choice = {stable_primary(d), FALSE, kMetricPrimaryStrict};
 
@@ -56,7 +79,7 @@
         return choice;
     }
     choice.eligible = TRUE;
-    int32_t replica = choose_replica(e, d, tried);
+    int32_t replica = choose_replica(e, now_us, d, tried);
     if (replica >= 0) {
         choice.member = replica;
         return choice;
--- a/src/sapphireweir/ctl/client.c
+++ b/src/sapphireweir/ctl/client.c
@@ -38,17 +38,17 @@
     return list;
 }
 
-static Reply
-exchange(const Client *c, const char *entry, const char *path,
-         const char *body, const char *operation_id)
+/* Returns the answer's text and status, zero when none came. */
+static char *
+exchange_text(const Client *c, const char *entry, const char *path,
+              const char *body, const char *operation_id, long *status)
 {
     CURL *curl = curl_easy_init();
     GString *answer = g_string_new(NULL);
     char *url = g_strconcat(entry, path, NULL);
     struct curl_slist *headers = make_headers(c, operation_id);
-    long status = 0;
-    Reply reply = {0, NULL};
 
+    *status = 0;
     curl_easy_setopt(curl, CURLOPT_URL, url);
     curl_easy_setopt(curl, CURLOPT_HTTPHEADER, headers);
     curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, collect);
@@ -63,14 +63,22 @@
         curl_easy_setopt(curl, CURLOPT_POSTFIELDS, body);
     }
     if (curl_easy_perform(curl) == CURLE_OK) {
-        curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &status);
-        reply.status = (uint32_t)status;
-        reply.body = json_loadb(answer->str, answer->len, 0, NULL);
+        curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, status);
     }
     curl_slist_free_all(headers);
     curl_easy_cleanup(curl);
-    g_string_free(answer, TRUE);
     g_free(url);
+    return g_string_free(answer, FALSE);
+}
+
+static Reply
+exchange(const Client *c, const char *entry, const char *path,
+         const char *body, const char *operation_id)
+{
+    long status;
+    char *text = exchange_text(c, entry, path, body, operation_id, &status);
+    Reply reply = {(uint32_t)status, json_loads(text, 0, NULL)};
+    g_free(text);
     return reply;
 }
 
@@ -106,11 +114,18 @@
     return exchange_any(c, path, NULL, NULL);
 }
 
-/* Reads from one given entry instance. */
-Reply
-client_get_from(const Client *c, const char *entry, const char *path)
+/* Reads a path of one given entry instance as text; NULL when it does not
+ * answer.  The caller frees it. */
+char *
+client_get_text(const Client *c, const char *entry, const char *path)
 {
-    return exchange(c, entry, path, NULL, NULL);
+    long status;
+    char *text = exchange_text(c, entry, path, NULL, NULL, &status);
+    if (status != 0) {
+        return text;
+    }
+    g_free(text);
+    return NULL;
 }
 
 /* Sends a change; it is sent again, under the same operation id, until an
--- a/src/sapphireweir/ctl/client.h
+++ b/src/sapphireweir/ctl/client.h
@@ -20,7 +20,7 @@
 } Reply;
 
 Reply client_get(const Client *c, const char *path);
-Reply client_get_from(const Client *c, const char *entry, const char *path);
+char *client_get_text(const Client *c, const char *entry, const char *path);
 Reply client_post(const Client *c, const char *path, const json_t *body,
                   const char *operation_id);
 char *client_new_operation_id(void);
--- /dev/null
+++ b/src/tools/load/main.c
@@ -0,0 +1,132 @@
+#include <curl/curl.h>
+#include <signal.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "adapter/program.h"
+#include "core/schema.h"
+#include "run.h"
+
+/* sapphireweir-load: open-loop load against a running fleet, with faults on
+ * a schedule and a check of every promise. */
+
+typedef struct {
+    char *experiment;
+    char *endpoints;
+    char *json;
+    char *plot;
+} Arguments;
+
+static gboolean
+parse(Arguments *a, int *argc, char ***argv, GError **error)
+{
+    const GOptionEntry entries[] = {
+        {"experiment", 'x', 0, G_OPTION_ARG_FILENAME, &a->experiment,
+         "TOML file of the experiment", "FILE"},
+        {"endpoints", 'e', 0, G_OPTION_ARG_FILENAME, &a->endpoints,
+         "endpoints.json of the running demo", "FILE"},
+        {"json", 'j', 0, G_OPTION_ARG_FILENAME, &a->json,
+         "Write the report as JSON", "FILE"},
+        {"plot", 'p', 0, G_OPTION_ARG_FILENAME, &a->plot,
+         "Write answers by the second as SVG", "FILE"},
+        {NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL},
+    };
+    GOptionContext *context = g_option_context_new(NULL);
+    g_option_context_set_summary(
+        context, "Loads a running fleet and checks its promises.\n"
+                 "Exit code 1: a promise was broken.");
+    g_option_context_add_main_entries(context, entries, NULL);
+    gboolean ok = g_option_context_parse(context, argc, argv, error);
+    g_option_context_free(context);
+    if (ok && (a->experiment == NULL || a->endpoints == NULL)) {
+        g_set_error_literal(error, G_OPTION_ERROR, G_OPTION_ERROR_FAILED,
+                            "--experiment and --endpoints are needed");
+        return FALSE;
+    }
+    return ok;
+}
+
+static gboolean
+prepare(Run *r, const Arguments *a, GError **error)
+{
+    size_t i;
+    json_t *entry;
+
+    r->endpoints = json_load_file(a->endpoints, 0, NULL);
+    if (r->endpoints == NULL) {
+        g_set_error(error, G_FILE_ERROR, G_FILE_ERROR_FAILED,
+                    "cannot read %s", a->endpoints);
+        return FALSE;
+    }
+    const json_t *entries = json_object_get(r->endpoints, "entries");
+    r->client.entries = g_new0(char *, json_array_size(entries) + 1);
+    json_array_foreach((json_t *)entries, i, entry) {
+        r->client.entries[i] = g_strdup_printf(
+            "http://%s", json_text_or(entry, "address", ""));
+    }
+    if (!g_file_get_contents(
+            json_text_or(r->endpoints, "operator_token_file", ""),
+            &r->client.token, NULL, error)) {
+        return FALSE;
+    }
+    g_strstrip(r->client.token);
+    return run_start(r, error);
+}
+
+static gboolean
+promises_kept(const json_t *report)
+{
+    const json_t *p = json_object_get(report, "promises");
+    const char *name;
+    json_t *value;
+    gboolean kept = TRUE;
+
+    json_object_foreach((json_t *)p, name, value) {
+        kept = kept && (strcmp(name, "writes_checked") == 0 ||
+                        json_integer_value(value) == 0);
+    }
+    return kept;
+}
+
+int
+main(int argc, char **argv)
+{
+    enum { kSettleUs = 3000000 };
+    Arguments a = {0};
+    Experiment x;
+    Run r = {.experiment = &x};
+    GError *error = NULL;
+
+    signal(SIGPIPE, SIG_IGN);
+    if (sodium_init() < 0 || curl_global_init(CURL_GLOBAL_DEFAULT) != 0 ||
+        !parse(&a, &argc, &argv, &error) ||
+        !experiment_load(a.experiment, &x, &error)) {
+        fprintf(stderr, "%s\n", error == NULL ? "cannot start"
+                                              : error->message);
+        return kExitUsage;
+    }
+    if (!prepare(&r, &a, &error)) {
+        fprintf(stderr, "%s\n", error->message);
+        return kExitFailure;
+    }
+    RunCounters before = report_counters(&r);
+    run_loop(&r);
+    RunCounters after = report_counters(&r);
+    g_usleep(kSettleUs);
+    check_writes(&r);
+    check_rates(&r);
+    json_t *report = report_make(&r, &before, &after);
+    report_print(report);
+    if (a.json != NULL) {
+        json_dump_file(report, a.json, JSON_INDENT(2) | JSON_SORT_KEYS);
+    }
+    if (a.plot != NULL && !report_plot(&r, a.plot)) {
+        fprintf(stderr, "cannot write %s\n", a.plot);
+    }
+    ExitCode code = promises_kept(report) ? kExitOk : kExitFailure;
+    json_decref(report);
+    run_clear(&r);
+    experiment_clear(&x);
+    return (int)code;
+}
--- /dev/null
+++ b/src/tools/load/report.c
@@ -0,0 +1,285 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "core/schema.h"
+#include "run.h"
+
+/* The brief's measures, as text, JSON and a plot. */
+
+enum {
+    kPlotWidth = 900,
+    kPlotHeight = 300,
+    kPlotMargin = 40,
+};
+
+/* ---- counters of the entry instances ---- */
+
+static uint64_t
+counter_of(const char *text, const char *name)
+{
+    char *wanted = g_strdup_printf("\nsapphireweir_%s ", name);
+    const char *at = strstr(text, wanted);
+    uint64_t value =
+        at == NULL ? 0 : g_ascii_strtoull(at + strlen(wanted), NULL, 10);
+    g_free(wanted);
+    return value;
+}
+
+/* Sums what the entry instances counted so far; one that is gone counts
+ * nothing. */
+RunCounters
+report_counters(Run *r)
+{
+    RunCounters sum = {0, 0};
+    size_t i;
+    json_t *entry;
+
+    json_array_foreach(json_object_get(r->endpoints, "entries"), i, entry) {
+        char *url = g_strdup_printf("http://%s",
+                                    json_text_or(entry, "address", ""));
+        char *text = client_get_text(&r->client, url, "/metrics");
+        if (text != NULL) {
+            sum.replica_reads += counter_of(text, "reads_replica_total");
+            sum.eligible_reads += counter_of(text, "reads_eligible_total");
+        }
+        g_free(text);
+        g_free(url);
+    }
+    return sum;
+}
+
+/* ---- measures ---- */
+
+static int
+compare_times(const void *a, const void *b)
+{
+    uint64_t x = *(const uint64_t *)a;
+    uint64_t y = *(const uint64_t *)b;
+    return x < y ? -1 : x > y ? 1 : 0;
+}
+
+/* Returns the longest time, in milliseconds, without an acknowledged write
+ * after the first fault, or in the whole run when there was none. */
+static double
+longest_write_gap_ms(Run *r)
+{
+    uint64_t from_us = r->fault_us == 0 ? r->began_us : r->fault_us - 100000;
+    uint64_t last_us = 0;
+    uint64_t longest_us = 0;
+
+    g_array_sort(r->write_times, compare_times);
+    for (guint i = 0; i < r->write_times->len; i++) {
+        uint64_t at_us = g_array_index(r->write_times, uint64_t, i);
+        if (at_us < from_us || at_us > r->end_us) {
+            last_us = at_us;
+            continue;
+        }
+        if (last_us != 0) {
+            longest_us = MAX(longest_us, at_us - last_us);
+        }
+        last_us = at_us;
+    }
+    if (last_us != 0 && last_us < r->end_us) {
+        longest_us = MAX(longest_us, r->end_us - last_us);
+    }
+    return (double)longest_us / 1000;
+}
+
+static double
+ratio(uint64_t part, uint64_t whole)
+{
+    return whole == 0 ? 0 : (double)part / (double)whole;
+}
+
+static gboolean
+within_rate(const TeamRun *t)
+{
+    return t->load->offered_per_s <= t->load->rate_per_s;
+}
+
+static json_t *
+team_report(const TeamRun *t)
+{
+    return json_pack(
+        "{s:s, s:b, s:I, s:I, s:I, s:I, s:I, s:f, s:f, s:f, s:f}", "team",
+        t->load->name, "within_rate", within_rate(t), "offered",
+        (json_int_t)t->offered, "done", (json_int_t)t->done, "not_run",
+        (json_int_t)t->not_run, "rate_refused", (json_int_t)t->rate_refused,
+        "unknown", (json_int_t)t->unknown, "served",
+        ratio(t->done, t->offered), "p50_ms",
+        (double)histogram_quantile(&t->latency, 0.5) / 1000, "p99_ms",
+        (double)histogram_quantile(&t->latency, 0.99) / 1000, "p999_ms",
+        (double)histogram_quantile(&t->latency, 0.999) / 1000);
+}
+
+static json_t *
+reasons_report(const Run *r)
+{
+    json_t *reasons = json_object();
+    GHashTableIter it;
+    void *name;
+    void *count;
+
+    g_hash_table_iter_init(&it, r->reasons);
+    while (g_hash_table_iter_next(&it, &name, &count)) {
+        json_object_set_new(reasons, name,
+                            json_integer((json_int_t)GPOINTER_TO_SIZE(count)));
+    }
+    return reasons;
+}
+
+static json_t *
+promises_report(Run *r)
+{
+    uint64_t broken = 0;
+    uint64_t foreign = 0;
+    for (guint i = 0; i < r->teams->len; i++) {
+        const TeamRun *t = g_ptr_array_index(r->teams, i);
+        broken += t->broken_reads;
+        foreign += t->foreign_rows;
+    }
+    return json_pack(
+        "{s:I, s:I, s:I, s:I, s:I, s:I, s:I}", "writes_checked",
+        (json_int_t)r->writes_checked, "writes_lost", (json_int_t)r->lost,
+        "writes_doubled", (json_int_t)r->doubled, "false_not_run",
+        (json_int_t)r->false_not_run, "own_writes_not_read",
+        (json_int_t)broken, "foreign_rows", (json_int_t)foreign,
+        "rate_surplus", (json_int_t)MAX(r->rate_surplus, 0));
+}
+
+/* Makes the report of a run; the caller owns it. */
+json_t *
+report_make(Run *r, const RunCounters *before, const RunCounters *after)
+{
+    json_t *teams = json_array();
+    double worst_served = 1;
+    double worst_p99_ms = 0;
+    uint64_t wrongful = 0;
+
+    for (guint i = 0; i < r->teams->len; i++) {
+        const TeamRun *t = g_ptr_array_index(r->teams, i);
+        json_array_append_new(teams, team_report(t));
+        if (within_rate(t)) {
+            worst_served = MIN(worst_served, ratio(t->done, t->offered));
+            worst_p99_ms = MAX(
+                worst_p99_ms,
+                (double)histogram_quantile(&t->latency, 0.99) / 1000);
+            wrongful += t->rate_refused + t->not_run;
+        }
+    }
+    uint64_t replica = after->replica_reads - before->replica_reads;
+    uint64_t eligible = after->eligible_reads - before->eligible_reads;
+    return json_pack(
+        "{s:s, s:f, s:f, s:f, s:f, s:I, s:I, s:o, s:o, s:o}", "experiment",
+        r->experiment->name, "replica_read_share", ratio(replica, eligible),
+        "longest_write_gap_ms", longest_write_gap_ms(r), "worst_team_served",
+        worst_served, "worst_team_p99_ms", worst_p99_ms,
+        "refused_within_rate", (json_int_t)wrongful, "client_full",
+        (json_int_t)r->client_full, "promises", promises_report(r),
+        "reasons", reasons_report(r), "teams", teams);
+}
+
+/* Prints a report as text. */
+void
+report_print(const json_t *report)
+{
+    const json_t *p = json_object_get(report, "promises");
+    const char *name;
+    json_t *value;
+    size_t i;
+    json_t *t;
+
+    printf("%s\n", json_text_or(report, "experiment", ""));
+    printf("  replica reads of eligible %6.1f %%\n",
+           100 * json_real_value(
+                     json_object_get(report, "replica_read_share")));
+    printf("  longest write gap         %6.0f ms\n",
+           json_real_value(json_object_get(report, "longest_write_gap_ms")));
+    printf("  worst team served         %6.2f %%, p99 %.1f ms\n",
+           100 * json_real_value(json_object_get(report,
+                                                 "worst_team_served")),
+           json_real_value(json_object_get(report, "worst_team_p99_ms")));
+    printf("  refused within rate       %6" G_GINT64_FORMAT "\n",
+           json_integer_or(report, "refused_within_rate", 0));
+    json_object_foreach((json_t *)p, name, value) {
+        printf("  %-25s %6" G_GINT64_FORMAT "\n", name,
+               (gint64)json_integer_value(value));
+    }
+    json_object_foreach(json_object_get(report, "reasons"), name, value) {
+        printf("  %-25s %6" G_GINT64_FORMAT "\n", name,
+               (gint64)json_integer_value(value));
+    }
+    printf("  %-14s %8s %8s %8s %8s %8s %8s %8s\n", "team", "offered",
+           "done", "not run", "rate", "unknown", "p50 ms", "p99 ms");
+    json_array_foreach(json_object_get(report, "teams"), i, t) {
+        printf("  %-14s %8" G_GINT64_FORMAT " %8" G_GINT64_FORMAT
+               " %8" G_GINT64_FORMAT " %8" G_GINT64_FORMAT
+               " %8" G_GINT64_FORMAT " %8.1f %8.1f\n",
+               json_text_or(t, "team", ""), json_integer_or(t, "offered", 0),
+               json_integer_or(t, "done", 0),
+               json_integer_or(t, "not_run", 0),
+               json_integer_or(t, "rate_refused", 0),
+               json_integer_or(t, "unknown", 0),
+               json_real_value(json_object_get(t, "p50_ms")),
+               json_real_value(json_object_get(t, "p99_ms")));
+    }
+}
+
+/* ---- plot ---- */
+
+static uint32_t
+second_value(const Second *s, int which)
+{
+    return which == 0 ? s->writes_done : which == 1 ? s->reads_done
+                                                    : s->refused;
+}
+
+static void
+plot_line(const Run *r, GString *svg, int which, const char *colour,
+          uint32_t most)
+{
+    g_string_append_printf(
+        svg, "<polyline fill='none' stroke='%s' points='", colour);
+    for (uint32_t i = 0; i + 1 < r->second_count; i++) {
+        double x = kPlotMargin + (double)i * (kPlotWidth - 2 * kPlotMargin) /
+                                     MAX(r->second_count - 1, 1);
+        double y = kPlotHeight - kPlotMargin -
+                   (double)second_value(&r->seconds[i], which) *
+                       (kPlotHeight - 2 * kPlotMargin) / MAX(most, 1);
+        g_string_append_printf(svg, "%.1f,%.1f ", x, y);
+    }
+    g_string_append(svg, "'/>\n");
+}
+
+/* Writes answers by the second as an SVG picture. */
+gboolean
+report_plot(const Run *r, const char *path)
+{
+    static const char *const colours[] = {"#1f5fa8", "#2c9f5b", "#c0392b"};
+    static const char *const names[] = {"writes", "reads", "refused"};
+    GString *svg = g_string_new(NULL);
+    uint32_t most = 1;
+
+    for (uint32_t i = 0; i < r->second_count; i++) {
+        for (int w = 0; w < 3; w++) {
+            most = MAX(most, second_value(&r->seconds[i], w));
+        }
+    }
+    g_string_append_printf(
+        svg,
+        "<svg xmlns='http://www.w3.org/2000/svg' width='%d' height='%d' "
+        "font-family='sans-serif' font-size='12'>\n"
+        "<text x='%d' y='20'>%s: answers a second, up to %u</text>\n",
+        kPlotWidth, kPlotHeight, kPlotMargin, r->experiment->name, most);
+    for (int w = 0; w < 3; w++) {
+        plot_line(r, svg, w, colours[w], most);
+        g_string_append_printf(svg,
+                               "<text x='%d' y='%d' fill='%s'>%s</text>\n",
+                               kPlotMargin + 90 * w, kPlotHeight - 12,
+                               colours[w], names[w]);
+    }
+    g_string_append(svg, "</svg>\n");
+    gboolean ok = g_file_set_contents(path, svg->str, (gssize)svg->len, NULL);
+    g_string_free(svg, TRUE);
+    return ok;
+}
