Shed load at the owner instead of giving queued work up and repeating it

Cause: at 130 % of capacity an entry instance gave a read up after 0.7 s while it was still queued at its owner, and sent it again elsewhere; the owner ran both. The primary got what the replicas could not take.

Change: the owner is told the patience of the attempt and refuses at once what cannot start in that time; work given up is cancelled in the queue; overload of the replicas is refused instead of passed on to the primary. Also: a fleet without control asks with growing pauses, positions are asked for as often as the tightest staleness needs, and idle links send a heartbeat a minute.

--- a/src/sapphireweir/adapter/peer.c
+++ b/src/sapphireweir/adapter/peer.c
@@ -25,7 +25,11 @@
     kQueueMaxBytes = 128 << 20,
     kHeartbeatMs = 500,
     kSilenceMs = 2000,
+    kActiveMs = 5000,         /* after the last frame a link counts as idle */
+    kIdleHeartbeatMs = 60000, /* a large fleet has many idle links */
+    kIdleSilenceMs = 130000,
     kRedialMs = 200,
+    kMicrosPerMilli = 1000,
     kEagerLinksMax = 48, /* larger fleets connect on demand */
 };
 
@@ -48,6 +52,8 @@
     crypto_secretstream_xchacha20poly1305_state push;
     crypto_secretstream_xchacha20poly1305_state pull;
     gint64 heard_us;
+    gint64 active_us;    /* last frame other than a heartbeat, either way */
+    gint64 heartbeat_us; /* last one sent */
 } Link;
 
 /* What is known of another instance. */
@@ -106,6 +112,7 @@
     l->peer = p;
     l->dialed = dialed;
     l->heard_us = g_get_monotonic_time();
+    l->active_us = l->heard_us;
     l->bev = bufferevent_socket_new(
         p->base, fd, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
     bufferevent_setcb(l->bev, link_read, NULL, link_event, l);
@@ -293,6 +300,7 @@
     if (frame->body_case == SW__FRAME__BODY_HEARTBEAT) {
         return TRUE;
     }
+    l->active_us = l->heard_us;
     p->events.frame(p->events.ctx, l->id, frame);
     /* The receiver may have closed this link. */
     return g_ptr_array_find(p->links, l, NULL);
@@ -421,6 +429,16 @@
     }
 }
 
+static gboolean
+link_is_idle(const Link *l, gint64 now_us)
+{
+    return l->state == kLinkUp &&
+           now_us - l->active_us > (gint64)kActiveMs * kMicrosPerMilli;
+}
+
+/* Sends heartbeats where they are due and closes links that went silent.
+ * An idle link is heard from seldom; the first frame after that makes it
+ * active, and silence then shows within kSilenceMs. */
 static void
 heartbeat_links(Peer *p, gint64 now_us)
 {
@@ -434,11 +452,16 @@
             continue;
         }
         Link *l = g_ptr_array_index(p->links, i - 1);
-        if (now_us - l->heard_us > kSilenceMs * 1000) {
+        gboolean idle = link_is_idle(l, now_us);
+        gint64 silence_ms = idle ? kIdleSilenceMs : kSilenceMs;
+        gint64 every_ms = idle ? kIdleHeartbeatMs : 0;
+        if (now_us - l->heard_us > silence_ms * kMicrosPerMilli) {
             link_close(l);
             continue;
         }
-        if (l->state == kLinkUp) {
+        if (l->state == kLinkUp &&
+            now_us - l->heartbeat_us >= every_ms * kMicrosPerMilli) {
+            l->heartbeat_us = now_us;
             link_write_frame(l, &frame);
         }
     }
@@ -563,6 +586,12 @@
         dial(p, r);
         return FALSE;
     }
+    gint64 now_us = g_get_monotonic_time();
+    if (link_is_idle(l, now_us)) {
+        /* Silence counts from here. */
+        l->heard_us = now_us;
+    }
+    l->active_us = now_us;
     struct evbuffer *out = bufferevent_get_output(l->bev);
     if (evbuffer_get_length(out) > kQueueMaxBytes) {
         return FALSE;
--- a/src/sapphireweir/core/caller.c
+++ b/src/sapphireweir/core/caller.c
@@ -184,6 +184,12 @@
     return c->write ? SW__WORK_KIND__WORK_WRITE : SW__WORK_KIND__WORK_READ;
 }
 
+static uint64_t
+attempt_patience_us(const Call *c)
+{
+    return c->write ? kWriteAttemptUs : kReadAttemptUs;
+}
+
 static void
 fill_work(const Call *c, uint64_t now_us, const DatabaseInfo *d,
           Sw__WorkRequest *r)
@@ -205,7 +211,9 @@
     r->min_term = needed.term;
     r->min_position = needed.position;
     r->max_staleness_us = c->max_staleness_us;
-    r->deadline_us = c->deadline_us - now_us;
+    /* The owner sees the patience of this attempt, and refuses at once
+     * what it cannot start in that time. */
+    r->deadline_us = MIN(c->deadline_us - now_us, attempt_patience_us(c));
     r->transaction_id =
         c->transaction_id == NULL ? (char *)"" : c->transaction_id;
     r->repeatable = c->repeatable;
@@ -216,14 +224,13 @@
 static void
 call_sent(EntryCore *e, uint64_t now_us, Call *c, const char *to)
 {
-    uint64_t patience_us = c->write ? kWriteAttemptUs : kReadAttemptUs;
     c->state = kCallWorking;
     c->frame_id = entry_next_frame(e);
     c->attempts++;
     g_free(c->sent_to);
     c->sent_to = g_strdup(to);
     c->attempt_due_us =
-        MIN(now_us + patience_us, c->deadline_us + kAnswerGraceUs);
+        MIN(now_us + attempt_patience_us(c), c->deadline_us) + kAnswerGraceUs;
     g_hash_table_insert(e->attempts, &c->frame_id, c);
 }
 
@@ -385,6 +392,23 @@
                 (uint32_t)((wait_us + kMicrosPerSecondRounding) / kSecondUs));
 }
 
+/* Tells the owner that nobody waits for the work any more: what is still
+ * queued need not run. */
+static void
+cancel_work(EntryCore *e, uint64_t now_us, const Call *c)
+{
+    Sw__CancelWork cancel = SW__CANCEL_WORK__INIT;
+
+    /* Its answer must not find the call any more. */
+    g_hash_table_remove(e->attempts, &c->frame_id);
+    if (strcmp(c->sent_to, e->config.id) == 0) {
+        pool_cancel(e, now_us, NULL, c->frame_id);
+        return;
+    }
+    entry_send(e, c->sent_to, c->frame_id, SW__FRAME__BODY_CANCEL_WORK,
+               &cancel);
+}
+
 /* The caller of a request went away. */
 void
 caller_abandon(EntryCore *e, uint64_t now_us, uint64_t request_id)
@@ -465,13 +489,27 @@
     }
 }
 
+/* Tells whether another replica may be tried; overload of the replicas is
+ * not passed on to the primary. */
+static gboolean
+replica_left(EntryCore *e, uint64_t now_us, const Call *c)
+{
+    const DatabaseInfo *d = catalog_database(e->catalog, c->database);
+    if (d == NULL) {
+        return FALSE;
+    }
+    RouteChoice choice =
+        router_choose(e, now_us, d, c->write, c->max_staleness_us, c->tried);
+    return choice.member >= 0 && choice.member != d->primary;
+}
+
 /* The work did not run.  It goes to another member, waits for the primary,
  * or is refused. */
 static void
 on_not_run(EntryCore *e, uint64_t now_us, Call *c, const Sw__WorkReply *r)
 {
-    static const char *const final[] = {"key", "no-transaction", "busy",
-                                        "deadline", NULL};
+    static const char *const final[] = {"key", "no-transaction", "busy", NULL};
+    static const char *const overload[] = {"overload", "deadline", NULL};
     static const char *const unfit[] = {
         "behind", "stale", "leaving", "unknown-member", "unreachable", NULL};
     static const char *const waiting[] = {"not-primary", "unreachable",
@@ -491,7 +529,8 @@
         if (strcmp(r->reason, "unreachable") == 0) {
             router_avoid(e, now_us, c->database, c->member);
         }
-        if (reason_is(r, unfit) || take_retry_budget(e)) {
+        gboolean shed = reason_is(r, overload) && !replica_left(e, now_us, c);
+        if (!shed && (reason_is(r, unfit) || take_retry_budget(e))) {
             call_route(e, now_us, c);
             return;
         }
@@ -587,7 +626,7 @@
 call_timed_out(EntryCore *e, uint64_t now_us, Call *c)
 {
     if (c->state == kCallWorking) {
-        g_hash_table_remove(e->attempts, &c->frame_id);
+        cancel_work(e, now_us, c);
         c->state = kCallParked;
         on_unknown(e, now_us, c, "timeout",
                    "no answer came before the deadline");
--- a/src/sapphireweir/core/fair_queue.c
+++ b/src/sapphireweir/core/fair_queue.c
@@ -187,6 +187,24 @@
     return FALSE;
 }
 
+/* Returns the first queued item that matches, NULL when none does. */
+void *
+fair_queue_find(FairQueue *q,
+                gboolean (*matches)(const void *item, const void *ctx),
+                const void *ctx)
+{
+    for (GList *l = q->active.head; l != NULL; l = l->next) {
+        TeamQueue *t = l->data;
+        for (GList *k = t->entries.head; k != NULL; k = k->next) {
+            QueueEntry *e = k->data;
+            if (matches(e->item, ctx)) {
+                return e->item;
+            }
+        }
+    }
+    return NULL;
+}
+
 /* Returns the number of queued items. */
 uint32_t
 fair_queue_length(const FairQueue *q)
--- a/src/sapphireweir/core/lease.c
+++ b/src/sapphireweir/core/lease.c
@@ -9,6 +9,7 @@
 enum {
     kRenewUs = 300000,
     kJoinUs = 40000,
+    kJoinDoublingsMax = 4, /* without a lease: 40 ms up to 640 ms */
     kReplyPatienceUs = 500000,
     kPreferredRetryUs = 10000000,
     kSentKept = 32,
@@ -21,6 +22,7 @@
     uint64_t sent_us[kSentKept];
     uint64_t due_us;
     uint64_t waiting_since_us; /* first request without an answer */
+    uint32_t tries;            /* requests since the lease was held */
     uint64_t preferred_due_us;
     uint64_t valid_until_us;
     uint64_t pending_until_us; /* valid once pending_index is applied */
@@ -87,6 +89,22 @@
            now_us < e->lease->valid_until_us + grace_us;
 }
 
+/* Returns the time to the next request.  Without a lease it doubles from
+ * try to try, with some chance, so that a fleet that lost control does not
+ * come back all at once. */
+static uint64_t
+next_request_us(EntryCore *e, uint64_t now_us)
+{
+    LeaseClient *l = e->lease;
+    if (lease_valid(e, now_us) && !l->leaving) {
+        l->tries = 0;
+        return kRenewUs;
+    }
+    uint64_t wait_us = (uint64_t)kJoinUs << MIN(l->tries, kJoinDoublingsMax);
+    l->tries++;
+    return wait_us + e->port.random(e->port.ctx) % (wait_us / 2);
+}
+
 static void
 send_request(EntryCore *e, uint64_t now_us)
 {
@@ -112,8 +130,7 @@
     if (l->waiting_since_us == 0) {
         l->waiting_since_us = now_us;
     }
-    l->due_us =
-        now_us + (lease_valid(e, now_us) && !l->leaving ? kRenewUs : kJoinUs);
+    l->due_us = now_us + next_request_us(e, now_us);
 }
 
 static void
--- a/src/sapphireweir/core/monitor.c
+++ b/src/sapphireweir/core/monitor.c
@@ -31,8 +31,9 @@
     kStatusEveryUs = 150000,
     kStatusActiveUs = 50000,
     kReplicationGapUs = 500,
-    kSampleActiveUs = 50000,
+    kSampleLeastUs = 20000,
     kSampleIdleUs = 1000000,
+    kSamplesPerStaleness = 10,
     kStaleReadsActiveUs = 5000000,
     kStreamSilenceUs = 300000,
     kCommandPollsMax = 50,
@@ -593,20 +594,31 @@
     return *(uint64_t *)ctx - ((PositionQuestion *)value)->sent_us > kSecondUs;
 }
 
+/* Returns how often the primary's position is asked for: several times
+ * within the tightest staleness that reads asked for lately. */
+static uint64_t
+sample_every_us(const Pool *p, uint64_t now_us)
+{
+    if (now_us - p->last_stale_read_us >= kStaleReadsActiveUs) {
+        return kSampleIdleUs;
+    }
+    return CLAMP(p->tightest_us / kSamplesPerStaleness, kSampleLeastUs,
+                 kSampleIdleUs);
+}
+
 static void
 ask_position(Pool *p, uint64_t now_us)
 {
     EntryCore *e = p->core;
     const DatabaseInfo *d = pool_database(p);
     const InstanceInfo *owners[kOwnerRanksMax];
-    gboolean active = now_us - p->last_stale_read_us < kStaleReadsActiveUs;
 
     if (now_us < p->sample_due_us || !p->status.in_recovery || d == NULL ||
         d->primary < 0 || !d->stable ||
         router_owners(e, d, d->primary, owners) == 0) {
         return;
     }
-    p->sample_due_us = now_us + (active ? kSampleActiveUs : kSampleIdleUs);
+    p->sample_due_us = now_us + sample_every_us(p, now_us);
     g_hash_table_foreach_remove(e->positions, question_old, &now_us);
     if (strcmp(owners[0]->id, e->config.id) == 0) {
         Pool *primary =
--- a/src/sapphireweir/core/pool.c
+++ b/src/sapphireweir/core/pool.c
@@ -305,6 +305,20 @@
     entry_work_reply(e, now_us, origin, frame_id, &reply);
 }
 
+/* Remembers how fresh reads want a replica, for as long as they come. */
+static void
+note_staleness(Pool *p, uint64_t now_us, uint64_t staleness_us)
+{
+    gboolean stopped = now_us - p->last_stale_read_us > kStalenessForgetUs;
+    if (stopped || staleness_us < p->tightest_us ||
+        now_us >= p->tightest_until_us) {
+        p->tightest_us = staleness_us;
+        p->tightest_until_us = now_us + kStalenessForgetUs;
+        p->sample_due_us = MIN(p->sample_due_us, now_us + kMillisecondUs);
+    }
+    p->last_stale_read_us = now_us;
+}
+
 /* Returns why a member cannot take a piece of work at all, or NULL. */
 static const char *
 unfit_reason(Pool *p, uint64_t now_us, const Sw__WorkRequest *r)
@@ -328,7 +342,7 @@
         return "not-primary";
     }
     if (read && i != d->primary && r->max_staleness_us > 0) {
-        p->last_stale_read_us = now_us;
+        note_staleness(p, now_us, r->max_staleness_us);
     }
     if (read && i != d->primary &&
         (p->fresh_as_of_us == 0 ||
@@ -702,39 +716,66 @@
     return TRUE;
 }
 
+/* Whom a job came from, and under which frame id. */
+typedef struct {
+    const char *origin;
+    uint64_t frame_id;
+} JobSource;
+
+static gboolean
+job_is_from(const void *item, const void *ctx)
+{
+    const Job *j = item;
+    const JobSource *s = ctx;
+    return j->frame_id == s->frame_id && g_strcmp0(j->origin, s->origin) == 0;
+}
+
 static Job *
-pool_find_job(Pool *p, const char *origin, uint64_t frame_id)
+find_running(Pool *p, const JobSource *source)
 {
     for (guint i = 0; i < p->connections->len; i++) {
         PoolConnection *c = g_ptr_array_index(p->connections, i);
-        if (c->job != NULL && c->job->frame_id == frame_id &&
-            g_strcmp0(c->job->origin, origin) == 0) {
+        if (c->job != NULL && job_is_from(c->job, source)) {
             return c->job;
         }
     }
     return NULL;
 }
 
-/* Cancels work whose caller went away: a running statement is cancelled
- * unless its commit was sent. */
+/* A running statement is cancelled unless its commit was sent, or it is
+ * part of an interactive transaction. */
+static void
+cancel_running(EntryCore *e, Job *j)
+{
+    j->abandoned = TRUE;
+    if (!j->commit_sent && j->transaction == NULL && j->connection->in_query) {
+        e->port.backend_cancel(e->port.ctx, j->connection->id);
+    }
+}
+
+/* Cancels work that nobody waits for any more. */
 void
 pool_cancel(EntryCore *e, uint64_t now_us, const char *origin,
             uint64_t frame_id)
 {
+    const JobSource source = {origin, frame_id};
     GHashTableIter it;
     void *value;
 
-    (void)now_us;
     g_hash_table_iter_init(&it, e->pools);
     while (g_hash_table_iter_next(&it, NULL, &value)) {
-        Job *j = pool_find_job(value, origin, frame_id);
-        if (j == NULL) {
-            continue;
+        Pool *p = value;
+        Job *queued = fair_queue_find(p->queue, job_is_from, &source);
+        if (queued != NULL) {
+            fair_queue_remove(p->queue, queued);
+            job_finish(queued, now_us, SW__WORK_STATUS__WORK_NOT_RUN,
+                       "abandoned", "nobody waits for it any more");
+            return;
         }
-        j->abandoned = TRUE;
-        if (!j->commit_sent && j->connection->in_query) {
-            e->port.backend_cancel(e->port.ctx, j->connection->id);
+        Job *running = find_running(p, &source);
+        if (running != NULL) {
+            cancel_running(e, running);
+            return;
         }
-        return;
     }
 }
--- a/src/sapphireweir/core/pool_defs.h
+++ b/src/sapphireweir/core/pool_defs.h
@@ -18,6 +18,7 @@
     kFirstServiceUs = 2000,
     kJobRequeuesMax = 2,
     kFreshSamplesMax = 128,
+    kStalenessForgetUs = 5000000,
 };
 
 typedef struct Job Job;
@@ -168,6 +169,8 @@
     uint64_t unreachable_since_us; /* zero: reachable */
     gboolean ever_reached;
     uint64_t last_stale_read_us;
+    uint64_t tightest_us; /* staleness asked for lately */
+    uint64_t tightest_until_us;
     MemberStatus status;
     uint64_t held_position; /* by a majority, on held_term */
     uint64_t held_term;
--- a/test/bench/capacity.c
+++ b/test/bench/capacity.c
@@ -5,6 +5,7 @@
 #include <time.h>
 
 #include "../support/control_fleet.h"
+#include "../support/system.h"
 #include "core/catalog.h"
 #include "core/entry_core.h"
 #include "core/resource.h"
@@ -763,6 +764,51 @@
            &request);
 }
 
+/* How long until every one of many groups has a new primary, when all
+ * primaries go at once, and what it costs the whole system. */
+static void
+measure_promotions(void)
+{
+    static const uint32_t sizes[] = {5, 20, 50, 100};
+    Series gap = {0};
+    Series cost = {0};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
+        System *s = system_new(12, sizes[i], 3);
+        system_run(s, 3000000);
+        double idle = cpu_us();
+        system_run(s, 1000000);
+        idle = cpu_us() - idle;
+        for (uint32_t k = 0; k < sizes[i]; k++) {
+            fake_member_kill(&s->groups[k]->members[0]);
+        }
+        uint64_t began_us = system_now(s);
+        double before = cpu_us();
+        uint32_t left = sizes[i];
+        while (left > 0 && system_now(s) - began_us < 20000000) {
+            system_run(s, 10000);
+            State *state =
+                control_core_state(control_fleet_leader(s->control)->core);
+            left = 0;
+            for (uint32_t k = 0; k < sizes[i]; k++) {
+                char key[32];
+                g_snprintf(key, sizeof(key), "primary/db%u", k);
+                const Resource *r = state_lookup(state, key);
+                left += strcmp(json_text_or(r->spec, "member", ""), "m1") == 0;
+            }
+        }
+        double took_us = (double)(system_now(s) - began_us);
+        series_add(&gap, sizes[i], took_us / 1000);
+        series_add(&cost, sizes[i],
+                   cpu_us() - before - idle * took_us / 1000000);
+        system_free(s);
+    }
+    report("all primaries lost at once: until the last is replaced", "group",
+           "ms", &gap);
+    report("all primaries lost at once: processor time of the system", "group",
+           "us", &cost);
+}
+
 static GLogWriterOutput
 drop_log(GLogLevelFlags level, const GLogField *fields, gsize count,
          void *data)
@@ -789,5 +835,6 @@
     measure_entry_databases();
     measure_entry_small();
     measure_requests();
+    measure_promotions();
     return 0;
 }
--- a/test/support/system.h
+++ b/test/support/system.h
@@ -10,7 +10,7 @@
 
 enum {
     kSystemEntriesMax = 64,
-    kSystemGroupsMax = 4,
+    kSystemGroupsMax = 128,
 };
 
 typedef struct System System;
