Refuse queued work as soon as it is too late for it

Cause: work whose deadline would pass in the queue was found only when it came up, so the entry instance gave up first and could only say unknown; giving up on a short statement also cost a new connection.

Change: owners refuse late work in every tick and before dispatch; a running statement is cancelled only when it runs far beyond the usual time.

--- a/src/sapphireweir/core/pool.c
+++ b/src/sapphireweir/core/pool.c
@@ -251,14 +251,22 @@
            catalog_key_valid(k, entry_wall_ms(e, now_us));
 }
 
+static gboolean
+job_is_late(const void *item, const void *ctx)
+{
+    const Job *j = item;
+    const uint64_t *now_us = ctx;
+    return *now_us + j->pool->service_us >= j->deadline_us;
+}
+
 static gboolean
 job_may_run(Job *j, uint64_t now_us)
 {
     Sw__WorkRequest *r = j->request;
-    if (now_us >= j->deadline_us) {
+    if (job_is_late(j, &now_us)) {
         metrics_count(&j->pool->core->metrics, kMetricRefusedQueue);
         job_finish(j, now_us, SW__WORK_STATUS__WORK_NOT_RUN, "deadline",
-                   "the deadline passed in the queue");
+                   "it could not end before its deadline any more");
         return FALSE;
     }
     if (!pool_work_allowed(j->pool, now_us, r->team, r->key_id,
@@ -588,9 +596,24 @@
     }
 }
 
+/* Refuses queued work as soon as it is too late for it, while whoever sent
+ * it still listens. */
+static void
+queue_refuse_late(Pool *p, uint64_t now_us)
+{
+    Job *late;
+    while ((late = fair_queue_find(p->queue, job_is_late, &now_us)) != NULL) {
+        fair_queue_remove(p->queue, late);
+        metrics_count(&p->core->metrics, kMetricRefusedQueue);
+        job_finish(late, now_us, SW__WORK_STATUS__WORK_NOT_RUN, "deadline",
+                   "it could not end before its deadline any more");
+    }
+}
+
 static void
 queue_expire(Pool *p, uint64_t now_us)
 {
+    queue_refuse_late(p, now_us);
     /* Work before a member that cannot be reached is refused at once, so
      * that its entry instance can try elsewhere in time. */
     if (p->unreachable_since_us == 0 ||
@@ -742,13 +765,17 @@
     return NULL;
 }
 
-/* A running statement is cancelled unless its commit was sent, or it is
- * part of an interactive transaction. */
+/* A statement that runs for long is cancelled unless its commit was sent,
+ * or it is part of an interactive transaction.  One that ends soon costs
+ * less than a new connection. */
 static void
-cancel_running(EntryCore *e, Job *j)
+cancel_running(EntryCore *e, uint64_t now_us, Job *j)
 {
+    uint64_t usual_us =
+        MAX(j->pool->service_us * kCancelAfterServices, kSilenceUs);
     j->abandoned = TRUE;
-    if (!j->commit_sent && j->transaction == NULL && j->connection->in_query) {
+    if (!j->commit_sent && j->transaction == NULL && j->connection->in_query &&
+        now_us - j->started_us > usual_us) {
         e->port.backend_cancel(e->port.ctx, j->connection->id);
     }
 }
@@ -774,7 +801,7 @@
         }
         Job *running = find_running(p, &source);
         if (running != NULL) {
-            cancel_running(e, running);
+            cancel_running(e, now_us, running);
             return;
         }
     }
--- a/src/sapphireweir/core/pool_defs.h
+++ b/src/sapphireweir/core/pool_defs.h
@@ -17,6 +17,7 @@
     kAnswerMaxBytes = 8 << 20,
     kFirstServiceUs = 2000,
     kJobRequeuesMax = 2,
+    kCancelAfterServices = 4, /* times the usual service time */
     kFreshSamplesMax = 128,
     kStalenessForgetUs = 5000000,
 };
