--- a/src/sapphireweir/adapter/program.c
+++ b/src/sapphireweir/adapter/program.c
@@ -25,13 +25,15 @@
          "Print the version and end", NULL},
         {"bootstrap", 0, 0, G_OPTION_ARG_NONE, &out->bootstrap,
          "Make a new data folder as one of the first voters", NULL},
+        {"trace", 0, 0, G_OPTION_ARG_FILENAME, &out->trace_path,
+         "Record events and decisions; the file holds callers' keys", "FILE"},
         {NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL},
     };
     GOptionContext *context = g_option_context_new(NULL);
 
-    if (!with_bootstrap) {
-        entries[4] = entries[5];
-    }
+    /* The last two belong to one program each. */
+    entries[4] = with_bootstrap ? entries[4] : entries[5];
+    entries[5] = entries[6];
     g_option_context_set_summary(context, summary);
     g_option_context_add_main_entries(context, entries, NULL);
     gboolean ok = g_option_context_parse(context, argc, argv, error);
--- a/src/sapphireweir/adapter/program.h
+++ b/src/sapphireweir/adapter/program.h
@@ -21,6 +21,7 @@
     gboolean check;
     gboolean reference;
     gboolean bootstrap; /* control only */
+    char *trace_path;   /* entry only */
 } ProgramOptions;
 
 gboolean program_parse_options(int *argc, char ***argv, const char *summary,
--- a/src/sapphireweir/entry/main.c
+++ b/src/sapphireweir/entry/main.c
@@ -11,6 +11,7 @@
 #include "adapter/peer.h"
 #include "adapter/program.h"
 #include "adapter/settings.h"
+#include "adapter/trace.h"
 #include "core/entry_core.h"
 
 /* sapphireweir-entry: wires the entry core to HTTP, peers, libpq and
@@ -33,6 +34,8 @@
     Backend *backend;
     EntryCore *core;
     EntryControl *controls;
+    Trace *trace; /* NULL: not recorded */
+    const char *trace_path;
     uint64_t drain_since_us; /* zero: not stopping */
     uint64_t busy_us;        /* last time anything was under way */
 } Entry;
@@ -68,6 +71,9 @@
     uint64_t now_us = clock_now_us();
     (void)fd;
     (void)what;
+    if (e->trace != NULL) {
+        trace_tick(e->trace, now_us);
+    }
     entry_core_tick(e->core, now_us);
     if (e->drain_since_us != 0) {
         drain_step(e, now_us);
@@ -83,6 +89,9 @@
     if (e->drain_since_us == 0) {
         g_message("drains; requests under way will finish");
         e->drain_since_us = clock_now_us();
+        if (e->trace != NULL) {
+            trace_drain(e->trace, e->drain_since_us);
+        }
         entry_core_drain(e->core, e->drain_since_us);
     }
 }
@@ -161,14 +170,22 @@
 on_frame(void *ctx, const char *from, const Sw__Frame *frame)
 {
     Entry *e = ctx;
-    entry_core_frame(e->core, clock_now_us(), from, frame);
+    uint64_t now_us = clock_now_us();
+    if (e->trace != NULL) {
+        trace_frame(e->trace, now_us, from, frame);
+    }
+    entry_core_frame(e->core, now_us, from, frame);
 }
 
 static void
 on_peer_down(void *ctx, const char *peer)
 {
     Entry *e = ctx;
-    entry_core_peer_down(e->core, clock_now_us(), peer);
+    uint64_t now_us = clock_now_us();
+    if (e->trace != NULL) {
+        trace_peer_down(e->trace, now_us, peer);
+    }
+    entry_core_peer_down(e->core, now_us, peer);
 }
 
 static void
@@ -182,34 +199,50 @@
 on_connected(void *ctx, uint64_t connection, gboolean ok)
 {
     Entry *e = ctx;
-    entry_core_backend_connected(e->core, clock_now_us(), connection, ok);
+    uint64_t now_us = clock_now_us();
+    if (e->trace != NULL) {
+        trace_connected(e->trace, now_us, connection, ok);
+    }
+    entry_core_backend_connected(e->core, now_us, connection, ok);
 }
 
 static void
 on_result(void *ctx, uint64_t connection, const BackendResult *result)
 {
     Entry *e = ctx;
-    entry_core_backend_result(e->core, clock_now_us(), connection, result);
+    uint64_t now_us = clock_now_us();
+    if (e->trace != NULL) {
+        trace_result(e->trace, now_us, connection, result);
+    }
+    entry_core_backend_result(e->core, now_us, connection, result);
 }
 
 static void
 on_request(void *ctx, const CallerRequest *request)
 {
     Entry *e = ctx;
-    entry_core_request(e->core, clock_now_us(), request);
+    uint64_t now_us = clock_now_us();
+    if (e->trace != NULL) {
+        trace_request(e->trace, now_us, request);
+    }
+    entry_core_request(e->core, now_us, request);
 }
 
 static void
 on_abandoned(void *ctx, uint64_t request_id)
 {
     Entry *e = ctx;
-    entry_core_abandon(e->core, clock_now_us(), request_id);
+    uint64_t now_us = clock_now_us();
+    if (e->trace != NULL) {
+        trace_abandon(e->trace, now_us, request_id);
+    }
+    entry_core_abandon(e->core, now_us, request_id);
 }
 
 /* ---- life ---- */
 
-static void
-make_core(Entry *e, uint64_t incarnation)
+static gboolean
+make_core(Entry *e, uint64_t incarnation, GError **error)
 {
     const Settings *s = &e->settings;
     EntryPort port = {
@@ -247,7 +280,16 @@
     }
     config.controls = e->controls;
     memcpy(config.secret, s->secret, sizeof(config.secret));
-    e->core = entry_core_new(&config, &port, clock_now_us());
+    uint64_t now_us = clock_now_us();
+    if (e->trace_path != NULL) {
+        e->trace = trace_open(e->trace_path, &config, now_us, error);
+        if (e->trace == NULL) {
+            return FALSE;
+        }
+        port = trace_port(e->trace, &port);
+    }
+    e->core = entry_core_new(&config, &port, now_us);
+    return TRUE;
 }
 
 static gboolean
@@ -273,7 +315,9 @@
     if (e->peer == NULL) {
         return FALSE;
     }
-    make_core(e, incarnation);
+    if (!make_core(e, incarnation, error)) {
+        return FALSE;
+    }
     e->http = http_new(e->base, &http, &http_events, error);
     return e->http != NULL;
 }
@@ -311,6 +355,9 @@
     if (e->core != NULL) {
         entry_core_free(e->core);
     }
+    if (e->trace != NULL) {
+        trace_close(e->trace);
+    }
     if (e->backend != NULL) {
         backend_free(e->backend);
     }
@@ -366,6 +413,7 @@
     }
     log_start("sapphireweir-entry", e.settings.id, e.settings.log_json,
               e.settings.log_debug);
+    e.trace_path = options.trace_path;
     if (start(&e, &error)) {
         run(&e);
     }
--- /dev/null
+++ b/src/tools/replay/replay.c
@@ -0,0 +1,381 @@
+#include "replay.h"
+
+#include <jansson.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "core/entry_core.h"
+#include "core/error.h"
+#include "core/schema.h"
+
+/* Runs a recorded trace through a fresh entry core.  The recorded actions
+ * are the stated outcome: each action the core takes must be the next one
+ * in the trace. */
+
+enum { kControlsMax = 32 };
+
+typedef struct {
+    FILE *file;
+    uint64_t line;
+    json_t *next; /* line read ahead, or NULL */
+    EntryCore *core;
+    EntryControl controls[kControlsMax];
+    json_t *start; /* owns the strings of the configuration */
+    ReplayResult *result;
+} Replay;
+
+/* ---- the trace ---- */
+
+static json_t *
+peek(Replay *r)
+{
+    char *text = NULL;
+    size_t size = 0;
+
+    if (r->next == NULL && getline(&text, &size, r->file) > 0) {
+        r->next = json_loads(text, 0, NULL);
+        r->line++;
+    }
+    free(text);
+    return r->next;
+}
+
+static json_t *
+take(Replay *r)
+{
+    json_t *line = peek(r);
+    r->next = NULL;
+    return line;
+}
+
+static void
+note_difference(Replay *r, const char *format, ...) G_GNUC_PRINTF(2, 3);
+
+static void
+note_difference(Replay *r, const char *format, ...)
+{
+    va_list args;
+    r->result->differences++;
+    if (r->result->first_difference != NULL) {
+        return;
+    }
+    va_start(args, format);
+    char *what = g_strdup_vprintf(format, args);
+    va_end(args);
+    r->result->first_difference =
+        g_strdup_printf("line %" G_GUINT64_FORMAT ": %s", r->line, what);
+    g_free(what);
+}
+
+/* Takes the next recorded action, which must have this name.  NULL when it
+ * differs. */
+static json_t *
+expect_action(Replay *r, const char *name)
+{
+    json_t *line = peek(r);
+    const char *recorded = json_text_or(line, "a", "nothing");
+
+    r->result->actions++;
+    if (strcmp(recorded, name) != 0) {
+        note_difference(r, "the core does \"%s\", recorded is \"%s\"", name,
+                        recorded);
+        return NULL;
+    }
+    return take(r);
+}
+
+static void
+expect_number(Replay *r, const json_t *line, const char *name,
+              uint64_t value)
+{
+    uint64_t recorded = (uint64_t)json_integer_or(line, name, 0);
+    if (line != NULL && recorded != value) {
+        note_difference(r, "%s is %" G_GUINT64_FORMAT ", recorded is %"
+                        G_GUINT64_FORMAT, name, value, recorded);
+    }
+}
+
+static void
+expect_text(Replay *r, const json_t *line, const char *name,
+            const char *value)
+{
+    const char *recorded = json_text_or(line, name, "");
+    if (line != NULL && strcmp(recorded, value) != 0) {
+        note_difference(r, "%s is \"%s\", recorded is \"%s\"", name, value,
+                        recorded);
+    }
+}
+
+/* ---- the port ---- */
+
+static void
+on_respond(void *ctx, uint64_t request_id, const CallerResponse *response)
+{
+    Replay *r = ctx;
+    json_t *line = expect_action(r, "respond");
+    expect_number(r, line, "id", request_id);
+    expect_number(r, line, "status", response->status);
+    r->result->answers++;
+    json_decref(line);
+}
+
+static gboolean
+on_send(void *ctx, const char *to, const Sw__Frame *frame)
+{
+    Replay *r = ctx;
+    json_t *line = expect_action(r, "send");
+    expect_text(r, line, "to", to);
+    expect_number(r, line, "kind", frame->body_case);
+    gboolean sent = line == NULL || json_flag(line, "ok");
+    json_decref(line);
+    return sent;
+}
+
+static void
+on_peer_address(void *ctx, const char *id, const char *address)
+{
+    (void)ctx;
+    (void)id;
+    (void)address;
+}
+
+static void
+on_connect(void *ctx, uint64_t connection, const char *address,
+           const char *database)
+{
+    Replay *r = ctx;
+    json_t *line = expect_action(r, "connect");
+    (void)database;
+    expect_number(r, line, "c", connection);
+    expect_text(r, line, "to", address);
+    json_decref(line);
+}
+
+static void
+on_query(void *ctx, uint64_t connection, const char *sql, size_t count,
+         const char *const *parameters)
+{
+    Replay *r = ctx;
+    json_t *line = expect_action(r, "query");
+    (void)count;
+    (void)parameters;
+    expect_number(r, line, "c", connection);
+    expect_text(r, line, "sql", sql);
+    json_decref(line);
+}
+
+static void
+on_cancel(void *ctx, uint64_t connection)
+{
+    Replay *r = ctx;
+    json_t *line = expect_action(r, "cancel");
+    expect_number(r, line, "c", connection);
+    json_decref(line);
+}
+
+static void
+on_close(void *ctx, uint64_t connection)
+{
+    Replay *r = ctx;
+    json_t *line = expect_action(r, "close");
+    expect_number(r, line, "c", connection);
+    json_decref(line);
+}
+
+static uint64_t
+on_random(void *ctx)
+{
+    Replay *r = ctx;
+    json_t *line = expect_action(r, "random");
+    uint64_t value = (uint64_t)json_integer_or(line, "v", 0);
+    json_decref(line);
+    return value;
+}
+
+/* ---- events ---- */
+
+static gboolean
+start_core(Replay *r, json_t *line, GError **error)
+{
+    EntryPort port = {
+        .ctx = r,
+        .respond = on_respond,
+        .send = on_send,
+        .peer_address = on_peer_address,
+        .backend_connect = on_connect,
+        .backend_query = on_query,
+        .backend_cancel = on_cancel,
+        .backend_close = on_close,
+        .random = on_random,
+    };
+    size_t i;
+    json_t *control;
+    size_t secret_bytes = 0;
+    const char *secret = json_text_or(line, "secret", "");
+
+    r->start = line;
+    json_array_foreach(json_object_get(line, "controls"), i, control) {
+        if (i < kControlsMax) {
+            r->controls[i] =
+                (EntryControl){json_text_or(control, "id", ""),
+                               json_text_or(control, "failure_domain", "")};
+        }
+    }
+    EntryConfig config = {
+        .id = json_text_or(line, "id", ""),
+        .failure_domain = json_text_or(line, "failure_domain", ""),
+        .peer_address = json_text_or(line, "peer", ""),
+        .http_address = json_text_or(line, "http", ""),
+        .incarnation = (uint64_t)json_integer_or(line, "incarnation", 0),
+        .controls = r->controls,
+        .control_count = MIN(i, kControlsMax),
+        .wall_offset_us = json_integer_or(line, "wall_offset", 0),
+        .read_replicas = TRUE,
+    };
+    if (strcmp(json_text_or(line, "e", ""), "start") != 0 ||
+        sodium_hex2bin(config.secret, sizeof(config.secret), secret,
+                       strlen(secret), NULL, &secret_bytes, NULL) != 0 ||
+        secret_bytes != sizeof(config.secret)) {
+        g_set_error_literal(error, CORE_ERROR, kCoreErrorInvalid,
+                            "the first line is no start of a trace");
+        return FALSE;
+    }
+    r->core = entry_core_new(
+        &config, &port, (uint64_t)json_integer_or(line, "t", 0));
+    return TRUE;
+}
+
+static void
+do_request(Replay *r, uint64_t now_us, const json_t *line)
+{
+    const char *body = json_text_or(line, "body", "");
+    CallerRequest request = {
+        .id = (uint64_t)json_integer_or(line, "id", 0),
+        .method = json_text_or(line, "method", ""),
+        .path = json_text_or(line, "path", ""),
+        .body = body,
+        .body_bytes = json_string_length(json_object_get(line, "body")),
+        .authorization = json_text_or(line, "authorization", NULL),
+        .session_token = json_text_or(line, "session_token", NULL),
+        .idempotency_key = json_text_or(line, "idempotency_key", NULL),
+        .max_staleness_ms = json_text_or(line, "max_staleness_ms", NULL),
+        .request_timeout_ms = json_text_or(line, "request_timeout_ms", NULL),
+        .operation_id = json_text_or(line, "operation_id", NULL),
+    };
+    entry_core_request(r->core, now_us, &request);
+}
+
+static void
+do_frame(Replay *r, uint64_t now_us, const json_t *line)
+{
+    gsize size;
+    guchar *packed = g_base64_decode(json_text_or(line, "data", ""), &size);
+    Sw__Frame *frame = sw__frame__unpack(NULL, size, packed);
+    if (frame != NULL) {
+        entry_core_frame(r->core, now_us, json_text_or(line, "from", ""),
+                         frame);
+        sw__frame__free_unpacked(frame, NULL);
+    }
+    g_free(packed);
+}
+
+static void
+do_result(Replay *r, uint64_t now_us, const json_t *line)
+{
+    json_t *rows = json_object_get(line, "rows");
+    BackendResult result = {
+        .status = (BackendStatus)json_integer_or(line, "status", 0),
+        .rows = rows == NULL ? json_array() : json_incref(rows),
+        .affected = (uint64_t)json_integer_or(line, "affected", 0),
+        .sqlstate = json_text_or(line, "sqlstate", NULL),
+        .message = json_text_or(line, "message", NULL),
+    };
+    entry_core_backend_result(r->core, now_us,
+                              (uint64_t)json_integer_or(line, "c", 0),
+                              &result);
+    json_decref(result.rows);
+}
+
+static void
+do_event(Replay *r, const json_t *line)
+{
+    const char *name = json_text_or(line, "e", "");
+    uint64_t now_us = (uint64_t)json_integer_or(line, "t", 0);
+
+    r->result->events++;
+    if (strcmp(name, "tick") == 0) {
+        entry_core_tick(r->core, now_us);
+    }
+    else if (strcmp(name, "request") == 0) {
+        do_request(r, now_us, line);
+    }
+    else if (strcmp(name, "frame") == 0) {
+        do_frame(r, now_us, line);
+    }
+    else if (strcmp(name, "result") == 0) {
+        do_result(r, now_us, line);
+    }
+    else if (strcmp(name, "connected") == 0) {
+        entry_core_backend_connected(
+            r->core, now_us, (uint64_t)json_integer_or(line, "c", 0),
+            json_flag(line, "ok"));
+    }
+    else if (strcmp(name, "down") == 0) {
+        entry_core_peer_down(r->core, now_us, json_text_or(line, "peer", ""));
+    }
+    else if (strcmp(name, "abandon") == 0) {
+        entry_core_abandon(r->core, now_us,
+                           (uint64_t)json_integer_or(line, "id", 0));
+    }
+    else if (strcmp(name, "drain") == 0) {
+        entry_core_drain(r->core, now_us);
+    }
+}
+
+static void
+run(Replay *r)
+{
+    json_t *line;
+    while ((line = take(r)) != NULL && r->result->differences == 0) {
+        if (json_object_get(line, "e") == NULL) {
+            note_difference(r, "recorded \"%s\" did not happen",
+                            json_text_or(line, "a", "?"));
+        }
+        else {
+            do_event(r, line);
+        }
+        json_decref(line);
+    }
+    json_decref(line);
+}
+
+/* Runs a trace; the first difference ends it.  Fails when the file is no
+ * trace.  The caller clears the result. */
+gboolean
+replay_file(const char *path, ReplayResult *out, GError **error)
+{
+    Replay r = {.result = out};
+
+    *out = (ReplayResult){0};
+    r.file = fopen(path, "r");
+    if (r.file == NULL) {
+        g_set_error(error, CORE_ERROR, kCoreErrorIo, "cannot read %s", path);
+        return FALSE;
+    }
+    gboolean ok = start_core(&r, take(&r), error);
+    if (ok) {
+        run(&r);
+        entry_core_free(r.core);
+    }
+    json_decref(r.start);
+    fclose(r.file);
+    return ok;
+}
+
+/* Frees what a result holds. */
+void
+replay_result_clear(ReplayResult *r)
+{
+    g_free(r->first_difference);
+}
--- a/test/support/system.c
+++ b/test/support/system.c
@@ -270,6 +270,12 @@
         .read_replicas = TRUE,
     };
     memcpy(config.secret, s->secret, sizeof(config.secret));
+    if (s->trace_path != NULL) {
+        n->trace =
+            trace_open(s->trace_path, &config, s->control->now_us, NULL);
+        port = trace_port(n->trace, &port);
+        s->trace_path = NULL;
+    }
     n->core = entry_core_new(&config, &port, s->control->now_us);
 }
 
@@ -283,9 +289,17 @@
     }
     entry_core_free(n->core);
     n->core = NULL;
+    if (n->trace != NULL) {
+        trace_close(n->trace);
+        n->trace = NULL;
+    }
     g_hash_table_remove_all(n->connections);
     for (uint32_t i = 0; i < s->entry_count; i++) {
         if (s->entries[i].core != NULL) {
+            if (s->entries[i].trace != NULL) {
+                trace_peer_down(s->entries[i].trace, s->control->now_us,
+                                n->id);
+            }
             entry_core_peer_down(s->entries[i].core, s->control->now_us,
                                  n->id);
         }
@@ -382,6 +396,9 @@
         if (n->core != NULL) {
             entry_core_free(n->core);
         }
+        if (n->trace != NULL) {
+            trace_close(n->trace);
+        }
         g_hash_table_destroy(n->connections);
         g_free(n->id);
         g_free(n->domain);
@@ -434,12 +451,19 @@
     case kEventFrame:
         if (!n->cut) {
             Sw__Frame *frame = sw__frame__unpack(NULL, e->size, e->packed);
+            if (n->trace != NULL) {
+                trace_frame(n->trace, now_us, e->from, frame);
+            }
             entry_core_frame(n->core, now_us, e->from, frame);
             sw__frame__free_unpacked(frame, NULL);
         }
         break;
     case kEventConnected:
         if (c != NULL && member_answers(c)) {
+            if (n->trace != NULL) {
+                trace_connected(n->trace, now_us, e->connection,
+                                !c->member->down);
+            }
             entry_core_backend_connected(n->core, now_us, e->connection,
                                          !c->member->down);
         }
@@ -451,6 +475,9 @@
         break;
     case kEventResult:
         if (c != NULL) {
+            if (n->trace != NULL) {
+                trace_result(n->trace, now_us, e->connection, &e->result);
+            }
             entry_core_backend_result(n->core, now_us, e->connection,
                                       &e->result);
         }
@@ -520,6 +547,9 @@
         }
     }
     for (uint32_t i = 0; i < s->entry_count && now_us % kTickUs == 0; i++) {
+        if (s->entries[i].trace != NULL) {
+            trace_tick(s->entries[i].trace, now_us);
+        }
         if (s->entries[i].core != NULL) {
             entry_core_tick(s->entries[i].core, now_us);
         }
@@ -601,6 +631,9 @@
         .idempotency_key = idempotency_key,
         .session_token = session_token,
     };
+    if (s->entries[entry].trace != NULL) {
+        trace_request(s->entries[entry].trace, s->control->now_us, &r);
+    }
     if (s->entries[entry].core != NULL) {
         entry_core_request(s->entries[entry].core, s->control->now_us, &r);
     }
--- a/test/support/system.h
+++ b/test/support/system.h
@@ -1,6 +1,7 @@
 #ifndef SAPPHIREWEIR_TEST_SYSTEM_H
 #define SAPPHIREWEIR_TEST_SYSTEM_H
 
+#include "adapter/trace.h"
 #include "control_fleet.h"
 #include "core/entry_core.h"
 #include "fake_group.h"
@@ -26,6 +27,7 @@
     gboolean deaf;           /* hears nothing of control */
     gboolean stale;          /* state updates do not reach it */
     GHashTable *connections; /* id -> connection of the fake backend */
+    Trace *trace;            /* of this life, or NULL */
 } SystemEntry;
 
 /* What a caller got. */
@@ -51,6 +53,7 @@
     uint8_t secret[kEntrySecretBytes];
     EntryControl controls[kFleetNodesMax];
     gboolean mute_announcements;
+    const char *trace_path; /* the next entry to start records there */
 };
 
 System *system_new(uint32_t entries, uint32_t groups, uint32_t seed);
