--- a/src/sapphireweir/core/consensus.c
+++ b/src/sapphireweir/core/consensus.c
@@ -1,10 +1,8 @@
 #include "core/consensus.h"
 
-#include <jansson.h>
 #include <string.h>
 
-#include "core/error.h"
-#include "core/schema.h"
+#include "core/consensus_internal.h"
 
 /* Raft (Ongaro and Ousterhout 2014) with pre-vote, check-quorum, reads
  * confirmed by a round of the leader, one-at-a-time membership changes
@@ -14,123 +12,9 @@
 enum {
     kAppendEntriesMax = 256,
     kAppendBytesMax = 1 << 20,
-    kEntriesKeptBehindSnapshot = 512,
     kSnapshotResendUs = 2000000,
 };
 
-/* First byte of a log entry: what the rest is. */
-typedef enum {
-    kEntryNoop = 'N',
-    kEntryCommand = 'D',
-    kEntryMembers = 'M',
-} EntryKind;
-
-/* The leader's view of one member. */
-typedef struct {
-    uint64_t next_index;
-    uint64_t match_index;
-    uint64_t acked_round;
-    uint64_t acked_us;
-    uint64_t snapshot_sent_us;
-    gboolean waiting; /* an append with entries is under way */
-} Progress;
-
-typedef struct {
-    char *to;
-    Sw__ConsensusMessage *message;
-} Outgoing;
-
-struct Consensus {
-    char *id;
-    char *disk;
-    ConsensusTiming timing;
-    ConsensusPort port;
-
-    uint64_t term;
-    char *voted_for;
-    ConsensusRole role;
-    char *leader;
-    gboolean pre_voting;
-    gboolean failed;
-    gboolean dirty; /* something written is not yet synced */
-
-    GPtrArray *entries;    /* ConsensusEntry after offset */
-    uint64_t offset;       /* index before the first kept entry */
-    uint64_t offset_term;  /* its term */
-    uint64_t synced_index; /* own entries up to here are durable */
-    uint64_t commit_index;
-    uint64_t applied_index;
-    uint64_t snapshot_index;
-    uint64_t snapshot_term;
-    GBytes *snapshot;
-
-    GPtrArray *members; /* ConsensusMember in force */
-    uint64_t members_index;
-    GPtrArray *snapshot_members;
-    uint64_t snapshot_members_index;
-
-    uint64_t election_due_us;
-    uint64_t leader_heard_us;
-    uint64_t heartbeat_due_us;
-    uint64_t elected_us;
-    GHashTable *votes;    /* ids that granted, this ballot */
-    GHashTable *progress; /* id -> Progress, leader only */
-    uint64_t round;
-    uint64_t confirmed_round;
-    uint64_t wanted_round; /* a read waits for a round not yet begun */
-    uint64_t transfer_due_us;
-    uint64_t term_start_index;
-    char *transfer_to;
-    uint64_t elections;
-
-    GQueue outbox; /* Outgoing */
-};
-
-/* Makes a member record; free it with consensus_member_free. */
-ConsensusMember *
-consensus_member_new(const char *id, const char *disk,
-                     const char *peer_address, const char *failure_domain,
-                     gboolean voter)
-{
-    ConsensusMember *m = g_new0(ConsensusMember, 1);
-    m->id = g_strdup(id);
-    m->disk = g_strdup(disk);
-    m->peer_address = g_strdup(peer_address);
-    m->failure_domain = g_strdup(failure_domain);
-    m->voter = voter;
-    return m;
-}
-
-/* Frees a member record. */
-void
-consensus_member_free(void *member)
-{
-    ConsensusMember *m = member;
-    g_free(m->id);
-    g_free(m->disk);
-    g_free(m->peer_address);
-    g_free(m->failure_domain);
-    g_free(m);
-}
-
-/* Makes a log entry; takes over the caller's reference to command. */
-ConsensusEntry *
-consensus_entry_new(uint64_t index, uint64_t term, GBytes *command)
-{
-    ConsensusEntry *e = g_new(ConsensusEntry, 1);
-    *e = (ConsensusEntry){index, term, command};
-    return e;
-}
-
-/* Frees a log entry. */
-void
-consensus_entry_free(void *entry)
-{
-    ConsensusEntry *e = entry;
-    g_bytes_unref(e->command);
-    g_free(e);
-}
-
 static void
 outgoing_free(void *data)
 {
@@ -182,268 +66,6 @@
     g_free(c);
 }
 
-/* ---- log access ---- */
-
-/* Returns the index of the last entry of the log. */
-uint64_t
-consensus_last_index(const Consensus *c)
-{
-    return c->offset + c->entries->len;
-}
-
-static ConsensusEntry *
-entry_at(const Consensus *c, uint64_t index)
-{
-    if (index <= c->offset || index > consensus_last_index(c)) {
-        return NULL;
-    }
-    return g_ptr_array_index(c->entries, index - c->offset - 1);
-}
-
-/* Returns the term of the entry at an index; FALSE when it is not kept. */
-static gboolean
-term_at(const Consensus *c, uint64_t index, uint64_t *term)
-{
-    if (index == c->offset) {
-        *term = c->offset_term;
-        return TRUE;
-    }
-    ConsensusEntry *e = entry_at(c, index);
-    if (e == NULL) {
-        return FALSE;
-    }
-    *term = e->term;
-    return TRUE;
-}
-
-static uint64_t
-last_term(const Consensus *c)
-{
-    uint64_t term = 0;
-    term_at(c, consensus_last_index(c), &term);
-    return term;
-}
-
-static EntryKind
-entry_kind(const ConsensusEntry *e)
-{
-    size_t size;
-    const char *data = g_bytes_get_data(e->command, &size);
-    return size == 0 ? kEntryNoop : (EntryKind)data[0];
-}
-
-static GBytes *
-entry_pack(EntryKind kind, const void *data, size_t size)
-{
-    GByteArray *packed = g_byte_array_sized_new((guint)size + 1);
-    guint8 tag = (guint8)kind;
-    g_byte_array_append(packed, &tag, 1);
-    if (size > 0) {
-        g_byte_array_append(packed, data, (guint)size);
-    }
-    return g_byte_array_free_to_bytes(packed);
-}
-
-/* ---- members ---- */
-
-/* Returns the members in force, learners included. */
-const GPtrArray *
-consensus_members(const Consensus *c)
-{
-    return c->members;
-}
-
-static ConsensusMember *
-member_find(const Consensus *c, const char *id)
-{
-    for (guint i = 0; i < c->members->len; i++) {
-        ConsensusMember *m = g_ptr_array_index(c->members, i);
-        if (strcmp(m->id, id) == 0) {
-            return m;
-        }
-    }
-    return NULL;
-}
-
-static gboolean
-self_votes(const Consensus *c)
-{
-    ConsensusMember *m = member_find(c, c->id);
-    return m != NULL && m->voter && strcmp(m->disk, c->disk) == 0;
-}
-
-static uint32_t
-voter_count(const Consensus *c)
-{
-    uint32_t count = 0;
-    for (guint i = 0; i < c->members->len; i++) {
-        ConsensusMember *m = g_ptr_array_index(c->members, i);
-        count += m->voter ? 1 : 0;
-    }
-    return count;
-}
-
-static uint32_t
-majority(const Consensus *c)
-{
-    return voter_count(c) / 2 + 1;
-}
-
-static json_t *
-members_to_json(const GPtrArray *members)
-{
-    json_t *list = json_array();
-    for (guint i = 0; i < members->len; i++) {
-        ConsensusMember *m = g_ptr_array_index(members, i);
-        json_array_append_new(list,
-                              json_pack("{s:s, s:s, s:s, s:s, s:b}", "id",
-                                        m->id, "disk", m->disk, "peer_address",
-                                        m->peer_address, "failure_domain",
-                                        m->failure_domain, "voter", m->voter));
-    }
-    return list;
-}
-
-static void
-members_from_json(const json_t *list, GPtrArray *out)
-{
-    size_t i;
-    json_t *m;
-
-    g_ptr_array_set_size(out, 0);
-    json_array_foreach(list, i, m)
-    {
-        g_ptr_array_add(
-            out, consensus_member_new(json_text_or(m, "id", ""),
-                                      json_text_or(m, "disk", ""),
-                                      json_text_or(m, "peer_address", ""),
-                                      json_text_or(m, "failure_domain", ""),
-                                      json_flag(m, "voter")));
-    }
-}
-
-static void
-members_copy(const GPtrArray *from, GPtrArray *to)
-{
-    json_t *list = members_to_json(from);
-    members_from_json(list, to);
-    json_decref(list);
-}
-
-static GBytes *
-members_entry(const GPtrArray *members)
-{
-    json_t *list = members_to_json(members);
-    char *text = json_dumps(list, JSON_COMPACT);
-    GBytes *packed = entry_pack(kEntryMembers, text, strlen(text));
-    free(text);
-    json_decref(list);
-    return packed;
-}
-
-static void
-members_read_entry(const ConsensusEntry *e, GPtrArray *out)
-{
-    size_t size;
-    const char *data = g_bytes_get_data(e->command, &size);
-    json_t *list = json_loadb(data + 1, size - 1, 0, NULL);
-    members_from_json(list, out);
-    json_decref(list);
-}
-
-static Progress *
-progress_of(Consensus *c, const char *id)
-{
-    return g_hash_table_lookup(c->progress, id);
-}
-
-static void
-progress_refresh(Consensus *c, uint64_t now_us)
-{
-    for (guint i = 0; i < c->members->len; i++) {
-        ConsensusMember *m = g_ptr_array_index(c->members, i);
-        if (progress_of(c, m->id) != NULL) {
-            continue;
-        }
-        Progress *p = g_new0(Progress, 1);
-        p->next_index = consensus_last_index(c) + 1;
-        p->acked_us = now_us;
-        g_hash_table_insert(c->progress, g_strdup(m->id), p);
-    }
-}
-
-/* A member list takes effect as soon as it is in the log. */
-static void
-members_take_effect(Consensus *c, uint64_t now_us, const ConsensusEntry *e)
-{
-    members_read_entry(e, c->members);
-    c->members_index = e->index;
-    if (c->role == kConsensusLeader) {
-        progress_refresh(c, now_us);
-    }
-    c->port.members_changed(c->port.ctx, c->members);
-}
-
-/* After a truncation: the last member list still in the log, else the one
- * of the snapshot. */
-static void
-members_recompute(Consensus *c, uint64_t now_us)
-{
-    for (guint i = c->entries->len; i > 0; i--) {
-        ConsensusEntry *e = g_ptr_array_index(c->entries, i - 1);
-        if (entry_kind(e) == kEntryMembers) {
-            members_take_effect(c, now_us, e);
-            return;
-        }
-    }
-    members_copy(c->snapshot_members, c->members);
-    c->members_index = c->snapshot_members_index;
-    c->port.members_changed(c->port.ctx, c->members);
-}
-
-/* ---- durable writes ---- */
-
-static void
-fail_if(Consensus *c, gboolean ok)
-{
-    if (!ok) {
-        c->failed = TRUE;
-    }
-}
-
-static void
-save_vote(Consensus *c)
-{
-    c->dirty = TRUE;
-    fail_if(c, c->port.storage.save_vote(c->port.storage.ctx, c->term,
-                                         c->voted_for == NULL ? ""
-                                                              : c->voted_for));
-}
-
-static void
-log_append(Consensus *c, uint64_t now_us, ConsensusEntry *e)
-{
-    g_ptr_array_add(c->entries, e);
-    c->dirty = TRUE;
-    fail_if(c, c->port.storage.save_entry(c->port.storage.ctx, e->index,
-                                          e->term, e->command));
-    if (entry_kind(e) == kEntryMembers) {
-        members_take_effect(c, now_us, e);
-    }
-}
-
-static void
-log_truncate(Consensus *c, uint64_t now_us, uint64_t from_index)
-{
-    g_ptr_array_set_size(c->entries, (gint)(from_index - c->offset - 1));
-    c->synced_index = MIN(c->synced_index, from_index - 1);
-    c->dirty = TRUE;
-    fail_if(c, c->port.storage.save_truncate(c->port.storage.ctx, from_index));
-    if (c->members_index >= from_index) {
-        members_recompute(c, now_us);
-    }
-}
-
 /* ---- messages ---- */
 
 static Sw__ConsensusMessage *
@@ -462,7 +84,7 @@
 static void
 send_later(Consensus *c, const char *to, Sw__ConsensusMessage *m)
 {
-    ConsensusMember *member = member_find(c, to);
+    ConsensusMember *member = consensus_member_find(c, to);
     m->term = m->term == 0 ? c->term : m->term;
     m->from_disk = c->disk;
     if (m->to_disk == NULL || m->to_disk[0] == '\0') {
@@ -506,7 +128,7 @@
     if (term > c->term) {
         c->term = term;
         g_clear_pointer(&c->voted_for, g_free);
-        save_vote(c);
+        consensus_save_vote(c);
         set_leader(c, NULL);
     }
     if (c->role == kConsensusLeader) {
@@ -529,7 +151,7 @@
                               : SW__CONSENSUS_KIND__CONSENSUS_VOTE);
     m.term = pre_vote ? c->term + 1 : c->term;
     m.prev_index = consensus_last_index(c);
-    m.prev_term = last_term(c);
+    m.prev_term = consensus_log_last_term(c);
     /* A vote after a transfer may pass over a leader that still lives. */
     m.granted = !pre_vote && c->transfer_to != NULL;
     for (guint i = 0; i < c->members->len; i++) {
@@ -550,13 +172,13 @@
     c->elections++;
     g_free(c->voted_for);
     c->voted_for = g_strdup(c->id);
-    save_vote(c);
+    consensus_save_vote(c);
     set_leader(c, NULL);
     g_hash_table_remove_all(c->votes);
     g_hash_table_add(c->votes, g_strdup(c->id));
     election_reset(c, now_us);
     request_votes(c, FALSE);
-    if (majority(c) == 1) {
+    if (consensus_majority(c) == 1) {
         leader_start(c, now_us);
     }
 }
@@ -571,7 +193,7 @@
     g_hash_table_add(c->votes, g_strdup(c->id));
     election_reset(c, now_us);
     request_votes(c, TRUE);
-    if (majority(c) == 1) {
+    if (consensus_majority(c) == 1) {
         campaign(c, now_us);
     }
 }
@@ -588,7 +210,7 @@
     count = MIN(count, kAppendEntriesMax);
     m->entries = g_new0(Sw__LogEntry *, count + 1);
     for (uint64_t i = 0; i < count && bytes < kAppendBytesMax; i++) {
-        ConsensusEntry *e = entry_at(c, p->next_index + i);
+        ConsensusEntry *e = consensus_log_entry(c, p->next_index + i);
         Sw__LogEntry *wire = g_new(Sw__LogEntry, 1);
         sw__log_entry__init(wire);
         wire->index = e->index;
@@ -607,7 +229,7 @@
         message_init(SW__CONSENSUS_KIND__CONSENSUS_APPEND);
 
     m.prev_index = p->next_index - 1;
-    term_at(c, m.prev_index, &m.prev_term);
+    consensus_log_term(c, m.prev_index, &m.prev_term);
     m.commit_index = c->commit_index;
     m.round = c->round;
     append_fill(c, p, &m);
@@ -641,10 +263,11 @@
 static void
 replicate_to(Consensus *c, uint64_t now_us, const char *to)
 {
-    Progress *p = progress_of(c, to);
+    Progress *p = consensus_progress_of(c, to);
     uint64_t ignored;
 
-    if (!term_at(c, p->next_index - 1, &ignored) && c->snapshot != NULL) {
+    if (!consensus_log_term(c, p->next_index - 1, &ignored) &&
+        c->snapshot != NULL) {
         send_snapshot(c, now_us, to, p);
         return;
     }
@@ -665,7 +288,7 @@
             replicate_to(c, now_us, m->id);
         }
     }
-    if (self_votes(c) && majority(c) == 1) {
+    if (consensus_self_votes(c) && consensus_majority(c) == 1) {
         c->confirmed_round = c->round;
     }
 }
@@ -678,12 +301,13 @@
     set_leader(c, c->id);
     g_clear_pointer(&c->transfer_to, g_free);
     g_hash_table_remove_all(c->progress);
-    progress_refresh(c, now_us);
+    consensus_progress_refresh(c, now_us);
     c->confirmed_round = c->round;
     c->term_start_index = consensus_last_index(c) + 1;
-    log_append(c, now_us,
-               consensus_entry_new(c->term_start_index, c->term,
-                                   entry_pack(kEntryNoop, NULL, 0)));
+    consensus_log_append(
+        c, now_us,
+        consensus_entry_new(c->term_start_index, c->term,
+                            consensus_entry_pack(kEntryNoop, NULL, 0)));
     broadcast(c, now_us);
 }
 
@@ -722,7 +346,7 @@
 static uint64_t
 majority_value(Consensus *c, ProgressValue value, uint64_t own)
 {
-    uint64_t *values = g_new0(uint64_t, voter_count(c) + 1);
+    uint64_t *values = g_new0(uint64_t, consensus_voter_count(c) + 1);
     uint32_t count = 0;
 
     for (guint i = 0; i < c->members->len; i++) {
@@ -731,10 +355,11 @@
             continue;
         }
         gboolean self = strcmp(m->id, c->id) == 0;
-        values[count++] = self ? own : value(c, progress_of(c, m->id));
+        values[count++] =
+            self ? own : value(c, consensus_progress_of(c, m->id));
     }
     qsort(values, count, sizeof(values[0]), compare_descending);
-    uint64_t reached = count == 0 ? 0 : values[majority(c) - 1];
+    uint64_t reached = count == 0 ? 0 : values[consensus_majority(c) - 1];
     g_free(values);
     return reached;
 }
@@ -747,7 +372,8 @@
     uint64_t held = majority_value(c, progress_match, c->synced_index);
     uint64_t term = 0;
 
-    if (held > c->commit_index && term_at(c, held, &term) && term == c->term) {
+    if (held > c->commit_index && consensus_log_term(c, held, &term) &&
+        term == c->term) {
         c->commit_index = held;
     }
 }
@@ -757,7 +383,7 @@
 static gboolean
 log_up_to_date(const Consensus *c, const Sw__ConsensusMessage *m)
 {
-    uint64_t own_term = last_term(c);
+    uint64_t own_term = consensus_log_last_term(c);
     if (m->prev_term != own_term) {
         return m->prev_term > own_term;
     }
@@ -795,7 +421,7 @@
         return;
     }
     g_hash_table_add(c->votes, g_strdup(from));
-    if (g_hash_table_size(c->votes) >= majority(c)) {
+    if (g_hash_table_size(c->votes) >= consensus_majority(c)) {
         campaign(c, now_us);
     }
 }
@@ -813,7 +439,7 @@
     if (reply.granted) {
         g_free(c->voted_for);
         c->voted_for = g_strdup(from);
-        save_vote(c);
+        consensus_save_vote(c);
         election_reset(c, now_us);
     }
     reply.to_disk = m->from_disk;
@@ -828,7 +454,7 @@
         return;
     }
     g_hash_table_add(c->votes, g_strdup(from));
-    if (g_hash_table_size(c->votes) >= majority(c)) {
+    if (g_hash_table_size(c->votes) >= consensus_majority(c)) {
         leader_start(c, now_us);
     }
 }
@@ -855,19 +481,20 @@
         if (wire->index <= c->offset) {
             continue;
         }
-        if (term_at(c, wire->index, &term)) {
+        if (consensus_log_term(c, wire->index, &term)) {
             if (term == wire->term) {
                 continue;
             }
-            log_truncate(c, now_us, wire->index);
+            consensus_log_truncate(c, now_us, wire->index);
         }
         if (wire->index != consensus_last_index(c) + 1) {
             return;
         }
-        log_append(c, now_us,
-                   consensus_entry_new(
-                       wire->index, wire->term,
-                       g_bytes_new(wire->command.data, wire->command.len)));
+        consensus_log_append(
+            c, now_us,
+            consensus_entry_new(
+                wire->index, wire->term,
+                g_bytes_new(wire->command.data, wire->command.len)));
     }
 }
 
@@ -888,7 +515,7 @@
     follow_leader(c, now_us, from);
     gboolean matches =
         m->prev_index < c->offset ||
-        (term_at(c, m->prev_index, &term) && term == m->prev_term);
+        (consensus_log_term(c, m->prev_index, &term) && term == m->prev_term);
     reply.granted = matches;
     if (!matches) {
         reply.match_index = MIN(consensus_last_index(c), m->prev_index - 1);
@@ -902,32 +529,11 @@
     send_later(c, from, &reply);
 }
 
-static void
-promote_caught_up(Consensus *c, uint64_t now_us, const char *from,
-                  const Progress *p)
-{
-    ConsensusMember *m = member_find(c, from);
-    if (m == NULL || m->voter || p->match_index < c->commit_index ||
-        c->members_index > c->commit_index) {
-        return;
-    }
-    GPtrArray *changed = g_ptr_array_new_with_free_func(consensus_member_free);
-    members_copy(c->members, changed);
-    for (guint i = 0; i < changed->len; i++) {
-        ConsensusMember *n = g_ptr_array_index(changed, i);
-        n->voter = n->voter || strcmp(n->id, from) == 0;
-    }
-    log_append(c, now_us,
-               consensus_entry_new(consensus_last_index(c) + 1, c->term,
-                                   members_entry(changed)));
-    g_ptr_array_unref(changed);
-}
-
 static void
 on_append_reply(Consensus *c, uint64_t now_us, const char *from,
                 const Sw__ConsensusMessage *m)
 {
-    Progress *p = progress_of(c, from);
+    Progress *p = consensus_progress_of(c, from);
     if (c->role != kConsensusLeader || p == NULL || m->term != c->term) {
         return;
     }
@@ -950,7 +556,7 @@
     if (!m->granted || p->next_index <= consensus_last_index(c)) {
         replicate_to(c, now_us, from);
     }
-    promote_caught_up(c, now_us, from, p);
+    consensus_promote_caught_up(c, now_us, from, p);
     if (c->transfer_to != NULL && strcmp(c->transfer_to, from) == 0 &&
         p->match_index == consensus_last_index(c)) {
         Sw__ConsensusMessage now =
@@ -959,66 +565,6 @@
     }
 }
 
-/* A snapshot as it is stored and sent: member list and state. */
-static GBytes *
-snapshot_pack(const GPtrArray *members, uint64_t members_index, GBytes *state)
-{
-    json_t *head =
-        json_pack("{s:I, s:o}", "members_index", (json_int_t)members_index,
-                  "members", members_to_json(members));
-    char *text = json_dumps(head, JSON_COMPACT);
-    GByteArray *packed = g_byte_array_new();
-    size_t size;
-    const void *data = g_bytes_get_data(state, &size);
-
-    g_byte_array_append(packed, (const guint8 *)text, (guint)strlen(text));
-    g_byte_array_append(packed, (const guint8 *)"\n", 1);
-    g_byte_array_append(packed, data, (guint)size);
-    free(text);
-    json_decref(head);
-    return g_byte_array_free_to_bytes(packed);
-}
-
-static gboolean
-snapshot_unpack(Consensus *c, uint64_t now_us, GBytes *snapshot,
-                GError **error)
-{
-    size_t size;
-    const char *data = g_bytes_get_data(snapshot, &size);
-    const char *end = data == NULL ? NULL : memchr(data, '\n', size);
-    json_t *head =
-        end == NULL ? NULL : json_loadb(data, (size_t)(end - data), 0, NULL);
-
-    if (head == NULL) {
-        g_set_error_literal(error, CORE_ERROR, kCoreErrorCorrupt,
-                            "snapshot has no member list");
-        return FALSE;
-    }
-    GBytes *state = g_bytes_new_from_bytes(snapshot, (size_t)(end + 1 - data),
-                                           size - (size_t)(end + 1 - data));
-    gboolean ok = c->port.restore(c->port.ctx, now_us, state, error);
-    g_bytes_unref(state);
-    if (ok) {
-        members_from_json(json_object_get(head, "members"),
-                          c->snapshot_members);
-        c->snapshot_members_index =
-            (uint64_t)json_integer_or(head, "members_index", 0);
-    }
-    json_decref(head);
-    return ok;
-}
-
-static void
-snapshot_adopt(Consensus *c, GBytes *snapshot, uint64_t index, uint64_t term)
-{
-    if (c->snapshot != NULL) {
-        g_bytes_unref(c->snapshot);
-    }
-    c->snapshot = g_bytes_ref(snapshot);
-    c->snapshot_index = index;
-    c->snapshot_term = term;
-}
-
 static void
 on_snapshot(Consensus *c, uint64_t now_us, const char *from,
             const Sw__ConsensusMessage *m)
@@ -1041,7 +587,7 @@
     }
     GBytes *snapshot = g_bytes_new(m->snapshot.data, m->snapshot.len);
     GError *error = NULL;
-    if (!snapshot_unpack(c, now_us, snapshot, &error)) {
+    if (!consensus_snapshot_unpack(c, now_us, snapshot, &error)) {
         g_warning("snapshot from %s refused: %s", from, error->message);
         g_error_free(error);
         g_bytes_unref(snapshot);
@@ -1053,14 +599,14 @@
     c->commit_index = m->prev_index;
     c->applied_index = m->prev_index;
     c->synced_index = m->prev_index;
-    snapshot_adopt(c, snapshot, m->prev_index, m->prev_term);
-    members_copy(c->snapshot_members, c->members);
+    consensus_snapshot_adopt(c, snapshot, m->prev_index, m->prev_term);
+    consensus_members_copy(c->snapshot_members, c->members);
     c->members_index = c->snapshot_members_index;
     c->port.members_changed(c->port.ctx, c->members);
     c->dirty = TRUE;
-    fail_if(c,
-            c->port.storage.save_snapshot(c->port.storage.ctx, m->prev_index,
-                                          m->prev_term, snapshot, c->entries));
+    consensus_fail_if(
+        c, c->port.storage.save_snapshot(c->port.storage.ctx, m->prev_index,
+                                         m->prev_term, snapshot, c->entries));
     g_bytes_unref(snapshot);
     send_later(c, from, &reply);
 }
@@ -1096,7 +642,7 @@
 sender_is_member(const Consensus *c, const char *from,
                  const Sw__ConsensusMessage *m)
 {
-    ConsensusMember *member = member_find(c, from);
+    ConsensusMember *member = consensus_member_find(c, from);
     if (member == NULL) {
         /* A learner without a log does not know the members yet. */
         return m->kind == SW__CONSENSUS_KIND__CONSENSUS_APPEND ||
@@ -1145,7 +691,7 @@
         on_snapshot(c, now_us, from, m);
         break;
     case SW__CONSENSUS_KIND__CONSENSUS_TIMEOUT_NOW:
-        if (m->term == c->term && self_votes(c)) {
+        if (m->term == c->term && consensus_self_votes(c)) {
             g_free(c->transfer_to);
             c->transfer_to = g_strdup(c->id);
             campaign(c, now_us);
@@ -1180,74 +726,17 @@
         }
         return;
     }
-    if (self_votes(c) && now_us >= c->election_due_us) {
+    if (consensus_self_votes(c) && now_us >= c->election_due_us) {
         g_clear_pointer(&c->transfer_to, g_free);
         pre_campaign(c, now_us);
     }
 }
 
-static void
-apply_committed(Consensus *c, uint64_t now_us)
-{
-    while (c->applied_index < c->commit_index) {
-        ConsensusEntry *e = entry_at(c, c->applied_index + 1);
-        if (e == NULL) {
-            return;
-        }
-        c->applied_index++;
-        if (entry_kind(e) != kEntryCommand) {
-            continue;
-        }
-        size_t size = g_bytes_get_size(e->command);
-        GBytes *body = g_bytes_new_from_bytes(e->command, 1, size - 1);
-        c->port.apply(c->port.ctx, now_us, e->index, e->term, body);
-        g_bytes_unref(body);
-    }
-}
-
-static void
-drop_entries_before_snapshot(Consensus *c)
-{
-    if (c->snapshot_index <= c->offset + kEntriesKeptBehindSnapshot) {
-        return;
-    }
-    uint64_t keep_after = c->snapshot_index - kEntriesKeptBehindSnapshot;
-    uint64_t term = 0;
-    term_at(c, keep_after, &term);
-    g_ptr_array_remove_range(c->entries, 0, (guint)(keep_after - c->offset));
-    c->offset = keep_after;
-    c->offset_term = term;
-}
-
-static void
-snapshot_when_due(Consensus *c)
-{
-    uint64_t term = 0;
-    if (c->applied_index - c->snapshot_index < c->timing.snapshot_every ||
-        !term_at(c, c->applied_index, &term)) {
-        return;
-    }
-    if (c->members_index <= c->applied_index) {
-        members_copy(c->members, c->snapshot_members);
-        c->snapshot_members_index = c->members_index;
-    }
-    GBytes *state = c->port.dump(c->port.ctx);
-    GBytes *snapshot =
-        snapshot_pack(c->snapshot_members, c->snapshot_members_index, state);
-    snapshot_adopt(c, snapshot, c->applied_index, term);
-    drop_entries_before_snapshot(c);
-    fail_if(c, c->port.storage.save_snapshot(c->port.storage.ctx,
-                                             c->snapshot_index, term, snapshot,
-                                             c->entries));
-    g_bytes_unref(snapshot);
-    g_bytes_unref(state);
-}
-
 static gboolean
 sync_if_dirty(Consensus *c)
 {
     if (c->dirty && !c->failed) {
-        fail_if(c, c->port.storage.sync(c->port.storage.ctx));
+        consensus_fail_if(c, c->port.storage.sync(c->port.storage.ctx));
     }
     if (c->failed) {
         g_queue_clear_full(&c->outbox, outgoing_free);
@@ -1277,12 +766,12 @@
         c->port.send(c->port.ctx, o->to, o->message);
         outgoing_free(o);
     }
-    apply_committed(c, now_us);
-    snapshot_when_due(c);
+    consensus_log_apply(c, now_us);
+    consensus_snapshot_when_due(c);
     if (c->dirty) {
         sync_if_dirty(c);
     }
-    if (c->role == kConsensusLeader && !self_votes(c) &&
+    if (c->role == kConsensusLeader && !consensus_self_votes(c) &&
         c->members_index <= c->commit_index) {
         become_follower(c, now_us, c->term);
     }
@@ -1290,12 +779,12 @@
 
 /* ---- proposals, members, reads ---- */
 
-static void
-replicate_idle(Consensus *c, uint64_t now_us)
+void
+consensus_replicate_idle(Consensus *c, uint64_t now_us)
 {
     for (guint i = 0; i < c->members->len; i++) {
         ConsensusMember *m = g_ptr_array_index(c->members, i);
-        Progress *p = progress_of(c, m->id);
+        Progress *p = consensus_progress_of(c, m->id);
         if (strcmp(m->id, c->id) != 0 && p != NULL && !p->waiting) {
             replicate_to(c, now_us, m->id);
         }
@@ -1314,95 +803,14 @@
         return 0;
     }
     uint64_t index = consensus_last_index(c) + 1;
-    log_append(c, now_us,
-               consensus_entry_new(index, c->term,
-                                   entry_pack(kEntryCommand, data, size)));
-    replicate_idle(c, now_us);
+    consensus_log_append(
+        c, now_us,
+        consensus_entry_new(index, c->term,
+                            consensus_entry_pack(kEntryCommand, data, size)));
+    consensus_replicate_idle(c, now_us);
     return index;
 }
 
-static gboolean
-members_may_change(const Consensus *c, GError **error)
-{
-    if (c->role != kConsensusLeader) {
-        g_set_error_literal(error, CORE_ERROR, kCoreErrorInvalid,
-                            "this control instance does not lead");
-        return FALSE;
-    }
-    if (c->members_index > c->commit_index ||
-        c->commit_index < c->term_start_index) {
-        g_set_error_literal(error, CORE_ERROR, kCoreErrorConflict,
-                            "an earlier membership change is under way");
-        return FALSE;
-    }
-    return TRUE;
-}
-
-static void
-propose_members(Consensus *c, uint64_t now_us, const GPtrArray *changed)
-{
-    log_append(c, now_us,
-               consensus_entry_new(consensus_last_index(c) + 1, c->term,
-                                   members_entry(changed)));
-    replicate_idle(c, now_us);
-}
-
-/* Adds a control instance as a learner; it becomes a voter by itself once
- * it holds the whole log on its disk.  Fails with kCoreErrorConflict while
- * another change is under way or when the id is taken. */
-gboolean
-consensus_member_add(Consensus *c, uint64_t now_us,
-                     const ConsensusMember *member, GError **error)
-{
-    if (!members_may_change(c, error)) {
-        return FALSE;
-    }
-    if (member_find(c, member->id) != NULL) {
-        g_set_error(error, CORE_ERROR, kCoreErrorConflict,
-                    "%s is a member; remove it first", member->id);
-        return FALSE;
-    }
-    GPtrArray *changed = g_ptr_array_new_with_free_func(consensus_member_free);
-    members_copy(c->members, changed);
-    g_ptr_array_add(changed,
-                    consensus_member_new(member->id, member->disk,
-                                         member->peer_address,
-                                         member->failure_domain, FALSE));
-    propose_members(c, now_us, changed);
-    g_ptr_array_unref(changed);
-    return TRUE;
-}
-
-/* Removes a control instance.  Fails when it is not a member, is the last
- * voter, or while another change is under way. */
-gboolean
-consensus_member_remove(Consensus *c, uint64_t now_us, const char *id,
-                        GError **error)
-{
-    ConsensusMember *m = member_find(c, id);
-    if (!members_may_change(c, error)) {
-        return FALSE;
-    }
-    if (m == NULL || (m->voter && voter_count(c) == 1)) {
-        g_set_error(error, CORE_ERROR, kCoreErrorNotFound,
-                    "%s is not a member that can be removed", id);
-        return FALSE;
-    }
-    GPtrArray *changed = g_ptr_array_new_with_free_func(consensus_member_free);
-    members_copy(c->members, changed);
-    for (guint i = 0; i < changed->len; i++) {
-        ConsensusMember *each = g_ptr_array_index(changed, i);
-        if (strcmp(each->id, id) == 0) {
-            g_ptr_array_remove_index(changed, i);
-            break;
-        }
-    }
-    propose_members(c, now_us, changed);
-    g_ptr_array_unref(changed);
-    g_hash_table_remove(c->progress, id);
-    return TRUE;
-}
-
 /* Hands leadership to the voter whose log is longest; nothing is proposed
  * meanwhile.  The attempt ends after an election timeout. */
 void
@@ -1416,7 +824,7 @@
     }
     for (guint i = 0; i < c->members->len; i++) {
         ConsensusMember *m = g_ptr_array_index(c->members, i);
-        Progress *p = progress_of(c, m->id);
+        Progress *p = consensus_progress_of(c, m->id);
         if (!m->voter || strcmp(m->id, c->id) == 0 || p == NULL) {
             continue;
         }
@@ -1498,48 +906,6 @@
     return c->failed;
 }
 
-/* ---- start ---- */
-
-static gboolean
-start_from_saved(Consensus *c, uint64_t now_us, const ConsensusSaved *saved,
-                 GError **error)
-{
-    c->term = saved->term;
-    if (saved->voted_for != NULL && saved->voted_for[0] != '\0') {
-        c->voted_for = g_strdup(saved->voted_for);
-    }
-    if (saved->snapshot != NULL) {
-        if (!snapshot_unpack(c, now_us, saved->snapshot, error)) {
-            return FALSE;
-        }
-        snapshot_adopt(c, saved->snapshot, saved->snapshot_index,
-                       saved->snapshot_term);
-        c->offset = saved->snapshot_index;
-        c->offset_term = saved->snapshot_term;
-        c->commit_index = saved->snapshot_index;
-        c->applied_index = saved->snapshot_index;
-    }
-    for (guint i = 0; i < saved->entries->len; i++) {
-        ConsensusEntry *e = g_ptr_array_index(saved->entries, i);
-        if (e->index <= c->offset) {
-            continue;
-        }
-        if (e->index != consensus_last_index(c) + 1) {
-            g_set_error(error, CORE_ERROR, kCoreErrorCorrupt,
-                        "log entry %" G_GUINT64_FORMAT
-                        " follows %" G_GUINT64_FORMAT,
-                        e->index, consensus_last_index(c));
-            return FALSE;
-        }
-        g_ptr_array_add(
-            c->entries,
-            consensus_entry_new(e->index, e->term, g_bytes_ref(e->command)));
-    }
-    c->synced_index = consensus_last_index(c);
-    members_recompute(c, now_us);
-    return TRUE;
-}
-
 /* Starts from what was saved.  An instance without any log takes the
  * bootstrap members (may be NULL) as the first voters; without them it
  * waits to be added as a learner.  Fails with kCoreErrorCorrupt. */
@@ -1547,12 +913,13 @@
 consensus_start(Consensus *c, uint64_t now_us, const ConsensusSaved *saved,
                 const GPtrArray *bootstrap, GError **error)
 {
-    if (!start_from_saved(c, now_us, saved, error)) {
+    if (!consensus_log_load(c, now_us, saved, error)) {
         return FALSE;
     }
     if (bootstrap != NULL && consensus_last_index(c) == 0) {
-        log_append(c, now_us,
-                   consensus_entry_new(1, 0, members_entry(bootstrap)));
+        consensus_log_append(
+            c, now_us,
+            consensus_entry_new(1, 0, consensus_members_entry(bootstrap)));
     }
     election_reset(c, now_us);
     return TRUE;
--- /dev/null
+++ b/src/sapphireweir/core/consensus_log.c
@@ -0,0 +1,300 @@
+#include <string.h>
+
+#include "core/consensus_internal.h"
+#include "core/error.h"
+#include "core/schema.h"
+
+/* The log of one consensus instance: entries, durable writes, snapshots,
+ * and applying what is committed. */
+
+enum { kEntriesKeptBehindSnapshot = 512 };
+
+/* Makes a log entry; takes over the caller's reference to command. */
+ConsensusEntry *
+consensus_entry_new(uint64_t index, uint64_t term, GBytes *command)
+{
+    ConsensusEntry *e = g_new(ConsensusEntry, 1);
+    *e = (ConsensusEntry){index, term, command};
+    return e;
+}
+
+/* Frees a log entry. */
+void
+consensus_entry_free(void *entry)
+{
+    ConsensusEntry *e = entry;
+    g_bytes_unref(e->command);
+    g_free(e);
+}
+
+/* Returns the index of the last entry of the log. */
+uint64_t
+consensus_last_index(const Consensus *c)
+{
+    return c->offset + c->entries->len;
+}
+
+/* Returns the entry at an index, NULL when it is not kept. */
+ConsensusEntry *
+consensus_log_entry(const Consensus *c, uint64_t index)
+{
+    if (index <= c->offset || index > consensus_last_index(c)) {
+        return NULL;
+    }
+    return g_ptr_array_index(c->entries, index - c->offset - 1);
+}
+
+/* Returns the term of the entry at an index; FALSE when it is not kept. */
+gboolean
+consensus_log_term(const Consensus *c, uint64_t index, uint64_t *term)
+{
+    if (index == c->offset) {
+        *term = c->offset_term;
+        return TRUE;
+    }
+    ConsensusEntry *e = consensus_log_entry(c, index);
+    if (e == NULL) {
+        return FALSE;
+    }
+    *term = e->term;
+    return TRUE;
+}
+
+/* Returns the term of the last entry. */
+uint64_t
+consensus_log_last_term(const Consensus *c)
+{
+    uint64_t term = 0;
+    consensus_log_term(c, consensus_last_index(c), &term);
+    return term;
+}
+
+/* Returns what an entry holds. */
+EntryKind
+consensus_entry_kind(const ConsensusEntry *e)
+{
+    size_t size;
+    const char *data = g_bytes_get_data(e->command, &size);
+    return size == 0 ? kEntryNoop : (EntryKind)data[0];
+}
+
+/* Makes the bytes of an entry: its kind, then the data. */
+GBytes *
+consensus_entry_pack(EntryKind kind, const void *data, size_t size)
+{
+    GByteArray *packed = g_byte_array_sized_new((guint)size + 1);
+    guint8 tag = (guint8)kind;
+    g_byte_array_append(packed, &tag, 1);
+    if (size > 0) {
+        g_byte_array_append(packed, data, (guint)size);
+    }
+    return g_byte_array_free_to_bytes(packed);
+}
+
+void
+consensus_fail_if(Consensus *c, gboolean ok)
+{
+    if (!ok) {
+        c->failed = TRUE;
+    }
+}
+
+/* Writes term and vote. */
+void
+consensus_save_vote(Consensus *c)
+{
+    c->dirty = TRUE;
+    consensus_fail_if(c, c->port.storage.save_vote(
+                             c->port.storage.ctx, c->term,
+                             c->voted_for == NULL ? "" : c->voted_for));
+}
+
+/* Adds an entry to the log; takes it over. */
+void
+consensus_log_append(Consensus *c, uint64_t now_us, ConsensusEntry *e)
+{
+    g_ptr_array_add(c->entries, e);
+    c->dirty = TRUE;
+    consensus_fail_if(c,
+                      c->port.storage.save_entry(c->port.storage.ctx, e->index,
+                                                 e->term, e->command));
+    if (consensus_entry_kind(e) == kEntryMembers) {
+        consensus_members_take_effect(c, now_us, e);
+    }
+}
+
+/* Drops all entries from an index on. */
+void
+consensus_log_truncate(Consensus *c, uint64_t now_us, uint64_t from_index)
+{
+    g_ptr_array_set_size(c->entries, (gint)(from_index - c->offset - 1));
+    c->synced_index = MIN(c->synced_index, from_index - 1);
+    c->dirty = TRUE;
+    consensus_fail_if(
+        c, c->port.storage.save_truncate(c->port.storage.ctx, from_index));
+    if (c->members_index >= from_index) {
+        consensus_members_recompute(c, now_us);
+    }
+}
+
+/* A snapshot as it is stored and sent: member list and state. */
+static GBytes *
+snapshot_pack(const GPtrArray *members, uint64_t members_index, GBytes *state)
+{
+    json_t *head =
+        json_pack("{s:I, s:o}", "members_index", (json_int_t)members_index,
+                  "members", consensus_members_to_json(members));
+    char *text = json_dumps(head, JSON_COMPACT);
+    GByteArray *packed = g_byte_array_new();
+    size_t size;
+    const void *data = g_bytes_get_data(state, &size);
+
+    g_byte_array_append(packed, (const guint8 *)text, (guint)strlen(text));
+    g_byte_array_append(packed, (const guint8 *)"\n", 1);
+    g_byte_array_append(packed, data, (guint)size);
+    free(text);
+    json_decref(head);
+    return g_byte_array_free_to_bytes(packed);
+}
+
+/* Restores the state machine and the members of a snapshot. */
+gboolean
+consensus_snapshot_unpack(Consensus *c, uint64_t now_us, GBytes *snapshot,
+                          GError **error)
+{
+    size_t size;
+    const char *data = g_bytes_get_data(snapshot, &size);
+    const char *end = data == NULL ? NULL : memchr(data, '\n', size);
+    json_t *head =
+        end == NULL ? NULL : json_loadb(data, (size_t)(end - data), 0, NULL);
+
+    if (head == NULL) {
+        g_set_error_literal(error, CORE_ERROR, kCoreErrorCorrupt,
+                            "snapshot has no member list");
+        return FALSE;
+    }
+    GBytes *state = g_bytes_new_from_bytes(snapshot, (size_t)(end + 1 - data),
+                                           size - (size_t)(end + 1 - data));
+    gboolean ok = c->port.restore(c->port.ctx, now_us, state, error);
+    g_bytes_unref(state);
+    if (ok) {
+        consensus_members_from_json(json_object_get(head, "members"),
+                                    c->snapshot_members);
+        c->snapshot_members_index =
+            (uint64_t)json_integer_or(head, "members_index", 0);
+    }
+    json_decref(head);
+    return ok;
+}
+
+/* Keeps a snapshot as the latest one. */
+void
+consensus_snapshot_adopt(Consensus *c, GBytes *snapshot, uint64_t index,
+                         uint64_t term)
+{
+    if (c->snapshot != NULL) {
+        g_bytes_unref(c->snapshot);
+    }
+    c->snapshot = g_bytes_ref(snapshot);
+    c->snapshot_index = index;
+    c->snapshot_term = term;
+}
+
+/* Applies what is committed and not applied yet. */
+void
+consensus_log_apply(Consensus *c, uint64_t now_us)
+{
+    while (c->applied_index < c->commit_index) {
+        ConsensusEntry *e = consensus_log_entry(c, c->applied_index + 1);
+        if (e == NULL) {
+            return;
+        }
+        c->applied_index++;
+        if (consensus_entry_kind(e) != kEntryCommand) {
+            continue;
+        }
+        size_t size = g_bytes_get_size(e->command);
+        GBytes *body = g_bytes_new_from_bytes(e->command, 1, size - 1);
+        c->port.apply(c->port.ctx, now_us, e->index, e->term, body);
+        g_bytes_unref(body);
+    }
+}
+
+static void
+drop_entries_before_snapshot(Consensus *c)
+{
+    if (c->snapshot_index <= c->offset + kEntriesKeptBehindSnapshot) {
+        return;
+    }
+    uint64_t keep_after = c->snapshot_index - kEntriesKeptBehindSnapshot;
+    uint64_t term = 0;
+    consensus_log_term(c, keep_after, &term);
+    g_ptr_array_remove_range(c->entries, 0, (guint)(keep_after - c->offset));
+    c->offset = keep_after;
+    c->offset_term = term;
+}
+
+/* Writes a snapshot when enough was applied since the last. */
+void
+consensus_snapshot_when_due(Consensus *c)
+{
+    uint64_t term = 0;
+    if (c->applied_index - c->snapshot_index < c->timing.snapshot_every ||
+        !consensus_log_term(c, c->applied_index, &term)) {
+        return;
+    }
+    if (c->members_index <= c->applied_index) {
+        consensus_members_copy(c->members, c->snapshot_members);
+        c->snapshot_members_index = c->members_index;
+    }
+    GBytes *state = c->port.dump(c->port.ctx);
+    GBytes *snapshot =
+        snapshot_pack(c->snapshot_members, c->snapshot_members_index, state);
+    consensus_snapshot_adopt(c, snapshot, c->applied_index, term);
+    drop_entries_before_snapshot(c);
+    consensus_fail_if(c, c->port.storage.save_snapshot(c->port.storage.ctx,
+                                                       c->snapshot_index, term,
+                                                       snapshot, c->entries));
+    g_bytes_unref(snapshot);
+    g_bytes_unref(state);
+}
+
+gboolean
+consensus_log_load(Consensus *c, uint64_t now_us, const ConsensusSaved *saved,
+                   GError **error)
+{
+    c->term = saved->term;
+    if (saved->voted_for != NULL && saved->voted_for[0] != '\0') {
+        c->voted_for = g_strdup(saved->voted_for);
+    }
+    if (saved->snapshot != NULL) {
+        if (!consensus_snapshot_unpack(c, now_us, saved->snapshot, error)) {
+            return FALSE;
+        }
+        consensus_snapshot_adopt(c, saved->snapshot, saved->snapshot_index,
+                                 saved->snapshot_term);
+        c->offset = saved->snapshot_index;
+        c->offset_term = saved->snapshot_term;
+        c->commit_index = saved->snapshot_index;
+        c->applied_index = saved->snapshot_index;
+    }
+    for (guint i = 0; i < saved->entries->len; i++) {
+        ConsensusEntry *e = g_ptr_array_index(saved->entries, i);
+        if (e->index <= c->offset) {
+            continue;
+        }
+        if (e->index != consensus_last_index(c) + 1) {
+            g_set_error(error, CORE_ERROR, kCoreErrorCorrupt,
+                        "log entry %" G_GUINT64_FORMAT
+                        " follows %" G_GUINT64_FORMAT,
+                        e->index, consensus_last_index(c));
+            return FALSE;
+        }
+        g_ptr_array_add(
+            c->entries,
+            consensus_entry_new(e->index, e->term, g_bytes_ref(e->command)));
+    }
+    c->synced_index = consensus_last_index(c);
+    consensus_members_recompute(c, now_us);
+    return TRUE;
+}
--- /dev/null
+++ b/src/sapphireweir/core/consensus_members.c
@@ -0,0 +1,307 @@
+#include <string.h>
+
+#include "core/consensus_internal.h"
+#include "core/error.h"
+#include "core/schema.h"
+
+/* Members of the consensus: who votes, and how that changes one at a time.
+ * A list of members takes effect as soon as it is in the log. */
+
+/* Makes a member record; free it with consensus_member_free. */
+ConsensusMember *
+consensus_member_new(const char *id, const char *disk,
+                     const char *peer_address, const char *failure_domain,
+                     gboolean voter)
+{
+    ConsensusMember *m = g_new0(ConsensusMember, 1);
+    m->id = g_strdup(id);
+    m->disk = g_strdup(disk);
+    m->peer_address = g_strdup(peer_address);
+    m->failure_domain = g_strdup(failure_domain);
+    m->voter = voter;
+    return m;
+}
+
+/* Frees a member record. */
+void
+consensus_member_free(void *member)
+{
+    ConsensusMember *m = member;
+    g_free(m->id);
+    g_free(m->disk);
+    g_free(m->peer_address);
+    g_free(m->failure_domain);
+    g_free(m);
+}
+
+/* Returns the members in force, learners included. */
+const GPtrArray *
+consensus_members(const Consensus *c)
+{
+    return c->members;
+}
+
+/* Returns a member by its id or NULL. */
+ConsensusMember *
+consensus_member_find(const Consensus *c, const char *id)
+{
+    for (guint i = 0; i < c->members->len; i++) {
+        ConsensusMember *m = g_ptr_array_index(c->members, i);
+        if (strcmp(m->id, id) == 0) {
+            return m;
+        }
+    }
+    return NULL;
+}
+
+/* Tells whether this instance, with this disk, is a voter. */
+gboolean
+consensus_self_votes(const Consensus *c)
+{
+    ConsensusMember *m = consensus_member_find(c, c->id);
+    return m != NULL && m->voter && strcmp(m->disk, c->disk) == 0;
+}
+
+/* Returns how many members vote. */
+uint32_t
+consensus_voter_count(const Consensus *c)
+{
+    uint32_t count = 0;
+    for (guint i = 0; i < c->members->len; i++) {
+        ConsensusMember *m = g_ptr_array_index(c->members, i);
+        count += m->voter ? 1 : 0;
+    }
+    return count;
+}
+
+/* Returns how many votes make a majority. */
+uint32_t
+consensus_majority(const Consensus *c)
+{
+    return consensus_voter_count(c) / 2 + 1;
+}
+
+/* Returns the members as JSON. */
+json_t *
+consensus_members_to_json(const GPtrArray *members)
+{
+    json_t *list = json_array();
+    for (guint i = 0; i < members->len; i++) {
+        ConsensusMember *m = g_ptr_array_index(members, i);
+        json_array_append_new(list,
+                              json_pack("{s:s, s:s, s:s, s:s, s:b}", "id",
+                                        m->id, "disk", m->disk, "peer_address",
+                                        m->peer_address, "failure_domain",
+                                        m->failure_domain, "voter", m->voter));
+    }
+    return list;
+}
+
+/* Reads a member list back. */
+void
+consensus_members_from_json(const json_t *list, GPtrArray *out)
+{
+    size_t i;
+    json_t *m;
+
+    g_ptr_array_set_size(out, 0);
+    json_array_foreach(list, i, m)
+    {
+        g_ptr_array_add(
+            out, consensus_member_new(json_text_or(m, "id", ""),
+                                      json_text_or(m, "disk", ""),
+                                      json_text_or(m, "peer_address", ""),
+                                      json_text_or(m, "failure_domain", ""),
+                                      json_flag(m, "voter")));
+    }
+}
+
+/* Makes the second list equal to the first. */
+void
+consensus_members_copy(const GPtrArray *from, GPtrArray *to)
+{
+    json_t *list = consensus_members_to_json(from);
+    consensus_members_from_json(list, to);
+    json_decref(list);
+}
+
+/* Makes the log entry of a member list. */
+GBytes *
+consensus_members_entry(const GPtrArray *members)
+{
+    json_t *list = consensus_members_to_json(members);
+    char *text = json_dumps(list, JSON_COMPACT);
+    GBytes *packed = consensus_entry_pack(kEntryMembers, text, strlen(text));
+    free(text);
+    json_decref(list);
+    return packed;
+}
+
+static void
+members_read_entry(const ConsensusEntry *e, GPtrArray *out)
+{
+    size_t size;
+    const char *data = g_bytes_get_data(e->command, &size);
+    json_t *list = json_loadb(data + 1, size - 1, 0, NULL);
+    consensus_members_from_json(list, out);
+    json_decref(list);
+}
+
+/* Returns the leader's view of a member or NULL. */
+Progress *
+consensus_progress_of(Consensus *c, const char *id)
+{
+    return g_hash_table_lookup(c->progress, id);
+}
+
+/* Begins to track members that are not tracked yet. */
+void
+consensus_progress_refresh(Consensus *c, uint64_t now_us)
+{
+    for (guint i = 0; i < c->members->len; i++) {
+        ConsensusMember *m = g_ptr_array_index(c->members, i);
+        if (consensus_progress_of(c, m->id) != NULL) {
+            continue;
+        }
+        Progress *p = g_new0(Progress, 1);
+        p->next_index = consensus_last_index(c) + 1;
+        p->acked_us = now_us;
+        g_hash_table_insert(c->progress, g_strdup(m->id), p);
+    }
+}
+
+/* A member list takes effect as soon as it is in the log. */
+void
+consensus_members_take_effect(Consensus *c, uint64_t now_us,
+                              const ConsensusEntry *e)
+{
+    members_read_entry(e, c->members);
+    c->members_index = e->index;
+    if (c->role == kConsensusLeader) {
+        consensus_progress_refresh(c, now_us);
+    }
+    c->port.members_changed(c->port.ctx, c->members);
+}
+
+/* After a truncation: the last member list still in the log, else the one
+ * of the snapshot. */
+void
+consensus_members_recompute(Consensus *c, uint64_t now_us)
+{
+    for (guint i = c->entries->len; i > 0; i--) {
+        ConsensusEntry *e = g_ptr_array_index(c->entries, i - 1);
+        if (consensus_entry_kind(e) == kEntryMembers) {
+            consensus_members_take_effect(c, now_us, e);
+            return;
+        }
+    }
+    consensus_members_copy(c->snapshot_members, c->members);
+    c->members_index = c->snapshot_members_index;
+    c->port.members_changed(c->port.ctx, c->members);
+}
+
+/* Makes a learner a voter once it holds what is committed. */
+void
+consensus_promote_caught_up(Consensus *c, uint64_t now_us, const char *from,
+                            const Progress *p)
+{
+    ConsensusMember *m = consensus_member_find(c, from);
+    if (m == NULL || m->voter || p->match_index < c->commit_index ||
+        c->members_index > c->commit_index) {
+        return;
+    }
+    GPtrArray *changed = g_ptr_array_new_with_free_func(consensus_member_free);
+    consensus_members_copy(c->members, changed);
+    for (guint i = 0; i < changed->len; i++) {
+        ConsensusMember *n = g_ptr_array_index(changed, i);
+        n->voter = n->voter || strcmp(n->id, from) == 0;
+    }
+    consensus_log_append(
+        c, now_us,
+        consensus_entry_new(consensus_last_index(c) + 1, c->term,
+                            consensus_members_entry(changed)));
+    g_ptr_array_unref(changed);
+}
+
+static gboolean
+members_may_change(const Consensus *c, GError **error)
+{
+    if (c->role != kConsensusLeader) {
+        g_set_error_literal(error, CORE_ERROR, kCoreErrorInvalid,
+                            "this control instance does not lead");
+        return FALSE;
+    }
+    if (c->members_index > c->commit_index ||
+        c->commit_index < c->term_start_index) {
+        g_set_error_literal(error, CORE_ERROR, kCoreErrorConflict,
+                            "an earlier membership change is under way");
+        return FALSE;
+    }
+    return TRUE;
+}
+
+static void
+propose_members(Consensus *c, uint64_t now_us, const GPtrArray *changed)
+{
+    consensus_log_append(
+        c, now_us,
+        consensus_entry_new(consensus_last_index(c) + 1, c->term,
+                            consensus_members_entry(changed)));
+    consensus_replicate_idle(c, now_us);
+}
+
+/* Adds a control instance as a learner; it becomes a voter by itself once
+ * it holds the whole log on its disk.  Fails with kCoreErrorConflict while
+ * another change is under way or when the id is taken. */
+gboolean
+consensus_member_add(Consensus *c, uint64_t now_us,
+                     const ConsensusMember *member, GError **error)
+{
+    if (!members_may_change(c, error)) {
+        return FALSE;
+    }
+    if (consensus_member_find(c, member->id) != NULL) {
+        g_set_error(error, CORE_ERROR, kCoreErrorConflict,
+                    "%s is a member; remove it first", member->id);
+        return FALSE;
+    }
+    GPtrArray *changed = g_ptr_array_new_with_free_func(consensus_member_free);
+    consensus_members_copy(c->members, changed);
+    g_ptr_array_add(changed,
+                    consensus_member_new(member->id, member->disk,
+                                         member->peer_address,
+                                         member->failure_domain, FALSE));
+    propose_members(c, now_us, changed);
+    g_ptr_array_unref(changed);
+    return TRUE;
+}
+
+/* Removes a control instance.  Fails when it is not a member, is the last
+ * voter, or while another change is under way. */
+gboolean
+consensus_member_remove(Consensus *c, uint64_t now_us, const char *id,
+                        GError **error)
+{
+    ConsensusMember *m = consensus_member_find(c, id);
+    if (!members_may_change(c, error)) {
+        return FALSE;
+    }
+    if (m == NULL || (m->voter && consensus_voter_count(c) == 1)) {
+        g_set_error(error, CORE_ERROR, kCoreErrorNotFound,
+                    "%s is not a member that can be removed", id);
+        return FALSE;
+    }
+    GPtrArray *changed = g_ptr_array_new_with_free_func(consensus_member_free);
+    consensus_members_copy(c->members, changed);
+    for (guint i = 0; i < changed->len; i++) {
+        ConsensusMember *each = g_ptr_array_index(changed, i);
+        if (strcmp(each->id, id) == 0) {
+            g_ptr_array_remove_index(changed, i);
+            break;
+        }
+    }
+    propose_members(c, now_us, changed);
+    g_ptr_array_unref(changed);
+    g_hash_table_remove(c->progress, id);
+    return TRUE;
+}
--- a/test/fuzz/fuzz_control.c
+++ b/test/fuzz/fuzz_control.c
@@ -87,16 +87,14 @@
                                   .lease_us = 3000000,
                                   .announce_silence_us = 3000000,
                                   .suspect_us = 200000};
-    const ControlPort port = {
-        NULL,
-        sink_send,
-        sink_address,
-        sink_random,
-        {NULL, save_vote, save_entry, save_truncate, save_snapshot,
-         sync_nothing}};
+    const ControlPort port = {NULL,
+                              sink_send,
+                              sink_address,
+                              sink_random,
+                              {NULL, save_vote, save_entry, save_truncate,
+                               save_snapshot, sync_nothing}};
     ConsensusSaved saved = {.entries = g_ptr_array_new()};
-    GPtrArray *members =
-        g_ptr_array_new_with_free_func(consensus_member_free);
+    GPtrArray *members = g_ptr_array_new_with_free_func(consensus_member_free);
     g_ptr_array_add(members, consensus_member_new("c", "", "", "d", TRUE));
     ControlCore *k = control_core_new(&config, &port);
 
--- a/test/unit/test_settings.c
+++ b/test/unit/test_settings.c
@@ -20,8 +20,7 @@
     "[instance]\nid = \"a\"\nfailure_domain = \"d\"\n"                        \
     "[cluster]\nname = \"c\"\nsecret_file = \"%s\"\n"                         \
     "[data]\nfolder = \"/x\"\n"
-#define LISTEN                                                                \
-    "[listen]\nhttp = \"127.0.0.1:1\"\npeer = \"127.0.0.1:2\"\n"
+#define LISTEN "[listen]\nhttp = \"127.0.0.1:1\"\npeer = \"127.0.0.1:2\"\n"
 
 static void
 files_are_checked_as_a_whole(void)
@@ -61,8 +60,7 @@
             settings_clear(&s);
         }
         else if (cases[i].complaint != NULL) {
-            CU_ASSERT_PTR_NOT_NULL(
-                strstr(error->message, cases[i].complaint));
+            CU_ASSERT_PTR_NOT_NULL(strstr(error->message, cases[i].complaint));
             CU_ASSERT_PTR_NOT_NULL(strstr(error->message, "settings.toml"));
         }
         g_clear_error(&error);
