Share the start of the servers and the copying of messages

Cause: both mains parsed, checked and reported the same way, and five places copied a protobuf message by hand.

Change: program_begin and message_copy.

--- a/src/sapphireweir/adapter/program.c
+++ b/src/sapphireweir/adapter/program.c
@@ -4,14 +4,14 @@
 #include <stdio.h>
 #include <stdlib.h>
 
+#include "adapter/log.h"
 #include "core/error.h"
 
 /* Parses the command line of a server.  --help and --version end the
  * process.  Fails with a message for the user. */
-gboolean
-program_parse_options(int *argc, char ***argv, const char *summary,
-                      gboolean with_bootstrap, ProgramOptions *out,
-                      GError **error)
+static gboolean
+parse_options(int *argc, char ***argv, const char *summary,
+              gboolean with_bootstrap, ProgramOptions *out, GError **error)
 {
     gboolean version = FALSE;
     GOptionEntry entries[] = {
@@ -50,6 +50,55 @@
     return ok;
 }
 
+static void
+print_reference(SettingsProgram program)
+{
+    GString *text = g_string_new(NULL);
+    settings_write_reference(program, text);
+    fputs(text->str, stdout);
+    g_string_free(text, TRUE);
+}
+
+/* Begins a server: command line, settings, logs.  FALSE: the process ends
+ * with the code, having told the user why. */
+gboolean
+program_begin(int *argc, char ***argv, const char *name, const char *summary,
+              SettingsProgram program, ProgramOptions *options,
+              Settings *settings, ExitCode *code)
+{
+    GError *error = NULL;
+
+    *code = kExitUsage;
+    if (sodium_init() < 0) {
+        fprintf(stderr, "no source of random numbers\n");
+        return FALSE;
+    }
+    if (!parse_options(argc, argv, summary, program == kSettingsControl,
+                       options, &error)) {
+        fprintf(stderr, "%s\n", error->message);
+        g_error_free(error);
+        return FALSE;
+    }
+    if (options->reference) {
+        print_reference(program);
+        *code = kExitOk;
+        return FALSE;
+    }
+    if (!settings_load(options->settings_path, program, settings, &error)) {
+        fprintf(stderr, "%s\n", error->message);
+        g_error_free(error);
+        return FALSE;
+    }
+    *code = kExitOk;
+    if (options->check) {
+        printf("%s: fine\n", options->settings_path);
+        settings_clear(settings);
+        return FALSE;
+    }
+    log_start(name, settings->id, settings->log_json, settings->log_debug);
+    return TRUE;
+}
+
 /* Returns a random number for the core's random port. */
 uint64_t
 program_random(void *ctx)
--- a/src/sapphireweir/adapter/program.h
+++ b/src/sapphireweir/adapter/program.h
@@ -4,6 +4,8 @@
 #include <glib.h>
 #include <stdint.h>
 
+#include "adapter/settings.h"
+
 #define SAPPHIREWEIR_VERSION "0.1.0"
 
 /* Exit codes of all programs. */
@@ -24,9 +26,10 @@
     char *trace_path;   /* entry only */
 } ProgramOptions;
 
-gboolean program_parse_options(int *argc, char ***argv, const char *summary,
-                               gboolean with_bootstrap, ProgramOptions *out,
-                               GError **error);
+gboolean program_begin(int *argc, char ***argv, const char *name,
+                       const char *summary, SettingsProgram program,
+                       ProgramOptions *options, Settings *settings,
+                       ExitCode *code);
 uint64_t program_random(void *ctx);
 
 #endif
--- a/src/sapphireweir/control/main.c
+++ b/src/sapphireweir/control/main.c
@@ -1,13 +1,10 @@
 #include <event2/event.h>
 #include <signal.h>
-#include <sodium.h>
-#include <stdio.h>
 #include <string.h>
 
 #include "adapter/clock.h"
 #include "adapter/disk.h"
 #include "adapter/http.h"
-#include "adapter/log.h"
 #include "adapter/peer.h"
 #include "adapter/program.h"
 #include "adapter/settings.h"
@@ -311,34 +308,14 @@
     ProgramOptions options = {0};
     Control c = {0};
     GError *error = NULL;
+    ExitCode code;
 
-    if (sodium_init() < 0 ||
-        !program_parse_options(
-            &argc, &argv,
+    if (!program_begin(
+            &argc, &argv, "sapphireweir-control",
             "A control instance of sapphireweir: keeps the replicated log.",
-            TRUE, &options, &error)) {
-        fprintf(stderr, "%s\n",
-                error == NULL ? "no random source" : error->message);
-        return kExitUsage;
+            kSettingsControl, &options, &c.settings, &code)) {
+        return (int)code;
     }
-    if (options.reference) {
-        GString *text = g_string_new(NULL);
-        settings_write_reference(kSettingsControl, text);
-        fputs(text->str, stdout);
-        g_string_free(text, TRUE);
-        return kExitOk;
-    }
-    if (!settings_load(options.settings_path, kSettingsControl, &c.settings,
-                       &error)) {
-        fprintf(stderr, "%s\n", error->message);
-        return kExitUsage;
-    }
-    if (options.check) {
-        printf("%s: fine\n", options.settings_path);
-        return kExitOk;
-    }
-    log_start("sapphireweir-control", c.settings.id, c.settings.log_json,
-              c.settings.log_debug);
     c.exit_code = kExitOk;
     if (start(&c, options.bootstrap, &error)) {
         run(&c);
--- a/src/sapphireweir/core/consensus.c
+++ b/src/sapphireweir/core/consensus.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "core/consensus_internal.h"
+#include "core/message.h"
 
 /* Raft (Ongaro and Ousterhout 2014) with pre-vote, check-quorum, reads
  * confirmed by a round of the leader, one-at-a-time membership changes
@@ -68,18 +69,6 @@
 
 /* ---- messages ---- */
 
-static Sw__ConsensusMessage *
-message_copy(const Sw__ConsensusMessage *m)
-{
-    size_t size = sw__consensus_message__get_packed_size(m);
-    uint8_t *packed = g_malloc(size);
-    sw__consensus_message__pack(m, packed);
-    Sw__ConsensusMessage *copy =
-        sw__consensus_message__unpack(NULL, size, packed);
-    g_free(packed);
-    return copy;
-}
-
 /* Queues a message for the next flush. */
 static void
 send_later(Consensus *c, const char *to, Sw__ConsensusMessage *m)
--- a/src/sapphireweir/core/control_core.c
+++ b/src/sapphireweir/core/control_core.c
@@ -4,6 +4,7 @@
 
 #include "core/control_defs.h"
 #include "core/error.h"
+#include "core/message.h"
 #include "core/schema.h"
 
 static void
@@ -345,20 +346,8 @@
     w->due_us = now_us + kForwardExpiryUs;
     w->to = g_strdup(to);
     w->request_id = request_id;
-    if (lease != NULL) {
-        size_t size = sw__lease_request__get_packed_size(lease);
-        uint8_t *packed = g_malloc(size);
-        sw__lease_request__pack(lease, packed);
-        w->lease = sw__lease_request__unpack(NULL, size, packed);
-        g_free(packed);
-    }
-    if (admin != NULL) {
-        size_t size = sw__admin_request__get_packed_size(admin);
-        uint8_t *packed = g_malloc(size);
-        sw__admin_request__pack(admin, packed);
-        w->admin = sw__admin_request__unpack(NULL, size, packed);
-        g_free(packed);
-    }
+    w->lease = lease == NULL ? NULL : message_copy(lease);
+    w->admin = admin == NULL ? NULL : message_copy(admin);
     g_queue_push_tail(&k->waiting_reads, w);
 }
 
--- a/src/sapphireweir/core/job.c
+++ b/src/sapphireweir/core/job.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "core/message.h"
 #include "core/pool_defs.h"
 #include "core/schema.h"
 
@@ -35,13 +36,9 @@
 job_new(Pool *p, uint64_t now_us, const char *origin, uint64_t frame_id,
         const Sw__WorkRequest *r)
 {
-    size_t size = sw__work_request__get_packed_size(r);
-    uint8_t *packed = g_malloc(size);
     Job *j = g_new0(Job, 1);
 
-    sw__work_request__pack(r, packed);
-    j->request = sw__work_request__unpack(NULL, size, packed);
-    g_free(packed);
+    j->request = message_copy(r);
     j->pool = p;
     j->origin = g_strdup(origin);
     j->frame_id = frame_id;
--- a/src/sapphireweir/core/monitor.c
+++ b/src/sapphireweir/core/monitor.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "core/message.h"
 #include "core/pool_defs.h"
 #include "core/schema.h"
 
@@ -403,13 +404,9 @@
             return;
         }
     }
-    size_t size = sw__member_command__get_packed_size(c);
-    uint8_t *packed = g_malloc(size);
-    sw__member_command__pack(c, packed);
     PendingCommand *added = g_new0(PendingCommand, 1);
     added->from = g_strdup(from);
-    added->command = sw__member_command__unpack(NULL, size, packed);
-    g_free(packed);
+    added->command = message_copy(c);
     g_queue_push_tail(&p->commands, added);
     if (p->monitor != NULL && p->monitor_state == kMonitorIdle) {
         command_run(p, now_us, added, kCommandGuard);
--- a/src/sapphireweir/entry/main.c
+++ b/src/sapphireweir/entry/main.c
@@ -1,13 +1,10 @@
 #include <event2/event.h>
 #include <signal.h>
-#include <sodium.h>
-#include <stdio.h>
 #include <string.h>
 
 #include "adapter/backend.h"
 #include "adapter/clock.h"
 #include "adapter/http.h"
-#include "adapter/log.h"
 #include "adapter/peer.h"
 #include "adapter/program.h"
 #include "adapter/settings.h"
@@ -385,34 +382,13 @@
     ProgramOptions options = {0};
     Entry e = {0};
     GError *error = NULL;
-    int exit_code = kExitOk;
-
-    if (sodium_init() < 0 ||
-        !program_parse_options(
-            &argc, &argv, "An entry instance of sapphireweir: serves callers.",
-            FALSE, &options, &error)) {
-        fprintf(stderr, "%s\n",
-                error == NULL ? "no random source" : error->message);
-        return kExitUsage;
-    }
-    if (options.reference) {
-        GString *text = g_string_new(NULL);
-        settings_write_reference(kSettingsEntry, text);
-        fputs(text->str, stdout);
-        g_string_free(text, TRUE);
-        return kExitOk;
-    }
-    if (!settings_load(options.settings_path, kSettingsEntry, &e.settings,
-                       &error)) {
-        fprintf(stderr, "%s\n", error->message);
-        return kExitUsage;
-    }
-    if (options.check) {
-        printf("%s: fine\n", options.settings_path);
-        return kExitOk;
+    ExitCode code;
+
+    if (!program_begin(&argc, &argv, "sapphireweir-entry",
+                       "An entry instance of sapphireweir: serves callers.",
+                       kSettingsEntry, &options, &e.settings, &code)) {
+        return (int)code;
     }
-    log_start("sapphireweir-entry", e.settings.id, e.settings.log_json,
-              e.settings.log_debug);
     e.trace_path = options.trace_path;
     if (start(&e, &error)) {
         run(&e);
@@ -420,9 +396,10 @@
     else {
         g_critical("%s", error->message);
         g_error_free(error);
-        exit_code = kExitFailure;
+        code = kExitFailure;
     }
     stop(&e);
     g_free(options.settings_path);
-    return exit_code;
+    g_free(options.trace_path);
+    return (int)code;
 }
