Free what is under way when an entry core ends

Cause: the unit tests under ASan reported 37,730 bytes leaked: connections, queued and running work of cores that were freed in the middle of it.

Change: pool_free frees them.

--- a/src/sapphireweir/core/job.c
+++ b/src/sapphireweir/core/job.c
@@ -49,7 +49,8 @@
     return j;
 }
 
-static void
+/* Frees a job without an answer. */
+void
 job_free(Job *j)
 {
     if (j->transaction != NULL) {
--- a/src/sapphireweir/core/pool.c
+++ b/src/sapphireweir/core/pool.c
@@ -92,11 +92,34 @@
     return p;
 }
 
-/* Frees a pool.  Its jobs must have ended. */
+static void
+free_jobs(Pool *p)
+{
+    Job *queued;
+    while ((queued = fair_queue_pop(p->queue)) != NULL) {
+        job_free(queued);
+    }
+    for (guint i = 0; i < p->majority->len; i++) {
+        job_free(g_ptr_array_index(p->majority, i));
+    }
+    for (guint i = 0; i < p->connections->len; i++) {
+        PoolConnection *c = g_ptr_array_index(p->connections, i);
+        if (c->job != NULL) {
+            job_free(c->job);
+        }
+        if (c->transaction != NULL) {
+            pool_transaction_free(c->transaction);
+        }
+    }
+}
+
+/* Frees a pool; what is under way gets no answer. */
 void
 pool_free(void *pool)
 {
     Pool *p = pool;
+    free_jobs(p);
+    g_free(p->monitor);
     monitor_clear(p);
     fair_queue_free(p->queue);
     g_ptr_array_unref(p->connections);
--- a/src/sapphireweir/core/pool_defs.h
+++ b/src/sapphireweir/core/pool_defs.h
@@ -199,6 +199,7 @@
 /* job.c */
 Job *job_new(Pool *p, uint64_t now_us, const char *origin, uint64_t frame_id,
              const Sw__WorkRequest *r);
+void job_free(Job *j);
 void job_start(Job *j, uint64_t now_us, PoolConnection *c);
 void job_result(Job *j, uint64_t now_us, const BackendResult *result);
 void job_connection_lost(Job *j, uint64_t now_us, gboolean silent);
