Measure the proxied path beside libpq straight to the stand-in

Cause: the added latency and throughput were not known.

Change: make bench, one run with both paths, as figures and ratios.

--- a/Makefile
+++ b/Makefile
@@ -37,6 +37,10 @@
 soak: build
 	SAPPHIREWEIR_SOAK_SEED=$(SEED) ./$(BUILD)/test/unit_tests
 
+# The proxied path against libpq straight to the stand-in, as ratios.
+bench: build
+	./scripts/bench.sh
+
 # Slopes of the decision core; docs/CAPACITY.md quotes the table.
 capacity: build
 	./$(BUILD)/test/capacity | tee $(BUILD)/capacity.md
