Replay traces of the real program, and test the edges

Cause: traces had been replayed only from the in-process fakes; garbage, TLS reload and wrong settings had no functional test.

Change: traces hold operator token, platform key and raw bytes; the planned stop is recorded; functional tests for the edges.

--- a/scripts/install_deps.sh
+++ b/scripts/install_deps.sh
@@ -24,6 +24,7 @@
     libssl-dev
     libtomlplusplus-dev
     libxxhash-dev
+    openssl
     pkg-config
     protobuf-c-compiler
     zlib1g-dev
--- a/src/sapphireweir/adapter/trace.c
+++ b/src/sapphireweir/adapter/trace.c
@@ -8,8 +8,8 @@
 
 #include "core/error.h"
 
-/* A trace holds what callers sent, keys included, so its file is readable
- * by its owner only.  Lines with "e" are events, those with "a" the actions
+/* A trace holds the cluster's secret and what callers sent, keys included,
+ * so its file is readable by its owner only.  Lines with "e" are events, those with "a" the actions
  * the core answered them with, in order. */
 
 struct Trace {
@@ -53,13 +53,16 @@
     sodium_bin2hex(secret, sizeof(secret), config->secret,
                    sizeof(config->secret));
     write_line(
-        t, json_pack("{s:s, s:I, s:s, s:s, s:s, s:s, s:I, s:I, s:s, s:o}", "e",
-                     "start", "t", (json_int_t)now_us, "id", config->id,
-                     "failure_domain", config->failure_domain, "peer",
-                     config->peer_address, "http", config->http_address,
-                     "incarnation", (json_int_t)config->incarnation,
-                     "wall_offset", (json_int_t)config->wall_offset_us,
-                     "secret", secret, "controls", controls));
+        t,
+        json_pack("{s:s, s:I, s:s, s:s, s:s, s:s, s:I, s:I, s:s, s:s?, "
+                  "s:s?, s:o}",
+                  "e", "start", "t", (json_int_t)now_us, "id", config->id,
+                  "failure_domain", config->failure_domain, "peer",
+                  config->peer_address, "http", config->http_address,
+                  "incarnation", (json_int_t)config->incarnation,
+                  "wall_offset", (json_int_t)config->wall_offset_us, "secret",
+                  secret, "operator_token", config->operator_token,
+                  "platform_key", config->platform_key, "controls", controls));
     return t;
 }
 
@@ -87,6 +90,15 @@
     }
 }
 
+/* Callers may send any bytes; JSON holds text only. */
+static void
+set_bytes(json_t *line, const char *name, const char *data, size_t size)
+{
+    char *text = g_base64_encode((const guchar *)data, size);
+    set_text(line, name, text);
+    g_free(text);
+}
+
 /* Records a request. */
 void
 trace_request(Trace *t, uint64_t now_us, const CallerRequest *r)
@@ -94,9 +106,8 @@
     json_t *line = event("request", now_us);
     json_object_set_new(line, "id", json_integer((json_int_t)r->id));
     set_text(line, "method", r->method);
-    set_text(line, "path", r->path);
-    json_object_set_new(line, "body",
-                        json_stringn_nocheck(r->body, r->body_bytes));
+    set_bytes(line, "path64", r->path, strlen(r->path));
+    set_bytes(line, "body64", r->body, r->body_bytes);
     set_text(line, "authorization", r->authorization);
     set_text(line, "session_token", r->session_token);
     set_text(line, "idempotency_key", r->idempotency_key);
@@ -184,6 +195,13 @@
     write_line(t, event("drain", now_us));
 }
 
+/* Records that the drained instance leaves. */
+void
+trace_leave(Trace *t, uint64_t now_us)
+{
+    write_line(t, event("leave", now_us));
+}
+
 /* ---- actions ---- */
 
 static void
--- a/src/sapphireweir/adapter/trace.h
+++ b/src/sapphireweir/adapter/trace.h
@@ -30,5 +30,6 @@
                   const BackendResult *result);
 void trace_tick(Trace *t, uint64_t now_us);
 void trace_drain(Trace *t, uint64_t now_us);
+void trace_leave(Trace *t, uint64_t now_us);
 
 #endif
--- a/src/sapphireweir/entry/main.c
+++ b/src/sapphireweir/entry/main.c
@@ -53,6 +53,9 @@
         e->busy_us = now_us;
     }
     if (now_us - e->busy_us > kDrainQuietUs) {
+        if (e->trace != NULL) {
+            trace_leave(e->trace, now_us);
+        }
         entry_core_leave(e->core, now_us);
     }
     if (entry_core_has_left(e->core) ||
--- a/src/tools/replay/replay.c
+++ b/src/tools/replay/replay.c
@@ -27,6 +27,9 @@
 
 /* ---- the trace ---- */
 
+static void note_difference(Replay *r, const char *format, ...)
+    G_GNUC_PRINTF(2, 3);
+
 static json_t *
 peek(Replay *r)
 {
@@ -36,6 +39,9 @@
     if (r->next == NULL && getline(&text, &size, r->file) > 0) {
         r->next = json_loads(text, 0, NULL);
         r->line++;
+        if (r->next == NULL) {
+            note_difference(r, "the line is no JSON");
+        }
     }
     free(text);
     return r->next;
@@ -49,9 +55,6 @@
     return line;
 }
 
-static void note_difference(Replay *r, const char *format, ...)
-    G_GNUC_PRINTF(2, 3);
-
 static void
 note_difference(Replay *r, const char *format, ...)
 {
@@ -230,6 +233,8 @@
         .incarnation = (uint64_t)json_integer_or(line, "incarnation", 0),
         .controls = r->controls,
         .control_count = MIN(i, kControlsMax),
+        .operator_token = json_text_or(line, "operator_token", NULL),
+        .platform_key = json_text_or(line, "platform_key", NULL),
         .wall_offset_us = json_integer_or(line, "wall_offset", 0),
         .read_replicas = TRUE,
     };
@@ -249,13 +254,19 @@
 static void
 do_request(Replay *r, uint64_t now_us, const json_t *line)
 {
-    const char *body = json_text_or(line, "body", "");
+    gsize body_bytes;
+    gsize path_bytes;
+    guchar *body =
+        g_base64_decode(json_text_or(line, "body64", ""), &body_bytes);
+    guchar *raw =
+        g_base64_decode(json_text_or(line, "path64", ""), &path_bytes);
+    char *path = g_strndup((const char *)raw, path_bytes);
     CallerRequest request = {
         .id = (uint64_t)json_integer_or(line, "id", 0),
         .method = json_text_or(line, "method", ""),
-        .path = json_text_or(line, "path", ""),
-        .body = body,
-        .body_bytes = json_string_length(json_object_get(line, "body")),
+        .path = path,
+        .body = (const char *)body,
+        .body_bytes = body_bytes,
         .authorization = json_text_or(line, "authorization", NULL),
         .session_token = json_text_or(line, "session_token", NULL),
         .idempotency_key = json_text_or(line, "idempotency_key", NULL),
@@ -264,6 +275,9 @@
         .operation_id = json_text_or(line, "operation_id", NULL),
     };
     entry_core_request(r->core, now_us, &request);
+    g_free(path);
+    g_free(raw);
+    g_free(body);
 }
 
 static void
@@ -327,6 +341,9 @@
         entry_core_abandon(r->core, now_us,
                            (uint64_t)json_integer_or(line, "id", 0));
     }
+    else if (strcmp(name, "leave") == 0) {
+        entry_core_leave(r->core, now_us);
+    }
     else if (strcmp(name, "drain") == 0) {
         entry_core_drain(r->core, now_us);
     }
--- /dev/null
+++ b/test/functional/edges.h
@@ -0,0 +1,10 @@
+#ifndef SAPPHIREWEIR_TEST_EDGES_H
+#define SAPPHIREWEIR_TEST_EDGES_H
+
+#include "fleet.h"
+
+void garbage_on_the_peer_port_is_counted(const Fleet *f);
+void a_certificate_is_reloaded(void);
+void wrong_settings_are_told_at_once(void);
+
+#endif
--- a/test/functional/fleet.c
+++ b/test/functional/fleet.c
@@ -4,6 +4,7 @@
 #include <errno.h>
 #include <signal.h>
 #include <stdarg.h>
+#include <stdio.h>
 #include <string.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -191,6 +192,9 @@
         curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &a.status);
     }
     a.body = g_string_free(text, FALSE);
+    if (g_getenv("SAPPHIREWEIR_SHOW") != NULL && a.status != 200) {
+        fprintf(stderr, "%s%s: %ld %s\n", address, path, a.status, a.body);
+    }
     curl_slist_free_all(headers);
     curl_easy_cleanup(curl);
     g_free(url);
--- a/test/functional/test_fleet.c
+++ b/test/functional/test_fleet.c
@@ -5,6 +5,7 @@
 #include <string.h>
 #include <unistd.h>
 
+#include "edges.h"
 #include "fleet.h"
 
 /* The programs as a user meets them: one demo fleet, used by all tests in
@@ -517,6 +518,12 @@
     json_decref(status);
 }
 
+static void
+garbage_is_counted(void)
+{
+    garbage_on_the_peer_port_is_counted(fleet);
+}
+
 int
 main(void)
 {
@@ -540,6 +547,9 @@
         {"the callers' page works as written",
          the_callers_page_works_as_written},
         {"bad input is refused clearly", bad_input_is_refused_clearly},
+        {"garbage on the peer port is counted", garbage_is_counted},
+        {"a certificate is reloaded", a_certificate_is_reloaded},
+        {"wrong settings are told at once", wrong_settings_are_told_at_once},
         {"SQL in an argument stays data", sql_in_an_argument_stays_data},
         {"interactive transactions cross instances",
          interactive_transactions_cross_instances},
