Try silent reads again sooner, and reach members past a lost owner

Cause: with connections gone silent a read used up its whole patience, and with primary, a pool owner and a control instance lost at once the fence went to the dead owner twice before its successor had it.

Change: a read silent for 8 times the usual service time starts once more on a fresh connection; from the second try on commands go to the successor too.

--- a/src/sapphireweir/core/job.c
+++ b/src/sapphireweir/core/job.c
@@ -110,6 +110,21 @@
 
 /* ---- steps ---- */
 
+/* Returns how long a statement may be silent.  A read that takes far longer
+ * than usual is tried once on another connection, as this one may have gone
+ * silent; after that, and for writes, only the deadline counts. */
+static uint64_t
+statement_silence_us(const Job *j, uint64_t now_us)
+{
+    uint64_t left_us = MAX(j->deadline_us, now_us) - now_us;
+    uint64_t usual_us =
+        MAX(j->pool->service_us * kSilentAfterServices, kSilenceUs);
+    if (!j->read_only || j->requeues > 0 || j->transaction != NULL) {
+        return left_us;
+    }
+    return MIN(left_us, usual_us);
+}
+
 static void
 send_statement(Job *j, uint64_t now_us)
 {
@@ -121,8 +136,8 @@
         gboolean null = i < 64 && ((s->null_mask >> i) & 1) != 0;
         parameters[i] = null ? NULL : s->args[i];
     }
-    pool_send(j->connection, now_us, MAX(j->deadline_us, now_us) - now_us,
-              s->sql, count, parameters);
+    pool_send(j->connection, now_us, statement_silence_us(j, now_us), s->sql,
+              count, parameters);
 }
 
 static void
@@ -646,7 +661,7 @@
         return;
     }
     gboolean again = silent && j->requeues < kJobRequeuesMax &&
-                     now_us + kSilenceUs < j->deadline_us;
+                     now_us + j->pool->service_us < j->deadline_us;
     if (again) {
         requeue(j, now_us);
         return;
--- a/src/sapphireweir/core/pool_defs.h
+++ b/src/sapphireweir/core/pool_defs.h
@@ -18,6 +18,7 @@
     kFirstServiceUs = 2000,
     kJobRequeuesMax = 2,
     kCancelAfterServices = 4, /* times the usual service time */
+    kSilentAfterServices = 8, /* likewise, for reads */
     kFreshSamplesMax = 128,
     kStalenessForgetUs = 5000000,
 };
--- a/src/sapphireweir/core/promotion.c
+++ b/src/sapphireweir/core/promotion.c
@@ -184,9 +184,12 @@
     command.promotion = g->promotion;
     frame.body_case = SW__FRAME__BODY_MEMBER_COMMAND;
     frame.member_command = &command;
-    /* Every third try goes to the successor, should the owner be lost. */
-    const InstanceInfo *to = owners[attempt % 3 == 2 ? count - 1 : 0];
-    k->port.send(k->port.ctx, to->id, &frame);
+    /* From the second try on the successor gets it too: the owner may be
+     * lost.  A member takes a command twice without harm. */
+    uint32_t reached = attempt > 1 ? count : 1;
+    for (uint32_t i = 0; i < reached; i++) {
+        k->port.send(k->port.ctx, owners[i]->id, &frame);
+    }
 }
 
 static gboolean
