Let the load tool check health as a balancer does

Cause: after an entry instance stopped, a ninth of the load still went to its closed port and counted as unanswered; and the stand-ins allowed each member 25 connections where the whole database has 25.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -23,6 +23,7 @@
 domains=(suva nadi lautoka)
 baseline=0
 trace=0
+member_connections=8
 while [ $# -gt 0 ]; do
     case "$1" in
     --build) build=$2; shift 2 ;;
@@ -37,6 +38,7 @@
     --domains) read -ra domains <<<"$2"; shift 2 ;;
     --baseline) baseline=1; shift ;;
     --trace) trace=1; shift ;;
+    --member-connections) member_connections=$2; shift 2 ;;
     --quiet) quiet=1; shift ;;
     *) echo "demo.sh: unknown argument $1" >&2; exit 2 ;;
     esac
@@ -192,7 +194,8 @@
             --failure-domain "${domains[$i]}" --listen "127.0.0.1:$sql"
             --faults "127.0.0.1:$faults" --data "$dir/data-$database-$member"
             --entries "${entry_list%,}" --platform-key "$(cat platform.key)"
-            --ordinal "$i" --service-us "$service_us" --lag-ms "$lag_ms")
+            --ordinal "$i" --service-us "$service_us" --lag-ms "$lag_ms"
+            --connections "$member_connections")
         if [ "$i" -eq 0 ]; then
             args+=(--init-sql "$init_sql")
             primary="127.0.0.1:$sql"
--- a/src/tools/load/run.c
+++ b/src/tools/load/run.c
@@ -12,6 +12,7 @@
 
 enum {
     kTickUs = 1000,
+    kHealthUs = 200000,
     kConnectionsMax = 400, /* to one entry instance */
     kTimeoutS = 8,
     kDrainS = 9,
@@ -23,6 +24,7 @@
     char *host;
     uint16_t port;
     GQueue idle; /* evhttp_connection */
+    gboolean healthy;
     uint32_t count;
     char *address;
 } EntryLink;
@@ -75,6 +77,53 @@
     evhttp_connection_free_on_completion(c);
 }
 
+/* ---- the balancer's health checks ---- */
+
+static void
+on_health(struct evhttp_request *request, void *ctx)
+{
+    EntryLink *l = ctx;
+    l->healthy =
+        request != NULL && evhttp_request_get_response_code(request) == 200;
+}
+
+/* Asks every entry instance whether it takes requests, as the platform's
+ * balancer does. */
+static void
+check_health(Run *r)
+{
+    for (guint i = 0; i < r->entries->len; i++) {
+        EntryLink *l = g_ptr_array_index(r->entries, i);
+        struct evhttp_connection *c =
+            evhttp_connection_base_new(r->base, NULL, l->host, l->port);
+        struct evhttp_request *request = evhttp_request_new(on_health, l);
+        struct evkeyvalq *h = evhttp_request_get_output_headers(request);
+        evhttp_connection_set_timeout(c, 1);
+        evhttp_connection_free_on_completion(c);
+        evhttp_add_header(h, "Host", l->address);
+        evhttp_add_header(h, "Connection", "close");
+        evhttp_make_request(c, request, EVHTTP_REQ_GET, "/healthz");
+    }
+}
+
+/* Returns the instance for a request: the wanted one, or any that is
+ * healthy. */
+static EntryLink *
+pick_entry(Run *r, int32_t wanted)
+{
+    guint start = wanted >= 0 ? (guint)wanted % r->entries->len
+                              : (guint)g_rand_int_range(r->rand, 0,
+                                                        (gint)r->entries->len);
+    for (guint i = 0; i < r->entries->len; i++) {
+        EntryLink *l =
+            g_ptr_array_index(r->entries, (start + i) % r->entries->len);
+        if (l->healthy) {
+            return l;
+        }
+    }
+    return g_ptr_array_index(r->entries, start);
+}
+
 /* ---- sessions ---- */
 
 static LoadSession *
@@ -496,6 +545,10 @@
     uint64_t at_us = now_us();
     (void)fd;
     (void)what;
+    if (at_us >= r->health_due_us) {
+        r->health_due_us = at_us + kHealthUs;
+        check_health(r);
+    }
     if (at_us < r->end_us) {
         arrivals(r, at_us);
         faults_due(r, at_us);
@@ -567,6 +620,7 @@
     l->host = g_strdup(parts[0]);
     l->port = (uint16_t)g_ascii_strtoull(parts[1], NULL, 10);
     l->address = g_strdup(address);
+    l->healthy = TRUE;
     g_queue_init(&l->idle);
     g_ptr_array_add(r->entries, l);
     g_strfreev(parts);
--- a/src/tools/load/run.h
+++ b/src/tools/load/run.h
@@ -71,6 +71,7 @@
     uint64_t began_us; /* of the measured part */
     uint64_t end_us;
     uint32_t open;
+    uint64_t health_due_us;
     uint64_t marks;
     uint64_t client_full; /* arrivals dropped for want of connections */
     char *run_id;
