--- a/src/tools/load/run.c
+++ b/src/tools/load/run.c
@@ -360,11 +360,7 @@
 static void
 send_request(Run *r, TeamRun *t, uint32_t team)
 {
-    guint at =
-        t->load->entry >= 0
-            ? (guint)t->load->entry % r->entries->len
-            : (guint)g_rand_int_range(r->rand, 0, (gint)r->entries->len);
-    EntryLink *l = g_ptr_array_index(r->entries, at);
+    EntryLink *l = pick_entry(r, t->load->entry);
     struct evhttp_connection *connection = take_connection(l);
     uint64_t sent_us = now_us();
     gboolean measured = sent_us >= r->began_us;
