Let a bad state update change nothing

Cause: an update with a spec that cannot be read, or with a kind of resource that only a newer version knows, left the entry instance with half a state.

Change: all specs are read before any is applied; unknown kinds are passed over.

Conclusion: an upgrade may add kinds while older instances run.

--- a/src/sapphireweir/core/catalog.c
+++ b/src/sapphireweir/core/catalog.c
@@ -226,33 +226,56 @@
     }
 }
 
-static gboolean
-apply_change(Catalog *c, uint64_t now_us, const Sw__Change *w, GError **error)
+/* Applies one change; takes over spec, NULL deletes.  A kind of resource
+ * that only newer versions know is passed over. */
+static void
+apply_change(Catalog *c, uint64_t now_us, const Sw__Change *w, json_t *spec)
 {
     ResourceKind kind;
-    json_t *spec = NULL;
 
     if (!resource_kind_of(w->key, &kind)) {
-        g_set_error(error, CORE_ERROR, kCoreErrorInvalid,
-                    "unknown kind of resource: %s", w->key);
-        return FALSE;
-    }
-    if (w->spec.len > 0) {
-        spec = json_loadb((const char *)w->spec.data, w->spec.len, 0, NULL);
-        if (spec == NULL) {
-            g_set_error(error, CORE_ERROR, kCoreErrorInvalid,
-                        "%s is not valid JSON", w->key);
-            return FALSE;
-        }
+        json_decref(spec);
+        return;
     }
     drop_typed(c, now_us, kind, w->key, spec);
     if (spec == NULL) {
         g_hash_table_remove(c->resources, w->key);
-        return TRUE;
+        return;
     }
     Resource *r = resource_new(w->key, w->version, w->index, spec);
     g_hash_table_replace(c->resources, r->key, r);
-    return TRUE;
+}
+
+static void
+spec_release(void *spec)
+{
+    json_decref(spec);
+}
+
+/* Parses the specs of all changes, so that a bad one is found before
+ * anything has changed.  NULL: error is set. */
+static GPtrArray *
+parse_specs(const Sw__StateUpdate *update, GError **error)
+{
+    GPtrArray *specs = g_ptr_array_new_with_free_func(spec_release);
+
+    for (size_t i = 0; i < update->n_changes; i++) {
+        const Sw__Change *w = update->changes[i];
+        json_t *spec = NULL;
+        if (w->spec.len > 0) {
+            spec =
+                json_loadb((const char *)w->spec.data, w->spec.len, 0, NULL);
+        }
+        if (w->spec.len > 0 && !json_is_object(spec)) {
+            g_set_error(error, CORE_ERROR, kCoreErrorInvalid,
+                        "%s is not a JSON object", w->key);
+            json_decref(spec);
+            g_ptr_array_unref(specs);
+            return NULL;
+        }
+        g_ptr_array_add(specs, spec);
+    }
+    return specs;
 }
 
 static void
@@ -288,6 +311,10 @@
                     update->from_index, c->index);
         return FALSE;
     }
+    GPtrArray *specs = parse_specs(update, error);
+    if (specs == NULL) {
+        return FALSE;
+    }
     if (update->full) {
         catalog_clear(c);
         c->view.epoch++;
@@ -295,13 +322,13 @@
     }
     for (size_t i = 0; i < update->n_changes; i++) {
         const Sw__Change *w = update->changes[i];
-        if (!update->full && w->index <= c->index) {
-            continue;
-        }
-        if (!apply_change(c, now_us, w, error)) {
-            return FALSE;
+        if (update->full || w->index > c->index) {
+            json_t *spec = g_ptr_array_index(specs, i);
+            apply_change(c, now_us, w,
+                         spec == NULL ? NULL : json_incref(spec));
         }
     }
+    g_ptr_array_unref(specs);
     if (c->cluster == NULL) {
         c->cluster = g_strdup(update->cluster);
     }
