Prune old request records

Cause: the records that make a repeat recognisable grew for ever.

Change: the primary's pool owner deletes those older than the database's record_retention_s, as ordinary work in its queue; an index serves it.

Conclusion: the table stays bounded.

--- a/src/sapphireweir/core/catalog.c
+++ b/src/sapphireweir/core/catalog.c
@@ -524,10 +524,15 @@
     if (r == NULL) {
         return NULL;
     }
+    enum { kDefaultRetentionS = 86400 };
     size_t i;
     json_t *member;
     d = g_new0(DatabaseInfo, 1);
     d->name = g_strdup(name);
+    d->record_retention_us =
+        (uint64_t)json_integer_or(r->spec, "record_retention_s",
+                                  kDefaultRetentionS) *
+        G_USEC_PER_SEC;
     d->slots = (uint32_t)json_integer_or(r->spec, "slots", 1);
     d->connections = (uint32_t)json_integer_or(r->spec, "connections", 1);
     json_array_foreach(json_object_get(r->spec, "members"), i, member)
--- a/src/sapphireweir/core/catalog_defs.h
+++ b/src/sapphireweir/core/catalog_defs.h
@@ -57,6 +57,7 @@
     uint32_t member_count;
     uint32_t slots;
     uint32_t connections;
+    uint64_t record_retention_us;
     int32_t primary; /* -1: not known yet */
     gboolean stable; /* FALSE while the primary is being replaced */
     uint64_t term;
--- a/src/sapphireweir/core/job.c
+++ b/src/sapphireweir/core/job.c
@@ -11,13 +11,14 @@
  * holds its position on the primary's term.  "Not run" is said only where
  * the commit was certainly never sent or was undone. */
 
-#define RECORD_TABLE "sapphireweir_request"
-
 static const char kCreateRecordsSql[] =
     "CREATE TABLE IF NOT EXISTS " RECORD_TABLE
     " (team TEXT NOT NULL, idempotency_key TEXT NOT NULL,"
     " args_hash TEXT NOT NULL, answer TEXT, created_ms BIGINT NOT NULL,"
     " PRIMARY KEY (team, idempotency_key))";
+static const char kIndexRecordsSql[] =
+    "CREATE INDEX IF NOT EXISTS " RECORD_TABLE "_created ON " RECORD_TABLE
+    " (created_ms)";
 static const char kInsertRecordSql[] =
     "INSERT INTO " RECORD_TABLE
     " (team, idempotency_key, args_hash, created_ms)"
@@ -197,6 +198,9 @@
     case kStepRecords:
         pool_send(c, now_us, kSecondUs, kCreateRecordsSql, 0, NULL);
         break;
+    case kStepRecordsIndex:
+        pool_send(c, now_us, kSecondUs, kIndexRecordsSql, 0, NULL);
+        break;
     case kStepBegin:
         pool_send(c, now_us, kSilenceUs,
                   j->read_only ? "BEGIN READ ONLY" : "BEGIN", 0, NULL);
@@ -586,6 +590,9 @@
         on_position_before(j, now_us, result);
         break;
     case kStepRecords:
+        run_step(j, now_us, kStepRecordsIndex);
+        break;
+    case kStepRecordsIndex:
         j->pool->records_ready = TRUE;
         run_step(j, now_us, kStepBegin);
         break;
--- a/src/sapphireweir/core/pool.c
+++ b/src/sapphireweir/core/pool.c
@@ -711,6 +711,42 @@
     }
 }
 
+/* Has old request records deleted, as work of its own in the queue. */
+static void
+records_prune(Pool *p, uint64_t now_us, const DatabaseInfo *d)
+{
+    static char sql[] = "DELETE FROM " RECORD_TABLE " WHERE created_ms < $1";
+    uint64_t every_us =
+        MIN(d->record_retention_us / kPrunesPerRetention, kPruneMostUs);
+    uint64_t wall_ms = entry_wall_ms(p->core, now_us);
+    uint64_t kept_ms = d->record_retention_us / kMillisecondUs;
+    char before[24];
+    char *arguments[] = {before};
+    Sw__Statement statement = SW__STATEMENT__INIT;
+    Sw__Statement *statements[] = {&statement};
+    Sw__WorkRequest r = SW__WORK_REQUEST__INIT;
+
+    if (!p->records_ready || !pool_is_primary(p) ||
+        now_us - p->records_pruned_us < every_us) {
+        return;
+    }
+    p->records_pruned_us = now_us;
+    g_snprintf(before, sizeof(before), "%" G_GUINT64_FORMAT,
+               wall_ms - MIN(kept_ms, wall_ms));
+    statement.sql = sql;
+    statement.n_args = G_N_ELEMENTS(arguments);
+    statement.args = arguments;
+    r.kind = SW__WORK_KIND__WORK_WRITE;
+    r.database = p->database;
+    r.member = p->member;
+    r.n_statements = G_N_ELEMENTS(statements);
+    r.statements = statements;
+    r.deadline_us = kRequestTimeoutMaxUs;
+    r.repeatable = TRUE;
+    r.open_route = TRUE;
+    pool_submit(p->core, now_us, NULL, entry_next_frame(p->core), &r);
+}
+
 static void
 pool_tick(Pool *p, uint64_t now_us)
 {
@@ -729,7 +765,9 @@
     pool_dispatch(p, now_us);
     if (!owned || d == NULL) {
         pool_shrink(p, now_us);
+        return;
     }
+    records_prune(p, now_us, d);
 }
 
 /* Lets time pass for all pools. */
--- a/src/sapphireweir/core/pool_defs.h
+++ b/src/sapphireweir/core/pool_defs.h
@@ -21,8 +21,12 @@
     kSilentAfterServices = 8, /* likewise, for reads */
     kFreshSamplesMax = 128,
     kStalenessForgetUs = 5000000,
+    kPruneMostUs = 600000000, /* request records are pruned so often */
+    kPrunesPerRetention = 4,
 };
 
+#define RECORD_TABLE "sapphireweir_request"
+
 typedef struct Job Job;
 typedef struct PoolTransaction PoolTransaction;
 
@@ -65,6 +69,7 @@
     kStepPing,
     kStepPositionBefore,
     kStepRecords, /* the table of request records */
+    kStepRecordsIndex,
     kStepBegin,
     kStepRecordInsert,
     kStepRecordLookup,
--- a/src/sapphireweir/core/resource.c
+++ b/src/sapphireweir/core/resource.c
@@ -76,6 +76,8 @@
      "transactions a member runs at once"},
     {"connections", kFieldInteger, TRUE, 1, kConnectionsMax, NULL,
      "connections of the whole database"},
+    {"record_retention_s", kFieldInteger, FALSE, 60, 31536000, NULL,
+     "how long a repeat is known, default 86400"},
 };
 
 static const Field member_fields[] = {
--- a/test/support/fake_group.c
+++ b/test/support/fake_group.c
@@ -292,6 +292,7 @@
         g_free(record);
         return;
     }
+    m->group->prunes += g_str_has_prefix(sql, "DELETE FROM sapphireweir_");
     if (strcmp(sql, "put") == 0) {
         g_ptr_array_add(t->writes, g_strdup(parameters[0]));
     }
--- a/test/support/fake_group.h
+++ b/test/support/fake_group.h
@@ -45,6 +45,7 @@
     uint32_t lag_steps; /* replay once in so many steps */
     uint32_t steps;
     gboolean links_cut; /* no replication at all */
+    uint32_t prunes;    /* deletions of old request records */
 };
 
 FakeGroup *fake_group_new(uint32_t number);
--- a/test/unit/test_promotion.c
+++ b/test/unit/test_promotion.c
@@ -352,6 +352,29 @@
     system_free(s);
 }
 
+static void
+old_request_records_are_pruned(void)
+{
+    System *s = start_system(34);
+    GArray *writes = g_array_new(FALSE, FALSE, sizeof(Write));
+    system_apply(s, "[{\"key\":\"database/db0\",\"spec\":{\"members\":["
+                    "{\"id\":\"m1\",\"failure_domain\":\"d0\"},"
+                    "{\"id\":\"m2\",\"failure_domain\":\"d1\"},"
+                    "{\"id\":\"m3\",\"failure_domain\":\"d2\"}],"
+                    "\"primary\":\"m1\",\"slots\":3,\"connections\":25,"
+                    "\"record_retention_s\":60}}]");
+    for (int i = 0; i < 8; i++) {
+        send_write(s, writes, (uint32_t)i % 6);
+        system_run(s, 50000);
+    }
+    system_run(s, 50000000);
+    CU_ASSERT(s->groups[0]->prunes >= 2);
+    CU_ASSERT(s->groups[0]->prunes <= 4);
+    CU_ASSERT_EQUAL(check_writes(s, writes, TRUE), 8);
+    g_array_unref(writes);
+    system_free(s);
+}
+
 static void
 a_withdrawn_key_stops_everywhere(void)
 {
@@ -401,6 +424,8 @@
                 a_lagging_replica_is_not_promoted_alone);
     CU_add_test(s, "a session reads its writes on lagging replicas",
                 a_session_reads_its_writes_on_lagging_replicas);
+    CU_add_test(s, "old request records are pruned",
+                old_request_records_are_pruned);
     CU_add_test(s, "a withdrawn key stops everywhere",
                 a_withdrawn_key_stops_everywhere);
 }
