--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -11,7 +11,9 @@
     team=temples
     member_connections=8 ;;
 etnaforte) domains="catania palermo siracusa"
-    databases="register1 register2 register3"; team=tunnels ;;
+    databases="register1 register2 register3"
+    team=tunnels
+    member_connections=15 ;;
 *) echo "measure.sh: vanua or etnaforte" >&2; exit 2 ;;
 esac
 if [ $# -eq 0 ]; then
