--- a/src/tools/load/check.c
+++ b/src/tools/load/check.c
@@ -42,8 +42,8 @@
 check_writes(Run *r)
 {
     gint64 end_us = g_get_monotonic_time() + kCheckMostUs;
-    for (guint i = 0;
-         i < r->records->len && g_get_monotonic_time() < end_us; i++) {
+    for (guint i = 0; i < r->records->len && g_get_monotonic_time() < end_us;
+         i++) {
         const Record *record = g_ptr_array_index(r->records, i);
         if (!record->write || record->outcome == kOutcomeRate) {
             continue;
