--- a/src/sapphireweir/adapter/trace.c
+++ b/src/sapphireweir/adapter/trace.c
@@ -9,8 +9,8 @@
 #include "core/error.h"
 
 /* A trace holds the cluster's secret and what callers sent, keys included,
- * so its file is readable by its owner only.  Lines with "e" are events, those with "a" the actions
- * the core answered them with, in order. */
+ * so its file is readable by its owner only.  Lines with "e" are events,
+ * those with "a" the actions the core answered them with, in order. */
 
 struct Trace {
     FILE *file;
