Let a new control leader use what the owners saw before it

Cause: with the primary and the control leader lost at once, the new leader had never seen the members well and waited four times the usual suspicion.

Change: health reports say for how long a member has not been well and whether it was, since which promotion.

--- a/src/sapphireweir/core/control_defs.h
+++ b/src/sapphireweir/core/control_defs.h
@@ -39,7 +39,8 @@
     uint64_t timeline;
     uint64_t position;
     uint64_t failing_since_us; /* zero: fine */
-    gboolean seen_fine;        /* was fine under this leader */
+    gboolean seen_fine;        /* was fine since the last promotion */
+    uint64_t forgiven_us;      /* faults count from here on */
     uint64_t announced_us;
     uint64_t refollow_due_us;
 } MemberTrack;
--- a/src/sapphireweir/core/control_lease.c
+++ b/src/sapphireweir/core/control_lease.c
@@ -38,6 +38,15 @@
     return t;
 }
 
+static uint64_t
+present_promotion(const ControlCore *k, const char *database)
+{
+    char *key = g_strdup_printf("primary/%s", database);
+    const Resource *r = state_lookup(k->state, key);
+    g_free(key);
+    return r == NULL ? 0 : (uint64_t)json_integer_or(r->spec, "promotion", 0);
+}
+
 static void
 take_health(ControlCore *k, uint64_t now_us, const Sw__MemberHealth *h)
 {
@@ -49,14 +58,25 @@
     t->timeline = h->timeline;
     t->position = h->position;
     gboolean fine = h->reachable && (h->stream_alive || !h->in_recovery);
+    t->seen_fine = t->seen_fine || fine;
     if (fine) {
         t->failing_since_us = 0;
-        t->seen_fine = TRUE;
+        return;
     }
-    else if (t->failing_since_us == 0) {
-        t->failing_since_us = now_us;
+    if (t->failing_since_us == 0) {
         promotion_attend(k, h->database);
     }
+    /* A new leader need not wait for what the owner has seen already, if
+     * the owner knows of the last promotion. */
+    uint64_t since_us = now_us;
+    if (t->failing_since_us != 0) {
+        since_us = t->failing_since_us;
+    }
+    if (h->promotion == present_promotion(k, h->database)) {
+        since_us = MIN(since_us, now_us - MIN(h->failing_us, now_us));
+        t->seen_fine = t->seen_fine || h->seen_fine;
+    }
+    t->failing_since_us = MAX(MAX(since_us, t->forgiven_us), 1);
 }
 
 static json_t *
--- a/src/sapphireweir/core/monitor.c
+++ b/src/sapphireweir/core/monitor.c
@@ -642,6 +642,29 @@
 
 /* ---- time ---- */
 
+/* Notes since when the member has not been well.  A promotion begins a new
+ * count, as members stop and follow anew then. */
+static void
+note_fitness(Pool *p, uint64_t now_us)
+{
+    const DatabaseInfo *d = pool_database(p);
+    gboolean fine = p->ever_reached && p->unreachable_since_us == 0 &&
+                    (p->status.stream_alive || !p->status.in_recovery);
+
+    if (d != NULL && d->promotion != p->promotion) {
+        p->promotion = d->promotion;
+        p->seen_fine = FALSE;
+        p->failing_since_us = fine ? 0 : now_us;
+    }
+    if (fine) {
+        p->seen_fine = TRUE;
+        p->failing_since_us = 0;
+    }
+    else if (p->failing_since_us == 0) {
+        p->failing_since_us = now_us;
+    }
+}
+
 /* Lets time pass: keeps the connection, asks for the status, drops a
  * connection that went silent. */
 void
@@ -649,6 +672,7 @@
 {
     gboolean active = now_us - p->last_stale_read_us < kStaleReadsActiveUs;
 
+    note_fitness(p, now_us);
     if (p->monitor == NULL) {
         if (now_us >= p->monitor_due_us) {
             p->monitor = pool_connection_open(p, now_us, TRUE);
@@ -683,7 +707,6 @@
     GHashTableIter it;
     void *value;
 
-    (void)now_us;
     g_hash_table_iter_init(&it, e->pools);
     while (g_hash_table_iter_next(&it, NULL, &value)) {
         const Pool *p = value;
@@ -699,6 +722,10 @@
         h->in_recovery = p->status.in_recovery;
         h->timeline = p->status.timeline;
         h->position = p->status.received.position;
+        h->seen_fine = p->seen_fine;
+        h->promotion = p->promotion;
+        h->failing_us =
+            p->failing_since_us == 0 ? 0 : now_us - p->failing_since_us;
         g_ptr_array_add(out, h);
     }
     return out->len;
--- a/src/sapphireweir/core/pool_defs.h
+++ b/src/sapphireweir/core/pool_defs.h
@@ -175,6 +175,9 @@
     uint64_t monitor_due_us;
     uint64_t unreachable_since_us; /* zero: reachable */
     gboolean ever_reached;
+    gboolean seen_fine;        /* since the promotion below */
+    uint64_t failing_since_us; /* zero: fine */
+    uint64_t promotion;
     uint64_t last_stale_read_us;
     uint64_t tightest_us; /* staleness asked for lately */
     uint64_t tightest_until_us;
--- a/src/sapphireweir/core/promotion.c
+++ b/src/sapphireweir/core/promotion.c
@@ -459,6 +459,7 @@
             t->failing_since_us = now_us;
         }
         t->seen_fine = FALSE;
+        t->forgiven_us = now_us;
     }
 }
 
--- a/src/sapphireweir/proto/sapphireweir.pb-c.c
+++ b/src/sapphireweir/proto/sapphireweir.pb-c.c
@@ -1648,7 +1648,7 @@
   (ProtobufCMessageInit) sw__consensus_message__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sw__member_health__field_descriptors[7] =
+static const ProtobufCFieldDescriptor sw__member_health__field_descriptors[10] =
 {
   {
     "database",
@@ -1734,20 +1734,59 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "seen_fine",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Sw__MemberHealth, seen_fine),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "failing_us",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__MemberHealth, failing_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "promotion",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__MemberHealth, promotion),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sw__member_health__field_indices_by_name[] = {
   0,   /* field[0] = database */
+  8,   /* field[8] = failing_us */
   6,   /* field[6] = in_recovery */
   1,   /* field[1] = member */
   5,   /* field[5] = position */
+  9,   /* field[9] = promotion */
   2,   /* field[2] = reachable */
+  7,   /* field[7] = seen_fine */
   3,   /* field[3] = stream_alive */
   4,   /* field[4] = timeline */
 };
 static const ProtobufCIntRange sw__member_health__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor sw__member_health__descriptor =
 {
@@ -1757,7 +1796,7 @@
   "Sw__MemberHealth",
   "sw",
   sizeof(Sw__MemberHealth),
-  7,
+  10,
   sw__member_health__field_descriptors,
   sw__member_health__field_indices_by_name,
   1,  sw__member_health__number_ranges,
--- a/src/sapphireweir/proto/sapphireweir.pb-c.h
+++ b/src/sapphireweir/proto/sapphireweir.pb-c.h
@@ -208,10 +208,17 @@
   uint64_t timeline;
   uint64_t position;
   protobuf_c_boolean in_recovery;
+  /*
+   * What its owner saw since the last promotion: whether it was ever well,
+   * and for how long it has not been.
+   */
+  protobuf_c_boolean seen_fine;
+  uint64_t failing_us;
+  uint64_t promotion;
 };
 #define SW__MEMBER_HEALTH__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sw__member_health__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Sw__LeaseRequest
--- a/src/tools/standin/main.c
+++ b/src/tools/standin/main.c
@@ -10,7 +10,7 @@
  * start.  It speaks wire protocol 3.0 to libpq, keeps its data in SQLite,
  * ships its log to replicas, and shows faults on command. */
 
-enum { kTimerMs = 5, kHeartbeatTicks = 8 };
+enum { kTimerMs = 5, kHeartbeatTicks = 8, kTimelineStride = 16 };
 
 /* ---- the member's role ---- */
 
@@ -59,8 +59,10 @@
     follower_stop(m);
     while (store_replay_next(m->store)) {
     }
+    /* As with a shared archive, no two promotions make the same one. */
+    uint64_t stride = store_timeline(m->store) / kTimelineStride + 1;
     store_set_role(m->store, FALSE,
-                   store_timeline(m->store) + 1 + m->settings.ordinal);
+                   stride * kTimelineStride + m->settings.ordinal);
     g_message("promoted, timeline %" G_GUINT64_FORMAT,
               store_timeline(m->store));
 }
--- a/test/support/fake_group.c
+++ b/test/support/fake_group.c
@@ -225,7 +225,8 @@
 {
     if (m->in_recovery) {
         m->in_recovery = FALSE;
-        m->timeline += 1 + m->index;
+        m->timeline =
+            (m->timeline / kTimelineStride + 1) * kTimelineStride + m->index;
         memset(m->flushed_by, 0, sizeof(m->flushed_by));
     }
 }
--- a/test/support/fake_group.h
+++ b/test/support/fake_group.h
@@ -14,6 +14,7 @@
 enum {
     kFakeMembers = 3,
     kFakeEntryBytes = 100,
+    kTimelineStride = 16, /* no two promotions make the same timeline */
 };
 
 typedef struct FakeGroup FakeGroup;
--- a/test/unit/test_promotion.c
+++ b/test/unit/test_promotion.c
@@ -150,8 +150,12 @@
         s->control->nodes[which].cut ^= TRUE;
         break;
     default:
-        /* A moment of peace. */
+        /* A moment of peace, for control too: without a majority of it
+         * nothing of interest happens. */
         s->groups[0]->links_cut = FALSE;
+        for (uint32_t i = 0; i < s->control->count; i++) {
+            s->control->nodes[i].cut = FALSE;
+        }
         for (uint32_t i = 0; i < kFakeMembers; i++) {
             s->groups[0]->members[i].cut = FALSE;
             s->groups[0]->members[i].down = FALSE;
@@ -238,7 +242,10 @@
         const char *what;
         gboolean kill;
         gboolean cut;
-    } cases[] = {{"killed", TRUE, FALSE}, {"cut off", FALSE, TRUE}};
+        gboolean leader_too;
+    } cases[] = {{"killed", TRUE, FALSE, FALSE},
+                 {"cut off", FALSE, TRUE, FALSE},
+                 {"killed with the control leader", TRUE, FALSE, TRUE}};
 
     for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
         System *s = start_system(20 + (uint32_t)i);
@@ -254,6 +261,10 @@
         if (cases[i].kill) {
             fake_member_kill(old);
         }
+        if (cases[i].leader_too) {
+            control_fleet_crash(s->control,
+                                control_fleet_leader(s->control)->index);
+        }
         CU_ASSERT(failover_gap(s, writes, 8000000) < 1000000);
         CU_ASSERT_EQUAL(promotions(s), 1);
         system_run(s, 3000000);
