Fold repeated pieces found on rereading

Cause: a last read of the whole change found voters counted in two places, the time left of a job worked out three times, two pauses of distribution checked one after the other, a key's withdrawal written out in two tests, a copy of the demo's SQL, a NULL check before each of twelve trace calls, and dead pieces: If-Match read and never used, three fields of AdminRequest, the time of election.

Recorders of a trace take NULL.

Conclusion: no behaviour changed.

--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -30,7 +30,7 @@
     RUN_NAME="$user-$name" "$root/scripts/experiment.sh" \
         "$root/experiments/$user-${name%@baseline}.toml" \
         --resources "$root/examples/$user/fleet.toml" \
-        --init-sql "$root/examples/vanua/init.sql" --domains "$domains" \
+        --init-sql "$root/examples/demo/init.sql" --domains "$domains" \
         --databases "$databases" --team "$team" --entries-per-domain 3 \
         --service-us 20000 --member-connections "$member_connections" \
         "${extra[@]}" || true
--- a/src/sapphireweir/adapter/http.c
+++ b/src/sapphireweir/adapter/http.c
@@ -122,7 +122,6 @@
     r->idempotency_key = evhttp_find_header(h, "Idempotency-Key");
     r->max_staleness_ms = evhttp_find_header(h, "Max-Staleness-Ms");
     r->request_timeout_ms = evhttp_find_header(h, "Request-Timeout-Ms");
-    r->if_match = evhttp_find_header(h, "If-Match");
     r->operation_id = evhttp_find_header(h, "Operation-Id");
 }
 
--- a/src/sapphireweir/adapter/trace.c
+++ b/src/sapphireweir/adapter/trace.c
@@ -74,7 +74,7 @@
     g_free(t);
 }
 
-/* ---- events ---- */
+/* ---- events; without a trace nothing is recorded ---- */
 
 static json_t *
 event(const char *name, uint64_t now_us)
@@ -103,6 +103,9 @@
 void
 trace_request(Trace *t, uint64_t now_us, const CallerRequest *r)
 {
+    if (t == NULL) {
+        return;
+    }
     json_t *line = event("request", now_us);
     json_object_set_new(line, "id", json_integer((json_int_t)r->id));
     set_text(line, "method", r->method);
@@ -121,6 +124,9 @@
 void
 trace_abandon(Trace *t, uint64_t now_us, uint64_t request_id)
 {
+    if (t == NULL) {
+        return;
+    }
     json_t *line = event("abandon", now_us);
     json_object_set_new(line, "id", json_integer((json_int_t)request_id));
     write_line(t, line);
@@ -131,6 +137,9 @@
 trace_frame(Trace *t, uint64_t now_us, const char *from,
             const Sw__Frame *frame)
 {
+    if (t == NULL) {
+        return;
+    }
     size_t size = sw__frame__get_packed_size(frame);
     uint8_t *packed = g_malloc(size + 1);
     json_t *line = event("frame", now_us);
@@ -148,6 +157,9 @@
 void
 trace_peer_down(Trace *t, uint64_t now_us, const char *peer)
 {
+    if (t == NULL) {
+        return;
+    }
     json_t *line = event("down", now_us);
     set_text(line, "peer", peer);
     write_line(t, line);
@@ -157,6 +169,9 @@
 void
 trace_connected(Trace *t, uint64_t now_us, uint64_t connection, gboolean ok)
 {
+    if (t == NULL) {
+        return;
+    }
     json_t *line = event("connected", now_us);
     json_object_set_new(line, "c", json_integer((json_int_t)connection));
     json_object_set_new(line, "ok", json_boolean(ok));
@@ -168,6 +183,9 @@
 trace_result(Trace *t, uint64_t now_us, uint64_t connection,
              const BackendResult *result)
 {
+    if (t == NULL) {
+        return;
+    }
     json_t *line = event("result", now_us);
     json_object_set_new(line, "c", json_integer((json_int_t)connection));
     json_object_set_new(line, "status", json_integer(result->status));
@@ -185,6 +203,9 @@
 void
 trace_tick(Trace *t, uint64_t now_us)
 {
+    if (t == NULL) {
+        return;
+    }
     write_line(t, event("tick", now_us));
 }
 
@@ -192,6 +213,9 @@
 void
 trace_drain(Trace *t, uint64_t now_us)
 {
+    if (t == NULL) {
+        return;
+    }
     write_line(t, event("drain", now_us));
 }
 
@@ -199,6 +223,9 @@
 void
 trace_leave(Trace *t, uint64_t now_us)
 {
+    if (t == NULL) {
+        return;
+    }
     write_line(t, event("leave", now_us));
 }
 
--- a/src/sapphireweir/core/consensus.c
+++ b/src/sapphireweir/core/consensus.c
@@ -286,7 +286,6 @@
 leader_start(Consensus *c, uint64_t now_us)
 {
     c->role = kConsensusLeader;
-    c->elected_us = now_us;
     set_leader(c, c->id);
     g_clear_pointer(&c->transfer_to, g_free);
     g_hash_table_remove_all(c->progress);
--- a/src/sapphireweir/core/consensus.h
+++ b/src/sapphireweir/core/consensus.h
@@ -45,5 +45,6 @@
 uint64_t consensus_elections(const Consensus *c);
 gboolean consensus_failed(const Consensus *c);
 const GPtrArray *consensus_members(const Consensus *c);
+uint32_t consensus_voter_count(const Consensus *c);
 
 #endif
--- a/src/sapphireweir/core/consensus_internal.h
+++ b/src/sapphireweir/core/consensus_internal.h
@@ -62,7 +62,6 @@
     uint64_t election_due_us;
     uint64_t leader_heard_us;
     uint64_t heartbeat_due_us;
-    uint64_t elected_us;
     GHashTable *votes;    /* ids that granted, this ballot */
     GHashTable *progress; /* id -> Progress, leader only */
     uint64_t round;
@@ -100,7 +99,6 @@
 /* consensus_members.c */
 ConsensusMember *consensus_member_find(const Consensus *c, const char *id);
 gboolean consensus_self_votes(const Consensus *c);
-uint32_t consensus_voter_count(const Consensus *c);
 uint32_t consensus_majority(const Consensus *c);
 json_t *consensus_members_to_json(const GPtrArray *members);
 void consensus_members_from_json(const json_t *list, GPtrArray *out);
--- a/src/sapphireweir/core/control_core.c
+++ b/src/sapphireweir/core/control_core.c
@@ -498,13 +498,7 @@
 uint32_t
 control_core_voter_count(const ControlCore *k)
 {
-    const GPtrArray *members = consensus_members(k->consensus);
-    uint32_t count = 0;
-    for (guint i = 0; i < members->len; i++) {
-        const ConsensusMember *m = g_ptr_array_index(members, i);
-        count += m->voter ? 1 : 0;
-    }
-    return count;
+    return consensus_voter_count(k->consensus);
 }
 
 /* Returns the known leader's id or NULL. */
--- a/src/sapphireweir/core/control_defs.h
+++ b/src/sapphireweir/core/control_defs.h
@@ -16,6 +16,7 @@
     kSubscriberExpiryUs = 5000000,
     kUpdateResendUs = 500000,
     kDistributeUs = 10000, /* state updates go out no more often */
+    kDistributeIdleUs = 50000,
     kUpdateChangesMax = 2000,
     kSlowTickUs = 250000,  /* scans over everything the leader knows */
     kGroupScanUs = 250000, /* each healthy group is looked at so often */
--- a/src/sapphireweir/core/control_lease.c
+++ b/src/sapphireweir/core/control_lease.c
@@ -460,11 +460,10 @@
     void *id;
     void *value;
 
-    if (k->distributed_index == index &&
-        now_us - k->distributed_us < kUpdateResendUs / 10) {
-        return;
-    }
-    if (now_us - k->distributed_us < kDistributeUs) {
+    /* Without a change, followers are looked at for lost updates only. */
+    uint64_t pause_us =
+        k->distributed_index == index ? kDistributeIdleUs : kDistributeUs;
+    if (now_us - k->distributed_us < pause_us) {
         return;
     }
     k->distributed_us = now_us;
--- a/src/sapphireweir/core/job.c
+++ b/src/sapphireweir/core/job.c
@@ -111,13 +111,19 @@
 
 /* ---- steps ---- */
 
+static uint64_t
+time_left_us(const Job *j, uint64_t now_us)
+{
+    return MAX(j->deadline_us, now_us) - now_us;
+}
+
 /* Returns how long a statement may be silent.  A read that takes far longer
  * than usual is tried once on another connection, as this one may have gone
  * silent; after that, and for writes, only the deadline counts. */
 static uint64_t
 statement_silence_us(const Job *j, uint64_t now_us)
 {
-    uint64_t left_us = MAX(j->deadline_us, now_us) - now_us;
+    uint64_t left_us = time_left_us(j, now_us);
     uint64_t usual_us =
         MAX(j->pool->service_us * kSilentAfterServices, kSilenceUs);
     if (!j->read_only || j->requeues > 0 || j->transaction != NULL) {
@@ -150,8 +156,8 @@
 
     g_snprintf(created, sizeof(created), "%" G_GUINT64_FORMAT,
                entry_wall_ms(j->pool->core, now_us));
-    pool_send(j->connection, now_us, MAX(j->deadline_us, now_us) - now_us,
-              kInsertRecordSql, G_N_ELEMENTS(parameters), parameters);
+    pool_send(j->connection, now_us, time_left_us(j, now_us), kInsertRecordSql,
+              G_N_ELEMENTS(parameters), parameters);
 }
 
 static void
@@ -177,9 +183,8 @@
 send_commit(Job *j, uint64_t now_us)
 {
     j->commit_sent = TRUE;
-    pool_send(j->connection, now_us,
-              MAX(j->deadline_us, now_us) - now_us + kSilenceUs, "COMMIT", 0,
-              NULL);
+    pool_send(j->connection, now_us, time_left_us(j, now_us) + kSilenceUs,
+              "COMMIT", 0, NULL);
 }
 
 static void
--- a/src/sapphireweir/entry/main.c
+++ b/src/sapphireweir/entry/main.c
@@ -53,9 +53,7 @@
         e->busy_us = now_us;
     }
     if (now_us - e->busy_us > kDrainQuietUs) {
-        if (e->trace != NULL) {
-            trace_leave(e->trace, now_us);
-        }
+        trace_leave(e->trace, now_us);
         entry_core_leave(e->core, now_us);
     }
     if (entry_core_has_left(e->core) ||
@@ -71,9 +69,7 @@
     uint64_t now_us = clock_now_us();
     (void)fd;
     (void)what;
-    if (e->trace != NULL) {
-        trace_tick(e->trace, now_us);
-    }
+    trace_tick(e->trace, now_us);
     entry_core_tick(e->core, now_us);
     if (e->drain_since_us != 0) {
         drain_step(e, now_us);
@@ -89,9 +85,7 @@
     if (e->drain_since_us == 0) {
         g_message("drains; requests under way will finish");
         e->drain_since_us = clock_now_us();
-        if (e->trace != NULL) {
-            trace_drain(e->trace, e->drain_since_us);
-        }
+        trace_drain(e->trace, e->drain_since_us);
         entry_core_drain(e->core, e->drain_since_us);
     }
 }
@@ -171,9 +165,7 @@
 {
     Entry *e = ctx;
     uint64_t now_us = clock_now_us();
-    if (e->trace != NULL) {
-        trace_frame(e->trace, now_us, from, frame);
-    }
+    trace_frame(e->trace, now_us, from, frame);
     entry_core_frame(e->core, now_us, from, frame);
 }
 
@@ -182,9 +174,7 @@
 {
     Entry *e = ctx;
     uint64_t now_us = clock_now_us();
-    if (e->trace != NULL) {
-        trace_peer_down(e->trace, now_us, peer);
-    }
+    trace_peer_down(e->trace, now_us, peer);
     entry_core_peer_down(e->core, now_us, peer);
 }
 
@@ -200,9 +190,7 @@
 {
     Entry *e = ctx;
     uint64_t now_us = clock_now_us();
-    if (e->trace != NULL) {
-        trace_connected(e->trace, now_us, connection, ok);
-    }
+    trace_connected(e->trace, now_us, connection, ok);
     entry_core_backend_connected(e->core, now_us, connection, ok);
 }
 
@@ -211,9 +199,7 @@
 {
     Entry *e = ctx;
     uint64_t now_us = clock_now_us();
-    if (e->trace != NULL) {
-        trace_result(e->trace, now_us, connection, result);
-    }
+    trace_result(e->trace, now_us, connection, result);
     entry_core_backend_result(e->core, now_us, connection, result);
 }
 
@@ -222,9 +208,7 @@
 {
     Entry *e = ctx;
     uint64_t now_us = clock_now_us();
-    if (e->trace != NULL) {
-        trace_request(e->trace, now_us, request);
-    }
+    trace_request(e->trace, now_us, request);
     entry_core_request(e->core, now_us, request);
 }
 
@@ -233,9 +217,7 @@
 {
     Entry *e = ctx;
     uint64_t now_us = clock_now_us();
-    if (e->trace != NULL) {
-        trace_abandon(e->trace, now_us, request_id);
-    }
+    trace_abandon(e->trace, now_us, request_id);
     entry_core_abandon(e->core, now_us, request_id);
 }
 
--- a/src/sapphireweir/port/entry.h
+++ b/src/sapphireweir/port/entry.h
@@ -20,7 +20,6 @@
     const char *idempotency_key;
     const char *max_staleness_ms;
     const char *request_timeout_ms;
-    const char *if_match;
     const char *operation_id;
 } CallerRequest;
 
--- a/src/sapphireweir/proto/sapphireweir.pb-c.c
+++ b/src/sapphireweir/proto/sapphireweir.pb-c.c
@@ -2228,7 +2228,7 @@
   (ProtobufCMessageInit) sw__state_update__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sw__admin_request__field_descriptors[9] =
+static const ProtobufCFieldDescriptor sw__admin_request__field_descriptors[6] =
 {
   {
     "operation_id",
@@ -2290,30 +2290,6 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "has_if_match",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Sw__AdminRequest, has_if_match),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "if_match",
-    7,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Sw__AdminRequest, if_match),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "forwarded",
     8,
@@ -2326,34 +2302,20 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "random",
-    9,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Sw__AdminRequest, random),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
 };
 static const unsigned sw__admin_request__field_indices_by_name[] = {
   1,   /* field[1] = actor */
   4,   /* field[4] = body */
-  7,   /* field[7] = forwarded */
-  5,   /* field[5] = has_if_match */
-  6,   /* field[6] = if_match */
+  5,   /* field[5] = forwarded */
   3,   /* field[3] = key */
   0,   /* field[0] = operation_id */
-  8,   /* field[8] = random */
   2,   /* field[2] = verb */
 };
-static const ProtobufCIntRange sw__admin_request__number_ranges[1 + 1] =
+static const ProtobufCIntRange sw__admin_request__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 8, 5 },
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor sw__admin_request__descriptor =
 {
@@ -2363,10 +2325,10 @@
   "Sw__AdminRequest",
   "sw",
   sizeof(Sw__AdminRequest),
-  9,
+  6,
   sw__admin_request__field_descriptors,
   sw__admin_request__field_indices_by_name,
-  1,  sw__admin_request__number_ranges,
+  2,  sw__admin_request__number_ranges,
   (ProtobufCMessageInit) sw__admin_request__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/src/sapphireweir/proto/sapphireweir.pb-c.h
+++ b/src/sapphireweir/proto/sapphireweir.pb-c.h
@@ -304,17 +304,11 @@
   char *verb;
   char *key;
   ProtobufCBinaryData body;
-  /*
-   * Zero: must not exist; absent precondition: has_if_match false.
-   */
-  protobuf_c_boolean has_if_match;
-  uint64_t if_match;
   protobuf_c_boolean forwarded;
-  uint64_t random;
 };
 #define SW__ADMIN_REQUEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sw__admin_request__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0 }
 
 
 struct  Sw__AdminReply
--- a/test/support/system.c
+++ b/test/support/system.c
@@ -451,19 +451,14 @@
     case kEventFrame:
         if (!n->cut) {
             Sw__Frame *frame = sw__frame__unpack(NULL, e->size, e->packed);
-            if (n->trace != NULL) {
-                trace_frame(n->trace, now_us, e->from, frame);
-            }
+            trace_frame(n->trace, now_us, e->from, frame);
             entry_core_frame(n->core, now_us, e->from, frame);
             sw__frame__free_unpacked(frame, NULL);
         }
         break;
     case kEventConnected:
         if (c != NULL && member_answers(c)) {
-            if (n->trace != NULL) {
-                trace_connected(n->trace, now_us, e->connection,
-                                !c->member->down);
-            }
+            trace_connected(n->trace, now_us, e->connection, !c->member->down);
             entry_core_backend_connected(n->core, now_us, e->connection,
                                          !c->member->down);
         }
@@ -481,9 +476,7 @@
             e->result.status = kBackendLost;
         }
         if (c != NULL) {
-            if (n->trace != NULL) {
-                trace_result(n->trace, now_us, e->connection, &e->result);
-            }
+            trace_result(n->trace, now_us, e->connection, &e->result);
             entry_core_backend_result(n->core, now_us, e->connection,
                                       &e->result);
         }
@@ -618,6 +611,23 @@
     g_free(text);
 }
 
+/* Withdraws a team's key. */
+void
+system_withdraw_key(System *s, const char *team, const char *key)
+{
+    uint8_t hash[kKeyHashBytes];
+    char hex[kKeyHashBytes * 2 + 1];
+
+    entry_key_hash(s->secret, key, hash);
+    sodium_bin2hex(hex, sizeof(hex), hash, sizeof(hash));
+    char *text = g_strdup_printf(
+        "[{\"key\":\"key/%.16s\",\"spec\":{\"team\":\"%s\",\"hash\":\"%s\","
+        "\"withdrawn\":true}}]",
+        hex, team, hex);
+    system_apply(s, text);
+    g_free(text);
+}
+
 /* Sends a caller's request; returns its id for system_answer. */
 uint64_t
 system_call(System *s, uint32_t entry, const char *path, const char *key,
--- a/test/support/system.h
+++ b/test/support/system.h
@@ -68,6 +68,7 @@
 const SystemAnswer *system_answer(System *s, uint64_t request);
 void system_add_team(System *s, const char *team, uint32_t rate,
                      uint32_t burst, const char *key);
+void system_withdraw_key(System *s, const char *team, const char *key);
 uint64_t system_now(const System *s);
 
 #endif
--- a/test/unit/test_promotion.c
+++ b/test/unit/test_promotion.c
@@ -390,21 +390,11 @@
 a_withdrawn_key_stops_everywhere(void)
 {
     System *s = start_system(32);
-    uint8_t hash[32];
-    char hex[65];
-    entry_key_hash(s->secret, team_key, hash);
-    for (int i = 0; i < 32; i++) {
-        g_snprintf(hex + 2 * i, 3, "%02x", hash[i]);
-    }
-    char *change = g_strdup_printf(
-        "[{\"key\":\"key/%.16s\",\"spec\":{\"team\":\"crews\",\"hash\":\"%s\","
-        "\"withdrawn\":true}}]",
-        hex, hex);
     /* Two cannot hear of it: one is cut off, the other gets leases but no
      * state.  The lease of neither holds. */
     s->entries[3].cut = TRUE;
     s->entries[4].stale = TRUE;
-    system_apply(s, change);
+    system_withdraw_key(s, "crews", team_key);
     system_run(s, 3000000);
     for (uint32_t i = 0; i < 6; i++) {
         uint64_t id = system_call(s, i, "/v1/s0/list", team_key, NULL, NULL,
@@ -417,7 +407,6 @@
         const SystemAnswer *b = system_answer(s, open);
         CU_ASSERT(i == 3 || (b != NULL && b->status == 200));
     }
-    g_free(change);
     system_free(s);
 }
 
--- a/test/unit/test_replay.c
+++ b/test/unit/test_replay.c
@@ -36,18 +36,7 @@
 static void
 key_withdrawn(System *s)
 {
-    uint8_t hash[32];
-    char hex[65];
-    entry_key_hash(s->secret, team_key, hash);
-    for (int i = 0; i < 32; i++) {
-        g_snprintf(hex + 2 * i, 3, "%02x", hash[i]);
-    }
-    char *change = g_strdup_printf(
-        "[{\"key\":\"key/%.16s\",\"spec\":{\"team\":\"crews\",\"hash\":\"%s\","
-        "\"withdrawn\":true}}]",
-        hex, hex);
-    system_apply(s, change);
-    g_free(change);
+    system_withdraw_key(s, "crews", team_key);
 }
 
 static void
