--- a/src/sapphireweir/adapter/clock.c
+++ b/src/sapphireweir/adapter/clock.c
@@ -1,17 +1,23 @@
 #include "adapter/clock.h"
 
 #include <glib.h>
+#include <time.h>
 
-/* Returns the monotonic time in microseconds. */
+/* Returns the time since the machine started, in microseconds.  It counts
+ * the time that the machine was suspended, so that a lease which ran out
+ * meanwhile is seen to have done so. */
 uint64_t
 clock_now_us(void)
 {
-    return (uint64_t)g_get_monotonic_time();
+    struct timespec now;
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    return (uint64_t)now.tv_sec * G_USEC_PER_SEC +
+           (uint64_t)now.tv_nsec / 1000;
 }
 
-/* Returns wall clock minus monotonic time, in microseconds. */
+/* Returns wall clock minus clock_now_us, in microseconds. */
 int64_t
 clock_wall_offset_us(void)
 {
-    return g_get_real_time() - g_get_monotonic_time();
+    return g_get_real_time() - (int64_t)clock_now_us();
 }
--- a/src/sapphireweir/adapter/peer.c
+++ b/src/sapphireweir/adapter/peer.c
@@ -9,6 +9,7 @@
 #include <sodium.h>
 #include <string.h>
 
+#include "adapter/clock.h"
 #include "core/error.h"
 
 /* Links between the system's own processes.
@@ -111,7 +112,7 @@
 
     l->peer = p;
     l->dialed = dialed;
-    l->heard_us = g_get_monotonic_time();
+    l->heard_us = (gint64)clock_now_us();
     l->active_us = l->heard_us;
     l->bev = bufferevent_socket_new(
         p->base, fd, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
@@ -358,7 +359,7 @@
     Link *l = ctx;
     struct evbuffer *in = bufferevent_get_input(bev);
 
-    l->heard_us = g_get_monotonic_time();
+    l->heard_us = (gint64)clock_now_us();
     if (l->state == kLinkNonce && !link_take_nonce(l, in)) {
         return;
     }
@@ -413,7 +414,7 @@
 {
     struct sockaddr_storage address;
     int length;
-    gint64 now_us = g_get_monotonic_time();
+    gint64 now_us = (gint64)clock_now_us();
 
     if (r->address == NULL || r->dialed != NULL || now_us < r->redial_us ||
         !parse_address(r->address, &address, &length)) {
@@ -476,7 +477,7 @@
 
     (void)fd;
     (void)what;
-    heartbeat_links(p, g_get_monotonic_time());
+    heartbeat_links(p, (gint64)clock_now_us());
     if (g_hash_table_size(p->remotes) > kEagerLinksMax) {
         return;
     }
@@ -586,7 +587,7 @@
         dial(p, r);
         return FALSE;
     }
-    gint64 now_us = g_get_monotonic_time();
+    gint64 now_us = (gint64)clock_now_us();
     if (link_is_idle(l, now_us)) {
         /* Silence counts from here. */
         l->heard_us = now_us;
--- a/src/sapphireweir/core/consensus.c
+++ b/src/sapphireweir/core/consensus.c
@@ -714,7 +714,13 @@
         }
         return;
     }
-    if (consensus_self_votes(c) && now_us >= c->election_due_us) {
+    if (!consensus_self_votes(c)) {
+        if (now_us >= c->election_due_us) {
+            set_leader(c, NULL);
+        }
+        return;
+    }
+    if (now_us >= c->election_due_us) {
         g_clear_pointer(&c->transfer_to, g_free);
         pre_campaign(c, now_us);
     }
--- a/src/sapphireweir/core/consensus.h
+++ b/src/sapphireweir/core/consensus.h
@@ -45,6 +45,8 @@
 uint64_t consensus_elections(const Consensus *c);
 gboolean consensus_failed(const Consensus *c);
 const GPtrArray *consensus_members(const Consensus *c);
+uint64_t consensus_member_heard_us(Consensus *c, const char *id);
+gboolean consensus_is_member(const Consensus *c);
 uint32_t consensus_voter_count(const Consensus *c);
 
 #endif
--- a/src/sapphireweir/core/consensus_members.c
+++ b/src/sapphireweir/core/consensus_members.c
@@ -62,6 +62,22 @@
     return m != NULL && m->voter && strcmp(m->disk, c->disk) == 0;
 }
 
+/* Tells whether this instance, with this disk, is in the member list. */
+gboolean
+consensus_is_member(const Consensus *c)
+{
+    ConsensusMember *m = consensus_member_find(c, c->id);
+    return m != NULL && strcmp(m->disk, c->disk) == 0;
+}
+
+/* Returns when the leader last heard a member, zero when it is not known. */
+uint64_t
+consensus_member_heard_us(Consensus *c, const char *id)
+{
+    const Progress *p = consensus_progress_of(c, id);
+    return p == NULL ? 0 : p->acked_us;
+}
+
 /* Returns how many members vote. */
 uint32_t
 consensus_voter_count(const Consensus *c)
--- /dev/null
+++ b/src/sapphireweir/fleet/director.c
@@ -0,0 +1,474 @@
+#include "fleet/director_internal.h"
+
+#include <string.h>
+
+/* The control instance's core: the replicated state and what reaches it. */
+
+static void
+primary_state_free(void *data)
+{
+    PrimaryState *p = data;
+    g_free(p->database);
+    g_free(p->primary);
+    g_free(p);
+}
+
+/* ---- the replicated state ---- */
+
+static void
+apply_document(Director *d, const Sw__DocumentUpdate *m)
+{
+    if (m->version <= d->document_version) {
+        return;
+    }
+    d->document_version = m->version;
+    g_clear_pointer(&d->document, g_bytes_unref);
+    d->document = g_bytes_new(m->text.data, m->text.len);
+}
+
+static void
+apply_primary(Director *d, const Sw__PrimaryRecord *m)
+{
+    PrimaryState *p = director_primary(d, m->database);
+
+    if (p != NULL && m->epoch < p->epoch) {
+        return;
+    }
+    if (p == NULL) {
+        p = g_new0(PrimaryState, 1);
+        p->database = g_strdup(m->database);
+        g_hash_table_insert(d->primaries, p->database, p);
+    }
+    gboolean settled = m->epoch > p->epoch;
+    g_free(p->primary);
+    p->primary = g_strdup(m->primary);
+    p->epoch = m->epoch;
+    p->changing = m->changing;
+    if (settled) {
+        handover_settled(d, p->database);
+    }
+}
+
+static void
+port_apply(void *ctx, uint64_t now_us, uint64_t index, uint64_t term,
+           GBytes *command)
+{
+    Director *d = ctx;
+    size_t size;
+    const uint8_t *data = g_bytes_get_data(command, &size);
+    Sw__FleetCommand *m = sw__fleet_command__unpack(NULL, size, data);
+    uint64_t before = d->document_version;
+
+    if (m == NULL) {
+        g_critical("log entry %" G_GUINT64_FORMAT " cannot be read", index);
+        return;
+    }
+    if (m->document != NULL) {
+        apply_document(d, m->document);
+    }
+    if (m->primary != NULL) {
+        apply_primary(d, m->primary);
+    }
+    sw__fleet_command__free_unpacked(m, NULL);
+    requests_applied(d, index, term);
+    if (director_leads(d)) {
+        if (d->document_version != before) {
+            entries_push_document(d, now_us);
+        }
+        entries_push(d, now_us);
+    }
+}
+
+static GBytes *
+port_dump(void *ctx)
+{
+    Director *d = ctx;
+    Sw__FleetSnapshot m = SW__FLEET_SNAPSHOT__INIT;
+    Sw__DocumentUpdate document = SW__DOCUMENT_UPDATE__INIT;
+    guint count = g_hash_table_size(d->primaries);
+    Sw__PrimaryRecord *records = g_new0(Sw__PrimaryRecord, count + 1);
+    GPtrArray *list = g_ptr_array_new();
+    GHashTableIter it;
+    void *value;
+
+    if (d->document != NULL) {
+        document.version = d->document_version;
+        document.text.data =
+            (uint8_t *)g_bytes_get_data(d->document, &document.text.len);
+        m.document = &document;
+    }
+    g_hash_table_iter_init(&it, d->primaries);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        const PrimaryState *p = value;
+        Sw__PrimaryRecord *r = &records[list->len];
+        sw__primary_record__init(r);
+        r->database = p->database;
+        r->primary = p->primary;
+        r->epoch = p->epoch;
+        r->changing = p->changing;
+        g_ptr_array_add(list, r);
+    }
+    m.n_primaries = list->len;
+    m.primaries = (Sw__PrimaryRecord **)list->pdata;
+    size_t size = sw__fleet_snapshot__get_packed_size(&m);
+    uint8_t *packed = g_malloc(size + 1);
+    sw__fleet_snapshot__pack(&m, packed);
+    g_ptr_array_unref(list);
+    g_free(records);
+    return g_bytes_new_take(packed, size);
+}
+
+static gboolean
+port_restore(void *ctx, uint64_t now_us, GBytes *state, GError **error)
+{
+    Director *d = ctx;
+    size_t size;
+    const uint8_t *data = g_bytes_get_data(state, &size);
+    Sw__FleetSnapshot *m = sw__fleet_snapshot__unpack(NULL, size, data);
+
+    (void)now_us;
+    if (m == NULL) {
+        g_set_error_literal(error, g_quark_from_static_string("director"), 0,
+                            "the snapshot cannot be read");
+        return FALSE;
+    }
+    if (m->document != NULL) {
+        apply_document(d, m->document);
+    }
+    for (size_t i = 0; i < m->n_primaries; i++) {
+        apply_primary(d, m->primaries[i]);
+    }
+    sw__fleet_snapshot__free_unpacked(m, NULL);
+    return TRUE;
+}
+
+static void
+port_send(void *ctx, const char *to, const Sw__ConsensusMessage *m)
+{
+    Director *d = ctx;
+    Sw__Frame frame = SW__FRAME__INIT;
+
+    frame.body_case = SW__FRAME__BODY_CONSENSUS;
+    frame.consensus = (Sw__ConsensusMessage *)m;
+    d->port.send(d->port.ctx, to, &frame);
+}
+
+static uint64_t
+port_random(void *ctx)
+{
+    Director *d = ctx;
+    return d->port.random(d->port.ctx);
+}
+
+static void
+port_members_changed(void *ctx, const GPtrArray *members)
+{
+    Director *d = ctx;
+    for (guint i = 0; i < members->len; i++) {
+        const ConsensusMember *m = g_ptr_array_index(members, i);
+        director_seed(d, m->id);
+    }
+}
+
+/* ---- life ---- */
+
+/* Makes a control instance; config strings are copied. */
+Director *
+director_new(const DirectorConfig *config, const DirectorPort *port)
+{
+    Director *d = g_new0(Director, 1);
+    ConsensusPort consensus_port = {
+        .ctx = d,
+        .send = port_send,
+        .apply = port_apply,
+        .dump = port_dump,
+        .restore = port_restore,
+        .random = port_random,
+        .members_changed = port_members_changed,
+        .storage = port->storage,
+    };
+
+    d->id = g_strdup(config->id);
+    d->failure_domain = g_strdup(config->failure_domain);
+    d->config = *config;
+    d->port = *port;
+    d->run = port->random(port->ctx) | 1;
+    d->consensus = consensus_new(config->id, config->disk, &config->timing,
+                                 &consensus_port);
+    directory_init(&d->directory);
+    d->primaries = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+                                         primary_state_free);
+    d->entries = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+                                       entry_track_free);
+    d->changes = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+                                       primary_change_free);
+    d->peers = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    d->shares = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+                                      (GDestroyNotify)g_hash_table_destroy);
+    g_queue_init(&d->requests);
+    return d;
+}
+
+/* Frees the instance; what it saved stays. */
+void
+director_free(Director *d)
+{
+    g_queue_clear_full(&d->requests, operator_request_free);
+    g_hash_table_destroy(d->shares);
+    g_hash_table_destroy(d->peers);
+    g_hash_table_destroy(d->changes);
+    g_hash_table_destroy(d->entries);
+    g_hash_table_destroy(d->primaries);
+    directory_clear(&d->directory);
+    consensus_free(d->consensus);
+    g_clear_pointer(&d->document, g_bytes_unref);
+    g_free(d->failure_domain);
+    g_free(d->id);
+    g_free(d);
+}
+
+/* Starts from what storage kept; see consensus_start. */
+gboolean
+director_start(Director *d, uint64_t now_us, const ConsensusSaved *saved,
+               const GPtrArray *bootstrap, GError **error)
+{
+    d->leader_heard_us = now_us;
+    return consensus_start(d->consensus, now_us, saved, bootstrap, error);
+}
+
+/* Adds a control instance that this one may turn to. */
+void
+director_seed(Director *d, const char *address)
+{
+    if (strcmp(address, d->id) == 0 ||
+        g_hash_table_contains(d->peers, address)) {
+        return;
+    }
+    g_hash_table_add(d->peers, g_strdup(address));
+    d->port.peer_known(d->port.ctx, address);
+}
+
+/* Tells whether this instance leads. */
+gboolean
+director_leads(const Director *d)
+{
+    return consensus_role(d->consensus) == kConsensusLeader;
+}
+
+/* Tells whether storage failed, which ends the instance's part. */
+gboolean
+director_failed(const Director *d)
+{
+    return consensus_failed(d->consensus);
+}
+
+/* Begins a planned stop: leadership goes to another voter. */
+void
+director_stop(Director *d, uint64_t now_us)
+{
+    d->stopping = TRUE;
+    consensus_transfer(d->consensus, now_us);
+}
+
+/* Returns who leads a database by the log, or NULL. */
+PrimaryState *
+director_primary(const Director *d, const char *database)
+{
+    return g_hash_table_lookup(d->primaries, database);
+}
+
+/* Proposes a command.  FALSE: this instance does not lead. */
+gboolean
+director_propose(Director *d, uint64_t now_us,
+                 const Sw__FleetCommand *command, uint64_t *index)
+{
+    size_t size = sw__fleet_command__get_packed_size(command);
+    uint8_t *packed = g_malloc(size + 1);
+
+    sw__fleet_command__pack(command, packed);
+    GBytes *bytes = g_bytes_new_take(packed, size);
+    uint64_t at = consensus_propose(d->consensus, now_us, bytes);
+    g_bytes_unref(bytes);
+    if (index != NULL) {
+        *index = at;
+    }
+    return at != 0;
+}
+
+/* Proposes who leads a database. */
+gboolean
+director_propose_primary(Director *d, uint64_t now_us, const char *database,
+                         const char *primary, uint64_t epoch,
+                         gboolean changing)
+{
+    Sw__FleetCommand command = SW__FLEET_COMMAND__INIT;
+    Sw__PrimaryRecord record = SW__PRIMARY_RECORD__INIT;
+
+    record.database = (char *)database;
+    record.primary = (char *)primary;
+    record.epoch = epoch;
+    record.changing = changing;
+    command.primary = &record;
+    return director_propose(d, now_us, &command, NULL);
+}
+
+/* ---- backend servers ---- */
+
+static void
+directory_spread(Director *d, const char *id)
+{
+    const DirectoryServer *s = directory_find(&d->directory, id);
+    Sw__Frame frame = SW__FRAME__INIT;
+    Sw__DirectoryUpdate update = SW__DIRECTORY_UPDATE__INIT;
+    Sw__ServerRecord record;
+    Sw__ServerRecord *list[1] = {&record};
+    GHashTableIter it;
+    void *peer;
+
+    directory_fill(s, &record);
+    update.n_servers = 1;
+    update.servers = list;
+    frame.body_case = SW__FRAME__BODY_DIRECTORY_UPDATE;
+    frame.directory_update = &update;
+    g_hash_table_iter_init(&it, d->peers);
+    while (g_hash_table_iter_next(&it, &peer, NULL)) {
+        d->port.send(d->port.ctx, peer, &frame);
+    }
+}
+
+/* Takes in a backend server's status report and spreads it. */
+void
+director_report(Director *d, uint64_t now_us, const Sw__ServerRecord *report)
+{
+    uint64_t before = d->directory.revision;
+
+    if (!directory_report(&d->directory, now_us, report)) {
+        return;
+    }
+    directory_spread(d, report->id);
+    if (d->directory.revision != before) {
+        entries_push_directory(d, now_us);
+    }
+}
+
+/* A backend server has said that it is gone. */
+void
+director_leave(Director *d, uint64_t now_us, const char *id)
+{
+    const DirectoryServer *s = directory_find(&d->directory, id);
+    Sw__ServerRecord record;
+
+    if (s == NULL || s->gone) {
+        return;
+    }
+    directory_fill(s, &record);
+    record.gone = TRUE;
+    director_report(d, now_us, &record);
+}
+
+static void
+on_directory(Director *d, uint64_t now_us, const Sw__DirectoryUpdate *m)
+{
+    uint64_t before = d->directory.revision;
+
+    for (size_t i = 0; i < m->n_servers; i++) {
+        directory_report(&d->directory, now_us, m->servers[i]);
+    }
+    if (d->directory.revision != before) {
+        entries_push_directory(d, now_us);
+    }
+}
+
+/* ---- events ---- */
+
+/* Takes in one frame of another instance. */
+void
+director_frame(Director *d, uint64_t now_us, const char *from,
+               const Sw__Frame *frame)
+{
+    switch (frame->body_case) {
+    case SW__FRAME__BODY_CONSENSUS:
+        consensus_receive(d->consensus, now_us, from, frame->consensus);
+        break;
+    case SW__FRAME__BODY_ENTRY_REPORT:
+        entries_report(d, now_us, from, frame->entry_report);
+        break;
+    case SW__FRAME__BODY_DIRECTORY_UPDATE:
+        on_directory(d, now_us, frame->directory_update);
+        break;
+    case SW__FRAME__BODY_JOIN_REQUEST:
+        members_join(d, now_us, from, frame->join_request);
+        break;
+    case SW__FRAME__BODY_ENTRY_GRANT:
+        for (size_t i = 0; i < frame->entry_grant->n_controls; i++) {
+            director_seed(d, frame->entry_grant->controls[i]);
+        }
+        break;
+    case SW__FRAME__BODY_ADMIN_REQUEST:
+    case SW__FRAME__BODY_ADMIN_REPLY:
+        requests_frame(d, now_us, from, frame);
+        break;
+    default:
+        break;
+    }
+}
+
+/* Takes in what a backend server answered to status_ask. */
+void
+director_status(Director *d, uint64_t now_us, const char *server,
+                const DirectorStatus *status)
+{
+    handover_status(d, now_us, server, status);
+}
+
+/* Takes in the answer to a promotion; status zero: none came. */
+void
+director_promoted(Director *d, uint64_t now_us, const char *database,
+                  const char *server, uint32_t status)
+{
+    handover_promoted(d, now_us, database, server, status);
+}
+
+static void
+leadership_follow(Director *d, uint64_t now_us)
+{
+    gboolean leads = director_leads(d);
+
+    if (consensus_leader(d->consensus) != NULL) {
+        d->leader_heard_us = now_us;
+    }
+    if (leads == (d->led_since_us != 0)) {
+        return;
+    }
+    d->led_since_us = leads ? MAX(now_us, 1) : 0;
+    g_hash_table_remove_all(d->changes);
+    g_hash_table_remove_all(d->shares);
+    g_message("%s in term %" G_GUINT64_FORMAT,
+              leads ? "leads" : "no longer leads",
+              consensus_term(d->consensus));
+}
+
+/* Lets time pass; call it every few milliseconds. */
+void
+director_tick(Director *d, uint64_t now_us)
+{
+    consensus_tick(d->consensus, now_us);
+    leadership_follow(d, now_us);
+    members_tick(d, now_us);
+    requests_tick(d, now_us);
+    entries_tick(d, now_us);
+    if (d->led_since_us != 0) {
+        handover_tick(d, now_us);
+    }
+}
+
+/* Ends a batch of events: one sync, then messages and answers. */
+void
+director_flush(Director *d, uint64_t now_us)
+{
+    consensus_flush(d->consensus, now_us);
+    leadership_follow(d, now_us);
+    entries_confirm(d, now_us);
+    requests_tick(d, now_us);
+    consensus_flush(d->consensus, now_us);
+}
--- /dev/null
+++ b/src/sapphireweir/fleet/director.h
@@ -0,0 +1,74 @@
+#ifndef SAPPHIREWEIR_FLEET_DIRECTOR_H
+#define SAPPHIREWEIR_FLEET_DIRECTOR_H
+
+#include "core/consensus.h"
+#include "fleet/directory.h"
+
+/* The decisions of a control instance of a fleet with a whole-document
+ * configuration: the replicated document, who the backend servers are, who
+ * leads each database, and the entry instances' leases and rates.  A driver
+ * hands it the time and events; nothing in it reads a clock or does I/O. */
+typedef struct Director Director;
+
+/* What a backend server says of itself when asked. */
+typedef struct {
+    gboolean ok; /* it answered */
+    gboolean primary;
+    uint64_t log_term;
+    uint64_t log_number;
+    uint64_t term;
+} DirectorStatus;
+
+typedef struct {
+    void *ctx;
+    void (*send)(void *ctx, const char *to, const Sw__Frame *frame);
+    void (*peer_known)(void *ctx, const char *address);
+    uint64_t (*random)(void *ctx);
+    /* Answers an operator's request; text may be NULL. */
+    void (*operator_answer)(void *ctx, void *request, uint32_t status,
+                            const void *text, size_t bytes);
+    /* Asks a backend server; director_status brings the answer. */
+    void (*status_ask)(void *ctx, const char *server, const char *database,
+                       const char *address);
+    /* Asks for a promotion; director_promoted brings the answer. */
+    void (*promote)(void *ctx, const char *database, const char *server,
+                    uint64_t fence);
+    StoragePort storage;
+} DirectorPort;
+
+typedef struct {
+    const char *id; /* peer address */
+    const char *disk;
+    const char *failure_domain;
+    ConsensusTiming timing;
+    uint64_t lease_us;
+    uint32_t losses; /* control instances that may be lost at once */
+} DirectorConfig;
+
+Director *director_new(const DirectorConfig *config, const DirectorPort *port);
+void director_free(Director *d);
+gboolean director_start(Director *d, uint64_t now_us,
+                        const ConsensusSaved *saved,
+                        const GPtrArray *bootstrap, GError **error);
+void director_seed(Director *d, const char *address);
+void director_tick(Director *d, uint64_t now_us);
+void director_flush(Director *d, uint64_t now_us);
+void director_frame(Director *d, uint64_t now_us, const char *from,
+                    const Sw__Frame *frame);
+void director_stop(Director *d, uint64_t now_us);
+gboolean director_leads(const Director *d);
+gboolean director_failed(const Director *d);
+
+void director_report(Director *d, uint64_t now_us,
+                     const Sw__ServerRecord *report);
+void director_leave(Director *d, uint64_t now_us, const char *id);
+void director_put(Director *d, uint64_t now_us, void *request,
+                  uint64_t version, const void *text, size_t bytes);
+void director_get(Director *d, uint64_t now_us, void *request);
+void director_abandon(Director *d, const void *request);
+void director_status(Director *d, uint64_t now_us, const char *server,
+                     const DirectorStatus *status);
+void director_promoted(Director *d, uint64_t now_us, const char *database,
+                       const char *server, uint32_t status);
+
+#endif
--- /dev/null
+++ b/src/sapphireweir/fleet/director_entries.c
@@ -0,0 +1,446 @@
+#include <string.h>
+
+#include "fleet/director_internal.h"
+#include "fleet/share.h"
+
+/* What entry instances get from control: documents and backend servers from
+ * any control instance, leases, rights to primaries and rate shares from the
+ * leader alone, after a majority has confirmed it. */
+
+enum {
+    kEntryGoneUs = 2500000,     /* an entry that says nothing */
+    kEntryForgottenUs = 30000000,
+    kDocumentResendUs = 500000, /* a document on its way to an entry */
+    kSharesEveryUs = 500000,
+    kDemandWeight = 3, /* of the old value in the smoothed demand */
+};
+
+/* Frees what is known of an entry instance. */
+void
+entry_track_free(void *track)
+{
+    EntryTrack *t = track;
+    g_hash_table_destroy(t->evidence);
+    g_hash_table_destroy(t->demand);
+    g_free(t->id);
+    g_free(t);
+}
+
+static EntryTrack *
+entry_track(Director *d, const char *id, uint64_t incarnation)
+{
+    EntryTrack *t = g_hash_table_lookup(d->entries, id);
+
+    if (t != NULL && t->incarnation == incarnation) {
+        return t;
+    }
+    if (t == NULL) {
+        t = g_new0(EntryTrack, 1);
+        t->id = g_strdup(id);
+        t->evidence =
+            g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+        t->demand =
+            g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+        g_hash_table_insert(d->entries, t->id, t);
+    }
+    /* A new run knows nothing; leases of the former one may still count. */
+    g_hash_table_remove_all(t->evidence);
+    g_hash_table_remove_all(t->demand);
+    t->incarnation = incarnation;
+    t->sequence = 0;
+    t->told_revision = 0;
+    t->document_sent_us = 0;
+    return t;
+}
+
+static gboolean
+entry_present(const EntryTrack *t, uint64_t now_us)
+{
+    return t->heard_us != 0 && now_us - t->heard_us < kEntryGoneUs &&
+           !t->leaving;
+}
+
+/* Returns how many entry instances take part at present. */
+uint32_t
+entries_count(const Director *d, uint64_t now_us)
+{
+    GHashTableIter it;
+    void *value;
+    uint32_t count = 0;
+
+    g_hash_table_iter_init(&it, d->entries);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        count += entry_present(value, now_us);
+    }
+    return count;
+}
+
+/* ---- documents and backend servers ---- */
+
+static void
+send_document(Director *d, uint64_t now_us, EntryTrack *t)
+{
+    Sw__Frame frame = SW__FRAME__INIT;
+    Sw__DocumentUpdate m = SW__DOCUMENT_UPDATE__INIT;
+
+    if (d->document == NULL || t->document_version >= d->document_version) {
+        return;
+    }
+    t->document_sent_us = now_us;
+    m.version = d->document_version;
+    m.text.data = (uint8_t *)g_bytes_get_data(d->document, &m.text.len);
+    frame.body_case = SW__FRAME__BODY_DOCUMENT_UPDATE;
+    frame.document_update = &m;
+    d->port.send(d->port.ctx, t->id, &frame);
+}
+
+static void
+send_directory(Director *d, EntryTrack *t)
+{
+    Sw__Frame frame = SW__FRAME__INIT;
+    Sw__DirectoryUpdate m = SW__DIRECTORY_UPDATE__INIT;
+    guint count = g_hash_table_size(d->directory.servers);
+    Sw__ServerRecord *records = g_new0(Sw__ServerRecord, count + 1);
+    GPtrArray *list = g_ptr_array_new();
+    GHashTableIter it;
+    void *value;
+
+    g_hash_table_iter_init(&it, d->directory.servers);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        const DirectoryServer *s = value;
+        if (s->changed > t->told_revision) {
+            directory_fill(s, &records[list->len]);
+            g_ptr_array_add(list, &records[list->len]);
+        }
+    }
+    m.run = d->run;
+    m.revision = d->directory.revision;
+    m.full = t->told_revision == 0;
+    m.n_servers = list->len;
+    m.servers = (Sw__ServerRecord **)list->pdata;
+    frame.body_case = SW__FRAME__BODY_DIRECTORY_UPDATE;
+    frame.directory_update = &m;
+    d->port.send(d->port.ctx, t->id, &frame);
+    t->told_revision = d->directory.revision;
+    g_ptr_array_unref(list);
+    g_free(records);
+}
+
+typedef void (*EntryVisit)(Director *d, uint64_t now_us, EntryTrack *t);
+
+static void
+visit_present(Director *d, uint64_t now_us, EntryVisit visit)
+{
+    GHashTableIter it;
+    void *value;
+
+    g_hash_table_iter_init(&it, d->entries);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        EntryTrack *t = value;
+        if (t->heard_us != 0 && now_us - t->heard_us < kEntryGoneUs) {
+            visit(d, now_us, t);
+        }
+    }
+}
+
+static void
+visit_directory(Director *d, uint64_t now_us, EntryTrack *t)
+{
+    (void)now_us;
+    send_directory(d, t);
+}
+
+/* Tells every entry instance which backend servers changed. */
+void
+entries_push_directory(Director *d, uint64_t now_us)
+{
+    visit_present(d, now_us, visit_directory);
+}
+
+/* Tells every entry instance the present document. */
+void
+entries_push_document(Director *d, uint64_t now_us)
+{
+    visit_present(d, now_us, send_document);
+}
+
+/* ---- grants ---- */
+
+static void
+grant_primaries(const Director *d, Sw__EntryGrant *m, GPtrArray *list)
+{
+    GHashTableIter it;
+    void *value;
+
+    g_hash_table_iter_init(&it, d->primaries);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        const PrimaryState *p = value;
+        Sw__PrimaryGrant *each = g_new(Sw__PrimaryGrant, 1);
+        sw__primary_grant__init(each);
+        each->database = p->database;
+        each->primary = p->primary;
+        each->epoch = p->epoch;
+        each->closing = p->changing || handover_closes(d, p->database);
+        each->quiescing = handover_quiesces(d, p->database);
+        g_ptr_array_add(list, each);
+    }
+    m->n_primaries = list->len;
+    m->primaries = (Sw__PrimaryGrant **)list->pdata;
+}
+
+static void
+grant_shares(const Director *d, const EntryTrack *t, Sw__EntryGrant *m,
+             GPtrArray *list)
+{
+    GHashTableIter it;
+    void *team;
+    void *table;
+
+    g_hash_table_iter_init(&it, d->shares);
+    while (g_hash_table_iter_next(&it, &team, &table)) {
+        uint32_t share =
+            GPOINTER_TO_UINT(g_hash_table_lookup(table, t->id));
+        if (share == 0) {
+            continue;
+        }
+        Sw__TeamShare *each = g_new(Sw__TeamShare, 1);
+        sw__team_share__init(each);
+        each->team = team;
+        each->share_micro = share;
+        g_ptr_array_add(list, each);
+    }
+    m->n_shares = list->len;
+    m->shares = (Sw__TeamShare **)list->pdata;
+}
+
+/* Sends a grant; without a sequence it renews no lease and only tells who
+ * leads the databases. */
+static void
+send_grant(Director *d, uint64_t now_us, EntryTrack *t, uint64_t sequence)
+{
+    Sw__Frame frame = SW__FRAME__INIT;
+    Sw__EntryGrant m = SW__ENTRY_GRANT__INIT;
+    GPtrArray *primaries = g_ptr_array_new_with_free_func(g_free);
+    GPtrArray *shares = g_ptr_array_new_with_free_func(g_free);
+
+    m.sequence = sequence;
+    m.document_version = d->document_version;
+    grant_primaries(d, &m, primaries);
+    if (sequence != 0) {
+        m.lease_us = d->config.lease_us;
+        m.entry_count = entries_count(d, now_us);
+        grant_shares(d, t, &m, shares);
+    }
+    frame.body_case = SW__FRAME__BODY_ENTRY_GRANT;
+    frame.entry_grant = &m;
+    d->port.send(d->port.ctx, t->id, &frame);
+    g_ptr_array_unref(shares);
+    g_ptr_array_unref(primaries);
+}
+
+static void
+visit_push(Director *d, uint64_t now_us, EntryTrack *t)
+{
+    send_grant(d, now_us, t, 0);
+}
+
+/* Tells every entry instance at once who leads the databases. */
+void
+entries_push(Director *d, uint64_t now_us)
+{
+    visit_present(d, now_us, visit_push);
+}
+
+/* Tells an entry instance which control instances there are. */
+static void
+send_contact(Director *d, EntryTrack *t)
+{
+    Sw__Frame frame = SW__FRAME__INIT;
+    Sw__EntryGrant m = SW__ENTRY_GRANT__INIT;
+    const GPtrArray *members = consensus_members(d->consensus);
+    GPtrArray *list = g_ptr_array_new();
+
+    for (guint i = 0; i < members->len; i++) {
+        const ConsensusMember *each = g_ptr_array_index(members, i);
+        g_ptr_array_add(list, each->id);
+    }
+    m.n_controls = list->len;
+    m.controls = (char **)list->pdata;
+    m.document_version = d->document_version;
+    frame.body_case = SW__FRAME__BODY_ENTRY_GRANT;
+    frame.entry_grant = &m;
+    d->port.send(d->port.ctx, t->id, &frame);
+    g_ptr_array_unref(list);
+}
+
+/* ---- reports ---- */
+
+static void
+note_evidence(EntryTrack *t, uint64_t now_us, const Sw__EntryReport *m)
+{
+    for (size_t i = 0; i < m->n_evidence; i++) {
+        const Sw__PrimaryEvidence *e = m->evidence[i];
+        EntryEvidence *kept = g_hash_table_lookup(t->evidence, e->database);
+        if (kept == NULL) {
+            kept = g_new0(EntryEvidence, 1);
+            g_hash_table_insert(t->evidence, g_strdup(e->database), kept);
+        }
+        *kept = (EntryEvidence){e->epoch, now_us, e->answered, e->failing_us,
+                                e->released_epoch};
+    }
+}
+
+static void
+note_demand(EntryTrack *t, const Sw__EntryReport *m)
+{
+    for (size_t i = 0; i < m->n_demand; i++) {
+        const Sw__TeamDemand *demand = m->demand[i];
+        uint64_t *kept = g_hash_table_lookup(t->demand, demand->team);
+        if (kept == NULL) {
+            kept = g_new0(uint64_t, 1);
+            g_hash_table_insert(t->demand, g_strdup(demand->team), kept);
+        }
+        *kept = (*kept * kDemandWeight + demand->wanted_milli) /
+                (kDemandWeight + 1);
+    }
+}
+
+/* Takes in an entry instance's report. */
+void
+entries_report(Director *d, uint64_t now_us, const char *from,
+               const Sw__EntryReport *m)
+{
+    EntryTrack *t = entry_track(d, from, m->incarnation);
+
+    t->heard_us = now_us;
+    t->leaving = m->leaving;
+    t->document_version = m->document_version;
+    if (m->directory_run != d->run) {
+        t->told_revision = 0;
+    }
+    if (t->told_revision < d->directory.revision) {
+        send_directory(d, t);
+    }
+    if (t->document_version < d->document_version &&
+        now_us - t->document_sent_us > kDocumentResendUs) {
+        send_document(d, now_us, t);
+    }
+    send_contact(d, t);
+    if (m->sequence <= t->sequence) {
+        return;
+    }
+    t->sequence = m->sequence;
+    note_evidence(t, now_us, m);
+    note_demand(t, m);
+    if (director_leads(d)) {
+        t->pending_us = now_us;
+        t->pending_round = consensus_read_begin(d->consensus, now_us);
+    }
+}
+
+/* Grants leases to the reports that came before a confirmed round. */
+void
+entries_confirm(Director *d, uint64_t now_us)
+{
+    GHashTableIter it;
+    void *value;
+
+    if (!director_leads(d)) {
+        return;
+    }
+    g_hash_table_iter_init(&it, d->entries);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        EntryTrack *t = value;
+        if (t->pending_round == 0 ||
+            !consensus_read_ready(d->consensus, t->pending_round)) {
+            continue;
+        }
+        t->pending_round = 0;
+        t->lease_end_us =
+            MAX(t->lease_end_us, t->pending_us + d->config.lease_us);
+        send_grant(d, now_us, t, t->sequence);
+    }
+}
+
+/* ---- rates ---- */
+
+static void
+share_team(Director *d, uint64_t now_us, const char *team)
+{
+    guint most = g_hash_table_size(d->entries);
+    uint64_t *demand = g_new0(uint64_t, most + 1);
+    uint32_t *shares = g_new0(uint32_t, most + 1);
+    GPtrArray *present = g_ptr_array_new();
+    GHashTable *table =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    GHashTableIter it;
+    void *value;
+
+    g_hash_table_iter_init(&it, d->entries);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        EntryTrack *t = value;
+        if (!entry_present(t, now_us)) {
+            continue;
+        }
+        const uint64_t *wanted = g_hash_table_lookup(t->demand, team);
+        demand[present->len] = wanted == NULL ? 0 : *wanted;
+        g_ptr_array_add(present, t);
+    }
+    share_divide(demand, present->len, shares);
+    for (guint i = 0; i < present->len; i++) {
+        const EntryTrack *t = g_ptr_array_index(present, i);
+        g_hash_table_insert(table, g_strdup(t->id),
+                            GUINT_TO_POINTER(shares[i]));
+    }
+    g_hash_table_insert(d->shares, g_strdup(team), table);
+    g_ptr_array_unref(present);
+    g_free(shares);
+    g_free(demand);
+}
+
+static void
+share_all(Director *d, uint64_t now_us)
+{
+    GHashTableIter entries;
+    GHashTableIter teams;
+    void *value;
+    void *team;
+    GHashTable *names =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+
+    g_hash_table_iter_init(&entries, d->entries);
+    while (g_hash_table_iter_next(&entries, NULL, &value)) {
+        g_hash_table_iter_init(&teams, ((EntryTrack *)value)->demand);
+        while (g_hash_table_iter_next(&teams, &team, NULL)) {
+            g_hash_table_add(names, g_strdup(team));
+        }
+    }
+    g_hash_table_iter_init(&teams, names);
+    while (g_hash_table_iter_next(&teams, &team, NULL)) {
+        share_team(d, now_us, team);
+    }
+    g_hash_table_destroy(names);
+}
+
+static gboolean
+entry_forgotten(void *key, void *value, void *ctx)
+{
+    const EntryTrack *t = value;
+    uint64_t now_us = *(uint64_t *)ctx;
+    (void)key;
+    return now_us - t->heard_us > kEntryForgottenUs;
+}
+
+/* Lets time pass for the entry instances. */
+void
+entries_tick(Director *d, uint64_t now_us)
+{
+    if (now_us < d->shares_due_us) {
+        return;
+    }
+    d->shares_due_us = now_us + kSharesEveryUs;
+    g_hash_table_foreach_remove(d->entries, entry_forgotten, &now_us);
+    if (d->led_since_us != 0) {
+        share_all(d, now_us);
+    }
+}
--- /dev/null
+++ b/src/sapphireweir/fleet/director_internal.h
@@ -0,0 +1,165 @@
+#ifndef SAPPHIREWEIR_FLEET_DIRECTOR_INTERNAL_H
+#define SAPPHIREWEIR_FLEET_DIRECTOR_INTERNAL_H
+
+#include "fleet/director.h"
+
+/* Internal to the director: shared by its source files. */
+
+/* Who leads a database, by the replicated log. */
+typedef struct {
+    char *database;
+    char *primary;
+    uint64_t epoch;
+    gboolean changing;
+} PrimaryState;
+
+/* What the leader heard of a primary from one entry instance. */
+typedef struct {
+    uint64_t epoch;
+    uint64_t heard_us;
+    gboolean answered;
+    uint64_t failing_us;
+    uint64_t released_epoch;
+} EntryEvidence;
+
+typedef struct {
+    char *id;
+    uint64_t incarnation;
+    uint64_t heard_us;
+    uint64_t sequence;
+    uint64_t document_version;
+    uint64_t document_sent_us;
+    uint64_t told_revision; /* of this run's directory */
+    gboolean leaving;
+    uint64_t lease_end_us; /* upper bound of every lease granted to it */
+    uint64_t pending_round; /* zero: no report waits for its grant */
+    uint64_t pending_us;    /* when that report came */
+    GHashTable *evidence;   /* database -> EntryEvidence, owned */
+    GHashTable *demand;     /* team -> uint64_t milli a second, owned */
+} EntryTrack;
+
+typedef enum {
+    kChangeProbing,   /* asks the replicas before anything is closed */
+    kChangeQuiescing, /* planned: no new work, open work may end */
+    kChangeClosing,   /* rights are withdrawn or run out */
+    kChangePromoting,
+} ChangePhase;
+
+typedef struct {
+    gboolean answered;
+    gboolean primary;
+    uint64_t log_term;
+    uint64_t log_number;
+    uint64_t term;
+} Candidate;
+
+/* A change of primary that the leader carries out. */
+typedef struct {
+    char *database;
+    uint64_t epoch; /* that ends */
+    ChangePhase phase;
+    gboolean planned;
+    gboolean intent_proposed;
+    gboolean unanswered; /* the last promotion */
+    uint64_t since_us; /* of the phase */
+    uint64_t started_us;
+    uint64_t asked_us;
+    uint64_t promote_us; /* last promotion asked for, zero: none */
+    char *target;
+    char *refused; /* a server that could not be promoted */
+    GHashTable *candidates; /* server -> Candidate, owned */
+} PrimaryChange;
+
+typedef enum {
+    kRequestPut,
+    kRequestGet,
+} RequestKind;
+
+/* An operator's request under way at this instance, or one that another
+ * instance passed on to this leader. */
+typedef struct {
+    RequestKind kind;
+    void *request; /* of the driver, NULL: passed on by origin */
+    char *origin;
+    uint64_t origin_id;
+    uint64_t version;
+    GBytes *text;
+    uint64_t due_us;
+    uint64_t index; /* of the proposal that must commit */
+    uint64_t term;
+    uint64_t round;   /* read: round to be confirmed */
+    uint64_t sent_id; /* passed on to a leader under this id */
+    char *sent_to;
+} OperatorRequest;
+
+struct Director {
+    char *id;
+    char *failure_domain;
+    DirectorConfig config;
+    DirectorPort port;
+    Consensus *consensus;
+    Directory directory;
+    uint64_t run;
+
+    uint64_t document_version;
+    GBytes *document;
+    GHashTable *primaries; /* database -> PrimaryState, owned */
+
+    GHashTable *entries; /* id -> EntryTrack, owned */
+    GHashTable *changes; /* database -> PrimaryChange, owned */
+    GHashTable *peers;   /* addresses of control instances, owned */
+    GHashTable *shares;  /* team -> GHashTable of entry -> share */
+    GQueue requests;     /* OperatorRequest, owned */
+    uint64_t next_request;
+    uint64_t last_proposal_index;
+    uint64_t led_since_us; /* zero: does not lead */
+    uint64_t leader_heard_us;
+    uint64_t join_due_us;
+    uint64_t trim_due_us;
+    uint64_t shares_due_us;
+    gboolean stopping;
+};
+
+/* director.c */
+gboolean director_propose(Director *d, uint64_t now_us,
+                          const Sw__FleetCommand *command, uint64_t *index);
+PrimaryState *director_primary(const Director *d, const char *database);
+gboolean director_propose_primary(Director *d, uint64_t now_us,
+                                  const char *database, const char *primary,
+                                  uint64_t epoch, gboolean changing);
+
+/* director_requests.c */
+void requests_tick(Director *d, uint64_t now_us);
+void requests_frame(Director *d, uint64_t now_us, const char *from,
+                    const Sw__Frame *frame);
+void requests_applied(Director *d, uint64_t index, uint64_t term);
+void operator_request_free(void *request);
+
+/* director_entries.c */
+void entry_track_free(void *track);
+void entries_report(Director *d, uint64_t now_us, const char *from,
+                    const Sw__EntryReport *m);
+void entries_confirm(Director *d, uint64_t now_us);
+void entries_push(Director *d, uint64_t now_us);
+void entries_push_document(Director *d, uint64_t now_us);
+void entries_push_directory(Director *d, uint64_t now_us);
+void entries_tick(Director *d, uint64_t now_us);
+uint32_t entries_count(const Director *d, uint64_t now_us);
+
+/* director_members.c */
+void members_tick(Director *d, uint64_t now_us);
+void members_join(Director *d, uint64_t now_us, const char *from,
+                  const Sw__JoinRequest *m);
+
+/* handover.c */
+void primary_change_free(void *change);
+void handover_tick(Director *d, uint64_t now_us);
+void handover_status(Director *d, uint64_t now_us, const char *server,
+                     const DirectorStatus *status);
+void handover_promoted(Director *d, uint64_t now_us, const char *database,
+                       const char *server, uint32_t status);
+gboolean handover_closes(const Director *d, const char *database);
+gboolean handover_quiesces(const Director *d, const char *database);
+void handover_settled(Director *d, const char *database);
+
+#endif
--- /dev/null
+++ b/src/sapphireweir/fleet/director_requests.c
@@ -0,0 +1,263 @@
+#include <string.h>
+
+#include "fleet/director_internal.h"
+
+/* The operator's requests: a new document is acknowledged once it is
+ * committed, a read is answered once a majority has confirmed that this
+ * leader still leads.  Other instances pass requests on to the leader. */
+
+enum {
+    kRequestUs = 1500000, /* the operator moves on after a second or so */
+    kStatusOk = 200,
+    kStatusUnavailable = 503,
+};
+
+/* Frees a request. */
+void
+operator_request_free(void *request)
+{
+    OperatorRequest *r = request;
+    g_clear_pointer(&r->text, g_bytes_unref);
+    g_free(r->origin);
+    g_free(r->sent_to);
+    g_free(r);
+}
+
+static void
+request_answer(Director *d, OperatorRequest *r, uint32_t status,
+               const void *text, size_t bytes)
+{
+    Sw__Frame frame = SW__FRAME__INIT;
+    Sw__AdminReply reply = SW__ADMIN_REPLY__INIT;
+
+    if (r->request != NULL) {
+        d->port.operator_answer(d->port.ctx, r->request, status, text, bytes);
+    }
+    else if (r->origin != NULL) {
+        reply.status = status;
+        reply.body.data = (uint8_t *)text;
+        reply.body.len = bytes;
+        frame.request_id = r->origin_id;
+        frame.body_case = SW__FRAME__BODY_ADMIN_REPLY;
+        frame.admin_reply = &reply;
+        d->port.send(d->port.ctx, r->origin, &frame);
+    }
+    g_queue_remove(&d->requests, r);
+    operator_request_free(r);
+}
+
+/* Finds an earlier proposal of the same document, so that a resend does not
+ * enter the log twice. */
+static const OperatorRequest *
+same_proposal(const Director *d, const OperatorRequest *r)
+{
+    for (GList *l = d->requests.head; l != NULL; l = l->next) {
+        const OperatorRequest *other = l->data;
+        if (other != r && other->index != 0 &&
+            other->version == r->version &&
+            other->term == consensus_term(d->consensus) &&
+            g_bytes_equal(other->text, r->text)) {
+            return other;
+        }
+    }
+    return NULL;
+}
+
+static void
+propose_document(Director *d, uint64_t now_us, OperatorRequest *r)
+{
+    Sw__FleetCommand command = SW__FLEET_COMMAND__INIT;
+    Sw__DocumentUpdate document = SW__DOCUMENT_UPDATE__INIT;
+    const OperatorRequest *same = same_proposal(d, r);
+
+    if (same != NULL) {
+        r->index = same->index;
+        r->term = same->term;
+        return;
+    }
+    document.version = r->version;
+    document.text.data =
+        (uint8_t *)g_bytes_get_data(r->text, &document.text.len);
+    command.document = &document;
+    if (director_propose(d, now_us, &command, &r->index)) {
+        r->term = consensus_term(d->consensus);
+    }
+}
+
+static void
+pass_on(Director *d, OperatorRequest *r, const char *leader)
+{
+    Sw__Frame frame = SW__FRAME__INIT;
+    Sw__AdminRequest m = SW__ADMIN_REQUEST__INIT;
+    char version[24];
+
+    g_snprintf(version, sizeof(version), "%" G_GUINT64_FORMAT, r->version);
+    m.verb = r->kind == kRequestPut ? "document-put" : "document-get";
+    m.key = version;
+    if (r->text != NULL) {
+        m.body.data = (uint8_t *)g_bytes_get_data(r->text, &m.body.len);
+    }
+    r->sent_id = ++d->next_request;
+    g_free(r->sent_to);
+    r->sent_to = g_strdup(leader);
+    frame.request_id = r->sent_id;
+    frame.body_case = SW__FRAME__BODY_ADMIN_REQUEST;
+    frame.admin_request = &m;
+    d->port.send(d->port.ctx, leader, &frame);
+}
+
+/* Moves a request on as far as it goes; it may be freed. */
+static void
+request_advance(Director *d, uint64_t now_us, OperatorRequest *r)
+{
+    const char *leader = consensus_leader(d->consensus);
+
+    if (now_us >= r->due_us) {
+        request_answer(d, r, kStatusUnavailable, NULL, 0);
+        return;
+    }
+    if (!director_leads(d)) {
+        if (r->index != 0 || r->round != 0 || r->origin != NULL) {
+            request_answer(d, r, kStatusUnavailable, NULL, 0);
+            return;
+        }
+        if (leader != NULL && g_strcmp0(r->sent_to, leader) != 0) {
+            pass_on(d, r, leader);
+        }
+        return;
+    }
+    if (r->kind == kRequestPut) {
+        if (r->index == 0 && r->version <= d->document_version) {
+            request_answer(d, r, kStatusOk, NULL, 0);
+        }
+        else if (r->index == 0) {
+            propose_document(d, now_us, r);
+        }
+        return;
+    }
+    if (r->round == 0) {
+        r->round = consensus_read_begin(d->consensus, now_us);
+    }
+    else if (consensus_read_ready(d->consensus, r->round)) {
+        size_t size = 0;
+        const void *text =
+            d->document == NULL ? NULL : g_bytes_get_data(d->document, &size);
+        request_answer(d, r, text == NULL ? kStatusUnavailable : kStatusOk,
+                       text, size);
+    }
+}
+
+/* Moves all requests on. */
+void
+requests_tick(Director *d, uint64_t now_us)
+{
+    GList *next;
+    for (GList *l = d->requests.head; l != NULL; l = next) {
+        next = l->next;
+        request_advance(d, now_us, l->data);
+    }
+}
+
+/* The entry at an index is committed: it answers the requests that wait
+ * for it, or tells them that another one took its place. */
+void
+requests_applied(Director *d, uint64_t index, uint64_t term)
+{
+    GList *next;
+    for (GList *l = d->requests.head; l != NULL; l = next) {
+        OperatorRequest *r = l->data;
+        next = l->next;
+        if (r->index == index) {
+            request_answer(d, r,
+                           r->term == term ? kStatusOk : kStatusUnavailable,
+                           NULL, 0);
+        }
+    }
+}
+
+static OperatorRequest *
+request_add(Director *d, uint64_t now_us, RequestKind kind)
+{
+    OperatorRequest *r = g_new0(OperatorRequest, 1);
+    r->kind = kind;
+    r->due_us = now_us + kRequestUs;
+    g_queue_push_tail(&d->requests, r);
+    return r;
+}
+
+/* Takes in a valid document; operator_answer follows, with 200 once it is
+ * committed or a higher version is, with 503 when that is not known. */
+void
+director_put(Director *d, uint64_t now_us, void *request, uint64_t version,
+             const void *text, size_t bytes)
+{
+    OperatorRequest *r = request_add(d, now_us, kRequestPut);
+    r->request = request;
+    r->version = version;
+    r->text = g_bytes_new(text, bytes);
+    request_advance(d, now_us, r);
+}
+
+/* Reads the newest document; operator_answer follows, with 503 when it
+ * cannot be confirmed to be the newest. */
+void
+director_get(Director *d, uint64_t now_us, void *request)
+{
+    OperatorRequest *r = request_add(d, now_us, kRequestGet);
+    r->request = request;
+    request_advance(d, now_us, r);
+}
+
+/* The operator has gone away from a request; nothing is answered then. */
+void
+director_abandon(Director *d, const void *request)
+{
+    for (GList *l = d->requests.head; l != NULL; l = l->next) {
+        OperatorRequest *r = l->data;
+        if (r->request == request) {
+            r->request = NULL;
+        }
+    }
+}
+
+static void
+on_passed(Director *d, uint64_t now_us, const char *from, uint64_t id,
+          const Sw__AdminRequest *m)
+{
+    gboolean put = strcmp(m->verb, "document-put") == 0;
+    OperatorRequest *r =
+        request_add(d, now_us, put ? kRequestPut : kRequestGet);
+
+    r->origin = g_strdup(from);
+    r->origin_id = id;
+    r->version = g_ascii_strtoull(m->key, NULL, 10);
+    if (put) {
+        r->text = g_bytes_new(m->body.data, m->body.len);
+    }
+    request_advance(d, now_us, r);
+}
+
+/* Takes in a request that was passed on, or the leader's answer to one. */
+void
+requests_frame(Director *d, uint64_t now_us, const char *from,
+               const Sw__Frame *frame)
+{
+    if (frame->body_case == SW__FRAME__BODY_ADMIN_REQUEST) {
+        on_passed(d, now_us, from, frame->request_id, frame->admin_request);
+        return;
+    }
+    for (GList *l = d->requests.head; l != NULL; l = l->next) {
+        OperatorRequest *r = l->data;
+        const Sw__AdminReply *m = frame->admin_reply;
+        if (r->sent_id != frame->request_id || r->sent_id == 0) {
+            continue;
+        }
+        if (m->status == kStatusUnavailable && now_us < r->due_us) {
+            /* Another leader may know better; the tick asks again. */
+            g_clear_pointer(&r->sent_to, g_free);
+            return;
+        }
+        request_answer(d, r, m->status, m->body.data, m->body.len);
+        return;
+    }
+}
--- /dev/null
+++ b/src/sapphireweir/fleet/document.c
@@ -0,0 +1,91 @@
+#include "fleet/document.h"
+
+/* The whole configuration under one version, as lookups.  The driver's
+ * codec fills it from the operator's text. */
+
+/* Frees a route. */
+void
+document_route_free(void *route)
+{
+    DocumentRoute *r = route;
+    g_free(r->host);
+    g_free(r->path_prefix);
+    g_free(r->database);
+    g_free(r);
+}
+
+static void
+database_free(void *database)
+{
+    DocumentDatabase *d = database;
+    g_free(d->name);
+    g_free(d);
+}
+
+static void
+team_free(void *team)
+{
+    DocumentTeam *t = team;
+    g_free(t->name);
+    g_free(t);
+}
+
+/* Makes an empty document. */
+Document *
+document_new(uint64_t version)
+{
+    Document *d = g_new0(Document, 1);
+    d->references = 1;
+    d->version = version;
+    d->routes = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+                                      document_route_free);
+    d->databases =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, database_free);
+    d->teams =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, team_free);
+    d->keys = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    return d;
+}
+
+/* Adds a reference; returns the document. */
+Document *
+document_ref(Document *d)
+{
+    d->references++;
+    return d;
+}
+
+/* Drops a reference and frees the document with the last; NULL is allowed. */
+void
+document_unref(Document *d)
+{
+    if (d == NULL || --d->references > 0) {
+        return;
+    }
+    g_hash_table_destroy(d->keys);
+    g_hash_table_destroy(d->teams);
+    g_hash_table_destroy(d->databases);
+    g_hash_table_destroy(d->routes);
+    g_free(d);
+}
+
+/* Returns the route of a host or NULL. */
+const DocumentRoute *
+document_route(const Document *d, const char *host)
+{
+    return g_hash_table_lookup(d->routes, host);
+}
+
+/* Returns a database or NULL. */
+const DocumentDatabase *
+document_database(const Document *d, const char *name)
+{
+    return g_hash_table_lookup(d->databases, name);
+}
+
+/* Returns the team that holds a key, NULL when nobody does. */
+const DocumentTeam *
+document_team_of_key(const Document *d, const char *key)
+{
+    return g_hash_table_lookup(d->keys, key);
+}
--- /dev/null
+++ b/src/sapphireweir/fleet/handover.c
@@ -0,0 +1,478 @@
+#include <string.h>
+
+#include "fleet/director_internal.h"
+#include "fleet/suspect.h"
+
+/* Changes of a database's primary.  The leader asks the replicas first,
+ * then withdraws the right to the old primary and logs that it does.  It
+ * asks for a promotion only when every entry instance has let go or its
+ * lease has run out, so nobody writes at, or reads strictly from, a primary
+ * that has been replaced. */
+
+enum {
+    kEvidenceUs = 800000,      /* older reports say nothing */
+    kProbePatienceUs = 150000, /* for all replicas' answers */
+    kProbeGiveUpUs = 600000,
+    kQuiesceUs = 500000, /* open transactions may end */
+    kLeaseMarginUs = 60000, /* clocks that run apart within a lease */
+    kAskAgainUs = 60000,
+    kPromoteAgainUs = 1500000, /* a promotion that shows no effect */
+    kPromoteRetryUs = 150000,  /* one that was refused or not answered */
+    kAdoptUs = 300000, /* silence that makes a report of a role old */
+    kStatusOk = 200,
+    kStatusConflict = 409,
+};
+
+/* Frees a change. */
+void
+primary_change_free(void *change)
+{
+    PrimaryChange *h = change;
+    g_hash_table_destroy(h->candidates);
+    g_free(h->refused);
+    g_free(h->target);
+    g_free(h->database);
+    g_free(h);
+}
+
+/* Tells whether a database's primary must not be used any more. */
+gboolean
+handover_closes(const Director *d, const char *database)
+{
+    const PrimaryChange *h = g_hash_table_lookup(d->changes, database);
+    return h != NULL && h->phase >= kChangeClosing;
+}
+
+/* Tells whether no new work may begin at a database's primary. */
+gboolean
+handover_quiesces(const Director *d, const char *database)
+{
+    const PrimaryChange *h = g_hash_table_lookup(d->changes, database);
+    return h != NULL && h->phase == kChangeQuiescing;
+}
+
+/* The log names a new primary: a change is over. */
+void
+handover_settled(Director *d, const char *database)
+{
+    g_hash_table_remove(d->changes, database);
+}
+
+static void
+phase_set(PrimaryChange *h, uint64_t now_us, ChangePhase phase)
+{
+    h->phase = phase;
+    h->since_us = now_us;
+}
+
+/* ---- asking backend servers ---- */
+
+static gboolean
+is_candidate(const PrimaryChange *h, const DirectoryServer *s,
+             const PrimaryState *p)
+{
+    return !s->gone && strcmp(s->database, h->database) == 0 &&
+           strcmp(s->id, p->primary) != 0 &&
+           (!s->draining || h->planned == FALSE);
+}
+
+static void
+ask_replicas(Director *d, uint64_t now_us, PrimaryChange *h)
+{
+    const PrimaryState *p = director_primary(d, h->database);
+    GHashTableIter it;
+    void *value;
+
+    h->asked_us = now_us;
+    g_hash_table_iter_init(&it, d->directory.servers);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        const DirectoryServer *s = value;
+        if (is_candidate(h, s, p)) {
+            d->port.status_ask(d->port.ctx, s->id, s->database, s->address);
+        }
+    }
+}
+
+static PrimaryChange *
+change_of_server(Director *d, const char *server)
+{
+    const DirectoryServer *s = directory_find(&d->directory, server);
+    return s == NULL ? NULL : g_hash_table_lookup(d->changes, s->database);
+}
+
+/* Takes in a backend server's answer. */
+void
+handover_status(Director *d, uint64_t now_us, const char *server,
+                const DirectorStatus *status)
+{
+    PrimaryChange *h = change_of_server(d, server);
+
+    if (h == NULL || !status->ok) {
+        return;
+    }
+    Candidate *c = g_hash_table_lookup(h->candidates, server);
+    if (c == NULL) {
+        c = g_new0(Candidate, 1);
+        g_hash_table_insert(h->candidates, g_strdup(server), c);
+    }
+    *c = (Candidate){TRUE, status->primary, status->log_term,
+                     status->log_number, status->term};
+    if (h->phase == kChangePromoting && status->primary &&
+        g_strcmp0(server, h->target) == 0) {
+        g_message("database %s: %s leads, %" G_GUINT64_FORMAT
+                  " ms after the change began",
+                  h->database, server, (now_us - h->started_us) / 1000);
+        director_propose_primary(d, now_us, h->database, server,
+                                 h->epoch + 1, FALSE);
+    }
+}
+
+/* Returns the replica that holds most of the log, NULL when none answered. */
+static const char *
+best_candidate(const Director *d, const PrimaryChange *h)
+{
+    GHashTableIter it;
+    void *key;
+    void *value;
+    const char *best = NULL;
+    const Candidate *held = NULL;
+
+    g_hash_table_iter_init(&it, h->candidates);
+    while (g_hash_table_iter_next(&it, &key, &value)) {
+        const Candidate *c = value;
+        const DirectoryServer *s = directory_find(&d->directory, key);
+        if (s == NULL || s->gone || g_strcmp0(key, h->refused) == 0) {
+            continue;
+        }
+        if (held == NULL || c->log_term > held->log_term ||
+            (c->log_term == held->log_term &&
+             c->log_number > held->log_number)) {
+            best = key;
+            held = c;
+        }
+    }
+    return best;
+}
+
+/* ---- beginning ---- */
+
+static void
+change_begin(Director *d, uint64_t now_us, const PrimaryState *p,
+             gboolean planned, const char *why)
+{
+    PrimaryChange *h = g_new0(PrimaryChange, 1);
+
+    g_message("database %s: %s is to be replaced: %s", p->database,
+              p->primary, why);
+    h->database = g_strdup(p->database);
+    h->epoch = p->epoch;
+    h->planned = planned;
+    h->started_us = now_us;
+    h->candidates =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    phase_set(h, now_us, p->changing ? kChangeClosing : kChangeProbing);
+    h->intent_proposed = p->changing;
+    g_hash_table_insert(d->changes, h->database, h);
+    ask_replicas(d, now_us, h);
+}
+
+static SuspectVerdict
+judge(const Director *d, uint64_t now_us, const PrimaryState *p)
+{
+    SuspectEvidence *evidence =
+        g_new0(SuspectEvidence, g_hash_table_size(d->entries) + 1);
+    GHashTableIter it;
+    void *value;
+    size_t count = 0;
+
+    g_hash_table_iter_init(&it, d->entries);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        const EntryTrack *t = value;
+        const EntryEvidence *e =
+            g_hash_table_lookup(t->evidence, p->database);
+        if (e == NULL || e->epoch != p->epoch ||
+            now_us - e->heard_us > kEvidenceUs ||
+            (!e->answered && e->failing_us == 0)) {
+            continue;
+        }
+        evidence[count++] = (SuspectEvidence){e->answered, e->failing_us};
+    }
+    SuspectVerdict verdict = suspect_judge(evidence, count);
+    g_free(evidence);
+    return verdict;
+}
+
+static gboolean
+has_other_server(const Director *d, const PrimaryState *p)
+{
+    GHashTableIter it;
+    void *value;
+
+    g_hash_table_iter_init(&it, d->directory.servers);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        const DirectoryServer *s = value;
+        if (!s->gone && !s->draining &&
+            strcmp(s->database, p->database) == 0 &&
+            strcmp(s->id, p->primary) != 0) {
+            return TRUE;
+        }
+    }
+    return FALSE;
+}
+
+static void
+watch_primary(Director *d, uint64_t now_us, const PrimaryState *p)
+{
+    const DirectoryServer *s = directory_find(&d->directory, p->primary);
+
+    if (p->changing) {
+        change_begin(d, now_us, p, FALSE, "a former leader began it");
+        return;
+    }
+    if (s != NULL && s->draining && !s->gone && has_other_server(d, p)) {
+        change_begin(d, now_us, p, TRUE, "it is draining");
+        return;
+    }
+    if (s != NULL && s->gone) {
+        change_begin(d, now_us, p, FALSE, "it is gone");
+        return;
+    }
+    if (s != NULL && !s->primary && now_us - s->heard_us < kAdoptUs) {
+        change_begin(d, now_us, p, FALSE, "it is a replica now");
+        return;
+    }
+    switch (judge(d, now_us, p)) {
+    case kSuspectDead:
+        change_begin(d, now_us, p, FALSE, "nobody is answered");
+        break;
+    case kSuspectPartitioned:
+        change_begin(d, now_us, p, FALSE, "most are not answered");
+        break;
+    case kSuspectNone:
+        break;
+    }
+}
+
+/* Takes over who leads a database that the log does not know yet. */
+static void
+adopt(Director *d, uint64_t now_us)
+{
+    GHashTableIter it;
+    void *value;
+
+    g_hash_table_iter_init(&it, d->directory.servers);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        const DirectoryServer *s = value;
+        if (s->primary && !s->gone && !s->draining &&
+            director_primary(d, s->database) == NULL &&
+            consensus_commit_index(d->consensus) ==
+                consensus_last_index(d->consensus)) {
+            director_propose_primary(d, now_us, s->database, s->id, 1,
+                                     FALSE);
+        }
+    }
+}
+
+/* ---- phases ---- */
+
+/* Tells whether no entry instance can still use the old primary. */
+static gboolean
+all_let_go(const Director *d, uint64_t now_us, const PrimaryChange *h)
+{
+    GHashTableIter it;
+    void *value;
+
+    /* Leases of a former leader are not known to this one. */
+    if (now_us < d->led_since_us + d->config.lease_us + kLeaseMarginUs) {
+        return FALSE;
+    }
+    g_hash_table_iter_init(&it, d->entries);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        const EntryTrack *t = value;
+        const EntryEvidence *e =
+            g_hash_table_lookup(t->evidence, h->database);
+        if (e != NULL && e->heard_us >= h->since_us &&
+            e->released_epoch >= h->epoch) {
+            continue;
+        }
+        if (e != NULL && e->epoch < h->epoch && e->epoch != 0) {
+            /* It has not heard of this primary and has no right to it. */
+            continue;
+        }
+        if (now_us < t->lease_end_us + kLeaseMarginUs &&
+            now_us < h->since_us + d->config.lease_us + kLeaseMarginUs) {
+            return FALSE;
+        }
+    }
+    return TRUE;
+}
+
+static void
+close_rights(Director *d, uint64_t now_us, PrimaryChange *h)
+{
+    const PrimaryState *p = director_primary(d, h->database);
+
+    phase_set(h, now_us, kChangeClosing);
+    if (!h->intent_proposed) {
+        h->intent_proposed = director_propose_primary(
+            d, now_us, h->database, p->primary, h->epoch, TRUE);
+    }
+    entries_push(d, now_us);
+    ask_replicas(d, now_us, h);
+}
+
+static gboolean
+step_probing(Director *d, uint64_t now_us, PrimaryChange *h)
+{
+    uint64_t age_us = now_us - h->since_us;
+    guint answered = g_hash_table_size(h->candidates);
+
+    if (answered >= 2 || (answered == 1 && age_us > kProbePatienceUs)) {
+        if (h->planned) {
+            phase_set(h, now_us, kChangeQuiescing);
+            entries_push(d, now_us);
+            return TRUE;
+        }
+        close_rights(d, now_us, h);
+        return TRUE;
+    }
+    if (age_us > kProbeGiveUpUs) {
+        g_message("database %s: no replica answers, the primary stays",
+                  h->database);
+        return FALSE;
+    }
+    if (now_us - h->asked_us > kProbePatienceUs) {
+        ask_replicas(d, now_us, h);
+    }
+    return TRUE;
+}
+
+static void
+promote(Director *d, uint64_t now_us, PrimaryChange *h)
+{
+    const char *best = best_candidate(d, h);
+
+    if (best == NULL) {
+        g_clear_pointer(&h->refused, g_free);
+        if (now_us - h->asked_us > kProbePatienceUs) {
+            ask_replicas(d, now_us, h);
+        }
+        return;
+    }
+    g_free(h->target);
+    h->target = g_strdup(best);
+    h->promote_us = now_us;
+    phase_set(h, now_us, kChangePromoting);
+    g_message("database %s: promotes %s", h->database, best);
+    d->port.promote(d->port.ctx, h->database, best,
+                    consensus_term(d->consensus));
+}
+
+static void
+step_closing(Director *d, uint64_t now_us, PrimaryChange *h)
+{
+    const PrimaryState *p = director_primary(d, h->database);
+
+    if (!h->intent_proposed) {
+        close_rights(d, now_us, h);
+        return;
+    }
+    if (!p->changing || !all_let_go(d, now_us, h)) {
+        return;
+    }
+    promote(d, now_us, h);
+}
+
+static void
+step_promoting(Director *d, uint64_t now_us, PrimaryChange *h)
+{
+    const DirectoryServer *s = directory_find(&d->directory, h->target);
+
+    if (h->unanswered && now_us - h->promote_us > kPromoteRetryUs) {
+        /* Whether it was done is not known: the same server again. */
+        h->unanswered = FALSE;
+        h->promote_us = now_us;
+        d->port.promote(d->port.ctx, h->database, h->target,
+                        consensus_term(d->consensus));
+        return;
+    }
+    if (now_us - h->promote_us > kPromoteAgainUs) {
+        g_free(h->refused);
+        h->refused = g_strdup(h->target);
+        g_hash_table_remove_all(h->candidates);
+        ask_replicas(d, now_us, h);
+        phase_set(h, now_us, kChangeClosing);
+        return;
+    }
+    if (s != NULL && now_us - h->asked_us > kAskAgainUs) {
+        h->asked_us = now_us;
+        d->port.status_ask(d->port.ctx, s->id, s->database, s->address);
+    }
+}
+
+/* Takes in the platform's answer to a promotion. */
+void
+handover_promoted(Director *d, uint64_t now_us, const char *database,
+                  const char *server, uint32_t status)
+{
+    PrimaryChange *h = g_hash_table_lookup(d->changes, database);
+
+    if (h == NULL || h->phase != kChangePromoting ||
+        g_strcmp0(server, h->target) != 0 || status == kStatusOk) {
+        return;
+    }
+    g_message("database %s: promotion of %s was answered with %u", database,
+              server, status);
+    if (status == kStatusConflict) {
+        g_free(h->refused);
+        h->refused = g_strdup(server);
+        phase_set(h, now_us, kChangeClosing);
+        return;
+    }
+    h->unanswered = TRUE;
+    h->promote_us = now_us;
+}
+
+static gboolean
+change_step(Director *d, uint64_t now_us, PrimaryChange *h)
+{
+    switch (h->phase) {
+    case kChangeProbing:
+        return step_probing(d, now_us, h);
+    case kChangeQuiescing:
+        if (now_us - h->since_us > kQuiesceUs) {
+            close_rights(d, now_us, h);
+        }
+        return TRUE;
+    case kChangeClosing:
+        step_closing(d, now_us, h);
+        return TRUE;
+    case kChangePromoting:
+        step_promoting(d, now_us, h);
+        return TRUE;
+    }
+    return TRUE;
+}
+
+/* Lets time pass for all changes; only the leader calls it. */
+void
+handover_tick(Director *d, uint64_t now_us)
+{
+    GHashTableIter it;
+    void *value;
+
+    adopt(d, now_us);
+    g_hash_table_iter_init(&it, d->primaries);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        const PrimaryState *p = value;
+        if (!g_hash_table_contains(d->changes, p->database)) {
+            watch_primary(d, now_us, p);
+        }
+    }
+    g_hash_table_iter_init(&it, d->changes);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        if (!change_step(d, now_us, value)) {
+            g_hash_table_iter_remove(&it);
+        }
+    }
+}
--- /dev/null
+++ b/src/sapphireweir/fleet/share.h
@@ -0,0 +1,11 @@
+#ifndef SAPPHIREWEIR_FLEET_SHARE_H
+#define SAPPHIREWEIR_FLEET_SHARE_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+enum { kShareWhole = 1000000 };
+
+void share_divide(const uint64_t *demand, size_t count, uint32_t *shares);
+
+#endif
--- /dev/null
+++ b/src/sapphireweir/gateway/connection.c
@@ -0,0 +1,417 @@
+#include <string.h>
+
+#include "gateway/gateway_internal.h"
+
+/* Connections to backend servers.  A connection belongs to one team and is
+ * lent to one session at a time, for a statement or a whole transaction.
+ * Values and prepared statements of the session are brought to it just
+ * before use; it remembers what it was told. */
+
+enum {
+    kPreparedMax = 64, /* per connection, then it is reset */
+    kAvoidUs = 200000, /* a server that cannot be connected to */
+    kFullUs = 150000,  /* a server with no connection left */
+    kServiceWeight = 8, /* of the old value in the smoothed service time */
+    kCommandsMax = 160,
+};
+
+/* Opens a connection for a team; never NULL. */
+Connection *
+connection_open(Server *server, const char *team, uint64_t now_us)
+{
+    Gateway *g = server->database->gateway;
+    Connection *c = g_new0(Connection, 1);
+
+    c->gateway = g;
+    c->server = server;
+    c->team = g_strdup(team);
+    c->state = kConnectionOpening;
+    c->since_us = now_us;
+    g_ptr_array_add(server->connections, c);
+    server->opening++;
+    g->counters.connections_opened++;
+    c->link = g->port.server_open(g->port.ctx, c, server->address,
+                                  server->database->name, team, server->id);
+    return c;
+}
+
+/* Frees a connection that was closed before. */
+void
+connection_free(void *connection)
+{
+    Connection *c = connection;
+    if (c->values != NULL) {
+        g_hash_table_destroy(c->values);
+    }
+    if (c->prepared != NULL) {
+        g_hash_table_destroy(c->prepared);
+    }
+    g_free(c->team);
+    g_free(c);
+}
+
+/* Closes a connection; its memory goes with the next tick.  The session
+ * that it was bound to must be seen to by the caller. */
+void
+connection_close(Connection *c)
+{
+    Gateway *g = c->gateway;
+    Server *s = c->server;
+
+    if (c->state == kConnectionOpening) {
+        s->opening--;
+    }
+    if (c->awaiting) {
+        s->open_statements--;
+        c->awaiting = FALSE;
+    }
+    if (c->link != NULL) {
+        g->port.server_close(g->port.ctx, c->link);
+        c->link = NULL;
+    }
+    g_ptr_array_remove_fast(s->connections, c);
+    for (GList *l = g->active.head; l != NULL; l = l->next) {
+        Session *waiting = l->data;
+        if (waiting->job.opening == c) {
+            waiting->job.opening = NULL;
+        }
+    }
+    if (c->session != NULL && c->session->connection == c) {
+        c->session->connection = NULL;
+    }
+    c->session = NULL;
+    g_ptr_array_add(g->closed, c);
+}
+
+/* Returns an idle connection of a team or NULL. */
+Connection *
+server_idle_connection(const Server *s, const char *team)
+{
+    for (guint i = 0; i < s->connections->len; i++) {
+        Connection *c = g_ptr_array_index(s->connections, i);
+        if (c->state == kConnectionIdle && strcmp(c->team, team) == 0) {
+            return c;
+        }
+    }
+    return NULL;
+}
+
+/* Returns the connection that has been idle longest or NULL. */
+Connection *
+server_oldest_idle(const Server *s)
+{
+    Connection *oldest = NULL;
+    for (guint i = 0; i < s->connections->len; i++) {
+        Connection *c = g_ptr_array_index(s->connections, i);
+        if (c->state == kConnectionIdle &&
+            (oldest == NULL || c->since_us < oldest->since_us)) {
+            oldest = c;
+        }
+    }
+    return oldest;
+}
+
+/* ---- bringing a session's state ---- */
+
+typedef struct {
+    ServerCommand commands[kCommandsMax];
+    size_t count;
+} Script;
+
+static void
+script_add(Script *script, ServerCommand command)
+{
+    if (script->count < kCommandsMax) {
+        script->commands[script->count++] = command;
+    }
+}
+
+static gboolean
+values_must_reset(const Connection *c, const Session *s)
+{
+    GHashTableIter it;
+    void *name;
+
+    if (c->values_unknown) {
+        return TRUE;
+    }
+    if (c->prepared != NULL &&
+        g_hash_table_size(c->prepared) >= kPreparedMax) {
+        return TRUE;
+    }
+    if (c->values == NULL) {
+        return FALSE;
+    }
+    g_hash_table_iter_init(&it, c->values);
+    while (g_hash_table_iter_next(&it, &name, NULL)) {
+        if (s->values == NULL || !g_hash_table_contains(s->values, name)) {
+            return TRUE;
+        }
+    }
+    return FALSE;
+}
+
+static void
+bring_values(Connection *c, const Session *s, Script *script)
+{
+    GHashTableIter it;
+    void *name;
+    void *value;
+
+    if (!s->begun && values_must_reset(c, s)) {
+        script_add(script, (ServerCommand){.kind = kCommandReset});
+        g_clear_pointer(&c->values, g_hash_table_destroy);
+        g_clear_pointer(&c->prepared, g_hash_table_destroy);
+        c->values_unknown = FALSE;
+    }
+    if (s->values == NULL) {
+        return;
+    }
+    if (c->values == NULL) {
+        c->values =
+            g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    }
+    g_hash_table_iter_init(&it, s->values);
+    while (g_hash_table_iter_next(&it, &name, &value)) {
+        const char *held = g_hash_table_lookup(c->values, name);
+        if (held != NULL && strcmp(held, value) == 0) {
+            continue;
+        }
+        script_add(script, (ServerCommand){.kind = kCommandSet,
+                                           .name = name,
+                                           .value = value});
+        g_hash_table_replace(c->values, g_strdup(name), g_strdup(value));
+    }
+}
+
+static void
+bring_prepared(Connection *c, const Job *job, Script *script)
+{
+    if (job->prepared == NULL) {
+        return;
+    }
+    if (c->prepared == NULL) {
+        c->prepared =
+            g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    }
+    if (g_hash_table_contains(c->prepared, job->prepared)) {
+        return;
+    }
+    script_add(script, (ServerCommand){.kind = kCommandPrepare,
+                                       .name = job->prepared,
+                                       .value = job->prepared_shape,
+                                       .writes = job->writes});
+    g_hash_table_add(c->prepared, g_strdup(job->prepared));
+}
+
+/* ---- running ---- */
+
+/* Position that a replica must hold before it serves the session's job. */
+static Position
+required_position(const Session *s, const Server *server, uint64_t now_us)
+{
+    Position after = {0};
+    if (server == database_primary(s->database, now_us)) {
+        return after;
+    }
+    freshness_required(&s->database->freshness, now_us,
+                       s->route->max_staleness_us, s->own, &after);
+    return after;
+}
+
+static void
+send_script(Connection *c, const Script *script, uint64_t now_us)
+{
+    Gateway *g = c->gateway;
+    c->ahead = (uint32_t)script->count - 1;
+    c->awaiting = TRUE;
+    c->sent_us = now_us;
+    c->server->open_statements++;
+    g->port.server_send(g->port.ctx, c->link, script->commands,
+                        script->count);
+}
+
+/* Lends the connection to a session and sends what it has open.  A BEGIN
+ * travels alone: if the server refuses it, a read behind it would run
+ * outside its transaction. */
+void
+connection_run(Connection *c, Session *s, uint64_t now_us)
+{
+    static Script script;
+    Job *job = &s->job;
+    Position after = {0};
+    gboolean begins = s->state == kSessionInTransaction && !s->begun;
+
+    script.count = 0;
+    c->state = kConnectionBound;
+    c->since_us = now_us;
+    c->session = s;
+    s->connection = c;
+    job->sent = TRUE;
+    job->opening = NULL;
+    bring_values(c, s, &script);
+    if (begins) {
+        after = s->read_only ? required_position(s, c->server, now_us) : after;
+        script_add(&script, (ServerCommand){.kind = s->read_only
+                                                        ? kCommandBeginRead
+                                                        : kCommandBegin,
+                                            .after = after});
+        c->begin_open = TRUE;
+        s->at_primary = !s->read_only || after.term == 0;
+    }
+    else {
+        bring_prepared(c, job, &script);
+        if (!s->begun && !job->writes) {
+            after = required_position(s, c->server, now_us);
+        }
+        if (!s->begun) {
+            s->at_primary = after.term == 0;
+        }
+        script_add(&script, (ServerCommand){.kind = kCommandStatement,
+                                            .id = job->id,
+                                            .text = job->text,
+                                            .after = after});
+        c->begin_open = FALSE;
+    }
+    send_script(c, &script, now_us);
+}
+
+/* Takes the connection back from its session. */
+void
+connection_release(Connection *c, uint64_t now_us, gboolean rollback)
+{
+    Gateway *g = c->gateway;
+    ServerCommand command = {.kind = kCommandRollback};
+
+    if (c->session != NULL && c->session->connection == c) {
+        c->session->connection = NULL;
+    }
+    c->session = NULL;
+    c->since_us = now_us;
+    if (!rollback) {
+        c->state = kConnectionIdle;
+        dispatch_connection_free(c, now_us);
+        return;
+    }
+    /* Whether a rolled back transaction keeps its values is not stated. */
+    c->values_unknown = TRUE;
+    c->state = kConnectionRolling;
+    c->ahead = 0;
+    c->awaiting = TRUE;
+    c->sent_us = now_us;
+    c->server->open_statements++;
+    g->port.server_send(g->port.ctx, c->link, &command, 1);
+}
+
+/* ---- events ---- */
+
+/* The server has accepted the connection. */
+void
+connection_ready(Connection *c, uint64_t now_us)
+{
+    Server *s = c->server;
+    if (c->state != kConnectionOpening) {
+        return;
+    }
+    s->opening--;
+    s->answered_us = now_us;
+    s->failing_since_us = 0;
+    s->avoid_until_us = 0;
+    c->state = kConnectionIdle;
+    c->since_us = now_us;
+    dispatch_connection_free(c, now_us);
+}
+
+/* Notes that a server failed to answer or to take a connection. */
+void
+server_failed(Server *s, uint64_t now_us)
+{
+    if (s->failing_since_us == 0) {
+        s->failing_since_us = now_us;
+    }
+    s->avoid_until_us = now_us + kAvoidUs;
+}
+
+static void
+note_service_time(Connection *c, uint64_t now_us)
+{
+    Server *s = c->server;
+    uint64_t took_us = now_us - c->sent_us;
+    s->service_us =
+        (s->service_us * (kServiceWeight - 1) + took_us) / kServiceWeight;
+}
+
+static void
+note_position(Connection *c, const ServerAnswer *a, uint64_t now_us)
+{
+    Server *s = c->server;
+    Database *d = s->database;
+    if (a->position.term == 0 || s != database_primary(d, now_us)) {
+        return;
+    }
+    freshness_add(&d->freshness, c->sent_us, a->position);
+}
+
+/* Takes in one answer of the server. */
+void
+connection_answer(Connection *c, uint64_t now_us, const ServerAnswer *a)
+{
+    Server *s = c->server;
+    Gateway *g = c->gateway;
+
+    s->answered_us = now_us;
+    s->failing_since_us = 0;
+    if (strcmp(s->failure_domain, g->failure_domain) != 0) {
+        g->foreign_answer_us = now_us;
+    }
+    if (!c->awaiting) {
+        connection_down(c, now_us, kCodeOther);
+        return;
+    }
+    if (c->ahead > 0) {
+        c->ahead--;
+        if (a->code != kCodeNone) {
+            /* A value or prepared statement was not taken: what follows
+             * may not run as the caller meant it. */
+            g_warning("server %s refused a session's state: %s", s->id,
+                      a->code_text);
+            c->values_unknown = TRUE;
+        }
+        return;
+    }
+    c->awaiting = FALSE;
+    s->open_statements--;
+    if (a->code == kCodeNone && !c->begin_open) {
+        note_service_time(c, now_us);
+    }
+    note_position(c, a, now_us);
+    if (c->state == kConnectionRolling) {
+        connection_release(c, now_us, FALSE);
+        return;
+    }
+    if (c->session != NULL) {
+        session_answer(c->session, now_us, a);
+    }
+}
+
+/* The connection is gone, or was refused with a code. */
+void
+connection_down(Connection *c, uint64_t now_us, AnswerCode code)
+{
+    Server *server = c->server;
+    Session *s = c->session;
+    gboolean opening = c->state == kConnectionOpening;
+
+    c->gateway->counters.connections_lost++;
+    if (code == kCodeTooMany || code == kCodeBusy) {
+        server->answered_us = now_us;
+        server->full_until_us = now_us + kFullUs;
+    }
+    else if (opening || c->awaiting) {
+        server_failed(server, now_us);
+    }
+    connection_close(c);
+    if (s != NULL) {
+        session_connection_lost(s, now_us);
+    }
+}
--- /dev/null
+++ b/src/sapphireweir/gateway/freshness.c
@@ -0,0 +1,85 @@
+#include "gateway/freshness.h"
+
+/* Which log position a replica must hold before it may serve a read of a
+ * stated age, learned from the answers of the primary alone. */
+
+enum {
+    kSampleSpacingUs = 40000,  /* 64 slots reach over 2.5 s of staleness */
+    kAgeMarginUs = 60000,      /* a caller's clock starts at its first byte */
+};
+
+static const FreshnessSample *
+sample_at(const Freshness *f, uint32_t i)
+{
+    return &f->samples[(f->first + i) % kFreshnessSlots];
+}
+
+/* Forgets everything, as when the primary has changed. */
+void
+freshness_clear(Freshness *f)
+{
+    *f = (Freshness){0};
+}
+
+/* Adds what the primary stated in answer to something sent at sent_us. */
+void
+freshness_add(Freshness *f, uint64_t sent_us, Position position)
+{
+    if (position.term == 0) {
+        return;
+    }
+    if (f->oldest_of_term.term < position.term) {
+        freshness_clear(f);
+        f->oldest_of_term = position;
+    }
+    else if (f->oldest_of_term.term > position.term) {
+        return;
+    }
+    if (f->count > 0) {
+        const FreshnessSample *last = sample_at(f, f->count - 1);
+        if (sent_us < last->sent_us + kSampleSpacingUs) {
+            return;
+        }
+    }
+    if (f->count == kFreshnessSlots) {
+        f->first = (f->first + 1) % kFreshnessSlots;
+        f->count--;
+    }
+    f->samples[(f->first + f->count) % kFreshnessSlots] =
+        (FreshnessSample){sent_us, position};
+    f->count++;
+}
+
+/* Finds the position that a replica must hold for a read that accepts data
+ * of max_age_us and must see its session's own commit (a zero term: none).
+ * FALSE: nothing recent enough is known and only the primary may serve. */
+gboolean
+freshness_required(const Freshness *f, uint64_t now_us, uint64_t max_age_us,
+                   Position own, Position *out)
+{
+    uint64_t age_us = max_age_us > kAgeMarginUs ? max_age_us - kAgeMarginUs : 0;
+    uint64_t since_us = now_us > age_us ? now_us - age_us : 0;
+
+    for (uint32_t i = 0; i < f->count; i++) {
+        const FreshnessSample *s = sample_at(f, i);
+        if (s->sent_us < since_us) {
+            continue;
+        }
+        *out = s->position;
+        if (own.term != 0 && own.term < s->position.term) {
+            own = f->oldest_of_term;
+        }
+        if (position_compare(own, *out) > 0) {
+            *out = own;
+        }
+        return TRUE;
+    }
+    return FALSE;
+}
+
+/* Returns when the newest sample was sent, zero when there is none. */
+uint64_t
+freshness_newest_us(const Freshness *f)
+{
+    return f->count == 0 ? 0 : sample_at(f, f->count - 1)->sent_us;
+}
--- /dev/null
+++ b/src/sapphireweir/gateway/freshness.h
@@ -0,0 +1,28 @@
+#ifndef SAPPHIREWEIR_GATEWAY_FRESHNESS_H
+#define SAPPHIREWEIR_GATEWAY_FRESHNESS_H
+
+#include "gateway/gateway_defs.h"
+
+enum { kFreshnessSlots = 64 };
+
+/* A position that the primary stated in answer to something sent at a
+ * time: it covers every commit acknowledged before that time. */
+typedef struct {
+    uint64_t sent_us;
+    Position position;
+} FreshnessSample;
+
+typedef struct {
+    FreshnessSample samples[kFreshnessSlots]; /* ring, by rising sent_us */
+    uint32_t first;
+    uint32_t count;
+    Position oldest_of_term; /* first one known in the present term */
+} Freshness;
+
+void freshness_add(Freshness *f, uint64_t sent_us, Position position);
+void freshness_clear(Freshness *f);
+gboolean freshness_required(const Freshness *f, uint64_t now_us,
+                            uint64_t max_age_us, Position own, Position *out);
+uint64_t freshness_newest_us(const Freshness *f);
+
+#endif
--- /dev/null
+++ b/src/sapphireweir/gateway/gateway.h
@@ -0,0 +1,55 @@
+#ifndef SAPPHIREWEIR_GATEWAY_GATEWAY_H
+#define SAPPHIREWEIR_GATEWAY_GATEWAY_H
+
+#include "fleet/document.h"
+#include "gateway/gateway_defs.h"
+
+/* The decisions of an entry instance whose callers hold sessions: which
+ * backend server runs a statement, who waits, who is refused.  A driver
+ * hands it the time and events and carries out what it asks through its
+ * GatewayPort; nothing in it reads a clock or does I/O. */
+typedef struct Gateway Gateway;
+typedef struct Session Session;
+
+typedef struct {
+    const char *failure_domain;
+    uint64_t incarnation;
+    /* Turns the operator's text into a document, NULL when it is invalid. */
+    Document *(*decode)(const uint8_t *text, size_t bytes);
+} GatewayConfig;
+
+typedef struct {
+    uint64_t answered;
+    uint64_t refused;
+    uint64_t in_doubt;
+    uint64_t replica_reads;
+    uint64_t primary_reads;
+    uint64_t connections_opened;
+    uint64_t connections_lost;
+    uint64_t lagging;
+    uint64_t over_rate;
+    uint64_t timeouts;
+} GatewayCounters;
+
+Gateway *gateway_new(const GatewayConfig *config, const GatewayPort *port);
+void gateway_free(Gateway *g);
+void gateway_tick(Gateway *g, uint64_t now_us);
+void gateway_control_add(Gateway *g, const char *address);
+void gateway_frame(Gateway *g, uint64_t now_us, const char *from,
+                   const Sw__Frame *frame);
+gboolean gateway_ready(const Gateway *g, uint64_t now_us);
+void gateway_drain(Gateway *g, uint64_t now_us, uint64_t grace_us);
+gboolean gateway_drained(const Gateway *g, uint64_t now_us);
+const GatewayCounters *gateway_counters(const Gateway *g);
+
+Session *session_open(Gateway *g, uint64_t now_us, void *caller,
+                      const char *host, const char *key, AnswerCode *code);
+void session_close(Session *s, uint64_t now_us);
+void session_statement(Session *s, uint64_t now_us, const Statement *st);
+gboolean session_busy(const Session *s);
+
+void connection_ready(Connection *c, uint64_t now_us);
+void connection_answer(Connection *c, uint64_t now_us, const ServerAnswer *a);
+void connection_down(Connection *c, uint64_t now_us, AnswerCode code);
+
+#endif
--- /dev/null
+++ b/src/sapphireweir/gateway/gateway_internal.h
@@ -0,0 +1,214 @@
+#ifndef SAPPHIREWEIR_GATEWAY_GATEWAY_INTERNAL_H
+#define SAPPHIREWEIR_GATEWAY_GATEWAY_INTERNAL_H
+
+#include "core/token_bucket.h"
+#include "gateway/freshness.h"
+#include "gateway/gateway.h"
+
+/* Internal to the gateway: shared by its source files. */
+
+enum {
+    kMicrosPerMilli = 1000,
+};
+
+typedef struct Database Database;
+
+/* A backend server as this instance knows it. */
+typedef struct {
+    char *id;
+    char *address;
+    char *failure_domain;
+    Database *database;
+    int64_t born_ms;
+    uint32_t slots;
+    gboolean draining;
+    gboolean gone;
+    GPtrArray *connections; /* Connection, owned */
+    uint32_t opening;
+    uint32_t open_statements;
+    uint64_t service_us;       /* smoothed */
+    uint64_t answered_us;      /* when it last answered anything */
+    uint64_t failing_since_us; /* zero: no failure since its last answer */
+    uint64_t avoid_until_us;   /* after a failure to connect */
+    uint64_t full_until_us;    /* it refused a connection as one too many */
+    uint64_t lagging_until_us;
+    uint64_t lagging_step_us;
+} Server;
+
+/* A database: its backend servers, the right to use its primary, and the
+ * sessions that wait for one of them. */
+struct Database {
+    char *name;
+    Gateway *gateway;
+    GPtrArray *servers; /* Server, owned by the gateway */
+    char *primary;      /* id, NULL: not known */
+    uint64_t epoch;
+    gboolean closing;
+    gboolean quiescing;
+    uint64_t closed_us; /* since when the primary cannot be used */
+    uint64_t released_epoch;
+    Freshness freshness;
+    GQueue waiting; /* Session, by arrival */
+};
+
+typedef enum {
+    kConnectionOpening,
+    kConnectionIdle,
+    kConnectionBound, /* to a session */
+    kConnectionRolling, /* back, with no session any more */
+} ConnectionState;
+
+struct Connection {
+    Gateway *gateway;
+    Server *server;
+    void *link;
+    char *team;
+    ConnectionState state;
+    Session *session;
+    uint64_t since_us; /* of the present state */
+    uint64_t sent_us;  /* of the open statement */
+    gboolean values_unknown;
+    GHashTable *values;   /* name -> value that the server holds */
+    GHashTable *prepared; /* canonical names that the server knows */
+    uint32_t ahead;       /* answers to come before the awaited one */
+    gboolean awaiting;    /* an answer for the session */
+    gboolean begin_open;  /* the awaited answer is that of a BEGIN */
+};
+
+typedef struct {
+    char *shape;
+    gboolean writes;
+} Prepared;
+
+/* The statement that a session has open. */
+typedef struct {
+    gboolean open;
+    StatementKind kind;
+    char *id;
+    char *text; /* as it goes to a server */
+    char *prepared; /* canonical name it needs, or NULL */
+    char *prepared_shape;
+    gboolean writes;
+    gboolean needs_primary;
+    gboolean sent;
+    gboolean charged; /* a rate token was taken for it */
+    uint64_t arrived_us;
+    uint64_t due_us;
+    uint64_t retry_us; /* not to be tried again before */
+    uint32_t attempts;
+    uint32_t lagging;
+    Connection *opening; /* connection that is opened for it */
+    Server *avoid;       /* that failed it last */
+} Job;
+
+struct Session {
+    Gateway *gateway;
+    void *caller; /* NULL: the caller has gone */
+    char *host;
+    char *key;
+    Document *document; /* that route and team belong to */
+    const DocumentRoute *route;
+    const DocumentTeam *team; /* NULL on an open route without a key */
+    GHashTable *values;       /* NULL: none */
+    GHashTable *prepared;     /* name -> Prepared, NULL: none */
+    SessionState state;
+    gboolean read_only;
+    gboolean wrote;
+    gboolean begun; /* a server has begun the transaction */
+    gboolean at_primary;
+    uint64_t idle_since_us;
+    Position own; /* of its last commit */
+    Connection *connection;
+    Database *database;
+    Job job;
+    GList *waiting_link; /* in its database's queue, or NULL */
+    GList *active_link;
+    GList *all_link;
+};
+
+/* A control instance as this instance hears it. */
+typedef struct {
+    char *address;
+    uint64_t heard_us;
+    uint64_t run; /* of the directory revision */
+    uint64_t revision;
+} ControlContact;
+
+enum { kReportsKept = 32 };
+
+typedef struct {
+    TokenBucket bucket;
+    uint64_t share_micro;
+    uint64_t wanted; /* operations since the last report */
+    uint64_t wanted_since_us;
+    uint64_t rate_milli;
+    uint64_t burst_milli;
+} TeamRate;
+
+struct Gateway {
+    char *failure_domain;
+    uint64_t incarnation;
+    GatewayPort port;
+    Document *(*decode)(const uint8_t *text, size_t bytes);
+    Document *document;
+    GHashTable *databases; /* name -> Database, owned */
+    GHashTable *servers;   /* id -> Server, owned */
+    GHashTable *controls;  /* address -> ControlContact, owned */
+    GHashTable *rates;     /* team -> TeamRate, owned */
+    GQueue sessions;
+    GQueue active; /* sessions with an open job */
+    GPtrArray *closed; /* connections to be freed in the next tick */
+    uint64_t report_due_us;
+    uint64_t sequence;
+    uint64_t sent_us[kReportsKept]; /* by sequence */
+    uint64_t granted_sequence;
+    uint64_t lease_until_us;
+    uint64_t started_us;
+    uint64_t foreign_answer_us; /* a server of another domain answered */
+    uint64_t cut_since_us;      /* zero: not cut off */
+    uint32_t entry_count;
+    uint64_t drain_us; /* zero: not draining */
+    uint64_t grace_us;
+    GatewayCounters counters;
+};
+
+/* gateway.c */
+Database *gateway_database(Gateway *g, const char *name);
+Server *database_primary(const Database *d, uint64_t now_us);
+void gateway_report(Gateway *g, uint64_t now_us);
+
+/* dispatch.c */
+void dispatch_submit(Session *s, uint64_t now_us);
+void dispatch_leave(Session *s);
+void dispatch_connection_free(Connection *c, uint64_t now_us);
+void dispatch_tick(Gateway *g, uint64_t now_us);
+void dispatch_retry(Session *s, uint64_t now_us, uint64_t delay_us);
+
+/* connection.c */
+Connection *connection_open(Server *server, const char *team, uint64_t now_us);
+void connection_close(Connection *c);
+void connection_run(Connection *c, Session *s, uint64_t now_us);
+void connection_release(Connection *c, uint64_t now_us, gboolean rollback);
+void connection_free(void *connection);
+Connection *server_idle_connection(const Server *s, const char *team);
+Connection *server_oldest_idle(const Server *s);
+void server_failed(Server *s, uint64_t now_us);
+
+/* session.c */
+void session_answer(Session *s, uint64_t now_us, const ServerAnswer *a);
+void session_connection_lost(Session *s, uint64_t now_us);
+void session_finish(Session *s, uint64_t now_us, AnswerCode code,
+                    const char *detail);
+void session_refuse(Session *s, uint64_t now_us, uint64_t retry_after_us);
+void session_abort_at(Session *s, uint64_t now_us);
+void session_tick(Gateway *g, uint64_t now_us);
+const char *session_team_name(const Session *s);
+
+/* team_rates.c */
+gboolean team_rates_take(Gateway *g, uint64_t now_us, const DocumentTeam *team,
+                         uint64_t *wait_us);
+void team_rates_return(Gateway *g, const DocumentTeam *team);
+void team_rates_tick(Gateway *g, uint64_t now_us);
+void team_rates_grant(Gateway *g, uint64_t now_us, const Sw__EntryGrant *m);
+
+#endif
--- /dev/null
+++ b/src/sapphireweir/gateway/session.c
@@ -0,0 +1,760 @@
+#include <string.h>
+
+#include "gateway/gateway_internal.h"
+
+/* A caller's session: its values, prepared statements and at most one open
+ * transaction.  What needs no backend server is answered at once; a server
+ * hears of a transaction with its first statement, so that a pause before
+ * it holds no connection. */
+
+enum {
+    kBusyRetryUs = 12000,    /* a server whose queue was full */
+    kLaggingFirstUs = 40000, /* a replica that was behind is left alone */
+    kLaggingMostUs = 640000,
+    kLaggingTriesMax = 3,
+    kReadRetriesMax = 1, /* of a read that ran and failed */
+    kDrainPercent = 50,  /* of the grace for open transactions */
+    kIdleCloseAfterUs = 2400000, /* the balancer needs two missed probes */
+    kCutCloseAfterUs = 2000000,
+};
+
+/* Returns the team's name as backend servers are told it. */
+const char *
+session_team_name(const Session *s)
+{
+    return s->team == NULL ? "-" : s->team->name;
+}
+
+/* ---- route and team ---- */
+
+/* Takes route and team from the present document.  Returns the code for
+ * the caller, kCodeNone when the session may go on. */
+static AnswerCode
+session_resolve(Session *s)
+{
+    Gateway *g = s->gateway;
+    const DocumentRoute *route = document_route(g->document, s->host);
+
+    if (route == NULL) {
+        return kCodeNoDatabase;
+    }
+    const DocumentTeam *team = document_team_of_key(g->document, s->key);
+    if (team == NULL && !route->open) {
+        return kCodeNoAuth;
+    }
+    if (s->document != g->document) {
+        document_unref(s->document);
+        s->document = document_ref(g->document);
+    }
+    s->route = route;
+    s->team = team;
+    s->database = gateway_database(g, route->database);
+    return kCodeNone;
+}
+
+/* Opens a session for a caller that names a host and presents a key.
+ * Returns NULL and the code for the caller when it is refused. */
+Session *
+session_open(Gateway *g, uint64_t now_us, void *caller, const char *host,
+             const char *key, AnswerCode *code)
+{
+    *code = kCodeBusy;
+    if (g->document == NULL) {
+        return NULL;
+    }
+    Session *s = g_new0(Session, 1);
+    s->gateway = g;
+    s->caller = caller;
+    s->host = g_strdup(host);
+    s->key = g_strdup(key);
+    s->idle_since_us = now_us;
+    *code = session_resolve(s);
+    if (*code != kCodeNone) {
+        g_free(s->host);
+        g_free(s->key);
+        g_free(s);
+        return NULL;
+    }
+    g_queue_push_tail(&g->sessions, s);
+    s->all_link = g->sessions.tail;
+    return s;
+}
+
+static void
+job_clear(Session *s)
+{
+    Job *job = &s->job;
+    g_free(job->id);
+    g_free(job->text);
+    g_free(job->prepared);
+    g_free(job->prepared_shape);
+    *job = (Job){0};
+    if (s->active_link != NULL) {
+        g_queue_delete_link(&s->gateway->active, s->active_link);
+        s->active_link = NULL;
+    }
+}
+
+static void
+session_free(Session *s)
+{
+    Gateway *g = s->gateway;
+    dispatch_leave(s);
+    job_clear(s);
+    g_queue_delete_link(&g->sessions, s->all_link);
+    g_clear_pointer(&s->values, g_hash_table_destroy);
+    g_clear_pointer(&s->prepared, g_hash_table_destroy);
+    document_unref(s->document);
+    g_free(s->host);
+    g_free(s->key);
+    g_free(s);
+}
+
+/* The caller has gone.  An open transaction is rolled back; a statement
+ * under way ends with its connection. */
+void
+session_close(Session *s, uint64_t now_us)
+{
+    Connection *c = s->connection;
+    s->caller = NULL;
+    if (c != NULL && c->awaiting) {
+        connection_close(c);
+    }
+    else if (c != NULL) {
+        connection_release(c, now_us, TRUE);
+    }
+    session_free(s);
+}
+
+/* Tells whether a statement is open. */
+gboolean
+session_busy(const Session *s)
+{
+    return s->job.open;
+}
+
+/* ---- answers to the caller ---- */
+
+static void
+caller_tell(Session *s, uint64_t now_us, const CallerAnswer *a)
+{
+    Gateway *g = s->gateway;
+
+    dispatch_leave(s);
+    job_clear(s);
+    s->idle_since_us = now_us;
+    s->state = a->state;
+    if (a->state != kSessionInTransaction) {
+        s->begun = FALSE;
+    }
+    if (a->state == kSessionIdle) {
+        s->wrote = FALSE;
+        s->read_only = FALSE;
+    }
+    if (a->code == kCodeInDoubt) {
+        g->counters.in_doubt++;
+    }
+    else if (a->code == kCodeNone) {
+        g->counters.answered++;
+    }
+    else {
+        g->counters.refused++;
+    }
+    if (s->caller != NULL) {
+        g->port.caller_answer(g->port.ctx, s->caller, a);
+    }
+}
+
+static void
+tell_done(Session *s, uint64_t now_us, SessionState state)
+{
+    caller_tell(s, now_us, &(CallerAnswer){.state = state});
+}
+
+static void
+tell_error(Session *s, uint64_t now_us, AnswerCode code, SessionState state,
+           const char *detail)
+{
+    caller_tell(s, now_us, &(CallerAnswer){.code = code,
+                                           .state = state,
+                                           .detail = detail});
+}
+
+/* Ends the open statement without an answer of a server: what is left of a
+ * transaction is rolled back. */
+void
+session_finish(Session *s, uint64_t now_us, AnswerCode code,
+               const char *detail)
+{
+    Connection *c = s->connection;
+    StatementKind kind = s->job.kind;
+    SessionState state = s->state == kSessionInTransaction &&
+                                 kind != kStatementCommit
+                             ? kSessionFailed
+                             : kSessionIdle;
+
+    if (c != NULL && c->awaiting) {
+        connection_close(c);
+    }
+    else if (c != NULL) {
+        connection_release(c, now_us, s->begun);
+    }
+    tell_error(s, now_us, code, state, detail);
+}
+
+/* Refuses a statement that did not run and says when to come back. */
+void
+session_refuse(Session *s, uint64_t now_us, uint64_t retry_after_us)
+{
+    char detail[64];
+
+    g_snprintf(detail, sizeof(detail), "not run, retry after %u ms",
+               (unsigned)(retry_after_us / kMicrosPerMilli));
+    if (s->job.charged && s->team != NULL) {
+        team_rates_return(s->gateway, s->team);
+    }
+    session_finish(s, now_us, s->begun ? kCodeAborted : kCodeBusy, detail);
+}
+
+/* ---- statements that need no server ---- */
+
+static void
+statement_begin(Session *s, uint64_t now_us, const Statement *st)
+{
+    uint64_t wait_us = 0;
+    AnswerCode code;
+
+    if (s->state != kSessionIdle) {
+        tell_error(s, now_us, kCodeMalformed, kSessionFailed,
+                   "a transaction is open");
+        return;
+    }
+    code = session_resolve(s);
+    if (code != kCodeNone) {
+        tell_error(s, now_us, code, kSessionIdle, "");
+        return;
+    }
+    if (s->team != NULL &&
+        !team_rates_take(s->gateway, now_us, s->team, &wait_us)) {
+        s->gateway->counters.over_rate++;
+        session_refuse(s, now_us, MIN(wait_us, (uint64_t)5000000));
+        return;
+    }
+    s->read_only = st->kind == kStatementBeginRead;
+    s->wrote = FALSE;
+    s->begun = FALSE;
+    tell_done(s, now_us, kSessionInTransaction);
+}
+
+static void
+statement_rollback(Session *s, uint64_t now_us)
+{
+    if (s->state == kSessionIdle) {
+        tell_error(s, now_us, kCodeMalformed, kSessionIdle,
+                   "no transaction is open");
+        return;
+    }
+    if (s->connection != NULL) {
+        connection_release(s->connection, now_us, s->begun);
+    }
+    tell_done(s, now_us, kSessionIdle);
+}
+
+static void
+statement_set(Session *s, uint64_t now_us, const Statement *st)
+{
+    if (s->values == NULL) {
+        s->values =
+            g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    }
+    g_hash_table_replace(s->values, g_strdup(st->name), g_strdup(st->value));
+    tell_done(s, now_us, s->state);
+}
+
+static void
+prepared_free(void *data)
+{
+    Prepared *p = data;
+    g_free(p->shape);
+    g_free(p);
+}
+
+static void
+statement_prepare(Session *s, uint64_t now_us, const Statement *st)
+{
+    Prepared *p = g_new(Prepared, 1);
+
+    if (s->prepared == NULL) {
+        s->prepared = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+                                            prepared_free);
+    }
+    *p = (Prepared){g_strdup(st->shape), st->writes};
+    g_hash_table_replace(s->prepared, g_strdup(st->name), p);
+    tell_done(s, now_us, s->state);
+}
+
+static void
+statement_deallocate(Session *s, uint64_t now_us, const Statement *st)
+{
+    if (s->prepared == NULL || !g_hash_table_remove(s->prepared, st->name)) {
+        tell_error(s, now_us, kCodeNoStatement,
+                   s->state == kSessionIdle ? kSessionIdle : kSessionFailed,
+                   st->name);
+        return;
+    }
+    tell_done(s, now_us, s->state);
+}
+
+/* ---- statements for a server ---- */
+
+/* Name of a prepared statement that is the same in all sessions. */
+static char *
+canonical_name(const Prepared *p)
+{
+    guint64 hash = 14695981039346656037ULL; /* FNV-1a */
+    for (const char *at = p->shape; *at != '\0'; at++) {
+        hash = (hash ^ (guint8)*at) * 1099511628211ULL;
+    }
+    return g_strdup_printf("%c%016" G_GINT64_MODIFIER "x",
+                           p->writes ? 'w' : 'r', hash);
+}
+
+static gboolean
+job_fill(Session *s, const Statement *st)
+{
+    Job *job = &s->job;
+    Prepared *p;
+
+    job->id = g_strdup(st->id);
+    if (st->kind != kStatementExecute) {
+        job->text = g_strdup(st->text);
+        job->writes = st->kind == kStatementWrite;
+        return TRUE;
+    }
+    p = s->prepared == NULL ? NULL : g_hash_table_lookup(s->prepared, st->name);
+    if (p == NULL) {
+        return FALSE;
+    }
+    job->prepared = canonical_name(p);
+    job->prepared_shape = g_strdup(p->shape);
+    job->writes = p->writes;
+    job->text = g_strdup_printf("EXECUTE %s%s%s", job->prepared,
+                                st->rest[0] == '\0' ? "" : " ", st->rest);
+    return TRUE;
+}
+
+/* Checks route, key and rate of a statement that begins an operation. */
+static gboolean
+operation_may_begin(Session *s, uint64_t now_us)
+{
+    uint64_t wait_us = 0;
+    AnswerCode code = session_resolve(s);
+
+    if (code != kCodeNone) {
+        tell_error(s, now_us, code, kSessionIdle, "");
+        return FALSE;
+    }
+    if (s->team == NULL) {
+        return TRUE;
+    }
+    if (!team_rates_take(s->gateway, now_us, s->team, &wait_us)) {
+        s->gateway->counters.over_rate++;
+        session_refuse(s, now_us, MIN(wait_us, (uint64_t)5000000));
+        return FALSE;
+    }
+    s->job.charged = TRUE;
+    return TRUE;
+}
+
+/* A key that was withdrawn ends also an open transaction. */
+static gboolean
+key_still_holds(const Session *s)
+{
+    const Document *present = s->gateway->document;
+    return s->document == present || s->team == NULL ||
+           document_team_of_key(present, s->key) != NULL;
+}
+
+static void
+statement_forward(Session *s, uint64_t now_us, const Statement *st)
+{
+    Job *job = &s->job;
+
+    if (st->kind == kStatementCommit && s->state == kSessionIdle) {
+        tell_error(s, now_us, kCodeMalformed, kSessionIdle,
+                   "no transaction is open");
+        return;
+    }
+    if (!job_fill(s, st)) {
+        tell_error(s, now_us, kCodeNoStatement,
+                   s->state == kSessionIdle ? kSessionIdle : kSessionFailed,
+                   st->name);
+        return;
+    }
+    if (s->state == kSessionIdle && !operation_may_begin(s, now_us)) {
+        return;
+    }
+    if (s->state == kSessionInTransaction && !key_still_holds(s)) {
+        session_finish(s, now_us, kCodeNoAuth, "");
+        return;
+    }
+    job->arrived_us = now_us;
+    job->due_us = now_us + s->route->timeout_us;
+    job->needs_primary =
+        s->route->consistency == kConsistencyPrimary ||
+        (s->state == kSessionInTransaction ? !s->read_only : job->writes);
+    if (s->connection != NULL) {
+        connection_run(s->connection, s, now_us);
+        return;
+    }
+    dispatch_submit(s, now_us);
+}
+
+/* Takes in a statement; exactly one answer follows, now or later.  The
+ * driver hands over the next one only after it. */
+void
+session_statement(Session *s, uint64_t now_us, const Statement *st)
+{
+    Gateway *g = s->gateway;
+
+    s->job = (Job){.open = TRUE, .kind = st->kind};
+    g_queue_push_tail(&g->active, s);
+    s->active_link = g->active.tail;
+    if (s->state == kSessionFailed && st->kind == kStatementCommit) {
+        tell_error(s, now_us, kCodeAborted, kSessionIdle, "rolled back");
+        return;
+    }
+    if (s->state == kSessionFailed && st->kind != kStatementRollback) {
+        tell_error(s, now_us, kCodeMalformed, kSessionFailed,
+                   "the transaction has failed");
+        return;
+    }
+    switch (st->kind) {
+    case kStatementBegin:
+    case kStatementBeginRead:
+        statement_begin(s, now_us, st);
+        break;
+    case kStatementRollback:
+        statement_rollback(s, now_us);
+        break;
+    case kStatementSet:
+        statement_set(s, now_us, st);
+        break;
+    case kStatementPrepare:
+        statement_prepare(s, now_us, st);
+        break;
+    case kStatementDeallocate:
+        statement_deallocate(s, now_us, st);
+        break;
+    case kStatementCommit:
+    case kStatementRead:
+    case kStatementWrite:
+    case kStatementExecute:
+        statement_forward(s, now_us, st);
+        break;
+    case kStatementMalformed:
+        session_finish(s, now_us, kCodeMalformed, "");
+        break;
+    }
+}
+
+/* ---- answers of a server ---- */
+
+static gboolean
+ran_nowhere(AnswerCode code)
+{
+    return code == kCodeBusy || code == kCodeLagging ||
+           code == kCodeReadOnly || code == kCodeMisrouted ||
+           code == kCodeTooMany || code == kCodeNoStatement;
+}
+
+static void
+note_lagging(Session *s, Server *server, uint64_t now_us)
+{
+    uint64_t step_us = server->lagging_step_us * 2;
+
+    server->lagging_step_us =
+        CLAMP(step_us, (uint64_t)kLaggingFirstUs, (uint64_t)kLaggingMostUs);
+    server->lagging_until_us = now_us + server->lagging_step_us;
+    s->gateway->counters.lagging++;
+}
+
+/* The statement or the BEGIN before it did not run: it may go elsewhere as
+ * long as nothing of its transaction has run. */
+static void
+answer_not_run(Session *s, uint64_t now_us, const ServerAnswer *a)
+{
+    Connection *c = s->connection;
+    Server *server = c->server;
+    uint64_t delay_us = 0;
+
+    if (a->code == kCodeNoStatement) {
+        g_clear_pointer(&c->prepared, g_hash_table_destroy);
+    }
+    if (s->begun) {
+        if (a->state == kSessionInTransaction &&
+            (a->code == kCodeNoStatement) && s->job.attempts++ == 0) {
+            connection_run(c, s, now_us);
+            return;
+        }
+        session_finish(s, now_us, kCodeAborted, a->code_text);
+        return;
+    }
+    if (a->code == kCodeBusy) {
+        delay_us = kBusyRetryUs;
+    }
+    if (a->code == kCodeLagging) {
+        note_lagging(s, server, now_us);
+        s->job.lagging++;
+        s->job.attempts -= s->job.attempts > 0 ? 1 : 0;
+        if (s->job.lagging >= kLaggingTriesMax) {
+            s->job.needs_primary = TRUE;
+        }
+    }
+    if (a->code == kCodeReadOnly || a->code == kCodeMisrouted) {
+        server->avoid_until_us = now_us + kLaggingMostUs / 4;
+    }
+    s->job.sent = FALSE;
+    s->job.avoid = a->code == kCodeNoStatement ? NULL : server;
+    if (server == database_primary(s->database, now_us) &&
+        s->job.needs_primary) {
+        s->job.avoid = NULL;
+    }
+    s->connection = NULL;
+    c->session = NULL;
+    connection_release(c, now_us, a->state != kSessionIdle);
+    dispatch_retry(s, now_us, delay_us);
+}
+
+static gboolean
+answer_counts(const Session *s, uint64_t now_us)
+{
+    const Connection *c = s->connection;
+    return !s->at_primary ||
+           c->server == database_primary(s->database, now_us);
+}
+
+static gboolean
+may_change_data(const Session *s)
+{
+    return s->job.kind == kStatementCommit ? s->wrote : s->job.writes;
+}
+
+/* A statement ran and completed. */
+static void
+answer_complete(Session *s, uint64_t now_us, const ServerAnswer *a)
+{
+    Connection *c = s->connection;
+    gboolean ends = s->state == kSessionIdle ||
+                    s->job.kind == kStatementCommit;
+    gboolean commits = ends && may_change_data(s);
+    SessionState state = ends ? kSessionIdle : kSessionInTransaction;
+    GatewayCounters *n = &s->gateway->counters;
+
+    if (commits && !answer_counts(s, now_us)) {
+        session_finish(s, now_us, kCodeInDoubt,
+                       "the primary was replaced meanwhile");
+        return;
+    }
+    if (commits && position_compare(a->position, s->own) > 0) {
+        s->own = a->position;
+    }
+    if (!ends) {
+        s->wrote |= s->job.writes;
+    }
+    if (!s->at_primary) {
+        c->server->lagging_step_us = 0;
+        n->replica_reads++;
+    }
+    else if (!s->job.writes) {
+        n->primary_reads++;
+    }
+    CallerAnswer answer = {.rows = a->rows,
+                           .rows_bytes = a->rows_bytes,
+                           .tag = a->tag,
+                           .state = state,
+                           .position_text = a->position_text};
+    if (ends) {
+        s->connection = NULL;
+        c->session = NULL;
+    }
+    caller_tell(s, now_us, &answer);
+    if (ends) {
+        connection_release(c, now_us, a->state != kSessionIdle);
+    }
+}
+
+/* A statement ran and failed, or may have run. */
+static void
+answer_error(Session *s, uint64_t now_us, const ServerAnswer *a)
+{
+    Connection *c = s->connection;
+    Job *job = &s->job;
+    gboolean in_transaction = s->state == kSessionInTransaction;
+    gboolean commit = job->kind == kStatementCommit;
+    CallerAnswer answer = {.code = a->code,
+                           .code_text = a->code_text,
+                           .detail = a->detail,
+                           .position_text = a->position_text};
+
+    if (!in_transaction && !job->writes && a->code == kCodeFailed &&
+        job->attempts < kReadRetriesMax) {
+        job->avoid = c->server;
+        s->connection = NULL;
+        c->session = NULL;
+        connection_release(c, now_us, FALSE);
+        dispatch_retry(s, now_us, 0);
+        return;
+    }
+    answer.state =
+        in_transaction && !commit ? kSessionFailed : kSessionIdle;
+    s->connection = NULL;
+    c->session = NULL;
+    caller_tell(s, now_us, &answer);
+    connection_release(c, now_us, a->state != kSessionIdle);
+}
+
+/* Takes in the server's answer to the session's BEGIN or statement. */
+void
+session_answer(Session *s, uint64_t now_us, const ServerAnswer *a)
+{
+    Connection *c = s->connection;
+
+    if (c->begin_open && a->code == kCodeNone) {
+        c->begin_open = FALSE;
+        s->begun = TRUE;
+        connection_run(c, s, now_us);
+        return;
+    }
+    if (a->code == kCodeNone) {
+        answer_complete(s, now_us, a);
+        return;
+    }
+    if (ran_nowhere(a->code) || c->begin_open) {
+        answer_not_run(s, now_us, a);
+        return;
+    }
+    answer_error(s, now_us, a);
+}
+
+/* The session's connection is gone; s->connection is NULL already. */
+void
+session_connection_lost(Session *s, uint64_t now_us)
+{
+    Job *job = &s->job;
+
+    s->connection = NULL;
+    if (!job->open) {
+        /* Between two statements: the transaction is rolled back. */
+        s->state = kSessionFailed;
+        s->begun = FALSE;
+        return;
+    }
+    if (s->begun && job->kind != kStatementCommit) {
+        session_finish(s, now_us, kCodeAborted, "the connection was lost");
+        return;
+    }
+    if (s->state == kSessionInTransaction && !s->begun) {
+        dispatch_retry(s, now_us, 0);
+        return;
+    }
+    if (may_change_data(s)) {
+        session_finish(s, now_us, kCodeInDoubt, "the answer was lost");
+        return;
+    }
+    if (job->kind == kStatementCommit) {
+        session_finish(s, now_us, kCodeAborted, "the connection was lost");
+        return;
+    }
+    dispatch_retry(s, now_us, 0);
+}
+
+/* The primary that the session works at must not be used any more. */
+void
+session_abort_at(Session *s, uint64_t now_us)
+{
+    Connection *c = s->connection;
+
+    if (c == NULL || !s->at_primary) {
+        return;
+    }
+    s->connection = NULL;
+    connection_close(c);
+    session_connection_lost(s, now_us);
+}
+
+/* ---- time ---- */
+
+static gboolean
+ends_in_doubt(const Session *s)
+{
+    gboolean single = s->state == kSessionIdle;
+    return may_change_data(s) && (single || s->job.kind == kStatementCommit);
+}
+
+static void
+job_tick(Session *s, uint64_t now_us)
+{
+    if (!s->job.sent || now_us < s->job.due_us) {
+        return;
+    }
+    s->gateway->counters.timeouts++;
+    session_finish(s, now_us,
+                   ends_in_doubt(s)                     ? kCodeInDoubt
+                   : s->state == kSessionInTransaction ? kCodeAborted
+                                                       : kCodeTimeout,
+                   "no answer within the time limit");
+}
+
+static gboolean
+must_close(const Session *s, uint64_t now_us)
+{
+    const Gateway *g = s->gateway;
+
+    if (g->cut_since_us != 0 &&
+        now_us - g->cut_since_us > kCutCloseAfterUs) {
+        return TRUE;
+    }
+    return g->drain_us != 0 && now_us - g->drain_us > kIdleCloseAfterUs;
+}
+
+static void
+idle_tick(Session *s, uint64_t now_us)
+{
+    Gateway *g = s->gateway;
+    gboolean in_transaction = s->state == kSessionInTransaction;
+    uint64_t idle_us = now_us - s->idle_since_us;
+
+    if (in_transaction && s->connection != NULL &&
+        (idle_us > s->document->transaction_idle_us ||
+         (g->drain_us != 0 &&
+          now_us - g->drain_us > g->grace_us * kDrainPercent / 100))) {
+        connection_release(s->connection, now_us, TRUE);
+        s->state = kSessionFailed;
+        s->begun = FALSE;
+    }
+    if (s->state == kSessionIdle && must_close(s, now_us)) {
+        void *caller = s->caller;
+        session_close(s, now_us);
+        g->port.caller_close(g->port.ctx, caller);
+    }
+}
+
+/* Lets time pass for every session. */
+void
+session_tick(Gateway *g, uint64_t now_us)
+{
+    GList *next;
+
+    for (GList *l = g->active.head; l != NULL; l = next) {
+        next = l->next;
+        job_tick(l->data, now_us);
+    }
+    for (GList *l = g->sessions.head; l != NULL; l = next) {
+        Session *s = l->data;
+        next = l->next;
+        if (!s->job.open) {
+            idle_tick(s, now_us);
+        }
+    }
+}
