--- a/src/sapphireweir/proto/sapphireweir.pb-c.c
+++ b/src/sapphireweir/proto/sapphireweir.pb-c.c
@@ -1042,432 +1042,2062 @@
   assert(message->base.descriptor == &sw__announcement__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor sw__frame__field_descriptors[19] =
+void   sw__primary_evidence__init
+                     (Sw__PrimaryEvidence         *message)
 {
+  static const Sw__PrimaryEvidence init_value = SW__PRIMARY_EVIDENCE__INIT;
+  *message = init_value;
+}
+size_t sw__primary_evidence__get_packed_size
+                     (const Sw__PrimaryEvidence *message)
+{
+  assert(message->base.descriptor == &sw__primary_evidence__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t sw__primary_evidence__pack
+                     (const Sw__PrimaryEvidence *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &sw__primary_evidence__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t sw__primary_evidence__pack_to_buffer
+                     (const Sw__PrimaryEvidence *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &sw__primary_evidence__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Sw__PrimaryEvidence *
+       sw__primary_evidence__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Sw__PrimaryEvidence *)
+     protobuf_c_message_unpack (&sw__primary_evidence__descriptor,
+                                allocator, len, data);
+}
+void   sw__primary_evidence__free_unpacked
+                     (Sw__PrimaryEvidence *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &sw__primary_evidence__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   sw__team_demand__init
+                     (Sw__TeamDemand         *message)
+{
+  static const Sw__TeamDemand init_value = SW__TEAM_DEMAND__INIT;
+  *message = init_value;
+}
+size_t sw__team_demand__get_packed_size
+                     (const Sw__TeamDemand *message)
+{
+  assert(message->base.descriptor == &sw__team_demand__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t sw__team_demand__pack
+                     (const Sw__TeamDemand *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &sw__team_demand__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t sw__team_demand__pack_to_buffer
+                     (const Sw__TeamDemand *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &sw__team_demand__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Sw__TeamDemand *
+       sw__team_demand__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Sw__TeamDemand *)
+     protobuf_c_message_unpack (&sw__team_demand__descriptor,
+                                allocator, len, data);
+}
+void   sw__team_demand__free_unpacked
+                     (Sw__TeamDemand *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &sw__team_demand__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   sw__entry_report__init
+                     (Sw__EntryReport         *message)
+{
+  static const Sw__EntryReport init_value = SW__ENTRY_REPORT__INIT;
+  *message = init_value;
+}
+size_t sw__entry_report__get_packed_size
+                     (const Sw__EntryReport *message)
+{
+  assert(message->base.descriptor == &sw__entry_report__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t sw__entry_report__pack
+                     (const Sw__EntryReport *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &sw__entry_report__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t sw__entry_report__pack_to_buffer
+                     (const Sw__EntryReport *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &sw__entry_report__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Sw__EntryReport *
+       sw__entry_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Sw__EntryReport *)
+     protobuf_c_message_unpack (&sw__entry_report__descriptor,
+                                allocator, len, data);
+}
+void   sw__entry_report__free_unpacked
+                     (Sw__EntryReport *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &sw__entry_report__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   sw__primary_grant__init
+                     (Sw__PrimaryGrant         *message)
+{
+  static const Sw__PrimaryGrant init_value = SW__PRIMARY_GRANT__INIT;
+  *message = init_value;
+}
+size_t sw__primary_grant__get_packed_size
+                     (const Sw__PrimaryGrant *message)
+{
+  assert(message->base.descriptor == &sw__primary_grant__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t sw__primary_grant__pack
+                     (const Sw__PrimaryGrant *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &sw__primary_grant__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t sw__primary_grant__pack_to_buffer
+                     (const Sw__PrimaryGrant *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &sw__primary_grant__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Sw__PrimaryGrant *
+       sw__primary_grant__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Sw__PrimaryGrant *)
+     protobuf_c_message_unpack (&sw__primary_grant__descriptor,
+                                allocator, len, data);
+}
+void   sw__primary_grant__free_unpacked
+                     (Sw__PrimaryGrant *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &sw__primary_grant__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   sw__team_share__init
+                     (Sw__TeamShare         *message)
+{
+  static const Sw__TeamShare init_value = SW__TEAM_SHARE__INIT;
+  *message = init_value;
+}
+size_t sw__team_share__get_packed_size
+                     (const Sw__TeamShare *message)
+{
+  assert(message->base.descriptor == &sw__team_share__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t sw__team_share__pack
+                     (const Sw__TeamShare *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &sw__team_share__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t sw__team_share__pack_to_buffer
+                     (const Sw__TeamShare *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &sw__team_share__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Sw__TeamShare *
+       sw__team_share__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Sw__TeamShare *)
+     protobuf_c_message_unpack (&sw__team_share__descriptor,
+                                allocator, len, data);
+}
+void   sw__team_share__free_unpacked
+                     (Sw__TeamShare *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &sw__team_share__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   sw__entry_grant__init
+                     (Sw__EntryGrant         *message)
+{
+  static const Sw__EntryGrant init_value = SW__ENTRY_GRANT__INIT;
+  *message = init_value;
+}
+size_t sw__entry_grant__get_packed_size
+                     (const Sw__EntryGrant *message)
+{
+  assert(message->base.descriptor == &sw__entry_grant__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t sw__entry_grant__pack
+                     (const Sw__EntryGrant *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &sw__entry_grant__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t sw__entry_grant__pack_to_buffer
+                     (const Sw__EntryGrant *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &sw__entry_grant__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Sw__EntryGrant *
+       sw__entry_grant__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Sw__EntryGrant *)
+     protobuf_c_message_unpack (&sw__entry_grant__descriptor,
+                                allocator, len, data);
+}
+void   sw__entry_grant__free_unpacked
+                     (Sw__EntryGrant *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &sw__entry_grant__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   sw__server_record__init
+                     (Sw__ServerRecord         *message)
+{
+  static const Sw__ServerRecord init_value = SW__SERVER_RECORD__INIT;
+  *message = init_value;
+}
+size_t sw__server_record__get_packed_size
+                     (const Sw__ServerRecord *message)
+{
+  assert(message->base.descriptor == &sw__server_record__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t sw__server_record__pack
+                     (const Sw__ServerRecord *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &sw__server_record__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t sw__server_record__pack_to_buffer
+                     (const Sw__ServerRecord *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &sw__server_record__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Sw__ServerRecord *
+       sw__server_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Sw__ServerRecord *)
+     protobuf_c_message_unpack (&sw__server_record__descriptor,
+                                allocator, len, data);
+}
+void   sw__server_record__free_unpacked
+                     (Sw__ServerRecord *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &sw__server_record__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   sw__directory_update__init
+                     (Sw__DirectoryUpdate         *message)
+{
+  static const Sw__DirectoryUpdate init_value = SW__DIRECTORY_UPDATE__INIT;
+  *message = init_value;
+}
+size_t sw__directory_update__get_packed_size
+                     (const Sw__DirectoryUpdate *message)
+{
+  assert(message->base.descriptor == &sw__directory_update__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t sw__directory_update__pack
+                     (const Sw__DirectoryUpdate *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &sw__directory_update__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t sw__directory_update__pack_to_buffer
+                     (const Sw__DirectoryUpdate *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &sw__directory_update__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Sw__DirectoryUpdate *
+       sw__directory_update__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Sw__DirectoryUpdate *)
+     protobuf_c_message_unpack (&sw__directory_update__descriptor,
+                                allocator, len, data);
+}
+void   sw__directory_update__free_unpacked
+                     (Sw__DirectoryUpdate *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &sw__directory_update__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   sw__document_update__init
+                     (Sw__DocumentUpdate         *message)
+{
+  static const Sw__DocumentUpdate init_value = SW__DOCUMENT_UPDATE__INIT;
+  *message = init_value;
+}
+size_t sw__document_update__get_packed_size
+                     (const Sw__DocumentUpdate *message)
+{
+  assert(message->base.descriptor == &sw__document_update__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t sw__document_update__pack
+                     (const Sw__DocumentUpdate *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &sw__document_update__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t sw__document_update__pack_to_buffer
+                     (const Sw__DocumentUpdate *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &sw__document_update__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Sw__DocumentUpdate *
+       sw__document_update__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Sw__DocumentUpdate *)
+     protobuf_c_message_unpack (&sw__document_update__descriptor,
+                                allocator, len, data);
+}
+void   sw__document_update__free_unpacked
+                     (Sw__DocumentUpdate *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &sw__document_update__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   sw__join_request__init
+                     (Sw__JoinRequest         *message)
+{
+  static const Sw__JoinRequest init_value = SW__JOIN_REQUEST__INIT;
+  *message = init_value;
+}
+size_t sw__join_request__get_packed_size
+                     (const Sw__JoinRequest *message)
+{
+  assert(message->base.descriptor == &sw__join_request__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t sw__join_request__pack
+                     (const Sw__JoinRequest *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &sw__join_request__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t sw__join_request__pack_to_buffer
+                     (const Sw__JoinRequest *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &sw__join_request__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Sw__JoinRequest *
+       sw__join_request__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Sw__JoinRequest *)
+     protobuf_c_message_unpack (&sw__join_request__descriptor,
+                                allocator, len, data);
+}
+void   sw__join_request__free_unpacked
+                     (Sw__JoinRequest *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &sw__join_request__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   sw__fleet_command__init
+                     (Sw__FleetCommand         *message)
+{
+  static const Sw__FleetCommand init_value = SW__FLEET_COMMAND__INIT;
+  *message = init_value;
+}
+size_t sw__fleet_command__get_packed_size
+                     (const Sw__FleetCommand *message)
+{
+  assert(message->base.descriptor == &sw__fleet_command__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t sw__fleet_command__pack
+                     (const Sw__FleetCommand *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &sw__fleet_command__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t sw__fleet_command__pack_to_buffer
+                     (const Sw__FleetCommand *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &sw__fleet_command__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Sw__FleetCommand *
+       sw__fleet_command__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Sw__FleetCommand *)
+     protobuf_c_message_unpack (&sw__fleet_command__descriptor,
+                                allocator, len, data);
+}
+void   sw__fleet_command__free_unpacked
+                     (Sw__FleetCommand *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &sw__fleet_command__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   sw__primary_record__init
+                     (Sw__PrimaryRecord         *message)
+{
+  static const Sw__PrimaryRecord init_value = SW__PRIMARY_RECORD__INIT;
+  *message = init_value;
+}
+size_t sw__primary_record__get_packed_size
+                     (const Sw__PrimaryRecord *message)
+{
+  assert(message->base.descriptor == &sw__primary_record__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t sw__primary_record__pack
+                     (const Sw__PrimaryRecord *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &sw__primary_record__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t sw__primary_record__pack_to_buffer
+                     (const Sw__PrimaryRecord *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &sw__primary_record__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Sw__PrimaryRecord *
+       sw__primary_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Sw__PrimaryRecord *)
+     protobuf_c_message_unpack (&sw__primary_record__descriptor,
+                                allocator, len, data);
+}
+void   sw__primary_record__free_unpacked
+                     (Sw__PrimaryRecord *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &sw__primary_record__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   sw__fleet_snapshot__init
+                     (Sw__FleetSnapshot         *message)
+{
+  static const Sw__FleetSnapshot init_value = SW__FLEET_SNAPSHOT__INIT;
+  *message = init_value;
+}
+size_t sw__fleet_snapshot__get_packed_size
+                     (const Sw__FleetSnapshot *message)
+{
+  assert(message->base.descriptor == &sw__fleet_snapshot__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t sw__fleet_snapshot__pack
+                     (const Sw__FleetSnapshot *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &sw__fleet_snapshot__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t sw__fleet_snapshot__pack_to_buffer
+                     (const Sw__FleetSnapshot *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &sw__fleet_snapshot__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Sw__FleetSnapshot *
+       sw__fleet_snapshot__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Sw__FleetSnapshot *)
+     protobuf_c_message_unpack (&sw__fleet_snapshot__descriptor,
+                                allocator, len, data);
+}
+void   sw__fleet_snapshot__free_unpacked
+                     (Sw__FleetSnapshot *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &sw__fleet_snapshot__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+static const ProtobufCFieldDescriptor sw__frame__field_descriptors[24] =
+{
+  {
+    "request_id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__Frame, request_id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "hello",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sw__Frame, body_case),
+    offsetof(Sw__Frame, hello),
+    &sw__hello__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "heartbeat",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sw__Frame, body_case),
+    offsetof(Sw__Frame, heartbeat),
+    &sw__heartbeat__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "consensus",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sw__Frame, body_case),
+    offsetof(Sw__Frame, consensus),
+    &sw__consensus_message__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lease_request",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sw__Frame, body_case),
+    offsetof(Sw__Frame, lease_request),
+    &sw__lease_request__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lease_reply",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sw__Frame, body_case),
+    offsetof(Sw__Frame, lease_reply),
+    &sw__lease_reply__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "state_update",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sw__Frame, body_case),
+    offsetof(Sw__Frame, state_update),
+    &sw__state_update__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "admin_request",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sw__Frame, body_case),
+    offsetof(Sw__Frame, admin_request),
+    &sw__admin_request__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "admin_reply",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sw__Frame, body_case),
+    offsetof(Sw__Frame, admin_reply),
+    &sw__admin_reply__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "work_request",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sw__Frame, body_case),
+    offsetof(Sw__Frame, work_request),
+    &sw__work_request__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "work_reply",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sw__Frame, body_case),
+    offsetof(Sw__Frame, work_reply),
+    &sw__work_reply__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "token_request",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sw__Frame, body_case),
+    offsetof(Sw__Frame, token_request),
+    &sw__token_request__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "token_reply",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sw__Frame, body_case),
+    offsetof(Sw__Frame, token_reply),
+    &sw__token_reply__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "position_request",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sw__Frame, body_case),
+    offsetof(Sw__Frame, position_request),
+    &sw__position_request__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "position_reply",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sw__Frame, body_case),
+    offsetof(Sw__Frame, position_reply),
+    &sw__position_reply__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "member_command",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sw__Frame, body_case),
+    offsetof(Sw__Frame, member_command),
+    &sw__member_command__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "member_result",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sw__Frame, body_case),
+    offsetof(Sw__Frame, member_result),
+    &sw__member_result__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "announcement",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sw__Frame, body_case),
+    offsetof(Sw__Frame, announcement),
+    &sw__announcement__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cancel_work",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sw__Frame, body_case),
+    offsetof(Sw__Frame, cancel_work),
+    &sw__cancel_work__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "entry_report",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sw__Frame, body_case),
+    offsetof(Sw__Frame, entry_report),
+    &sw__entry_report__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "entry_grant",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sw__Frame, body_case),
+    offsetof(Sw__Frame, entry_grant),
+    &sw__entry_grant__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "directory_update",
+    22,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sw__Frame, body_case),
+    offsetof(Sw__Frame, directory_update),
+    &sw__directory_update__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "document_update",
+    23,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sw__Frame, body_case),
+    offsetof(Sw__Frame, document_update),
+    &sw__document_update__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "join_request",
+    24,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sw__Frame, body_case),
+    offsetof(Sw__Frame, join_request),
+    &sw__join_request__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned sw__frame__field_indices_by_name[] = {
+  8,   /* field[8] = admin_reply */
+  7,   /* field[7] = admin_request */
+  17,   /* field[17] = announcement */
+  18,   /* field[18] = cancel_work */
+  3,   /* field[3] = consensus */
+  21,   /* field[21] = directory_update */
+  22,   /* field[22] = document_update */
+  20,   /* field[20] = entry_grant */
+  19,   /* field[19] = entry_report */
+  2,   /* field[2] = heartbeat */
+  1,   /* field[1] = hello */
+  23,   /* field[23] = join_request */
+  5,   /* field[5] = lease_reply */
+  4,   /* field[4] = lease_request */
+  15,   /* field[15] = member_command */
+  16,   /* field[16] = member_result */
+  14,   /* field[14] = position_reply */
+  13,   /* field[13] = position_request */
+  0,   /* field[0] = request_id */
+  6,   /* field[6] = state_update */
+  12,   /* field[12] = token_reply */
+  11,   /* field[11] = token_request */
+  10,   /* field[10] = work_reply */
+  9,   /* field[9] = work_request */
+};
+static const ProtobufCIntRange sw__frame__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 24 }
+};
+const ProtobufCMessageDescriptor sw__frame__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "sw.Frame",
+  "Frame",
+  "Sw__Frame",
+  "sw",
+  sizeof(Sw__Frame),
+  24,
+  sw__frame__field_descriptors,
+  sw__frame__field_indices_by_name,
+  1,  sw__frame__number_ranges,
+  (ProtobufCMessageInit) sw__frame__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor sw__hello__field_descriptors[2] =
+{
+  {
+    "instance_id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sw__Hello, instance_id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__Hello, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned sw__hello__field_indices_by_name[] = {
+  1,   /* field[1] = incarnation */
+  0,   /* field[0] = instance_id */
+};
+static const ProtobufCIntRange sw__hello__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor sw__hello__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "sw.Hello",
+  "Hello",
+  "Sw__Hello",
+  "sw",
+  sizeof(Sw__Hello),
+  2,
+  sw__hello__field_descriptors,
+  sw__hello__field_indices_by_name,
+  1,  sw__hello__number_ranges,
+  (ProtobufCMessageInit) sw__hello__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor sw__heartbeat__field_descriptors[1] =
+{
+  {
+    "answer",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Sw__Heartbeat, answer),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned sw__heartbeat__field_indices_by_name[] = {
+  0,   /* field[0] = answer */
+};
+static const ProtobufCIntRange sw__heartbeat__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor sw__heartbeat__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "sw.Heartbeat",
+  "Heartbeat",
+  "Sw__Heartbeat",
+  "sw",
+  sizeof(Sw__Heartbeat),
+  1,
+  sw__heartbeat__field_descriptors,
+  sw__heartbeat__field_indices_by_name,
+  1,  sw__heartbeat__number_ranges,
+  (ProtobufCMessageInit) sw__heartbeat__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor sw__log_entry__field_descriptors[3] =
+{
+  {
+    "index",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__LogEntry, index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "term",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__LogEntry, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "command",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Sw__LogEntry, command),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned sw__log_entry__field_indices_by_name[] = {
+  2,   /* field[2] = command */
+  0,   /* field[0] = index */
+  1,   /* field[1] = term */
+};
+static const ProtobufCIntRange sw__log_entry__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor sw__log_entry__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "sw.LogEntry",
+  "LogEntry",
+  "Sw__LogEntry",
+  "sw",
+  sizeof(Sw__LogEntry),
+  3,
+  sw__log_entry__field_descriptors,
+  sw__log_entry__field_indices_by_name,
+  1,  sw__log_entry__number_ranges,
+  (ProtobufCMessageInit) sw__log_entry__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor sw__consensus_message__field_descriptors[12] =
+{
+  {
+    "kind",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(Sw__ConsensusMessage, kind),
+    &sw__consensus_kind__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "from_disk",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sw__ConsensusMessage, from_disk),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "to_disk",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sw__ConsensusMessage, to_disk),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "term",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__ConsensusMessage, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "prev_index",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__ConsensusMessage, prev_index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "prev_term",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__ConsensusMessage, prev_term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "entries",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sw__ConsensusMessage, n_entries),
+    offsetof(Sw__ConsensusMessage, entries),
+    &sw__log_entry__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "commit_index",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__ConsensusMessage, commit_index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "round",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__ConsensusMessage, round),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "granted",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Sw__ConsensusMessage, granted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "match_index",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__ConsensusMessage, match_index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "snapshot",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Sw__ConsensusMessage, snapshot),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned sw__consensus_message__field_indices_by_name[] = {
+  7,   /* field[7] = commit_index */
+  6,   /* field[6] = entries */
+  1,   /* field[1] = from_disk */
+  9,   /* field[9] = granted */
+  0,   /* field[0] = kind */
+  10,   /* field[10] = match_index */
+  4,   /* field[4] = prev_index */
+  5,   /* field[5] = prev_term */
+  8,   /* field[8] = round */
+  11,   /* field[11] = snapshot */
+  3,   /* field[3] = term */
+  2,   /* field[2] = to_disk */
+};
+static const ProtobufCIntRange sw__consensus_message__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 12 }
+};
+const ProtobufCMessageDescriptor sw__consensus_message__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "sw.ConsensusMessage",
+  "ConsensusMessage",
+  "Sw__ConsensusMessage",
+  "sw",
+  sizeof(Sw__ConsensusMessage),
+  12,
+  sw__consensus_message__field_descriptors,
+  sw__consensus_message__field_indices_by_name,
+  1,  sw__consensus_message__number_ranges,
+  (ProtobufCMessageInit) sw__consensus_message__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor sw__member_health__field_descriptors[10] =
+{
+  {
+    "database",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sw__MemberHealth, database),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "member",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sw__MemberHealth, member),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reachable",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Sw__MemberHealth, reachable),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stream_alive",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Sw__MemberHealth, stream_alive),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "timeline",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__MemberHealth, timeline),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "position",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__MemberHealth, position),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "in_recovery",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Sw__MemberHealth, in_recovery),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "seen_fine",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Sw__MemberHealth, seen_fine),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "failing_us",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__MemberHealth, failing_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "promotion",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__MemberHealth, promotion),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned sw__member_health__field_indices_by_name[] = {
+  0,   /* field[0] = database */
+  8,   /* field[8] = failing_us */
+  6,   /* field[6] = in_recovery */
+  1,   /* field[1] = member */
+  5,   /* field[5] = position */
+  9,   /* field[9] = promotion */
+  2,   /* field[2] = reachable */
+  7,   /* field[7] = seen_fine */
+  3,   /* field[3] = stream_alive */
+  4,   /* field[4] = timeline */
+};
+static const ProtobufCIntRange sw__member_health__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 10 }
+};
+const ProtobufCMessageDescriptor sw__member_health__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "sw.MemberHealth",
+  "MemberHealth",
+  "Sw__MemberHealth",
+  "sw",
+  sizeof(Sw__MemberHealth),
+  10,
+  sw__member_health__field_descriptors,
+  sw__member_health__field_indices_by_name,
+  1,  sw__member_health__number_ranges,
+  (ProtobufCMessageInit) sw__member_health__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor sw__lease_request__field_descriptors[11] =
+{
+  {
+    "instance_id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sw__LeaseRequest, instance_id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "failure_domain",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sw__LeaseRequest, failure_domain),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "peer_address",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sw__LeaseRequest, peer_address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__LeaseRequest, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "applied_index",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__LeaseRequest, applied_index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
   {
-    "request_id",
-    1,
+    "draining",
+    6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Sw__Frame, request_id),
+    offsetof(Sw__LeaseRequest, draining),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "hello",
-    2,
+    "sequence",
+    7,
     PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__LeaseRequest, sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "health",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Sw__Frame, body_case),
-    offsetof(Sw__Frame, hello),
-    &sw__hello__descriptor,
+    offsetof(Sw__LeaseRequest, n_health),
+    offsetof(Sw__LeaseRequest, health),
+    &sw__member_health__descriptor,
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "heartbeat",
-    3,
+    "leaving",
+    9,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Sw__Frame, body_case),
-    offsetof(Sw__Frame, heartbeat),
-    &sw__heartbeat__descriptor,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Sw__LeaseRequest, leaving),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "consensus",
-    4,
+    "http_address",
+    10,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Sw__Frame, body_case),
-    offsetof(Sw__Frame, consensus),
-    &sw__consensus_message__descriptor,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sw__LeaseRequest, http_address),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    &protobuf_c_empty_string,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "lease_request",
-    5,
+    "forwarded",
+    11,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Sw__Frame, body_case),
-    offsetof(Sw__Frame, lease_request),
-    &sw__lease_request__descriptor,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Sw__LeaseRequest, forwarded),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned sw__lease_request__field_indices_by_name[] = {
+  4,   /* field[4] = applied_index */
+  5,   /* field[5] = draining */
+  1,   /* field[1] = failure_domain */
+  10,   /* field[10] = forwarded */
+  7,   /* field[7] = health */
+  9,   /* field[9] = http_address */
+  3,   /* field[3] = incarnation */
+  0,   /* field[0] = instance_id */
+  8,   /* field[8] = leaving */
+  2,   /* field[2] = peer_address */
+  6,   /* field[6] = sequence */
+};
+static const ProtobufCIntRange sw__lease_request__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 11 }
+};
+const ProtobufCMessageDescriptor sw__lease_request__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "sw.LeaseRequest",
+  "LeaseRequest",
+  "Sw__LeaseRequest",
+  "sw",
+  sizeof(Sw__LeaseRequest),
+  11,
+  sw__lease_request__field_descriptors,
+  sw__lease_request__field_indices_by_name,
+  1,  sw__lease_request__number_ranges,
+  (ProtobufCMessageInit) sw__lease_request__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor sw__lease_reply__field_descriptors[5] =
+{
   {
-    "lease_reply",
-    6,
+    "sequence",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Sw__Frame, body_case),
-    offsetof(Sw__Frame, lease_reply),
-    &sw__lease_reply__descriptor,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__LeaseReply, sequence),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "state_update",
-    7,
+    "granted",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Sw__Frame, body_case),
-    offsetof(Sw__Frame, state_update),
-    &sw__state_update__descriptor,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Sw__LeaseReply, granted),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "admin_request",
-    8,
+    "confirmed_index",
+    3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Sw__Frame, body_case),
-    offsetof(Sw__Frame, admin_request),
-    &sw__admin_request__descriptor,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__LeaseReply, confirmed_index),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "admin_reply",
-    9,
+    "valid_for_ms",
+    4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Sw__Frame, body_case),
-    offsetof(Sw__Frame, admin_reply),
-    &sw__admin_reply__descriptor,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Sw__LeaseReply, valid_for_ms),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "work_request",
-    10,
+    "reason",
+    5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Sw__Frame, body_case),
-    offsetof(Sw__Frame, work_request),
-    &sw__work_request__descriptor,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sw__LeaseReply, reason),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    &protobuf_c_empty_string,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned sw__lease_reply__field_indices_by_name[] = {
+  2,   /* field[2] = confirmed_index */
+  1,   /* field[1] = granted */
+  4,   /* field[4] = reason */
+  0,   /* field[0] = sequence */
+  3,   /* field[3] = valid_for_ms */
+};
+static const ProtobufCIntRange sw__lease_reply__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor sw__lease_reply__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "sw.LeaseReply",
+  "LeaseReply",
+  "Sw__LeaseReply",
+  "sw",
+  sizeof(Sw__LeaseReply),
+  5,
+  sw__lease_reply__field_descriptors,
+  sw__lease_reply__field_indices_by_name,
+  1,  sw__lease_reply__number_ranges,
+  (ProtobufCMessageInit) sw__lease_reply__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor sw__change__field_descriptors[4] =
+{
   {
-    "work_reply",
-    11,
+    "index",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Sw__Frame, body_case),
-    offsetof(Sw__Frame, work_reply),
-    &sw__work_reply__descriptor,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__Change, index),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "token_request",
-    12,
+    "key",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Sw__Frame, body_case),
-    offsetof(Sw__Frame, token_request),
-    &sw__token_request__descriptor,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sw__Change, key),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    &protobuf_c_empty_string,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "token_reply",
-    13,
+    "version",
+    3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Sw__Frame, body_case),
-    offsetof(Sw__Frame, token_reply),
-    &sw__token_reply__descriptor,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__Change, version),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "position_request",
-    14,
+    "spec",
+    4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Sw__Frame, body_case),
-    offsetof(Sw__Frame, position_request),
-    &sw__position_request__descriptor,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Sw__Change, spec),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned sw__change__field_indices_by_name[] = {
+  0,   /* field[0] = index */
+  1,   /* field[1] = key */
+  3,   /* field[3] = spec */
+  2,   /* field[2] = version */
+};
+static const ProtobufCIntRange sw__change__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor sw__change__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "sw.Change",
+  "Change",
+  "Sw__Change",
+  "sw",
+  sizeof(Sw__Change),
+  4,
+  sw__change__field_descriptors,
+  sw__change__field_indices_by_name,
+  1,  sw__change__number_ranges,
+  (ProtobufCMessageInit) sw__change__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor sw__state_update__field_descriptors[5] =
+{
   {
-    "position_reply",
-    15,
+    "cluster",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Sw__Frame, body_case),
-    offsetof(Sw__Frame, position_reply),
-    &sw__position_reply__descriptor,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sw__StateUpdate, cluster),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    &protobuf_c_empty_string,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "member_command",
-    16,
+    "full",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Sw__Frame, body_case),
-    offsetof(Sw__Frame, member_command),
-    &sw__member_command__descriptor,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Sw__StateUpdate, full),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "member_result",
-    17,
+    "from_index",
+    3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Sw__Frame, body_case),
-    offsetof(Sw__Frame, member_result),
-    &sw__member_result__descriptor,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__StateUpdate, from_index),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "announcement",
-    18,
+    "to_index",
+    4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Sw__Frame, body_case),
-    offsetof(Sw__Frame, announcement),
-    &sw__announcement__descriptor,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__StateUpdate, to_index),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "cancel_work",
-    19,
-    PROTOBUF_C_LABEL_NONE,
+    "changes",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Sw__Frame, body_case),
-    offsetof(Sw__Frame, cancel_work),
-    &sw__cancel_work__descriptor,
+    offsetof(Sw__StateUpdate, n_changes),
+    offsetof(Sw__StateUpdate, changes),
+    &sw__change__descriptor,
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned sw__frame__field_indices_by_name[] = {
-  8,   /* field[8] = admin_reply */
-  7,   /* field[7] = admin_request */
-  17,   /* field[17] = announcement */
-  18,   /* field[18] = cancel_work */
-  3,   /* field[3] = consensus */
-  2,   /* field[2] = heartbeat */
-  1,   /* field[1] = hello */
-  5,   /* field[5] = lease_reply */
-  4,   /* field[4] = lease_request */
-  15,   /* field[15] = member_command */
-  16,   /* field[16] = member_result */
-  14,   /* field[14] = position_reply */
-  13,   /* field[13] = position_request */
-  0,   /* field[0] = request_id */
-  6,   /* field[6] = state_update */
-  12,   /* field[12] = token_reply */
-  11,   /* field[11] = token_request */
-  10,   /* field[10] = work_reply */
-  9,   /* field[9] = work_request */
+static const unsigned sw__state_update__field_indices_by_name[] = {
+  4,   /* field[4] = changes */
+  0,   /* field[0] = cluster */
+  2,   /* field[2] = from_index */
+  1,   /* field[1] = full */
+  3,   /* field[3] = to_index */
 };
-static const ProtobufCIntRange sw__frame__number_ranges[1 + 1] =
+static const ProtobufCIntRange sw__state_update__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 19 }
+  { 0, 5 }
 };
-const ProtobufCMessageDescriptor sw__frame__descriptor =
+const ProtobufCMessageDescriptor sw__state_update__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "sw.Frame",
-  "Frame",
-  "Sw__Frame",
+  "sw.StateUpdate",
+  "StateUpdate",
+  "Sw__StateUpdate",
   "sw",
-  sizeof(Sw__Frame),
-  19,
-  sw__frame__field_descriptors,
-  sw__frame__field_indices_by_name,
-  1,  sw__frame__number_ranges,
-  (ProtobufCMessageInit) sw__frame__init,
+  sizeof(Sw__StateUpdate),
+  5,
+  sw__state_update__field_descriptors,
+  sw__state_update__field_indices_by_name,
+  1,  sw__state_update__number_ranges,
+  (ProtobufCMessageInit) sw__state_update__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sw__hello__field_descriptors[2] =
+static const ProtobufCFieldDescriptor sw__admin_request__field_descriptors[6] =
 {
   {
-    "instance_id",
+    "operation_id",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Sw__Hello, instance_id),
+    offsetof(Sw__AdminRequest, operation_id),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "incarnation",
+    "actor",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Sw__Hello, incarnation),
+    offsetof(Sw__AdminRequest, actor),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "verb",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sw__AdminRequest, verb),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "key",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sw__AdminRequest, key),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "body",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Sw__AdminRequest, body),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "forwarded",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Sw__AdminRequest, forwarded),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned sw__hello__field_indices_by_name[] = {
-  1,   /* field[1] = incarnation */
-  0,   /* field[0] = instance_id */
+static const unsigned sw__admin_request__field_indices_by_name[] = {
+  1,   /* field[1] = actor */
+  4,   /* field[4] = body */
+  5,   /* field[5] = forwarded */
+  3,   /* field[3] = key */
+  0,   /* field[0] = operation_id */
+  2,   /* field[2] = verb */
 };
-static const ProtobufCIntRange sw__hello__number_ranges[1 + 1] =
+static const ProtobufCIntRange sw__admin_request__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 8, 5 },
+  { 0, 6 }
 };
-const ProtobufCMessageDescriptor sw__hello__descriptor =
+const ProtobufCMessageDescriptor sw__admin_request__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "sw.Hello",
-  "Hello",
-  "Sw__Hello",
+  "sw.AdminRequest",
+  "AdminRequest",
+  "Sw__AdminRequest",
   "sw",
-  sizeof(Sw__Hello),
-  2,
-  sw__hello__field_descriptors,
-  sw__hello__field_indices_by_name,
-  1,  sw__hello__number_ranges,
-  (ProtobufCMessageInit) sw__hello__init,
+  sizeof(Sw__AdminRequest),
+  6,
+  sw__admin_request__field_descriptors,
+  sw__admin_request__field_indices_by_name,
+  2,  sw__admin_request__number_ranges,
+  (ProtobufCMessageInit) sw__admin_request__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sw__heartbeat__field_descriptors[1] =
+static const ProtobufCFieldDescriptor sw__admin_reply__field_descriptors[2] =
 {
   {
-    "answer",
+    "status",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Sw__Heartbeat, answer),
+    offsetof(Sw__AdminReply, status),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "body",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Sw__AdminReply, body),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned sw__heartbeat__field_indices_by_name[] = {
-  0,   /* field[0] = answer */
+static const unsigned sw__admin_reply__field_indices_by_name[] = {
+  1,   /* field[1] = body */
+  0,   /* field[0] = status */
 };
-static const ProtobufCIntRange sw__heartbeat__number_ranges[1 + 1] =
+static const ProtobufCIntRange sw__admin_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 2 }
 };
-const ProtobufCMessageDescriptor sw__heartbeat__descriptor =
+const ProtobufCMessageDescriptor sw__admin_reply__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "sw.Heartbeat",
-  "Heartbeat",
-  "Sw__Heartbeat",
+  "sw.AdminReply",
+  "AdminReply",
+  "Sw__AdminReply",
   "sw",
-  sizeof(Sw__Heartbeat),
-  1,
-  sw__heartbeat__field_descriptors,
-  sw__heartbeat__field_indices_by_name,
-  1,  sw__heartbeat__number_ranges,
-  (ProtobufCMessageInit) sw__heartbeat__init,
+  sizeof(Sw__AdminReply),
+  2,
+  sw__admin_reply__field_descriptors,
+  sw__admin_reply__field_indices_by_name,
+  1,  sw__admin_reply__number_ranges,
+  (ProtobufCMessageInit) sw__admin_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sw__log_entry__field_descriptors[3] =
+static const ProtobufCFieldDescriptor sw__statement__field_descriptors[3] =
 {
   {
-    "index",
+    "sql",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Sw__LogEntry, index),
-    NULL,
+    offsetof(Sw__Statement, sql),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "term",
+    "args",
     2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Sw__LogEntry, term),
-    NULL,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Sw__Statement, n_args),
+    offsetof(Sw__Statement, args),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "command",
+    "null_mask",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Sw__LogEntry, command),
+    offsetof(Sw__Statement, null_mask),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned sw__log_entry__field_indices_by_name[] = {
-  2,   /* field[2] = command */
-  0,   /* field[0] = index */
-  1,   /* field[1] = term */
+static const unsigned sw__statement__field_indices_by_name[] = {
+  1,   /* field[1] = args */
+  2,   /* field[2] = null_mask */
+  0,   /* field[0] = sql */
 };
-static const ProtobufCIntRange sw__log_entry__number_ranges[1 + 1] =
+static const ProtobufCIntRange sw__statement__number_ranges[1 + 1] =
 {
   { 1, 0 },
   { 0, 3 }
 };
-const ProtobufCMessageDescriptor sw__log_entry__descriptor =
+const ProtobufCMessageDescriptor sw__statement__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "sw.LogEntry",
-  "LogEntry",
-  "Sw__LogEntry",
+  "sw.Statement",
+  "Statement",
+  "Sw__Statement",
   "sw",
-  sizeof(Sw__LogEntry),
+  sizeof(Sw__Statement),
   3,
-  sw__log_entry__field_descriptors,
-  sw__log_entry__field_indices_by_name,
-  1,  sw__log_entry__number_ranges,
-  (ProtobufCMessageInit) sw__log_entry__init,
+  sw__statement__field_descriptors,
+  sw__statement__field_indices_by_name,
+  1,  sw__statement__number_ranges,
+  (ProtobufCMessageInit) sw__statement__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sw__consensus_message__field_descriptors[12] =
+static const ProtobufCFieldDescriptor sw__work_request__field_descriptors[17] =
 {
   {
     "kind",
@@ -1475,999 +3105,888 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_ENUM,
     0,   /* quantifier_offset */
-    offsetof(Sw__ConsensusMessage, kind),
-    &sw__consensus_kind__descriptor,
+    offsetof(Sw__WorkRequest, kind),
+    &sw__work_kind__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "from_disk",
+    "database",
     2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Sw__ConsensusMessage, from_disk),
+    offsetof(Sw__WorkRequest, database),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "to_disk",
+    "member",
     3,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Sw__ConsensusMessage, to_disk),
+    offsetof(Sw__WorkRequest, member),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "term",
+    "team",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Sw__ConsensusMessage, term),
-    NULL,
+    offsetof(Sw__WorkRequest, team),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "prev_index",
+    "key_id",
     5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Sw__ConsensusMessage, prev_index),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "prev_term",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Sw__ConsensusMessage, prev_term),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "entries",
-    7,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Sw__ConsensusMessage, n_entries),
-    offsetof(Sw__ConsensusMessage, entries),
-    &sw__log_entry__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "commit_index",
-    8,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Sw__ConsensusMessage, commit_index),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "round",
-    9,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Sw__ConsensusMessage, round),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "granted",
-    10,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Sw__ConsensusMessage, granted),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "match_index",
-    11,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Sw__ConsensusMessage, match_index),
-    NULL,
+    offsetof(Sw__WorkRequest, key_id),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "snapshot",
-    12,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
-    0,   /* quantifier_offset */
-    offsetof(Sw__ConsensusMessage, snapshot),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-};
-static const unsigned sw__consensus_message__field_indices_by_name[] = {
-  7,   /* field[7] = commit_index */
-  6,   /* field[6] = entries */
-  1,   /* field[1] = from_disk */
-  9,   /* field[9] = granted */
-  0,   /* field[0] = kind */
-  10,   /* field[10] = match_index */
-  4,   /* field[4] = prev_index */
-  5,   /* field[5] = prev_term */
-  8,   /* field[8] = round */
-  11,   /* field[11] = snapshot */
-  3,   /* field[3] = term */
-  2,   /* field[2] = to_disk */
-};
-static const ProtobufCIntRange sw__consensus_message__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 12 }
-};
-const ProtobufCMessageDescriptor sw__consensus_message__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "sw.ConsensusMessage",
-  "ConsensusMessage",
-  "Sw__ConsensusMessage",
-  "sw",
-  sizeof(Sw__ConsensusMessage),
-  12,
-  sw__consensus_message__field_descriptors,
-  sw__consensus_message__field_indices_by_name,
-  1,  sw__consensus_message__number_ranges,
-  (ProtobufCMessageInit) sw__consensus_message__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor sw__member_health__field_descriptors[10] =
-{
+    "worth",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Sw__WorkRequest, worth),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
   {
-    "database",
-    1,
+    "statements",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sw__WorkRequest, n_statements),
+    offsetof(Sw__WorkRequest, statements),
+    &sw__statement__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "idempotency_key",
+    8,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Sw__MemberHealth, database),
+    offsetof(Sw__WorkRequest, idempotency_key),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "member",
-    2,
+    "args_hash",
+    9,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Sw__MemberHealth, member),
+    offsetof(Sw__WorkRequest, args_hash),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "reachable",
-    3,
+    "min_term",
+    10,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Sw__MemberHealth, reachable),
+    offsetof(Sw__WorkRequest, min_term),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "stream_alive",
-    4,
+    "min_position",
+    11,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Sw__MemberHealth, stream_alive),
+    offsetof(Sw__WorkRequest, min_position),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "timeline",
-    5,
+    "max_staleness_us",
+    12,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Sw__MemberHealth, timeline),
+    offsetof(Sw__WorkRequest, max_staleness_us),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "position",
-    6,
+    "deadline_us",
+    13,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Sw__MemberHealth, position),
+    offsetof(Sw__WorkRequest, deadline_us),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "in_recovery",
-    7,
+    "transaction_id",
+    14,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Sw__MemberHealth, in_recovery),
-    NULL,
+    offsetof(Sw__WorkRequest, transaction_id),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "seen_fine",
-    8,
+    "repeatable",
+    15,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Sw__MemberHealth, seen_fine),
+    offsetof(Sw__WorkRequest, repeatable),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "failing_us",
-    9,
+    "open_route",
+    16,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Sw__MemberHealth, failing_us),
+    offsetof(Sw__WorkRequest, open_route),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "promotion",
-    10,
+    "database_term",
+    17,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Sw__MemberHealth, promotion),
+    offsetof(Sw__WorkRequest, database_term),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned sw__member_health__field_indices_by_name[] = {
-  0,   /* field[0] = database */
-  8,   /* field[8] = failing_us */
-  6,   /* field[6] = in_recovery */
-  1,   /* field[1] = member */
-  5,   /* field[5] = position */
-  9,   /* field[9] = promotion */
-  2,   /* field[2] = reachable */
-  7,   /* field[7] = seen_fine */
-  3,   /* field[3] = stream_alive */
-  4,   /* field[4] = timeline */
+static const unsigned sw__work_request__field_indices_by_name[] = {
+  8,   /* field[8] = args_hash */
+  1,   /* field[1] = database */
+  16,   /* field[16] = database_term */
+  12,   /* field[12] = deadline_us */
+  7,   /* field[7] = idempotency_key */
+  4,   /* field[4] = key_id */
+  0,   /* field[0] = kind */
+  11,   /* field[11] = max_staleness_us */
+  2,   /* field[2] = member */
+  10,   /* field[10] = min_position */
+  9,   /* field[9] = min_term */
+  15,   /* field[15] = open_route */
+  14,   /* field[14] = repeatable */
+  6,   /* field[6] = statements */
+  3,   /* field[3] = team */
+  13,   /* field[13] = transaction_id */
+  5,   /* field[5] = worth */
 };
-static const ProtobufCIntRange sw__member_health__number_ranges[1 + 1] =
+static const ProtobufCIntRange sw__work_request__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 17 }
 };
-const ProtobufCMessageDescriptor sw__member_health__descriptor =
+const ProtobufCMessageDescriptor sw__work_request__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "sw.MemberHealth",
-  "MemberHealth",
-  "Sw__MemberHealth",
+  "sw.WorkRequest",
+  "WorkRequest",
+  "Sw__WorkRequest",
   "sw",
-  sizeof(Sw__MemberHealth),
-  10,
-  sw__member_health__field_descriptors,
-  sw__member_health__field_indices_by_name,
-  1,  sw__member_health__number_ranges,
-  (ProtobufCMessageInit) sw__member_health__init,
+  sizeof(Sw__WorkRequest),
+  17,
+  sw__work_request__field_descriptors,
+  sw__work_request__field_indices_by_name,
+  1,  sw__work_request__number_ranges,
+  (ProtobufCMessageInit) sw__work_request__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sw__lease_request__field_descriptors[11] =
+static const ProtobufCFieldDescriptor sw__work_reply__field_descriptors[9] =
 {
   {
-    "instance_id",
+    "status",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_ENUM,
     0,   /* quantifier_offset */
-    offsetof(Sw__LeaseRequest, instance_id),
+    offsetof(Sw__WorkReply, status),
+    &sw__work_status__descriptor,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "failure_domain",
+    "rows",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
-    offsetof(Sw__LeaseRequest, failure_domain),
+    offsetof(Sw__WorkReply, rows),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "peer_address",
+    "term",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Sw__LeaseRequest, peer_address),
+    offsetof(Sw__WorkReply, term),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "incarnation",
+    "position",
     4,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Sw__LeaseRequest, incarnation),
+    offsetof(Sw__WorkReply, position),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "applied_index",
+    "reason",
     5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Sw__LeaseRequest, applied_index),
-    NULL,
+    offsetof(Sw__WorkReply, reason),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "draining",
+    "detail",
     6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Sw__LeaseRequest, draining),
-    NULL,
+    offsetof(Sw__WorkReply, detail),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "sequence",
+    "transaction_id",
     7,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Sw__LeaseRequest, sequence),
-    NULL,
+    offsetof(Sw__WorkReply, transaction_id),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "health",
+    "replayed",
     8,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Sw__LeaseRequest, n_health),
-    offsetof(Sw__LeaseRequest, health),
-    &sw__member_health__descriptor,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Sw__WorkReply, replayed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "retry_after_us",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__WorkReply, retry_after_us),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned sw__work_reply__field_indices_by_name[] = {
+  5,   /* field[5] = detail */
+  3,   /* field[3] = position */
+  4,   /* field[4] = reason */
+  7,   /* field[7] = replayed */
+  8,   /* field[8] = retry_after_us */
+  1,   /* field[1] = rows */
+  0,   /* field[0] = status */
+  2,   /* field[2] = term */
+  6,   /* field[6] = transaction_id */
+};
+static const ProtobufCIntRange sw__work_reply__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 9 }
+};
+const ProtobufCMessageDescriptor sw__work_reply__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "sw.WorkReply",
+  "WorkReply",
+  "Sw__WorkReply",
+  "sw",
+  sizeof(Sw__WorkReply),
+  9,
+  sw__work_reply__field_descriptors,
+  sw__work_reply__field_indices_by_name,
+  1,  sw__work_reply__number_ranges,
+  (ProtobufCMessageInit) sw__work_reply__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+#define sw__cancel_work__field_descriptors NULL
+#define sw__cancel_work__field_indices_by_name NULL
+#define sw__cancel_work__number_ranges NULL
+const ProtobufCMessageDescriptor sw__cancel_work__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "sw.CancelWork",
+  "CancelWork",
+  "Sw__CancelWork",
+  "sw",
+  sizeof(Sw__CancelWork),
+  0,
+  sw__cancel_work__field_descriptors,
+  sw__cancel_work__field_indices_by_name,
+  0,  sw__cancel_work__number_ranges,
+  (ProtobufCMessageInit) sw__cancel_work__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor sw__token_request__field_descriptors[3] =
+{
   {
-    "leaving",
-    9,
+    "team",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Sw__LeaseRequest, leaving),
-    NULL,
+    offsetof(Sw__TokenRequest, team),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "http_address",
-    10,
+    "shard",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Sw__LeaseRequest, http_address),
+    offsetof(Sw__TokenRequest, shard),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "forwarded",
-    11,
+    "wanted",
+    3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Sw__LeaseRequest, forwarded),
+    offsetof(Sw__TokenRequest, wanted),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned sw__lease_request__field_indices_by_name[] = {
-  4,   /* field[4] = applied_index */
-  5,   /* field[5] = draining */
-  1,   /* field[1] = failure_domain */
-  10,   /* field[10] = forwarded */
-  7,   /* field[7] = health */
-  9,   /* field[9] = http_address */
-  3,   /* field[3] = incarnation */
-  0,   /* field[0] = instance_id */
-  8,   /* field[8] = leaving */
-  2,   /* field[2] = peer_address */
-  6,   /* field[6] = sequence */
+static const unsigned sw__token_request__field_indices_by_name[] = {
+  1,   /* field[1] = shard */
+  0,   /* field[0] = team */
+  2,   /* field[2] = wanted */
 };
-static const ProtobufCIntRange sw__lease_request__number_ranges[1 + 1] =
+static const ProtobufCIntRange sw__token_request__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 3 }
 };
-const ProtobufCMessageDescriptor sw__lease_request__descriptor =
+const ProtobufCMessageDescriptor sw__token_request__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "sw.LeaseRequest",
-  "LeaseRequest",
-  "Sw__LeaseRequest",
+  "sw.TokenRequest",
+  "TokenRequest",
+  "Sw__TokenRequest",
   "sw",
-  sizeof(Sw__LeaseRequest),
-  11,
-  sw__lease_request__field_descriptors,
-  sw__lease_request__field_indices_by_name,
-  1,  sw__lease_request__number_ranges,
-  (ProtobufCMessageInit) sw__lease_request__init,
+  sizeof(Sw__TokenRequest),
+  3,
+  sw__token_request__field_descriptors,
+  sw__token_request__field_indices_by_name,
+  1,  sw__token_request__number_ranges,
+  (ProtobufCMessageInit) sw__token_request__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sw__lease_reply__field_descriptors[5] =
+static const ProtobufCFieldDescriptor sw__token_reply__field_descriptors[3] =
 {
   {
-    "sequence",
+    "granted",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Sw__LeaseReply, sequence),
+    offsetof(Sw__TokenReply, granted),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "granted",
+    "retry_after_us",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Sw__LeaseReply, granted),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "confirmed_index",
-    3,
-    PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Sw__LeaseReply, confirmed_index),
+    offsetof(Sw__TokenReply, retry_after_us),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "valid_for_ms",
-    4,
+    "owner",
+    3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Sw__LeaseReply, valid_for_ms),
+    offsetof(Sw__TokenReply, owner),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned sw__token_reply__field_indices_by_name[] = {
+  0,   /* field[0] = granted */
+  2,   /* field[2] = owner */
+  1,   /* field[1] = retry_after_us */
+};
+static const ProtobufCIntRange sw__token_reply__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor sw__token_reply__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "sw.TokenReply",
+  "TokenReply",
+  "Sw__TokenReply",
+  "sw",
+  sizeof(Sw__TokenReply),
+  3,
+  sw__token_reply__field_descriptors,
+  sw__token_reply__field_indices_by_name,
+  1,  sw__token_reply__number_ranges,
+  (ProtobufCMessageInit) sw__token_reply__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor sw__position_request__field_descriptors[1] =
+{
   {
-    "reason",
-    5,
+    "database",
+    1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Sw__LeaseReply, reason),
+    offsetof(Sw__PositionRequest, database),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned sw__lease_reply__field_indices_by_name[] = {
-  2,   /* field[2] = confirmed_index */
-  1,   /* field[1] = granted */
-  4,   /* field[4] = reason */
-  0,   /* field[0] = sequence */
-  3,   /* field[3] = valid_for_ms */
+static const unsigned sw__position_request__field_indices_by_name[] = {
+  0,   /* field[0] = database */
 };
-static const ProtobufCIntRange sw__lease_reply__number_ranges[1 + 1] =
+static const ProtobufCIntRange sw__position_request__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 1 }
 };
-const ProtobufCMessageDescriptor sw__lease_reply__descriptor =
+const ProtobufCMessageDescriptor sw__position_request__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "sw.LeaseReply",
-  "LeaseReply",
-  "Sw__LeaseReply",
+  "sw.PositionRequest",
+  "PositionRequest",
+  "Sw__PositionRequest",
   "sw",
-  sizeof(Sw__LeaseReply),
-  5,
-  sw__lease_reply__field_descriptors,
-  sw__lease_reply__field_indices_by_name,
-  1,  sw__lease_reply__number_ranges,
-  (ProtobufCMessageInit) sw__lease_reply__init,
+  sizeof(Sw__PositionRequest),
+  1,
+  sw__position_request__field_descriptors,
+  sw__position_request__field_indices_by_name,
+  1,  sw__position_request__number_ranges,
+  (ProtobufCMessageInit) sw__position_request__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sw__change__field_descriptors[4] =
+static const ProtobufCFieldDescriptor sw__position_reply__field_descriptors[4] =
 {
   {
-    "index",
+    "known",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Sw__Change, index),
+    offsetof(Sw__PositionReply, known),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "key",
+    "term",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Sw__Change, key),
+    offsetof(Sw__PositionReply, term),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "version",
+    "position",
     3,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Sw__Change, version),
+    offsetof(Sw__PositionReply, position),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "spec",
+    "age_us",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Sw__Change, spec),
+    offsetof(Sw__PositionReply, age_us),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned sw__change__field_indices_by_name[] = {
-  0,   /* field[0] = index */
-  1,   /* field[1] = key */
-  3,   /* field[3] = spec */
-  2,   /* field[2] = version */
+static const unsigned sw__position_reply__field_indices_by_name[] = {
+  3,   /* field[3] = age_us */
+  0,   /* field[0] = known */
+  2,   /* field[2] = position */
+  1,   /* field[1] = term */
 };
-static const ProtobufCIntRange sw__change__number_ranges[1 + 1] =
+static const ProtobufCIntRange sw__position_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
   { 0, 4 }
 };
-const ProtobufCMessageDescriptor sw__change__descriptor =
+const ProtobufCMessageDescriptor sw__position_reply__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "sw.Change",
-  "Change",
-  "Sw__Change",
+  "sw.PositionReply",
+  "PositionReply",
+  "Sw__PositionReply",
   "sw",
-  sizeof(Sw__Change),
+  sizeof(Sw__PositionReply),
   4,
-  sw__change__field_descriptors,
-  sw__change__field_indices_by_name,
-  1,  sw__change__number_ranges,
-  (ProtobufCMessageInit) sw__change__init,
+  sw__position_reply__field_descriptors,
+  sw__position_reply__field_indices_by_name,
+  1,  sw__position_reply__number_ranges,
+  (ProtobufCMessageInit) sw__position_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sw__state_update__field_descriptors[5] =
+static const ProtobufCFieldDescriptor sw__member_command__field_descriptors[5] =
 {
   {
-    "cluster",
+    "database",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Sw__StateUpdate, cluster),
+    offsetof(Sw__MemberCommand, database),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "full",
+    "member",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Sw__StateUpdate, full),
-    NULL,
+    offsetof(Sw__MemberCommand, member),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "from_index",
+    "action",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_ENUM,
     0,   /* quantifier_offset */
-    offsetof(Sw__StateUpdate, from_index),
-    NULL,
+    offsetof(Sw__MemberCommand, action),
+    &sw__member_action__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "to_index",
+    "target_address",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Sw__StateUpdate, to_index),
-    NULL,
+    offsetof(Sw__MemberCommand, target_address),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "changes",
+    "promotion",
     5,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Sw__StateUpdate, n_changes),
-    offsetof(Sw__StateUpdate, changes),
-    &sw__change__descriptor,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__MemberCommand, promotion),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned sw__state_update__field_indices_by_name[] = {
-  4,   /* field[4] = changes */
-  0,   /* field[0] = cluster */
-  2,   /* field[2] = from_index */
-  1,   /* field[1] = full */
-  3,   /* field[3] = to_index */
+static const unsigned sw__member_command__field_indices_by_name[] = {
+  2,   /* field[2] = action */
+  0,   /* field[0] = database */
+  1,   /* field[1] = member */
+  4,   /* field[4] = promotion */
+  3,   /* field[3] = target_address */
 };
-static const ProtobufCIntRange sw__state_update__number_ranges[1 + 1] =
+static const ProtobufCIntRange sw__member_command__number_ranges[1 + 1] =
 {
   { 1, 0 },
   { 0, 5 }
 };
-const ProtobufCMessageDescriptor sw__state_update__descriptor =
+const ProtobufCMessageDescriptor sw__member_command__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "sw.StateUpdate",
-  "StateUpdate",
-  "Sw__StateUpdate",
+  "sw.MemberCommand",
+  "MemberCommand",
+  "Sw__MemberCommand",
   "sw",
-  sizeof(Sw__StateUpdate),
+  sizeof(Sw__MemberCommand),
   5,
-  sw__state_update__field_descriptors,
-  sw__state_update__field_indices_by_name,
-  1,  sw__state_update__number_ranges,
-  (ProtobufCMessageInit) sw__state_update__init,
+  sw__member_command__field_descriptors,
+  sw__member_command__field_indices_by_name,
+  1,  sw__member_command__number_ranges,
+  (ProtobufCMessageInit) sw__member_command__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sw__admin_request__field_descriptors[6] =
+static const ProtobufCFieldDescriptor sw__member_result__field_descriptors[9] =
 {
   {
-    "operation_id",
+    "database",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Sw__AdminRequest, operation_id),
+    offsetof(Sw__MemberResult, database),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "actor",
+    "member",
     2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Sw__AdminRequest, actor),
+    offsetof(Sw__MemberResult, member),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "verb",
+    "action",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_ENUM,
     0,   /* quantifier_offset */
-    offsetof(Sw__AdminRequest, verb),
+    offsetof(Sw__MemberResult, action),
+    &sw__member_action__descriptor,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "key",
+    "ok",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Sw__AdminRequest, key),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "body",
-    5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Sw__AdminRequest, body),
+    offsetof(Sw__MemberResult, ok),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "forwarded",
-    8,
+    "timeline",
+    5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Sw__AdminRequest, forwarded),
+    offsetof(Sw__MemberResult, timeline),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned sw__admin_request__field_indices_by_name[] = {
-  1,   /* field[1] = actor */
-  4,   /* field[4] = body */
-  5,   /* field[5] = forwarded */
-  3,   /* field[3] = key */
-  0,   /* field[0] = operation_id */
-  2,   /* field[2] = verb */
-};
-static const ProtobufCIntRange sw__admin_request__number_ranges[2 + 1] =
-{
-  { 1, 0 },
-  { 8, 5 },
-  { 0, 6 }
-};
-const ProtobufCMessageDescriptor sw__admin_request__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "sw.AdminRequest",
-  "AdminRequest",
-  "Sw__AdminRequest",
-  "sw",
-  sizeof(Sw__AdminRequest),
-  6,
-  sw__admin_request__field_descriptors,
-  sw__admin_request__field_indices_by_name,
-  2,  sw__admin_request__number_ranges,
-  (ProtobufCMessageInit) sw__admin_request__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor sw__admin_reply__field_descriptors[2] =
-{
   {
-    "status",
-    1,
+    "position",
+    6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Sw__AdminReply, status),
+    offsetof(Sw__MemberResult, position),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "body",
-    2,
+    "in_recovery",
+    7,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Sw__AdminReply, body),
+    offsetof(Sw__MemberResult, in_recovery),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned sw__admin_reply__field_indices_by_name[] = {
-  1,   /* field[1] = body */
-  0,   /* field[0] = status */
-};
-static const ProtobufCIntRange sw__admin_reply__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 2 }
-};
-const ProtobufCMessageDescriptor sw__admin_reply__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "sw.AdminReply",
-  "AdminReply",
-  "Sw__AdminReply",
-  "sw",
-  sizeof(Sw__AdminReply),
-  2,
-  sw__admin_reply__field_descriptors,
-  sw__admin_reply__field_indices_by_name,
-  1,  sw__admin_reply__number_ranges,
-  (ProtobufCMessageInit) sw__admin_reply__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor sw__statement__field_descriptors[3] =
-{
   {
-    "sql",
-    1,
+    "error",
+    8,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Sw__Statement, sql),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "args",
-    2,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_STRING,
-    offsetof(Sw__Statement, n_args),
-    offsetof(Sw__Statement, args),
+    offsetof(Sw__MemberResult, error),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "null_mask",
-    3,
+    "promotion",
+    9,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Sw__Statement, null_mask),
+    offsetof(Sw__MemberResult, promotion),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned sw__statement__field_indices_by_name[] = {
-  1,   /* field[1] = args */
-  2,   /* field[2] = null_mask */
-  0,   /* field[0] = sql */
+static const unsigned sw__member_result__field_indices_by_name[] = {
+  2,   /* field[2] = action */
+  0,   /* field[0] = database */
+  7,   /* field[7] = error */
+  6,   /* field[6] = in_recovery */
+  1,   /* field[1] = member */
+  3,   /* field[3] = ok */
+  5,   /* field[5] = position */
+  8,   /* field[8] = promotion */
+  4,   /* field[4] = timeline */
 };
-static const ProtobufCIntRange sw__statement__number_ranges[1 + 1] =
+static const ProtobufCIntRange sw__member_result__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 9 }
 };
-const ProtobufCMessageDescriptor sw__statement__descriptor =
+const ProtobufCMessageDescriptor sw__member_result__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "sw.Statement",
-  "Statement",
-  "Sw__Statement",
+  "sw.MemberResult",
+  "MemberResult",
+  "Sw__MemberResult",
   "sw",
-  sizeof(Sw__Statement),
-  3,
-  sw__statement__field_descriptors,
-  sw__statement__field_indices_by_name,
-  1,  sw__statement__number_ranges,
-  (ProtobufCMessageInit) sw__statement__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor sw__work_request__field_descriptors[17] =
-{
-  {
-    "kind",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_ENUM,
-    0,   /* quantifier_offset */
-    offsetof(Sw__WorkRequest, kind),
-    &sw__work_kind__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+  sizeof(Sw__MemberResult),
+  9,
+  sw__member_result__field_descriptors,
+  sw__member_result__field_indices_by_name,
+  1,  sw__member_result__number_ranges,
+  (ProtobufCMessageInit) sw__member_result__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor sw__announcement__field_descriptors[5] =
+{
   {
     "database",
-    2,
+    1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Sw__WorkRequest, database),
+    offsetof(Sw__Announcement, database),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
@@ -2475,385 +3994,480 @@
   },
   {
     "member",
-    3,
+    2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Sw__WorkRequest, member),
+    offsetof(Sw__Announcement, member),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "team",
-    4,
+    "address",
+    3,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Sw__WorkRequest, team),
+    offsetof(Sw__Announcement, address),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "key_id",
-    5,
+    "failure_domain",
+    4,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Sw__WorkRequest, key_id),
+    offsetof(Sw__Announcement, failure_domain),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "worth",
-    6,
+    "leaving",
+    5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Sw__WorkRequest, worth),
-    NULL,
+    offsetof(Sw__Announcement, leaving),
     NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "statements",
-    7,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Sw__WorkRequest, n_statements),
-    offsetof(Sw__WorkRequest, statements),
-    &sw__statement__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned sw__announcement__field_indices_by_name[] = {
+  2,   /* field[2] = address */
+  0,   /* field[0] = database */
+  3,   /* field[3] = failure_domain */
+  4,   /* field[4] = leaving */
+  1,   /* field[1] = member */
+};
+static const ProtobufCIntRange sw__announcement__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor sw__announcement__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "sw.Announcement",
+  "Announcement",
+  "Sw__Announcement",
+  "sw",
+  sizeof(Sw__Announcement),
+  5,
+  sw__announcement__field_descriptors,
+  sw__announcement__field_indices_by_name,
+  1,  sw__announcement__number_ranges,
+  (ProtobufCMessageInit) sw__announcement__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor sw__primary_evidence__field_descriptors[7] =
+{
   {
-    "idempotency_key",
-    8,
+    "database",
+    1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Sw__WorkRequest, idempotency_key),
+    offsetof(Sw__PrimaryEvidence, database),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "args_hash",
-    9,
+    "primary",
+    2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Sw__WorkRequest, args_hash),
+    offsetof(Sw__PrimaryEvidence, primary),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "min_term",
-    10,
+    "epoch",
+    3,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Sw__WorkRequest, min_term),
+    offsetof(Sw__PrimaryEvidence, epoch),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "min_position",
-    11,
+    "answered_ago_us",
+    4,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Sw__WorkRequest, min_position),
+    offsetof(Sw__PrimaryEvidence, answered_ago_us),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "max_staleness_us",
-    12,
+    "failing_us",
+    5,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Sw__WorkRequest, max_staleness_us),
+    offsetof(Sw__PrimaryEvidence, failing_us),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "deadline_us",
-    13,
+    "answered",
+    6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Sw__WorkRequest, deadline_us),
+    offsetof(Sw__PrimaryEvidence, answered),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "transaction_id",
-    14,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Sw__WorkRequest, transaction_id),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "repeatable",
-    15,
+    "released_epoch",
+    7,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Sw__WorkRequest, repeatable),
+    offsetof(Sw__PrimaryEvidence, released_epoch),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned sw__primary_evidence__field_indices_by_name[] = {
+  5,   /* field[5] = answered */
+  3,   /* field[3] = answered_ago_us */
+  0,   /* field[0] = database */
+  2,   /* field[2] = epoch */
+  4,   /* field[4] = failing_us */
+  1,   /* field[1] = primary */
+  6,   /* field[6] = released_epoch */
+};
+static const ProtobufCIntRange sw__primary_evidence__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor sw__primary_evidence__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "sw.PrimaryEvidence",
+  "PrimaryEvidence",
+  "Sw__PrimaryEvidence",
+  "sw",
+  sizeof(Sw__PrimaryEvidence),
+  7,
+  sw__primary_evidence__field_descriptors,
+  sw__primary_evidence__field_indices_by_name,
+  1,  sw__primary_evidence__number_ranges,
+  (ProtobufCMessageInit) sw__primary_evidence__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor sw__team_demand__field_descriptors[2] =
+{
   {
-    "open_route",
-    16,
+    "team",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Sw__WorkRequest, open_route),
-    NULL,
+    offsetof(Sw__TeamDemand, team),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "database_term",
-    17,
+    "wanted_milli",
+    2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Sw__WorkRequest, database_term),
+    offsetof(Sw__TeamDemand, wanted_milli),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned sw__work_request__field_indices_by_name[] = {
-  8,   /* field[8] = args_hash */
-  1,   /* field[1] = database */
-  16,   /* field[16] = database_term */
-  12,   /* field[12] = deadline_us */
-  7,   /* field[7] = idempotency_key */
-  4,   /* field[4] = key_id */
-  0,   /* field[0] = kind */
-  11,   /* field[11] = max_staleness_us */
-  2,   /* field[2] = member */
-  10,   /* field[10] = min_position */
-  9,   /* field[9] = min_term */
-  15,   /* field[15] = open_route */
-  14,   /* field[14] = repeatable */
-  6,   /* field[6] = statements */
-  3,   /* field[3] = team */
-  13,   /* field[13] = transaction_id */
-  5,   /* field[5] = worth */
+static const unsigned sw__team_demand__field_indices_by_name[] = {
+  0,   /* field[0] = team */
+  1,   /* field[1] = wanted_milli */
 };
-static const ProtobufCIntRange sw__work_request__number_ranges[1 + 1] =
+static const ProtobufCIntRange sw__team_demand__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 17 }
+  { 0, 2 }
 };
-const ProtobufCMessageDescriptor sw__work_request__descriptor =
+const ProtobufCMessageDescriptor sw__team_demand__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "sw.WorkRequest",
-  "WorkRequest",
-  "Sw__WorkRequest",
+  "sw.TeamDemand",
+  "TeamDemand",
+  "Sw__TeamDemand",
   "sw",
-  sizeof(Sw__WorkRequest),
-  17,
-  sw__work_request__field_descriptors,
-  sw__work_request__field_indices_by_name,
-  1,  sw__work_request__number_ranges,
-  (ProtobufCMessageInit) sw__work_request__init,
+  sizeof(Sw__TeamDemand),
+  2,
+  sw__team_demand__field_descriptors,
+  sw__team_demand__field_indices_by_name,
+  1,  sw__team_demand__number_ranges,
+  (ProtobufCMessageInit) sw__team_demand__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sw__work_reply__field_descriptors[9] =
+static const ProtobufCFieldDescriptor sw__entry_report__field_descriptors[9] =
 {
   {
-    "status",
+    "failure_domain",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_ENUM,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Sw__WorkReply, status),
-    &sw__work_status__descriptor,
+    offsetof(Sw__EntryReport, failure_domain),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "rows",
+    "incarnation",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Sw__WorkReply, rows),
+    offsetof(Sw__EntryReport, incarnation),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "term",
+    "sequence",
     3,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Sw__WorkReply, term),
+    offsetof(Sw__EntryReport, sequence),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "position",
+    "document_version",
     4,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Sw__WorkReply, position),
+    offsetof(Sw__EntryReport, document_version),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "reason",
+    "directory_revision",
     5,
     PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__EntryReport, directory_revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "directory_run",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__EntryReport, directory_run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leaving",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Sw__EntryReport, leaving),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "evidence",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sw__EntryReport, n_evidence),
+    offsetof(Sw__EntryReport, evidence),
+    &sw__primary_evidence__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "demand",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sw__EntryReport, n_demand),
+    offsetof(Sw__EntryReport, demand),
+    &sw__team_demand__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned sw__entry_report__field_indices_by_name[] = {
+  8,   /* field[8] = demand */
+  4,   /* field[4] = directory_revision */
+  5,   /* field[5] = directory_run */
+  3,   /* field[3] = document_version */
+  7,   /* field[7] = evidence */
+  0,   /* field[0] = failure_domain */
+  1,   /* field[1] = incarnation */
+  6,   /* field[6] = leaving */
+  2,   /* field[2] = sequence */
+};
+static const ProtobufCIntRange sw__entry_report__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 9 }
+};
+const ProtobufCMessageDescriptor sw__entry_report__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "sw.EntryReport",
+  "EntryReport",
+  "Sw__EntryReport",
+  "sw",
+  sizeof(Sw__EntryReport),
+  9,
+  sw__entry_report__field_descriptors,
+  sw__entry_report__field_indices_by_name,
+  1,  sw__entry_report__number_ranges,
+  (ProtobufCMessageInit) sw__entry_report__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor sw__primary_grant__field_descriptors[5] =
+{
+  {
+    "database",
+    1,
+    PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Sw__WorkReply, reason),
+    offsetof(Sw__PrimaryGrant, database),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "detail",
-    6,
+    "primary",
+    2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Sw__WorkReply, detail),
+    offsetof(Sw__PrimaryGrant, primary),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "transaction_id",
-    7,
+    "epoch",
+    3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Sw__WorkReply, transaction_id),
+    offsetof(Sw__PrimaryGrant, epoch),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "replayed",
-    8,
+    "closing",
+    4,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Sw__WorkReply, replayed),
+    offsetof(Sw__PrimaryGrant, closing),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "retry_after_us",
-    9,
+    "quiescing",
+    5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Sw__WorkReply, retry_after_us),
+    offsetof(Sw__PrimaryGrant, quiescing),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned sw__work_reply__field_indices_by_name[] = {
-  5,   /* field[5] = detail */
-  3,   /* field[3] = position */
-  4,   /* field[4] = reason */
-  7,   /* field[7] = replayed */
-  8,   /* field[8] = retry_after_us */
-  1,   /* field[1] = rows */
-  0,   /* field[0] = status */
-  2,   /* field[2] = term */
-  6,   /* field[6] = transaction_id */
+static const unsigned sw__primary_grant__field_indices_by_name[] = {
+  3,   /* field[3] = closing */
+  0,   /* field[0] = database */
+  2,   /* field[2] = epoch */
+  1,   /* field[1] = primary */
+  4,   /* field[4] = quiescing */
 };
-static const ProtobufCIntRange sw__work_reply__number_ranges[1 + 1] =
+static const ProtobufCIntRange sw__primary_grant__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
-};
-const ProtobufCMessageDescriptor sw__work_reply__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "sw.WorkReply",
-  "WorkReply",
-  "Sw__WorkReply",
-  "sw",
-  sizeof(Sw__WorkReply),
-  9,
-  sw__work_reply__field_descriptors,
-  sw__work_reply__field_indices_by_name,
-  1,  sw__work_reply__number_ranges,
-  (ProtobufCMessageInit) sw__work_reply__init,
-  NULL,NULL,NULL    /* reserved[123] */
+  { 0, 5 }
 };
-#define sw__cancel_work__field_descriptors NULL
-#define sw__cancel_work__field_indices_by_name NULL
-#define sw__cancel_work__number_ranges NULL
-const ProtobufCMessageDescriptor sw__cancel_work__descriptor =
+const ProtobufCMessageDescriptor sw__primary_grant__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "sw.CancelWork",
-  "CancelWork",
-  "Sw__CancelWork",
+  "sw.PrimaryGrant",
+  "PrimaryGrant",
+  "Sw__PrimaryGrant",
   "sw",
-  sizeof(Sw__CancelWork),
-  0,
-  sw__cancel_work__field_descriptors,
-  sw__cancel_work__field_indices_by_name,
-  0,  sw__cancel_work__number_ranges,
-  (ProtobufCMessageInit) sw__cancel_work__init,
+  sizeof(Sw__PrimaryGrant),
+  5,
+  sw__primary_grant__field_descriptors,
+  sw__primary_grant__field_indices_by_name,
+  1,  sw__primary_grant__number_ranges,
+  (ProtobufCMessageInit) sw__primary_grant__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sw__token_request__field_descriptors[3] =
+static const ProtobufCFieldDescriptor sw__team_share__field_descriptors[2] =
 {
   {
     "team",
@@ -2861,474 +4475,551 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Sw__TokenRequest, team),
+    offsetof(Sw__TeamShare, team),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "shard",
+    "share_micro",
     2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Sw__TokenRequest, shard),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "wanted",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Sw__TokenRequest, wanted),
+    offsetof(Sw__TeamShare, share_micro),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned sw__token_request__field_indices_by_name[] = {
-  1,   /* field[1] = shard */
+static const unsigned sw__team_share__field_indices_by_name[] = {
+  1,   /* field[1] = share_micro */
   0,   /* field[0] = team */
-  2,   /* field[2] = wanted */
 };
-static const ProtobufCIntRange sw__token_request__number_ranges[1 + 1] =
+static const ProtobufCIntRange sw__team_share__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 2 }
 };
-const ProtobufCMessageDescriptor sw__token_request__descriptor =
+const ProtobufCMessageDescriptor sw__team_share__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "sw.TokenRequest",
-  "TokenRequest",
-  "Sw__TokenRequest",
+  "sw.TeamShare",
+  "TeamShare",
+  "Sw__TeamShare",
   "sw",
-  sizeof(Sw__TokenRequest),
-  3,
-  sw__token_request__field_descriptors,
-  sw__token_request__field_indices_by_name,
-  1,  sw__token_request__number_ranges,
-  (ProtobufCMessageInit) sw__token_request__init,
+  sizeof(Sw__TeamShare),
+  2,
+  sw__team_share__field_descriptors,
+  sw__team_share__field_indices_by_name,
+  1,  sw__team_share__number_ranges,
+  (ProtobufCMessageInit) sw__team_share__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sw__token_reply__field_descriptors[3] =
+static const ProtobufCFieldDescriptor sw__entry_grant__field_descriptors[7] =
 {
   {
-    "granted",
+    "sequence",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Sw__TokenReply, granted),
+    offsetof(Sw__EntryGrant, sequence),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "retry_after_us",
+    "lease_us",
     2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Sw__TokenReply, retry_after_us),
+    offsetof(Sw__EntryGrant, lease_us),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "owner",
+    "primaries",
     3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sw__EntryGrant, n_primaries),
+    offsetof(Sw__EntryGrant, primaries),
+    &sw__primary_grant__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "shares",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sw__EntryGrant, n_shares),
+    offsetof(Sw__EntryGrant, shares),
+    &sw__team_share__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "entry_count",
+    5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Sw__TokenReply, owner),
+    offsetof(Sw__EntryGrant, entry_count),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned sw__token_reply__field_indices_by_name[] = {
-  0,   /* field[0] = granted */
-  2,   /* field[2] = owner */
-  1,   /* field[1] = retry_after_us */
-};
-static const ProtobufCIntRange sw__token_reply__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 3 }
-};
-const ProtobufCMessageDescriptor sw__token_reply__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "sw.TokenReply",
-  "TokenReply",
-  "Sw__TokenReply",
-  "sw",
-  sizeof(Sw__TokenReply),
-  3,
-  sw__token_reply__field_descriptors,
-  sw__token_reply__field_indices_by_name,
-  1,  sw__token_reply__number_ranges,
-  (ProtobufCMessageInit) sw__token_reply__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor sw__position_request__field_descriptors[1] =
-{
   {
-    "database",
-    1,
-    PROTOBUF_C_LABEL_NONE,
+    "controls",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Sw__PositionRequest, database),
+    offsetof(Sw__EntryGrant, n_controls),
+    offsetof(Sw__EntryGrant, controls),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "document_version",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__EntryGrant, document_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
-static const unsigned sw__position_request__field_indices_by_name[] = {
-  0,   /* field[0] = database */
+static const unsigned sw__entry_grant__field_indices_by_name[] = {
+  5,   /* field[5] = controls */
+  6,   /* field[6] = document_version */
+  4,   /* field[4] = entry_count */
+  1,   /* field[1] = lease_us */
+  2,   /* field[2] = primaries */
+  0,   /* field[0] = sequence */
+  3,   /* field[3] = shares */
 };
-static const ProtobufCIntRange sw__position_request__number_ranges[1 + 1] =
+static const ProtobufCIntRange sw__entry_grant__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 7 }
 };
-const ProtobufCMessageDescriptor sw__position_request__descriptor =
+const ProtobufCMessageDescriptor sw__entry_grant__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "sw.PositionRequest",
-  "PositionRequest",
-  "Sw__PositionRequest",
+  "sw.EntryGrant",
+  "EntryGrant",
+  "Sw__EntryGrant",
   "sw",
-  sizeof(Sw__PositionRequest),
-  1,
-  sw__position_request__field_descriptors,
-  sw__position_request__field_indices_by_name,
-  1,  sw__position_request__number_ranges,
-  (ProtobufCMessageInit) sw__position_request__init,
+  sizeof(Sw__EntryGrant),
+  7,
+  sw__entry_grant__field_descriptors,
+  sw__entry_grant__field_indices_by_name,
+  1,  sw__entry_grant__number_ranges,
+  (ProtobufCMessageInit) sw__entry_grant__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sw__position_reply__field_descriptors[4] =
+static const ProtobufCFieldDescriptor sw__server_record__field_descriptors[10] =
 {
   {
-    "known",
+    "id",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Sw__PositionReply, known),
-    NULL,
+    offsetof(Sw__ServerRecord, id),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "term",
+    "database",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Sw__PositionReply, term),
-    NULL,
+    offsetof(Sw__ServerRecord, database),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "position",
+    "address",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Sw__PositionReply, position),
-    NULL,
+    offsetof(Sw__ServerRecord, address),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "age_us",
+    "failure_domain",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Sw__PositionReply, age_us),
-    NULL,
+    offsetof(Sw__ServerRecord, failure_domain),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "draining",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Sw__ServerRecord, draining),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned sw__position_reply__field_indices_by_name[] = {
-  3,   /* field[3] = age_us */
-  0,   /* field[0] = known */
-  2,   /* field[2] = position */
-  1,   /* field[1] = term */
-};
-static const ProtobufCIntRange sw__position_reply__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 4 }
-};
-const ProtobufCMessageDescriptor sw__position_reply__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "sw.PositionReply",
-  "PositionReply",
-  "Sw__PositionReply",
-  "sw",
-  sizeof(Sw__PositionReply),
-  4,
-  sw__position_reply__field_descriptors,
-  sw__position_reply__field_indices_by_name,
-  1,  sw__position_reply__number_ranges,
-  (ProtobufCMessageInit) sw__position_reply__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor sw__member_command__field_descriptors[5] =
-{
   {
-    "database",
-    1,
+    "primary",
+    6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Sw__MemberCommand, database),
+    offsetof(Sw__ServerRecord, primary),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "member",
-    2,
+    "born_ms",
+    7,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_INT64,
     0,   /* quantifier_offset */
-    offsetof(Sw__MemberCommand, member),
+    offsetof(Sw__ServerRecord, born_ms),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "action",
-    3,
+    "sequence",
+    8,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_ENUM,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Sw__MemberCommand, action),
-    &sw__member_action__descriptor,
+    offsetof(Sw__ServerRecord, sequence),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "target_address",
-    4,
+    "slots",
+    9,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Sw__MemberCommand, target_address),
+    offsetof(Sw__ServerRecord, slots),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "promotion",
-    5,
+    "gone",
+    10,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Sw__MemberCommand, promotion),
+    offsetof(Sw__ServerRecord, gone),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned sw__member_command__field_indices_by_name[] = {
-  2,   /* field[2] = action */
-  0,   /* field[0] = database */
-  1,   /* field[1] = member */
-  4,   /* field[4] = promotion */
-  3,   /* field[3] = target_address */
+static const unsigned sw__server_record__field_indices_by_name[] = {
+  2,   /* field[2] = address */
+  6,   /* field[6] = born_ms */
+  1,   /* field[1] = database */
+  4,   /* field[4] = draining */
+  3,   /* field[3] = failure_domain */
+  9,   /* field[9] = gone */
+  0,   /* field[0] = id */
+  5,   /* field[5] = primary */
+  7,   /* field[7] = sequence */
+  8,   /* field[8] = slots */
 };
-static const ProtobufCIntRange sw__member_command__number_ranges[1 + 1] =
+static const ProtobufCIntRange sw__server_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 10 }
 };
-const ProtobufCMessageDescriptor sw__member_command__descriptor =
+const ProtobufCMessageDescriptor sw__server_record__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "sw.MemberCommand",
-  "MemberCommand",
-  "Sw__MemberCommand",
+  "sw.ServerRecord",
+  "ServerRecord",
+  "Sw__ServerRecord",
   "sw",
-  sizeof(Sw__MemberCommand),
-  5,
-  sw__member_command__field_descriptors,
-  sw__member_command__field_indices_by_name,
-  1,  sw__member_command__number_ranges,
-  (ProtobufCMessageInit) sw__member_command__init,
+  sizeof(Sw__ServerRecord),
+  10,
+  sw__server_record__field_descriptors,
+  sw__server_record__field_indices_by_name,
+  1,  sw__server_record__number_ranges,
+  (ProtobufCMessageInit) sw__server_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sw__member_result__field_descriptors[9] =
+static const ProtobufCFieldDescriptor sw__directory_update__field_descriptors[4] =
 {
   {
-    "database",
+    "run",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Sw__MemberResult, database),
+    offsetof(Sw__DirectoryUpdate, run),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "member",
+    "revision",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Sw__MemberResult, member),
+    offsetof(Sw__DirectoryUpdate, revision),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "action",
+    "full",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_ENUM,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Sw__MemberResult, action),
-    &sw__member_action__descriptor,
+    offsetof(Sw__DirectoryUpdate, full),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "ok",
+    "servers",
     4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Sw__MemberResult, ok),
-    NULL,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sw__DirectoryUpdate, n_servers),
+    offsetof(Sw__DirectoryUpdate, servers),
+    &sw__server_record__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned sw__directory_update__field_indices_by_name[] = {
+  2,   /* field[2] = full */
+  1,   /* field[1] = revision */
+  0,   /* field[0] = run */
+  3,   /* field[3] = servers */
+};
+static const ProtobufCIntRange sw__directory_update__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor sw__directory_update__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "sw.DirectoryUpdate",
+  "DirectoryUpdate",
+  "Sw__DirectoryUpdate",
+  "sw",
+  sizeof(Sw__DirectoryUpdate),
+  4,
+  sw__directory_update__field_descriptors,
+  sw__directory_update__field_indices_by_name,
+  1,  sw__directory_update__number_ranges,
+  (ProtobufCMessageInit) sw__directory_update__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor sw__document_update__field_descriptors[2] =
+{
   {
-    "timeline",
-    5,
+    "version",
+    1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Sw__MemberResult, timeline),
+    offsetof(Sw__DocumentUpdate, version),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "position",
-    6,
+    "text",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
-    offsetof(Sw__MemberResult, position),
+    offsetof(Sw__DocumentUpdate, text),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned sw__document_update__field_indices_by_name[] = {
+  1,   /* field[1] = text */
+  0,   /* field[0] = version */
+};
+static const ProtobufCIntRange sw__document_update__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor sw__document_update__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "sw.DocumentUpdate",
+  "DocumentUpdate",
+  "Sw__DocumentUpdate",
+  "sw",
+  sizeof(Sw__DocumentUpdate),
+  2,
+  sw__document_update__field_descriptors,
+  sw__document_update__field_indices_by_name,
+  1,  sw__document_update__number_ranges,
+  (ProtobufCMessageInit) sw__document_update__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor sw__join_request__field_descriptors[2] =
+{
   {
-    "in_recovery",
-    7,
+    "disk",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Sw__MemberResult, in_recovery),
-    NULL,
+    offsetof(Sw__JoinRequest, disk),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "error",
-    8,
+    "failure_domain",
+    2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Sw__MemberResult, error),
+    offsetof(Sw__JoinRequest, failure_domain),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned sw__join_request__field_indices_by_name[] = {
+  0,   /* field[0] = disk */
+  1,   /* field[1] = failure_domain */
+};
+static const ProtobufCIntRange sw__join_request__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor sw__join_request__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "sw.JoinRequest",
+  "JoinRequest",
+  "Sw__JoinRequest",
+  "sw",
+  sizeof(Sw__JoinRequest),
+  2,
+  sw__join_request__field_descriptors,
+  sw__join_request__field_indices_by_name,
+  1,  sw__join_request__number_ranges,
+  (ProtobufCMessageInit) sw__join_request__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor sw__fleet_command__field_descriptors[2] =
+{
   {
-    "promotion",
-    9,
+    "document",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Sw__MemberResult, promotion),
+    offsetof(Sw__FleetCommand, document),
+    &sw__document_update__descriptor,
     NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "primary",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Sw__FleetCommand, primary),
+    &sw__primary_record__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned sw__member_result__field_indices_by_name[] = {
-  2,   /* field[2] = action */
-  0,   /* field[0] = database */
-  7,   /* field[7] = error */
-  6,   /* field[6] = in_recovery */
-  1,   /* field[1] = member */
-  3,   /* field[3] = ok */
-  5,   /* field[5] = position */
-  8,   /* field[8] = promotion */
-  4,   /* field[4] = timeline */
+static const unsigned sw__fleet_command__field_indices_by_name[] = {
+  0,   /* field[0] = document */
+  1,   /* field[1] = primary */
 };
-static const ProtobufCIntRange sw__member_result__number_ranges[1 + 1] =
+static const ProtobufCIntRange sw__fleet_command__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 2 }
 };
-const ProtobufCMessageDescriptor sw__member_result__descriptor =
+const ProtobufCMessageDescriptor sw__fleet_command__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "sw.MemberResult",
-  "MemberResult",
-  "Sw__MemberResult",
+  "sw.FleetCommand",
+  "FleetCommand",
+  "Sw__FleetCommand",
   "sw",
-  sizeof(Sw__MemberResult),
-  9,
-  sw__member_result__field_descriptors,
-  sw__member_result__field_indices_by_name,
-  1,  sw__member_result__number_ranges,
-  (ProtobufCMessageInit) sw__member_result__init,
+  sizeof(Sw__FleetCommand),
+  2,
+  sw__fleet_command__field_descriptors,
+  sw__fleet_command__field_indices_by_name,
+  1,  sw__fleet_command__number_ranges,
+  (ProtobufCMessageInit) sw__fleet_command__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sw__announcement__field_descriptors[5] =
+static const ProtobufCFieldDescriptor sw__primary_record__field_descriptors[4] =
 {
   {
     "database",
@@ -3336,86 +5027,124 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Sw__Announcement, database),
+    offsetof(Sw__PrimaryRecord, database),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "member",
+    "primary",
     2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Sw__Announcement, member),
+    offsetof(Sw__PrimaryRecord, primary),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "address",
+    "epoch",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Sw__Announcement, address),
+    offsetof(Sw__PrimaryRecord, epoch),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "failure_domain",
+    "changing",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Sw__Announcement, failure_domain),
+    offsetof(Sw__PrimaryRecord, changing),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned sw__primary_record__field_indices_by_name[] = {
+  3,   /* field[3] = changing */
+  0,   /* field[0] = database */
+  2,   /* field[2] = epoch */
+  1,   /* field[1] = primary */
+};
+static const ProtobufCIntRange sw__primary_record__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor sw__primary_record__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "sw.PrimaryRecord",
+  "PrimaryRecord",
+  "Sw__PrimaryRecord",
+  "sw",
+  sizeof(Sw__PrimaryRecord),
+  4,
+  sw__primary_record__field_descriptors,
+  sw__primary_record__field_indices_by_name,
+  1,  sw__primary_record__number_ranges,
+  (ProtobufCMessageInit) sw__primary_record__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor sw__fleet_snapshot__field_descriptors[2] =
+{
   {
-    "leaving",
-    5,
+    "document",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Sw__Announcement, leaving),
+    offsetof(Sw__FleetSnapshot, document),
+    &sw__document_update__descriptor,
     NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "primaries",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sw__FleetSnapshot, n_primaries),
+    offsetof(Sw__FleetSnapshot, primaries),
+    &sw__primary_record__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned sw__announcement__field_indices_by_name[] = {
-  2,   /* field[2] = address */
-  0,   /* field[0] = database */
-  3,   /* field[3] = failure_domain */
-  4,   /* field[4] = leaving */
-  1,   /* field[1] = member */
+static const unsigned sw__fleet_snapshot__field_indices_by_name[] = {
+  0,   /* field[0] = document */
+  1,   /* field[1] = primaries */
 };
-static const ProtobufCIntRange sw__announcement__number_ranges[1 + 1] =
+static const ProtobufCIntRange sw__fleet_snapshot__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 2 }
 };
-const ProtobufCMessageDescriptor sw__announcement__descriptor =
+const ProtobufCMessageDescriptor sw__fleet_snapshot__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "sw.Announcement",
-  "Announcement",
-  "Sw__Announcement",
+  "sw.FleetSnapshot",
+  "FleetSnapshot",
+  "Sw__FleetSnapshot",
   "sw",
-  sizeof(Sw__Announcement),
-  5,
-  sw__announcement__field_descriptors,
-  sw__announcement__field_indices_by_name,
-  1,  sw__announcement__number_ranges,
-  (ProtobufCMessageInit) sw__announcement__init,
+  sizeof(Sw__FleetSnapshot),
+  2,
+  sw__fleet_snapshot__field_descriptors,
+  sw__fleet_snapshot__field_indices_by_name,
+  1,  sw__fleet_snapshot__number_ranges,
+  (ProtobufCMessageInit) sw__fleet_snapshot__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
 static const ProtobufCEnumValue sw__consensus_kind__enum_values_by_number[9] =
--- a/src/sapphireweir/proto/sapphireweir.pb-c.h
+++ b/src/sapphireweir/proto/sapphireweir.pb-c.h
@@ -38,6 +38,19 @@
 typedef struct Sw__MemberCommand Sw__MemberCommand;
 typedef struct Sw__MemberResult Sw__MemberResult;
 typedef struct Sw__Announcement Sw__Announcement;
+typedef struct Sw__PrimaryEvidence Sw__PrimaryEvidence;
+typedef struct Sw__TeamDemand Sw__TeamDemand;
+typedef struct Sw__EntryReport Sw__EntryReport;
+typedef struct Sw__PrimaryGrant Sw__PrimaryGrant;
+typedef struct Sw__TeamShare Sw__TeamShare;
+typedef struct Sw__EntryGrant Sw__EntryGrant;
+typedef struct Sw__ServerRecord Sw__ServerRecord;
+typedef struct Sw__DirectoryUpdate Sw__DirectoryUpdate;
+typedef struct Sw__DocumentUpdate Sw__DocumentUpdate;
+typedef struct Sw__JoinRequest Sw__JoinRequest;
+typedef struct Sw__FleetCommand Sw__FleetCommand;
+typedef struct Sw__PrimaryRecord Sw__PrimaryRecord;
+typedef struct Sw__FleetSnapshot Sw__FleetSnapshot;
 
 
 /* --- enums --- */
@@ -98,7 +111,12 @@
   SW__FRAME__BODY_MEMBER_COMMAND = 16,
   SW__FRAME__BODY_MEMBER_RESULT = 17,
   SW__FRAME__BODY_ANNOUNCEMENT = 18,
-  SW__FRAME__BODY_CANCEL_WORK = 19
+  SW__FRAME__BODY_CANCEL_WORK = 19,
+  SW__FRAME__BODY_ENTRY_REPORT = 20,
+  SW__FRAME__BODY_ENTRY_GRANT = 21,
+  SW__FRAME__BODY_DIRECTORY_UPDATE = 22,
+  SW__FRAME__BODY_DOCUMENT_UPDATE = 23,
+  SW__FRAME__BODY_JOIN_REQUEST = 24
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(SW__FRAME__BODY__CASE)
 } Sw__Frame__BodyCase;
 
@@ -126,6 +144,11 @@
     Sw__MemberResult *member_result;
     Sw__Announcement *announcement;
     Sw__CancelWork *cancel_work;
+    Sw__EntryReport *entry_report;
+    Sw__EntryGrant *entry_grant;
+    Sw__DirectoryUpdate *directory_update;
+    Sw__DocumentUpdate *document_update;
+    Sw__JoinRequest *join_request;
   };
 };
 #define SW__FRAME__INIT \
@@ -491,6 +514,227 @@
     , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
 
 
+/*
+ * What an entry instance saw of a database's primary since its last report.
+ */
+struct  Sw__PrimaryEvidence
+{
+  ProtobufCMessage base;
+  char *database;
+  char *primary;
+  uint64_t epoch;
+  /*
+   * Time since the primary last answered; zero with failing_us zero means
+   * that there was no work for it.
+   */
+  uint64_t answered_ago_us;
+  uint64_t failing_us;
+  protobuf_c_boolean answered;
+  /*
+   * No statement of this instance is open at a primary of this epoch or an
+   * earlier one, and none will be sent.
+   */
+  uint64_t released_epoch;
+};
+#define SW__PRIMARY_EVIDENCE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&sw__primary_evidence__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
+
+
+struct  Sw__TeamDemand
+{
+  ProtobufCMessage base;
+  char *team;
+  /*
+   * Operations wanted, in thousandths a second.
+   */
+  uint64_t wanted_milli;
+};
+#define SW__TEAM_DEMAND__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&sw__team_demand__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
+
+
+struct  Sw__EntryReport
+{
+  ProtobufCMessage base;
+  char *failure_domain;
+  uint64_t incarnation;
+  uint64_t sequence;
+  uint64_t document_version;
+  uint64_t directory_revision;
+  /*
+   * The control instance's run that the directory revision belongs to.
+   */
+  uint64_t directory_run;
+  protobuf_c_boolean leaving;
+  size_t n_evidence;
+  Sw__PrimaryEvidence **evidence;
+  size_t n_demand;
+  Sw__TeamDemand **demand;
+};
+#define SW__ENTRY_REPORT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&sw__entry_report__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL }
+
+
+struct  Sw__PrimaryGrant
+{
+  ProtobufCMessage base;
+  char *database;
+  char *primary;
+  uint64_t epoch;
+  /*
+   * The primary is being replaced: nothing may be sent to it.
+   */
+  protobuf_c_boolean closing;
+  /*
+   * A planned change: open transactions may end, none may begin.
+   */
+  protobuf_c_boolean quiescing;
+};
+#define SW__PRIMARY_GRANT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&sw__primary_grant__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
+
+
+struct  Sw__TeamShare
+{
+  ProtobufCMessage base;
+  char *team;
+  /*
+   * Part of the team's rate and burst, in millionths.
+   */
+  uint32_t share_micro;
+};
+#define SW__TEAM_SHARE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&sw__team_share__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
+
+
+struct  Sw__EntryGrant
+{
+  ProtobufCMessage base;
+  uint64_t sequence;
+  /*
+   * Set by the leader only; counted from the sending of the report.
+   */
+  uint64_t lease_us;
+  size_t n_primaries;
+  Sw__PrimaryGrant **primaries;
+  size_t n_shares;
+  Sw__TeamShare **shares;
+  uint32_t entry_count;
+  size_t n_controls;
+  char **controls;
+  uint64_t document_version;
+};
+#define SW__ENTRY_GRANT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&sw__entry_grant__descriptor) \
+    , 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0 }
+
+
+struct  Sw__ServerRecord
+{
+  ProtobufCMessage base;
+  char *id;
+  char *database;
+  char *address;
+  char *failure_domain;
+  protobuf_c_boolean draining;
+  protobuf_c_boolean primary;
+  int64_t born_ms;
+  uint64_t sequence;
+  uint32_t slots;
+  protobuf_c_boolean gone;
+};
+#define SW__SERVER_RECORD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&sw__server_record__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0 }
+
+
+struct  Sw__DirectoryUpdate
+{
+  ProtobufCMessage base;
+  uint64_t run;
+  uint64_t revision;
+  protobuf_c_boolean full;
+  size_t n_servers;
+  Sw__ServerRecord **servers;
+};
+#define SW__DIRECTORY_UPDATE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&sw__directory_update__descriptor) \
+    , 0, 0, 0, 0,NULL }
+
+
+struct  Sw__DocumentUpdate
+{
+  ProtobufCMessage base;
+  uint64_t version;
+  ProtobufCBinaryData text;
+};
+#define SW__DOCUMENT_UPDATE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&sw__document_update__descriptor) \
+    , 0, {0,NULL} }
+
+
+/*
+ * Sent by a control instance that hears of no leader.
+ */
+struct  Sw__JoinRequest
+{
+  ProtobufCMessage base;
+  char *disk;
+  char *failure_domain;
+};
+#define SW__JOIN_REQUEST__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&sw__join_request__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+
+
+/*
+ * A command of the replicated log.
+ */
+struct  Sw__FleetCommand
+{
+  ProtobufCMessage base;
+  Sw__DocumentUpdate *document;
+  Sw__PrimaryRecord *primary;
+};
+#define SW__FLEET_COMMAND__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&sw__fleet_command__descriptor) \
+    , NULL, NULL }
+
+
+struct  Sw__PrimaryRecord
+{
+  ProtobufCMessage base;
+  char *database;
+  char *primary;
+  uint64_t epoch;
+  /*
+   * Logged before the first promotion is asked for: whoever leads from then
+   * on must finish the change before it grants rights to a primary.
+   */
+  protobuf_c_boolean changing;
+};
+#define SW__PRIMARY_RECORD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&sw__primary_record__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
+
+
+struct  Sw__FleetSnapshot
+{
+  ProtobufCMessage base;
+  Sw__DocumentUpdate *document;
+  size_t n_primaries;
+  Sw__PrimaryRecord **primaries;
+};
+#define SW__FLEET_SNAPSHOT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&sw__fleet_snapshot__descriptor) \
+    , NULL, 0,NULL }
+
+
 /* Sw__Frame methods */
 void   sw__frame__init
                      (Sw__Frame         *message);
@@ -928,6 +1172,253 @@
 void   sw__announcement__free_unpacked
                      (Sw__Announcement *message,
                       ProtobufCAllocator *allocator);
+/* Sw__PrimaryEvidence methods */
+void   sw__primary_evidence__init
+                     (Sw__PrimaryEvidence         *message);
+size_t sw__primary_evidence__get_packed_size
+                     (const Sw__PrimaryEvidence   *message);
+size_t sw__primary_evidence__pack
+                     (const Sw__PrimaryEvidence   *message,
+                      uint8_t             *out);
+size_t sw__primary_evidence__pack_to_buffer
+                     (const Sw__PrimaryEvidence   *message,
+                      ProtobufCBuffer     *buffer);
+Sw__PrimaryEvidence *
+       sw__primary_evidence__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   sw__primary_evidence__free_unpacked
+                     (Sw__PrimaryEvidence *message,
+                      ProtobufCAllocator *allocator);
+/* Sw__TeamDemand methods */
+void   sw__team_demand__init
+                     (Sw__TeamDemand         *message);
+size_t sw__team_demand__get_packed_size
+                     (const Sw__TeamDemand   *message);
+size_t sw__team_demand__pack
+                     (const Sw__TeamDemand   *message,
+                      uint8_t             *out);
+size_t sw__team_demand__pack_to_buffer
+                     (const Sw__TeamDemand   *message,
+                      ProtobufCBuffer     *buffer);
+Sw__TeamDemand *
+       sw__team_demand__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   sw__team_demand__free_unpacked
+                     (Sw__TeamDemand *message,
+                      ProtobufCAllocator *allocator);
+/* Sw__EntryReport methods */
+void   sw__entry_report__init
+                     (Sw__EntryReport         *message);
+size_t sw__entry_report__get_packed_size
+                     (const Sw__EntryReport   *message);
+size_t sw__entry_report__pack
+                     (const Sw__EntryReport   *message,
+                      uint8_t             *out);
+size_t sw__entry_report__pack_to_buffer
+                     (const Sw__EntryReport   *message,
+                      ProtobufCBuffer     *buffer);
+Sw__EntryReport *
+       sw__entry_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   sw__entry_report__free_unpacked
+                     (Sw__EntryReport *message,
+                      ProtobufCAllocator *allocator);
+/* Sw__PrimaryGrant methods */
+void   sw__primary_grant__init
+                     (Sw__PrimaryGrant         *message);
+size_t sw__primary_grant__get_packed_size
+                     (const Sw__PrimaryGrant   *message);
+size_t sw__primary_grant__pack
+                     (const Sw__PrimaryGrant   *message,
+                      uint8_t             *out);
+size_t sw__primary_grant__pack_to_buffer
+                     (const Sw__PrimaryGrant   *message,
+                      ProtobufCBuffer     *buffer);
+Sw__PrimaryGrant *
+       sw__primary_grant__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   sw__primary_grant__free_unpacked
+                     (Sw__PrimaryGrant *message,
+                      ProtobufCAllocator *allocator);
+/* Sw__TeamShare methods */
+void   sw__team_share__init
+                     (Sw__TeamShare         *message);
+size_t sw__team_share__get_packed_size
+                     (const Sw__TeamShare   *message);
+size_t sw__team_share__pack
+                     (const Sw__TeamShare   *message,
+                      uint8_t             *out);
+size_t sw__team_share__pack_to_buffer
+                     (const Sw__TeamShare   *message,
+                      ProtobufCBuffer     *buffer);
+Sw__TeamShare *
+       sw__team_share__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   sw__team_share__free_unpacked
+                     (Sw__TeamShare *message,
+                      ProtobufCAllocator *allocator);
+/* Sw__EntryGrant methods */
+void   sw__entry_grant__init
+                     (Sw__EntryGrant         *message);
+size_t sw__entry_grant__get_packed_size
+                     (const Sw__EntryGrant   *message);
+size_t sw__entry_grant__pack
+                     (const Sw__EntryGrant   *message,
+                      uint8_t             *out);
+size_t sw__entry_grant__pack_to_buffer
+                     (const Sw__EntryGrant   *message,
+                      ProtobufCBuffer     *buffer);
+Sw__EntryGrant *
+       sw__entry_grant__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   sw__entry_grant__free_unpacked
+                     (Sw__EntryGrant *message,
+                      ProtobufCAllocator *allocator);
+/* Sw__ServerRecord methods */
+void   sw__server_record__init
+                     (Sw__ServerRecord         *message);
+size_t sw__server_record__get_packed_size
+                     (const Sw__ServerRecord   *message);
+size_t sw__server_record__pack
+                     (const Sw__ServerRecord   *message,
+                      uint8_t             *out);
+size_t sw__server_record__pack_to_buffer
+                     (const Sw__ServerRecord   *message,
+                      ProtobufCBuffer     *buffer);
+Sw__ServerRecord *
+       sw__server_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   sw__server_record__free_unpacked
+                     (Sw__ServerRecord *message,
+                      ProtobufCAllocator *allocator);
+/* Sw__DirectoryUpdate methods */
+void   sw__directory_update__init
+                     (Sw__DirectoryUpdate         *message);
+size_t sw__directory_update__get_packed_size
+                     (const Sw__DirectoryUpdate   *message);
+size_t sw__directory_update__pack
+                     (const Sw__DirectoryUpdate   *message,
+                      uint8_t             *out);
+size_t sw__directory_update__pack_to_buffer
+                     (const Sw__DirectoryUpdate   *message,
+                      ProtobufCBuffer     *buffer);
+Sw__DirectoryUpdate *
+       sw__directory_update__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   sw__directory_update__free_unpacked
+                     (Sw__DirectoryUpdate *message,
+                      ProtobufCAllocator *allocator);
+/* Sw__DocumentUpdate methods */
+void   sw__document_update__init
+                     (Sw__DocumentUpdate         *message);
+size_t sw__document_update__get_packed_size
+                     (const Sw__DocumentUpdate   *message);
+size_t sw__document_update__pack
+                     (const Sw__DocumentUpdate   *message,
+                      uint8_t             *out);
+size_t sw__document_update__pack_to_buffer
+                     (const Sw__DocumentUpdate   *message,
+                      ProtobufCBuffer     *buffer);
+Sw__DocumentUpdate *
+       sw__document_update__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   sw__document_update__free_unpacked
+                     (Sw__DocumentUpdate *message,
+                      ProtobufCAllocator *allocator);
+/* Sw__JoinRequest methods */
+void   sw__join_request__init
+                     (Sw__JoinRequest         *message);
+size_t sw__join_request__get_packed_size
+                     (const Sw__JoinRequest   *message);
+size_t sw__join_request__pack
+                     (const Sw__JoinRequest   *message,
+                      uint8_t             *out);
+size_t sw__join_request__pack_to_buffer
+                     (const Sw__JoinRequest   *message,
+                      ProtobufCBuffer     *buffer);
+Sw__JoinRequest *
+       sw__join_request__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   sw__join_request__free_unpacked
+                     (Sw__JoinRequest *message,
+                      ProtobufCAllocator *allocator);
+/* Sw__FleetCommand methods */
+void   sw__fleet_command__init
+                     (Sw__FleetCommand         *message);
+size_t sw__fleet_command__get_packed_size
+                     (const Sw__FleetCommand   *message);
+size_t sw__fleet_command__pack
+                     (const Sw__FleetCommand   *message,
+                      uint8_t             *out);
+size_t sw__fleet_command__pack_to_buffer
+                     (const Sw__FleetCommand   *message,
+                      ProtobufCBuffer     *buffer);
+Sw__FleetCommand *
+       sw__fleet_command__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   sw__fleet_command__free_unpacked
+                     (Sw__FleetCommand *message,
+                      ProtobufCAllocator *allocator);
+/* Sw__PrimaryRecord methods */
+void   sw__primary_record__init
+                     (Sw__PrimaryRecord         *message);
+size_t sw__primary_record__get_packed_size
+                     (const Sw__PrimaryRecord   *message);
+size_t sw__primary_record__pack
+                     (const Sw__PrimaryRecord   *message,
+                      uint8_t             *out);
+size_t sw__primary_record__pack_to_buffer
+                     (const Sw__PrimaryRecord   *message,
+                      ProtobufCBuffer     *buffer);
+Sw__PrimaryRecord *
+       sw__primary_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   sw__primary_record__free_unpacked
+                     (Sw__PrimaryRecord *message,
+                      ProtobufCAllocator *allocator);
+/* Sw__FleetSnapshot methods */
+void   sw__fleet_snapshot__init
+                     (Sw__FleetSnapshot         *message);
+size_t sw__fleet_snapshot__get_packed_size
+                     (const Sw__FleetSnapshot   *message);
+size_t sw__fleet_snapshot__pack
+                     (const Sw__FleetSnapshot   *message,
+                      uint8_t             *out);
+size_t sw__fleet_snapshot__pack_to_buffer
+                     (const Sw__FleetSnapshot   *message,
+                      ProtobufCBuffer     *buffer);
+Sw__FleetSnapshot *
+       sw__fleet_snapshot__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   sw__fleet_snapshot__free_unpacked
+                     (Sw__FleetSnapshot *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Sw__Frame_Closure)
@@ -999,6 +1490,45 @@
 typedef void (*Sw__Announcement_Closure)
                  (const Sw__Announcement *message,
                   void *closure_data);
+typedef void (*Sw__PrimaryEvidence_Closure)
+                 (const Sw__PrimaryEvidence *message,
+                  void *closure_data);
+typedef void (*Sw__TeamDemand_Closure)
+                 (const Sw__TeamDemand *message,
+                  void *closure_data);
+typedef void (*Sw__EntryReport_Closure)
+                 (const Sw__EntryReport *message,
+                  void *closure_data);
+typedef void (*Sw__PrimaryGrant_Closure)
+                 (const Sw__PrimaryGrant *message,
+                  void *closure_data);
+typedef void (*Sw__TeamShare_Closure)
+                 (const Sw__TeamShare *message,
+                  void *closure_data);
+typedef void (*Sw__EntryGrant_Closure)
+                 (const Sw__EntryGrant *message,
+                  void *closure_data);
+typedef void (*Sw__ServerRecord_Closure)
+                 (const Sw__ServerRecord *message,
+                  void *closure_data);
+typedef void (*Sw__DirectoryUpdate_Closure)
+                 (const Sw__DirectoryUpdate *message,
+                  void *closure_data);
+typedef void (*Sw__DocumentUpdate_Closure)
+                 (const Sw__DocumentUpdate *message,
+                  void *closure_data);
+typedef void (*Sw__JoinRequest_Closure)
+                 (const Sw__JoinRequest *message,
+                  void *closure_data);
+typedef void (*Sw__FleetCommand_Closure)
+                 (const Sw__FleetCommand *message,
+                  void *closure_data);
+typedef void (*Sw__PrimaryRecord_Closure)
+                 (const Sw__PrimaryRecord *message,
+                  void *closure_data);
+typedef void (*Sw__FleetSnapshot_Closure)
+                 (const Sw__FleetSnapshot *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -1032,6 +1562,19 @@
 extern const ProtobufCMessageDescriptor sw__member_command__descriptor;
 extern const ProtobufCMessageDescriptor sw__member_result__descriptor;
 extern const ProtobufCMessageDescriptor sw__announcement__descriptor;
+extern const ProtobufCMessageDescriptor sw__primary_evidence__descriptor;
+extern const ProtobufCMessageDescriptor sw__team_demand__descriptor;
+extern const ProtobufCMessageDescriptor sw__entry_report__descriptor;
+extern const ProtobufCMessageDescriptor sw__primary_grant__descriptor;
+extern const ProtobufCMessageDescriptor sw__team_share__descriptor;
+extern const ProtobufCMessageDescriptor sw__entry_grant__descriptor;
+extern const ProtobufCMessageDescriptor sw__server_record__descriptor;
+extern const ProtobufCMessageDescriptor sw__directory_update__descriptor;
+extern const ProtobufCMessageDescriptor sw__document_update__descriptor;
+extern const ProtobufCMessageDescriptor sw__join_request__descriptor;
+extern const ProtobufCMessageDescriptor sw__fleet_command__descriptor;
+extern const ProtobufCMessageDescriptor sw__primary_record__descriptor;
+extern const ProtobufCMessageDescriptor sw__fleet_snapshot__descriptor;
 
 PROTOBUF_C__END_DECLS
 
