Let a restarted entry instance meet servers before its configuration

Ruled out: the kill itself and the closing of sessions. Change: one function gives an instance's part of a server's connections and holds without a document; refusals are counted by reason.

--- a/src/sapphireweir/gateway/dispatch.c
+++ b/src/sapphireweir/gateway/dispatch.c
@@ -22,18 +22,26 @@
     kSurplusIdleUs = 400000, /* beyond the fair part of connections */
 };
 
+/* Returns this instance's part of the connections that a server takes. */
+uint32_t
+server_fair_part(const Server *s)
+{
+    const Gateway *g = s->database->gateway;
+    const DocumentDatabase *d =
+        g->document == NULL
+            ? NULL
+            : document_database(g->document, s->database->name);
+    uint32_t most = d == NULL ? 1 : d->max_connections;
+
+    return MAX(most / MAX(g->entry_count, 1), 1);
+}
+
 /* Returns how many connections this instance may hold at one server: its
  * fair part, or more while the server has not refused any. */
 static uint32_t
 connection_cap(const Server *s, uint64_t now_us)
 {
-    Gateway *g = s->database->gateway;
-    const DocumentDatabase *d =
-        document_database(g->document, s->database->name);
-    uint32_t most = d == NULL ? 1 : d->max_connections;
-    uint32_t fair = most / MAX(g->entry_count, 1);
-
-    fair = MAX(fair, 1);
+    uint32_t fair = server_fair_part(s);
     return now_us < s->full_until_us ? fair : 2 * fair + 1;
 }
 
@@ -199,7 +207,8 @@
         return;
     }
     uint64_t wait_us = expected_us - now_us;
-    session_refuse(s, now_us, MAX(wait_us, (uint64_t)kRetryUs));
+    session_refuse(s, now_us, kRefusedNoServer,
+                   MAX(wait_us, (uint64_t)kRetryUs));
 }
 
 static Connection *
@@ -242,7 +251,7 @@
     }
     if (s->waiting_link == NULL &&
         oldest_wait_us(s->database, now_us) > kQueueAgeMaxUs) {
-        session_refuse(s, now_us, kRetryUs);
+        session_refuse(s, now_us, kRefusedQueue, kRetryUs);
         return;
     }
     wait_in_queue(s);
@@ -261,7 +270,7 @@
     job->attempts++;
     job->retry_us = now_us + delay_us;
     if (job->attempts >= kAttemptsMax || job->retry_us >= job->due_us) {
-        session_refuse(s, now_us, kRetryUs);
+        session_refuse(s, now_us, kRefusedAttempts, kRetryUs);
         return;
     }
     dispatch_submit(s, now_us);
@@ -330,7 +339,7 @@
             continue;
         }
         if (now_us >= s->job.due_us) {
-            session_refuse(s, now_us, kRetryUs);
+            session_refuse(s, now_us, kRefusedDeadline, kRetryUs);
             continue;
         }
         if (s->job.opening == NULL) {
@@ -369,11 +378,7 @@
 static void
 server_tick(Server *s, uint64_t now_us)
 {
-    Gateway *g = s->database->gateway;
-    const DocumentDatabase *d =
-        document_database(g->document, s->database->name);
-    uint32_t most = d == NULL ? 1 : d->max_connections;
-    uint32_t fair = MAX(most / MAX(g->entry_count, 1), 1);
+    uint32_t fair = server_fair_part(s);
 
     for (guint i = s->connections->len; i > 0; i--) {
         if (i <= s->connections->len) {
--- a/src/sapphireweir/gateway/gateway.h
+++ b/src/sapphireweir/gateway/gateway.h
@@ -18,7 +18,18 @@
     Document *(*decode)(const uint8_t *text, size_t bytes);
 } GatewayConfig;
 
+/* Why a statement was refused without having run. */
+typedef enum {
+    kRefusedOverRate,  /* the team has used up its part of its rate */
+    kRefusedQueue,     /* what waits already does not drain */
+    kRefusedNoServer,  /* none can be used, and none is expected in time */
+    kRefusedAttempts,  /* every server tried turned it away */
+    kRefusedDeadline,  /* no connection came free in time */
+    kRefusalReasons,
+} RefusalReason;
+
 typedef struct {
+    uint64_t refusals[kRefusalReasons];
     uint64_t answered;
     uint64_t refused;
     uint64_t in_doubt;
@@ -27,7 +38,6 @@
     uint64_t connections_opened;
     uint64_t connections_lost;
     uint64_t lagging;
-    uint64_t over_rate;
     uint64_t timeouts;
 } GatewayCounters;
 
--- a/src/sapphireweir/gateway/gateway_internal.h
+++ b/src/sapphireweir/gateway/gateway_internal.h
@@ -174,6 +174,7 @@
 
 /* gateway.c */
 Database *gateway_database(Gateway *g, const char *name);
+uint32_t server_fair_part(const Server *s);
 Server *database_primary(const Database *d, uint64_t now_us);
 void gateway_report(Gateway *g, uint64_t now_us);
 
@@ -199,7 +200,8 @@
 void session_connection_lost(Session *s, uint64_t now_us);
 void session_finish(Session *s, uint64_t now_us, AnswerCode code,
                     const char *detail);
-void session_refuse(Session *s, uint64_t now_us, uint64_t retry_after_us);
+void session_refuse(Session *s, uint64_t now_us, RefusalReason reason,
+                    uint64_t retry_after_us);
 void session_abort_at(Session *s, uint64_t now_us);
 void session_tick(Gateway *g, uint64_t now_us);
 const char *session_team_name(const Session *s);
--- a/src/sapphireweir/gateway/session.c
+++ b/src/sapphireweir/gateway/session.c
@@ -16,6 +16,7 @@
     kDrainPercent = 50,  /* of the grace for open transactions */
     kIdleCloseAfterUs = 2400000, /* the balancer needs two missed probes */
     kCutCloseAfterUs = 2000000,
+    kRateWaitMostUs = 5000000, /* as told to a caller */
 };
 
 /* Returns the team's name as backend servers are told it. */
@@ -204,10 +205,12 @@
 
 /* Refuses a statement that did not run and says when to come back. */
 void
-session_refuse(Session *s, uint64_t now_us, uint64_t retry_after_us)
+session_refuse(Session *s, uint64_t now_us, RefusalReason reason,
+               uint64_t retry_after_us)
 {
     char detail[64];
 
+    s->gateway->counters.refusals[reason]++;
     g_snprintf(detail, sizeof(detail), "not run, retry after %u ms",
                (unsigned)(retry_after_us / kMicrosPerMilli));
     if (s->job.charged && s->team != NULL) {
@@ -236,8 +239,8 @@
     }
     if (s->team != NULL &&
         !team_rates_take(s->gateway, now_us, s->team, &wait_us)) {
-        s->gateway->counters.over_rate++;
-        session_refuse(s, now_us, MIN(wait_us, (uint64_t)5000000));
+        session_refuse(s, now_us, kRefusedOverRate,
+                       MIN(wait_us, (uint64_t)kRateWaitMostUs));
         return;
     }
     s->read_only = st->kind == kStatementBeginRead;
@@ -358,8 +361,8 @@
         return TRUE;
     }
     if (!team_rates_take(s->gateway, now_us, s->team, &wait_us)) {
-        s->gateway->counters.over_rate++;
-        session_refuse(s, now_us, MIN(wait_us, (uint64_t)5000000));
+        session_refuse(s, now_us, kRefusedOverRate,
+                       MIN(wait_us, (uint64_t)kRateWaitMostUs));
         return FALSE;
     }
     s->job.charged = TRUE;
