Hand out documents only from control instances that are current

Ruled out: the entry instance going back by itself; its versions only rise. Change: documents go out once an entry of the present term was applied.

--- a/src/sapphireweir/core/consensus.c
+++ b/src/sapphireweir/core/consensus.c
@@ -893,6 +893,17 @@
     return c->elections;
 }
 
+/* Tells whether an entry of the present leader's term was applied here.
+ * Before that, as after a start, the state may be older than what has been
+ * acknowledged and even than what this instance held before. */
+gboolean
+consensus_is_current(const Consensus *c)
+{
+    uint64_t term = 0;
+    return c->leader != NULL &&
+           consensus_log_term(c, c->applied_index, &term) && term == c->term;
+}
+
 /* Tells whether storage failed, which ends the instance's part. */
 gboolean
 consensus_failed(const Consensus *c)
--- a/src/sapphireweir/core/consensus.h
+++ b/src/sapphireweir/core/consensus.h
@@ -43,6 +43,7 @@
 uint64_t consensus_commit_index(const Consensus *c);
 uint64_t consensus_last_index(const Consensus *c);
 uint64_t consensus_elections(const Consensus *c);
+gboolean consensus_is_current(const Consensus *c);
 gboolean consensus_failed(const Consensus *c);
 const GPtrArray *consensus_members(const Consensus *c);
 uint64_t consensus_member_heard_us(Consensus *c, const char *id);
--- a/src/sapphireweir/fleet/director.c
+++ b/src/sapphireweir/fleet/director.c
@@ -24,6 +24,8 @@
     d->document_version = m->version;
     g_clear_pointer(&d->document, g_bytes_unref);
     d->document = g_bytes_new(m->text.data, m->text.len);
+    document_unref(d->decoded);
+    d->decoded = d->config.decode(m->text.data, m->text.len);
 }
 
 static void
@@ -205,6 +207,8 @@
     d->peers = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     d->shares = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
                                       (GDestroyNotify)g_hash_table_destroy);
+    d->windows =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     g_queue_init(&d->requests);
     return d;
 }
@@ -214,7 +218,9 @@
 director_free(Director *d)
 {
     g_queue_clear_full(&d->requests, operator_request_free);
+    g_hash_table_destroy(d->windows);
     g_hash_table_destroy(d->shares);
+    document_unref(d->decoded);
     g_hash_table_destroy(d->peers);
     g_hash_table_destroy(d->changes);
     g_hash_table_destroy(d->entries);
@@ -396,6 +402,10 @@
     case SW__FRAME__BODY_DIRECTORY_UPDATE:
         on_directory(d, now_us, frame->directory_update);
         break;
+    case SW__FRAME__BODY_TOKEN_REQUEST:
+        rates_request(d, now_us, from, frame->request_id,
+                      frame->token_request);
+        break;
     case SW__FRAME__BODY_JOIN_REQUEST:
         members_join(d, now_us, from, frame->join_request);
         break;
@@ -443,6 +453,7 @@
     d->led_since_us = leads ? MAX(now_us, 1) : 0;
     g_hash_table_remove_all(d->changes);
     g_hash_table_remove_all(d->shares);
+    g_hash_table_remove_all(d->windows);
     g_message("%s in term %" G_GUINT64_FORMAT,
               leads ? "leads" : "no longer leads",
               consensus_term(d->consensus));
--- a/src/sapphireweir/fleet/director.h
+++ b/src/sapphireweir/fleet/director.h
@@ -3,6 +3,7 @@
 
 #include "core/consensus.h"
 #include "fleet/directory.h"
+#include "fleet/document.h"
 
 /* The decisions of a control instance of a fleet with a whole-document
  * configuration: the replicated document, who the backend servers are, who
@@ -42,6 +43,9 @@
     const char *failure_domain;
     ConsensusTiming timing;
     uint64_t lease_us;
+    uint64_t rate_window_us; /* that a team's rate and burst are stated for */
+    /* Turns the operator's text into a document, NULL when it is invalid. */
+    Document *(*decode)(const uint8_t *text, size_t bytes);
     uint32_t losses; /* control instances that may be lost at once */
 } DirectorConfig;
 
--- a/src/sapphireweir/fleet/director_entries.c
+++ b/src/sapphireweir/fleet/director_entries.c
@@ -1,7 +1,6 @@
 #include <string.h>
 
 #include "fleet/director_internal.h"
-#include "fleet/share.h"
 
 /* What entry instances get from control: documents and backend servers from
  * any control instance, leases, rights to primaries and rate shares from the
@@ -53,7 +52,8 @@
     return t;
 }
 
-static gboolean
+/* Tells whether an entry instance takes part at present. */
+gboolean
 entry_present(const EntryTrack *t, uint64_t now_us)
 {
     return t->heard_us != 0 && now_us - t->heard_us < kEntryGoneUs &&
@@ -83,7 +83,9 @@
     Sw__Frame frame = SW__FRAME__INIT;
     Sw__DocumentUpdate m = SW__DOCUMENT_UPDATE__INIT;
 
-    if (d->document == NULL || t->document_version >= d->document_version) {
+    if (d->document == NULL ||
+        t->document_version >= d->document_version ||
+        !consensus_is_current(d->consensus)) {
         return;
     }
     t->document_sent_us = now_us;
@@ -188,31 +190,6 @@
     m->primaries = (Sw__PrimaryGrant **)list->pdata;
 }
 
-static void
-grant_shares(const Director *d, const EntryTrack *t, Sw__EntryGrant *m,
-             GPtrArray *list)
-{
-    GHashTableIter it;
-    void *team;
-    void *table;
-
-    g_hash_table_iter_init(&it, d->shares);
-    while (g_hash_table_iter_next(&it, &team, &table)) {
-        uint32_t share =
-            GPOINTER_TO_UINT(g_hash_table_lookup(table, t->id));
-        if (share == 0) {
-            continue;
-        }
-        Sw__TeamShare *each = g_new(Sw__TeamShare, 1);
-        sw__team_share__init(each);
-        each->team = team;
-        each->share_micro = share;
-        g_ptr_array_add(list, each);
-    }
-    m->n_shares = list->len;
-    m->shares = (Sw__TeamShare **)list->pdata;
-}
-
 /* Sends a grant; without a sequence it renews no lease and only tells who
  * leads the databases. */
 static void
@@ -229,7 +206,9 @@
     if (sequence != 0) {
         m.lease_us = d->config.lease_us;
         m.entry_count = entries_count(d, now_us);
-        grant_shares(d, t, &m, shares);
+        rates_fill_shares(d, t->id, shares);
+        m.n_shares = shares->len;
+        m.shares = (Sw__TeamShare **)shares->pdata;
     }
     frame.body_case = SW__FRAME__BODY_ENTRY_GRANT;
     frame.entry_grant = &m;
@@ -362,66 +341,6 @@
     }
 }
 
-/* ---- rates ---- */
-
-static void
-share_team(Director *d, uint64_t now_us, const char *team)
-{
-    guint most = g_hash_table_size(d->entries);
-    uint64_t *demand = g_new0(uint64_t, most + 1);
-    uint32_t *shares = g_new0(uint32_t, most + 1);
-    GPtrArray *present = g_ptr_array_new();
-    GHashTable *table =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-    GHashTableIter it;
-    void *value;
-
-    g_hash_table_iter_init(&it, d->entries);
-    while (g_hash_table_iter_next(&it, NULL, &value)) {
-        EntryTrack *t = value;
-        if (!entry_present(t, now_us)) {
-            continue;
-        }
-        const uint64_t *wanted = g_hash_table_lookup(t->demand, team);
-        demand[present->len] = wanted == NULL ? 0 : *wanted;
-        g_ptr_array_add(present, t);
-    }
-    share_divide(demand, present->len, shares);
-    for (guint i = 0; i < present->len; i++) {
-        const EntryTrack *t = g_ptr_array_index(present, i);
-        g_hash_table_insert(table, g_strdup(t->id),
-                            GUINT_TO_POINTER(shares[i]));
-    }
-    g_hash_table_insert(d->shares, g_strdup(team), table);
-    g_ptr_array_unref(present);
-    g_free(shares);
-    g_free(demand);
-}
-
-static void
-share_all(Director *d, uint64_t now_us)
-{
-    GHashTableIter entries;
-    GHashTableIter teams;
-    void *value;
-    void *team;
-    GHashTable *names =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-
-    g_hash_table_iter_init(&entries, d->entries);
-    while (g_hash_table_iter_next(&entries, NULL, &value)) {
-        g_hash_table_iter_init(&teams, ((EntryTrack *)value)->demand);
-        while (g_hash_table_iter_next(&teams, &team, NULL)) {
-            g_hash_table_add(names, g_strdup(team));
-        }
-    }
-    g_hash_table_iter_init(&teams, names);
-    while (g_hash_table_iter_next(&teams, &team, NULL)) {
-        share_team(d, now_us, team);
-    }
-    g_hash_table_destroy(names);
-}
-
 static gboolean
 entry_forgotten(void *key, void *value, void *ctx)
 {
@@ -441,6 +360,6 @@
     d->shares_due_us = now_us + kSharesEveryUs;
     g_hash_table_foreach_remove(d->entries, entry_forgotten, &now_us);
     if (d->led_since_us != 0) {
-        share_all(d, now_us);
+        rates_tick(d, now_us);
     }
 }
--- a/src/sapphireweir/fleet/director_internal.h
+++ b/src/sapphireweir/fleet/director_internal.h
@@ -103,6 +103,8 @@
 
     uint64_t document_version;
     GBytes *document;
+    Document *decoded;     /* the same, NULL: none */
+    GHashTable *windows;   /* team -> RateWindow, owned, leader only */
     GHashTable *primaries; /* database -> PrimaryState, owned */
 
     GHashTable *entries; /* id -> EntryTrack, owned */
@@ -146,6 +148,14 @@
 void entries_tick(Director *d, uint64_t now_us);
 uint32_t entries_count(const Director *d, uint64_t now_us);
 
+/* director_rates.c */
+void rates_request(Director *d, uint64_t now_us, const char *from,
+                   uint64_t request, const Sw__TokenRequest *m);
+void rates_tick(Director *d, uint64_t now_us);
+void rates_fill_shares(const Director *d, const char *entry,
+                       GPtrArray *list);
+gboolean entry_present(const EntryTrack *t, uint64_t now_us);
+
 /* director_members.c */
 void members_tick(Director *d, uint64_t now_us);
 void members_join(Director *d, uint64_t now_us, const char *from,
--- /dev/null
+++ b/src/sapphireweir/fleet/director_rates.c
@@ -0,0 +1,160 @@
+#include "fleet/director_internal.h"
+#include "fleet/rate_window.h"
+#include "fleet/share.h"
+
+/* The teams' rates at the leader: one window for each team, from which
+ * entry instances draw, and the shares that they fall back to when they
+ * cannot. */
+
+enum {
+    kStartTokens = 8, /* a new leader does not know what was handed out */
+    kStartPercent = 10,
+    kFallbackParts = 2,
+    kPercent = 100,
+};
+
+/* Part of a rate that silent entry instances may be using by themselves. */
+static uint32_t
+silent_percent(const Director *d, uint64_t now_us)
+{
+    uint32_t known = g_hash_table_size(d->entries);
+    uint32_t present = entries_count(d, now_us);
+
+    if (known == 0 || present >= known) {
+        return 0;
+    }
+    return (known - present) * kPercent / (known * kFallbackParts);
+}
+
+static uint64_t
+limit_of(const Director *d, uint64_t now_us, const DocumentTeam *team)
+{
+    uint64_t window_ms = d->config.rate_window_us / 1000;
+    uint64_t rated = team->rate_milli_per_s * window_ms / 1000 *
+                     (kPercent - silent_percent(d, now_us)) / kPercent;
+    return (rated + team->burst_milli) / 1000;
+}
+
+static RateWindow *
+window_of(Director *d, uint64_t now_us, const DocumentTeam *team)
+{
+    RateWindow *w = g_hash_table_lookup(d->windows, team->name);
+    uint64_t limit = limit_of(d, now_us, team);
+
+    if (w == NULL) {
+        uint64_t start = kStartTokens + limit * kStartPercent / kPercent;
+        w = g_new0(RateWindow, 1);
+        rate_window_init(w, now_us, d->config.rate_window_us, limit,
+                         limit > start ? limit - start : 0);
+        g_hash_table_insert(d->windows, g_strdup(team->name), w);
+    }
+    rate_window_set(w, limit);
+    return w;
+}
+
+/* Hands out tokens to an entry instance. */
+void
+rates_request(Director *d, uint64_t now_us, const char *from,
+              uint64_t request, const Sw__TokenRequest *m)
+{
+    Sw__Frame frame = SW__FRAME__INIT;
+    Sw__TokenReply reply = SW__TOKEN_REPLY__INIT;
+    const DocumentTeam *team =
+        d->decoded == NULL ? NULL
+                           : g_hash_table_lookup(d->decoded->teams, m->team);
+
+    if (!director_leads(d) || team == NULL) {
+        return;
+    }
+    RateWindow *w = window_of(d, now_us, team);
+    reply.owner = TRUE;
+    reply.granted = rate_window_take(w, now_us, m->wanted);
+    if (reply.granted < m->wanted) {
+        reply.retry_after_us = rate_window_wait_us(w, now_us);
+    }
+    frame.request_id = request;
+    frame.body_case = SW__FRAME__BODY_TOKEN_REPLY;
+    frame.token_reply = &reply;
+    d->port.send(d->port.ctx, from, &frame);
+}
+
+/* Appends an entry instance's shares, as Sw__TeamShare to be freed. */
+void
+rates_fill_shares(const Director *d, const char *entry, GPtrArray *list)
+{
+    GHashTableIter it;
+    void *team;
+    void *table;
+
+    g_hash_table_iter_init(&it, d->shares);
+    while (g_hash_table_iter_next(&it, &team, &table)) {
+        uint32_t share = GPOINTER_TO_UINT(g_hash_table_lookup(table, entry));
+        if (share == 0) {
+            continue;
+        }
+        Sw__TeamShare *each = g_new(Sw__TeamShare, 1);
+        sw__team_share__init(each);
+        each->team = team;
+        each->share_micro = share;
+        g_ptr_array_add(list, each);
+    }
+}
+
+static void
+share_team(Director *d, uint64_t now_us, const char *team)
+{
+    guint most = g_hash_table_size(d->entries);
+    uint64_t *demand = g_new0(uint64_t, most + 1);
+    uint32_t *shares = g_new0(uint32_t, most + 1);
+    GPtrArray *present = g_ptr_array_new();
+    GHashTable *table =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    GHashTableIter it;
+    void *value;
+
+    g_hash_table_iter_init(&it, d->entries);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        EntryTrack *t = value;
+        if (!entry_present(t, now_us)) {
+            continue;
+        }
+        const uint64_t *wanted = g_hash_table_lookup(t->demand, team);
+        demand[present->len] = wanted == NULL ? 0 : *wanted;
+        g_ptr_array_add(present, t);
+    }
+    share_divide(demand, present->len, shares);
+    for (guint i = 0; i < present->len; i++) {
+        const EntryTrack *t = g_ptr_array_index(present, i);
+        g_hash_table_insert(table, g_strdup(t->id),
+                            GUINT_TO_POINTER(shares[i]));
+    }
+    g_hash_table_insert(d->shares, g_strdup(team), table);
+    g_ptr_array_unref(present);
+    g_free(shares);
+    g_free(demand);
+}
+
+/* Deals out the shares that entry instances fall back to. */
+void
+rates_tick(Director *d, uint64_t now_us)
+{
+    GHashTableIter entries;
+    GHashTableIter teams;
+    void *value;
+    void *team;
+    GHashTable *names =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+
+    g_hash_table_iter_init(&entries, d->entries);
+    while (g_hash_table_iter_next(&entries, NULL, &value)) {
+        g_hash_table_iter_init(&teams, ((EntryTrack *)value)->demand);
+        while (g_hash_table_iter_next(&teams, &team, NULL)) {
+            g_hash_table_add(names, g_strdup(team));
+        }
+    }
+    g_hash_table_iter_init(&teams, names);
+    while (g_hash_table_iter_next(&teams, &team, NULL)) {
+        share_team(d, now_us, team);
+    }
+    g_hash_table_destroy(names);
+}
--- /dev/null
+++ b/src/sapphireweir/fleet/rate_window.h
@@ -0,0 +1,23 @@
+#ifndef SAPPHIREWEIR_FLEET_RATE_WINDOW_H
+#define SAPPHIREWEIR_FLEET_RATE_WINDOW_H
+
+#include <stdint.h>
+
+enum { kRateWindowSlots = 50 };
+
+/* What was handed out within a window that slides over time, in slots. */
+typedef struct {
+    uint64_t window_us;
+    uint64_t limit; /* tokens in any window */
+    uint32_t slots[kRateWindowSlots];
+    uint64_t slot; /* number of the newest slot */
+    uint64_t used; /* sum of the slots */
+} RateWindow;
+
+void rate_window_init(RateWindow *w, uint64_t now_us, uint64_t window_us,
+                      uint64_t limit, uint64_t used);
+void rate_window_set(RateWindow *w, uint64_t limit);
+uint32_t rate_window_take(RateWindow *w, uint64_t now_us, uint32_t wanted);
+uint64_t rate_window_wait_us(RateWindow *w, uint64_t now_us);
+
+#endif
--- a/src/sapphireweir/gateway/gateway.c
+++ b/src/sapphireweir/gateway/gateway.c
@@ -67,7 +67,7 @@
     g->controls =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, contact_free);
     g->rates =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, team_rate_free);
     g->closed = g_ptr_array_new_with_free_func(connection_free);
     g_queue_init(&g->sessions);
     g_queue_init(&g->active);
@@ -88,6 +88,7 @@
     g_hash_table_destroy(g->rates);
     g_ptr_array_unref(g->closed);
     document_unref(g->document);
+    g_free(g->leader);
     g_free(g->failure_domain);
     g_free(g);
 }
@@ -225,7 +226,7 @@
 /* ---- configuration ---- */
 
 static void
-on_document(Gateway *g, uint64_t now_us, const Sw__DocumentUpdate *m)
+on_document(Gateway *g, const Sw__DocumentUpdate *m)
 {
     if (g->document != NULL && m->version <= g->document->version) {
         return;
@@ -239,7 +240,6 @@
     }
     document_unref(g->document);
     g->document = d;
-    team_rates_tick(g, now_us);
 }
 
 /* ---- rights to primaries ---- */
@@ -297,7 +297,8 @@
 }
 
 static void
-on_grant(Gateway *g, uint64_t now_us, const Sw__EntryGrant *m)
+on_grant(Gateway *g, uint64_t now_us, const ControlContact *from,
+         const Sw__EntryGrant *m)
 {
     for (size_t i = 0; i < m->n_controls; i++) {
         gateway_control_add(g, m->controls[i]);
@@ -317,12 +318,16 @@
     if (m->sequence == 0) {
         return;
     }
+    if (g_strcmp0(g->leader, from->address) != 0) {
+        g_free(g->leader);
+        g->leader = g_strdup(from->address);
+    }
     g->granted_sequence = m->sequence;
     g->entry_count = MAX(m->entry_count, 1);
     uint64_t until_us =
         g->sent_us[m->sequence % kReportsKept] + m->lease_us;
     g->lease_until_us = MAX(g->lease_until_us, until_us);
-    team_rates_grant(g, now_us, m);
+    team_rates_grant(g, m);
 }
 
 /* Takes in a frame of a control instance. */
@@ -338,13 +343,16 @@
     c->heard_us = now_us;
     switch (frame->body_case) {
     case SW__FRAME__BODY_ENTRY_GRANT:
-        on_grant(g, now_us, frame->entry_grant);
+        on_grant(g, now_us, c, frame->entry_grant);
         break;
     case SW__FRAME__BODY_DIRECTORY_UPDATE:
         on_directory(g, now_us, c, frame->directory_update);
         break;
+    case SW__FRAME__BODY_TOKEN_REPLY:
+        team_rates_reply(g, now_us, frame->request_id, frame->token_reply);
+        break;
     case SW__FRAME__BODY_DOCUMENT_UPDATE:
-        on_document(g, now_us, frame->document_update);
+        on_document(g, frame->document_update);
         break;
     default:
         break;
@@ -379,31 +387,6 @@
     }
 }
 
-static size_t
-demand_fill(Gateway *g, uint64_t now_us, Sw__TeamDemand *demands)
-{
-    GHashTableIter it;
-    void *name;
-    void *value;
-    size_t count = 0;
-
-    g_hash_table_iter_init(&it, g->rates);
-    while (g_hash_table_iter_next(&it, &name, &value)) {
-        TeamRate *r = value;
-        uint64_t span_us = MAX(now_us - r->wanted_since_us, 1);
-        if (span_us < (uint64_t)kReportEveryUs * 2) {
-            continue;
-        }
-        Sw__TeamDemand *m = &demands[count++];
-        sw__team_demand__init(m);
-        m->team = name;
-        m->wanted_milli = r->wanted * 1000 * 1000000 / span_us;
-        r->wanted = 0;
-        r->wanted_since_us = now_us;
-    }
-    return count;
-}
-
 static void
 report_send(Gateway *g, Sw__EntryReport *report)
 {
@@ -444,7 +427,7 @@
         evidence_fill(value, now_us, &evidence[n]);
         g_ptr_array_add(evidence_list, &evidence[n++]);
     }
-    size_t count = demand_fill(g, now_us, demands);
+    size_t count = team_rates_demand(g, now_us, demands);
     for (size_t i = 0; i < count; i++) {
         g_ptr_array_add(demand_list, &demands[i]);
     }
--- a/src/sapphireweir/gateway/gateway_internal.h
+++ b/src/sapphireweir/gateway/gateway_internal.h
@@ -101,6 +101,25 @@
     Server *avoid;       /* that failed it last */
 } Job;
 
+/* What this instance may run of a team's rate. */
+typedef struct {
+    char *team;
+    uint32_t stock;       /* tokens that the control leader handed out */
+    uint64_t stocked_us;  /* when it did */
+    uint64_t asked_us;    /* a request is open since, zero: none is */
+    uint64_t request;     /* its number */
+    uint64_t dry_until_us; /* the leader has none before */
+    GQueue waiting;        /* Session, for a token */
+    TokenBucket fallback;  /* while the leader does not answer */
+    gboolean falling_back;
+    uint64_t share_micro;
+    uint64_t wanted; /* operations since the last report */
+    uint64_t wanted_since_us;
+    uint64_t demand_milli; /* smoothed, a second */
+    uint64_t rate_milli;
+    uint64_t burst_milli;
+} TeamRate;
+
 struct Session {
     Gateway *gateway;
     void *caller; /* NULL: the caller has gone */
@@ -121,6 +140,7 @@
     Connection *connection;
     Database *database;
     Job job;
+    TeamRate *rate;      /* that it waits for, or NULL */
     GList *waiting_link; /* in its database's queue, or NULL */
     GList *active_link;
     GList *all_link;
@@ -136,15 +156,6 @@
 
 enum { kReportsKept = 32 };
 
-typedef struct {
-    TokenBucket bucket;
-    uint64_t share_micro;
-    uint64_t wanted; /* operations since the last report */
-    uint64_t wanted_since_us;
-    uint64_t rate_milli;
-    uint64_t burst_milli;
-} TeamRate;
-
 struct Gateway {
     char *failure_domain;
     uint64_t incarnation;
@@ -163,6 +174,8 @@
     uint64_t sent_us[kReportsKept]; /* by sequence */
     uint64_t granted_sequence;
     uint64_t lease_until_us;
+    char *leader; /* that granted it */
+    uint64_t next_request;
     uint64_t started_us;
     uint64_t foreign_answer_us; /* a server of another domain answered */
     uint64_t cut_since_us;      /* zero: not cut off */
@@ -202,15 +215,27 @@
                     const char *detail);
 void session_refuse(Session *s, uint64_t now_us, RefusalReason reason,
                     uint64_t retry_after_us);
+void session_admitted(Session *s, uint64_t now_us);
 void session_abort_at(Session *s, uint64_t now_us);
 void session_tick(Gateway *g, uint64_t now_us);
 const char *session_team_name(const Session *s);
 
+/* Whether a session's operation may begin. */
+typedef enum {
+    kRateTaken,
+    kRateRefused,
+    kRateWaiting, /* session_admitted or session_refuse follows */
+} RateResult;
+
 /* team_rates.c */
-gboolean team_rates_take(Gateway *g, uint64_t now_us, const DocumentTeam *team,
-                         uint64_t *wait_us);
+RateResult team_rates_take(Session *s, uint64_t now_us, uint64_t *wait_us);
 void team_rates_return(Gateway *g, const DocumentTeam *team);
+void team_rates_leave(Session *s);
+void team_rates_reply(Gateway *g, uint64_t now_us, uint64_t request,
+                      const Sw__TokenReply *m);
 void team_rates_tick(Gateway *g, uint64_t now_us);
-void team_rates_grant(Gateway *g, uint64_t now_us, const Sw__EntryGrant *m);
+void team_rates_grant(Gateway *g, const Sw__EntryGrant *m);
+size_t team_rates_demand(Gateway *g, uint64_t now_us, Sw__TeamDemand *out);
+void team_rate_free(void *rate);
 
 #endif
--- a/src/sapphireweir/gateway/session.c
+++ b/src/sapphireweir/gateway/session.c
@@ -101,6 +101,7 @@
 {
     Gateway *g = s->gateway;
     dispatch_leave(s);
+    team_rates_leave(s);
     job_clear(s);
     g_queue_delete_link(&g->sessions, s->all_link);
     g_clear_pointer(&s->values, g_hash_table_destroy);
@@ -142,6 +143,7 @@
     Gateway *g = s->gateway;
 
     dispatch_leave(s);
+    team_rates_leave(s);
     job_clear(s);
     s->idle_since_us = now_us;
     s->state = a->state;
@@ -221,10 +223,42 @@
 
 /* ---- statements that need no server ---- */
 
-static void
-statement_begin(Session *s, uint64_t now_us, const Statement *st)
+/* Takes an operation from the team's rate.  FALSE: the statement was
+ * refused, or waits for session_admitted. */
+static gboolean
+operation_is_admitted(Session *s, uint64_t now_us)
 {
     uint64_t wait_us = 0;
+
+    if (s->team == NULL) {
+        return TRUE;
+    }
+    switch (team_rates_take(s, now_us, &wait_us)) {
+    case kRateTaken:
+        s->job.charged = TRUE;
+        return TRUE;
+    case kRateRefused:
+        session_refuse(s, now_us, kRefusedOverRate,
+                       MIN(wait_us, (uint64_t)kRateWaitMostUs));
+        return FALSE;
+    case kRateWaiting:
+        break;
+    }
+    return FALSE;
+}
+
+static void
+begin_now(Session *s, uint64_t now_us)
+{
+    s->read_only = s->job.kind == kStatementBeginRead;
+    s->wrote = FALSE;
+    s->begun = FALSE;
+    tell_done(s, now_us, kSessionInTransaction);
+}
+
+static void
+statement_begin(Session *s, uint64_t now_us)
+{
     AnswerCode code;
 
     if (s->state != kSessionIdle) {
@@ -237,16 +271,9 @@
         tell_error(s, now_us, code, kSessionIdle, "");
         return;
     }
-    if (s->team != NULL &&
-        !team_rates_take(s->gateway, now_us, s->team, &wait_us)) {
-        session_refuse(s, now_us, kRefusedOverRate,
-                       MIN(wait_us, (uint64_t)kRateWaitMostUs));
-        return;
+    if (operation_is_admitted(s, now_us)) {
+        begin_now(s, now_us);
     }
-    s->read_only = st->kind == kStatementBeginRead;
-    s->wrote = FALSE;
-    s->begun = FALSE;
-    tell_done(s, now_us, kSessionInTransaction);
 }
 
 static void
@@ -346,29 +373,6 @@
     return TRUE;
 }
 
-/* Checks route, key and rate of a statement that begins an operation. */
-static gboolean
-operation_may_begin(Session *s, uint64_t now_us)
-{
-    uint64_t wait_us = 0;
-    AnswerCode code = session_resolve(s);
-
-    if (code != kCodeNone) {
-        tell_error(s, now_us, code, kSessionIdle, "");
-        return FALSE;
-    }
-    if (s->team == NULL) {
-        return TRUE;
-    }
-    if (!team_rates_take(s->gateway, now_us, s->team, &wait_us)) {
-        session_refuse(s, now_us, kRefusedOverRate,
-                       MIN(wait_us, (uint64_t)kRateWaitMostUs));
-        return FALSE;
-    }
-    s->job.charged = TRUE;
-    return TRUE;
-}
-
 /* A key that was withdrawn ends also an open transaction. */
 static gboolean
 key_still_holds(const Session *s)
@@ -378,39 +382,69 @@
            document_team_of_key(present, s->key) != NULL;
 }
 
+/* Sends the open statement to a server, or lets it wait for one. */
 static void
-statement_forward(Session *s, uint64_t now_us, const Statement *st)
+forward_now(Session *s, uint64_t now_us)
 {
     Job *job = &s->job;
 
-    if (st->kind == kStatementCommit && s->state == kSessionIdle) {
+    job->due_us = job->arrived_us + s->route->timeout_us;
+    job->needs_primary =
+        s->route->consistency == kConsistencyPrimary ||
+        (s->state == kSessionInTransaction ? !s->read_only : job->writes);
+    if (s->connection != NULL) {
+        connection_run(s->connection, s, now_us);
+        return;
+    }
+    dispatch_submit(s, now_us);
+}
+
+/* The session's open statement has got the token that it waited for. */
+void
+session_admitted(Session *s, uint64_t now_us)
+{
+    StatementKind kind = s->job.kind;
+
+    s->job.charged = TRUE;
+    if (kind == kStatementBegin || kind == kStatementBeginRead) {
+        begin_now(s, now_us);
+        return;
+    }
+    forward_now(s, now_us);
+}
+
+static void
+statement_forward(Session *s, uint64_t now_us, const Statement *st)
+{
+    gboolean begins = s->state == kSessionIdle;
+    AnswerCode code;
+
+    if (st->kind == kStatementCommit && begins) {
         tell_error(s, now_us, kCodeMalformed, kSessionIdle,
                    "no transaction is open");
         return;
     }
     if (!job_fill(s, st)) {
         tell_error(s, now_us, kCodeNoStatement,
-                   s->state == kSessionIdle ? kSessionIdle : kSessionFailed,
-                   st->name);
+                   begins ? kSessionIdle : kSessionFailed, st->name);
         return;
     }
-    if (s->state == kSessionIdle && !operation_may_begin(s, now_us)) {
-        return;
+    s->job.arrived_us = now_us;
+    if (begins) {
+        code = session_resolve(s);
+        if (code != kCodeNone) {
+            tell_error(s, now_us, code, kSessionIdle, "");
+            return;
+        }
+        if (!operation_is_admitted(s, now_us)) {
+            return;
+        }
     }
-    if (s->state == kSessionInTransaction && !key_still_holds(s)) {
+    else if (!key_still_holds(s)) {
         session_finish(s, now_us, kCodeNoAuth, "");
         return;
     }
-    job->arrived_us = now_us;
-    job->due_us = now_us + s->route->timeout_us;
-    job->needs_primary =
-        s->route->consistency == kConsistencyPrimary ||
-        (s->state == kSessionInTransaction ? !s->read_only : job->writes);
-    if (s->connection != NULL) {
-        connection_run(s->connection, s, now_us);
-        return;
-    }
-    dispatch_submit(s, now_us);
+    forward_now(s, now_us);
 }
 
 /* Takes in a statement; exactly one answer follows, now or later.  The
@@ -435,7 +469,7 @@
     switch (st->kind) {
     case kStatementBegin:
     case kStatementBeginRead:
-        statement_begin(s, now_us, st);
+        statement_begin(s, now_us);
         break;
     case kStatementRollback:
         statement_rollback(s, now_us);
