Let work wait in the instance instead of in a server's queue

Ruled out: processor time (0.015 cores at most). Change: an instance holds no more than its fair part of a server's connections; how many statements it keeps open there rises and falls with rejections and late answers; the queue orders by latency objective, late work lets timely work pass, and what is expected to wait too long is refused at once.

--- /dev/null
+++ b/src/sapphireweir/gateway/concurrency.h
@@ -0,0 +1,19 @@
+#ifndef SAPPHIREWEIR_GATEWAY_CONCURRENCY_H
+#define SAPPHIREWEIR_GATEWAY_CONCURRENCY_H
+
+#include <glib.h>
+#include <stdint.h>
+
+/* How many statements one instance keeps open at one backend server. */
+typedef struct {
+    uint32_t limit_milli;
+    uint64_t cut_us; /* when it was last lowered */
+} Concurrency;
+
+void concurrency_init(Concurrency *c);
+uint32_t concurrency_limit(const Concurrency *c);
+void concurrency_answered(Concurrency *c, uint64_t now_us, uint64_t took_us,
+                          uint32_t open, uint32_t most);
+void concurrency_rejected(Concurrency *c, uint64_t now_us);
+
+#endif
--- a/src/sapphireweir/gateway/connection.c
+++ b/src/sapphireweir/gateway/connection.c
@@ -290,7 +290,7 @@
     c->since_us = now_us;
     if (!rollback) {
         c->state = kConnectionIdle;
-        dispatch_connection_free(c, now_us);
+        dispatch_pump(c->server, now_us);
         return;
     }
     /* Whether a rolled back transaction keeps its values is not stated. */
@@ -319,7 +319,7 @@
     s->avoid_until_us = 0;
     c->state = kConnectionIdle;
     c->since_us = now_us;
-    dispatch_connection_free(c, now_us);
+    dispatch_pump(c->server, now_us);
 }
 
 /* Notes that a server failed to answer or to take a connection. */
@@ -339,6 +339,8 @@
     uint64_t took_us = now_us - c->sent_us;
     s->service_us =
         (s->service_us * (kServiceWeight - 1) + took_us) / kServiceWeight;
+    concurrency_answered(&s->concurrency, now_us, took_us,
+                         s->open_statements, s->connections->len + 1);
 }
 
 static void
@@ -384,6 +386,9 @@
     if (a->code == kCodeNone && !c->begin_open) {
         note_service_time(c, now_us);
     }
+    if (a->code == kCodeBusy) {
+        concurrency_rejected(&s->concurrency, now_us);
+    }
     note_position(c, a, now_us);
     if (c->state == kConnectionRolling) {
         connection_release(c, now_us, FALSE);
--- a/src/sapphireweir/gateway/dispatch.c
+++ b/src/sapphireweir/gateway/dispatch.c
@@ -11,7 +11,8 @@
 enum {
     kCandidatesMax = 32,
     kAttemptsMax = 4,
-    kQueueAgeMaxUs = 250000,  /* older heads mean that nothing drains */
+    kWaitPercent = 90, /* of the latency objective, expected at most */
+    kDemotedUs = 1000000, /* late work's place behind all that is not */
     kReplacementUs = 1300000, /* a primary's usual absence */
     kHoldPercent = 70, /* of a statement's time limit, at most, for that */
     kFailingHoldUs = 700000, /* a silent primary is suspected after this */
@@ -37,18 +38,12 @@
 }
 
 /* Returns how many connections this instance may hold at one server: its
- * fair part, or more while the server has not refused any. */
+ * fair part, one less just after the server refused one. */
 static uint32_t
 connection_cap(const Server *s, uint64_t now_us)
 {
     uint32_t fair = server_fair_part(s);
-    return now_us < s->full_until_us ? fair : 2 * fair + 1;
-}
-
-static gboolean
-server_usable(const Server *s, uint64_t now_us)
-{
-    return !s->gone && !s->draining && now_us >= s->avoid_until_us;
+    return now_us < s->full_until_us ? MAX(fair - 1, 1) : fair;
 }
 
 static gboolean
@@ -147,16 +142,12 @@
 {
     Database *d = s->database;
     GList *after = d->waiting.tail;
-    uint64_t due_us = s->job.arrived_us + s->route->target_us;
 
     if (s->waiting_link != NULL) {
         return;
     }
-    while (after != NULL) {
-        const Session *other = after->data;
-        if (other->job.arrived_us + other->route->target_us <= due_us) {
-            break;
-        }
+    while (after != NULL &&
+           ((Session *)after->data)->job.order_us > s->job.order_us) {
         after = after->prev;
     }
     if (after == NULL) {
@@ -168,15 +159,41 @@
     s->waiting_link = after->next;
 }
 
+/* Work that has missed its latency objective lets work pass that can still
+ * meet its own. */
+static void
+demote_when_late(Session *s, uint64_t now_us)
+{
+    Job *job = &s->job;
+
+    if (now_us < job->order_us || job->order_us >= job->due_us) {
+        return;
+    }
+    dispatch_leave(s);
+    job->order_us = job->due_us + kDemotedUs;
+    wait_in_queue(s);
+}
+
+/* Expected wait for a connection: what is ahead in the queue over what the
+ * servers that may serve the session work off. */
 static uint64_t
-oldest_wait_us(const Database *d, uint64_t now_us)
+expected_wait_us(const Session *s, uint64_t now_us)
 {
-    uint64_t oldest_us = 0;
+    const Database *d = s->database;
+    uint64_t ahead = 0;
+    uint64_t rate_milli = 0; /* statements a second, in thousandths */
+
     for (GList *l = d->waiting.head; l != NULL; l = l->next) {
-        const Session *s = l->data;
-        oldest_us = MAX(oldest_us, now_us - s->job.arrived_us);
+        ahead += ((Session *)l->data)->job.order_us <= s->job.order_us;
+    }
+    for (guint i = 0; i < d->servers->len; i++) {
+        const Server *server = g_ptr_array_index(d->servers, i);
+        if (server_may_serve(s, server, now_us)) {
+            rate_milli += (uint64_t)concurrency_limit(&server->concurrency) *
+                          1000000000 / MAX(server->service_us, 1);
+        }
     }
-    return oldest_us;
+    return ahead * 1000000000 / MAX(rate_milli, 1);
 }
 
 /* When the primary of a database is expected to be of use again. */
@@ -211,16 +228,53 @@
                    MAX(wait_us, (uint64_t)kRetryUs));
 }
 
-static Connection *
-connect_for(Session *s, Server *server, uint64_t now_us)
+static gboolean
+server_has_room(const Server *s)
 {
-    if (!server_may_connect(server, now_us)) {
-        return NULL;
+    return s->open_statements + s->opening <
+           concurrency_limit(&s->concurrency);
+}
+
+/* Runs the session's statement at a server, or opens a connection for it.
+ * FALSE: neither can be done now. */
+static gboolean
+start_at(Session *s, Server *server, uint64_t now_us)
+{
+    Connection *c = server_idle_connection(server, session_team_name(s));
+
+    if (!server_has_room(server)) {
+        return FALSE;
+    }
+    if (c != NULL) {
+        dispatch_leave(s);
+        connection_run(c, s, now_us);
+        return TRUE;
+    }
+    if (s->job.opening != NULL || now_us < server->avoid_until_us ||
+        (server->failing_since_us != 0 && server->opening > 0)) {
+        return FALSE;
     }
     if (server->connections->len >= connection_cap(server, now_us)) {
-        connection_close(server_oldest_idle(server));
+        c = server_oldest_idle(server);
+        if (c == NULL) {
+            return FALSE;
+        }
+        connection_close(c);
     }
-    return connection_open(server, session_team_name(s), now_us);
+    s->job.opening =
+        connection_open(server, session_team_name(s), now_us);
+    return TRUE;
+}
+
+static gboolean
+too_much_ahead(const Session *s, uint64_t now_us)
+{
+    uint64_t target_us = s->route->target_us;
+    uint64_t limit_us = s->job.due_us - s->job.arrived_us;
+    uint64_t most_us =
+        MIN(target_us, limit_us / 2) * kWaitPercent / 100;
+
+    return expected_wait_us(s, now_us) > most_us;
 }
 
 /* Finds a connection for the session's open statement, or queues or
@@ -230,6 +284,9 @@
 {
     Job *job = &s->job;
 
+    if (job->order_us == 0) {
+        job->order_us = job->arrived_us + s->route->target_us;
+    }
     if (now_us < job->retry_us) {
         wait_in_queue(s);
         return;
@@ -243,21 +300,16 @@
         hold_or_refuse(s, now_us);
         return;
     }
-    Connection *c = server_idle_connection(server, session_team_name(s));
-    if (c != NULL) {
-        dispatch_leave(s);
-        connection_run(c, s, now_us);
+    if (s->waiting_link == NULL && too_much_ahead(s, now_us)) {
+        session_refuse(s, now_us, kRefusedQueue, kRetryUs);
         return;
     }
-    if (s->waiting_link == NULL &&
-        oldest_wait_us(s->database, now_us) > kQueueAgeMaxUs) {
-        session_refuse(s, now_us, kRefusedQueue, kRetryUs);
+    if (s->waiting_link == NULL && s->database->waiting.length == 0 &&
+        start_at(s, server, now_us) && s->job.sent) {
         return;
     }
     wait_in_queue(s);
-    if (job->opening == NULL) {
-        job->opening = connect_for(s, server, now_us);
-    }
+    dispatch_pump(server, now_us);
 }
 
 /* Lets a statement try again after a while; too many attempts refuse it. */
@@ -276,50 +328,37 @@
     dispatch_submit(s, now_us);
 }
 
-static Session *
-waiting_for(const Connection *c, uint64_t now_us, gboolean same_team)
+/* Lets a server work on what waits, in the order of the queue.  A team's
+ * own idle connection is used at once; another team's gives way only to
+ * work that has waited for a while, as each change costs a handshake. */
+void
+dispatch_pump(Server *server, uint64_t now_us)
 {
-    const Database *d = c->server->database;
+    const Database *d = server->database;
+    GList *next;
 
-    for (GList *l = d->waiting.head; l != NULL; l = l->next) {
+    if (server->gone) {
+        return;
+    }
+    for (GList *l = d->waiting.head; l != NULL; l = next) {
         Session *s = l->data;
-        gboolean same = strcmp(session_team_name(s), c->team) == 0;
-        if (same != same_team || now_us < s->job.retry_us ||
-            !server_may_serve(s, c->server, now_us)) {
+        next = l->next;
+        if (!server_has_room(server)) {
+            return;
+        }
+        if (now_us < s->job.retry_us || s->rate != NULL ||
+            !server_may_serve(s, server, now_us)) {
             continue;
         }
-        if (!same && (s->job.opening != NULL ||
-                      now_us - s->job.arrived_us < kOtherTeamPatienceUs)) {
+        gboolean full =
+            server->connections->len >= connection_cap(server, now_us);
+        gboolean matching =
+            server_idle_connection(server, session_team_name(s)) != NULL;
+        if (!matching && full &&
+            now_us - s->job.arrived_us < kOtherTeamPatienceUs) {
             continue;
         }
-        return s;
-    }
-    return NULL;
-}
-
-/* A connection has become idle: the first waiting statement of its team
- * takes it; else it gives way to a team that has waited for long. */
-void
-dispatch_connection_free(Connection *c, uint64_t now_us)
-{
-    Server *server = c->server;
-    Session *s;
-
-    if (server->gone || server->draining) {
-        connection_close(c);
-        return;
-    }
-    s = waiting_for(c, now_us, TRUE);
-    if (s != NULL) {
-        dispatch_leave(s);
-        connection_run(c, s, now_us);
-        return;
-    }
-    s = waiting_for(c, now_us, FALSE);
-    if (s != NULL && server_usable(server, now_us)) {
-        connection_close(c);
-        s->job.opening =
-            connection_open(server, session_team_name(s), now_us);
+        start_at(s, server, now_us);
     }
 }
 
@@ -342,6 +381,7 @@
             session_refuse(s, now_us, kRefusedDeadline, kRetryUs);
             continue;
         }
+        demote_when_late(s, now_us);
         if (s->job.opening == NULL) {
             dispatch_submit(s, now_us);
         }
--- a/src/sapphireweir/gateway/gateway.c
+++ b/src/sapphireweir/gateway/gateway.c
@@ -184,6 +184,7 @@
         s->id = g_strdup(r->id);
         s->connections = g_ptr_array_new();
         s->service_us = kDefaultServiceUs;
+        concurrency_init(&s->concurrency);
         g_hash_table_insert(g->servers, s->id, s);
     }
     else if (r->born_ms < s->born_ms) {
--- a/src/sapphireweir/gateway/gateway_internal.h
+++ b/src/sapphireweir/gateway/gateway_internal.h
@@ -2,6 +2,7 @@
 #define SAPPHIREWEIR_GATEWAY_GATEWAY_INTERNAL_H
 
 #include "core/token_bucket.h"
+#include "gateway/concurrency.h"
 #include "gateway/freshness.h"
 #include "gateway/gateway.h"
 
@@ -26,6 +27,7 @@
     GPtrArray *connections; /* Connection, owned */
     uint32_t opening;
     uint32_t open_statements;
+    Concurrency concurrency;
     uint64_t service_us;       /* smoothed */
     uint64_t answered_us;      /* when it last answered anything */
     uint64_t failing_since_us; /* zero: no failure since its last answer */
@@ -94,6 +96,7 @@
     gboolean charged; /* a rate token was taken for it */
     uint64_t arrived_us;
     uint64_t due_us;
+    uint64_t order_us; /* place in the queue: earlier ones first */
     uint64_t retry_us; /* not to be tried again before */
     uint32_t attempts;
     uint32_t lagging;
@@ -194,7 +197,7 @@
 /* dispatch.c */
 void dispatch_submit(Session *s, uint64_t now_us);
 void dispatch_leave(Session *s);
-void dispatch_connection_free(Connection *c, uint64_t now_us);
+void dispatch_pump(Server *server, uint64_t now_us);
 void dispatch_tick(Gateway *g, uint64_t now_us);
 void dispatch_retry(Session *s, uint64_t now_us, uint64_t delay_us);
 
