--- a/src/sapphireweir/core/consensus_members.c
+++ b/src/sapphireweir/core/consensus_members.c
@@ -307,17 +307,20 @@
                     "%s is not a member that can be removed", id);
         return FALSE;
     }
+    /* The id may be the present list's own, which ends with the change. */
+    char *removed = g_strdup(id);
     GPtrArray *changed = g_ptr_array_new_with_free_func(consensus_member_free);
     consensus_members_copy(c->members, changed);
     for (guint i = 0; i < changed->len; i++) {
         ConsensusMember *each = g_ptr_array_index(changed, i);
-        if (strcmp(each->id, id) == 0) {
+        if (strcmp(each->id, removed) == 0) {
             g_ptr_array_remove_index(changed, i);
             break;
         }
     }
     propose_members(c, now_us, changed);
     g_ptr_array_unref(changed);
-    g_hash_table_remove(c->progress, id);
+    g_hash_table_remove(c->progress, removed);
+    g_free(removed);
     return TRUE;
 }
--- a/src/sapphireweir/fleet/suspect.c
+++ b/src/sapphireweir/fleet/suspect.c
@@ -6,9 +6,9 @@
  * than the second that its replacement takes. */
 
 enum {
-    kDeadUs = 450000,        /* nobody was answered for so long */
-    kDeadAloneUs = 800000,   /* the same, on one instance's word */
-    kPartitionedUs = 900000, /* most were not answered for so long */
+    kDeadUs = 350000,        /* nobody was answered for so long */
+    kDeadAloneUs = 700000,   /* the same, on one instance's word */
+    kPartitionedUs = 700000, /* most were not answered for so long */
 };
 
 /* Judges the evidence of all entry instances that have any. */
--- a/src/sapphireweir/gateway/connection.c
+++ b/src/sapphireweir/gateway/connection.c
@@ -316,6 +316,7 @@
     s->opening--;
     s->answered_us = now_us;
     s->failing_since_us = 0;
+    s->failure_told = FALSE;
     s->avoid_until_us = 0;
     c->state = kConnectionIdle;
     c->since_us = now_us;
@@ -363,6 +364,7 @@
 
     s->answered_us = now_us;
     s->failing_since_us = 0;
+    s->failure_told = FALSE;
     if (strcmp(s->failure_domain, g->failure_domain) != 0) {
         g->foreign_answer_us = now_us;
     }
--- a/src/sapphireweir/gateway/dispatch.c
+++ b/src/sapphireweir/gateway/dispatch.c
@@ -13,13 +13,14 @@
     kAttemptsMax = 4,
     kWaitPercent = 90, /* of the latency objective, expected at most */
     kDemotedUs = 1000000, /* late work's place behind all that is not */
-    kReplacementUs = 1300000, /* a primary's usual absence */
-    kHoldPercent = 70, /* of a statement's time limit, at most, for that */
-    kFailingHoldUs = 700000, /* a silent primary is suspected after this */
-    kSilentUs = 350000, /* an answer that is overdue */
+    kReplacementUs = 900000, /* from losing a primary to using the next */
+    kSuspicionUs = 500000,   /* from a primary's silence to losing it */
+    kSilentUs = 250000,      /* an answer that is overdue */
+    kReportSilenceUs = 350000, /* a primary's silence is told at once */
     kRetryUs = 200000,  /* when to come back, without better knowledge */
     kConnectPatienceUs = 400000, /* for a server's welcome */
     kOtherTeamPatienceUs = 20000, /* before a connection changes its team */
+    kOverdueUs = 150000, /* work that has waited so long goes first */
     kSurplusIdleUs = 400000, /* beyond the fair part of connections */
 };
 
@@ -200,7 +201,18 @@
 static uint64_t
 primary_expected_us(const Database *d, uint64_t now_us)
 {
-    uint64_t since_us = d->closed_us == 0 ? now_us : d->closed_us;
+    const Server *primary =
+        d->primary == NULL
+            ? NULL
+            : g_hash_table_lookup(d->gateway->servers, d->primary);
+    uint64_t since_us = now_us;
+
+    if (d->closed_us != 0) {
+        since_us = d->closed_us;
+    }
+    else if (primary != NULL && primary->failing_since_us != 0) {
+        since_us = primary->failing_since_us + kSuspicionUs;
+    }
     return MAX(since_us + kReplacementUs, now_us);
 }
 
@@ -210,22 +222,14 @@
 hold_or_refuse(Session *s, uint64_t now_us)
 {
     const Database *d = s->database;
-    uint64_t limit_us = s->job.due_us - s->job.arrived_us;
-    uint64_t hold_until_us =
-        s->job.arrived_us + limit_us * kHoldPercent / 100;
     uint64_t expected_us = primary_expected_us(d, now_us);
 
-    if (d->primary != NULL && d->quiescing && !d->closing) {
-        wait_in_queue(s);
-        return;
-    }
-    if (d->closed_us != 0 && expected_us <= hold_until_us) {
+    if ((d->quiescing && !d->closing) || expected_us < s->job.due_us) {
         wait_in_queue(s);
         return;
     }
-    uint64_t wait_us = expected_us - now_us;
     session_refuse(s, now_us, kRefusedNoServer,
-                   MAX(wait_us, (uint64_t)kRetryUs));
+                   MAX(expected_us - now_us, (uint64_t)kRetryUs));
 }
 
 static gboolean
@@ -328,37 +332,71 @@
     dispatch_submit(s, now_us);
 }
 
-/* Lets a server work on what waits, in the order of the queue.  A team's
- * own idle connection is used at once; another team's gives way only to
- * work that has waited for a while, as each change costs a handshake. */
+static gboolean
+may_start_at(const Session *s, const Server *server, uint64_t now_us)
+{
+    return now_us >= s->job.retry_us && server_may_serve(s, server, now_us);
+}
+
+/* Tells whether a statement may take a connection from another team. */
+static gboolean
+may_displace(const Session *s, const Server *server, uint64_t now_us,
+             uint64_t patience_us)
+{
+    if (server_idle_connection(server, session_team_name(s)) != NULL) {
+        return FALSE;
+    }
+    return server->connections->len < connection_cap(server, now_us) ||
+           now_us - s->job.arrived_us >= patience_us;
+}
+
+typedef enum {
+    kPumpOverdue,  /* has waited long enough to displace another team */
+    kPumpMatching, /* finds an idle connection of its own team */
+    kPumpRest,
+    kPumpPasses,
+} PumpPass;
+
+static gboolean
+belongs_to_pass(const Session *s, const Server *server, uint64_t now_us,
+                PumpPass pass)
+{
+    switch (pass) {
+    case kPumpOverdue:
+        return now_us - s->job.arrived_us >= kOverdueUs &&
+               may_displace(s, server, now_us, kOverdueUs);
+    case kPumpMatching:
+        return server_idle_connection(server, session_team_name(s)) != NULL;
+    case kPumpRest:
+    case kPumpPasses:
+        break;
+    }
+    return may_displace(s, server, now_us, kOtherTeamPatienceUs);
+}
+
+/* Lets a server work on what waits, in the order of the queue.  Answers the
+ * load pattern of many teams over few connections: each change of a
+ * connection's team costs a handshake, which takes a slot like work does,
+ * so a team's own idle connection is used first and another team's only by
+ * work that has waited. */
 void
 dispatch_pump(Server *server, uint64_t now_us)
 {
     const Database *d = server->database;
     GList *next;
 
-    if (server->gone) {
-        return;
-    }
-    for (GList *l = d->waiting.head; l != NULL; l = next) {
-        Session *s = l->data;
-        next = l->next;
-        if (!server_has_room(server)) {
-            return;
-        }
-        if (now_us < s->job.retry_us || s->rate != NULL ||
-            !server_may_serve(s, server, now_us)) {
-            continue;
+    for (int pass = kPumpOverdue; pass < kPumpPasses; pass++) {
+        for (GList *l = d->waiting.head; l != NULL; l = next) {
+            Session *s = l->data;
+            next = l->next;
+            if (server->gone || !server_has_room(server)) {
+                return;
+            }
+            if (may_start_at(s, server, now_us) &&
+                belongs_to_pass(s, server, now_us, (PumpPass)pass)) {
+                start_at(s, server, now_us);
+            }
         }
-        gboolean full =
-            server->connections->len >= connection_cap(server, now_us);
-        gboolean matching =
-            server_idle_connection(server, session_team_name(s)) != NULL;
-        if (!matching && full &&
-            now_us - s->job.arrived_us < kOtherTeamPatienceUs) {
-            continue;
-        }
-        start_at(s, server, now_us);
     }
 }
 
@@ -403,6 +441,11 @@
         server->answered_us < c->sent_us && server->failing_since_us == 0) {
         server->failing_since_us = c->sent_us;
     }
+    if (server->failing_since_us != 0 && !server->failure_told &&
+        now_us - server->failing_since_us > kReportSilenceUs) {
+        server->failure_told = TRUE;
+        c->gateway->report_due_us = now_us;
+    }
     if (c->state == kConnectionRolling &&
         now_us - c->sent_us > kConnectPatienceUs) {
         connection_down(c, now_us, kCodeTimeout);
--- a/src/sapphireweir/gateway/gateway.c
+++ b/src/sapphireweir/gateway/gateway.c
@@ -9,8 +9,9 @@
 
 enum {
     kReportEveryUs = 250000,
-    kContactLostUs = 1500000, /* a control instance that says nothing */
-    kForeignLostUs = 1500000, /* no answer from another failure domain */
+    kContactLostUs = 900000,  /* a control instance that says nothing */
+    kForeignLostUs = 900000,  /* no answer from another failure domain */
+    kContactDroppedUs = 10000000, /* one that is no member any more */
     kStartPatienceUs = 3000000,
     kAnsweredRecentlyUs = 700000,
     kDefaultServiceUs = 15000, /* before the first answer */
@@ -131,13 +132,14 @@
 
 /* Adds a control instance that the settings name. */
 void
-gateway_control_add(Gateway *g, const char *address)
+gateway_control_add(Gateway *g, uint64_t now_us, const char *address)
 {
     if (g_hash_table_contains(g->controls, address)) {
         return;
     }
     ControlContact *c = g_new0(ControlContact, 1);
     c->address = g_strdup(address);
+    c->known_us = now_us;
     g_hash_table_insert(g->controls, c->address, c);
     g->port.control_known(g->port.ctx, address);
 }
@@ -297,12 +299,44 @@
     }
 }
 
+static gboolean
+names_control(const Sw__EntryGrant *m, const char *address)
+{
+    for (size_t i = 0; i < m->n_controls; i++) {
+        if (strcmp(m->controls[i], address) == 0) {
+            return TRUE;
+        }
+    }
+    return FALSE;
+}
+
+/* Turns to the control instances that there are, and away from those that
+ * are silent and no members any more. */
+static void
+follow_controls(Gateway *g, uint64_t now_us, const Sw__EntryGrant *m)
+{
+    GHashTableIter it;
+    void *value;
+
+    for (size_t i = 0; i < m->n_controls; i++) {
+        gateway_control_add(g, now_us, m->controls[i]);
+    }
+    g_hash_table_iter_init(&it, g->controls);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        const ControlContact *c = value;
+        if (now_us - MAX(c->heard_us, c->known_us) > kContactDroppedUs &&
+            !names_control(m, c->address)) {
+            g_hash_table_iter_remove(&it);
+        }
+    }
+}
+
 static void
 on_grant(Gateway *g, uint64_t now_us, const ControlContact *from,
          const Sw__EntryGrant *m)
 {
-    for (size_t i = 0; i < m->n_controls; i++) {
-        gateway_control_add(g, m->controls[i]);
+    if (m->n_controls > 0) {
+        follow_controls(g, now_us, m);
     }
     if (m->lease_us == 0 && m->n_primaries == 0) {
         return;
@@ -338,7 +372,7 @@
 {
     ControlContact *c = g_hash_table_lookup(g->controls, from);
     if (c == NULL) {
-        gateway_control_add(g, from);
+        gateway_control_add(g, now_us, from);
         c = g_hash_table_lookup(g->controls, from);
     }
     c->heard_us = now_us;
@@ -534,12 +568,15 @@
     }
 }
 
-/* Tells whether callers should be sent here. */
+/* Answers the balancer's probe: whether callers should be sent here. */
 gboolean
-gateway_ready(const Gateway *g, uint64_t now_us)
+gateway_probe(Gateway *g)
 {
-    (void)now_us;
-    return g->document != NULL && g->drain_us == 0 && g->cut_since_us == 0;
+    gboolean ready =
+        g->document != NULL && g->drain_us == 0 && g->cut_since_us == 0;
+
+    g->unready_probes = ready ? 0 : g->unready_probes + 1;
+    return ready;
 }
 
 /* Begins a planned stop: no new callers are wanted, open transactions get
--- a/src/sapphireweir/gateway/gateway.h
+++ b/src/sapphireweir/gateway/gateway.h
@@ -44,10 +44,10 @@
 Gateway *gateway_new(const GatewayConfig *config, const GatewayPort *port);
 void gateway_free(Gateway *g);
 void gateway_tick(Gateway *g, uint64_t now_us);
-void gateway_control_add(Gateway *g, const char *address);
+void gateway_control_add(Gateway *g, uint64_t now_us, const char *address);
 void gateway_frame(Gateway *g, uint64_t now_us, const char *from,
                    const Sw__Frame *frame);
-gboolean gateway_ready(const Gateway *g, uint64_t now_us);
+gboolean gateway_probe(Gateway *g);
 void gateway_drain(Gateway *g, uint64_t now_us, uint64_t grace_us);
 gboolean gateway_drained(const Gateway *g, uint64_t now_us);
 const GatewayCounters *gateway_counters(const Gateway *g);
--- a/src/sapphireweir/gateway/gateway_internal.h
+++ b/src/sapphireweir/gateway/gateway_internal.h
@@ -31,6 +31,7 @@
     uint64_t service_us;       /* smoothed */
     uint64_t answered_us;      /* when it last answered anything */
     uint64_t failing_since_us; /* zero: no failure since its last answer */
+    gboolean failure_told;     /* that failure was reported at once */
     uint64_t avoid_until_us;   /* after a failure to connect */
     uint64_t full_until_us;    /* it refused a connection as one too many */
     uint64_t lagging_until_us;
@@ -152,6 +153,7 @@
 /* A control instance as this instance hears it. */
 typedef struct {
     char *address;
+    uint64_t known_us;
     uint64_t heard_us;
     uint64_t run; /* of the directory revision */
     uint64_t revision;
@@ -182,6 +184,7 @@
     uint64_t started_us;
     uint64_t foreign_answer_us; /* a server of another domain answered */
     uint64_t cut_since_us;      /* zero: not cut off */
+    uint32_t unready_probes;    /* in a row that were answered so */
     uint32_t entry_count;
     uint64_t drain_us; /* zero: not draining */
     uint64_t grace_us;
--- a/src/sapphireweir/gateway/session.c
+++ b/src/sapphireweir/gateway/session.c
@@ -15,7 +15,7 @@
     kReadRetriesMax = 1, /* of a read that ran and failed */
     kDrainPercent = 50,  /* of the grace for open transactions */
     kIdleCloseAfterUs = 2400000, /* the balancer needs two missed probes */
-    kCutCloseAfterUs = 2000000,
+    kProbesNoticed = 2, /* missed probes take an instance out */
     kRateWaitMostUs = 5000000, /* as told to a caller */
 };
 
@@ -743,16 +743,18 @@
                    "no answer within the time limit");
 }
 
+/* Idle sessions go to other instances once the balancer sends nobody here
+ * any more. */
 static gboolean
-must_close(const Session *s, uint64_t now_us)
+must_close(const Gateway *g, uint64_t now_us)
 {
-    const Gateway *g = s->gateway;
+    gboolean noticed = g->unready_probes >= kProbesNoticed;
 
-    if (g->cut_since_us != 0 &&
-        now_us - g->cut_since_us > kCutCloseAfterUs) {
-        return TRUE;
+    if (g->cut_since_us != 0) {
+        return noticed || now_us - g->cut_since_us > kIdleCloseAfterUs;
     }
-    return g->drain_us != 0 && now_us - g->drain_us > kIdleCloseAfterUs;
+    return g->drain_us != 0 &&
+           (noticed || now_us - g->drain_us > kIdleCloseAfterUs);
 }
 
 static void
@@ -770,7 +772,7 @@
         s->state = kSessionFailed;
         s->begun = FALSE;
     }
-    if (s->state == kSessionIdle && must_close(s, now_us)) {
+    if (s->state == kSessionIdle && must_close(g, now_us)) {
         void *caller = s->caller;
         session_close(s, now_us);
         g->port.caller_close(g->port.ctx, caller);
