--- a/src/sapphireweir/gateway/connection.c
+++ b/src/sapphireweir/gateway/connection.c
@@ -11,6 +11,7 @@
     kPreparedMax = 64, /* per connection, then it is reset */
     kAvoidUs = 200000, /* a server that cannot be connected to */
     kFullUs = 150000,  /* a server with no connection left */
+    kUnservedKeptUs = 100000, /* for the work that it was opened for */
     kServiceWeight = 8, /* of the old value in the smoothed service time */
     kCommandsMax = 160,
 };
@@ -96,14 +97,17 @@
     return NULL;
 }
 
-/* Returns the connection that has been idle longest or NULL. */
+/* Returns the connection that has been idle longest or NULL.  One that was
+ * opened for a team and has not served it yet is left alone for a while. */
 Connection *
-server_oldest_idle(const Server *s)
+server_oldest_idle(const Server *s, uint64_t now_us)
 {
     Connection *oldest = NULL;
     for (guint i = 0; i < s->connections->len; i++) {
         Connection *c = g_ptr_array_index(s->connections, i);
-        if (c->state == kConnectionIdle &&
+        gboolean kept =
+            c->served == 0 && now_us - c->since_us < kUnservedKeptUs;
+        if (c->state == kConnectionIdle && !kept &&
             (oldest == NULL || c->since_us < oldest->since_us)) {
             oldest = c;
         }
@@ -246,6 +250,7 @@
     c->state = kConnectionBound;
     c->since_us = now_us;
     c->session = s;
+    c->served++;
     s->connection = c;
     job->sent = TRUE;
     job->opening = NULL;
--- a/src/sapphireweir/gateway/dispatch.c
+++ b/src/sapphireweir/gateway/dispatch.c
@@ -20,7 +20,8 @@
     kRetryUs = 200000,  /* when to come back, without better knowledge */
     kConnectPatienceUs = 400000, /* for a server's welcome */
     kOtherTeamPatienceUs = 20000, /* before a connection changes its team */
-    kOverdueUs = 150000, /* work that has waited so long goes first */
+    kOverdueUs = 150000, /* work that waited so long gets a connection */
+    kTurnStatements = 8, /* of one team on a connection, then */
     kSurplusIdleUs = 400000, /* beyond the fair part of connections */
 };
 
@@ -54,7 +55,7 @@
         return FALSE;
     }
     return s->connections->len < connection_cap(s, now_us) ||
-           server_oldest_idle(s) != NULL;
+           server_oldest_idle(s, now_us) != NULL;
 }
 
 /* Tells whether a server may serve the session's open statement. */
@@ -259,7 +260,7 @@
         return FALSE;
     }
     if (server->connections->len >= connection_cap(server, now_us)) {
-        c = server_oldest_idle(server);
+        c = server_oldest_idle(server, now_us);
         if (c == NULL) {
             return FALSE;
         }
@@ -350,28 +351,34 @@
            now_us - s->job.arrived_us >= patience_us;
 }
 
-typedef enum {
-    kPumpOverdue,  /* has waited long enough to displace another team */
-    kPumpMatching, /* finds an idle connection of its own team */
-    kPumpRest,
-    kPumpPasses,
-} PumpPass;
+/* Tells whether a connection's team has had its turn while others wait for
+ * a connection of their own. */
+static gboolean
+must_give_way(const Connection *c, uint64_t now_us)
+{
+    const Database *d = c->server->database;
+
+    if (c->served < kTurnStatements) {
+        return FALSE;
+    }
+    for (GList *l = d->waiting.head; l != NULL; l = l->next) {
+        const Session *s = l->data;
+        if (now_us - s->job.arrived_us >= kOverdueUs &&
+            s->job.opening == NULL &&
+            may_start_at(s, c->server, now_us) &&
+            may_displace(s, c->server, now_us, kOverdueUs)) {
+            return TRUE;
+        }
+    }
+    return FALSE;
+}
 
 static gboolean
-belongs_to_pass(const Session *s, const Server *server, uint64_t now_us,
-                PumpPass pass)
+finds_own_connection(const Session *s, const Server *server, uint64_t now_us)
 {
-    switch (pass) {
-    case kPumpOverdue:
-        return now_us - s->job.arrived_us >= kOverdueUs &&
-               may_displace(s, server, now_us, kOverdueUs);
-    case kPumpMatching:
-        return server_idle_connection(server, session_team_name(s)) != NULL;
-    case kPumpRest:
-    case kPumpPasses:
-        break;
-    }
-    return may_displace(s, server, now_us, kOtherTeamPatienceUs);
+    const Connection *c =
+        server_idle_connection(server, session_team_name(s));
+    return c != NULL && !must_give_way(c, now_us);
 }
 
 /* Lets a server work on what waits, in the order of the queue.  Answers the
@@ -385,15 +392,19 @@
     const Database *d = server->database;
     GList *next;
 
-    for (int pass = kPumpOverdue; pass < kPumpPasses; pass++) {
+    for (int matching = 1; matching >= 0; matching--) {
         for (GList *l = d->waiting.head; l != NULL; l = next) {
             Session *s = l->data;
             next = l->next;
             if (server->gone || !server_has_room(server)) {
                 return;
             }
-            if (may_start_at(s, server, now_us) &&
-                belongs_to_pass(s, server, now_us, (PumpPass)pass)) {
+            if (!may_start_at(s, server, now_us)) {
+                continue;
+            }
+            if (matching ? finds_own_connection(s, server, now_us)
+                         : may_displace(s, server, now_us,
+                                        kOtherTeamPatienceUs)) {
                 start_at(s, server, now_us);
             }
         }
--- a/src/sapphireweir/gateway/gateway_internal.h
+++ b/src/sapphireweir/gateway/gateway_internal.h
@@ -69,6 +69,7 @@
     ConnectionState state;
     Session *session;
     uint64_t since_us; /* of the present state */
+    uint32_t served;   /* statements */
     uint64_t sent_us;  /* of the open statement */
     gboolean values_unknown;
     GHashTable *values;   /* name -> value that the server holds */
@@ -211,7 +212,7 @@
 void connection_release(Connection *c, uint64_t now_us, gboolean rollback);
 void connection_free(void *connection);
 Connection *server_idle_connection(const Server *s, const char *team);
-Connection *server_oldest_idle(const Server *s);
+Connection *server_oldest_idle(const Server *s, uint64_t now_us);
 void server_failed(Server *s, uint64_t now_us);
 
 /* session.c */
