Leave a fifth of a server's connections free

Cause: after a loss of power the old connections count at the servers for 3 s more, so that restarted instances were refused connections until then. Change: an instance's part is taken from 80 percent of a server's limit.

--- a/src/sapphireweir/gateway/dispatch.c
+++ b/src/sapphireweir/gateway/dispatch.c
@@ -36,7 +36,7 @@
             : document_database(g->document, s->database->name);
     uint32_t most = d == NULL ? 1 : d->max_connections;
 
-    return MAX(most / MAX(g->entry_count, 1), 1);
+    return MAX(most * 80 / 100 / MAX(g->entry_count, 1), 2);
 }
 
 /* Returns how many connections this instance may hold at one server: its
