Let planned changes of a primary end with the last work

Cause: a planned change waited half a second whatever was open, then asked for the promotion without a look at what the replica had; a restarted control instance counted entries as durable that a killed process had only written. Change: instances tell when the last work at the primary has ended and the replica must hold what the old primary acknowledged; the log is synced before it counts; a torn write is cut on disks that keep what was synced; an address belongs to the newest server in the gateway too.

--- a/src/sapphireweir/adapter/disk.c
+++ b/src/sapphireweir/adapter/disk.c
@@ -292,7 +292,7 @@
 }
 
 static gboolean
-load_log(Disk *d, GError **error)
+load_log(Disk *d, gboolean cut_damage, GError **error)
 {
     char *path = path_in(d, "log");
     char *data = NULL;
@@ -313,7 +313,7 @@
         take_record(d, &r);
         at += kRecordHeaderBytes + r.size;
     }
-    if (at < size && valid_record_behind(bytes, size, at)) {
+    if (at < size && !cut_damage && valid_record_behind(bytes, size, at)) {
         g_set_error(error, CORE_ERROR, kCoreErrorCorrupt,
                     "%s is damaged at byte %zu of %zu: valid records follow, "
                     "so this is no unfinished write. Remove this instance "
@@ -324,6 +324,11 @@
     else if (at < size) {
         ok = cut_log(d, path, at, size, error);
     }
+    else if (fdatasync(d->log_fd) != 0) {
+        /* What a killed process had written must be durable before this
+         * one counts it as held. */
+        ok = set_io_error(error, "sync", path);
+    }
     g_free(data);
     g_free(path);
     return ok;
@@ -461,7 +466,7 @@
         return NULL;
     }
     if (!take_lock(d, error) || !load_identity(d, settings, error) ||
-        !load_snapshot(d, error) || !load_log(d, error)) {
+        !load_snapshot(d, error) || !load_log(d, settings->cut_damage, error)) {
         disk_close(d);
         return NULL;
     }
--- a/src/sapphireweir/adapter/disk.h
+++ b/src/sapphireweir/adapter/disk.h
@@ -13,6 +13,10 @@
     const char *folder;
     const char *instance_id;
     const char *cluster;
+    /* Writes may be torn anywhere when power is lost, but what was synced
+     * never is: damage is always an unfinished write, also with whole
+     * records behind it, and is cut instead of refused. */
+    gboolean cut_damage;
     gboolean bootstrap; /* this folder is one of the first voters' */
 } DiskSettings;
 
--- a/src/sapphireweir/control/main.c
+++ b/src/sapphireweir/control/main.c
@@ -224,7 +224,10 @@
 start(Control *c, gboolean bootstrap, GError **error)
 {
     const Settings *s = &c->settings;
-    DiskSettings disk = {s->data_folder, s->id, s->cluster, bootstrap};
+    DiskSettings disk = {.folder = s->data_folder,
+                         .instance_id = s->id,
+                         .cluster = s->cluster,
+                         .bootstrap = bootstrap};
     PeerEvents peer_events = {c, on_frame, on_peer_down, on_garbage};
     HttpEvents http_events = {c, on_request, on_abandoned};
     HttpSettings http = {s->http_address,     s->tls_certificate,
--- a/src/sapphireweir/fleet/director_entries.c
+++ b/src/sapphireweir/fleet/director_entries.c
@@ -265,7 +265,7 @@
             g_hash_table_insert(t->evidence, g_strdup(e->database), kept);
         }
         *kept = (EntryEvidence){e->epoch, now_us, e->answered, e->failing_us,
-                                e->released_epoch};
+                                e->released_epoch, e->open_work};
     }
 }
 
--- a/src/sapphireweir/fleet/director_internal.h
+++ b/src/sapphireweir/fleet/director_internal.h
@@ -20,6 +20,7 @@
     gboolean answered;
     uint64_t failing_us;
     uint64_t released_epoch;
+    uint32_t open_work;
 } EntryEvidence;
 
 typedef struct {
@@ -66,7 +67,8 @@
     uint64_t asked_us;
     uint64_t promote_us; /* last promotion asked for, zero: none */
     char *target;
-    char *refused; /* a server that could not be promoted */
+    Candidate before; /* the old primary, in a planned change */
+    char *refused;    /* a server that could not be promoted */
     GHashTable *candidates; /* server -> Candidate, owned */
 } PrimaryChange;
 
--- a/src/sapphireweir/fleet/handover.c
+++ b/src/sapphireweir/fleet/handover.c
@@ -16,6 +16,7 @@
     kQuiesceUs = 500000, /* open transactions may end */
     kLeaseMarginUs = 60000, /* clocks that run apart within a lease */
     kAskAgainUs = 60000,
+    kCatchUpUs = 800000, /* a planned change's wait for a replica */
     kPromoteAgainUs = 1500000, /* a promotion that shows no effect */
     kPromoteRetryUs = 150000,  /* one that was refused or not answered */
     kAdoptUs = 300000, /* silence that makes a report of a role old */
@@ -76,6 +77,7 @@
            (!s->draining || h->planned == FALSE);
 }
 
+/* Asks the replicas, and in a planned change the primary, for their logs. */
 static void
 ask_replicas(Director *d, uint64_t now_us, PrimaryChange *h)
 {
@@ -87,7 +89,8 @@
     g_hash_table_iter_init(&it, d->directory.servers);
     while (g_hash_table_iter_next(&it, NULL, &value)) {
         const DirectoryServer *s = value;
-        if (is_candidate(h, s, p)) {
+        gboolean before = h->planned && strcmp(s->id, p->primary) == 0;
+        if (is_candidate(h, s, p) || before) {
             d->port.status_ask(d->port.ctx, s->id, s->database, s->address);
         }
     }
@@ -110,6 +113,12 @@
     if (h == NULL || !status->ok) {
         return;
     }
+    const PrimaryState *p = director_primary(d, h->database);
+    if (strcmp(server, p->primary) == 0) {
+        h->before = (Candidate){TRUE, status->primary, status->log_term,
+                                status->log_number, status->term};
+        return;
+    }
     Candidate *c = g_hash_table_lookup(h->candidates, server);
     if (c == NULL) {
         c = g_new0(Candidate, 1);
@@ -127,6 +136,14 @@
     }
 }
 
+static gboolean
+log_reaches(const Candidate *c, const Candidate *other)
+{
+    return c->log_term > other->log_term ||
+           (c->log_term == other->log_term &&
+            c->log_number >= other->log_number);
+}
+
 /* Returns the replica that holds most of the log, NULL when none answered. */
 static const char *
 best_candidate(const Director *d, const PrimaryChange *h)
@@ -144,9 +161,7 @@
         if (s == NULL || s->gone || g_strcmp0(key, h->refused) == 0) {
             continue;
         }
-        if (held == NULL || c->log_term > held->log_term ||
-            (c->log_term == held->log_term &&
-             c->log_number > held->log_number)) {
+        if (held == NULL || !log_reaches(held, c)) {
             best = key;
             held = c;
         }
@@ -368,6 +383,46 @@
                     consensus_term(d->consensus));
 }
 
+/* Tells whether a replica has all that the old primary acknowledged; only
+ * a planned change can wait for that. */
+static gboolean
+replica_caught_up(Director *d, uint64_t now_us, PrimaryChange *h)
+{
+    const char *best = best_candidate(d, h);
+
+    if (!h->planned || now_us - h->since_us > kCatchUpUs) {
+        return TRUE;
+    }
+    if (h->asked_us > h->since_us + kAskAgainUs && h->before.answered &&
+        best != NULL &&
+        log_reaches(g_hash_table_lookup(h->candidates, best), &h->before)) {
+        return TRUE;
+    }
+    if (now_us - h->asked_us > kAskAgainUs) {
+        ask_replicas(d, now_us, h);
+    }
+    return FALSE;
+}
+
+/* Tells whether every entry instance's work at the primary has ended. */
+static gboolean
+work_has_ended(const Director *d, const PrimaryChange *h)
+{
+    GHashTableIter it;
+    void *value;
+
+    g_hash_table_iter_init(&it, d->entries);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        const EntryTrack *t = value;
+        const EntryEvidence *e =
+            g_hash_table_lookup(t->evidence, h->database);
+        if (e != NULL && (e->heard_us < h->since_us || e->open_work > 0)) {
+            return FALSE;
+        }
+    }
+    return TRUE;
+}
+
 static void
 step_closing(Director *d, uint64_t now_us, PrimaryChange *h)
 {
@@ -377,7 +432,8 @@
         close_rights(d, now_us, h);
         return;
     }
-    if (!p->changing || !all_let_go(d, now_us, h)) {
+    if (!p->changing || !all_let_go(d, now_us, h) ||
+        !replica_caught_up(d, now_us, h)) {
         return;
     }
     promote(d, now_us, h);
@@ -440,7 +496,7 @@
     case kChangeProbing:
         return step_probing(d, now_us, h);
     case kChangeQuiescing:
-        if (now_us - h->since_us > kQuiesceUs) {
+        if (now_us - h->since_us > kQuiesceUs || work_has_ended(d, h)) {
             close_rights(d, now_us, h);
         }
         return TRUE;
--- a/src/sapphireweir/gateway/gateway.c
+++ b/src/sapphireweir/gateway/gateway.c
@@ -173,6 +173,23 @@
     }
 }
 
+/* An address belongs to the newest run that reports it. */
+static void
+address_claim(Gateway *g, const Server *owner)
+{
+    GHashTableIter it;
+    void *value;
+
+    g_hash_table_iter_init(&it, g->servers);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        Server *s = value;
+        if (s != owner && s->born_ms < owner->born_ms &&
+            strcmp(s->address, owner->address) == 0) {
+            s->gone = TRUE;
+        }
+    }
+}
+
 static void
 server_update(Gateway *g, uint64_t now_us, const Sw__ServerRecord *r)
 {
@@ -210,6 +227,9 @@
     s->draining = r->draining;
     s->gone = r->gone;
     server_move(s, gateway_database(g, r->database));
+    if (!s->gone) {
+        address_claim(g, s);
+    }
 }
 
 static void
@@ -283,7 +303,10 @@
         d->closing = FALSE;
         d->closed_us = 0;
     }
-    d->quiescing = m->quiescing;
+    if (m->quiescing != d->quiescing) {
+        d->quiescing = m->quiescing;
+        g->report_due_us = now_us;
+    }
     if (m->closing && !d->closing) {
         d->closing = TRUE;
         d->closed_us = now_us;
@@ -396,6 +419,23 @@
 
 /* ---- reports ---- */
 
+/* Returns how many sessions hold a connection to a database's primary. */
+static uint32_t
+primary_open_work(const Database *d)
+{
+    const Server *s = d->primary == NULL
+                          ? NULL
+                          : g_hash_table_lookup(d->gateway->servers,
+                                                d->primary);
+    uint32_t open = 0;
+
+    for (guint i = 0; s != NULL && i < s->connections->len; i++) {
+        const Connection *c = g_ptr_array_index(s->connections, i);
+        open += c->state == kConnectionBound;
+    }
+    return open;
+}
+
 /* Fills in what was seen of a database's primary. */
 static void
 evidence_fill(const Database *d, uint64_t now_us, Sw__PrimaryEvidence *e)
@@ -410,6 +450,7 @@
     e->primary = d->primary == NULL ? (char *)"" : d->primary;
     e->epoch = d->epoch;
     e->released_epoch = d->closing ? d->released_epoch : 0;
+    e->open_work = primary_open_work(d);
     if (s == NULL) {
         return;
     }
@@ -542,6 +583,25 @@
     }
 }
 
+/* Tells at once when the last work at a primary that is to be replaced has
+ * ended. */
+static void
+quiesce_watch(Gateway *g, uint64_t now_us)
+{
+    GHashTableIter it;
+    void *value;
+
+    g_hash_table_iter_init(&it, g->databases);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        Database *d = value;
+        gboolean idle = d->quiescing && primary_open_work(d) == 0;
+        if (idle && !d->quiet) {
+            g->report_due_us = now_us;
+        }
+        d->quiet = idle;
+    }
+}
+
 /* Lets time pass; call it every few tens of milliseconds. */
 void
 gateway_tick(Gateway *g, uint64_t now_us)
@@ -556,6 +616,7 @@
     team_rates_tick(g, now_us);
     dispatch_tick(g, now_us);
     session_tick(g, now_us);
+    quiesce_watch(g, now_us);
     if (now_us >= g->report_due_us) {
         g->report_due_us = now_us + kReportEveryUs;
         gateway_report(g, now_us);
--- a/src/sapphireweir/gateway/gateway_internal.h
+++ b/src/sapphireweir/gateway/gateway_internal.h
@@ -48,6 +48,7 @@
     uint64_t epoch;
     gboolean closing;
     gboolean quiescing;
+    gboolean quiet; /* quiescing, and no work is left at the primary */
     uint64_t closed_us; /* since when the primary cannot be used */
     uint64_t released_epoch;
     Freshness freshness;
--- a/src/sapphireweir/proto/sapphireweir.pb-c.c
+++ b/src/sapphireweir/proto/sapphireweir.pb-c.c
@@ -4068,7 +4068,7 @@
   (ProtobufCMessageInit) sw__announcement__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sw__primary_evidence__field_descriptors[7] =
+static const ProtobufCFieldDescriptor sw__primary_evidence__field_descriptors[8] =
 {
   {
     "database",
@@ -4154,6 +4154,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "open_work",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Sw__PrimaryEvidence, open_work),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sw__primary_evidence__field_indices_by_name[] = {
   5,   /* field[5] = answered */
@@ -4161,13 +4173,14 @@
   0,   /* field[0] = database */
   2,   /* field[2] = epoch */
   4,   /* field[4] = failing_us */
+  7,   /* field[7] = open_work */
   1,   /* field[1] = primary */
   6,   /* field[6] = released_epoch */
 };
 static const ProtobufCIntRange sw__primary_evidence__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor sw__primary_evidence__descriptor =
 {
@@ -4177,7 +4190,7 @@
   "Sw__PrimaryEvidence",
   "sw",
   sizeof(Sw__PrimaryEvidence),
-  7,
+  8,
   sw__primary_evidence__field_descriptors,
   sw__primary_evidence__field_indices_by_name,
   1,  sw__primary_evidence__number_ranges,
--- a/src/sapphireweir/proto/sapphireweir.pb-c.h
+++ b/src/sapphireweir/proto/sapphireweir.pb-c.h
@@ -535,10 +535,14 @@
    * earlier one, and none will be sent.
    */
   uint64_t released_epoch;
+  /*
+   * Sessions that hold a connection to the primary.
+   */
+  uint32_t open_work;
 };
 #define SW__PRIMARY_EVIDENCE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sw__primary_evidence__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Sw__TeamDemand
--- a/test/unit/test_disk.c
+++ b/test/unit/test_disk.c
@@ -29,7 +29,10 @@
 static Disk *
 open_folder(const char *folder, GError **error)
 {
-    DiskSettings s = {folder, "control-1", "test", TRUE};
+    DiskSettings s = {.folder = folder,
+                      .instance_id = "control-1",
+                      .cluster = "test",
+                      .bootstrap = TRUE};
     return disk_open(&s, error);
 }
 
@@ -79,7 +82,8 @@
     CU_ASSERT_PTR_NOT_NULL(strstr(error->message, "in use"));
     g_clear_error(&error);
     disk_close(d);
-    DiskSettings other = {folder, "control-9", "test", FALSE};
+    DiskSettings other = {
+        .folder = folder, .instance_id = "control-9", .cluster = "test"};
     CU_ASSERT_PTR_NULL(disk_open(&other, &error));
     CU_ASSERT_PTR_NOT_NULL(strstr(error->message, "control-1"));
     g_clear_error(&error);
