Let no old word on a primary undo a newer one

Ruled out: entry instances that use a primary without a lease. Change: grants carry the leader's term and a number; a change ends only when the target leads a higher term of its log than the one before; one settlement at a time; failures from before a change are forgotten; a primary that still answers the leader is replaced only after longer doubt.

--- a/src/sapphireweir/fleet/director.c
+++ b/src/sapphireweir/fleet/director.c
@@ -28,8 +28,20 @@
     d->decoded = d->config.decode(m->text.data, m->text.len);
 }
 
+/* Writes who leads a database into a record; the strings stay the state's. */
 static void
-apply_primary(Director *d, const Sw__PrimaryRecord *m)
+primary_fill(const PrimaryState *p, Sw__PrimaryRecord *out)
+{
+    sw__primary_record__init(out);
+    out->database = p->database;
+    out->primary = p->primary;
+    out->epoch = p->epoch;
+    out->log_term = p->log_term;
+    out->changing = p->changing;
+}
+
+static void
+apply_primary(Director *d, uint64_t now_us, const Sw__PrimaryRecord *m)
 {
     PrimaryState *p = director_primary(d, m->database);
 
@@ -45,8 +57,10 @@
     g_free(p->primary);
     p->primary = g_strdup(m->primary);
     p->epoch = m->epoch;
+    p->log_term = m->log_term;
     p->changing = m->changing;
     if (settled) {
+        p->settled_us = now_us;
         handover_settled(d, p->database);
     }
 }
@@ -69,7 +83,7 @@
         apply_document(d, m->document);
     }
     if (m->primary != NULL) {
-        apply_primary(d, m->primary);
+        apply_primary(d, now_us, m->primary);
     }
     sw__fleet_command__free_unpacked(m, NULL);
     requests_applied(d, index, term);
@@ -103,11 +117,7 @@
     while (g_hash_table_iter_next(&it, NULL, &value)) {
         const PrimaryState *p = value;
         Sw__PrimaryRecord *r = &records[list->len];
-        sw__primary_record__init(r);
-        r->database = p->database;
-        r->primary = p->primary;
-        r->epoch = p->epoch;
-        r->changing = p->changing;
+        primary_fill(p, r);
         g_ptr_array_add(list, r);
     }
     m.n_primaries = list->len;
@@ -128,7 +138,6 @@
     const uint8_t *data = g_bytes_get_data(state, &size);
     Sw__FleetSnapshot *m = sw__fleet_snapshot__unpack(NULL, size, data);
 
-    (void)now_us;
     if (m == NULL) {
         g_set_error_literal(error, g_quark_from_static_string("director"), 0,
                             "the snapshot cannot be read");
@@ -138,7 +147,7 @@
         apply_document(d, m->document);
     }
     for (size_t i = 0; i < m->n_primaries; i++) {
-        apply_primary(d, m->primaries[i]);
+        apply_primary(d, now_us, m->primaries[i]);
     }
     sw__fleet_snapshot__free_unpacked(m, NULL);
     return TRUE;
@@ -303,17 +312,13 @@
 
 /* Proposes who leads a database. */
 gboolean
-director_propose_primary(Director *d, uint64_t now_us, const char *database,
-                         const char *primary, uint64_t epoch,
-                         gboolean changing)
+director_propose_primary(Director *d, uint64_t now_us,
+                         const PrimaryState *state)
 {
     Sw__FleetCommand command = SW__FLEET_COMMAND__INIT;
-    Sw__PrimaryRecord record = SW__PRIMARY_RECORD__INIT;
+    Sw__PrimaryRecord record;
 
-    record.database = (char *)database;
-    record.primary = (char *)primary;
-    record.epoch = epoch;
-    record.changing = changing;
+    primary_fill(state, &record);
     command.primary = &record;
     return director_propose(d, now_us, &command, NULL);
 }
--- a/src/sapphireweir/fleet/director.h
+++ b/src/sapphireweir/fleet/director.h
@@ -13,7 +13,8 @@
 
 /* What a backend server says of itself when asked. */
 typedef struct {
-    gboolean ok; /* it answered */
+    gboolean alive; /* it answered, be it that it was too busy */
+    gboolean ok;    /* it told its log */
     gboolean primary;
     uint64_t log_term;
     uint64_t log_number;
--- a/src/sapphireweir/fleet/director_entries.c
+++ b/src/sapphireweir/fleet/director_entries.c
@@ -201,6 +201,8 @@
     GPtrArray *shares = g_ptr_array_new_with_free_func(g_free);
 
     m.sequence = sequence;
+    m.term = consensus_term(d->consensus);
+    m.revision = ++d->grant_revision;
     m.document_version = d->document_version;
     grant_primaries(d, &m, primaries);
     if (sequence != 0) {
--- a/src/sapphireweir/fleet/director_internal.h
+++ b/src/sapphireweir/fleet/director_internal.h
@@ -10,7 +10,9 @@
     char *database;
     char *primary;
     uint64_t epoch;
+    uint64_t log_term; /* that it was seen to lead, zero: not known */
     gboolean changing;
+    uint64_t settled_us; /* when this instance learned of it */
 } PrimaryState;
 
 /* What the leader heard of a primary from one entry instance. */
@@ -61,11 +63,14 @@
     ChangePhase phase;
     gboolean planned;
     gboolean intent_proposed;
-    gboolean unanswered; /* the last promotion */
+    uint64_t target_term; /* that the target was seen to lead */
+    uint64_t settling_us; /* its end was proposed, zero: not yet */
+    gboolean unanswered;  /* the last promotion */
     uint64_t since_us; /* of the phase */
     uint64_t started_us;
     uint64_t asked_us;
-    uint64_t promote_us; /* last promotion asked for, zero: none */
+    uint64_t primary_alive_us; /* the old one answered, zero: not yet */
+    uint64_t promote_us;       /* last promotion asked for, zero: none */
     char *target;
     Candidate before; /* the old primary, in a planned change */
     char *refused;    /* a server that could not be promoted */
@@ -116,6 +121,7 @@
     GQueue requests;     /* OperatorRequest, owned */
     uint64_t next_request;
     uint64_t last_proposal_index;
+    uint64_t grant_revision;
     uint64_t led_since_us; /* zero: does not lead */
     uint64_t leader_heard_us;
     uint64_t join_due_us;
@@ -129,8 +135,7 @@
                           const Sw__FleetCommand *command, uint64_t *index);
 PrimaryState *director_primary(const Director *d, const char *database);
 gboolean director_propose_primary(Director *d, uint64_t now_us,
-                                  const char *database, const char *primary,
-                                  uint64_t epoch, gboolean changing);
+                                  const PrimaryState *state);
 
 /* director_requests.c */
 void requests_tick(Director *d, uint64_t now_us);
--- a/src/sapphireweir/fleet/handover.c
+++ b/src/sapphireweir/fleet/handover.c
@@ -12,14 +12,17 @@
 enum {
     kEvidenceUs = 800000,      /* older reports say nothing */
     kProbePatienceUs = 150000, /* for all replicas' answers */
-    kProbeGiveUpUs = 600000,
+    kProbeGiveUpUs = 2200000,
+    kPrimaryPatienceUs = 100000, /* for the suspected primary's own answer */
+    kDoubtUs = 1200000, /* it answers the leader, but few callers */
     kQuiesceUs = 500000, /* open transactions may end */
     kLeaseMarginUs = 60000, /* clocks that run apart within a lease */
     kAskAgainUs = 60000,
     kCatchUpUs = 800000, /* a planned change's wait for a replica */
-    kPromoteAgainUs = 1500000, /* a promotion that shows no effect */
+    kPromoteAgainUs = 3000000, /* a promotion that shows no effect */
+    kSettleAgainUs = 500000,   /* a proposal that does not commit */
     kPromoteRetryUs = 150000,  /* one that was refused or not answered */
-    kAdoptUs = 300000, /* silence that makes a report of a role old */
+    kRoleUs = 300000, /* a report of a role is old after */
     kStatusOk = 200,
     kStatusConflict = 409,
 };
@@ -77,7 +80,8 @@
            (!s->draining || h->planned == FALSE);
 }
 
-/* Asks the replicas, and in a planned change the primary, for their logs. */
+/* Asks the replicas for their logs, and the primary as long as it may still
+ * be of use. */
 static void
 ask_replicas(Director *d, uint64_t now_us, PrimaryChange *h)
 {
@@ -89,7 +93,8 @@
     g_hash_table_iter_init(&it, d->directory.servers);
     while (g_hash_table_iter_next(&it, NULL, &value)) {
         const DirectoryServer *s = value;
-        gboolean before = h->planned && strcmp(s->id, p->primary) == 0;
+        gboolean before = !s->gone && strcmp(s->id, p->primary) == 0 &&
+                          (h->planned || h->phase == kChangeProbing);
         if (is_candidate(h, s, p) || before) {
             d->port.status_ask(d->port.ctx, s->id, s->database, s->address);
         }
@@ -103,6 +108,26 @@
     return s == NULL ? NULL : g_hash_table_lookup(d->changes, s->database);
 }
 
+/* The target leads: the change ends once the log says so, and nothing else
+ * may be asked for meanwhile. */
+static void
+settle(Director *d, uint64_t now_us, PrimaryChange *h)
+{
+    if (h->settling_us != 0 && now_us - h->settling_us < kSettleAgainUs) {
+        return;
+    }
+    g_message("database %s: %s leads, %" G_GUINT64_FORMAT
+              " ms after the change began",
+              h->database, h->target, (now_us - h->started_us) / 1000);
+    PrimaryState next = {.database = h->database,
+                         .primary = h->target,
+                         .epoch = h->epoch + 1,
+                         .log_term = h->target_term};
+    if (director_propose_primary(d, now_us, &next)) {
+        h->settling_us = now_us;
+    }
+}
+
 /* Takes in a backend server's answer. */
 void
 handover_status(Director *d, uint64_t now_us, const char *server,
@@ -110,10 +135,16 @@
 {
     PrimaryChange *h = change_of_server(d, server);
 
-    if (h == NULL || !status->ok) {
+    if (h == NULL || !status->alive) {
         return;
     }
     const PrimaryState *p = director_primary(d, h->database);
+    if (strcmp(server, p->primary) == 0) {
+        h->primary_alive_us = now_us;
+    }
+    if (!status->ok) {
+        return;
+    }
     if (strcmp(server, p->primary) == 0) {
         h->before = (Candidate){TRUE, status->primary, status->log_term,
                                 status->log_number, status->term};
@@ -126,13 +157,12 @@
     }
     *c = (Candidate){TRUE, status->primary, status->log_term,
                      status->log_number, status->term};
+    /* A primary that was replaced before goes on calling itself one, in the
+     * term that it led. */
     if (h->phase == kChangePromoting && status->primary &&
-        g_strcmp0(server, h->target) == 0) {
-        g_message("database %s: %s leads, %" G_GUINT64_FORMAT
-                  " ms after the change began",
-                  h->database, server, (now_us - h->started_us) / 1000);
-        director_propose_primary(d, now_us, h->database, server,
-                                 h->epoch + 1, FALSE);
+        status->term > p->log_term && g_strcmp0(server, h->target) == 0) {
+        h->target_term = status->term;
+        settle(d, now_us, h);
     }
 }
 
@@ -207,6 +237,7 @@
             g_hash_table_lookup(t->evidence, p->database);
         if (e == NULL || e->epoch != p->epoch ||
             now_us - e->heard_us > kEvidenceUs ||
+            e->failing_us > now_us - p->settled_us ||
             (!e->answered && e->failing_us == 0)) {
             continue;
         }
@@ -252,7 +283,8 @@
         change_begin(d, now_us, p, FALSE, "it is gone");
         return;
     }
-    if (s != NULL && !s->primary && now_us - s->heard_us < kAdoptUs) {
+    if (s != NULL && !s->primary && now_us - s->heard_us < kRoleUs &&
+        now_us - p->settled_us > kRoleUs * 2) {
         change_begin(d, now_us, p, FALSE, "it is a replica now");
         return;
     }
@@ -282,8 +314,9 @@
             director_primary(d, s->database) == NULL &&
             consensus_commit_index(d->consensus) ==
                 consensus_last_index(d->consensus)) {
-            director_propose_primary(d, now_us, s->database, s->id, 1,
-                                     FALSE);
+            PrimaryState first = {
+                .database = s->database, .primary = s->id, .epoch = 1};
+            director_propose_primary(d, now_us, &first);
         }
     }
 }
@@ -329,20 +362,46 @@
 
     phase_set(h, now_us, kChangeClosing);
     if (!h->intent_proposed) {
-        h->intent_proposed = director_propose_primary(
-            d, now_us, h->database, p->primary, h->epoch, TRUE);
+        PrimaryState changing = *p;
+        changing.changing = TRUE;
+        h->intent_proposed = director_propose_primary(d, now_us, &changing);
     }
     entries_push(d, now_us);
     ask_replicas(d, now_us, h);
 }
 
+/* A primary that answers the leader is slow rather than dead; it is replaced
+ * only if the entry instances go on missing its answers. */
+static gboolean
+primary_may_stay(const Director *d, uint64_t now_us, const PrimaryChange *h)
+{
+    const PrimaryState *p = director_primary(d, h->database);
+    const DirectoryServer *s = directory_find(&d->directory, p->primary);
+
+    if (h->planned || s == NULL || s->gone) {
+        return FALSE;
+    }
+    if (h->primary_alive_us == 0) {
+        return now_us - h->since_us < kPrimaryPatienceUs;
+    }
+    return now_us - h->since_us < kDoubtUs;
+}
+
 static gboolean
 step_probing(Director *d, uint64_t now_us, PrimaryChange *h)
 {
+    const PrimaryState *p = director_primary(d, h->database);
     uint64_t age_us = now_us - h->since_us;
     guint answered = g_hash_table_size(h->candidates);
+    gboolean may_stay = primary_may_stay(d, now_us, h);
 
-    if (answered >= 2 || (answered == 1 && age_us > kProbePatienceUs)) {
+    if (may_stay && h->primary_alive_us != 0 &&
+        judge(d, now_us, p) == kSuspectNone) {
+        g_message("database %s: %s answers again", h->database, p->primary);
+        return FALSE;
+    }
+    if (!may_stay &&
+        (answered >= 2 || (answered == 1 && age_us > kProbePatienceUs))) {
         if (h->planned) {
             phase_set(h, now_us, kChangeQuiescing);
             entries_push(d, now_us);
@@ -351,7 +410,7 @@
         close_rights(d, now_us, h);
         return TRUE;
     }
-    if (age_us > kProbeGiveUpUs) {
+    if (!may_stay && age_us > kProbeGiveUpUs) {
         g_message("database %s: no replica answers, the primary stays",
                   h->database);
         return FALSE;
@@ -444,6 +503,10 @@
 {
     const DirectoryServer *s = directory_find(&d->directory, h->target);
 
+    if (h->settling_us != 0) {
+        settle(d, now_us, h);
+        return;
+    }
     if (h->unanswered && now_us - h->promote_us > kPromoteRetryUs) {
         /* Whether it was done is not known: the same server again. */
         h->unanswered = FALSE;
--- a/src/sapphireweir/gateway/gateway.c
+++ b/src/sapphireweir/gateway/gateway.c
@@ -286,6 +286,18 @@
     g_ptr_array_unref(affected);
 }
 
+/* What a server did before it became primary says nothing about it. */
+static void
+forget_failures(Gateway *g, const char *id)
+{
+    Server *s = g_hash_table_lookup(g->servers, id);
+    if (s != NULL) {
+        s->failing_since_us = 0;
+        s->failure_told = FALSE;
+        s->avoid_until_us = 0;
+    }
+}
+
 static void
 grant_apply(Gateway *g, uint64_t now_us, const Sw__PrimaryGrant *m)
 {
@@ -302,6 +314,7 @@
         d->epoch = m->epoch;
         d->closing = FALSE;
         d->closed_us = 0;
+        forget_failures(g, m->primary);
     }
     if (m->quiescing != d->quiescing) {
         d->quiescing = m->quiescing;
@@ -322,6 +335,21 @@
     }
 }
 
+/* Tells whether a grant is newer than all before.  Links come and go, and a
+ * former leader's word may arrive late: an older grant must not give back a
+ * primary that a newer one took away. */
+static gboolean
+grant_is_newer(Gateway *g, const Sw__EntryGrant *m)
+{
+    if (m->term < g->grant_term ||
+        (m->term == g->grant_term && m->revision <= g->grant_revision)) {
+        return FALSE;
+    }
+    g->grant_term = m->term;
+    g->grant_revision = m->revision;
+    return TRUE;
+}
+
 static gboolean
 names_control(const Sw__EntryGrant *m, const char *address)
 {
@@ -364,6 +392,9 @@
     if (m->lease_us == 0 && m->n_primaries == 0) {
         return;
     }
+    if (!grant_is_newer(g, m)) {
+        return;
+    }
     if (m->sequence != 0 &&
         (m->sequence <= g->granted_sequence ||
          m->sequence > g->sequence ||
--- a/src/sapphireweir/gateway/gateway_internal.h
+++ b/src/sapphireweir/gateway/gateway_internal.h
@@ -180,6 +180,8 @@
     uint64_t sequence;
     uint64_t sent_us[kReportsKept]; /* by sequence */
     uint64_t granted_sequence;
+    uint64_t grant_term;     /* of the newest word on primaries */
+    uint64_t grant_revision; /* within that term */
     uint64_t lease_until_us;
     char *leader; /* that granted it */
     uint64_t next_request;
--- a/src/sapphireweir/proto/sapphireweir.pb-c.c
+++ b/src/sapphireweir/proto/sapphireweir.pb-c.c
@@ -4531,7 +4531,7 @@
   (ProtobufCMessageInit) sw__team_share__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sw__entry_grant__field_descriptors[7] =
+static const ProtobufCFieldDescriptor sw__entry_grant__field_descriptors[9] =
 {
   {
     "sequence",
@@ -4617,6 +4617,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "term",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__EntryGrant, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "revision",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__EntryGrant, revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sw__entry_grant__field_indices_by_name[] = {
   5,   /* field[5] = controls */
@@ -4624,13 +4648,15 @@
   4,   /* field[4] = entry_count */
   1,   /* field[1] = lease_us */
   2,   /* field[2] = primaries */
+  8,   /* field[8] = revision */
   0,   /* field[0] = sequence */
   3,   /* field[3] = shares */
+  7,   /* field[7] = term */
 };
 static const ProtobufCIntRange sw__entry_grant__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor sw__entry_grant__descriptor =
 {
@@ -4640,7 +4666,7 @@
   "Sw__EntryGrant",
   "sw",
   sizeof(Sw__EntryGrant),
-  7,
+  9,
   sw__entry_grant__field_descriptors,
   sw__entry_grant__field_indices_by_name,
   1,  sw__entry_grant__number_ranges,
@@ -5032,7 +5058,7 @@
   (ProtobufCMessageInit) sw__fleet_command__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sw__primary_record__field_descriptors[4] =
+static const ProtobufCFieldDescriptor sw__primary_record__field_descriptors[5] =
 {
   {
     "database",
@@ -5082,17 +5108,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "log_term",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__PrimaryRecord, log_term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sw__primary_record__field_indices_by_name[] = {
   3,   /* field[3] = changing */
   0,   /* field[0] = database */
   2,   /* field[2] = epoch */
+  4,   /* field[4] = log_term */
   1,   /* field[1] = primary */
 };
 static const ProtobufCIntRange sw__primary_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor sw__primary_record__descriptor =
 {
@@ -5102,7 +5141,7 @@
   "Sw__PrimaryRecord",
   "sw",
   sizeof(Sw__PrimaryRecord),
-  4,
+  5,
   sw__primary_record__field_descriptors,
   sw__primary_record__field_indices_by_name,
   1,  sw__primary_record__number_ranges,
--- a/src/sapphireweir/proto/sapphireweir.pb-c.h
+++ b/src/sapphireweir/proto/sapphireweir.pb-c.h
@@ -632,10 +632,16 @@
   size_t n_controls;
   char **controls;
   uint64_t document_version;
+  /*
+   * Order of what leaders say of primaries: the leader's term, then a
+   * number that rises with every grant of that leader.
+   */
+  uint64_t term;
+  uint64_t revision;
 };
 #define SW__ENTRY_GRANT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sw__entry_grant__descriptor) \
-    , 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0 }
+    , 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0, 0, 0 }
 
 
 struct  Sw__ServerRecord
@@ -716,6 +722,10 @@
   char *database;
   char *primary;
   uint64_t epoch;
+  /*
+   * Term of the database's own log that the primary was seen to lead.
+   */
+  uint64_t log_term;
   /*
    * Logged before the first promotion is asked for: whoever leads from then
    * on must finish the change before it grants rights to a primary.
@@ -724,7 +734,7 @@
 };
 #define SW__PRIMARY_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sw__primary_record__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 struct  Sw__FleetSnapshot
