Test a whole fleet in virtual time

It checks from the callers' side: nothing acknowledged lost, nothing doubled, every refusal true, no stale read, nothing acknowledged by a replaced primary, a session's values, a team's rate, a withdrawn key. Bounds are the users' seven seconds for a change of primary and the sites' floors.

--- /dev/null
+++ b/test/unit/test_fleet_world.c
@@ -0,0 +1,240 @@
+#include "../support/fleet_world.h"
+#include "suite.h"
+
+/* A whole fleet under faults, from the callers' side: what must always hold
+ * and how much is served meanwhile. */
+
+typedef void (*Fault)(World *w);
+
+static void
+no_fault(World *w)
+{
+    world_run(w, 6000);
+}
+
+static void
+primary_refuses(World *w)
+{
+    world_run(w, 2000);
+    world_primary_power(w, 0, FALSE, FALSE);
+    world_run(w, 5000);
+    world_primary_power(w, 0, TRUE, FALSE);
+    world_run(w, 4000);
+}
+
+static void
+primary_dark(World *w)
+{
+    world_run(w, 2000);
+    world_primary_power(w, 1, FALSE, TRUE);
+    world_run(w, 6000);
+    world_primary_power(w, 1, TRUE, FALSE);
+    world_run(w, 4000);
+}
+
+static void
+primary_leaves(World *w)
+{
+    world_run(w, 2000);
+    world_primary_drain(w, 0);
+    world_run(w, 5000);
+}
+
+static void
+domain_cut(World *w)
+{
+    world_run(w, 2000);
+    world_cut_domain(w, 0, TRUE);
+    world_run(w, 6000);
+    world_cut_domain(w, 0, FALSE);
+    world_run(w, 5000);
+}
+
+static void
+control_leader_lost(World *w)
+{
+    world_run(w, 2000);
+    int leader = world_control_leader(w);
+    world_control_power(w, (uint32_t)leader, FALSE);
+    world_run(w, 3000);
+    world_control_power(w, (uint32_t)leader, TRUE);
+    world_run(w, 4000);
+}
+
+static void
+control_leader_lost_with_primary(World *w)
+{
+    world_run(w, 2000);
+    int leader = world_control_leader(w);
+    world_primary_power(w, 0, FALSE, TRUE);
+    world_run(w, 600);
+    world_control_power(w, (uint32_t)leader, FALSE);
+    world_run(w, 5000);
+    world_control_power(w, (uint32_t)leader, TRUE);
+    world_primary_power(w, 0, TRUE, FALSE);
+    world_run(w, 5000);
+}
+
+static void
+control_disk_lost(World *w)
+{
+    world_run(w, 1000);
+    world_control_power(w, 1, FALSE);
+    world_control_wipe(w, 1);
+    world_control_power(w, 1, TRUE);
+    world_run(w, 3000);
+    world_control_power(w, 2, FALSE);
+    world_run(w, 4000);
+    world_control_power(w, 2, TRUE);
+    world_run(w, 3000);
+}
+
+static void
+all_control_killed(World *w)
+{
+    world_run(w, 2000);
+    for (uint32_t i = 0; i < kWorldDomains; i++) {
+        world_control_power(w, i, FALSE);
+    }
+    world_run(w, 400);
+    for (uint32_t i = 0; i < kWorldDomains; i++) {
+        world_control_power(w, i, TRUE);
+    }
+    world_run(w, 5000);
+}
+
+static void
+replicas_behind(World *w)
+{
+    world_run(w, 1000);
+    world_replicas_lag(w, 3000);
+    world_run(w, 5000);
+    world_replicas_lag(w, 60);
+    world_run(w, 3000);
+}
+
+static void
+answers_lost(World *w)
+{
+    world_lose_answers(w, 4);
+    world_run(w, 6000);
+    world_lose_answers(w, 0);
+    world_run(w, 1000);
+}
+
+static void
+two_changes_in_a_row(World *w)
+{
+    world_run(w, 1500);
+    world_primary_drain(w, 0);
+    world_run(w, 1500);
+    world_primary_power(w, 0, FALSE, TRUE);
+    world_run(w, 5000);
+    world_primary_power(w, 0, TRUE, FALSE);
+    world_run(w, 4000);
+}
+
+/* least_served: percent of operations, from the site's floors (44 % on the
+ * worst day) raised where the fault leaves an alternative; most_gap_ms: the
+ * users' 7 s for a change of primary, a tenth of it where none is due. */
+static void
+promises_hold_under_faults(void)
+{
+    static const struct {
+        const char *name;
+        Fault fault;
+        uint32_t least_served;
+        uint32_t most_gap_ms;
+        uint32_t least_promotions;
+        uint32_t most_promotions;
+    } cases[] = {
+        {"no fault", no_fault, 99, 700, 0, 0},
+        {"primary refuses", primary_refuses, 75, 7000, 1, 1},
+        {"primary dark", primary_dark, 75, 7000, 1, 1},
+        {"primary leaves", primary_leaves, 90, 7000, 1, 1},
+        {"domain cut", domain_cut, 50, 7000, 1, 2},
+        {"leader lost", control_leader_lost, 95, 1400, 0, 0},
+        {"leader and primary", control_leader_lost_with_primary, 60, 7000, 1,
+         1},
+        {"control disk lost", control_disk_lost, 95, 1400, 0, 0},
+        {"all control killed", all_control_killed, 80, 2500, 0, 0},
+        {"replicas behind", replicas_behind, 90, 700, 0, 0},
+        {"answers lost", answers_lost, 90, 1400, 0, 0},
+        {"two changes", two_changes_in_a_row, 60, 7000, 2, 3},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        for (uint32_t seed = 1; seed <= 4; seed++) {
+            World *w = world_new(seed);
+            cases[i].fault(w);
+            const WorldReport *r = world_end(w);
+            gboolean kept = r->lost == 0 && r->doubled == 0 &&
+                            r->untrue == 0 && r->stale == 0 &&
+                            r->fenced == 0 && r->foreign == 0 &&
+                            r->wrong_state == 0;
+            gboolean served =
+                r->served * 100 >= r->operations * cases[i].least_served &&
+                r->longest_write_gap_us <=
+                    (uint64_t)cases[i].most_gap_ms * 1000 &&
+                r->promotions >= cases[i].least_promotions &&
+                r->promotions <= cases[i].most_promotions;
+            if (!kept || !served) {
+                g_print("\n%s, seed %u: %lu of %lu served, gap %lu ms, "
+                        "%lu promotions, in doubt %lu; lost %lu doubled %lu "
+                        "untrue %lu stale %lu fenced %lu foreign %lu "
+                        "state %lu\n",
+                        cases[i].name, seed, r->served, r->operations,
+                        r->longest_write_gap_us / 1000, r->promotions,
+                        r->in_doubt, r->lost, r->doubled, r->untrue,
+                        r->stale, r->fenced, r->foreign, r->wrong_state);
+            }
+            CU_ASSERT(kept);
+            CU_ASSERT(served);
+            world_free(w);
+        }
+    }
+}
+
+static void
+a_withdrawn_key_stops_working(void)
+{
+    World *w = world_new(7);
+    world_run(w, 2000);
+    world_configure(w, 1000, FALSE);
+    world_run(w, 500);
+    CU_ASSERT_EQUAL(world_version(w), 6);
+    uint64_t served = world_end(w)->served;
+    world_run(w, 2000);
+    const WorldReport *r = world_end(w);
+    CU_ASSERT_EQUAL(r->served, served);
+    CU_ASSERT(r->no_auth > 0);
+    world_free(w);
+}
+
+static void
+a_team_gets_its_rate_and_no_more(void)
+{
+    enum { kRate = 20, kSeconds = 10 };
+    World *w = world_new(8);
+    world_run(w, 1000);
+    world_configure(w, kRate, TRUE);
+    world_run(w, 6000);
+    uint64_t before = world_end(w)->served;
+    world_run(w, (uint64_t)kSeconds * 1000);
+    uint64_t served = world_end(w)->served - before;
+    /* Two windows of five seconds: rate times the window, plus the burst,
+     * each; what callers give up after a refusal is theirs. */
+    CU_ASSERT(served <= (kRate * 5 + kRate) * 2 * 11 / 10 + 20);
+    CU_ASSERT(served >= kRate * kSeconds * 9 / 10);
+    world_free(w);
+}
+
+void
+add_fleet_world_suite(void)
+{
+    CU_pSuite s = CU_add_suite("fleet world", NULL, NULL);
+    CU_add_test(s, "promises hold under faults", promises_hold_under_faults);
+    CU_add_test(s, "a withdrawn key stops working",
+                a_withdrawn_key_stops_working);
+    CU_add_test(s, "a team gets its rate and no more",
+                a_team_gets_its_rate_and_no_more);
+}
