--- a/src/sapphireweir/adapter/disk.c
+++ b/src/sapphireweir/adapter/disk.c
@@ -466,7 +466,8 @@
         return NULL;
     }
     if (!take_lock(d, error) || !load_identity(d, settings, error) ||
-        !load_snapshot(d, error) || !load_log(d, settings->cut_damage, error)) {
+        !load_snapshot(d, error) ||
+        !load_log(d, settings->cut_damage, error)) {
         disk_close(d);
         return NULL;
     }
--- a/src/sapphireweir/fleet/director.c
+++ b/src/sapphireweir/fleet/director.c
@@ -209,8 +209,8 @@
     directory_init(&d->directory);
     d->primaries = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
                                          primary_state_free);
-    d->entries = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
-                                       entry_track_free);
+    d->entries =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, entry_track_free);
     d->changes = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
                                        primary_change_free);
     d->peers = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -294,8 +294,8 @@
 
 /* Proposes a command.  FALSE: this instance does not lead. */
 gboolean
-director_propose(Director *d, uint64_t now_us,
-                 const Sw__FleetCommand *command, uint64_t *index)
+director_propose(Director *d, uint64_t now_us, const Sw__FleetCommand *command,
+                 uint64_t *index)
 {
     size_t size = sw__fleet_command__get_packed_size(command);
     uint8_t *packed = g_malloc(size + 1);
--- a/src/sapphireweir/fleet/director_entries.c
+++ b/src/sapphireweir/fleet/director_entries.c
@@ -7,7 +7,7 @@
  * leader alone, after a majority has confirmed it. */
 
 enum {
-    kEntryGoneUs = 2500000,     /* an entry that says nothing */
+    kEntryGoneUs = 2500000, /* an entry that says nothing */
     kEntryForgottenUs = 30000000,
     kDocumentResendUs = 500000, /* a document on its way to an entry */
     kSharesEveryUs = 500000,
@@ -83,8 +83,7 @@
     Sw__Frame frame = SW__FRAME__INIT;
     Sw__DocumentUpdate m = SW__DOCUMENT_UPDATE__INIT;
 
-    if (d->document == NULL ||
-        t->document_version >= d->document_version ||
+    if (d->document == NULL || t->document_version >= d->document_version ||
         !consensus_is_current(d->consensus)) {
         return;
     }
@@ -266,7 +265,8 @@
             kept = g_new0(EntryEvidence, 1);
             g_hash_table_insert(t->evidence, g_strdup(e->database), kept);
         }
-        *kept = (EntryEvidence){e->epoch, now_us, e->answered, e->failing_us,
+        *kept = (EntryEvidence){e->epoch,          now_us,
+                                e->answered,       e->failing_us,
                                 e->released_epoch, e->open_work};
     }
 }
--- a/src/sapphireweir/fleet/director_internal.h
+++ b/src/sapphireweir/fleet/director_internal.h
@@ -34,7 +34,7 @@
     uint64_t document_sent_us;
     uint64_t told_revision; /* of this run's directory */
     gboolean leaving;
-    uint64_t lease_end_us; /* upper bound of every lease granted to it */
+    uint64_t lease_end_us;  /* upper bound of every lease granted to it */
     uint64_t pending_round; /* zero: no report waits for its grant */
     uint64_t pending_us;    /* when that report came */
     GHashTable *evidence;   /* database -> EntryEvidence, owned */
@@ -66,14 +66,14 @@
     uint64_t target_term; /* that the target was seen to lead */
     uint64_t settling_us; /* its end was proposed, zero: not yet */
     gboolean unanswered;  /* the last promotion */
-    uint64_t since_us; /* of the phase */
+    uint64_t since_us;    /* of the phase */
     uint64_t started_us;
     uint64_t asked_us;
     uint64_t primary_alive_us; /* the old one answered, zero: not yet */
     uint64_t promote_us;       /* last promotion asked for, zero: none */
     char *target;
-    Candidate before; /* the old primary, in a planned change */
-    char *refused;    /* a server that could not be promoted */
+    Candidate before;       /* the old primary, in a planned change */
+    char *refused;          /* a server that could not be promoted */
     GHashTable *candidates; /* server -> Candidate, owned */
 } PrimaryChange;
 
@@ -159,8 +159,7 @@
 void rates_request(Director *d, uint64_t now_us, const char *from,
                    uint64_t request, const Sw__TokenRequest *m);
 void rates_tick(Director *d, uint64_t now_us);
-void rates_fill_shares(const Director *d, const char *entry,
-                       GPtrArray *list);
+void rates_fill_shares(const Director *d, const char *entry, GPtrArray *list);
 gboolean entry_present(const EntryTrack *t, uint64_t now_us);
 
 /* director_members.c */
--- a/src/sapphireweir/fleet/director_rates.c
+++ b/src/sapphireweir/fleet/director_rates.c
@@ -54,8 +54,8 @@
 
 /* Hands out tokens to an entry instance. */
 void
-rates_request(Director *d, uint64_t now_us, const char *from,
-              uint64_t request, const Sw__TokenRequest *m)
+rates_request(Director *d, uint64_t now_us, const char *from, uint64_t request,
+              const Sw__TokenRequest *m)
 {
     Sw__Frame frame = SW__FRAME__INIT;
     Sw__TokenReply reply = SW__TOKEN_REPLY__INIT;
--- a/src/sapphireweir/fleet/director_requests.c
+++ b/src/sapphireweir/fleet/director_requests.c
@@ -53,8 +53,7 @@
 {
     for (GList *l = d->requests.head; l != NULL; l = l->next) {
         const OperatorRequest *other = l->data;
-        if (other != r && other->index != 0 &&
-            other->version == r->version &&
+        if (other != r && other->index != 0 && other->version == r->version &&
             other->term == consensus_term(d->consensus) &&
             g_bytes_equal(other->text, r->text)) {
             return other;
--- a/src/sapphireweir/fleet/directory.c
+++ b/src/sapphireweir/fleet/directory.c
@@ -7,7 +7,6 @@
  * and out of order: the newest run of an id wins, within a run the highest
  * sequence, and an address belongs to the newest run that reports it. */
 
-
 static void
 server_free(void *data)
 {
@@ -89,8 +88,7 @@
     g_hash_table_iter_init(&it, d->servers);
     while (g_hash_table_iter_next(&it, NULL, &value)) {
         DirectoryServer *s = value;
-        if (!s->gone && s->born_ms > r->born_ms &&
-            strcmp(s->id, r->id) != 0 &&
+        if (!s->gone && s->born_ms > r->born_ms && strcmp(s->id, r->id) != 0 &&
             strcmp(s->address, r->address) == 0) {
             return TRUE;
         }
--- a/src/sapphireweir/fleet/document.c
+++ b/src/sapphireweir/fleet/document.c
@@ -41,8 +41,7 @@
                                       document_route_free);
     d->databases =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, database_free);
-    d->teams =
-        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, team_free);
+    d->teams = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, team_free);
     d->keys = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     return d;
 }
--- a/src/sapphireweir/fleet/handover.c
+++ b/src/sapphireweir/fleet/handover.c
@@ -14,15 +14,15 @@
     kProbePatienceUs = 150000, /* for all replicas' answers */
     kProbeGiveUpUs = 2200000,
     kPrimaryPatienceUs = 100000, /* for the suspected primary's own answer */
-    kDoubtUs = 1200000, /* it answers the leader, but few callers */
-    kQuiesceUs = 500000, /* open transactions may end */
-    kLeaseMarginUs = 60000, /* clocks that run apart within a lease */
+    kDoubtUs = 1200000,          /* it answers the leader, but few callers */
+    kQuiesceUs = 500000,         /* open transactions may end */
+    kLeaseMarginUs = 60000,      /* clocks that run apart within a lease */
     kAskAgainUs = 60000,
-    kCatchUpUs = 800000, /* a planned change's wait for a replica */
+    kCatchUpUs = 800000,       /* a planned change's wait for a replica */
     kPromoteAgainUs = 3000000, /* a promotion that shows no effect */
     kSettleAgainUs = 500000,   /* a proposal that does not commit */
     kPromoteRetryUs = 150000,  /* one that was refused or not answered */
-    kRoleUs = 300000, /* a report of a role is old after */
+    kRoleUs = 300000,          /* a report of a role is old after */
     kStatusOk = 200,
     kStatusConflict = 409,
 };
@@ -207,8 +207,8 @@
 {
     PrimaryChange *h = g_new0(PrimaryChange, 1);
 
-    g_message("database %s: %s is to be replaced: %s", p->database,
-              p->primary, why);
+    g_message("database %s: %s is to be replaced: %s", p->database, p->primary,
+              why);
     h->database = g_strdup(p->database);
     h->epoch = p->epoch;
     h->planned = planned;
@@ -233,8 +233,7 @@
     g_hash_table_iter_init(&it, d->entries);
     while (g_hash_table_iter_next(&it, NULL, &value)) {
         const EntryTrack *t = value;
-        const EntryEvidence *e =
-            g_hash_table_lookup(t->evidence, p->database);
+        const EntryEvidence *e = g_hash_table_lookup(t->evidence, p->database);
         if (e == NULL || e->epoch != p->epoch ||
             now_us - e->heard_us > kEvidenceUs ||
             e->failing_us > now_us - p->settled_us ||
@@ -337,8 +336,7 @@
     g_hash_table_iter_init(&it, d->entries);
     while (g_hash_table_iter_next(&it, NULL, &value)) {
         const EntryTrack *t = value;
-        const EntryEvidence *e =
-            g_hash_table_lookup(t->evidence, h->database);
+        const EntryEvidence *e = g_hash_table_lookup(t->evidence, h->database);
         if (e != NULL && e->heard_us >= h->since_us &&
             e->released_epoch >= h->epoch) {
             continue;
@@ -473,8 +471,7 @@
     g_hash_table_iter_init(&it, d->entries);
     while (g_hash_table_iter_next(&it, NULL, &value)) {
         const EntryTrack *t = value;
-        const EntryEvidence *e =
-            g_hash_table_lookup(t->evidence, h->database);
+        const EntryEvidence *e = g_hash_table_lookup(t->evidence, h->database);
         if (e != NULL && (e->heard_us < h->since_us || e->open_work > 0)) {
             return FALSE;
         }
--- a/src/sapphireweir/fleet/suspect.h
+++ b/src/sapphireweir/fleet/suspect.h
@@ -7,7 +7,7 @@
 
 /* What one entry instance last said of a primary. */
 typedef struct {
-    gboolean answered; /* it answered within the last reports */
+    gboolean answered;   /* it answered within the last reports */
     uint64_t failing_us; /* since when nothing was answered, zero: fine */
 } SuspectEvidence;
 
--- a/src/sapphireweir/gateway/concurrency.c
+++ b/src/sapphireweir/gateway/concurrency.c
@@ -13,8 +13,8 @@
     kStartMilli = 3000,
     kLeastMilli = 1000,
     kMostMilli = 12000,
-    kRaiseMilli = 120,    /* an answer at the limit, divided by the limit */
-    kSlowUs = 110000,     /* several times a statement's usual work */
+    kRaiseMilli = 120, /* an answer at the limit, divided by the limit */
+    kSlowUs = 110000,  /* several times a statement's usual work */
     kSlowKeepPercent = 85,
     kRejectedKeepPercent = 60,
     kCutEveryUs = 40000, /* one queue's worth of news at a time */
@@ -51,8 +51,7 @@
 concurrency_answered(Concurrency *c, uint64_t now_us, uint64_t took_us,
                      uint32_t open, uint32_t most)
 {
-    uint32_t ceiling =
-        MIN(MAX(most, 1) * kMilli, (uint32_t)kMostMilli);
+    uint32_t ceiling = MIN(MAX(most, 1) * kMilli, (uint32_t)kMostMilli);
 
     if (took_us > kSlowUs) {
         lower(c, now_us, kSlowKeepPercent);
--- a/src/sapphireweir/gateway/connection.c
+++ b/src/sapphireweir/gateway/connection.c
@@ -8,9 +8,9 @@
  * before use; it remembers what it was told. */
 
 enum {
-    kPreparedMax = 64, /* per connection, then it is reset */
-    kAvoidUs = 200000, /* a server that cannot be connected to */
-    kFullUs = 150000,  /* a server with no connection left */
+    kPreparedMax = 64,        /* per connection, then it is reset */
+    kAvoidUs = 200000,        /* a server that cannot be connected to */
+    kFullUs = 150000,         /* a server with no connection left */
     kUnservedKeptUs = 100000, /* for the work that it was opened for */
     kServiceWeight = 8, /* of the old value in the smoothed service time */
     kCommandsMax = 160,
@@ -231,8 +231,7 @@
     c->awaiting = TRUE;
     c->sent_us = now_us;
     c->server->open_statements++;
-    g->port.server_send(g->port.ctx, c->link, script->commands,
-                        script->count);
+    g->port.server_send(g->port.ctx, c->link, script->commands, script->count);
 }
 
 /* Lends the connection to a session and sends what it has open.  A BEGIN
@@ -257,10 +256,10 @@
     bring_values(c, s, &script);
     if (begins) {
         after = s->read_only ? required_position(s, c->server, now_us) : after;
-        script_add(&script, (ServerCommand){.kind = s->read_only
-                                                        ? kCommandBeginRead
+        script_add(&script,
+                   (ServerCommand){.kind = s->read_only ? kCommandBeginRead
                                                         : kCommandBegin,
-                                            .after = after});
+                                   .after = after});
         c->begin_open = TRUE;
         s->at_primary = !s->read_only || after.term == 0;
     }
@@ -345,8 +344,8 @@
     uint64_t took_us = now_us - c->sent_us;
     s->service_us =
         (s->service_us * (kServiceWeight - 1) + took_us) / kServiceWeight;
-    concurrency_answered(&s->concurrency, now_us, took_us,
-                         s->open_statements, s->connections->len + 1);
+    concurrency_answered(&s->concurrency, now_us, took_us, s->open_statements,
+                         s->connections->len + 1);
 }
 
 static void
--- a/src/sapphireweir/gateway/dispatch.c
+++ b/src/sapphireweir/gateway/dispatch.c
@@ -11,17 +11,17 @@
 enum {
     kCandidatesMax = 32,
     kAttemptsMax = 4,
-    kWaitPercent = 90, /* of the latency objective, expected at most */
-    kDemotedUs = 1000000, /* late work's place behind all that is not */
-    kReplacementUs = 900000, /* from losing a primary to using the next */
-    kSuspicionUs = 500000,   /* from a primary's silence to losing it */
-    kSilentUs = 250000,      /* an answer that is overdue */
+    kWaitPercent = 90,         /* of the latency objective, expected at most */
+    kDemotedUs = 1000000,      /* late work's place behind all that is not */
+    kReplacementUs = 900000,   /* from losing a primary to using the next */
+    kSuspicionUs = 500000,     /* from a primary's silence to losing it */
+    kSilentUs = 250000,        /* an answer that is overdue */
     kReportSilenceUs = 350000, /* a primary's silence is told at once */
-    kRetryUs = 200000,  /* when to come back, without better knowledge */
-    kConnectPatienceUs = 400000, /* for a server's welcome */
+    kRetryUs = 200000, /* when to come back, without better knowledge */
+    kConnectPatienceUs = 400000,  /* for a server's welcome */
     kOtherTeamPatienceUs = 20000, /* before a connection changes its team */
-    kOverdueUs = 150000, /* work that waited so long gets a connection */
-    kTurnStatements = 8, /* of one team on a connection, then */
+    kOverdueUs = 150000,     /* work that waited so long gets a connection */
+    kTurnStatements = 8,     /* of one team on a connection, then */
     kSurplusIdleUs = 400000, /* beyond the fair part of connections */
 };
 
@@ -91,8 +91,7 @@
         .usable = server_may_serve(s, server, now_us) &&
                   now_us >= server->avoid_until_us,
         .primary = primary,
-        .same_domain =
-            strcmp(server->failure_domain, g->failure_domain) == 0,
+        .same_domain = strcmp(server->failure_domain, g->failure_domain) == 0,
         .matching_connection =
             server_idle_connection(server, session_team_name(s)) != NULL,
         .may_connect = server_may_connect(server, now_us),
@@ -118,13 +117,11 @@
     size_t count = MIN(servers->len, (guint)kCandidatesMax);
 
     for (size_t i = 0; i < count; i++) {
-        candidates[i] =
-            candidate_of(s, g_ptr_array_index(servers, i), now_us);
+        candidates[i] = candidate_of(s, g_ptr_array_index(servers, i), now_us);
     }
     int best = placement_choose(candidates, count);
-    return best == kPlacementNone
-               ? NULL
-               : g_ptr_array_index(servers, (guint)best);
+    return best == kPlacementNone ? NULL
+                                  : g_ptr_array_index(servers, (guint)best);
 }
 
 /* ---- waiting ---- */
@@ -266,8 +263,7 @@
         }
         connection_close(c);
     }
-    s->job.opening =
-        connection_open(server, session_team_name(s), now_us);
+    s->job.opening = connection_open(server, session_team_name(s), now_us);
     return TRUE;
 }
 
@@ -276,8 +272,7 @@
 {
     uint64_t target_us = s->route->target_us;
     uint64_t limit_us = s->job.due_us - s->job.arrived_us;
-    uint64_t most_us =
-        MIN(target_us, limit_us / 2) * kWaitPercent / 100;
+    uint64_t most_us = MIN(target_us, limit_us / 2) * kWaitPercent / 100;
 
     return expected_wait_us(s, now_us) > most_us;
 }
@@ -364,8 +359,7 @@
     for (GList *l = d->waiting.head; l != NULL; l = l->next) {
         const Session *s = l->data;
         if (now_us - s->job.arrived_us >= kOverdueUs &&
-            s->job.opening == NULL &&
-            may_start_at(s, c->server, now_us) &&
+            s->job.opening == NULL && may_start_at(s, c->server, now_us) &&
             may_displace(s, c->server, now_us, kOverdueUs)) {
             return TRUE;
         }
@@ -376,8 +370,7 @@
 static gboolean
 finds_own_connection(const Session *s, const Server *server, uint64_t now_us)
 {
-    const Connection *c =
-        server_idle_connection(server, session_team_name(s));
+    const Connection *c = server_idle_connection(server, session_team_name(s));
     return c != NULL && !must_give_way(c, now_us);
 }
 
@@ -402,9 +395,9 @@
             if (!may_start_at(s, server, now_us)) {
                 continue;
             }
-            if (matching ? finds_own_connection(s, server, now_us)
-                         : may_displace(s, server, now_us,
-                                        kOtherTeamPatienceUs)) {
+            if (matching
+                    ? finds_own_connection(s, server, now_us)
+                    : may_displace(s, server, now_us, kOtherTeamPatienceUs)) {
                 start_at(s, server, now_us);
             }
         }
--- a/src/sapphireweir/gateway/freshness.c
+++ b/src/sapphireweir/gateway/freshness.c
@@ -4,8 +4,8 @@
  * stated age, learned from the answers of the primary alone. */
 
 enum {
-    kSampleSpacingUs = 40000,  /* 64 slots reach over 2.5 s of staleness */
-    kAgeMarginUs = 60000,      /* a caller's clock starts at its first byte */
+    kSampleSpacingUs = 40000, /* 64 slots reach over 2.5 s of staleness */
+    kAgeMarginUs = 60000,     /* a caller's clock starts at its first byte */
 };
 
 static const FreshnessSample *
@@ -57,7 +57,8 @@
 freshness_required(const Freshness *f, uint64_t now_us, uint64_t max_age_us,
                    Position own, Position *out)
 {
-    uint64_t age_us = max_age_us > kAgeMarginUs ? max_age_us - kAgeMarginUs : 0;
+    uint64_t age_us =
+        max_age_us > kAgeMarginUs ? max_age_us - kAgeMarginUs : 0;
     uint64_t since_us = now_us > age_us ? now_us - age_us : 0;
 
     for (uint32_t i = 0; i < f->count; i++) {
--- a/src/sapphireweir/gateway/gateway.c
+++ b/src/sapphireweir/gateway/gateway.c
@@ -9,13 +9,13 @@
 
 enum {
     kReportEveryUs = 250000,
-    kContactLostUs = 900000,  /* a control instance that says nothing */
-    kForeignLostUs = 900000,  /* no answer from another failure domain */
+    kContactLostUs = 900000,      /* a control instance that says nothing */
+    kForeignLostUs = 900000,      /* no answer from another failure domain */
     kContactDroppedUs = 10000000, /* one that is no member any more */
     kStartPatienceUs = 3000000,
     kAnsweredRecentlyUs = 700000,
     kDefaultServiceUs = 15000, /* before the first answer */
-    kLeaseGuardUs = 40000, /* statements in flight at the lease's end */
+    kLeaseGuardUs = 40000,     /* statements in flight at the lease's end */
 };
 
 static void
@@ -209,8 +209,8 @@
     else if (r->born_ms < s->born_ms) {
         return;
     }
-    gboolean moved = s->born_ms != r->born_ms ||
-                     g_strcmp0(s->address, r->address) != 0;
+    gboolean moved =
+        s->born_ms != r->born_ms || g_strcmp0(s->address, r->address) != 0;
     if (s->address != NULL && moved) {
         server_close_all(s, now_us);
         s->avoid_until_us = 0;
@@ -396,8 +396,7 @@
         return;
     }
     if (m->sequence != 0 &&
-        (m->sequence <= g->granted_sequence ||
-         m->sequence > g->sequence ||
+        (m->sequence <= g->granted_sequence || m->sequence > g->sequence ||
          m->sequence + kReportsKept <= g->sequence)) {
         return;
     }
@@ -413,8 +412,7 @@
     }
     g->granted_sequence = m->sequence;
     g->entry_count = MAX(m->entry_count, 1);
-    uint64_t until_us =
-        g->sent_us[m->sequence % kReportsKept] + m->lease_us;
+    uint64_t until_us = g->sent_us[m->sequence % kReportsKept] + m->lease_us;
     g->lease_until_us = MAX(g->lease_until_us, until_us);
     team_rates_grant(g, m);
 }
@@ -454,10 +452,10 @@
 static uint32_t
 primary_open_work(const Database *d)
 {
-    const Server *s = d->primary == NULL
-                          ? NULL
-                          : g_hash_table_lookup(d->gateway->servers,
-                                                d->primary);
+    const Server *s =
+        d->primary == NULL
+            ? NULL
+            : g_hash_table_lookup(d->gateway->servers, d->primary);
     uint32_t open = 0;
 
     for (guint i = 0; s != NULL && i < s->connections->len; i++) {
--- a/src/sapphireweir/gateway/gateway.h
+++ b/src/sapphireweir/gateway/gateway.h
@@ -20,11 +20,11 @@
 
 /* Why a statement was refused without having run. */
 typedef enum {
-    kRefusedOverRate,  /* the team has used up its part of its rate */
-    kRefusedQueue,     /* what waits already does not drain */
-    kRefusedNoServer,  /* none can be used, and none is expected in time */
-    kRefusedAttempts,  /* every server tried turned it away */
-    kRefusedDeadline,  /* no connection came free in time */
+    kRefusedOverRate, /* the team has used up its part of its rate */
+    kRefusedQueue,    /* what waits already does not drain */
+    kRefusedNoServer, /* none can be used, and none is expected in time */
+    kRefusedAttempts, /* every server tried turned it away */
+    kRefusedDeadline, /* no connection came free in time */
     kRefusalReasons,
 } RefusalReason;
 
--- a/src/sapphireweir/gateway/gateway_internal.h
+++ b/src/sapphireweir/gateway/gateway_internal.h
@@ -48,7 +48,7 @@
     uint64_t epoch;
     gboolean closing;
     gboolean quiescing;
-    gboolean quiet; /* quiescing, and no work is left at the primary */
+    gboolean quiet;     /* quiescing, and no work is left at the primary */
     uint64_t closed_us; /* since when the primary cannot be used */
     uint64_t released_epoch;
     Freshness freshness;
@@ -58,7 +58,7 @@
 typedef enum {
     kConnectionOpening,
     kConnectionIdle,
-    kConnectionBound, /* to a session */
+    kConnectionBound,   /* to a session */
     kConnectionRolling, /* back, with no session any more */
 } ConnectionState;
 
@@ -90,7 +90,7 @@
     gboolean open;
     StatementKind kind;
     char *id;
-    char *text; /* as it goes to a server */
+    char *text;     /* as it goes to a server */
     char *prepared; /* canonical name it needs, or NULL */
     char *prepared_shape;
     gboolean writes;
@@ -110,10 +110,10 @@
 /* What this instance may run of a team's rate. */
 typedef struct {
     char *team;
-    uint32_t stock;       /* tokens that the control leader handed out */
-    uint64_t stocked_us;  /* when it did */
-    uint64_t asked_us;    /* a request is open since, zero: none is */
-    uint64_t request;     /* its number */
+    uint32_t stock;        /* tokens that the control leader handed out */
+    uint64_t stocked_us;   /* when it did */
+    uint64_t asked_us;     /* a request is open since, zero: none is */
+    uint64_t request;      /* its number */
     uint64_t dry_until_us; /* the leader has none before */
     GQueue waiting;        /* Session, for a token */
     TokenBucket fallback;  /* while the leader does not answer */
@@ -174,7 +174,7 @@
     GHashTable *controls;  /* address -> ControlContact, owned */
     GHashTable *rates;     /* team -> TeamRate, owned */
     GQueue sessions;
-    GQueue active; /* sessions with an open job */
+    GQueue active;     /* sessions with an open job */
     GPtrArray *closed; /* connections to be freed in the next tick */
     uint64_t report_due_us;
     uint64_t sequence;
--- a/src/sapphireweir/gateway/placement.c
+++ b/src/sapphireweir/gateway/placement.c
@@ -6,10 +6,10 @@
  * the others, and primaries are kept free for what only they can do. */
 
 enum {
-    kConnectCostUs = 15000,     /* a new connection's handshake */
-    kCrossDomainCostUs = 3000,  /* a round trip between failure domains */
-    kPrimaryCostUs = 12000,     /* one read of mean size in a write's way */
-    kBusyCostUs = 40000,        /* every connection is in use */
+    kConnectCostUs = 15000,    /* a new connection's handshake */
+    kCrossDomainCostUs = 3000, /* a round trip between failure domains */
+    kPrimaryCostUs = 12000,    /* one read of mean size in a write's way */
+    kBusyCostUs = 40000,       /* every connection is in use */
 };
 
 /* Returns the expected time to the answer, with penalties. */
--- a/src/sapphireweir/gateway/placement.h
+++ b/src/sapphireweir/gateway/placement.h
@@ -7,14 +7,14 @@
 
 /* A backend server as the choice of where to read sees it. */
 typedef struct {
-    gboolean usable;    /* may serve this read at all */
+    gboolean usable; /* may serve this read at all */
     gboolean primary;
     gboolean same_domain;
     gboolean matching_connection; /* idle, of the right team */
     gboolean may_connect;         /* a connection can be opened or made free */
     uint32_t open_statements;
     uint32_t slots;
-    uint64_t service_us; /* smoothed time from sending to the answer */
+    uint64_t service_us;     /* smoothed time from sending to the answer */
     uint64_t lagging_for_us; /* expected wait before it has caught up */
 } PlacementCandidate;
 
--- a/src/sapphireweir/gateway/session.c
+++ b/src/sapphireweir/gateway/session.c
@@ -12,11 +12,11 @@
     kLaggingFirstUs = 40000, /* a replica that was behind is left alone */
     kLaggingMostUs = 640000,
     kLaggingTriesMax = 3,
-    kReadRetriesMax = 1, /* of a read that ran and failed */
-    kDrainPercent = 50,  /* of the grace for open transactions */
+    kReadRetriesMax = 1,         /* of a read that ran and failed */
+    kDrainPercent = 50,          /* of the grace for open transactions */
     kIdleCloseAfterUs = 2400000, /* the balancer needs two missed probes */
-    kProbesNoticed = 2, /* missed probes take an instance out */
-    kRateWaitMostUs = 5000000, /* as told to a caller */
+    kProbesNoticed = 2,          /* missed probes take an instance out */
+    kRateWaitMostUs = 5000000,   /* as told to a caller */
 };
 
 /* Returns the team's name as backend servers are told it. */
@@ -178,9 +178,9 @@
 tell_error(Session *s, uint64_t now_us, AnswerCode code, SessionState state,
            const char *detail)
 {
-    caller_tell(s, now_us, &(CallerAnswer){.code = code,
-                                           .state = state,
-                                           .detail = detail});
+    caller_tell(
+        s, now_us,
+        &(CallerAnswer){.code = code, .state = state, .detail = detail});
 }
 
 /* Ends the open statement without an answer of a server: what is left of a
@@ -191,10 +191,10 @@
 {
     Connection *c = s->connection;
     StatementKind kind = s->job.kind;
-    SessionState state = s->state == kSessionInTransaction &&
-                                 kind != kStatementCommit
-                             ? kSessionFailed
-                             : kSessionIdle;
+    SessionState state =
+        s->state == kSessionInTransaction && kind != kStatementCommit
+            ? kSessionFailed
+            : kSessionIdle;
 
     if (c != NULL && c->awaiting) {
         connection_close(c);
@@ -361,7 +361,8 @@
         job->writes = st->kind == kStatementWrite;
         return TRUE;
     }
-    p = s->prepared == NULL ? NULL : g_hash_table_lookup(s->prepared, st->name);
+    p = s->prepared == NULL ? NULL
+                            : g_hash_table_lookup(s->prepared, st->name);
     if (p == NULL) {
         return FALSE;
     }
@@ -582,8 +583,8 @@
 answer_complete(Session *s, uint64_t now_us, const ServerAnswer *a)
 {
     Connection *c = s->connection;
-    gboolean ends = s->state == kSessionIdle ||
-                    s->job.kind == kStatementCommit;
+    gboolean ends =
+        s->state == kSessionIdle || s->job.kind == kStatementCommit;
     gboolean commits = ends && may_change_data(s);
     SessionState state = ends ? kSessionIdle : kSessionInTransaction;
     GatewayCounters *n = &s->gateway->counters;
@@ -643,8 +644,7 @@
         dispatch_retry(s, now_us, 0);
         return;
     }
-    answer.state =
-        in_transaction && !commit ? kSessionFailed : kSessionIdle;
+    answer.state = in_transaction && !commit ? kSessionFailed : kSessionIdle;
     s->connection = NULL;
     c->session = NULL;
     caller_tell(s, now_us, &answer);
@@ -737,7 +737,7 @@
     }
     s->gateway->counters.timeouts++;
     session_finish(s, now_us,
-                   ends_in_doubt(s)                     ? kCodeInDoubt
+                   ends_in_doubt(s)                    ? kCodeInDoubt
                    : s->state == kSessionInTransaction ? kCodeAborted
                                                        : kCodeTimeout,
                    "no answer within the time limit");
--- a/src/sapphireweir/gateway/team_rates.c
+++ b/src/sapphireweir/gateway/team_rates.c
@@ -12,13 +12,13 @@
     kMicro = 1000000,
     kMilli = 1000,
     kMicrosPerMilliToken = kMicroTokens / kMilli,
-    kAnswerUs = 80000,   /* a token request's answer, then fall back */
-    kStockForUs = 250000, /* demand that a request asks for */
-    kLowForUs = 80000,   /* demand below which the next request goes */
+    kAnswerUs = 80000,      /* a token request's answer, then fall back */
+    kStockForUs = 250000,   /* demand that a request asks for */
+    kLowForUs = 80000,      /* demand below which the next request goes */
     kStockKeptUs = 1500000, /* unused tokens are worth nothing after */
     kUnaskedParts = 2, /* unknown share: one part in so many x instances */
     kDemandEveryUs = 500000,
-    kDemandWeight = 2, /* of the old value in the smoothed demand */
+    kDemandWeight = 2,     /* of the old value in the smoothed demand */
     kShareCutPercent = 90, /* what others use meanwhile is not known */
 };
 
@@ -284,8 +284,8 @@
             continue;
         }
         uint64_t wanted = r->wanted * kMilli * kMicro / span_us;
-        r->demand_milli = (r->demand_milli * kDemandWeight + wanted) /
-                          (kDemandWeight + 1);
+        r->demand_milli =
+            (r->demand_milli * kDemandWeight + wanted) / (kDemandWeight + 1);
         sw__team_demand__init(&out[count]);
         out[count].team = r->team;
         out[count++].wanted_milli = wanted;
--- a/test/support/fleet_world.c
+++ b/test/support/fleet_world.c
@@ -70,16 +70,16 @@
     uint32_t index;
     uint32_t entry;
     Session *session;
-    char *value; /* that the session has set */
+    char *value;   /* that the session has set */
     uint32_t step; /* of the present try */
     uint32_t steps;
     gboolean transaction;
     gboolean writes;
     gboolean active;
     uint32_t tries;
-    uint64_t began_us;  /* the operation */
-    uint64_t read_us;   /* the present statement or transaction */
-    uint64_t write_id;  /* of the present try */
+    uint64_t began_us;   /* the operation */
+    uint64_t read_us;    /* the present statement or transaction */
+    uint64_t write_id;   /* of the present try */
     uint64_t own_number; /* log length that it must see */
     uint64_t own_term;
     CallerAnswer answer; /* codes and state only */
@@ -222,8 +222,7 @@
     if (passes && (r->to->term < r->term || log_length(r->to) < r->length)) {
         r->to->term = r->term;
         g_array_set_size(r->to->log, 0);
-        g_array_append_vals(r->to->log, r->from->log->data,
-                            (guint)r->length);
+        g_array_append_vals(r->to->log, r->from->log->data, (guint)r->length);
     }
     g_free(r);
 }
@@ -399,8 +398,7 @@
         g_hash_table_remove_all(l->values);
         return kCodeNone;
     case kCommandSet:
-        g_hash_table_replace(l->values, g_strdup(c->name),
-                             g_strdup(c->value));
+        g_hash_table_replace(l->values, g_strdup(c->name), g_strdup(c->value));
         return kCodeNone;
     case kCommandBegin:
         if (!m->primary) {
@@ -493,8 +491,7 @@
 
 static void *
 port_server_open(void *ctx, Connection *c, const char *address,
-                 const char *database, const char *team,
-                 const char *server_id)
+                 const char *database, const char *team, const char *server_id)
 {
     Entry *e = ctx;
     Link *l = g_new0(Link, 1);
@@ -506,8 +503,7 @@
     l->member = member_by_id(e->w, server_id);
     l->team = g_strdup(team);
     l->writes = g_array_new(FALSE, FALSE, sizeof(uint64_t));
-    l->values =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    l->values = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     l->member->connections++;
     g_ptr_array_add(e->w->links, l);
     later(e->w, kLinkUs + kHandshakeUs, link_opened, l);
@@ -527,8 +523,7 @@
     }
     for (size_t i = 0; i < count; i++) {
         Command *c = g_new0(Command, 1);
-        uint64_t cost_us =
-            commands[i].kind == kCommandStatement ? kWorkUs : 0;
+        uint64_t cost_us = commands[i].kind == kCommandStatement ? kWorkUs : 0;
         l->busy_until_us =
             MAX(l->busy_until_us, w->now_us + kLinkUs) + cost_us;
         *c = (Command){.link = l,
@@ -598,8 +593,8 @@
 letter_send(World *w, const char *from, const char *to, const Sw__Frame *f)
 {
     Letter *l = g_new(Letter, 1);
-    *l = (Letter){domain_of(from), domain_of(to), g_strdup(from),
-                  g_strdup(to), message_copy(f)};
+    *l = (Letter){domain_of(from), domain_of(to), g_strdup(from), g_strdup(to),
+                  message_copy(f)};
     later(w, kLinkUs, letter_arrive, l);
 }
 
@@ -882,9 +877,8 @@
 
     for (uint32_t i = 0; i < kWorldDomains; i++) {
         const Control *each = &w->controls[i];
-        g_ptr_array_add(members,
-                        consensus_member_new(each->id, each->disk, each->id,
-                                             "", TRUE));
+        g_ptr_array_add(members, consensus_member_new(each->id, each->disk,
+                                                      each->id, "", TRUE));
     }
     c->director = director_new(&config, &port);
     for (uint32_t i = 0; i < kWorldDomains; i++) {
@@ -951,8 +945,7 @@
     }
     if (c->transaction && c->step == 0) {
         c->read_us = w->now_us;
-        caller_statement(c,
-                         c->writes ? kStatementBegin : kStatementBeginRead,
+        caller_statement(c, c->writes ? kStatementBegin : kStatementBeginRead,
                          "BEGIN");
         return;
     }
@@ -985,9 +978,9 @@
 static gboolean
 is_promise(AnswerCode code)
 {
-    return code == kCodeBusy || code == kCodeAborted ||
-           code == kCodeLagging || code == kCodeReadOnly ||
-           code == kCodeMisrouted || code == kCodeTooMany;
+    return code == kCodeBusy || code == kCodeAborted || code == kCodeLagging ||
+           code == kCodeReadOnly || code == kCodeMisrouted ||
+           code == kCodeTooMany;
 }
 
 static void
@@ -1006,8 +999,8 @@
      * came after the commit. */
     w->report.fenced += !held && wr->rolled_back == 0;
     if (w->last_write_us != 0) {
-        w->report.longest_write_gap_us = MAX(
-            w->report.longest_write_gap_us, w->now_us - w->last_write_us);
+        w->report.longest_write_gap_us =
+            MAX(w->report.longest_write_gap_us, w->now_us - w->last_write_us);
     }
     w->last_write_us = w->now_us;
 }
@@ -1059,8 +1052,7 @@
         return;
     }
     if (c->answer.state == kSessionFailed && c->answer.code != kCodeNone &&
-        a->code == kCodeNone && a->tag == NULL &&
-        a->state == kSessionIdle) {
+        a->code == kCodeNone && a->tag == NULL && a->state == kSessionIdle) {
         c->answer = *a;
         return;
     }
@@ -1080,9 +1072,9 @@
 {
     AnswerCode code;
     c->entry = (c->entry + 1) % kWorldEntries;
-    c->session = session_open(w->entries[c->entry].gateway, w->now_us, c,
-                              kDatabaseNames[c->index % kWorldDatabases],
-                              kKey, &code);
+    c->session =
+        session_open(w->entries[c->entry].gateway, w->now_us, c,
+                     kDatabaseNames[c->index % kWorldDatabases], kKey, &code);
     w->report.no_auth += code == kCodeNoAuth;
     if (c->session != NULL) {
         /* Not active: the answer to SET is not an operation's. */
@@ -1151,8 +1143,7 @@
         r.slots = 3;
         for (uint32_t i = 0; i < kWorldDomains; i++) {
             Control *c = &w->controls[(i + m->sequence) % kWorldDomains];
-            if (c->director != NULL &&
-                reachable(w, c->index, m->domain)) {
+            if (c->director != NULL && reachable(w, c->index, m->domain)) {
                 director_report(c->director, w->now_us, &r);
                 director_flush(c->director, w->now_us);
                 break;
@@ -1169,12 +1160,10 @@
     const void *text = g_bytes_get_data(w->document, &size);
 
     if (w->acked_version < w->version) {
-        Control *c =
-            &w->controls[random_of(w) % kWorldDomains];
+        Control *c = &w->controls[random_of(w) % kWorldDomains];
         if (c->director != NULL) {
-            director_put(c->director, w->now_us,
-                         GSIZE_TO_POINTER(w->version), w->version, text,
-                         size);
+            director_put(c->director, w->now_us, GSIZE_TO_POINTER(w->version),
+                         w->version, text, size);
             director_flush(c->director, w->now_us);
         }
         later(w, 200 * kMs, operator_send, data);
@@ -1259,8 +1248,8 @@
     w->rand = g_rand_new_with_seed(seed);
     w->events = g_sequence_new(g_free);
     w->links = g_ptr_array_new();
-    w->writes = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
-                                      g_free);
+    w->writes =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
     w->lag_us = 60 * kMs;
     w->gap_us = 400 * kMs;
     for (uint32_t i = 0; i < kWorldDomains; i++) {
@@ -1331,8 +1320,8 @@
         for (uint64_t i = 0; i < log_length(p); i++) {
             held += log_entry(p, i)->write_id == wr->id;
         }
-        w->report.lost += wr->acked_us != 0 && held == 0 &&
-                          wr->rolled_back == 0;
+        w->report.lost +=
+            wr->acked_us != 0 && held == 0 && wr->rolled_back == 0;
         w->report.untrue += wr->promised && held > 0;
     }
     return &w->report;
@@ -1368,8 +1357,7 @@
     Control *c = &w->controls[index];
 
     g_free(c->disk);
-    c->disk = g_strdup_printf("disk-%u-%" G_GUINT64_FORMAT, index,
-                              ++c->wipes);
+    c->disk = g_strdup_printf("disk-%u-%" G_GUINT64_FORMAT, index, ++c->wipes);
     g_ptr_array_set_size(c->saved.entries, 0);
     g_clear_pointer(&c->saved.snapshot, g_bytes_unref);
     g_clear_pointer(&c->saved.voted_for, g_free);
--- a/test/support/fleet_world.h
+++ b/test/support/fleet_world.h
@@ -29,12 +29,12 @@
     uint64_t longest_write_gap_us; /* between two acknowledged writes */
     uint64_t replica_reads;
     /* Broken promises; all must be zero. */
-    uint64_t lost;    /* acknowledged, not rolled back, and gone */
-    uint64_t doubled; /* committed twice for one try */
-    uint64_t untrue;  /* said to be not kept, and committed */
-    uint64_t stale;   /* read a log that lacks what it must hold */
-    uint64_t fenced;  /* acknowledged by a primary that was replaced */
-    uint64_t foreign; /* ran for another team than the key's */
+    uint64_t lost;        /* acknowledged, not rolled back, and gone */
+    uint64_t doubled;     /* committed twice for one try */
+    uint64_t untrue;      /* said to be not kept, and committed */
+    uint64_t stale;       /* read a log that lacks what it must hold */
+    uint64_t fenced;      /* acknowledged by a primary that was replaced */
+    uint64_t foreign;     /* ran for another team than the key's */
     uint64_t wrong_state; /* a session's values were not the server's */
     uint64_t over_rate;   /* beyond a team's limit in some window */
 } WorldReport;
--- /dev/null
+++ b/test/unit/test_fleet_policy.c
@@ -0,0 +1,191 @@
+#include "fleet/directory.h"
+#include "fleet/rate_window.h"
+#include "fleet/share.h"
+#include "fleet/suspect.h"
+#include "suite.h"
+
+/* The control side's pure decisions. */
+
+enum { kMs = 1000 };
+
+static void
+a_primary_is_suspected_on_evidence(void)
+{
+    static const struct {
+        SuspectEvidence evidence[4];
+        size_t count;
+        SuspectVerdict verdict;
+    } cases[] = {
+        {{{0, 0}}, 0, kSuspectNone},
+        /* One alone cannot reach it while others can. */
+        {{{FALSE, 5000 * kMs}, {TRUE, 0}}, 2, kSuspectNone},
+        {{{FALSE, 400 * kMs}, {FALSE, 500 * kMs}}, 2, kSuspectDead},
+        {{{FALSE, 400 * kMs}, {FALSE, 100 * kMs}}, 2, kSuspectNone},
+        /* The only one that has work needs longer to be believed. */
+        {{{FALSE, 500 * kMs}}, 1, kSuspectNone},
+        {{{FALSE, 900 * kMs}}, 1, kSuspectDead},
+        /* Most cannot reach it. */
+        {{{FALSE, 900 * kMs}, {FALSE, 900 * kMs}, {TRUE, 0}},
+         3,
+         kSuspectPartitioned},
+        {{{FALSE, 900 * kMs}, {FALSE, 900 * kMs}, {TRUE, 0}, {TRUE, 0}},
+         4,
+         kSuspectNone},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        CU_ASSERT_EQUAL(suspect_judge(cases[i].evidence, cases[i].count),
+                        cases[i].verdict);
+    }
+}
+
+static void
+shares_never_exceed_the_whole(void)
+{
+    GRand *rand = g_rand_new_with_seed(3);
+
+    for (uint32_t run = 0; run < 500; run++) {
+        uint64_t demand[70];
+        uint32_t shares[70];
+        size_t count = (size_t)g_rand_int_range(rand, 1, 71);
+        uint64_t total = 0;
+        for (size_t i = 0; i < count; i++) {
+            demand[i] = (uint64_t)g_rand_int_range(rand, 0, 50000);
+        }
+        share_divide(demand, count, shares);
+        for (size_t i = 0; i < count; i++) {
+            total += shares[i];
+        }
+        CU_ASSERT(total <= kShareWhole);
+    }
+    g_rand_free(rand);
+}
+
+/* Naive twin: every token's time is kept. */
+static void
+a_window_never_gives_more_than_its_limit(void)
+{
+    enum { kTokens = 4000 };
+    GRand *rand = g_rand_new_with_seed(9);
+    static uint64_t taken_us[kTokens];
+    uint32_t count = 0;
+    uint64_t now_us = 1000000;
+    RateWindow w;
+
+    rate_window_init(&w, now_us, 5000 * kMs, 132, 0);
+    while (count < kTokens - 8) {
+        now_us += (uint64_t)g_rand_int_range(rand, 0, 60000);
+        uint32_t got = rate_window_take(
+            &w, now_us, (uint32_t)g_rand_int_range(rand, 1, 8));
+        for (uint32_t i = 0; i < got; i++) {
+            taken_us[count++] = now_us;
+        }
+        uint32_t within = 0;
+        for (uint32_t i = count; i > 0; i--) {
+            if (taken_us[i - 1] + 4900 * kMs < now_us) {
+                break;
+            }
+            within++;
+        }
+        CU_ASSERT(within <= 132);
+    }
+    g_rand_free(rand);
+}
+
+/* A team that keeps to rate and burst within every window is never refused;
+ * a bucket of the same rate would refuse a fifth of it. */
+static void
+a_team_within_its_limit_is_not_refused(void)
+{
+    RateWindow w;
+    uint32_t refused = 0;
+
+    rate_window_init(&w, 0, 5000 * kMs, 132, 0);
+    for (uint64_t now_us = 0; now_us < 60000000; now_us += 40000) {
+        refused += rate_window_take(&w, now_us, 1) == 0;
+    }
+    CU_ASSERT_EQUAL(refused, 0);
+}
+
+static void
+a_lowered_limit_does_not_starve(void)
+{
+    RateWindow w;
+    uint32_t got = 0;
+
+    rate_window_init(&w, 0, 5000 * kMs, 400, 0);
+    for (uint64_t now_us = 0; now_us < 5000000; now_us += 15000) {
+        rate_window_take(&w, now_us, 1);
+    }
+    rate_window_set(&w, 130);
+    for (uint64_t now_us = 5000000; now_us < 6000000; now_us += 40000) {
+        got += rate_window_take(&w, now_us, 1);
+    }
+    CU_ASSERT(got >= 20);
+    CU_ASSERT(rate_window_wait_us(&w, 6000000) <= 5000 * kMs);
+}
+
+static Sw__ServerRecord
+report(const char *id, int64_t born, uint64_t sequence, const char *address)
+{
+    Sw__ServerRecord r = SW__SERVER_RECORD__INIT;
+    r.id = (char *)id;
+    r.database = (char *)"orders";
+    r.address = (char *)address;
+    r.failure_domain = (char *)"a";
+    r.born_ms = born;
+    r.sequence = sequence;
+    return r;
+}
+
+static void
+late_reports_change_nothing(void)
+{
+    static const struct {
+        const char *id;
+        int64_t born;
+        uint64_t sequence;
+        const char *address;
+        gboolean gone;
+        gboolean taken;
+    } steps[] = {
+        {"i-1", 100, 5, "10.0.0.1:1", FALSE, TRUE},
+        {"i-1", 100, 4, "10.0.0.1:1", FALSE, FALSE}, /* late */
+        {"i-1", 100, 5, "10.0.0.1:1", FALSE, FALSE}, /* twice */
+        {"i-1", 200, 1, "10.0.0.1:1", FALSE, TRUE},  /* started again */
+        {"i-1", 100, 9, "10.0.0.1:1", FALSE, FALSE}, /* of the run before */
+        {"i-2", 300, 1, "10.0.0.1:1", FALSE, TRUE},  /* took the address */
+        {"i-3", 250, 1, "10.0.0.1:1", FALSE, FALSE}, /* had it before */
+        {"i-2", 300, 1, "10.0.0.1:1", TRUE, TRUE},
+        {"i-2", 300, 1, "10.0.0.1:1", TRUE, FALSE},
+    };
+    Directory d;
+
+    directory_init(&d);
+    for (size_t i = 0; i < G_N_ELEMENTS(steps); i++) {
+        Sw__ServerRecord r = report(steps[i].id, steps[i].born,
+                                    steps[i].sequence, steps[i].address);
+        r.gone = steps[i].gone;
+        CU_ASSERT_EQUAL(directory_report(&d, i, &r), steps[i].taken);
+    }
+    CU_ASSERT(directory_find(&d, "i-1")->gone);
+    CU_ASSERT(directory_find(&d, "i-2")->gone);
+    CU_ASSERT_PTR_NULL(directory_find(&d, "i-3"));
+    directory_clear(&d);
+}
+
+void
+add_fleet_policy_suite(void)
+{
+    CU_pSuite s = CU_add_suite("fleet policy", NULL, NULL);
+    CU_add_test(s, "a primary is suspected on evidence",
+                a_primary_is_suspected_on_evidence);
+    CU_add_test(s, "shares never exceed the whole",
+                shares_never_exceed_the_whole);
+    CU_add_test(s, "a window never gives more than its limit",
+                a_window_never_gives_more_than_its_limit);
+    CU_add_test(s, "a team within its limit is not refused",
+                a_team_within_its_limit_is_not_refused);
+    CU_add_test(s, "a lowered limit does not starve",
+                a_lowered_limit_does_not_starve);
+    CU_add_test(s, "late reports change nothing", late_reports_change_nothing);
+}
--- a/test/unit/test_fleet_world.c
+++ b/test/unit/test_fleet_world.c
@@ -184,8 +184,8 @@
                         "state %lu\n",
                         cases[i].name, seed, r->served, r->operations,
                         r->longest_write_gap_us / 1000, r->promotions,
-                        r->in_doubt, r->lost, r->doubled, r->untrue,
-                        r->stale, r->fenced, r->foreign, r->wrong_state);
+                        r->in_doubt, r->lost, r->doubled, r->untrue, r->stale,
+                        r->fenced, r->foreign, r->wrong_state);
             }
             CU_ASSERT(kept);
             CU_ASSERT(served);
--- /dev/null
+++ b/test/unit/test_platform.c
@@ -0,0 +1,212 @@
+#include <string.h>
+
+#include "platform/codec.h"
+#include "platform/wire.h"
+#include "suite.h"
+
+/* The platform's wire and bodies. */
+
+static void
+statements_are_recognised(void)
+{
+    static const struct {
+        const char *line;
+        WireKind kind;
+        StatementKind statement;
+        const char *name;
+    } cases[] = {
+        {"STARTUP lepu270 u3f1", kWireStartup, kStatementMalformed, ""},
+        {"TERMINATE", kWireTerminate, kStatementMalformed, ""},
+        {"GET / HTTP/1.1", kWireUnknown, kStatementMalformed, ""},
+        {"", kWireUnknown, kStatementMalformed, ""},
+        {"QUERY 1 BEGIN", kWireQuery, kStatementBegin, ""},
+        {"QUERY 1 BEGIN READ", kWireQuery, kStatementBeginRead, ""},
+        {"QUERY 1 BEGIN WORK", kWireQuery, kStatementMalformed, ""},
+        {"QUERY 1 COMMIT", kWireQuery, kStatementCommit, ""},
+        {"QUERY 1 ROLLBACK", kWireQuery, kStatementRollback, ""},
+        {"QUERY 1 READ 1a4", kWireQuery, kStatementRead, ""},
+        {"QUERY 1 READ", kWireQuery, kStatementMalformed, ""},
+        {"QUERY 1 WRITE 1a4 x y z", kWireQuery, kStatementWrite, ""},
+        {"QUERY 1 SET zone a b", kWireQuery, kStatementSet, "zone"},
+        {"QUERY 1 SET", kWireQuery, kStatementMalformed, ""},
+        {"QUERY 1 PREPARE s1 WRITE q2c", kWireQuery, kStatementPrepare, "s1"},
+        {"QUERY 1 PREPARE s1 BOTH q2c", kWireQuery, kStatementMalformed, "s1"},
+        {"QUERY 1 PREPARE s1 READ", kWireQuery, kStatementMalformed, "s1"},
+        {"QUERY 1 EXECUTE s1 1a4 data", kWireQuery, kStatementExecute, "s1"},
+        {"QUERY 1 DEALLOCATE s1", kWireQuery, kStatementDeallocate, "s1"},
+        {"QUERY 1 AFTER 3.4 READ 1", kWireQuery, kStatementMalformed, ""},
+        {"QUERY 1 STATUS", kWireQuery, kStatementMalformed, ""},
+        {"QUERY", kWireQuery, kStatementMalformed, ""},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        char *line = g_strdup(cases[i].line);
+        WireRequest r;
+        wire_parse_request(line, &r);
+        CU_ASSERT_EQUAL(r.kind, cases[i].kind);
+        CU_ASSERT_EQUAL(r.statement.kind, cases[i].statement);
+        CU_ASSERT_STRING_EQUAL(r.statement.name, cases[i].name);
+        g_free(line);
+    }
+}
+
+static void
+answers_are_gathered(void)
+{
+    static const struct {
+        const char *lines[4];
+        AnswerCode code;
+        const char *rows;
+        uint64_t number;
+    } cases[] = {
+        {{"ROW a b", "ROW c", "COMPLETE 7.1f", "READY I 3.1209"},
+         kCodeNone,
+         "ROW a b\r\nROW c\r\n",
+         1209},
+        {{"ERROR LAGGING i-1", "READY I 3.7", NULL, NULL},
+         kCodeLagging,
+         "",
+         7},
+        {{"ERROR NEWCODE x", "READY E -", NULL, NULL}, kCodeOther, "", 0},
+        /* Cut before its end: it may have run. */
+        {{"ROW a", "READY I 3.8", NULL, NULL}, kCodeFailed, "ROW a\r\n", 8},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        WireAnswer a;
+        gboolean whole = FALSE;
+        wire_answer_init(&a);
+        for (size_t k = 0; k < 4 && cases[i].lines[k] != NULL; k++) {
+            char *line = g_strdup(cases[i].lines[k]);
+            CU_ASSERT_FALSE(whole);
+            whole = wire_answer_line(&a, line);
+            g_free(line);
+        }
+        ServerAnswer got = wire_answer_get(&a);
+        CU_ASSERT(whole);
+        CU_ASSERT_EQUAL(got.code, cases[i].code);
+        CU_ASSERT_STRING_EQUAL(got.rows, cases[i].rows);
+        CU_ASSERT_EQUAL(got.position.number, cases[i].number);
+        wire_answer_clear(&a);
+    }
+}
+
+static void
+a_statement_goes_on_unchanged(void)
+{
+    struct evbuffer *out = evbuffer_new();
+    ServerCommand c = {.kind = kCommandStatement,
+                       .id = "5c0e",
+                       .text = "READ 1a4",
+                       .after = {3, 1207}};
+    static const char expected[] = "QUERY 5c0e AFTER 3.1207 READ 1a4\r\n";
+
+    wire_write_command(out, &c);
+    CU_ASSERT_EQUAL(evbuffer_get_length(out), strlen(expected));
+    CU_ASSERT_NSTRING_EQUAL(evbuffer_pullup(out, -1), expected,
+                            strlen(expected));
+    evbuffer_free(out);
+}
+
+#define SERVICES "\"services\":[{\"name\":\"s\",\"max-conns\":23}]"
+#define ROUTE(host, service, timeout)                                         \
+    "{\"name\":\"r\",\"host\":\"" host "\",\"path-prefix\":\"/\","            \
+    "\"kind\":\"primary\",\"timeout-ms\":" timeout                            \
+    ",\"target-latency-ms\":150,\"service\":\"" service "\"}"
+#define TENANT(name, key)                                                     \
+    "{\"name\":\"" name "\",\"api-keys\":[\"" key                             \
+    "\"],\"rate-per-s\":12,\"burst\":12}"
+
+static void
+configurations_are_checked_whole(void)
+{
+    static const struct {
+        const char *text;
+        gboolean valid;
+    } cases[] = {
+        {"{\"version\":7,\"routes\":[" ROUTE(
+             "h", "s", "800") "]," SERVICES
+                              ",\"tenants\":[" TENANT("t", "k") "]}",
+         TRUE},
+        {"{\"version\":7,\"routes\":[" ROUTE("h", "s", "800") "]," SERVICES,
+         FALSE},
+        {"{\"routes\":[]," SERVICES "}", FALSE},
+        {"{\"version\":\"7\",\"routes\":[]," SERVICES "}", FALSE},
+        {"{\"version\":7," SERVICES "}", FALSE},
+        {"{\"version\":7,\"routes\":[" ROUTE("h", "x", "800") "]," SERVICES
+                                                              "}",
+         FALSE},
+        {"{\"version\":7,\"routes\":[" ROUTE("h", "s", "0") "]," SERVICES "}",
+         FALSE},
+        {"{\"version\":7,\"routes\":[" ROUTE("h", "s", "\"a\"") "]," SERVICES
+                                                                "}",
+         FALSE},
+        {"{\"version\":7,\"routes\":[" ROUTE("h", "s", "8") "," ROUTE(
+             "h", "s", "9") "]," SERVICES "}",
+         FALSE},
+        {"{\"version\":7,\"routes\":[]," SERVICES
+         ",\"tenants\":[" TENANT("t", "k") "," TENANT("u", "k") "]}",
+         FALSE},
+        {"[]", FALSE},
+        {"", FALSE},
+        {"\xff\xfe", FALSE},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        GError *error = NULL;
+        Document *d =
+            codec_document(cases[i].text, strlen(cases[i].text), &error);
+        CU_ASSERT_EQUAL(d != NULL, cases[i].valid);
+        CU_ASSERT_EQUAL(error == NULL, cases[i].valid);
+        g_clear_error(&error);
+        document_unref(d);
+    }
+}
+
+static void
+odd_reports_name_no_server(void)
+{
+    static const struct {
+        const char *text;
+        gboolean whole;
+    } cases[] = {
+        {"{\"service\":\"s\",\"addr\":\"10.0.0.1:1\",\"zone\":\"a\","
+         "\"slots\":3,\"state\":\"ready\",\"db-role\":\"replica\","
+         "\"sequence\":4,\"born\":5}",
+         TRUE},
+        {"{\"service\":\"s\",\"addr\":\"10.0.0.1:1\",\"zone\":\"a\","
+         "\"slots\":3,\"state\":\"resting\",\"db-role\":\"replica\","
+         "\"sequence\":4}",
+         FALSE},
+        {"{\"service\":7,\"addr\":\"10.0.0.1:1\",\"zone\":\"a\",\"slots\":3,"
+         "\"state\":\"ready\",\"db-role\":\"replica\",\"sequence\":4}",
+         FALSE},
+        {"{\"service\":\"s\",\"addr\":\"10.0.0.1:1\",\"zone\":\"a\","
+         "\"slots\":3,\"state\":\"ready\",\"db-role\":\"replica\"}",
+         FALSE},
+        {"{\"service\":\"s\",\"addr\":\"10.0.0.1:1\",\"zone\":\"a\","
+         "\"slots\":3,\"state\":\"ready\",\"db-role\":\"replica\","
+         "\"sequence\":4,\"born\":\"x\"}",
+         FALSE},
+        {"null", FALSE},
+        {"", FALSE},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        Sw__ServerRecord *r =
+            codec_server_report("i-1", cases[i].text, strlen(cases[i].text));
+        CU_ASSERT_EQUAL(r != NULL, cases[i].whole);
+        if (r != NULL) {
+            sw__server_record__free_unpacked(r, NULL);
+        }
+    }
+}
+
+void
+add_platform_suite(void)
+{
+    CU_pSuite s = CU_add_suite("platform", NULL, NULL);
+    CU_add_test(s, "statements are recognised", statements_are_recognised);
+    CU_add_test(s, "answers are gathered", answers_are_gathered);
+    CU_add_test(s, "a statement goes on unchanged",
+                a_statement_goes_on_unchanged);
+    CU_add_test(s, "configurations are checked whole",
+                configurations_are_checked_whole);
+    CU_add_test(s, "odd reports name no server", odd_reports_name_no_server);
+}
