Write structured logs, test late claims and control instances behind

One JSON line for each decision about a request that was not served, for a sample of those that were, and for each change of what a process believes; a ring of 64 KiB, a budget for each event, dropped lines counted.

--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -10,7 +10,7 @@
 awk 'length > 79 { print FILENAME ":" FNR ": longer than 79"; bad = 1 }
      END { exit bad }' "${sources[@]}"
 cmake -S . -B "$build" >/dev/null
-mapfile -t units < <(git ls-files 'src/*.c' | grep -v 'pb-c')
+mapfile -t units < <(git ls-files 'src/*.c' 'platform/*.c' | grep -v 'pb-c')
 printf '%s\n' "${units[@]}" | xargs -P "$(nproc)" -n 4 \
     clang-tidy -p "$build" --quiet 2>/dev/null
 echo "lint: clean"
--- /dev/null
+++ b/src/sapphireweir/core/event_log.c
@@ -0,0 +1,244 @@
+#include "core/event_log.h"
+
+#include <stdio.h>
+#include <string.h>
+
+/* Structured log lines, one JSON object each.  Nothing here waits: lines go
+ * into a ring that the driver empties as far as the descriptor takes them. */
+
+enum { kMicrosPerSecond = 1000000 };
+
+/* Lines a second of each event, and one in how many is written.  Served
+ * requests are sampled, all others are kept within the budget of what a
+ * core of the smallest machine writes at 2 % of its time. */
+static const struct {
+    const char *name;
+    uint32_t budget;
+    uint32_t sample;
+} kEvents[kEventKinds] = {
+    [kEventStart] = {"start", 10, 1},
+    [kEventStop] = {"stop", 10, 1},
+    [kEventReload] = {"reload", 10, 1},
+    [kEventMessage] = {"message", 50, 1},
+    [kEventConfiguration] = {"configuration", 20, 1},
+    [kEventLeaseLost] = {"lease_lost", 10, 1},
+    [kEventLeaseRegained] = {"lease_regained", 10, 1},
+    [kEventPrimary] = {"primary", 50, 1},
+    [kEventPrimaryClosing] = {"primary_closing", 50, 1},
+    [kEventCutOff] = {"cut_off", 10, 1},
+    [kEventCutHealed] = {"cut_healed", 10, 1},
+    [kEventRequest] = {"request", 40, 1},
+    [kEventAnswered] = {"answered", 2, 200},
+    [kEventLeads] = {"leads", 10, 1},
+    [kEventFollows] = {"follows", 10, 1},
+    [kEventChange] = {"change", 100, 1},
+    [kEventMember] = {"member", 20, 1},
+    [kEventDocument] = {"document", 20, 1},
+    [kEventDropped] = {"dropped", 20, 1},
+};
+
+/* Makes an empty log; wall_offset_us is the time of day minus now. */
+void
+event_log_init(EventLog *log, const char *program, const char *instance,
+               int64_t wall_offset_us)
+{
+    memset(log, 0, sizeof(*log));
+    g_strlcpy(log->program, program, sizeof(log->program));
+    g_strlcpy(log->instance, instance, sizeof(log->instance));
+    log->wall_offset_us = wall_offset_us;
+}
+
+/* Returns an event's name as it stands in the log. */
+const char *
+event_name(EventKind kind)
+{
+    return kEvents[kind].name;
+}
+
+static gboolean
+within_budget(EventLog *log, uint64_t now_us, EventKind kind)
+{
+    uint64_t second = now_us / kMicrosPerSecond;
+
+    if (log->seen[kind]++ % kEvents[kind].sample != 0) {
+        return FALSE;
+    }
+    if (second != log->second) {
+        log->second = second;
+        memset(log->spent, 0, sizeof(log->spent));
+    }
+    if (log->spent[kind]++ < kEvents[kind].budget) {
+        return TRUE;
+    }
+    log->dropped[kind]++;
+    log->dropped_total++;
+    return FALSE;
+}
+
+static void
+put(EventLine *line, const char *text, size_t bytes)
+{
+    /* Room for the closing brace and line feed stays free. */
+    if (line->used + bytes + 2 <= sizeof(line->text)) {
+        memcpy(line->text + line->used, text, bytes);
+        line->used += bytes;
+    }
+}
+
+static void
+put_quoted(EventLine *line, const char *text)
+{
+    char escaped[8];
+
+    put(line, "\"", 1);
+    for (; *text != '\0'; text++) {
+        guchar c = (guchar)*text;
+        if (c == '"' || c == '\\') {
+            escaped[0] = '\\';
+            escaped[1] = (char)c;
+            put(line, escaped, 2);
+        }
+        else if (c < ' ' || c >= 0x7f) {
+            put(line, escaped,
+                (size_t)g_snprintf(escaped, sizeof(escaped), "\\u%04x", c));
+        }
+        else {
+            put(line, text, 1);
+        }
+    }
+    put(line, "\"", 1);
+}
+
+/* Begins a line; log may be NULL. */
+void
+event_begin(EventLine *line, EventLog *log, uint64_t now_us, EventKind kind)
+{
+    line->log = log;
+    line->kind = kind;
+    line->used = 0;
+    if (log == NULL) {
+        return;
+    }
+    if (!within_budget(log, now_us, kind)) {
+        line->log = NULL;
+        return;
+    }
+    put(line, "{\"event\":", strlen("{\"event\":"));
+    put_quoted(line, kEvents[kind].name);
+    event_text(line, "program", log->program);
+    event_text(line, "instance", log->instance);
+    event_number(line, "time_us",
+                 (uint64_t)((int64_t)now_us + log->wall_offset_us));
+    event_number(line, "line", ++log->lines);
+}
+
+static void
+put_name(EventLine *line, const char *name)
+{
+    put(line, ",", 1);
+    put_quoted(line, name);
+    put(line, ":", 1);
+}
+
+/* Adds a text; NULL counts as empty.  A field that does not fit whole is
+ * left out. */
+void
+event_text(EventLine *line, const char *name, const char *value)
+{
+    const char *text = value == NULL ? "" : value;
+    /* The worst case: every byte becomes a \u escape. */
+    size_t worst = strlen(name) + 6 * strlen(text) + 6;
+
+    if (line->log == NULL || line->used + worst + 2 > sizeof(line->text)) {
+        return;
+    }
+    put_name(line, name);
+    put_quoted(line, text);
+}
+
+/* Adds a number. */
+void
+event_number(EventLine *line, const char *name, uint64_t value)
+{
+    char text[24];
+    int bytes =
+        g_snprintf(text, sizeof(text), "%" G_GUINT64_FORMAT, value);
+
+    if (line->log == NULL || line->used + strlen(name) + (size_t)bytes + 6 >
+                                 sizeof(line->text)) {
+        return;
+    }
+    put_name(line, name);
+    put(line, text, (size_t)bytes);
+}
+
+static gboolean
+ring_add(EventLog *log, const char *text, size_t bytes)
+{
+    if (log->used + bytes > sizeof(log->ring)) {
+        return FALSE;
+    }
+    for (size_t done = 0; done < bytes;) {
+        size_t at = (log->start + log->used) % sizeof(log->ring);
+        size_t part = MIN(bytes - done, sizeof(log->ring) - at);
+        memcpy(log->ring + at, text + done, part);
+        log->used += part;
+        done += part;
+    }
+    return TRUE;
+}
+
+/* Tells which lines were left out, as soon as there is room to. */
+static void
+tell_dropped(EventLog *log)
+{
+    for (int k = 0; k < kEventKinds; k++) {
+        char text[160];
+        if (log->dropped[k] == 0) {
+            continue;
+        }
+        int bytes = g_snprintf(
+            text, sizeof(text),
+            "{\"event\":\"dropped\",\"instance\":\"%s\",\"of\":\"%s\","
+            "\"count\":%" G_GUINT64_FORMAT "}\n",
+            log->instance, kEvents[k].name, log->dropped[k]);
+        if (!ring_add(log, text, (size_t)bytes)) {
+            return;
+        }
+        log->dropped[k] = 0;
+    }
+}
+
+/* Ends a line and puts it into the ring. */
+void
+event_end(EventLine *line)
+{
+    EventLog *log = line->log;
+
+    if (log == NULL) {
+        return;
+    }
+    tell_dropped(log);
+    line->text[line->used++] = '}';
+    line->text[line->used++] = '\n';
+    if (!ring_add(log, line->text, line->used)) {
+        log->dropped[line->kind]++;
+        log->dropped_total++;
+    }
+}
+
+/* Returns the bytes that can be written next. */
+size_t
+event_log_peek(const EventLog *log, const char **data)
+{
+    *data = log->ring + log->start;
+    return MIN(log->used, sizeof(log->ring) - log->start);
+}
+
+/* Removes bytes that were written. */
+void
+event_log_drop(EventLog *log, size_t bytes)
+{
+    log->start = (log->start + bytes) % sizeof(log->ring);
+    log->used -= bytes;
+}
--- a/src/sapphireweir/fleet/director.c
+++ b/src/sapphireweir/fleet/director.c
@@ -74,6 +74,7 @@
     const uint8_t *data = g_bytes_get_data(command, &size);
     Sw__FleetCommand *m = sw__fleet_command__unpack(NULL, size, data);
     uint64_t before = d->document_version;
+    EventLine line;
 
     if (m == NULL) {
         g_critical("log entry %" G_GUINT64_FORMAT " cannot be read", index);
@@ -90,6 +91,10 @@
     if (director_leads(d)) {
         if (d->document_version != before) {
             entries_push_document(d, now_us);
+            event_begin(&line, d->config.events, now_us, kEventDocument);
+            event_number(&line, "version", d->document_version);
+            event_number(&line, "index", index);
+            event_end(&line);
         }
         entries_push(d, now_us);
     }
@@ -448,6 +453,7 @@
 leadership_follow(Director *d, uint64_t now_us)
 {
     gboolean leads = director_leads(d);
+    EventLine line;
 
     if (consensus_leader(d->consensus) != NULL) {
         d->leader_heard_us = now_us;
@@ -459,9 +465,12 @@
     g_hash_table_remove_all(d->changes);
     g_hash_table_remove_all(d->shares);
     g_hash_table_remove_all(d->windows);
-    g_message("%s in term %" G_GUINT64_FORMAT,
-              leads ? "leads" : "no longer leads",
-              consensus_term(d->consensus));
+    event_begin(&line, d->config.events, now_us,
+                leads ? kEventLeads : kEventFollows);
+    event_number(&line, "term", consensus_term(d->consensus));
+    event_number(&line, "version", d->document_version);
+    event_number(&line, "index", consensus_commit_index(d->consensus));
+    event_end(&line);
 }
 
 /* Lets time pass; call it every few milliseconds. */
--- a/src/sapphireweir/fleet/director.h
+++ b/src/sapphireweir/fleet/director.h
@@ -2,6 +2,7 @@
 #define SAPPHIREWEIR_FLEET_DIRECTOR_H
 
 #include "core/consensus.h"
+#include "core/event_log.h"
 #include "fleet/directory.h"
 #include "fleet/document.h"
 
@@ -47,7 +48,8 @@
     uint64_t rate_window_us; /* that a team's rate and burst are stated for */
     /* Turns the operator's text into a document, NULL when it is invalid. */
     Document *(*decode)(const uint8_t *text, size_t bytes);
-    uint32_t losses; /* control instances that may be lost at once */
+    EventLog *events; /* NULL: nothing is logged */
+    uint32_t losses;  /* control instances that may be lost at once */
 } DirectorConfig;
 
 Director *director_new(const DirectorConfig *config, const DirectorPort *port);
--- a/src/sapphireweir/fleet/director_members.c
+++ b/src/sapphireweir/fleet/director_members.c
@@ -54,6 +54,19 @@
     g_ptr_array_unref(list);
 }
 
+static void
+log_member(const Director *d, uint64_t now_us, const char *id,
+           const char *what)
+{
+    EventLine line;
+
+    event_begin(&line, d->config.events, now_us, kEventMember);
+    event_text(&line, "member", id);
+    event_text(&line, "what", what);
+    event_number(&line, "voters", consensus_voter_count(d->consensus));
+    event_end(&line);
+}
+
 static const ConsensusMember *
 member_by_id(const Director *d, const char *id)
 {
@@ -85,18 +98,18 @@
         return;
     }
     if (present != NULL) {
-        g_message("control instance %s lost its disk, is removed", from);
+        log_member(d, now_us, from, "lost its disk, is removed");
         ok = consensus_member_remove(d->consensus, now_us, from, &error);
     }
     else {
-        g_message("control instance %s joins", from);
+        log_member(d, now_us, from, "joins");
         ConsensusMember *member = consensus_member_new(
             from, m->disk, from, m->failure_domain, FALSE);
         ok = consensus_member_add(d->consensus, now_us, member, &error);
         consensus_member_free(member);
     }
     if (!ok) {
-        g_message("not now: %s", error->message);
+        log_member(d, now_us, from, error->message);
         g_error_free(error);
     }
 }
@@ -119,9 +132,9 @@
         if (m->voter && consensus_voter_count(d->consensus) <= wanted) {
             continue;
         }
-        g_message("control instance %s is silent, is removed", m->id);
+        log_member(d, now_us, m->id, "is silent, is removed");
         if (!consensus_member_remove(d->consensus, now_us, m->id, &error)) {
-            g_message("not now: %s", error->message);
+            log_member(d, now_us, d->id, error->message);
             g_error_free(error);
         }
         return;
--- a/src/sapphireweir/fleet/handover.c
+++ b/src/sapphireweir/fleet/handover.c
@@ -62,6 +62,24 @@
     g_hash_table_remove(d->changes, database);
 }
 
+/* Writes a line on a change; the time since it began is part of it. */
+static void
+log_change(const Director *d, uint64_t now_us, const PrimaryChange *h,
+           const char *what, const char *server)
+{
+    EventLine line;
+
+    event_begin(&line, d->config.events, now_us, kEventChange);
+    event_text(&line, "database", h->database);
+    event_text(&line, "what", what);
+    event_text(&line, "server", server);
+    event_number(&line, "epoch", h->epoch);
+    event_number(&line, "planned", h->planned);
+    event_number(&line, "since_us", now_us - h->started_us);
+    event_number(&line, "answered", g_hash_table_size(h->candidates));
+    event_end(&line);
+}
+
 static void
 phase_set(PrimaryChange *h, uint64_t now_us, ChangePhase phase)
 {
@@ -116,9 +134,7 @@
     if (h->settling_us != 0 && now_us - h->settling_us < kSettleAgainUs) {
         return;
     }
-    g_message("database %s: %s leads, %" G_GUINT64_FORMAT
-              " ms after the change began",
-              h->database, h->target, (now_us - h->started_us) / 1000);
+    log_change(d, now_us, h, "settled", h->target);
     PrimaryState next = {.database = h->database,
                          .primary = h->target,
                          .epoch = h->epoch + 1,
@@ -218,6 +234,7 @@
     phase_set(h, now_us, p->changing ? kChangeClosing : kChangeProbing);
     h->intent_proposed = p->changing;
     g_hash_table_insert(d->changes, h->database, h);
+    log_change(d, now_us, h, why, p->primary);
     ask_replicas(d, now_us, h);
 }
 
@@ -359,6 +376,7 @@
     const PrimaryState *p = director_primary(d, h->database);
 
     phase_set(h, now_us, kChangeClosing);
+    log_change(d, now_us, h, "rights withdrawn", p->primary);
     if (!h->intent_proposed) {
         PrimaryState changing = *p;
         changing.changing = TRUE;
@@ -395,7 +413,7 @@
 
     if (may_stay && h->primary_alive_us != 0 &&
         judge(d, now_us, p) == kSuspectNone) {
-        g_message("database %s: %s answers again", h->database, p->primary);
+        log_change(d, now_us, h, "answers again", p->primary);
         return FALSE;
     }
     if (!may_stay &&
@@ -409,8 +427,7 @@
         return TRUE;
     }
     if (!may_stay && age_us > kProbeGiveUpUs) {
-        g_message("database %s: no replica answers, the primary stays",
-                  h->database);
+        log_change(d, now_us, h, "no replica answers", p->primary);
         return FALSE;
     }
     if (now_us - h->asked_us > kProbePatienceUs) {
@@ -435,7 +452,7 @@
     h->target = g_strdup(best);
     h->promote_us = now_us;
     phase_set(h, now_us, kChangePromoting);
-    g_message("database %s: promotes %s", h->database, best);
+    log_change(d, now_us, h, "promotion asked for", best);
     d->port.promote(d->port.ctx, h->database, best,
                     consensus_term(d->consensus));
 }
@@ -537,8 +554,7 @@
         g_strcmp0(server, h->target) != 0 || status == kStatusOk) {
         return;
     }
-    g_message("database %s: promotion of %s was answered with %u", database,
-              server, status);
+    log_change(d, now_us, h, "promotion refused or not answered", server);
     if (status == kStatusConflict) {
         g_free(h->refused);
         h->refused = g_strdup(server);
--- a/src/sapphireweir/gateway/connection.c
+++ b/src/sapphireweir/gateway/connection.c
@@ -252,6 +252,7 @@
     c->served++;
     s->connection = c;
     job->sent = TRUE;
+    job->server = c->server;
     job->opening = NULL;
     bring_values(c, s, &script);
     if (begins) {
--- a/src/sapphireweir/gateway/gateway.c
+++ b/src/sapphireweir/gateway/gateway.c
@@ -60,6 +60,7 @@
     g->failure_domain = g_strdup(config->failure_domain);
     g->incarnation = config->incarnation;
     g->decode = config->decode;
+    g->events = config->events;
     g->port = *port;
     g->databases =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, database_free);
@@ -101,6 +102,13 @@
     return &g->counters;
 }
 
+/* Returns the version of the configuration in force, zero for none. */
+uint64_t
+gateway_version(const Gateway *g)
+{
+    return g->document == NULL ? 0 : g->document->version;
+}
+
 /* Returns a database, made when it is new. */
 Database *
 gateway_database(Gateway *g, const char *name)
@@ -249,8 +257,10 @@
 /* ---- configuration ---- */
 
 static void
-on_document(Gateway *g, const Sw__DocumentUpdate *m)
+on_document(Gateway *g, uint64_t now_us, const Sw__DocumentUpdate *m)
 {
+    EventLine line;
+
     if (g->document != NULL && m->version <= g->document->version) {
         return;
     }
@@ -263,6 +273,10 @@
     }
     document_unref(g->document);
     g->document = d;
+    event_begin(&line, g->events, now_us, kEventConfiguration);
+    event_number(&line, "version", d->version);
+    event_number(&line, "routes", g_hash_table_size(d->routes));
+    event_end(&line);
 }
 
 /* ---- rights to primaries ---- */
@@ -298,6 +312,22 @@
     }
 }
 
+/* Tells what this instance believes of a database's primary. */
+static void
+log_primary(const Database *d, uint64_t now_us, EventKind kind)
+{
+    const Gateway *g = d->gateway;
+    EventLine line;
+
+    event_begin(&line, g->events, now_us, kind);
+    event_text(&line, "database", d->name);
+    event_text(&line, "primary", d->primary);
+    event_number(&line, "epoch", d->epoch);
+    event_number(&line, "grant_term", g->grant_term);
+    event_number(&line, "grant_revision", g->grant_revision);
+    event_end(&line);
+}
+
 static void
 grant_apply(Gateway *g, uint64_t now_us, const Sw__PrimaryGrant *m)
 {
@@ -315,6 +345,7 @@
         d->closing = FALSE;
         d->closed_us = 0;
         forget_failures(g, m->primary);
+        log_primary(d, now_us, kEventPrimary);
     }
     if (m->quiescing != d->quiescing) {
         d->quiescing = m->quiescing;
@@ -323,6 +354,7 @@
     if (m->closing && !d->closing) {
         d->closing = TRUE;
         d->closed_us = now_us;
+        log_primary(d, now_us, kEventPrimaryClosing);
         primary_release(d, now_us);
         g->report_due_us = now_us;
     }
@@ -439,7 +471,7 @@
         team_rates_reply(g, now_us, frame->request_id, frame->token_reply);
         break;
     case SW__FRAME__BODY_DOCUMENT_UPDATE:
-        on_document(g, frame->document_update);
+        on_document(g, now_us, frame->document_update);
         break;
     default:
         break;
@@ -575,6 +607,18 @@
            now_us - g->foreign_answer_us > kForeignLostUs;
 }
 
+static void
+log_lease(const Gateway *g, uint64_t now_us, EventKind kind)
+{
+    EventLine line;
+
+    event_begin(&line, g->events, now_us, kind);
+    event_text(&line, "leader", g->leader);
+    event_number(&line, "granted_sequence", g->granted_sequence);
+    event_number(&line, "sequence", g->sequence);
+    event_end(&line);
+}
+
 static void
 lease_watch(Gateway *g, uint64_t now_us)
 {
@@ -584,6 +628,10 @@
     if (now_us + kLeaseGuardUs < g->lease_until_us) {
         return;
     }
+    if (g->leased) {
+        g->leased = FALSE;
+        log_lease(g, now_us, kEventLeaseLost);
+    }
     g_hash_table_iter_init(&it, g->databases);
     while (g_hash_table_iter_next(&it, NULL, &value)) {
         Database *d = value;
@@ -603,6 +651,10 @@
     if (now_us + kLeaseGuardUs >= g->lease_until_us) {
         return;
     }
+    if (!g->leased) {
+        g->leased = TRUE;
+        log_lease(g, now_us, kEventLeaseRegained);
+    }
     g_hash_table_iter_init(&it, g->databases);
     while (g_hash_table_iter_next(&it, NULL, &value)) {
         Database *d = value;
@@ -631,6 +683,24 @@
     }
 }
 
+static void
+cut_watch(Gateway *g, uint64_t now_us)
+{
+    gboolean cut = is_cut_off(g, now_us);
+    EventLine line;
+
+    if (cut == (g->cut_since_us != 0)) {
+        return;
+    }
+    g->cut_since_us = cut ? now_us : 0;
+    event_begin(&line, g->events, now_us,
+                cut ? kEventCutOff : kEventCutHealed);
+    event_number(&line, "foreign_answer_ago_us",
+                 now_us - g->foreign_answer_us);
+    event_number(&line, "controls", g_hash_table_size(g->controls));
+    event_end(&line);
+}
+
 /* Lets time pass; call it every few tens of milliseconds. */
 void
 gateway_tick(Gateway *g, uint64_t now_us)
@@ -650,12 +720,7 @@
         g->report_due_us = now_us + kReportEveryUs;
         gateway_report(g, now_us);
     }
-    if (!is_cut_off(g, now_us)) {
-        g->cut_since_us = 0;
-    }
-    else if (g->cut_since_us == 0) {
-        g->cut_since_us = now_us;
-    }
+    cut_watch(g, now_us);
 }
 
 /* Answers the balancer's probe: whether callers should be sent here. */
--- a/src/sapphireweir/gateway/gateway.h
+++ b/src/sapphireweir/gateway/gateway.h
@@ -1,6 +1,7 @@
 #ifndef SAPPHIREWEIR_GATEWAY_GATEWAY_H
 #define SAPPHIREWEIR_GATEWAY_GATEWAY_H
 
+#include "core/event_log.h"
 #include "fleet/document.h"
 #include "gateway/gateway_defs.h"
 
@@ -14,6 +15,7 @@
 typedef struct {
     const char *failure_domain;
     uint64_t incarnation;
+    EventLog *events; /* NULL: nothing is logged */
     /* Turns the operator's text into a document, NULL when it is invalid. */
     Document *(*decode)(const uint8_t *text, size_t bytes);
 } GatewayConfig;
@@ -50,6 +52,7 @@
 gboolean gateway_probe(Gateway *g);
 void gateway_drain(Gateway *g, uint64_t now_us, uint64_t grace_us);
 gboolean gateway_drained(const Gateway *g, uint64_t now_us);
+uint64_t gateway_version(const Gateway *g);
 const GatewayCounters *gateway_counters(const Gateway *g);
 
 Session *session_open(Gateway *g, uint64_t now_us, void *caller,
--- a/src/sapphireweir/gateway/gateway_internal.h
+++ b/src/sapphireweir/gateway/gateway_internal.h
@@ -96,6 +96,7 @@
     gboolean writes;
     gboolean needs_primary;
     gboolean sent;
+    Server *server;   /* that it was sent to last */
     gboolean charged; /* a rate token was taken for it */
     uint64_t arrived_us;
     uint64_t due_us;
@@ -128,7 +129,8 @@
 
 struct Session {
     Gateway *gateway;
-    void *caller; /* NULL: the caller has gone */
+    uint64_t number; /* in the log */
+    void *caller;    /* NULL: the caller has gone */
     char *host;
     char *key;
     Document *document; /* that route and team belong to */
@@ -166,6 +168,8 @@
 struct Gateway {
     char *failure_domain;
     uint64_t incarnation;
+    EventLog *events;
+    uint64_t next_session;
     GatewayPort port;
     Document *(*decode)(const uint8_t *text, size_t bytes);
     Document *document;
@@ -183,7 +187,8 @@
     uint64_t grant_term;     /* of the newest word on primaries */
     uint64_t grant_revision; /* within that term */
     uint64_t lease_until_us;
-    char *leader; /* that granted it */
+    gboolean leased; /* as it was told last */
+    char *leader;    /* that granted it */
     uint64_t next_request;
     uint64_t started_us;
     uint64_t foreign_answer_us; /* a server of another domain answered */
--- a/src/sapphireweir/gateway/session.c
+++ b/src/sapphireweir/gateway/session.c
@@ -65,6 +65,7 @@
     }
     Session *s = g_new0(Session, 1);
     s->gateway = g;
+    s->number = ++g->next_session;
     s->caller = caller;
     s->host = g_strdup(host);
     s->key = g_strdup(key);
@@ -137,11 +138,84 @@
 
 /* ---- answers to the caller ---- */
 
+static const char *
+code_name(AnswerCode code)
+{
+    static const char *const names[] = {
+        [kCodeNone] = "done",
+        [kCodeBusy] = "busy",
+        [kCodeAborted] = "aborted",
+        [kCodeLagging] = "lagging",
+        [kCodeReadOnly] = "read_only",
+        [kCodeMisrouted] = "misrouted",
+        [kCodeTooMany] = "too_many",
+        [kCodeNoStatement] = "no_statement",
+        [kCodeFailed] = "failed",
+        [kCodeTimeout] = "timeout",
+        [kCodeInDoubt] = "in_doubt",
+        [kCodeMalformed] = "malformed",
+        [kCodeNoDatabase] = "no_database",
+        [kCodeNoAuth] = "no_auth",
+        [kCodeOther] = "other",
+    };
+    return names[code];
+}
+
+static uint64_t
+lease_left_us(const Gateway *g, uint64_t now_us)
+{
+    return g->lease_until_us > now_us ? g->lease_until_us - now_us : 0;
+}
+
+/* Writes the line of a request: what decided it and how old that was. */
+static void
+log_request(const Session *s, uint64_t now_us, const CallerAnswer *a)
+{
+    const Gateway *g = s->gateway;
+    const Job *job = &s->job;
+    const Database *d = s->database;
+    EventLine line;
+
+    if (a->code == kCodeNone && a->tag == NULL) {
+        return;
+    }
+    event_begin(&line, g->events, now_us,
+                a->code == kCodeNone ? kEventAnswered : kEventRequest);
+    event_text(&line, "request", job->id);
+    event_number(&line, "session", s->number);
+    event_text(&line, "outcome", code_name(a->code));
+    event_text(&line, "detail", a->detail);
+    event_text(&line, "database", d == NULL ? s->host : d->name);
+    event_text(&line, "team", session_team_name(s));
+    event_text(&line, "server", job->server == NULL ? "" : job->server->id);
+    event_number(&line, "sent", job->sent);
+    event_number(&line, "writes", job->writes);
+    event_number(&line, "needs_primary", job->needs_primary);
+    event_number(&line, "in_transaction", s->begun);
+    event_number(&line, "attempts", job->attempts);
+    event_number(&line, "lagging", job->lagging);
+    event_number(&line, "took_us",
+                 job->arrived_us == 0 ? 0 : now_us - job->arrived_us);
+    event_number(&line, "version",
+                 s->document == NULL ? 0 : s->document->version);
+    event_number(&line, "lease_left_us", lease_left_us(g, now_us));
+    if (d != NULL) {
+        event_text(&line, "primary", d->primary);
+        event_number(&line, "epoch", d->epoch);
+        event_number(&line, "closing", d->closing);
+        event_number(&line, "queue", d->waiting.length);
+        event_number(&line, "position_age_us",
+                     now_us - freshness_newest_us(&d->freshness));
+    }
+    event_end(&line);
+}
+
 static void
 caller_tell(Session *s, uint64_t now_us, const CallerAnswer *a)
 {
     Gateway *g = s->gateway;
 
+    log_request(s, now_us, a);
     dispatch_leave(s);
     team_rates_leave(s);
     job_clear(s);
@@ -210,11 +284,18 @@
 session_refuse(Session *s, uint64_t now_us, RefusalReason reason,
                uint64_t retry_after_us)
 {
-    char detail[64];
+    static const char *const reasons[kRefusalReasons] = {
+        [kRefusedOverRate] = "over its rate",
+        [kRefusedQueue] = "too much is waiting",
+        [kRefusedNoServer] = "no server can be used",
+        [kRefusedAttempts] = "every server turned it away",
+        [kRefusedDeadline] = "no connection came free",
+    };
+    char detail[96];
 
     s->gateway->counters.refusals[reason]++;
-    g_snprintf(detail, sizeof(detail), "not run, retry after %u ms",
-               (unsigned)(retry_after_us / kMicrosPerMilli));
+    g_snprintf(detail, sizeof(detail), "not run: %s, retry after %u ms",
+               reasons[reason], (unsigned)(retry_after_us / kMicrosPerMilli));
     if (s->job.charged && s->team != NULL) {
         team_rates_return(s->gateway, s->team);
     }
@@ -355,7 +436,6 @@
     Job *job = &s->job;
     Prepared *p;
 
-    job->id = g_strdup(st->id);
     if (st->kind != kStatementExecute) {
         job->text = g_strdup(st->text);
         job->writes = st->kind == kStatementWrite;
@@ -455,7 +535,7 @@
 {
     Gateway *g = s->gateway;
 
-    s->job = (Job){.open = TRUE, .kind = st->kind};
+    s->job = (Job){.open = TRUE, .kind = st->kind, .id = g_strdup(st->id)};
     g_queue_push_tail(&g->active, s);
     s->active_link = g->active.tail;
     if (s->state == kSessionFailed && st->kind == kStatementCommit) {
--- a/test/support/fleet_world.c
+++ b/test/support/fleet_world.c
@@ -19,6 +19,7 @@
     kRateSlack = 20,
     kStaleMs = 1500,
     kOldPrimaryUs = 1000000,
+    kConfigApplyMs = 3000,
     kStatementsMax = 64,
 };
 
@@ -76,6 +77,7 @@
     gboolean transaction;
     gboolean writes;
     gboolean active;
+    gboolean pending; /* an event will go on with the operation */
     uint32_t tries;
     uint64_t began_us;   /* the operation */
     uint64_t read_us;    /* the present statement or transaction */
@@ -129,6 +131,8 @@
     uint64_t gap_us;
     uint64_t version;
     uint64_t acked_version;
+    uint64_t acked_us;    /* when that was */
+    uint64_t old_version; /* acknowledged long ago */
     GBytes *document;
     uint32_t rate;
     uint32_t least_rate;
@@ -557,6 +561,19 @@
     Sw__Frame *frame;
 } Letter;
 
+/* A configuration that was acknowledged long ago must be in force. */
+static void
+check_version(World *w, const Entry *e)
+{
+    uint64_t version = gateway_version(e->gateway);
+
+    if (w->acked_version > w->old_version &&
+        w->now_us > w->acked_us + kConfigApplyMs * kMs) {
+        w->old_version = w->acked_version;
+    }
+    w->report.reverted += version != 0 && version < w->old_version;
+}
+
 static void
 letter_arrive(World *w, void *data)
 {
@@ -574,6 +591,7 @@
             if (strcmp(w->entries[i].id, l->to) == 0) {
                 gateway_frame(w->entries[i].gateway, w->now_us, l->from,
                               l->frame);
+                check_version(w, &w->entries[i]);
             }
         }
     }
@@ -707,9 +725,10 @@
     Control *c = ctx;
     (void)text;
     (void)bytes;
-    if (status == 200) {
-        c->w->acked_version =
-            MAX(c->w->acked_version, (uint64_t)GPOINTER_TO_SIZE(request));
+    uint64_t version = GPOINTER_TO_SIZE(request);
+    if (status == 200 && version > c->w->acked_version) {
+        c->w->acked_version = version;
+        c->w->acked_us = c->w->now_us;
     }
 }
 
@@ -753,7 +772,7 @@
 {
     Member *m = data;
     Member *p = primary_of(w, m->database);
-    if (m->up && p != m && reachable(w, m->domain, p->domain)) {
+    if (m->up && p != m && p->up && reachable(w, m->domain, p->domain)) {
         m->primary = FALSE;
         replicate_all(w, p);
         return;
@@ -931,6 +950,14 @@
     return wr;
 }
 
+/* Goes on with a caller's operation after a while. */
+static void
+go_on(Caller *c, uint64_t delay_us, EventRun run)
+{
+    c->pending = TRUE;
+    later(c->w, delay_us, run, c);
+}
+
 /* Sends the statement of the present step. */
 static void
 caller_step(World *w, void *data)
@@ -939,6 +966,7 @@
     char text[64];
     gboolean last = c->step + 1 == c->steps;
 
+    c->pending = FALSE;
     if (c->session == NULL) {
         operation_end(c, FALSE);
         return;
@@ -1013,9 +1041,10 @@
     AnswerCode code = c->answer.code;
     gboolean last = c->step + 1 == c->steps;
 
+    c->pending = FALSE;
     if (code == kCodeNone && !last) {
         c->step++;
-        later(w, c->transaction ? 20 * kMs : 0, caller_step, c);
+        go_on(c, c->transaction ? 20 * kMs : 0, caller_step);
         return;
     }
     if (code == kCodeNone) {
@@ -1031,12 +1060,12 @@
     }
     w->report.in_doubt += code == kCodeInDoubt;
     w->report.no_auth += code == kCodeNoAuth;
-    if (c->answer.state == kSessionFailed) {
+    if (c->answer.state == kSessionFailed && c->session != NULL) {
         /* Ends at once; a new try begins in a new transaction. */
         caller_statement(c, kStatementRollback, "ROLLBACK");
     }
     if (is_promise(code) && ++c->tries <= 2) {
-        later(w, 50 * kMs, caller_try, c);
+        go_on(c, 50 * kMs, caller_try);
         return;
     }
     operation_end(c, FALSE);
@@ -1045,9 +1074,9 @@
 static void
 port_caller_answer(void *ctx, void *caller, const CallerAnswer *a)
 {
-    Entry *e = ctx;
     Caller *c = caller;
 
+    (void)ctx;
     if (!c->active) {
         return;
     }
@@ -1057,7 +1086,7 @@
         return;
     }
     c->answer = *a;
-    later(e->w, 2 * kLinkUs, caller_answered, c);
+    go_on(c, 2 * kLinkUs, caller_answered);
 }
 
 static void
@@ -1379,31 +1408,74 @@
     return -1;
 }
 
-/* Crashes a database's primary or brings back what is down; a dark one
- * does not even refuse connections. */
+/* Replaces an entry instance's process by a new one that knows nothing. */
 void
-world_primary_power(World *w, uint32_t database, gboolean on, gboolean dark)
+world_entry_restart(World *w, uint32_t index)
 {
-    for (uint32_t i = 0; i < kWorldMembers; i++) {
-        Member *m = &w->members[database][i];
-        if (on) {
-            m->up = TRUE;
+    Entry *e = &w->entries[index];
+
+    for (uint32_t i = 0; i < kWorldCallers; i++) {
+        Caller *c = &w->callers[i];
+        if (c->session != NULL && c->entry == index) {
+            /* Its connection breaks; an open operation is not answered. */
+            session_close(c->session, w->now_us);
+            c->session = NULL;
+            if (c->active && !c->pending) {
+                operation_end(c, FALSE);
+            }
         }
     }
-    Member *p = primary_of(w, database);
-    p->up = on;
-    p->dark = dark;
-    if (on) {
-        return;
+    gateway_free(e->gateway);
+    g_free(e->id);
+    entry_start(w, index);
+}
+
+/* Returns which member leads a database. */
+int
+world_primary(const World *w, uint32_t database)
+{
+    int best = 0;
+    for (int i = 1; i < kWorldMembers; i++) {
+        const Member *m = &w->members[database][i];
+        const Member *b = &w->members[database][best];
+        if (m->primary && (!b->primary || m->term > b->term)) {
+            best = i;
+        }
     }
-    for (guint i = 0; i < w->links->len; i++) {
+    return best;
+}
+
+/* Crashes a member or brings it back. */
+void
+world_member_power(World *w, uint32_t database, uint32_t index, gboolean on,
+                   gboolean dark)
+{
+    Member *m = &w->members[database][index];
+
+    m->up = on;
+    m->dark = dark;
+    for (guint i = 0; !on && i < w->links->len; i++) {
         Link *l = g_ptr_array_index(w->links, i);
-        if (l->member == p && l->connection != NULL && !dark) {
+        if (l->member == m && l->connection != NULL && !dark) {
             connection_down(l->connection, w->now_us, kCodeTimeout);
         }
     }
 }
 
+/* Crashes a database's primary or brings back what is down; a dark one
+ * does not even refuse connections. */
+void
+world_primary_power(World *w, uint32_t database, gboolean on, gboolean dark)
+{
+    for (uint32_t i = 0; on && i < kWorldMembers; i++) {
+        world_member_power(w, database, i, TRUE, FALSE);
+    }
+    if (!on) {
+        world_member_power(w, database, (uint32_t)world_primary(w, database),
+                           FALSE, dark);
+    }
+}
+
 /* Lets a database's primary announce that it will leave. */
 void
 world_primary_drain(World *w, uint32_t database)
--- a/test/support/fleet_world.h
+++ b/test/support/fleet_world.h
@@ -36,7 +36,7 @@
     uint64_t fenced;      /* acknowledged by a primary that was replaced */
     uint64_t foreign;     /* ran for another team than the key's */
     uint64_t wrong_state; /* a session's values were not the server's */
-    uint64_t over_rate;   /* beyond a team's limit in some window */
+    uint64_t reverted;    /* configuration older than an old acknowledgement */
 } WorldReport;
 
 World *world_new(uint32_t seed);
@@ -52,6 +52,10 @@
 int world_control_leader(const World *w);
 void world_primary_power(World *w, uint32_t database, gboolean on,
                          gboolean dark);
+void world_entry_restart(World *w, uint32_t index);
+int world_primary(const World *w, uint32_t database);
+void world_member_power(World *w, uint32_t database, uint32_t index,
+                        gboolean on, gboolean dark);
 void world_primary_drain(World *w, uint32_t database);
 void world_replicas_lag(World *w, uint64_t lag_ms);
 void world_lose_answers(World *w, uint32_t percent);
--- a/test/unit/test_fleet_world.c
+++ b/test/unit/test_fleet_world.c
@@ -134,6 +134,61 @@
     world_run(w, 4000);
 }
 
+/* A primary that was replaced behind a partition still calls itself one
+ * when it is the only server left to choose. */
+static void
+old_primary_is_chosen_again(World *w)
+{
+    uint32_t old = (uint32_t)world_primary(w, 0);
+
+    world_run(w, 1000);
+    world_cut_domain(w, old, TRUE);
+    world_run(w, 4000);
+    uint32_t next = (uint32_t)world_primary(w, 0);
+    world_member_power(w, 0, 3 - old - next, FALSE, FALSE);
+    world_run(w, 300);
+    world_member_power(w, 0, next, FALSE, TRUE);
+    world_cut_domain(w, old, FALSE);
+    world_run(w, 6000);
+}
+
+/* A control instance misses changes, then everything starts again. */
+static void
+restart_with_one_behind(World *w)
+{
+    world_run(w, 500);
+    world_control_power(w, 2, FALSE);
+    world_configure(w, 900, TRUE);
+    world_run(w, 3500);
+    for (uint32_t i = 0; i < kWorldDomains; i++) {
+        world_control_power(w, i, FALSE);
+    }
+    for (uint32_t i = 0; i < kWorldEntries; i++) {
+        world_entry_restart(w, i);
+    }
+    for (uint32_t i = 0; i < kWorldDomains; i++) {
+        world_control_power(w, i, TRUE);
+    }
+    world_run(w, 5000);
+}
+
+/* The control leader cannot tell a cut-off instance to let go. */
+static void
+leader_and_primary_apart(World *w)
+{
+    world_run(w, 1500);
+    uint32_t primary = (uint32_t)world_primary(w, 1);
+    world_cut_domain(w, primary, TRUE);
+    world_run(w, 900);
+    int leader = world_control_leader(w);
+    world_control_power(w, (uint32_t)leader, FALSE);
+    world_run(w, 200);
+    world_control_power(w, (uint32_t)leader, TRUE);
+    world_run(w, 4000);
+    world_cut_domain(w, primary, FALSE);
+    world_run(w, 4000);
+}
+
 /* least_served: percent of operations, from the site's floors (44 % on the
  * worst day) raised where the fault leaves an alternative; most_gap_ms: the
  * users' 7 s for a change of primary, a tenth of it where none is due. */
@@ -160,6 +215,9 @@
         {"all control killed", all_control_killed, 80, 2500, 0, 0},
         {"replicas behind", replicas_behind, 90, 700, 0, 0},
         {"answers lost", answers_lost, 90, 1400, 0, 0},
+        {"old primary again", old_primary_is_chosen_again, 40, 7000, 2, 2},
+        {"one behind", restart_with_one_behind, 60, 7000, 0, 0},
+        {"leader apart", leader_and_primary_apart, 50, 7000, 1, 2},
         {"two changes", two_changes_in_a_row, 60, 7000, 2, 3},
     };
     for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
@@ -170,7 +228,7 @@
             gboolean kept = r->lost == 0 && r->doubled == 0 &&
                             r->untrue == 0 && r->stale == 0 &&
                             r->fenced == 0 && r->foreign == 0 &&
-                            r->wrong_state == 0;
+                            r->wrong_state == 0 && r->reverted == 0;
             gboolean served =
                 r->served * 100 >= r->operations * cases[i].least_served &&
                 r->longest_write_gap_us <=
@@ -181,11 +239,11 @@
                 g_print("\n%s, seed %u: %lu of %lu served, gap %lu ms, "
                         "%lu promotions, in doubt %lu; lost %lu doubled %lu "
                         "untrue %lu stale %lu fenced %lu foreign %lu "
-                        "state %lu\n",
+                        "state %lu reverted %lu\n",
                         cases[i].name, seed, r->served, r->operations,
                         r->longest_write_gap_us / 1000, r->promotions,
                         r->in_doubt, r->lost, r->doubled, r->untrue, r->stale,
-                        r->fenced, r->foreign, r->wrong_state);
+                        r->fenced, r->foreign, r->wrong_state, r->reverted);
             }
             CU_ASSERT(kept);
             CU_ASSERT(served);
