--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 BUILD ?= build
 SEED ?= 1
 
-.PHONY: all deps build run test unit functional lint format sanitize soak \
+.PHONY: all deps build run test unit platform functional lint format sanitize soak \
 	bench capacity fuzz clean
 
 all: build
@@ -16,11 +16,14 @@
 run: deps build
 	./scripts/demo.sh --build "$(abspath $(BUILD))"
 
-test: deps build unit functional
+test: deps build unit platform functional
 
 unit: build
 	./$(BUILD)/test/unit_tests
 
+platform: build
+	./$(BUILD)/test/platform_tests
+
 functional: build
 	./$(BUILD)/test/functional_tests
 
--- a/src/sapphireweir/core/event_log.c
+++ b/src/sapphireweir/core/event_log.c
@@ -161,11 +161,10 @@
 event_number(EventLine *line, const char *name, uint64_t value)
 {
     char text[24];
-    int bytes =
-        g_snprintf(text, sizeof(text), "%" G_GUINT64_FORMAT, value);
+    int bytes = g_snprintf(text, sizeof(text), "%" G_GUINT64_FORMAT, value);
 
-    if (line->log == NULL || line->used + strlen(name) + (size_t)bytes + 6 >
-                                 sizeof(line->text)) {
+    if (line->log == NULL ||
+        line->used + strlen(name) + (size_t)bytes + 6 > sizeof(line->text)) {
         return;
     }
     put_name(line, name);
--- a/src/sapphireweir/gateway/connection.c
+++ b/src/sapphireweir/gateway/connection.c
@@ -328,14 +328,17 @@
     dispatch_pump(c->server, now_us);
 }
 
-/* Notes that a server failed to answer or to take a connection. */
-void
-server_failed(Server *s, uint64_t now_us)
+/* Notes that a server failed.  One that could not be connected to is left
+ * alone for a while; one that broke a connection may well take others. */
+static void
+server_failed(Server *s, uint64_t now_us, gboolean opening)
 {
     if (s->failing_since_us == 0) {
         s->failing_since_us = now_us;
     }
-    s->avoid_until_us = now_us + kAvoidUs;
+    if (opening) {
+        s->avoid_until_us = now_us + kAvoidUs;
+    }
 }
 
 static void
@@ -420,7 +423,7 @@
         server->full_until_us = now_us + kFullUs;
     }
     else if (opening || c->awaiting) {
-        server_failed(server, now_us);
+        server_failed(server, now_us, opening);
     }
     connection_close(c);
     if (s != NULL) {
--- a/src/sapphireweir/gateway/dispatch.c
+++ b/src/sapphireweir/gateway/dispatch.c
@@ -214,6 +214,15 @@
     return MAX(since_us + kReplacementUs, now_us);
 }
 
+/* A failure that is not yet a silence: the next connection may be taken. */
+static gboolean
+failed_just_now(const Database *d, uint64_t now_us)
+{
+    const Server *primary = database_primary(d, now_us);
+    return primary != NULL && primary->failing_since_us != 0 &&
+           now_us - primary->failing_since_us < kSilentUs;
+}
+
 /* Decides about a statement for which no server can be used now: it waits
  * where a replacement is under way that should end in time. */
 static void
@@ -222,7 +231,8 @@
     const Database *d = s->database;
     uint64_t expected_us = primary_expected_us(d, now_us);
 
-    if ((d->quiescing && !d->closing) || expected_us < s->job.due_us) {
+    if ((d->quiescing && !d->closing) || failed_just_now(d, now_us) ||
+        expected_us < s->job.due_us) {
         wait_in_queue(s);
         return;
     }
--- a/src/sapphireweir/gateway/gateway_internal.h
+++ b/src/sapphireweir/gateway/gateway_internal.h
@@ -221,7 +221,6 @@
 void connection_free(void *connection);
 Connection *server_idle_connection(const Server *s, const char *team);
 Connection *server_oldest_idle(const Server *s, uint64_t now_us);
-void server_failed(Server *s, uint64_t now_us);
 
 /* session.c */
 void session_answer(Session *s, uint64_t now_us, const ServerAnswer *a);
--- a/test/support/fleet_world.c
+++ b/test/support/fleet_world.c
@@ -10,7 +10,6 @@
     kLinkUs = 1500,
     kHandshakeUs = 12000,
     kWorkUs = 9000,
-    kPromoteUs = 600000,
     kTickUs = 20000,
     kBeatUs = 400000,
     kTimeoutMs = 800,
@@ -127,6 +126,7 @@
     GArray *runs;       /* uint64_t: times at which operations began to run */
     gboolean cut[kWorldDomains];
     uint64_t lag_us;
+    uint64_t promote_us;
     uint32_t lose_percent;
     uint64_t gap_us;
     uint64_t version;
@@ -794,6 +794,7 @@
         }
         if (!held && wr != NULL) {
             wr->rolled_back++;
+            w->report.rolled_back += wr->acked_us != 0;
         }
     }
 }
@@ -825,7 +826,7 @@
     Question *q = g_new(Question, 1);
     (void)fence;
     *q = (Question){c, member_by_id(c->w, server)};
-    later(c->w, kPromoteUs, promotion_effect, q);
+    later(c->w, c->w->promote_us, promotion_effect, q);
     director_promoted(c->director, c->w->now_us, database, server, 200);
 }
 
@@ -1281,6 +1282,7 @@
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
     w->lag_us = 60 * kMs;
     w->gap_us = 400 * kMs;
+    w->promote_us = 600 * kMs;
     for (uint32_t i = 0; i < kWorldDomains; i++) {
         Control *c = &w->controls[i];
         c->w = w;
@@ -1497,6 +1499,13 @@
     w->lose_percent = lose_percent;
 }
 
+/* Sets how long a promotion takes to have its effect. */
+void
+world_promotions_take(World *w, uint64_t promote_ms)
+{
+    w->promote_us = promote_ms * kMs;
+}
+
 /* Sets the mean pause of a caller between operations. */
 void
 world_load(World *w, uint64_t gap_ms)
--- a/test/support/fleet_world.h
+++ b/test/support/fleet_world.h
@@ -28,6 +28,7 @@
     uint64_t promotions;
     uint64_t longest_write_gap_us; /* between two acknowledged writes */
     uint64_t replica_reads;
+    uint64_t rolled_back; /* acknowledged, and undone by a promotion */
     /* Broken promises; all must be zero. */
     uint64_t lost;        /* acknowledged, not rolled back, and gone */
     uint64_t doubled;     /* committed twice for one try */
@@ -59,6 +60,7 @@
 void world_primary_drain(World *w, uint32_t database);
 void world_replicas_lag(World *w, uint64_t lag_ms);
 void world_lose_answers(World *w, uint32_t percent);
+void world_promotions_take(World *w, uint64_t promote_ms);
 void world_load(World *w, uint64_t gap_ms);
 
 #endif
--- a/test/unit/test_fleet_world.c
+++ b/test/unit/test_fleet_world.c
@@ -189,6 +189,40 @@
     world_run(w, 4000);
 }
 
+/* Instances beside the old primary cannot be told to let go. */
+static void
+domain_cut_fast_promotion(World *w)
+{
+    world_promotions_take(w, 30);
+    world_load(w, 60);
+    domain_cut(w);
+}
+
+/* The leader dies between asking for a promotion and its effect, while the
+ * old primary serves on. */
+static void
+leader_lost_in_planned_change(World *w)
+{
+    world_promotions_take(w, 1500);
+    world_run(w, 1500);
+    world_primary_drain(w, 0);
+    world_run(w, 1100);
+    int leader = world_control_leader(w);
+    world_control_power(w, (uint32_t)leader, FALSE);
+    world_run(w, 6000);
+    world_control_power(w, (uint32_t)leader, TRUE);
+    world_run(w, 3000);
+}
+
+/* A planned change waits for a replica that is behind. */
+static void
+primary_leaves_replicas_late(World *w)
+{
+    world_replicas_lag(w, 250);
+    world_load(w, 60);
+    primary_leaves(w);
+}
+
 /* least_served: percent of operations, from the site's floors (44 % on the
  * worst day) raised where the fault leaves an alternative; most_gap_ms: the
  * users' 7 s for a change of primary, a tenth of it where none is due. */
@@ -202,23 +236,30 @@
         uint32_t most_gap_ms;
         uint32_t least_promotions;
         uint32_t most_promotions;
+        gboolean planned; /* nothing acknowledged may be undone */
     } cases[] = {
-        {"no fault", no_fault, 99, 700, 0, 0},
-        {"primary refuses", primary_refuses, 75, 7000, 1, 1},
-        {"primary dark", primary_dark, 75, 7000, 1, 1},
-        {"primary leaves", primary_leaves, 90, 7000, 1, 1},
-        {"domain cut", domain_cut, 50, 7000, 1, 2},
-        {"leader lost", control_leader_lost, 95, 1400, 0, 0},
+        {"no fault", no_fault, 99, 700, 0, 0, FALSE},
+        {"primary refuses", primary_refuses, 75, 7000, 1, 1, FALSE},
+        {"primary dark", primary_dark, 75, 7000, 1, 1, FALSE},
+        {"primary leaves", primary_leaves, 90, 7000, 1, 1, TRUE},
+        {"domain cut", domain_cut, 50, 7000, 1, 2, FALSE},
+        {"leader lost", control_leader_lost, 95, 1400, 0, 0, FALSE},
         {"leader and primary", control_leader_lost_with_primary, 60, 7000, 1,
-         1},
-        {"control disk lost", control_disk_lost, 95, 1400, 0, 0},
-        {"all control killed", all_control_killed, 80, 2500, 0, 0},
-        {"replicas behind", replicas_behind, 90, 700, 0, 0},
-        {"answers lost", answers_lost, 90, 1400, 0, 0},
-        {"old primary again", old_primary_is_chosen_again, 40, 7000, 2, 2},
-        {"one behind", restart_with_one_behind, 60, 7000, 0, 0},
-        {"leader apart", leader_and_primary_apart, 50, 7000, 1, 2},
-        {"two changes", two_changes_in_a_row, 60, 7000, 2, 3},
+         1, FALSE},
+        {"control disk lost", control_disk_lost, 95, 1400, 0, 0, FALSE},
+        {"all control killed", all_control_killed, 80, 2500, 0, 0, FALSE},
+        {"replicas behind", replicas_behind, 90, 700, 0, 0, FALSE},
+        {"answers lost", answers_lost, 90, 1400, 0, 0, FALSE},
+        {"old primary again", old_primary_is_chosen_again, 40, 7000, 2, 2,
+         FALSE},
+        {"one behind", restart_with_one_behind, 60, 7000, 0, 0, FALSE},
+        {"leader apart", leader_and_primary_apart, 50, 7000, 1, 2, FALSE},
+        {"cut, fast promotion", domain_cut_fast_promotion, 40, 7000, 1, 2,
+         FALSE},
+        {"leader lost in change", leader_lost_in_planned_change, 60, 7000, 1,
+         2, FALSE},
+        {"late replicas", primary_leaves_replicas_late, 80, 7000, 1, 1, TRUE},
+        {"two changes", two_changes_in_a_row, 60, 7000, 2, 3, FALSE},
     };
     for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
         for (uint32_t seed = 1; seed <= 4; seed++) {
@@ -228,7 +269,8 @@
             gboolean kept = r->lost == 0 && r->doubled == 0 &&
                             r->untrue == 0 && r->stale == 0 &&
                             r->fenced == 0 && r->foreign == 0 &&
-                            r->wrong_state == 0 && r->reverted == 0;
+                            r->wrong_state == 0 && r->reverted == 0 &&
+                            (r->rolled_back == 0 || !cases[i].planned);
             gboolean served =
                 r->served * 100 >= r->operations * cases[i].least_served &&
                 r->longest_write_gap_us <=
@@ -239,11 +281,12 @@
                 g_print("\n%s, seed %u: %lu of %lu served, gap %lu ms, "
                         "%lu promotions, in doubt %lu; lost %lu doubled %lu "
                         "untrue %lu stale %lu fenced %lu foreign %lu "
-                        "state %lu reverted %lu\n",
+                        "state %lu reverted %lu rolled back %lu\n",
                         cases[i].name, seed, r->served, r->operations,
                         r->longest_write_gap_us / 1000, r->promotions,
                         r->in_doubt, r->lost, r->doubled, r->untrue, r->stale,
-                        r->fenced, r->foreign, r->wrong_state, r->reverted);
+                        r->fenced, r->foreign, r->wrong_state, r->reverted,
+                        r->rolled_back);
             }
             CU_ASSERT(kept);
             CU_ASSERT(served);
