Announce a new leader's whole state at once

Cause: a new control leader pushed every log entry that it applied, so that an older entry could name a primary which a later one takes away; and after a loss of power entry instances waited up to 250 ms for their next report before they got a lease, and the first election 300 to 550 ms. Change: nothing is pushed before an entry of the own term is applied; then documents go out and leases are granted from the last reports heard; the first election after a start begins after 100 to 200 ms.

--- a/src/sapphireweir/core/consensus.c
+++ b/src/sapphireweir/core/consensus.c
@@ -14,6 +14,7 @@
     kAppendEntriesMax = 256,
     kAppendBytesMax = 1 << 20,
     kSnapshotResendUs = 2000000,
+    kFirstElectionParts = 3, /* of the least election timeout */
 };
 
 static void
@@ -926,6 +927,10 @@
             c, now_us,
             consensus_entry_new(1, 0, consensus_members_entry(bootstrap)));
     }
-    election_reset(c, now_us);
+    /* After a start of all instances nobody leads; where somebody does, the
+     * votes before the election refuse. */
+    uint64_t least_us = c->timing.election_min_us / kFirstElectionParts;
+    c->election_due_us =
+        now_us + least_us + c->port.random(c->port.ctx) % (least_us + 1);
     return TRUE;
 }
--- a/src/sapphireweir/fleet/director.c
+++ b/src/sapphireweir/fleet/director.c
@@ -88,7 +88,7 @@
     }
     sw__fleet_command__free_unpacked(m, NULL);
     requests_applied(d, index, term);
-    if (director_leads(d)) {
+    if (director_leads(d) && consensus_is_current(d->consensus)) {
         if (d->document_version != before) {
             entries_push_document(d, now_us);
             event_begin(&line, d->config.events, now_us, kEventDocument);
@@ -462,6 +462,7 @@
         return;
     }
     d->led_since_us = leads ? MAX(now_us, 1) : 0;
+    d->announced = FALSE;
     g_hash_table_remove_all(d->changes);
     g_hash_table_remove_all(d->shares);
     g_hash_table_remove_all(d->windows);
@@ -487,12 +488,28 @@
     }
 }
 
+/* A new leader whose state is whole tells the entry instances at once.
+ * Before that it must not: an older entry of the log may name a primary
+ * that a later one takes away. */
+static void
+announce(Director *d, uint64_t now_us)
+{
+    if (d->led_since_us == 0 || d->announced ||
+        !consensus_is_current(d->consensus)) {
+        return;
+    }
+    d->announced = TRUE;
+    entries_push_document(d, now_us);
+    entries_renew(d, now_us);
+}
+
 /* Ends a batch of events: one sync, then messages and answers. */
 void
 director_flush(Director *d, uint64_t now_us)
 {
     consensus_flush(d->consensus, now_us);
     leadership_follow(d, now_us);
+    announce(d, now_us);
     entries_confirm(d, now_us);
     requests_tick(d, now_us);
     consensus_flush(d->consensus, now_us);
--- a/src/sapphireweir/fleet/director_entries.c
+++ b/src/sapphireweir/fleet/director_entries.c
@@ -253,6 +253,22 @@
     g_ptr_array_unref(list);
 }
 
+static void
+visit_renew(Director *d, uint64_t now_us, EntryTrack *t)
+{
+    /* The lease counts from the report that this instance heard last. */
+    t->pending_us = t->heard_us;
+    t->pending_round = consensus_read_begin(d->consensus, now_us);
+}
+
+/* Grants leases to all entry instances without waiting for their next
+ * reports, once a round confirms the leader. */
+void
+entries_renew(Director *d, uint64_t now_us)
+{
+    visit_present(d, now_us, visit_renew);
+}
+
 /* ---- reports ---- */
 
 static void
--- a/src/sapphireweir/fleet/director_internal.h
+++ b/src/sapphireweir/fleet/director_internal.h
@@ -122,6 +122,7 @@
     uint64_t next_request;
     uint64_t last_proposal_index;
     uint64_t grant_revision;
+    gboolean announced; /* as a leader whose state is whole */
     uint64_t led_since_us; /* zero: does not lead */
     uint64_t leader_heard_us;
     uint64_t join_due_us;
@@ -149,6 +150,7 @@
 void entries_report(Director *d, uint64_t now_us, const char *from,
                     const Sw__EntryReport *m);
 void entries_confirm(Director *d, uint64_t now_us);
+void entries_renew(Director *d, uint64_t now_us);
 void entries_push(Director *d, uint64_t now_us);
 void entries_push_document(Director *d, uint64_t now_us);
 void entries_push_directory(Director *d, uint64_t now_us);
--- a/test/unit/test_fleet_world.c
+++ b/test/unit/test_fleet_world.c
@@ -195,7 +195,16 @@
 {
     world_promotions_take(w, 30);
     world_load(w, 60);
-    domain_cut(w);
+    world_run(w, 2000);
+    /* A primary that is not in the leader's failure domain. */
+    int leader = world_control_leader(w);
+    int primary = world_primary(w, 0);
+    uint32_t domain = (uint32_t)(primary == leader ? world_primary(w, 1)
+                                                   : primary);
+    world_cut_domain(w, domain, TRUE);
+    world_run(w, 6000);
+    world_cut_domain(w, domain, FALSE);
+    world_run(w, 5000);
 }
 
 /* The leader dies between asking for a promotion and its effect, while the
