--- a/test/support/fleet_world.c
+++ b/test/support/fleet_world.c
@@ -19,6 +19,8 @@
     kStaleMs = 1500,
     kOldPrimaryUs = 1000000,
     kConfigApplyMs = 3000,
+    kLeaseMs =
+        2000, /* longer than a suspicion, so that it must be waited for */
     kStatementsMax = 64,
 };
 
@@ -879,7 +881,7 @@
                              .disk = c->disk,
                              .failure_domain = "",
                              .timing = {80 * kMs, 300 * kMs, 550 * kMs, 16},
-                             .lease_us = 1000 * kMs,
+                             .lease_us = kLeaseMs * kMs,
                              .rate_window_us = kRateWindowMs * kMs,
                              .decode = decode,
                              .losses = 1};
--- a/test/unit/test_fleet_world.c
+++ b/test/unit/test_fleet_world.c
@@ -199,8 +199,8 @@
     /* A primary that is not in the leader's failure domain. */
     int leader = world_control_leader(w);
     int primary = world_primary(w, 0);
-    uint32_t domain = (uint32_t)(primary == leader ? world_primary(w, 1)
-                                                   : primary);
+    uint32_t domain =
+        (uint32_t)(primary == leader ? world_primary(w, 1) : primary);
     world_cut_domain(w, domain, TRUE);
     world_run(w, 6000);
     world_cut_domain(w, domain, FALSE);
