--- a/test/unit/test_fleet_world.c
+++ b/test/unit/test_fleet_world.c
@@ -184,7 +184,7 @@
     world_control_power(w, (uint32_t)leader, FALSE);
     world_run(w, 200);
     world_control_power(w, (uint32_t)leader, TRUE);
-    world_run(w, 4000);
+    world_run(w, 6000);
     world_cut_domain(w, primary, FALSE);
     world_run(w, 4000);
 }
