Count failures of a primary from its settlement, not never

Ruled out: the election (term 2 after 126 ms) and the leases. Change: such a failure counts from the settlement on.

--- a/src/sapphireweir/fleet/handover.c
+++ b/src/sapphireweir/fleet/handover.c
@@ -253,11 +253,12 @@
         const EntryEvidence *e = g_hash_table_lookup(t->evidence, p->database);
         if (e == NULL || e->epoch != p->epoch ||
             now_us - e->heard_us > kEvidenceUs ||
-            e->failing_us > now_us - p->settled_us ||
             (!e->answered && e->failing_us == 0)) {
             continue;
         }
-        evidence[count++] = (SuspectEvidence){e->answered, e->failing_us};
+        /* A failure from before the primary was settled counts from then. */
+        evidence[count++] = (SuspectEvidence){
+            e->answered, MIN(e->failing_us, now_us - p->settled_us)};
     }
     SuspectVerdict verdict = suspect_judge(evidence, count);
     g_free(evidence);
