Estimate waits from the work done, refuse hopeless late work

Ruled out: processor time; a lease (most had 0.7 s left). Change: a server's rate is measured while work waits; late work whose turn cannot come in time is refused at once; the fallback begins with a quarter of its part of the burst.

--- a/src/sapphireweir/gateway/connection.c
+++ b/src/sapphireweir/gateway/connection.c
@@ -394,6 +394,7 @@
     c->awaiting = FALSE;
     s->open_statements--;
     if (a->code == kCodeNone && !c->begin_open) {
+        s->done++;
         note_service_time(c, now_us);
     }
     if (a->code == kCodeBusy) {
--- a/src/sapphireweir/gateway/dispatch.c
+++ b/src/sapphireweir/gateway/dispatch.c
@@ -12,6 +12,7 @@
     kCandidatesMax = 32,
     kAttemptsMax = 4,
     kWaitPercent = 90,         /* of the latency objective, expected at most */
+    kRateWindowUs = 300000, /* over which work done is measured */
     kDemotedUs = 1000000,      /* late work's place behind all that is not */
     kReplacementUs = 900000,   /* from losing a primary to using the next */
     kSuspicionUs = 500000,     /* from a primary's silence to losing it */
@@ -158,19 +159,16 @@
     s->waiting_link = after->next;
 }
 
-/* Work that has missed its latency objective lets work pass that can still
- * meet its own. */
-static void
-demote_when_late(Session *s, uint64_t now_us)
+/* Statements that this instance gets done at a server, in thousandths a
+ * second: measured while work waits, else what its limit allows. */
+static uint64_t
+server_rate_milli(const Server *s)
 {
-    Job *job = &s->job;
-
-    if (now_us < job->order_us || job->order_us >= job->due_us) {
-        return;
+    if (s->done_milli_per_s != 0) {
+        return s->done_milli_per_s;
     }
-    dispatch_leave(s);
-    job->order_us = job->due_us + kDemotedUs;
-    wait_in_queue(s);
+    return (uint64_t)concurrency_limit(&s->concurrency) * 1000000000 /
+           MAX(s->service_us, 1);
 }
 
 /* Expected wait for a connection: what is ahead in the queue over what the
@@ -188,13 +186,30 @@
     for (guint i = 0; i < d->servers->len; i++) {
         const Server *server = g_ptr_array_index(d->servers, i);
         if (server_may_serve(s, server, now_us)) {
-            rate_milli += (uint64_t)concurrency_limit(&server->concurrency) *
-                          1000000000 / MAX(server->service_us, 1);
+            rate_milli += server_rate_milli(server);
         }
     }
     return ahead * 1000000000 / MAX(rate_milli, 1);
 }
 
+/* Work that has missed its latency objective lets work pass that can still
+ * meet its own. */
+static void
+demote_when_late(Session *s, uint64_t now_us)
+{
+    Job *job = &s->job;
+
+    if (now_us < job->order_us || job->order_us >= job->due_us) {
+        return;
+    }
+    dispatch_leave(s);
+    job->order_us = job->due_us + kDemotedUs;
+    wait_in_queue(s);
+    if (now_us + expected_wait_us(s, now_us) > job->due_us) {
+        session_refuse(s, now_us, kRefusedQueue, kRetryUs);
+    }
+}
+
 /* When the primary of a database is expected to be of use again. */
 static uint64_t
 primary_expected_us(const Database *d, uint64_t now_us)
@@ -434,7 +449,7 @@
             continue;
         }
         demote_when_late(s, now_us);
-        if (s->job.opening == NULL) {
+        if (s->waiting_link != NULL && s->job.opening == NULL) {
             dispatch_submit(s, now_us);
         }
     }
@@ -472,11 +487,28 @@
     }
 }
 
+/* Measures what a server gets done while work waits for it. */
+static void
+measure_rate(Server *s, uint64_t now_us)
+{
+    uint64_t span_us = now_us - s->done_since_us;
+
+    if (span_us < kRateWindowUs) {
+        return;
+    }
+    s->done_milli_per_s = s->database->waiting.length == 0
+                              ? 0
+                              : (uint64_t)s->done * 1000000000 / span_us;
+    s->done = 0;
+    s->done_since_us = now_us;
+}
+
 static void
 server_tick(Server *s, uint64_t now_us)
 {
     uint32_t fair = server_fair_part(s);
 
+    measure_rate(s, now_us);
     for (guint i = s->connections->len; i > 0; i--) {
         if (i <= s->connections->len) {
             connection_tick(g_ptr_array_index(s->connections, i - 1), now_us,
--- a/src/sapphireweir/gateway/gateway_internal.h
+++ b/src/sapphireweir/gateway/gateway_internal.h
@@ -29,6 +29,9 @@
     uint32_t open_statements;
     Concurrency concurrency;
     uint64_t service_us;       /* smoothed */
+    uint32_t done;             /* answers in the present window */
+    uint64_t done_since_us;    /* when that window began */
+    uint64_t done_milli_per_s; /* while work waited; zero: none did */
     uint64_t answered_us;      /* when it last answered anything */
     uint64_t failing_since_us; /* zero: no failure since its last answer */
     gboolean failure_told;     /* that failure was reported at once */
--- a/src/sapphireweir/gateway/session.c
+++ b/src/sapphireweir/gateway/session.c
@@ -204,8 +204,10 @@
         event_number(&line, "epoch", d->epoch);
         event_number(&line, "closing", d->closing);
         event_number(&line, "queue", d->waiting.length);
-        event_number(&line, "position_age_us",
-                     now_us - freshness_newest_us(&d->freshness));
+        if (freshness_newest_us(&d->freshness) != 0) {
+            event_number(&line, "position_age_us",
+                         now_us - freshness_newest_us(&d->freshness));
+        }
     }
     event_end(&line);
 }
--- a/src/sapphireweir/gateway/team_rates.c
+++ b/src/sapphireweir/gateway/team_rates.c
@@ -19,6 +19,7 @@
     kUnaskedParts = 2, /* unknown share: one part in so many x instances */
     kDemandEveryUs = 500000,
     kDemandWeight = 2,     /* of the old value in the smoothed demand */
+    kFallbackStartParts = 4, /* of its burst, as what was used is not known */
     kShareCutPercent = 90, /* what others use meanwhile is not known */
 };
 
@@ -91,7 +92,8 @@
     r->falling_back = TRUE;
     token_bucket_init(&r->fallback, now_us, scaled(r->rate_milli, share),
                       burst);
-    r->fallback.level_micro = kMicroTokens;
+    r->fallback.level_micro =
+        MAX(burst / kFallbackStartParts, (uint64_t)kMicroTokens);
 }
 
 static RateResult
