--- a/platform/journal.c
+++ b/src/sapphireweir/adapter/journal.c
@@ -1,4 +1,4 @@
-#include "platform/journal.h"
+#include "adapter/journal.h"
 
 #include <errno.h>
 #include <fcntl.h>
--- a/platform/net.c
+++ b/src/sapphireweir/adapter/net.c
@@ -1,4 +1,4 @@
-#include "platform/net.h"
+#include "adapter/net.h"
 
 #include <event2/event.h>
 #include <event2/util.h>
--- a/platform/net.h
+++ b/src/sapphireweir/adapter/net.h
@@ -1,5 +1,5 @@
-#ifndef SAPPHIREWEIR_PLATFORM_NET_H
-#define SAPPHIREWEIR_PLATFORM_NET_H
+#ifndef SAPPHIREWEIR_ADAPTER_NET_H
+#define SAPPHIREWEIR_ADAPTER_NET_H
 
 #include <event2/bufferevent.h>
 #include <glib.h>
--- a/src/sapphireweir/fleet/director_internal.h
+++ b/src/sapphireweir/fleet/director_internal.h
@@ -122,7 +122,7 @@
     uint64_t next_request;
     uint64_t last_proposal_index;
     uint64_t grant_revision;
-    gboolean announced; /* as a leader whose state is whole */
+    gboolean announced;    /* as a leader whose state is whole */
     uint64_t led_since_us; /* zero: does not lead */
     uint64_t leader_heard_us;
     uint64_t join_due_us;
--- a/src/sapphireweir/gateway/dispatch.c
+++ b/src/sapphireweir/gateway/dispatch.c
@@ -12,7 +12,7 @@
     kCandidatesMax = 32,
     kAttemptsMax = 4,
     kWaitPercent = 90,         /* of the latency objective, expected at most */
-    kRateWindowUs = 300000, /* over which work done is measured */
+    kRateWindowUs = 300000,    /* over which work done is measured */
     kDemotedUs = 1000000,      /* late work's place behind all that is not */
     kReplacementUs = 900000,   /* from losing a primary to using the next */
     kSuspicionUs = 500000,     /* from a primary's silence to losing it */
--- a/src/sapphireweir/gateway/gateway_defs.h
+++ b/src/sapphireweir/gateway/gateway_defs.h
@@ -131,7 +131,6 @@
     void (*server_close)(void *ctx, void *link);
     void (*control_send)(void *ctx, const char *to, const Sw__Frame *frame);
     void (*control_known)(void *ctx, const char *address);
-    uint64_t (*random)(void *ctx);
 } GatewayPort;
 
 /* Compares two positions as strcmp does. */
--- a/src/sapphireweir/gateway/team_rates.c
+++ b/src/sapphireweir/gateway/team_rates.c
@@ -18,9 +18,9 @@
     kStockKeptUs = 1500000, /* unused tokens are worth nothing after */
     kUnaskedParts = 2, /* unknown share: one part in so many x instances */
     kDemandEveryUs = 500000,
-    kDemandWeight = 2,     /* of the old value in the smoothed demand */
+    kDemandWeight = 2,       /* of the old value in the smoothed demand */
     kFallbackStartParts = 4, /* of its burst, as what was used is not known */
-    kShareCutPercent = 90, /* what others use meanwhile is not known */
+    kShareCutPercent = 90,   /* what others use meanwhile is not known */
 };
 
 static uint64_t
--- a/test/platform/emulator.c
+++ b/test/platform/emulator.c
@@ -43,7 +43,7 @@
     gboolean started;
     gboolean in_transaction;
     gboolean failed;
-    GPtrArray *writes; /* of the open transaction */
+    GPtrArray *writes;  /* of the open transaction */
     GHashTable *shapes; /* prepared name -> "READ"|"WRITE" */
 } Client;
 
@@ -326,8 +326,7 @@
     Client *c = g_new0(Client, 1);
     c->member = m;
     c->writes = g_ptr_array_new_with_free_func(g_free);
-    c->shapes =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    c->shapes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     c->bev = bufferevent_socket_new(m->e->base, fd, BEV_OPT_CLOSE_ON_FREE);
     bufferevent_setcb(c->bev, on_client_read, NULL, on_client_event, c);
     bufferevent_enable(c->bev, EV_READ | EV_WRITE);
@@ -430,9 +429,9 @@
                m->address, m->index, kSlots,
                m->draining ? "draining" : "ready",
                m->primary ? "primary" : "replica", m->sequence, 1000);
-    struct evhttp_connection *c = http_send(
-        m->e, m->e->controls[m->sequence % kEmulatorControls], "PUT", path,
-        body, on_beat_answer, NULL);
+    struct evhttp_connection *c =
+        http_send(m->e, m->e->controls[m->sequence % kEmulatorControls], "PUT",
+                  path, body, on_beat_answer, NULL);
     evhttp_connection_free_on_completion(c);
 }
 
@@ -482,8 +481,7 @@
         char quoted[32];
         g_snprintf(quoted, sizeof(quoted), "\"%s\"", e->members[i].id);
         if (strstr(body, quoted) == NULL || !e->members[i].up ||
-            evhttp_find_header(headers, "Sapphireweir-Lease-Holder") ==
-                NULL ||
+            evhttp_find_header(headers, "Sapphireweir-Lease-Holder") == NULL ||
             evhttp_find_header(headers, "Sapphireweir-Fencing-Token") ==
                 NULL) {
             continue;
@@ -541,9 +539,9 @@
     m->log = g_ptr_array_new_with_free_func(g_free);
     m->clients = g_ptr_array_new();
     g_snprintf(m->id, sizeof(m->id), "i-%u", i);
-    m->listener = evconnlistener_new_bind(
-        e->base, on_client, m, LEV_OPT_CLOSE_ON_FREE, -1,
-        (struct sockaddr *)&at, sizeof(at));
+    m->listener =
+        evconnlistener_new_bind(e->base, on_client, m, LEV_OPT_CLOSE_ON_FREE,
+                                -1, (struct sockaddr *)&at, sizeof(at));
     getsockname(evconnlistener_get_fd(m->listener), (struct sockaddr *)&at,
                 &length);
     g_snprintf(m->address, sizeof(m->address), "127.0.0.1:%u",
@@ -641,8 +639,7 @@
     static const char *const files[] = {"log", "snapshot", "identity", "lock"};
     for (uint32_t i = 0; i < kEmulatorControls; i++) {
         for (size_t k = 0; k < G_N_ELEMENTS(files); k++) {
-            char *path =
-                g_strdup_printf("%s/data-%u/%s", folder, i, files[k]);
+            char *path = g_strdup_printf("%s/data-%u/%s", folder, i, files[k]);
             unlink(path);
             g_free(path);
         }
@@ -924,8 +921,7 @@
 const char *
 caller_ask(EmulatorCaller *c, const char *text)
 {
-    gint64 until_us =
-        g_get_monotonic_time() + (gint64)kAskPatienceMs * 1000;
+    gint64 until_us = g_get_monotonic_time() + (gint64)kAskPatienceMs * 1000;
 
     g_string_truncate(c->answer, 0);
     c->readies = 0;
--- a/test/platform/test_path.c
+++ b/test/platform/test_path.c
@@ -13,8 +13,8 @@
 session(uint32_t entry)
 {
     EmulatorCaller *c = caller_connect(world, entry);
-    CU_ASSERT(g_str_has_prefix(caller_ask(c, "STARTUP shop key-1"),
-                               "READY I"));
+    CU_ASSERT(
+        g_str_has_prefix(caller_ask(c, "STARTUP shop key-1"), "READY I"));
     return c;
 }
 
@@ -161,8 +161,8 @@
     };
     for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
         EmulatorCaller *c = caller_connect(world, 0);
-        CU_ASSERT(g_str_has_prefix(caller_ask(c, cases[i].ask),
-                                   cases[i].answer));
+        CU_ASSERT(
+            g_str_has_prefix(caller_ask(c, cases[i].ask), cases[i].answer));
         emulator_pump(world, 50);
         CU_ASSERT(caller_closed(c));
         caller_leave(c);
@@ -177,8 +177,8 @@
 
     /* Several statements in one write are answered in order. */
     caller_send(c, "QUERY p1 READ 1\r\nQUERY p2 READ 2\r\n");
-    CU_ASSERT_PTR_NOT_NULL(strstr(caller_ask(c, "QUERY p3 READ 3"),
-                                  "READY I"));
+    CU_ASSERT_PTR_NOT_NULL(
+        strstr(caller_ask(c, "QUERY p3 READ 3"), "READY I"));
     /* Leaving in a transaction rolls it back. */
     caller_ask(c, "QUERY q1 BEGIN");
     caller_ask(c, "QUERY q2 WRITE 1 halfway");
@@ -196,8 +196,8 @@
     caller_leave(c);
     g_free(long_line);
     c = session(0);
-    CU_ASSERT_PTR_NOT_NULL(strstr(caller_ask(c, "QUERY r1 READ 1"),
-                                  "COMPLETE"));
+    CU_ASSERT_PTR_NOT_NULL(
+        strstr(caller_ask(c, "QUERY r1 READ 1"), "COMPLETE"));
     caller_leave(c);
 }
 
@@ -207,20 +207,20 @@
     EmulatorCaller *c = session(0);
 
     emulator_lose_next_answer(world);
-    CU_ASSERT_PTR_NOT_NULL(strstr(caller_ask(c, "QUERY l1 WRITE 1 doubtful"),
-                                  "ERROR INDOUBT"));
+    CU_ASSERT_PTR_NOT_NULL(
+        strstr(caller_ask(c, "QUERY l1 WRITE 1 doubtful"), "ERROR INDOUBT"));
     CU_ASSERT_EQUAL(emulator_written(world, "doubtful"), 1);
     /* A read is simply asked again. */
     emulator_lose_next_answer(world);
-    CU_ASSERT_PTR_NOT_NULL(strstr(caller_ask(c, "QUERY l2 READ 1"),
-                                  "COMPLETE"));
+    CU_ASSERT_PTR_NOT_NULL(
+        strstr(caller_ask(c, "QUERY l2 READ 1"), "COMPLETE"));
     /* In a transaction nothing is kept. */
     caller_ask(c, "QUERY l3 BEGIN");
     emulator_lose_next_answer(world);
-    CU_ASSERT_PTR_NOT_NULL(strstr(caller_ask(c, "QUERY l4 WRITE 1 dropped"),
-                                  "ERROR ABORTED"));
-    CU_ASSERT_PTR_NOT_NULL(strstr(caller_ask(c, "QUERY l5 ROLLBACK"),
-                                  "READY I"));
+    CU_ASSERT_PTR_NOT_NULL(
+        strstr(caller_ask(c, "QUERY l4 WRITE 1 dropped"), "ERROR ABORTED"));
+    CU_ASSERT_PTR_NOT_NULL(
+        strstr(caller_ask(c, "QUERY l5 ROLLBACK"), "READY I"));
     CU_ASSERT_EQUAL(emulator_written(world, "dropped"), 0);
     caller_leave(c);
 }
@@ -290,8 +290,8 @@
         strstr(caller_ask(busy, "QUERY s2 WRITE 1 last"), "COMPLETE"));
     kill(pid, SIGTERM);
     emulator_pump(world, 300);
-    HttpReply r = emulator_http(world, emulator_probe(world, 1), "GET",
-                                "/readyz", NULL);
+    HttpReply r =
+        emulator_http(world, emulator_probe(world, 1), "GET", "/readyz", NULL);
     CU_ASSERT_EQUAL(r.status, 503);
     g_free(r.body);
     CU_ASSERT_PTR_NOT_NULL(
--- a/test/support/fleet_world.c
+++ b/test/support/fleet_world.c
@@ -645,12 +645,6 @@
     return (uint64_t)g_rand_int(w->rand) << 20 | g_rand_int(w->rand);
 }
 
-static uint64_t
-port_entry_random(void *ctx)
-{
-    return random_of(((Entry *)ctx)->w);
-}
-
 static uint64_t
 port_control_random(void *ctx)
 {
@@ -1240,8 +1234,7 @@
                         .server_send = port_server_send,
                         .server_close = port_server_close,
                         .control_send = port_control_send,
-                        .control_known = port_known,
-                        .random = port_entry_random};
+                        .control_known = port_known};
     e->w = w;
     e->index = i;
     e->id = g_strdup_printf("e%u", i);
--- a/test/unit/test_fleet_world.c
+++ b/test/unit/test_fleet_world.c
@@ -227,7 +227,8 @@
 static void
 primary_leaves_replicas_late(World *w)
 {
-    world_replicas_lag(w, 250);
+    world_replicas_lag(w, 450);
+    world_promotions_take(w, 30);
     world_load(w, 60);
     primary_leaves(w);
 }
