--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -8,6 +8,9 @@
 # DIR/endpoints.json names addresses, the operator's token file, a team's
 # key, the stand-ins' command addresses and all pids.
 set -euo pipefail
+# Each process gets its own group: Ctrl-C reaches this script alone, which
+# then stops them in order.
+set -m
 
 root=$(cd "$(dirname "$0")/.." && pwd)
 build="$root/build"
--- a/src/sapphireweir/ctl/main.c
+++ b/src/sapphireweir/ctl/main.c
@@ -9,6 +9,7 @@
 #include "client.h"
 #include "core/error.h"
 #include "core/schema.h"
+#include "explain.h"
 
 /* sapphireweirctl: the operators' command line. */
 
@@ -607,9 +608,28 @@
     g_free(prefix);
 }
 
+static ExitCode
+explain_from_files(char **arguments)
+{
+    GString *out = g_string_new(NULL);
+    GError *error = NULL;
+    gboolean ok = explain_files(arguments[0], arguments + 1, out, &error);
+
+    fputs(out->str, stdout);
+    if (!ok) {
+        fprintf(stderr, "%s\n", error->message);
+        g_error_free(error);
+    }
+    g_string_free(out, TRUE);
+    return ok ? kExitOk : kExitFailure;
+}
+
 static ExitCode
 run_explain(Ctl *c, char **arguments)
 {
+    if (arguments[1] != NULL) {
+        return explain_from_files(arguments);
+    }
     char *key = g_strdup_printf("primary/%s", arguments[0]);
     char *path = g_strconcat("/admin/v1/resources/", key, NULL);
     Reply r = client_get(&c->client, path);
@@ -647,7 +667,8 @@
      1, run_member},
     {"status", "", "leader, control and entry instances", 0, run_status},
     {"audit", "[AFTER]", "the audit trail after an index", 0, run_audit},
-    {"explain", "DATABASE", "who is primary, and why", 1, run_explain},
+    {"explain", "DATABASE | ID FILE...",
+     "who is primary, or a request's story from logs", 1, run_explain},
 };
 
 /* ---- start ---- */
--- a/test/functional/fleet.c
+++ b/test/functional/fleet.c
@@ -37,6 +37,7 @@
     }
     pid_t pid = fork();
     if (pid == 0) {
+        setpgid(0, 0);
         execv(script, (char *const *)argv);
         _exit(127);
     }
@@ -101,6 +102,32 @@
     return ended && WIFEXITED(status) && WEXITSTATUS(status) == 0;
 }
 
+/* Sends what Ctrl-C sends: an interrupt to the whole process group of the
+ * demo.  Returns how long it took to end, UINT32_MAX when it did not. */
+uint32_t
+fleet_interrupt(Fleet *f)
+{
+    gint64 began_us = g_get_monotonic_time();
+    uint32_t took_ms = UINT32_MAX;
+
+    kill(-f->pid, SIGINT);
+    for (int i = 0; i < kStopPatienceS * 10; i++) {
+        if (waitpid(f->pid, NULL, WNOHANG) == f->pid) {
+            took_ms = (uint32_t)((g_get_monotonic_time() - began_us) / 1000);
+            break;
+        }
+        usleep(100000);
+    }
+    if (took_ms == UINT32_MAX) {
+        kill(f->pid, SIGKILL);
+        waitpid(f->pid, NULL, 0);
+    }
+    json_decref(f->endpoints);
+    g_free(f->dir);
+    g_free(f);
+    return took_ms;
+}
+
 /* Returns the address of an entry instance. */
 const char *
 fleet_entry(const Fleet *f, size_t i)
--- a/test/functional/fleet.h
+++ b/test/functional/fleet.h
@@ -25,6 +25,7 @@
 
 Fleet *fleet_start(const char *dir_name, const char *const *arguments);
 gboolean fleet_stop(Fleet *f);
+uint32_t fleet_interrupt(Fleet *f);
 const char *fleet_entry(const Fleet *f, size_t i);
 size_t fleet_entry_count(const Fleet *f);
 pid_t fleet_pid(const Fleet *f, const char *name);
--- a/test/functional/test_edges.c
+++ b/test/functional/test_edges.c
@@ -14,6 +14,20 @@
 /* The edges of the programs: garbage on the peer port, TLS and its reload,
  * wrong settings. */
 
+/* ---- Ctrl-C ---- */
+
+/* An interrupt of the terminal reaches the whole process group; without
+ * anything to drain the demo ends in a few seconds. */
+void
+ctrl_c_stops_in_order(void)
+{
+    enum { kMostMs = 10000 }; /* entry instances notify for two seconds */
+    Fleet *f = fleet_start("ctrl-c", NULL);
+
+    CU_ASSERT_PTR_NOT_NULL_FATAL(f);
+    CU_ASSERT(fleet_interrupt(f) < kMostMs);
+}
+
 /* ---- garbage ---- */
 
 static char *
--- a/test/functional/test_fleet.c
+++ b/test/functional/test_fleet.c
@@ -561,6 +561,7 @@
         {"a killed control leader is replaced",
          a_killed_control_leader_is_replaced},
         {"a lost commit answer is resolved", a_lost_commit_answer_is_resolved},
+        {"Ctrl-C stops in order", ctrl_c_stops_in_order},
         {"a planned stop cuts off no request",
          a_planned_stop_cuts_off_no_request},
     };
