Part scarce connections so that nobody rests on one

Ruled out: processor time and the links. Change: connection_share: a fifth stays free, two each where the limit gives them, one that may not rest where it does not; an instance that was refused takes a pause of its own before it asks again.

--- a/src/sapphireweir/gateway/connection.c
+++ b/src/sapphireweir/gateway/connection.c
@@ -8,9 +8,10 @@
  * before use; it remembers what it was told. */
 
 enum {
-    kPreparedMax = 64,        /* per connection, then it is reset */
-    kAvoidUs = 200000,        /* a server that cannot be connected to */
-    kFullUs = 150000,         /* a server with no connection left */
+    kPreparedMax = 64,    /* per connection, then it is reset */
+    kAvoidUs = 200000,    /* a server that cannot be connected to */
+    kFullPauseUs = 20000, /* a statement's time, after which one may be free */
+    kFullUs = 150000,     /* a server with no connection left */
     kUnservedKeptUs = 100000, /* for the work that it was opened for */
     kServiceWeight = 8, /* of the old value in the smoothed service time */
     kCommandsMax = 160,
@@ -410,6 +411,15 @@
     }
 }
 
+/* How long to leave a full server alone: many instances wait for the same
+ * connection, so each takes a pause of its own. */
+static uint64_t
+full_pause_us(const Gateway *g, uint64_t now_us)
+{
+    uint64_t mixed = (g->incarnation ^ now_us) * 0x9e3779b97f4a7c15ULL;
+    return kFullPauseUs + (mixed >> 32) % kFullPauseUs;
+}
+
 /* The connection is gone, or was refused with a code. */
 void
 connection_down(Connection *c, uint64_t now_us, AnswerCode code)
@@ -422,6 +432,7 @@
     if (code == kCodeTooMany || code == kCodeBusy) {
         server->answered_us = now_us;
         server->full_until_us = now_us + kFullUs;
+        server->connect_after_us = now_us + full_pause_us(c->gateway, now_us);
     }
     else if (opening || c->awaiting) {
         server_failed(server, now_us, opening);
--- /dev/null
+++ b/src/sapphireweir/gateway/connection_share.c
@@ -0,0 +1,29 @@
+#include "gateway/connection_share.h"
+
+/* How a server's scarce connections are parted among instances that do not
+ * ask each other.  A fifth stays free: after a loss of power the old
+ * connections count for seconds more.  Two, where the limit gives them, keep
+ * an open transaction from stopping all other work of an instance.  Where
+ * there are fewer connections than instances, nobody may rest on one. */
+
+enum {
+    kPercentUsed = 80,
+    kPercent = 100,
+    kScarceIdleUs = 40000, /* two statements' time, for the next in line */
+};
+
+/* Returns the part of one of so many instances. */
+ConnectionShare
+connection_share(uint32_t limit, uint32_t instances)
+{
+    uint32_t parts = MAX(instances, 1);
+    uint32_t most = limit * kPercentUsed / kPercent / parts;
+
+    if (most < 2 && limit / parts >= 2) {
+        most = 2;
+    }
+    if (limit < parts) {
+        return (ConnectionShare){1, kScarceIdleUs};
+    }
+    return (ConnectionShare){MAX(most, 1), 0};
+}
--- /dev/null
+++ b/src/sapphireweir/gateway/connection_share.h
@@ -0,0 +1,15 @@
+#ifndef SAPPHIREWEIR_GATEWAY_CONNECTION_SHARE_H
+#define SAPPHIREWEIR_GATEWAY_CONNECTION_SHARE_H
+
+#include <glib.h>
+#include <stdint.h>
+
+/* What one instance may hold of a backend server's connections. */
+typedef struct {
+    uint32_t most;         /* at a time */
+    uint64_t idle_kept_us; /* how long an idle one may stay, 0: for good */
+} ConnectionShare;
+
+ConnectionShare connection_share(uint32_t limit, uint32_t instances);
+
+#endif
--- a/src/sapphireweir/gateway/dispatch.c
+++ b/src/sapphireweir/gateway/dispatch.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "gateway/connection_share.h"
 #include "gateway/gateway_internal.h"
 #include "gateway/placement.h"
 
@@ -27,17 +28,17 @@
 };
 
 /* Returns this instance's part of the connections that a server takes. */
-uint32_t
-server_fair_part(const Server *s)
+static ConnectionShare
+server_share(const Server *s)
 {
     const Gateway *g = s->database->gateway;
     const DocumentDatabase *d =
         g->document == NULL
             ? NULL
             : document_database(g->document, s->database->name);
-    uint32_t most = d == NULL ? 1 : d->max_connections;
 
-    return MAX(most * 80 / 100 / MAX(g->entry_count, 1), 2);
+    return connection_share(d == NULL ? 1 : d->max_connections,
+                            g->entry_count);
 }
 
 /* Returns how many connections this instance may hold at one server: its
@@ -45,7 +46,7 @@
 static uint32_t
 connection_cap(const Server *s, uint64_t now_us)
 {
-    uint32_t fair = server_fair_part(s);
+    uint32_t fair = server_share(s).most;
     return now_us < s->full_until_us ? MAX(fair - 1, 1) : fair;
 }
 
@@ -278,6 +279,7 @@
         return TRUE;
     }
     if (s->job.opening != NULL || now_us < server->avoid_until_us ||
+        now_us < server->connect_after_us ||
         (server->failing_since_us != 0 && server->opening > 0)) {
         return FALSE;
     }
@@ -457,7 +459,7 @@
 }
 
 static void
-connection_tick(Connection *c, uint64_t now_us, uint32_t fair)
+connection_tick(Connection *c, uint64_t now_us, const ConnectionShare *share)
 {
     Server *server = c->server;
     uint64_t age_us = now_us - c->since_us;
@@ -482,7 +484,9 @@
     }
     if (c->state == kConnectionIdle &&
         (server->gone || server->draining ||
-         (server->connections->len > fair && age_us > kSurplusIdleUs))) {
+         (share->idle_kept_us != 0 && age_us > share->idle_kept_us) ||
+         (server->connections->len > share->most &&
+          age_us > kSurplusIdleUs))) {
         connection_close(c);
     }
 }
@@ -506,13 +510,13 @@
 static void
 server_tick(Server *s, uint64_t now_us)
 {
-    uint32_t fair = server_fair_part(s);
+    ConnectionShare share = server_share(s);
 
     measure_rate(s, now_us);
     for (guint i = s->connections->len; i > 0; i--) {
         if (i <= s->connections->len) {
             connection_tick(g_ptr_array_index(s->connections, i - 1), now_us,
-                            fair);
+                            &share);
         }
     }
 }
--- a/src/sapphireweir/gateway/gateway_internal.h
+++ b/src/sapphireweir/gateway/gateway_internal.h
@@ -37,6 +37,7 @@
     gboolean failure_told;     /* that failure was reported at once */
     uint64_t avoid_until_us;   /* after a failure to connect */
     uint64_t full_until_us;    /* it refused a connection as one too many */
+    uint64_t connect_after_us; /* and is not to be asked again before */
     uint64_t lagging_until_us;
     uint64_t lagging_step_us;
 } Server;
@@ -205,7 +206,6 @@
 
 /* gateway.c */
 Database *gateway_database(Gateway *g, const char *name);
-uint32_t server_fair_part(const Server *s);
 Server *database_primary(const Database *d, uint64_t now_us);
 void gateway_report(Gateway *g, uint64_t now_us);
 
--- a/test/unit/test_gateway_policy.c
+++ b/test/unit/test_gateway_policy.c
@@ -1,4 +1,5 @@
 #include "gateway/concurrency.h"
+#include "gateway/connection_share.h"
 #include "gateway/freshness.h"
 #include "gateway/placement.h"
 #include "suite.h"
@@ -204,6 +205,30 @@
     CU_ASSERT(served_now * 100 >= served_before * 95);
 }
 
+static void
+connections_are_parted(void)
+{
+    static const struct {
+        uint32_t limit;
+        uint32_t instances;
+        uint32_t most;
+        gboolean rests; /* an idle connection may stay */
+    } cases[] = {
+        {23, 8, 2, TRUE},   {46, 9, 4, TRUE},   {46, 12, 3, TRUE},
+        {240, 71, 2, TRUE}, {52, 66, 1, FALSE}, {25, 0, 20, TRUE},
+        {1, 1, 1, TRUE},    {1, 8, 1, FALSE},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        ConnectionShare s =
+            connection_share(cases[i].limit, cases[i].instances);
+        CU_ASSERT_EQUAL(s.most, cases[i].most);
+        CU_ASSERT_EQUAL(s.idle_kept_us == 0, cases[i].rests);
+        /* All together stay within the limit where it gives one each. */
+        CU_ASSERT(cases[i].limit < cases[i].instances ||
+                  s.most * cases[i].instances <= cases[i].limit);
+    }
+}
+
 void
 add_gateway_policy_suite(void)
 {
@@ -215,6 +240,7 @@
                 history_agrees_with_all_samples);
     CU_add_test(s, "reads go where they cost least",
                 reads_go_where_they_cost_least);
+    CU_add_test(s, "connections are parted", connections_are_parted);
     CU_add_test(s, "an overloaded server is not flooded",
                 an_overloaded_server_is_not_flooded);
 }
