Let a statement look for its next connection when its turn was missed

Cause: a statement for which a connection was opened stayed bound to it also when another session of its team had taken it, and then waited for its whole time limit ("no connection came free").

--- a/src/sapphireweir/gateway/connection.c
+++ b/src/sapphireweir/gateway/connection.c
@@ -52,6 +52,18 @@
     g_free(c);
 }
 
+/* Nobody waits for this connection to open any more. */
+static void
+forget_opening(Connection *c)
+{
+    for (GList *l = c->gateway->active.head; l != NULL; l = l->next) {
+        Session *waiting = l->data;
+        if (waiting->job.opening == c) {
+            waiting->job.opening = NULL;
+        }
+    }
+}
+
 /* Closes a connection; its memory goes with the next tick.  The session
  * that it was bound to must be seen to by the caller. */
 void
@@ -72,12 +84,7 @@
         c->link = NULL;
     }
     g_ptr_array_remove_fast(s->connections, c);
-    for (GList *l = g->active.head; l != NULL; l = l->next) {
-        Session *waiting = l->data;
-        if (waiting->job.opening == c) {
-            waiting->job.opening = NULL;
-        }
-    }
+    forget_opening(c);
     if (c->session != NULL && c->session->connection == c) {
         c->session->connection = NULL;
     }
@@ -326,6 +333,8 @@
     s->avoid_until_us = 0;
     c->state = kConnectionIdle;
     c->since_us = now_us;
+    /* Another session of the team may take it first. */
+    forget_opening(c);
     dispatch_pump(c->server, now_us);
 }
 
--- a/src/sapphireweir/gateway/dispatch.c
+++ b/src/sapphireweir/gateway/dispatch.c
@@ -279,6 +279,7 @@
         return TRUE;
     }
     if (s->job.opening != NULL || now_us < server->avoid_until_us ||
+        now_us < s->job.opened_us + kOverdueUs ||
         now_us < server->connect_after_us ||
         (server->failing_since_us != 0 && server->opening > 0)) {
         return FALSE;
@@ -291,6 +292,7 @@
         connection_close(c);
     }
     s->job.opening = connection_open(server, session_team_name(s), now_us);
+    s->job.opened_us = now_us;
     return TRUE;
 }
 
--- a/src/sapphireweir/gateway/gateway_internal.h
+++ b/src/sapphireweir/gateway/gateway_internal.h
@@ -109,6 +109,7 @@
     uint32_t attempts;
     uint32_t lagging;
     Connection *opening; /* connection that is opened for it */
+    uint64_t opened_us;  /* when the last one was asked for */
     Server *avoid;       /* that failed it last */
 } Job;
 
