--- a/src/sapphireweir/gateway/dispatch.c
+++ b/src/sapphireweir/gateway/dispatch.c
@@ -24,6 +24,7 @@
     kOtherTeamPatienceUs = 20000, /* before a connection changes its team */
     kOverdueUs = 150000,     /* work that waited so long gets a connection */
     kTurnStatements = 8,     /* of one team on a connection, then */
+    kReopenUs = 60000, /* a missed turn: three statements of mean size */
     kSurplusIdleUs = 400000, /* beyond the fair part of connections */
 };
 
@@ -279,7 +280,7 @@
         return TRUE;
     }
     if (s->job.opening != NULL || now_us < server->avoid_until_us ||
-        now_us < s->job.opened_us + kOverdueUs ||
+        now_us < s->job.opened_us + kReopenUs ||
         now_us < server->connect_after_us ||
         (server->failing_since_us != 0 && server->opening > 0)) {
         return FALSE;
