--- a/src/sapphireweir/fleet/director_entries.c
+++ b/src/sapphireweir/fleet/director_entries.c
@@ -231,28 +231,6 @@
     visit_present(d, now_us, visit_push);
 }
 
-/* Tells an entry instance which control instances there are. */
-static void
-send_contact(Director *d, EntryTrack *t)
-{
-    Sw__Frame frame = SW__FRAME__INIT;
-    Sw__EntryGrant m = SW__ENTRY_GRANT__INIT;
-    const GPtrArray *members = consensus_members(d->consensus);
-    GPtrArray *list = g_ptr_array_new();
-
-    for (guint i = 0; i < members->len; i++) {
-        const ConsensusMember *each = g_ptr_array_index(members, i);
-        g_ptr_array_add(list, each->id);
-    }
-    m.n_controls = list->len;
-    m.controls = (char **)list->pdata;
-    m.document_version = d->document_version;
-    frame.body_case = SW__FRAME__BODY_ENTRY_GRANT;
-    frame.entry_grant = &m;
-    d->port.send(d->port.ctx, t->id, &frame);
-    g_ptr_array_unref(list);
-}
-
 static void
 visit_renew(Director *d, uint64_t now_us, EntryTrack *t)
 {
@@ -322,7 +300,7 @@
         now_us - t->document_sent_us > kDocumentResendUs) {
         send_document(d, now_us, t);
     }
-    send_contact(d, t);
+    members_tell(d, t->id);
     if (m->sequence <= t->sequence) {
         return;
     }
--- a/src/sapphireweir/fleet/director_internal.h
+++ b/src/sapphireweir/fleet/director_internal.h
@@ -165,6 +165,7 @@
 gboolean entry_present(const EntryTrack *t, uint64_t now_us);
 
 /* director_members.c */
+void members_tell(Director *d, const char *to);
 void members_tick(Director *d, uint64_t now_us);
 void members_join(Director *d, uint64_t now_us, const char *from,
                   const Sw__JoinRequest *m);
--- a/src/sapphireweir/fleet/director_members.c
+++ b/src/sapphireweir/fleet/director_members.c
@@ -34,8 +34,9 @@
     }
 }
 
-static void
-tell_members(Director *d, const char *to)
+/* Tells another instance which control instances there are. */
+void
+members_tell(Director *d, const char *to)
 {
     Sw__Frame frame = SW__FRAME__INIT;
     Sw__EntryGrant m = SW__ENTRY_GRANT__INIT;
@@ -48,6 +49,7 @@
     }
     m.n_controls = list->len;
     m.controls = (char **)list->pdata;
+    m.document_version = d->document_version;
     frame.body_case = SW__FRAME__BODY_ENTRY_GRANT;
     frame.entry_grant = &m;
     d->port.send(d->port.ctx, to, &frame);
@@ -90,7 +92,7 @@
 
     director_seed(d, from);
     if (!director_leads(d)) {
-        tell_members(d, from);
+        members_tell(d, from);
         return;
     }
     const ConsensusMember *present = member_by_id(d, from);
--- a/src/sapphireweir/gateway/dispatch.c
+++ b/src/sapphireweir/gateway/dispatch.c
@@ -24,7 +24,7 @@
     kOtherTeamPatienceUs = 20000, /* before a connection changes its team */
     kOverdueUs = 150000,     /* work that waited so long gets a connection */
     kTurnStatements = 8,     /* of one team on a connection, then */
-    kReopenUs = 60000, /* a missed turn: three statements of mean size */
+    kReopenUs = 60000,       /* a missed turn: three statements of mean size */
     kSurplusIdleUs = 400000, /* beyond the fair part of connections */
 };
 
--- /dev/null
+++ b/src/sapphireweir/gateway/gateway_control.c
@@ -0,0 +1,337 @@
+#include <string.h>
+
+#include "gateway/gateway_internal.h"
+
+/* What control instances tell an entry instance: backend servers, the
+ * configuration, and who may be used as primary. */
+
+enum {
+    kContactDroppedUs = 10000000, /* one that is no member any more */
+    kDefaultServiceUs = 15000,    /* before the first answer */
+};
+
+/* ---- backend servers ---- */
+
+static void
+server_move(Server *s, Database *d)
+{
+    if (s->database == d) {
+        return;
+    }
+    if (s->database != NULL) {
+        g_ptr_array_remove_fast(s->database->servers, s);
+    }
+    s->database = d;
+    g_ptr_array_add(d->servers, s);
+}
+
+/* Closes what this instance holds at a server that is another one now. */
+static void
+server_close_all(Server *s, uint64_t now_us)
+{
+    while (s->connections->len > 0) {
+        Connection *c = g_ptr_array_index(s->connections, 0);
+        Session *session = c->session;
+        connection_close(c);
+        if (session != NULL) {
+            session_connection_lost(session, now_us);
+        }
+    }
+}
+
+/* An address belongs to the newest run that reports it. */
+static void
+address_claim(Gateway *g, const Server *owner)
+{
+    GHashTableIter it;
+    void *value;
+
+    g_hash_table_iter_init(&it, g->servers);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        Server *s = value;
+        if (s != owner && s->born_ms < owner->born_ms &&
+            strcmp(s->address, owner->address) == 0) {
+            s->gone = TRUE;
+        }
+    }
+}
+
+static void
+server_update(Gateway *g, uint64_t now_us, const Sw__ServerRecord *r)
+{
+    Server *s = g_hash_table_lookup(g->servers, r->id);
+
+    if (s == NULL) {
+        if (r->gone) {
+            return;
+        }
+        s = g_new0(Server, 1);
+        s->id = g_strdup(r->id);
+        s->connections = g_ptr_array_new();
+        s->service_us = kDefaultServiceUs;
+        concurrency_init(&s->concurrency);
+        g_hash_table_insert(g->servers, s->id, s);
+    }
+    else if (r->born_ms < s->born_ms) {
+        return;
+    }
+    gboolean moved =
+        s->born_ms != r->born_ms || g_strcmp0(s->address, r->address) != 0;
+    if (s->address != NULL && moved) {
+        server_close_all(s, now_us);
+        s->avoid_until_us = 0;
+        s->failing_since_us = 0;
+        s->lagging_step_us = 0;
+        s->lagging_until_us = 0;
+    }
+    g_free(s->address);
+    g_free(s->failure_domain);
+    s->address = g_strdup(r->address);
+    s->failure_domain = g_strdup(r->failure_domain);
+    s->born_ms = r->born_ms;
+    s->slots = r->slots;
+    s->draining = r->draining;
+    s->gone = r->gone;
+    server_move(s, gateway_database(g, r->database));
+    if (!s->gone) {
+        address_claim(g, s);
+    }
+}
+
+static void
+on_directory(Gateway *g, uint64_t now_us, ControlContact *from,
+             const Sw__DirectoryUpdate *m)
+{
+    if (m->run != from->run && !m->full) {
+        return;
+    }
+    from->run = m->run;
+    from->revision = m->revision;
+    for (size_t i = 0; i < m->n_servers; i++) {
+        server_update(g, now_us, m->servers[i]);
+    }
+}
+
+/* ---- configuration ---- */
+
+static void
+on_document(Gateway *g, uint64_t now_us, const Sw__DocumentUpdate *m)
+{
+    EventLine line;
+
+    if (g->document != NULL && m->version <= g->document->version) {
+        return;
+    }
+    Document *d = g->decode(m->text.data, m->text.len);
+    if (d == NULL) {
+        g_warning("configuration %" G_GUINT64_FORMAT
+                  " from control cannot be read",
+                  m->version);
+        return;
+    }
+    document_unref(g->document);
+    g->document = d;
+    event_begin(&line, g->events, now_us, kEventConfiguration);
+    event_number(&line, "version", d->version);
+    event_number(&line, "routes", g_hash_table_size(d->routes));
+    event_end(&line);
+}
+
+/* ---- rights to primaries ---- */
+
+/* Ends every use of a database's primary. */
+void
+gateway_primary_release(Database *d, uint64_t now_us)
+{
+    Gateway *g = d->gateway;
+    GPtrArray *affected = g_ptr_array_new();
+
+    for (GList *l = g->sessions.head; l != NULL; l = l->next) {
+        Session *s = l->data;
+        if (s->database == d && s->connection != NULL && s->at_primary) {
+            g_ptr_array_add(affected, s);
+        }
+    }
+    for (guint i = 0; i < affected->len; i++) {
+        session_abort_at(g_ptr_array_index(affected, i), now_us);
+    }
+    g_ptr_array_unref(affected);
+}
+
+/* What a server did before it became primary says nothing about it. */
+static void
+forget_failures(Gateway *g, const char *id)
+{
+    Server *s = g_hash_table_lookup(g->servers, id);
+    if (s != NULL) {
+        s->failing_since_us = 0;
+        s->failure_told = FALSE;
+        s->avoid_until_us = 0;
+    }
+}
+
+/* Tells what this instance believes of a database's primary. */
+static void
+log_primary(const Database *d, uint64_t now_us, EventKind kind)
+{
+    const Gateway *g = d->gateway;
+    EventLine line;
+
+    event_begin(&line, g->events, now_us, kind);
+    event_text(&line, "database", d->name);
+    event_text(&line, "primary", d->primary);
+    event_number(&line, "epoch", d->epoch);
+    event_number(&line, "grant_term", g->grant_term);
+    event_number(&line, "grant_revision", g->grant_revision);
+    event_end(&line);
+}
+
+static void
+grant_apply(Gateway *g, uint64_t now_us, const Sw__PrimaryGrant *m)
+{
+    Database *d = gateway_database(g, m->database);
+
+    if (m->epoch < d->epoch) {
+        return;
+    }
+    if (m->epoch > d->epoch) {
+        gateway_primary_release(d, now_us);
+        freshness_clear(&d->freshness);
+        g_free(d->primary);
+        d->primary = g_strdup(m->primary);
+        d->epoch = m->epoch;
+        d->closing = FALSE;
+        d->closed_us = 0;
+        forget_failures(g, m->primary);
+        log_primary(d, now_us, kEventPrimary);
+    }
+    if (m->quiescing != d->quiescing) {
+        d->quiescing = m->quiescing;
+        g->report_due_us = now_us;
+    }
+    if (m->closing && !d->closing) {
+        d->closing = TRUE;
+        d->closed_us = now_us;
+        log_primary(d, now_us, kEventPrimaryClosing);
+        gateway_primary_release(d, now_us);
+        g->report_due_us = now_us;
+    }
+    else if (!m->closing && d->closing) {
+        d->closing = FALSE;
+        d->closed_us = 0;
+    }
+    if (m->closing) {
+        d->released_epoch = m->epoch;
+    }
+}
+
+/* Tells whether a grant is newer than all before.  Links come and go, and a
+ * former leader's word may arrive late: an older grant must not give back a
+ * primary that a newer one took away. */
+static gboolean
+grant_is_newer(Gateway *g, const Sw__EntryGrant *m)
+{
+    if (m->term < g->grant_term ||
+        (m->term == g->grant_term && m->revision <= g->grant_revision)) {
+        return FALSE;
+    }
+    g->grant_term = m->term;
+    g->grant_revision = m->revision;
+    return TRUE;
+}
+
+static gboolean
+names_control(const Sw__EntryGrant *m, const char *address)
+{
+    for (size_t i = 0; i < m->n_controls; i++) {
+        if (strcmp(m->controls[i], address) == 0) {
+            return TRUE;
+        }
+    }
+    return FALSE;
+}
+
+/* Turns to the control instances that there are, and away from those that
+ * are silent and no members any more. */
+static void
+follow_controls(Gateway *g, uint64_t now_us, const Sw__EntryGrant *m)
+{
+    GHashTableIter it;
+    void *value;
+
+    for (size_t i = 0; i < m->n_controls; i++) {
+        gateway_control_add(g, now_us, m->controls[i]);
+    }
+    g_hash_table_iter_init(&it, g->controls);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        const ControlContact *c = value;
+        if (now_us - MAX(c->heard_us, c->known_us) > kContactDroppedUs &&
+            !names_control(m, c->address)) {
+            g_hash_table_iter_remove(&it);
+        }
+    }
+}
+
+static void
+on_grant(Gateway *g, uint64_t now_us, const ControlContact *from,
+         const Sw__EntryGrant *m)
+{
+    if (m->n_controls > 0) {
+        follow_controls(g, now_us, m);
+    }
+    if (m->lease_us == 0 && m->n_primaries == 0) {
+        return;
+    }
+    if (!grant_is_newer(g, m)) {
+        return;
+    }
+    if (m->sequence != 0 &&
+        (m->sequence <= g->granted_sequence || m->sequence > g->sequence ||
+         m->sequence + kReportsKept <= g->sequence)) {
+        return;
+    }
+    for (size_t i = 0; i < m->n_primaries; i++) {
+        grant_apply(g, now_us, m->primaries[i]);
+    }
+    if (m->sequence == 0) {
+        return;
+    }
+    if (g_strcmp0(g->leader, from->address) != 0) {
+        g_free(g->leader);
+        g->leader = g_strdup(from->address);
+    }
+    g->granted_sequence = m->sequence;
+    g->entry_count = MAX(m->entry_count, 1);
+    uint64_t until_us = g->sent_us[m->sequence % kReportsKept] + m->lease_us;
+    g->lease_until_us = MAX(g->lease_until_us, until_us);
+    team_rates_grant(g, m);
+}
+
+/* Takes in a frame of a control instance. */
+void
+gateway_frame(Gateway *g, uint64_t now_us, const char *from,
+              const Sw__Frame *frame)
+{
+    ControlContact *c = g_hash_table_lookup(g->controls, from);
+    if (c == NULL) {
+        gateway_control_add(g, now_us, from);
+        c = g_hash_table_lookup(g->controls, from);
+    }
+    c->heard_us = now_us;
+    switch (frame->body_case) {
+    case SW__FRAME__BODY_ENTRY_GRANT:
+        on_grant(g, now_us, c, frame->entry_grant);
+        break;
+    case SW__FRAME__BODY_DIRECTORY_UPDATE:
+        on_directory(g, now_us, c, frame->directory_update);
+        break;
+    case SW__FRAME__BODY_TOKEN_REPLY:
+        team_rates_reply(g, now_us, frame->request_id, frame->token_reply);
+        break;
+    case SW__FRAME__BODY_DOCUMENT_UPDATE:
+        on_document(g, now_us, frame->document_update);
+        break;
+    default:
+        break;
+    }
+}
--- a/src/sapphireweir/gateway/gateway_internal.h
+++ b/src/sapphireweir/gateway/gateway_internal.h
@@ -208,6 +208,12 @@
 /* gateway.c */
 Database *gateway_database(Gateway *g, const char *name);
 Server *database_primary(const Database *d, uint64_t now_us);
+
+/* gateway_control.c */
+void gateway_primary_release(Database *d, uint64_t now_us);
+
+/* gateway_report.c */
+uint32_t gateway_open_work(const Database *d);
 void gateway_report(Gateway *g, uint64_t now_us);
 
 /* dispatch.c */
@@ -227,17 +233,24 @@
 Connection *server_oldest_idle(const Server *s, uint64_t now_us);
 
 /* session.c */
-void session_answer(Session *s, uint64_t now_us, const ServerAnswer *a);
-void session_connection_lost(Session *s, uint64_t now_us);
+void session_tell(Session *s, uint64_t now_us, const CallerAnswer *a);
 void session_finish(Session *s, uint64_t now_us, AnswerCode code,
                     const char *detail);
 void session_refuse(Session *s, uint64_t now_us, RefusalReason reason,
                     uint64_t retry_after_us);
 void session_admitted(Session *s, uint64_t now_us);
-void session_abort_at(Session *s, uint64_t now_us);
 void session_tick(Gateway *g, uint64_t now_us);
 const char *session_team_name(const Session *s);
 
+/* session_answer.c */
+void session_answer(Session *s, uint64_t now_us, const ServerAnswer *a);
+void session_connection_lost(Session *s, uint64_t now_us);
+void session_abort_at(Session *s, uint64_t now_us);
+gboolean session_may_change(const Session *s);
+
+/* session_log.c */
+void session_log(const Session *s, uint64_t now_us, const CallerAnswer *a);
+
 /* Whether a session's operation may begin. */
 typedef enum {
     kRateTaken,
--- /dev/null
+++ b/src/sapphireweir/gateway/gateway_report.c
@@ -0,0 +1,112 @@
+#include "gateway/gateway_internal.h"
+
+/* What an entry instance tells the control instances: what it met at the
+ * primaries, how much its teams want, what it knows already. */
+
+enum {
+    kAnsweredRecentlyUs = 700000,
+};
+
+/* Returns how many sessions hold a connection to a database's primary. */
+uint32_t
+gateway_open_work(const Database *d)
+{
+    const Server *s =
+        d->primary == NULL
+            ? NULL
+            : g_hash_table_lookup(d->gateway->servers, d->primary);
+    uint32_t open = 0;
+
+    for (guint i = 0; s != NULL && i < s->connections->len; i++) {
+        const Connection *c = g_ptr_array_index(s->connections, i);
+        open += c->state == kConnectionBound;
+    }
+    return open;
+}
+
+/* Fills in what was seen of a database's primary. */
+static void
+evidence_fill(const Database *d, uint64_t now_us, Sw__PrimaryEvidence *e)
+{
+    const Gateway *g = d->gateway;
+    const Server *s = d->primary == NULL
+                          ? NULL
+                          : g_hash_table_lookup(g->servers, d->primary);
+
+    sw__primary_evidence__init(e);
+    e->database = d->name;
+    e->primary = d->primary == NULL ? (char *)"" : d->primary;
+    e->epoch = d->epoch;
+    e->released_epoch = d->closing ? d->released_epoch : 0;
+    e->open_work = gateway_open_work(d);
+    if (s == NULL) {
+        return;
+    }
+    if (s->failing_since_us != 0) {
+        e->failing_us = now_us - s->failing_since_us;
+    }
+    if (s->answered_us != 0 && now_us - s->answered_us < kAnsweredRecentlyUs) {
+        e->answered = TRUE;
+        e->answered_ago_us = now_us - s->answered_us;
+    }
+}
+
+static void
+report_send(Gateway *g, Sw__EntryReport *report)
+{
+    GHashTableIter it;
+    void *value;
+    Sw__Frame frame = SW__FRAME__INIT;
+
+    frame.body_case = SW__FRAME__BODY_ENTRY_REPORT;
+    frame.entry_report = report;
+    g_hash_table_iter_init(&it, g->controls);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        ControlContact *c = value;
+        report->directory_revision = c->revision;
+        report->directory_run = c->run;
+        g->port.control_send(g->port.ctx, c->address, &frame);
+    }
+}
+
+/* Tells every control instance what this one saw and asks for rights. */
+void
+gateway_report(Gateway *g, uint64_t now_us)
+{
+    guint databases = g_hash_table_size(g->databases);
+    Sw__PrimaryEvidence *evidence = g_new0(Sw__PrimaryEvidence, databases + 1);
+    Sw__TeamDemand *demands =
+        g_new0(Sw__TeamDemand, g_hash_table_size(g->rates) + 1);
+    Sw__EntryReport report = SW__ENTRY_REPORT__INIT;
+    GPtrArray *evidence_list = g_ptr_array_new();
+    GPtrArray *demand_list = g_ptr_array_new();
+    GHashTableIter it;
+    void *value;
+    guint n = 0;
+
+    g->sequence++;
+    g->sent_us[g->sequence % kReportsKept] = now_us;
+    g_hash_table_iter_init(&it, g->databases);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        evidence_fill(value, now_us, &evidence[n]);
+        g_ptr_array_add(evidence_list, &evidence[n++]);
+    }
+    size_t count = team_rates_demand(g, now_us, demands);
+    for (size_t i = 0; i < count; i++) {
+        g_ptr_array_add(demand_list, &demands[i]);
+    }
+    report.failure_domain = g->failure_domain;
+    report.incarnation = g->incarnation;
+    report.sequence = g->sequence;
+    report.document_version = g->document == NULL ? 0 : g->document->version;
+    report.leaving = g->drain_us != 0;
+    report.n_evidence = evidence_list->len;
+    report.evidence = (Sw__PrimaryEvidence **)evidence_list->pdata;
+    report.n_demand = demand_list->len;
+    report.demand = (Sw__TeamDemand **)demand_list->pdata;
+    report_send(g, &report);
+    g_ptr_array_unref(demand_list);
+    g_ptr_array_unref(evidence_list);
+    g_free(demands);
+    g_free(evidence);
+}
--- a/src/sapphireweir/gateway/session.c
+++ b/src/sapphireweir/gateway/session.c
@@ -8,11 +8,6 @@
  * it holds no connection. */
 
 enum {
-    kBusyRetryUs = 12000,    /* a server whose queue was full */
-    kLaggingFirstUs = 40000, /* a replica that was behind is left alone */
-    kLaggingMostUs = 640000,
-    kLaggingTriesMax = 3,
-    kReadRetriesMax = 1,         /* of a read that ran and failed */
     kDrainPercent = 50,          /* of the grace for open transactions */
     kIdleCloseAfterUs = 2400000, /* the balancer needs two missed probes */
     kProbesNoticed = 2,          /* missed probes take an instance out */
@@ -138,86 +133,13 @@
 
 /* ---- answers to the caller ---- */
 
-static const char *
-code_name(AnswerCode code)
-{
-    static const char *const names[] = {
-        [kCodeNone] = "done",
-        [kCodeBusy] = "busy",
-        [kCodeAborted] = "aborted",
-        [kCodeLagging] = "lagging",
-        [kCodeReadOnly] = "read_only",
-        [kCodeMisrouted] = "misrouted",
-        [kCodeTooMany] = "too_many",
-        [kCodeNoStatement] = "no_statement",
-        [kCodeFailed] = "failed",
-        [kCodeTimeout] = "timeout",
-        [kCodeInDoubt] = "in_doubt",
-        [kCodeMalformed] = "malformed",
-        [kCodeNoDatabase] = "no_database",
-        [kCodeNoAuth] = "no_auth",
-        [kCodeOther] = "other",
-    };
-    return names[code];
-}
-
-static uint64_t
-lease_left_us(const Gateway *g, uint64_t now_us)
-{
-    return g->lease_until_us > now_us ? g->lease_until_us - now_us : 0;
-}
-
-/* Writes the line of a request: what decided it and how old that was. */
-static void
-log_request(const Session *s, uint64_t now_us, const CallerAnswer *a)
-{
-    const Gateway *g = s->gateway;
-    const Job *job = &s->job;
-    const Database *d = s->database;
-    EventLine line;
-
-    if (a->code == kCodeNone && a->tag == NULL) {
-        return;
-    }
-    event_begin(&line, g->events, now_us,
-                a->code == kCodeNone ? kEventAnswered : kEventRequest);
-    event_text(&line, "request", job->id);
-    event_number(&line, "session", s->number);
-    event_text(&line, "outcome", code_name(a->code));
-    event_text(&line, "detail", a->detail);
-    event_text(&line, "database", d == NULL ? s->host : d->name);
-    event_text(&line, "team", session_team_name(s));
-    event_text(&line, "server", job->server == NULL ? "" : job->server->id);
-    event_number(&line, "sent", job->sent);
-    event_number(&line, "writes", job->writes);
-    event_number(&line, "needs_primary", job->needs_primary);
-    event_number(&line, "in_transaction", s->begun);
-    event_number(&line, "attempts", job->attempts);
-    event_number(&line, "lagging", job->lagging);
-    event_number(&line, "took_us",
-                 job->arrived_us == 0 ? 0 : now_us - job->arrived_us);
-    event_number(&line, "version",
-                 s->document == NULL ? 0 : s->document->version);
-    event_number(&line, "lease_left_us", lease_left_us(g, now_us));
-    if (d != NULL) {
-        event_text(&line, "primary", d->primary);
-        event_number(&line, "epoch", d->epoch);
-        event_number(&line, "closing", d->closing);
-        event_number(&line, "queue", d->waiting.length);
-        if (freshness_newest_us(&d->freshness) != 0) {
-            event_number(&line, "position_age_us",
-                         now_us - freshness_newest_us(&d->freshness));
-        }
-    }
-    event_end(&line);
-}
-
-static void
-caller_tell(Session *s, uint64_t now_us, const CallerAnswer *a)
+/* Answers the open statement: the caller is told, the log too. */
+void
+session_tell(Session *s, uint64_t now_us, const CallerAnswer *a)
 {
     Gateway *g = s->gateway;
 
-    log_request(s, now_us, a);
+    session_log(s, now_us, a);
     dispatch_leave(s);
     team_rates_leave(s);
     job_clear(s);
@@ -247,14 +169,14 @@
 static void
 tell_done(Session *s, uint64_t now_us, SessionState state)
 {
-    caller_tell(s, now_us, &(CallerAnswer){.state = state});
+    session_tell(s, now_us, &(CallerAnswer){.state = state});
 }
 
 static void
 tell_error(Session *s, uint64_t now_us, AnswerCode code, SessionState state,
            const char *detail)
 {
-    caller_tell(
+    session_tell(
         s, now_us,
         &(CallerAnswer){.code = code, .state = state, .detail = detail});
 }
@@ -578,237 +500,14 @@
     }
 }
 
-/* ---- answers of a server ---- */
-
-static gboolean
-ran_nowhere(AnswerCode code)
-{
-    return code == kCodeBusy || code == kCodeLagging ||
-           code == kCodeReadOnly || code == kCodeMisrouted ||
-           code == kCodeTooMany || code == kCodeNoStatement;
-}
-
-static void
-note_lagging(Session *s, Server *server, uint64_t now_us)
-{
-    uint64_t step_us = server->lagging_step_us * 2;
-
-    server->lagging_step_us =
-        CLAMP(step_us, (uint64_t)kLaggingFirstUs, (uint64_t)kLaggingMostUs);
-    server->lagging_until_us = now_us + server->lagging_step_us;
-    s->gateway->counters.lagging++;
-}
-
-/* The statement or the BEGIN before it did not run: it may go elsewhere as
- * long as nothing of its transaction has run. */
-static void
-answer_not_run(Session *s, uint64_t now_us, const ServerAnswer *a)
-{
-    Connection *c = s->connection;
-    Server *server = c->server;
-    uint64_t delay_us = 0;
-
-    if (a->code == kCodeNoStatement) {
-        g_clear_pointer(&c->prepared, g_hash_table_destroy);
-    }
-    if (s->begun) {
-        if (a->state == kSessionInTransaction &&
-            (a->code == kCodeNoStatement) && s->job.attempts++ == 0) {
-            connection_run(c, s, now_us);
-            return;
-        }
-        session_finish(s, now_us, kCodeAborted, a->code_text);
-        return;
-    }
-    if (a->code == kCodeBusy) {
-        delay_us = kBusyRetryUs;
-    }
-    if (a->code == kCodeLagging) {
-        note_lagging(s, server, now_us);
-        s->job.lagging++;
-        s->job.attempts -= s->job.attempts > 0 ? 1 : 0;
-        if (s->job.lagging >= kLaggingTriesMax) {
-            s->job.needs_primary = TRUE;
-        }
-    }
-    if (a->code == kCodeReadOnly || a->code == kCodeMisrouted) {
-        server->avoid_until_us = now_us + kLaggingMostUs / 4;
-    }
-    s->job.sent = FALSE;
-    s->job.avoid = a->code == kCodeNoStatement ? NULL : server;
-    if (server == database_primary(s->database, now_us) &&
-        s->job.needs_primary) {
-        s->job.avoid = NULL;
-    }
-    s->connection = NULL;
-    c->session = NULL;
-    connection_release(c, now_us, a->state != kSessionIdle);
-    dispatch_retry(s, now_us, delay_us);
-}
-
-static gboolean
-answer_counts(const Session *s, uint64_t now_us)
-{
-    const Connection *c = s->connection;
-    return !s->at_primary ||
-           c->server == database_primary(s->database, now_us);
-}
-
-static gboolean
-may_change_data(const Session *s)
-{
-    return s->job.kind == kStatementCommit ? s->wrote : s->job.writes;
-}
-
-/* A statement ran and completed. */
-static void
-answer_complete(Session *s, uint64_t now_us, const ServerAnswer *a)
-{
-    Connection *c = s->connection;
-    gboolean ends =
-        s->state == kSessionIdle || s->job.kind == kStatementCommit;
-    gboolean commits = ends && may_change_data(s);
-    SessionState state = ends ? kSessionIdle : kSessionInTransaction;
-    GatewayCounters *n = &s->gateway->counters;
-
-    if (commits && !answer_counts(s, now_us)) {
-        session_finish(s, now_us, kCodeInDoubt,
-                       "the primary was replaced meanwhile");
-        return;
-    }
-    if (commits && position_compare(a->position, s->own) > 0) {
-        s->own = a->position;
-    }
-    if (!ends) {
-        s->wrote |= s->job.writes;
-    }
-    if (!s->at_primary) {
-        c->server->lagging_step_us = 0;
-        n->replica_reads++;
-    }
-    else if (!s->job.writes) {
-        n->primary_reads++;
-    }
-    CallerAnswer answer = {.rows = a->rows,
-                           .rows_bytes = a->rows_bytes,
-                           .tag = a->tag,
-                           .state = state,
-                           .position_text = a->position_text};
-    if (ends) {
-        s->connection = NULL;
-        c->session = NULL;
-    }
-    caller_tell(s, now_us, &answer);
-    if (ends) {
-        connection_release(c, now_us, a->state != kSessionIdle);
-    }
-}
-
-/* A statement ran and failed, or may have run. */
-static void
-answer_error(Session *s, uint64_t now_us, const ServerAnswer *a)
-{
-    Connection *c = s->connection;
-    Job *job = &s->job;
-    gboolean in_transaction = s->state == kSessionInTransaction;
-    gboolean commit = job->kind == kStatementCommit;
-    CallerAnswer answer = {.code = a->code,
-                           .code_text = a->code_text,
-                           .detail = a->detail,
-                           .position_text = a->position_text};
-
-    if (!in_transaction && !job->writes && a->code == kCodeFailed &&
-        job->attempts < kReadRetriesMax) {
-        job->avoid = c->server;
-        s->connection = NULL;
-        c->session = NULL;
-        connection_release(c, now_us, FALSE);
-        dispatch_retry(s, now_us, 0);
-        return;
-    }
-    answer.state = in_transaction && !commit ? kSessionFailed : kSessionIdle;
-    s->connection = NULL;
-    c->session = NULL;
-    caller_tell(s, now_us, &answer);
-    connection_release(c, now_us, a->state != kSessionIdle);
-}
-
-/* Takes in the server's answer to the session's BEGIN or statement. */
-void
-session_answer(Session *s, uint64_t now_us, const ServerAnswer *a)
-{
-    Connection *c = s->connection;
-
-    if (c->begin_open && a->code == kCodeNone) {
-        c->begin_open = FALSE;
-        s->begun = TRUE;
-        connection_run(c, s, now_us);
-        return;
-    }
-    if (a->code == kCodeNone) {
-        answer_complete(s, now_us, a);
-        return;
-    }
-    if (ran_nowhere(a->code) || c->begin_open) {
-        answer_not_run(s, now_us, a);
-        return;
-    }
-    answer_error(s, now_us, a);
-}
-
-/* The session's connection is gone; s->connection is NULL already. */
-void
-session_connection_lost(Session *s, uint64_t now_us)
-{
-    Job *job = &s->job;
-
-    s->connection = NULL;
-    if (!job->open) {
-        /* Between two statements: the transaction is rolled back. */
-        s->state = kSessionFailed;
-        s->begun = FALSE;
-        return;
-    }
-    if (s->begun && job->kind != kStatementCommit) {
-        session_finish(s, now_us, kCodeAborted, "the connection was lost");
-        return;
-    }
-    if (s->state == kSessionInTransaction && !s->begun) {
-        dispatch_retry(s, now_us, 0);
-        return;
-    }
-    if (may_change_data(s)) {
-        session_finish(s, now_us, kCodeInDoubt, "the answer was lost");
-        return;
-    }
-    if (job->kind == kStatementCommit) {
-        session_finish(s, now_us, kCodeAborted, "the connection was lost");
-        return;
-    }
-    dispatch_retry(s, now_us, 0);
-}
-
-/* The primary that the session works at must not be used any more. */
-void
-session_abort_at(Session *s, uint64_t now_us)
-{
-    Connection *c = s->connection;
-
-    if (c == NULL || !s->at_primary) {
-        return;
-    }
-    s->connection = NULL;
-    connection_close(c);
-    session_connection_lost(s, now_us);
-}
-
 /* ---- time ---- */
 
 static gboolean
 ends_in_doubt(const Session *s)
 {
     gboolean single = s->state == kSessionIdle;
-    return may_change_data(s) && (single || s->job.kind == kStatementCommit);
+    return session_may_change(s) &&
+           (single || s->job.kind == kStatementCommit);
 }
 
 static void
--- /dev/null
+++ b/src/sapphireweir/gateway/session_answer.c
@@ -0,0 +1,236 @@
+#include "gateway/gateway_internal.h"
+
+/* What a backend server's answer, or its absence, means for a session: what
+ * did not run may go elsewhere, what may have run is never repeated, and a
+ * promise is made only where it is certain. */
+
+enum {
+    kBusyRetryUs = 12000,    /* a server whose queue was full */
+    kLaggingFirstUs = 40000, /* a replica that was behind is left alone */
+    kLaggingMostUs = 640000,
+    kLaggingTriesMax = 3,
+    kReadRetriesMax = 1, /* of a read that ran and failed */
+};
+
+static gboolean
+ran_nowhere(AnswerCode code)
+{
+    return code == kCodeBusy || code == kCodeLagging ||
+           code == kCodeReadOnly || code == kCodeMisrouted ||
+           code == kCodeTooMany || code == kCodeNoStatement;
+}
+
+static void
+note_lagging(Session *s, Server *server, uint64_t now_us)
+{
+    uint64_t step_us = server->lagging_step_us * 2;
+
+    server->lagging_step_us =
+        CLAMP(step_us, (uint64_t)kLaggingFirstUs, (uint64_t)kLaggingMostUs);
+    server->lagging_until_us = now_us + server->lagging_step_us;
+    s->gateway->counters.lagging++;
+}
+
+/* The statement or the BEGIN before it did not run: it may go elsewhere as
+ * long as nothing of its transaction has run. */
+static void
+answer_not_run(Session *s, uint64_t now_us, const ServerAnswer *a)
+{
+    Connection *c = s->connection;
+    Server *server = c->server;
+    uint64_t delay_us = 0;
+
+    if (a->code == kCodeNoStatement) {
+        g_clear_pointer(&c->prepared, g_hash_table_destroy);
+    }
+    if (s->begun) {
+        if (a->state == kSessionInTransaction &&
+            (a->code == kCodeNoStatement) && s->job.attempts++ == 0) {
+            connection_run(c, s, now_us);
+            return;
+        }
+        session_finish(s, now_us, kCodeAborted, a->code_text);
+        return;
+    }
+    if (a->code == kCodeBusy) {
+        delay_us = kBusyRetryUs;
+    }
+    if (a->code == kCodeLagging) {
+        note_lagging(s, server, now_us);
+        s->job.lagging++;
+        s->job.attempts -= s->job.attempts > 0 ? 1 : 0;
+        if (s->job.lagging >= kLaggingTriesMax) {
+            s->job.needs_primary = TRUE;
+        }
+    }
+    if (a->code == kCodeReadOnly || a->code == kCodeMisrouted) {
+        server->avoid_until_us = now_us + kLaggingMostUs / 4;
+    }
+    s->job.sent = FALSE;
+    s->job.avoid = a->code == kCodeNoStatement ? NULL : server;
+    if (server == database_primary(s->database, now_us) &&
+        s->job.needs_primary) {
+        s->job.avoid = NULL;
+    }
+    s->connection = NULL;
+    c->session = NULL;
+    connection_release(c, now_us, a->state != kSessionIdle);
+    dispatch_retry(s, now_us, delay_us);
+}
+
+static gboolean
+answer_counts(const Session *s, uint64_t now_us)
+{
+    const Connection *c = s->connection;
+    return !s->at_primary ||
+           c->server == database_primary(s->database, now_us);
+}
+
+/* Tells whether the open statement may make data permanent. */
+gboolean
+session_may_change(const Session *s)
+{
+    return s->job.kind == kStatementCommit ? s->wrote : s->job.writes;
+}
+
+/* A statement ran and completed. */
+static void
+answer_complete(Session *s, uint64_t now_us, const ServerAnswer *a)
+{
+    Connection *c = s->connection;
+    gboolean ends =
+        s->state == kSessionIdle || s->job.kind == kStatementCommit;
+    gboolean commits = ends && session_may_change(s);
+    SessionState state = ends ? kSessionIdle : kSessionInTransaction;
+    GatewayCounters *n = &s->gateway->counters;
+
+    if (commits && !answer_counts(s, now_us)) {
+        session_finish(s, now_us, kCodeInDoubt,
+                       "the primary was replaced meanwhile");
+        return;
+    }
+    if (commits && position_compare(a->position, s->own) > 0) {
+        s->own = a->position;
+    }
+    if (!ends) {
+        s->wrote |= s->job.writes;
+    }
+    if (!s->at_primary) {
+        c->server->lagging_step_us = 0;
+        n->replica_reads++;
+    }
+    else if (!s->job.writes) {
+        n->primary_reads++;
+    }
+    CallerAnswer answer = {.rows = a->rows,
+                           .rows_bytes = a->rows_bytes,
+                           .tag = a->tag,
+                           .state = state,
+                           .position_text = a->position_text};
+    if (ends) {
+        s->connection = NULL;
+        c->session = NULL;
+    }
+    session_tell(s, now_us, &answer);
+    if (ends) {
+        connection_release(c, now_us, a->state != kSessionIdle);
+    }
+}
+
+/* A statement ran and failed, or may have run. */
+static void
+answer_error(Session *s, uint64_t now_us, const ServerAnswer *a)
+{
+    Connection *c = s->connection;
+    Job *job = &s->job;
+    gboolean in_transaction = s->state == kSessionInTransaction;
+    gboolean commit = job->kind == kStatementCommit;
+    CallerAnswer answer = {.code = a->code,
+                           .code_text = a->code_text,
+                           .detail = a->detail,
+                           .position_text = a->position_text};
+
+    if (!in_transaction && !job->writes && a->code == kCodeFailed &&
+        job->attempts < kReadRetriesMax) {
+        job->avoid = c->server;
+        s->connection = NULL;
+        c->session = NULL;
+        connection_release(c, now_us, FALSE);
+        dispatch_retry(s, now_us, 0);
+        return;
+    }
+    answer.state = in_transaction && !commit ? kSessionFailed : kSessionIdle;
+    s->connection = NULL;
+    c->session = NULL;
+    session_tell(s, now_us, &answer);
+    connection_release(c, now_us, a->state != kSessionIdle);
+}
+
+/* Takes in the server's answer to the session's BEGIN or statement. */
+void
+session_answer(Session *s, uint64_t now_us, const ServerAnswer *a)
+{
+    Connection *c = s->connection;
+
+    if (c->begin_open && a->code == kCodeNone) {
+        c->begin_open = FALSE;
+        s->begun = TRUE;
+        connection_run(c, s, now_us);
+        return;
+    }
+    if (a->code == kCodeNone) {
+        answer_complete(s, now_us, a);
+        return;
+    }
+    if (ran_nowhere(a->code) || c->begin_open) {
+        answer_not_run(s, now_us, a);
+        return;
+    }
+    answer_error(s, now_us, a);
+}
+
+/* The session's connection is gone; s->connection is NULL already. */
+void
+session_connection_lost(Session *s, uint64_t now_us)
+{
+    Job *job = &s->job;
+
+    s->connection = NULL;
+    if (!job->open) {
+        /* Between two statements: the transaction is rolled back. */
+        s->state = kSessionFailed;
+        s->begun = FALSE;
+        return;
+    }
+    if (s->begun && job->kind != kStatementCommit) {
+        session_finish(s, now_us, kCodeAborted, "the connection was lost");
+        return;
+    }
+    if (s->state == kSessionInTransaction && !s->begun) {
+        dispatch_retry(s, now_us, 0);
+        return;
+    }
+    if (session_may_change(s)) {
+        session_finish(s, now_us, kCodeInDoubt, "the answer was lost");
+        return;
+    }
+    if (job->kind == kStatementCommit) {
+        session_finish(s, now_us, kCodeAborted, "the connection was lost");
+        return;
+    }
+    dispatch_retry(s, now_us, 0);
+}
+
+/* The primary that the session works at must not be used any more. */
+void
+session_abort_at(Session *s, uint64_t now_us)
+{
+    Connection *c = s->connection;
+
+    if (c == NULL || !s->at_primary) {
+        return;
+    }
+    s->connection = NULL;
+    connection_close(c);
+    session_connection_lost(s, now_us);
+}
