--- a/test/support/fleet_world.c
+++ b/test/support/fleet_world.c
@@ -112,6 +112,7 @@
     uint64_t order;
     EventRun run;
     void *data;
+    GDestroyNotify drop; /* frees the data of an event that never runs */
 } Event;
 
 struct World {
@@ -162,13 +163,30 @@
 }
 
 static void
-later(World *w, uint64_t delay_us, EventRun run, void *data)
+later_owned(World *w, uint64_t delay_us, EventRun run, void *data,
+            GDestroyNotify drop)
 {
     Event *e = g_new(Event, 1);
-    *e = (Event){w->now_us + delay_us, ++w->order, run, data};
+    *e = (Event){w->now_us + delay_us, ++w->order, run, data, drop};
     g_sequence_insert_sorted(w->events, e, event_compare, NULL);
 }
 
+static void
+later(World *w, uint64_t delay_us, EventRun run, void *data)
+{
+    later_owned(w, delay_us, run, data, NULL);
+}
+
+static void
+drop_event(void *event, void *ctx)
+{
+    Event *e = event;
+    (void)ctx;
+    if (e->drop != NULL) {
+        e->drop(e->data);
+    }
+}
+
 static gboolean
 reachable(const World *w, uint32_t a, uint32_t b)
 {
@@ -241,7 +259,7 @@
         if (to != from) {
             Replication *r = g_new(Replication, 1);
             *r = (Replication){from, to, log_length(from), from->term};
-            later(w, kLinkUs + w->lag_us, replicate, r);
+            later_owned(w, kLinkUs + w->lag_us, replicate, r, g_free);
         }
     }
 }
@@ -428,6 +446,16 @@
     return kCodeNone;
 }
 
+static void
+command_free(void *data)
+{
+    Command *c = data;
+    g_free(c->text);
+    g_free(c->name);
+    g_free(c->value);
+    g_free(c);
+}
+
 static void
 command_run(World *w, void *data)
 {
@@ -448,12 +476,9 @@
                 l->in_transaction ? kSessionInTransaction : kSessionIdle;
         }
         r->position = (Position){l->member->term, log_length(l->member)};
-        later(w, kLinkUs, deliver, r);
+        later_owned(w, kLinkUs, deliver, r, g_free);
     }
-    g_free(c->text);
-    g_free(c->name);
-    g_free(c->value);
-    g_free(c);
+    command_free(c);
 }
 
 /* ---- the gateways' port ---- */
@@ -538,7 +563,8 @@
                        .name = g_strdup(commands[i].name),
                        .value = g_strdup(commands[i].value),
                        .after = commands[i].after};
-        later(w, l->busy_until_us - w->now_us, command_run, c);
+        later_owned(w, l->busy_until_us - w->now_us, command_run, c,
+                    command_free);
     }
 }
 
@@ -576,6 +602,16 @@
     w->report.reverted += version != 0 && version < w->old_version;
 }
 
+static void
+letter_free(void *data)
+{
+    Letter *l = data;
+    sw__frame__free_unpacked(l->frame, NULL);
+    g_free(l->from);
+    g_free(l->to);
+    g_free(l);
+}
+
 static void
 letter_arrive(World *w, void *data)
 {
@@ -597,10 +633,7 @@
             }
         }
     }
-    sw__frame__free_unpacked(l->frame, NULL);
-    g_free(l->from);
-    g_free(l->to);
-    g_free(l);
+    letter_free(l);
 }
 
 static uint32_t
@@ -615,7 +648,7 @@
     Letter *l = g_new(Letter, 1);
     *l = (Letter){domain_of(from), domain_of(to), g_strdup(from), g_strdup(to),
                   message_copy(f)};
-    later(w, kLinkUs, letter_arrive, l);
+    later_owned(w, kLinkUs, letter_arrive, l, letter_free);
 }
 
 static void
@@ -760,7 +793,7 @@
     (void)database;
     (void)address;
     *q = (Question){c, member_by_id(c->w, server)};
-    later(c->w, kHandshakeUs + 2 * kLinkUs, status_answer, q);
+    later_owned(c->w, kHandshakeUs + 2 * kLinkUs, status_answer, q, g_free);
 }
 
 static void
@@ -822,7 +855,7 @@
     Question *q = g_new(Question, 1);
     (void)fence;
     *q = (Question){c, member_by_id(c->w, server)};
-    later(c->w, c->w->promote_us, promotion_effect, q);
+    later_owned(c->w, c->w->promote_us, promotion_effect, q, g_free);
     director_promoted(c->director, c->w->now_us, database, server, 200);
 }
 
@@ -1547,6 +1580,7 @@
     }
     g_ptr_array_unref(w->links);
     g_hash_table_destroy(w->writes);
+    g_sequence_foreach(w->events, drop_event, NULL);
     g_sequence_free(w->events);
     g_bytes_unref(w->document);
     g_rand_free(w->rand);
