Promote only a replica that holds what replicas acknowledged

Ruled out: PAUSE before comparing: all rights have ended by then, so nothing more is acknowledged; waiting for every replica always: one that died for good would keep the database closed, so entry instances report the newest commit that a caller was told of. Change: succession.c decides; questions asked after the last right ended are the last word; a planned change asks the old primary again then, too; the old primary is told to step down.

--- a/src/sapphireweir/fleet/director.c
+++ b/src/sapphireweir/fleet/director.c
@@ -462,6 +462,7 @@
         return;
     }
     d->led_since_us = leads ? MAX(now_us, 1) : 0;
+    d->forgot_us = now_us;
     d->announced = FALSE;
     g_hash_table_remove_all(d->changes);
     g_hash_table_remove_all(d->shares);
--- a/src/sapphireweir/fleet/director.h
+++ b/src/sapphireweir/fleet/director.h
@@ -3,6 +3,7 @@
 
 #include "core/consensus.h"
 #include "core/event_log.h"
+#include "core/position.h"
 #include "fleet/directory.h"
 #include "fleet/document.h"
 
@@ -17,9 +18,9 @@
     gboolean alive; /* it answered, be it that it was too busy */
     gboolean ok;    /* it told its log */
     gboolean primary;
-    uint64_t log_term;
-    uint64_t log_number;
+    Position log;
     uint64_t term;
+    uint64_t asked_us; /* when the question was sent */
 } DirectorStatus;
 
 typedef struct {
@@ -33,6 +34,10 @@
     /* Asks a backend server; director_status brings the answer. */
     void (*status_ask)(void *ctx, const char *server, const char *database,
                        const char *address);
+    /* Tells a backend server that a primary of this term has followed it;
+     * nothing is reported of it. */
+    void (*step_down)(void *ctx, const char *server, const char *database,
+                      const char *address, uint64_t term);
     /* Asks for a promotion; director_promoted brings the answer. */
     void (*promote)(void *ctx, const char *database, const char *server,
                     uint64_t fence);
--- a/src/sapphireweir/fleet/director_entries.c
+++ b/src/sapphireweir/fleet/director_entries.c
@@ -26,7 +26,7 @@
 }
 
 static EntryTrack *
-entry_track(Director *d, const char *id, uint64_t incarnation)
+entry_track(Director *d, uint64_t now_us, const char *id, uint64_t incarnation)
 {
     EntryTrack *t = g_hash_table_lookup(d->entries, id);
 
@@ -42,6 +42,9 @@
             g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
         g_hash_table_insert(d->entries, t->id, t);
     }
+    else {
+        d->forgot_us = now_us;
+    }
     /* A new run knows nothing; leases of the former one may still count. */
     g_hash_table_remove_all(t->evidence);
     g_hash_table_remove_all(t->demand);
@@ -259,9 +262,15 @@
             kept = g_new0(EntryEvidence, 1);
             g_hash_table_insert(t->evidence, g_strdup(e->database), kept);
         }
-        *kept = (EntryEvidence){e->epoch,          now_us,
-                                e->answered,       e->failing_us,
-                                e->released_epoch, e->open_work};
+        *kept = (EntryEvidence){
+            .epoch = e->epoch,
+            .heard_us = now_us,
+            .answered = e->answered,
+            .failing_us = e->failing_us,
+            .released_epoch = e->released_epoch,
+            .open_work = e->open_work,
+            .acknowledged = {e->acknowledged_term, e->acknowledged_number},
+        };
     }
 }
 
@@ -285,7 +294,7 @@
 entries_report(Director *d, uint64_t now_us, const char *from,
                const Sw__EntryReport *m)
 {
-    EntryTrack *t = entry_track(d, from, m->incarnation);
+    EntryTrack *t = entry_track(d, now_us, from, m->incarnation);
 
     t->heard_us = now_us;
     t->leaving = m->leaving;
@@ -354,7 +363,10 @@
         return;
     }
     d->shares_due_us = now_us + kSharesEveryUs;
-    g_hash_table_foreach_remove(d->entries, entry_forgotten, &now_us);
+    if (g_hash_table_foreach_remove(d->entries, entry_forgotten, &now_us) >
+        0) {
+        d->forgot_us = now_us;
+    }
     if (d->led_since_us != 0) {
         rates_tick(d, now_us);
     }
--- a/src/sapphireweir/fleet/director_internal.h
+++ b/src/sapphireweir/fleet/director_internal.h
@@ -23,6 +23,7 @@
     uint64_t failing_us;
     uint64_t released_epoch;
     uint32_t open_work;
+    Position acknowledged;
 } EntryEvidence;
 
 typedef struct {
@@ -50,10 +51,8 @@
 
 typedef struct {
     gboolean answered;
-    gboolean primary;
-    uint64_t log_term;
-    uint64_t log_number;
-    uint64_t term;
+    Position log;
+    uint64_t asked_us;
 } Candidate;
 
 /* A change of primary that the leader carries out. */
@@ -69,6 +68,8 @@
     uint64_t since_us;    /* of the phase */
     uint64_t started_us;
     uint64_t asked_us;
+    uint64_t ended_us; /* when all rights had ended, zero: not yet */
+    gboolean waits;    /* for a replica that may hold what others lack */
     uint64_t primary_alive_us; /* the old one answered, zero: not yet */
     uint64_t promote_us;       /* last promotion asked for, zero: none */
     char *target;
@@ -124,6 +125,9 @@
     uint64_t grant_revision;
     gboolean announced;    /* as a leader whose state is whole */
     uint64_t led_since_us; /* zero: does not lead */
+    /* When an entry instance was lost whose acknowledgements since its last
+     * report nobody knows. */
+    uint64_t forgot_us;
     uint64_t leader_heard_us;
     uint64_t join_due_us;
     uint64_t trim_due_us;
--- a/src/sapphireweir/fleet/handover.c
+++ b/src/sapphireweir/fleet/handover.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "fleet/director_internal.h"
+#include "fleet/succession.h"
 #include "fleet/suspect.h"
 
 /* Changes of a database's primary.  The leader asks the replicas first,
@@ -89,13 +90,21 @@
 
 /* ---- asking backend servers ---- */
 
+/* Returns how many replicas have a commit before it is acknowledged. */
+static uint32_t
+sync_replicas_of(const Director *d, const char *database)
+{
+    const DocumentDatabase *found =
+        d->decoded == NULL ? NULL : document_database(d->decoded, database);
+    return found == NULL ? 0 : found->sync_replicas;
+}
+
 static gboolean
-is_candidate(const PrimaryChange *h, const DirectoryServer *s,
-             const PrimaryState *p)
+is_replica(const PrimaryChange *h, const DirectoryServer *s,
+           const PrimaryState *p)
 {
     return !s->gone && strcmp(s->database, h->database) == 0 &&
-           strcmp(s->id, p->primary) != 0 &&
-           (!s->draining || h->planned == FALSE);
+           strcmp(s->id, p->primary) != 0;
 }
 
 /* Asks the replicas for their logs, and the primary as long as it may still
@@ -104,6 +113,7 @@
 ask_replicas(Director *d, uint64_t now_us, PrimaryChange *h)
 {
     const PrimaryState *p = director_primary(d, h->database);
+    gboolean leaving_too = !h->planned || sync_replicas_of(d, h->database) > 0;
     GHashTableIter it;
     void *value;
 
@@ -113,7 +123,9 @@
         const DirectoryServer *s = value;
         gboolean before = !s->gone && strcmp(s->id, p->primary) == 0 &&
                           (h->planned || h->phase == kChangeProbing);
-        if (is_candidate(h, s, p) || before) {
+        gboolean replica =
+            is_replica(h, s, p) && (!s->draining || leaving_too);
+        if (replica || before) {
             d->port.status_ask(d->port.ctx, s->id, s->database, s->address);
         }
     }
@@ -126,6 +138,20 @@
     return s == NULL ? NULL : g_hash_table_lookup(d->changes, s->database);
 }
 
+/* Lets the old primary follow the new one, where it can be reached; it would
+ * find out by itself about a second later. */
+static void
+step_down(const Director *d, const PrimaryChange *h)
+{
+    const PrimaryState *p = director_primary(d, h->database);
+    const DirectoryServer *old = directory_find(&d->directory, p->primary);
+
+    if (old != NULL && !old->gone) {
+        d->port.step_down(d->port.ctx, old->id, old->database, old->address,
+                          h->target_term);
+    }
+}
+
 /* The target leads: the change ends once the log says so, and nothing else
  * may be asked for meanwhile. */
 static void
@@ -142,6 +168,7 @@
     if (director_propose_primary(d, now_us, &next)) {
         h->settling_us = now_us;
     }
+    step_down(d, h);
 }
 
 /* Takes in a backend server's answer. */
@@ -162,8 +189,7 @@
         return;
     }
     if (strcmp(server, p->primary) == 0) {
-        h->before = (Candidate){TRUE, status->primary, status->log_term,
-                                status->log_number, status->term};
+        h->before = (Candidate){TRUE, status->log, status->asked_us};
         return;
     }
     Candidate *c = g_hash_table_lookup(h->candidates, server);
@@ -171,8 +197,7 @@
         c = g_new0(Candidate, 1);
         g_hash_table_insert(h->candidates, g_strdup(server), c);
     }
-    *c = (Candidate){TRUE, status->primary, status->log_term,
-                     status->log_number, status->term};
+    *c = (Candidate){TRUE, status->log, status->asked_us};
     /* A primary that was replaced before goes on calling itself one, in the
      * term that it led. */
     if (h->phase == kChangePromoting && status->primary &&
@@ -182,37 +207,69 @@
     }
 }
 
+/* Finds the newest commit that callers were told of.  FALSE: an instance
+ * that may have told of a newer one has not said so. */
 static gboolean
-log_reaches(const Candidate *c, const Candidate *other)
+newest_acknowledged(const Director *d, const PrimaryChange *h, Position *out)
 {
-    return c->log_term > other->log_term ||
-           (c->log_term == other->log_term &&
-            c->log_number >= other->log_number);
+    const PrimaryState *p = director_primary(d, h->database);
+    GHashTableIter it;
+    void *value;
+
+    *out = (Position){0};
+    if (d->forgot_us >= p->settled_us) {
+        return FALSE;
+    }
+    g_hash_table_iter_init(&it, d->entries);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        const EntryTrack *t = value;
+        const EntryEvidence *e = g_hash_table_lookup(t->evidence, h->database);
+        if (e == NULL || e->released_epoch < h->epoch) {
+            return FALSE;
+        }
+        if (position_compare(e->acknowledged, *out) > 0) {
+            *out = e->acknowledged;
+        }
+    }
+    return TRUE;
 }
 
-/* Returns the replica that holds most of the log, NULL when none answered. */
+/* Returns the replica that is to lead next, NULL while none may. */
 static const char *
-best_candidate(const Director *d, const PrimaryChange *h)
+next_primary(const Director *d, const PrimaryChange *h)
 {
+    const PrimaryState *p = director_primary(d, h->database);
+    guint most = g_hash_table_size(d->directory.servers);
+    SuccessionReplica *replicas = g_new0(SuccessionReplica, most + 1);
+    const char **names = g_new0(const char *, most + 1);
+    SuccessionNeed need = {.sync_replicas = sync_replicas_of(d, h->database)};
     GHashTableIter it;
-    void *key;
     void *value;
-    const char *best = NULL;
-    const Candidate *held = NULL;
-
-    g_hash_table_iter_init(&it, h->candidates);
-    while (g_hash_table_iter_next(&it, &key, &value)) {
-        const Candidate *c = value;
-        const DirectoryServer *s = directory_find(&d->directory, key);
-        if (s == NULL || s->gone || g_strcmp0(key, h->refused) == 0) {
+    size_t count = 0;
+
+    need.known = newest_acknowledged(d, h, &need.acknowledged);
+    g_hash_table_iter_init(&it, d->directory.servers);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        const DirectoryServer *s = value;
+        const Candidate *c = g_hash_table_lookup(h->candidates, s->id);
+        if (!is_replica(h, s, p)) {
             continue;
         }
-        if (held == NULL || !log_reaches(held, c)) {
-            best = key;
-            held = c;
-        }
-    }
-    return best;
+        names[count] = s->id;
+        replicas[count++] = (SuccessionReplica){
+            .answered = c != NULL,
+            .final =
+                c != NULL && h->ended_us != 0 && c->asked_us >= h->ended_us,
+            .barred = g_strcmp0(s->id, h->refused) == 0 ||
+                      (h->planned && s->draining),
+            .log = c == NULL ? (Position){0} : c->log,
+        };
+    }
+    int best = succession_choose(replicas, count, &need);
+    const char *found = best == kSuccessionWait ? NULL : names[best];
+    g_free(names);
+    g_free(replicas);
+    return found;
 }
 
 /* ---- beginning ---- */
@@ -440,10 +497,14 @@
 static void
 promote(Director *d, uint64_t now_us, PrimaryChange *h)
 {
-    const char *best = best_candidate(d, h);
+    const char *best = next_primary(d, h);
 
     if (best == NULL) {
         g_clear_pointer(&h->refused, g_free);
+        if (!h->waits && now_us - h->since_us > kProbeGiveUpUs) {
+            h->waits = TRUE;
+            log_change(d, now_us, h, "waits for a replica", "");
+        }
         if (now_us - h->asked_us > kProbePatienceUs) {
             ask_replicas(d, now_us, h);
         }
@@ -463,14 +524,16 @@
 static gboolean
 replica_caught_up(Director *d, uint64_t now_us, PrimaryChange *h)
 {
-    const char *best = best_candidate(d, h);
+    const char *best = next_primary(d, h);
+    const Candidate *held =
+        best == NULL ? NULL : g_hash_table_lookup(h->candidates, best);
 
     if (!h->planned || now_us - h->since_us > kCatchUpUs) {
         return TRUE;
     }
-    if (h->asked_us > h->since_us + kAskAgainUs && h->before.answered &&
-        best != NULL &&
-        log_reaches(g_hash_table_lookup(h->candidates, best), &h->before)) {
+    if (held != NULL && h->before.answered &&
+        h->before.asked_us >= h->ended_us &&
+        position_compare(held->log, h->before.log) >= 0) {
         return TRUE;
     }
     if (now_us - h->asked_us > kAskAgainUs) {
@@ -497,6 +560,18 @@
     return TRUE;
 }
 
+/* Nothing more is acknowledged by the old primary from here on.  Where
+ * replicas take part in that, or a planned change waits for them, only what
+ * they say now is the last word. */
+static void
+rights_ended(Director *d, uint64_t now_us, PrimaryChange *h)
+{
+    h->ended_us = now_us;
+    if (h->planned || sync_replicas_of(d, h->database) > 0) {
+        ask_replicas(d, now_us, h);
+    }
+}
+
 static void
 step_closing(Director *d, uint64_t now_us, PrimaryChange *h)
 {
@@ -506,11 +581,15 @@
         close_rights(d, now_us, h);
         return;
     }
-    if (!p->changing || !all_let_go(d, now_us, h) ||
-        !replica_caught_up(d, now_us, h)) {
+    if (!p->changing || !all_let_go(d, now_us, h)) {
         return;
     }
-    promote(d, now_us, h);
+    if (h->ended_us == 0) {
+        rights_ended(d, now_us, h);
+    }
+    if (replica_caught_up(d, now_us, h)) {
+        promote(d, now_us, h);
+    }
 }
 
 static void
--- /dev/null
+++ b/src/sapphireweir/fleet/succession.h
@@ -0,0 +1,29 @@
+#ifndef SAPPHIREWEIR_FLEET_SUCCESSION_H
+#define SAPPHIREWEIR_FLEET_SUCCESSION_H
+
+#include <glib.h>
+#include <stddef.h>
+
+#include "core/position.h"
+
+/* A replica that might become primary. */
+typedef struct {
+    gboolean answered; /* it has told its log */
+    gboolean final;    /* asked after the last acknowledged commit */
+    gboolean barred;   /* a promotion of it was refused just now */
+    Position log;
+} SuccessionReplica;
+
+/* What must be in the log of the next primary. */
+typedef struct {
+    uint32_t sync_replicas; /* that had each commit before it counted */
+    gboolean known;         /* every acknowledgement was reported */
+    Position acknowledged;  /* the newest one; a zero term: none */
+} SuccessionNeed;
+
+enum { kSuccessionWait = -1 };
+
+int succession_choose(const SuccessionReplica *replicas, size_t count,
+                      const SuccessionNeed *need);
+
+#endif
--- a/src/sapphireweir/gateway/gateway_control.c
+++ b/src/sapphireweir/gateway/gateway_control.c
@@ -197,6 +197,7 @@
     if (m->epoch > d->epoch) {
         gateway_primary_release(d, now_us);
         freshness_clear(&d->freshness);
+        d->acknowledged = (Position){0};
         g_free(d->primary);
         d->primary = g_strdup(m->primary);
         d->epoch = m->epoch;
--- a/src/sapphireweir/gateway/gateway_defs.h
+++ b/src/sapphireweir/gateway/gateway_defs.h
@@ -4,14 +4,9 @@
 #include <glib.h>
 #include <stdint.h>
 
+#include "core/position.h"
 #include "proto/sapphireweir.pb-c.h"
 
-/* Position in a database's log; a zero term means none is known. */
-typedef struct {
-    uint64_t term;
-    uint64_t number;
-} Position;
-
 typedef enum {
     kStatementBegin,
     kStatementBeginRead,
@@ -101,6 +96,7 @@
     kCommandRollback,
     kCommandStatement,
     kCommandStatus,
+    kCommandStepDown,
 } CommandKind;
 
 /* One command to a backend server. */
@@ -112,6 +108,7 @@
     const char *value;
     gboolean writes;
     Position after; /* a zero term: none */
+    uint64_t term;  /* of the primary that kCommandStepDown tells of */
 } ServerCommand;
 
 typedef struct Connection Connection;
@@ -133,14 +130,4 @@
     void (*control_known)(void *ctx, const char *address);
 } GatewayPort;
 
-/* Compares two positions as strcmp does. */
-static inline int
-position_compare(Position a, Position b)
-{
-    if (a.term != b.term) {
-        return a.term < b.term ? -1 : 1;
-    }
-    return a.number < b.number ? -1 : a.number > b.number;
-}
-
 #endif
--- a/src/sapphireweir/gateway/gateway_internal.h
+++ b/src/sapphireweir/gateway/gateway_internal.h
@@ -55,6 +55,7 @@
     gboolean quiet;     /* quiescing, and no work is left at the primary */
     uint64_t closed_us; /* since when the primary cannot be used */
     uint64_t released_epoch;
+    Position acknowledged; /* newest commit of this epoch told to a caller */
     Freshness freshness;
     GQueue waiting; /* Session, by arrival */
 };
--- a/src/sapphireweir/gateway/gateway_report.c
+++ b/src/sapphireweir/gateway/gateway_report.c
@@ -39,6 +39,8 @@
     e->epoch = d->epoch;
     e->released_epoch = d->closing ? d->released_epoch : 0;
     e->open_work = gateway_open_work(d);
+    e->acknowledged_term = d->acknowledged.term;
+    e->acknowledged_number = d->acknowledged.number;
     if (s == NULL) {
         return;
     }
--- a/src/sapphireweir/gateway/session_answer.c
+++ b/src/sapphireweir/gateway/session_answer.c
@@ -112,6 +112,10 @@
     if (commits && position_compare(a->position, s->own) > 0) {
         s->own = a->position;
     }
+    if (commits &&
+        position_compare(a->position, s->database->acknowledged) > 0) {
+        s->database->acknowledged = a->position;
+    }
     if (!ends) {
         s->wrote |= s->job.writes;
     }
--- a/src/sapphireweir/proto/sapphireweir.pb-c.c
+++ b/src/sapphireweir/proto/sapphireweir.pb-c.c
@@ -4068,7 +4068,7 @@
   (ProtobufCMessageInit) sw__announcement__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sw__primary_evidence__field_descriptors[8] =
+static const ProtobufCFieldDescriptor sw__primary_evidence__field_descriptors[10] =
 {
   {
     "database",
@@ -4166,8 +4166,34 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "acknowledged_term",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__PrimaryEvidence, acknowledged_term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "acknowledged_number",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__PrimaryEvidence, acknowledged_number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sw__primary_evidence__field_indices_by_name[] = {
+  9,   /* field[9] = acknowledged_number */
+  8,   /* field[8] = acknowledged_term */
   5,   /* field[5] = answered */
   3,   /* field[3] = answered_ago_us */
   0,   /* field[0] = database */
@@ -4180,7 +4206,7 @@
 static const ProtobufCIntRange sw__primary_evidence__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor sw__primary_evidence__descriptor =
 {
@@ -4190,7 +4216,7 @@
   "Sw__PrimaryEvidence",
   "sw",
   sizeof(Sw__PrimaryEvidence),
-  8,
+  10,
   sw__primary_evidence__field_descriptors,
   sw__primary_evidence__field_indices_by_name,
   1,  sw__primary_evidence__number_ranges,
--- a/src/sapphireweir/proto/sapphireweir.pb-c.h
+++ b/src/sapphireweir/proto/sapphireweir.pb-c.h
@@ -539,10 +539,15 @@
    * Sessions that hold a connection to the primary.
    */
   uint32_t open_work;
+  /*
+   * Newest commit of this epoch that a caller was told of; a zero term: none.
+   */
+  uint64_t acknowledged_term;
+  uint64_t acknowledged_number;
 };
 #define SW__PRIMARY_EVIDENCE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sw__primary_evidence__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Sw__TeamDemand
--- a/test/support/fleet_world.c
+++ b/test/support/fleet_world.c
@@ -38,6 +38,7 @@
     gboolean dark; /* while down: says nothing at all */
     gboolean primary;
     gboolean draining;
+    gboolean deaf; /* receives nothing of the log */
     uint64_t term;
     uint64_t sequence;
     GArray *log; /* LogEntry */
@@ -131,6 +132,7 @@
     uint64_t lag_us;
     uint64_t promote_us;
     uint32_t lose_percent;
+    gboolean sync; /* a replica has each commit before it is answered */
     uint64_t gap_us;
     uint64_t version;
     uint64_t acked_version;
@@ -237,9 +239,9 @@
 replicate(World *w, void *data)
 {
     Replication *r = data;
-    gboolean passes = r->from->up && r->to->up && r->from->primary &&
-                      !r->to->primary && r->from->term == r->term &&
-                      r->to->term <= r->term &&
+    gboolean passes = r->from->up && r->to->up && !r->to->deaf &&
+                      r->from->primary && !r->to->primary &&
+                      r->from->term == r->term && r->to->term <= r->term &&
                       reachable(w, r->from->domain, r->to->domain) &&
                       primary_of(w, r->from->database) == r->from;
 
@@ -334,8 +336,23 @@
     AnswerCode code;
     SessionState state;
     Position position;
+    gboolean commits;
 } Reply;
 
+/* Whether a replica has all that the primary had when it answered. */
+static gboolean
+replica_has(World *w, const Reply *r)
+{
+    for (uint32_t i = 0; i < kWorldMembers; i++) {
+        const Member *m = &w->members[r->link->member->database][i];
+        if (m != r->link->member && m->term >= r->position.term &&
+            log_length(m) >= r->position.number) {
+            return TRUE;
+        }
+    }
+    return FALSE;
+}
+
 static void
 deliver(World *w, void *data)
 {
@@ -344,6 +361,10 @@
     gboolean lost = r->code == kCodeNone && w->lose_percent > 0 &&
                     percent(w) < w->lose_percent;
 
+    if (w->sync && r->commits && r->link->member->up && !replica_has(w, r)) {
+        later_owned(w, kLinkUs, deliver, r, g_free);
+        return;
+    }
     if (r->link->connection != NULL && r->link->member->up &&
         reachable(w, r->link->member->domain,
                   r->link->entry % kWorldDomains)) {
@@ -441,6 +462,7 @@
         return run_statement(w, l, c->text);
     case kCommandPrepare:
     case kCommandStatus:
+    case kCommandStepDown:
         break;
     }
     return kCodeNone;
@@ -464,6 +486,7 @@
 
     if (l->member->up) {
         Reply *r = g_new0(Reply, 1);
+        uint64_t before = log_length(l->member);
         r->link = l;
         r->code = run_command(w, l, c);
         if (r->code != kCodeNone && l->in_transaction) {
@@ -476,6 +499,7 @@
                 l->in_transaction ? kSessionInTransaction : kSessionIdle;
         }
         r->position = (Position){l->member->term, log_length(l->member)};
+        r->commits = r->position.number > before;
         later_owned(w, kLinkUs, deliver, r, g_free);
     }
     command_free(c);
@@ -764,6 +788,7 @@
 typedef struct {
     Control *control;
     Member *member;
+    uint64_t asked_us;
 } Question;
 
 static void
@@ -775,9 +800,13 @@
 
     if (q->control->director != NULL) {
         if (m->up && reachable(w, q->control->index, m->domain)) {
-            s = (DirectorStatus){TRUE,    TRUE,          m->primary,
-                                 m->term, log_length(m), m->term};
+            s = (DirectorStatus){.alive = TRUE,
+                                 .ok = TRUE,
+                                 .primary = m->primary,
+                                 .log = {m->term, log_length(m)},
+                                 .term = m->term};
         }
+        s.asked_us = q->asked_us;
         director_status(q->control->director, w->now_us, m->id, &s);
         director_flush(q->control->director, w->now_us);
     }
@@ -792,7 +821,7 @@
     Question *q = g_new(Question, 1);
     (void)database;
     (void)address;
-    *q = (Question){c, member_by_id(c->w, server)};
+    *q = (Question){c, member_by_id(c->w, server), c->w->now_us};
     later_owned(c->w, kHandshakeUs + 2 * kLinkUs, status_answer, q, g_free);
 }
 
@@ -811,6 +840,20 @@
     }
 }
 
+static void
+port_step_down(void *ctx, const char *server, const char *database,
+               const char *address, uint64_t term)
+{
+    Control *c = ctx;
+    Member *m = member_by_id(c->w, server);
+
+    (void)database;
+    (void)address;
+    if (m->up && m->term < term && reachable(c->w, c->index, m->domain)) {
+        later(c->w, kHandshakeUs + kLinkUs, old_primary_yields, m);
+    }
+}
+
 static void
 count_rolled_back(World *w, const Member *old, const Member *fresh)
 {
@@ -854,22 +897,23 @@
     Control *c = ctx;
     Question *q = g_new(Question, 1);
     (void)fence;
-    *q = (Question){c, member_by_id(c->w, server)};
+    *q = (Question){c, member_by_id(c->w, server), c->w->now_us};
     later_owned(c->w, c->w->promote_us, promotion_effect, q, g_free);
     director_promoted(c->director, c->w->now_us, database, server, 200);
 }
 
-/* The documents of this world: "version rate key". */
+/* The documents of this world: "version rate key sync". */
 static Document *
 decode(const uint8_t *text, size_t bytes)
 {
     unsigned long version;
     unsigned rate;
     unsigned with_key;
+    unsigned sync;
     char copy[64];
 
     g_strlcpy(copy, (const char *)text, MIN(bytes + 1, sizeof(copy)));
-    if (sscanf(copy, "%lu %u %u", &version, &rate, &with_key) != 3) {
+    if (sscanf(copy, "%lu %u %u %u", &version, &rate, &with_key, &sync) != 4) {
         return NULL;
     }
     Document *d = document_new(version);
@@ -886,6 +930,7 @@
         DocumentDatabase *b = g_new0(DocumentDatabase, 1);
         b->name = g_strdup(kDatabaseNames[i]);
         b->max_connections = kMaxConnections;
+        b->sync_replicas = sync;
         g_hash_table_insert(d->databases, b->name, b);
         DocumentRoute *r = g_new0(DocumentRoute, 1);
         r->host = g_strdup(kDatabaseNames[i]);
@@ -918,6 +963,7 @@
                          .random = port_control_random,
                          .operator_answer = port_operator_answer,
                          .status_ask = port_status_ask,
+                         .step_down = port_step_down,
                          .promote = port_promote,
                          .storage = {c, store_vote, store_entry,
                                      store_truncate, store_snapshot,
@@ -1237,8 +1283,8 @@
     w->version += 3;
     w->rate = rate;
     w->with_key = with_key;
-    g_snprintf(text, sizeof(text), "%" G_GUINT64_FORMAT " %u %d", w->version,
-               rate, with_key);
+    g_snprintf(text, sizeof(text), "%" G_GUINT64_FORMAT " %u %d %d",
+               w->version, rate, with_key, w->sync);
     if (w->document != NULL) {
         g_bytes_unref(w->document);
     }
@@ -1513,6 +1559,21 @@
     primary_of(w, database)->draining = TRUE;
 }
 
+/* Lets commits be answered only once a replica has them. */
+void
+world_acknowledge_by_replica(World *w)
+{
+    w->sync = TRUE;
+    world_configure(w, w->rate, w->with_key);
+}
+
+/* Stops a member from receiving the log, or lets it go on. */
+void
+world_member_deaf(World *w, uint32_t database, uint32_t index, gboolean deaf)
+{
+    w->members[database][index].deaf = deaf;
+}
+
 /* Sets how late replicas apply commits. */
 void
 world_replicas_lag(World *w, uint64_t lag_ms)
--- a/test/support/fleet_world.h
+++ b/test/support/fleet_world.h
@@ -57,6 +57,9 @@
 int world_primary(const World *w, uint32_t database);
 void world_member_power(World *w, uint32_t database, uint32_t index,
                         gboolean on, gboolean dark);
+void world_member_deaf(World *w, uint32_t database, uint32_t index,
+                       gboolean deaf);
+void world_acknowledge_by_replica(World *w);
 void world_primary_drain(World *w, uint32_t database);
 void world_replicas_lag(World *w, uint64_t lag_ms);
 void world_lose_answers(World *w, uint32_t percent);
--- a/test/unit/test_fleet_policy.c
+++ b/test/unit/test_fleet_policy.c
@@ -1,6 +1,7 @@
 #include "fleet/directory.h"
 #include "fleet/rate_window.h"
 #include "fleet/share.h"
+#include "fleet/succession.h"
 #include "fleet/suspect.h"
 #include "suite.h"
 
@@ -8,6 +9,84 @@
 
 enum { kMs = 1000 };
 
+static void
+the_next_primary_holds_what_was_acknowledged(void)
+{
+    enum { kNone = kSuccessionWait };
+    static const struct {
+        const char *name;
+        SuccessionReplica replicas[3];
+        size_t count;
+        SuccessionNeed need;
+        int chosen;
+    } cases[] = {
+        {"nobody answered", {{0}, {0}}, 2, {0}, kNone},
+        {"the one that answered, the primary acknowledges alone",
+         {{TRUE, FALSE, FALSE, {1, 4}}, {0}},
+         2,
+         {0},
+         0},
+        {"the furthest",
+         {{TRUE, FALSE, FALSE, {1, 4}}, {TRUE, FALSE, FALSE, {1, 9}}},
+         2,
+         {0},
+         1},
+        {"a newer term goes before a longer log",
+         {{TRUE, FALSE, FALSE, {2, 4}}, {TRUE, FALSE, FALSE, {1, 9}}},
+         2,
+         {0},
+         0},
+        {"not one that refused",
+         {{TRUE, FALSE, FALSE, {1, 4}}, {TRUE, FALSE, TRUE, {1, 9}}},
+         2,
+         {0},
+         0},
+        {"one of two may lack what the other acknowledged",
+         {{TRUE, TRUE, FALSE, {1, 4}}, {0}},
+         2,
+         {1, FALSE, {0}},
+         kNone},
+        {"both have answered",
+         {{TRUE, TRUE, FALSE, {1, 4}}, {TRUE, TRUE, FALSE, {1, 9}}},
+         2,
+         {1, FALSE, {0}},
+         1},
+        {"one was asked before the last commit",
+         {{TRUE, TRUE, FALSE, {1, 4}}, {TRUE, FALSE, FALSE, {1, 9}}},
+         2,
+         {1, FALSE, {0}},
+         kNone},
+        {"it is known to hold all that was acknowledged",
+         {{TRUE, TRUE, FALSE, {1, 9}}, {0}},
+         2,
+         {1, TRUE, {1, 9}},
+         0},
+        {"it is known to lack some",
+         {{TRUE, TRUE, FALSE, {1, 8}}, {0}},
+         2,
+         {1, TRUE, {1, 9}},
+         kNone},
+        {"two of three suffice where two had each commit",
+         {{TRUE, TRUE, FALSE, {1, 8}}, {TRUE, TRUE, FALSE, {1, 9}}, {0}},
+         3,
+         {2, FALSE, {0}},
+         1},
+        {"the one that refused holds more",
+         {{TRUE, TRUE, FALSE, {1, 8}}, {TRUE, TRUE, TRUE, {1, 9}}},
+         2,
+         {1, FALSE, {0}},
+         kNone},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        int chosen = succession_choose(cases[i].replicas, cases[i].count,
+                                       &cases[i].need);
+        if (chosen != cases[i].chosen) {
+            g_print("\n%s: %d\n", cases[i].name, chosen);
+        }
+        CU_ASSERT_EQUAL(chosen, cases[i].chosen);
+    }
+}
+
 static void
 a_primary_is_suspected_on_evidence(void)
 {
@@ -177,6 +256,8 @@
 add_fleet_policy_suite(void)
 {
     CU_pSuite s = CU_add_suite("fleet policy", NULL, NULL);
+    CU_add_test(s, "the next primary holds what was acknowledged",
+                the_next_primary_holds_what_was_acknowledged);
     CU_add_test(s, "a primary is suspected on evidence",
                 a_primary_is_suspected_on_evidence);
     CU_add_test(s, "shares never exceed the whole",
--- a/test/unit/test_fleet_world.c
+++ b/test/unit/test_fleet_world.c
@@ -233,6 +233,47 @@
     primary_leaves(w);
 }
 
+/* The replica that had each commit is away when the primary dies, and the
+ * other one has received nothing for a while. */
+static void
+acknowledging_replica_away(World *w)
+{
+    uint32_t primary = (uint32_t)world_primary(w, 0);
+    uint32_t deaf = (primary + 1) % kWorldMembers;
+    uint32_t holder = (primary + 2) % kWorldMembers;
+
+    world_acknowledge_by_replica(w);
+    world_load(w, 60);
+    world_run(w, 1000);
+    world_member_deaf(w, 0, deaf, TRUE);
+    world_run(w, 1500);
+    world_member_power(w, 0, holder, FALSE, FALSE);
+    world_run(w, 50);
+    world_member_power(w, 0, primary, FALSE, TRUE);
+    world_run(w, 2000);
+    world_member_power(w, 0, holder, TRUE, FALSE);
+    world_run(w, 4000);
+    world_member_deaf(w, 0, deaf, FALSE);
+    world_member_power(w, 0, primary, TRUE, FALSE);
+    world_run(w, 3000);
+}
+
+/* The other replica died long ago and never comes back: what the primary
+ * acknowledged since is known, and the one that is left holds it. */
+static void
+acknowledging_replica_alone(World *w)
+{
+    world_acknowledge_by_replica(w);
+    world_run(w, 1500);
+    world_primary_power(w, 0, FALSE, FALSE);
+    world_run(w, 4000);
+    uint32_t next = (uint32_t)world_primary(w, 0);
+    world_load(w, 60);
+    world_run(w, 1500);
+    world_member_power(w, 0, next, FALSE, FALSE);
+    world_run(w, 6000);
+}
+
 /* least_served: percent of operations, from the site's floors (44 % on the
  * worst day) raised where the fault leaves an alternative; most_gap_ms: the
  * users' 7 s for a change of primary, a tenth of it where none is due. */
@@ -246,7 +287,7 @@
         uint32_t most_gap_ms;
         uint32_t least_promotions;
         uint32_t most_promotions;
-        gboolean planned; /* nothing acknowledged may be undone */
+        gboolean undoes_nothing; /* that was acknowledged */
     } cases[] = {
         {"no fault", no_fault, 99, 700, 0, 0, FALSE},
         {"primary refuses", primary_refuses, 75, 7000, 1, 1, FALSE},
@@ -270,6 +311,8 @@
          2, FALSE},
         {"late replicas", primary_leaves_replicas_late, 80, 7000, 1, 1, TRUE},
         {"two changes", two_changes_in_a_row, 60, 7000, 2, 3, FALSE},
+        {"replica away", acknowledging_replica_away, 40, 7000, 1, 1, TRUE},
+        {"replica alone", acknowledging_replica_alone, 40, 7000, 2, 2, TRUE},
     };
     for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
         for (uint32_t seed = 1; seed <= 4; seed++) {
@@ -280,7 +323,7 @@
                             r->untrue == 0 && r->stale == 0 &&
                             r->fenced == 0 && r->foreign == 0 &&
                             r->wrong_state == 0 && r->reverted == 0 &&
-                            (r->rolled_back == 0 || !cases[i].planned);
+                            (r->rolled_back == 0 || !cases[i].undoes_nothing);
             gboolean served =
                 r->served * 100 >= r->operations * cases[i].least_served &&
                 r->longest_write_gap_us <=
