--- a/src/sapphireweir/adapter/peer.c
+++ b/src/sapphireweir/adapter/peer.c
@@ -11,6 +11,7 @@
 
 #include "adapter/clock.h"
 #include "core/error.h"
+#include "core/message.h"
 
 /* Links between the system's own processes.
  *
@@ -79,6 +80,8 @@
     struct event *timer;
     GHashTable *remotes; /* id -> Remote */
     GPtrArray *links;    /* all Link */
+    GQueue own;          /* frames to this instance itself */
+    struct event *deliver;
 };
 
 static void link_read(struct bufferevent *bev, void *ctx);
@@ -501,6 +504,30 @@
     }
 }
 
+/* Hands over what this instance sent to itself. */
+static void
+on_deliver(evutil_socket_t fd, short what, void *ctx)
+{
+    Peer *p = ctx;
+    guint count = p->own.length;
+
+    (void)fd;
+    (void)what;
+    while (count-- > 0) {
+        Sw__Frame *frame = g_queue_pop_head(&p->own);
+        p->events.frame(p->events.ctx, p->id, frame);
+        sw__frame__free_unpacked(frame, NULL);
+    }
+}
+
+static gboolean
+send_to_itself(Peer *p, const Sw__Frame *frame)
+{
+    g_queue_push_tail(&p->own, message_copy(frame));
+    event_active(p->deliver, EV_TIMEOUT, 0);
+    return TRUE;
+}
+
 /* ---- interface ---- */
 
 /* Opens the peer port, "IP:PORT".  Fails with kCoreErrorIo when it cannot
@@ -534,6 +561,7 @@
         peer_free(p);
         return NULL;
     }
+    p->deliver = evtimer_new(base, on_deliver, p);
     p->timer = event_new(base, -1, EV_PERSIST, on_timer, p);
     event_add(p->timer, &every);
     return p;
@@ -548,6 +576,10 @@
     }
     if (p->timer != NULL) {
         event_free(p->timer);
+        event_free(p->deliver);
+    }
+    while (p->own.length > 0) {
+        sw__frame__free_unpacked(g_queue_pop_head(&p->own), NULL);
     }
     if (p->listener != NULL) {
         evconnlistener_free(p->listener);
@@ -580,23 +612,53 @@
     }
 }
 
-/* Sends a frame over a link that is up.  FALSE: there is none, or too much
- * waits on it; nothing was sent then, and a link is being opened. */
+static Link *
+link_in_use(const Remote *r)
+{
+    if (r->dialed != NULL && r->dialed->state == kLinkUp) {
+        return r->dialed;
+    }
+    if (r->accepted != NULL && r->accepted->state == kLinkUp) {
+        return r->accepted;
+    }
+    return NULL;
+}
+
+/* Tells whether a frame sent now would have a link to travel on; opens one
+ * where there is none. */
 gboolean
-peer_send(Peer *p, const char *to, const Sw__Frame *frame)
+peer_ready(Peer *p, const char *to)
 {
     Remote *r = g_hash_table_lookup(p->remotes, to);
-    Link *l = NULL;
 
+    if (strcmp(to, p->id) == 0) {
+        return TRUE;
+    }
     if (r == NULL) {
         return FALSE;
     }
-    if (r->accepted != NULL && r->accepted->state == kLinkUp) {
-        l = r->accepted;
+    gboolean ready = link_in_use(r) != NULL;
+    if (!ready) {
+        dial(p, r);
     }
-    if (r->dialed != NULL && r->dialed->state == kLinkUp) {
-        l = r->dialed;
+    return ready;
+}
+
+/* Sends a frame over a link that is up, or to this instance itself, which
+ * gets it later.  FALSE: there is none, or too much
+ * waits on it; nothing was sent then, and a link is being opened. */
+gboolean
+peer_send(Peer *p, const char *to, const Sw__Frame *frame)
+{
+    Remote *r = g_hash_table_lookup(p->remotes, to);
+
+    if (strcmp(to, p->id) == 0) {
+        return send_to_itself(p, frame);
+    }
+    if (r == NULL) {
+        return FALSE;
     }
+    Link *l = link_in_use(r);
     if (l == NULL) {
         dial(p, r);
         return FALSE;
--- a/src/sapphireweir/core/metrics.h
+++ b/src/sapphireweir/core/metrics.h
@@ -10,7 +10,4 @@
 void metrics_observe(Metrics *m, HistogramId id, uint64_t value_us);
 void metrics_write_text(const Metrics *m, GString *out);
 
-void histogram_observe(Histogram *h, uint64_t value_us);
-uint64_t histogram_quantile(const Histogram *h, double quantile);
-
 #endif
--- a/src/sapphireweir/core/metrics_defs.h
+++ b/src/sapphireweir/core/metrics_defs.h
@@ -3,6 +3,8 @@
 
 #include <stdint.h>
 
+#include "core/histogram.h"
+
 /* Every counter: enum constant, exposed name, help text. */
 #define METRICS_COUNTERS(X)                                                   \
     X(Requests, "requests_total", "Caller requests received")                 \
@@ -68,15 +70,6 @@
         kHistogramCount,
 } HistogramId;
 
-/* Four buckets for each power of two up to 2^40 us. */
-enum { kHistogramBuckets = 160 };
-
-typedef struct {
-    uint64_t buckets[kHistogramBuckets];
-    uint64_t count;
-    uint64_t sum_us;
-} Histogram;
-
 typedef struct {
     uint64_t counters[kMetricCount];
     Histogram histograms[kHistogramCount];
--- a/src/sapphireweir/fleet/director_entries.c
+++ b/src/sapphireweir/fleet/director_entries.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "fleet/director_internal.h"
+#include "fleet/owners.h"
 
 /* What entry instances get from control: documents and backend servers from
  * any control instance, leases, rights to primaries and rate shares from the
@@ -21,6 +22,7 @@
     EntryTrack *t = track;
     g_hash_table_destroy(t->evidence);
     g_hash_table_destroy(t->demand);
+    g_free(t->failure_domain);
     g_free(t->id);
     g_free(t);
 }
@@ -192,6 +194,36 @@
     m->primaries = (Sw__PrimaryGrant **)list->pdata;
 }
 
+/* Lists the entry instances that take part, for one that works with another
+ * list; the records are the list's. */
+static void
+grant_entries(const Director *d, uint64_t now_us, const EntryTrack *t,
+              Sw__EntryGrant *m, GPtrArray *list)
+{
+    GHashTableIter it;
+    void *value;
+    EntryList *all = entry_list_new();
+
+    g_hash_table_iter_init(&it, d->entries);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        const EntryTrack *each = value;
+        if (entry_present(each, now_us)) {
+            Sw__EntryRecord *r = g_new(Sw__EntryRecord, 1);
+            sw__entry_record__init(r);
+            r->id = each->id;
+            r->failure_domain = each->failure_domain;
+            g_ptr_array_add(list, r);
+            entry_list_add(all, each->id, each->failure_domain);
+        }
+    }
+    m->entries_hash = all->hash;
+    entry_list_free(all);
+    if (m->entries_hash != t->entries_hash) {
+        m->n_entries = list->len;
+        m->entries = (Sw__EntryRecord **)list->pdata;
+    }
+}
+
 /* Sends a grant; without a sequence it renews no lease and only tells who
  * leads the databases. */
 static void
@@ -201,6 +233,7 @@
     Sw__EntryGrant m = SW__ENTRY_GRANT__INIT;
     GPtrArray *primaries = g_ptr_array_new_with_free_func(g_free);
     GPtrArray *shares = g_ptr_array_new_with_free_func(g_free);
+    GPtrArray *entries = g_ptr_array_new_with_free_func(g_free);
 
     m.sequence = sequence;
     m.term = consensus_term(d->consensus);
@@ -210,6 +243,7 @@
     if (sequence != 0) {
         m.lease_us = d->config.lease_us;
         m.entry_count = entries_count(d, now_us);
+        grant_entries(d, now_us, t, &m, entries);
         rates_fill_shares(d, t->id, shares);
         m.n_shares = shares->len;
         m.shares = (Sw__TeamShare **)shares->pdata;
@@ -217,6 +251,7 @@
     frame.body_case = SW__FRAME__BODY_ENTRY_GRANT;
     frame.entry_grant = &m;
     d->port.send(d->port.ctx, t->id, &frame);
+    g_ptr_array_unref(entries);
     g_ptr_array_unref(shares);
     g_ptr_array_unref(primaries);
 }
@@ -298,6 +333,11 @@
 
     t->heard_us = now_us;
     t->leaving = m->leaving;
+    t->entries_hash = m->entries_hash;
+    if (g_strcmp0(t->failure_domain, m->failure_domain) != 0) {
+        g_free(t->failure_domain);
+        t->failure_domain = g_strdup(m->failure_domain);
+    }
     t->document_version = m->document_version;
     if (m->directory_run != d->run) {
         t->told_revision = 0;
--- a/src/sapphireweir/fleet/director_internal.h
+++ b/src/sapphireweir/fleet/director_internal.h
@@ -28,7 +28,9 @@
 
 typedef struct {
     char *id;
+    char *failure_domain;
     uint64_t incarnation;
+    uint64_t entries_hash; /* of the list that it works with */
     uint64_t heard_us;
     uint64_t sequence;
     uint64_t document_version;
--- /dev/null
+++ b/src/sapphireweir/fleet/owners.c
@@ -0,0 +1,126 @@
+#include "fleet/owners.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Which entry instance holds the connections to a backend server.  Answers
+ * the load pattern of many instances before a server that grants fewer
+ * connections than there are instances: alone, each would open one for every
+ * statement.  All instances work the owners out by themselves from the same
+ * two lists; where their lists differ for a moment, a server has two owners
+ * and neither harms the other beyond the server's limit. */
+
+/* Makes an empty list. */
+EntryList *
+entry_list_new(void)
+{
+    EntryList *list = g_new0(EntryList, 1);
+    list->peers = g_ptr_array_new();
+    return list;
+}
+
+/* Frees a list; NULL is allowed. */
+void
+entry_list_free(EntryList *list)
+{
+    if (list == NULL) {
+        return;
+    }
+    for (guint i = 0; i < list->peers->len; i++) {
+        EntryPeer *p = g_ptr_array_index(list->peers, i);
+        g_free(p->id);
+        g_free(p->failure_domain);
+        g_free(p);
+    }
+    g_ptr_array_unref(list->peers);
+    g_free(list);
+}
+
+/* FNV-1a, and a last round that spreads its low bits over all. */
+static uint64_t
+hash_text(const char *text, uint64_t seed)
+{
+    uint64_t hash = 14695981039346656037ULL ^ seed;
+
+    for (const char *at = text; *at != '\0'; at++) {
+        hash = (hash ^ (uint8_t)*at) * 1099511628211ULL;
+    }
+    hash = (hash ^ (hash >> 33)) * 0xff51afd7ed558ccdULL;
+    return hash ^ (hash >> 33);
+}
+
+/* Adds an instance. */
+void
+entry_list_add(EntryList *list, const char *id, const char *failure_domain)
+{
+    EntryPeer *p = g_new0(EntryPeer, 1);
+
+    p->id = g_strdup(id);
+    p->failure_domain = g_strdup(failure_domain);
+    g_ptr_array_add(list->peers, p);
+    list->hash += hash_text(id, hash_text(failure_domain, 1));
+}
+
+static int
+compare_servers(const void *a, const void *b)
+{
+    return strcmp(((const OwnedServer *)a)->id, ((const OwnedServer *)b)->id);
+}
+
+static gboolean
+domain_has_peer(const EntryList *list, const char *failure_domain)
+{
+    for (guint i = 0; i < list->peers->len; i++) {
+        const EntryPeer *p = g_ptr_array_index(list->peers, i);
+        if (strcmp(p->failure_domain, failure_domain) == 0) {
+            return TRUE;
+        }
+    }
+    return FALSE;
+}
+
+/* The least loaded instance of the server's failure domain, and among those
+ * the one with the highest random weight for the server. */
+static guint
+choose_owner(const EntryList *list, const OwnedServer *server,
+             const uint32_t *load)
+{
+    gboolean inside = domain_has_peer(list, server->failure_domain);
+    uint64_t seed = hash_text(server->id, 2);
+    uint64_t best_score = 0;
+    guint best = list->peers->len;
+
+    for (guint i = 0; i < list->peers->len; i++) {
+        const EntryPeer *p = g_ptr_array_index(list->peers, i);
+        uint64_t score = hash_text(p->id, seed);
+        if (inside && strcmp(p->failure_domain, server->failure_domain) != 0) {
+            continue;
+        }
+        if (best == list->peers->len || load[i] < load[best] ||
+            (load[i] == load[best] && score > best_score)) {
+            best = i;
+            best_score = score;
+        }
+    }
+    return best;
+}
+
+/* Finds an owner for each server, spread evenly over its failure domain;
+ * the servers are put in order. */
+void
+owners_assign(const EntryList *list, OwnedServer *servers, size_t count)
+{
+    uint32_t *load = g_new0(uint32_t, list->peers->len + 1);
+
+    qsort(servers, count, sizeof(*servers), compare_servers);
+    for (size_t i = 0; i < count; i++) {
+        guint owner = choose_owner(list, &servers[i], load);
+        servers[i].owner = NULL;
+        if (owner < list->peers->len) {
+            load[owner]++;
+            servers[i].owner =
+                ((EntryPeer *)g_ptr_array_index(list->peers, owner))->id;
+        }
+    }
+    g_free(load);
+}
--- a/src/sapphireweir/gateway/connection.c
+++ b/src/sapphireweir/gateway/connection.c
@@ -8,15 +8,14 @@
  * before use; it remembers what it was told. */
 
 enum {
-    kPreparedMax = 64,    /* per connection, then it is reset */
-    kAvoidUs = 200000,    /* a server that cannot be connected to */
-    kFullPauseUs = 20000, /* a statement's time, after which one may be free */
-    kFullUs = 150000,     /* a server with no connection left */
+    kPreparedMax = 64,        /* per connection, then it is reset */
     kUnservedKeptUs = 100000, /* for the work that it was opened for */
-    kServiceWeight = 8, /* of the old value in the smoothed service time */
     kCommandsMax = 160,
 };
 
+static const ServerEvents kEvents = {connection_ready, connection_answer,
+                                     connection_down};
+
 /* Opens a connection for a team; never NULL. */
 Connection *
 connection_open(Server *server, const char *team, uint64_t now_us)
@@ -32,7 +31,7 @@
     g_ptr_array_add(server->connections, c);
     server->opening++;
     g->counters.connections_opened++;
-    c->link = g->port.server_open(g->port.ctx, c, server->address,
+    c->link = g->port.server_open(g->port.ctx, &kEvents, c, server->address,
                                   server->database->name, team, server->id);
     return c;
 }
@@ -49,6 +48,7 @@
         g_hash_table_destroy(c->prepared);
     }
     g_free(c->team);
+    g_free(c->owner);
     g_free(c);
 }
 
@@ -75,7 +75,8 @@
     if (c->state == kConnectionOpening) {
         s->opening--;
     }
-    if (c->awaiting) {
+    gboolean awaited = c->awaiting;
+    if (awaited) {
         s->open_statements--;
         c->awaiting = FALSE;
     }
@@ -83,7 +84,12 @@
         g->port.server_close(g->port.ctx, c->link);
         c->link = NULL;
     }
-    g_ptr_array_remove_fast(s->connections, c);
+    if (c->relay != 0) {
+        relay_close(c, awaited);
+    }
+    else {
+        g_ptr_array_remove_fast(s->connections, c);
+    }
     forget_opening(c);
     if (c->session != NULL && c->session->connection == c) {
         c->session->connection = NULL;
@@ -239,6 +245,10 @@
     c->awaiting = TRUE;
     c->sent_us = now_us;
     c->server->open_statements++;
+    if (c->relay != 0) {
+        relay_send(c, script->commands, script->count, now_us);
+        return;
+    }
     g->port.server_send(g->port.ctx, c->link, script->commands, script->count);
 }
 
@@ -301,6 +311,11 @@
     }
     c->session = NULL;
     c->since_us = now_us;
+    if (c->relay != 0) {
+        /* Its owner cleans it up. */
+        connection_close(c);
+        return;
+    }
     if (!rollback) {
         c->state = kConnectionIdle;
         dispatch_pump(c->server, now_us);
@@ -320,16 +335,15 @@
 
 /* The server has accepted the connection. */
 void
-connection_ready(Connection *c, uint64_t now_us)
+connection_ready(void *connection, uint64_t now_us)
 {
+    Connection *c = connection;
     Server *s = c->server;
     if (c->state != kConnectionOpening) {
         return;
     }
     s->opening--;
-    s->answered_us = now_us;
-    s->failing_since_us = 0;
-    s->failure_told = FALSE;
+    server_answered(s, now_us);
     s->avoid_until_us = 0;
     c->state = kConnectionIdle;
     c->since_us = now_us;
@@ -338,26 +352,16 @@
     dispatch_pump(c->server, now_us);
 }
 
-/* Notes that a server failed.  One that could not be connected to is left
- * alone for a while; one that broke a connection may well take others. */
-static void
-server_failed(Server *s, uint64_t now_us, gboolean opening)
-{
-    if (s->failing_since_us == 0) {
-        s->failing_since_us = now_us;
-    }
-    if (opening) {
-        s->avoid_until_us = now_us + kAvoidUs;
-    }
-}
-
 static void
 note_service_time(Connection *c, uint64_t now_us)
 {
     Server *s = c->server;
     uint64_t took_us = now_us - c->sent_us;
-    s->service_us =
-        (s->service_us * (kServiceWeight - 1) + took_us) / kServiceWeight;
+
+    if (c->relay != 0) {
+        return;
+    }
+    server_timed(s, took_us);
     concurrency_answered(&s->concurrency, now_us, took_us, s->open_statements,
                          s->connections->len + 1);
 }
@@ -375,17 +379,12 @@
 
 /* Takes in one answer of the server. */
 void
-connection_answer(Connection *c, uint64_t now_us, const ServerAnswer *a)
+connection_answer(void *connection, uint64_t now_us, const ServerAnswer *a)
 {
+    Connection *c = connection;
     Server *s = c->server;
-    Gateway *g = c->gateway;
 
-    s->answered_us = now_us;
-    s->failing_since_us = 0;
-    s->failure_told = FALSE;
-    if (strcmp(s->failure_domain, g->failure_domain) != 0) {
-        g->foreign_answer_us = now_us;
-    }
+    server_answered(s, now_us);
     if (!c->awaiting) {
         connection_down(c, now_us, kCodeOther);
         return;
@@ -404,7 +403,6 @@
     c->awaiting = FALSE;
     s->open_statements--;
     if (a->code == kCodeNone && !c->begin_open) {
-        s->done++;
         note_service_time(c, now_us);
     }
     if (a->code == kCodeBusy) {
@@ -420,28 +418,18 @@
     }
 }
 
-/* How long to leave a full server alone: many instances wait for the same
- * connection, so each takes a pause of its own. */
-static uint64_t
-full_pause_us(const Gateway *g, uint64_t now_us)
-{
-    uint64_t mixed = (g->incarnation ^ now_us) * 0x9e3779b97f4a7c15ULL;
-    return kFullPauseUs + (mixed >> 32) % kFullPauseUs;
-}
-
 /* The connection is gone, or was refused with a code. */
 void
-connection_down(Connection *c, uint64_t now_us, AnswerCode code)
+connection_down(void *connection, uint64_t now_us, AnswerCode code)
 {
+    Connection *c = connection;
     Server *server = c->server;
     Session *s = c->session;
     gboolean opening = c->state == kConnectionOpening;
 
     c->gateway->counters.connections_lost++;
     if (code == kCodeTooMany || code == kCodeBusy) {
-        server->answered_us = now_us;
-        server->full_until_us = now_us + kFullUs;
-        server->connect_after_us = now_us + full_pause_us(c->gateway, now_us);
+        server_refused_link(server, now_us);
     }
     else if (opening || c->awaiting) {
         server_failed(server, now_us, opening);
--- a/src/sapphireweir/gateway/connection_share.c
+++ b/src/sapphireweir/gateway/connection_share.c
@@ -9,6 +9,7 @@
 enum {
     kPercentUsed = 80,
     kPercent = 100,
+    kOwnerPercent = 70,
     kScarceIdleUs = 40000, /* two statements' time, for the next in line */
 };
 
@@ -27,3 +28,20 @@
     }
     return (ConnectionShare){MAX(most, 1), 0};
 }
+
+/* Returns the part of the instance that owns a server's connections.  The
+ * rest is for a successor while the old ones still count, and for those that
+ * cannot reach the owner. */
+uint32_t
+connection_share_owner(uint32_t limit)
+{
+    return MAX(limit * kOwnerPercent / kPercent, 1);
+}
+
+/* Returns the part of an instance that cannot reach the owner just now. */
+ConnectionShare
+connection_share_beside_owner(uint32_t limit, uint32_t instances)
+{
+    uint32_t rest = limit - connection_share_owner(limit);
+    return (ConnectionShare){MAX(rest / MAX(instances, 1), 1), kScarceIdleUs};
+}
--- a/src/sapphireweir/gateway/connection_share.h
+++ b/src/sapphireweir/gateway/connection_share.h
@@ -11,5 +11,8 @@
 } ConnectionShare;
 
 ConnectionShare connection_share(uint32_t limit, uint32_t instances);
+uint32_t connection_share_owner(uint32_t limit);
+ConnectionShare connection_share_beside_owner(uint32_t limit,
+                                              uint32_t instances);
 
 #endif
--- a/src/sapphireweir/gateway/dispatch.c
+++ b/src/sapphireweir/gateway/dispatch.c
@@ -12,14 +12,13 @@
 enum {
     kCandidatesMax = 32,
     kAttemptsMax = 4,
-    kWaitPercent = 90,         /* of the latency objective, expected at most */
-    kRateWindowUs = 300000,    /* over which work done is measured */
-    kDemotedUs = 1000000,      /* late work's place behind all that is not */
-    kReplacementUs = 900000,   /* from losing a primary to using the next */
-    kSuspicionUs = 500000,     /* from a primary's silence to losing it */
-    kSilentUs = 250000,        /* an answer that is overdue */
-    kReportSilenceUs = 350000, /* a primary's silence is told at once */
-    kRetryUs = 200000, /* when to come back, without better knowledge */
+    kWaitPercent = 90,       /* of the latency objective, expected at most */
+    kRateWindowUs = 300000,  /* over which work done is measured */
+    kDemotedUs = 1000000,    /* late work's place behind all that is not */
+    kReplacementUs = 900000, /* from losing a primary to using the next */
+    kSuspicionUs = 500000,   /* from a primary's silence to losing it */
+    kSilentUs = 250000,      /* an answer that is overdue */
+    kRetryUs = 200000,       /* when to come back, without better knowledge */
     kConnectPatienceUs = 400000,  /* for a server's welcome */
     kOtherTeamPatienceUs = 20000, /* before a connection changes its team */
     kOverdueUs = 150000,     /* work that waited so long gets a connection */
@@ -38,8 +37,11 @@
             ? NULL
             : document_database(g->document, s->database->name);
 
-    return connection_share(d == NULL ? 1 : d->max_connections,
-                            g->entry_count);
+    uint32_t limit = d == NULL ? 1 : d->max_connections;
+    if (s->owner != NULL) {
+        return connection_share_beside_owner(limit, g->entry_count);
+    }
+    return connection_share(limit, g->entry_count);
 }
 
 /* Returns how many connections this instance may hold at one server: its
@@ -84,18 +86,28 @@
                               s->route->max_staleness_us, s->own, &after);
 }
 
+/* What is left of the queue that the owner told of. */
+static uint64_t
+load_left_us(const Server *s, uint64_t now_us)
+{
+    uint64_t age_us = now_us - s->loaded_us;
+    return s->load_us > age_us ? s->load_us - age_us : 0;
+}
+
 static PlacementCandidate
 candidate_of(const Session *s, const Server *server, uint64_t now_us)
 {
     const Database *d = s->database;
     Gateway *g = s->gateway;
     gboolean primary = server == database_primary(d, now_us);
+    gboolean relayed = relay_usable(server, now_us);
     PlacementCandidate c = {
         .usable = server_may_serve(s, server, now_us) &&
                   now_us >= server->avoid_until_us,
         .primary = primary,
         .same_domain = strcmp(server->failure_domain, g->failure_domain) == 0,
         .matching_connection =
+            relayed ||
             server_idle_connection(server, session_team_name(s)) != NULL,
         .may_connect = server_may_connect(server, now_us),
         .open_statements = server->open_statements,
@@ -103,6 +115,9 @@
         .service_us = server->service_us,
     };
 
+    if (relayed) {
+        c.queued_for_us = load_left_us(server, now_us);
+    }
     if (!primary && server->lagging_until_us > now_us) {
         c.lagging_for_us = server->lagging_until_us - now_us;
     }
@@ -271,6 +286,12 @@
 {
     Connection *c = server_idle_connection(server, session_team_name(s));
 
+    if (relay_usable(server, now_us)) {
+        dispatch_leave(s);
+        connection_run(relay_open(server, session_team_name(s), now_us), s,
+                       now_us);
+        return TRUE;
+    }
     if (!server_has_room(server)) {
         return FALSE;
     }
@@ -330,6 +351,10 @@
         hold_or_refuse(s, now_us);
         return;
     }
+    if (relay_usable(server, now_us)) {
+        start_at(s, server, now_us);
+        return;
+    }
     if (s->waiting_link == NULL && too_much_ahead(s, now_us)) {
         session_refuse(s, now_us, kRefusedQueue, kRetryUs);
         return;
@@ -471,15 +496,7 @@
         connection_down(c, now_us, kCodeTimeout);
         return;
     }
-    if (c->awaiting && now_us - c->sent_us > kSilentUs &&
-        server->answered_us < c->sent_us && server->failing_since_us == 0) {
-        server->failing_since_us = c->sent_us;
-    }
-    if (server->failing_since_us != 0 && !server->failure_told &&
-        now_us - server->failing_since_us > kReportSilenceUs) {
-        server->failure_told = TRUE;
-        c->gateway->report_due_us = now_us;
-    }
+    server_watch_silence(server, now_us, c->awaiting ? c->sent_us : 0);
     if (c->state == kConnectionRolling &&
         now_us - c->sent_us > kConnectPatienceUs) {
         connection_down(c, now_us, kCodeTimeout);
@@ -503,9 +520,9 @@
     if (span_us < kRateWindowUs) {
         return;
     }
-    s->done_milli_per_s = s->database->waiting.length == 0
-                              ? 0
-                              : (uint64_t)s->done * 1000000000 / span_us;
+    gboolean waits =
+        s->database->waiting.length > 0 || serverpool_waits(s->pool);
+    s->done_milli_per_s = waits ? (uint64_t)s->done * 1000000000 / span_us : 0;
     s->done = 0;
     s->done_since_us = now_us;
 }
@@ -516,6 +533,9 @@
     ConnectionShare share = server_share(s);
 
     measure_rate(s, now_us);
+    if (s->pool != NULL) {
+        serverpool_tick(s->pool, now_us);
+    }
     for (guint i = s->connections->len; i > 0; i--) {
         if (i <= s->connections->len) {
             connection_tick(g_ptr_array_index(s->connections, i - 1), now_us,
--- a/src/sapphireweir/gateway/gateway.c
+++ b/src/sapphireweir/gateway/gateway.c
@@ -22,7 +22,13 @@
     for (guint i = s->connections->len; i > 0; i--) {
         connection_close(g_ptr_array_index(s->connections, i - 1));
     }
+    while (s->relays->len > 0) {
+        connection_close(g_ptr_array_index(s->relays, 0));
+    }
+    serverpool_free(s->pool);
+    g_ptr_array_unref(s->relays);
     g_ptr_array_unref(s->connections);
+    g_free(s->owner);
     g_free(s->id);
     g_free(s->address);
     g_free(s->failure_domain);
@@ -54,6 +60,7 @@
 {
     Gateway *g = g_new0(Gateway, 1);
 
+    g->id = g_strdup(config->id);
     g->failure_domain = g_strdup(config->failure_domain);
     g->incarnation = config->incarnation;
     g->decode = config->decode;
@@ -67,6 +74,11 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, contact_free);
     g->rates =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, team_rate_free);
+    g->owners = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+                                      owner_contact_free);
+    g->relays = g_hash_table_new(g_int64_hash, g_int64_equal);
+    g->pooled =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, pooled_job_free);
     g->closed = g_ptr_array_new_with_free_func(connection_free);
     g_queue_init(&g->sessions);
     g_queue_init(&g->active);
@@ -82,6 +94,10 @@
         session_close(g_queue_peek_head(&g->sessions), 0);
     }
     g_hash_table_destroy(g->servers);
+    g_hash_table_destroy(g->pooled);
+    g_hash_table_destroy(g->relays);
+    g_hash_table_destroy(g->owners);
+    entry_list_free(g->entries);
     g_hash_table_destroy(g->databases);
     g_hash_table_destroy(g->controls);
     g_hash_table_destroy(g->rates);
@@ -89,6 +105,7 @@
     document_unref(g->document);
     g_free(g->leader);
     g_free(g->failure_domain);
+    g_free(g->id);
     g_free(g);
 }
 
@@ -146,7 +163,7 @@
     c->address = g_strdup(address);
     c->known_us = now_us;
     g_hash_table_insert(g->controls, c->address, c);
-    g->port.control_known(g->port.ctx, address);
+    g->port.peer_known(g->port.ctx, address);
 }
 
 /* ---- time and readiness ---- */
@@ -278,6 +295,7 @@
     lease_watch(g, now_us);
     lease_regained(g, now_us);
     team_rates_tick(g, now_us);
+    relay_tick(g, now_us);
     dispatch_tick(g, now_us);
     session_tick(g, now_us);
     quiesce_watch(g, now_us);
@@ -288,6 +306,14 @@
     cut_watch(g, now_us);
 }
 
+/* A link to another instance has broken: what it carried may be lost. */
+void
+gateway_peer_down(Gateway *g, uint64_t now_us, const char *peer)
+{
+    relay_owner_lost(g, now_us, peer);
+    serverpool_borrower_lost(g, now_us, peer);
+}
+
 /* Answers the balancer's probe: whether callers should be sent here. */
 gboolean
 gateway_probe(Gateway *g)
@@ -315,5 +341,6 @@
 gateway_drained(const Gateway *g, uint64_t now_us)
 {
     (void)now_us;
-    return g->drain_us != 0 && g->sessions.length == 0;
+    return g->drain_us != 0 && g->sessions.length == 0 &&
+           g_hash_table_size(g->pooled) == 0;
 }
--- a/src/sapphireweir/gateway/gateway.h
+++ b/src/sapphireweir/gateway/gateway.h
@@ -2,6 +2,7 @@
 #define SAPPHIREWEIR_GATEWAY_GATEWAY_H
 
 #include "core/event_log.h"
+#include "core/histogram.h"
 #include "fleet/document.h"
 #include "gateway/gateway_defs.h"
 
@@ -13,6 +14,7 @@
 typedef struct Session Session;
 
 typedef struct {
+    const char *id; /* peer address */
     const char *failure_domain;
     uint64_t incarnation;
     EventLog *events; /* NULL: nothing is logged */
@@ -41,6 +43,12 @@
     uint64_t connections_lost;
     uint64_t lagging;
     uint64_t timeouts;
+    uint64_t relayed;    /* statements sent to a server's owner */
+    uint64_t given_back; /* of other instances, refused before they ran */
+    Histogram operation; /* a statement, from arrival to answer */
+    Histogram refusal;   /* the same, for those that were refused */
+    Histogram queue;     /* at the owner, until the server has it */
+    Histogram service;   /* at the server */
 } GatewayCounters;
 
 Gateway *gateway_new(const GatewayConfig *config, const GatewayPort *port);
@@ -49,11 +57,13 @@
 void gateway_control_add(Gateway *g, uint64_t now_us, const char *address);
 void gateway_frame(Gateway *g, uint64_t now_us, const char *from,
                    const Sw__Frame *frame);
+void gateway_peer_down(Gateway *g, uint64_t now_us, const char *peer);
 gboolean gateway_probe(Gateway *g);
 void gateway_drain(Gateway *g, uint64_t now_us, uint64_t grace_us);
 gboolean gateway_drained(const Gateway *g, uint64_t now_us);
 uint64_t gateway_version(const Gateway *g);
 const GatewayCounters *gateway_counters(const Gateway *g);
+void gateway_metrics_write(const Gateway *g, GString *out);
 
 Session *session_open(Gateway *g, uint64_t now_us, void *caller,
                       const char *host, const char *key, AnswerCode *code);
@@ -61,8 +71,4 @@
 void session_statement(Session *s, uint64_t now_us, const Statement *st);
 gboolean session_busy(const Session *s);
 
-void connection_ready(Connection *c, uint64_t now_us);
-void connection_answer(Connection *c, uint64_t now_us, const ServerAnswer *a);
-void connection_down(Connection *c, uint64_t now_us, AnswerCode code);
-
 #endif
--- a/src/sapphireweir/gateway/gateway_control.c
+++ b/src/sapphireweir/gateway/gateway_control.c
@@ -29,8 +29,10 @@
 static void
 server_close_all(Server *s, uint64_t now_us)
 {
-    while (s->connections->len > 0) {
-        Connection *c = g_ptr_array_index(s->connections, 0);
+    while (s->connections->len + s->relays->len > 0) {
+        Connection *c = s->connections->len > 0
+                            ? g_ptr_array_index(s->connections, 0)
+                            : g_ptr_array_index(s->relays, 0);
         Session *session = c->session;
         connection_close(c);
         if (session != NULL) {
@@ -68,6 +70,7 @@
         s = g_new0(Server, 1);
         s->id = g_strdup(r->id);
         s->connections = g_ptr_array_new();
+        s->relays = g_ptr_array_new();
         s->service_us = kDefaultServiceUs;
         concurrency_init(&s->concurrency);
         g_hash_table_insert(g->servers, s->id, s);
@@ -77,8 +80,11 @@
     }
     gboolean moved =
         s->born_ms != r->born_ms || g_strcmp0(s->address, r->address) != 0;
+    g->owners_stale |= moved || s->gone != (gboolean)r->gone ||
+                       g_strcmp0(s->failure_domain, r->failure_domain) != 0;
     if (s->address != NULL && moved) {
         server_close_all(s, now_us);
+        serverpool_close_all(s->pool, now_us);
         s->avoid_until_us = 0;
         s->failing_since_us = 0;
         s->lagging_step_us = 0;
@@ -280,6 +286,7 @@
     if (m->n_controls > 0) {
         follow_controls(g, now_us, m);
     }
+    relay_entries(g, m);
     if (m->lease_us == 0 && m->n_primaries == 0) {
         return;
     }
@@ -308,12 +315,40 @@
     team_rates_grant(g, m);
 }
 
-/* Takes in a frame of a control instance. */
+/* Takes in a frame of another entry instance; FALSE: it is none. */
+static gboolean
+entry_frame(Gateway *g, uint64_t now_us, const char *from,
+            const Sw__Frame *frame)
+{
+    switch (frame->body_case) {
+    case SW__FRAME__BODY_RELAY_RUN:
+        serverpool_run(g, now_us, from, frame->relay_run);
+        return TRUE;
+    case SW__FRAME__BODY_RELAY_END:
+        serverpool_end(g, now_us, from, frame->relay_end->relay);
+        return TRUE;
+    case SW__FRAME__BODY_RELAY_RESULT:
+        relay_result(g, now_us, from, frame->relay_result);
+        return TRUE;
+    case SW__FRAME__BODY_RELAY_PING:
+        relay_ping(g, now_us, from, frame->relay_ping);
+        return TRUE;
+    default:
+        return FALSE;
+    }
+}
+
+/* Takes in a frame of another instance. */
 void
 gateway_frame(Gateway *g, uint64_t now_us, const char *from,
               const Sw__Frame *frame)
 {
-    ControlContact *c = g_hash_table_lookup(g->controls, from);
+    ControlContact *c;
+
+    if (entry_frame(g, now_us, from, frame)) {
+        return;
+    }
+    c = g_hash_table_lookup(g->controls, from);
     if (c == NULL) {
         gateway_control_add(g, now_us, from);
         c = g_hash_table_lookup(g->controls, from);
--- a/src/sapphireweir/gateway/gateway_defs.h
+++ b/src/sapphireweir/gateway/gateway_defs.h
@@ -111,23 +111,31 @@
     uint64_t term;  /* of the primary that kCommandStepDown tells of */
 } ServerCommand;
 
-typedef struct Connection Connection;
+/* What becomes of a link to a backend server, until it is closed. */
+typedef struct {
+    void (*ready)(void *owner, uint64_t now_us);
+    void (*answer)(void *owner, uint64_t now_us, const ServerAnswer *a);
+    void (*down)(void *owner, uint64_t now_us, AnswerCode code);
+} ServerEvents;
 
 /* What the gateway's decisions need of the world. */
 typedef struct {
     void *ctx;
     void (*caller_answer)(void *ctx, void *caller, const CallerAnswer *a);
     void (*caller_close)(void *ctx, void *caller);
-    /* Opens a link; gateway_server_* report what becomes of it. */
-    void *(*server_open)(void *ctx, Connection *c, const char *address,
-                         const char *database, const char *team,
-                         const char *server_id);
+    /* Opens a link; the events come later, never from within the call. */
+    void *(*server_open)(void *ctx, const ServerEvents *events, void *owner,
+                         const char *address, const char *database,
+                         const char *team, const char *server_id);
     void (*server_send)(void *ctx, void *link, const ServerCommand *commands,
                         size_t count);
     /* Closes a link; nothing is reported of it any more. */
     void (*server_close)(void *ctx, void *link);
-    void (*control_send)(void *ctx, const char *to, const Sw__Frame *frame);
-    void (*control_known)(void *ctx, const char *address);
+    /* Sends to another instance of the system, or to this one itself. */
+    void (*peer_send)(void *ctx, const char *to, const Sw__Frame *frame);
+    void (*peer_known)(void *ctx, const char *address);
+    /* Whether what is sent now has a link to travel on. */
+    gboolean (*peer_ready)(void *ctx, const char *address);
 } GatewayPort;
 
 #endif
--- a/src/sapphireweir/gateway/gateway_internal.h
+++ b/src/sapphireweir/gateway/gateway_internal.h
@@ -2,6 +2,7 @@
 #define SAPPHIREWEIR_GATEWAY_GATEWAY_INTERNAL_H
 
 #include "core/token_bucket.h"
+#include "fleet/owners.h"
 #include "gateway/concurrency.h"
 #include "gateway/freshness.h"
 #include "gateway/gateway.h"
@@ -13,6 +14,8 @@
 };
 
 typedef struct Database Database;
+typedef struct Connection Connection;
+typedef struct ServerPool ServerPool;
 
 /* A backend server as this instance knows it. */
 typedef struct {
@@ -24,7 +27,13 @@
     uint32_t slots;
     gboolean draining;
     gboolean gone;
-    GPtrArray *connections; /* Connection, owned */
+    GPtrArray *connections; /* Connection, owned; links of this instance */
+    GPtrArray *relays;      /* Connection, owned; borrowed from owner */
+    ServerPool *pool;       /* what this instance lends, NULL: nothing yet */
+    char *owner;            /* entry instance that lends, NULL: none */
+    uint64_t relay_avoid_until_us;
+    uint64_t load_us; /* expected wait there, as the owner said */
+    uint64_t loaded_us;
     uint32_t opening;
     uint32_t open_statements;
     Concurrency concurrency;
@@ -70,7 +79,10 @@
 struct Connection {
     Gateway *gateway;
     Server *server;
-    void *link;
+    void *link;     /* NULL for a borrowed one */
+    uint64_t relay; /* its number, zero: an own link */
+    char *owner;    /* that it is borrowed from */
+    gboolean ended; /* the owner has taken it back */
     char *team;
     ConnectionState state;
     Session *session;
@@ -112,6 +124,7 @@
     Connection *opening; /* connection that is opened for it */
     uint64_t opened_us;  /* when the last one was asked for */
     Server *avoid;       /* that failed it last */
+    gboolean patient;    /* the owner was told to let it wait for long */
 } Job;
 
 /* What this instance may run of a team's rate. */
@@ -169,9 +182,19 @@
     uint64_t revision;
 } ControlContact;
 
+/* An entry instance that connections are borrowed from. */
+typedef struct {
+    char *id;
+    uint32_t awaiting; /* answers that it owes */
+    uint64_t heard_us; /* or since when it owes any */
+    uint64_t asked_us; /* for a sign of life */
+    uint64_t avoid_until_us;
+} OwnerContact;
+
 enum { kReportsKept = 32 };
 
 struct Gateway {
+    char *id;
     char *failure_domain;
     uint64_t incarnation;
     EventLog *events;
@@ -183,6 +206,12 @@
     GHashTable *servers;   /* id -> Server, owned */
     GHashTable *controls;  /* address -> ControlContact, owned */
     GHashTable *rates;     /* team -> TeamRate, owned */
+    EntryList *entries;    /* that may lend connections */
+    gboolean owners_stale; /* servers or entries changed */
+    GHashTable *owners;    /* id -> OwnerContact, owned */
+    GHashTable *relays;    /* number -> Connection */
+    uint64_t next_relay;
+    GHashTable *pooled; /* "borrower number" -> PooledJob, owned */
     GQueue sessions;
     GQueue active;     /* sessions with an open job */
     GPtrArray *closed; /* connections to be freed in the next tick */
@@ -224,7 +253,45 @@
 void dispatch_tick(Gateway *g, uint64_t now_us);
 void dispatch_retry(Session *s, uint64_t now_us, uint64_t delay_us);
 
+/* server.c */
+void server_answered(Server *s, uint64_t now_us);
+void server_failed(Server *s, uint64_t now_us, gboolean opening);
+void server_refused_link(Server *s, uint64_t now_us);
+void server_watch_silence(Server *s, uint64_t now_us, uint64_t sent_us);
+void server_timed(Server *s, uint64_t took_us);
+
+/* relay.c */
+gboolean relay_usable(const Server *s, uint64_t now_us);
+Connection *relay_open(Server *s, const char *team, uint64_t now_us);
+void relay_send(Connection *c, const ServerCommand *commands, size_t count,
+                uint64_t now_us);
+void relay_close(Connection *c, gboolean awaited);
+void relay_result(Gateway *g, uint64_t now_us, const char *from,
+                  const Sw__RelayResult *m);
+void relay_ping(Gateway *g, uint64_t now_us, const char *from,
+                const Sw__RelayPing *m);
+void relay_owner_lost(Gateway *g, uint64_t now_us, const char *owner);
+void relay_entries(Gateway *g, const Sw__EntryGrant *m);
+void relay_tick(Gateway *g, uint64_t now_us);
+void owner_contact_free(void *contact);
+
+/* serverpool.c */
+void serverpool_run(Gateway *g, uint64_t now_us, const char *from,
+                    const Sw__RelayRun *m);
+void serverpool_end(Gateway *g, uint64_t now_us, const char *from,
+                    uint64_t relay);
+void serverpool_borrower_lost(Gateway *g, uint64_t now_us, const char *from);
+void serverpool_tick(ServerPool *pool, uint64_t now_us);
+void serverpool_close_all(ServerPool *pool, uint64_t now_us);
+gboolean serverpool_waits(const ServerPool *pool);
+void serverpool_free(ServerPool *pool);
+void pooled_job_free(void *job);
+
 /* connection.c */
+void connection_ready(void *connection, uint64_t now_us);
+void connection_answer(void *connection, uint64_t now_us,
+                       const ServerAnswer *a);
+void connection_down(void *connection, uint64_t now_us, AnswerCode code);
 Connection *connection_open(Server *server, const char *team, uint64_t now_us);
 void connection_close(Connection *c);
 void connection_run(Connection *c, Session *s, uint64_t now_us);
--- /dev/null
+++ b/src/sapphireweir/gateway/gateway_metrics.c
@@ -0,0 +1,90 @@
+#include "gateway/gateway_internal.h"
+
+/* The counters of an entry instance in the text format of metrics. */
+
+static void
+write_number(GString *out, const char *name, uint64_t value)
+{
+    g_string_append_printf(out, "sapphireweir_%s %" G_GUINT64_FORMAT "\n",
+                           name, value);
+}
+
+static uint64_t
+waiting_statements(const Gateway *g)
+{
+    GHashTableIter it;
+    void *value;
+    uint64_t count = 0;
+
+    g_hash_table_iter_init(&it, g->databases);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        count += ((Database *)value)->waiting.length;
+    }
+    return count;
+}
+
+static uint64_t
+own_connections(const Gateway *g)
+{
+    GHashTableIter it;
+    void *value;
+    uint64_t count = 0;
+
+    g_hash_table_iter_init(&it, g->servers);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        count += ((Server *)value)->connections->len;
+    }
+    return count;
+}
+
+/* Appends all counters and histograms; none has a label that grows with
+ * teams, databases or servers. */
+void
+gateway_metrics_write(const Gateway *g, GString *out)
+{
+    const GatewayCounters *n = &g->counters;
+    const struct {
+        const char *name;
+        uint64_t value;
+    } numbers[] = {
+        {"answered_total", n->answered},
+        {"refused_total", n->refused},
+        {"refused_over_rate_total", n->refusals[kRefusedOverRate]},
+        {"refused_queue_total", n->refusals[kRefusedQueue]},
+        {"refused_no_server_total", n->refusals[kRefusedNoServer]},
+        {"refused_attempts_total", n->refusals[kRefusedAttempts]},
+        {"refused_deadline_total", n->refusals[kRefusedDeadline]},
+        {"in_doubt_total", n->in_doubt},
+        {"timeouts_total", n->timeouts},
+        {"replica_reads_total", n->replica_reads},
+        {"primary_reads_total", n->primary_reads},
+        {"lagging_total", n->lagging},
+        {"relayed_total", n->relayed},
+        {"given_back_total", n->given_back},
+        {"connections_opened_total", n->connections_opened},
+        {"connections_lost_total", n->connections_lost},
+        {"connections", own_connections(g)},
+        {"connections_borrowed", g_hash_table_size(g->relays)},
+        {"connections_lent", g_hash_table_size(g->pooled)},
+        {"sessions", g->sessions.length},
+        {"statements_waiting", waiting_statements(g)},
+        {"leased", g->leased},
+        {"configuration_version", gateway_version(g)},
+    };
+    const struct {
+        const char *name;
+        const Histogram *histogram;
+    } times[] = {
+        {"statement_time_us", &n->operation},
+        {"refusal_time_us", &n->refusal},
+        {"queue_time_us", &n->queue},
+        {"service_time_us", &n->service},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(numbers); i++) {
+        write_number(out, numbers[i].name, numbers[i].value);
+    }
+    for (size_t i = 0; i < G_N_ELEMENTS(times); i++) {
+        histogram_write_text(times[i].histogram, times[i].name, out);
+    }
+}
--- a/src/sapphireweir/gateway/gateway_report.c
+++ b/src/sapphireweir/gateway/gateway_report.c
@@ -21,7 +21,7 @@
         const Connection *c = g_ptr_array_index(s->connections, i);
         open += c->state == kConnectionBound;
     }
-    return open;
+    return s == NULL ? 0 : open + s->relays->len;
 }
 
 /* Fills in what was seen of a database's primary. */
@@ -67,7 +67,7 @@
         ControlContact *c = value;
         report->directory_revision = c->revision;
         report->directory_run = c->run;
-        g->port.control_send(g->port.ctx, c->address, &frame);
+        g->port.peer_send(g->port.ctx, c->address, &frame);
     }
 }
 
@@ -102,6 +102,7 @@
     report.sequence = g->sequence;
     report.document_version = g->document == NULL ? 0 : g->document->version;
     report.leaving = g->drain_us != 0;
+    report.entries_hash = g->entries == NULL ? 0 : g->entries->hash;
     report.n_evidence = evidence_list->len;
     report.evidence = (Sw__PrimaryEvidence **)evidence_list->pdata;
     report.n_demand = demand_list->len;
--- a/src/sapphireweir/gateway/placement.h
+++ b/src/sapphireweir/gateway/placement.h
@@ -15,6 +15,7 @@
     uint32_t open_statements;
     uint32_t slots;
     uint64_t service_us;     /* smoothed time from sending to the answer */
+    uint64_t queued_for_us;  /* expected wait of work that was sent there */
     uint64_t lagging_for_us; /* expected wait before it has caught up */
 } PlacementCandidate;
 
--- /dev/null
+++ b/src/sapphireweir/gateway/relay.c
@@ -0,0 +1,408 @@
+#include <string.h>
+
+#include "gateway/gateway_internal.h"
+
+/* Connections that are borrowed from the entry instance that owns a backend
+ * server.  Answers the load pattern of many instances before few
+ * connections: the owner's connections stay open and its one queue knows all
+ * that waits for the server.  A borrowed connection costs nothing until a
+ * statement is sent on it.  Where the owner cannot be reached, statements go
+ * to the server directly. */
+
+enum {
+    kAskAfterUs = 120000,  /* without a word, ask for a sign of life */
+    kSilentUs = 400000,    /* three of these, and a busy machine's delay */
+    kAvoidOwnerUs = 1000000, /* an owner that was silent or has gone */
+    kAvoidRelayUs = 300000,  /* a server that its owner cannot use */
+    kFirstTryPercent = 25,   /* of the patience, while others may serve */
+    kPatientTries = 2,       /* then it waits as long as it makes sense */
+    kWaitPercent = 90,       /* of the latency objective */
+    kGiveBackUs = 60000, /* before its time limit: a tick and a slow link */
+};
+
+/* ---- owners ---- */
+
+/* Frees what is known of an owner. */
+void
+owner_contact_free(void *contact)
+{
+    OwnerContact *o = contact;
+    g_free(o->id);
+    g_free(o);
+}
+
+static OwnerContact *
+owner_contact(Gateway *g, const char *id)
+{
+    OwnerContact *o = g_hash_table_lookup(g->owners, id);
+
+    if (o == NULL) {
+        o = g_new0(OwnerContact, 1);
+        o->id = g_strdup(id);
+        g_hash_table_insert(g->owners, o->id, o);
+    }
+    return o;
+}
+
+/* Takes in the list of entry instances. */
+void
+relay_entries(Gateway *g, const Sw__EntryGrant *m)
+{
+    if (m->n_entries == 0 ||
+        (g->entries != NULL && g->entries->hash == m->entries_hash)) {
+        return;
+    }
+    entry_list_free(g->entries);
+    g->entries = entry_list_new();
+    for (size_t i = 0; i < m->n_entries; i++) {
+        const Sw__EntryRecord *r = m->entries[i];
+        entry_list_add(g->entries, r->id, r->failure_domain);
+        g->port.peer_known(g->port.ctx, r->id);
+    }
+    g->owners_stale = TRUE;
+}
+
+/* Works out who owns which server. */
+static void
+owners_refresh(Gateway *g)
+{
+    guint most = g_hash_table_size(g->servers);
+    OwnedServer *list = g_new0(OwnedServer, most + 1);
+    GHashTableIter it;
+    void *value;
+    size_t count = 0;
+
+    g->owners_stale = FALSE;
+    g_hash_table_iter_init(&it, g->servers);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        const Server *s = value;
+        if (!s->gone) {
+            list[count++] = (OwnedServer){s->id, s->failure_domain, NULL};
+        }
+    }
+    owners_assign(g->entries, list, count);
+    for (size_t i = 0; i < count; i++) {
+        Server *s = g_hash_table_lookup(g->servers, list[i].id);
+        g_free(s->owner);
+        s->owner = g_strdup(list[i].owner);
+    }
+    g_free(list);
+}
+
+/* Tells whether statements for a server can go to its owner now. */
+gboolean
+relay_usable(const Server *s, uint64_t now_us)
+{
+    Gateway *g = s->database->gateway;
+
+    if (s->owner == NULL || now_us < s->relay_avoid_until_us) {
+        return FALSE;
+    }
+    return now_us >= owner_contact(g, s->owner)->avoid_until_us &&
+           g->port.peer_ready(g->port.ctx, s->owner);
+}
+
+/* ---- borrowed connections ---- */
+
+/* Makes a connection that is borrowed with its first statement. */
+Connection *
+relay_open(Server *s, const char *team, uint64_t now_us)
+{
+    Gateway *g = s->database->gateway;
+    Connection *c = g_new0(Connection, 1);
+
+    c->gateway = g;
+    c->server = s;
+    c->team = g_strdup(team);
+    c->owner = g_strdup(s->owner);
+    c->relay = ++g->next_relay;
+    c->state = kConnectionIdle;
+    c->since_us = now_us;
+    g_ptr_array_add(s->relays, c);
+    g_hash_table_insert(g->relays, &c->relay, c);
+    return c;
+}
+
+static void
+send_frame(Gateway *g, const char *to, Sw__Frame *frame)
+{
+    g->port.peer_send(g->port.ctx, to, frame);
+}
+
+static uint64_t
+time_left(uint64_t until_us, uint64_t now_us)
+{
+    return until_us > now_us ? until_us - now_us : 0;
+}
+
+/* How long the owner may let the open statement wait.  While another server
+ * may take it, a long queue is a reason to go there. */
+static uint64_t
+patience_us(Connection *c, uint64_t now_us)
+{
+    Session *s = c->session;
+    uint64_t limit_us = s->job.due_us - s->job.arrived_us;
+    uint64_t most_us =
+        MIN(s->route->target_us, limit_us / 2) * kWaitPercent / 100;
+
+    s->job.patient =
+        s->job.needs_primary || s->job.attempts >= kPatientTries;
+    if (s->begun) {
+        return time_left(s->job.due_us, now_us);
+    }
+    return s->job.patient ? most_us : most_us * kFirstTryPercent / 100;
+}
+
+static void
+command_fill(const ServerCommand *command, Sw__RelayCommand *out)
+{
+    sw__relay_command__init(out);
+    out->kind = command->kind;
+    out->id = (char *)(command->id == NULL ? "" : command->id);
+    out->text = (char *)(command->text == NULL ? "" : command->text);
+    out->name = (char *)(command->name == NULL ? "" : command->name);
+    out->value = (char *)(command->value == NULL ? "" : command->value);
+    out->writes = command->writes;
+    out->after_term = command->after.term;
+    out->after_number = command->after.number;
+}
+
+/* Sends the commands of the session that has the connection; one answer
+ * comes for all of them. */
+void
+relay_send(Connection *c, const ServerCommand *commands, size_t count,
+           uint64_t now_us)
+{
+    Gateway *g = c->gateway;
+    const Session *s = c->session;
+    Sw__Frame frame = SW__FRAME__INIT;
+    Sw__RelayRun m = SW__RELAY_RUN__INIT;
+    Sw__RelayCommand *list = g_new(Sw__RelayCommand, count);
+    Sw__RelayCommand **pointers = g_new(Sw__RelayCommand *, count);
+    OwnerContact *o = owner_contact(g, c->owner);
+
+    for (size_t i = 0; i < count; i++) {
+        command_fill(&commands[i], &list[i]);
+        pointers[i] = &list[i];
+    }
+    m.relay = c->relay;
+    m.server = c->server->id;
+    m.team = c->team;
+    m.n_commands = count;
+    m.commands = pointers;
+    m.target_us = time_left(s->job.order_us, now_us);
+    m.due_us = time_left(s->job.due_us, now_us + kGiveBackUs);
+    m.patience_us = patience_us(c, now_us);
+    m.single =
+        s->state == kSessionIdle || s->job.kind == kStatementCommit;
+    m.continues = s->begun;
+    frame.body_case = SW__FRAME__BODY_RELAY_RUN;
+    frame.relay_run = &m;
+    c->ahead = 0;
+    g->counters.relayed++;
+    if (o->awaiting++ == 0) {
+        o->heard_us = now_us;
+    }
+    send_frame(g, c->owner, &frame);
+    g_free(pointers);
+    g_free(list);
+}
+
+/* Gives a connection back; connection_close calls it. */
+void
+relay_close(Connection *c, gboolean awaited)
+{
+    Gateway *g = c->gateway;
+    Sw__Frame frame = SW__FRAME__INIT;
+    Sw__RelayEnd m = SW__RELAY_END__INIT;
+    OwnerContact *o = owner_contact(g, c->owner);
+
+    g_ptr_array_remove_fast(c->server->relays, c);
+    g_hash_table_remove(g->relays, &c->relay);
+    if (awaited && o->awaiting > 0) {
+        o->awaiting--;
+    }
+    if (c->ended) {
+        return;
+    }
+    m.relay = c->relay;
+    frame.body_case = SW__FRAME__BODY_RELAY_END;
+    frame.relay_end = &m;
+    send_frame(g, c->owner, &frame);
+}
+
+/* ---- what owners answer ---- */
+
+static ServerAnswer
+answer_of(const Sw__RelayResult *m)
+{
+    return (ServerAnswer){.code = (AnswerCode)m->code,
+                          .code_text = m->code_text,
+                          .detail = m->detail,
+                          .rows = (const char *)m->rows.data,
+                          .rows_bytes = m->rows.len,
+                          .tag = m->tag,
+                          .state = (SessionState)m->state,
+                          .position = {m->term, m->number},
+                          .position_text = m->position};
+}
+
+/* The statement did not run: it may go elsewhere. */
+static void
+not_run(Connection *c, uint64_t now_us, const Sw__RelayResult *m)
+{
+    ServerAnswer a = answer_of(m);
+
+    c->awaiting = FALSE;
+    c->ended = TRUE;
+    c->server->open_statements--;
+    if (m->server_failing) {
+        c->server->relay_avoid_until_us = now_us + kAvoidRelayUs;
+    }
+    if (c->session == NULL) {
+        connection_close(c);
+        return;
+    }
+    session_answer(c->session, now_us, &a);
+}
+
+/* Takes in what became of a statement. */
+void
+relay_result(Gateway *g, uint64_t now_us, const char *from,
+             const Sw__RelayResult *m)
+{
+    Connection *c = g_hash_table_lookup(g->relays, &m->relay);
+    OwnerContact *o = owner_contact(g, from);
+
+    o->heard_us = now_us;
+    if (c == NULL || !c->awaiting || strcmp(c->owner, from) != 0) {
+        return;
+    }
+    if (m->outcome != SW__RELAY_OUTCOME__RELAY_LOST && o->awaiting > 0) {
+        o->awaiting--;
+    }
+    c->server->load_us = m->wait_us;
+    c->server->loaded_us = now_us;
+    if (m->service_us != 0) {
+        c->server->service_us = m->service_us;
+    }
+    switch (m->outcome) {
+    case SW__RELAY_OUTCOME__RELAY_NOT_RUN:
+        not_run(c, now_us, m);
+        return;
+    case SW__RELAY_OUTCOME__RELAY_LOST:
+        c->ended = TRUE;
+        c->server->relay_avoid_until_us = now_us + kAvoidRelayUs;
+        connection_down(c, now_us, kCodeTimeout);
+        return;
+    default:
+        break;
+    }
+    ServerAnswer a = answer_of(m);
+    c->ended = c->session != NULL && a.state == kSessionIdle &&
+               (c->session->state == kSessionIdle ||
+                c->session->job.kind == kStatementCommit);
+    connection_answer(c, now_us, &a);
+}
+
+/* Answers a sign of life, or takes one in. */
+void
+relay_ping(Gateway *g, uint64_t now_us, const char *from,
+           const Sw__RelayPing *m)
+{
+    Sw__Frame frame = SW__FRAME__INIT;
+    Sw__RelayPing answer = SW__RELAY_PING__INIT;
+
+    if (m->answer) {
+        owner_contact(g, from)->heard_us = now_us;
+        return;
+    }
+    answer.answer = TRUE;
+    frame.body_case = SW__FRAME__BODY_RELAY_PING;
+    frame.relay_ping = &answer;
+    send_frame(g, from, &frame);
+}
+
+/* ---- owners that go ---- */
+
+/* An owner has gone or says nothing: what it has not answered may have run
+ * or not. */
+void
+relay_owner_lost(Gateway *g, uint64_t now_us, const char *owner)
+{
+    OwnerContact *o = g_hash_table_lookup(g->owners, owner);
+    GPtrArray *lost = g_ptr_array_new();
+    GHashTableIter it;
+    void *value;
+
+    if (o == NULL) {
+        g_ptr_array_unref(lost);
+        return;
+    }
+    o->avoid_until_us = now_us + kAvoidOwnerUs;
+    o->awaiting = 0;
+    g_hash_table_iter_init(&it, g->relays);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        if (strcmp(((Connection *)value)->owner, owner) == 0) {
+            g_ptr_array_add(lost, value);
+        }
+    }
+    for (guint i = 0; i < lost->len; i++) {
+        Connection *c = g_ptr_array_index(lost, i);
+        Session *s = c->session;
+        if (!g_hash_table_contains(g->relays, &c->relay)) {
+            continue;
+        }
+        connection_close(c);
+        if (s != NULL) {
+            session_connection_lost(s, now_us);
+        }
+    }
+    g_ptr_array_unref(lost);
+}
+
+static void
+owner_tick(Gateway *g, uint64_t now_us, OwnerContact *o)
+{
+    Sw__Frame frame = SW__FRAME__INIT;
+    Sw__RelayPing ask = SW__RELAY_PING__INIT;
+
+    if (now_us - MAX(o->heard_us, o->asked_us) < kAskAfterUs) {
+        return;
+    }
+    o->asked_us = now_us;
+    frame.body_case = SW__FRAME__BODY_RELAY_PING;
+    frame.relay_ping = &ask;
+    send_frame(g, o->id, &frame);
+}
+
+/* Lets time pass for the owners that owe answers. */
+void
+relay_tick(Gateway *g, uint64_t now_us)
+{
+    GHashTableIter it;
+    void *value;
+    char *silent = NULL;
+
+    if (g->owners_stale && g->entries != NULL) {
+        owners_refresh(g);
+    }
+    g_hash_table_iter_init(&it, g->owners);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        OwnerContact *o = value;
+        if (o->awaiting == 0) {
+            continue;
+        }
+        if (now_us - o->heard_us > kSilentUs) {
+            g_free(silent);
+            silent = g_strdup(o->id);
+            continue;
+        }
+        owner_tick(g, now_us, o);
+    }
+    if (silent != NULL) {
+        /* One for each tick: losing its relays changes the table. */
+        relay_owner_lost(g, now_us, silent);
+        g_free(silent);
+    }
+}
--- a/src/sapphireweir/gateway/session.c
+++ b/src/sapphireweir/gateway/session.c
@@ -133,11 +133,21 @@
 
 /* ---- answers to the caller ---- */
 
+/* Statements that need no server have no time of arrival. */
+static void
+note_time(Histogram *h, uint64_t now_us, uint64_t arrived_us)
+{
+    if (arrived_us != 0) {
+        histogram_observe(h, now_us - arrived_us);
+    }
+}
+
 /* Answers the open statement: the caller is told, the log too. */
 void
 session_tell(Session *s, uint64_t now_us, const CallerAnswer *a)
 {
     Gateway *g = s->gateway;
+    uint64_t arrived_us = s->job.arrived_us;
 
     session_log(s, now_us, a);
     dispatch_leave(s);
@@ -157,9 +167,11 @@
     }
     else if (a->code == kCodeNone) {
         g->counters.answered++;
+        note_time(&g->counters.operation, now_us, arrived_us);
     }
     else {
         g->counters.refused++;
+        note_time(&g->counters.refusal, now_us, arrived_us);
     }
     if (s->caller != NULL) {
         g->port.caller_answer(g->port.ctx, s->caller, a);
--- a/src/sapphireweir/gateway/session_answer.c
+++ b/src/sapphireweir/gateway/session_answer.c
@@ -9,7 +9,8 @@
     kLaggingFirstUs = 40000, /* a replica that was behind is left alone */
     kLaggingMostUs = 640000,
     kLaggingTriesMax = 3,
-    kReadRetriesMax = 1, /* of a read that ran and failed */
+    kQueuedRetryUs = 200000, /* at the least, when a queue is too long */
+    kReadRetriesMax = 1,     /* of a read that ran and failed */
 };
 
 static gboolean
@@ -31,6 +32,15 @@
     s->gateway->counters.lagging++;
 }
 
+/* The owner of a server's connections expects too long a wait: the caller
+ * comes back when the queue of now has gone. */
+static void
+refuse_queued(Session *s, uint64_t now_us, const Server *server)
+{
+    session_refuse(s, now_us, kRefusedQueue,
+                   MAX(server->load_us, (uint64_t)kQueuedRetryUs));
+}
+
 /* The statement or the BEGIN before it did not run: it may go elsewhere as
  * long as nothing of its transaction has run. */
 static void
@@ -52,7 +62,13 @@
         session_finish(s, now_us, kCodeAborted, a->code_text);
         return;
     }
-    if (a->code == kCodeBusy) {
+    if (a->code == kCodeBusy && c->relay != 0) {
+        if (s->job.patient) {
+            refuse_queued(s, now_us, server);
+            return;
+        }
+    }
+    else if (a->code == kCodeBusy) {
         delay_us = kBusyRetryUs;
     }
     if (a->code == kCodeLagging) {
--- a/src/sapphireweir/gateway/team_rates.c
+++ b/src/sapphireweir/gateway/team_rates.c
@@ -79,7 +79,7 @@
     frame.request_id = r->request;
     frame.body_case = SW__FRAME__BODY_TOKEN_REQUEST;
     frame.token_request = &m;
-    g->port.control_send(g->port.ctx, g->leader, &frame);
+    g->port.peer_send(g->port.ctx, g->leader, &frame);
 }
 
 static void
--- a/src/sapphireweir/proto/sapphireweir.pb-c.c
+++ b/src/sapphireweir/proto/sapphireweir.pb-c.c
@@ -1177,6 +1177,51 @@
   assert(message->base.descriptor == &sw__entry_report__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   sw__entry_record__init
+                     (Sw__EntryRecord         *message)
+{
+  static const Sw__EntryRecord init_value = SW__ENTRY_RECORD__INIT;
+  *message = init_value;
+}
+size_t sw__entry_record__get_packed_size
+                     (const Sw__EntryRecord *message)
+{
+  assert(message->base.descriptor == &sw__entry_record__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t sw__entry_record__pack
+                     (const Sw__EntryRecord *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &sw__entry_record__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t sw__entry_record__pack_to_buffer
+                     (const Sw__EntryRecord *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &sw__entry_record__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Sw__EntryRecord *
+       sw__entry_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Sw__EntryRecord *)
+     protobuf_c_message_unpack (&sw__entry_record__descriptor,
+                                allocator, len, data);
+}
+void   sw__entry_record__free_unpacked
+                     (Sw__EntryRecord *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &sw__entry_record__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   sw__primary_grant__init
                      (Sw__PrimaryGrant         *message)
 {
@@ -1492,6 +1537,231 @@
   assert(message->base.descriptor == &sw__join_request__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   sw__relay_command__init
+                     (Sw__RelayCommand         *message)
+{
+  static const Sw__RelayCommand init_value = SW__RELAY_COMMAND__INIT;
+  *message = init_value;
+}
+size_t sw__relay_command__get_packed_size
+                     (const Sw__RelayCommand *message)
+{
+  assert(message->base.descriptor == &sw__relay_command__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t sw__relay_command__pack
+                     (const Sw__RelayCommand *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &sw__relay_command__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t sw__relay_command__pack_to_buffer
+                     (const Sw__RelayCommand *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &sw__relay_command__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Sw__RelayCommand *
+       sw__relay_command__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Sw__RelayCommand *)
+     protobuf_c_message_unpack (&sw__relay_command__descriptor,
+                                allocator, len, data);
+}
+void   sw__relay_command__free_unpacked
+                     (Sw__RelayCommand *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &sw__relay_command__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   sw__relay_run__init
+                     (Sw__RelayRun         *message)
+{
+  static const Sw__RelayRun init_value = SW__RELAY_RUN__INIT;
+  *message = init_value;
+}
+size_t sw__relay_run__get_packed_size
+                     (const Sw__RelayRun *message)
+{
+  assert(message->base.descriptor == &sw__relay_run__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t sw__relay_run__pack
+                     (const Sw__RelayRun *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &sw__relay_run__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t sw__relay_run__pack_to_buffer
+                     (const Sw__RelayRun *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &sw__relay_run__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Sw__RelayRun *
+       sw__relay_run__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Sw__RelayRun *)
+     protobuf_c_message_unpack (&sw__relay_run__descriptor,
+                                allocator, len, data);
+}
+void   sw__relay_run__free_unpacked
+                     (Sw__RelayRun *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &sw__relay_run__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   sw__relay_result__init
+                     (Sw__RelayResult         *message)
+{
+  static const Sw__RelayResult init_value = SW__RELAY_RESULT__INIT;
+  *message = init_value;
+}
+size_t sw__relay_result__get_packed_size
+                     (const Sw__RelayResult *message)
+{
+  assert(message->base.descriptor == &sw__relay_result__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t sw__relay_result__pack
+                     (const Sw__RelayResult *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &sw__relay_result__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t sw__relay_result__pack_to_buffer
+                     (const Sw__RelayResult *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &sw__relay_result__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Sw__RelayResult *
+       sw__relay_result__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Sw__RelayResult *)
+     protobuf_c_message_unpack (&sw__relay_result__descriptor,
+                                allocator, len, data);
+}
+void   sw__relay_result__free_unpacked
+                     (Sw__RelayResult *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &sw__relay_result__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   sw__relay_end__init
+                     (Sw__RelayEnd         *message)
+{
+  static const Sw__RelayEnd init_value = SW__RELAY_END__INIT;
+  *message = init_value;
+}
+size_t sw__relay_end__get_packed_size
+                     (const Sw__RelayEnd *message)
+{
+  assert(message->base.descriptor == &sw__relay_end__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t sw__relay_end__pack
+                     (const Sw__RelayEnd *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &sw__relay_end__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t sw__relay_end__pack_to_buffer
+                     (const Sw__RelayEnd *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &sw__relay_end__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Sw__RelayEnd *
+       sw__relay_end__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Sw__RelayEnd *)
+     protobuf_c_message_unpack (&sw__relay_end__descriptor,
+                                allocator, len, data);
+}
+void   sw__relay_end__free_unpacked
+                     (Sw__RelayEnd *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &sw__relay_end__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   sw__relay_ping__init
+                     (Sw__RelayPing         *message)
+{
+  static const Sw__RelayPing init_value = SW__RELAY_PING__INIT;
+  *message = init_value;
+}
+size_t sw__relay_ping__get_packed_size
+                     (const Sw__RelayPing *message)
+{
+  assert(message->base.descriptor == &sw__relay_ping__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t sw__relay_ping__pack
+                     (const Sw__RelayPing *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &sw__relay_ping__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t sw__relay_ping__pack_to_buffer
+                     (const Sw__RelayPing *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &sw__relay_ping__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Sw__RelayPing *
+       sw__relay_ping__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Sw__RelayPing *)
+     protobuf_c_message_unpack (&sw__relay_ping__descriptor,
+                                allocator, len, data);
+}
+void   sw__relay_ping__free_unpacked
+                     (Sw__RelayPing *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &sw__relay_ping__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   sw__fleet_command__init
                      (Sw__FleetCommand         *message)
 {
@@ -1627,7 +1897,7 @@
   assert(message->base.descriptor == &sw__fleet_snapshot__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor sw__frame__field_descriptors[24] =
+static const ProtobufCFieldDescriptor sw__frame__field_descriptors[28] =
 {
   {
     "request_id",
@@ -1917,6 +2187,54 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "relay_run",
+    25,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sw__Frame, body_case),
+    offsetof(Sw__Frame, relay_run),
+    &sw__relay_run__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "relay_result",
+    26,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sw__Frame, body_case),
+    offsetof(Sw__Frame, relay_result),
+    &sw__relay_result__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "relay_end",
+    27,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sw__Frame, body_case),
+    offsetof(Sw__Frame, relay_end),
+    &sw__relay_end__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "relay_ping",
+    28,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sw__Frame, body_case),
+    offsetof(Sw__Frame, relay_ping),
+    &sw__relay_ping__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sw__frame__field_indices_by_name[] = {
   8,   /* field[8] = admin_reply */
@@ -1937,6 +2255,10 @@
   16,   /* field[16] = member_result */
   14,   /* field[14] = position_reply */
   13,   /* field[13] = position_request */
+  26,   /* field[26] = relay_end */
+  27,   /* field[27] = relay_ping */
+  25,   /* field[25] = relay_result */
+  24,   /* field[24] = relay_run */
   0,   /* field[0] = request_id */
   6,   /* field[6] = state_update */
   12,   /* field[12] = token_reply */
@@ -1947,7 +2269,7 @@
 static const ProtobufCIntRange sw__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 24 }
+  { 0, 28 }
 };
 const ProtobufCMessageDescriptor sw__frame__descriptor =
 {
@@ -1957,7 +2279,7 @@
   "Sw__Frame",
   "sw",
   sizeof(Sw__Frame),
-  24,
+  28,
   sw__frame__field_descriptors,
   sw__frame__field_indices_by_name,
   1,  sw__frame__number_ranges,
@@ -4274,7 +4596,7 @@
   (ProtobufCMessageInit) sw__team_demand__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sw__entry_report__field_descriptors[9] =
+static const ProtobufCFieldDescriptor sw__entry_report__field_descriptors[10] =
 {
   {
     "failure_domain",
@@ -4384,12 +4706,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "entries_hash",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__EntryReport, entries_hash),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sw__entry_report__field_indices_by_name[] = {
   8,   /* field[8] = demand */
   4,   /* field[4] = directory_revision */
   5,   /* field[5] = directory_run */
   3,   /* field[3] = document_version */
+  9,   /* field[9] = entries_hash */
   7,   /* field[7] = evidence */
   0,   /* field[0] = failure_domain */
   1,   /* field[1] = incarnation */
@@ -4399,7 +4734,7 @@
 static const ProtobufCIntRange sw__entry_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor sw__entry_report__descriptor =
 {
@@ -4409,13 +4744,64 @@
   "Sw__EntryReport",
   "sw",
   sizeof(Sw__EntryReport),
-  9,
+  10,
   sw__entry_report__field_descriptors,
   sw__entry_report__field_indices_by_name,
   1,  sw__entry_report__number_ranges,
   (ProtobufCMessageInit) sw__entry_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor sw__entry_record__field_descriptors[2] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sw__EntryRecord, id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "failure_domain",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sw__EntryRecord, failure_domain),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned sw__entry_record__field_indices_by_name[] = {
+  1,   /* field[1] = failure_domain */
+  0,   /* field[0] = id */
+};
+static const ProtobufCIntRange sw__entry_record__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor sw__entry_record__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "sw.EntryRecord",
+  "EntryRecord",
+  "Sw__EntryRecord",
+  "sw",
+  sizeof(Sw__EntryRecord),
+  2,
+  sw__entry_record__field_descriptors,
+  sw__entry_record__field_indices_by_name,
+  1,  sw__entry_record__number_ranges,
+  (ProtobufCMessageInit) sw__entry_record__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor sw__primary_grant__field_descriptors[5] =
 {
   {
@@ -4557,7 +4943,7 @@
   (ProtobufCMessageInit) sw__team_share__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sw__entry_grant__field_descriptors[9] =
+static const ProtobufCFieldDescriptor sw__entry_grant__field_descriptors[11] =
 {
   {
     "sequence",
@@ -4667,23 +5053,49 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned sw__entry_grant__field_indices_by_name[] = {
-  5,   /* field[5] = controls */
-  6,   /* field[6] = document_version */
-  4,   /* field[4] = entry_count */
-  1,   /* field[1] = lease_us */
-  2,   /* field[2] = primaries */
-  8,   /* field[8] = revision */
-  0,   /* field[0] = sequence */
-  3,   /* field[3] = shares */
-  7,   /* field[7] = term */
-};
-static const ProtobufCIntRange sw__entry_grant__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 9 }
-};
+  {
+    "entries",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sw__EntryGrant, n_entries),
+    offsetof(Sw__EntryGrant, entries),
+    &sw__entry_record__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "entries_hash",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__EntryGrant, entries_hash),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned sw__entry_grant__field_indices_by_name[] = {
+  5,   /* field[5] = controls */
+  6,   /* field[6] = document_version */
+  9,   /* field[9] = entries */
+  10,   /* field[10] = entries_hash */
+  4,   /* field[4] = entry_count */
+  1,   /* field[1] = lease_us */
+  2,   /* field[2] = primaries */
+  8,   /* field[8] = revision */
+  0,   /* field[0] = sequence */
+  3,   /* field[3] = shares */
+  7,   /* field[7] = term */
+};
+static const ProtobufCIntRange sw__entry_grant__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 11 }
+};
 const ProtobufCMessageDescriptor sw__entry_grant__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
@@ -4692,7 +5104,7 @@
   "Sw__EntryGrant",
   "sw",
   sizeof(Sw__EntryGrant),
-  9,
+  11,
   sw__entry_grant__field_descriptors,
   sw__entry_grant__field_indices_by_name,
   1,  sw__entry_grant__number_ranges,
@@ -5033,6 +5445,560 @@
   (ProtobufCMessageInit) sw__join_request__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor sw__relay_command__field_descriptors[8] =
+{
+  {
+    "kind",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Sw__RelayCommand, kind),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "id",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sw__RelayCommand, id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "text",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sw__RelayCommand, text),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "name",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sw__RelayCommand, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "value",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sw__RelayCommand, value),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "writes",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Sw__RelayCommand, writes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "after_term",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__RelayCommand, after_term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "after_number",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__RelayCommand, after_number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned sw__relay_command__field_indices_by_name[] = {
+  7,   /* field[7] = after_number */
+  6,   /* field[6] = after_term */
+  1,   /* field[1] = id */
+  0,   /* field[0] = kind */
+  3,   /* field[3] = name */
+  2,   /* field[2] = text */
+  4,   /* field[4] = value */
+  5,   /* field[5] = writes */
+};
+static const ProtobufCIntRange sw__relay_command__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 8 }
+};
+const ProtobufCMessageDescriptor sw__relay_command__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "sw.RelayCommand",
+  "RelayCommand",
+  "Sw__RelayCommand",
+  "sw",
+  sizeof(Sw__RelayCommand),
+  8,
+  sw__relay_command__field_descriptors,
+  sw__relay_command__field_indices_by_name,
+  1,  sw__relay_command__number_ranges,
+  (ProtobufCMessageInit) sw__relay_command__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor sw__relay_run__field_descriptors[9] =
+{
+  {
+    "relay",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__RelayRun, relay),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "server",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sw__RelayRun, server),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "team",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sw__RelayRun, team),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "commands",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sw__RelayRun, n_commands),
+    offsetof(Sw__RelayRun, commands),
+    &sw__relay_command__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target_us",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__RelayRun, target_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "due_us",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__RelayRun, due_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "patience_us",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__RelayRun, patience_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "single",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Sw__RelayRun, single),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "continues",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Sw__RelayRun, continues),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned sw__relay_run__field_indices_by_name[] = {
+  3,   /* field[3] = commands */
+  8,   /* field[8] = continues */
+  5,   /* field[5] = due_us */
+  6,   /* field[6] = patience_us */
+  0,   /* field[0] = relay */
+  1,   /* field[1] = server */
+  7,   /* field[7] = single */
+  4,   /* field[4] = target_us */
+  2,   /* field[2] = team */
+};
+static const ProtobufCIntRange sw__relay_run__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 9 }
+};
+const ProtobufCMessageDescriptor sw__relay_run__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "sw.RelayRun",
+  "RelayRun",
+  "Sw__RelayRun",
+  "sw",
+  sizeof(Sw__RelayRun),
+  9,
+  sw__relay_run__field_descriptors,
+  sw__relay_run__field_indices_by_name,
+  1,  sw__relay_run__number_ranges,
+  (ProtobufCMessageInit) sw__relay_run__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor sw__relay_result__field_descriptors[14] =
+{
+  {
+    "relay",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__RelayResult, relay),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "outcome",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(Sw__RelayResult, outcome),
+    &sw__relay_outcome__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "code",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Sw__RelayResult, code),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "code_text",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sw__RelayResult, code_text),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "detail",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sw__RelayResult, detail),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rows",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Sw__RelayResult, rows),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tag",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sw__RelayResult, tag),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "state",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Sw__RelayResult, state),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "term",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__RelayResult, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "number",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__RelayResult, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "position",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sw__RelayResult, position),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wait_us",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__RelayResult, wait_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service_us",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__RelayResult, service_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "server_failing",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Sw__RelayResult, server_failing),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned sw__relay_result__field_indices_by_name[] = {
+  2,   /* field[2] = code */
+  3,   /* field[3] = code_text */
+  4,   /* field[4] = detail */
+  9,   /* field[9] = number */
+  1,   /* field[1] = outcome */
+  10,   /* field[10] = position */
+  0,   /* field[0] = relay */
+  5,   /* field[5] = rows */
+  13,   /* field[13] = server_failing */
+  12,   /* field[12] = service_us */
+  7,   /* field[7] = state */
+  6,   /* field[6] = tag */
+  8,   /* field[8] = term */
+  11,   /* field[11] = wait_us */
+};
+static const ProtobufCIntRange sw__relay_result__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 14 }
+};
+const ProtobufCMessageDescriptor sw__relay_result__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "sw.RelayResult",
+  "RelayResult",
+  "Sw__RelayResult",
+  "sw",
+  sizeof(Sw__RelayResult),
+  14,
+  sw__relay_result__field_descriptors,
+  sw__relay_result__field_indices_by_name,
+  1,  sw__relay_result__number_ranges,
+  (ProtobufCMessageInit) sw__relay_result__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor sw__relay_end__field_descriptors[1] =
+{
+  {
+    "relay",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__RelayEnd, relay),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned sw__relay_end__field_indices_by_name[] = {
+  0,   /* field[0] = relay */
+};
+static const ProtobufCIntRange sw__relay_end__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor sw__relay_end__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "sw.RelayEnd",
+  "RelayEnd",
+  "Sw__RelayEnd",
+  "sw",
+  sizeof(Sw__RelayEnd),
+  1,
+  sw__relay_end__field_descriptors,
+  sw__relay_end__field_indices_by_name,
+  1,  sw__relay_end__number_ranges,
+  (ProtobufCMessageInit) sw__relay_end__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor sw__relay_ping__field_descriptors[1] =
+{
+  {
+    "answer",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Sw__RelayPing, answer),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned sw__relay_ping__field_indices_by_name[] = {
+  0,   /* field[0] = answer */
+};
+static const ProtobufCIntRange sw__relay_ping__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor sw__relay_ping__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "sw.RelayPing",
+  "RelayPing",
+  "Sw__RelayPing",
+  "sw",
+  sizeof(Sw__RelayPing),
+  1,
+  sw__relay_ping__field_descriptors,
+  sw__relay_ping__field_indices_by_name,
+  1,  sw__relay_ping__number_ranges,
+  (ProtobufCMessageInit) sw__relay_ping__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor sw__fleet_command__field_descriptors[2] =
 {
   {
@@ -5365,3 +6331,33 @@
   sw__member_action__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
+static const ProtobufCEnumValue sw__relay_outcome__enum_values_by_number[3] =
+{
+  { "RELAY_ANSWERED", "SW__RELAY_OUTCOME__RELAY_ANSWERED", 0 },
+  { "RELAY_NOT_RUN", "SW__RELAY_OUTCOME__RELAY_NOT_RUN", 1 },
+  { "RELAY_LOST", "SW__RELAY_OUTCOME__RELAY_LOST", 2 },
+};
+static const ProtobufCIntRange sw__relay_outcome__value_ranges[] = {
+{0, 0},{0, 3}
+};
+static const ProtobufCEnumValueIndex sw__relay_outcome__enum_values_by_name[3] =
+{
+  { "RELAY_ANSWERED", 0 },
+  { "RELAY_LOST", 2 },
+  { "RELAY_NOT_RUN", 1 },
+};
+const ProtobufCEnumDescriptor sw__relay_outcome__descriptor =
+{
+  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
+  "sw.RelayOutcome",
+  "RelayOutcome",
+  "Sw__RelayOutcome",
+  "sw",
+  3,
+  sw__relay_outcome__enum_values_by_number,
+  3,
+  sw__relay_outcome__enum_values_by_name,
+  1,
+  sw__relay_outcome__value_ranges,
+  NULL,NULL,NULL,NULL   /* reserved[1234] */
+};
--- a/src/sapphireweir/proto/sapphireweir.pb-c.h
+++ b/src/sapphireweir/proto/sapphireweir.pb-c.h
@@ -41,6 +41,7 @@
 typedef struct Sw__PrimaryEvidence Sw__PrimaryEvidence;
 typedef struct Sw__TeamDemand Sw__TeamDemand;
 typedef struct Sw__EntryReport Sw__EntryReport;
+typedef struct Sw__EntryRecord Sw__EntryRecord;
 typedef struct Sw__PrimaryGrant Sw__PrimaryGrant;
 typedef struct Sw__TeamShare Sw__TeamShare;
 typedef struct Sw__EntryGrant Sw__EntryGrant;
@@ -48,6 +49,11 @@
 typedef struct Sw__DirectoryUpdate Sw__DirectoryUpdate;
 typedef struct Sw__DocumentUpdate Sw__DocumentUpdate;
 typedef struct Sw__JoinRequest Sw__JoinRequest;
+typedef struct Sw__RelayCommand Sw__RelayCommand;
+typedef struct Sw__RelayRun Sw__RelayRun;
+typedef struct Sw__RelayResult Sw__RelayResult;
+typedef struct Sw__RelayEnd Sw__RelayEnd;
+typedef struct Sw__RelayPing Sw__RelayPing;
 typedef struct Sw__FleetCommand Sw__FleetCommand;
 typedef struct Sw__PrimaryRecord Sw__PrimaryRecord;
 typedef struct Sw__FleetSnapshot Sw__FleetSnapshot;
@@ -89,6 +95,18 @@
   SW__MEMBER_ACTION__MEMBER_FOLLOW = 2
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(SW__MEMBER_ACTION)
 } Sw__MemberAction;
+typedef enum _Sw__RelayOutcome {
+  SW__RELAY_OUTCOME__RELAY_ANSWERED = 0,
+  /*
+   * None of the commands was sent to the server.
+   */
+  SW__RELAY_OUTCOME__RELAY_NOT_RUN = 1,
+  /*
+   * The connection was lost after they were sent.
+   */
+  SW__RELAY_OUTCOME__RELAY_LOST = 2
+    PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(SW__RELAY_OUTCOME)
+} Sw__RelayOutcome;
 
 /* --- messages --- */
 
@@ -116,7 +134,11 @@
   SW__FRAME__BODY_ENTRY_GRANT = 21,
   SW__FRAME__BODY_DIRECTORY_UPDATE = 22,
   SW__FRAME__BODY_DOCUMENT_UPDATE = 23,
-  SW__FRAME__BODY_JOIN_REQUEST = 24
+  SW__FRAME__BODY_JOIN_REQUEST = 24,
+  SW__FRAME__BODY_RELAY_RUN = 25,
+  SW__FRAME__BODY_RELAY_RESULT = 26,
+  SW__FRAME__BODY_RELAY_END = 27,
+  SW__FRAME__BODY_RELAY_PING = 28
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(SW__FRAME__BODY__CASE)
 } Sw__Frame__BodyCase;
 
@@ -149,6 +171,10 @@
     Sw__DirectoryUpdate *directory_update;
     Sw__DocumentUpdate *document_update;
     Sw__JoinRequest *join_request;
+    Sw__RelayRun *relay_run;
+    Sw__RelayResult *relay_result;
+    Sw__RelayEnd *relay_end;
+    Sw__RelayPing *relay_ping;
   };
 };
 #define SW__FRAME__INIT \
@@ -581,10 +607,25 @@
   Sw__PrimaryEvidence **evidence;
   size_t n_demand;
   Sw__TeamDemand **demand;
+  /*
+   * Of the list of entry instances that this one works with.
+   */
+  uint64_t entries_hash;
 };
 #define SW__ENTRY_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sw__entry_report__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0 }
+
+
+struct  Sw__EntryRecord
+{
+  ProtobufCMessage base;
+  char *id;
+  char *failure_domain;
+};
+#define SW__ENTRY_RECORD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&sw__entry_record__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
 
 
 struct  Sw__PrimaryGrant
@@ -643,10 +684,16 @@
    */
   uint64_t term;
   uint64_t revision;
+  /*
+   * All entry instances, when the report names another list than this one.
+   */
+  size_t n_entries;
+  Sw__EntryRecord **entries;
+  uint64_t entries_hash;
 };
 #define SW__ENTRY_GRANT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sw__entry_grant__descriptor) \
-    , 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0, 0, 0 }
+    , 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0, 0, 0, 0,NULL, 0 }
 
 
 struct  Sw__ServerRecord
@@ -707,6 +754,107 @@
     , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
 
 
+struct  Sw__RelayCommand
+{
+  ProtobufCMessage base;
+  uint32_t kind;
+  char *id;
+  char *text;
+  char *name;
+  char *value;
+  protobuf_c_boolean writes;
+  uint64_t after_term;
+  uint64_t after_number;
+};
+#define SW__RELAY_COMMAND__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&sw__relay_command__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
+
+
+/*
+ * Commands of one session, to be run in order on one connection.  The last
+ * one's answer is the result.
+ */
+struct  Sw__RelayRun
+{
+  ProtobufCMessage base;
+  /*
+   * Number of the sender's for the connection that it borrows.
+   */
+  uint64_t relay;
+  char *server;
+  char *team;
+  size_t n_commands;
+  Sw__RelayCommand **commands;
+  /*
+   * Time left to the latency objective and to the time limit.
+   */
+  uint64_t target_us;
+  uint64_t due_us;
+  /*
+   * Refused rather than let wait for longer.
+   */
+  uint64_t patience_us;
+  /*
+   * Nothing follows an answer in the idle state.
+   */
+  protobuf_c_boolean single;
+  /*
+   * Belongs to a transaction that earlier commands began.
+   */
+  protobuf_c_boolean continues;
+};
+#define SW__RELAY_RUN__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&sw__relay_run__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0, 0 }
+
+
+struct  Sw__RelayResult
+{
+  ProtobufCMessage base;
+  uint64_t relay;
+  Sw__RelayOutcome outcome;
+  uint32_t code;
+  char *code_text;
+  char *detail;
+  ProtobufCBinaryData rows;
+  char *tag;
+  uint32_t state;
+  uint64_t term;
+  uint64_t number;
+  char *position;
+  /*
+   * Expected wait of the next statement at this server.
+   */
+  uint64_t wait_us;
+  uint64_t service_us;
+  protobuf_c_boolean server_failing;
+};
+#define SW__RELAY_RESULT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&sw__relay_result__descriptor) \
+    , 0, SW__RELAY_OUTCOME__RELAY_ANSWERED, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
+
+
+struct  Sw__RelayEnd
+{
+  ProtobufCMessage base;
+  uint64_t relay;
+};
+#define SW__RELAY_END__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&sw__relay_end__descriptor) \
+    , 0 }
+
+
+struct  Sw__RelayPing
+{
+  ProtobufCMessage base;
+  protobuf_c_boolean answer;
+};
+#define SW__RELAY_PING__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&sw__relay_ping__descriptor) \
+    , 0 }
+
+
 /*
  * A command of the replicated log.
  */
@@ -1248,6 +1396,25 @@
 void   sw__entry_report__free_unpacked
                      (Sw__EntryReport *message,
                       ProtobufCAllocator *allocator);
+/* Sw__EntryRecord methods */
+void   sw__entry_record__init
+                     (Sw__EntryRecord         *message);
+size_t sw__entry_record__get_packed_size
+                     (const Sw__EntryRecord   *message);
+size_t sw__entry_record__pack
+                     (const Sw__EntryRecord   *message,
+                      uint8_t             *out);
+size_t sw__entry_record__pack_to_buffer
+                     (const Sw__EntryRecord   *message,
+                      ProtobufCBuffer     *buffer);
+Sw__EntryRecord *
+       sw__entry_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   sw__entry_record__free_unpacked
+                     (Sw__EntryRecord *message,
+                      ProtobufCAllocator *allocator);
 /* Sw__PrimaryGrant methods */
 void   sw__primary_grant__init
                      (Sw__PrimaryGrant         *message);
@@ -1381,6 +1548,101 @@
 void   sw__join_request__free_unpacked
                      (Sw__JoinRequest *message,
                       ProtobufCAllocator *allocator);
+/* Sw__RelayCommand methods */
+void   sw__relay_command__init
+                     (Sw__RelayCommand         *message);
+size_t sw__relay_command__get_packed_size
+                     (const Sw__RelayCommand   *message);
+size_t sw__relay_command__pack
+                     (const Sw__RelayCommand   *message,
+                      uint8_t             *out);
+size_t sw__relay_command__pack_to_buffer
+                     (const Sw__RelayCommand   *message,
+                      ProtobufCBuffer     *buffer);
+Sw__RelayCommand *
+       sw__relay_command__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   sw__relay_command__free_unpacked
+                     (Sw__RelayCommand *message,
+                      ProtobufCAllocator *allocator);
+/* Sw__RelayRun methods */
+void   sw__relay_run__init
+                     (Sw__RelayRun         *message);
+size_t sw__relay_run__get_packed_size
+                     (const Sw__RelayRun   *message);
+size_t sw__relay_run__pack
+                     (const Sw__RelayRun   *message,
+                      uint8_t             *out);
+size_t sw__relay_run__pack_to_buffer
+                     (const Sw__RelayRun   *message,
+                      ProtobufCBuffer     *buffer);
+Sw__RelayRun *
+       sw__relay_run__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   sw__relay_run__free_unpacked
+                     (Sw__RelayRun *message,
+                      ProtobufCAllocator *allocator);
+/* Sw__RelayResult methods */
+void   sw__relay_result__init
+                     (Sw__RelayResult         *message);
+size_t sw__relay_result__get_packed_size
+                     (const Sw__RelayResult   *message);
+size_t sw__relay_result__pack
+                     (const Sw__RelayResult   *message,
+                      uint8_t             *out);
+size_t sw__relay_result__pack_to_buffer
+                     (const Sw__RelayResult   *message,
+                      ProtobufCBuffer     *buffer);
+Sw__RelayResult *
+       sw__relay_result__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   sw__relay_result__free_unpacked
+                     (Sw__RelayResult *message,
+                      ProtobufCAllocator *allocator);
+/* Sw__RelayEnd methods */
+void   sw__relay_end__init
+                     (Sw__RelayEnd         *message);
+size_t sw__relay_end__get_packed_size
+                     (const Sw__RelayEnd   *message);
+size_t sw__relay_end__pack
+                     (const Sw__RelayEnd   *message,
+                      uint8_t             *out);
+size_t sw__relay_end__pack_to_buffer
+                     (const Sw__RelayEnd   *message,
+                      ProtobufCBuffer     *buffer);
+Sw__RelayEnd *
+       sw__relay_end__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   sw__relay_end__free_unpacked
+                     (Sw__RelayEnd *message,
+                      ProtobufCAllocator *allocator);
+/* Sw__RelayPing methods */
+void   sw__relay_ping__init
+                     (Sw__RelayPing         *message);
+size_t sw__relay_ping__get_packed_size
+                     (const Sw__RelayPing   *message);
+size_t sw__relay_ping__pack
+                     (const Sw__RelayPing   *message,
+                      uint8_t             *out);
+size_t sw__relay_ping__pack_to_buffer
+                     (const Sw__RelayPing   *message,
+                      ProtobufCBuffer     *buffer);
+Sw__RelayPing *
+       sw__relay_ping__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   sw__relay_ping__free_unpacked
+                     (Sw__RelayPing *message,
+                      ProtobufCAllocator *allocator);
 /* Sw__FleetCommand methods */
 void   sw__fleet_command__init
                      (Sw__FleetCommand         *message);
@@ -1518,6 +1780,9 @@
 typedef void (*Sw__EntryReport_Closure)
                  (const Sw__EntryReport *message,
                   void *closure_data);
+typedef void (*Sw__EntryRecord_Closure)
+                 (const Sw__EntryRecord *message,
+                  void *closure_data);
 typedef void (*Sw__PrimaryGrant_Closure)
                  (const Sw__PrimaryGrant *message,
                   void *closure_data);
@@ -1539,6 +1804,21 @@
 typedef void (*Sw__JoinRequest_Closure)
                  (const Sw__JoinRequest *message,
                   void *closure_data);
+typedef void (*Sw__RelayCommand_Closure)
+                 (const Sw__RelayCommand *message,
+                  void *closure_data);
+typedef void (*Sw__RelayRun_Closure)
+                 (const Sw__RelayRun *message,
+                  void *closure_data);
+typedef void (*Sw__RelayResult_Closure)
+                 (const Sw__RelayResult *message,
+                  void *closure_data);
+typedef void (*Sw__RelayEnd_Closure)
+                 (const Sw__RelayEnd *message,
+                  void *closure_data);
+typedef void (*Sw__RelayPing_Closure)
+                 (const Sw__RelayPing *message,
+                  void *closure_data);
 typedef void (*Sw__FleetCommand_Closure)
                  (const Sw__FleetCommand *message,
                   void *closure_data);
@@ -1558,6 +1838,7 @@
 extern const ProtobufCEnumDescriptor    sw__work_kind__descriptor;
 extern const ProtobufCEnumDescriptor    sw__work_status__descriptor;
 extern const ProtobufCEnumDescriptor    sw__member_action__descriptor;
+extern const ProtobufCEnumDescriptor    sw__relay_outcome__descriptor;
 extern const ProtobufCMessageDescriptor sw__frame__descriptor;
 extern const ProtobufCMessageDescriptor sw__hello__descriptor;
 extern const ProtobufCMessageDescriptor sw__heartbeat__descriptor;
@@ -1584,6 +1865,7 @@
 extern const ProtobufCMessageDescriptor sw__primary_evidence__descriptor;
 extern const ProtobufCMessageDescriptor sw__team_demand__descriptor;
 extern const ProtobufCMessageDescriptor sw__entry_report__descriptor;
+extern const ProtobufCMessageDescriptor sw__entry_record__descriptor;
 extern const ProtobufCMessageDescriptor sw__primary_grant__descriptor;
 extern const ProtobufCMessageDescriptor sw__team_share__descriptor;
 extern const ProtobufCMessageDescriptor sw__entry_grant__descriptor;
@@ -1591,6 +1873,11 @@
 extern const ProtobufCMessageDescriptor sw__directory_update__descriptor;
 extern const ProtobufCMessageDescriptor sw__document_update__descriptor;
 extern const ProtobufCMessageDescriptor sw__join_request__descriptor;
+extern const ProtobufCMessageDescriptor sw__relay_command__descriptor;
+extern const ProtobufCMessageDescriptor sw__relay_run__descriptor;
+extern const ProtobufCMessageDescriptor sw__relay_result__descriptor;
+extern const ProtobufCMessageDescriptor sw__relay_end__descriptor;
+extern const ProtobufCMessageDescriptor sw__relay_ping__descriptor;
 extern const ProtobufCMessageDescriptor sw__fleet_command__descriptor;
 extern const ProtobufCMessageDescriptor sw__primary_record__descriptor;
 extern const ProtobufCMessageDescriptor sw__fleet_snapshot__descriptor;
--- a/test/support/fleet_world.c
+++ b/test/support/fleet_world.c
@@ -50,7 +50,8 @@
 typedef struct {
     uint32_t entry;
     uint64_t generation;
-    Connection *connection; /* NULL: closed */
+    const ServerEvents *events;
+    void *owner; /* NULL: closed */
     Member *member;
     char *team;
     uint64_t busy_until_us;
@@ -147,6 +148,7 @@
 };
 
 static const char *const kDatabaseNames[kWorldDatabases] = {"orders", "stock"};
+static const char *const kDomainNames[kWorldDomains] = {"0", "1", "2"};
 static const char kTeam[] = "crew";
 static const char kKey[] = "key-of-crew";
 
@@ -288,7 +290,7 @@
     GHashTableIter it;
     void *value;
 
-    if (l->connection == NULL) {
+    if (l->owner == NULL) {
         /* Given up meanwhile: nobody is told what it reads. */
         return;
     }
@@ -365,7 +367,7 @@
         later_owned(w, kLinkUs, deliver, r, g_free);
         return;
     }
-    if (r->link->connection != NULL && r->link->member->up &&
+    if (r->link->owner != NULL && r->link->member->up &&
         reachable(w, r->link->member->domain,
                   r->link->entry % kWorldDomains)) {
         g_snprintf(position, sizeof(position),
@@ -379,10 +381,10 @@
                           .position = r->position,
                           .position_text = position};
         if (lost) {
-            connection_down(r->link->connection, w->now_us, kCodeTimeout);
+            r->link->events->down(r->link->owner, w->now_us, kCodeTimeout);
         }
         else {
-            connection_answer(r->link->connection, w->now_us, &a);
+            r->link->events->answer(r->link->owner, w->now_us, &a);
         }
     }
     g_free(r);
@@ -407,7 +409,7 @@
 static AnswerCode
 run_statement(World *w, Link *l, const char *text)
 {
-    if (l->connection != NULL && strcmp(l->team, kTeam) != 0) {
+    if (l->owner != NULL && strcmp(l->team, kTeam) != 0) {
         w->report.foreign++;
     }
     if (strcmp(text, "COMMIT") == 0) {
@@ -514,21 +516,21 @@
     gboolean passes =
         reachable(w, l->member->domain, l->entry % kWorldDomains);
 
-    if (l->connection == NULL) {
+    if (l->owner == NULL) {
         return;
     }
     if (!passes || (!l->member->up && l->member->dark)) {
         return;
     }
     if (!l->member->up) {
-        connection_down(l->connection, w->now_us, kCodeTimeout);
+        l->events->down(l->owner, w->now_us, kCodeTimeout);
         return;
     }
     if (l->member->connections > kMaxConnections) {
-        connection_down(l->connection, w->now_us, kCodeTooMany);
+        l->events->down(l->owner, w->now_us, kCodeTooMany);
         return;
     }
-    connection_ready(l->connection, w->now_us);
+    l->events->ready(l->owner, w->now_us);
 }
 
 static Member *
@@ -545,8 +547,9 @@
 }
 
 static void *
-port_server_open(void *ctx, Connection *c, const char *address,
-                 const char *database, const char *team, const char *server_id)
+port_server_open(void *ctx, const ServerEvents *events, void *owner,
+                 const char *address, const char *database, const char *team,
+                 const char *server_id)
 {
     Entry *e = ctx;
     Link *l = g_new0(Link, 1);
@@ -554,7 +557,8 @@
     (void)address;
     (void)database;
     l->entry = e->index;
-    l->connection = c;
+    l->events = events;
+    l->owner = owner;
     l->member = member_by_id(e->w, server_id);
     l->team = g_strdup(team);
     l->writes = g_array_new(FALSE, FALSE, sizeof(uint64_t));
@@ -597,7 +601,7 @@
 {
     Link *l = link;
     (void)ctx;
-    l->connection = NULL;
+    l->owner = NULL;
     l->member->connections--;
     l->in_transaction = FALSE;
     g_array_set_size(l->writes, 0);
@@ -676,7 +680,7 @@
 }
 
 static void
-port_control_send(void *ctx, const char *to, const Sw__Frame *frame)
+port_peer_send(void *ctx, const char *to, const Sw__Frame *frame)
 {
     Entry *e = ctx;
     letter_send(e->w, e->id, to, frame);
@@ -696,6 +700,13 @@
     (void)address;
 }
 
+static gboolean
+port_peer_ready(void *ctx, const char *address)
+{
+    const Entry *e = ctx;
+    return reachable(e->w, e->index % kWorldDomains, domain_of(address));
+}
+
 static uint64_t
 random_of(World *w)
 {
@@ -1240,7 +1251,7 @@
         r.id = id;
         r.database = (char *)kDatabaseNames[m->database];
         r.address = m->address;
-        r.failure_domain = (char *)"012" + m->domain;
+        r.failure_domain = (char *)kDomainNames[m->domain];
         r.draining = m->draining;
         r.primary = m->primary;
         r.born_ms = 1;
@@ -1303,7 +1314,9 @@
 entry_start(World *w, uint32_t i)
 {
     Entry *e = &w->entries[i];
-    GatewayConfig config = {.failure_domain = "012" + i % kWorldDomains,
+    char *id = g_strdup_printf("e%u", i);
+    GatewayConfig config = {.id = id,
+                            .failure_domain = kDomainNames[i % kWorldDomains],
                             .incarnation = random_of(w),
                             .decode = decode};
     GatewayPort port = {.ctx = e,
@@ -1312,11 +1325,12 @@
                         .server_open = port_server_open,
                         .server_send = port_server_send,
                         .server_close = port_server_close,
-                        .control_send = port_control_send,
-                        .control_known = port_known};
+                        .peer_send = port_peer_send,
+                        .peer_known = port_known,
+                        .peer_ready = port_peer_ready};
     e->w = w;
     e->index = i;
-    e->id = g_strdup_printf("e%u", i);
+    e->id = id;
     e->gateway = gateway_new(&config, &port);
     for (uint32_t k = 0; k < kWorldDomains; k++) {
         gateway_control_add(e->gateway, 0, w->controls[k].id);
@@ -1502,6 +1516,11 @@
         }
     }
     gateway_free(e->gateway);
+    for (uint32_t i = 0; i < kWorldEntries; i++) {
+        if (i != index) {
+            gateway_peer_down(w->entries[i].gateway, w->now_us, e->id);
+        }
+    }
     g_free(e->id);
     entry_start(w, index);
 }
@@ -1532,8 +1551,8 @@
     m->dark = dark;
     for (guint i = 0; !on && i < w->links->len; i++) {
         Link *l = g_ptr_array_index(w->links, i);
-        if (l->member == m && l->connection != NULL && !dark) {
-            connection_down(l->connection, w->now_us, kCodeTimeout);
+        if (l->member == m && l->owner != NULL && !dark) {
+            l->events->down(l->owner, w->now_us, kCodeTimeout);
         }
     }
 }
