Keep rates while instances are cut off, leave a primary that has left

Change: an instance without a grant runs on a quarter of its part until the leader is sure to count it as silent; then the leader reserves exactly what it granted last. A leaving primary gets nothing new after 60 percent of drain-ms.

--- a/src/sapphireweir/core/histogram.c
+++ b/src/sapphireweir/core/histogram.c
@@ -69,7 +69,6 @@
     }
     g_string_append_printf(out, "sapphireweir_%s_sum %" G_GUINT64_FORMAT "\n",
                            name, h->sum_us);
-    g_string_append_printf(out,
-                           "sapphireweir_%s_count %" G_GUINT64_FORMAT "\n",
-                           name, h->count);
+    g_string_append_printf(
+        out, "sapphireweir_%s_count %" G_GUINT64_FORMAT "\n", name, h->count);
 }
--- a/src/sapphireweir/fleet/director_entries.c
+++ b/src/sapphireweir/fleet/director_entries.c
@@ -22,6 +22,7 @@
     EntryTrack *t = track;
     g_hash_table_destroy(t->evidence);
     g_hash_table_destroy(t->demand);
+    g_hash_table_destroy(t->shares);
     g_free(t->failure_domain);
     g_free(t->id);
     g_free(t);
@@ -42,6 +43,8 @@
             g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
         t->demand =
             g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+        t->shares =
+            g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
         g_hash_table_insert(d->entries, t->id, t);
     }
     else {
@@ -52,6 +55,8 @@
     g_hash_table_remove_all(t->demand);
     t->incarnation = incarnation;
     t->sequence = 0;
+    t->granted_sequence = 0;
+    t->granted_us = now_us;
     t->told_revision = 0;
     t->document_sent_us = 0;
     return t;
@@ -244,7 +249,7 @@
         m.lease_us = d->config.lease_us;
         m.entry_count = entries_count(d, now_us);
         grant_entries(d, now_us, t, &m, entries);
-        rates_fill_shares(d, t->id, shares);
+        rates_fill_shares(d, t, shares);
         m.n_shares = shares->len;
         m.shares = (Sw__TeamShare **)shares->pdata;
     }
@@ -334,6 +339,10 @@
     t->heard_us = now_us;
     t->leaving = m->leaving;
     t->entries_hash = m->entries_hash;
+    if (m->granted_sequence > t->granted_sequence) {
+        t->granted_sequence = m->granted_sequence;
+        t->granted_us = now_us;
+    }
     if (g_strcmp0(t->failure_domain, m->failure_domain) != 0) {
         g_free(t->failure_domain);
         t->failure_domain = g_strdup(m->failure_domain);
--- a/src/sapphireweir/fleet/director_internal.h
+++ b/src/sapphireweir/fleet/director_internal.h
@@ -33,6 +33,8 @@
     uint64_t entries_hash; /* of the list that it works with */
     uint64_t heard_us;
     uint64_t sequence;
+    uint64_t granted_sequence; /* newest grant that it has */
+    uint64_t granted_us;       /* when it said so */
     uint64_t document_version;
     uint64_t document_sent_us;
     uint64_t told_revision; /* of this run's directory */
@@ -42,6 +44,7 @@
     uint64_t pending_us;    /* when that report came */
     GHashTable *evidence;   /* database -> EntryEvidence, owned */
     GHashTable *demand;     /* team -> uint64_t milli a second, owned */
+    GHashTable *shares;     /* team -> share that it was granted last */
 } EntryTrack;
 
 typedef enum {
@@ -167,7 +170,7 @@
 void rates_request(Director *d, uint64_t now_us, const char *from,
                    uint64_t request, const Sw__TokenRequest *m);
 void rates_tick(Director *d, uint64_t now_us);
-void rates_fill_shares(const Director *d, const char *entry, GPtrArray *list);
+void rates_fill_shares(const Director *d, EntryTrack *t, GPtrArray *list);
 gboolean entry_present(const EntryTrack *t, uint64_t now_us);
 
 /* director_members.c */
--- a/src/sapphireweir/fleet/director_rates.c
+++ b/src/sapphireweir/fleet/director_rates.c
@@ -9,37 +9,53 @@
 enum {
     kStartTokens = 8, /* a new leader does not know what was handed out */
     kStartPercent = 10,
-    kFallbackParts = 2,
     kPercent = 100,
+    kReservedRetryUs = 50000, /* what is reserved has no time of its own */
+    /* An entry instance that got no grant for so long runs on its part of
+     * each rate; kFallbackAfterUs in the gateway must be longer. */
+    kUngrantedUs = 2500000,
 };
 
-/* Part of a rate that silent entry instances may be using by themselves. */
-static uint32_t
-silent_percent(const Director *d, uint64_t now_us)
+static uint64_t
+limit_of(const Director *d, const DocumentTeam *team)
 {
-    uint32_t known = g_hash_table_size(d->entries);
-    uint32_t present = entries_count(d, now_us);
-
-    if (known == 0 || present >= known) {
-        return 0;
-    }
-    return (known - present) * kPercent / (known * kFallbackParts);
+    uint64_t window_ms = d->config.rate_window_us / 1000;
+    return (team->rate_milli_per_s * window_ms / 1000 + team->burst_milli) /
+           1000;
 }
 
+/* Part of a team's limit that entry instances without a grant may use by
+ * themselves: what they were granted last, by this leader or, as nobody
+ * knows, by the one before. */
 static uint64_t
-limit_of(const Director *d, uint64_t now_us, const DocumentTeam *team)
+reserved_of(const Director *d, uint64_t now_us, const char *team,
+            uint64_t limit)
 {
-    uint64_t window_ms = d->config.rate_window_us / 1000;
-    uint64_t rated = team->rate_milli_per_s * window_ms / 1000 *
-                     (kPercent - silent_percent(d, now_us)) / kPercent;
-    return (rated + team->burst_milli) / 1000;
+    uint32_t known = g_hash_table_size(d->entries);
+    uint64_t micro = 0;
+    GHashTableIter it;
+    void *value;
+
+    g_hash_table_iter_init(&it, d->entries);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        const EntryTrack *t = value;
+        void *share = NULL;
+        if (now_us - MAX(t->granted_us, d->led_since_us) < kUngrantedUs ||
+            t->leaving) {
+            continue;
+        }
+        micro += g_hash_table_lookup_extended(t->shares, team, NULL, &share)
+                     ? GPOINTER_TO_UINT(share)
+                     : kShareWhole / MAX(known, 1);
+    }
+    return limit * MIN(micro, (uint64_t)kShareWhole) / kShareWhole;
 }
 
 static RateWindow *
 window_of(Director *d, uint64_t now_us, const DocumentTeam *team)
 {
     RateWindow *w = g_hash_table_lookup(d->windows, team->name);
-    uint64_t limit = limit_of(d, now_us, team);
+    uint64_t limit = limit_of(d, team);
 
     if (w == NULL) {
         uint64_t start = kStartTokens + limit * kStartPercent / kPercent;
@@ -68,9 +84,11 @@
     }
     RateWindow *w = window_of(d, now_us, team);
     reply.owner = TRUE;
-    reply.granted = rate_window_take(w, now_us, m->wanted);
+    reply.granted = rate_window_take(
+        w, now_us, m->wanted, reserved_of(d, now_us, m->team, w->limit));
     if (reply.granted < m->wanted) {
-        reply.retry_after_us = rate_window_wait_us(w, now_us);
+        reply.retry_after_us =
+            MAX(rate_window_wait_us(w, now_us), (uint64_t)kReservedRetryUs);
     }
     frame.request_id = request;
     frame.body_case = SW__FRAME__BODY_TOKEN_REPLY;
@@ -78,9 +96,10 @@
     d->port.send(d->port.ctx, from, &frame);
 }
 
-/* Appends an entry instance's shares, as Sw__TeamShare to be freed. */
+/* Appends an entry instance's shares, as Sw__TeamShare to be freed, and
+ * keeps them as the ones that it may run on. */
 void
-rates_fill_shares(const Director *d, const char *entry, GPtrArray *list)
+rates_fill_shares(const Director *d, EntryTrack *t, GPtrArray *list)
 {
     GHashTableIter it;
     void *team;
@@ -88,7 +107,7 @@
 
     g_hash_table_iter_init(&it, d->shares);
     while (g_hash_table_iter_next(&it, &team, &table)) {
-        uint32_t share = GPOINTER_TO_UINT(g_hash_table_lookup(table, entry));
+        uint32_t share = GPOINTER_TO_UINT(g_hash_table_lookup(table, t->id));
         if (share == 0) {
             continue;
         }
@@ -97,6 +116,8 @@
         each->team = team;
         each->share_micro = share;
         g_ptr_array_add(list, each);
+        g_hash_table_replace(t->shares, g_strdup(team),
+                             GUINT_TO_POINTER(share));
     }
 }
 
--- a/src/sapphireweir/fleet/rate_window.c
+++ b/src/sapphireweir/fleet/rate_window.c
@@ -67,12 +67,15 @@
     }
 }
 
-/* Takes up to the wanted number of tokens; returns how many. */
+/* Takes up to the wanted number of tokens, of which so many are reserved for
+ * those who cannot ask; returns how many. */
 uint32_t
-rate_window_take(RateWindow *w, uint64_t now_us, uint32_t wanted)
+rate_window_take(RateWindow *w, uint64_t now_us, uint32_t wanted,
+                 uint64_t reserved)
 {
     slide(w, now_us);
-    uint64_t left = w->limit > w->used ? w->limit - w->used : 0;
+    uint64_t spoken_for = w->used + reserved;
+    uint64_t left = w->limit > spoken_for ? w->limit - spoken_for : 0;
     uint32_t taken = (uint32_t)MIN((uint64_t)wanted, left);
 
     w->slots[w->slot % kRateWindowSlots] += taken;
--- a/src/sapphireweir/gateway/dispatch.c
+++ b/src/sapphireweir/gateway/dispatch.c
@@ -12,13 +12,14 @@
 enum {
     kCandidatesMax = 32,
     kAttemptsMax = 4,
-    kWaitPercent = 90,       /* of the latency objective, expected at most */
-    kRateWindowUs = 300000,  /* over which work done is measured */
-    kDemotedUs = 1000000,    /* late work's place behind all that is not */
-    kReplacementUs = 900000, /* from losing a primary to using the next */
-    kSuspicionUs = 500000,   /* from a primary's silence to losing it */
-    kSilentUs = 250000,      /* an answer that is overdue */
-    kRetryUs = 200000,       /* when to come back, without better knowledge */
+    kDrainServedPercent = 60, /* reports come late, queues take time */
+    kWaitPercent = 90,        /* of the latency objective, expected at most */
+    kRateWindowUs = 300000,   /* over which work done is measured */
+    kDemotedUs = 1000000,     /* late work's place behind all that is not */
+    kReplacementUs = 900000,  /* from losing a primary to using the next */
+    kSuspicionUs = 500000,    /* from a primary's silence to losing it */
+    kSilentUs = 250000,       /* an answer that is overdue */
+    kRetryUs = 200000,        /* when to come back, without better knowledge */
     kConnectPatienceUs = 400000,  /* for a server's welcome */
     kOtherTeamPatienceUs = 20000, /* before a connection changes its team */
     kOverdueUs = 150000,     /* work that waited so long gets a connection */
@@ -63,6 +64,17 @@
            server_oldest_idle(s, now_us) != NULL;
 }
 
+/* Tells whether a server has been leaving for so long that it may get
+ * nothing new.  A primary is used until it is replaced, but no longer than
+ * that; what waits for it elsewhere needs time, too. */
+static gboolean
+has_left(const Server *s, uint64_t now_us)
+{
+    uint64_t served_us =
+        s->database->gateway->server_drain_us * kDrainServedPercent / 100;
+    return s->draining && now_us - s->draining_us > served_us;
+}
+
 /* Tells whether a server may serve the session's open statement. */
 static gboolean
 server_may_serve(const Session *s, const Server *server, uint64_t now_us)
@@ -74,7 +86,7 @@
         return FALSE;
     }
     if (server == database_primary(d, now_us)) {
-        return !d->quiescing;
+        return !d->quiescing && !has_left(server, now_us);
     }
     if (server->draining || s->job.needs_primary) {
         return FALSE;
--- a/src/sapphireweir/gateway/gateway.c
+++ b/src/sapphireweir/gateway/gateway.c
@@ -63,6 +63,7 @@
     g->id = g_strdup(config->id);
     g->failure_domain = g_strdup(config->failure_domain);
     g->incarnation = config->incarnation;
+    g->server_drain_us = config->drain_us;
     g->decode = config->decode;
     g->events = config->events;
     g->port = *port;
--- a/src/sapphireweir/gateway/gateway.h
+++ b/src/sapphireweir/gateway/gateway.h
@@ -17,7 +17,8 @@
     const char *id; /* peer address */
     const char *failure_domain;
     uint64_t incarnation;
-    EventLog *events; /* NULL: nothing is logged */
+    uint64_t drain_us; /* after which a leaving server may get nothing new */
+    EventLog *events;  /* NULL: nothing is logged */
     /* Turns the operator's text into a document, NULL when it is invalid. */
     Document *(*decode)(const uint8_t *text, size_t bytes);
 } GatewayConfig;
--- a/src/sapphireweir/gateway/gateway_control.c
+++ b/src/sapphireweir/gateway/gateway_control.c
@@ -96,6 +96,9 @@
     s->failure_domain = g_strdup(r->failure_domain);
     s->born_ms = r->born_ms;
     s->slots = r->slots;
+    if (r->draining && !s->draining) {
+        s->draining_us = now_us;
+    }
     s->draining = r->draining;
     s->gone = r->gone;
     server_move(s, gateway_database(g, r->database));
@@ -310,7 +313,8 @@
     }
     g->granted_sequence = m->sequence;
     g->entry_count = MAX(m->entry_count, 1);
-    uint64_t until_us = g->sent_us[m->sequence % kReportsKept] + m->lease_us;
+    g->granted_us = g->sent_us[m->sequence % kReportsKept];
+    uint64_t until_us = g->granted_us + m->lease_us;
     g->lease_until_us = MAX(g->lease_until_us, until_us);
     team_rates_grant(g, m);
 }
--- a/src/sapphireweir/gateway/gateway_internal.h
+++ b/src/sapphireweir/gateway/gateway_internal.h
@@ -26,6 +26,7 @@
     int64_t born_ms;
     uint32_t slots;
     gboolean draining;
+    uint64_t draining_us; /* when this instance learned of it */
     gboolean gone;
     GPtrArray *connections; /* Connection, owned; links of this instance */
     GPtrArray *relays;      /* Connection, owned; borrowed from owner */
@@ -219,6 +220,7 @@
     uint64_t sequence;
     uint64_t sent_us[kReportsKept]; /* by sequence */
     uint64_t granted_sequence;
+    uint64_t granted_us;     /* when the report was sent that it answers */
     uint64_t grant_term;     /* of the newest word on primaries */
     uint64_t grant_revision; /* within that term */
     uint64_t lease_until_us;
@@ -230,7 +232,8 @@
     uint64_t cut_since_us;      /* zero: not cut off */
     uint32_t unready_probes;    /* in a row that were answered so */
     uint32_t entry_count;
-    uint64_t drain_us; /* zero: not draining */
+    uint64_t server_drain_us; /* from a server's leaving to its last work */
+    uint64_t drain_us;        /* zero: not draining */
     uint64_t grace_us;
     GatewayCounters counters;
 };
--- a/src/sapphireweir/gateway/gateway_report.c
+++ b/src/sapphireweir/gateway/gateway_report.c
@@ -102,6 +102,7 @@
     report.sequence = g->sequence;
     report.document_version = g->document == NULL ? 0 : g->document->version;
     report.leaving = g->drain_us != 0;
+    report.granted_sequence = g->granted_sequence;
     report.entries_hash = g->entries == NULL ? 0 : g->entries->hash;
     report.n_evidence = evidence_list->len;
     report.evidence = (Sw__PrimaryEvidence **)evidence_list->pdata;
--- a/src/sapphireweir/gateway/relay.c
+++ b/src/sapphireweir/gateway/relay.c
@@ -10,8 +10,8 @@
  * to the server directly. */
 
 enum {
-    kAskAfterUs = 120000,  /* without a word, ask for a sign of life */
-    kSilentUs = 400000,    /* three of these, and a busy machine's delay */
+    kAskAfterUs = 120000,    /* without a word, ask for a sign of life */
+    kSilentUs = 400000,      /* three of these, and a busy machine's delay */
     kAvoidOwnerUs = 1000000, /* an owner that was silent or has gone */
     kAvoidRelayUs = 300000,  /* a server that its owner cannot use */
     kFirstTryPercent = 25,   /* of the patience, while others may serve */
@@ -145,8 +145,7 @@
     uint64_t most_us =
         MIN(s->route->target_us, limit_us / 2) * kWaitPercent / 100;
 
-    s->job.patient =
-        s->job.needs_primary || s->job.attempts >= kPatientTries;
+    s->job.patient = s->job.needs_primary || s->job.attempts >= kPatientTries;
     if (s->begun) {
         return time_left(s->job.due_us, now_us);
     }
@@ -193,8 +192,7 @@
     m.target_us = time_left(s->job.order_us, now_us);
     m.due_us = time_left(s->job.due_us, now_us + kGiveBackUs);
     m.patience_us = patience_us(c, now_us);
-    m.single =
-        s->state == kSessionIdle || s->job.kind == kStatementCommit;
+    m.single = s->state == kSessionIdle || s->job.kind == kStatementCommit;
     m.continues = s->begun;
     frame.body_case = SW__FRAME__BODY_RELAY_RUN;
     frame.relay_run = &m;
--- a/src/sapphireweir/gateway/server.c
+++ b/src/sapphireweir/gateway/server.c
@@ -46,13 +46,12 @@
 void
 server_refused_link(Server *s, uint64_t now_us)
 {
-    uint64_t mixed = (s->database->gateway->incarnation ^ now_us) *
-                     0x9e3779b97f4a7c15ULL;
+    uint64_t mixed =
+        (s->database->gateway->incarnation ^ now_us) * 0x9e3779b97f4a7c15ULL;
 
     s->answered_us = now_us;
     s->full_until_us = now_us + kFullUs;
-    s->connect_after_us =
-        now_us + kFullPauseUs + (mixed >> 32) % kFullPauseUs;
+    s->connect_after_us = now_us + kFullPauseUs + (mixed >> 32) % kFullPauseUs;
 }
 
 /* Notes an answer that has been awaited for long, and has the control
--- a/src/sapphireweir/gateway/serverpool.c
+++ b/src/sapphireweir/gateway/serverpool.c
@@ -11,13 +11,13 @@
  * once, before anything was sent. */
 
 enum {
-    kExtraStatements = 1, /* keeps the slots busy over a round trip */
+    kExtraStatements = 1,         /* keeps the slots busy over a round trip */
     kOtherTeamPatienceUs = 20000, /* before a connection changes its team */
     kOpenPatienceUs = 400000,     /* for a server's welcome */
     kFailingPatienceUs = 60000,   /* then queued work may go elsewhere */
     kBusyPauseUs = 12000,         /* a server whose queue was full */
     kFormerOwnerUs = 40000, /* two statements' time, for the next in line */
-    kLentIdleUs = 8000000, /* above any limit of an idle transaction */
+    kLentIdleUs = 8000000,  /* above any limit of an idle transaction */
     kCommandsMax = 160,
 };
 
@@ -208,8 +208,7 @@
     m.state = a->state;
     m.term = a->position.term;
     m.number = a->position.number;
-    m.position =
-        (char *)(a->position_text == NULL ? "" : a->position_text);
+    m.position = (char *)(a->position_text == NULL ? "" : a->position_text);
     send_result(j, now_us, &m);
 }
 
@@ -486,8 +485,7 @@
         g->document == NULL
             ? NULL
             : document_database(g->document, s->database->name);
-    uint32_t most =
-        connection_share_owner(d == NULL ? 1 : d->max_connections);
+    uint32_t most = connection_share_owner(d == NULL ? 1 : d->max_connections);
 
     return now_us < s->full_until_us ? MIN(most, pool->connections->len)
                                      : most;
--- a/src/sapphireweir/gateway/team_rates.c
+++ b/src/sapphireweir/gateway/team_rates.c
@@ -20,7 +20,9 @@
     kDemandEveryUs = 500000,
     kDemandWeight = 2,       /* of the old value in the smoothed demand */
     kFallbackStartParts = 4, /* of its burst, as what was used is not known */
-    kShareCutPercent = 90,   /* what others use meanwhile is not known */
+    kFallbackAfterUs = 3300000, /* the leader counts it as silent by then */
+    kEarlySharePercent = 25,    /* a twentieth of a limit for a third of all */
+    kShareCutPercent = 90,      /* what others use meanwhile is not known */
 };
 
 static uint64_t
@@ -82,15 +84,31 @@
     g->port.peer_send(g->port.ctx, g->leader, &frame);
 }
 
+/* The part of a rate that this instance may use by itself.  Until the leader
+ * is sure to know that it does, others may still get the whole. */
+static uint64_t
+fallback_share(const Gateway *g, const TeamRate *r, uint64_t now_us)
+{
+    gboolean known = now_us - g->granted_us > kFallbackAfterUs;
+
+    if (g->granted_us == 0) {
+        /* Nothing was ever granted: all of it is others'. */
+        return 0;
+    }
+    return r->share_micro * (known ? kShareCutPercent : kEarlySharePercent) /
+           100;
+}
+
 static void
-fall_back(TeamRate *r, uint64_t now_us)
+fall_back(const Gateway *g, TeamRate *r, uint64_t now_us)
 {
     uint64_t share = r->share_micro * kShareCutPercent / 100;
     uint64_t burst =
         MAX(scaled(r->burst_milli, share), (uint64_t)kMicroTokens);
 
     r->falling_back = TRUE;
-    token_bucket_init(&r->fallback, now_us, scaled(r->rate_milli, share),
+    token_bucket_init(&r->fallback, now_us,
+                      scaled(r->rate_milli, fallback_share(g, r, now_us)),
                       burst);
     r->fallback.level_micro =
         MAX(burst / kFallbackStartParts, (uint64_t)kMicroTokens);
@@ -132,7 +150,7 @@
     }
     request_tokens(g, now_us, r);
     if (r->asked_us == 0) {
-        fall_back(r, now_us);
+        fall_back(g, r, now_us);
         return take_fallback(r, now_us, wait_us);
     }
     g_queue_push_tail(&r->waiting, s);
@@ -230,11 +248,25 @@
     }
 }
 
+/* Goes over to the whole part once that is safe. */
 static void
-rate_tick(TeamRate *r, uint64_t now_us)
+fallback_tick(const Gateway *g, TeamRate *r, uint64_t now_us)
+{
+    uint64_t rate = scaled(r->rate_milli, fallback_share(g, r, now_us));
+
+    if (r->falling_back && rate != r->fallback.rate_micro_per_s) {
+        token_bucket_set(&r->fallback, now_us, rate,
+                         r->fallback.capacity_micro);
+    }
+}
+
+static void
+rate_tick(const Gateway *g, TeamRate *r, uint64_t now_us)
 {
     uint64_t wait_us = 0;
 
+    fallback_tick(g, r, now_us);
+
     if (r->stock > 0 && now_us - r->stocked_us > kStockKeptUs) {
         r->stock = 0;
     }
@@ -243,7 +275,7 @@
     }
     r->asked_us = 0;
     if (!r->falling_back) {
-        fall_back(r, now_us);
+        fall_back(g, r, now_us);
     }
     while (r->waiting.length > 0) {
         Session *s = g_queue_pop_head(&r->waiting);
@@ -266,7 +298,7 @@
 
     g_hash_table_iter_init(&it, g->rates);
     while (g_hash_table_iter_next(&it, NULL, &value)) {
-        rate_tick(value, now_us);
+        rate_tick(g, value, now_us);
     }
 }
 
--- a/src/sapphireweir/proto/sapphireweir.pb-c.c
+++ b/src/sapphireweir/proto/sapphireweir.pb-c.c
@@ -4596,7 +4596,7 @@
   (ProtobufCMessageInit) sw__team_demand__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sw__entry_report__field_descriptors[10] =
+static const ProtobufCFieldDescriptor sw__entry_report__field_descriptors[11] =
 {
   {
     "failure_domain",
@@ -4718,6 +4718,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "granted_sequence",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__EntryReport, granted_sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sw__entry_report__field_indices_by_name[] = {
   8,   /* field[8] = demand */
@@ -4727,6 +4739,7 @@
   9,   /* field[9] = entries_hash */
   7,   /* field[7] = evidence */
   0,   /* field[0] = failure_domain */
+  10,   /* field[10] = granted_sequence */
   1,   /* field[1] = incarnation */
   6,   /* field[6] = leaving */
   2,   /* field[2] = sequence */
@@ -4734,7 +4747,7 @@
 static const ProtobufCIntRange sw__entry_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor sw__entry_report__descriptor =
 {
@@ -4744,7 +4757,7 @@
   "Sw__EntryReport",
   "sw",
   sizeof(Sw__EntryReport),
-  10,
+  11,
   sw__entry_report__field_descriptors,
   sw__entry_report__field_indices_by_name,
   1,  sw__entry_report__number_ranges,
--- a/src/sapphireweir/proto/sapphireweir.pb-c.h
+++ b/src/sapphireweir/proto/sapphireweir.pb-c.h
@@ -611,10 +611,15 @@
    * Of the list of entry instances that this one works with.
    */
   uint64_t entries_hash;
+  /*
+   * The newest grant that came back: without one, the instance falls back to
+   * its part of each rate.
+   */
+  uint64_t granted_sequence;
 };
 #define SW__ENTRY_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sw__entry_report__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0 }
 
 
 struct  Sw__EntryRecord
--- a/test/support/fleet_world.c
+++ b/test/support/fleet_world.c
@@ -19,6 +19,7 @@
     kStaleMs = 1500,
     kOldPrimaryUs = 1000000,
     kConfigApplyMs = 3000,
+    kDrainMs = 7000,
     kLeaseMs =
         2000, /* longer than a suspicion, so that it must be waited for */
     kStatementsMax = 64,
@@ -38,6 +39,7 @@
     gboolean dark; /* while down: says nothing at all */
     gboolean primary;
     gboolean draining;
+    uint64_t draining_us;
     gboolean deaf; /* receives nothing of the log */
     uint64_t term;
     uint64_t sequence;
@@ -56,6 +58,7 @@
     char *team;
     uint64_t busy_until_us;
     gboolean in_transaction;
+    uint32_t statements; /* of the open transaction */
     gboolean failed;
     GArray *writes; /* uint64_t, of the open transaction */
     GHashTable *values;
@@ -412,6 +415,12 @@
     if (l->owner != NULL && strcmp(l->team, kTeam) != 0) {
         w->report.foreign++;
     }
+    if (!l->in_transaction || l->statements++ == 0) {
+        g_array_append_val(w->runs, w->now_us);
+    }
+    w->report.after_drain +=
+        l->member->draining && !l->in_transaction &&
+        w->now_us > l->member->draining_us + (uint64_t)kDrainMs * kMs;
     if (strcmp(text, "COMMIT") == 0) {
         AnswerCode code = kCodeNone;
         if (l->writes->len > 0 && !l->member->primary) {
@@ -452,9 +461,11 @@
             return kCodeReadOnly;
         }
         l->in_transaction = TRUE;
+        l->statements = 0;
         return kCodeNone;
     case kCommandBeginRead:
         l->in_transaction = TRUE;
+        l->statements = 0;
         return kCodeNone;
     case kCommandRollback:
         l->in_transaction = FALSE;
@@ -1318,6 +1329,7 @@
     GatewayConfig config = {.id = id,
                             .failure_domain = kDomainNames[i % kWorldDomains],
                             .incarnation = random_of(w),
+                            .drain_us = kDrainMs * kMs,
                             .decode = decode};
     GatewayPort port = {.ctx = e,
                         .caller_answer = port_caller_answer,
@@ -1366,6 +1378,7 @@
     w->rand = g_rand_new_with_seed(seed);
     w->events = g_sequence_new(g_free);
     w->links = g_ptr_array_new();
+    w->runs = g_array_new(FALSE, FALSE, sizeof(uint64_t));
     w->writes =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
     w->lag_us = 60 * kMs;
@@ -1424,6 +1437,32 @@
     w->now_us = until_us;
 }
 
+/* Returns the most operations that ran within a window of the rates. */
+uint32_t
+world_most_in_window(const World *w)
+{
+    uint32_t most = 0;
+    guint first = 0;
+
+    for (guint i = 0; i < w->runs->len; i++) {
+        uint64_t at_us = g_array_index(w->runs, uint64_t, i);
+        while (g_array_index(w->runs, uint64_t, first) +
+                   (uint64_t)kRateWindowMs * kMs <
+               at_us) {
+            first++;
+        }
+        most = MAX(most, i - first + 1);
+    }
+    return most;
+}
+
+/* Forgets which operations have run so far. */
+void
+world_forget_runs(World *w)
+{
+    g_array_set_size(w->runs, 0);
+}
+
 /* Compares the logs with what callers were told. */
 const WorldReport *
 world_end(World *w)
@@ -1575,7 +1614,10 @@
 void
 world_primary_drain(World *w, uint32_t database)
 {
-    primary_of(w, database)->draining = TRUE;
+    Member *m = primary_of(w, database);
+
+    m->draining = TRUE;
+    m->draining_us = w->now_us;
 }
 
 /* Lets commits be answered only once a replica has them. */
@@ -1658,6 +1700,7 @@
     for (uint32_t i = 0; i < kWorldCallers; i++) {
         g_free(w->callers[i].value);
     }
+    g_array_unref(w->runs);
     g_ptr_array_unref(w->links);
     g_hash_table_destroy(w->writes);
     g_sequence_foreach(w->events, drop_event, NULL);
--- a/test/support/fleet_world.h
+++ b/test/support/fleet_world.h
@@ -37,6 +37,7 @@
     uint64_t fenced;      /* acknowledged by a primary that was replaced */
     uint64_t foreign;     /* ran for another team than the key's */
     uint64_t wrong_state; /* a session's values were not the server's */
+    uint64_t after_drain; /* began at a server that had left */
     uint64_t reverted;    /* configuration older than an old acknowledgement */
 } WorldReport;
 
@@ -64,6 +65,8 @@
 void world_replicas_lag(World *w, uint64_t lag_ms);
 void world_lose_answers(World *w, uint32_t percent);
 void world_promotions_take(World *w, uint64_t promote_ms);
+uint32_t world_most_in_window(const World *w);
+void world_forget_runs(World *w);
 void world_load(World *w, uint64_t gap_ms);
 
 #endif
--- a/test/unit/test_fleet_policy.c
+++ b/test/unit/test_fleet_policy.c
@@ -154,7 +154,7 @@
     while (count < kTokens - 8) {
         now_us += (uint64_t)g_rand_int_range(rand, 0, 60000);
         uint32_t got = rate_window_take(
-            &w, now_us, (uint32_t)g_rand_int_range(rand, 1, 8));
+            &w, now_us, (uint32_t)g_rand_int_range(rand, 1, 8), 0);
         for (uint32_t i = 0; i < got; i++) {
             taken_us[count++] = now_us;
         }
@@ -180,7 +180,7 @@
 
     rate_window_init(&w, 0, 5000 * kMs, 132, 0);
     for (uint64_t now_us = 0; now_us < 60000000; now_us += 40000) {
-        refused += rate_window_take(&w, now_us, 1) == 0;
+        refused += rate_window_take(&w, now_us, 1, 0) == 0;
     }
     CU_ASSERT_EQUAL(refused, 0);
 }
@@ -193,11 +193,11 @@
 
     rate_window_init(&w, 0, 5000 * kMs, 400, 0);
     for (uint64_t now_us = 0; now_us < 5000000; now_us += 15000) {
-        rate_window_take(&w, now_us, 1);
+        rate_window_take(&w, now_us, 1, 0);
     }
     rate_window_set(&w, 130);
     for (uint64_t now_us = 5000000; now_us < 6000000; now_us += 40000) {
-        got += rate_window_take(&w, now_us, 1);
+        got += rate_window_take(&w, now_us, 1, 0);
     }
     CU_ASSERT(got >= 20);
     CU_ASSERT(rate_window_wait_us(&w, 6000000) <= 5000 * kMs);
--- a/test/unit/test_fleet_world.c
+++ b/test/unit/test_fleet_world.c
@@ -233,6 +233,23 @@
     primary_leaves(w);
 }
 
+/* The primary leaves while its replicas cannot be reached. */
+static void
+primary_leaves_alone(World *w)
+{
+    uint32_t primary = (uint32_t)world_primary(w, 0);
+
+    world_run(w, 1000);
+    for (uint32_t i = 0; i < kWorldMembers; i++) {
+        if (i != primary) {
+            world_member_power(w, 0, i, FALSE, TRUE);
+        }
+    }
+    world_run(w, 500);
+    world_primary_drain(w, 0);
+    world_run(w, 9000);
+}
+
 /* The replica that had each commit is away when the primary dies, and the
  * other one has received nothing for a while. */
 static void
@@ -311,6 +328,7 @@
          2, FALSE},
         {"late replicas", primary_leaves_replicas_late, 80, 7000, 1, 1, TRUE},
         {"two changes", two_changes_in_a_row, 60, 7000, 2, 3, FALSE},
+        {"primary leaves alone", primary_leaves_alone, 40, 7000, 0, 0, TRUE},
         {"replica away", acknowledging_replica_away, 40, 7000, 1, 1, TRUE},
         {"replica alone", acknowledging_replica_alone, 40, 7000, 2, 2, TRUE},
     };
@@ -323,6 +341,7 @@
                             r->untrue == 0 && r->stale == 0 &&
                             r->fenced == 0 && r->foreign == 0 &&
                             r->wrong_state == 0 && r->reverted == 0 &&
+                            r->after_drain == 0 &&
                             (r->rolled_back == 0 || !cases[i].undoes_nothing);
             gboolean served =
                 r->served * 100 >= r->operations * cases[i].least_served &&
@@ -334,12 +353,13 @@
                 g_print("\n%s, seed %u: %lu of %lu served, gap %lu ms, "
                         "%lu promotions, in doubt %lu; lost %lu doubled %lu "
                         "untrue %lu stale %lu fenced %lu foreign %lu "
-                        "state %lu reverted %lu rolled back %lu\n",
+                        "state %lu reverted %lu rolled back %lu after drain "
+                        "%lu\n",
                         cases[i].name, seed, r->served, r->operations,
                         r->longest_write_gap_us / 1000, r->promotions,
                         r->in_doubt, r->lost, r->doubled, r->untrue, r->stale,
                         r->fenced, r->foreign, r->wrong_state, r->reverted,
-                        r->rolled_back);
+                        r->rolled_back, r->after_drain);
             }
             CU_ASSERT(kept);
             CU_ASSERT(served);
@@ -382,6 +402,31 @@
     world_free(w);
 }
 
+/* A team that wants more than it has, while instances are cut off and use
+ * parts of its rate by themselves. */
+static void
+rates_hold_while_instances_are_cut_off(void)
+{
+    enum { kRate = 100, kMost = (kRate * 5 + kRate) * 11 / 10 + 20 };
+    for (uint32_t seed = 1; seed <= 6; seed++) {
+        World *w = world_new(seed);
+        world_configure(w, kRate, TRUE);
+        world_load(w, 40);
+        world_run(w, 8000);
+        world_forget_runs(w);
+        world_cut_domain(w, seed % kWorldDomains, TRUE);
+        world_run(w, 7000);
+        world_cut_domain(w, seed % kWorldDomains, FALSE);
+        world_run(w, 6000);
+        uint32_t most = world_most_in_window(w);
+        if (most > kMost) {
+            g_print("\nseed %u: %u in a window\n", seed, most);
+        }
+        CU_ASSERT(most <= kMost);
+        world_free(w);
+    }
+}
+
 void
 add_fleet_world_suite(void)
 {
@@ -389,6 +434,8 @@
     CU_add_test(s, "promises hold under faults", promises_hold_under_faults);
     CU_add_test(s, "a withdrawn key stops working",
                 a_withdrawn_key_stops_working);
+    CU_add_test(s, "rates hold while instances are cut off",
+                rates_hold_while_instances_are_cut_off);
     CU_add_test(s, "a team gets its rate and no more",
                 a_team_gets_its_rate_and_no_more);
 }
