Send a changed configuration as what differs, from the leader alone

Cause: on Vanua Green's grown site six changes at once (second 25.8) stopped everything for two seconds: each of six control instances sent each version whole to each of 66 entry instances, through links of 2 Mbit/s. Change: document_delta.c describes a version by the one that the instance has; other control instances help only one that stays behind for a second; reports carry evidence and demand to the leader only.

--- a/src/sapphireweir/fleet/director.c
+++ b/src/sapphireweir/fleet/director.c
@@ -26,6 +26,7 @@
     d->document = g_bytes_new(m->text.data, m->text.len);
     document_unref(d->decoded);
     d->decoded = d->config.decode(m->text.data, m->text.len);
+    documents_applied(d);
 }
 
 /* Writes who leads a database into a record; the strings stay the state's. */
@@ -235,6 +236,7 @@
     g_hash_table_destroy(d->windows);
     g_hash_table_destroy(d->shares);
     document_unref(d->decoded);
+    documents_clear(d);
     g_hash_table_destroy(d->peers);
     g_hash_table_destroy(d->changes);
     g_hash_table_destroy(d->entries);
--- /dev/null
+++ b/src/sapphireweir/fleet/director_documents.c
@@ -0,0 +1,120 @@
+#include "fleet/director_internal.h"
+#include "fleet/document_delta.h"
+
+/* How entry instances get the configuration.  The leader sends each version
+ * at once, as what differs from the one that the instance has; the other
+ * control instances help only one that stays behind, as it may not hear the
+ * leader. */
+
+enum {
+    kResendUs = 500000,     /* a document on its way to an entry */
+    kHelpAfterUs = 1000000, /* a third of the time that a change may take */
+    kRecentMost = 8,        /* more than change within two reports */
+};
+
+static void
+past_free(void *past)
+{
+    PastDocument *p = past;
+    if (p->delta != NULL) {
+        sw__document_update__free_unpacked(p->delta, NULL);
+    }
+    g_bytes_unref(p->text);
+    g_free(p);
+}
+
+/* Another document is the present one: keeps it for those that will have
+ * it when the next one comes. */
+void
+documents_applied(Director *d)
+{
+    PastDocument *p = g_new0(PastDocument, 1);
+
+    if (d->recent == NULL) {
+        d->recent = g_ptr_array_new_with_free_func(past_free);
+    }
+    for (guint i = 0; i < d->recent->len; i++) {
+        PastDocument *older = g_ptr_array_index(d->recent, i);
+        if (older->delta != NULL) {
+            sw__document_update__free_unpacked(older->delta, NULL);
+            older->delta = NULL;
+        }
+    }
+    p->version = d->document_version;
+    p->text = g_bytes_ref(d->document);
+    g_ptr_array_add(d->recent, p);
+    if (d->recent->len > kRecentMost) {
+        g_ptr_array_remove_index(d->recent, 0);
+    }
+}
+
+/* Forgets all versions. */
+void
+documents_clear(Director *d)
+{
+    g_clear_pointer(&d->recent, g_ptr_array_unref);
+}
+
+/* Returns what differs from a version, NULL when that is not known. */
+static Sw__DocumentUpdate *
+delta_from(Director *d, uint64_t version)
+{
+    for (guint i = 0; d->recent != NULL && i < d->recent->len; i++) {
+        PastDocument *p = g_ptr_array_index(d->recent, i);
+        if (p->version != version) {
+            continue;
+        }
+        if (p->delta == NULL) {
+            p->delta = document_delta(p->text, p->version, d->document,
+                                      d->document_version);
+        }
+        return p->delta;
+    }
+    return NULL;
+}
+
+/* Sends the present document to an entry instance. */
+void
+documents_send(Director *d, uint64_t now_us, EntryTrack *t)
+{
+    Sw__Frame frame = SW__FRAME__INIT;
+    Sw__DocumentUpdate whole = SW__DOCUMENT_UPDATE__INIT;
+    gboolean on_its_way = now_us - t->document_sent_us <= kResendUs;
+    uint64_t held = MAX(t->document_version,
+                        on_its_way ? t->document_sent : (uint64_t)0);
+
+    if (d->document == NULL || held >= d->document_version ||
+        !consensus_is_current(d->consensus)) {
+        return;
+    }
+    frame.body_case = SW__FRAME__BODY_DOCUMENT_UPDATE;
+    frame.document_update = delta_from(d, held);
+    if (frame.document_update == NULL) {
+        whole.version = d->document_version;
+        whole.text.data =
+            (uint8_t *)g_bytes_get_data(d->document, &whole.text.len);
+        frame.document_update = &whole;
+    }
+    t->document_sent_us = now_us;
+    t->document_sent = d->document_version;
+    d->port.send(d->port.ctx, t->id, &frame);
+}
+
+/* An entry instance has told which version it has. */
+void
+documents_report(Director *d, uint64_t now_us, EntryTrack *t)
+{
+    if (t->document_version >= d->document_version) {
+        t->behind_since_us = 0;
+        return;
+    }
+    if (t->behind_since_us == 0) {
+        t->behind_since_us = now_us;
+    }
+    gboolean helps = director_leads(d) ||
+                     now_us - t->behind_since_us > kHelpAfterUs ||
+                     t->document_version == 0;
+    if (helps && now_us - t->document_sent_us > kResendUs) {
+        documents_send(d, now_us, t);
+    }
+}
--- a/src/sapphireweir/fleet/director_entries.c
+++ b/src/sapphireweir/fleet/director_entries.c
@@ -10,7 +10,6 @@
 enum {
     kEntryGoneUs = 2500000, /* an entry that says nothing */
     kEntryForgottenUs = 30000000,
-    kDocumentResendUs = 500000, /* a document on its way to an entry */
     kSharesEveryUs = 500000,
     kDemandWeight = 3, /* of the old value in the smoothed demand */
 };
@@ -59,6 +58,8 @@
     t->granted_us = now_us;
     t->told_revision = 0;
     t->document_sent_us = 0;
+    t->document_sent = 0;
+    t->behind_since_us = 0;
     return t;
 }
 
@@ -85,25 +86,7 @@
     return count;
 }
 
-/* ---- documents and backend servers ---- */
-
-static void
-send_document(Director *d, uint64_t now_us, EntryTrack *t)
-{
-    Sw__Frame frame = SW__FRAME__INIT;
-    Sw__DocumentUpdate m = SW__DOCUMENT_UPDATE__INIT;
-
-    if (d->document == NULL || t->document_version >= d->document_version ||
-        !consensus_is_current(d->consensus)) {
-        return;
-    }
-    t->document_sent_us = now_us;
-    m.version = d->document_version;
-    m.text.data = (uint8_t *)g_bytes_get_data(d->document, &m.text.len);
-    frame.body_case = SW__FRAME__BODY_DOCUMENT_UPDATE;
-    frame.document_update = &m;
-    d->port.send(d->port.ctx, t->id, &frame);
-}
+/* ---- backend servers ---- */
 
 static void
 send_directory(Director *d, EntryTrack *t)
@@ -172,7 +155,7 @@
 void
 entries_push_document(Director *d, uint64_t now_us)
 {
-    visit_present(d, now_us, send_document);
+    visit_present(d, now_us, documents_send);
 }
 
 /* ---- grants ---- */
@@ -354,10 +337,7 @@
     if (t->told_revision < d->directory.revision) {
         send_directory(d, t);
     }
-    if (t->document_version < d->document_version &&
-        now_us - t->document_sent_us > kDocumentResendUs) {
-        send_document(d, now_us, t);
-    }
+    documents_report(d, now_us, t);
     members_tell(d, t->id);
     if (m->sequence <= t->sequence) {
         return;
--- a/src/sapphireweir/fleet/director_internal.h
+++ b/src/sapphireweir/fleet/director_internal.h
@@ -37,7 +37,9 @@
     uint64_t granted_us;       /* when it said so */
     uint64_t document_version;
     uint64_t document_sent_us;
-    uint64_t told_revision; /* of this run's directory */
+    uint64_t document_sent;   /* version that was sent last */
+    uint64_t behind_since_us; /* zero: it has the present document */
+    uint64_t told_revision;   /* of this run's directory */
     gboolean leaving;
     uint64_t lease_end_us;  /* upper bound of every lease granted to it */
     uint64_t pending_round; /* zero: no report waits for its grant */
@@ -60,6 +62,14 @@
     uint64_t asked_us;
 } Candidate;
 
+/* A version that instances may still have. */
+typedef struct {
+    uint64_t version;
+    GBytes *text;
+    /* What differs from it in the present version, NULL: not worked out. */
+    Sw__DocumentUpdate *delta;
+} PastDocument;
+
 /* A change of primary that the leader carries out. */
 typedef struct {
     char *database;
@@ -117,6 +127,7 @@
     uint64_t document_version;
     GBytes *document;
     Document *decoded;     /* the same, NULL: none */
+    GPtrArray *recent;     /* PastDocument, owned, oldest first */
     GHashTable *windows;   /* team -> RateWindow, owned, leader only */
     GHashTable *primaries; /* database -> PrimaryState, owned */
 
@@ -147,6 +158,12 @@
 gboolean director_propose_primary(Director *d, uint64_t now_us,
                                   const PrimaryState *state);
 
+/* director_documents.c */
+void documents_applied(Director *d);
+void documents_clear(Director *d);
+void documents_send(Director *d, uint64_t now_us, EntryTrack *t);
+void documents_report(Director *d, uint64_t now_us, EntryTrack *t);
+
 /* director_requests.c */
 void requests_tick(Director *d, uint64_t now_us);
 void requests_frame(Director *d, uint64_t now_us, const char *from,
--- /dev/null
+++ b/src/sapphireweir/fleet/document_delta.c
@@ -0,0 +1,163 @@
+#include "fleet/document_delta.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* What changed between two versions of the configuration's text.  Answers
+ * the load pattern of changes in quick succession to many instances behind
+ * narrow links: a version differs from the one before in a few objects, so
+ * the others are named by their place in the older text. */
+
+enum { kPartsFirst = 16 };
+
+typedef struct {
+    const char *text;
+    size_t bytes;
+    size_t at; /* of the text */
+} Chunk;
+
+/* Cuts the next chunk: up to where an object begins. */
+static gboolean
+next_chunk(const char *text, size_t bytes, Chunk *c)
+{
+    size_t from = c->at + c->bytes;
+
+    if (from >= bytes) {
+        return FALSE;
+    }
+    const char *end = memchr(text + from + 1, '{', bytes - from - 1);
+    c->text = text + from;
+    c->bytes = end == NULL ? bytes - from : (size_t)(end - text) - from;
+    c->at = from;
+    return TRUE;
+}
+
+static guint
+chunk_hash(const void *key)
+{
+    const Chunk *c = key;
+    guint hash = 5381;
+
+    for (size_t i = 0; i < c->bytes; i++) {
+        hash = hash * 33 + (guint8)c->text[i];
+    }
+    return hash;
+}
+
+static gboolean
+chunk_equal(const void *a, const void *b)
+{
+    const Chunk *x = a;
+    const Chunk *y = b;
+    return x->bytes == y->bytes && memcmp(x->text, y->text, x->bytes) == 0;
+}
+
+static GHashTable *
+chunks_of(const char *text, size_t bytes)
+{
+    GHashTable *all =
+        g_hash_table_new_full(chunk_hash, chunk_equal, g_free, NULL);
+    Chunk c = {0};
+
+    while (next_chunk(text, bytes, &c)) {
+        Chunk *kept = g_new(Chunk, 1);
+        *kept = c;
+        g_hash_table_add(all, kept);
+    }
+    return all;
+}
+
+/* Parts are freed by protobuf-c, so they come from malloc. */
+static Sw__DocumentPart *
+part_add(Sw__DocumentUpdate *m)
+{
+    if (m->n_parts % kPartsFirst == 0) {
+        m->parts = realloc(m->parts,
+                           (m->n_parts + kPartsFirst) * sizeof(*m->parts));
+    }
+    Sw__DocumentPart *p = malloc(sizeof(*p));
+    g_assert(m->parts != NULL && p != NULL);
+    sw__document_part__init(p);
+    m->parts[m->n_parts++] = p;
+    return p;
+}
+
+static void
+add_copy(Sw__DocumentUpdate *m, const Chunk *found)
+{
+    Sw__DocumentPart *last =
+        m->n_parts == 0 ? NULL : m->parts[m->n_parts - 1];
+
+    if (last != NULL && last->bytes > 0 &&
+        last->from + last->bytes == found->at) {
+        last->bytes += (uint32_t)found->bytes;
+        return;
+    }
+    Sw__DocumentPart *p = part_add(m);
+    p->from = (uint32_t)found->at;
+    p->bytes = (uint32_t)found->bytes;
+}
+
+static void
+add_literal(Sw__DocumentUpdate *m, const Chunk *c)
+{
+    Sw__DocumentPart *p = part_add(m);
+
+    p->literal.data = malloc(c->bytes);
+    g_assert(p->literal.data != NULL);
+    memcpy(p->literal.data, c->text, c->bytes);
+    p->literal.len = c->bytes;
+}
+
+/* Describes a text by an older one; free the message with
+ * sw__document_update__free_unpacked. */
+Sw__DocumentUpdate *
+document_delta(GBytes *base, uint64_t base_version, GBytes *text,
+               uint64_t version)
+{
+    Sw__DocumentUpdate *m = malloc(sizeof(*m));
+    size_t base_bytes;
+    size_t bytes;
+    const char *old = g_bytes_get_data(base, &base_bytes);
+    const char *fresh = g_bytes_get_data(text, &bytes);
+    GHashTable *known = chunks_of(old, base_bytes);
+    Chunk c = {0};
+
+    g_assert(m != NULL);
+    sw__document_update__init(m);
+    m->version = version;
+    m->base_version = base_version;
+    while (next_chunk(fresh, bytes, &c)) {
+        const Chunk *found = g_hash_table_lookup(known, &c);
+        if (found != NULL) {
+            add_copy(m, found);
+        }
+        else {
+            add_literal(m, &c);
+        }
+    }
+    g_hash_table_destroy(known);
+    return m;
+}
+
+/* Puts the text together again; NULL when the parts do not fit the base. */
+GBytes *
+document_delta_apply(GBytes *base, const Sw__DocumentUpdate *m)
+{
+    GByteArray *out = g_byte_array_new();
+    size_t base_bytes;
+    const guint8 *old = g_bytes_get_data(base, &base_bytes);
+
+    for (size_t i = 0; i < m->n_parts; i++) {
+        const Sw__DocumentPart *p = m->parts[i];
+        if ((uint64_t)p->from + p->bytes > base_bytes) {
+            g_byte_array_unref(out);
+            return NULL;
+        }
+        g_byte_array_append(out, old + p->from, p->bytes);
+        if (p->literal.len > 0) {
+            g_byte_array_append(out, p->literal.data, (guint)p->literal.len);
+        }
+    }
+    return g_byte_array_free_to_bytes(out);
+}
--- a/src/sapphireweir/gateway/gateway.c
+++ b/src/sapphireweir/gateway/gateway.c
@@ -104,6 +104,7 @@
     g_hash_table_destroy(g->rates);
     g_ptr_array_unref(g->closed);
     document_unref(g->document);
+    g_clear_pointer(&g->document_text, g_bytes_unref);
     g_free(g->leader);
     g_free(g->failure_domain);
     g_free(g->id);
--- a/src/sapphireweir/gateway/gateway_control.c
+++ b/src/sapphireweir/gateway/gateway_control.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "fleet/document_delta.h"
 #include "gateway/gateway_internal.h"
 
 /* What control instances tell an entry instance: backend servers, the
@@ -123,23 +124,47 @@
 
 /* ---- configuration ---- */
 
+/* Returns the text of an update; NULL when it describes it by a version that
+ * this instance does not have: a whole one follows its next report. */
+static GBytes *
+document_text(const Gateway *g, const Sw__DocumentUpdate *m)
+{
+    if (m->base_version == 0) {
+        return g_bytes_new(m->text.data, m->text.len);
+    }
+    if (g->document == NULL || g->document->version != m->base_version) {
+        return NULL;
+    }
+    return document_delta_apply(g->document_text, m);
+}
+
 static void
 on_document(Gateway *g, uint64_t now_us, const Sw__DocumentUpdate *m)
 {
     EventLine line;
+    size_t bytes;
 
     if (g->document != NULL && m->version <= g->document->version) {
         return;
     }
-    Document *d = g->decode(m->text.data, m->text.len);
-    if (d == NULL) {
+    GBytes *text = document_text(g, m);
+    if (text == NULL) {
+        return;
+    }
+    const uint8_t *data = g_bytes_get_data(text, &bytes);
+    Document *d = g->decode(data, bytes);
+    if (d == NULL || d->version != m->version) {
         g_warning("configuration %" G_GUINT64_FORMAT
                   " from control cannot be read",
                   m->version);
+        document_unref(d);
+        g_bytes_unref(text);
         return;
     }
     document_unref(g->document);
     g->document = d;
+    g_clear_pointer(&g->document_text, g_bytes_unref);
+    g->document_text = text;
     event_begin(&line, g->events, now_us, kEventConfiguration);
     event_number(&line, "version", d->version);
     event_number(&line, "routes", g_hash_table_size(d->routes));
--- a/src/sapphireweir/gateway/gateway_internal.h
+++ b/src/sapphireweir/gateway/gateway_internal.h
@@ -203,6 +203,7 @@
     GatewayPort port;
     Document *(*decode)(const uint8_t *text, size_t bytes);
     Document *document;
+    GBytes *document_text;
     GHashTable *databases; /* name -> Database, owned */
     GHashTable *servers;   /* id -> Server, owned */
     GHashTable *controls;  /* address -> ControlContact, owned */
--- a/src/sapphireweir/gateway/gateway_report.c
+++ b/src/sapphireweir/gateway/gateway_report.c
@@ -1,3 +1,5 @@
+#include <string.h>
+
 #include "gateway/gateway_internal.h"
 
 /* What an entry instance tells the control instances: what it met at the
@@ -5,6 +7,7 @@
 
 enum {
     kAnsweredRecentlyUs = 700000,
+    kLeaderHeardUs = 600000, /* two reports and an answer */
 };
 
 /* Returns how many sessions hold a connection to a database's primary. */
@@ -53,12 +56,19 @@
     }
 }
 
+/* Sends the whole report to the leader and a short one, as a sign of life,
+ * to the other control instances; while nobody is known to lead, the whole
+ * one to all. */
 static void
-report_send(Gateway *g, Sw__EntryReport *report)
+report_send(Gateway *g, uint64_t now_us, Sw__EntryReport *report)
 {
     GHashTableIter it;
     void *value;
     Sw__Frame frame = SW__FRAME__INIT;
+    size_t evidence = report->n_evidence;
+    size_t demand = report->n_demand;
+    gboolean led =
+        g->leader != NULL && now_us - g->granted_us < kLeaderHeardUs;
 
     frame.body_case = SW__FRAME__BODY_ENTRY_REPORT;
     frame.entry_report = report;
@@ -67,6 +77,9 @@
         ControlContact *c = value;
         report->directory_revision = c->revision;
         report->directory_run = c->run;
+        gboolean whole = !led || strcmp(c->address, g->leader) == 0;
+        report->n_evidence = whole ? evidence : 0;
+        report->n_demand = whole ? demand : 0;
         g->port.peer_send(g->port.ctx, c->address, &frame);
     }
 }
@@ -108,7 +121,7 @@
     report.evidence = (Sw__PrimaryEvidence **)evidence_list->pdata;
     report.n_demand = demand_list->len;
     report.demand = (Sw__TeamDemand **)demand_list->pdata;
-    report_send(g, &report);
+    report_send(g, now_us, &report);
     g_ptr_array_unref(demand_list);
     g_ptr_array_unref(evidence_list);
     g_free(demands);
--- a/src/sapphireweir/proto/sapphireweir.pb-c.c
+++ b/src/sapphireweir/proto/sapphireweir.pb-c.c
@@ -1492,6 +1492,51 @@
   assert(message->base.descriptor == &sw__document_update__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   sw__document_part__init
+                     (Sw__DocumentPart         *message)
+{
+  static const Sw__DocumentPart init_value = SW__DOCUMENT_PART__INIT;
+  *message = init_value;
+}
+size_t sw__document_part__get_packed_size
+                     (const Sw__DocumentPart *message)
+{
+  assert(message->base.descriptor == &sw__document_part__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t sw__document_part__pack
+                     (const Sw__DocumentPart *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &sw__document_part__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t sw__document_part__pack_to_buffer
+                     (const Sw__DocumentPart *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &sw__document_part__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Sw__DocumentPart *
+       sw__document_part__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Sw__DocumentPart *)
+     protobuf_c_message_unpack (&sw__document_part__descriptor,
+                                allocator, len, data);
+}
+void   sw__document_part__free_unpacked
+                     (Sw__DocumentPart *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &sw__document_part__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   sw__join_request__init
                      (Sw__JoinRequest         *message)
 {
@@ -5356,7 +5401,7 @@
   (ProtobufCMessageInit) sw__directory_update__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sw__document_update__field_descriptors[2] =
+static const ProtobufCFieldDescriptor sw__document_update__field_descriptors[4] =
 {
   {
     "version",
@@ -5382,15 +5427,41 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "base_version",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__DocumentUpdate, base_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "parts",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sw__DocumentUpdate, n_parts),
+    offsetof(Sw__DocumentUpdate, parts),
+    &sw__document_part__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sw__document_update__field_indices_by_name[] = {
+  2,   /* field[2] = base_version */
+  3,   /* field[3] = parts */
   1,   /* field[1] = text */
   0,   /* field[0] = version */
 };
 static const ProtobufCIntRange sw__document_update__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor sw__document_update__descriptor =
 {
@@ -5400,13 +5471,77 @@
   "Sw__DocumentUpdate",
   "sw",
   sizeof(Sw__DocumentUpdate),
-  2,
+  4,
   sw__document_update__field_descriptors,
   sw__document_update__field_indices_by_name,
   1,  sw__document_update__number_ranges,
   (ProtobufCMessageInit) sw__document_update__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor sw__document_part__field_descriptors[3] =
+{
+  {
+    "from",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Sw__DocumentPart, from),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "bytes",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Sw__DocumentPart, bytes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "literal",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Sw__DocumentPart, literal),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned sw__document_part__field_indices_by_name[] = {
+  1,   /* field[1] = bytes */
+  0,   /* field[0] = from */
+  2,   /* field[2] = literal */
+};
+static const ProtobufCIntRange sw__document_part__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor sw__document_part__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "sw.DocumentPart",
+  "DocumentPart",
+  "Sw__DocumentPart",
+  "sw",
+  sizeof(Sw__DocumentPart),
+  3,
+  sw__document_part__field_descriptors,
+  sw__document_part__field_indices_by_name,
+  1,  sw__document_part__number_ranges,
+  (ProtobufCMessageInit) sw__document_part__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor sw__join_request__field_descriptors[2] =
 {
   {
--- a/src/sapphireweir/proto/sapphireweir.pb-c.h
+++ b/src/sapphireweir/proto/sapphireweir.pb-c.h
@@ -48,6 +48,7 @@
 typedef struct Sw__ServerRecord Sw__ServerRecord;
 typedef struct Sw__DirectoryUpdate Sw__DirectoryUpdate;
 typedef struct Sw__DocumentUpdate Sw__DocumentUpdate;
+typedef struct Sw__DocumentPart Sw__DocumentPart;
 typedef struct Sw__JoinRequest Sw__JoinRequest;
 typedef struct Sw__RelayCommand Sw__RelayCommand;
 typedef struct Sw__RelayRun Sw__RelayRun;
@@ -739,10 +740,31 @@
   ProtobufCMessage base;
   uint64_t version;
   ProtobufCBinaryData text;
+  /*
+   * Instead of the text, what differs from another version's.
+   */
+  uint64_t base_version;
+  size_t n_parts;
+  Sw__DocumentPart **parts;
 };
 #define SW__DOCUMENT_UPDATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sw__document_update__descriptor) \
-    , 0, {0,NULL} }
+    , 0, {0,NULL}, 0, 0,NULL }
+
+
+/*
+ * Bytes of the base, then the literal.
+ */
+struct  Sw__DocumentPart
+{
+  ProtobufCMessage base;
+  uint32_t from;
+  uint32_t bytes;
+  ProtobufCBinaryData literal;
+};
+#define SW__DOCUMENT_PART__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&sw__document_part__descriptor) \
+    , 0, 0, {0,NULL} }
 
 
 /*
@@ -1534,6 +1556,25 @@
 void   sw__document_update__free_unpacked
                      (Sw__DocumentUpdate *message,
                       ProtobufCAllocator *allocator);
+/* Sw__DocumentPart methods */
+void   sw__document_part__init
+                     (Sw__DocumentPart         *message);
+size_t sw__document_part__get_packed_size
+                     (const Sw__DocumentPart   *message);
+size_t sw__document_part__pack
+                     (const Sw__DocumentPart   *message,
+                      uint8_t             *out);
+size_t sw__document_part__pack_to_buffer
+                     (const Sw__DocumentPart   *message,
+                      ProtobufCBuffer     *buffer);
+Sw__DocumentPart *
+       sw__document_part__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   sw__document_part__free_unpacked
+                     (Sw__DocumentPart *message,
+                      ProtobufCAllocator *allocator);
 /* Sw__JoinRequest methods */
 void   sw__join_request__init
                      (Sw__JoinRequest         *message);
@@ -1806,6 +1847,9 @@
 typedef void (*Sw__DocumentUpdate_Closure)
                  (const Sw__DocumentUpdate *message,
                   void *closure_data);
+typedef void (*Sw__DocumentPart_Closure)
+                 (const Sw__DocumentPart *message,
+                  void *closure_data);
 typedef void (*Sw__JoinRequest_Closure)
                  (const Sw__JoinRequest *message,
                   void *closure_data);
@@ -1877,6 +1921,7 @@
 extern const ProtobufCMessageDescriptor sw__server_record__descriptor;
 extern const ProtobufCMessageDescriptor sw__directory_update__descriptor;
 extern const ProtobufCMessageDescriptor sw__document_update__descriptor;
+extern const ProtobufCMessageDescriptor sw__document_part__descriptor;
 extern const ProtobufCMessageDescriptor sw__join_request__descriptor;
 extern const ProtobufCMessageDescriptor sw__relay_command__descriptor;
 extern const ProtobufCMessageDescriptor sw__relay_run__descriptor;
--- a/test/unit/test_fleet_policy.c
+++ b/test/unit/test_fleet_policy.c
@@ -1,4 +1,8 @@
+#include <string.h>
+
 #include "fleet/directory.h"
+#include "fleet/document_delta.h"
+#include "fleet/owners.h"
 #include "fleet/rate_window.h"
 #include "fleet/share.h"
 #include "fleet/succession.h"
@@ -9,6 +13,106 @@
 
 enum { kMs = 1000 };
 
+/* 66 instances before 24 servers in three failure domains: nobody owns two
+ * while others own none, all agree in any order of the list, and an instance
+ * that goes moves few servers besides its own. */
+static void
+owners_are_spread_and_stay(void)
+{
+    enum { kEntries = 66, kServers = 24 };
+    static const char *const domains[] = {"a", "b", "c"};
+    OwnedServer servers[kServers];
+    OwnedServer again[kServers];
+    char server_ids[kServers][16];
+    char id[16];
+    uint32_t moved = 0;
+
+    EntryList *list = entry_list_new();
+    EntryList *reversed = entry_list_new();
+    for (int i = 0; i < kEntries; i++) {
+        g_snprintf(id, sizeof(id), "e%d", i);
+        entry_list_add(list, id, domains[i % 3]);
+        g_snprintf(id, sizeof(id), "e%d", kEntries - 1 - i);
+        entry_list_add(reversed, id, domains[(kEntries - 1 - i) % 3]);
+    }
+    CU_ASSERT_EQUAL(list->hash, reversed->hash);
+    for (int i = 0; i < kServers; i++) {
+        g_snprintf(server_ids[i], sizeof(server_ids[i]), "s%d", i);
+        servers[i] = (OwnedServer){server_ids[i], domains[i % 3], NULL};
+        again[i] = servers[i];
+    }
+    owners_assign(list, servers, kServers);
+    owners_assign(reversed, again, kServers);
+    for (int i = 0; i < kServers; i++) {
+        CU_ASSERT_STRING_EQUAL(servers[i].owner, again[i].owner);
+        for (int k = 0; k < i; k++) {
+            CU_ASSERT_STRING_NOT_EQUAL(servers[i].owner, servers[k].owner);
+        }
+    }
+    EntryList *fewer = entry_list_new();
+    for (int i = 0; i < kEntries; i++) {
+        g_snprintf(id, sizeof(id), "e%d", i);
+        if (strcmp(id, servers[0].owner) != 0) {
+            entry_list_add(fewer, id, domains[i % 3]);
+        }
+    }
+    owners_assign(fewer, again, kServers);
+    for (int i = 0; i < kServers; i++) {
+        moved += strcmp(servers[i].owner, again[i].owner) != 0;
+    }
+    CU_ASSERT(moved >= 1 && moved <= 3);
+    entry_list_free(fewer);
+    entry_list_free(reversed);
+    entry_list_free(list);
+}
+
+static GBytes *
+random_document(GRand *rand, uint32_t version, uint32_t objects)
+{
+    GString *s = g_string_new(NULL);
+
+    g_string_append_printf(s, "{\"version\":%u,\"routes\":[", version);
+    for (uint32_t i = 0; i < objects; i++) {
+        /* Few differ from one version to the next. */
+        uint32_t value = g_rand_int_range(rand, 0, 20) == 0 ? version : 7;
+        g_string_append_printf(
+            s, "%s{\"name\":\"r-%u\",\"host\":\"h%u.example\",\"ms\":%u}",
+            i == 0 ? "" : ",", i, i, value);
+    }
+    g_string_append(s, "]}");
+    return g_string_free_to_bytes(s);
+}
+
+static void
+a_delta_restores_the_text(void)
+{
+    GRand *rand = g_rand_new_with_seed(5);
+
+    for (uint32_t run = 0; run < 200; run++) {
+        uint32_t objects = (uint32_t)g_rand_int_range(rand, 0, 120);
+        GBytes *a = random_document(rand, run, objects);
+        GBytes *b = random_document(
+            rand, run + 1, objects + (uint32_t)g_rand_int_range(rand, 0, 3));
+        Sw__DocumentUpdate *m = document_delta(a, run + 1, b, run + 2);
+        GBytes *got = document_delta_apply(a, m);
+        CU_ASSERT(got != NULL && g_bytes_equal(got, b));
+        /* A tenth of the objects differ; a part costs up to twice its text. */
+        CU_ASSERT(objects < 40 || sw__document_update__get_packed_size(m) * 2 <
+                                      g_bytes_get_size(b));
+        g_bytes_unref(got);
+        /* Parts of another base are refused, never read beyond it. */
+        GBytes *tiny = g_bytes_new("{", 1);
+        got = document_delta_apply(tiny, m);
+        CU_ASSERT(got == NULL || !g_bytes_equal(got, b) || objects < 3);
+        g_clear_pointer(&got, g_bytes_unref);
+        g_bytes_unref(tiny);
+        sw__document_update__free_unpacked(m, NULL);
+        g_bytes_unref(a);
+        g_bytes_unref(b);
+    }
+    g_rand_free(rand);
+}
+
 static void
 the_next_primary_holds_what_was_acknowledged(void)
 {
@@ -256,6 +360,8 @@
 add_fleet_policy_suite(void)
 {
     CU_pSuite s = CU_add_suite("fleet policy", NULL, NULL);
+    CU_add_test(s, "a delta restores the text", a_delta_restores_the_text);
+    CU_add_test(s, "owners are spread and stay", owners_are_spread_and_stay);
     CU_add_test(s, "the next primary holds what was acknowledged",
                 the_next_primary_holds_what_was_acknowledged);
     CU_add_test(s, "a primary is suspected on evidence",
