Fall back to a whole part of a rate where others leave room

Change: the leader says with each share whether the team uses over three quarters of its limit; only then does an instance begin with a quarter.

--- a/src/sapphireweir/fleet/director_documents.c
+++ b/src/sapphireweir/fleet/director_documents.c
@@ -80,8 +80,8 @@
     Sw__Frame frame = SW__FRAME__INIT;
     Sw__DocumentUpdate whole = SW__DOCUMENT_UPDATE__INIT;
     gboolean on_its_way = now_us - t->document_sent_us <= kResendUs;
-    uint64_t held = MAX(t->document_version,
-                        on_its_way ? t->document_sent : (uint64_t)0);
+    uint64_t held =
+        MAX(t->document_version, on_its_way ? t->document_sent : (uint64_t)0);
 
     if (d->document == NULL || held >= d->document_version ||
         !consensus_is_current(d->consensus)) {
--- a/src/sapphireweir/fleet/director_rates.c
+++ b/src/sapphireweir/fleet/director_rates.c
@@ -10,6 +10,7 @@
     kStartTokens = 8, /* a new leader does not know what was handed out */
     kStartPercent = 10,
     kPercent = 100,
+    kCrowdedPercent = 75,     /* a third that falls back adds 15 in 2.5 s */
     kReservedRetryUs = 50000, /* what is reserved has no time of its own */
     /* An entry instance that got no grant for so long runs on its part of
      * each rate; kFallbackAfterUs in the gateway must be longer. */
@@ -96,6 +97,15 @@
     d->port.send(d->port.ctx, from, &frame);
 }
 
+/* Tells whether a team is near its limit, so that instances which fall back
+ * to their parts would take it beyond. */
+static gboolean
+is_crowded(const Director *d, const char *team)
+{
+    const RateWindow *w = g_hash_table_lookup(d->windows, team);
+    return w != NULL && w->used * kPercent > w->limit * kCrowdedPercent;
+}
+
 /* Appends an entry instance's shares, as Sw__TeamShare to be freed, and
  * keeps them as the ones that it may run on. */
 void
@@ -115,6 +125,7 @@
         sw__team_share__init(each);
         each->team = team;
         each->share_micro = share;
+        each->crowded = is_crowded(d, team);
         g_ptr_array_add(list, each);
         g_hash_table_replace(t->shares, g_strdup(team),
                              GUINT_TO_POINTER(share));
--- a/src/sapphireweir/fleet/document_delta.c
+++ b/src/sapphireweir/fleet/document_delta.c
@@ -72,8 +72,8 @@
 part_add(Sw__DocumentUpdate *m)
 {
     if (m->n_parts % kPartsFirst == 0) {
-        m->parts = realloc(m->parts,
-                           (m->n_parts + kPartsFirst) * sizeof(*m->parts));
+        m->parts =
+            realloc(m->parts, (m->n_parts + kPartsFirst) * sizeof(*m->parts));
     }
     Sw__DocumentPart *p = malloc(sizeof(*p));
     g_assert(m->parts != NULL && p != NULL);
@@ -85,8 +85,7 @@
 static void
 add_copy(Sw__DocumentUpdate *m, const Chunk *found)
 {
-    Sw__DocumentPart *last =
-        m->n_parts == 0 ? NULL : m->parts[m->n_parts - 1];
+    Sw__DocumentPart *last = m->n_parts == 0 ? NULL : m->parts[m->n_parts - 1];
 
     if (last != NULL && last->bytes > 0 &&
         last->from + last->bytes == found->at) {
--- a/src/sapphireweir/gateway/gateway_internal.h
+++ b/src/sapphireweir/gateway/gateway_internal.h
@@ -140,7 +140,8 @@
     TokenBucket fallback;  /* while the leader does not answer */
     gboolean falling_back;
     uint64_t share_micro;
-    uint64_t wanted; /* operations since the last report */
+    gboolean crowded; /* the team was near its limit */
+    uint64_t wanted;  /* operations since the last report */
     uint64_t wanted_since_us;
     uint64_t demand_milli; /* smoothed, a second */
     uint64_t rate_milli;
--- a/src/sapphireweir/gateway/team_rates.c
+++ b/src/sapphireweir/gateway/team_rates.c
@@ -85,7 +85,8 @@
 }
 
 /* The part of a rate that this instance may use by itself.  Until the leader
- * is sure to know that it does, others may still get the whole. */
+ * is sure to know that it does, others may still get the whole: where they
+ * take it, only a little is used. */
 static uint64_t
 fallback_share(const Gateway *g, const TeamRate *r, uint64_t now_us)
 {
@@ -95,7 +96,8 @@
         /* Nothing was ever granted: all of it is others'. */
         return 0;
     }
-    return r->share_micro * (known ? kShareCutPercent : kEarlySharePercent) /
+    return r->share_micro *
+           (known || !r->crowded ? kShareCutPercent : kEarlySharePercent) /
            100;
 }
 
@@ -244,6 +246,7 @@
         TeamRate *r = g_hash_table_lookup(g->rates, m->shares[i]->team);
         if (r != NULL) {
             r->share_micro = m->shares[i]->share_micro;
+            r->crowded = m->shares[i]->crowded;
         }
     }
 }
--- a/src/sapphireweir/proto/sapphireweir.pb-c.c
+++ b/src/sapphireweir/proto/sapphireweir.pb-c.c
@@ -4950,7 +4950,7 @@
   (ProtobufCMessageInit) sw__primary_grant__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sw__team_share__field_descriptors[2] =
+static const ProtobufCFieldDescriptor sw__team_share__field_descriptors[3] =
 {
   {
     "team",
@@ -4976,15 +4976,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "crowded",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Sw__TeamShare, crowded),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sw__team_share__field_indices_by_name[] = {
+  2,   /* field[2] = crowded */
   1,   /* field[1] = share_micro */
   0,   /* field[0] = team */
 };
 static const ProtobufCIntRange sw__team_share__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor sw__team_share__descriptor =
 {
@@ -4994,7 +5007,7 @@
   "Sw__TeamShare",
   "sw",
   sizeof(Sw__TeamShare),
-  2,
+  3,
   sw__team_share__field_descriptors,
   sw__team_share__field_indices_by_name,
   1,  sw__team_share__number_ranges,
--- a/src/sapphireweir/proto/sapphireweir.pb-c.h
+++ b/src/sapphireweir/proto/sapphireweir.pb-c.h
@@ -662,10 +662,14 @@
    * Part of the team's rate and burst, in millionths.
    */
   uint32_t share_micro;
+  /*
+   * The team uses most of what it has.
+   */
+  protobuf_c_boolean crowded;
 };
 #define SW__TEAM_SHARE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sw__team_share__descriptor) \
-    , (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0 }
 
 
 struct  Sw__EntryGrant
