Keep the backend servers in the replicated log

Ruled out: the election and the first lease (0.17 s after the start). Change: the leader logs servers that changed; an address that is out of date does no harm, as connections name the server they expect. Borrowers' numbers begin at the instance's incarnation, so that an owner cannot take a new run's for a former one's. What callers have begun may end before a run is judged, so that an operation without any answer counts as not served and one that is still under way does not; the bounds are as before.

--- a/src/sapphireweir/fleet/director.c
+++ b/src/sapphireweir/fleet/director.c
@@ -87,6 +87,7 @@
     if (m->primary != NULL) {
         apply_primary(d, now_us, m->primary);
     }
+    servers_apply(d, m->servers, m->n_servers);
     sw__fleet_command__free_unpacked(m, NULL);
     requests_applied(d, index, term);
     if (director_leads(d) && consensus_is_current(d->consensus)) {
@@ -110,6 +111,7 @@
     guint count = g_hash_table_size(d->primaries);
     Sw__PrimaryRecord *records = g_new0(Sw__PrimaryRecord, count + 1);
     GPtrArray *list = g_ptr_array_new();
+    GPtrArray *servers = servers_since(d, 0);
     GHashTableIter it;
     void *value;
 
@@ -128,9 +130,12 @@
     }
     m.n_primaries = list->len;
     m.primaries = (Sw__PrimaryRecord **)list->pdata;
+    m.n_servers = servers->len;
+    m.servers = (Sw__ServerRecord **)servers->pdata;
     size_t size = sw__fleet_snapshot__get_packed_size(&m);
     uint8_t *packed = g_malloc(size + 1);
     sw__fleet_snapshot__pack(&m, packed);
+    g_ptr_array_unref(servers);
     g_ptr_array_unref(list);
     g_free(records);
     return g_bytes_new_take(packed, size);
@@ -155,6 +160,7 @@
     for (size_t i = 0; i < m->n_primaries; i++) {
         apply_primary(d, now_us, m->primaries[i]);
     }
+    servers_apply(d, m->servers, m->n_servers);
     sw__fleet_snapshot__free_unpacked(m, NULL);
     return TRUE;
 }
@@ -330,73 +336,6 @@
     return director_propose(d, now_us, &command, NULL);
 }
 
-/* ---- backend servers ---- */
-
-static void
-directory_spread(Director *d, const char *id)
-{
-    const DirectoryServer *s = directory_find(&d->directory, id);
-    Sw__Frame frame = SW__FRAME__INIT;
-    Sw__DirectoryUpdate update = SW__DIRECTORY_UPDATE__INIT;
-    Sw__ServerRecord record;
-    Sw__ServerRecord *list[1] = {&record};
-    GHashTableIter it;
-    void *peer;
-
-    directory_fill(s, &record);
-    update.n_servers = 1;
-    update.servers = list;
-    frame.body_case = SW__FRAME__BODY_DIRECTORY_UPDATE;
-    frame.directory_update = &update;
-    g_hash_table_iter_init(&it, d->peers);
-    while (g_hash_table_iter_next(&it, &peer, NULL)) {
-        d->port.send(d->port.ctx, peer, &frame);
-    }
-}
-
-/* Takes in a backend server's status report and spreads it. */
-void
-director_report(Director *d, uint64_t now_us, const Sw__ServerRecord *report)
-{
-    uint64_t before = d->directory.revision;
-
-    if (!directory_report(&d->directory, now_us, report)) {
-        return;
-    }
-    directory_spread(d, report->id);
-    if (d->directory.revision != before) {
-        entries_push_directory(d, now_us);
-    }
-}
-
-/* A backend server has said that it is gone. */
-void
-director_leave(Director *d, uint64_t now_us, const char *id)
-{
-    const DirectoryServer *s = directory_find(&d->directory, id);
-    Sw__ServerRecord record;
-
-    if (s == NULL || s->gone) {
-        return;
-    }
-    directory_fill(s, &record);
-    record.gone = TRUE;
-    director_report(d, now_us, &record);
-}
-
-static void
-on_directory(Director *d, uint64_t now_us, const Sw__DirectoryUpdate *m)
-{
-    uint64_t before = d->directory.revision;
-
-    for (size_t i = 0; i < m->n_servers; i++) {
-        directory_report(&d->directory, now_us, m->servers[i]);
-    }
-    if (d->directory.revision != before) {
-        entries_push_directory(d, now_us);
-    }
-}
-
 /* ---- events ---- */
 
 /* Takes in one frame of another instance. */
@@ -412,7 +351,7 @@
         entries_report(d, now_us, from, frame->entry_report);
         break;
     case SW__FRAME__BODY_DIRECTORY_UPDATE:
-        on_directory(d, now_us, frame->directory_update);
+        servers_frame(d, now_us, frame->directory_update);
         break;
     case SW__FRAME__BODY_TOKEN_REQUEST:
         rates_request(d, now_us, from, frame->request_id,
@@ -466,6 +405,7 @@
     d->led_since_us = leads ? MAX(now_us, 1) : 0;
     d->forgot_us = now_us;
     d->announced = FALSE;
+    d->servers_logged = 0;
     g_hash_table_remove_all(d->changes);
     g_hash_table_remove_all(d->shares);
     g_hash_table_remove_all(d->windows);
@@ -487,6 +427,7 @@
     requests_tick(d, now_us);
     entries_tick(d, now_us);
     if (d->led_since_us != 0) {
+        servers_tick(d, now_us);
         handover_tick(d, now_us);
     }
 }
--- a/src/sapphireweir/fleet/director_internal.h
+++ b/src/sapphireweir/fleet/director_internal.h
@@ -147,6 +147,8 @@
     uint64_t leader_heard_us;
     uint64_t join_due_us;
     uint64_t trim_due_us;
+    uint64_t servers_due_us;
+    uint64_t servers_logged; /* directory revision that the log holds */
     uint64_t shares_due_us;
     gboolean stopping;
 };
@@ -158,6 +160,13 @@
 gboolean director_propose_primary(Director *d, uint64_t now_us,
                                   const PrimaryState *state);
 
+/* director_servers.c */
+void servers_apply(Director *d, Sw__ServerRecord *const *records,
+                   size_t count);
+GPtrArray *servers_since(const Director *d, uint64_t revision);
+void servers_tick(Director *d, uint64_t now_us);
+void servers_frame(Director *d, uint64_t now_us, const Sw__DirectoryUpdate *m);
+
 /* director_documents.c */
 void documents_applied(Director *d);
 void documents_clear(Director *d);
--- /dev/null
+++ b/src/sapphireweir/fleet/director_servers.c
@@ -0,0 +1,128 @@
+#include "fleet/director_internal.h"
+
+/* Backend servers: their reports reach any control instance and spread from
+ * there.  The leader logs what changed, so that after a loss of power the
+ * servers are known before they report again; an address that is out of date
+ * does no harm, as each connection names the server that it expects. */
+
+enum { kLogEveryUs = 250000 }; /* a change of many servers is one entry */
+
+static void
+directory_spread(Director *d, const char *id)
+{
+    const DirectoryServer *s = directory_find(&d->directory, id);
+    Sw__Frame frame = SW__FRAME__INIT;
+    Sw__DirectoryUpdate update = SW__DIRECTORY_UPDATE__INIT;
+    Sw__ServerRecord record;
+    Sw__ServerRecord *list[1] = {&record};
+    GHashTableIter it;
+    void *peer;
+
+    directory_fill(s, &record);
+    update.n_servers = 1;
+    update.servers = list;
+    frame.body_case = SW__FRAME__BODY_DIRECTORY_UPDATE;
+    frame.directory_update = &update;
+    g_hash_table_iter_init(&it, d->peers);
+    while (g_hash_table_iter_next(&it, &peer, NULL)) {
+        d->port.send(d->port.ctx, peer, &frame);
+    }
+}
+
+/* Takes in a backend server's status report and spreads it. */
+void
+director_report(Director *d, uint64_t now_us, const Sw__ServerRecord *report)
+{
+    uint64_t before = d->directory.revision;
+
+    if (!directory_report(&d->directory, now_us, report)) {
+        return;
+    }
+    directory_spread(d, report->id);
+    if (d->directory.revision != before) {
+        entries_push_directory(d, now_us);
+    }
+}
+
+/* A backend server has said that it is gone. */
+void
+director_leave(Director *d, uint64_t now_us, const char *id)
+{
+    const DirectoryServer *s = directory_find(&d->directory, id);
+    Sw__ServerRecord record;
+
+    if (s == NULL || s->gone) {
+        return;
+    }
+    directory_fill(s, &record);
+    record.gone = TRUE;
+    director_report(d, now_us, &record);
+}
+
+/* Takes in what another control instance heard. */
+void
+servers_frame(Director *d, uint64_t now_us, const Sw__DirectoryUpdate *m)
+{
+    uint64_t before = d->directory.revision;
+
+    for (size_t i = 0; i < m->n_servers; i++) {
+        directory_report(&d->directory, now_us, m->servers[i]);
+    }
+    if (d->directory.revision != before) {
+        entries_push_directory(d, now_us);
+    }
+}
+
+/* ---- the log ---- */
+
+/* Takes in records of the log; what was heard since stays. */
+void
+servers_apply(Director *d, Sw__ServerRecord *const *records, size_t count)
+{
+    for (size_t i = 0; i < count; i++) {
+        /* Not heard of in this life. */
+        directory_report(&d->directory, 0, records[i]);
+    }
+}
+
+/* Returns the records of all servers that changed after a revision; their
+ * strings stay the directory's. */
+GPtrArray *
+servers_since(const Director *d, uint64_t revision)
+{
+    GPtrArray *list = g_ptr_array_new_with_free_func(g_free);
+    GHashTableIter it;
+    void *value;
+
+    g_hash_table_iter_init(&it, d->directory.servers);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        const DirectoryServer *s = value;
+        if (s->changed > revision) {
+            Sw__ServerRecord *r = g_new(Sw__ServerRecord, 1);
+            directory_fill(s, r);
+            g_ptr_array_add(list, r);
+        }
+    }
+    return list;
+}
+
+/* Logs what changed; only the leader calls it. */
+void
+servers_tick(Director *d, uint64_t now_us)
+{
+    Sw__FleetCommand command = SW__FLEET_COMMAND__INIT;
+
+    if (now_us < d->servers_due_us ||
+        d->servers_logged == d->directory.revision ||
+        !consensus_is_current(d->consensus)) {
+        return;
+    }
+    d->servers_due_us = now_us + kLogEveryUs;
+    GPtrArray *list = servers_since(d, d->servers_logged);
+    command.n_servers = list->len;
+    command.servers = (Sw__ServerRecord **)list->pdata;
+    if (director_propose(d, now_us, &command, NULL)) {
+        d->servers_logged = d->directory.revision;
+    }
+    g_ptr_array_unref(list);
+}
--- a/src/sapphireweir/fleet/document_delta.c
+++ b/src/sapphireweir/fleet/document_delta.c
@@ -73,7 +73,7 @@
 {
     if (m->n_parts % kPartsFirst == 0) {
         m->parts =
-            realloc(m->parts, (m->n_parts + kPartsFirst) * sizeof(*m->parts));
+            realloc(m->parts, (m->n_parts + kPartsFirst) * sizeof(void *));
     }
     Sw__DocumentPart *p = malloc(sizeof(*p));
     g_assert(m->parts != NULL && p != NULL);
--- a/src/sapphireweir/gateway/gateway.c
+++ b/src/sapphireweir/gateway/gateway.c
@@ -63,6 +63,8 @@
     g->id = g_strdup(config->id);
     g->failure_domain = g_strdup(config->failure_domain);
     g->incarnation = config->incarnation;
+    /* An owner must not take this run's numbers for a former run's. */
+    g->next_relay = config->incarnation;
     g->server_drain_us = config->drain_us;
     g->decode = config->decode;
     g->events = config->events;
--- a/src/sapphireweir/proto/sapphireweir.pb-c.c
+++ b/src/sapphireweir/proto/sapphireweir.pb-c.c
@@ -6160,7 +6160,7 @@
   (ProtobufCMessageInit) sw__relay_ping__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sw__fleet_command__field_descriptors[2] =
+static const ProtobufCFieldDescriptor sw__fleet_command__field_descriptors[3] =
 {
   {
     "document",
@@ -6186,15 +6186,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "servers",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sw__FleetCommand, n_servers),
+    offsetof(Sw__FleetCommand, servers),
+    &sw__server_record__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sw__fleet_command__field_indices_by_name[] = {
   0,   /* field[0] = document */
   1,   /* field[1] = primary */
+  2,   /* field[2] = servers */
 };
 static const ProtobufCIntRange sw__fleet_command__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor sw__fleet_command__descriptor =
 {
@@ -6204,7 +6217,7 @@
   "Sw__FleetCommand",
   "sw",
   sizeof(Sw__FleetCommand),
-  2,
+  3,
   sw__fleet_command__field_descriptors,
   sw__fleet_command__field_indices_by_name,
   1,  sw__fleet_command__number_ranges,
@@ -6301,7 +6314,7 @@
   (ProtobufCMessageInit) sw__primary_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sw__fleet_snapshot__field_descriptors[2] =
+static const ProtobufCFieldDescriptor sw__fleet_snapshot__field_descriptors[3] =
 {
   {
     "document",
@@ -6327,15 +6340,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "servers",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sw__FleetSnapshot, n_servers),
+    offsetof(Sw__FleetSnapshot, servers),
+    &sw__server_record__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sw__fleet_snapshot__field_indices_by_name[] = {
   0,   /* field[0] = document */
   1,   /* field[1] = primaries */
+  2,   /* field[2] = servers */
 };
 static const ProtobufCIntRange sw__fleet_snapshot__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor sw__fleet_snapshot__descriptor =
 {
@@ -6345,7 +6371,7 @@
   "Sw__FleetSnapshot",
   "sw",
   sizeof(Sw__FleetSnapshot),
-  2,
+  3,
   sw__fleet_snapshot__field_descriptors,
   sw__fleet_snapshot__field_indices_by_name,
   1,  sw__fleet_snapshot__number_ranges,
--- a/src/sapphireweir/proto/sapphireweir.pb-c.h
+++ b/src/sapphireweir/proto/sapphireweir.pb-c.h
@@ -894,10 +894,15 @@
   ProtobufCMessage base;
   Sw__DocumentUpdate *document;
   Sw__PrimaryRecord *primary;
+  /*
+   * Backend servers that changed: known again at once after a restart.
+   */
+  size_t n_servers;
+  Sw__ServerRecord **servers;
 };
 #define SW__FLEET_COMMAND__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sw__fleet_command__descriptor) \
-    , NULL, NULL }
+    , NULL, NULL, 0,NULL }
 
 
 struct  Sw__PrimaryRecord
@@ -927,10 +932,12 @@
   Sw__DocumentUpdate *document;
   size_t n_primaries;
   Sw__PrimaryRecord **primaries;
+  size_t n_servers;
+  Sw__ServerRecord **servers;
 };
 #define SW__FLEET_SNAPSHOT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sw__fleet_snapshot__descriptor) \
-    , NULL, 0,NULL }
+    , NULL, 0,NULL, 0,NULL }
 
 
 /* Sw__Frame methods */
--- a/test/support/fleet_world.c
+++ b/test/support/fleet_world.c
@@ -23,6 +23,7 @@
     kLeaseMs =
         2000, /* longer than a suspicion, so that it must be waited for */
     kStatementsMax = 64,
+    kSettleMs = 4000, /* a transaction's statements at their time limits */
 };
 
 typedef struct {
@@ -58,7 +59,8 @@
     char *team;
     uint64_t busy_until_us;
     gboolean in_transaction;
-    uint32_t statements; /* of the open transaction */
+    uint32_t statements;  /* of the open transaction */
+    gboolean rolled_back; /* closed in a transaction: the rest never runs */
     gboolean failed;
     GArray *writes; /* uint64_t, of the open transaction */
     GHashTable *values;
@@ -136,7 +138,9 @@
     uint64_t lag_us;
     uint64_t promote_us;
     uint32_t lose_percent;
-    gboolean sync; /* a replica has each commit before it is answered */
+    gboolean mute;     /* members do not report */
+    gboolean settling; /* no caller begins anything */
+    gboolean sync;     /* a replica has each commit before it is answered */
     uint64_t gap_us;
     uint64_t version;
     uint64_t acked_version;
@@ -497,7 +501,7 @@
     Command *c = data;
     Link *l = c->link;
 
-    if (l->member->up) {
+    if (l->member->up && !l->rolled_back) {
         Reply *r = g_new0(Reply, 1);
         uint64_t before = log_length(l->member);
         r->link = l;
@@ -614,6 +618,7 @@
     (void)ctx;
     l->owner = NULL;
     l->member->connections--;
+    l->rolled_back = l->in_transaction;
     l->in_transaction = FALSE;
     g_array_set_size(l->writes, 0);
 }
@@ -1215,6 +1220,9 @@
     Caller *c = data;
     uint32_t dice = percent(w);
 
+    if (w->settling) {
+        return;
+    }
     if (c->session != NULL && percent(w) < 5) {
         session_close(c->session, w->now_us);
         c->session = NULL;
@@ -1256,7 +1264,7 @@
     Member *m = data;
     char id[64];
 
-    if (m->up) {
+    if (m->up && !w->mute) {
         Sw__ServerRecord r = SW__SERVER_RECORD__INIT;
         g_strlcpy(id, m->id, sizeof(id));
         r.id = id;
@@ -1463,6 +1471,14 @@
     g_array_set_size(w->runs, 0);
 }
 
+/* Lets what callers have begun end, and begins nothing new. */
+void
+world_settle(World *w)
+{
+    w->settling = TRUE;
+    world_run(w, kSettleMs);
+}
+
 /* Compares the logs with what callers were told. */
 const WorldReport *
 world_end(World *w)
@@ -1620,6 +1636,13 @@
     m->draining_us = w->now_us;
 }
 
+/* Stops the members' reports or lets them go on. */
+void
+world_members_mute(World *w, gboolean mute)
+{
+    w->mute = mute;
+}
+
 /* Lets commits be answered only once a replica has them. */
 void
 world_acknowledge_by_replica(World *w)
--- a/test/support/fleet_world.h
+++ b/test/support/fleet_world.h
@@ -44,6 +44,7 @@
 World *world_new(uint32_t seed);
 void world_free(World *w);
 void world_run(World *w, uint64_t for_ms);
+void world_settle(World *w);
 const WorldReport *world_end(World *w);
 
 void world_configure(World *w, uint32_t rate, gboolean with_key);
@@ -67,6 +68,7 @@
 void world_promotions_take(World *w, uint64_t promote_ms);
 uint32_t world_most_in_window(const World *w);
 void world_forget_runs(World *w);
+void world_members_mute(World *w, gboolean mute);
 void world_load(World *w, uint64_t gap_ms);
 
 #endif
--- a/test/unit/test_fleet_world.c
+++ b/test/unit/test_fleet_world.c
@@ -172,6 +172,26 @@
     world_run(w, 5000);
 }
 
+/* Everything starts again, and the servers take their time to report. */
+static void
+restart_before_reports(World *w)
+{
+    world_run(w, 1000);
+    world_members_mute(w, TRUE);
+    for (uint32_t i = 0; i < kWorldDomains; i++) {
+        world_control_power(w, i, FALSE);
+    }
+    for (uint32_t i = 0; i < kWorldEntries; i++) {
+        world_entry_restart(w, i);
+    }
+    for (uint32_t i = 0; i < kWorldDomains; i++) {
+        world_control_power(w, i, TRUE);
+    }
+    world_run(w, 3000);
+    world_members_mute(w, FALSE);
+    world_run(w, 1000);
+}
+
 /* The control leader cannot tell a cut-off instance to let go. */
 static void
 leader_and_primary_apart(World *w)
@@ -321,6 +341,7 @@
         {"old primary again", old_primary_is_chosen_again, 40, 7000, 2, 2,
          FALSE},
         {"one behind", restart_with_one_behind, 60, 7000, 0, 0, FALSE},
+        {"reports late", restart_before_reports, 75, 2000, 0, 0, FALSE},
         {"leader apart", leader_and_primary_apart, 50, 7000, 1, 2, FALSE},
         {"cut, fast promotion", domain_cut_fast_promotion, 40, 7000, 1, 2,
          FALSE},
@@ -336,6 +357,7 @@
         for (uint32_t seed = 1; seed <= 4; seed++) {
             World *w = world_new(seed);
             cases[i].fault(w);
+            world_settle(w);
             const WorldReport *r = world_end(w);
             gboolean kept = r->lost == 0 && r->doubled == 0 &&
                             r->untrue == 0 && r->stale == 0 &&
@@ -350,16 +372,18 @@
                 r->promotions >= cases[i].least_promotions &&
                 r->promotions <= cases[i].most_promotions;
             if (!kept || !served) {
-                g_print("\n%s, seed %u: %lu of %lu served, gap %lu ms, "
+                g_print("\n%s, seed %u: %lu (%lu refused) of %lu served, gap "
+                        "%lu ms, "
                         "%lu promotions, in doubt %lu; lost %lu doubled %lu "
                         "untrue %lu stale %lu fenced %lu foreign %lu "
                         "state %lu reverted %lu rolled back %lu after drain "
                         "%lu\n",
-                        cases[i].name, seed, r->served, r->operations,
-                        r->longest_write_gap_us / 1000, r->promotions,
-                        r->in_doubt, r->lost, r->doubled, r->untrue, r->stale,
-                        r->fenced, r->foreign, r->wrong_state, r->reverted,
-                        r->rolled_back, r->after_drain);
+                        cases[i].name, seed, r->served, r->refused,
+                        r->operations, r->longest_write_gap_us / 1000,
+                        r->promotions, r->in_doubt, r->lost, r->doubled,
+                        r->untrue, r->stale, r->fenced, r->foreign,
+                        r->wrong_state, r->reverted, r->rolled_back,
+                        r->after_drain);
             }
             CU_ASSERT(kept);
             CU_ASSERT(served);
