Report when a link is up, time failover parts, refuse unconfirmed keys where told

Right after the start the measured rate of a server is that of handshakes, and work was refused by it. Parts of a change of primary are histograms at the control instances' /metrics.

--- a/src/sapphireweir/adapter/peer.c
+++ b/src/sapphireweir/adapter/peer.c
@@ -80,6 +80,7 @@
     struct event *timer;
     GHashTable *remotes; /* id -> Remote */
     GPtrArray *links;    /* all Link */
+    uint64_t garbage;    /* links that were closed for what came on them */
     GQueue own;          /* frames to this instance itself */
     struct event *deliver;
 };
@@ -168,7 +169,7 @@
     char *id = g_strdup(l->id);
 
     link_free(l);
-    if (was_up && id != NULL) {
+    if (was_up && id != NULL && p->events.down != NULL) {
         p->events.down(p->events.ctx, id);
     }
     g_free(id);
@@ -178,7 +179,10 @@
 link_reject(Link *l)
 {
     Peer *p = l->peer;
-    p->events.garbage(p->events.ctx);
+    p->garbage++;
+    if (p->events.garbage != NULL) {
+        p->events.garbage(p->events.ctx);
+    }
     link_close(l);
 }
 
@@ -295,6 +299,9 @@
     }
     *slot = l;
     l->state = kLinkUp;
+    if (p->events.up != NULL) {
+        p->events.up(p->events.ctx, l->id);
+    }
 }
 
 /* Handles one opened frame; FALSE when the link is gone. */
@@ -567,6 +574,14 @@
     return p;
 }
 
+/* Returns how many links were closed because what came on them made no
+ * sense. */
+uint64_t
+peer_garbage(const Peer *p)
+{
+    return p->garbage;
+}
+
 /* Closes all links and the port. */
 void
 peer_free(Peer *p)
--- a/src/sapphireweir/adapter/peer.h
+++ b/src/sapphireweir/adapter/peer.h
@@ -9,10 +9,12 @@
 
 typedef struct Peer Peer;
 
-/* What a peer link reports; the frame is good for the call only. */
+/* What a peer link reports; the frame is good for the call only.  All but
+ * frame may be NULL. */
 typedef struct {
     void *ctx;
     void (*frame)(void *ctx, const char *from, const Sw__Frame *frame);
+    void (*up)(void *ctx, const char *peer);
     void (*down)(void *ctx, const char *peer);
     void (*garbage)(void *ctx);
 } PeerEvents;
@@ -21,6 +23,7 @@
                const uint8_t *secret, const char *listen_address,
                const PeerEvents *events, GError **error);
 void peer_free(Peer *p);
+uint64_t peer_garbage(const Peer *p);
 void peer_set_address(Peer *p, const char *id, const char *address);
 gboolean peer_ready(Peer *p, const char *to);
 gboolean peer_send(Peer *p, const char *to, const Sw__Frame *frame);
--- a/src/sapphireweir/control/main.c
+++ b/src/sapphireweir/control/main.c
@@ -228,7 +228,7 @@
                          .instance_id = s->id,
                          .cluster = s->cluster,
                          .bootstrap = bootstrap};
-    PeerEvents peer_events = {c, on_frame, on_peer_down, on_garbage};
+    PeerEvents peer_events = {c, on_frame, NULL, on_peer_down, on_garbage};
     HttpEvents http_events = {c, on_request, on_abandoned};
     HttpSettings http = {s->http_address,     s->tls_certificate,
                          s->tls_key,          s->max_body_bytes,
--- a/src/sapphireweir/entry/main.c
+++ b/src/sapphireweir/entry/main.c
@@ -279,7 +279,7 @@
 {
     enum { kIncarnationBits = 31 };
     const Settings *s = &e->settings;
-    PeerEvents peer_events = {e, on_frame, on_peer_down, on_garbage};
+    PeerEvents peer_events = {e, on_frame, NULL, on_peer_down, on_garbage};
     HttpEvents http_events = {e, on_request, on_abandoned};
     BackendEvents backend_events = {e, on_connected, on_result};
     HttpSettings http = {s->http_address,     s->tls_certificate,
--- a/src/sapphireweir/fleet/director.h
+++ b/src/sapphireweir/fleet/director.h
@@ -3,6 +3,7 @@
 
 #include "core/consensus.h"
 #include "core/event_log.h"
+#include "core/histogram.h"
 #include "core/position.h"
 #include "fleet/directory.h"
 #include "fleet/document.h"
@@ -70,6 +71,7 @@
 void director_stop(Director *d, uint64_t now_us);
 gboolean director_leads(const Director *d);
 gboolean director_failed(const Director *d);
+void director_metrics_write(const Director *d, GString *out);
 
 void director_report(Director *d, uint64_t now_us,
                      const Sw__ServerRecord *report);
--- a/src/sapphireweir/fleet/director_internal.h
+++ b/src/sapphireweir/fleet/director_internal.h
@@ -115,6 +115,16 @@
     char *sent_to;
 } OperatorRequest;
 
+/* Parts of a change of primary. */
+typedef enum {
+    kGapSuspicion, /* from the first failure to the change's beginning */
+    kGapProbing,   /* until rights are withdrawn */
+    kGapClosing,   /* until none is left */
+    kGapChoosing,  /* until a replica may be promoted */
+    kGapPromotion, /* until it leads */
+    kGapParts,
+} GapPart;
+
 struct Director {
     char *id;
     char *failure_domain;
@@ -151,6 +161,8 @@
     uint64_t servers_logged; /* directory revision that the log holds */
     uint64_t shares_due_us;
     gboolean stopping;
+    Histogram gaps[kGapParts]; /* of unplanned changes */
+    Histogram planned;         /* planned changes as a whole */
 };
 
 /* director.c */
--- a/src/sapphireweir/fleet/handover.c
+++ b/src/sapphireweir/fleet/handover.c
@@ -152,6 +152,15 @@
     }
 }
 
+/* The parts of planned changes wait on purpose. */
+static void
+note_gap(Director *d, const PrimaryChange *h, GapPart part, uint64_t took_us)
+{
+    if (!h->planned) {
+        histogram_observe(&d->gaps[part], took_us);
+    }
+}
+
 /* The target leads: the change ends once the log says so, and nothing else
  * may be asked for meanwhile. */
 static void
@@ -161,6 +170,12 @@
         return;
     }
     log_change(d, now_us, h, "settled", h->target);
+    if (h->planned) {
+        histogram_observe(&d->planned, now_us - h->started_us);
+    }
+    else {
+        note_gap(d, h, kGapPromotion, now_us - h->since_us);
+    }
     PrimaryState next = {.database = h->database,
                          .primary = h->target,
                          .epoch = h->epoch + 1,
@@ -322,6 +337,25 @@
     return verdict;
 }
 
+/* How long the primary had failed those that saw it first. */
+static void
+note_suspicion(Director *d, const PrimaryState *p)
+{
+    GHashTableIter it;
+    void *value;
+    uint64_t longest_us = 0;
+
+    g_hash_table_iter_init(&it, d->entries);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        const EntryTrack *t = value;
+        const EntryEvidence *e = g_hash_table_lookup(t->evidence, p->database);
+        if (e != NULL && e->epoch == p->epoch) {
+            longest_us = MAX(longest_us, e->failing_us);
+        }
+    }
+    histogram_observe(&d->gaps[kGapSuspicion], longest_us);
+}
+
 static gboolean
 has_other_server(const Director *d, const PrimaryState *p)
 {
@@ -364,9 +398,11 @@
     }
     switch (judge(d, now_us, p)) {
     case kSuspectDead:
+        note_suspicion(d, p);
         change_begin(d, now_us, p, FALSE, "nobody is answered");
         break;
     case kSuspectPartitioned:
+        note_suspicion(d, p);
         change_begin(d, now_us, p, FALSE, "most are not answered");
         break;
     case kSuspectNone:
@@ -433,6 +469,7 @@
 {
     const PrimaryState *p = director_primary(d, h->database);
 
+    note_gap(d, h, kGapProbing, now_us - h->started_us);
     phase_set(h, now_us, kChangeClosing);
     log_change(d, now_us, h, "rights withdrawn", p->primary);
     if (!h->intent_proposed) {
@@ -513,6 +550,7 @@
     g_free(h->target);
     h->target = g_strdup(best);
     h->promote_us = now_us;
+    note_gap(d, h, kGapChoosing, now_us - h->ended_us);
     phase_set(h, now_us, kChangePromoting);
     log_change(d, now_us, h, "promotion asked for", best);
     d->port.promote(d->port.ctx, h->database, best,
@@ -567,6 +605,7 @@
 rights_ended(Director *d, uint64_t now_us, PrimaryChange *h)
 {
     h->ended_us = now_us;
+    note_gap(d, h, kGapClosing, now_us - h->since_us);
     if (h->planned || sync_replicas_of(d, h->database) > 0) {
         ask_replicas(d, now_us, h);
     }
--- a/src/sapphireweir/gateway/gateway.c
+++ b/src/sapphireweir/gateway/gateway.c
@@ -65,6 +65,7 @@
     g->incarnation = config->incarnation;
     /* An owner must not take this run's numbers for a former run's. */
     g->next_relay = config->incarnation;
+    g->unconfirmed_most_us = config->unconfirmed_most_us;
     g->server_drain_us = config->drain_us;
     g->decode = config->decode;
     g->events = config->events;
@@ -310,6 +311,16 @@
     cut_watch(g, now_us);
 }
 
+/* A link to another instance is there: a control instance hears at once of
+ * one that has no lease. */
+void
+gateway_peer_up(Gateway *g, uint64_t now_us, const char *peer)
+{
+    if (!g->leased && g_hash_table_contains(g->controls, peer)) {
+        g->report_due_us = now_us;
+    }
+}
+
 /* A link to another instance has broken: what it carried may be lost. */
 void
 gateway_peer_down(Gateway *g, uint64_t now_us, const char *peer)
--- a/src/sapphireweir/gateway/gateway.h
+++ b/src/sapphireweir/gateway/gateway.h
@@ -17,6 +17,9 @@
     const char *id; /* peer address */
     const char *failure_domain;
     uint64_t incarnation;
+    /* Without a confirmed configuration for so long, no keyed work begins;
+     * zero: it goes on with what is known. */
+    uint64_t unconfirmed_most_us;
     uint64_t drain_us; /* after which a leaving server may get nothing new */
     EventLog *events;  /* NULL: nothing is logged */
     /* Turns the operator's text into a document, NULL when it is invalid. */
@@ -25,11 +28,12 @@
 
 /* Why a statement was refused without having run. */
 typedef enum {
-    kRefusedOverRate, /* the team has used up its part of its rate */
-    kRefusedQueue,    /* what waits already does not drain */
-    kRefusedNoServer, /* none can be used, and none is expected in time */
-    kRefusedAttempts, /* every server tried turned it away */
-    kRefusedDeadline, /* no connection came free in time */
+    kRefusedOverRate,    /* the team has used up its part of its rate */
+    kRefusedQueue,       /* what waits already does not drain */
+    kRefusedNoServer,    /* none can be used, and none is expected in time */
+    kRefusedAttempts,    /* every server tried turned it away */
+    kRefusedDeadline,    /* no connection came free in time */
+    kRefusedUnconfirmed, /* whether the key still holds is not known */
     kRefusalReasons,
 } RefusalReason;
 
@@ -58,6 +62,7 @@
 void gateway_control_add(Gateway *g, uint64_t now_us, const char *address);
 void gateway_frame(Gateway *g, uint64_t now_us, const char *from,
                    const Sw__Frame *frame);
+void gateway_peer_up(Gateway *g, uint64_t now_us, const char *peer);
 void gateway_peer_down(Gateway *g, uint64_t now_us, const char *peer);
 gboolean gateway_probe(Gateway *g);
 void gateway_drain(Gateway *g, uint64_t now_us, uint64_t grace_us);
--- a/src/sapphireweir/gateway/gateway_control.c
+++ b/src/sapphireweir/gateway/gateway_control.c
@@ -339,6 +339,9 @@
     g->granted_sequence = m->sequence;
     g->entry_count = MAX(m->entry_count, 1);
     g->granted_us = g->sent_us[m->sequence % kReportsKept];
+    if (g->document != NULL && g->document->version >= m->document_version) {
+        g->confirmed_us = g->granted_us;
+    }
     uint64_t until_us = g->granted_us + m->lease_us;
     g->lease_until_us = MAX(g->lease_until_us, until_us);
     team_rates_grant(g, m);
--- a/src/sapphireweir/gateway/gateway_internal.h
+++ b/src/sapphireweir/gateway/gateway_internal.h
@@ -234,6 +234,8 @@
     uint64_t cut_since_us;      /* zero: not cut off */
     uint32_t unready_probes;    /* in a row that were answered so */
     uint32_t entry_count;
+    uint64_t unconfirmed_most_us; /* zero: no limit */
+    uint64_t confirmed_us; /* when the configuration was known to be current */
     uint64_t server_drain_us; /* from a server's leaving to its last work */
     uint64_t drain_us;        /* zero: not draining */
     uint64_t grace_us;
--- a/src/sapphireweir/gateway/gateway_metrics.c
+++ b/src/sapphireweir/gateway/gateway_metrics.c
@@ -54,6 +54,7 @@
         {"refused_no_server_total", n->refusals[kRefusedNoServer]},
         {"refused_attempts_total", n->refusals[kRefusedAttempts]},
         {"refused_deadline_total", n->refusals[kRefusedDeadline]},
+        {"refused_unconfirmed_total", n->refusals[kRefusedUnconfirmed]},
         {"in_doubt_total", n->in_doubt},
         {"timeouts_total", n->timeouts},
         {"replica_reads_total", n->replica_reads},
--- a/src/sapphireweir/gateway/relay.c
+++ b/src/sapphireweir/gateway/relay.c
@@ -57,7 +57,6 @@
     for (size_t i = 0; i < m->n_entries; i++) {
         const Sw__EntryRecord *r = m->entries[i];
         entry_list_add(g->entries, r->id, r->failure_domain);
-        g->port.peer_known(g->port.ctx, r->id);
     }
     g->owners_stale = TRUE;
 }
@@ -85,6 +84,9 @@
         Server *s = g_hash_table_lookup(g->servers, list[i].id);
         g_free(s->owner);
         s->owner = g_strdup(list[i].owner);
+        if (s->owner != NULL) {
+            g->port.peer_known(g->port.ctx, s->owner);
+        }
     }
     g_free(list);
 }
--- a/src/sapphireweir/gateway/serverpool.c
+++ b/src/sapphireweir/gateway/serverpool.c
@@ -133,14 +133,18 @@
 
 /* ---- expected waits ---- */
 
-/* Statements that the server gets done, in thousandths a second. */
+/* Statements that the server gets done, in thousandths a second: as was
+ * measured while work waited, but no less than half of what its slots allow.
+ * After a restart the slots are busy with handshakes for a while, which says
+ * nothing about the time after it. */
 static uint64_t
 rate_milli(const Server *s)
 {
-    if (s->done_milli_per_s != 0) {
-        return s->done_milli_per_s;
-    }
-    return (uint64_t)MAX(s->slots, 1) * 1000000000 / MAX(s->service_us, 1);
+    uint64_t allowed =
+        (uint64_t)MAX(s->slots, 1) * 1000000000 / MAX(s->service_us, 1);
+
+    return s->done_milli_per_s == 0 ? allowed
+                                    : MAX(s->done_milli_per_s, allowed / 2);
 }
 
 static uint64_t
--- a/src/sapphireweir/gateway/session.c
+++ b/src/sapphireweir/gateway/session.c
@@ -12,6 +12,7 @@
     kIdleCloseAfterUs = 2400000, /* the balancer needs two missed probes */
     kProbesNoticed = 2,          /* missed probes take an instance out */
     kRateWaitMostUs = 5000000,   /* as told to a caller */
+    kDoubtRetryUs = 1000000,     /* another instance may be connected */
 };
 
 /* Returns the team's name as backend servers are told it. */
@@ -226,6 +227,7 @@
         [kRefusedNoServer] = "no server can be used",
         [kRefusedAttempts] = "every server turned it away",
         [kRefusedDeadline] = "no connection came free",
+        [kRefusedUnconfirmed] = "its key cannot be confirmed",
     };
     char detail[96];
 
@@ -240,6 +242,15 @@
 
 /* ---- statements that need no server ---- */
 
+/* Tells whether a key may have been withdrawn without this instance having
+ * heard of it. */
+static gboolean
+key_is_doubtful(const Gateway *g, uint64_t now_us)
+{
+    return g->unconfirmed_most_us != 0 &&
+           now_us - g->confirmed_us > g->unconfirmed_most_us;
+}
+
 /* Takes an operation from the team's rate.  FALSE: the statement was
  * refused, or waits for session_admitted. */
 static gboolean
@@ -250,6 +261,10 @@
     if (s->team == NULL) {
         return TRUE;
     }
+    if (key_is_doubtful(s->gateway, now_us)) {
+        session_refuse(s, now_us, kRefusedUnconfirmed, kDoubtRetryUs);
+        return FALSE;
+    }
     switch (team_rates_take(s, now_us, &wait_us)) {
     case kRateTaken:
         s->job.charged = TRUE;
@@ -392,9 +407,13 @@
 
 /* A key that was withdrawn ends also an open transaction. */
 static gboolean
-key_still_holds(const Session *s)
+key_still_holds(const Session *s, uint64_t now_us)
 {
     const Document *present = s->gateway->document;
+
+    if (s->team != NULL && key_is_doubtful(s->gateway, now_us)) {
+        return FALSE;
+    }
     return s->document == present || s->team == NULL ||
            document_team_of_key(present, s->key) != NULL;
 }
@@ -457,7 +476,7 @@
             return;
         }
     }
-    else if (!key_still_holds(s)) {
+    else if (!key_still_holds(s, now_us)) {
         session_finish(s, now_us, kCodeNoAuth, "");
         return;
     }
--- a/test/support/fleet_world.c
+++ b/test/support/fleet_world.c
@@ -138,6 +138,7 @@
     uint64_t lag_us;
     uint64_t promote_us;
     uint32_t lose_percent;
+    uint64_t unconfirmed_most_us;
     gboolean mute;     /* members do not report */
     gboolean settling; /* no caller begins anything */
     gboolean sync;     /* a replica has each commit before it is answered */
@@ -1337,6 +1338,7 @@
     GatewayConfig config = {.id = id,
                             .failure_domain = kDomainNames[i % kWorldDomains],
                             .incarnation = random_of(w),
+                            .unconfirmed_most_us = w->unconfirmed_most_us,
                             .drain_us = kDrainMs * kMs,
                             .decode = decode};
     GatewayPort port = {.ctx = e,
@@ -1636,6 +1638,17 @@
     m->draining_us = w->now_us;
 }
 
+/* Restarts all entry instances so that they refuse keyed work when they
+ * have not heard of the configuration for so long. */
+void
+world_entries_strict(World *w, uint64_t unconfirmed_most_ms)
+{
+    w->unconfirmed_most_us = unconfirmed_most_ms * kMs;
+    for (uint32_t i = 0; i < kWorldEntries; i++) {
+        world_entry_restart(w, i);
+    }
+}
+
 /* Stops the members' reports or lets them go on. */
 void
 world_members_mute(World *w, gboolean mute)
--- a/test/unit/test_fleet_world.c
+++ b/test/unit/test_fleet_world.c
@@ -408,6 +408,37 @@
     world_free(w);
 }
 
+/* With all control instances gone nobody can know of a withdrawn key: a
+ * setting says whether work goes on. */
+static void
+an_unconfirmed_key_stops_where_it_must(void)
+{
+    static const struct {
+        uint64_t strict_ms;
+        gboolean serves;
+    } cases[] = {{0, TRUE}, {700, FALSE}};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        World *w = world_new(11);
+        world_entries_strict(w, cases[i].strict_ms);
+        world_run(w, 3000);
+        CU_ASSERT(world_end(w)->served > 100);
+        for (uint32_t k = 0; k < kWorldDomains; k++) {
+            world_control_power(w, k, FALSE);
+        }
+        world_run(w, 900);
+        uint64_t before = world_end(w)->served;
+        world_run(w, 500);
+        CU_ASSERT_EQUAL(world_end(w)->served > before, cases[i].serves);
+        for (uint32_t k = 0; k < kWorldDomains; k++) {
+            world_control_power(w, k, TRUE);
+        }
+        world_run(w, 3000);
+        CU_ASSERT(world_end(w)->served > before + 100);
+        world_free(w);
+    }
+}
+
 static void
 a_team_gets_its_rate_and_no_more(void)
 {
@@ -458,6 +489,8 @@
     CU_add_test(s, "promises hold under faults", promises_hold_under_faults);
     CU_add_test(s, "a withdrawn key stops working",
                 a_withdrawn_key_stops_working);
+    CU_add_test(s, "an unconfirmed key stops where it must",
+                an_unconfirmed_key_stops_where_it_must);
     CU_add_test(s, "rates hold while instances are cut off",
                 rates_hold_while_instances_are_cut_off);
     CU_add_test(s, "a team gets its rate and no more",
