Soak the real programs, serve many teams in the world, let failures grow old

Change: a failure without another attempt for 0.9 s is no evidence. The world's members have slots; 'few connections serve many teams' compares pool owners with the naive twin. test/soak runs the real programs under faults that a seed draws; make test runs seed 1 for six seconds.

--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,8 @@
 BUILD ?= build
 SEED ?= 1
 
-.PHONY: all deps build run test unit platform functional lint format sanitize soak \
-	bench capacity fuzz clean
+.PHONY: all deps build run test unit platform functional fault-soak \
+	fault-soak-short lint format sanitize soak bench capacity fuzz clean
 
 all: build
 
@@ -16,7 +16,7 @@
 run: deps build
 	./scripts/demo.sh --build "$(abspath $(BUILD))"
 
-test: deps build unit platform functional
+test: deps build unit platform fault-soak-short functional
 
 unit: build
 	./$(BUILD)/test/unit_tests
@@ -24,6 +24,13 @@
 platform: build
 	./$(BUILD)/test/platform_tests
 
+# The real programs under drawn faults: make fault-soak SEED=100 MINUTES=10
+fault-soak: build
+	./scripts/fault_soak.sh $(BUILD) $(SEED) $(or $(MINUTES),5)
+
+fault-soak-short: build
+	./$(BUILD)/test/fault_soak 1 6
+
 functional: build
 	./$(BUILD)/test/functional_tests
 
--- a/src/sapphireweir/gateway/gateway_internal.h
+++ b/src/sapphireweir/gateway/gateway_internal.h
@@ -44,6 +44,7 @@
     uint64_t done_milli_per_s; /* while work waited; zero: none did */
     uint64_t answered_us;      /* when it last answered anything */
     uint64_t failing_since_us; /* zero: no failure since its last answer */
+    uint64_t failed_us;        /* when it failed last */
     gboolean failure_told;     /* that failure was reported at once */
     uint64_t avoid_until_us;   /* after a failure to connect */
     uint64_t full_until_us;    /* it refused a connection as one too many */
--- a/src/sapphireweir/gateway/gateway_report.c
+++ b/src/sapphireweir/gateway/gateway_report.c
@@ -7,6 +7,9 @@
 
 enum {
     kAnsweredRecentlyUs = 700000,
+    /* A failure without a further attempt says nothing after that: a
+     * connection's patience, a pause and another report. */
+    kFailureUs = 900000,
     kLeaderHeardUs = 600000, /* two reports and an answer */
 };
 
@@ -47,7 +50,7 @@
     if (s == NULL) {
         return;
     }
-    if (s->failing_since_us != 0) {
+    if (s->failing_since_us != 0 && now_us - s->failed_us < kFailureUs) {
         e->failing_us = now_us - s->failing_since_us;
     }
     if (s->answered_us != 0 && now_us - s->answered_us < kAnsweredRecentlyUs) {
--- a/src/sapphireweir/gateway/server.c
+++ b/src/sapphireweir/gateway/server.c
@@ -33,6 +33,7 @@
 void
 server_failed(Server *s, uint64_t now_us, gboolean opening)
 {
+    s->failed_us = now_us;
     if (s->failing_since_us == 0) {
         s->failing_since_us = now_us;
     }
@@ -60,8 +61,11 @@
 server_watch_silence(Server *s, uint64_t now_us, uint64_t sent_us)
 {
     if (sent_us != 0 && now_us - sent_us > kSilentUs &&
-        s->answered_us < sent_us && s->failing_since_us == 0) {
-        s->failing_since_us = sent_us;
+        s->answered_us < sent_us) {
+        s->failed_us = now_us;
+        if (s->failing_since_us == 0) {
+            s->failing_since_us = sent_us;
+        }
     }
     if (s->failing_since_us != 0 && !s->failure_told &&
         now_us - s->failing_since_us > kReportSilenceUs) {
--- a/test/platform/emulator.c
+++ b/test/platform/emulator.c
@@ -733,6 +733,55 @@
     return e->entry_pids[i];
 }
 
+static pid_t *
+pid_slot(Emulator *e, uint32_t program)
+{
+    return program < kEmulatorEntries
+               ? &e->entry_pids[program]
+               : &e->control_pids[program - kEmulatorEntries];
+}
+
+/* Returns a program's process, zero when it does not run. */
+pid_t
+emulator_pid(const Emulator *e, uint32_t program)
+{
+    return *pid_slot((Emulator *)e, program);
+}
+
+/* Kills a program; what it has on disk stays. */
+void
+emulator_program_kill(Emulator *e, uint32_t program)
+{
+    pid_t *pid = pid_slot(e, program);
+
+    end_process(*pid);
+    *pid = 0;
+}
+
+/* Starts a program that was killed or has ended, with its disk. */
+void
+emulator_program_start(Emulator *e, uint32_t program)
+{
+    gboolean entry = program < kEmulatorEntries;
+    char *boot = g_strdup_printf("%s/%s-%u.json", e->folder,
+                                 entry ? "entry" : "control",
+                                 entry ? program : program - kEmulatorEntries);
+    char *text = NULL;
+
+    if (g_file_get_contents(boot, &text, NULL, NULL)) {
+        char *first = strstr(text, "\"bootstrap\":true");
+        if (first != NULL) {
+            memcpy(first, "\"bootstrap\":null", strlen("\"bootstrap\":true"));
+            g_file_set_contents(boot, text, -1, NULL);
+        }
+        g_free(text);
+    }
+    *pid_slot(e, program) = launch(entry ? "sapphireweir-platform-entry"
+                                         : "sapphireweir-platform-control",
+                                   boot);
+    g_free(boot);
+}
+
 /* Tells whether a process has ended by itself; it is then forgotten. */
 gboolean
 emulator_ended(Emulator *e, pid_t pid, int *exit_code)
@@ -826,6 +875,13 @@
     return e->promotions;
 }
 
+/* Tells whether a member runs. */
+gboolean
+emulator_member_up(const Emulator *e, uint32_t i)
+{
+    return e->members[i].up;
+}
+
 /* Returns how often a datum was committed. */
 uint32_t
 emulator_written(const Emulator *e, const char *data)
--- a/test/platform/emulator.h
+++ b/test/platform/emulator.h
@@ -37,6 +37,11 @@
                                 gboolean with_key);
 const char *emulator_control(const Emulator *e, uint32_t i);
 const char *emulator_probe(const Emulator *e, uint32_t i);
+/* One of the programs: entry instances first, then control instances. */
+enum { kEmulatorPrograms = kEmulatorEntries + kEmulatorControls };
+pid_t emulator_pid(const Emulator *e, uint32_t program);
+void emulator_program_kill(Emulator *e, uint32_t program);
+void emulator_program_start(Emulator *e, uint32_t program);
 pid_t emulator_entry_pid(const Emulator *e, uint32_t i);
 gboolean emulator_ended(Emulator *e, pid_t pid, int *exit_code);
 
@@ -45,6 +50,7 @@
 void emulator_member_drain(Emulator *e, uint32_t i);
 void emulator_lose_next_answer(Emulator *e);
 uint32_t emulator_promotions(const Emulator *e);
+gboolean emulator_member_up(const Emulator *e, uint32_t i);
 uint32_t emulator_written(const Emulator *e, const char *data);
 uint32_t emulator_open_transactions(const Emulator *e);
 uint32_t emulator_after_drain(const Emulator *e);
--- a/test/support/fleet_world.c
+++ b/test/support/fleet_world.c
@@ -14,6 +14,8 @@
     kBeatUs = 400000,
     kTimeoutMs = 800,
     kMaxConnections = 24,
+    kSlots = 3,
+    kSlotsMost = 8,
     kRateWindowMs = 5000,
     kRateSlack = 20,
     kStaleMs = 1500,
@@ -46,6 +48,7 @@
     uint64_t sequence;
     GArray *log; /* LogEntry */
     uint32_t connections;
+    uint64_t slot_free_us[kSlotsMost];
     uint64_t replaced_us; /* when another was promoted, zero: never */
 } Member;
 
@@ -139,9 +142,13 @@
     uint64_t promote_us;
     uint32_t lose_percent;
     uint64_t unconfirmed_most_us;
-    gboolean mute;     /* members do not report */
-    gboolean settling; /* no caller begins anything */
-    gboolean sync;     /* a replica has each commit before it is answered */
+    gboolean mute; /* members do not report */
+    gboolean entries_apart;
+    uint32_t teams;
+    uint32_t max_connections; /* of a member */
+    uint32_t slots;           /* of a member */
+    gboolean settling;        /* no caller begins anything */
+    gboolean sync; /* a replica has each commit before it is answered */
     uint64_t gap_us;
     uint64_t version;
     uint64_t acked_version;
@@ -414,12 +421,26 @@
     return kCodeNone;
 }
 
+/* A statement runs on a connection of the team whose caller sent it. */
+static void
+check_team(World *w, const Link *l)
+{
+    const char *who = g_hash_table_lookup(l->values, "who");
+    char team[24];
+    unsigned index;
+
+    if (l->owner == NULL || who == NULL ||
+        sscanf(who, "caller-%u", &index) != 1) {
+        return;
+    }
+    g_snprintf(team, sizeof(team), "%s-%u", kTeam, index % w->teams);
+    w->report.foreign += strcmp(l->team, team) != 0;
+}
+
 static AnswerCode
 run_statement(World *w, Link *l, const char *text)
 {
-    if (l->owner != NULL && strcmp(l->team, kTeam) != 0) {
-        w->report.foreign++;
-    }
+    check_team(w, l);
     if (!l->in_transaction || l->statements++ == 0) {
         g_array_append_val(w->runs, w->now_us);
     }
@@ -523,6 +544,22 @@
     command_free(c);
 }
 
+/* Takes the slot that is free first for a piece of work that comes at a time;
+ * returns when it is done. */
+static uint64_t
+slot_take(const World *w, Member *m, uint64_t from_us, uint64_t work_us)
+{
+    uint32_t best = 0;
+
+    for (uint32_t i = 1; i < w->slots; i++) {
+        if (m->slot_free_us[i] < m->slot_free_us[best]) {
+            best = i;
+        }
+    }
+    m->slot_free_us[best] = MAX(m->slot_free_us[best], from_us) + work_us;
+    return m->slot_free_us[best];
+}
+
 /* ---- the gateways' port ---- */
 
 static void
@@ -542,7 +579,7 @@
         l->events->down(l->owner, w->now_us, kCodeTimeout);
         return;
     }
-    if (l->member->connections > kMaxConnections) {
+    if (l->member->connections > w->max_connections) {
         l->events->down(l->owner, w->now_us, kCodeTooMany);
         return;
     }
@@ -581,7 +618,9 @@
     l->values = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     l->member->connections++;
     g_ptr_array_add(e->w->links, l);
-    later(e->w, kLinkUs + kHandshakeUs, link_opened, l);
+    uint64_t welcome_us =
+        slot_take(e->w, l->member, e->w->now_us + kLinkUs, kHandshakeUs);
+    later(e->w, welcome_us - e->w->now_us, link_opened, l);
     return l;
 }
 
@@ -598,9 +637,11 @@
     }
     for (size_t i = 0; i < count; i++) {
         Command *c = g_new0(Command, 1);
-        uint64_t cost_us = commands[i].kind == kCommandStatement ? kWorkUs : 0;
-        l->busy_until_us =
-            MAX(l->busy_until_us, w->now_us + kLinkUs) + cost_us;
+        l->busy_until_us = MAX(l->busy_until_us, w->now_us + kLinkUs);
+        if (commands[i].kind == kCommandStatement) {
+            l->busy_until_us =
+                slot_take(w, l->member, l->busy_until_us, kWorkUs);
+        }
         *c = (Command){.link = l,
                        .kind = commands[i].kind,
                        .text = g_strdup(commands[i].text),
@@ -721,6 +762,9 @@
 port_peer_ready(void *ctx, const char *address)
 {
     const Entry *e = ctx;
+    if (e->w->entries_apart && address[0] == 'e') {
+        return FALSE;
+    }
     return reachable(e->w, e->index % kWorldDomains, domain_of(address));
 }
 
@@ -930,7 +974,7 @@
     director_promoted(c->director, c->w->now_us, database, server, 200);
 }
 
-/* The documents of this world: "version rate key sync". */
+/* The documents of this world: "version rate key sync teams connections". */
 static Document *
 decode(const uint8_t *text, size_t bytes)
 {
@@ -938,26 +982,31 @@
     unsigned rate;
     unsigned with_key;
     unsigned sync;
+    unsigned teams;
+    unsigned connections;
     char copy[64];
 
     g_strlcpy(copy, (const char *)text, MIN(bytes + 1, sizeof(copy)));
-    if (sscanf(copy, "%lu %u %u %u", &version, &rate, &with_key, &sync) != 4) {
+    if (sscanf(copy, "%lu %u %u %u %u %u", &version, &rate, &with_key, &sync,
+               &teams, &connections) != 6) {
         return NULL;
     }
     Document *d = document_new(version);
     d->transaction_idle_us = 3000 * kMs;
-    DocumentTeam *t = g_new0(DocumentTeam, 1);
-    t->name = g_strdup(kTeam);
-    t->rate_milli_per_s = (uint64_t)rate * 1000;
-    t->burst_milli = (uint64_t)rate * 1000;
-    g_hash_table_insert(d->teams, t->name, t);
-    if (with_key != 0) {
-        g_hash_table_insert(d->keys, g_strdup(kKey), t);
+    for (unsigned i = 0; i < teams; i++) {
+        DocumentTeam *t = g_new0(DocumentTeam, 1);
+        t->name = g_strdup_printf("%s-%u", kTeam, i);
+        t->rate_milli_per_s = (uint64_t)rate * 1000;
+        t->burst_milli = (uint64_t)rate * 1000;
+        g_hash_table_insert(d->teams, t->name, t);
+        if (with_key != 0) {
+            g_hash_table_insert(d->keys, g_strdup_printf("%s-%u", kKey, i), t);
+        }
     }
     for (uint32_t i = 0; i < kWorldDatabases; i++) {
         DocumentDatabase *b = g_new0(DocumentDatabase, 1);
         b->name = g_strdup(kDatabaseNames[i]);
-        b->max_connections = kMaxConnections;
+        b->max_connections = connections;
         b->sync_replicas = sync;
         g_hash_table_insert(d->databases, b->name, b);
         DocumentRoute *r = g_new0(DocumentRoute, 1);
@@ -1204,10 +1253,13 @@
 open_session(World *w, Caller *c)
 {
     AnswerCode code;
+    char key[32];
+
+    g_snprintf(key, sizeof(key), "%s-%u", kKey, c->index % w->teams);
     c->entry = (c->entry + 1) % kWorldEntries;
     c->session =
         session_open(w->entries[c->entry].gateway, w->now_us, c,
-                     kDatabaseNames[c->index % kWorldDatabases], kKey, &code);
+                     kDatabaseNames[c->index % kWorldDatabases], key, &code);
     w->report.no_auth += code == kCodeNoAuth;
     if (c->session != NULL) {
         /* Not active: the answer to SET is not an operation's. */
@@ -1276,7 +1328,7 @@
         r.primary = m->primary;
         r.born_ms = 1;
         r.sequence = ++m->sequence;
-        r.slots = 3;
+        r.slots = w->slots;
         for (uint32_t i = 0; i < kWorldDomains; i++) {
             Control *c = &w->controls[(i + m->sequence) % kWorldDomains];
             if (c->director != NULL && reachable(w, c->index, m->domain)) {
@@ -1314,8 +1366,9 @@
     w->version += 3;
     w->rate = rate;
     w->with_key = with_key;
-    g_snprintf(text, sizeof(text), "%" G_GUINT64_FORMAT " %u %d %d",
-               w->version, rate, with_key, w->sync);
+    g_snprintf(text, sizeof(text), "%" G_GUINT64_FORMAT " %u %d %d %u %u",
+               w->version, rate, with_key, w->sync, w->teams,
+               w->max_connections);
     if (w->document != NULL) {
         g_bytes_unref(w->document);
     }
@@ -1391,6 +1444,9 @@
     w->runs = g_array_new(FALSE, FALSE, sizeof(uint64_t));
     w->writes =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+    w->teams = 1;
+    w->max_connections = kMaxConnections;
+    w->slots = kSlots;
     w->lag_us = 60 * kMs;
     w->gap_us = 400 * kMs;
     w->promote_us = 600 * kMs;
@@ -1649,6 +1705,34 @@
     }
 }
 
+/* Lets many teams share few connections and slots of each member. */
+void
+world_teams(World *w, uint32_t teams, uint32_t max_connections, uint32_t slots)
+{
+    w->teams = teams;
+    w->slots = MIN(slots, (uint32_t)kSlotsMost);
+    w->max_connections = max_connections;
+    world_configure(w, w->rate, w->with_key);
+    world_run(w, 500);
+    for (uint32_t i = 0; i < kWorldEntries; i++) {
+        world_entry_restart(w, i);
+    }
+}
+
+/* Breaks all links between entry instances, or lets them be. */
+void
+world_entries_apart(World *w, gboolean apart)
+{
+    w->entries_apart = apart;
+}
+
+/* Returns how many connections were opened to members. */
+uint32_t
+world_connections_opened(const World *w)
+{
+    return w->links->len;
+}
+
 /* Stops the members' reports or lets them go on. */
 void
 world_members_mute(World *w, gboolean mute)
--- a/test/support/fleet_world.h
+++ b/test/support/fleet_world.h
@@ -69,6 +69,10 @@
 uint32_t world_most_in_window(const World *w);
 void world_forget_runs(World *w);
 void world_entries_strict(World *w, uint64_t unconfirmed_most_ms);
+void world_teams(World *w, uint32_t teams, uint32_t max_connections,
+                 uint32_t slots);
+void world_entries_apart(World *w, gboolean apart);
+uint32_t world_connections_opened(const World *w);
 void world_members_mute(World *w, gboolean mute);
 void world_load(World *w, uint64_t gap_ms);
 
--- a/test/unit/test_fleet_world.c
+++ b/test/unit/test_fleet_world.c
@@ -439,6 +439,42 @@
     }
 }
 
+/* Four teams before members that grant six connections to six instances and
+ * work on one statement at a time: owners against the naive twin, in which
+ * each instance opens its own.  A handshake of 12 ms takes the slot from a
+ * statement of 9 ms, so what is saved of them must show in what is served. */
+static void
+few_connections_serve_many_teams(void)
+{
+    enum { kTeams = 4, kConnections = 6, kSlots = 1 };
+    for (uint32_t seed = 1; seed <= 4; seed++) {
+        uint32_t opened[2];
+        uint64_t served[2];
+        for (int apart = 0; apart < 2; apart++) {
+            World *w = world_new(seed);
+            world_entries_apart(w, apart != 0);
+            world_load(w, 40);
+            world_teams(w, kTeams, kConnections, kSlots);
+            world_run(w, 2000);
+            uint32_t before = world_connections_opened(w);
+            uint64_t served_before = world_end(w)->served;
+            world_run(w, 8000);
+            opened[apart] = world_connections_opened(w) - before;
+            served[apart] = world_end(w)->served - served_before;
+            CU_ASSERT_EQUAL(world_end(w)->foreign, 0);
+            CU_ASSERT_EQUAL(world_end(w)->wrong_state, 0);
+            world_free(w);
+        }
+        if (served[0] <= served[1] || opened[0] >= opened[1]) {
+            g_print("\nseed %u: %lu served with %u connections opened, %lu "
+                    "with %u\n",
+                    seed, served[0], opened[0], served[1], opened[1]);
+        }
+        CU_ASSERT(served[0] > served[1]);
+        CU_ASSERT(opened[0] < opened[1]);
+    }
+}
+
 static void
 a_team_gets_its_rate_and_no_more(void)
 {
@@ -491,6 +527,8 @@
                 a_withdrawn_key_stops_working);
     CU_add_test(s, "an unconfirmed key stops where it must",
                 an_unconfirmed_key_stops_where_it_must);
+    CU_add_test(s, "few connections serve many teams",
+                few_connections_serve_many_teams);
     CU_add_test(s, "rates hold while instances are cut off",
                 rates_hold_while_instances_are_cut_off);
     CU_add_test(s, "a team gets its rate and no more",
