Go back to a primary that holds what no replica has

Change: replicas that went during a primary's reign count as not asked for 30 s; the old primary is asked, too, and where it is back it goes on under the next epoch, as it holds everything.

--- a/src/sapphireweir/fleet/handover.c
+++ b/src/sapphireweir/fleet/handover.c
@@ -24,6 +24,7 @@
     kSettleAgainUs = 500000,   /* a proposal that does not commit */
     kPromoteRetryUs = 150000,  /* one that was refused or not answered */
     kRoleUs = 300000,          /* a report of a role is old after */
+    kGoneCountsUs = 30000000,  /* several times a server's drain */
     kStatusOk = 200,
     kStatusConflict = 409,
 };
@@ -121,8 +122,9 @@
     g_hash_table_iter_init(&it, d->directory.servers);
     while (g_hash_table_iter_next(&it, NULL, &value)) {
         const DirectoryServer *s = value;
-        gboolean before = !s->gone && strcmp(s->id, p->primary) == 0 &&
-                          (h->planned || h->phase == kChangeProbing);
+        gboolean before =
+            !s->gone && strcmp(s->id, p->primary) == 0 &&
+            (leaving_too || h->planned || h->phase == kChangeProbing);
         gboolean replica =
             is_replica(h, s, p) && (!s->draining || leaving_too);
         if (replica || before) {
@@ -146,7 +148,7 @@
     const PrimaryState *p = director_primary(d, h->database);
     const DirectoryServer *old = directory_find(&d->directory, p->primary);
 
-    if (old != NULL && !old->gone) {
+    if (old != NULL && !old->gone && strcmp(old->id, h->target) != 0) {
         d->port.step_down(d->port.ctx, old->id, old->database, old->address,
                           h->target_term);
     }
@@ -204,7 +206,13 @@
         return;
     }
     if (strcmp(server, p->primary) == 0) {
-        h->before = (Candidate){TRUE, status->log, status->asked_us};
+        h->before =
+            (Candidate){status->primary, status->log, status->asked_us};
+        if (h->phase == kChangePromoting && status->primary &&
+            g_strcmp0(server, h->target) == 0) {
+            h->target_term = status->term;
+            settle(d, now_us, h);
+        }
         return;
     }
     Candidate *c = g_hash_table_lookup(h->candidates, server);
@@ -249,9 +257,22 @@
     return TRUE;
 }
 
-/* Returns the replica that is to lead next, NULL while none may. */
+/* Tells whether a replica that has gone may have been the only one that had
+ * an acknowledged commit. */
+static gboolean
+gone_counts(const DirectoryServer *s, uint64_t now_us, const PrimaryChange *h,
+            const PrimaryState *p)
+{
+    return s->gone && strcmp(s->database, h->database) == 0 &&
+           strcmp(s->id, p->primary) != 0 && s->heard_us > p->settled_us &&
+           now_us - s->heard_us < kGoneCountsUs;
+}
+
+/* Returns the server that is to lead next, NULL while none may.  Where
+ * replicas take part in acknowledgements, a primary that is back holds more
+ * than any of them. */
 static const char *
-next_primary(const Director *d, const PrimaryChange *h)
+next_primary(const Director *d, uint64_t now_us, const PrimaryChange *h)
 {
     const PrimaryState *p = director_primary(d, h->database);
     guint most = g_hash_table_size(d->directory.servers);
@@ -262,19 +283,25 @@
     void *value;
     size_t count = 0;
 
+    if (need.sync_replicas > 0 && !h->planned && h->before.answered &&
+        h->ended_us != 0 && h->before.asked_us >= h->ended_us) {
+        g_free(names);
+        g_free(replicas);
+        return p->primary;
+    }
     need.known = newest_acknowledged(d, h, &need.acknowledged);
     g_hash_table_iter_init(&it, d->directory.servers);
     while (g_hash_table_iter_next(&it, NULL, &value)) {
         const DirectoryServer *s = value;
         const Candidate *c = g_hash_table_lookup(h->candidates, s->id);
-        if (!is_replica(h, s, p)) {
+        if (!is_replica(h, s, p) && !gone_counts(s, now_us, h, p)) {
             continue;
         }
         names[count] = s->id;
         replicas[count++] = (SuccessionReplica){
-            .answered = c != NULL,
-            .final =
-                c != NULL && h->ended_us != 0 && c->asked_us >= h->ended_us,
+            .answered = c != NULL && !s->gone,
+            .final = c != NULL && !s->gone && h->ended_us != 0 &&
+                     c->asked_us >= h->ended_us,
             .barred = g_strcmp0(s->id, h->refused) == 0 ||
                       (h->planned && s->draining),
             .log = c == NULL ? (Position){0} : c->log,
@@ -534,7 +561,7 @@
 static void
 promote(Director *d, uint64_t now_us, PrimaryChange *h)
 {
-    const char *best = next_primary(d, h);
+    const char *best = next_primary(d, now_us, h);
 
     if (best == NULL) {
         g_clear_pointer(&h->refused, g_free);
@@ -562,7 +589,7 @@
 static gboolean
 replica_caught_up(Director *d, uint64_t now_us, PrimaryChange *h)
 {
-    const char *best = next_primary(d, h);
+    const char *best = next_primary(d, now_us, h);
     const Candidate *held =
         best == NULL ? NULL : g_hash_table_lookup(h->candidates, best);
 
--- a/test/soak/soak.c
+++ b/test/soak/soak.c
@@ -182,8 +182,7 @@
 static void
 stranger(Soak *s)
 {
-    EmulatorCaller *c =
-        caller_connect(s->emulator, draw(s, kEmulatorEntries));
+    EmulatorCaller *c = caller_connect(s->emulator, draw(s, kEmulatorEntries));
     const char *answer = caller_ask(c, "STARTUP shop key-of-nobody");
 
     if (strstr(answer, "READY ") != NULL) {
@@ -263,8 +262,8 @@
 repair_later(Soak *s, uint32_t what, gboolean member, gboolean paused)
 {
     Repair *r = g_new(Repair, 1);
-    *r = (Repair){g_get_monotonic_time() + 200000 + draw(s, 1800) * 1000,
-                  what, member, paused};
+    *r = (Repair){g_get_monotonic_time() + 200000 + draw(s, 1800) * 1000, what,
+                  member, paused};
     g_ptr_array_add(s->repairs, r);
 }
 
--- a/test/unit/test_fleet_world.c
+++ b/test/unit/test_fleet_world.c
@@ -295,6 +295,28 @@
     world_run(w, 3000);
 }
 
+/* The replica that had each commit stays away, but the primary comes back:
+ * it goes on, since the other replica lacks what was acknowledged. */
+static void
+acknowledging_replica_lost(World *w)
+{
+    uint32_t primary = (uint32_t)world_primary(w, 0);
+    uint32_t deaf = (primary + 1) % kWorldMembers;
+    uint32_t holder = (primary + 2) % kWorldMembers;
+
+    world_acknowledge_by_replica(w);
+    world_load(w, 60);
+    world_run(w, 1000);
+    world_member_deaf(w, 0, deaf, TRUE);
+    world_run(w, 1500);
+    world_member_power(w, 0, holder, FALSE, TRUE);
+    world_member_power(w, 0, primary, FALSE, TRUE);
+    world_run(w, 3000);
+    world_member_deaf(w, 0, deaf, FALSE);
+    world_member_power(w, 0, primary, TRUE, FALSE);
+    world_run(w, 4000);
+}
+
 /* The other replica died long ago and never comes back: what the primary
  * acknowledged since is known, and the one that is left holds it. */
 static void
@@ -351,6 +373,7 @@
         {"two changes", two_changes_in_a_row, 60, 7000, 2, 3, FALSE},
         {"primary leaves alone", primary_leaves_alone, 40, 7000, 0, 0, TRUE},
         {"replica away", acknowledging_replica_away, 40, 7000, 1, 1, TRUE},
+        {"replica lost", acknowledging_replica_lost, 60, 7000, 0, 0, TRUE},
         {"replica alone", acknowledging_replica_alone, 40, 7000, 2, 2, TRUE},
     };
     for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
