--- a/src/sapphireweir/core/histogram.c
+++ b/src/sapphireweir/core/histogram.c
@@ -56,6 +56,14 @@
     return h->count == 0 ? 0 : bucket_limit(kHistogramBuckets - 1);
 }
 
+/* Appends a number in the text exposition format. */
+void
+counter_write_text(const char *name, uint64_t value, GString *out)
+{
+    g_string_append_printf(out, "sapphireweir_%s %" G_GUINT64_FORMAT "\n",
+                           name, value);
+}
+
 /* Appends a histogram in the text exposition format. */
 void
 histogram_write_text(const Histogram *h, const char *name, GString *out)
--- a/src/sapphireweir/core/histogram.h
+++ b/src/sapphireweir/core/histogram.h
@@ -15,6 +15,7 @@
 
 void histogram_observe(Histogram *h, uint64_t value_us);
 uint64_t histogram_quantile(const Histogram *h, double quantile);
+void counter_write_text(const char *name, uint64_t value, GString *out);
 void histogram_write_text(const Histogram *h, const char *name, GString *out);
 
 #endif
--- a/src/sapphireweir/fleet/director_internal.h
+++ b/src/sapphireweir/fleet/director_internal.h
@@ -147,7 +147,6 @@
     GHashTable *shares;  /* team -> GHashTable of entry -> share */
     GQueue requests;     /* OperatorRequest, owned */
     uint64_t next_request;
-    uint64_t last_proposal_index;
     uint64_t grant_revision;
     gboolean announced;    /* as a leader whose state is whole */
     uint64_t led_since_us; /* zero: does not lead */
@@ -217,6 +216,13 @@
 void members_join(Director *d, uint64_t now_us, const char *from,
                   const Sw__JoinRequest *m);
 
+/* handover_choice.c */
+uint32_t handover_sync_replicas(const Director *d, const char *database);
+gboolean handover_is_replica(const PrimaryChange *h, const DirectoryServer *s,
+                             const PrimaryState *p);
+const char *handover_next_primary(const Director *d, uint64_t now_us,
+                                  const PrimaryChange *h);
+
 /* handover.c */
 void primary_change_free(void *change);
 void handover_tick(Director *d, uint64_t now_us);
--- a/src/sapphireweir/fleet/director_metrics.c
+++ b/src/sapphireweir/fleet/director_metrics.c
@@ -2,13 +2,6 @@
 
 /* The counters of a control instance in the text format of metrics. */
 
-static void
-write_number(GString *out, const char *name, uint64_t value)
-{
-    g_string_append_printf(out, "sapphireweir_%s %" G_GUINT64_FORMAT "\n",
-                           name, value);
-}
-
 /* Appends all numbers and histograms. */
 void
 director_metrics_write(const Director *d, GString *out)
@@ -23,14 +16,17 @@
     uint64_t last = consensus_last_index(d->consensus);
     uint64_t committed = consensus_commit_index(d->consensus);
 
-    write_number(out, "leads", director_leads(d));
-    write_number(out, "log_index", committed);
-    write_number(out, "log_uncommitted", last - MIN(committed, last));
-    write_number(out, "configuration_version", d->document_version);
-    write_number(out, "control_voters", consensus_voter_count(d->consensus));
-    write_number(out, "entries", g_hash_table_size(d->entries));
-    write_number(out, "servers", g_hash_table_size(d->directory.servers));
-    write_number(out, "changes_under_way", g_hash_table_size(d->changes));
+    counter_write_text("leads", director_leads(d), out);
+    counter_write_text("log_index", committed, out);
+    counter_write_text("log_uncommitted", last - MIN(committed, last), out);
+    counter_write_text("configuration_version", d->document_version, out);
+    counter_write_text("control_voters", consensus_voter_count(d->consensus),
+                       out);
+    counter_write_text("entries", g_hash_table_size(d->entries), out);
+    counter_write_text("servers", g_hash_table_size(d->directory.servers),
+                       out);
+    counter_write_text("changes_under_way", g_hash_table_size(d->changes),
+                       out);
     for (int i = 0; i < kGapParts; i++) {
         histogram_write_text(&d->gaps[i], parts[i], out);
     }
--- a/src/sapphireweir/fleet/handover.c
+++ b/src/sapphireweir/fleet/handover.c
@@ -1,7 +1,6 @@
 #include <string.h>
 
 #include "fleet/director_internal.h"
-#include "fleet/succession.h"
 #include "fleet/suspect.h"
 
 /* Changes of a database's primary.  The leader asks the replicas first,
@@ -24,7 +23,6 @@
     kSettleAgainUs = 500000,   /* a proposal that does not commit */
     kPromoteRetryUs = 150000,  /* one that was refused or not answered */
     kRoleUs = 300000,          /* a report of a role is old after */
-    kGoneCountsUs = 30000000,  /* several times a server's drain */
     kStatusOk = 200,
     kStatusConflict = 409,
 };
@@ -91,30 +89,14 @@
 
 /* ---- asking backend servers ---- */
 
-/* Returns how many replicas have a commit before it is acknowledged. */
-static uint32_t
-sync_replicas_of(const Director *d, const char *database)
-{
-    const DocumentDatabase *found =
-        d->decoded == NULL ? NULL : document_database(d->decoded, database);
-    return found == NULL ? 0 : found->sync_replicas;
-}
-
-static gboolean
-is_replica(const PrimaryChange *h, const DirectoryServer *s,
-           const PrimaryState *p)
-{
-    return !s->gone && strcmp(s->database, h->database) == 0 &&
-           strcmp(s->id, p->primary) != 0;
-}
-
 /* Asks the replicas for their logs, and the primary as long as it may still
  * be of use. */
 static void
 ask_replicas(Director *d, uint64_t now_us, PrimaryChange *h)
 {
     const PrimaryState *p = director_primary(d, h->database);
-    gboolean leaving_too = !h->planned || sync_replicas_of(d, h->database) > 0;
+    gboolean leaving_too =
+        !h->planned || handover_sync_replicas(d, h->database) > 0;
     GHashTableIter it;
     void *value;
 
@@ -126,7 +108,7 @@
             !s->gone && strcmp(s->id, p->primary) == 0 &&
             (leaving_too || h->planned || h->phase == kChangeProbing);
         gboolean replica =
-            is_replica(h, s, p) && (!s->draining || leaving_too);
+            handover_is_replica(h, s, p) && (!s->draining || leaving_too);
         if (replica || before) {
             d->port.status_ask(d->port.ctx, s->id, s->database, s->address);
         }
@@ -230,90 +212,6 @@
     }
 }
 
-/* Finds the newest commit that callers were told of.  FALSE: an instance
- * that may have told of a newer one has not said so. */
-static gboolean
-newest_acknowledged(const Director *d, const PrimaryChange *h, Position *out)
-{
-    const PrimaryState *p = director_primary(d, h->database);
-    GHashTableIter it;
-    void *value;
-
-    *out = (Position){0};
-    if (d->forgot_us >= p->settled_us) {
-        return FALSE;
-    }
-    g_hash_table_iter_init(&it, d->entries);
-    while (g_hash_table_iter_next(&it, NULL, &value)) {
-        const EntryTrack *t = value;
-        const EntryEvidence *e = g_hash_table_lookup(t->evidence, h->database);
-        if (e == NULL || e->released_epoch < h->epoch) {
-            return FALSE;
-        }
-        if (position_compare(e->acknowledged, *out) > 0) {
-            *out = e->acknowledged;
-        }
-    }
-    return TRUE;
-}
-
-/* Tells whether a replica that has gone may have been the only one that had
- * an acknowledged commit. */
-static gboolean
-gone_counts(const DirectoryServer *s, uint64_t now_us, const PrimaryChange *h,
-            const PrimaryState *p)
-{
-    return s->gone && strcmp(s->database, h->database) == 0 &&
-           strcmp(s->id, p->primary) != 0 && s->heard_us > p->settled_us &&
-           now_us - s->heard_us < kGoneCountsUs;
-}
-
-/* Returns the server that is to lead next, NULL while none may.  Where
- * replicas take part in acknowledgements, a primary that is back holds more
- * than any of them. */
-static const char *
-next_primary(const Director *d, uint64_t now_us, const PrimaryChange *h)
-{
-    const PrimaryState *p = director_primary(d, h->database);
-    guint most = g_hash_table_size(d->directory.servers);
-    SuccessionReplica *replicas = g_new0(SuccessionReplica, most + 1);
-    const char **names = g_new0(const char *, most + 1);
-    SuccessionNeed need = {.sync_replicas = sync_replicas_of(d, h->database)};
-    GHashTableIter it;
-    void *value;
-    size_t count = 0;
-
-    if (need.sync_replicas > 0 && !h->planned && h->before.answered &&
-        h->ended_us != 0 && h->before.asked_us >= h->ended_us) {
-        g_free(names);
-        g_free(replicas);
-        return p->primary;
-    }
-    need.known = newest_acknowledged(d, h, &need.acknowledged);
-    g_hash_table_iter_init(&it, d->directory.servers);
-    while (g_hash_table_iter_next(&it, NULL, &value)) {
-        const DirectoryServer *s = value;
-        const Candidate *c = g_hash_table_lookup(h->candidates, s->id);
-        if (!is_replica(h, s, p) && !gone_counts(s, now_us, h, p)) {
-            continue;
-        }
-        names[count] = s->id;
-        replicas[count++] = (SuccessionReplica){
-            .answered = c != NULL && !s->gone,
-            .final = c != NULL && !s->gone && h->ended_us != 0 &&
-                     c->asked_us >= h->ended_us,
-            .barred = g_strcmp0(s->id, h->refused) == 0 ||
-                      (h->planned && s->draining),
-            .log = c == NULL ? (Position){0} : c->log,
-        };
-    }
-    int best = succession_choose(replicas, count, &need);
-    const char *found = best == kSuccessionWait ? NULL : names[best];
-    g_free(names);
-    g_free(replicas);
-    return found;
-}
-
 /* ---- beginning ---- */
 
 static void
@@ -561,7 +459,7 @@
 static void
 promote(Director *d, uint64_t now_us, PrimaryChange *h)
 {
-    const char *best = next_primary(d, now_us, h);
+    const char *best = handover_next_primary(d, now_us, h);
 
     if (best == NULL) {
         g_clear_pointer(&h->refused, g_free);
@@ -589,7 +487,7 @@
 static gboolean
 replica_caught_up(Director *d, uint64_t now_us, PrimaryChange *h)
 {
-    const char *best = next_primary(d, now_us, h);
+    const char *best = handover_next_primary(d, now_us, h);
     const Candidate *held =
         best == NULL ? NULL : g_hash_table_lookup(h->candidates, best);
 
@@ -633,7 +531,7 @@
 {
     h->ended_us = now_us;
     note_gap(d, h, kGapClosing, now_us - h->since_us);
-    if (h->planned || sync_replicas_of(d, h->database) > 0) {
+    if (h->planned || handover_sync_replicas(d, h->database) > 0) {
         ask_replicas(d, now_us, h);
     }
 }
--- /dev/null
+++ b/src/sapphireweir/fleet/handover_choice.c
@@ -0,0 +1,111 @@
+#include <string.h>
+
+#include "fleet/director_internal.h"
+#include "fleet/succession.h"
+
+/* What the choice of the next primary is made from: the replicas that were
+ * asked, and what callers were told. */
+
+enum { kGoneCountsUs = 30000000 }; /* several times a server's drain */
+
+/* Returns how many replicas have a commit before it is acknowledged. */
+uint32_t
+handover_sync_replicas(const Director *d, const char *database)
+{
+    const DocumentDatabase *found =
+        d->decoded == NULL ? NULL : document_database(d->decoded, database);
+    return found == NULL ? 0 : found->sync_replicas;
+}
+
+/* Tells whether a server may follow a database's primary. */
+gboolean
+handover_is_replica(const PrimaryChange *h, const DirectoryServer *s,
+           const PrimaryState *p)
+{
+    return !s->gone && strcmp(s->database, h->database) == 0 &&
+           strcmp(s->id, p->primary) != 0;
+}
+
+/* Finds the newest commit that callers were told of.  FALSE: an instance
+ * that may have told of a newer one has not said so. */
+static gboolean
+newest_acknowledged(const Director *d, const PrimaryChange *h, Position *out)
+{
+    const PrimaryState *p = director_primary(d, h->database);
+    GHashTableIter it;
+    void *value;
+
+    *out = (Position){0};
+    if (d->forgot_us >= p->settled_us) {
+        return FALSE;
+    }
+    g_hash_table_iter_init(&it, d->entries);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        const EntryTrack *t = value;
+        const EntryEvidence *e = g_hash_table_lookup(t->evidence, h->database);
+        if (e == NULL || e->released_epoch < h->epoch) {
+            return FALSE;
+        }
+        if (position_compare(e->acknowledged, *out) > 0) {
+            *out = e->acknowledged;
+        }
+    }
+    return TRUE;
+}
+
+/* Tells whether a replica that has gone may have been the only one that had
+ * an acknowledged commit. */
+static gboolean
+gone_counts(const DirectoryServer *s, uint64_t now_us, const PrimaryChange *h,
+            const PrimaryState *p)
+{
+    return s->gone && strcmp(s->database, h->database) == 0 &&
+           strcmp(s->id, p->primary) != 0 && s->heard_us > p->settled_us &&
+           now_us - s->heard_us < kGoneCountsUs;
+}
+
+/* Returns the server that is to lead next, NULL while none may.  Where
+ * replicas take part in acknowledgements, a primary that is back holds more
+ * than any of them. */
+const char *
+handover_next_primary(const Director *d, uint64_t now_us, const PrimaryChange *h)
+{
+    const PrimaryState *p = director_primary(d, h->database);
+    guint most = g_hash_table_size(d->directory.servers);
+    SuccessionReplica *replicas = g_new0(SuccessionReplica, most + 1);
+    const char **names = g_new0(const char *, most + 1);
+    SuccessionNeed need = {.sync_replicas = handover_sync_replicas(d, h->database)};
+    GHashTableIter it;
+    void *value;
+    size_t count = 0;
+
+    if (need.sync_replicas > 0 && !h->planned && h->before.answered &&
+        h->ended_us != 0 && h->before.asked_us >= h->ended_us) {
+        g_free(names);
+        g_free(replicas);
+        return p->primary;
+    }
+    need.known = newest_acknowledged(d, h, &need.acknowledged);
+    g_hash_table_iter_init(&it, d->directory.servers);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        const DirectoryServer *s = value;
+        const Candidate *c = g_hash_table_lookup(h->candidates, s->id);
+        if (!handover_is_replica(h, s, p) && !gone_counts(s, now_us, h, p)) {
+            continue;
+        }
+        names[count] = s->id;
+        replicas[count++] = (SuccessionReplica){
+            .answered = c != NULL && !s->gone,
+            .final = c != NULL && !s->gone && h->ended_us != 0 &&
+                     c->asked_us >= h->ended_us,
+            .barred = g_strcmp0(s->id, h->refused) == 0 ||
+                      (h->planned && s->draining),
+            .log = c == NULL ? (Position){0} : c->log,
+        };
+    }
+    int best = succession_choose(replicas, count, &need);
+    const char *found = best == kSuccessionWait ? NULL : names[best];
+    g_free(names);
+    g_free(replicas);
+    return found;
+}
--- a/src/sapphireweir/gateway/gateway_metrics.c
+++ b/src/sapphireweir/gateway/gateway_metrics.c
@@ -2,13 +2,6 @@
 
 /* The counters of an entry instance in the text format of metrics. */
 
-static void
-write_number(GString *out, const char *name, uint64_t value)
-{
-    g_string_append_printf(out, "sapphireweir_%s %" G_GUINT64_FORMAT "\n",
-                           name, value);
-}
-
 static uint64_t
 waiting_statements(const Gateway *g)
 {
@@ -83,7 +76,7 @@
     };
 
     for (size_t i = 0; i < G_N_ELEMENTS(numbers); i++) {
-        write_number(out, numbers[i].name, numbers[i].value);
+        counter_write_text(numbers[i].name, numbers[i].value, out);
     }
     for (size_t i = 0; i < G_N_ELEMENTS(times); i++) {
         histogram_write_text(times[i].histogram, times[i].name, out);
--- a/src/sapphireweir/gateway/gateway_report.c
+++ b/src/sapphireweir/gateway/gateway_report.c
@@ -55,7 +55,6 @@
     }
     if (s->answered_us != 0 && now_us - s->answered_us < kAnsweredRecentlyUs) {
         e->answered = TRUE;
-        e->answered_ago_us = now_us - s->answered_us;
     }
 }
 
--- a/src/sapphireweir/gateway/serverpool.c
+++ b/src/sapphireweir/gateway/serverpool.c
@@ -2,7 +2,7 @@
 
 #include "core/message.h"
 #include "gateway/connection_share.h"
-#include "gateway/gateway_internal.h"
+#include "gateway/serverpool_internal.h"
 
 /* The connections that this instance holds to a backend server for all
  * others.  Statements wait in one queue, in the order of their latency
@@ -21,201 +21,6 @@
     kCommandsMax = 160,
 };
 
-typedef struct PooledJob PooledJob;
-
-typedef enum {
-    kPooledOpening,
-    kPooledIdle,
-    kPooledLent,
-    kPooledCleaning, /* rolls back what its last borrower left open */
-} PooledState;
-
-typedef struct {
-    ServerPool *pool;
-    void *link; /* NULL: closed */
-    char *team;
-    PooledState state;
-    PooledJob *job;
-    uint64_t since_us; /* of the present state */
-    uint64_t sent_us;
-    gboolean awaiting;
-    uint32_t ahead; /* answers before the awaited one */
-    gboolean dirty; /* holds the values of the last borrower */
-    SessionState session_state;
-} PooledConnection;
-
-/* What a borrower has open. */
-struct PooledJob {
-    char *key;
-    ServerPool *pool;
-    char *from;
-    uint64_t relay;
-    char *team;
-    Sw__RelayRun *run; /* to be sent, NULL: nothing */
-    uint64_t arrived_us;
-    uint64_t order_us;
-    uint64_t due_us;
-    uint64_t retry_us;
-    uint64_t since_us; /* of the last answer */
-    PooledConnection *connection;
-    PooledConnection *opening;
-    GList *waiting_link;
-};
-
-struct ServerPool {
-    Gateway *gateway;
-    Server *server;
-    GPtrArray *connections; /* PooledConnection, owned */
-    GPtrArray *closed;      /* to be freed in the next tick */
-    GQueue waiting;         /* PooledJob, by order */
-    uint32_t open;          /* statements and handshakes at the server */
-};
-
-/* ---- jobs ---- */
-
-static char *
-job_key(const char *from, uint64_t relay)
-{
-    return g_strdup_printf("%s %" G_GUINT64_FORMAT, from, relay);
-}
-
-/* Frees a job that no connection or queue holds any more. */
-void
-pooled_job_free(void *job)
-{
-    PooledJob *j = job;
-    if (j->run != NULL) {
-        sw__relay_run__free_unpacked(j->run, NULL);
-    }
-    g_free(j->from);
-    g_free(j->team);
-    g_free(j->key);
-    g_free(j);
-}
-
-static void
-job_leave(PooledJob *j)
-{
-    if (j->waiting_link != NULL) {
-        g_queue_delete_link(&j->pool->waiting, j->waiting_link);
-        j->waiting_link = NULL;
-    }
-}
-
-static void
-job_wait(PooledJob *j)
-{
-    GQueue *queue = &j->pool->waiting;
-    GList *after = queue->tail;
-
-    while (after != NULL &&
-           ((PooledJob *)after->data)->order_us > j->order_us) {
-        after = after->prev;
-    }
-    if (after == NULL) {
-        g_queue_push_head(queue, j);
-        j->waiting_link = queue->head;
-        return;
-    }
-    g_queue_insert_after(queue, after, j);
-    j->waiting_link = after->next;
-}
-
-static void
-job_remove(PooledJob *j)
-{
-    job_leave(j);
-    if (j->connection != NULL) {
-        j->connection->job = NULL;
-    }
-    g_hash_table_remove(j->pool->gateway->pooled, j->key);
-}
-
-/* ---- expected waits ---- */
-
-/* Statements that the server gets done, in thousandths a second: as was
- * measured while work waited, but no less than half of what its slots allow.
- * After a restart the slots are busy with handshakes for a while, which says
- * nothing about the time after it. */
-static uint64_t
-rate_milli(const Server *s)
-{
-    uint64_t allowed =
-        (uint64_t)MAX(s->slots, 1) * 1000000000 / MAX(s->service_us, 1);
-
-    return s->done_milli_per_s == 0 ? allowed
-                                    : MAX(s->done_milli_per_s, allowed / 2);
-}
-
-static uint64_t
-expected_wait_us(const ServerPool *pool, uint64_t order_us)
-{
-    uint64_t ahead = 0;
-
-    for (GList *l = pool->waiting.head; l != NULL; l = l->next) {
-        ahead += ((PooledJob *)l->data)->order_us <= order_us;
-    }
-    return ahead * 1000000000 / MAX(rate_milli(pool->server), 1);
-}
-
-/* ---- results ---- */
-
-static void
-send_result(PooledJob *j, uint64_t now_us, Sw__RelayResult *m)
-{
-    const ServerPool *pool = j->pool;
-    Gateway *g = pool->gateway;
-    Sw__Frame frame = SW__FRAME__INIT;
-
-    m->relay = j->relay;
-    m->wait_us = expected_wait_us(pool, now_us);
-    m->service_us = pool->server->service_us;
-    m->server_failing = pool->server->failing_since_us != 0;
-    frame.body_case = SW__FRAME__BODY_RELAY_RESULT;
-    frame.relay_result = m;
-    g->port.peer_send(g->port.ctx, j->from, &frame);
-}
-
-static void
-send_without_answer(PooledJob *j, uint64_t now_us, Sw__RelayOutcome outcome,
-                    AnswerCode code)
-{
-    Sw__RelayResult m = SW__RELAY_RESULT__INIT;
-
-    m.outcome = outcome;
-    m.code = code;
-    m.code_text = "BUSY";
-    send_result(j, now_us, &m);
-}
-
-/* Gives a job back of which nothing was sent. */
-static void
-give_back(PooledJob *j, uint64_t now_us, AnswerCode code)
-{
-    j->pool->gateway->counters.given_back++;
-    send_without_answer(j, now_us, SW__RELAY_OUTCOME__RELAY_NOT_RUN, code);
-    job_remove(j);
-}
-
-static void
-send_answer(PooledJob *j, uint64_t now_us, const ServerAnswer *a)
-{
-    Sw__RelayResult m = SW__RELAY_RESULT__INIT;
-
-    m.outcome = SW__RELAY_OUTCOME__RELAY_ANSWERED;
-    m.code = a->code;
-    m.code_text = (char *)(a->code_text == NULL ? "" : a->code_text);
-    m.detail = (char *)(a->detail == NULL ? "" : a->detail);
-    m.rows.data = (uint8_t *)a->rows;
-    m.rows.len = a->rows_bytes;
-    m.tag = (char *)(a->tag == NULL ? "" : a->tag);
-    m.state = a->state;
-    m.term = a->position.term;
-    m.number = a->position.number;
-    m.position = (char *)(a->position_text == NULL ? "" : a->position_text);
-    send_result(j, now_us, &m);
-}
-
 /* ---- connections ---- */
 
 static void pool_pump(ServerPool *pool, uint64_t now_us);
@@ -305,7 +110,7 @@
                             .after = {r->after_term, r->after_number}};
     }
     histogram_observe(&g->counters.queue, now_us - j->arrived_us);
-    job_leave(j);
+    pooled_job_leave(j);
     j->connection = c;
     j->opening = NULL;
     c->job = j;
@@ -376,7 +181,7 @@
     j->connection = NULL;
     pooled_take_back(c, now_us);
     j->retry_us = now_us + kBusyPauseUs;
-    job_wait(j);
+    pooled_job_wait(j);
 }
 
 static void
@@ -420,9 +225,9 @@
     gboolean single = j->run->single;
     sw__relay_run__free_unpacked(j->run, NULL);
     j->run = NULL;
-    send_answer(j, now_us, a);
+    pooled_job_answer(j, now_us, a);
     if (single && a->state == kSessionIdle) {
-        job_remove(j);
+        pooled_job_remove(j);
         pooled_take_back(c, now_us);
     }
     pool_pump(pool, now_us);
@@ -445,9 +250,7 @@
     }
     pooled_close(c);
     if (j != NULL) {
-        send_without_answer(j, now_us, SW__RELAY_OUTCOME__RELAY_LOST,
-                            kCodeTimeout);
-        job_remove(j);
+        pooled_job_lost(j, now_us);
     }
     pool_pump(pool, now_us);
 }
@@ -581,28 +384,12 @@
     g->port.peer_send(g->port.ctx, to, &frame);
 }
 
-static PooledJob *
-job_new(ServerPool *pool, const char *from, char *key, const Sw__RelayRun *m)
-{
-    PooledJob *j = g_new0(PooledJob, 1);
-
-    j->key = key;
-    j->pool = pool;
-    j->from = g_strdup(from);
-    j->relay = m->relay;
-    j->team = g_strdup(m->team);
-    g_hash_table_insert(pool->gateway->pooled, j->key, j);
-    return j;
-}
-
 /* Goes on with a transaction on the connection that it has. */
 static void
 run_on(PooledJob *j, uint64_t now_us)
 {
     if (j->connection == NULL || j->connection->awaiting) {
-        send_without_answer(j, now_us, SW__RELAY_OUTCOME__RELAY_LOST,
-                            kCodeTimeout);
-        job_remove(j);
+        pooled_job_lost(j, now_us);
         return;
     }
     pooled_run(j->connection, j, now_us);
@@ -613,7 +400,7 @@
 serverpool_run(Gateway *g, uint64_t now_us, const char *from,
                const Sw__RelayRun *m)
 {
-    char *key = job_key(from, m->relay);
+    char *key = pooled_job_key(from, m->relay);
     PooledJob *j = g_hash_table_lookup(g->pooled, key);
     ServerPool *pool = pool_of(g, m->server);
 
@@ -625,7 +412,7 @@
         return;
     }
     if (j == NULL) {
-        j = job_new(pool, from, key, m);
+        j = pooled_job_new(pool, from, key, m);
     }
     else {
         g_free(key);
@@ -641,11 +428,11 @@
         run_on(j, now_us);
         return;
     }
-    if (expected_wait_us(pool, j->order_us) > m->patience_us) {
-        give_back(j, now_us, kCodeBusy);
+    if (serverpool_wait_us(pool, j->order_us) > m->patience_us) {
+        pooled_job_give_back(j, now_us);
         return;
     }
-    job_wait(j);
+    pooled_job_wait(j);
     pool_pump(pool, now_us);
 }
 
@@ -656,7 +443,7 @@
     ServerPool *pool = j->pool;
     PooledConnection *c = j->connection;
 
-    job_remove(j);
+    pooled_job_remove(j);
     if (c == NULL) {
         return;
     }
@@ -673,7 +460,7 @@
 void
 serverpool_end(Gateway *g, uint64_t now_us, const char *from, uint64_t relay)
 {
-    char *key = job_key(from, relay);
+    char *key = pooled_job_key(from, relay);
     PooledJob *j = g_hash_table_lookup(g->pooled, key);
 
     g_free(key);
@@ -783,19 +570,19 @@
     for (guint i = 0; i < jobs->len; i++) {
         PooledJob *j = g_ptr_array_index(jobs, i);
         if (failing || s->gone || now_us >= j->due_us) {
-            give_back(j, now_us, kCodeBusy);
+            pooled_job_give_back(j, now_us);
             continue;
         }
         if (now_us < j->order_us || j->order_us >= j->due_us) {
             continue;
         }
-        job_leave(j);
+        pooled_job_leave(j);
         j->order_us = j->due_us + kDemotedUs;
-        if (now_us + expected_wait_us(pool, j->order_us) > j->due_us) {
-            give_back(j, now_us, kCodeBusy);
+        if (now_us + serverpool_wait_us(pool, j->order_us) > j->due_us) {
+            pooled_job_give_back(j, now_us);
             continue;
         }
-        job_wait(j);
+        pooled_job_wait(j);
     }
     g_ptr_array_unref(jobs);
 }
@@ -822,9 +609,7 @@
 
         pooled_close(c);
         if (j != NULL) {
-            send_without_answer(j, now_us, SW__RELAY_OUTCOME__RELAY_LOST,
-                                kCodeTimeout);
-            job_remove(j);
+            pooled_job_lost(j, now_us);
         }
     }
 }
--- /dev/null
+++ b/src/sapphireweir/gateway/serverpool_job.c
@@ -0,0 +1,181 @@
+#include "core/message.h"
+#include "gateway/serverpool_internal.h"
+
+/* What borrowers have open at a pool: its place in the queue, how long that
+ * is expected to take, and what the borrower is told. */
+
+/* ---- jobs ---- */
+
+/* Names a borrower's connection; the caller frees the name. */
+char *
+pooled_job_key(const char *from, uint64_t relay)
+{
+    return g_strdup_printf("%s %" G_GUINT64_FORMAT, from, relay);
+}
+
+/* Frees a job that no connection or queue holds any more. */
+void
+pooled_job_free(void *job)
+{
+    PooledJob *j = job;
+    if (j->run != NULL) {
+        sw__relay_run__free_unpacked(j->run, NULL);
+    }
+    g_free(j->from);
+    g_free(j->team);
+    g_free(j->key);
+    g_free(j);
+}
+
+/* Takes a job out of the queue. */
+void
+pooled_job_leave(PooledJob *j)
+{
+    if (j->waiting_link != NULL) {
+        g_queue_delete_link(&j->pool->waiting, j->waiting_link);
+        j->waiting_link = NULL;
+    }
+}
+
+/* Puts a job into the queue, in the order of latency objectives. */
+void
+pooled_job_wait(PooledJob *j)
+{
+    GQueue *queue = &j->pool->waiting;
+    GList *after = queue->tail;
+
+    while (after != NULL &&
+           ((PooledJob *)after->data)->order_us > j->order_us) {
+        after = after->prev;
+    }
+    if (after == NULL) {
+        g_queue_push_head(queue, j);
+        j->waiting_link = queue->head;
+        return;
+    }
+    g_queue_insert_after(queue, after, j);
+    j->waiting_link = after->next;
+}
+
+/* Ends a job; its connection, if any, is left as it is. */
+void
+pooled_job_remove(PooledJob *j)
+{
+    pooled_job_leave(j);
+    if (j->connection != NULL) {
+        j->connection->job = NULL;
+    }
+    g_hash_table_remove(j->pool->gateway->pooled, j->key);
+}
+
+/* ---- expected waits ---- */
+
+/* Statements that the server gets done, in thousandths a second: as was
+ * measured while work waited, but no less than half of what its slots allow.
+ * After a restart the slots are busy with handshakes for a while, which says
+ * nothing about the time after it. */
+static uint64_t
+rate_milli(const Server *s)
+{
+    uint64_t allowed =
+        (uint64_t)MAX(s->slots, 1) * 1000000000 / MAX(s->service_us, 1);
+
+    return s->done_milli_per_s == 0 ? allowed
+                                    : MAX(s->done_milli_per_s, allowed / 2);
+}
+
+/* Expected wait of work with such a place in the queue. */
+uint64_t
+serverpool_wait_us(const ServerPool *pool, uint64_t order_us)
+{
+    uint64_t ahead = 0;
+
+    for (GList *l = pool->waiting.head; l != NULL; l = l->next) {
+        ahead += ((PooledJob *)l->data)->order_us <= order_us;
+    }
+    return ahead * 1000000000 / MAX(rate_milli(pool->server), 1);
+}
+
+/* ---- results ---- */
+
+static void
+send_result(PooledJob *j, uint64_t now_us, Sw__RelayResult *m)
+{
+    const ServerPool *pool = j->pool;
+    Gateway *g = pool->gateway;
+    Sw__Frame frame = SW__FRAME__INIT;
+
+    m->relay = j->relay;
+    m->wait_us = serverpool_wait_us(pool, now_us);
+    m->service_us = pool->server->service_us;
+    m->server_failing = pool->server->failing_since_us != 0;
+    frame.body_case = SW__FRAME__BODY_RELAY_RESULT;
+    frame.relay_result = m;
+    g->port.peer_send(g->port.ctx, j->from, &frame);
+}
+
+static void
+send_without_answer(PooledJob *j, uint64_t now_us, Sw__RelayOutcome outcome,
+                    AnswerCode code)
+{
+    Sw__RelayResult m = SW__RELAY_RESULT__INIT;
+
+    m.outcome = outcome;
+    m.code = code;
+    m.code_text = "BUSY";
+    send_result(j, now_us, &m);
+}
+
+/* Gives a job back of which nothing was sent. */
+void
+pooled_job_give_back(PooledJob *j, uint64_t now_us)
+{
+    j->pool->gateway->counters.given_back++;
+    send_without_answer(j, now_us, SW__RELAY_OUTCOME__RELAY_NOT_RUN,
+                        kCodeBusy);
+    pooled_job_remove(j);
+}
+
+/* Passes on what the server answered. */
+void
+pooled_job_answer(PooledJob *j, uint64_t now_us, const ServerAnswer *a)
+{
+    Sw__RelayResult m = SW__RELAY_RESULT__INIT;
+
+    m.outcome = SW__RELAY_OUTCOME__RELAY_ANSWERED;
+    m.code = a->code;
+    m.code_text = (char *)(a->code_text == NULL ? "" : a->code_text);
+    m.detail = (char *)(a->detail == NULL ? "" : a->detail);
+    m.rows.data = (uint8_t *)a->rows;
+    m.rows.len = a->rows_bytes;
+    m.tag = (char *)(a->tag == NULL ? "" : a->tag);
+    m.state = a->state;
+    m.term = a->position.term;
+    m.number = a->position.number;
+    m.position = (char *)(a->position_text == NULL ? "" : a->position_text);
+    send_result(j, now_us, &m);
+}
+
+/* The connection was lost after the job's commands were sent. */
+void
+pooled_job_lost(PooledJob *j, uint64_t now_us)
+{
+    send_without_answer(j, now_us, SW__RELAY_OUTCOME__RELAY_LOST,
+                        kCodeTimeout);
+    pooled_job_remove(j);
+}
+
+/* Makes a job for a borrower's first commands; the name passes over. */
+PooledJob *
+pooled_job_new(ServerPool *pool, const char *from, char *key, const Sw__RelayRun *m)
+{
+    PooledJob *j = g_new0(PooledJob, 1);
+
+    j->key = key;
+    j->pool = pool;
+    j->from = g_strdup(from);
+    j->relay = m->relay;
+    j->team = g_strdup(m->team);
+    g_hash_table_insert(pool->gateway->pooled, j->key, j);
+    return j;
+}
--- a/src/sapphireweir/proto/sapphireweir.pb-c.c
+++ b/src/sapphireweir/proto/sapphireweir.pb-c.c
@@ -4435,7 +4435,7 @@
   (ProtobufCMessageInit) sw__announcement__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sw__primary_evidence__field_descriptors[10] =
+static const ProtobufCFieldDescriptor sw__primary_evidence__field_descriptors[9] =
 {
   {
     "database",
@@ -4473,18 +4473,6 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "answered_ago_us",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Sw__PrimaryEvidence, answered_ago_us),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "failing_us",
     5,
@@ -4559,21 +4547,21 @@
   },
 };
 static const unsigned sw__primary_evidence__field_indices_by_name[] = {
-  9,   /* field[9] = acknowledged_number */
-  8,   /* field[8] = acknowledged_term */
-  5,   /* field[5] = answered */
-  3,   /* field[3] = answered_ago_us */
+  8,   /* field[8] = acknowledged_number */
+  7,   /* field[7] = acknowledged_term */
+  4,   /* field[4] = answered */
   0,   /* field[0] = database */
   2,   /* field[2] = epoch */
-  4,   /* field[4] = failing_us */
-  7,   /* field[7] = open_work */
+  3,   /* field[3] = failing_us */
+  6,   /* field[6] = open_work */
   1,   /* field[1] = primary */
-  6,   /* field[6] = released_epoch */
+  5,   /* field[5] = released_epoch */
 };
-static const ProtobufCIntRange sw__primary_evidence__number_ranges[1 + 1] =
+static const ProtobufCIntRange sw__primary_evidence__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 5, 3 },
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor sw__primary_evidence__descriptor =
 {
@@ -4583,10 +4571,10 @@
   "Sw__PrimaryEvidence",
   "sw",
   sizeof(Sw__PrimaryEvidence),
-  10,
+  9,
   sw__primary_evidence__field_descriptors,
   sw__primary_evidence__field_indices_by_name,
-  1,  sw__primary_evidence__number_ranges,
+  2,  sw__primary_evidence__number_ranges,
   (ProtobufCMessageInit) sw__primary_evidence__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/src/sapphireweir/proto/sapphireweir.pb-c.h
+++ b/src/sapphireweir/proto/sapphireweir.pb-c.h
@@ -551,10 +551,8 @@
   char *primary;
   uint64_t epoch;
   /*
-   * Time since the primary last answered; zero with failing_us zero means
-   * that there was no work for it.
+   * Since when it fails; zero and not answered: there was no work for it.
    */
-  uint64_t answered_ago_us;
   uint64_t failing_us;
   protobuf_c_boolean answered;
   /*
@@ -574,7 +572,7 @@
 };
 #define SW__PRIMARY_EVIDENCE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sw__primary_evidence__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Sw__TeamDemand
