--- a/Makefile
+++ b/Makefile
@@ -38,7 +38,7 @@
 	./scripts/lint.sh $(BUILD)
 
 format:
-	git ls-files '*.c' '*.h' | grep -v pb-c | xargs clang-format -i
+	git ls-files -co --exclude-standard '*.c' '*.h' | grep -v pb-c | xargs clang-format -i
 
 sanitize:
 	$(MAKE) BUILD=build-sanitize SANITIZE=ON unit
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -4,13 +4,13 @@
 cd "$(dirname "$0")/.."
 build=${1:-build}
 
-mapfile -t sources < <(git ls-files '*.c' '*.h' | grep -v 'pb-c')
+mapfile -t sources < <(git ls-files -co --exclude-standard '*.c' '*.h' | grep -v 'pb-c')
 clang-format --dry-run -Werror "${sources[@]}"
 # PEP 7: 79 columns; clang-format leaves long strings alone.
 awk 'length > 79 { print FILENAME ":" FNR ": longer than 79"; bad = 1 }
      END { exit bad }' "${sources[@]}"
 cmake -S . -B "$build" >/dev/null
-mapfile -t units < <(git ls-files 'src/*.c' 'platform/*.c' | grep -v 'pb-c')
+mapfile -t units < <(git ls-files -co --exclude-standard 'src/*.c' 'platform/*.c' | grep -v 'pb-c')
 printf '%s\n' "${units[@]}" | xargs -P "$(nproc)" -n 4 \
     clang-tidy -p "$build" --quiet 2>/dev/null
 echo "lint: clean"
--- a/src/sapphireweir/fleet/handover_choice.c
+++ b/src/sapphireweir/fleet/handover_choice.c
@@ -20,7 +20,7 @@
 /* Tells whether a server may follow a database's primary. */
 gboolean
 handover_is_replica(const PrimaryChange *h, const DirectoryServer *s,
-           const PrimaryState *p)
+                    const PrimaryState *p)
 {
     return !s->gone && strcmp(s->database, h->database) == 0 &&
            strcmp(s->id, p->primary) != 0;
@@ -68,13 +68,15 @@
  * replicas take part in acknowledgements, a primary that is back holds more
  * than any of them. */
 const char *
-handover_next_primary(const Director *d, uint64_t now_us, const PrimaryChange *h)
+handover_next_primary(const Director *d, uint64_t now_us,
+                      const PrimaryChange *h)
 {
     const PrimaryState *p = director_primary(d, h->database);
     guint most = g_hash_table_size(d->directory.servers);
     SuccessionReplica *replicas = g_new0(SuccessionReplica, most + 1);
     const char **names = g_new0(const char *, most + 1);
-    SuccessionNeed need = {.sync_replicas = handover_sync_replicas(d, h->database)};
+    SuccessionNeed need = {.sync_replicas =
+                               handover_sync_replicas(d, h->database)};
     GHashTableIter it;
     void *value;
     size_t count = 0;
--- a/src/sapphireweir/gateway/serverpool_job.c
+++ b/src/sapphireweir/gateway/serverpool_job.c
@@ -167,7 +167,8 @@
 
 /* Makes a job for a borrower's first commands; the name passes over. */
 PooledJob *
-pooled_job_new(ServerPool *pool, const char *from, char *key, const Sw__RelayRun *m)
+pooled_job_new(ServerPool *pool, const char *from, char *key,
+               const Sw__RelayRun *m)
 {
     PooledJob *j = g_new0(PooledJob, 1);
 
