Write once what owners and direct connections share

Read again: the limit of a server's connections, how long a statement may wait, three time limits and the list of changed servers stood twice; when a borrowed connection goes back was decided in two places; a condition on an empty list of commands could not be false. Change: server_connection_limit, dispatch_patience_us, servers_since, forget_opening and ends_with_answer serve both. No change of behaviour.

--- a/src/sapphireweir/fleet/director_entries.c
+++ b/src/sapphireweir/fleet/director_entries.c
@@ -93,20 +93,8 @@
 {
     Sw__Frame frame = SW__FRAME__INIT;
     Sw__DirectoryUpdate m = SW__DIRECTORY_UPDATE__INIT;
-    guint count = g_hash_table_size(d->directory.servers);
-    Sw__ServerRecord *records = g_new0(Sw__ServerRecord, count + 1);
-    GPtrArray *list = g_ptr_array_new();
-    GHashTableIter it;
-    void *value;
+    GPtrArray *list = servers_since(d, t->told_revision);
 
-    g_hash_table_iter_init(&it, d->directory.servers);
-    while (g_hash_table_iter_next(&it, NULL, &value)) {
-        const DirectoryServer *s = value;
-        if (s->changed > t->told_revision) {
-            directory_fill(s, &records[list->len]);
-            g_ptr_array_add(list, &records[list->len]);
-        }
-    }
     m.run = d->run;
     m.revision = d->directory.revision;
     m.full = t->told_revision == 0;
@@ -117,7 +105,6 @@
     d->port.send(d->port.ctx, t->id, &frame);
     t->told_revision = d->directory.revision;
     g_ptr_array_unref(list);
-    g_free(records);
 }
 
 typedef void (*EntryVisit)(Director *d, uint64_t now_us, EntryTrack *t);
--- a/src/sapphireweir/fleet/handover_choice.c
+++ b/src/sapphireweir/fleet/handover_choice.c
@@ -73,8 +73,6 @@
 {
     const PrimaryState *p = director_primary(d, h->database);
     guint most = g_hash_table_size(d->directory.servers);
-    SuccessionReplica *replicas = g_new0(SuccessionReplica, most + 1);
-    const char **names = g_new0(const char *, most + 1);
     SuccessionNeed need = {.sync_replicas =
                                handover_sync_replicas(d, h->database)};
     GHashTableIter it;
@@ -83,10 +81,10 @@
 
     if (need.sync_replicas > 0 && !h->planned && h->before.answered &&
         h->ended_us != 0 && h->before.asked_us >= h->ended_us) {
-        g_free(names);
-        g_free(replicas);
         return p->primary;
     }
+    SuccessionReplica *replicas = g_new0(SuccessionReplica, most + 1);
+    const char **names = g_new0(const char *, most + 1);
     need.known = newest_acknowledged(d, h, &need.acknowledged);
     g_hash_table_iter_init(&it, d->directory.servers);
     while (g_hash_table_iter_next(&it, NULL, &value)) {
--- a/src/sapphireweir/gateway/dispatch.c
+++ b/src/sapphireweir/gateway/dispatch.c
@@ -12,18 +12,15 @@
 enum {
     kCandidatesMax = 32,
     kAttemptsMax = 4,
-    kDrainServedPercent = 60, /* reports come late, queues take time */
     kWaitPercent = 90,        /* of the latency objective, expected at most */
+    kDrainServedPercent = 60, /* reports come late, queues take time */
     kRateWindowUs = 300000,   /* over which work done is measured */
-    kDemotedUs = 1000000,     /* late work's place behind all that is not */
     kReplacementUs = 900000,  /* from losing a primary to using the next */
     kSuspicionUs = 500000,    /* from a primary's silence to losing it */
     kSilentUs = 250000,       /* an answer that is overdue */
     kRetryUs = 200000,        /* when to come back, without better knowledge */
-    kConnectPatienceUs = 400000,  /* for a server's welcome */
-    kOtherTeamPatienceUs = 20000, /* before a connection changes its team */
-    kOverdueUs = 150000,     /* work that waited so long gets a connection */
-    kTurnStatements = 8,     /* of one team on a connection, then */
+    kOverdueUs = 150000,      /* work that waited so long gets a connection */
+    kTurnStatements = 8,      /* of one team on a connection, then */
     kReopenUs = 60000,       /* a missed turn: three statements of mean size */
     kSurplusIdleUs = 400000, /* beyond the fair part of connections */
 };
@@ -32,17 +29,11 @@
 static ConnectionShare
 server_share(const Server *s)
 {
-    const Gateway *g = s->database->gateway;
-    const DocumentDatabase *d =
-        g->document == NULL
-            ? NULL
-            : document_database(g->document, s->database->name);
+    uint32_t limit = server_connection_limit(s);
+    uint32_t instances = s->database->gateway->entry_count;
 
-    uint32_t limit = d == NULL ? 1 : d->max_connections;
-    if (s->owner != NULL) {
-        return connection_share_beside_owner(limit, g->entry_count);
-    }
-    return connection_share(limit, g->entry_count);
+    return s->owner == NULL ? connection_share(limit, instances)
+                            : connection_share_beside_owner(limit, instances);
 }
 
 /* Returns how many connections this instance may hold at one server: its
@@ -330,14 +321,19 @@
     return TRUE;
 }
 
-static gboolean
-too_much_ahead(const Session *s, uint64_t now_us)
+/* How long the open statement may wait where it can still be refused. */
+uint64_t
+dispatch_patience_us(const Session *s)
 {
-    uint64_t target_us = s->route->target_us;
     uint64_t limit_us = s->job.due_us - s->job.arrived_us;
-    uint64_t most_us = MIN(target_us, limit_us / 2) * kWaitPercent / 100;
 
-    return expected_wait_us(s, now_us) > most_us;
+    return MIN(s->route->target_us, limit_us / 2) * kWaitPercent / 100;
+}
+
+static gboolean
+too_much_ahead(const Session *s, uint64_t now_us)
+{
+    return expected_wait_us(s, now_us) > dispatch_patience_us(s);
 }
 
 /* Finds a connection for the session's open statement, or queues or
--- a/src/sapphireweir/gateway/gateway_internal.h
+++ b/src/sapphireweir/gateway/gateway_internal.h
@@ -11,6 +11,9 @@
 
 enum {
     kMicrosPerMilli = 1000,
+    kOtherTeamPatienceUs = 20000, /* before a connection changes its team */
+    kConnectPatienceUs = 400000,  /* for a server's welcome */
+    kDemotedUs = 1000000, /* late work's place behind all that is not */
 };
 
 typedef struct Database Database;
@@ -255,6 +258,7 @@
 void gateway_report(Gateway *g, uint64_t now_us);
 
 /* dispatch.c */
+uint64_t dispatch_patience_us(const Session *s);
 void dispatch_submit(Session *s, uint64_t now_us);
 void dispatch_leave(Session *s);
 void dispatch_pump(Server *server, uint64_t now_us);
@@ -262,6 +266,7 @@
 void dispatch_retry(Session *s, uint64_t now_us, uint64_t delay_us);
 
 /* server.c */
+uint32_t server_connection_limit(const Server *s);
 void server_answered(Server *s, uint64_t now_us);
 void server_failed(Server *s, uint64_t now_us, gboolean opening);
 void server_refused_link(Server *s, uint64_t now_us);
--- a/src/sapphireweir/gateway/relay.c
+++ b/src/sapphireweir/gateway/relay.c
@@ -16,7 +16,6 @@
     kAvoidRelayUs = 300000,  /* a server that its owner cannot use */
     kFirstTryPercent = 25,   /* of the patience, while others may serve */
     kPatientTries = 2,       /* then it waits as long as it makes sense */
-    kWaitPercent = 90,       /* of the latency objective */
     kGiveBackUs = 60000, /* before its time limit: a tick and a slow link */
 };
 
@@ -143,9 +142,7 @@
 patience_us(Connection *c, uint64_t now_us)
 {
     Session *s = c->session;
-    uint64_t limit_us = s->job.due_us - s->job.arrived_us;
-    uint64_t most_us =
-        MIN(s->route->target_us, limit_us / 2) * kWaitPercent / 100;
+    uint64_t most_us = dispatch_patience_us(s);
 
     s->job.patient = s->job.needs_primary || s->job.attempts >= kPatientTries;
     if (s->begun) {
@@ -154,6 +151,14 @@
     return s->job.patient ? most_us : most_us * kFirstTryPercent / 100;
 }
 
+/* Tells whether the connection goes back with an answer in the idle state:
+ * nothing of the session follows on it. */
+static gboolean
+ends_with_answer(const Session *s)
+{
+    return s->state == kSessionIdle || s->job.kind == kStatementCommit;
+}
+
 static void
 command_fill(const ServerCommand *command, Sw__RelayCommand *out)
 {
@@ -194,7 +199,7 @@
     m.target_us = time_left(s->job.order_us, now_us);
     m.due_us = time_left(s->job.due_us, now_us + kGiveBackUs);
     m.patience_us = patience_us(c, now_us);
-    m.single = s->state == kSessionIdle || s->job.kind == kStatementCommit;
+    m.single = ends_with_answer(s);
     m.continues = s->begun;
     frame.body_case = SW__FRAME__BODY_RELAY_RUN;
     frame.relay_run = &m;
@@ -300,8 +305,7 @@
     }
     ServerAnswer a = answer_of(m);
     c->ended = c->session != NULL && a.state == kSessionIdle &&
-               (c->session->state == kSessionIdle ||
-                c->session->job.kind == kStatementCommit);
+               ends_with_answer(c->session);
     connection_answer(c, now_us, &a);
 }
 
--- a/src/sapphireweir/gateway/server.c
+++ b/src/sapphireweir/gateway/server.c
@@ -14,6 +14,17 @@
     kReportSilenceUs = 350000, /* a primary's silence is told at once */
 };
 
+/* Returns how many connections a server takes from everybody. */
+uint32_t
+server_connection_limit(const Server *s)
+{
+    const Document *document = s->database->gateway->document;
+    const DocumentDatabase *d =
+        document == NULL ? NULL
+                         : document_database(document, s->database->name);
+    return d == NULL ? 1 : d->max_connections;
+}
+
 /* A server has accepted a connection or answered something. */
 void
 server_answered(Server *s, uint64_t now_us)
--- a/src/sapphireweir/gateway/serverpool.c
+++ b/src/sapphireweir/gateway/serverpool.c
@@ -11,11 +11,9 @@
  * once, before anything was sent. */
 
 enum {
-    kExtraStatements = 1,         /* keeps the slots busy over a round trip */
-    kOtherTeamPatienceUs = 20000, /* before a connection changes its team */
-    kOpenPatienceUs = 400000,     /* for a server's welcome */
-    kFailingPatienceUs = 60000,   /* then queued work may go elsewhere */
-    kBusyPauseUs = 12000,         /* a server whose queue was full */
+    kExtraStatements = 1,       /* keeps the slots busy over a round trip */
+    kFailingPatienceUs = 60000, /* then queued work may go elsewhere */
+    kBusyPauseUs = 12000,       /* a server whose queue was full */
     kFormerOwnerUs = 40000, /* two statements' time, for the next in line */
     kLentIdleUs = 8000000,  /* above any limit of an idle transaction */
     kCommandsMax = 160,
@@ -33,6 +31,18 @@
     g_free(c);
 }
 
+/* No job waits for this connection to open any more. */
+static void
+forget_opening(const PooledConnection *c)
+{
+    for (GList *l = c->pool->waiting.head; l != NULL; l = l->next) {
+        PooledJob *j = l->data;
+        if (j->opening == c) {
+            j->opening = NULL;
+        }
+    }
+}
+
 /* Closes a connection; its memory goes with the next tick. */
 static void
 pooled_close(PooledConnection *c)
@@ -49,12 +59,7 @@
     g->port.server_close(g->port.ctx, c->link);
     c->link = NULL;
     c->awaiting = FALSE;
-    for (GList *l = pool->waiting.head; l != NULL; l = l->next) {
-        PooledJob *j = l->data;
-        if (j->opening == c) {
-            j->opening = NULL;
-        }
-    }
+    forget_opening(c);
     if (c->job != NULL) {
         c->job->connection = NULL;
         c->job = NULL;
@@ -163,12 +168,7 @@
     pool->server->avoid_until_us = 0;
     c->state = kPooledIdle;
     c->since_us = now_us;
-    for (GList *l = pool->waiting.head; l != NULL; l = l->next) {
-        PooledJob *j = l->data;
-        if (j->opening == c) {
-            j->opening = NULL;
-        }
-    }
+    forget_opening(c);
     pool_pump(pool, now_us);
 }
 
@@ -219,7 +219,7 @@
         pool_pump(pool, now_us);
         return;
     }
-    if (a->code == kCodeNone && j->run->n_commands > 0) {
+    if (a->code == kCodeNone) {
         server_timed(pool->server, now_us - c->sent_us);
     }
     gboolean single = j->run->single;
@@ -287,12 +287,7 @@
 most_connections(const ServerPool *pool, uint64_t now_us)
 {
     const Server *s = pool->server;
-    const Gateway *g = pool->gateway;
-    const DocumentDatabase *d =
-        g->document == NULL
-            ? NULL
-            : document_database(g->document, s->database->name);
-    uint32_t most = connection_share_owner(d == NULL ? 1 : d->max_connections);
+    uint32_t most = connection_share_owner(server_connection_limit(s));
 
     return now_us < s->full_until_us ? MIN(most, pool->connections->len)
                                      : most;
@@ -543,7 +538,7 @@
             oldest_us = c->sent_us;
         }
         if (c->state == kPooledOpening &&
-            now_us - c->since_us > kOpenPatienceUs) {
+            now_us - c->since_us > kConnectPatienceUs) {
             on_down(c, now_us, kCodeTimeout);
         }
         else if (c->state == kPooledIdle && !may_rest(pool, now_us, c)) {
@@ -558,7 +553,6 @@
 static void
 waiting_tick(ServerPool *pool, uint64_t now_us)
 {
-    enum { kDemotedUs = 1000000 };
     const Server *s = pool->server;
     gboolean failing = s->failing_since_us != 0 &&
                        now_us - s->failing_since_us > kFailingPatienceUs;
