--- a/src/sapphireweir/adapter/peer.c
+++ b/src/sapphireweir/adapter/peer.c
@@ -12,6 +12,7 @@
 #include "adapter/clock.h"
 #include "core/error.h"
 #include "core/message.h"
+#include "core/traffic.h"
 
 /* Authenticated and encrypted links between the processes of a cluster.
  *
@@ -85,7 +86,9 @@
     GHashTable *remotes;     /* id -> Remote */
     GPtrArray *links;        /* all Link, in any state */
     uint64_t rejected_links; /* closed because of invalid data */
-    GQueue loopback;         /* frames that this instance sent to itself */
+    Traffic sent;
+    Traffic received;
+    GQueue loopback; /* frames that this instance sent to itself */
     struct event *loopback_event;
 };
 
@@ -241,6 +244,7 @@
         &l->push, sealed + sizeof(prefix), NULL, plain, plain_bytes, NULL, 0,
         crypto_secretstream_xchacha20poly1305_TAG_MESSAGE);
     bufferevent_write(l->bev, sealed, sealed_bytes + sizeof(prefix));
+    traffic_count(&l->peer->sent, frame, sealed_bytes + sizeof(prefix));
     g_free(sealed);
     g_free(plain);
     return TRUE;
@@ -391,6 +395,7 @@
         link_reject(l);
         return kFrameLinkClosed;
     }
+    traffic_count(&l->peer->received, frame, sealed_bytes + sizeof(prefix));
     gboolean open = link_handle_frame(l, frame);
     sw__frame__free_unpacked(frame, NULL);
     return open ? kFrameHandled : kFrameLinkClosed;
@@ -621,6 +626,15 @@
     return p->rejected_links;
 }
 
+/* Appends the frames and bytes on all links by kind, in the metrics text
+ * format. */
+void
+peer_traffic_write(const Peer *p, GString *out)
+{
+    traffic_write_text(&p->sent, "sent", out);
+    traffic_write_text(&p->received, "received", out);
+}
+
 /* Closes all links and the port and frees the peer; no callback is called. */
 void
 peer_free(Peer *p)
--- a/src/sapphireweir/adapter/peer.h
+++ b/src/sapphireweir/adapter/peer.h
@@ -27,6 +27,7 @@
                const PeerEvents *events, GError **error);
 void peer_free(Peer *p);
 uint64_t peer_rejected_links(const Peer *p);
+void peer_traffic_write(const Peer *p, GString *out);
 void peer_set_address(Peer *p, const char *id, const char *address);
 gboolean peer_ready(Peer *p, const char *to);
 gboolean peer_send(Peer *p, const char *to, const Sw__Frame *frame);
--- /dev/null
+++ b/src/sapphireweir/core/traffic.c
@@ -0,0 +1,59 @@
+#include "core/traffic.h"
+
+/* Counts the frames between own processes by kind, which shows what fills a
+ * network link. */
+
+/* Counts a frame that takes this many bytes on the link. */
+void
+traffic_count(Traffic *t, const Sw__Frame *frame, size_t bytes)
+{
+    uint32_t kind = (uint32_t)frame->body_case;
+
+    if (kind < kTrafficKinds) {
+        t->frames[kind]++;
+        t->bytes[kind] += bytes;
+    }
+}
+
+/* Returns the name of a kind as in the protocol, NULL if there is none. */
+const char *
+traffic_kind_name(uint32_t kind)
+{
+    const ProtobufCFieldDescriptor *field =
+        kind == 0 ? NULL
+                  : protobuf_c_message_descriptor_get_field(
+                        &sw__frame__descriptor, kind);
+    return field == NULL ? NULL : field->name;
+}
+
+/* Returns the bytes of all kinds. */
+uint64_t
+traffic_bytes(const Traffic *t)
+{
+    uint64_t total = 0;
+
+    for (uint32_t i = 0; i < kTrafficKinds; i++) {
+        total += t->bytes[i];
+    }
+    return total;
+}
+
+/* Appends the counters of the kinds that occurred, in the metrics text
+ * format.  direction is "sent" or "received". */
+void
+traffic_write_text(const Traffic *t, const char *direction, GString *out)
+{
+    for (uint32_t i = 0; i < kTrafficKinds; i++) {
+        const char *name = traffic_kind_name(i);
+        if (t->frames[i] == 0 || name == NULL) {
+            continue;
+        }
+        g_string_append_printf(
+            out,
+            "sapphireweir_peer_%s_frames_total{kind=\"%s\"} "
+            "%" G_GUINT64_FORMAT "\n"
+            "sapphireweir_peer_%s_bytes_total{kind=\"%s\"} "
+            "%" G_GUINT64_FORMAT "\n",
+            direction, name, t->frames[i], direction, name, t->bytes[i]);
+    }
+}
--- a/src/sapphireweir/fleet/director.c
+++ b/src/sapphireweir/fleet/director.c
@@ -81,6 +81,7 @@
     const uint8_t *data = g_bytes_get_data(command, &size);
     Sw__FleetCommand *m = sw__fleet_command__unpack(NULL, size, data);
     uint64_t old_version = d->document_version;
+    gboolean primary_changed = m != NULL && m->primary != NULL;
     EventLine line;
 
     if (m == NULL) {
@@ -104,7 +105,9 @@
             event_number(&line, "index", index);
             event_end(&line);
         }
-        entries_push_primaries(d, now_us);
+        if (primary_changed) {
+            entries_push_primaries(d, now_us);
+        }
     }
 }
 
@@ -229,6 +232,7 @@
     d->config = *config;
     d->port = *port;
     d->run_id = port->random(port->ctx) | 1;
+    d->last_transfer = d->run_id;
     d->consensus = consensus_new(config->id, config->disk, &config->timing,
                                  &consensus_port);
     directory_init(&d->directory);
--- a/src/sapphireweir/fleet/director_documents.c
+++ b/src/sapphireweir/fleet/director_documents.c
@@ -2,30 +2,28 @@
 #include "fleet/document_delta.h"
 
 /* Distribution of the configuration document to entry instances.  The leader
- * sends each version at once, as a delta from the version that the instance
- * has.  The other control instances send it only to an instance that stays
- * behind, since the leader may be unreachable from there. */
+ * sends each version as a delta from the version that the instance has.  The
+ * other control instances send it only to an instance that stays behind and
+ * receives it from nobody, since the leader may be unreachable from there. */
 
 enum {
-    kResendIntervalUs = 500000, /* until then it counts as in transit */
     /* A third of the time in which a change must reach every instance. */
     kHelpDelayUs = 1000000,
-    kMaxRecentDocuments = 8, /* more than are applied between reports */
+    kFirstHelpDelayUs = 300000, /* for an instance without any document */
+    kMaxRecentDocuments = 8,    /* more than are applied between reports */
 };
 
 static void
 past_document_free(void *past)
 {
     PastDocument *p = past;
-    if (p->delta != NULL) {
-        sw__document_update__free_unpacked(p->delta, NULL);
-    }
+    encoded_update_free(p->delta);
     g_bytes_unref(p->text);
     g_free(p);
 }
 
 /* Keeps the version that was just applied as a base for later deltas and
- * discards the deltas to the former version. */
+ * discards the updates to the former version. */
 void
 documents_add_applied(Director *d)
 {
@@ -37,11 +35,9 @@
     }
     for (guint i = 0; i < d->recent_documents->len; i++) {
         PastDocument *older = g_ptr_array_index(d->recent_documents, i);
-        if (older->delta != NULL) {
-            sw__document_update__free_unpacked(older->delta, NULL);
-            older->delta = NULL;
-        }
+        g_clear_pointer(&older->delta, encoded_update_free);
     }
+    g_clear_pointer(&d->whole_document, encoded_update_free);
     p->version = d->document_version;
     p->text = g_bytes_ref(d->document);
     g_ptr_array_add(d->recent_documents, p);
@@ -55,66 +51,146 @@
 documents_clear(Director *d)
 {
     g_clear_pointer(&d->recent_documents, g_ptr_array_unref);
+    g_clear_pointer(&d->whole_document, encoded_update_free);
 }
 
-/* Returns the delta from a version to the current one, or NULL if that
- * version is not kept.  The director owns the delta. */
-static Sw__DocumentUpdate *
-delta_from(Director *d, uint64_t version)
+/* Returns a kept version, or NULL. */
+static PastDocument *
+past_document(const Director *d, uint64_t version)
 {
     for (guint i = 0;
          d->recent_documents != NULL && i < d->recent_documents->len; i++) {
         PastDocument *p = g_ptr_array_index(d->recent_documents, i);
-        if (p->version != version) {
-            continue;
-        }
-        if (p->delta == NULL) {
-            p->delta = document_delta(p->text, p->version, d->document,
-                                      d->document_version);
+        if (p->version == version) {
+            return p;
         }
-        return p->delta;
     }
     return NULL;
 }
 
-/* Sends the current document to an entry instance, unless the instance has
- * that version or it is in transit.  A version in transit also serves as the
- * base of the delta. */
+/* Fills in an update with the current document's whole text, which it
+ * borrows. */
+static void
+whole_update_fill(const Director *d, Sw__DocumentUpdate *m)
+{
+    sw__document_update__init(m);
+    m->version = d->document_version;
+    m->text.data = (uint8_t *)g_bytes_get_data(d->document, &m->text.len);
+}
+
+/* Returns the encoded update from a version to the current one: a delta, or
+ * the whole document if that version is not kept.  The director owns it. */
+static const EncodedUpdate *
+encoded_update_from(Director *d, uint64_t version)
+{
+    PastDocument *base = past_document(d, version);
+
+    if (base == NULL) {
+        if (d->whole_document == NULL) {
+            Sw__DocumentUpdate whole;
+            whole_update_fill(d, &whole);
+            d->whole_document = encoded_update_new(&whole);
+        }
+        return d->whole_document;
+    }
+    if (base->delta == NULL) {
+        Sw__DocumentUpdate *delta = document_delta(
+            base->text, version, d->document, d->document_version);
+        base->delta = encoded_update_new(delta);
+        sw__document_update__free_unpacked(delta, NULL);
+    }
+    return base->delta;
+}
+
+/* Sends the chunks of a transfer that are due. */
+static void
+send_chunks(Director *d, uint64_t now_us, EntryState *entry)
+{
+    Sw__Frame frame = SW__FRAME__INIT;
+    Sw__DocumentChunk chunk;
+
+    frame.body_case = SW__FRAME__BODY_DOCUMENT_CHUNK;
+    frame.document_chunk = &chunk;
+    while (document_transfer_next(&entry->transfer, now_us,
+                                  entry->link_bytes_per_s, &chunk)) {
+        d->port.send(d->port.ctx, entry->id, &frame);
+    }
+}
+
+/* Sends the whole document in one frame to an entry instance of an earlier
+ * release, which does not take chunks. */
+static void
+send_single_frame(Director *d, EntryState *entry)
+{
+    Sw__Frame frame = SW__FRAME__INIT;
+    Sw__DocumentUpdate whole;
+
+    whole_update_fill(d, &whole);
+    frame.body_case = SW__FRAME__BODY_DOCUMENT_UPDATE;
+    frame.document_update = &whole;
+    d->port.send(d->port.ctx, entry->id, &frame);
+    document_transfer_skip(&entry->transfer);
+}
+
+/* Starts to send the current document to an entry instance, unless the
+ * instance has that version, it is in transit or another transfer to the
+ * instance is in progress.  A version in transit also serves as the base of
+ * the delta. */
 void
 documents_send(Director *d, uint64_t now_us, EntryState *entry)
 {
-    Sw__Frame frame = SW__FRAME__INIT;
-    Sw__DocumentUpdate whole = SW__DOCUMENT_UPDATE__INIT;
-    gboolean in_transit =
-        now_us - entry->document_sent_us <= kResendIntervalUs;
+    DocumentTransfer *t = &entry->transfer;
     uint64_t base_version =
-        MAX(entry->document_version,
-            in_transit ? entry->last_sent_version : (uint64_t)0);
+        MAX(entry->document_version, document_transfer_in_transit(t, now_us));
 
     if (d->document == NULL || base_version >= d->document_version ||
+        !document_transfer_may_begin(t, now_us) ||
         !consensus_is_current(d->consensus)) {
         return;
     }
-    frame.body_case = SW__FRAME__BODY_DOCUMENT_UPDATE;
-    frame.document_update = delta_from(d, base_version);
-    if (frame.document_update == NULL) {
-        whole.version = d->document_version;
-        whole.text.data =
-            (uint8_t *)g_bytes_get_data(d->document, &whole.text.len);
-        frame.document_update = &whole;
+    document_transfer_begin(t, now_us, ++d->last_transfer,
+                            encoded_update_from(d, base_version));
+    if (entry->link_bytes_per_s == 0) {
+        send_single_frame(d, entry);
+        return;
     }
-    entry->document_sent_us = now_us;
-    entry->last_sent_version = d->document_version;
-    d->port.send(d->port.ctx, entry->id, &frame);
+    send_chunks(d, now_us, entry);
+}
+
+/* Continues the transfer to an entry instance.  On the leader, starts one of a
+ * newer version that was applied meanwhile. */
+void
+documents_tick(Director *d, uint64_t now_us, EntryState *entry)
+{
+    send_chunks(d, now_us, entry);
+    if (director_is_leader(d) &&
+        entry->transfer.version < d->document_version) {
+        documents_send(d, now_us, entry);
+    }
+}
+
+/* Tells whether this control instance should send the document to an entry
+ * instance that is behind. */
+static gboolean
+may_send(const Director *d, uint64_t now_us, const EntryState *entry)
+{
+    uint64_t behind_us = now_us - entry->behind_since_us;
+
+    if (director_is_leader(d)) {
+        return TRUE;
+    }
+    return entry->incoming_version < d->document_version &&
+           behind_us > (entry->document_version == 0
+                            ? (uint64_t)kFirstHelpDelayUs
+                            : (uint64_t)kHelpDelayUs);
 }
 
-/* Handles the document version in an entry instance's report.  If the
- * instance is behind, sends the current one, provided that this control
- * instance leads, or that the entry instance has been behind for kHelpDelayUs
- * or has no document at all. */
+/* Handles the document version in an entry instance's report; sends the
+ * current document if the instance is behind. */
 void
 documents_handle_report(Director *d, uint64_t now_us, EntryState *entry)
 {
+    document_transfer_confirmed(&entry->transfer, entry->document_version);
     if (entry->document_version >= d->document_version) {
         entry->behind_since_us = 0;
         return;
@@ -122,10 +198,7 @@
     if (entry->behind_since_us == 0) {
         entry->behind_since_us = now_us;
     }
-    gboolean may_send = director_is_leader(d) ||
-                        now_us - entry->behind_since_us > kHelpDelayUs ||
-                        entry->document_version == 0;
-    if (may_send && now_us - entry->document_sent_us > kResendIntervalUs) {
+    if (may_send(d, now_us, entry)) {
         documents_send(d, now_us, entry);
     }
 }
--- a/src/sapphireweir/fleet/director_entries.c
+++ b/src/sapphireweir/fleet/director_entries.c
@@ -20,6 +20,7 @@
 entry_state_free(void *state)
 {
     EntryState *entry = state;
+    document_transfer_reset(&entry->transfer);
     g_hash_table_destroy(entry->evidence);
     g_hash_table_destroy(entry->demand);
     g_hash_table_destroy(entry->shares);
@@ -62,8 +63,7 @@
     entry->granted_sequence = 0;
     entry->grant_reported_us = now_us;
     entry->sent_revision = 0;
-    entry->document_sent_us = 0;
-    entry->last_sent_version = 0;
+    document_transfer_reset(&entry->transfer);
     entry->behind_since_us = 0;
     return entry;
 }
@@ -341,6 +341,8 @@
         entry->failure_domain = g_strdup(m->failure_domain);
     }
     entry->document_version = m->document_version;
+    entry->incoming_version = m->incoming_version;
+    entry->link_bytes_per_s = m->link_bytes_per_s;
     if (m->directory_run != d->run_id) {
         entry->sent_revision = 0;
     }
@@ -398,11 +400,12 @@
     return now_us - entry->last_seen_us > kEntryExpiryUs;
 }
 
-/* Frees the state of expired entry instances and, on the leader, recomputes
- * the rate shares, every kSharesIntervalUs. */
+/* Continues document transfers.  Every kSharesIntervalUs, frees the state of
+ * expired entry instances and, on the leader, recomputes the rate shares. */
 void
 entries_tick(Director *d, uint64_t now_us)
 {
+    for_each_connected_entry(d, now_us, documents_tick);
     if (now_us < d->next_shares_us) {
         return;
     }
--- a/src/sapphireweir/fleet/director_internal.h
+++ b/src/sapphireweir/fleet/director_internal.h
@@ -2,6 +2,7 @@
 #define SAPPHIREWEIR_FLEET_DIRECTOR_INTERNAL_H
 
 #include "fleet/director.h"
+#include "fleet/document_transfer.h"
 
 /* Types and functions that the director's source files share. */
 
@@ -40,8 +41,9 @@
     uint64_t granted_sequence;  /* of the newest grant that it received */
     uint64_t grant_reported_us; /* when it first reported that grant */
     uint64_t document_version;  /* version that the instance has */
-    uint64_t document_sent_us;  /* when a document was last sent to it */
-    uint64_t last_sent_version; /* version of that document */
+    uint64_t incoming_version;  /* that it receives, zero: none */
+    uint64_t link_bytes_per_s;  /* zero: it takes no documents in chunks */
+    DocumentTransfer transfer;  /* of a document to it */
     uint64_t behind_since_us;   /* zero: it has the current document */
     /* Directory revision that was last sent, zero: the instance has none of
      * this run. */
@@ -78,7 +80,7 @@
     uint64_t version;
     GBytes *text;
     /* Delta to the current version, NULL: not computed yet. */
-    Sw__DocumentUpdate *delta;
+    EncodedUpdate *delta;
 } PastDocument;
 
 /* A change of primary that the leader carries out. */
@@ -154,11 +156,13 @@
     uint64_t run_id; /* random; directory revisions restart with each run */
 
     uint64_t document_version;
-    GBytes *document;            /* text of the current version, or NULL */
-    Document *decoded_document;  /* the document in parsed form, or NULL */
-    GPtrArray *recent_documents; /* PastDocument, owned, oldest first */
-    GHashTable *rate_windows;    /* team -> RateWindow, owned, leader only */
-    GHashTable *primaries;       /* database -> PrimaryState, owned */
+    GBytes *document;              /* text of the current version, or NULL */
+    Document *decoded_document;    /* the document in parsed form, or NULL */
+    GPtrArray *recent_documents;   /* PastDocument, owned, oldest first */
+    EncodedUpdate *whole_document; /* the document, NULL: not encoded yet */
+    uint64_t last_transfer;        /* id of the last document transfer */
+    GHashTable *rate_windows;      /* team -> RateWindow, owned, leader only */
+    GHashTable *primaries;         /* database -> PrimaryState, owned */
 
     GHashTable *entries; /* id -> EntryState, owned */
     GHashTable *changes; /* database -> PrimaryChange, owned */
@@ -204,6 +208,7 @@
 void documents_add_applied(Director *d);
 void documents_clear(Director *d);
 void documents_send(Director *d, uint64_t now_us, EntryState *entry);
+void documents_tick(Director *d, uint64_t now_us, EntryState *entry);
 void documents_handle_report(Director *d, uint64_t now_us, EntryState *entry);
 
 /* director_requests.c */
--- /dev/null
+++ b/src/sapphireweir/fleet/document_transfer.c
@@ -0,0 +1,257 @@
+#include "fleet/document_transfer.h"
+
+#include <string.h>
+#include <zlib.h>
+
+/* Transfers of document updates to entry instances: compressed, in chunks, and
+ * paced to a part of the receiver's network link.
+ *
+ * Designed for a change that adds hundreds of routes while the links of 2
+ * Mbit/s also carry callers' answers, leases and reports.  Sent in one frame
+ * to each instance, such a document fills every link for seconds; leases then
+ * expire, and healthy primaries seem to be down.  At most one transfer to an
+ * instance is in progress.  Versions that arrive meanwhile are sent together
+ * afterwards, as one update. */
+
+enum {
+    kChunkBytes = 4096,
+    kLinkParts = 4, /* a transfer uses 1 / parts of the receiver's link */
+    kMinBytesPerS = 16384,
+    /* Minimum time between the starts of two transfers: a storm of versions
+     * costs each instance a bounded number of updates. */
+    kMinIntervalUs = 100000,
+    /* Wait for the receiver's confirmation before an update is sent again;
+     * doubles on each repetition. */
+    kResendFirstUs = 500000,
+    kResendMaxUs = 4000000,
+    kReceiverStalledUs = 1000000, /* then another transfer may replace it */
+    kMaxUpdateBytes = 64 << 20,
+    kMicro = 1000000,
+};
+
+/* ---- encoding ---- */
+
+/* Compresses an update.  Free the result with encoded_update_free. */
+EncodedUpdate *
+encoded_update_new(const Sw__DocumentUpdate *m)
+{
+    EncodedUpdate *update = g_new(EncodedUpdate, 1);
+    size_t bytes = sw__document_update__get_packed_size(m);
+    uint8_t *plain = g_malloc(bytes + 1);
+    uLongf packed_bytes = compressBound(bytes);
+    uint8_t *packed = g_malloc(packed_bytes);
+
+    sw__document_update__pack(m, plain);
+    int result = compress(packed, &packed_bytes, plain, bytes);
+    g_assert(result == Z_OK);
+    g_free(plain);
+    update->version = m->version;
+    update->update_bytes = (uint32_t)bytes;
+    update->packed =
+        g_bytes_new_take(g_realloc(packed, packed_bytes), packed_bytes);
+    return update;
+}
+
+/* Frees an encoded update; NULL is allowed.  Transfers of it continue. */
+void
+encoded_update_free(EncodedUpdate *update)
+{
+    if (update != NULL) {
+        g_bytes_unref(update->packed);
+        g_free(update);
+    }
+}
+
+/* Uncompresses an update.  Returns NULL if it is invalid. */
+static Sw__DocumentUpdate *
+decode_update(const uint8_t *packed, size_t packed_bytes, uint32_t bytes)
+{
+    uint8_t *plain = g_malloc(bytes);
+    uLongf plain_bytes = bytes;
+    Sw__DocumentUpdate *m = NULL;
+
+    if (uncompress(plain, &plain_bytes, packed, packed_bytes) == Z_OK &&
+        plain_bytes == bytes) {
+        m = sw__document_update__unpack(NULL, bytes, plain);
+    }
+    g_free(plain);
+    return m;
+}
+
+/* ---- sending ---- */
+
+/* Tells whether a transfer may begin: none is in progress, and the last one
+ * began kMinIntervalUs ago or earlier. */
+gboolean
+document_transfer_may_begin(const DocumentTransfer *t, uint64_t now_us)
+{
+    return t->packed == NULL && now_us >= t->next_begin_us;
+}
+
+/* Begins the transfer of an update.  id must differ from those of all other
+ * transfers of this process. */
+void
+document_transfer_begin(DocumentTransfer *t, uint64_t now_us, uint64_t id,
+                        const EncodedUpdate *update)
+{
+    gboolean repeated = t->version == update->version;
+
+    t->resend_wait_us =
+        repeated ? MIN(t->resend_wait_us * 2, (uint64_t)kResendMaxUs)
+                 : kResendFirstUs;
+    t->id = id;
+    t->version = update->version;
+    t->packed = g_bytes_ref(update->packed);
+    t->update_bytes = update->update_bytes;
+    t->offset = 0;
+    t->next_due_us = now_us;
+    t->next_begin_us = now_us + kMinIntervalUs;
+}
+
+/* Fills in the next chunk, if one is due now, for a receiver with a link of
+ * the given bandwidth.  The data belongs to the transfer and stays valid until
+ * its next call. */
+gboolean
+document_transfer_next(DocumentTransfer *t, uint64_t now_us,
+                       uint64_t link_bytes_per_s, Sw__DocumentChunk *out)
+{
+    size_t total;
+    uint64_t bytes_per_s =
+        MAX(link_bytes_per_s / kLinkParts, (uint64_t)kMinBytesPerS);
+
+    if (t->packed == NULL || now_us < t->next_due_us) {
+        return FALSE;
+    }
+    const uint8_t *data = g_bytes_get_data(t->packed, &total);
+    if (t->offset == total) {
+        g_clear_pointer(&t->packed, g_bytes_unref);
+        t->ended_us = now_us;
+        return FALSE;
+    }
+    sw__document_chunk__init(out);
+    out->transfer = t->id;
+    out->version = t->version;
+    out->total_bytes = (uint32_t)total;
+    out->update_bytes = t->update_bytes;
+    out->offset = (uint32_t)t->offset;
+    out->data.data = (uint8_t *)data + t->offset;
+    out->data.len = MIN(total - t->offset, (size_t)kChunkBytes);
+    t->offset += out->data.len;
+    t->next_due_us = t->offset == total
+                         ? now_us
+                         : now_us + out->data.len * kMicro / bytes_per_s;
+    return TRUE;
+}
+
+/* Returns the version that is being sent, or that was sent so recently that
+ * the receiver may still confirm it; zero if there is none. */
+uint64_t
+document_transfer_in_transit(const DocumentTransfer *t, uint64_t now_us)
+{
+    gboolean awaited = t->version != 0 && t->packed == NULL &&
+                       now_us - t->ended_us <= t->resend_wait_us;
+    return t->packed != NULL || awaited ? t->version : 0;
+}
+
+/* Handles the receiver's report that it has a version. */
+void
+document_transfer_confirmed(DocumentTransfer *t, uint64_t version)
+{
+    if (version >= t->version) {
+        t->resend_wait_us = kResendFirstUs;
+    }
+}
+
+/* Ends a transfer whose update was sent in another way. */
+void
+document_transfer_skip(DocumentTransfer *t)
+{
+    g_clear_pointer(&t->packed, g_bytes_unref);
+    t->ended_us = t->next_due_us;
+}
+
+/* Ends a transfer in progress and forgets the earlier ones. */
+void
+document_transfer_reset(DocumentTransfer *t)
+{
+    g_clear_pointer(&t->packed, g_bytes_unref);
+    *t = (DocumentTransfer){0};
+}
+
+/* ---- receiving ---- */
+
+/* Forgets a transfer that is in progress. */
+void
+document_receiver_clear(DocumentReceiver *r)
+{
+    g_clear_pointer(&r->from, g_free);
+    g_clear_pointer(&r->packed, g_byte_array_unref);
+}
+
+/* Returns the version that is being received, zero for none. */
+uint64_t
+document_receiver_version(const DocumentReceiver *r, uint64_t now_us)
+{
+    return r->from != NULL && now_us - r->received_us < kReceiverStalledUs
+               ? r->version
+               : 0;
+}
+
+/* Starts to receive the transfer of a first chunk, unless a transfer of the
+ * same or a newer version from another instance is in progress. */
+static void
+receiver_begin(DocumentReceiver *r, uint64_t now_us, const char *from,
+               const Sw__DocumentChunk *m)
+{
+    gboolean same_sender = g_strcmp0(r->from, from) == 0;
+
+    if (!same_sender && document_receiver_version(r, now_us) >= m->version) {
+        return;
+    }
+    document_receiver_clear(r);
+    r->from = g_strdup(from);
+    r->transfer = m->transfer;
+    r->version = m->version;
+    r->total_bytes = m->total_bytes;
+    r->update_bytes = m->update_bytes;
+    r->packed = g_byte_array_new();
+}
+
+/* Tells whether a chunk continues the transfer in progress. */
+static gboolean
+chunk_fits(const DocumentReceiver *r, const char *from,
+           const Sw__DocumentChunk *m)
+{
+    return g_strcmp0(r->from, from) == 0 && m->transfer == r->transfer &&
+           m->total_bytes == r->total_bytes && m->offset == r->packed->len &&
+           m->data.len <= r->total_bytes - r->packed->len;
+}
+
+/* Adds a chunk.  Returns the update when it is complete, to be freed by the
+ * caller with sw__document_update__free_unpacked, else NULL.  A chunk that
+ * does not continue the transfer in progress is ignored; the sender starts
+ * anew when its version is not confirmed. */
+Sw__DocumentUpdate *
+document_receiver_add(DocumentReceiver *r, uint64_t now_us, const char *from,
+                      const Sw__DocumentChunk *m)
+{
+    if (m->update_bytes > kMaxUpdateBytes ||
+        m->total_bytes > kMaxUpdateBytes) {
+        return NULL;
+    }
+    if (m->offset == 0) {
+        receiver_begin(r, now_us, from, m);
+    }
+    if (!chunk_fits(r, from, m)) {
+        return NULL;
+    }
+    r->received_us = now_us;
+    g_byte_array_append(r->packed, m->data.data, (guint)m->data.len);
+    if (r->packed->len < r->total_bytes) {
+        return NULL;
+    }
+    Sw__DocumentUpdate *update =
+        decode_update(r->packed->data, r->packed->len, r->update_bytes);
+    document_receiver_clear(r);
+    return update;
+}
--- a/src/sapphireweir/gateway/gateway.c
+++ b/src/sapphireweir/gateway/gateway.c
@@ -71,6 +71,7 @@
     g->next_relay = config->incarnation;
     g->max_unconfirmed_us = config->max_unconfirmed_us;
     g->server_drain_us = config->server_drain_us;
+    g->link_bytes_per_s = config->link_bytes_per_s;
     g->decode = config->decode;
     g->events = config->events;
     g->port = *port;
@@ -111,6 +112,7 @@
     g_hash_table_destroy(g->rates);
     g_ptr_array_unref(g->closed);
     document_unref(g->document);
+    document_receiver_clear(&g->receiver);
     g_clear_pointer(&g->document_text, g_bytes_unref);
     g_free(g->leader);
     g_free(g->failure_domain);
@@ -226,6 +228,7 @@
     }
     if (g->leased) {
         g->leased = FALSE;
+        g->counters.leases_lost++;
         log_lease(g, now_us, kEventLeaseLost);
     }
     g_hash_table_iter_init(&it, g->databases);
--- a/src/sapphireweir/gateway/gateway.h
+++ b/src/sapphireweir/gateway/gateway.h
@@ -23,6 +23,9 @@
     uint64_t max_unconfirmed_us;
     /* How long a draining backend server may get new work. */
     uint64_t server_drain_us;
+    /* Bandwidth of this instance's network link, of which transfers of the
+     * configuration may use a part; must not be zero. */
+    uint64_t link_bytes_per_s;
     EventLog *events; /* NULL: no event is logged */
     /* Decodes an encoded document; returns NULL when it is invalid. */
     Document *(*decode)(const uint8_t *text, size_t bytes);
@@ -51,7 +54,8 @@
     uint64_t connections_lost;
     uint64_t lagging; /* reads rejected by a replica that was behind */
     uint64_t timeouts;
-    uint64_t relayed; /* statements sent to the owner of a server */
+    uint64_t leases_lost; /* times that the right to primaries expired */
+    uint64_t relayed;     /* statements sent to the owner of a server */
     /* Statements of borrowers that this owner rejected before they ran. */
     uint64_t relays_rejected;
     Histogram operation; /* completed statements, arrival to answer */
--- a/src/sapphireweir/gateway/gateway_control.c
+++ b/src/sapphireweir/gateway/gateway_control.c
@@ -184,6 +184,22 @@
     event_end(&line);
 }
 
+/* Adds a chunk of a configuration that arrives in chunks. */
+static void
+handle_document_chunk(Gateway *g, uint64_t now_us, const char *from,
+                      const Sw__DocumentChunk *m)
+{
+    if (g->document != NULL && m->version <= g->document->version) {
+        return;
+    }
+    Sw__DocumentUpdate *update =
+        document_receiver_add(&g->receiver, now_us, from, m);
+    if (update != NULL) {
+        handle_document(g, now_us, update);
+        sw__document_update__free_unpacked(update, NULL);
+    }
+}
+
 /* ---- rights to primaries ---- */
 
 /* Aborts all work of this instance at a database's primary. */
@@ -422,6 +438,9 @@
     case SW__FRAME__BODY_DOCUMENT_UPDATE:
         handle_document(g, now_us, frame->document_update);
         break;
+    case SW__FRAME__BODY_DOCUMENT_CHUNK:
+        handle_document_chunk(g, now_us, from, frame->document_chunk);
+        break;
     default:
         break;
     }
--- a/src/sapphireweir/gateway/gateway_internal.h
+++ b/src/sapphireweir/gateway/gateway_internal.h
@@ -2,6 +2,7 @@
 #define SAPPHIREWEIR_GATEWAY_GATEWAY_INTERNAL_H
 
 #include "core/token_bucket.h"
+#include "fleet/document_transfer.h"
 #include "fleet/owners.h"
 #include "gateway/concurrency.h"
 #include "gateway/freshness.h"
@@ -219,15 +220,17 @@
     GatewayPort port;
     Document *(*decode)(const uint8_t *text, size_t bytes);
     Document *document;
-    GBytes *document_text; /* the encoded form of document */
-    GHashTable *databases; /* name -> Database, owned */
-    GHashTable *servers;   /* id -> Server, owned */
-    GHashTable *controls;  /* address -> ControlContact, owned */
-    GHashTable *rates;     /* team -> TeamRate, owned */
-    EntryList *entries;    /* entry instances that may lend connections */
-    gboolean owners_stale; /* servers or entries changed */
-    GHashTable *owners;    /* id -> OwnerContact, owned */
-    GHashTable *relays;    /* number -> borrowed Connection, not owned */
+    GBytes *document_text;     /* the encoded form of document */
+    DocumentReceiver receiver; /* of a newer document */
+    uint64_t link_bytes_per_s; /* see GatewayConfig */
+    GHashTable *databases;     /* name -> Database, owned */
+    GHashTable *servers;       /* id -> Server, owned */
+    GHashTable *controls;      /* address -> ControlContact, owned */
+    GHashTable *rates;         /* team -> TeamRate, owned */
+    EntryList *entries;        /* entry instances that may lend connections */
+    gboolean owners_stale;     /* servers or entries changed */
+    GHashTable *owners;        /* id -> OwnerContact, owned */
+    GHashTable *relays;        /* number -> borrowed Connection, not owned */
     uint64_t next_relay;
     GHashTable *pooled_jobs; /* key (see pooled_job_key) -> PooledJob, owned */
     GQueue sessions;
--- a/src/sapphireweir/gateway/gateway_metrics.c
+++ b/src/sapphireweir/gateway/gateway_metrics.c
@@ -50,6 +50,7 @@
         {"refused_unconfirmed_total", n->refusals[kRefusedUnconfirmed]},
         {"in_doubt_total", n->in_doubt},
         {"timeouts_total", n->timeouts},
+        {"leases_lost_total", n->leases_lost},
         {"replica_reads_total", n->replica_reads},
         {"primary_reads_total", n->primary_reads},
         {"lagging_total", n->lagging},
--- a/src/sapphireweir/gateway/gateway_report.c
+++ b/src/sapphireweir/gateway/gateway_report.c
@@ -124,6 +124,8 @@
     report.document_version = g->document == NULL ? 0 : g->document->version;
     report.leaving = g->drain_started_us != 0;
     report.granted_sequence = g->granted_sequence;
+    report.link_bytes_per_s = g->link_bytes_per_s;
+    report.incoming_version = document_receiver_version(&g->receiver, now_us);
     report.entries_hash = g->entries == NULL ? 0 : g->entries->hash;
     report.n_evidence = evidence_list->len;
     report.evidence = (Sw__PrimaryEvidence **)evidence_list->pdata;
--- a/src/sapphireweir/proto/sapphireweir.pb-c.c
+++ b/src/sapphireweir/proto/sapphireweir.pb-c.c
@@ -1537,6 +1537,51 @@
   assert(message->base.descriptor == &sw__document_part__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   sw__document_chunk__init
+                     (Sw__DocumentChunk         *message)
+{
+  static const Sw__DocumentChunk init_value = SW__DOCUMENT_CHUNK__INIT;
+  *message = init_value;
+}
+size_t sw__document_chunk__get_packed_size
+                     (const Sw__DocumentChunk *message)
+{
+  assert(message->base.descriptor == &sw__document_chunk__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t sw__document_chunk__pack
+                     (const Sw__DocumentChunk *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &sw__document_chunk__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t sw__document_chunk__pack_to_buffer
+                     (const Sw__DocumentChunk *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &sw__document_chunk__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Sw__DocumentChunk *
+       sw__document_chunk__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Sw__DocumentChunk *)
+     protobuf_c_message_unpack (&sw__document_chunk__descriptor,
+                                allocator, len, data);
+}
+void   sw__document_chunk__free_unpacked
+                     (Sw__DocumentChunk *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &sw__document_chunk__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   sw__join_request__init
                      (Sw__JoinRequest         *message)
 {
@@ -1942,7 +1987,7 @@
   assert(message->base.descriptor == &sw__fleet_snapshot__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor sw__frame__field_descriptors[28] =
+static const ProtobufCFieldDescriptor sw__frame__field_descriptors[29] =
 {
   {
     "request_id",
@@ -2280,6 +2325,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "document_chunk",
+    29,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sw__Frame, body_case),
+    offsetof(Sw__Frame, document_chunk),
+    &sw__document_chunk__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sw__frame__field_indices_by_name[] = {
   8,   /* field[8] = admin_reply */
@@ -2288,6 +2345,7 @@
   18,   /* field[18] = cancel_work */
   3,   /* field[3] = consensus */
   21,   /* field[21] = directory_update */
+  28,   /* field[28] = document_chunk */
   22,   /* field[22] = document_update */
   20,   /* field[20] = entry_grant */
   19,   /* field[19] = entry_report */
@@ -2314,7 +2372,7 @@
 static const ProtobufCIntRange sw__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 28 }
+  { 0, 29 }
 };
 const ProtobufCMessageDescriptor sw__frame__descriptor =
 {
@@ -2324,7 +2382,7 @@
   "Sw__Frame",
   "sw",
   sizeof(Sw__Frame),
-  28,
+  29,
   sw__frame__field_descriptors,
   sw__frame__field_indices_by_name,
   1,  sw__frame__number_ranges,
@@ -4629,7 +4687,7 @@
   (ProtobufCMessageInit) sw__team_demand__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sw__entry_report__field_descriptors[11] =
+static const ProtobufCFieldDescriptor sw__entry_report__field_descriptors[13] =
 {
   {
     "failure_domain",
@@ -4763,6 +4821,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "link_bytes_per_s",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__EntryReport, link_bytes_per_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incoming_version",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__EntryReport, incoming_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sw__entry_report__field_indices_by_name[] = {
   8,   /* field[8] = demand */
@@ -4774,13 +4856,15 @@
   0,   /* field[0] = failure_domain */
   10,   /* field[10] = granted_sequence */
   1,   /* field[1] = incarnation */
+  12,   /* field[12] = incoming_version */
   6,   /* field[6] = leaving */
+  11,   /* field[11] = link_bytes_per_s */
   2,   /* field[2] = sequence */
 };
 static const ProtobufCIntRange sw__entry_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor sw__entry_report__descriptor =
 {
@@ -4790,7 +4874,7 @@
   "Sw__EntryReport",
   "sw",
   sizeof(Sw__EntryReport),
-  11,
+  13,
   sw__entry_report__field_descriptors,
   sw__entry_report__field_indices_by_name,
   1,  sw__entry_report__number_ranges,
@@ -5543,6 +5627,109 @@
   (ProtobufCMessageInit) sw__document_part__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor sw__document_chunk__field_descriptors[6] =
+{
+  {
+    "transfer",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__DocumentChunk, transfer),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__DocumentChunk, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "total_bytes",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Sw__DocumentChunk, total_bytes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "update_bytes",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Sw__DocumentChunk, update_bytes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "offset",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Sw__DocumentChunk, offset),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "data",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Sw__DocumentChunk, data),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned sw__document_chunk__field_indices_by_name[] = {
+  5,   /* field[5] = data */
+  4,   /* field[4] = offset */
+  2,   /* field[2] = total_bytes */
+  0,   /* field[0] = transfer */
+  3,   /* field[3] = update_bytes */
+  1,   /* field[1] = version */
+};
+static const ProtobufCIntRange sw__document_chunk__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor sw__document_chunk__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "sw.DocumentChunk",
+  "DocumentChunk",
+  "Sw__DocumentChunk",
+  "sw",
+  sizeof(Sw__DocumentChunk),
+  6,
+  sw__document_chunk__field_descriptors,
+  sw__document_chunk__field_indices_by_name,
+  1,  sw__document_chunk__number_ranges,
+  (ProtobufCMessageInit) sw__document_chunk__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor sw__join_request__field_descriptors[2] =
 {
   {
--- a/src/sapphireweir/proto/sapphireweir.pb-c.h
+++ b/src/sapphireweir/proto/sapphireweir.pb-c.h
@@ -49,6 +49,7 @@
 typedef struct Sw__DirectoryUpdate Sw__DirectoryUpdate;
 typedef struct Sw__DocumentUpdate Sw__DocumentUpdate;
 typedef struct Sw__DocumentPart Sw__DocumentPart;
+typedef struct Sw__DocumentChunk Sw__DocumentChunk;
 typedef struct Sw__JoinRequest Sw__JoinRequest;
 typedef struct Sw__RelayCommand Sw__RelayCommand;
 typedef struct Sw__RelayRun Sw__RelayRun;
@@ -145,7 +146,8 @@
   SW__FRAME__BODY_RELAY_RUN = 25,
   SW__FRAME__BODY_RELAY_RESULT = 26,
   SW__FRAME__BODY_RELAY_END = 27,
-  SW__FRAME__BODY_RELAY_PING = 28
+  SW__FRAME__BODY_RELAY_PING = 28,
+  SW__FRAME__BODY_DOCUMENT_CHUNK = 29
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(SW__FRAME__BODY__CASE)
 } Sw__Frame__BodyCase;
 
@@ -182,6 +184,7 @@
     Sw__RelayResult *relay_result;
     Sw__RelayEnd *relay_end;
     Sw__RelayPing *relay_ping;
+    Sw__DocumentChunk *document_chunk;
   };
 };
 #define SW__FRAME__INIT \
@@ -686,10 +689,20 @@
    * each team to this instance's share of its rate.
    */
   uint64_t granted_sequence;
+  /*
+   * Bandwidth of the sender's network link.  Zero: not known, and the sender
+   * takes documents in single frames only.
+   */
+  uint64_t link_bytes_per_s;
+  /*
+   * Version of the document that the sender is receiving in chunks; zero:
+   * none.
+   */
+  uint64_t incoming_version;
 };
 #define SW__ENTRY_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sw__entry_report__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0 }
 
 
 struct  Sw__EntryRecord
@@ -873,6 +886,35 @@
     , 0, 0, {0,NULL} }
 
 
+/*
+ * A part of a compressed DocumentUpdate.  The parts of one transfer are sent in
+ * order and paced, so that a large document leaves most of a narrow link to
+ * other messages.
+ */
+struct  Sw__DocumentChunk
+{
+  ProtobufCMessage base;
+  /*
+   * Number of the transfer, unique among those of the sending process.
+   */
+  uint64_t transfer;
+  uint64_t version;
+  /*
+   * Size of the whole compressed update.
+   */
+  uint32_t total_bytes;
+  /*
+   * Size of the whole update before compression.
+   */
+  uint32_t update_bytes;
+  uint32_t offset;
+  ProtobufCBinaryData data;
+};
+#define SW__DOCUMENT_CHUNK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&sw__document_chunk__descriptor) \
+    , 0, 0, 0, 0, 0, {0,NULL} }
+
+
 /*
  * Sent by a control instance that has no contact with a leader.
  */
@@ -1703,6 +1745,25 @@
 void   sw__document_part__free_unpacked
                      (Sw__DocumentPart *message,
                       ProtobufCAllocator *allocator);
+/* Sw__DocumentChunk methods */
+void   sw__document_chunk__init
+                     (Sw__DocumentChunk         *message);
+size_t sw__document_chunk__get_packed_size
+                     (const Sw__DocumentChunk   *message);
+size_t sw__document_chunk__pack
+                     (const Sw__DocumentChunk   *message,
+                      uint8_t             *out);
+size_t sw__document_chunk__pack_to_buffer
+                     (const Sw__DocumentChunk   *message,
+                      ProtobufCBuffer     *buffer);
+Sw__DocumentChunk *
+       sw__document_chunk__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   sw__document_chunk__free_unpacked
+                     (Sw__DocumentChunk *message,
+                      ProtobufCAllocator *allocator);
 /* Sw__JoinRequest methods */
 void   sw__join_request__init
                      (Sw__JoinRequest         *message);
@@ -1978,6 +2039,9 @@
 typedef void (*Sw__DocumentPart_Closure)
                  (const Sw__DocumentPart *message,
                   void *closure_data);
+typedef void (*Sw__DocumentChunk_Closure)
+                 (const Sw__DocumentChunk *message,
+                  void *closure_data);
 typedef void (*Sw__JoinRequest_Closure)
                  (const Sw__JoinRequest *message,
                   void *closure_data);
@@ -2050,6 +2114,7 @@
 extern const ProtobufCMessageDescriptor sw__directory_update__descriptor;
 extern const ProtobufCMessageDescriptor sw__document_update__descriptor;
 extern const ProtobufCMessageDescriptor sw__document_part__descriptor;
+extern const ProtobufCMessageDescriptor sw__document_chunk__descriptor;
 extern const ProtobufCMessageDescriptor sw__join_request__descriptor;
 extern const ProtobufCMessageDescriptor sw__relay_command__descriptor;
 extern const ProtobufCMessageDescriptor sw__relay_run__descriptor;
--- a/test/support/fleet_sim.c
+++ b/test/support/fleet_sim.c
@@ -19,6 +19,9 @@
     kRateWindowMs = 5000,
     kRateSlack = 20, /* not used */
     kMaxStalenessMs = 1500,
+    kFrameOverheadBytes = 60, /* of packets, length and authentication */
+    /* Bandwidth that entry instances report while it is unlimited. */
+    kUnlimitedBytesPerS = 125000000,
     /* From a promotion to the first step-down attempt of the old primary. */
     kStepDownDelayUs = 1000000,
     /* From the acknowledgement of a document to its use by all entry
@@ -124,6 +127,8 @@
     uint32_t index;
     char *id;
     Gateway *gateway;
+    uint64_t inbound_free_us;  /* when its link can take the next frame */
+    uint64_t outbound_free_us; /* the same for frames that it sends */
 } EntryInstance;
 
 typedef void (*EventCallback)(FleetSim *sim, void *data);
@@ -162,7 +167,11 @@
     gboolean quiescing;        /* callers start no operations */
     gboolean sync_replication; /* commits wait for one replica */
     uint64_t mean_pause_us;    /* of a caller between operations */
-    uint64_t version;          /* of the last document sent */
+    /* Bandwidth of each entry instance's link, zero: unlimited. */
+    uint64_t link_bytes_per_s;
+    uint32_t padding_routes; /* further routes in the document's text */
+    Traffic traffic;         /* between all instances */
+    uint64_t version;        /* of the last document sent */
     uint64_t acked_version;
     uint64_t acked_us; /* when acked_version was acknowledged */
     /* Entry instances must use this version or a later one. */
@@ -797,15 +806,63 @@
     return (uint32_t)(id[1] - '0') % kFleetSimDomains;
 }
 
+/* Returns the entry instance with an id, NULL when there is none. */
+static EntryInstance *
+find_entry(FleetSim *sim, const char *id)
+{
+    for (uint32_t i = 0; i < kFleetSimEntries; i++) {
+        if (strcmp(sim->entries[i].id, id) == 0) {
+            return &sim->entries[i];
+        }
+    }
+    return NULL;
+}
+
+/* Returns when one direction of a link, which is free at *free_us, has taken
+ * bytes that arrive at at_us, and occupies it until then. */
+static uint64_t
+link_pass(FleetSim *sim, uint64_t *free_us, uint64_t at_us, size_t bytes)
+{
+    uint64_t start_us = MAX(*free_us, at_us);
+
+    sim->report.longest_link_wait_us =
+        MAX(sim->report.longest_link_wait_us, start_us - at_us);
+    *free_us = start_us + bytes * 1000 * kUsPerMs / sim->link_bytes_per_s;
+    return *free_us;
+}
+
+/* Returns when a frame arrives.  The links of the sending and the receiving
+ * entry instance pass frames one after the other. */
+static uint64_t
+arrival_us(FleetSim *sim, const char *from, const char *to, size_t bytes)
+{
+    EntryInstance *sender = find_entry(sim, from);
+    EntryInstance *receiver = find_entry(sim, to);
+    uint64_t at_us = sim->now_us;
+
+    if (sim->link_bytes_per_s != 0 && sender != NULL) {
+        at_us = link_pass(sim, &sender->outbound_free_us, at_us, bytes);
+    }
+    at_us += kOneWayDelayUs;
+    if (sim->link_bytes_per_s != 0 && receiver != NULL) {
+        at_us = link_pass(sim, &receiver->inbound_free_us, at_us, bytes);
+    }
+    return at_us;
+}
+
 /* Sends a copy of a frame. */
 static void
 packet_send(FleetSim *sim, const char *from, const char *to,
             const Sw__Frame *f)
 {
+    size_t bytes = sw__frame__get_packed_size(f) + kFrameOverheadBytes;
     Packet *packet = g_new(Packet, 1);
+
     *packet = (Packet){domain_of(from), domain_of(to), g_strdup(from),
                        g_strdup(to), message_copy(f)};
-    schedule_owned(sim, kOneWayDelayUs, packet_arrive, packet, packet_free);
+    traffic_count(&sim->traffic, f, bytes);
+    schedule_owned(sim, arrival_us(sim, from, to, bytes) - sim->now_us,
+                   packet_arrive, packet, packet_free);
 }
 
 static void
@@ -1502,25 +1559,88 @@
     }
 }
 
+/* Appends the text of routes that no caller uses.  Like an operator's, they
+ * have random names and otherwise repeat each other. */
+static void
+append_padding_routes(const FleetSim *sim, GString *text)
+{
+    GRand *names = g_rand_new_with_seed(1);
+
+    for (uint32_t i = 0; i < sim->padding_routes; i++) {
+        g_string_append_printf(
+            text,
+            " {\"name\":\"r-%08x\",\"host\":\"h%08x%08x\","
+            "\"path-prefix\":\"/\",\"kind\":\"bounded_staleness\","
+            "\"timeout-ms\":2000,\"target-latency-ms\":500,"
+            "\"priority\":2,\"service\":\"orders\","
+            "\"max-staleness-ms\":1500,\"public\":false}",
+            g_rand_int(names), g_rand_int(names), g_rand_int(names));
+    }
+    g_rand_free(names);
+}
+
 /* Sends a new document as an operator; rate is in operations per second for
  * each team, and without with_key the teams' keys are invalid. */
 void
 fleet_sim_configure(FleetSim *sim, uint32_t rate, gboolean with_key)
 {
-    char text[64];
+    GString *text = g_string_new(NULL);
+
     sim->version += 3;
     sim->rate = rate;
     sim->with_key = with_key;
-    g_snprintf(text, sizeof(text), "%" G_GUINT64_FORMAT " %u %d %d %u %u",
-               sim->version, rate, with_key, sim->sync_replication, sim->teams,
-               sim->max_connections);
+    g_string_append_printf(text, "%" G_GUINT64_FORMAT " %u %d %d %u %u",
+                           sim->version, rate, with_key, sim->sync_replication,
+                           sim->teams, sim->max_connections);
+    append_padding_routes(sim, text);
     if (sim->document != NULL) {
         g_bytes_unref(sim->document);
     }
-    sim->document = g_bytes_new(text, strlen(text) + 1);
+    sim->document = g_bytes_new(text->str, text->len + 1);
+    g_string_free(text, TRUE);
     send_document(sim, NULL);
 }
 
+/* Sends a new document with further routes, which stay in later ones. */
+void
+fleet_sim_add_routes(FleetSim *sim, uint32_t count)
+{
+    sim->padding_routes += count;
+    fleet_sim_configure(sim, sim->rate, sim->with_key);
+}
+
+/* Returns the lowest document version that an entry instance uses. */
+uint64_t
+fleet_sim_oldest_version(const FleetSim *sim)
+{
+    uint64_t oldest = G_MAXUINT64;
+
+    for (uint32_t i = 0; i < kFleetSimEntries; i++) {
+        oldest = MIN(oldest, gateway_version(sim->entries[i].gateway));
+    }
+    return oldest;
+}
+
+/* Returns how many times the entry instances' current runs have lost their
+ * lease. */
+uint64_t
+fleet_sim_leases_lost(const FleetSim *sim)
+{
+    uint64_t lost = 0;
+
+    for (uint32_t i = 0; i < kFleetSimEntries; i++) {
+        lost += gateway_counters(sim->entries[i].gateway)->leases_lost;
+    }
+    return lost;
+}
+
+/* Returns the counters of all frames between instances. */
+const Traffic *
+fleet_sim_traffic(const FleetSim *sim)
+{
+    return &sim->traffic;
+}
+
 /* Returns the highest document version that was acknowledged. */
 uint64_t
 fleet_sim_acked_version(const FleetSim *sim)
@@ -1534,13 +1654,15 @@
 {
     EntryInstance *e = &sim->entries[i];
     char *id = g_strdup_printf("e%u", i);
-    GatewayConfig config = {.id = id,
-                            .failure_domain =
-                                kDomainNames[i % kFleetSimDomains],
-                            .incarnation = random_number(sim),
-                            .max_unconfirmed_us = sim->max_unconfirmed_us,
-                            .server_drain_us = kDrainMs * kUsPerMs,
-                            .decode = decode};
+    GatewayConfig config = {
+        .id = id,
+        .failure_domain = kDomainNames[i % kFleetSimDomains],
+        .incarnation = random_number(sim),
+        .max_unconfirmed_us = sim->max_unconfirmed_us,
+        .server_drain_us = kDrainMs * kUsPerMs,
+        .link_bytes_per_s = sim->link_bytes_per_s != 0 ? sim->link_bytes_per_s
+                                                       : kUnlimitedBytesPerS,
+        .decode = decode};
     GatewayPort port = {.ctx = e,
                         .caller_answer = port_caller_answer,
                         .caller_close = port_caller_close,
@@ -1945,6 +2067,17 @@
     sim->promotion_delay_us = delay_ms * kUsPerMs;
 }
 
+/* Limits the bandwidth of each entry instance's network link in each
+ * direction, and restarts all entry instances. */
+void
+fleet_sim_set_link_bandwidth(FleetSim *sim, uint64_t bytes_per_s)
+{
+    sim->link_bytes_per_s = bytes_per_s;
+    for (uint32_t i = 0; i < kFleetSimEntries; i++) {
+        fleet_sim_restart_entry(sim, i);
+    }
+}
+
 /* Sets the mean pause of each caller between operations. */
 void
 fleet_sim_set_caller_pause(FleetSim *sim, uint64_t pause_ms)
--- a/test/support/fleet_sim.h
+++ b/test/support/fleet_sim.h
@@ -1,6 +1,7 @@
 #ifndef SAPPHIREWEIR_TEST_FLEET_SIM_H
 #define SAPPHIREWEIR_TEST_FLEET_SIM_H
 
+#include "core/traffic.h"
 #include "fleet/director.h"
 #include "gateway/gateway.h"
 
@@ -30,6 +31,9 @@
     uint64_t longest_write_gap_us;
     uint64_t replica_reads;
     uint64_t rolled_back; /* acknowledged, then discarded by a promotion */
+    /* Longest time that a frame waited for the network link of an entry
+     * instance. */
+    uint64_t longest_link_wait_us;
 
     /* Violations of guarantees; all must be zero. */
 
@@ -86,6 +90,11 @@
 void fleet_sim_partition_entries(FleetSim *sim, gboolean partitioned);
 uint32_t fleet_sim_connections_opened(const FleetSim *sim);
 void fleet_sim_pause_server_reports(FleetSim *sim, gboolean paused);
+void fleet_sim_set_link_bandwidth(FleetSim *sim, uint64_t bytes_per_s);
+void fleet_sim_add_routes(FleetSim *sim, uint32_t count);
+uint64_t fleet_sim_oldest_version(const FleetSim *sim);
+uint64_t fleet_sim_leases_lost(const FleetSim *sim);
+const Traffic *fleet_sim_traffic(const FleetSim *sim);
 void fleet_sim_set_caller_pause(FleetSim *sim, uint64_t pause_ms);
 
 #endif
--- /dev/null
+++ b/test/unit/test_document_transfer.c
@@ -0,0 +1,246 @@
+#include <string.h>
+
+#include "core/traffic.h"
+#include "fleet/document_transfer.h"
+#include "suite.h"
+
+/* Transfers of documents in chunks, and the counters of frames by kind. */
+
+enum {
+    kLinkBytesPerS = 250000,
+    kTextBytes = 40000, /* random, so that it does not become smaller */
+    kStepUs = 10000,
+};
+
+/* Returns an encoded update with a text that cannot be compressed. */
+static EncodedUpdate *
+update_new(uint64_t version, size_t bytes)
+{
+    Sw__DocumentUpdate m = SW__DOCUMENT_UPDATE__INIT;
+    GRand *rand = g_rand_new_with_seed(1);
+
+    m.version = version;
+    m.text.len = bytes;
+    m.text.data = g_malloc(bytes);
+    for (size_t i = 0; i < bytes; i++) {
+        m.text.data[i] = (uint8_t)g_rand_int(rand);
+    }
+    EncodedUpdate *update = encoded_update_new(&m);
+    g_free(m.text.data);
+    g_rand_free(rand);
+    return update;
+}
+
+/* A fault between sender and receiver, applied to the chunk with this
+ * number. */
+typedef enum {
+    kChunkIntact,
+    kChunkLost,
+    kChunkRepeated,
+    kChunkShortened,
+    kChunkDamaged,
+    kChunkOfOtherSender,
+} ChunkFault;
+
+/* Sends a whole update with a fault at the third chunk.  Returns the received
+ * update or NULL, to be freed by the caller, and sets *took_us. */
+static Sw__DocumentUpdate *
+transfer_with_fault(ChunkFault fault, uint64_t *took_us)
+{
+    EncodedUpdate *update = update_new(7, kTextBytes);
+    DocumentTransfer t = {0};
+    DocumentReceiver r = {0};
+    Sw__DocumentChunk chunk;
+    Sw__DocumentUpdate *received = NULL;
+    uint64_t now_us = kStepUs;
+    guint number = 0;
+
+    document_transfer_begin(&t, now_us, 3, update);
+    while (t.packed != NULL && received == NULL) {
+        while (document_transfer_next(&t, now_us, kLinkBytesPerS, &chunk)) {
+            gboolean faulty = ++number == 3;
+            if (faulty && fault == kChunkLost) {
+                continue;
+            }
+            if (faulty && fault == kChunkShortened) {
+                chunk.data.len /= 2;
+            }
+            if (faulty && fault == kChunkDamaged) {
+                chunk.data.data[100] ^= 1;
+            }
+            const char *from =
+                faulty && fault == kChunkOfOtherSender ? "b" : "a";
+            received = document_receiver_add(&r, now_us, from, &chunk);
+            if (faulty && fault == kChunkRepeated) {
+                CU_ASSERT_PTR_NULL(
+                    document_receiver_add(&r, now_us, from, &chunk));
+            }
+        }
+        now_us += kStepUs;
+    }
+    *took_us = now_us - kStepUs;
+    document_transfer_reset(&t);
+    document_receiver_clear(&r);
+    encoded_update_free(update);
+    return received;
+}
+
+static void
+an_update_arrives_whole_or_not_at_all(void)
+{
+    static const struct {
+        ChunkFault fault;
+        gboolean arrives;
+    } cases[] = {
+        {kChunkIntact, TRUE},   {kChunkLost, FALSE},
+        {kChunkRepeated, TRUE}, {kChunkShortened, FALSE},
+        {kChunkDamaged, FALSE}, {kChunkOfOtherSender, FALSE},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        uint64_t took_us;
+        Sw__DocumentUpdate *m = transfer_with_fault(cases[i].fault, &took_us);
+        CU_ASSERT_EQUAL(m != NULL, cases[i].arrives);
+        if (m == NULL) {
+            continue;
+        }
+        CU_ASSERT_EQUAL(m->version, 7);
+        CU_ASSERT_EQUAL(m->text.len, kTextBytes);
+        /* A quarter of the link. */
+        CU_ASSERT(took_us >=
+                  (uint64_t)kTextBytes * 9 / 10 * 4000000 / kLinkBytesPerS);
+        CU_ASSERT(took_us <=
+                  (uint64_t)kTextBytes * 12 / 10 * 4000000 / kLinkBytesPerS);
+        sw__document_update__free_unpacked(m, NULL);
+    }
+}
+
+/* A storm of versions: a transfer in progress is not replaced, and a small one
+ * delays the next by a tenth of a second. */
+static void
+transfers_follow_one_another(void)
+{
+    EncodedUpdate *small = update_new(1, 100);
+    EncodedUpdate *large = update_new(2, kTextBytes);
+    DocumentTransfer t = {0};
+    Sw__DocumentChunk chunk;
+
+    CU_ASSERT(document_transfer_may_begin(&t, 1000));
+    document_transfer_begin(&t, 1000, 1, small);
+    CU_ASSERT(document_transfer_next(&t, 1000, kLinkBytesPerS, &chunk));
+    CU_ASSERT_FALSE(document_transfer_next(&t, 1000, kLinkBytesPerS, &chunk));
+    CU_ASSERT_FALSE(document_transfer_may_begin(&t, 50000));
+    CU_ASSERT_EQUAL(document_transfer_in_transit(&t, 50000), 1);
+    CU_ASSERT(document_transfer_may_begin(&t, 101000));
+    document_transfer_begin(&t, 101000, 2, large);
+    CU_ASSERT(document_transfer_next(&t, 101000, kLinkBytesPerS, &chunk));
+    CU_ASSERT_FALSE(document_transfer_may_begin(&t, 300000));
+    CU_ASSERT_EQUAL(document_transfer_in_transit(&t, 300000), 2);
+    document_transfer_reset(&t);
+    encoded_update_free(small);
+    encoded_update_free(large);
+}
+
+/* The wait for a confirmation doubles with each repetition up to 4 s, and is
+ * back at its start once the version is confirmed. */
+static void
+repeated_transfers_wait_longer(void)
+{
+    static const uint64_t waits_us[] = {500000,  1000000, 2000000,
+                                        4000000, 4000000, 500000};
+    EncodedUpdate *update = update_new(9, 100);
+    DocumentTransfer t = {0};
+    Sw__DocumentChunk chunk;
+    uint64_t now_us = kStepUs;
+
+    for (size_t i = 0; i < G_N_ELEMENTS(waits_us); i++) {
+        if (i + 1 == G_N_ELEMENTS(waits_us)) {
+            document_transfer_confirmed(&t, 9);
+            t.version = 8;
+        }
+        document_transfer_begin(&t, now_us, i + 1, update);
+        while (document_transfer_next(&t, now_us, kLinkBytesPerS, &chunk)) {
+        }
+        CU_ASSERT_EQUAL(document_transfer_in_transit(&t, now_us + waits_us[i]),
+                        9);
+        CU_ASSERT_EQUAL(
+            document_transfer_in_transit(&t, now_us + waits_us[i] + 1), 0);
+        now_us += waits_us[i] + 1;
+    }
+    document_transfer_reset(&t);
+    encoded_update_free(update);
+}
+
+/* Chunks that no sender of ours produces name sizes that do not fit. */
+static void
+invalid_chunks_are_ignored(void)
+{
+    static uint8_t data[64];
+    static const struct {
+        uint32_t total_bytes;
+        uint32_t update_bytes;
+        uint32_t offset;
+        size_t bytes;
+    } cases[] = {
+        {0, 0, 0, 0},
+        {0, 10, 0, 64},
+        {64, 0, 0, 64},
+        {64, 10, 0, 64},
+        {10, 10, 0, 64},
+        {64, 10, 60, 64},
+        {G_MAXUINT32, 1, 0, 64},
+        {64, G_MAXUINT32, 0, 64},
+    };
+    DocumentReceiver r = {0};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        Sw__DocumentChunk m = SW__DOCUMENT_CHUNK__INIT;
+        m.transfer = i + 1;
+        m.version = 5;
+        m.total_bytes = cases[i].total_bytes;
+        m.update_bytes = cases[i].update_bytes;
+        m.offset = cases[i].offset;
+        m.data.data = data;
+        m.data.len = cases[i].bytes;
+        CU_ASSERT_PTR_NULL(document_receiver_add(&r, 1000, "a", &m));
+    }
+    document_receiver_clear(&r);
+}
+
+static void
+frames_are_counted_by_kind(void)
+{
+    Traffic t = {0};
+    Sw__Frame frame = SW__FRAME__INIT;
+    GString *out = g_string_new(NULL);
+
+    frame.body_case = SW__FRAME__BODY_DOCUMENT_CHUNK;
+    traffic_count(&t, &frame, 100);
+    traffic_count(&t, &frame, 50);
+    frame.body_case = SW__FRAME__BODY_HELLO;
+    traffic_count(&t, &frame, 7);
+    traffic_write_text(&t, "sent", out);
+    CU_ASSERT_EQUAL(traffic_bytes(&t), 157);
+    CU_ASSERT_PTR_NOT_NULL(strstr(
+        out->str, "peer_sent_bytes_total{kind=\"document_chunk\"} 150\n"));
+    CU_ASSERT_PTR_NOT_NULL(
+        strstr(out->str, "peer_sent_frames_total{kind=\"hello\"} 1\n"));
+    /* Every kind of frame has a counter. */
+    for (guint i = 0; i < sw__frame__descriptor.n_fields; i++) {
+        CU_ASSERT(sw__frame__descriptor.fields[i].id < kTrafficKinds);
+    }
+    g_string_free(out, TRUE);
+}
+
+void
+add_document_transfer_suite(void)
+{
+    CU_pSuite s = CU_add_suite("document transfer", NULL, NULL);
+    CU_add_test(s, "an update arrives whole or not at all",
+                an_update_arrives_whole_or_not_at_all);
+    CU_add_test(s, "transfers follow one another",
+                transfers_follow_one_another);
+    CU_add_test(s, "repeated transfers wait longer",
+                repeated_transfers_wait_longer);
+    CU_add_test(s, "invalid chunks are ignored", invalid_chunks_are_ignored);
+    CU_add_test(s, "frames are counted by kind", frames_are_counted_by_kind);
+}
--- a/test/unit/test_fleet_sim.c
+++ b/test/unit/test_fleet_sim.c
@@ -580,12 +580,97 @@
     }
 }
 
+/* Adds many routes and then changes the configuration every 60 ms. */
+static void
+many_routes_then_a_storm(FleetSim *sim)
+{
+    fleet_sim_add_routes(sim, 808);
+    for (uint32_t i = 0; i < 25; i++) {
+        fleet_sim_run(sim, 60);
+        fleet_sim_configure(sim, 1000 + i, TRUE);
+    }
+}
+
+/* The control leader is killed while it sends many routes. */
+static void
+many_routes_leader_killed(FleetSim *sim)
+{
+    fleet_sim_add_routes(sim, 808);
+    fleet_sim_run(sim, 250);
+    int leader = fleet_sim_control_leader(sim);
+    fleet_sim_set_control_running(sim, (uint32_t)leader, FALSE);
+    fleet_sim_run(sim, 1250);
+    fleet_sim_set_control_running(sim, (uint32_t)leader, TRUE);
+}
+
+/* Restarts an instance, which then needs the whole document. */
+static void
+many_routes_entry_restarts(FleetSim *sim)
+{
+    fleet_sim_add_routes(sim, 1400);
+    fleet_sim_run(sim, 2000);
+    fleet_sim_restart_entry(sim, 2);
+    fleet_sim_run(sim, 500);
+}
+
+/* Large configurations over links of 2 Mbit/s, as the smallest instances have.
+ * Leases and callers' statements use the same links: no lease may expire, no
+ * healthy primary may be replaced, and no frame may wait longer than a quarter
+ * of the shortest latency objective of a deployment, 150 ms.  Every instance
+ * must have the last version in time. */
+static void
+large_configurations_leave_links_to_callers(void)
+{
+    enum { kLinkBytesPerS = 250000, kMaxLinkWaitUs = 37500 };
+    static const struct {
+        const char *name;
+        Fault fault;
+    } cases[] = {
+        {"storm", many_routes_then_a_storm},
+        {"leader killed", many_routes_leader_killed},
+        {"instance restarts", many_routes_entry_restarts},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        for (uint32_t seed = 1; seed <= 4; seed++) {
+            FleetSim *sim = fleet_sim_new(seed);
+            fleet_sim_set_link_bandwidth(sim, kLinkBytesPerS);
+            fleet_sim_set_caller_pause(sim, 100);
+            fleet_sim_run(sim, 2000);
+            uint64_t leases_lost = fleet_sim_leases_lost(sim);
+            cases[i].fault(sim);
+            fleet_sim_run(sim, 3000);
+            gboolean in_time =
+                fleet_sim_oldest_version(sim) == fleet_sim_acked_version(sim);
+            leases_lost = fleet_sim_leases_lost(sim) - leases_lost;
+            fleet_sim_quiesce(sim);
+            const FleetSimReport *r = fleet_sim_check(sim);
+            gboolean holds = leases_lost == 0 && r->promotions == 0 &&
+                             r->outdated_version == 0 && in_time &&
+                             r->longest_link_wait_us <= kMaxLinkWaitUs;
+            if (!holds) {
+                g_print(
+                    "\n%s, seed %u: frames waited %lu us, %lu leases lost, "
+                    "%lu promotions, outdated %lu, version %lu of %lu\n",
+                    cases[i].name, seed, r->longest_link_wait_us, leases_lost,
+                    r->promotions, r->outdated_version,
+                    fleet_sim_oldest_version(sim),
+                    fleet_sim_acked_version(sim));
+            }
+            CU_ASSERT(holds);
+            fleet_sim_free(sim);
+        }
+    }
+}
+
 void
 add_fleet_sim_suite(void)
 {
     CU_pSuite s = CU_add_suite("fleet simulation", NULL, NULL);
     CU_add_test(s, "invariants hold under faults",
                 invariants_hold_under_faults);
+    CU_add_test(s, "large configurations leave links to callers",
+                large_configurations_leave_links_to_callers);
     CU_add_test(s, "a withdrawn key is rejected", a_withdrawn_key_is_rejected);
     CU_add_test(s, "an unconfirmed key is rejected after its limit",
                 an_unconfirmed_key_is_rejected_after_its_limit);
