Send in reports and grants only what the other side lacks

Every report to each control instance was answered with the list of all control instances, every grant listed all primaries and all shares of rates, every report all evidence, and links that carried reports had heartbeats besides.

Change: lists of control instances and of primaries go only to an instance that reported another hash; a grant without the list renews nothing at an instance that has another one. Shares are rounded down and sent when they change, all of them every two seconds. Evidence that the leader has is left out, all of it goes with every fourth report and to a new leader. Control instances that do not lead get every second report. A link has heartbeats only while nothing else is sent.

--- a/src/sapphireweir/adapter/peer.c
+++ b/src/sapphireweir/adapter/peer.c
@@ -63,7 +63,7 @@
     crypto_secretstream_xchacha20poly1305_state pull; /* received frames */
     gint64 last_seen_us;   /* last received data; see also peer_send */
     gint64 last_active_us; /* last frame except heartbeats, both directions */
-    gint64 last_heartbeat_us; /* last heartbeat sent */
+    gint64 last_sent_us;   /* last frame sent, heartbeats included */
 } Link;
 
 /* Another instance: its address and the links to it. */
@@ -244,6 +244,7 @@
         &l->push, sealed + sizeof(prefix), NULL, plain, plain_bytes, NULL, 0,
         crypto_secretstream_xchacha20poly1305_TAG_MESSAGE);
     bufferevent_write(l->bev, sealed, sealed_bytes + sizeof(prefix));
+    l->last_sent_us = (gint64)clock_now_us();
     traffic_count(&l->peer->sent, frame, sealed_bytes + sizeof(prefix));
     g_free(sealed);
     g_free(plain);
@@ -494,8 +495,8 @@
            now_us - l->last_active_us > (gint64)kIdleAfterMs * kMicrosPerMilli;
 }
 
-/* Sends the heartbeats whose interval has elapsed and closes links that timed
- * out.  Idle links use the long idle interval and timeout.  The next frame
+/* Sends heartbeats on links on which nothing was sent for the interval, and
+ * closes links that timed out.  Idle links use the long idle interval and timeout.  The next frame
  * makes a link active again, and the short timeout kLinkTimeoutMs then
  * applies. */
 static void
@@ -524,8 +525,7 @@
             continue;
         }
         if (l->state == kLinkUp &&
-            now_us - l->last_heartbeat_us >= interval_ms * kMicrosPerMilli) {
-            l->last_heartbeat_us = now_us;
+            now_us - l->last_sent_us >= interval_ms * kMicrosPerMilli) {
             link_write_frame(l, &frame);
         }
     }
--- a/src/sapphireweir/fleet/director_entries.c
+++ b/src/sapphireweir/fleet/director_entries.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "core/hash.h"
 #include "fleet/director_internal.h"
 #include "fleet/owners.h"
 
@@ -64,6 +65,7 @@
     entry->grant_reported_us = now_us;
     entry->sent_revision = 0;
     document_transfer_reset(&entry->transfer);
+    entry->shares_sent_us = 0;
     entry->behind_since_us = 0;
     return entry;
 }
@@ -158,24 +160,59 @@
 
 /* ---- grants ---- */
 
-/* Fills in the primaries of a grant.  The list owns the records, which borrow
+/* Fills in the grant for one primary, which borrows the director's
+ * strings. */
+static void
+primary_grant_fill(const Director *d, const PrimaryState *p,
+                   Sw__PrimaryGrant *out)
+{
+    sw__primary_grant__init(out);
+    out->database = p->database;
+    out->primary = p->primary;
+    out->epoch = p->epoch;
+    out->closing = p->changing || handover_is_closing(d, p->database);
+    out->quiescing = handover_is_quiescing(d, p->database);
+}
+
+/* Returns a hash of all primaries and their states, whatever their order; zero
+ * if there are none. */
+static uint64_t
+primaries_hash(const Director *d)
+{
+    GHashTableIter it;
+    void *value;
+    uint64_t hash = 0;
+
+    g_hash_table_iter_init(&it, d->primaries);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        Sw__PrimaryGrant each;
+        primary_grant_fill(d, value, &each);
+        uint64_t state =
+            each.epoch * 4 + (each.closing ? 2 : 0) + (each.quiescing ? 1 : 0);
+        hash += hash_text(each.database,
+                          hash_text(each.primary, hash_number(state, 1)));
+    }
+    return hash;
+}
+
+/* Fills in the hash of the primaries, and the primaries themselves unless the
+ * receiver reported the same hash.  The list owns the records, which borrow
  * the director's strings. */
 static void
-grant_primaries(const Director *d, Sw__EntryGrant *m, GPtrArray *list)
+grant_primaries(const Director *d, uint64_t known_hash, Sw__EntryGrant *m,
+                GPtrArray *list)
 {
     GHashTableIter it;
     void *value;
 
+    m->primaries_hash = primaries_hash(d);
+    if (m->primaries_hash == known_hash) {
+        return;
+    }
     g_hash_table_iter_init(&it, d->primaries);
     while (g_hash_table_iter_next(&it, NULL, &value)) {
-        const PrimaryState *p = value;
         Sw__PrimaryGrant *each = g_new(Sw__PrimaryGrant, 1);
-        sw__primary_grant__init(each);
-        each->database = p->database;
-        each->primary = p->primary;
-        each->epoch = p->epoch;
-        each->closing = p->changing || handover_is_closing(d, p->database);
-        each->quiescing = handover_is_quiescing(d, p->database);
+        primary_grant_fill(d, value, each);
         g_ptr_array_add(list, each);
     }
     m->n_primaries = list->len;
@@ -228,12 +265,13 @@
     m.term = consensus_term(d->consensus);
     m.revision = ++d->grant_revision;
     m.document_version = d->document_version;
-    grant_primaries(d, &m, primaries);
+    grant_primaries(d, sequence == 0 ? 0 : entry->primaries_hash, &m,
+                    primaries);
     if (sequence != 0) {
         m.lease_us = d->config.lease_us;
         m.entry_count = entries_count(d, now_us);
         grant_entries(d, now_us, entry, &m, entries);
-        rates_append_shares(d, entry, shares);
+        rates_append_shares(d, now_us, entry, shares);
         m.n_shares = shares->len;
         m.shares = (Sw__TeamShare **)shares->pdata;
     }
@@ -279,10 +317,18 @@
 
 /* ---- reports ---- */
 
-/* Stores a report's evidence on each primary. */
+/* Stores a report's evidence on each primary.  That of a database which the
+ * report omits as unchanged counts as received again. */
 static void
 record_evidence(EntryState *entry, uint64_t now_us, const Sw__EntryReport *m)
 {
+    GHashTableIter it;
+    void *value;
+
+    g_hash_table_iter_init(&it, entry->evidence);
+    while (m->evidence_partial && g_hash_table_iter_next(&it, NULL, &value)) {
+        ((EntryEvidence *)value)->received_us = now_us;
+    }
     for (size_t i = 0; i < m->n_evidence; i++) {
         const Sw__PrimaryEvidence *e = m->evidence[i];
         EntryEvidence *kept =
@@ -332,6 +378,8 @@
     entry->last_seen_us = now_us;
     entry->leaving = m->leaving;
     entry->entries_hash = m->entries_hash;
+    entry->controls_hash = m->controls_hash;
+    entry->primaries_hash = m->primaries_hash;
     if (m->granted_sequence > entry->granted_sequence) {
         entry->granted_sequence = m->granted_sequence;
         entry->grant_reported_us = now_us;
@@ -350,7 +398,7 @@
         send_directory(d, entry);
     }
     documents_handle_report(d, now_us, entry);
-    members_send(d, entry->id);
+    members_reply(d, entry);
     if (m->sequence <= entry->sequence) {
         return;
     }
--- a/src/sapphireweir/fleet/director_internal.h
+++ b/src/sapphireweir/fleet/director_internal.h
@@ -35,7 +35,11 @@
     char *id;
     char *failure_domain;
     uint64_t incarnation;
-    uint64_t entries_hash; /* of the list of entry instances that it has */
+    /* Of the lists that it has: of entry instances, control instances and
+     * primaries. */
+    uint64_t entries_hash;
+    uint64_t controls_hash;
+    uint64_t primaries_hash;
     uint64_t last_seen_us;
     uint64_t sequence;          /* of its newest report */
     uint64_t granted_sequence;  /* of the newest grant that it received */
@@ -58,7 +62,9 @@
     /* team -> smoothed demand in thousandths of an operation per second, as
      * uint64_t; owned. */
     GHashTable *demand;
-    GHashTable *shares; /* team -> last granted share, in millionths */
+    /* team -> last granted share, in millionths; with kShareNearLimit */
+    GHashTable *shares;
+    uint64_t shares_sent_us; /* when all shares were last sent */
 } EntryState;
 
 typedef enum {
@@ -234,11 +240,12 @@
 void rates_handle_request(Director *d, uint64_t now_us, const char *from,
                           uint64_t request_id, const Sw__TokenRequest *m);
 void rates_tick(Director *d, uint64_t now_us);
-void rates_append_shares(const Director *d, EntryState *entry,
+void rates_append_shares(const Director *d, uint64_t now_us, EntryState *entry,
                          GPtrArray *list);
 gboolean entry_is_active(const EntryState *entry, uint64_t now_us);
 
 /* director_members.c */
+void members_reply(Director *d, const EntryState *entry);
 void members_send(Director *d, const char *to);
 void members_tick(Director *d, uint64_t now_us);
 void members_handle_join(Director *d, uint64_t now_us, const char *from,
--- a/src/sapphireweir/fleet/director_members.c
+++ b/src/sapphireweir/fleet/director_members.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "core/hash.h"
 #include "fleet/director_internal.h"
 
 /* Automatic membership of control instances.  An instance without contact with
@@ -36,6 +37,40 @@
     }
 }
 
+/* Returns a hash of the list of control instances, whatever its order. */
+static uint64_t
+members_hash(const GPtrArray *members)
+{
+    uint64_t hash = 0;
+
+    for (guint i = 0; i < members->len; i++) {
+        const ConsensusMember *each = g_ptr_array_index(members, i);
+        hash += hash_text(each->id, 1);
+    }
+    return hash;
+}
+
+/* Replies to the report of an entry instance: with the list of control
+ * instances if it has another one, else, unless this instance leads and sends
+ * a grant, with an empty message that only shows the contact. */
+void
+members_reply(Director *d, const EntryState *entry)
+{
+    Sw__Frame frame = SW__FRAME__INIT;
+    Sw__EntryGrant m = SW__ENTRY_GRANT__INIT;
+
+    if (entry->controls_hash !=
+        members_hash(consensus_members(d->consensus))) {
+        members_send(d, entry->id);
+        return;
+    }
+    if (!director_is_leader(d)) {
+        frame.body_case = SW__FRAME__BODY_ENTRY_GRANT;
+        frame.entry_grant = &m;
+        d->port.send(d->port.ctx, entry->id, &frame);
+    }
+}
+
 /* Sends the list of control instances to another instance, as a grant without
  * a lease. */
 void
@@ -52,6 +87,7 @@
     }
     m.n_controls = list->len;
     m.controls = (char **)list->pdata;
+    m.controls_hash = members_hash(members);
     m.document_version = d->document_version;
     frame.body_case = SW__FRAME__BODY_ENTRY_GRANT;
     frame.entry_grant = &m;
--- a/src/sapphireweir/fleet/director_rates.c
+++ b/src/sapphireweir/fleet/director_rates.c
@@ -22,8 +22,15 @@
      * back to its share of each limit.  kFallbackAfterUs in the gateway must
      * be longer. */
     kGrantTimeoutUs = 2500000,
+    kSharesRefreshUs = 2000000, /* until all shares are sent again */
+    /* Shares are rounded down to this many binary digits, so that small
+     * changes of the demand are not sent. */
+    kShareDigits = 4,
 };
 
+/* Flag of a share in EntryState.shares: the team is near its limit. */
+static const uint32_t kShareNearLimit = UINT32_C(1) << 31;
+
 /* Returns the number of operations that a team may run within a window; each
  * takes one token. */
 static uint64_t
@@ -58,7 +65,7 @@
         }
         reserved_micro +=
             g_hash_table_lookup_extended(entry->shares, team, NULL, &share)
-                ? GPOINTER_TO_UINT(share)
+                ? GPOINTER_TO_UINT(share) & ~kShareNearLimit
                 : kShareTotalMicro / MAX(entry_count, 1);
     }
     return limit * MIN(reserved_micro, (uint64_t)kShareTotalMicro) /
@@ -125,30 +132,49 @@
     return w != NULL && w->used * kPercent > w->limit * kNearLimitPercent;
 }
 
+/* Rounds a share down to kShareDigits binary digits. */
+static uint32_t
+round_share(uint32_t share)
+{
+    uint32_t digits = g_bit_storage(share);
+    uint32_t shift = digits > kShareDigits ? digits - kShareDigits : 0;
+
+    return share >> shift << shift;
+}
+
 /* Appends an entry instance's shares to a list, as Sw__TeamShare that the list
- * owns, and records them as the last granted ones. */
+ * owns, and records them as the last granted ones.  Shares that were granted
+ * already are left out, except every kSharesRefreshUs. */
 void
-rates_append_shares(const Director *d, EntryState *entry, GPtrArray *list)
+rates_append_shares(const Director *d, uint64_t now_us, EntryState *entry,
+                    GPtrArray *list)
 {
+    gboolean all = now_us - entry->shares_sent_us >= kSharesRefreshUs;
     GHashTableIter it;
     void *team;
     void *table;
 
+    if (all) {
+        entry->shares_sent_us = now_us;
+    }
     g_hash_table_iter_init(&it, d->shares);
     while (g_hash_table_iter_next(&it, &team, &table)) {
-        uint32_t share =
-            GPOINTER_TO_UINT(g_hash_table_lookup(table, entry->id));
-        if (share == 0) {
+        uint32_t share = round_share(
+            GPOINTER_TO_UINT(g_hash_table_lookup(table, entry->id)));
+        gboolean near_limit = is_near_limit(d, team);
+        void *granted =
+            GUINT_TO_POINTER(share | (near_limit ? kShareNearLimit : 0));
+        if (share == 0 ||
+            (!all && g_hash_table_lookup(entry->shares, team) == granted)) {
             continue;
         }
         Sw__TeamShare *each = g_new(Sw__TeamShare, 1);
         sw__team_share__init(each);
         each->team = team;
         each->share_micro = share;
-        each->crowded = is_near_limit(d, team);
+        each->crowded = near_limit;
         g_ptr_array_add(list, each);
-        g_hash_table_replace(entry->shares, g_strdup(team),
-                             GUINT_TO_POINTER(share));
+        g_hash_table_replace(entry->shares, g_strdup(team), granted);
     }
 }
 
--- a/src/sapphireweir/fleet/owners.c
+++ b/src/sapphireweir/fleet/owners.c
@@ -3,6 +3,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "core/hash.h"
+
 /* Assignment of backend servers to the entry instances that own their
  * connections.  It is needed when a server accepts fewer connections than
  * there are entry instances: without owners, each instance would open a
@@ -37,20 +39,6 @@
     g_free(list);
 }
 
-/* Returns the FNV-1a hash of a text, followed by a step that mixes the low
- * bits into all others. */
-static uint64_t
-hash_text(const char *text, uint64_t seed)
-{
-    uint64_t hash = 14695981039346656037ULL ^ seed;
-
-    for (const char *c = text; *c != '\0'; c++) {
-        hash = (hash ^ (uint8_t)*c) * 1099511628211ULL;
-    }
-    hash = (hash ^ (hash >> 33)) * 0xff51afd7ed558ccdULL;
-    return hash ^ (hash >> 33);
-}
-
 /* Adds an entry instance; the strings are copied. */
 void
 entry_list_add(EntryList *list, const char *id, const char *failure_domain)
--- a/src/sapphireweir/gateway/gateway.c
+++ b/src/sapphireweir/gateway/gateway.c
@@ -114,6 +114,7 @@
     document_unref(g->document);
     document_receiver_clear(&g->receiver);
     g_clear_pointer(&g->document_text, g_bytes_unref);
+    g_free(g->evidence_leader);
     g_free(g->leader);
     g_free(g->failure_domain);
     g_free(g->id);
--- a/src/sapphireweir/gateway/gateway_control.c
+++ b/src/sapphireweir/gateway/gateway_control.c
@@ -343,13 +343,16 @@
 
 /* Applies a grant: members, primaries, rate shares and the lease.  A grant
  * that does not answer a recent report of this instance is ignored, except for
- * sequence 0, which only changes primaries. */
+ * sequence 0, which only changes primaries.  One that omits the primaries is
+ * ignored unless this instance has the list that it refers to; the next report
+ * then requests the list. */
 static void
 handle_grant(Gateway *g, uint64_t now_us, const ControlContact *from,
              const Sw__EntryGrant *m)
 {
     if (m->n_controls > 0) {
         update_controls(g, now_us, m);
+        g->controls_hash = m->controls_hash;
     }
     relay_update_entries(g, m);
     if (m->lease_us == 0 && m->n_primaries == 0) {
@@ -363,9 +366,14 @@
          m->sequence + kReportsKept <= g->sequence)) {
         return;
     }
+    if (m->n_primaries == 0 && m->primaries_hash != g->primaries_hash) {
+        g->report_due_us = now_us;
+        return;
+    }
     for (size_t i = 0; i < m->n_primaries; i++) {
         grant_apply(g, now_us, m->primaries[i]);
     }
+    g->primaries_hash = m->primaries_hash;
     if (m->sequence == 0) {
         return;
     }
--- a/src/sapphireweir/gateway/gateway_internal.h
+++ b/src/sapphireweir/gateway/gateway_internal.h
@@ -64,6 +64,16 @@
     uint64_t lagging_step_us;  /* current delay of the exponential backoff */
 } Server;
 
+/* What this instance observed of a database's primary. */
+typedef struct {
+    uint64_t epoch;
+    uint64_t failing_us; /* zero: statements do not fail */
+    gboolean answered;
+    uint64_t released_epoch;
+    uint32_t open_work;
+    Position acknowledged;
+} PrimaryEvidence;
+
 /* A database: its backend servers, the right to use its primary, and the
  * sessions that wait for one of its servers. */
 struct Database {
@@ -79,6 +89,7 @@
     uint64_t released_epoch;    /* last epoch whose primary was released */
     /* Newest commit in this epoch that was acknowledged to a caller. */
     Position acknowledged;
+    PrimaryEvidence reported; /* last evidence in a report to the leader */
     Freshness freshness;
     GQueue waiting; /* Session, by Job.order_us */
 };
@@ -243,6 +254,9 @@
     uint64_t granted_report_us; /* when that report was sent */
     uint64_t grant_term;        /* of the newest grant on primaries */
     uint64_t grant_revision;    /* within that term */
+    uint64_t controls_hash;     /* of the last list of control instances */
+    uint64_t primaries_hash;    /* of the last list of primaries */
+    char *evidence_leader;      /* that has all evidence, or NULL */
     uint64_t lease_until_us;
     gboolean leased; /* holds a lease, as last logged */
     char *leader;    /* control instance that granted the lease */
--- a/src/sapphireweir/gateway/gateway_report.c
+++ b/src/sapphireweir/gateway/gateway_report.c
@@ -14,6 +14,12 @@
     /* A leader counts as known for this long after the report that its last
      * grant answers: two report intervals and an answer. */
     kLeaderContactUs = 600000,
+    /* All evidence is sent with every fourth report, in case that one was
+     * lost. */
+    kFullEvidenceReports = 4,
+    /* Control instances that do not lead get every second report; a contact
+     * is lost after three to four intervals. */
+    kFollowerReports = 2,
 };
 
 /* Returns how many connections to a database's primary are in use: those of
@@ -34,49 +40,115 @@
     return s == NULL ? 0 : open + s->relays->len;
 }
 
-/* Fills in what this instance observed of a database's primary. */
-static void
-evidence_fill(const Database *d, uint64_t now_us, Sw__PrimaryEvidence *e)
+/* Returns what this instance observed of a database's primary. */
+static PrimaryEvidence
+evidence_of(const Database *d, uint64_t now_us)
 {
     const Gateway *g = d->gateway;
     const Server *s = d->primary == NULL
                           ? NULL
                           : g_hash_table_lookup(g->servers, d->primary);
+    PrimaryEvidence e = {.epoch = d->epoch,
+                         .released_epoch = d->closing ? d->released_epoch : 0,
+                         .open_work = gateway_open_work(d),
+                         .acknowledged = d->acknowledged};
 
-    sw__primary_evidence__init(e);
-    e->database = d->name;
-    e->primary = d->primary == NULL ? (char *)"" : d->primary;
-    e->epoch = d->epoch;
-    e->released_epoch = d->closing ? d->released_epoch : 0;
-    e->open_work = gateway_open_work(d);
-    e->acknowledged_term = d->acknowledged.term;
-    e->acknowledged_number = d->acknowledged.number;
     if (s == NULL) {
-        return;
+        return e;
     }
     if (s->failing_since_us != 0 &&
         now_us - s->last_failure_us < kFailureReportedUs) {
-        e->failing_us = now_us - s->failing_since_us;
+        e.failing_us = now_us - s->failing_since_us;
     }
-    if (s->last_answer_us != 0 &&
-        now_us - s->last_answer_us < kAnsweredRecentlyUs) {
-        e->answered = TRUE;
+    e.answered = s->last_answer_us != 0 &&
+                 now_us - s->last_answer_us < kAnsweredRecentlyUs;
+    return e;
+}
+
+/* Tells whether evidence must be in a report although the leader has the last
+ * one: it differs, or decides about a change of the primary. */
+static gboolean
+must_report(const PrimaryEvidence *e, const PrimaryEvidence *last)
+{
+    return e->failing_us != 0 || last->failing_us != 0 ||
+           e->released_epoch != 0 || e->open_work != 0 ||
+           e->open_work != last->open_work || e->epoch != last->epoch ||
+           e->answered != last->answered ||
+           e->released_epoch != last->released_epoch ||
+           position_compare(e->acknowledged, last->acknowledged) != 0;
+}
+
+/* Fills in a record of the evidence on a database's primary. */
+static void
+evidence_fill(const Database *d, const PrimaryEvidence *e,
+              Sw__PrimaryEvidence *out)
+{
+    sw__primary_evidence__init(out);
+    out->database = d->name;
+    out->primary = d->primary == NULL ? (char *)"" : d->primary;
+    out->epoch = e->epoch;
+    out->failing_us = e->failing_us;
+    out->answered = e->answered;
+    out->released_epoch = e->released_epoch;
+    out->open_work = e->open_work;
+    out->acknowledged_term = e->acknowledged.term;
+    out->acknowledged_number = e->acknowledged.number;
+}
+
+/* Adds the evidence of all databases to a list, or with partial set only that
+ * which the leader lacks.  records must have room for all databases. */
+static void
+evidence_collect(Gateway *g, uint64_t now_us, gboolean partial,
+                 Sw__PrimaryEvidence *records, GPtrArray *list)
+{
+    GHashTableIter it;
+    void *value;
+
+    g_hash_table_iter_init(&it, g->databases);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        Database *d = value;
+        PrimaryEvidence e = evidence_of(d, now_us);
+        if (!partial || must_report(&e, &d->reported)) {
+            evidence_fill(d, &e, &records[list->len]);
+            g_ptr_array_add(list, &records[list->len]);
+        }
+        d->reported = e;
     }
 }
 
-/* Sends the full report to the control leader and a short one, which serves as
- * a heartbeat, to the other control instances.  While no leader is known, all
- * of them get the full report. */
+/* Tells whether this report may omit evidence that the leader has.  Every
+ * kFullEvidenceReports reports, and to a new leader, all of it is sent. */
+static gboolean
+evidence_may_be_partial(Gateway *g, gboolean leader_known)
+{
+    if (leader_known && g_strcmp0(g->evidence_leader, g->leader) == 0) {
+        return g->sequence % kFullEvidenceReports != 0;
+    }
+    g_free(g->evidence_leader);
+    g->evidence_leader = leader_known ? g_strdup(g->leader) : NULL;
+    return FALSE;
+}
+
+/* Tells whether the leader is known and in contact. */
+static gboolean
+leader_is_known(const Gateway *g, uint64_t now_us)
+{
+    return g->leader != NULL &&
+           now_us - g->granted_report_us < kLeaderContactUs;
+}
+
+/* Sends the full report to the control leader and, with every second report, a
+ * short one, which serves as a heartbeat, to the other control instances.
+ * While no leader is known, all of them get the full report. */
 static void
-report_send(Gateway *g, uint64_t now_us, Sw__EntryReport *report)
+report_send(Gateway *g, gboolean leader_known, Sw__EntryReport *report)
 {
     GHashTableIter it;
     void *value;
     Sw__Frame frame = SW__FRAME__INIT;
     size_t evidence = report->n_evidence;
     size_t demand = report->n_demand;
-    gboolean leader_known =
-        g->leader != NULL && now_us - g->granted_report_us < kLeaderContactUs;
+    gboolean partial = report->evidence_partial;
 
     frame.body_case = SW__FRAME__BODY_ENTRY_REPORT;
     frame.entry_report = report;
@@ -86,7 +158,11 @@
         report->directory_revision = c->revision;
         report->directory_run = c->run;
         gboolean full = !leader_known || strcmp(c->address, g->leader) == 0;
+        if (!full && g->sequence % kFollowerReports != 0) {
+            continue;
+        }
         report->n_evidence = full ? evidence : 0;
+        report->evidence_partial = full && partial;
         report->n_demand = full ? demand : 0;
         g->port.peer_send(g->port.ctx, c->address, &frame);
     }
@@ -103,17 +179,13 @@
     Sw__EntryReport report = SW__ENTRY_REPORT__INIT;
     GPtrArray *evidence_list = g_ptr_array_new();
     GPtrArray *demand_list = g_ptr_array_new();
-    GHashTableIter it;
-    void *value;
-    guint n = 0;
+    gboolean leader_known = leader_is_known(g, now_us);
 
     g->sequence++;
     g->report_sent_us[g->sequence % kReportsKept] = now_us;
-    g_hash_table_iter_init(&it, g->databases);
-    while (g_hash_table_iter_next(&it, NULL, &value)) {
-        evidence_fill(value, now_us, &evidence[n]);
-        g_ptr_array_add(evidence_list, &evidence[n++]);
-    }
+    report.evidence_partial = evidence_may_be_partial(g, leader_known);
+    evidence_collect(g, now_us, report.evidence_partial, evidence,
+                     evidence_list);
     size_t count = team_rates_demand(g, now_us, demands);
     for (size_t i = 0; i < count; i++) {
         g_ptr_array_add(demand_list, &demands[i]);
@@ -127,11 +199,13 @@
     report.link_bytes_per_s = g->link_bytes_per_s;
     report.incoming_version = document_receiver_version(&g->receiver, now_us);
     report.entries_hash = g->entries == NULL ? 0 : g->entries->hash;
+    report.controls_hash = g->controls_hash;
+    report.primaries_hash = g->primaries_hash;
     report.n_evidence = evidence_list->len;
     report.evidence = (Sw__PrimaryEvidence **)evidence_list->pdata;
     report.n_demand = demand_list->len;
     report.demand = (Sw__TeamDemand **)demand_list->pdata;
-    report_send(g, now_us, &report);
+    report_send(g, leader_known, &report);
     g_ptr_array_unref(demand_list);
     g_ptr_array_unref(evidence_list);
     g_free(demands);
--- a/src/sapphireweir/gateway/team_rates.c
+++ b/src/sapphireweir/gateway/team_rates.c
@@ -335,7 +335,7 @@
 
 /* Writes the demand of each team to out, which must have room for all teams,
  * and starts to count it anew.  Teams reported less than kDemandIntervalUs ago
- * are skipped.  Returns the number of entries written. */
+ * are skipped, and so are those without any demand for a while.  Returns the number of entries written. */
 size_t
 team_rates_demand(Gateway *g, uint64_t now_us, Sw__TeamDemand *out)
 {
@@ -353,6 +353,10 @@
         uint64_t wanted = r->demand_count * kMilli * kMicro / span_us;
         r->demand_milli =
             (r->demand_milli * kDemandWeight + wanted) / (kDemandWeight + 1);
+        if (wanted == 0 && r->demand_milli == 0) {
+            r->demand_since_us = now_us;
+            continue;
+        }
         sw__team_demand__init(&out[count]);
         out[count].team = r->team;
         out[count++].wanted_milli = wanted;
--- a/src/sapphireweir/proto/sapphireweir.pb-c.c
+++ b/src/sapphireweir/proto/sapphireweir.pb-c.c
@@ -4687,7 +4687,7 @@
   (ProtobufCMessageInit) sw__team_demand__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sw__entry_report__field_descriptors[13] =
+static const ProtobufCFieldDescriptor sw__entry_report__field_descriptors[16] =
 {
   {
     "failure_domain",
@@ -4845,26 +4845,65 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "controls_hash",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__EntryReport, controls_hash),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "primaries_hash",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__EntryReport, primaries_hash),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "evidence_partial",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Sw__EntryReport, evidence_partial),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sw__entry_report__field_indices_by_name[] = {
+  13,   /* field[13] = controls_hash */
   8,   /* field[8] = demand */
   4,   /* field[4] = directory_revision */
   5,   /* field[5] = directory_run */
   3,   /* field[3] = document_version */
   9,   /* field[9] = entries_hash */
   7,   /* field[7] = evidence */
+  15,   /* field[15] = evidence_partial */
   0,   /* field[0] = failure_domain */
   10,   /* field[10] = granted_sequence */
   1,   /* field[1] = incarnation */
   12,   /* field[12] = incoming_version */
   6,   /* field[6] = leaving */
   11,   /* field[11] = link_bytes_per_s */
+  14,   /* field[14] = primaries_hash */
   2,   /* field[2] = sequence */
 };
 static const ProtobufCIntRange sw__entry_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor sw__entry_report__descriptor =
 {
@@ -4874,7 +4913,7 @@
   "Sw__EntryReport",
   "sw",
   sizeof(Sw__EntryReport),
-  13,
+  16,
   sw__entry_report__field_descriptors,
   sw__entry_report__field_indices_by_name,
   1,  sw__entry_report__number_ranges,
@@ -5086,7 +5125,7 @@
   (ProtobufCMessageInit) sw__team_share__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sw__entry_grant__field_descriptors[11] =
+static const ProtobufCFieldDescriptor sw__entry_grant__field_descriptors[13] =
 {
   {
     "sequence",
@@ -5220,15 +5259,41 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "controls_hash",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__EntryGrant, controls_hash),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "primaries_hash",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__EntryGrant, primaries_hash),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sw__entry_grant__field_indices_by_name[] = {
   5,   /* field[5] = controls */
+  11,   /* field[11] = controls_hash */
   6,   /* field[6] = document_version */
   9,   /* field[9] = entries */
   10,   /* field[10] = entries_hash */
   4,   /* field[4] = entry_count */
   1,   /* field[1] = lease_us */
   2,   /* field[2] = primaries */
+  12,   /* field[12] = primaries_hash */
   8,   /* field[8] = revision */
   0,   /* field[0] = sequence */
   3,   /* field[3] = shares */
@@ -5237,7 +5302,7 @@
 static const ProtobufCIntRange sw__entry_grant__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor sw__entry_grant__descriptor =
 {
@@ -5247,7 +5312,7 @@
   "Sw__EntryGrant",
   "sw",
   sizeof(Sw__EntryGrant),
-  11,
+  13,
   sw__entry_grant__field_descriptors,
   sw__entry_grant__field_indices_by_name,
   1,  sw__entry_grant__number_ranges,
--- a/src/sapphireweir/proto/sapphireweir.pb-c.h
+++ b/src/sapphireweir/proto/sapphireweir.pb-c.h
@@ -699,10 +699,21 @@
    * none.
    */
   uint64_t incoming_version;
+  /*
+   * Hashes of the lists of control instances and of primaries that the sender
+   * received last; see EntryGrant.
+   */
+  uint64_t controls_hash;
+  uint64_t primaries_hash;
+  /*
+   * The evidence of all databases that are not listed is as the sender last
+   * reported it to this receiver.
+   */
+  protobuf_c_boolean evidence_partial;
 };
 #define SW__ENTRY_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sw__entry_report__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Sw__EntryRecord
@@ -792,10 +803,21 @@
   size_t n_entries;
   Sw__EntryRecord **entries;
   uint64_t entries_hash;
+  /*
+   * Hash of all control instances; they are only listed when the report's
+   * controls_hash differs.
+   */
+  uint64_t controls_hash;
+  /*
+   * Hash of all primaries and their states, zero if there are none.  They are
+   * only listed when the report's primaries_hash differs, and the grant is
+   * valid only for an instance that has a list with this hash.
+   */
+  uint64_t primaries_hash;
 };
 #define SW__ENTRY_GRANT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sw__entry_grant__descriptor) \
-    , 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0, 0, 0, 0,NULL, 0 }
+    , 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0, 0, 0, 0,NULL, 0, 0, 0 }
 
 
 /*
--- a/test/unit/test_fleet_sim.c
+++ b/test/unit/test_fleet_sim.c
@@ -663,6 +663,41 @@
     }
 }
 
+/* Returns the bytes between control and entry instances, without the tokens
+ * that callers' operations cost. */
+static uint64_t
+control_bytes(const FleetSim *sim)
+{
+    const Traffic *t = fleet_sim_traffic(sim);
+
+    return t->bytes[SW__FRAME__BODY_ENTRY_REPORT] +
+           t->bytes[SW__FRAME__BODY_ENTRY_GRANT] +
+           t->bytes[SW__FRAME__BODY_DOCUMENT_CHUNK] +
+           t->bytes[SW__FRAME__BODY_DOCUMENT_UPDATE];
+}
+
+/* Every caller is a team of its own, and each team uses every instance.  An
+ * entry instance and the control instances may exchange 4 KB a second while
+ * nothing changes. */
+static void
+control_traffic_is_small_at_rest(void)
+{
+    enum { kSeconds = 8, kMaxBytesPerS = 4096 };
+    FleetSim *sim = fleet_sim_new(3);
+
+    fleet_sim_set_teams(sim, kFleetSimCallers, kFleetSimCallers, 3);
+    fleet_sim_run(sim, 4000);
+    uint64_t before = control_bytes(sim);
+    fleet_sim_run(sim, kSeconds * 1000);
+    uint64_t bytes_per_s =
+        (control_bytes(sim) - before) / kSeconds / kFleetSimEntries;
+    if (bytes_per_s > kMaxBytesPerS) {
+        g_print("\n%lu bytes a second\n", bytes_per_s);
+    }
+    CU_ASSERT(bytes_per_s <= kMaxBytesPerS);
+    fleet_sim_free(sim);
+}
+
 void
 add_fleet_sim_suite(void)
 {
@@ -671,6 +706,8 @@
                 invariants_hold_under_faults);
     CU_add_test(s, "large configurations leave links to callers",
                 large_configurations_leave_links_to_callers);
+    CU_add_test(s, "control traffic is small at rest",
+                control_traffic_is_small_at_rest);
     CU_add_test(s, "a withdrawn key is rejected", a_withdrawn_key_is_rejected);
     CU_add_test(s, "an unconfirmed key is rejected after its limit",
                 an_unconfirmed_key_is_rejected_after_its_limit);
