Send a transaction's first statement to the owner with its BEGIN

A BEGIN travelled alone: entry, owner, server and back, before the first statement left.

Change: the statement goes along in RelayRun.after_begin. The owner, in the server's failure domain, sends it once the BEGIN has succeeded; nothing is sent behind an unanswered BEGIN. A BEGIN that failed ran nothing and is tried elsewhere as before; a statement that was sent with its BEGIN and got no answer ends the transaction as ABORTED and is not run a second time. An owner of an earlier release ignores the field and answers the BEGIN, as before.

The simulation now counts statements that run outside their transaction: none.

--- a/src/sapphireweir/gateway/connection.c
+++ b/src/sapphireweir/gateway/connection.c
@@ -12,7 +12,6 @@
     /* A new connection is reserved for so long for the work that it was opened
      * for. */
     kUnservedKeptUs = 100000,
-    kCommandsMax = 160, /* in one batch */
 };
 
 static const ServerEvents kEvents = {connection_ready, connection_answer,
@@ -134,12 +133,6 @@
 
 /* ---- setting up a session's state ---- */
 
-/* Commands that are sent together, in one write. */
-typedef struct {
-    ServerCommand commands[kCommandsMax];
-    size_t count;
-} CommandBatch;
-
 /* Appends a command; commands beyond kCommandsMax are dropped. */
 static void
 batch_add(CommandBatch *batch, ServerCommand command)
@@ -250,9 +243,12 @@
     return after;
 }
 
-/* Sends the commands; the awaited answer is that to the last command. */
+/* Sends the commands; the awaited answer is that to the last command.  The
+ * owner of a borrowed connection also gets the commands that follow a
+ * BEGIN. */
 static void
-batch_send(Connection *c, const CommandBatch *batch, uint64_t now_us)
+batch_send(Connection *c, const CommandBatch *batch,
+           const CommandBatch *after_begin, uint64_t now_us)
 {
     Gateway *g = c->gateway;
     c->answers_ahead = (uint32_t)batch->count - 1;
@@ -260,24 +256,40 @@
     c->sent_us = now_us;
     c->server->open_statements++;
     if (c->relay != 0) {
-        relay_send(c, batch->commands, batch->count, now_us);
+        relay_send(c, batch, after_begin, now_us);
         return;
     }
     g->port.server_send(g->port.ctx, c->link, batch->commands, batch->count);
 }
 
+/* Adds the session's open statement, preceded by its PREPARE if needed. */
+static void
+add_statement(Connection *c, const Job *job, Position after,
+              CommandBatch *batch)
+{
+    add_prepared(c, job, batch);
+    batch_add(batch, (ServerCommand){.kind = kCommandStatement,
+                                     .id = job->id,
+                                     .text = job->text,
+                                     .after = after});
+}
+
 /* Binds the connection to a session and sends the session's open statement.
- * A BEGIN is sent alone: if the server rejected it, a read sent behind it
- * would run outside the transaction. */
+ * No statement is sent to a server behind an unanswered BEGIN: if the server
+ * rejected that, a read behind it would run outside the transaction.  The
+ * owner of a borrowed connection gets both and waits for the answer to the
+ * BEGIN, which saves a round trip between the instances. */
 void
 connection_run(Connection *c, Session *s, uint64_t now_us)
 {
     static CommandBatch batch;
+    static CommandBatch after_begin;
     Job *job = &s->job;
     Position after = {0};
     gboolean begins = s->state == kSessionInTransaction && !s->begun;
 
     batch.count = 0;
+    after_begin.count = 0;
     c->state = kConnectionBound;
     c->state_since_us = now_us;
     c->session = s;
@@ -286,6 +298,7 @@
     job->sent = TRUE;
     job->server = c->server;
     job->opening = NULL;
+    job->with_begin = begins && c->relay != 0;
     add_values(c, s, &batch);
     if (begins) {
         after = s->read_only ? required_position(s, c->server, now_us) : after;
@@ -295,22 +308,21 @@
                                   .after = after});
         c->begin_open = TRUE;
         s->at_primary = !s->read_only || after.term == 0;
+        if (job->with_begin) {
+            add_statement(c, job, (Position){0}, &after_begin);
+        }
     }
     else {
-        add_prepared(c, job, &batch);
         if (!s->begun && !job->writes) {
             after = required_position(s, c->server, now_us);
         }
         if (!s->begun) {
             s->at_primary = after.term == 0;
         }
-        batch_add(&batch, (ServerCommand){.kind = kCommandStatement,
-                                          .id = job->id,
-                                          .text = job->text,
-                                          .after = after});
+        add_statement(c, job, after, &batch);
         c->begin_open = FALSE;
     }
-    batch_send(c, &batch, now_us);
+    batch_send(c, &batch, &after_begin, now_us);
 }
 
 /* Unbinds the connection from its session and, if rollback is set, rolls back
--- a/src/sapphireweir/gateway/gateway_internal.h
+++ b/src/sapphireweir/gateway/gateway_internal.h
@@ -122,6 +122,14 @@
     gboolean begin_open;     /* the awaited answer belongs to a BEGIN */
 };
 
+enum { kCommandsMax = 160 }; /* in one batch */
+
+/* Commands that are sent together. */
+typedef struct {
+    ServerCommand commands[kCommandsMax];
+    size_t count;
+} CommandBatch;
+
 /* A statement that a session has prepared. */
 typedef struct {
     char *text; /* of the statement to prepare */
@@ -139,8 +147,9 @@
     gboolean writes;
     gboolean needs_primary;
     gboolean sent;
-    Server *server;   /* last server that the statement was sent to */
-    gboolean charged; /* a rate token was taken for it */
+    gboolean with_begin; /* sent together with the transaction's BEGIN */
+    Server *server;      /* last server that the statement was sent to */
+    gboolean charged;    /* a rate token was taken for it */
     uint64_t arrived_us;
     uint64_t deadline_us;
     uint64_t order_us;    /* queue position; the smallest runs first */
@@ -304,8 +313,8 @@
 /* relay.c */
 gboolean relay_usable(const Server *s, uint64_t now_us);
 Connection *relay_open(Server *s, const char *team, uint64_t now_us);
-void relay_send(Connection *c, const ServerCommand *commands, size_t count,
-                uint64_t now_us);
+void relay_send(Connection *c, const CommandBatch *batch,
+                const CommandBatch *after_begin, uint64_t now_us);
 void relay_close(Connection *c, gboolean awaited);
 void relay_result(Gateway *g, uint64_t now_us, const char *from,
                   const Sw__RelayResult *m);
--- a/src/sapphireweir/gateway/relay.c
+++ b/src/sapphireweir/gateway/relay.c
@@ -182,29 +182,49 @@
     out->after_number = command->after.number;
 }
 
+/* Returns the commands as messages that borrow their strings.  The caller
+ * frees the array and the messages, which are one block. */
+static Sw__RelayCommand **
+commands_fill(const CommandBatch *batch)
+{
+    Sw__RelayCommand *list = g_new(Sw__RelayCommand, batch->count + 1);
+    Sw__RelayCommand **pointers = g_new(Sw__RelayCommand *, batch->count + 1);
+
+    pointers[0] = list;
+    for (size_t i = 0; i < batch->count; i++) {
+        command_fill(&batch->commands[i], &list[i]);
+        pointers[i] = &list[i];
+    }
+    return pointers;
+}
+
+static void
+commands_free(Sw__RelayCommand **commands)
+{
+    g_free(commands[0]);
+    g_free(commands);
+}
+
 /* Sends the commands of the session that uses the connection to the owner,
- * which returns one result for all of them. */
+ * which returns one result for all of them.  after_begin has the commands to
+ * be run once the last of batch, a BEGIN, has succeeded; it may be empty. */
 void
-relay_send(Connection *c, const ServerCommand *commands, size_t count,
-           uint64_t now_us)
+relay_send(Connection *c, const CommandBatch *batch,
+           const CommandBatch *after_begin, uint64_t now_us)
 {
     Gateway *g = c->gateway;
     const Session *s = c->session;
     Sw__Frame frame = SW__FRAME__INIT;
     Sw__RelayRun m = SW__RELAY_RUN__INIT;
-    Sw__RelayCommand *list = g_new(Sw__RelayCommand, count);
-    Sw__RelayCommand **pointers = g_new(Sw__RelayCommand *, count);
     OwnerContact *o = owner_contact(g, c->owner);
 
-    for (size_t i = 0; i < count; i++) {
-        command_fill(&commands[i], &list[i]);
-        pointers[i] = &list[i];
-    }
     m.relay = c->relay;
     m.server = c->server->id;
     m.team = c->team;
-    m.n_commands = count;
-    m.commands = pointers;
+    m.n_commands = batch->count;
+    m.commands = commands_fill(batch);
+    m.n_after_begin = after_begin->count;
+    m.after_begin = commands_fill(after_begin);
     m.target_us = time_left(s->job.order_us, now_us);
     m.due_us = time_left(s->job.deadline_us, now_us + kRejectMarginUs);
     m.patience_us = max_wait_us(c, now_us);
@@ -218,8 +238,8 @@
         o->last_seen_us = now_us;
     }
     send_frame(g, c->owner, &frame);
-    g_free(pointers);
-    g_free(list);
+    commands_free(m.commands);
+    commands_free(m.after_begin);
 }
 
 /* Ends the loan of a connection and notifies the owner, unless the owner has
@@ -319,6 +339,10 @@
         break;
     }
     ServerAnswer a = answer_of(m);
+    if (m->begun && c->session != NULL) {
+        c->session->begun = TRUE;
+        c->begin_open = FALSE;
+    }
     c->ended_by_owner = c->session != NULL && a.state == kSessionIdle &&
                         loan_ends_with_answer(c->session);
     connection_answer(c, now_us, &a);
--- a/src/sapphireweir/gateway/serverpool.c
+++ b/src/sapphireweir/gateway/serverpool.c
@@ -19,7 +19,6 @@
      * then the new owner needs them. */
     kFormerOwnerIdleUs = 40000,
     kLentIdleUs = 8000000, /* longer than any idle limit of a transaction */
-    kCommandsMax = 160,    /* of one RelayRun message */
 };
 
 /* ---- connections ---- */
@@ -95,23 +94,23 @@
     g->port.server_send(g->port.ctx, c->link, &rollback, 1);
 }
 
-/* Sends a job's commands, preceded by a RESET if the connection may have state
- * of an earlier loan. */
+/* Sends commands of a borrower, preceded by a RESET if the connection may have
+ * state of an earlier loan.  The awaited answer is that to the last one. */
 static void
-pooled_run(PooledConnection *c, PooledJob *j, uint64_t now_us)
+pooled_send(PooledConnection *c, Sw__RelayCommand *const *list, size_t count,
+            uint64_t now_us)
 {
     static ServerCommand commands[kCommandsMax + 1];
     Gateway *g = c->pool->gateway;
-    const Sw__RelayRun *m = j->run;
-    size_t count = 0;
+    size_t sent = 0;
 
     if (c->dirty) {
-        commands[count++] = (ServerCommand){.kind = kCommandReset};
+        commands[sent++] = (ServerCommand){.kind = kCommandReset};
         c->dirty = FALSE;
     }
-    for (size_t i = 0; i < MIN(m->n_commands, (size_t)kCommandsMax); i++) {
-        const Sw__RelayCommand *r = m->commands[i];
-        commands[count++] =
+    for (size_t i = 0; i < MIN(count, (size_t)kCommandsMax); i++) {
+        const Sw__RelayCommand *r = list[i];
+        commands[sent++] =
             (ServerCommand){.kind = (CommandKind)r->kind,
                             .id = r->id,
                             .text = r->text,
@@ -120,6 +119,19 @@
                             .writes = r->writes,
                             .after = {r->after_term, r->after_number}};
     }
+    c->sent_us = now_us;
+    c->awaiting = TRUE;
+    c->answers_ahead = (uint32_t)sent - 1;
+    c->pool->open++;
+    g->port.server_send(g->port.ctx, c->link, commands, sent);
+}
+
+/* Sends a job's commands. */
+static void
+pooled_run(PooledConnection *c, PooledJob *j, uint64_t now_us)
+{
+    Gateway *g = c->pool->gateway;
+
     histogram_observe(&g->counters.queue, now_us - j->arrived_us);
     pooled_job_dequeue(j);
     j->connection = c;
@@ -127,11 +139,8 @@
     c->job = j;
     c->state = kPooledLent;
     c->state_since_us = now_us;
-    c->sent_us = now_us;
-    c->awaiting = TRUE;
-    c->answers_ahead = (uint32_t)count - 1;
-    c->pool->open++;
-    g->port.server_send(g->port.ctx, c->link, commands, count);
+    j->begin_open = j->run->n_after_begin > 0;
+    pooled_send(c, j->run->commands, j->run->n_commands, now_us);
 }
 
 /* Returns an idle connection of a team or NULL. */
@@ -226,7 +235,13 @@
         return;
     }
     j->last_answer_us = now_us;
-    if (a->code == kCodeBusy && !j->run->continues) {
+    if (j->begin_open && a->code == kCodeNone) {
+        j->begin_open = FALSE;
+        j->begun = TRUE;
+        pooled_send(c, j->run->after_begin, j->run->n_after_begin, now_us);
+        return;
+    }
+    if (a->code == kCodeBusy && !j->run->continues && !j->begun) {
         requeue_job(j, now_us);
         pool_pump(pool, now_us);
         return;
@@ -435,6 +450,7 @@
         sw__relay_run__free_unpacked(j->run, NULL);
     }
     j->run = message_copy(m);
+    j->begun = FALSE;
     j->arrived_us = now_us;
     j->order_us = now_us + m->target_us;
     j->deadline_us = now_us + m->due_us;
--- a/src/sapphireweir/gateway/serverpool_internal.h
+++ b/src/sapphireweir/gateway/serverpool_internal.h
@@ -36,7 +36,9 @@
     char *borrower; /* entry instance that sent the commands */
     uint64_t relay; /* the borrower's number of the connection */
     char *team;
-    Sw__RelayRun *run; /* commands without a result yet, NULL: none */
+    Sw__RelayRun *run;   /* commands without a result yet, NULL: none */
+    gboolean begin_open; /* the awaited answer is that to run's BEGIN */
+    gboolean begun;      /* that BEGIN has succeeded */
     uint64_t arrived_us;
     uint64_t order_us; /* queue position; the smallest runs first */
     uint64_t deadline_us;
--- a/src/sapphireweir/gateway/serverpool_job.c
+++ b/src/sapphireweir/gateway/serverpool_job.c
@@ -160,6 +160,7 @@
     m.state = a->state;
     m.term = a->position.term;
     m.number = a->position.number;
+    m.begun = j->begun;
     m.position = (char *)(a->position_text == NULL ? "" : a->position_text);
     send_result(j, now_us, &m);
 }
--- a/src/sapphireweir/gateway/session_answer.c
+++ b/src/sapphireweir/gateway/session_answer.c
@@ -218,11 +218,14 @@
     answer_error(s, now_us, a);
 }
 
-/* Handles the loss of the session's connection, which is already closed. */
+/* Handles the loss of the session's connection, which is already closed.  A
+ * statement that was sent with the transaction's BEGIN may have run and is not
+ * repeated. */
 void
 session_connection_lost(Session *s, uint64_t now_us)
 {
     Job *job = &s->job;
+    gboolean begun = s->begun || job->with_begin;
 
     s->connection = NULL;
     if (!job->open) {
@@ -231,11 +234,11 @@
         s->begun = FALSE;
         return;
     }
-    if (s->begun && job->kind != kStatementCommit) {
+    if (begun && job->kind != kStatementCommit) {
         session_finish(s, now_us, kCodeAborted, "the connection was lost");
         return;
     }
-    if (s->state == kSessionInTransaction && !s->begun) {
+    if (s->state == kSessionInTransaction && !begun) {
         dispatch_retry(s, now_us, 0);
         return;
     }
--- a/src/sapphireweir/proto/sapphireweir.pb-c.c
+++ b/src/sapphireweir/proto/sapphireweir.pb-c.c
@@ -5975,7 +5975,7 @@
   (ProtobufCMessageInit) sw__relay_command__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sw__relay_run__field_descriptors[9] =
+static const ProtobufCFieldDescriptor sw__relay_run__field_descriptors[10] =
 {
   {
     "relay",
@@ -6085,8 +6085,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "after_begin",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sw__RelayRun, n_after_begin),
+    offsetof(Sw__RelayRun, after_begin),
+    &sw__relay_command__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sw__relay_run__field_indices_by_name[] = {
+  9,   /* field[9] = after_begin */
   3,   /* field[3] = commands */
   8,   /* field[8] = continues */
   5,   /* field[5] = due_us */
@@ -6100,7 +6113,7 @@
 static const ProtobufCIntRange sw__relay_run__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor sw__relay_run__descriptor =
 {
@@ -6110,14 +6123,14 @@
   "Sw__RelayRun",
   "sw",
   sizeof(Sw__RelayRun),
-  9,
+  10,
   sw__relay_run__field_descriptors,
   sw__relay_run__field_indices_by_name,
   1,  sw__relay_run__number_ranges,
   (ProtobufCMessageInit) sw__relay_run__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sw__relay_result__field_descriptors[14] =
+static const ProtobufCFieldDescriptor sw__relay_result__field_descriptors[15] =
 {
   {
     "relay",
@@ -6287,8 +6300,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "begun",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Sw__RelayResult, begun),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sw__relay_result__field_indices_by_name[] = {
+  14,   /* field[14] = begun */
   2,   /* field[2] = code */
   3,   /* field[3] = code_text */
   4,   /* field[4] = detail */
@@ -6307,7 +6333,7 @@
 static const ProtobufCIntRange sw__relay_result__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor sw__relay_result__descriptor =
 {
@@ -6317,7 +6343,7 @@
   "Sw__RelayResult",
   "sw",
   sizeof(Sw__RelayResult),
-  14,
+  15,
   sw__relay_result__field_descriptors,
   sw__relay_result__field_indices_by_name,
   1,  sw__relay_result__number_ranges,
--- a/src/sapphireweir/proto/sapphireweir.pb-c.h
+++ b/src/sapphireweir/proto/sapphireweir.pb-c.h
@@ -1001,10 +1001,16 @@
    * The commands belong to a transaction that earlier ones began.
    */
   protobuf_c_boolean continues;
+  /*
+   * The last of commands is a BEGIN.  These run as soon as it has succeeded,
+   * and the result is the answer to the last of them.
+   */
+  size_t n_after_begin;
+  Sw__RelayCommand **after_begin;
 };
 #define SW__RELAY_RUN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sw__relay_run__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0, 0, 0,NULL }
 
 
 struct  Sw__RelayResult
@@ -1028,10 +1034,15 @@
   uint64_t wait_us;
   uint64_t service_us;
   protobuf_c_boolean server_failing;
+  /*
+   * The transaction has begun, and the answer is that to the last command of
+   * after_begin.
+   */
+  protobuf_c_boolean begun;
 };
 #define SW__RELAY_RESULT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sw__relay_result__descriptor) \
-    , 0, SW__RELAY_OUTCOME__RELAY_ANSWERED, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , 0, SW__RELAY_OUTCOME__RELAY_ANSWERED, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 /*
--- a/test/support/fleet_sim.c
+++ b/test/support/fleet_sim.c
@@ -491,11 +491,28 @@
     sim->report.wrong_team += strcmp(conn->team, team) != 0;
 }
 
+/* Counts a violation when a statement of a caller's transaction runs outside
+ * one. */
+static void
+check_transaction(FleetSim *sim, const ServerConnection *conn)
+{
+    const char *who = g_hash_table_lookup(conn->values, "who");
+    unsigned index;
+
+    if (conn->owner == NULL || who == NULL || conn->in_transaction ||
+        sscanf(who, "caller-%u", &index) != 1 || index >= kFleetSimCallers) {
+        return;
+    }
+    const Caller *c = &sim->callers[index];
+    sim->report.outside_transaction += c->active && c->transaction;
+}
+
 /* Runs a write, a read or a commit, and checks what must hold when it runs. */
 static AnswerCode
 run_statement(FleetSim *sim, ServerConnection *conn, const char *text)
 {
     check_team(sim, conn);
+    check_transaction(sim, conn);
     if (!conn->in_transaction || conn->statements++ == 0) {
         g_array_append_val(sim->run_times_us, sim->now_us);
     }
--- a/test/support/fleet_sim.h
+++ b/test/support/fleet_sim.h
@@ -45,8 +45,9 @@
     uint64_t stale; /* reads of a log that lacks a required write */
     /* Acknowledged by a primary that had been replaced. */
     uint64_t acked_by_old_primary;
-    uint64_t wrong_team;  /* ran on a connection of another team */
-    uint64_t wrong_state; /* ran without the session's variables */
+    uint64_t wrong_team;          /* ran on a connection of another team */
+    uint64_t wrong_state;         /* ran without the session's variables */
+    uint64_t outside_transaction; /* ran outside the caller's transaction */
     /* Started at a draining server after the time it may serve. */
     uint64_t run_after_drain;
     /* Frames that reached an entry instance whose configuration was older than
--- a/test/unit/test_fleet_sim.c
+++ b/test/unit/test_fleet_sim.c
@@ -417,8 +417,8 @@
                 r->lost == 0 && r->duplicated == 0 &&
                 r->false_rejections == 0 && r->stale == 0 &&
                 r->acked_by_old_primary == 0 && r->wrong_team == 0 &&
-                r->wrong_state == 0 && r->outdated_version == 0 &&
-                r->run_after_drain == 0 &&
+                r->wrong_state == 0 && r->outside_transaction == 0 &&
+                r->outdated_version == 0 && r->run_after_drain == 0 &&
                 (r->rolled_back == 0 || !cases[i].no_rollback);
             gboolean bounds_met =
                 r->served * 100 >=
@@ -432,14 +432,16 @@
                         "%lu ms, "
                         "%lu promotions, in doubt %lu; lost %lu duplicated "
                         "%lu false rejections %lu stale %lu acked by old "
-                        "primary %lu wrong team %lu wrong state %lu outdated "
-                        "version %lu rolled back %lu after drain %lu\n",
+                        "primary %lu wrong team %lu wrong state %lu outside "
+                        "transaction %lu outdated version %lu rolled back %lu "
+                        "after drain %lu\n",
                         cases[i].name, seed, r->served, r->refused,
                         r->operations, r->longest_write_gap_us / 1000,
                         r->promotions, r->in_doubt, r->lost, r->duplicated,
                         r->false_rejections, r->stale, r->acked_by_old_primary,
-                        r->wrong_team, r->wrong_state, r->outdated_version,
-                        r->rolled_back, r->run_after_drain);
+                        r->wrong_team, r->wrong_state, r->outside_transaction,
+                        r->outdated_version, r->rolled_back,
+                        r->run_after_drain);
             }
             CU_ASSERT(invariants_hold);
             CU_ASSERT(bounds_met);
@@ -663,6 +665,31 @@
     }
 }
 
+/* A transaction of two statements crosses to the owner of the server three
+ * times: with BEGIN and the first statement, the second one, and COMMIT.  A
+ * quarter of the operations are such transactions, the others are single
+ * statements, so that an operation takes one and a half round trips, and a
+ * tenth more where a lagging replica sends it elsewhere. */
+static void
+begin_and_first_statement_share_a_round_trip(void)
+{
+    enum { kMaxRoundTripsPercent = 165 };
+    FleetSim *sim = fleet_sim_new(5);
+
+    fleet_sim_run(sim, 10000);
+    fleet_sim_quiesce(sim);
+    const FleetSimReport *r = fleet_sim_check(sim);
+    uint64_t round_trips =
+        fleet_sim_traffic(sim)->frames[SW__FRAME__BODY_RELAY_RUN];
+    uint64_t percent = round_trips * 100 / r->operations;
+    if (percent > kMaxRoundTripsPercent) {
+        g_print("\n%lu percent\n", percent);
+    }
+    CU_ASSERT(r->operations > 500);
+    CU_ASSERT(percent <= kMaxRoundTripsPercent);
+    fleet_sim_free(sim);
+}
+
 /* Returns the bytes between control and entry instances, without the tokens
  * that callers' operations cost. */
 static uint64_t
@@ -706,6 +733,8 @@
                 invariants_hold_under_faults);
     CU_add_test(s, "large configurations leave links to callers",
                 large_configurations_leave_links_to_callers);
+    CU_add_test(s, "begin and first statement share a round trip",
+                begin_and_first_statement_share_a_round_trip);
     CU_add_test(s, "control traffic is small at rest",
                 control_traffic_is_small_at_rest);
     CU_add_test(s, "a withdrawn key is rejected", a_withdrawn_key_is_rejected);
