--- a/src/sapphireweir/gateway/gateway_internal.h
+++ b/src/sapphireweir/gateway/gateway_internal.h
@@ -2,6 +2,7 @@
 #define SAPPHIREWEIR_GATEWAY_GATEWAY_INTERNAL_H
 
 #include "core/token_bucket.h"
+#include "fleet/document_transfer.h"
 #include "fleet/owners.h"
 #include "gateway/concurrency.h"
 #include "gateway/freshness.h"
@@ -63,6 +64,16 @@
     uint64_t lagging_step_us;  /* current delay of the exponential backoff */
 } Server;
 
+/* What this instance observed of a database's primary. */
+typedef struct {
+    uint64_t epoch;
+    uint64_t failing_us; /* zero: statements do not fail */
+    gboolean answered;
+    uint64_t released_epoch;
+    uint32_t open_work;
+    Position acknowledged;
+} PrimaryEvidence;
+
 /* A database: its backend servers, the right to use its primary, and the
  * sessions that wait for one of its servers. */
 struct Database {
@@ -78,6 +89,7 @@
     uint64_t released_epoch;    /* last epoch whose primary was released */
     /* Newest commit in this epoch that was acknowledged to a caller. */
     Position acknowledged;
+    PrimaryEvidence reported; /* last evidence in a report to the leader */
     Freshness freshness;
     GQueue waiting; /* Session, by Job.order_us */
 };
@@ -110,6 +122,14 @@
     gboolean begin_open;     /* the awaited answer belongs to a BEGIN */
 };
 
+enum { kCommandsMax = 160 }; /* in one batch */
+
+/* Commands that are sent together. */
+typedef struct {
+    ServerCommand commands[kCommandsMax];
+    size_t count;
+} CommandBatch;
+
 /* A statement that a session has prepared. */
 typedef struct {
     char *text; /* of the statement to prepare */
@@ -127,8 +147,9 @@
     gboolean writes;
     gboolean needs_primary;
     gboolean sent;
-    Server *server;   /* last server that the statement was sent to */
-    gboolean charged; /* a rate token was taken for it */
+    gboolean with_begin; /* sent together with the transaction's BEGIN */
+    Server *server;      /* last server that the statement was sent to */
+    gboolean charged;    /* a rate token was taken for it */
     uint64_t arrived_us;
     uint64_t deadline_us;
     uint64_t order_us;    /* queue position; the smallest runs first */
@@ -219,15 +240,17 @@
     GatewayPort port;
     Document *(*decode)(const uint8_t *text, size_t bytes);
     Document *document;
-    GBytes *document_text; /* the encoded form of document */
-    GHashTable *databases; /* name -> Database, owned */
-    GHashTable *servers;   /* id -> Server, owned */
-    GHashTable *controls;  /* address -> ControlContact, owned */
-    GHashTable *rates;     /* team -> TeamRate, owned */
-    EntryList *entries;    /* entry instances that may lend connections */
-    gboolean owners_stale; /* servers or entries changed */
-    GHashTable *owners;    /* id -> OwnerContact, owned */
-    GHashTable *relays;    /* number -> borrowed Connection, not owned */
+    GBytes *document_text;     /* the encoded form of document */
+    DocumentReceiver receiver; /* of a newer document */
+    uint64_t link_bytes_per_s; /* see GatewayConfig */
+    GHashTable *databases;     /* name -> Database, owned */
+    GHashTable *servers;       /* id -> Server, owned */
+    GHashTable *controls;      /* address -> ControlContact, owned */
+    GHashTable *rates;         /* team -> TeamRate, owned */
+    EntryList *entries;        /* entry instances that may lend connections */
+    gboolean owners_stale;     /* servers or entries changed */
+    GHashTable *owners;        /* id -> OwnerContact, owned */
+    GHashTable *relays;        /* number -> borrowed Connection, not owned */
     uint64_t next_relay;
     GHashTable *pooled_jobs; /* key (see pooled_job_key) -> PooledJob, owned */
     GQueue sessions;
@@ -240,6 +263,9 @@
     uint64_t granted_report_us; /* when that report was sent */
     uint64_t grant_term;        /* of the newest grant on primaries */
     uint64_t grant_revision;    /* within that term */
+    uint64_t controls_hash;     /* of the last list of control instances */
+    uint64_t primaries_hash;    /* of the last list of primaries */
+    char *evidence_leader;      /* that has all evidence, or NULL */
     uint64_t lease_until_us;
     gboolean leased; /* holds a lease, as last logged */
     char *leader;    /* control instance that granted the lease */
@@ -287,8 +313,8 @@
 /* relay.c */
 gboolean relay_usable(const Server *s, uint64_t now_us);
 Connection *relay_open(Server *s, const char *team, uint64_t now_us);
-void relay_send(Connection *c, const ServerCommand *commands, size_t count,
-                uint64_t now_us);
+void relay_send(Connection *c, const CommandBatch *batch,
+                const CommandBatch *after_begin, uint64_t now_us);
 void relay_close(Connection *c, gboolean awaited);
 void relay_result(Gateway *g, uint64_t now_us, const char *from,
                   const Sw__RelayResult *m);
--- a/src/sapphireweir/proto/sapphireweir.pb-c.c
+++ b/src/sapphireweir/proto/sapphireweir.pb-c.c
@@ -1537,6 +1537,51 @@
   assert(message->base.descriptor == &sw__document_part__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   sw__document_chunk__init
+                     (Sw__DocumentChunk         *message)
+{
+  static const Sw__DocumentChunk init_value = SW__DOCUMENT_CHUNK__INIT;
+  *message = init_value;
+}
+size_t sw__document_chunk__get_packed_size
+                     (const Sw__DocumentChunk *message)
+{
+  assert(message->base.descriptor == &sw__document_chunk__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t sw__document_chunk__pack
+                     (const Sw__DocumentChunk *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &sw__document_chunk__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t sw__document_chunk__pack_to_buffer
+                     (const Sw__DocumentChunk *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &sw__document_chunk__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Sw__DocumentChunk *
+       sw__document_chunk__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Sw__DocumentChunk *)
+     protobuf_c_message_unpack (&sw__document_chunk__descriptor,
+                                allocator, len, data);
+}
+void   sw__document_chunk__free_unpacked
+                     (Sw__DocumentChunk *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &sw__document_chunk__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   sw__join_request__init
                      (Sw__JoinRequest         *message)
 {
@@ -1942,7 +1987,7 @@
   assert(message->base.descriptor == &sw__fleet_snapshot__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor sw__frame__field_descriptors[28] =
+static const ProtobufCFieldDescriptor sw__frame__field_descriptors[29] =
 {
   {
     "request_id",
@@ -2280,6 +2325,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "document_chunk",
+    29,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sw__Frame, body_case),
+    offsetof(Sw__Frame, document_chunk),
+    &sw__document_chunk__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sw__frame__field_indices_by_name[] = {
   8,   /* field[8] = admin_reply */
@@ -2288,6 +2345,7 @@
   18,   /* field[18] = cancel_work */
   3,   /* field[3] = consensus */
   21,   /* field[21] = directory_update */
+  28,   /* field[28] = document_chunk */
   22,   /* field[22] = document_update */
   20,   /* field[20] = entry_grant */
   19,   /* field[19] = entry_report */
@@ -2314,7 +2372,7 @@
 static const ProtobufCIntRange sw__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 28 }
+  { 0, 29 }
 };
 const ProtobufCMessageDescriptor sw__frame__descriptor =
 {
@@ -2324,7 +2382,7 @@
   "Sw__Frame",
   "sw",
   sizeof(Sw__Frame),
-  28,
+  29,
   sw__frame__field_descriptors,
   sw__frame__field_indices_by_name,
   1,  sw__frame__number_ranges,
@@ -4629,7 +4687,7 @@
   (ProtobufCMessageInit) sw__team_demand__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sw__entry_report__field_descriptors[11] =
+static const ProtobufCFieldDescriptor sw__entry_report__field_descriptors[16] =
 {
   {
     "failure_domain",
@@ -4763,24 +4821,89 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "link_bytes_per_s",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__EntryReport, link_bytes_per_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incoming_version",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__EntryReport, incoming_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "controls_hash",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__EntryReport, controls_hash),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "primaries_hash",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__EntryReport, primaries_hash),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "evidence_partial",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Sw__EntryReport, evidence_partial),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sw__entry_report__field_indices_by_name[] = {
+  13,   /* field[13] = controls_hash */
   8,   /* field[8] = demand */
   4,   /* field[4] = directory_revision */
   5,   /* field[5] = directory_run */
   3,   /* field[3] = document_version */
   9,   /* field[9] = entries_hash */
   7,   /* field[7] = evidence */
+  15,   /* field[15] = evidence_partial */
   0,   /* field[0] = failure_domain */
   10,   /* field[10] = granted_sequence */
   1,   /* field[1] = incarnation */
+  12,   /* field[12] = incoming_version */
   6,   /* field[6] = leaving */
+  11,   /* field[11] = link_bytes_per_s */
+  14,   /* field[14] = primaries_hash */
   2,   /* field[2] = sequence */
 };
 static const ProtobufCIntRange sw__entry_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor sw__entry_report__descriptor =
 {
@@ -4790,7 +4913,7 @@
   "Sw__EntryReport",
   "sw",
   sizeof(Sw__EntryReport),
-  11,
+  16,
   sw__entry_report__field_descriptors,
   sw__entry_report__field_indices_by_name,
   1,  sw__entry_report__number_ranges,
@@ -5002,7 +5125,7 @@
   (ProtobufCMessageInit) sw__team_share__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sw__entry_grant__field_descriptors[11] =
+static const ProtobufCFieldDescriptor sw__entry_grant__field_descriptors[13] =
 {
   {
     "sequence",
@@ -5136,15 +5259,41 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "controls_hash",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__EntryGrant, controls_hash),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "primaries_hash",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__EntryGrant, primaries_hash),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sw__entry_grant__field_indices_by_name[] = {
   5,   /* field[5] = controls */
+  11,   /* field[11] = controls_hash */
   6,   /* field[6] = document_version */
   9,   /* field[9] = entries */
   10,   /* field[10] = entries_hash */
   4,   /* field[4] = entry_count */
   1,   /* field[1] = lease_us */
   2,   /* field[2] = primaries */
+  12,   /* field[12] = primaries_hash */
   8,   /* field[8] = revision */
   0,   /* field[0] = sequence */
   3,   /* field[3] = shares */
@@ -5153,7 +5302,7 @@
 static const ProtobufCIntRange sw__entry_grant__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor sw__entry_grant__descriptor =
 {
@@ -5163,7 +5312,7 @@
   "Sw__EntryGrant",
   "sw",
   sizeof(Sw__EntryGrant),
-  11,
+  13,
   sw__entry_grant__field_descriptors,
   sw__entry_grant__field_indices_by_name,
   1,  sw__entry_grant__number_ranges,
@@ -5543,6 +5692,109 @@
   (ProtobufCMessageInit) sw__document_part__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor sw__document_chunk__field_descriptors[6] =
+{
+  {
+    "transfer",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__DocumentChunk, transfer),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__DocumentChunk, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "total_bytes",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Sw__DocumentChunk, total_bytes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "update_bytes",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Sw__DocumentChunk, update_bytes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "offset",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Sw__DocumentChunk, offset),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "data",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Sw__DocumentChunk, data),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned sw__document_chunk__field_indices_by_name[] = {
+  5,   /* field[5] = data */
+  4,   /* field[4] = offset */
+  2,   /* field[2] = total_bytes */
+  0,   /* field[0] = transfer */
+  3,   /* field[3] = update_bytes */
+  1,   /* field[1] = version */
+};
+static const ProtobufCIntRange sw__document_chunk__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor sw__document_chunk__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "sw.DocumentChunk",
+  "DocumentChunk",
+  "Sw__DocumentChunk",
+  "sw",
+  sizeof(Sw__DocumentChunk),
+  6,
+  sw__document_chunk__field_descriptors,
+  sw__document_chunk__field_indices_by_name,
+  1,  sw__document_chunk__number_ranges,
+  (ProtobufCMessageInit) sw__document_chunk__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor sw__join_request__field_descriptors[2] =
 {
   {
@@ -5723,7 +5975,7 @@
   (ProtobufCMessageInit) sw__relay_command__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sw__relay_run__field_descriptors[9] =
+static const ProtobufCFieldDescriptor sw__relay_run__field_descriptors[10] =
 {
   {
     "relay",
@@ -5833,8 +6085,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "after_begin",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sw__RelayRun, n_after_begin),
+    offsetof(Sw__RelayRun, after_begin),
+    &sw__relay_command__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sw__relay_run__field_indices_by_name[] = {
+  9,   /* field[9] = after_begin */
   3,   /* field[3] = commands */
   8,   /* field[8] = continues */
   5,   /* field[5] = due_us */
@@ -5848,7 +6113,7 @@
 static const ProtobufCIntRange sw__relay_run__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor sw__relay_run__descriptor =
 {
@@ -5858,14 +6123,14 @@
   "Sw__RelayRun",
   "sw",
   sizeof(Sw__RelayRun),
-  9,
+  10,
   sw__relay_run__field_descriptors,
   sw__relay_run__field_indices_by_name,
   1,  sw__relay_run__number_ranges,
   (ProtobufCMessageInit) sw__relay_run__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sw__relay_result__field_descriptors[14] =
+static const ProtobufCFieldDescriptor sw__relay_result__field_descriptors[15] =
 {
   {
     "relay",
@@ -6035,8 +6300,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "begun",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Sw__RelayResult, begun),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sw__relay_result__field_indices_by_name[] = {
+  14,   /* field[14] = begun */
   2,   /* field[2] = code */
   3,   /* field[3] = code_text */
   4,   /* field[4] = detail */
@@ -6055,7 +6333,7 @@
 static const ProtobufCIntRange sw__relay_result__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor sw__relay_result__descriptor =
 {
@@ -6065,7 +6343,7 @@
   "Sw__RelayResult",
   "sw",
   sizeof(Sw__RelayResult),
-  14,
+  15,
   sw__relay_result__field_descriptors,
   sw__relay_result__field_indices_by_name,
   1,  sw__relay_result__number_ranges,
--- a/test/support/fleet_sim.h
+++ b/test/support/fleet_sim.h
@@ -1,6 +1,7 @@
 #ifndef SAPPHIREWEIR_TEST_FLEET_SIM_H
 #define SAPPHIREWEIR_TEST_FLEET_SIM_H
 
+#include "core/traffic.h"
 #include "fleet/director.h"
 #include "gateway/gateway.h"
 
@@ -30,6 +31,9 @@
     uint64_t longest_write_gap_us;
     uint64_t replica_reads;
     uint64_t rolled_back; /* acknowledged, then discarded by a promotion */
+    /* Longest time that a frame waited for the network link of an entry
+     * instance. */
+    uint64_t longest_link_wait_us;
 
     /* Violations of guarantees; all must be zero. */
 
@@ -41,8 +45,9 @@
     uint64_t stale; /* reads of a log that lacks a required write */
     /* Acknowledged by a primary that had been replaced. */
     uint64_t acked_by_old_primary;
-    uint64_t wrong_team;  /* ran on a connection of another team */
-    uint64_t wrong_state; /* ran without the session's variables */
+    uint64_t wrong_team;          /* ran on a connection of another team */
+    uint64_t wrong_state;         /* ran without the session's variables */
+    uint64_t outside_transaction; /* ran outside the caller's transaction */
     /* Started at a draining server after the time it may serve. */
     uint64_t run_after_drain;
     /* Frames that reached an entry instance whose configuration was older than
@@ -86,6 +91,11 @@
 void fleet_sim_partition_entries(FleetSim *sim, gboolean partitioned);
 uint32_t fleet_sim_connections_opened(const FleetSim *sim);
 void fleet_sim_pause_server_reports(FleetSim *sim, gboolean paused);
+void fleet_sim_set_link_bandwidth(FleetSim *sim, uint64_t bytes_per_s);
+void fleet_sim_add_routes(FleetSim *sim, uint32_t count);
+uint64_t fleet_sim_oldest_version(const FleetSim *sim);
+uint64_t fleet_sim_leases_lost(const FleetSim *sim);
+const Traffic *fleet_sim_traffic(const FleetSim *sim);
 void fleet_sim_set_caller_pause(FleetSim *sim, uint64_t pause_ms);
 
 #endif
--- a/test/unit/test_fleet_sim.c
+++ b/test/unit/test_fleet_sim.c
@@ -417,8 +417,8 @@
                 r->lost == 0 && r->duplicated == 0 &&
                 r->false_rejections == 0 && r->stale == 0 &&
                 r->acked_by_old_primary == 0 && r->wrong_team == 0 &&
-                r->wrong_state == 0 && r->outdated_version == 0 &&
-                r->run_after_drain == 0 &&
+                r->wrong_state == 0 && r->outside_transaction == 0 &&
+                r->outdated_version == 0 && r->run_after_drain == 0 &&
                 (r->rolled_back == 0 || !cases[i].no_rollback);
             gboolean bounds_met =
                 r->served * 100 >=
@@ -432,14 +432,16 @@
                         "%lu ms, "
                         "%lu promotions, in doubt %lu; lost %lu duplicated "
                         "%lu false rejections %lu stale %lu acked by old "
-                        "primary %lu wrong team %lu wrong state %lu outdated "
-                        "version %lu rolled back %lu after drain %lu\n",
+                        "primary %lu wrong team %lu wrong state %lu outside "
+                        "transaction %lu outdated version %lu rolled back %lu "
+                        "after drain %lu\n",
                         cases[i].name, seed, r->served, r->refused,
                         r->operations, r->longest_write_gap_us / 1000,
                         r->promotions, r->in_doubt, r->lost, r->duplicated,
                         r->false_rejections, r->stale, r->acked_by_old_primary,
-                        r->wrong_team, r->wrong_state, r->outdated_version,
-                        r->rolled_back, r->run_after_drain);
+                        r->wrong_team, r->wrong_state, r->outside_transaction,
+                        r->outdated_version, r->rolled_back,
+                        r->run_after_drain);
             }
             CU_ASSERT(invariants_hold);
             CU_ASSERT(bounds_met);
@@ -580,12 +582,161 @@
     }
 }
 
+/* Adds many routes and then changes the configuration every 60 ms. */
+static void
+many_routes_then_a_storm(FleetSim *sim)
+{
+    fleet_sim_add_routes(sim, 808);
+    for (uint32_t i = 0; i < 25; i++) {
+        fleet_sim_run(sim, 60);
+        fleet_sim_configure(sim, 1000 + i, TRUE);
+    }
+}
+
+/* The control leader is killed while it sends many routes. */
+static void
+many_routes_leader_killed(FleetSim *sim)
+{
+    fleet_sim_add_routes(sim, 808);
+    fleet_sim_run(sim, 250);
+    int leader = fleet_sim_control_leader(sim);
+    fleet_sim_set_control_running(sim, (uint32_t)leader, FALSE);
+    fleet_sim_run(sim, 1250);
+    fleet_sim_set_control_running(sim, (uint32_t)leader, TRUE);
+}
+
+/* Restarts an instance, which then needs the whole document. */
+static void
+many_routes_entry_restarts(FleetSim *sim)
+{
+    fleet_sim_add_routes(sim, 1400);
+    fleet_sim_run(sim, 2000);
+    fleet_sim_restart_entry(sim, 2);
+    fleet_sim_run(sim, 500);
+}
+
+/* Large configurations over links of 2 Mbit/s, as the smallest instances have.
+ * Leases and callers' statements use the same links: no lease may expire, no
+ * healthy primary may be replaced, and no frame may wait longer than a quarter
+ * of the shortest latency objective of a deployment, 150 ms.  Every instance
+ * must have the last version in time. */
+static void
+large_configurations_leave_links_to_callers(void)
+{
+    enum { kLinkBytesPerS = 250000, kMaxLinkWaitUs = 37500 };
+    static const struct {
+        const char *name;
+        Fault fault;
+    } cases[] = {
+        {"storm", many_routes_then_a_storm},
+        {"leader killed", many_routes_leader_killed},
+        {"instance restarts", many_routes_entry_restarts},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        for (uint32_t seed = 1; seed <= 4; seed++) {
+            FleetSim *sim = fleet_sim_new(seed);
+            fleet_sim_set_link_bandwidth(sim, kLinkBytesPerS);
+            fleet_sim_set_caller_pause(sim, 100);
+            fleet_sim_run(sim, 2000);
+            uint64_t leases_lost = fleet_sim_leases_lost(sim);
+            cases[i].fault(sim);
+            fleet_sim_run(sim, 3000);
+            gboolean in_time =
+                fleet_sim_oldest_version(sim) == fleet_sim_acked_version(sim);
+            leases_lost = fleet_sim_leases_lost(sim) - leases_lost;
+            fleet_sim_quiesce(sim);
+            const FleetSimReport *r = fleet_sim_check(sim);
+            gboolean holds = leases_lost == 0 && r->promotions == 0 &&
+                             r->outdated_version == 0 && in_time &&
+                             r->longest_link_wait_us <= kMaxLinkWaitUs;
+            if (!holds) {
+                g_print(
+                    "\n%s, seed %u: frames waited %lu us, %lu leases lost, "
+                    "%lu promotions, outdated %lu, version %lu of %lu\n",
+                    cases[i].name, seed, r->longest_link_wait_us, leases_lost,
+                    r->promotions, r->outdated_version,
+                    fleet_sim_oldest_version(sim),
+                    fleet_sim_acked_version(sim));
+            }
+            CU_ASSERT(holds);
+            fleet_sim_free(sim);
+        }
+    }
+}
+
+/* A transaction of two statements crosses to the owner of the server three
+ * times: with BEGIN and the first statement, the second one, and COMMIT.  A
+ * quarter of the operations are such transactions, the others are single
+ * statements, so that an operation takes one and a half round trips, and a
+ * tenth more where a lagging replica sends it elsewhere. */
+static void
+begin_and_first_statement_share_a_round_trip(void)
+{
+    enum { kMaxRoundTripsPercent = 165 };
+    FleetSim *sim = fleet_sim_new(5);
+
+    fleet_sim_run(sim, 10000);
+    fleet_sim_quiesce(sim);
+    const FleetSimReport *r = fleet_sim_check(sim);
+    uint64_t round_trips =
+        fleet_sim_traffic(sim)->frames[SW__FRAME__BODY_RELAY_RUN];
+    uint64_t percent = round_trips * 100 / r->operations;
+    if (percent > kMaxRoundTripsPercent) {
+        g_print("\n%lu percent\n", percent);
+    }
+    CU_ASSERT(r->operations > 500);
+    CU_ASSERT(percent <= kMaxRoundTripsPercent);
+    fleet_sim_free(sim);
+}
+
+/* Returns the bytes between control and entry instances, without the tokens
+ * that callers' operations cost. */
+static uint64_t
+control_bytes(const FleetSim *sim)
+{
+    const Traffic *t = fleet_sim_traffic(sim);
+
+    return t->bytes[SW__FRAME__BODY_ENTRY_REPORT] +
+           t->bytes[SW__FRAME__BODY_ENTRY_GRANT] +
+           t->bytes[SW__FRAME__BODY_DOCUMENT_CHUNK] +
+           t->bytes[SW__FRAME__BODY_DOCUMENT_UPDATE];
+}
+
+/* Every caller is a team of its own, and each team uses every instance.  An
+ * entry instance and the control instances may exchange 4 KB a second while
+ * nothing changes. */
+static void
+control_traffic_is_small_at_rest(void)
+{
+    enum { kSeconds = 8, kMaxBytesPerS = 4096 };
+    FleetSim *sim = fleet_sim_new(3);
+
+    fleet_sim_set_teams(sim, kFleetSimCallers, kFleetSimCallers, 3);
+    fleet_sim_run(sim, 4000);
+    uint64_t before = control_bytes(sim);
+    fleet_sim_run(sim, kSeconds * 1000);
+    uint64_t bytes_per_s =
+        (control_bytes(sim) - before) / kSeconds / kFleetSimEntries;
+    if (bytes_per_s > kMaxBytesPerS) {
+        g_print("\n%lu bytes a second\n", bytes_per_s);
+    }
+    CU_ASSERT(bytes_per_s <= kMaxBytesPerS);
+    fleet_sim_free(sim);
+}
+
 void
 add_fleet_sim_suite(void)
 {
     CU_pSuite s = CU_add_suite("fleet simulation", NULL, NULL);
     CU_add_test(s, "invariants hold under faults",
                 invariants_hold_under_faults);
+    CU_add_test(s, "large configurations leave links to callers",
+                large_configurations_leave_links_to_callers);
+    CU_add_test(s, "begin and first statement share a round trip",
+                begin_and_first_statement_share_a_round_trip);
+    CU_add_test(s, "control traffic is small at rest",
+                control_traffic_is_small_at_rest);
     CU_add_test(s, "a withdrawn key is rejected", a_withdrawn_key_is_rejected);
     CU_add_test(s, "an unconfirmed key is rejected after its limit",
                 an_unconfirmed_key_is_rejected_after_its_limit);
