Notice a lost primary and a cut-off failure domain sooner

Three waits added up: a connection attempt that hangs was no failure before its time limit of 400 ms and then counted from that moment; instances with little work still reported an answer of up to 700 ms ago as proof of health; and instances behind the cut took 900 ms to notice it.

Change: a connection attempt counts as unanswered from its start, like a statement. An instance is partitioned after 700 ms without contact.

--- a/src/sapphireweir/fleet/director_entries.c
+++ b/src/sapphireweir/fleet/director_entries.c
@@ -341,6 +341,7 @@
             .epoch = e->epoch,
             .received_us = now_us,
             .answered = e->answered,
+            .answered_us = now_us - MIN(e->answered_ago_us, now_us),
             .failing_us = e->failing_us,
             .released_epoch = e->released_epoch,
             .open_work = e->open_work,
--- a/src/sapphireweir/fleet/director_internal.h
+++ b/src/sapphireweir/fleet/director_internal.h
@@ -20,7 +20,8 @@
 typedef struct {
     uint64_t epoch;
     uint64_t received_us;
-    gboolean answered; /* the primary answered recently */
+    gboolean answered;    /* the primary answered recently */
+    uint64_t answered_us; /* when it answered last, if answered is set */
     /* How long statements have failed, zero: they succeed, or there were
      * none. */
     uint64_t failing_us;
--- a/src/sapphireweir/fleet/handover.c
+++ b/src/sapphireweir/fleet/handover.c
@@ -281,8 +281,12 @@
         }
         /* Time before this instance learned of the primary's epoch does not
          * count as failure. */
+        uint64_t failing_us = MIN(e->failing_us, now_us - p->epoch_learned_us);
         evidence[count++] = (SuspectEvidence){
-            e->answered, MIN(e->failing_us, now_us - p->epoch_learned_us)};
+            .answered = e->answered,
+            .failing_us = failing_us,
+            .answered_age_us = now_us - e->answered_us,
+            .failing_age_us = now_us - e->received_us + failing_us};
     }
     SuspectVerdict verdict = suspect_evaluate(evidence, count);
     g_free(evidence);
--- a/src/sapphireweir/fleet/suspect.h
+++ b/src/sapphireweir/fleet/suspect.h
@@ -12,6 +12,10 @@
 typedef struct {
     gboolean answered;   /* the primary answered recently */
     uint64_t failing_us; /* how long statements have failed, zero: none do */
+    /* Time from the last answer, and from the first failed statement, to the
+     * evaluation. */
+    uint64_t answered_age_us;
+    uint64_t failing_age_us;
 } SuspectEvidence;
 
 typedef enum {
--- a/src/sapphireweir/gateway/connection.c
+++ b/src/sapphireweir/gateway/connection.c
@@ -463,7 +463,8 @@
         server_refused_connection(server, now_us);
     }
     else if (opening || c->awaiting) {
-        server_failed(server, now_us, opening);
+        server_failed(server, now_us, opening ? c->state_since_us : c->sent_us,
+                      opening);
     }
     connection_close(c);
     if (s != NULL) {
--- a/src/sapphireweir/gateway/dispatch.c
+++ b/src/sapphireweir/gateway/dispatch.c
@@ -533,7 +533,11 @@
         connection_down(c, now_us, kCodeTimeout);
         return;
     }
-    server_check_unresponsive(server, now_us, c->awaiting ? c->sent_us : 0);
+    server_check_unresponsive(server, now_us,
+                              c->awaiting ? c->sent_us
+                              : c->state == kConnectionOpening
+                                  ? c->state_since_us
+                                  : 0);
     if (c->state == kConnectionRollingBack &&
         now_us - c->sent_us > kConnectTimeoutUs) {
         connection_down(c, now_us, kCodeTimeout);
--- a/src/sapphireweir/gateway/gateway.c
+++ b/src/sapphireweir/gateway/gateway.c
@@ -10,8 +10,8 @@
     kReportEveryUs = 250000,
     /* Limits without a message from a control instance and without an answer
      * from a server of another failure domain. */
-    kContactLostUs = 900000,
-    kForeignLostUs = 900000,
+    kContactLostUs = 700000,
+    kForeignLostUs = 700000,
     kStartupUs = 3000000, /* never counts as partitioned so soon after start */
     /* The use of primaries ends earlier than the lease by this, for statements
      * in flight. */
--- a/src/sapphireweir/gateway/gateway_internal.h
+++ b/src/sapphireweir/gateway/gateway_internal.h
@@ -69,6 +69,7 @@
     uint64_t epoch;
     uint64_t failing_us; /* zero: statements do not fail */
     gboolean answered;
+    uint64_t last_answer_us; /* if answered is set */
     uint64_t released_epoch;
     uint32_t open_work;
     Position acknowledged;
@@ -305,7 +306,8 @@
 /* server.c */
 uint32_t server_connection_limit(const Server *s);
 void server_answered(Server *s, uint64_t now_us);
-void server_failed(Server *s, uint64_t now_us, gboolean opening);
+void server_failed(Server *s, uint64_t now_us, uint64_t since_us,
+                   gboolean opening);
 void server_refused_connection(Server *s, uint64_t now_us);
 void server_check_unresponsive(Server *s, uint64_t now_us, uint64_t sent_us);
 void server_record_service_time(Server *s, uint64_t took_us);
--- a/src/sapphireweir/gateway/gateway_report.c
+++ b/src/sapphireweir/gateway/gateway_report.c
@@ -62,6 +62,7 @@
     }
     e.answered = s->last_answer_us != 0 &&
                  now_us - s->last_answer_us < kAnsweredRecentlyUs;
+    e.last_answer_us = s->last_answer_us;
     return e;
 }
 
@@ -74,13 +75,14 @@
            e->released_epoch != 0 || e->open_work != 0 ||
            e->open_work != last->open_work || e->epoch != last->epoch ||
            e->answered != last->answered ||
+           e->last_answer_us != last->last_answer_us ||
            e->released_epoch != last->released_epoch ||
            position_compare(e->acknowledged, last->acknowledged) != 0;
 }
 
 /* Fills in a record of the evidence on a database's primary. */
 static void
-evidence_fill(const Database *d, const PrimaryEvidence *e,
+evidence_fill(const Database *d, uint64_t now_us, const PrimaryEvidence *e,
               Sw__PrimaryEvidence *out)
 {
     sw__primary_evidence__init(out);
@@ -89,6 +91,7 @@
     out->epoch = e->epoch;
     out->failing_us = e->failing_us;
     out->answered = e->answered;
+    out->answered_ago_us = e->answered ? now_us - e->last_answer_us : 0;
     out->released_epoch = e->released_epoch;
     out->open_work = e->open_work;
     out->acknowledged_term = e->acknowledged.term;
@@ -109,7 +112,7 @@
         Database *d = value;
         PrimaryEvidence e = evidence_of(d, now_us);
         if (!partial || must_report(&e, &d->reported)) {
-            evidence_fill(d, &e, &records[list->len]);
+            evidence_fill(d, now_us, &e, &records[list->len]);
             g_ptr_array_add(list, &records[list->len]);
         }
         d->reported = e;
--- a/src/sapphireweir/gateway/server.c
+++ b/src/sapphireweir/gateway/server.c
@@ -42,15 +42,16 @@
     }
 }
 
-/* Records a failure of a server.  If opening is set, the connection could not
- * be established and the server is avoided for kAvoidUs; a server that broke
- * an established connection may still accept others. */
+/* Records a failure of a server, of an attempt that began at since_us.  If
+ * opening is set, the connection could not be established and the server is
+ * avoided for kAvoidUs; a server that broke an established connection may
+ * still accept others. */
 void
-server_failed(Server *s, uint64_t now_us, gboolean opening)
+server_failed(Server *s, uint64_t now_us, uint64_t since_us, gboolean opening)
 {
     s->last_failure_us = now_us;
     if (s->failing_since_us == 0) {
-        s->failing_since_us = now_us;
+        s->failing_since_us = MAX(since_us, s->last_answer_us);
     }
     if (opening) {
         s->avoid_until_us = now_us + kAvoidUs;
@@ -71,8 +72,8 @@
     s->connect_after_us = now_us + kFullPauseUs + (mixed >> 32) % kFullPauseUs;
 }
 
-/* Marks a server as failing when an answer to a command sent at sent_us (zero:
- * none awaited) is overdue, and triggers an early report to the control leader
+/* Marks a server as failing when an answer to a command or connection attempt
+ * sent at sent_us (zero: none awaited) is overdue, and triggers an early report to the control leader
  * when the failure lasts. */
 void
 server_check_unresponsive(Server *s, uint64_t now_us, uint64_t sent_us)
--- a/src/sapphireweir/gateway/serverpool.c
+++ b/src/sapphireweir/gateway/serverpool.c
@@ -274,7 +274,8 @@
         server_refused_connection(pool->server, now_us);
     }
     else if (opening || c->awaiting) {
-        server_failed(pool->server, now_us, opening);
+        server_failed(pool->server, now_us,
+                      opening ? c->state_since_us : c->sent_us, opening);
     }
     pooled_close(c);
     if (j != NULL) {
@@ -578,8 +579,13 @@
             continue;
         }
         PooledConnection *c = g_ptr_array_index(pool->connections, i - 1);
-        if (c->awaiting && (oldest_us == 0 || c->sent_us < oldest_us)) {
-            oldest_us = c->sent_us;
+        uint64_t waits_since_us = c->awaiting ? c->sent_us
+                                  : c->state == kPooledOpening
+                                      ? c->state_since_us
+                                      : 0;
+        if (waits_since_us != 0 &&
+            (oldest_us == 0 || waits_since_us < oldest_us)) {
+            oldest_us = waits_since_us;
         }
         if (c->state == kPooledOpening &&
             now_us - c->state_since_us > kConnectTimeoutUs) {
--- a/src/sapphireweir/proto/sapphireweir.pb-c.c
+++ b/src/sapphireweir/proto/sapphireweir.pb-c.c
@@ -4493,7 +4493,7 @@
   (ProtobufCMessageInit) sw__announcement__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sw__primary_evidence__field_descriptors[9] =
+static const ProtobufCFieldDescriptor sw__primary_evidence__field_descriptors[10] =
 {
   {
     "database",
@@ -4603,11 +4603,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "answered_ago_us",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__PrimaryEvidence, answered_ago_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sw__primary_evidence__field_indices_by_name[] = {
   8,   /* field[8] = acknowledged_number */
   7,   /* field[7] = acknowledged_term */
   4,   /* field[4] = answered */
+  9,   /* field[9] = answered_ago_us */
   0,   /* field[0] = database */
   2,   /* field[2] = epoch */
   3,   /* field[3] = failing_us */
@@ -4619,7 +4632,7 @@
 {
   { 1, 0 },
   { 5, 3 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor sw__primary_evidence__descriptor =
 {
@@ -4629,7 +4642,7 @@
   "Sw__PrimaryEvidence",
   "sw",
   sizeof(Sw__PrimaryEvidence),
-  9,
+  10,
   sw__primary_evidence__field_descriptors,
   sw__primary_evidence__field_indices_by_name,
   2,  sw__primary_evidence__number_ranges,
--- a/src/sapphireweir/proto/sapphireweir.pb-c.h
+++ b/src/sapphireweir/proto/sapphireweir.pb-c.h
@@ -636,10 +636,14 @@
    */
   uint64_t acknowledged_term;
   uint64_t acknowledged_number;
+  /*
+   * Time since the primary's last answer; only valid with answered.
+   */
+  uint64_t answered_ago_us;
 };
 #define SW__PRIMARY_EVIDENCE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sw__primary_evidence__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/test/unit/test_fleet_policy.c
+++ b/test/unit/test_fleet_policy.c
@@ -206,24 +206,42 @@
         size_t count;
         SuspectVerdict verdict;
     } cases[] = {
-        {{{0, 0}}, 0, kSuspectNone},
+        {{{0, 0, 0, 0}}, 0, kSuspectNone},
         /* One instance gets no answer, but another does. */
-        {{{FALSE, 5000 * kUsPerMs}, {TRUE, 0}}, 2, kSuspectNone},
-        {{{FALSE, 400 * kUsPerMs}, {FALSE, 500 * kUsPerMs}}, 2, kSuspectDead},
-        {{{FALSE, 400 * kUsPerMs}, {FALSE, 100 * kUsPerMs}}, 2, kSuspectNone},
+        {{{FALSE, 5000 * kUsPerMs, 0, 0}, {TRUE, 0, 0, 0}}, 2, kSuspectNone},
+        {{{FALSE, 400 * kUsPerMs, 0, 0}, {FALSE, 500 * kUsPerMs, 0, 0}},
+         2,
+         kSuspectDead},
+        {{{FALSE, 400 * kUsPerMs, 0, 0}, {FALSE, 100 * kUsPerMs, 0, 0}},
+         2,
+         kSuspectNone},
         /* The report of a single instance counts only after a longer time. */
-        {{{FALSE, 500 * kUsPerMs}}, 1, kSuspectNone},
-        {{{FALSE, 900 * kUsPerMs}}, 1, kSuspectDead},
+        {{{FALSE, 500 * kUsPerMs, 0, 0}}, 1, kSuspectNone},
+        {{{FALSE, 900 * kUsPerMs, 0, 0}}, 1, kSuspectDead},
         /* More instances get no answer than get one. */
-        {{{FALSE, 900 * kUsPerMs}, {FALSE, 900 * kUsPerMs}, {TRUE, 0}},
+        {{{FALSE, 900 * kUsPerMs, 0, 0},
+          {FALSE, 900 * kUsPerMs, 0, 0},
+          {TRUE, 0, 0, 0}},
          3,
          kSuspectPartitioned},
-        {{{FALSE, 900 * kUsPerMs},
-          {FALSE, 900 * kUsPerMs},
-          {TRUE, 0},
-          {TRUE, 0}},
+        {{{FALSE, 900 * kUsPerMs, 0, 0},
+          {FALSE, 900 * kUsPerMs, 0, 0},
+          {TRUE, 0, 0, 0},
+          {TRUE, 0, 0, 0}},
          4,
          kSuspectNone},
+        /* The third instance had its last answer before the others failed. */
+        {{{FALSE, 400 * kUsPerMs, 0, 450 * kUsPerMs},
+          {FALSE, 360 * kUsPerMs, 0, 500 * kUsPerMs},
+          {TRUE, 0, 600 * kUsPerMs, 0}},
+         3,
+         kSuspectDead},
+        /* It had an answer while the others failed. */
+        {{{FALSE, 400 * kUsPerMs, 0, 450 * kUsPerMs},
+          {FALSE, 360 * kUsPerMs, 0, 500 * kUsPerMs},
+          {TRUE, 0, 100 * kUsPerMs, 0}},
+         3,
+         kSuspectNone},
     };
     for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
         CU_ASSERT_EQUAL(suspect_evaluate(cases[i].evidence, cases[i].count),
