Keep the number of voting control instances odd

Change: voter_policy.c makes a learner a voter only while that leaves an odd number, or while a voter is unresponsive, whose replacement must come first. One member of an even group stays a learner with the whole log.

--- a/src/sapphireweir/core/consensus.h
+++ b/src/sapphireweir/core/consensus.h
@@ -14,6 +14,7 @@
                                     GBytes *command);
 void consensus_entry_free(void *entry);
 
+void consensus_keep_odd_voters(Consensus *c);
 Consensus *consensus_new(const char *id, const char *disk,
                          const ConsensusTiming *timing,
                          const ConsensusPort *port);
--- a/src/sapphireweir/core/consensus_internal.h
+++ b/src/sapphireweir/core/consensus_internal.h
@@ -36,6 +36,7 @@
     char *id;
     char *disk;
     ConsensusTiming timing;
+    gboolean odd_voters; /* see consensus_keep_odd_voters */
     ConsensusPort port;
 
     uint64_t term;
--- a/src/sapphireweir/core/consensus_members.c
+++ b/src/sapphireweir/core/consensus_members.c
@@ -3,11 +3,18 @@
 #include "core/consensus_internal.h"
 #include "core/error.h"
 #include "core/schema.h"
+#include "core/voter_policy.h"
 
 /* The member list of the consensus, which changes by one member at a time.  A
  * new list takes effect as soon as it is in the log, before it is
  * committed. */
 
+enum {
+    /* A voter without replies for so long is to be replaced: longer than a
+     * restart takes. */
+    kVoterUnresponsiveUs = 4500000,
+};
+
 /* Creates a member record with copies of the strings; free it with
  * consensus_member_free. */
 ConsensusMember *
@@ -225,16 +232,49 @@
     c->port.members_changed(c->port.ctx, c->members);
 }
 
+/* Keeps the number of voters odd: learners become voters only as
+ * voter_policy.h allows.  Without this call every learner becomes one. */
+void
+consensus_keep_odd_voters(Consensus *c)
+{
+    c->odd_voters = TRUE;
+}
+
+/* Returns whether a voter has not replied to this leader for
+ * kVoterUnresponsiveUs. */
+static gboolean
+has_unresponsive_voter(Consensus *c, uint64_t now_us)
+{
+    for (guint i = 0; i < c->members->len; i++) {
+        const ConsensusMember *m = g_ptr_array_index(c->members, i);
+        const Progress *p = consensus_progress_of(c, m->id);
+        if (m->voter && strcmp(m->id, c->id) != 0 && p != NULL &&
+            now_us - p->acked_us > kVoterUnresponsiveUs) {
+            return TRUE;
+        }
+    }
+    return FALSE;
+}
+
+/* Returns whether another voter is wanted. */
+static gboolean
+may_promote(Consensus *c, uint64_t now_us)
+{
+    return !c->odd_voters ||
+           voter_policy_promote(consensus_voter_count(c), c->members->len,
+                                has_unresponsive_voter(c, now_us));
+}
+
 /* Proposes to make the member from a voter, if it is a learner that has all
- * committed entries and no other membership change is pending.  p is its
- * replication state. */
+ * committed entries, another voter is wanted and no other membership change is
+ * pending.  p is its replication state. */
 void
 consensus_promote_learner(Consensus *c, uint64_t now_us, const char *from,
                           const Progress *p)
 {
     ConsensusMember *m = consensus_member_find(c, from);
     if (m == NULL || m->voter || p->match_index < c->commit_index ||
-        c->members_index > c->commit_index) {
+        c->members_index > c->commit_index || !may_promote(c, now_us)) {
         return;
     }
     GPtrArray *changed = g_ptr_array_new_with_free_func(consensus_member_free);
--- a/src/sapphireweir/fleet/director.c
+++ b/src/sapphireweir/fleet/director.c
@@ -235,6 +235,7 @@
     d->last_transfer = d->run_id;
     d->consensus = consensus_new(config->id, config->disk, &config->timing,
                                  &consensus_port);
+    consensus_keep_odd_voters(d->consensus);
     directory_init(&d->directory);
     d->primaries = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
                                          primary_state_free);
--- a/test/support/fleet_sim.c
+++ b/test/support/fleet_sim.c
@@ -146,7 +146,7 @@
     uint64_t last_sequence; /* of events and write ids */
     GRand *rand;
     GSequence *events;
-    ControlInstance controls[kFleetSimDomains];
+    ControlInstance controls[kFleetSimControls];
     EntryInstance entries[kFleetSimEntries];
     BackendServer servers[kFleetSimDatabases][kFleetSimServersPerDatabase];
     Caller callers[kFleetSimCallers];
@@ -154,6 +154,9 @@
     GHashTable *writes;     /* id -> Write, owned */
     GArray *run_times_us;   /* uint64_t: when operations started to run */
     gboolean partitioned[kFleetSimDomains];
+    /* Control instances with their bit set and the others are partitioned from
+     * each other; all reach everything else. */
+    uint32_t control_half_mask;
     uint64_t replica_lag_us;
     uint64_t promotion_delay_us; /* from the request to its effect */
     uint32_t reply_loss_percent; /* of successful replies of servers */
@@ -791,14 +794,26 @@
     g_free(packet);
 }
 
+/* Returns TRUE when two instances are control instances in different halves;
+ * their ids are a letter and a digit. */
+static gboolean
+is_split(const FleetSim *sim, const char *a, const char *b)
+{
+    uint32_t mask = sim->control_half_mask;
+
+    return a[0] == 'c' && b[0] == 'c' &&
+           ((mask >> (a[1] - '0')) & 1) != ((mask >> (b[1] - '0')) & 1);
+}
+
 /* Passes a frame to its recipient, unless a partition drops it. */
 static void
 packet_arrive(FleetSim *sim, void *data)
 {
     Packet *packet = data;
 
-    if (reachable(sim, packet->from_domain, packet->to_domain)) {
-        for (uint32_t i = 0; i < kFleetSimDomains; i++) {
+    if (reachable(sim, packet->from_domain, packet->to_domain) &&
+        !is_split(sim, packet->from, packet->to)) {
+        for (uint32_t i = 0; i < kFleetSimControls; i++) {
             ControlInstance *c = &sim->controls[i];
             if (c->director != NULL && strcmp(c->id, packet->to) == 0) {
                 director_handle_frame(c->director, sim->now_us, packet->from,
@@ -1514,7 +1529,7 @@
 static void
 tick(FleetSim *sim, void *data)
 {
-    for (uint32_t i = 0; i < kFleetSimDomains; i++) {
+    for (uint32_t i = 0; i < kFleetSimControls; i++) {
         if (sim->controls[i].director != NULL) {
             director_tick(sim->controls[i].director, sim->now_us);
             director_flush(sim->controls[i].director, sim->now_us);
@@ -1767,7 +1782,7 @@
     sim->replica_lag_us = 60 * kUsPerMs;
     sim->mean_pause_us = 400 * kUsPerMs;
     sim->promotion_delay_us = 600 * kUsPerMs;
-    for (uint32_t i = 0; i < kFleetSimDomains; i++) {
+    for (uint32_t i = 0; i < kFleetSimControls; i++) {
         ControlInstance *c = &sim->controls[i];
         c->sim = sim;
         c->index = i;
@@ -1924,11 +1939,27 @@
     c->saved.snapshot_term = 0;
 }
 
+/* Starts a further control instance with an empty disk.  It knows the others'
+ * addresses and joins by itself. */
+void
+fleet_sim_add_control(FleetSim *sim)
+{
+    start_control(&sim->controls[kFleetSimControls - 1], FALSE);
+}
+
+/* Partitions the control instances whose bit is set from the others; zero ends
+ * the partition. */
+void
+fleet_sim_split_controls(FleetSim *sim, uint32_t half_mask)
+{
+    sim->control_half_mask = half_mask;
+}
+
 /* Returns the index of the control instance that leads, -1 when none does. */
 int
 fleet_sim_control_leader(const FleetSim *sim)
 {
-    for (uint32_t i = 0; i < kFleetSimDomains; i++) {
+    for (uint32_t i = 0; i < kFleetSimControls; i++) {
         if (sim->controls[i].director != NULL &&
             director_is_leader(sim->controls[i].director)) {
             return (int)i;
@@ -2139,7 +2170,7 @@
         gateway_free(sim->entries[i].gateway);
         g_free(sim->entries[i].id);
     }
-    for (uint32_t i = 0; i < kFleetSimDomains; i++) {
+    for (uint32_t i = 0; i < kFleetSimControls; i++) {
         ControlInstance *c = &sim->controls[i];
         if (c->director != NULL) {
             director_free(c->director);
--- a/test/support/fleet_sim.h
+++ b/test/support/fleet_sim.h
@@ -10,8 +10,9 @@
  * an operator.  The simulation checks the guarantees that callers have. */
 
 enum {
-    kFleetSimDomains = 3, /* failure domains, one control instance in each */
-    kFleetSimEntries = 6, /* distributed over the failure domains */
+    kFleetSimDomains = 3,  /* failure domains, one control instance in each */
+    kFleetSimControls = 4, /* the last one only after fleet_sim_add_control */
+    kFleetSimEntries = 6,  /* distributed over the failure domains */
     kFleetSimDatabases = 2,
     kFleetSimServersPerDatabase = 3, /* one in each failure domain */
     kFleetSimCallers = 36,
@@ -68,6 +69,8 @@
 void fleet_sim_set_control_running(FleetSim *sim, uint32_t index,
                                    gboolean running);
 void fleet_sim_wipe_control_disk(FleetSim *sim, uint32_t index);
+void fleet_sim_add_control(FleetSim *sim);
+void fleet_sim_split_controls(FleetSim *sim, uint32_t half_mask);
 int fleet_sim_control_leader(const FleetSim *sim);
 void fleet_sim_set_primary_running(FleetSim *sim, uint32_t database,
                                    gboolean running, gboolean unreachable);
--- a/test/unit/test_fleet_policy.c
+++ b/test/unit/test_fleet_policy.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "core/voter_policy.h"
 #include "fleet/directory.h"
 #include "fleet/document_delta.h"
 #include "fleet/owners.h"
@@ -249,6 +250,36 @@
     }
 }
 
+static void
+an_even_voter_is_not_wanted(void)
+{
+    static const struct {
+        uint32_t voters;
+        uint32_t members;
+        gboolean voter_unresponsive;
+        gboolean promotes;
+    } cases[] = {
+        {3, 3, FALSE, FALSE},
+        {3, 4, FALSE, FALSE},
+        {3, 5, FALSE, TRUE},
+        {4, 5, FALSE, TRUE},
+        {7, 8, FALSE, FALSE},
+        {6, 8, FALSE, TRUE},
+        {2, 3, FALSE, TRUE},
+        {1, 2, FALSE, FALSE},
+        {0, 0, FALSE, FALSE},
+        /* The replacement of a failed voter comes first. */
+        {3, 4, TRUE, TRUE},
+        {7, 8, TRUE, TRUE},
+        {5, 5, TRUE, FALSE},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        CU_ASSERT_EQUAL(voter_policy_promote(cases[i].voters, cases[i].members,
+                                             cases[i].voter_unresponsive),
+                        cases[i].promotes);
+    }
+}
+
 static void
 shares_never_exceed_the_limit(void)
 {
@@ -401,6 +432,7 @@
                 the_next_primary_holds_all_acknowledged_commits);
     CU_add_test(s, "a primary is suspected by the reports of instances",
                 a_primary_is_suspected_by_the_reports_of_instances);
+    CU_add_test(s, "an even voter is not wanted", an_even_voter_is_not_wanted);
     CU_add_test(s, "shares never exceed the limit",
                 shares_never_exceed_the_limit);
     CU_add_test(s, "a window never grants more than its limit",
--- a/test/unit/test_fleet_sim.c
+++ b/test/unit/test_fleet_sim.c
@@ -665,6 +665,39 @@
     }
 }
 
+/* Four control instances are divided into halves of two for five seconds, in
+ * each of the three ways; everything else reaches both halves.  One half must
+ * go on leading: the longest time without an acknowledged write is bounded as
+ * for the loss of a leader. */
+static void
+one_half_of_an_even_group_leads(void)
+{
+    static const uint32_t halves[] = {0x3, 0x5, 0x9};
+    enum { kMaxGapMs = 1400 };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(halves); i++) {
+        FleetSim *sim = fleet_sim_new((uint32_t)i + 1);
+        fleet_sim_add_control(sim);
+        fleet_sim_run(sim, 4000);
+        fleet_sim_split_controls(sim, halves[i]);
+        fleet_sim_run(sim, 5000);
+        fleet_sim_split_controls(sim, 0);
+        fleet_sim_run(sim, 3000);
+        fleet_sim_quiesce(sim);
+        const FleetSimReport *r = fleet_sim_check(sim);
+        gboolean holds =
+            r->longest_write_gap_us <= (uint64_t)kMaxGapMs * 1000 &&
+            r->served * 100 >= r->operations * 95 && r->stale == 0 &&
+            r->lost == 0 && r->acked_by_old_primary == 0;
+        if (!holds) {
+            g_print("\nhalf %x: gap %lu ms, %lu of %lu served\n", halves[i],
+                    r->longest_write_gap_us / 1000, r->served, r->operations);
+        }
+        CU_ASSERT(holds);
+        fleet_sim_free(sim);
+    }
+}
+
 /* An operator reads a large document from each control instance.  Those that
  * have the newest version need not get its text from the leader. */
 static void
@@ -755,6 +788,8 @@
                 invariants_hold_under_faults);
     CU_add_test(s, "large configurations leave links to callers",
                 large_configurations_leave_links_to_callers);
+    CU_add_test(s, "one half of an even group leads",
+                one_half_of_an_even_group_leads);
     CU_add_test(s, "reads of the document stay local",
                 reads_of_the_document_stay_local);
     CU_add_test(s, "begin and first statement share a round trip",
