Send each log entry to a slow control instance once

The leader sent the next entries, up to 1 MB, with every heartbeat and with every round of a read, and 195 instances ask for hundreds of rounds a second: the entries came faster than the learner could take them, and the queue of its link (128 MB) overflowed.

Change: entries in flight are not sent again before a confirmation, at most after a heartbeat, or after 1 s when they are larger than 64 KB; heartbeats and rounds go without entries meanwhile. A rejection that answers an earlier heartbeat no longer resets what is in flight.

--- a/src/sapphireweir/core/consensus.c
+++ b/src/sapphireweir/core/consensus.c
@@ -15,6 +15,11 @@
     kAppendEntriesMax = 256,
     kAppendBytesMax = 1 << 20, /* no further entry once this is reached */
     kSnapshotResendIntervalUs = 2000000,
+    /* A larger append takes its receiver a while, so it is sent again only
+     * after kLargeResendIntervalUs without a confirmation.  A smaller one is
+     * sent again with the next heartbeat. */
+    kLargeAppendBytes = 64 << 10,
+    kLargeResendIntervalUs = 1000000,
     kFirstElectionDivisor = 3, /* of election_min_us; see consensus_start */
 };
 
@@ -203,9 +208,10 @@
 /* ---- leader ---- */
 
 /* Adds the next entries for a member to an append message, up to the limits
- * of count and bytes.  The caller frees the entries of the message, but not
- * their commands, which belong to the log. */
-static void
+ * of count and bytes.  Returns the size of their commands.  The caller frees
+ * the entries of the message, but not their commands, which belong to the
+ * log. */
+static size_t
 append_fill(Consensus *c, Progress *p, Sw__ConsensusMessage *m)
 {
     size_t bytes = 0;
@@ -225,11 +231,27 @@
         bytes += wire->command.len;
         m->entries[m->n_entries++] = wire;
     }
+    return bytes;
 }
 
-/* Queues an append with the next entries, or a heartbeat without any. */
+/* Tells whether entries were sent to a member so recently that its
+ * confirmation is awaited.  Each heartbeat and each round of a read would
+ * otherwise send them again: a member that is behind by some large entries
+ * would get them faster than it can take them, and never catch up. */
+static gboolean
+entries_in_flight(const Consensus *c, const Progress *p, uint64_t now_us)
+{
+    uint64_t resend_us = p->sent_bytes > kLargeAppendBytes
+                             ? (uint64_t)kLargeResendIntervalUs
+                             : c->timing.heartbeat_us;
+
+    return p->sent_index > p->match_index && now_us - p->sent_us < resend_us;
+}
+
+/* Queues an append with the next entries, or a heartbeat without any if there
+ * are none or the last ones are not confirmed yet. */
 static void
-send_append(Consensus *c, const char *to, Progress *p)
+send_append(Consensus *c, uint64_t now_us, const char *to, Progress *p)
 {
     Sw__ConsensusMessage m =
         message_init(SW__CONSENSUS_KIND__CONSENSUS_APPEND);
@@ -238,8 +260,11 @@
     consensus_log_term(c, m.prev_index, &m.prev_term);
     m.commit_index = c->commit_index;
     m.round = c->round;
-    append_fill(c, p, &m);
-    p->append_in_flight = m.n_entries > 0;
+    if (!entries_in_flight(c, p, now_us)) {
+        p->sent_bytes = append_fill(c, p, &m);
+        p->sent_index = m.prev_index + m.n_entries;
+        p->sent_us = now_us;
+    }
     queue_message(c, to, &m);
     for (size_t i = 0; i < m.n_entries; i++) {
         g_free(m.entries[i]);
@@ -281,7 +306,7 @@
         send_snapshot(c, now_us, to, p);
         return;
     }
-    send_append(c, to, p);
+    send_append(c, now_us, to, p);
 }
 
 /* Starts a round: queues an append or heartbeat with the number of the round
@@ -569,21 +594,25 @@
     }
     p->acked_us = now_us;
     p->acked_round = MAX(p->acked_round, m->round);
-    p->append_in_flight = FALSE;
     p->snapshot_sent_us = 0;
     if (m->granted) {
         p->match_index = MAX(p->match_index, m->match_index);
         p->next_index = MAX(p->next_index, p->match_index + 1);
     }
-    else {
+    else if (!entries_in_flight(c, p, now_us) ||
+             m->match_index + 1 < p->next_index) {
         p->next_index = MAX(p->match_index, m->match_index) + 1;
+        p->sent_index = 0;
     }
+    /* Else it answers a heartbeat that was sent before the entries in
+     * flight. */
     c->confirmed_round =
         MAX(c->confirmed_round, majority_value(c, progress_round, c->round));
     if (c->requested_round > c->round && c->confirmed_round == c->round) {
         broadcast(c, now_us);
     }
-    if (!m->granted || p->next_index <= consensus_last_index(c)) {
+    if ((!m->granted || p->next_index <= consensus_last_index(c)) &&
+        !entries_in_flight(c, p, now_us)) {
         replicate_to(c, now_us, from);
     }
     consensus_promote_learner(c, now_us, from, p);
@@ -839,7 +868,8 @@
     for (guint i = 0; i < c->members->len; i++) {
         ConsensusMember *m = g_ptr_array_index(c->members, i);
         Progress *p = consensus_progress_of(c, m->id);
-        if (strcmp(m->id, c->id) != 0 && p != NULL && !p->append_in_flight) {
+        if (strcmp(m->id, c->id) != 0 && p != NULL &&
+            !entries_in_flight(c, p, now_us)) {
             replicate_to(c, now_us, m->id);
         }
     }
--- a/src/sapphireweir/core/consensus_internal.h
+++ b/src/sapphireweir/core/consensus_internal.h
@@ -23,7 +23,11 @@
     uint64_t acked_round;      /* latest round that the member confirmed */
     uint64_t acked_us;         /* time of its last reply */
     uint64_t snapshot_sent_us; /* zero: none since its last reply */
-    gboolean append_in_flight; /* sent entries are not yet confirmed */
+    /* The last append with entries: index of its last entry, size of their
+     * commands, and when it was sent. */
+    uint64_t sent_index;
+    size_t sent_bytes;
+    uint64_t sent_us;
 } Progress;
 
 /* A message that waits for the next flush. */
--- a/test/support/fleet_sim.c
+++ b/test/support/fleet_sim.c
@@ -119,7 +119,8 @@
     char *disk;         /* identity of the disk */
     Director *director; /* NULL: not running */
     ConsensusSaved saved;
-    uint64_t wipes; /* number of times the disk was emptied */
+    uint64_t wipes;          /* number of times the disk was emptied */
+    uint64_t extra_delay_us; /* of frames to it */
 } ControlInstance;
 
 typedef struct {
@@ -864,6 +865,18 @@
     return *free_us;
 }
 
+/* Returns the extra delay of frames to an instance. */
+static uint64_t
+extra_delay_us(const FleetSim *sim, const char *to)
+{
+    for (uint32_t i = 0; i < kFleetSimControls; i++) {
+        if (strcmp(sim->controls[i].id, to) == 0) {
+            return sim->controls[i].extra_delay_us;
+        }
+    }
+    return 0;
+}
+
 /* Returns when a frame arrives.  The links of the sending and the receiving
  * entry instance pass frames one after the other. */
 static uint64_t
@@ -876,7 +889,7 @@
     if (sim->link_bytes_per_s != 0 && sender != NULL) {
         at_us = link_pass(sim, &sender->outbound_free_us, at_us, bytes);
     }
-    at_us += kOneWayDelayUs;
+    at_us += kOneWayDelayUs + extra_delay_us(sim, to);
     if (sim->link_bytes_per_s != 0 && receiver != NULL) {
         at_us = link_pass(sim, &receiver->inbound_free_us, at_us, bytes);
     }
@@ -1947,6 +1960,13 @@
     start_control(&sim->controls[kFleetSimControls - 1], FALSE);
 }
 
+/* Delays all frames to a control instance, as if it were slow to take them. */
+void
+fleet_sim_delay_control(FleetSim *sim, uint32_t index, uint64_t delay_ms)
+{
+    sim->controls[index].extra_delay_us = delay_ms * kUsPerMs;
+}
+
 /* Partitions the control instances whose bit is set from the others; zero ends
  * the partition. */
 void
--- a/test/support/fleet_sim.h
+++ b/test/support/fleet_sim.h
@@ -70,6 +70,7 @@
                                    gboolean running);
 void fleet_sim_wipe_control_disk(FleetSim *sim, uint32_t index);
 void fleet_sim_add_control(FleetSim *sim);
+void fleet_sim_delay_control(FleetSim *sim, uint32_t index, uint64_t delay_ms);
 void fleet_sim_split_controls(FleetSim *sim, uint32_t half_mask);
 int fleet_sim_control_leader(const FleetSim *sim);
 void fleet_sim_set_primary_running(FleetSim *sim, uint32_t database,
--- a/test/unit/test_fleet_sim.c
+++ b/test/unit/test_fleet_sim.c
@@ -1,3 +1,5 @@
+#include <string.h>
+
 #include "../support/fleet_sim.h"
 #include "suite.h"
 
@@ -665,6 +667,41 @@
     }
 }
 
+/* A control instance joins that takes 0.2 s for each frame, while the log has
+ * 14 large documents and the leader starts a round for each report.  The
+ * instance gets each entry once; half as much again is allowed for the
+ * others' messages. */
+static void
+a_slow_instance_gets_the_log_once(void)
+{
+    enum { kVersions = 14, kRoutes = 400 };
+    FleetSim *sim = fleet_sim_new(4);
+
+    fleet_sim_add_routes(sim, kRoutes);
+    for (uint32_t i = 0; i < kVersions; i++) {
+        fleet_sim_run(sim, 300);
+        fleet_sim_configure(sim, 1000 + i, TRUE);
+    }
+    fleet_sim_run(sim, 500);
+    const Traffic *t = fleet_sim_traffic(sim);
+    uint64_t before = t->bytes[SW__FRAME__BODY_CONSENSUS];
+    uint64_t log_bytes =
+        (uint64_t)(kVersions + 1) * (strlen(fleet_sim_sent_document(sim)) + 1);
+    fleet_sim_delay_control(sim, kFleetSimControls - 1, 200);
+    fleet_sim_add_control(sim);
+    fleet_sim_run(sim, 6000);
+    uint64_t sent = t->bytes[SW__FRAME__BODY_CONSENSUS] - before;
+    if (sent > log_bytes * 3 / 2) {
+        g_print("\n%lu bytes for a log of %lu\n", sent, log_bytes);
+    }
+    CU_ASSERT(sent <= log_bytes * 3 / 2);
+    /* It has the newest document and answers a read by itself. */
+    fleet_sim_read_document(sim, kFleetSimControls - 1);
+    fleet_sim_run(sim, 1000);
+    CU_ASSERT_PTR_NOT_NULL(fleet_sim_last_read(sim));
+    fleet_sim_free(sim);
+}
+
 /* Four control instances are divided into halves of two for five seconds, in
  * each of the three ways; everything else reaches both halves.  One half must
  * go on leading: the longest time without an acknowledged write is bounded as
@@ -788,6 +825,8 @@
                 invariants_hold_under_faults);
     CU_add_test(s, "large configurations leave links to callers",
                 large_configurations_leave_links_to_callers);
+    CU_add_test(s, "a slow instance gets the log once",
+                a_slow_instance_gets_the_log_once);
     CU_add_test(s, "one half of an even group leads",
                 one_half_of_an_even_group_leads);
     CU_add_test(s, "reads of the document stay local",
