Stop only after the balancer has noticed; test restarts after a withdrawal

Cause: an entry instance without sessions ended within 20 ms of SIGTERM, while the balancer goes on sending callers for up to two probes, a second apart. Those were refused by a closed port.

Change: gateway_drained waits, like the closing of idle sessions, for two probes answered as not ready or 2.4 s.

Measured: test "a stop waits for the balancer" (the old condition is true in its first row).

--- a/src/sapphireweir/gateway/gateway.c
+++ b/src/sapphireweir/gateway/gateway.c
@@ -368,13 +368,3 @@
         g->drain_grace_us = grace_us;
     }
 }
-
-/* Tells whether a planned shutdown has begun and no session or lent connection
- * is left. */
-gboolean
-gateway_drained(const Gateway *g, uint64_t now_us)
-{
-    (void)now_us;
-    return g->drain_started_us != 0 && g->sessions.length == 0 &&
-           g_hash_table_size(g->pooled_jobs) == 0;
-}
--- a/src/sapphireweir/gateway/session.c
+++ b/src/sapphireweir/gateway/session.c
@@ -585,19 +585,35 @@
                    "no answer within the time limit");
 }
 
+/* Tells whether the load balancer has noticed, or has had time to notice, that
+ * this instance has not been ready since since_us. */
+static gboolean
+balancer_noticed(const Gateway *g, uint64_t now_us, uint64_t since_us)
+{
+    return g->unready_probe_count >= kUnreadyProbesNoticed ||
+           now_us - since_us > kIdleCloseAfterUs;
+}
+
 /* Tells whether idle sessions must be closed, so that their callers connect to
  * other instances: this instance is draining or partitioned, and the load
- * balancer has had time to notice. */
+ * balancer has noticed. */
 static gboolean
 must_close(const Gateway *g, uint64_t now_us)
 {
-    gboolean noticed = g->unready_probe_count >= kUnreadyProbesNoticed;
+    uint64_t since_us = g->partitioned_since_us != 0 ? g->partitioned_since_us
+                                                     : g->drain_started_us;
 
-    if (g->partitioned_since_us != 0) {
-        return noticed || now_us - g->partitioned_since_us > kIdleCloseAfterUs;
-    }
+    return since_us != 0 && balancer_noticed(g, now_us, since_us);
+}
+
+/* Tells whether a planned shutdown has begun, the load balancer sends no new
+ * callers, and no session or lent connection is left. */
+gboolean
+gateway_drained(const Gateway *g, uint64_t now_us)
+{
     return g->drain_started_us != 0 &&
-           (noticed || now_us - g->drain_started_us > kIdleCloseAfterUs);
+           balancer_noticed(g, now_us, g->drain_started_us) &&
+           g->sessions.length == 0 && g_hash_table_size(g->pooled_jobs) == 0;
 }
 
 /* Ends a transaction that is idle for too long, and closes an idle session if
--- a/test/unit/test_fleet_sim.c
+++ b/test/unit/test_fleet_sim.c
@@ -354,6 +354,30 @@
     fleet_sim_run(sim, 6000);
 }
 
+/* A draining primary is replaced, and then all instances restart while no
+ * backend server reports: what is known of the draining server comes from the
+ * log alone. */
+static void
+draining_server_and_restart(FleetSim *sim)
+{
+    fleet_sim_run(sim, 1000);
+    fleet_sim_drain_primary(sim, 0);
+    fleet_sim_run(sim, 2500);
+    fleet_sim_pause_server_reports(sim, TRUE);
+    for (uint32_t i = 0; i < kFleetSimDomains; i++) {
+        fleet_sim_set_control_running(sim, i, FALSE);
+    }
+    for (uint32_t i = 0; i < kFleetSimEntries; i++) {
+        fleet_sim_restart_entry(sim, i);
+    }
+    for (uint32_t i = 0; i < kFleetSimDomains; i++) {
+        fleet_sim_set_control_running(sim, i, TRUE);
+    }
+    fleet_sim_run(sim, 8000);
+    fleet_sim_pause_server_reports(sim, FALSE);
+    fleet_sim_run(sim, 1000);
+}
+
 /* Runs each fault with four seeds.  min_served_percent is the share of all
  * operations that must be served; a deployment requires 44 % on its worst day,
  * and the bound is higher where the fault leaves an alternative.  max_gap_ms
@@ -408,6 +432,8 @@
         {"replica and primary crash", synchronous_replica_and_primary_crash,
          60, 10000, 0, 0, TRUE},
         {"two primaries crash", two_primaries_crash, 40, 7000, 2, 2, TRUE},
+        {"draining server and restart", draining_server_and_restart, 75, 7000,
+         1, 1, TRUE},
     };
     for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
         for (uint32_t seed = 1; seed <= 4; seed++) {
@@ -469,6 +495,33 @@
     fleet_sim_free(sim);
 }
 
+/* A withdrawn key stays withdrawn when each control instance, one after the
+ * other and then all of them, and all entry instances restart. */
+static void
+a_withdrawn_key_stays_withdrawn(void)
+{
+    FleetSim *sim = fleet_sim_new(12);
+
+    fleet_sim_configure(sim, 1000, FALSE);
+    fleet_sim_run(sim, 1000);
+    uint64_t served = fleet_sim_check(sim)->served;
+    for (uint32_t i = 0; i <= kFleetSimDomains; i++) {
+        for (uint32_t k = 0; k < kFleetSimDomains; k++) {
+            if (i == k || i == kFleetSimDomains) {
+                fleet_sim_set_control_running(sim, k, FALSE);
+            }
+        }
+        fleet_sim_restart_entry(sim, i);
+        fleet_sim_run(sim, 500);
+        for (uint32_t k = 0; k < kFleetSimDomains; k++) {
+            fleet_sim_set_control_running(sim, k, TRUE);
+        }
+        fleet_sim_run(sim, 1500);
+    }
+    CU_ASSERT_EQUAL(fleet_sim_check(sim)->served, served);
+    fleet_sim_free(sim);
+}
+
 /* While all control instances are down, entry instances can't learn that a key
  * was withdrawn.  They accept keys for at most max_unconfirmed_ms without a
  * confirmation that their configuration is current; zero: without limit. */
@@ -836,6 +889,8 @@
     CU_add_test(s, "control traffic is small at rest",
                 control_traffic_is_small_at_rest);
     CU_add_test(s, "a withdrawn key is rejected", a_withdrawn_key_is_rejected);
+    CU_add_test(s, "a withdrawn key stays withdrawn",
+                a_withdrawn_key_stays_withdrawn);
     CU_add_test(s, "an unconfirmed key is rejected after its limit",
                 an_unconfirmed_key_is_rejected_after_its_limit);
     CU_add_test(s, "lent connections serve more with fewer handshakes",
--- a/test/unit/test_gateway_policy.c
+++ b/test/unit/test_gateway_policy.c
@@ -1,6 +1,7 @@
 #include "gateway/concurrency.h"
 #include "gateway/connection_share.h"
 #include "gateway/freshness.h"
+#include "gateway/gateway.h"
 #include "gateway/placement.h"
 #include "suite.h"
 
@@ -236,6 +237,44 @@
     }
 }
 
+static void
+ignore_peer(void *ctx, const char *address)
+{
+    (void)ctx;
+    (void)address;
+}
+
+/* A stop without any session waits until the load balancer has seen two
+ * probes that were not answered as ready, or for its time limit: until then it
+ * sends callers here. */
+static void
+a_stop_waits_for_the_balancer(void)
+{
+    enum { kStopUs = 1000000, kGraceUs = 6000000 };
+    static const struct {
+        uint32_t probes;
+        uint64_t after_us;
+        gboolean drained;
+    } cases[] = {
+        {0, 20000, FALSE},   {1, 1000000, FALSE}, {2, 1200000, TRUE},
+        {0, 2300000, FALSE}, {0, 2500000, TRUE},
+    };
+    GatewayPort port = {.add_peer = ignore_peer};
+    GatewayConfig config = {
+        .id = "e0", .failure_domain = "0", .link_bytes_per_s = 1};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        Gateway *g = gateway_new(&config, &port);
+        gateway_drain(g, kStopUs, kGraceUs);
+        for (uint32_t k = 0; k < cases[i].probes; k++) {
+            CU_ASSERT_FALSE(gateway_probe(g));
+        }
+        CU_ASSERT_EQUAL(gateway_drained(g, kStopUs + cases[i].after_us),
+                        cases[i].drained);
+        gateway_free(g);
+    }
+}
+
 void
 add_gateway_policy_suite(void)
 {
@@ -252,4 +291,6 @@
                 connections_are_shared_evenly);
     CU_add_test(s, "the concurrency limit prevents rejections",
                 the_concurrency_limit_prevents_rejections);
+    CU_add_test(s, "a stop waits for the balancer",
+                a_stop_waits_for_the_balancer);
 }
