--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -9,8 +9,9 @@
 cmake -S "$root" -B "$build" -DFUZZ=ON -DCMAKE_C_COMPILER=clang \
     -DCMAKE_CXX_COMPILER=clang++ >/dev/null
 cmake --build "$build" -j "$(nproc)" --target \
-    fuzz_token fuzz_entry fuzz_settings fuzz_control fuzz_platform >/dev/null
-for target in token entry settings control platform; do
+    fuzz_token fuzz_entry fuzz_settings fuzz_control fuzz_platform \
+    fuzz_peer >/dev/null
+for target in token entry settings control platform peer; do
     corpus="$build/corpus-$target"
     mkdir -p "$corpus"
     cp "$root/test/fuzz/seeds/$target"/* "$corpus" 2>/dev/null || true
