--- a/src/sapphireweir/adapter/peer.c
+++ b/src/sapphireweir/adapter/peer.c
@@ -496,9 +496,9 @@
 }
 
 /* Sends heartbeats on links on which nothing was sent for the interval, and
- * closes links that timed out.  Idle links use the long idle interval and timeout.  The next frame
- * makes a link active again, and the short timeout kLinkTimeoutMs then
- * applies. */
+ * closes links that timed out.  Idle links use the long idle interval and
+ * timeout.  The next frame makes a link active again, and the short timeout
+ * kLinkTimeoutMs then applies. */
 static void
 maintain_links(Peer *p, gint64 now_us)
 {
--- a/src/sapphireweir/gateway/server.c
+++ b/src/sapphireweir/gateway/server.c
@@ -73,8 +73,8 @@
 }
 
 /* Marks a server as failing when an answer to a command or connection attempt
- * sent at sent_us (zero: none awaited) is overdue, and triggers an early report to the control leader
- * when the failure lasts. */
+ * sent at sent_us (zero: none awaited) is overdue, and triggers an early
+ * report to the control leader when the failure lasts. */
 void
 server_check_unresponsive(Server *s, uint64_t now_us, uint64_t sent_us)
 {
--- a/src/sapphireweir/gateway/team_rates.c
+++ b/src/sapphireweir/gateway/team_rates.c
@@ -335,7 +335,8 @@
 
 /* Writes the demand of each team to out, which must have room for all teams,
  * and starts to count it anew.  Teams reported less than kDemandIntervalUs ago
- * are skipped, and so are those without any demand for a while.  Returns the number of entries written. */
+ * are skipped, and so are those without any demand for a while.  Returns the
+ * number of entries written. */
 size_t
 team_rates_demand(Gateway *g, uint64_t now_us, Sw__TeamDemand *out)
 {
