--- a/test/unit/test_gateway_policy.c
+++ b/test/unit/test_gateway_policy.c
@@ -1,3 +1,5 @@
+#include <string.h>
+
 #include "gateway/concurrency.h"
 #include "gateway/connection_share.h"
 #include "gateway/freshness.h"
@@ -244,6 +246,126 @@
     (void)address;
 }
 
+/* Records whether the last report says that the primary was released. */
+static void
+record_report(void *ctx, const char *to, const Sw__Frame *frame)
+{
+    gboolean *released = ctx;
+    (void)to;
+
+    if (frame->body_case == SW__FRAME__BODY_ENTRY_REPORT &&
+        frame->entry_report->n_evidence > 0) {
+        *released = frame->entry_report->evidence[0]->released_epoch != 0;
+    }
+}
+
+/* Delivers a grant for one database's primary. */
+static void
+deliver_grant(Gateway *g, uint64_t now_us, const char *from, uint64_t term,
+              uint64_t revision, gboolean closing)
+{
+    Sw__Frame frame = SW__FRAME__INIT;
+    Sw__EntryGrant m = SW__ENTRY_GRANT__INIT;
+    Sw__PrimaryGrant primary = SW__PRIMARY_GRANT__INIT;
+    Sw__PrimaryGrant *list[1] = {&primary};
+
+    primary.database = "orders";
+    primary.primary = "p0";
+    primary.epoch = 1;
+    primary.closing = closing;
+    m.term = term;
+    m.revision = revision;
+    m.n_primaries = 1;
+    m.primaries = list;
+    m.primaries_hash = closing ? 2 : 1;
+    frame.body_case = SW__FRAME__BODY_ENTRY_GRANT;
+    frame.entry_grant = &m;
+    gateway_frame(g, now_us, from, &frame);
+}
+
+/* A grant withdraws the right to a primary.  Grants that were sent before it,
+ * by a former leader or by the same one, arrive later and must not restore
+ * the right. */
+static void
+an_older_grant_restores_no_right(void)
+{
+    static const struct {
+        const char *from;
+        uint64_t term;
+        uint64_t revision;
+        gboolean restored;
+    } cases[] = {
+        {"c1", 2, 9, FALSE}, /* a former leader, thawed */
+        {"c0", 3, 4, FALSE}, /* the same leader, over an earlier link */
+        {"c0", 3, 5, FALSE}, /* the same grant again */
+        {"c0", 3, 6, TRUE},  {"c1", 4, 1, TRUE},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        gboolean released = FALSE;
+        GatewayPort port = {.ctx = &released,
+                            .peer_send = record_report,
+                            .add_peer = ignore_peer};
+        GatewayConfig config = {
+            .id = "e0", .failure_domain = "0", .link_bytes_per_s = 1};
+        Gateway *g = gateway_new(&config, &port);
+        gateway_control_add(g, 0, "c0");
+        deliver_grant(g, 1000000, "c0", 3, 1, FALSE);
+        gateway_tick(g, 1010000);
+        CU_ASSERT_FALSE(released);
+        deliver_grant(g, 1500000, "c0", 3, 5, TRUE);
+        gateway_tick(g, 1510000);
+        CU_ASSERT(released);
+        deliver_grant(g, 2000000, cases[i].from, cases[i].term,
+                      cases[i].revision, FALSE);
+        gateway_tick(g, 2500000);
+        CU_ASSERT_EQUAL(released, !cases[i].restored);
+        gateway_free(g);
+    }
+}
+
+/* A grant that omits the primaries renews nothing at an instance that has
+ * another list: it may not know of a withdrawn right. */
+static void
+a_grant_for_another_list_is_no_lease(void)
+{
+    static const struct {
+        uint64_t hash;
+        gboolean leased;
+    } cases[] = {{1, TRUE}, {2, FALSE}, {0, FALSE}};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        gboolean released = FALSE;
+        GatewayPort port = {.ctx = &released,
+                            .peer_send = record_report,
+                            .add_peer = ignore_peer};
+        GatewayConfig config = {
+            .id = "e0", .failure_domain = "0", .link_bytes_per_s = 1};
+        Sw__Frame frame = SW__FRAME__INIT;
+        Sw__EntryGrant m = SW__ENTRY_GRANT__INIT;
+        GString *text = g_string_new(NULL);
+        Gateway *g = gateway_new(&config, &port);
+
+        gateway_control_add(g, 0, "c0");
+        deliver_grant(g, 1000000, "c0", 3, 1, FALSE);
+        gateway_tick(g, 1010000);
+        m.term = 3;
+        m.revision = 2;
+        m.sequence = 1;
+        m.lease_us = 1000000;
+        m.primaries_hash = cases[i].hash;
+        frame.body_case = SW__FRAME__BODY_ENTRY_GRANT;
+        frame.entry_grant = &m;
+        gateway_frame(g, 1020000, "c0", &frame);
+        gateway_tick(g, 1030000);
+        gateway_metrics_write(g, text);
+        CU_ASSERT_EQUAL(strstr(text->str, "_leased 1\n") != NULL,
+                        cases[i].leased);
+        g_string_free(text, TRUE);
+        gateway_free(g);
+    }
+}
+
 /* A stop without any session waits until the load balancer has seen two
  * probes that were not answered as ready, or for its time limit: until then it
  * sends callers here. */
@@ -291,6 +413,10 @@
                 connections_are_shared_evenly);
     CU_add_test(s, "the concurrency limit prevents rejections",
                 the_concurrency_limit_prevents_rejections);
+    CU_add_test(s, "an older grant restores no right",
+                an_older_grant_restores_no_right);
+    CU_add_test(s, "a grant for another list is no lease",
+                a_grant_for_another_list_is_no_lease);
     CU_add_test(s, "a stop waits for the balancer",
                 a_stop_waits_for_the_balancer);
 }
