Count a release of a primary only from an explicit record

Evidence that a report omits counts as received again, and access_has_ended took that for a release. An instance may have released the primary in a change that was dropped; if its next report was lost, the leader would take the kept record for a release in a later change of the same epoch and promote before the right had ended.

Change: the record itself must have arrived in the closing phase. An instance always reports it then.

--- a/src/sapphireweir/fleet/director_entries.c
+++ b/src/sapphireweir/fleet/director_entries.c
@@ -339,6 +339,7 @@
         }
         *kept = (EntryEvidence){
             .epoch = e->epoch,
+            .recorded_us = now_us,
             .received_us = now_us,
             .answered = e->answered,
             .answered_us = now_us - MIN(e->answered_ago_us, now_us),
--- a/src/sapphireweir/fleet/director_internal.h
+++ b/src/sapphireweir/fleet/director_internal.h
@@ -19,7 +19,8 @@
 /* What one entry instance last reported of a primary. */
 typedef struct {
     uint64_t epoch;
-    uint64_t received_us;
+    uint64_t recorded_us; /* when a report contained it */
+    uint64_t received_us; /* when a report last contained or confirmed it */
     gboolean answered;    /* the primary answered recently */
     uint64_t answered_us; /* when it answered last, if answered is set */
     /* How long statements have failed, zero: they succeed, or there were
--- a/src/sapphireweir/fleet/handover.c
+++ b/src/sapphireweir/fleet/handover.c
@@ -417,7 +417,10 @@
         const EntryState *entry = value;
         const EntryEvidence *e =
             g_hash_table_lookup(entry->evidence, change->database);
-        if (e != NULL && e->received_us >= change->phase_started_us &&
+        /* Only an explicit record counts: an instance that omits it as
+         * unchanged may have released the primary in an earlier change that
+         * was dropped, and its report of that may be lost. */
+        if (e != NULL && e->recorded_us >= change->phase_started_us &&
             e->released_epoch >= change->epoch) {
             continue;
         }
