--- a/test/fuzz/fuzz_control.c
+++ b/test/fuzz/fuzz_control.c
@@ -3,6 +3,7 @@
 #include "core/consensus.h"
 #include "core/control_core.h"
 #include "core/state.h"
+#include "discard_storage.h"
 #include "fuzz.h"
 
 /* Fuzzes what a control instance reads: snapshots of its state, commands of
@@ -34,52 +35,6 @@
     return 3;
 }
 
-static gboolean
-save_vote(void *ctx, uint64_t term, const char *voted_for)
-{
-    (void)ctx;
-    (void)term;
-    (void)voted_for;
-    return TRUE;
-}
-
-static gboolean
-save_entry(void *ctx, uint64_t index, uint64_t term, GBytes *command)
-{
-    (void)ctx;
-    (void)index;
-    (void)term;
-    (void)command;
-    return TRUE;
-}
-
-static gboolean
-save_truncate(void *ctx, uint64_t from_index)
-{
-    (void)ctx;
-    (void)from_index;
-    return TRUE;
-}
-
-static gboolean
-save_snapshot(void *ctx, uint64_t index, uint64_t term, GBytes *snapshot,
-              const GPtrArray *entries)
-{
-    (void)ctx;
-    (void)index;
-    (void)term;
-    (void)snapshot;
-    (void)entries;
-    return TRUE;
-}
-
-static gboolean
-sync_nothing(void *ctx)
-{
-    (void)ctx;
-    return TRUE;
-}
-
 /* ---- inputs ---- */
 
 /* Delivers an input as one frame to a control core that leads a cluster
@@ -95,12 +50,8 @@
                                   .lease_us = 3000000,
                                   .announcement_timeout_us = 3000000,
                                   .suspect_after_us = 200000};
-    const ControlPort port = {NULL,
-                              sink_send,
-                              sink_peer_address,
-                              sink_random,
-                              {NULL, save_vote, save_entry, save_truncate,
-                               save_snapshot, sync_nothing}};
+    const ControlPort port = {NULL, sink_send, sink_peer_address, sink_random,
+                              kDiscardStorage};
     ConsensusSaved saved = {.entries = g_ptr_array_new()};
     GPtrArray *members = g_ptr_array_new_with_free_func(consensus_member_free);
     g_ptr_array_add(members, consensus_member_new("c", "", "", "d", TRUE));
--- a/test/fuzz/fuzz_peer.c
+++ b/test/fuzz/fuzz_peer.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "discard_storage.h"
 #include "fleet/director.h"
 #include "fuzz.h"
 #include "gateway/gateway.h"
@@ -213,52 +214,6 @@
     (void)fence;
 }
 
-static gboolean
-save_vote(void *ctx, uint64_t term, const char *voted_for)
-{
-    (void)ctx;
-    (void)term;
-    (void)voted_for;
-    return TRUE;
-}
-
-static gboolean
-save_entry(void *ctx, uint64_t index, uint64_t term, GBytes *command)
-{
-    (void)ctx;
-    (void)index;
-    (void)term;
-    (void)command;
-    return TRUE;
-}
-
-static gboolean
-save_truncate(void *ctx, uint64_t from_index)
-{
-    (void)ctx;
-    (void)from_index;
-    return TRUE;
-}
-
-static gboolean
-save_snapshot(void *ctx, uint64_t index, uint64_t term, GBytes *snapshot,
-              const GPtrArray *entries)
-{
-    (void)ctx;
-    (void)index;
-    (void)term;
-    (void)snapshot;
-    (void)entries;
-    return TRUE;
-}
-
-static gboolean
-sync_nothing(void *ctx)
-{
-    (void)ctx;
-    return TRUE;
-}
-
 /* Returns a control instance that leads a group without other members. */
 static Director *
 director_for_fuzzing(void)
@@ -270,9 +225,7 @@
                          .request_status = sink_status,
                          .step_down = sink_step_down,
                          .promote = sink_promote,
-                         .storage = {NULL, save_vote, save_entry,
-                                     save_truncate, save_snapshot,
-                                     sync_nothing}};
+                         .storage = kDiscardStorage};
     DirectorConfig config = {.id = "c9",
                              .disk = "disk",
                              .failure_domain = "0",
