--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 SEED ?= 1
 
 .PHONY: all deps build run test unit platform functional fault-soak \
-	fault-soak-short lint format sanitize soak bench capacity fuzz clean
+	fault-soak-short lint format sanitize soak bench capacity fuzz mutants clean
 
 all: build
 
@@ -62,5 +62,9 @@
 fuzz:
 	./scripts/fuzz.sh $(or $(SECONDS_EACH),15) $(SEED)
 
+# Prints which unit tests notice each deliberate fault of test/mutants.
+mutants:
+	./scripts/mutants.sh
+
 clean:
 	rm -rf build build-*
