--- a/test/unit/test_fleet_sim.c
+++ b/test/unit/test_fleet_sim.c
@@ -166,11 +166,15 @@
 }
 
 /* A control instance is down during a change of the configuration, then all
- * control and entry instances restart. */
+ * control and entry instances restart, that control instance 0.8 s before the
+ * others.  It has an older configuration in a snapshot. */
 static void
 restart_with_outdated_control_instance(FleetSim *sim)
 {
-    fleet_sim_run(sim, 500);
+    for (uint32_t i = 0; i < 20; i++) {
+        fleet_sim_configure(sim, 980 + i, TRUE);
+        fleet_sim_run(sim, 50);
+    }
     fleet_sim_set_control_running(sim, 2, FALSE);
     fleet_sim_configure(sim, 900, TRUE);
     fleet_sim_run(sim, 3500);
@@ -180,6 +184,8 @@
     for (uint32_t i = 0; i < kFleetSimEntries; i++) {
         fleet_sim_restart_entry(sim, i);
     }
+    fleet_sim_set_control_running(sim, 2, TRUE);
+    fleet_sim_run(sim, 800);
     for (uint32_t i = 0; i < kFleetSimDomains; i++) {
         fleet_sim_set_control_running(sim, i, TRUE);
     }
