Notice a promotion before the leases of a former leader have run out

Change: scenario "leader and primary partitioned": the leader is cut off with a primary and with entry instances that hold its leases, and a promotion takes 30 ms.

--- a/test/unit/test_fleet_sim.c
+++ b/test/unit/test_fleet_sim.c
@@ -251,6 +251,32 @@
     fleet_sim_run(sim, 5000);
 }
 
+/* The control leader is partitioned together with a primary and the entry
+ * instances there, which hold leases of that leader until long after another
+ * one is elected.  A promotion takes only 30 ms. */
+static void
+leader_and_primary_partitioned(FleetSim *sim)
+{
+    fleet_sim_set_promotion_delay(sim, 30);
+    fleet_sim_set_caller_pause(sim, 40);
+    fleet_sim_run(sim, 2000);
+    uint32_t primary = (uint32_t)fleet_sim_primary(sim, 0);
+    /* Moves the leadership into the primary's failure domain. */
+    for (int tries = 0;
+         tries < 10 && fleet_sim_control_leader(sim) != (int)primary;
+         tries++) {
+        uint32_t leader = (uint32_t)fleet_sim_control_leader(sim);
+        fleet_sim_set_control_running(sim, leader, FALSE);
+        fleet_sim_run(sim, 1200);
+        fleet_sim_set_control_running(sim, leader, TRUE);
+        fleet_sim_run(sim, 1500);
+    }
+    fleet_sim_partition_domain(sim, primary, TRUE);
+    fleet_sim_run(sim, 6000);
+    fleet_sim_partition_domain(sim, primary, FALSE);
+    fleet_sim_run(sim, 5000);
+}
+
 /* The control leader crashes between the request of a promotion and its
  * effect, while the old primary still serves. */
 static void
@@ -425,6 +451,8 @@
          7000, 1, 2, FALSE},
         {"partition, fast promotion", domain_partitioned_fast_promotion, 40,
          7000, 1, 2, FALSE},
+        {"leader and primary partitioned", leader_and_primary_partitioned, 40,
+         7000, 1, 2, FALSE},
         {"leader crashes during change", leader_crashes_in_planned_change, 60,
          7000, 1, 2, FALSE},
         {"primary drains, replicas lag", primary_drains_replicas_lag, 80, 7000,
