Start the demo of the functional tests with the default SIGINT

Both were started by nohup in the background, where SIGINT is ignored; the demo's shell and its programs inherit that, and a shell cannot trap a signal that was ignored when it started.

Change: the test's child process restores the default before it runs the script. Check and bound are as before.

--- a/test/functional/fleet.c
+++ b/test/functional/fleet.c
@@ -41,6 +41,9 @@
     pid_t pid = fork();
     if (pid == 0) {
         setpgid(0, 0);
+        /* A shell that starts with SIGINT ignored, as under nohup, cannot
+         * trap it. */
+        signal(SIGINT, SIG_DFL);
         execv(script, (char *const *)argv);
         _exit(127);
     }
