Show which entry instances lack a configuration, and updates they drop

Entry instances now count applied, repeated and unusable updates and log the unusable ones with their base. The control leader logs an entry instance that has lacked a version for more than a second, and its metrics show how many do and the longest lag.

--- a/src/sapphireweir/core/event_log.c
+++ b/src/sapphireweir/core/event_log.c
@@ -23,6 +23,7 @@
     [kEventReload] = {"reload", 10, 1},
     [kEventMessage] = {"message", 50, 1},
     [kEventConfiguration] = {"configuration", 20, 1},
+    [kEventUnusable] = {"configuration_unusable", 20, 1},
     [kEventLeaseLost] = {"lease_lost", 10, 1},
     [kEventLeaseRegained] = {"lease_regained", 10, 1},
     [kEventPrimary] = {"primary", 50, 1},
@@ -36,6 +37,8 @@
     [kEventChange] = {"change", 100, 1},
     [kEventMember] = {"member", 20, 1},
     [kEventDocument] = {"document", 20, 1},
+    [kEventOutdated] = {"outdated", 20, 1},
+    [kEventCurrent] = {"current", 20, 1},
     [kEventDropped] = {"dropped", 20, 1},
 };
 
--- a/src/sapphireweir/core/event_log.h
+++ b/src/sapphireweir/core/event_log.h
@@ -12,6 +12,7 @@
     kEventReload,
     kEventMessage,       /* free text from g_log */
     kEventConfiguration, /* an entry instance applied a document */
+    kEventUnusable,      /* an entry instance could not apply an update */
     kEventLeaseLost,
     kEventLeaseRegained,
     kEventPrimary,         /* the known primary of a database changed */
@@ -25,6 +26,8 @@
     kEventChange,          /* a step of the change of a primary */
     kEventMember,          /* a change of the control instances */
     kEventDocument,        /* a new document was committed */
+    kEventOutdated,        /* an entry instance lacks an older document */
+    kEventCurrent,         /* it no longer does */
     kEventDropped,         /* number of lines that were dropped */
     kEventKinds,           /* number of kinds */
 } EventKind;
--- a/src/sapphireweir/fleet/director.c
+++ b/src/sapphireweir/fleet/director.c
@@ -18,7 +18,7 @@
 
 /* Applies a committed document version; older versions are ignored. */
 static void
-apply_document(Director *d, const Sw__DocumentUpdate *m)
+apply_document(Director *d, uint64_t now_us, const Sw__DocumentUpdate *m)
 {
     if (m->version <= d->document_version) {
         return;
@@ -28,7 +28,7 @@
     d->document = g_bytes_new(m->text.data, m->text.len);
     document_unref(d->decoded_document);
     d->decoded_document = d->config.decode(m->text.data, m->text.len);
-    documents_add_applied(d);
+    documents_add_applied(d, now_us);
 }
 
 /* Fills in a record from a database's primary.  The record borrows the
@@ -89,7 +89,7 @@
         return;
     }
     if (m->document != NULL) {
-        apply_document(d, m->document);
+        apply_document(d, now_us, m->document);
     }
     if (m->primary != NULL) {
         apply_primary(d, now_us, m->primary);
@@ -167,7 +167,7 @@
         return FALSE;
     }
     if (m->document != NULL) {
-        apply_document(d, m->document);
+        apply_document(d, now_us, m->document);
     }
     for (size_t i = 0; i < m->n_primaries; i++) {
         apply_primary(d, now_us, m->primaries[i]);
--- a/src/sapphireweir/fleet/director.h
+++ b/src/sapphireweir/fleet/director.h
@@ -84,7 +84,7 @@
 void director_stop(Director *d, uint64_t now_us);
 gboolean director_is_leader(const Director *d);
 gboolean director_failed(const Director *d);
-void director_metrics_write(const Director *d, GString *out);
+void director_metrics_write(const Director *d, uint64_t now_us, GString *out);
 
 void director_handle_server_report(Director *d, uint64_t now_us,
                                    const Sw__ServerRecord *report);
--- a/src/sapphireweir/fleet/director_documents.c
+++ b/src/sapphireweir/fleet/director_documents.c
@@ -11,6 +11,10 @@
     kHelpDelayUs = 1000000,
     kFirstHelpDelayUs = 300000, /* for an instance without any document */
     kMaxRecentDocuments = 8,    /* more than are applied between reports */
+    kMaxAppliedDocuments = 256,
+    /* An instance without a document for so long is logged: a third of the
+     * time in which a change must reach every instance. */
+    kOutdatedUs = 1000000,
 };
 
 static void
@@ -25,13 +29,20 @@
 /* Keeps the version that was just applied as a base for later deltas and
  * discards the updates to the former version. */
 void
-documents_add_applied(Director *d)
+documents_add_applied(Director *d, uint64_t now_us)
 {
     PastDocument *p = g_new0(PastDocument, 1);
+    AppliedDocument applied = {d->document_version, now_us};
 
     if (d->recent_documents == NULL) {
         d->recent_documents =
             g_ptr_array_new_with_free_func(past_document_free);
+        d->applied_documents =
+            g_array_new(FALSE, FALSE, sizeof(AppliedDocument));
+    }
+    g_array_append_val(d->applied_documents, applied);
+    if (d->applied_documents->len > kMaxAppliedDocuments) {
+        g_array_remove_index(d->applied_documents, 0);
     }
     for (guint i = 0; i < d->recent_documents->len; i++) {
         PastDocument *older = g_ptr_array_index(d->recent_documents, i);
@@ -51,6 +62,7 @@
 documents_clear(Director *d)
 {
     g_clear_pointer(&d->recent_documents, g_ptr_array_unref);
+    g_clear_pointer(&d->applied_documents, g_array_unref);
     g_clear_pointer(&d->whole_document, encoded_update_free);
 }
 
@@ -185,12 +197,79 @@
                             : (uint64_t)kHelpDelayUs);
 }
 
+/* ---- how far entry instances are behind ---- */
+
+/* Returns how long ago the oldest document that an entry instance lacks was
+ * applied here, zero if it lacks none. */
+uint64_t
+documents_lag_us(const Director *d, uint64_t now_us, const EntryState *entry)
+{
+    for (guint i = 0;
+         d->applied_documents != NULL && i < d->applied_documents->len; i++) {
+        const AppliedDocument *each =
+            &g_array_index(d->applied_documents, AppliedDocument, i);
+        if (each->version > entry->document_version) {
+            return now_us - each->applied_us;
+        }
+    }
+    return 0;
+}
+
+/* Returns the number of active entry instances that lack a document, and sets
+ * the longest time since one that they lack was applied here. */
+uint32_t
+documents_outdated_count(const Director *d, uint64_t now_us,
+                         uint64_t *longest_lag_us)
+{
+    GHashTableIter it;
+    void *value;
+    uint32_t count = 0;
+
+    *longest_lag_us = 0;
+    g_hash_table_iter_init(&it, d->entries);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        const EntryState *entry = value;
+        if (entry_is_active(entry, now_us) &&
+            entry->document_version < d->document_version) {
+            uint64_t lag_us = documents_lag_us(d, now_us, entry);
+            *longest_lag_us = MAX(*longest_lag_us, lag_us);
+            count++;
+        }
+    }
+    return count;
+}
+
+/* Logs on the leader when an entry instance has lacked a document for longer
+ * than kOutdatedUs, and when that has ended. */
+static void
+log_outdated(Director *d, uint64_t now_us, EntryState *entry)
+{
+    uint64_t lag_us = documents_lag_us(d, now_us, entry);
+    gboolean outdated = lag_us > kOutdatedUs;
+    EventLine line;
+
+    if (!director_is_leader(d) || outdated == entry->outdated) {
+        return;
+    }
+    entry->outdated = outdated;
+    event_begin(&line, d->config.events, now_us,
+                outdated ? kEventOutdated : kEventCurrent);
+    event_text(&line, "entry", entry->id);
+    event_number(&line, "has", entry->document_version);
+    event_number(&line, "receives", entry->incoming_version);
+    event_number(&line, "sent", entry->transfer.version);
+    event_number(&line, "version", d->document_version);
+    event_number(&line, "lag_us", lag_us);
+    event_end(&line);
+}
+
 /* Handles the document version in an entry instance's report; sends the
  * current document if the instance is behind. */
 void
 documents_handle_report(Director *d, uint64_t now_us, EntryState *entry)
 {
     document_transfer_confirmed(&entry->transfer, entry->document_version);
+    log_outdated(d, now_us, entry);
     if (entry->document_version >= d->document_version) {
         entry->behind_since_us = 0;
         return;
--- a/src/sapphireweir/fleet/director_internal.h
+++ b/src/sapphireweir/fleet/director_internal.h
@@ -51,6 +51,7 @@
     uint64_t link_bytes_per_s;  /* zero: it takes no documents in chunks */
     DocumentTransfer transfer;  /* of a document to it */
     uint64_t behind_since_us;   /* zero: it has the current document */
+    gboolean outdated;          /* it was logged that a document is late */
     /* Directory revision that was last sent, zero: the instance has none of
      * this run. */
     uint64_t sent_revision;
@@ -83,6 +84,12 @@
     uint64_t requested_us; /* when that status was requested */
 } Candidate;
 
+/* When a document version was applied. */
+typedef struct {
+    uint64_t version;
+    uint64_t applied_us;
+} AppliedDocument;
+
 /* A document version that entry instances may still have. */
 typedef struct {
     uint64_t version;
@@ -167,6 +174,7 @@
     GBytes *document;              /* text of the current version, or NULL */
     Document *decoded_document;    /* the document in parsed form, or NULL */
     GPtrArray *recent_documents;   /* PastDocument, owned, oldest first */
+    GArray *applied_documents;     /* AppliedDocument, oldest first */
     EncodedUpdate *whole_document; /* the document, NULL: not encoded yet */
     uint64_t last_transfer;        /* id of the last document transfer */
     GHashTable *rate_windows;      /* team -> RateWindow, owned, leader only */
@@ -213,11 +221,15 @@
                            const Sw__DirectoryUpdate *m);
 
 /* director_documents.c */
-void documents_add_applied(Director *d);
+void documents_add_applied(Director *d, uint64_t now_us);
 void documents_clear(Director *d);
 void documents_send(Director *d, uint64_t now_us, EntryState *entry);
 void documents_tick(Director *d, uint64_t now_us, EntryState *entry);
 void documents_handle_report(Director *d, uint64_t now_us, EntryState *entry);
+uint64_t documents_lag_us(const Director *d, uint64_t now_us,
+                          const EntryState *entry);
+uint32_t documents_outdated_count(const Director *d, uint64_t now_us,
+                                  uint64_t *longest_lag_us);
 
 /* director_requests.c */
 void requests_tick(Director *d, uint64_t now_us);
--- a/src/sapphireweir/fleet/director_metrics.c
+++ b/src/sapphireweir/fleet/director_metrics.c
@@ -4,7 +4,7 @@
 
 /* Appends all counters, gauges and histograms to out. */
 void
-director_metrics_write(const Director *d, GString *out)
+director_metrics_write(const Director *d, uint64_t now_us, GString *out)
 {
     static const char *const names[kFailoverStageCount] = {
         [kStageSuspicion] = "failover_suspicion_us",
@@ -15,12 +15,16 @@
     };
     uint64_t last_index = consensus_last_index(d->consensus);
     uint64_t commit_index = consensus_commit_index(d->consensus);
+    uint64_t longest_lag_us;
+    uint32_t outdated = documents_outdated_count(d, now_us, &longest_lag_us);
 
     counter_write_text("leads", director_is_leader(d), out);
     counter_write_text("log_index", commit_index, out);
     counter_write_text("log_uncommitted",
                        last_index - MIN(commit_index, last_index), out);
     counter_write_text("configuration_version", d->document_version, out);
+    counter_write_text("entries_outdated", outdated, out);
+    counter_write_text("configuration_lag_us", longest_lag_us, out);
     counter_write_text("control_voters", consensus_voter_count(d->consensus),
                        out);
     counter_write_text("entries", g_hash_table_size(d->entries), out);
--- a/src/sapphireweir/gateway/gateway.h
+++ b/src/sapphireweir/gateway/gateway.h
@@ -55,7 +55,13 @@
     uint64_t lagging; /* reads rejected by a replica that was behind */
     uint64_t timeouts;
     uint64_t leases_lost; /* times that the right to primaries expired */
-    uint64_t relayed;     /* statements sent to the owner of a server */
+    /* Updates of the configuration that were put into force, that were deltas
+     * to another version than the one in force, and that contained no newer
+     * version. */
+    uint64_t documents_applied;
+    uint64_t documents_unusable;
+    uint64_t documents_repeated;
+    uint64_t relayed; /* statements sent to the owner of a server */
     /* Statements of borrowers that this owner rejected before they ran. */
     uint64_t relays_rejected;
     Histogram operation; /* completed statements, arrival to answer */
--- a/src/sapphireweir/gateway/gateway_control.c
+++ b/src/sapphireweir/gateway/gateway_control.c
@@ -150,18 +150,38 @@
     return document_delta_apply(g->document_text, m);
 }
 
+/* Logs and counts an update that is a delta to another version than the one in
+ * force. */
+static void
+log_unusable(Gateway *g, uint64_t now_us, const char *from,
+             const Sw__DocumentUpdate *m)
+{
+    EventLine line;
+
+    g->counters.documents_unusable++;
+    event_begin(&line, g->events, now_us, kEventUnusable);
+    event_text(&line, "from", from);
+    event_number(&line, "version", m->version);
+    event_number(&line, "base", m->base_version);
+    event_number(&line, "in_force", gateway_version(g));
+    event_end(&line);
+}
+
 /* Puts a newer configuration into force. */
 static void
-handle_document(Gateway *g, uint64_t now_us, const Sw__DocumentUpdate *m)
+handle_document(Gateway *g, uint64_t now_us, const char *from,
+                const Sw__DocumentUpdate *m)
 {
     EventLine line;
     size_t bytes;
 
-    if (g->document != NULL && m->version <= g->document->version) {
+    if (m->version <= gateway_version(g)) {
+        g->counters.documents_repeated++;
         return;
     }
     GBytes *text = update_text(g, m);
     if (text == NULL) {
+        log_unusable(g, now_us, from, m);
         return;
     }
     const uint8_t *data = g_bytes_get_data(text, &bytes);
@@ -178,6 +198,7 @@
     g->document = d;
     g_clear_pointer(&g->document_text, g_bytes_unref);
     g->document_text = text;
+    g->counters.documents_applied++;
     event_begin(&line, g->events, now_us, kEventConfiguration);
     event_number(&line, "version", d->version);
     event_number(&line, "routes", g_hash_table_size(d->routes));
@@ -189,13 +210,14 @@
 handle_document_chunk(Gateway *g, uint64_t now_us, const char *from,
                       const Sw__DocumentChunk *m)
 {
-    if (g->document != NULL && m->version <= g->document->version) {
+    if (m->version <= gateway_version(g)) {
+        g->counters.documents_repeated += m->offset == 0;
         return;
     }
     Sw__DocumentUpdate *update =
         document_receiver_add(&g->receiver, now_us, from, m);
     if (update != NULL) {
-        handle_document(g, now_us, update);
+        handle_document(g, now_us, from, update);
         sw__document_update__free_unpacked(update, NULL);
     }
 }
@@ -444,7 +466,7 @@
         team_rates_reply(g, now_us, frame->request_id, frame->token_reply);
         break;
     case SW__FRAME__BODY_DOCUMENT_UPDATE:
-        handle_document(g, now_us, frame->document_update);
+        handle_document(g, now_us, from, frame->document_update);
         break;
     case SW__FRAME__BODY_DOCUMENT_CHUNK:
         handle_document_chunk(g, now_us, from, frame->document_chunk);
--- a/src/sapphireweir/gateway/gateway_metrics.c
+++ b/src/sapphireweir/gateway/gateway_metrics.c
@@ -65,6 +65,9 @@
         {"statements_waiting", waiting_statements(g)},
         {"leased", g->leased},
         {"configuration_version", gateway_version(g)},
+        {"configuration_applied_total", n->documents_applied},
+        {"configuration_unusable_total", n->documents_unusable},
+        {"configuration_repeated_total", n->documents_repeated},
     };
     const struct {
         const char *name;
