Let the fleet simulation follow each acknowledged configuration

The check that an entry instance has a configuration within 3 s of its acknowledgement began anew with every acknowledgement: during a storm of versions it never became due, whatever was lost. Each version now has its own deadline, and the report has the longest lag.

--- a/test/support/fleet_sim.c
+++ b/test/support/fleet_sim.c
@@ -128,10 +128,17 @@
     uint32_t index;
     char *id;
     Gateway *gateway;
+    uint64_t contact_since_us; /* when it started or a partition ended */
     uint64_t inbound_free_us;  /* when its link can take the next frame */
     uint64_t outbound_free_us; /* the same for frames that it sends */
 } EntryInstance;
 
+/* An acknowledged document that some entry instance may not use yet. */
+typedef struct {
+    uint64_t version;
+    uint64_t acked_us;
+} AckedDocument;
+
 typedef void (*EventCallback)(FleetSim *sim, void *data);
 
 typedef struct {
@@ -178,9 +185,7 @@
     Traffic traffic;         /* between all instances */
     uint64_t version;        /* of the last document sent */
     uint64_t acked_version;
-    uint64_t acked_us; /* when acked_version was acknowledged */
-    /* Entry instances must use this version or a later one. */
-    uint64_t required_version;
+    GArray *acked_documents; /* AckedDocument, by rising version */
     GBytes *document;
     uint32_t rate;       /* of each team, operations per second */
     uint32_t least_rate; /* not used */
@@ -770,21 +775,6 @@
     Sw__Frame *frame;
 } Packet;
 
-/* Counts a violation when an entry instance uses an older version than the one
- * that has been acknowledged for longer than kMaxConfigDelayMs. */
-static void
-check_version(FleetSim *sim, const EntryInstance *e)
-{
-    uint64_t version = gateway_version(e->gateway);
-
-    if (sim->acked_version > sim->required_version &&
-        sim->now_us > sim->acked_us + kMaxConfigDelayMs * kUsPerMs) {
-        sim->required_version = sim->acked_version;
-    }
-    sim->report.outdated_version +=
-        version != 0 && version < sim->required_version;
-}
-
 static void
 packet_free(void *data)
 {
@@ -826,7 +816,6 @@
             if (strcmp(sim->entries[i].id, packet->to) == 0) {
                 gateway_frame(sim->entries[i].gateway, sim->now_us,
                               packet->from, packet->frame);
-                check_version(sim, &sim->entries[i]);
             }
         }
     }
@@ -1036,8 +1025,9 @@
         return;
     }
     if (status == 200 && version > c->sim->acked_version) {
+        AckedDocument acked = {version, c->sim->now_us};
         c->sim->acked_version = version;
-        c->sim->acked_us = c->sim->now_us;
+        g_array_append_val(c->sim->acked_documents, acked);
     }
 }
 
@@ -1538,6 +1528,43 @@
 
 /* ---- periodic events ---- */
 
+/* Returns how long ago the oldest document that an entry instance lacks was
+ * acknowledged, zero if it lacks none. */
+static uint64_t
+version_lag_us(const FleetSim *sim, const EntryInstance *e)
+{
+    uint64_t version = gateway_version(e->gateway);
+
+    for (guint i = 0; i < sim->acked_documents->len; i++) {
+        const AckedDocument *each =
+            &g_array_index(sim->acked_documents, AckedDocument, i);
+        if (each->version > version) {
+            return sim->now_us - each->acked_us;
+        }
+    }
+    return 0;
+}
+
+/* Counts a violation when an entry instance lacks a document that was
+ * acknowledged more than kMaxConfigDelayMs ago, and has been in contact for as
+ * long. */
+static void
+check_version(FleetSim *sim, EntryInstance *e)
+{
+    uint64_t limit_us = (uint64_t)kMaxConfigDelayMs * kUsPerMs;
+
+    if (sim->partitioned[e->index % kFleetSimDomains]) {
+        e->contact_since_us = sim->now_us;
+    }
+    if (sim->now_us - e->contact_since_us < limit_us) {
+        return;
+    }
+    uint64_t lag_us = version_lag_us(sim, e);
+    sim->report.longest_version_lag_us =
+        MAX(sim->report.longest_version_lag_us, lag_us);
+    sim->report.outdated_version += lag_us > limit_us;
+}
+
 /* Ticks all instances. */
 static void
 tick(FleetSim *sim, void *data)
@@ -1550,6 +1577,7 @@
     }
     for (uint32_t i = 0; i < kFleetSimEntries; i++) {
         gateway_tick(sim->entries[i].gateway, sim->now_us);
+        check_version(sim, &sim->entries[i]);
     }
     schedule(sim, kTickUs, tick, data);
 }
@@ -1749,6 +1777,7 @@
     e->sim = sim;
     e->index = i;
     e->id = id;
+    e->contact_since_us = sim->now_us;
     e->gateway = gateway_new(&config, &port);
     for (uint32_t k = 0; k < kFleetSimDomains; k++) {
         gateway_control_add(e->gateway, 0, sim->controls[k].id);
@@ -1787,6 +1816,7 @@
     sim->events = g_sequence_new(g_free);
     sim->connections = g_ptr_array_new();
     sim->run_times_us = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    sim->acked_documents = g_array_new(FALSE, FALSE, sizeof(AckedDocument));
     sim->writes =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
     sim->teams = 1;
@@ -2219,6 +2249,7 @@
     for (uint32_t i = 0; i < kFleetSimCallers; i++) {
         g_free(sim->callers[i].value);
     }
+    g_array_unref(sim->acked_documents);
     g_array_unref(sim->run_times_us);
     g_ptr_array_unref(sim->connections);
     g_hash_table_destroy(sim->writes);
--- a/test/support/fleet_sim.h
+++ b/test/support/fleet_sim.h
@@ -51,7 +51,10 @@
     uint64_t outside_transaction; /* ran outside the caller's transaction */
     /* Started at a draining server after the time it may serve. */
     uint64_t run_after_drain;
-    /* Frames that reached an entry instance whose configuration was older than
+    /* Longest time between the acknowledgement of a document and its use, or
+     * that of a newer one, by an entry instance in contact. */
+    uint64_t longest_version_lag_us;
+    /* Ticks of entry instances in contact whose configuration was older than
      * one acknowledged more than 3 s before. */
     uint64_t outdated_version;
 } FleetSimReport;
