Reproduce outdated configurations in a storm of versions (red)

Callers were refused as an older configuration says, 4 s and more after a newer one was acknowledged.

--- a/test/unit/test_fleet_sim.c
+++ b/test/unit/test_fleet_sim.c
@@ -754,6 +754,57 @@
     }
 }
 
+/* Changes of a large configuration follow each other for 10 s, faster than one
+ * of them is transferred to an instance.  Each version that was acknowledged
+ * must be in force everywhere within 3 s, or one after it. */
+static void
+a_storm_of_versions_reaches_every_instance_in_time(void)
+{
+    enum { kLinkBytesPerS = 250000, kStormMs = 10000, kMaxLagMs = 3000 };
+    static const struct {
+        const char *name;
+        uint32_t routes;
+        uint32_t gap_ms;
+        gboolean leader_crashes;
+        gboolean entry_restarts;
+    } cases[] = {
+        {"large configuration", 800, 60, FALSE, FALSE},
+        {"leader crashes", 800, 40, TRUE, FALSE},
+        {"entry instance restarts", 800, 330, FALSE, TRUE},
+        {"small configuration, leader crashes", 0, 40, TRUE, FALSE},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        for (uint32_t seed = 1; seed <= 4; seed++) {
+            FleetSim *sim = fleet_sim_new(seed);
+            fleet_sim_set_link_bandwidth(sim, kLinkBytesPerS);
+            fleet_sim_add_routes(sim, cases[i].routes);
+            fleet_sim_run(sim, 6500);
+            uint32_t leader = (uint32_t)fleet_sim_control_leader(sim);
+            for (uint32_t ms = 0; ms < kStormMs; ms += cases[i].gap_ms) {
+                gboolean now =
+                    ms / 1000 != (ms + cases[i].gap_ms) / 1000 && ms < 1000;
+                if (now && cases[i].leader_crashes) {
+                    fleet_sim_set_control_running(sim, leader, FALSE);
+                }
+                if (now && cases[i].entry_restarts) {
+                    fleet_sim_restart_entry(sim, 2);
+                }
+                fleet_sim_configure(sim, 1000 + ms, TRUE);
+                fleet_sim_run(sim, cases[i].gap_ms);
+            }
+            const FleetSimReport *r = fleet_sim_check(sim);
+            uint64_t lag_ms = r->longest_version_lag_us / 1000;
+            if (lag_ms > kMaxLagMs) {
+                g_print("\n%s, seed %u: %lu ms behind\n", cases[i].name, seed,
+                        lag_ms);
+            }
+            CU_ASSERT(lag_ms <= kMaxLagMs);
+            fleet_sim_free(sim);
+        }
+    }
+}
+
 /* A control instance joins that takes 0.2 s for each frame, while the log has
  * 14 large documents and the leader starts a round for each report.  The
  * instance gets each entry once; half as much again is allowed for the
@@ -912,6 +963,8 @@
                 invariants_hold_under_faults);
     CU_add_test(s, "large configurations leave links to callers",
                 large_configurations_leave_links_to_callers);
+    CU_add_test(s, "a storm of versions reaches every instance in time",
+                a_storm_of_versions_reaches_every_instance_in_time);
     CU_add_test(s, "a slow instance gets the log once",
                 a_slow_instance_gets_the_log_once);
     CU_add_test(s, "one half of an even group leads",
