Build configuration updates only on versions that the receiver has

Callers were refused as an older configuration says while versions followed each other closely.

Cause: a version that had been sent counted as the base of the next update without a confirmation. One update that the receiver could not use, since its base differed, made all later ones unusable for as long as a new version followed within the wait for a confirmation. The other control instances' help did not end this, as each of them did the same.

Now at most one transfer to an instance is open. The receiver ends it with a receipt that names its version, whether the update was applied or not, and the next one starts from that version. Without a receipt (an earlier release, a lost link) a report or the former wait ends it.

--- a/src/sapphireweir/fleet/director.c
+++ b/src/sapphireweir/fleet/director.c
@@ -376,6 +376,9 @@
     case SW__FRAME__BODY_ENTRY_REPORT:
         entries_handle_report(d, now_us, from, frame->entry_report);
         break;
+    case SW__FRAME__BODY_DOCUMENT_RECEIPT:
+        documents_handle_receipt(d, now_us, from, frame->document_receipt);
+        break;
     case SW__FRAME__BODY_DIRECTORY_UPDATE:
         servers_handle_update(d, now_us, frame->directory_update);
         break;
--- a/src/sapphireweir/fleet/director_documents.c
+++ b/src/sapphireweir/fleet/director_documents.c
@@ -145,23 +145,20 @@
 }
 
 /* Starts to send the current document to an entry instance, unless the
- * instance has that version, it is in transit or another transfer to the
- * instance is in progress.  A version in transit also serves as the base of
- * the delta. */
+ * instance has that version or has not answered an earlier transfer. */
 void
 documents_send(Director *d, uint64_t now_us, EntryState *entry)
 {
     DocumentTransfer *t = &entry->transfer;
-    uint64_t base_version =
-        MAX(entry->document_version, document_transfer_in_transit(t, now_us));
 
-    if (d->document == NULL || base_version >= d->document_version ||
+    if (d->document == NULL ||
+        entry->document_version >= d->document_version ||
         !document_transfer_may_begin(t, now_us) ||
         !consensus_is_current(d->consensus)) {
         return;
     }
     document_transfer_begin(t, now_us, ++d->last_transfer,
-                            encoded_update_from(d, base_version));
+                            encoded_update_from(d, entry->document_version));
     if (entry->link_bytes_per_s == 0) {
         send_single_frame(d, entry);
         return;
@@ -169,14 +166,13 @@
     send_chunks(d, now_us, entry);
 }
 
-/* Continues the transfer to an entry instance.  On the leader, starts one of a
- * newer version that was applied meanwhile. */
+/* Continues the transfer to an entry instance.  On the leader, also starts one
+ * as soon as the instance has answered the last one. */
 void
 documents_tick(Director *d, uint64_t now_us, EntryState *entry)
 {
     send_chunks(d, now_us, entry);
-    if (director_is_leader(d) &&
-        entry->transfer.version < d->document_version) {
+    if (director_is_leader(d)) {
         documents_send(d, now_us, entry);
     }
 }
@@ -268,7 +264,7 @@
 void
 documents_handle_report(Director *d, uint64_t now_us, EntryState *entry)
 {
-    document_transfer_confirmed(&entry->transfer, entry->document_version);
+    document_transfer_report(&entry->transfer, entry->document_version);
     log_outdated(d, now_us, entry);
     if (entry->document_version >= d->document_version) {
         entry->behind_since_us = 0;
@@ -281,3 +277,20 @@
         documents_send(d, now_us, entry);
     }
 }
+
+/* Handles an entry instance's answer to a transfer. */
+void
+documents_handle_receipt(Director *d, uint64_t now_us, const char *from,
+                         const Sw__DocumentReceipt *m)
+{
+    EntryState *entry = g_hash_table_lookup(d->entries, from);
+
+    if (entry == NULL) {
+        return;
+    }
+    entry->document_version = m->version;
+    document_transfer_receipt(&entry->transfer, m->transfer, m->version);
+    if (director_is_leader(d)) {
+        documents_send(d, now_us, entry);
+    }
+}
--- a/src/sapphireweir/fleet/director_internal.h
+++ b/src/sapphireweir/fleet/director_internal.h
@@ -226,6 +226,8 @@
 void documents_send(Director *d, uint64_t now_us, EntryState *entry);
 void documents_tick(Director *d, uint64_t now_us, EntryState *entry);
 void documents_handle_report(Director *d, uint64_t now_us, EntryState *entry);
+void documents_handle_receipt(Director *d, uint64_t now_us, const char *from,
+                              const Sw__DocumentReceipt *m);
 uint64_t documents_lag_us(const Director *d, uint64_t now_us,
                           const EntryState *entry);
 uint32_t documents_outdated_count(const Director *d, uint64_t now_us,
--- a/src/sapphireweir/fleet/document_transfer.c
+++ b/src/sapphireweir/fleet/document_transfer.c
@@ -10,8 +10,12 @@
  * Mbit/s also carry callers' answers, leases and reports.  Sent in one frame
  * to each instance, such a document fills every link for seconds; leases then
  * expire, and healthy primaries seem to be down.  At most one transfer to an
- * instance is in progress.  Versions that arrive meanwhile are sent together
- * afterwards, as one update. */
+ * instance is open.  Versions that arrive meanwhile are sent together
+ * afterwards, as one update.
+ *
+ * An update changes a version that the receiver has reported to have in force,
+ * never one that was sent and is not confirmed: otherwise the loss of one
+ * update makes all later ones unusable as well. */
 
 enum {
     kChunkBytes = 4096,
@@ -20,8 +24,8 @@
     /* Minimum time between the starts of two transfers: a storm of versions
      * costs each instance a bounded number of updates. */
     kMinIntervalUs = 100000,
-    /* Wait for the receiver's confirmation before an update is sent again;
-     * doubles on each repetition. */
+    /* Wait for the receiver's answer before an update is sent again; doubles
+     * on each repetition. */
     kResendFirstUs = 500000,
     kResendMaxUs = 4000000,
     kReceiverStalledUs = 1000000, /* then another transfer may replace it */
@@ -46,6 +50,7 @@
     g_assert(result == Z_OK);
     g_free(plain);
     update->version = m->version;
+    update->base_version = m->base_version;
     update->update_bytes = (uint32_t)bytes;
     update->packed =
         g_bytes_new_take(g_realloc(packed, packed_bytes), packed_bytes);
@@ -80,12 +85,14 @@
 
 /* ---- sending ---- */
 
-/* Tells whether a transfer may begin: none is in progress, and the last one
- * began kMinIntervalUs ago or earlier. */
+/* Tells whether a transfer may begin: none is open, or the answer to the open
+ * one is overdue, and the last one began kMinIntervalUs ago or earlier. */
 gboolean
 document_transfer_may_begin(const DocumentTransfer *t, uint64_t now_us)
 {
-    return t->packed == NULL && now_us >= t->next_begin_us;
+    gboolean overdue =
+        t->packed == NULL && now_us - t->sent_us > t->resend_wait_us;
+    return (!t->open || overdue) && now_us >= t->next_begin_us;
 }
 
 /* Begins the transfer of an update.  id must differ from those of all other
@@ -101,6 +108,8 @@
                  : kResendFirstUs;
     t->id = id;
     t->version = update->version;
+    t->base_version = update->base_version;
+    t->open = TRUE;
     t->packed = g_bytes_ref(update->packed);
     t->update_bytes = update->update_bytes;
     t->offset = 0;
@@ -125,7 +134,7 @@
     const uint8_t *data = g_bytes_get_data(t->packed, &total);
     if (t->offset == total) {
         g_clear_pointer(&t->packed, g_bytes_unref);
-        t->ended_us = now_us;
+        t->sent_us = now_us;
         return FALSE;
     }
     sw__document_chunk__init(out);
@@ -143,34 +152,51 @@
     return TRUE;
 }
 
-/* Returns the version that is being sent, or that was sent so recently that
- * the receiver may still confirm it; zero if there is none. */
-uint64_t
-document_transfer_in_transit(const DocumentTransfer *t, uint64_t now_us)
+/* Ends the open transfer. */
+static void
+transfer_close(DocumentTransfer *t, uint64_t version)
 {
-    gboolean awaited = t->version != 0 && t->packed == NULL &&
-                       now_us - t->ended_us <= t->resend_wait_us;
-    return t->packed != NULL || awaited ? t->version : 0;
+    g_clear_pointer(&t->packed, g_bytes_unref);
+    t->open = FALSE;
+    if (version >= t->version) {
+        t->resend_wait_us = kResendFirstUs;
+    }
 }
 
-/* Handles the receiver's report that it has a version. */
+/* Handles the receiver's answer to a transfer; version is the one that it has
+ * in force now. */
 void
-document_transfer_confirmed(DocumentTransfer *t, uint64_t version)
+document_transfer_receipt(DocumentTransfer *t, uint64_t id, uint64_t version)
 {
-    if (version >= t->version) {
-        t->resend_wait_us = kResendFirstUs;
+    if (t->open && t->id == id) {
+        transfer_close(t, version);
+    }
+}
+
+/* Handles a report of the version that the receiver has in force.  Ends the
+ * open transfer if the receiver has its version, or another one than its
+ * update changes: it got that from another sender and cannot use the
+ * update. */
+void
+document_transfer_report(DocumentTransfer *t, uint64_t version)
+{
+    gboolean unusable = t->base_version != 0 && version != t->base_version;
+
+    if (t->open && (version >= t->version || unusable)) {
+        transfer_close(t, version);
     }
 }
 
-/* Ends a transfer whose update was sent in another way. */
+/* Ends the sending of an update that was sent in another way; the receiver's
+ * answer is awaited. */
 void
 document_transfer_skip(DocumentTransfer *t)
 {
     g_clear_pointer(&t->packed, g_bytes_unref);
-    t->ended_us = t->next_due_us;
+    t->sent_us = t->next_due_us;
 }
 
-/* Ends a transfer in progress and forgets the earlier ones. */
+/* Ends an open transfer and forgets the earlier ones. */
 void
 document_transfer_reset(DocumentTransfer *t)
 {
@@ -227,31 +253,29 @@
            m->data.len <= r->total_bytes - r->packed->len;
 }
 
-/* Adds a chunk.  Returns the update when it is complete, to be freed by the
- * caller with sw__document_update__free_unpacked, else NULL.  A chunk that
- * does not continue the transfer in progress is ignored; the sender starts
- * anew when its version is not confirmed. */
-Sw__DocumentUpdate *
+/* Adds a chunk.  If it completes the transfer, sets *update, to be freed by
+ * the caller with sw__document_update__free_unpacked.  A chunk that does not
+ * continue the transfer in progress is ignored. */
+ChunkResult
 document_receiver_add(DocumentReceiver *r, uint64_t now_us, const char *from,
-                      const Sw__DocumentChunk *m)
+                      const Sw__DocumentChunk *m, Sw__DocumentUpdate **update)
 {
     if (m->update_bytes > kMaxUpdateBytes ||
         m->total_bytes > kMaxUpdateBytes) {
-        return NULL;
+        return kChunkUnusable;
     }
     if (m->offset == 0) {
         receiver_begin(r, now_us, from, m);
     }
     if (!chunk_fits(r, from, m)) {
-        return NULL;
+        return kChunkUnusable;
     }
     r->received_us = now_us;
     g_byte_array_append(r->packed, m->data.data, (guint)m->data.len);
     if (r->packed->len < r->total_bytes) {
-        return NULL;
+        return kChunkAwaitsMore;
     }
-    Sw__DocumentUpdate *update =
-        decode_update(r->packed->data, r->packed->len, r->update_bytes);
+    *update = decode_update(r->packed->data, r->packed->len, r->update_bytes);
     document_receiver_clear(r);
-    return update;
+    return *update == NULL ? kChunkUnusable : kChunkCompletes;
 }
--- a/src/sapphireweir/gateway/gateway_control.c
+++ b/src/sapphireweir/gateway/gateway_control.c
@@ -205,21 +205,43 @@
     event_end(&line);
 }
 
-/* Adds a chunk of a configuration that arrives in chunks. */
+/* Answers a transfer of the configuration: it was applied, or cannot be
+ * used. */
+static void
+send_receipt(Gateway *g, const char *to, uint64_t transfer)
+{
+    Sw__Frame frame = SW__FRAME__INIT;
+    Sw__DocumentReceipt m = SW__DOCUMENT_RECEIPT__INIT;
+
+    m.transfer = transfer;
+    m.version = gateway_version(g);
+    frame.body_case = SW__FRAME__BODY_DOCUMENT_RECEIPT;
+    frame.document_receipt = &m;
+    g->port.peer_send(g->port.ctx, to, &frame);
+}
+
+/* Adds a chunk of a configuration that arrives in chunks.  The sender gets an
+ * answer unless further chunks are awaited. */
 static void
 handle_document_chunk(Gateway *g, uint64_t now_us, const char *from,
                       const Sw__DocumentChunk *m)
 {
+    Sw__DocumentUpdate *update = NULL;
+    ChunkResult result = kChunkUnusable;
+
     if (m->version <= gateway_version(g)) {
         g->counters.documents_repeated += m->offset == 0;
-        return;
     }
-    Sw__DocumentUpdate *update =
-        document_receiver_add(&g->receiver, now_us, from, m);
-    if (update != NULL) {
+    else {
+        result = document_receiver_add(&g->receiver, now_us, from, m, &update);
+    }
+    if (result == kChunkCompletes) {
         handle_document(g, now_us, from, update);
         sw__document_update__free_unpacked(update, NULL);
     }
+    if (result != kChunkAwaitsMore) {
+        send_receipt(g, from, m->transfer);
+    }
 }
 
 /* ---- rights to primaries ---- */
--- a/src/sapphireweir/proto/sapphireweir.pb-c.c
+++ b/src/sapphireweir/proto/sapphireweir.pb-c.c
@@ -1582,6 +1582,51 @@
   assert(message->base.descriptor == &sw__document_chunk__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   sw__document_receipt__init
+                     (Sw__DocumentReceipt         *message)
+{
+  static const Sw__DocumentReceipt init_value = SW__DOCUMENT_RECEIPT__INIT;
+  *message = init_value;
+}
+size_t sw__document_receipt__get_packed_size
+                     (const Sw__DocumentReceipt *message)
+{
+  assert(message->base.descriptor == &sw__document_receipt__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t sw__document_receipt__pack
+                     (const Sw__DocumentReceipt *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &sw__document_receipt__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t sw__document_receipt__pack_to_buffer
+                     (const Sw__DocumentReceipt *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &sw__document_receipt__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Sw__DocumentReceipt *
+       sw__document_receipt__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Sw__DocumentReceipt *)
+     protobuf_c_message_unpack (&sw__document_receipt__descriptor,
+                                allocator, len, data);
+}
+void   sw__document_receipt__free_unpacked
+                     (Sw__DocumentReceipt *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &sw__document_receipt__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   sw__join_request__init
                      (Sw__JoinRequest         *message)
 {
@@ -1987,7 +2032,7 @@
   assert(message->base.descriptor == &sw__fleet_snapshot__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor sw__frame__field_descriptors[29] =
+static const ProtobufCFieldDescriptor sw__frame__field_descriptors[30] =
 {
   {
     "request_id",
@@ -2337,6 +2382,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "document_receipt",
+    30,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sw__Frame, body_case),
+    offsetof(Sw__Frame, document_receipt),
+    &sw__document_receipt__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sw__frame__field_indices_by_name[] = {
   8,   /* field[8] = admin_reply */
@@ -2346,6 +2403,7 @@
   3,   /* field[3] = consensus */
   21,   /* field[21] = directory_update */
   28,   /* field[28] = document_chunk */
+  29,   /* field[29] = document_receipt */
   22,   /* field[22] = document_update */
   20,   /* field[20] = entry_grant */
   19,   /* field[19] = entry_report */
@@ -2372,7 +2430,7 @@
 static const ProtobufCIntRange sw__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 29 }
+  { 0, 30 }
 };
 const ProtobufCMessageDescriptor sw__frame__descriptor =
 {
@@ -2382,7 +2440,7 @@
   "Sw__Frame",
   "sw",
   sizeof(Sw__Frame),
-  29,
+  30,
   sw__frame__field_descriptors,
   sw__frame__field_indices_by_name,
   1,  sw__frame__number_ranges,
@@ -5808,6 +5866,57 @@
   (ProtobufCMessageInit) sw__document_chunk__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor sw__document_receipt__field_descriptors[2] =
+{
+  {
+    "transfer",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__DocumentReceipt, transfer),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__DocumentReceipt, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned sw__document_receipt__field_indices_by_name[] = {
+  0,   /* field[0] = transfer */
+  1,   /* field[1] = version */
+};
+static const ProtobufCIntRange sw__document_receipt__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor sw__document_receipt__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "sw.DocumentReceipt",
+  "DocumentReceipt",
+  "Sw__DocumentReceipt",
+  "sw",
+  sizeof(Sw__DocumentReceipt),
+  2,
+  sw__document_receipt__field_descriptors,
+  sw__document_receipt__field_indices_by_name,
+  1,  sw__document_receipt__number_ranges,
+  (ProtobufCMessageInit) sw__document_receipt__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor sw__join_request__field_descriptors[2] =
 {
   {
--- a/src/sapphireweir/proto/sapphireweir.pb-c.h
+++ b/src/sapphireweir/proto/sapphireweir.pb-c.h
@@ -50,6 +50,7 @@
 typedef struct Sw__DocumentUpdate Sw__DocumentUpdate;
 typedef struct Sw__DocumentPart Sw__DocumentPart;
 typedef struct Sw__DocumentChunk Sw__DocumentChunk;
+typedef struct Sw__DocumentReceipt Sw__DocumentReceipt;
 typedef struct Sw__JoinRequest Sw__JoinRequest;
 typedef struct Sw__RelayCommand Sw__RelayCommand;
 typedef struct Sw__RelayRun Sw__RelayRun;
@@ -147,7 +148,8 @@
   SW__FRAME__BODY_RELAY_RESULT = 26,
   SW__FRAME__BODY_RELAY_END = 27,
   SW__FRAME__BODY_RELAY_PING = 28,
-  SW__FRAME__BODY_DOCUMENT_CHUNK = 29
+  SW__FRAME__BODY_DOCUMENT_CHUNK = 29,
+  SW__FRAME__BODY_DOCUMENT_RECEIPT = 30
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(SW__FRAME__BODY__CASE)
 } Sw__Frame__BodyCase;
 
@@ -185,6 +187,7 @@
     Sw__RelayEnd *relay_end;
     Sw__RelayPing *relay_ping;
     Sw__DocumentChunk *document_chunk;
+    Sw__DocumentReceipt *document_receipt;
   };
 };
 #define SW__FRAME__INIT \
@@ -941,6 +944,23 @@
     , 0, 0, 0, 0, 0, {0,NULL} }
 
 
+/*
+ * Ends a transfer: its update was applied, or the receiver cannot use it.
+ */
+struct  Sw__DocumentReceipt
+{
+  ProtobufCMessage base;
+  uint64_t transfer;
+  /*
+   * Version that is in force at the receiver.
+   */
+  uint64_t version;
+};
+#define SW__DOCUMENT_RECEIPT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&sw__document_receipt__descriptor) \
+    , 0, 0 }
+
+
 /*
  * Sent by a control instance that has no contact with a leader.
  */
@@ -1801,6 +1821,25 @@
 void   sw__document_chunk__free_unpacked
                      (Sw__DocumentChunk *message,
                       ProtobufCAllocator *allocator);
+/* Sw__DocumentReceipt methods */
+void   sw__document_receipt__init
+                     (Sw__DocumentReceipt         *message);
+size_t sw__document_receipt__get_packed_size
+                     (const Sw__DocumentReceipt   *message);
+size_t sw__document_receipt__pack
+                     (const Sw__DocumentReceipt   *message,
+                      uint8_t             *out);
+size_t sw__document_receipt__pack_to_buffer
+                     (const Sw__DocumentReceipt   *message,
+                      ProtobufCBuffer     *buffer);
+Sw__DocumentReceipt *
+       sw__document_receipt__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   sw__document_receipt__free_unpacked
+                     (Sw__DocumentReceipt *message,
+                      ProtobufCAllocator *allocator);
 /* Sw__JoinRequest methods */
 void   sw__join_request__init
                      (Sw__JoinRequest         *message);
@@ -2079,6 +2118,9 @@
 typedef void (*Sw__DocumentChunk_Closure)
                  (const Sw__DocumentChunk *message,
                   void *closure_data);
+typedef void (*Sw__DocumentReceipt_Closure)
+                 (const Sw__DocumentReceipt *message,
+                  void *closure_data);
 typedef void (*Sw__JoinRequest_Closure)
                  (const Sw__JoinRequest *message,
                   void *closure_data);
@@ -2152,6 +2194,7 @@
 extern const ProtobufCMessageDescriptor sw__document_update__descriptor;
 extern const ProtobufCMessageDescriptor sw__document_part__descriptor;
 extern const ProtobufCMessageDescriptor sw__document_chunk__descriptor;
+extern const ProtobufCMessageDescriptor sw__document_receipt__descriptor;
 extern const ProtobufCMessageDescriptor sw__join_request__descriptor;
 extern const ProtobufCMessageDescriptor sw__relay_command__descriptor;
 extern const ProtobufCMessageDescriptor sw__relay_run__descriptor;
--- a/test/unit/test_document_transfer.c
+++ b/test/unit/test_document_transfer.c
@@ -70,10 +70,14 @@
             }
             const char *from =
                 faulty && fault == kChunkOfOtherSender ? "b" : "a";
-            received = document_receiver_add(&r, now_us, from, &chunk);
+            ChunkResult result =
+                document_receiver_add(&r, now_us, from, &chunk, &received);
+            CU_ASSERT_EQUAL(result == kChunkCompletes, received != NULL);
             if (faulty && fault == kChunkRepeated) {
-                CU_ASSERT_PTR_NULL(
-                    document_receiver_add(&r, now_us, from, &chunk));
+                CU_ASSERT_EQUAL(
+                    document_receiver_add(&r, now_us, from, &chunk, &received),
+                    kChunkUnusable);
+                CU_ASSERT_PTR_NULL(received);
             }
         }
         now_us += kStepUs;
@@ -114,8 +118,21 @@
     }
 }
 
-/* A storm of versions: a transfer in progress is not replaced, and a small one
- * delays the next by a tenth of a second. */
+/* Sends the rest of a transfer. */
+static void
+send_all(DocumentTransfer *t, uint64_t now_us)
+{
+    Sw__DocumentChunk chunk;
+
+    while (t->packed != NULL) {
+        t->next_due_us = now_us;
+        document_transfer_next(t, now_us, kLinkBytesPerS, &chunk);
+    }
+}
+
+/* A storm of versions: a transfer is not replaced before the receiver has
+ * answered it, and the next begins a tenth of a second after it at the
+ * earliest. */
 static void
 transfers_follow_one_another(void)
 {
@@ -129,19 +146,53 @@
     CU_ASSERT(document_transfer_next(&t, 1000, kLinkBytesPerS, &chunk));
     CU_ASSERT_FALSE(document_transfer_next(&t, 1000, kLinkBytesPerS, &chunk));
     CU_ASSERT_FALSE(document_transfer_may_begin(&t, 50000));
-    CU_ASSERT_EQUAL(document_transfer_in_transit(&t, 50000), 1);
+    CU_ASSERT_FALSE(document_transfer_may_begin(&t, 101000));
+    document_transfer_receipt(&t, 1, 1);
+    CU_ASSERT_FALSE(document_transfer_may_begin(&t, 100999));
     CU_ASSERT(document_transfer_may_begin(&t, 101000));
     document_transfer_begin(&t, 101000, 2, large);
     CU_ASSERT(document_transfer_next(&t, 101000, kLinkBytesPerS, &chunk));
+    document_transfer_receipt(&t, 1, 1);
     CU_ASSERT_FALSE(document_transfer_may_begin(&t, 300000));
-    CU_ASSERT_EQUAL(document_transfer_in_transit(&t, 300000), 2);
+    CU_ASSERT_FALSE(document_transfer_may_begin(&t, 3000000));
+    document_transfer_receipt(&t, 2, 1);
+    CU_ASSERT(document_transfer_may_begin(&t, 300000));
+    CU_ASSERT_PTR_NULL(t.packed);
     document_transfer_reset(&t);
     encoded_update_free(small);
     encoded_update_free(large);
 }
 
-/* The wait for a confirmation doubles with each repetition up to 4 s, and is
- * back at its start once the version is confirmed. */
+/* While the receiver's answer is awaited, a report ends a transfer whose
+ * version the receiver has, and one whose update it cannot use. */
+static void
+reports_end_transfers_that_are_of_no_use(void)
+{
+    static const struct {
+        uint64_t base_version;
+        uint64_t reported;
+        gboolean ends;
+    } cases[] = {
+        {5, 5, FALSE}, {5, 6, TRUE},  {5, 4, TRUE}, {5, 9, TRUE},
+        {0, 0, FALSE}, {0, 6, FALSE}, {0, 9, TRUE}, {5, 10, TRUE},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        EncodedUpdate *update = update_new(9, kTextBytes);
+        DocumentTransfer t = {0};
+        update->base_version = cases[i].base_version;
+        document_transfer_begin(&t, kStepUs, 1, update);
+        send_all(&t, kStepUs);
+        document_transfer_report(&t, cases[i].reported);
+        CU_ASSERT_EQUAL(document_transfer_may_begin(&t, 150000),
+                        cases[i].ends);
+        document_transfer_reset(&t);
+        encoded_update_free(update);
+    }
+}
+
+/* The wait for an answer doubles with each repetition up to 4 s, and is back
+ * at its start once the version is confirmed. */
 static void
 repeated_transfers_wait_longer(void)
 {
@@ -149,21 +200,17 @@
                                         4000000, 4000000, 500000};
     EncodedUpdate *update = update_new(9, 100);
     DocumentTransfer t = {0};
-    Sw__DocumentChunk chunk;
     uint64_t now_us = kStepUs;
 
     for (size_t i = 0; i < G_N_ELEMENTS(waits_us); i++) {
         if (i + 1 == G_N_ELEMENTS(waits_us)) {
-            document_transfer_confirmed(&t, 9);
+            document_transfer_report(&t, 9);
             t.version = 8;
         }
         document_transfer_begin(&t, now_us, i + 1, update);
-        while (document_transfer_next(&t, now_us, kLinkBytesPerS, &chunk)) {
-        }
-        CU_ASSERT_EQUAL(document_transfer_in_transit(&t, now_us + waits_us[i]),
-                        9);
-        CU_ASSERT_EQUAL(
-            document_transfer_in_transit(&t, now_us + waits_us[i] + 1), 0);
+        send_all(&t, now_us);
+        CU_ASSERT_FALSE(document_transfer_may_begin(&t, now_us + waits_us[i]));
+        CU_ASSERT(document_transfer_may_begin(&t, now_us + waits_us[i] + 1));
         now_us += waits_us[i] + 1;
     }
     document_transfer_reset(&t);
@@ -201,7 +248,10 @@
         m.offset = cases[i].offset;
         m.data.data = data;
         m.data.len = cases[i].bytes;
-        CU_ASSERT_PTR_NULL(document_receiver_add(&r, 1000, "a", &m));
+        Sw__DocumentUpdate *update = NULL;
+        CU_ASSERT_NOT_EQUAL(document_receiver_add(&r, 1000, "a", &m, &update),
+                            kChunkCompletes);
+        CU_ASSERT_PTR_NULL(update);
     }
     document_receiver_clear(&r);
 }
@@ -239,6 +289,8 @@
                 an_update_arrives_whole_or_not_at_all);
     CU_add_test(s, "transfers follow one another",
                 transfers_follow_one_another);
+    CU_add_test(s, "reports end transfers that are of no use",
+                reports_end_transfers_that_are_of_no_use);
     CU_add_test(s, "repeated transfers wait longer",
                 repeated_transfers_wait_longer);
     CU_add_test(s, "invalid chunks are ignored", invalid_chunks_are_ignored);
