Let one control instance at a time send a configuration

An entry instance that restarted while versions of a large configuration followed each other got none until the storm ended, and an outdated one stayed outdated: refused as an older configuration says, or not served.

Cause: a transfer of a newer version from another control instance replaced the one in progress. The leader and its followers replaced each other's transfers without end. The followers joined in after a second of any storm, as an instance counted as behind since it had first lacked any version.

Now a transfer in progress is replaced by another sender only after it has stalled for a second; a receipt tells the others whose it is, and they wait. A follower helps an instance that makes no progress and receives nothing, in an order of its own for each instance, so that all of them do not send the same text at once.

--- a/src/sapphireweir/fleet/director_documents.c
+++ b/src/sapphireweir/fleet/director_documents.c
@@ -1,16 +1,26 @@
+#include <string.h>
+
+#include "core/hash.h"
 #include "fleet/director_internal.h"
 #include "fleet/document_delta.h"
 
 /* Distribution of the configuration document to entry instances.  The leader
  * sends each version as a delta from the version that the instance has.  The
- * other control instances send it only to an instance that stays behind and
- * receives it from nobody, since the leader may be unreachable from there. */
+ * other control instances send it, one after the other, only to an instance
+ * that makes no progress and receives it from nobody, since the leader may be
+ * unreachable from there. */
 
 enum {
-    /* A third of the time in which a change must reach every instance. */
+    /* How long an instance is stuck before the first control instance other
+     * than the leader helps, and how much later each further one does: all
+     * within the time in which a change must reach every instance. */
     kHelpDelayUs = 1000000,
+    kHelpStepUs = 150000,
     kFirstHelpDelayUs = 300000, /* for an instance without any document */
-    kMaxRecentDocuments = 8,    /* more than are applied between reports */
+    /* An instance that gets a document from another sender is left alone for
+     * so long after it said so; four of its reports. */
+    kIncomingUs = 1000000,
+    kMaxRecentDocuments = 8, /* more than are applied between reports */
     kMaxAppliedDocuments = 256,
     /* An instance without a document for so long is logged: a third of the
      * time in which a change must reach every instance. */
@@ -144,8 +154,17 @@
     document_transfer_skip(&entry->transfer);
 }
 
+/* Returns whether an entry instance receives a document, and not from here. */
+static gboolean
+gets_from_another(const EntryState *entry, uint64_t now_us)
+{
+    return !entry->transfer.open && entry->incoming_version != 0 &&
+           now_us - entry->incoming_seen_us < kIncomingUs;
+}
+
 /* Starts to send the current document to an entry instance, unless the
- * instance has that version or has not answered an earlier transfer. */
+ * instance has that version, receives one from another control instance or has
+ * not answered an earlier transfer. */
 void
 documents_send(Director *d, uint64_t now_us, EntryState *entry)
 {
@@ -153,6 +172,7 @@
 
     if (d->document == NULL ||
         entry->document_version >= d->document_version ||
+        gets_from_another(entry, now_us) ||
         !document_transfer_may_begin(t, now_us) ||
         !consensus_is_current(d->consensus)) {
         return;
@@ -177,20 +197,40 @@
     }
 }
 
-/* Tells whether this control instance should send the document to an entry
- * instance that is behind. */
+/* Returns how many other control instances, the leader excepted, help an entry
+ * instance before this one does. */
+static uint32_t
+help_rank(const Director *d, const EntryState *entry)
+{
+    const GPtrArray *members = consensus_members(d->consensus);
+    const char *leader = consensus_leader(d->consensus);
+    uint64_t seed = hash_text(entry->id, 1);
+    uint64_t own = hash_text(d->id, seed);
+    uint32_t rank = 0;
+
+    for (guint i = 0; i < members->len; i++) {
+        const ConsensusMember *m = g_ptr_array_index(members, i);
+        rank += g_strcmp0(m->id, leader) != 0 && strcmp(m->id, d->id) != 0 &&
+                hash_text(m->id, seed) > own;
+    }
+    return rank;
+}
+
+/* Returns whether this control instance should send the document to an entry
+ * instance that lacks it. */
 static gboolean
 may_send(const Director *d, uint64_t now_us, const EntryState *entry)
 {
-    uint64_t behind_us = now_us - entry->behind_since_us;
+    uint64_t delay_us = entry->document_version == 0
+                            ? (uint64_t)kFirstHelpDelayUs
+                            : (uint64_t)kHelpDelayUs;
 
     if (director_is_leader(d)) {
         return TRUE;
     }
-    return entry->incoming_version < d->document_version &&
-           behind_us > (entry->document_version == 0
-                            ? (uint64_t)kFirstHelpDelayUs
-                            : (uint64_t)kHelpDelayUs);
+    return entry->stuck_since_us != 0 &&
+           now_us - entry->stuck_since_us >
+               delay_us + help_rank(d, entry) * kHelpStepUs;
 }
 
 /* ---- how far entry instances are behind ---- */
@@ -259,20 +299,34 @@
     event_end(&line);
 }
 
-/* Handles the document version in an entry instance's report; sends the
- * current document if the instance is behind. */
+/* Records the versions that an entry instance has and receives. */
+static void
+record_versions(Director *d, uint64_t now_us, EntryState *entry,
+                uint64_t version, uint64_t incoming_version)
+{
+    gboolean progress = version != entry->document_version;
+
+    entry->document_version = version;
+    entry->incoming_version = incoming_version;
+    entry->incoming_seen_us = now_us;
+    if (version >= d->document_version || incoming_version != 0 || progress) {
+        entry->stuck_since_us = 0;
+    }
+    else if (entry->stuck_since_us == 0) {
+        entry->stuck_since_us = now_us;
+    }
+}
+
+/* Handles the versions in an entry instance's report; sends the current
+ * document if the instance lacks it. */
 void
-documents_handle_report(Director *d, uint64_t now_us, EntryState *entry)
+documents_handle_report(Director *d, uint64_t now_us, EntryState *entry,
+                        const Sw__EntryReport *m)
 {
+    record_versions(d, now_us, entry, m->document_version,
+                    m->incoming_version);
     document_transfer_report(&entry->transfer, entry->document_version);
     log_outdated(d, now_us, entry);
-    if (entry->document_version >= d->document_version) {
-        entry->behind_since_us = 0;
-        return;
-    }
-    if (entry->behind_since_us == 0) {
-        entry->behind_since_us = now_us;
-    }
     if (may_send(d, now_us, entry)) {
         documents_send(d, now_us, entry);
     }
@@ -288,7 +342,7 @@
     if (entry == NULL) {
         return;
     }
-    entry->document_version = m->version;
+    record_versions(d, now_us, entry, m->version, m->incoming_version);
     document_transfer_receipt(&entry->transfer, m->transfer, m->version);
     if (director_is_leader(d)) {
         documents_send(d, now_us, entry);
--- a/src/sapphireweir/fleet/director_entries.c
+++ b/src/sapphireweir/fleet/director_entries.c
@@ -66,7 +66,9 @@
     entry->sent_revision = 0;
     document_transfer_reset(&entry->transfer);
     entry->shares_sent_us = 0;
-    entry->behind_since_us = 0;
+    entry->document_version = 0;
+    entry->incoming_version = 0;
+    entry->stuck_since_us = 0;
     return entry;
 }
 
@@ -390,8 +392,6 @@
         g_free(entry->failure_domain);
         entry->failure_domain = g_strdup(m->failure_domain);
     }
-    entry->document_version = m->document_version;
-    entry->incoming_version = m->incoming_version;
     entry->link_bytes_per_s = m->link_bytes_per_s;
     if (m->directory_run != d->run_id) {
         entry->sent_revision = 0;
@@ -399,7 +399,7 @@
     if (entry->sent_revision < d->directory.revision) {
         send_directory(d, entry);
     }
-    documents_handle_report(d, now_us, entry);
+    documents_handle_report(d, now_us, entry, m);
     members_reply(d, entry);
     if (m->sequence <= entry->sequence) {
         return;
--- a/src/sapphireweir/fleet/director_internal.h
+++ b/src/sapphireweir/fleet/director_internal.h
@@ -48,10 +48,13 @@
     uint64_t grant_reported_us; /* when it first reported that grant */
     uint64_t document_version;  /* version that the instance has */
     uint64_t incoming_version;  /* that it receives, zero: none */
+    uint64_t incoming_seen_us;  /* when a report or receipt named that */
     uint64_t link_bytes_per_s;  /* zero: it takes no documents in chunks */
     DocumentTransfer transfer;  /* of a document to it */
-    uint64_t behind_since_us;   /* zero: it has the current document */
-    gboolean outdated;          /* it was logged that a document is late */
+    /* Since when it lacks a document, gets none and makes no progress; zero:
+     * this is not so. */
+    uint64_t stuck_since_us;
+    gboolean outdated; /* it was logged that a document is late */
     /* Directory revision that was last sent, zero: the instance has none of
      * this run. */
     uint64_t sent_revision;
@@ -225,7 +228,8 @@
 void documents_clear(Director *d);
 void documents_send(Director *d, uint64_t now_us, EntryState *entry);
 void documents_tick(Director *d, uint64_t now_us, EntryState *entry);
-void documents_handle_report(Director *d, uint64_t now_us, EntryState *entry);
+void documents_handle_report(Director *d, uint64_t now_us, EntryState *entry,
+                             const Sw__EntryReport *m);
 void documents_handle_receipt(Director *d, uint64_t now_us, const char *from,
                               const Sw__DocumentReceipt *m);
 uint64_t documents_lag_us(const Director *d, uint64_t now_us,
--- a/src/sapphireweir/fleet/document_transfer.c
+++ b/src/sapphireweir/fleet/document_transfer.c
@@ -223,15 +223,17 @@
                : 0;
 }
 
-/* Starts to receive the transfer of a first chunk, unless a transfer of the
- * same or a newer version from another instance is in progress. */
+/* Starts to receive the transfer of a first chunk, unless a transfer from
+ * another instance is in progress.  One of a newer version must not replace
+ * it: two senders that follow a storm of versions would replace each other's
+ * transfers, and none would end. */
 static void
 receiver_begin(DocumentReceiver *r, uint64_t now_us, const char *from,
                const Sw__DocumentChunk *m)
 {
     gboolean same_sender = g_strcmp0(r->from, from) == 0;
 
-    if (!same_sender && document_receiver_version(r, now_us) >= m->version) {
+    if (!same_sender && document_receiver_version(r, now_us) != 0) {
         return;
     }
     document_receiver_clear(r);
--- a/src/sapphireweir/gateway/gateway_control.c
+++ b/src/sapphireweir/gateway/gateway_control.c
@@ -208,13 +208,14 @@
 /* Answers a transfer of the configuration: it was applied, or cannot be
  * used. */
 static void
-send_receipt(Gateway *g, const char *to, uint64_t transfer)
+send_receipt(Gateway *g, uint64_t now_us, const char *to, uint64_t transfer)
 {
     Sw__Frame frame = SW__FRAME__INIT;
     Sw__DocumentReceipt m = SW__DOCUMENT_RECEIPT__INIT;
 
     m.transfer = transfer;
     m.version = gateway_version(g);
+    m.incoming_version = document_receiver_version(&g->receiver, now_us);
     frame.body_case = SW__FRAME__BODY_DOCUMENT_RECEIPT;
     frame.document_receipt = &m;
     g->port.peer_send(g->port.ctx, to, &frame);
@@ -240,7 +241,7 @@
         sw__document_update__free_unpacked(update, NULL);
     }
     if (result != kChunkAwaitsMore) {
-        send_receipt(g, from, m->transfer);
+        send_receipt(g, now_us, from, m->transfer);
     }
 }
 
--- a/src/sapphireweir/proto/sapphireweir.pb-c.c
+++ b/src/sapphireweir/proto/sapphireweir.pb-c.c
@@ -5866,7 +5866,7 @@
   (ProtobufCMessageInit) sw__document_chunk__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sw__document_receipt__field_descriptors[2] =
+static const ProtobufCFieldDescriptor sw__document_receipt__field_descriptors[3] =
 {
   {
     "transfer",
@@ -5892,15 +5892,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "incoming_version",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__DocumentReceipt, incoming_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sw__document_receipt__field_indices_by_name[] = {
+  2,   /* field[2] = incoming_version */
   0,   /* field[0] = transfer */
   1,   /* field[1] = version */
 };
 static const ProtobufCIntRange sw__document_receipt__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor sw__document_receipt__descriptor =
 {
@@ -5910,7 +5923,7 @@
   "Sw__DocumentReceipt",
   "sw",
   sizeof(Sw__DocumentReceipt),
-  2,
+  3,
   sw__document_receipt__field_descriptors,
   sw__document_receipt__field_indices_by_name,
   1,  sw__document_receipt__number_ranges,
--- a/src/sapphireweir/proto/sapphireweir.pb-c.h
+++ b/src/sapphireweir/proto/sapphireweir.pb-c.h
@@ -955,10 +955,14 @@
    * Version that is in force at the receiver.
    */
   uint64_t version;
+  /*
+   * Version that the receiver gets from another sender, zero: none.
+   */
+  uint64_t incoming_version;
 };
 #define SW__DOCUMENT_RECEIPT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sw__document_receipt__descriptor) \
-    , 0, 0 }
+    , 0, 0, 0 }
 
 
 /*
--- a/test/unit/test_document_transfer.c
+++ b/test/unit/test_document_transfer.c
@@ -217,6 +217,45 @@
     encoded_update_free(update);
 }
 
+/* The first chunk of another transfer arrives while one is in progress: only
+ * the same sender may replace it, whatever the versions, until it stalls. */
+static void
+a_transfer_is_not_replaced_by_another_sender(void)
+{
+    static uint8_t data[64];
+    static const struct {
+        const char *from;
+        uint64_t version;
+        uint64_t after_us;
+        uint64_t received; /* version that is received then */
+    } cases[] = {
+        {"b", 4, 300000, 5},  {"b", 5, 300000, 5},  {"b", 6, 300000, 5},
+        {"a", 6, 300000, 6},  {"b", 6, 1000000, 6}, {"b", 4, 1000000, 4},
+        {"a", 6, 1000000, 6},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        DocumentReceiver r = {0};
+        Sw__DocumentUpdate *update = NULL;
+        Sw__DocumentChunk m = SW__DOCUMENT_CHUNK__INIT;
+        m.transfer = 1;
+        m.version = 5;
+        m.total_bytes = 1000;
+        m.update_bytes = 1000;
+        m.data.data = data;
+        m.data.len = sizeof(data);
+        CU_ASSERT_EQUAL(document_receiver_add(&r, kStepUs, "a", &m, &update),
+                        kChunkAwaitsMore);
+        m.transfer = 2;
+        m.version = cases[i].version;
+        uint64_t now_us = kStepUs + cases[i].after_us;
+        document_receiver_add(&r, now_us, cases[i].from, &m, &update);
+        CU_ASSERT_EQUAL(document_receiver_version(&r, now_us),
+                        cases[i].received);
+        document_receiver_clear(&r);
+    }
+}
+
 /* Chunks that no sender of ours produces name sizes that do not fit. */
 static void
 invalid_chunks_are_ignored(void)
@@ -293,6 +332,8 @@
                 reports_end_transfers_that_are_of_no_use);
     CU_add_test(s, "repeated transfers wait longer",
                 repeated_transfers_wait_longer);
+    CU_add_test(s, "a transfer is not replaced by another sender",
+                a_transfer_is_not_replaced_by_another_sender);
     CU_add_test(s, "invalid chunks are ignored", invalid_chunks_are_ignored);
     CU_add_test(s, "frames are counted by kind", frames_are_counted_by_kind);
 }
--- a/test/unit/test_fleet_sim.c
+++ b/test/unit/test_fleet_sim.c
@@ -805,6 +805,38 @@
     }
 }
 
+/* An entry instance restarts while versions of a large configuration follow
+ * each other faster than one is transferred.  Several control instances may
+ * send it one; it must have its first one within 3 s. */
+static void
+an_instance_that_starts_in_a_storm_gets_a_configuration(void)
+{
+    enum { kLinkBytesPerS = 250000, kRoutes = 2500, kMaxWaitMs = 3000 };
+    static const uint32_t gaps_ms[] = {60, 150, 330};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(gaps_ms); i++) {
+        FleetSim *sim = fleet_sim_new((uint32_t)i + 1);
+        fleet_sim_set_link_bandwidth(sim, kLinkBytesPerS);
+        fleet_sim_add_routes(sim, kRoutes);
+        fleet_sim_run(sim, 6000);
+        uint32_t waited_ms = 0;
+        for (uint32_t ms = 0; ms < 6000; ms += gaps_ms[i]) {
+            if (ms < 1000 && ms + gaps_ms[i] >= 1000) {
+                fleet_sim_restart_entry(sim, 2);
+            }
+            fleet_sim_configure(sim, 1000 + ms, TRUE);
+            fleet_sim_run(sim, gaps_ms[i]);
+            waited_ms += fleet_sim_oldest_version(sim) == 0 ? gaps_ms[i] : 0;
+        }
+        if (waited_ms > kMaxWaitMs) {
+            g_print("\nnone after %u ms, a version each %u ms\n", waited_ms,
+                    gaps_ms[i]);
+        }
+        CU_ASSERT(waited_ms <= kMaxWaitMs);
+        fleet_sim_free(sim);
+    }
+}
+
 /* A control instance joins that takes 0.2 s for each frame, while the log has
  * 14 large documents and the leader starts a round for each report.  The
  * instance gets each entry once; half as much again is allowed for the
@@ -965,6 +997,8 @@
                 large_configurations_leave_links_to_callers);
     CU_add_test(s, "a storm of versions reaches every instance in time",
                 a_storm_of_versions_reaches_every_instance_in_time);
+    CU_add_test(s, "an instance that starts in a storm gets a configuration",
+                an_instance_that_starts_in_a_storm_gets_a_configuration);
     CU_add_test(s, "a slow instance gets the log once",
                 a_slow_instance_gets_the_log_once);
     CU_add_test(s, "one half of an even group leads",
