Space the versions of a large configuration by its size

During a storm of versions callers of every instance were served late or not at all, and updates were taken late.

Cause: an entry instance decodes the whole document for each version it gets, 7 ms on a whole core for 800 routes, which is 60 ms with 0.12 of a core. Ten a second take more than half of it.

The interval between two transfers to an instance now grows with the document: 0.1 s and 2 us a byte, 1 s at most. Versions in between are sent together, so each is in force within the interval and a transfer.

Evidence: 'a storm of versions leaves processor time to callers' failed before (1.68 MB a second decoded by each instance, bound 0.75 MB, a quarter of the processor) and passes.

--- a/src/sapphireweir/fleet/director_documents.c
+++ b/src/sapphireweir/fleet/director_documents.c
@@ -178,7 +178,8 @@
         return;
     }
     document_transfer_begin(t, now_us, ++d->last_transfer,
-                            encoded_update_from(d, entry->document_version));
+                            encoded_update_from(d, entry->document_version),
+                            g_bytes_get_size(d->document));
     if (entry->link_bytes_per_s == 0) {
         send_single_frame(d, entry);
         return;
--- a/src/sapphireweir/fleet/document_transfer.c
+++ b/src/sapphireweir/fleet/document_transfer.c
@@ -21,9 +21,12 @@
     kChunkBytes = 4096,
     kLinkParts = 4, /* a transfer uses 1 / parts of the receiver's link */
     kMinBytesPerS = 16384,
-    /* Minimum time between the starts of two transfers: a storm of versions
-     * costs each instance a bounded number of updates. */
+    /* Minimum time between the starts of two transfers, and what each byte of
+     * the document adds to it: the receiver decodes all of them, at 0.04 us a
+     * byte on a whole core, and the smallest instances have 0.12 of one. */
     kMinIntervalUs = 100000,
+    kIntervalUsPerByte = 2,
+    kMaxIntervalUs = 1000000,
     /* Wait for the receiver's answer before an update is sent again; doubles
      * on each repetition. */
     kResendFirstUs = 500000,
@@ -86,7 +89,7 @@
 /* ---- sending ---- */
 
 /* Tells whether a transfer may begin: none is open, or the answer to the open
- * one is overdue, and the last one began kMinIntervalUs ago or earlier. */
+ * one is overdue, and the minimum interval since the last one has passed. */
 gboolean
 document_transfer_may_begin(const DocumentTransfer *t, uint64_t now_us)
 {
@@ -95,12 +98,14 @@
     return (!t->open || overdue) && now_us >= t->next_begin_us;
 }
 
-/* Begins the transfer of an update.  id must differ from those of all other
- * transfers of this process. */
+/* Begins the transfer of an update to a document of this size.  id must differ
+ * from those of all other transfers of this process. */
 void
 document_transfer_begin(DocumentTransfer *t, uint64_t now_us, uint64_t id,
-                        const EncodedUpdate *update)
+                        const EncodedUpdate *update, size_t document_bytes)
 {
+    uint64_t interval_us =
+        kMinIntervalUs + (uint64_t)document_bytes * kIntervalUsPerByte;
     gboolean repeated = t->version == update->version;
 
     t->resend_wait_us =
@@ -114,7 +119,7 @@
     t->update_bytes = update->update_bytes;
     t->offset = 0;
     t->next_due_us = now_us;
-    t->next_begin_us = now_us + kMinIntervalUs;
+    t->next_begin_us = now_us + MIN(interval_us, (uint64_t)kMaxIntervalUs);
 }
 
 /* Fills in the next chunk, if one is due now, for a receiver with a link of
--- a/src/sapphireweir/fleet/document_transfer.h
+++ b/src/sapphireweir/fleet/document_transfer.h
@@ -36,7 +36,8 @@
 gboolean document_transfer_may_begin(const DocumentTransfer *t,
                                      uint64_t now_us);
 void document_transfer_begin(DocumentTransfer *t, uint64_t now_us, uint64_t id,
-                             const EncodedUpdate *update);
+                             const EncodedUpdate *update,
+                             size_t document_bytes);
 gboolean document_transfer_next(DocumentTransfer *t, uint64_t now_us,
                                 uint64_t link_bytes_per_s,
                                 Sw__DocumentChunk *out);
--- a/test/support/fleet_sim.c
+++ b/test/support/fleet_sim.c
@@ -1220,6 +1220,25 @@
     return d;
 }
 
+/* Bytes of documents that the entry instances of all simulations decoded.  A
+ * global, since the decoder gets no context. */
+static uint64_t entry_decoded_bytes;
+
+/* Decodes a document for an entry instance. */
+static Document *
+entry_decode(const uint8_t *text, size_t bytes)
+{
+    entry_decoded_bytes += bytes;
+    return decode(text, bytes);
+}
+
+/* Returns the bytes of documents that entry instances have decoded so far. */
+uint64_t
+fleet_sim_decoded_bytes(void)
+{
+    return entry_decoded_bytes;
+}
+
 /* Starts a control instance; on the first start, all control instances are the
  * initial members of the consensus group. */
 static void
@@ -1764,7 +1783,7 @@
         .server_drain_us = kDrainMs * kUsPerMs,
         .link_bytes_per_s = sim->link_bytes_per_s != 0 ? sim->link_bytes_per_s
                                                        : kUnlimitedBytesPerS,
-        .decode = decode};
+        .decode = entry_decode};
     GatewayPort port = {.ctx = e,
                         .caller_answer = port_caller_answer,
                         .caller_close = port_caller_close,
--- a/test/unit/test_document_transfer.c
+++ b/test/unit/test_document_transfer.c
@@ -55,7 +55,7 @@
     uint64_t now_us = kStepUs;
     guint number = 0;
 
-    document_transfer_begin(&t, now_us, 3, update);
+    document_transfer_begin(&t, now_us, 3, update, 0);
     while (t.packed != NULL && received == NULL) {
         while (document_transfer_next(&t, now_us, kLinkBytesPerS, &chunk)) {
             gboolean faulty = ++number == 3;
@@ -142,7 +142,7 @@
     Sw__DocumentChunk chunk;
 
     CU_ASSERT(document_transfer_may_begin(&t, 1000));
-    document_transfer_begin(&t, 1000, 1, small);
+    document_transfer_begin(&t, 1000, 1, small, 0);
     CU_ASSERT(document_transfer_next(&t, 1000, kLinkBytesPerS, &chunk));
     CU_ASSERT_FALSE(document_transfer_next(&t, 1000, kLinkBytesPerS, &chunk));
     CU_ASSERT_FALSE(document_transfer_may_begin(&t, 50000));
@@ -150,14 +150,16 @@
     document_transfer_receipt(&t, 1, 1);
     CU_ASSERT_FALSE(document_transfer_may_begin(&t, 100999));
     CU_ASSERT(document_transfer_may_begin(&t, 101000));
-    document_transfer_begin(&t, 101000, 2, large);
+    document_transfer_begin(&t, 101000, 2, large, kTextBytes);
     CU_ASSERT(document_transfer_next(&t, 101000, kLinkBytesPerS, &chunk));
     document_transfer_receipt(&t, 1, 1);
     CU_ASSERT_FALSE(document_transfer_may_begin(&t, 300000));
     CU_ASSERT_FALSE(document_transfer_may_begin(&t, 3000000));
     document_transfer_receipt(&t, 2, 1);
-    CU_ASSERT(document_transfer_may_begin(&t, 300000));
     CU_ASSERT_PTR_NULL(t.packed);
+    /* A larger document may not be sent again so soon. */
+    CU_ASSERT_FALSE(document_transfer_may_begin(&t, 200999 + 2 * kTextBytes));
+    CU_ASSERT(document_transfer_may_begin(&t, 201000 + 2 * kTextBytes));
     document_transfer_reset(&t);
     encoded_update_free(small);
     encoded_update_free(large);
@@ -181,7 +183,7 @@
         EncodedUpdate *update = update_new(9, kTextBytes);
         DocumentTransfer t = {0};
         update->base_version = cases[i].base_version;
-        document_transfer_begin(&t, kStepUs, 1, update);
+        document_transfer_begin(&t, kStepUs, 1, update, 0);
         send_all(&t, kStepUs);
         document_transfer_report(&t, cases[i].reported);
         CU_ASSERT_EQUAL(document_transfer_may_begin(&t, 150000),
@@ -207,7 +209,7 @@
             document_transfer_report(&t, 9);
             t.version = 8;
         }
-        document_transfer_begin(&t, now_us, i + 1, update);
+        document_transfer_begin(&t, now_us, i + 1, update, 0);
         send_all(&t, now_us);
         CU_ASSERT_FALSE(document_transfer_may_begin(&t, now_us + waits_us[i]));
         CU_ASSERT(document_transfer_may_begin(&t, now_us + waits_us[i] + 1));
--- a/test/unit/test_fleet_sim.c
+++ b/test/unit/test_fleet_sim.c
@@ -805,6 +805,31 @@
     }
 }
 
+/* An entry instance decodes each version that it gets, about 25 MB a second on
+ * a whole core.  Versions of a large configuration may take at most a quarter
+ * of the smallest instance's share of a core, 0.12. */
+static void
+a_storm_of_versions_leaves_processor_time_to_callers(void)
+{
+    enum { kRoutes = 800, kSeconds = 8, kMaxBytesPerS = 750000 };
+    FleetSim *sim = fleet_sim_new(2);
+
+    fleet_sim_add_routes(sim, kRoutes);
+    fleet_sim_run(sim, 3000);
+    uint64_t before = fleet_sim_decoded_bytes();
+    for (uint32_t ms = 0; ms < kSeconds * 1000; ms += 60) {
+        fleet_sim_configure(sim, 1000 + ms, TRUE);
+        fleet_sim_run(sim, 60);
+    }
+    uint64_t bytes_per_s =
+        (fleet_sim_decoded_bytes() - before) / kSeconds / kFleetSimEntries;
+    if (bytes_per_s > kMaxBytesPerS) {
+        g_print("\n%lu bytes a second\n", bytes_per_s);
+    }
+    CU_ASSERT(bytes_per_s <= kMaxBytesPerS);
+    fleet_sim_free(sim);
+}
+
 /* An entry instance restarts while versions of a large configuration follow
  * each other faster than one is transferred.  Several control instances may
  * send it one; it must have its first one within 3 s. */
@@ -997,6 +1022,8 @@
                 large_configurations_leave_links_to_callers);
     CU_add_test(s, "a storm of versions reaches every instance in time",
                 a_storm_of_versions_reaches_every_instance_in_time);
+    CU_add_test(s, "a storm of versions leaves processor time to callers",
+                a_storm_of_versions_leaves_processor_time_to_callers);
     CU_add_test(s, "an instance that starts in a storm gets a configuration",
                 an_instance_that_starts_in_a_storm_gets_a_configuration);
     CU_add_test(s, "a slow instance gets the log once",
