--- a/src/sapphireweir/core/consensus.c
+++ b/src/sapphireweir/core/consensus.c
@@ -273,7 +273,7 @@
 }
 
 /* Queues the latest snapshot, unless one was sent within
- * kSnapshotResendIntervalUs and has no reply yet. */
+ * kSnapshotResendIntervalUs and is not confirmed yet. */
 static void
 send_snapshot(Consensus *c, uint64_t now_us, const char *to, Progress *p)
 {
@@ -285,6 +285,7 @@
         return;
     }
     p->snapshot_sent_us = now_us;
+    p->snapshot_sent_index = c->snapshot_index;
     m.prev_index = c->snapshot_index;
     m.prev_term = c->snapshot_term;
     m.round = c->round;
@@ -594,7 +595,10 @@
     }
     p->acked_us = now_us;
     p->acked_round = MAX(p->acked_round, m->round);
-    p->snapshot_sent_us = 0;
+    /* Replies to earlier rounds arrive while the snapshot is in transit. */
+    if (m->granted && m->match_index >= p->snapshot_sent_index) {
+        p->snapshot_sent_us = 0;
+    }
     if (m->granted) {
         p->match_index = MAX(p->match_index, m->match_index);
         p->next_index = MAX(p->next_index, p->match_index + 1);
--- a/src/sapphireweir/core/consensus_internal.h
+++ b/src/sapphireweir/core/consensus_internal.h
@@ -18,11 +18,14 @@
 
 /* The leader's replication state of one member. */
 typedef struct {
-    uint64_t next_index;       /* next entry to send */
-    uint64_t match_index;      /* last entry that the member confirmed */
-    uint64_t acked_round;      /* latest round that the member confirmed */
-    uint64_t acked_us;         /* time of its last reply */
-    uint64_t snapshot_sent_us; /* zero: none since its last reply */
+    uint64_t next_index;  /* next entry to send */
+    uint64_t match_index; /* last entry that the member confirmed */
+    uint64_t acked_round; /* latest round that the member confirmed */
+    uint64_t acked_us;    /* time of its last reply */
+    /* The last snapshot that was sent: its index and when, zero: none, or it
+     * was confirmed. */
+    uint64_t snapshot_sent_index;
+    uint64_t snapshot_sent_us;
     /* The last append with entries: index of its last entry, size of their
      * commands, and when it was sent. */
     uint64_t sent_index;
--- a/test/unit/test_fleet_sim.c
+++ b/test/unit/test_fleet_sim.c
@@ -897,6 +897,39 @@
     fleet_sim_free(sim);
 }
 
+/* A control instance joins that takes 0.4 s for each frame, and the others no
+ * longer have the first entries of the log.  It gets the snapshot once, though
+ * it answers earlier rounds meanwhile; as much again is allowed for the
+ * entries after the snapshot and the others' messages. */
+static void
+a_slow_instance_gets_the_snapshot_once(void)
+{
+    enum { kVersions = 1000, kRoutes = 800 };
+    FleetSim *sim = fleet_sim_new(4);
+
+    for (uint32_t i = 0; i < kVersions; i++) {
+        fleet_sim_configure(sim, 1000 + i, TRUE);
+        fleet_sim_run(sim, 10);
+    }
+    fleet_sim_add_routes(sim, kRoutes);
+    fleet_sim_run(sim, 4000);
+    const Traffic *t = fleet_sim_traffic(sim);
+    uint64_t before = t->bytes[SW__FRAME__BODY_CONSENSUS];
+    uint64_t snapshot_bytes = strlen(fleet_sim_sent_document(sim)) + 1;
+    fleet_sim_delay_control(sim, kFleetSimControls - 1, 400);
+    fleet_sim_add_control(sim);
+    fleet_sim_run(sim, 6000);
+    uint64_t sent = t->bytes[SW__FRAME__BODY_CONSENSUS] - before;
+    if (sent > snapshot_bytes * 2) {
+        g_print("\n%lu bytes for a snapshot of %lu\n", sent, snapshot_bytes);
+    }
+    CU_ASSERT(sent <= snapshot_bytes * 2);
+    fleet_sim_read_document(sim, kFleetSimControls - 1);
+    fleet_sim_run(sim, 1000);
+    CU_ASSERT_PTR_NOT_NULL(fleet_sim_last_read(sim));
+    fleet_sim_free(sim);
+}
+
 /* Four control instances are divided into halves of two for five seconds, in
  * each of the three ways; everything else reaches both halves.  One half must
  * go on leading: the longest time without an acknowledged write is bounded as
@@ -1028,6 +1061,8 @@
                 an_instance_that_starts_in_a_storm_gets_a_configuration);
     CU_add_test(s, "a slow instance gets the log once",
                 a_slow_instance_gets_the_log_once);
+    CU_add_test(s, "a slow instance gets the snapshot once",
+                a_slow_instance_gets_the_snapshot_once);
     CU_add_test(s, "one half of an even group leads",
                 one_half_of_an_even_group_leads);
     CU_add_test(s, "reads of the document stay local",
