Bound the replicated log by bytes, not only by entries

After some hundred changes of a configuration of 800 routes it would reach 90 MB: the disk of the smallest control instances, 128 MB, must hold it twice while it is rewritten, every 64 changes, and the leader waits for the disk meanwhile, longer than its followers wait for it. A full disk ends the process; what was acknowledged is then read back late or not at all.

Evidence: 'the log of many large versions stays small' failed before (49.9 MB after 300 versions, bound 32 MB) and passes, 4.6 MB at most. 108 unit tests pass.

--- a/src/sapphireweir/core/consensus_internal.h
+++ b/src/sapphireweir/core/consensus_internal.h
@@ -63,6 +63,7 @@
     uint64_t snapshot_index;
     uint64_t snapshot_term;
     GBytes *snapshot;
+    size_t bytes_after_snapshot; /* size of the entries applied since it */
 
     GPtrArray *members;              /* ConsensusMember, current list */
     uint64_t members_index;          /* log index of that list */
--- a/src/sapphireweir/core/consensus_log.c
+++ b/src/sapphireweir/core/consensus_log.c
@@ -7,10 +7,17 @@
 /* The log of one control instance: its entries, their storage, snapshots, and
  * the application of committed entries. */
 
-/* Number of entries that stay in the log although the snapshot includes them,
- * so that a member that is slightly behind gets entries instead of the
- * snapshot. */
-enum { kEntriesKeptBeforeSnapshot = 512 };
+enum {
+    /* Entries that stay in the log although the snapshot includes them, so
+     * that a member that is slightly behind gets entries instead of the
+     * snapshot: at most so many, and at most so many bytes.  The log is
+     * rewritten with each snapshot while the leader waits for the disk. */
+    kEntriesKeptBeforeSnapshot = 512,
+    kBytesKeptBeforeSnapshot = 2 << 20,
+    /* Size of the entries after which a snapshot is written, even if they are
+     * fewer than snapshot_interval_entries. */
+    kSnapshotIntervalBytes = 8 << 20,
+};
 
 /* Creates a log entry; takes ownership of the reference to command. */
 ConsensusEntry *
@@ -209,6 +216,7 @@
     c->snapshot = g_bytes_ref(snapshot);
     c->snapshot_index = index;
     c->snapshot_term = term;
+    c->bytes_after_snapshot = 0;
 }
 
 /* Applies all committed entries that are not applied yet. */
@@ -225,37 +233,59 @@
             continue;
         }
         size_t size = g_bytes_get_size(e->command);
+        c->bytes_after_snapshot += size;
         GBytes *body = g_bytes_new_from_bytes(e->command, 1, size - 1);
         c->port.apply(c->port.ctx, now_us, e->index, e->term, body);
         g_bytes_unref(body);
     }
 }
 
-/* Discards entries that the snapshot includes, except the last
- * kEntriesKeptBeforeSnapshot of them. */
+/* Returns the index after which entries stay in the log although the snapshot
+ * includes them. */
+static uint64_t
+keep_entries_after(const Consensus *c)
+{
+    uint64_t index = c->snapshot_index;
+    size_t bytes = 0;
+
+    while (index > c->offset &&
+           c->snapshot_index - index < kEntriesKeptBeforeSnapshot) {
+        bytes += g_bytes_get_size(consensus_log_entry(c, index)->command);
+        if (bytes > kBytesKeptBeforeSnapshot) {
+            break;
+        }
+        index--;
+    }
+    return index;
+}
+
+/* Discards entries that the snapshot includes, except the last ones. */
 static void
 drop_entries_before_snapshot(Consensus *c)
 {
-    if (c->snapshot_index <= c->offset + kEntriesKeptBeforeSnapshot) {
+    uint64_t keep_after = keep_entries_after(c);
+    uint64_t term = 0;
+
+    if (keep_after <= c->offset) {
         return;
     }
-    uint64_t keep_after = c->snapshot_index - kEntriesKeptBeforeSnapshot;
-    uint64_t term = 0;
     consensus_log_term(c, keep_after, &term);
     g_ptr_array_remove_range(c->entries, 0, (guint)(keep_after - c->offset));
     c->offset = keep_after;
     c->offset_term = term;
 }
 
-/* Writes a snapshot if at least snapshot_interval_entries entries have been
- * applied since the last one. */
+/* Writes a snapshot if snapshot_interval_entries entries, or entries of
+ * kSnapshotIntervalBytes, have been applied since the last one. */
 void
 consensus_snapshot_if_needed(Consensus *c)
 {
     uint64_t term = 0;
-    if (c->applied_index - c->snapshot_index <
-            c->timing.snapshot_interval_entries ||
-        !consensus_log_term(c, c->applied_index, &term)) {
+    gboolean due = c->applied_index - c->snapshot_index >=
+                       c->timing.snapshot_interval_entries ||
+                   c->bytes_after_snapshot >= kSnapshotIntervalBytes;
+
+    if (!due || !consensus_log_term(c, c->applied_index, &term)) {
         return;
     }
     if (c->members_index <= c->applied_index) {
--- a/test/support/fleet_sim.c
+++ b/test/support/fleet_sim.c
@@ -1742,6 +1742,25 @@
     return oldest;
 }
 
+/* Returns the size of the largest log of a control instance, without its
+ * snapshot. */
+uint64_t
+fleet_sim_largest_log(const FleetSim *sim)
+{
+    uint64_t largest = 0;
+
+    for (uint32_t i = 0; i < kFleetSimControls; i++) {
+        const GPtrArray *entries = sim->controls[i].saved.entries;
+        uint64_t bytes = 0;
+        for (guint k = 0; k < entries->len; k++) {
+            const ConsensusEntry *e = g_ptr_array_index(entries, k);
+            bytes += g_bytes_get_size(e->command);
+        }
+        largest = MAX(largest, bytes);
+    }
+    return largest;
+}
+
 /* Returns how many times the entry instances' current runs have lost their
  * lease. */
 uint64_t
--- a/test/unit/test_fleet_sim.c
+++ b/test/unit/test_fleet_sim.c
@@ -930,6 +930,30 @@
     fleet_sim_free(sim);
 }
 
+/* Hundreds of versions of a large configuration.  The smallest disk of a
+ * control instance has 128 MB, which must hold the log, its next version while
+ * it is rewritten, and two snapshots; and rewriting the log must not take
+ * longer than a follower waits for the leader, 0.3 s at 120 MB a second. */
+static void
+the_log_of_many_large_versions_stays_small(void)
+{
+    enum { kVersions = 300, kRoutes = 800, kMaxBytes = 32 << 20 };
+    FleetSim *sim = fleet_sim_new(9);
+    uint64_t largest = 0;
+
+    fleet_sim_add_routes(sim, kRoutes);
+    for (uint32_t i = 0; i < kVersions; i++) {
+        fleet_sim_configure(sim, 1000 + i, TRUE);
+        fleet_sim_run(sim, 60);
+        largest = MAX(largest, fleet_sim_largest_log(sim));
+    }
+    if (largest > kMaxBytes) {
+        g_print("\n%lu bytes\n", largest);
+    }
+    CU_ASSERT(largest <= kMaxBytes);
+    fleet_sim_free(sim);
+}
+
 /* Four control instances are divided into halves of two for five seconds, in
  * each of the three ways; everything else reaches both halves.  One half must
  * go on leading: the longest time without an acknowledged write is bounded as
@@ -1063,6 +1087,8 @@
                 a_slow_instance_gets_the_log_once);
     CU_add_test(s, "a slow instance gets the snapshot once",
                 a_slow_instance_gets_the_snapshot_once);
+    CU_add_test(s, "the log of many large versions stays small",
+                the_log_of_many_large_versions_stays_small);
     CU_add_test(s, "one half of an even group leads",
                 one_half_of_an_even_group_leads);
     CU_add_test(s, "reads of the document stay local",
