Keep the versions that instances have as bases of updates

A change of a configuration of 5,000 routes was in force after 3.4 s while others followed it (bound 3 s): instances of that size take a version a second, and the version that they had was no longer kept, as only the last eight are, so that each of them got the whole document again and again.

Versions that entry instances have are now kept as well, all together up to 16 MB.

Evidence: the case 'largest configuration' of 'a storm of versions reaches every instance in time' failed before (3,377 ms) and passes (1,674 ms, the first transfer of the 5,000 routes). 108 unit tests pass.

--- a/src/sapphireweir/fleet/director_documents.c
+++ b/src/sapphireweir/fleet/director_documents.c
@@ -20,7 +20,10 @@
     /* An instance that gets a document from another sender is left alone for
      * so long after it said so; four of its reports. */
     kIncomingUs = 1000000,
-    kMaxRecentDocuments = 8, /* more than are applied between reports */
+    /* Versions that are kept as the base of deltas: the last ones, and those
+     * that entry instances have, together at most so many bytes. */
+    kRecentDocuments = 8,
+    kMaxRecentBytes = 16 << 20,
     kMaxAppliedDocuments = 256,
     /* An instance without a document for so long is logged: a third of the
      * time in which a change must reach every instance. */
@@ -36,6 +39,47 @@
     g_free(p);
 }
 
+/* Returns the set of versions that entry instances have; the caller destroys
+ * it. */
+static GHashTable *
+versions_in_use(const Director *d)
+{
+    GHashTable *versions = g_hash_table_new(g_int64_hash, g_int64_equal);
+    GHashTableIter it;
+    void *value;
+
+    g_hash_table_iter_init(&it, d->entries);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        g_hash_table_add(versions, &((EntryState *)value)->document_version);
+    }
+    return versions;
+}
+
+/* Discards versions that are neither recent nor in use, and the oldest ones if
+ * all of them together are too large. */
+static void
+discard_documents(Director *d)
+{
+    GPtrArray *kept = d->recent_documents;
+    GHashTable *in_use = versions_in_use(d);
+    guint recent_from =
+        kept->len > kRecentDocuments ? kept->len - kRecentDocuments : 0;
+    size_t bytes = 0;
+
+    for (guint i = kept->len; i > 0; i--) {
+        const PastDocument *p = g_ptr_array_index(kept, i - 1);
+        size_t size = g_bytes_get_size(p->text);
+        if ((i <= recent_from &&
+             !g_hash_table_contains(in_use, &p->version)) ||
+            bytes + size > kMaxRecentBytes) {
+            g_ptr_array_remove_index(kept, i - 1);
+            continue;
+        }
+        bytes += size;
+    }
+    g_hash_table_destroy(in_use);
+}
+
 /* Keeps the version that was just applied as a base for later deltas and
  * discards the updates to the former version. */
 void
@@ -62,9 +106,7 @@
     p->version = d->document_version;
     p->text = g_bytes_ref(d->document);
     g_ptr_array_add(d->recent_documents, p);
-    if (d->recent_documents->len > kMaxRecentDocuments) {
-        g_ptr_array_remove_index(d->recent_documents, 0);
-    }
+    discard_documents(d);
 }
 
 /* Frees all kept versions. */
--- a/test/unit/test_fleet_sim.c
+++ b/test/unit/test_fleet_sim.c
@@ -769,6 +769,7 @@
         gboolean entry_restarts;
     } cases[] = {
         {"large configuration", 800, 60, FALSE, FALSE},
+        {"largest configuration", 5000, 60, FALSE, FALSE},
         {"leader crashes", 800, 40, TRUE, FALSE},
         {"entry instance restarts", 800, 330, FALSE, TRUE},
         {"small configuration, leader crashes", 0, 40, TRUE, FALSE},
