Decode a configuration on control instances only when it is needed

During a storm of versions of a large configuration the control leader's processor was busy with decoding: every control instance decoded each version as it applied it, 7 ms on a whole core for 800 routes. Late leases and tokens are what callers see of it, and late votes.

Only the leader uses the document in parsed form, for rates and changes of a primary. It is now decoded on demand; for rates an earlier version serves for the interval between two transfers, unless a team is new.

--- a/src/sapphireweir/fleet/director.c
+++ b/src/sapphireweir/fleet/director.c
@@ -26,8 +26,6 @@
     d->document_version = m->version;
     g_clear_pointer(&d->document, g_bytes_unref);
     d->document = g_bytes_new(m->text.data, m->text.len);
-    document_unref(d->decoded_document);
-    d->decoded_document = d->config.decode(m->text.data, m->text.len);
     documents_add_applied(d, now_us);
 }
 
--- a/src/sapphireweir/fleet/director_documents.c
+++ b/src/sapphireweir/fleet/director_documents.c
@@ -109,6 +109,43 @@
     discard_documents(d);
 }
 
+/* ---- the document in parsed form ---- */
+
+/* Returns the current document in parsed form, or NULL if there is none or it
+ * cannot be decoded.  The director owns it; it stays valid until the next call
+ * of this or of documents_decoded. */
+const Document *
+documents_current(Director *d)
+{
+    size_t bytes;
+
+    if (d->decoded_version != d->document_version && d->document != NULL) {
+        const uint8_t *text = g_bytes_get_data(d->document, &bytes);
+        document_unref(d->decoded_document);
+        d->decoded_document = d->config.decode(text, bytes);
+        d->decoded_version = d->document_version;
+    }
+    return d->decoded_document;
+}
+
+/* Returns the document in parsed form as documents_current does, but during a
+ * storm of versions possibly an earlier one: decoding each would take a large
+ * part of the processor.  An earlier one is at most as old as the interval
+ * between two transfers of a document of its size. */
+const Document *
+documents_decoded(Director *d, uint64_t now_us)
+{
+    if (d->document == NULL ||
+        (d->decoded_document != NULL && now_us < d->next_decode_us)) {
+        return d->decoded_document;
+    }
+    if (d->decoded_version != d->document_version) {
+        d->next_decode_us = now_us + document_transfer_interval_us(
+                                         g_bytes_get_size(d->document));
+    }
+    return documents_current(d);
+}
+
 /* Frees all kept versions. */
 void
 documents_clear(Director *d)
--- a/src/sapphireweir/fleet/director_internal.h
+++ b/src/sapphireweir/fleet/director_internal.h
@@ -174,8 +174,13 @@
     uint64_t run_id; /* random; directory revisions restart with each run */
 
     uint64_t document_version;
-    GBytes *document;              /* text of the current version, or NULL */
-    Document *decoded_document;    /* the document in parsed form, or NULL */
+    GBytes *document; /* text of the current version, or NULL */
+    /* The document in parsed form, of the current version or an earlier one;
+     * NULL: not needed yet, or it cannot be decoded.  See
+     * documents_decoded. */
+    Document *decoded_document;
+    uint64_t decoded_version;      /* of the document that was decoded last */
+    uint64_t next_decode_us;       /* until then an earlier version suffices */
     GPtrArray *recent_documents;   /* PastDocument, owned, oldest first */
     GArray *applied_documents;     /* AppliedDocument, oldest first */
     EncodedUpdate *whole_document; /* the document, NULL: not encoded yet */
@@ -226,6 +231,8 @@
 /* director_documents.c */
 void documents_add_applied(Director *d, uint64_t now_us);
 void documents_clear(Director *d);
+const Document *documents_current(Director *d);
+const Document *documents_decoded(Director *d, uint64_t now_us);
 void documents_send(Director *d, uint64_t now_us, EntryState *entry);
 void documents_tick(Director *d, uint64_t now_us, EntryState *entry);
 void documents_handle_report(Director *d, uint64_t now_us, EntryState *entry,
@@ -272,10 +279,10 @@
                          const Sw__JoinRequest *m);
 
 /* handover_choice.c */
-uint32_t handover_sync_replicas(const Director *d, const char *database);
+uint32_t handover_sync_replicas(Director *d, const char *database);
 gboolean handover_is_replica(const PrimaryChange *change,
                              const DirectoryServer *s, const PrimaryState *p);
-const char *handover_next_primary(const Director *d, uint64_t now_us,
+const char *handover_next_primary(Director *d, uint64_t now_us,
                                   const PrimaryChange *change);
 
 /* handover.c */
--- a/src/sapphireweir/fleet/director_rates.c
+++ b/src/sapphireweir/fleet/director_rates.c
@@ -92,6 +92,23 @@
     return w;
 }
 
+/* Returns a team of the configuration, or NULL.  Its settings may be of an
+ * earlier version; see documents_decoded. */
+static const DocumentTeam *
+find_team(Director *d, uint64_t now_us, const char *name)
+{
+    const Document *document = documents_decoded(d, now_us);
+    const DocumentTeam *team =
+        document == NULL ? NULL : g_hash_table_lookup(document->teams, name);
+
+    if (team == NULL) {
+        document = documents_current(d);
+        team = document == NULL ? NULL
+                                : g_hash_table_lookup(document->teams, name);
+    }
+    return team;
+}
+
 /* Handles an entry instance's request for tokens of a team.  Requests that
  * reach an instance that does not lead, or that name an unknown team, get no
  * reply. */
@@ -102,11 +119,9 @@
     Sw__Frame frame = SW__FRAME__INIT;
     Sw__TokenReply reply = SW__TOKEN_REPLY__INIT;
     const DocumentTeam *team =
-        d->decoded_document == NULL
-            ? NULL
-            : g_hash_table_lookup(d->decoded_document->teams, m->team);
+        director_is_leader(d) ? find_team(d, now_us, m->team) : NULL;
 
-    if (!director_is_leader(d) || team == NULL) {
+    if (team == NULL) {
         return;
     }
     RateWindow *w = window_ensure(d, now_us, team);
--- a/src/sapphireweir/fleet/document_transfer.c
+++ b/src/sapphireweir/fleet/document_transfer.c
@@ -98,14 +98,22 @@
     return (!t->open || overdue) && now_us >= t->next_begin_us;
 }
 
+/* Returns the minimum time between two transfers of a document of this size,
+ * between 0.1 and 1 s. */
+uint64_t
+document_transfer_interval_us(size_t document_bytes)
+{
+    uint64_t interval_us =
+        kMinIntervalUs + (uint64_t)document_bytes * kIntervalUsPerByte;
+    return MIN(interval_us, (uint64_t)kMaxIntervalUs);
+}
+
 /* Begins the transfer of an update to a document of this size.  id must differ
  * from those of all other transfers of this process. */
 void
 document_transfer_begin(DocumentTransfer *t, uint64_t now_us, uint64_t id,
                         const EncodedUpdate *update, size_t document_bytes)
 {
-    uint64_t interval_us =
-        kMinIntervalUs + (uint64_t)document_bytes * kIntervalUsPerByte;
     gboolean repeated = t->version == update->version;
 
     t->resend_wait_us =
@@ -119,7 +127,7 @@
     t->update_bytes = update->update_bytes;
     t->offset = 0;
     t->next_due_us = now_us;
-    t->next_begin_us = now_us + MIN(interval_us, (uint64_t)kMaxIntervalUs);
+    t->next_begin_us = now_us + document_transfer_interval_us(document_bytes);
 }
 
 /* Fills in the next chunk, if one is due now, for a receiver with a link of
--- a/src/sapphireweir/fleet/document_transfer.h
+++ b/src/sapphireweir/fleet/document_transfer.h
@@ -35,6 +35,7 @@
 
 gboolean document_transfer_may_begin(const DocumentTransfer *t,
                                      uint64_t now_us);
+uint64_t document_transfer_interval_us(size_t document_bytes);
 void document_transfer_begin(DocumentTransfer *t, uint64_t now_us, uint64_t id,
                              const EncodedUpdate *update,
                              size_t document_bytes);
--- a/src/sapphireweir/fleet/handover_choice.c
+++ b/src/sapphireweir/fleet/handover_choice.c
@@ -13,12 +13,11 @@
 /* Returns how many replicas of a database must store a commit before it is
  * acknowledged; zero if the database is not configured. */
 uint32_t
-handover_sync_replicas(const Director *d, const char *database)
+handover_sync_replicas(Director *d, const char *database)
 {
+    const Document *document = documents_current(d);
     const DocumentDatabase *found =
-        d->decoded_document == NULL
-            ? NULL
-            : document_database(d->decoded_document, database);
+        document == NULL ? NULL : document_database(document, database);
     return found == NULL ? 0 : found->sync_replicas;
 }
 
@@ -79,7 +78,7 @@
  * acknowledged, an unplanned change chooses the old primary itself when that
  * answers again, since no replica has more commits. */
 const char *
-handover_next_primary(const Director *d, uint64_t now_us,
+handover_next_primary(Director *d, uint64_t now_us,
                       const PrimaryChange *change)
 {
     const PrimaryState *p = director_primary(d, change->database);
--- a/test/support/fleet_sim.c
+++ b/test/support/fleet_sim.c
@@ -1220,9 +1220,10 @@
     return d;
 }
 
-/* Bytes of documents that the entry instances of all simulations decoded.  A
- * global, since the decoder gets no context. */
+/* Bytes of documents that the entry instances, and that the control instances
+ * of all simulations decoded.  Globals, since the decoder gets no context. */
 static uint64_t entry_decoded_bytes;
+static uint64_t control_decoded_bytes;
 
 /* Decodes a document for an entry instance. */
 static Document *
@@ -1232,6 +1233,14 @@
     return decode(text, bytes);
 }
 
+/* Decodes a document for a control instance. */
+static Document *
+control_decode(const uint8_t *text, size_t bytes)
+{
+    control_decoded_bytes += bytes;
+    return decode(text, bytes);
+}
+
 /* Returns the bytes of documents that entry instances have decoded so far. */
 uint64_t
 fleet_sim_decoded_bytes(void)
@@ -1239,6 +1248,13 @@
     return entry_decoded_bytes;
 }
 
+/* Returns the same of control instances. */
+uint64_t
+fleet_sim_control_decoded_bytes(void)
+{
+    return control_decoded_bytes;
+}
+
 /* Starts a control instance; on the first start, all control instances are the
  * initial members of the consensus group. */
 static void
@@ -1254,7 +1270,7 @@
         .timing = {80 * kUsPerMs, 300 * kUsPerMs, 550 * kUsPerMs, 16},
         .lease_us = kLeaseMs * kUsPerMs,
         .rate_window_us = kRateWindowMs * kUsPerMs,
-        .decode = decode,
+        .decode = control_decode,
         .max_control_failures = 1};
     DirectorPort port = {.ctx = c,
                          .send = port_director_send,
--- a/test/support/fleet_sim.h
+++ b/test/support/fleet_sim.h
@@ -105,6 +105,7 @@
 const char *fleet_sim_sent_document(const FleetSim *sim);
 uint64_t fleet_sim_oldest_version(const FleetSim *sim);
 uint64_t fleet_sim_decoded_bytes(void);
+uint64_t fleet_sim_control_decoded_bytes(void);
 uint64_t fleet_sim_largest_log(const FleetSim *sim);
 uint64_t fleet_sim_leases_lost(const FleetSim *sim);
 const Traffic *fleet_sim_traffic(const FleetSim *sim);
--- a/test/unit/test_fleet_sim.c
+++ b/test/unit/test_fleet_sim.c
@@ -806,28 +806,40 @@
     }
 }
 
-/* An entry instance decodes each version that it gets, about 25 MB a second on
- * a whole core.  Versions of a large configuration may take at most a quarter
- * of the smallest instance's share of a core, 0.12. */
+/* An instance decodes about 25 MB of a document a second on a whole core.
+ * Versions of a large configuration may take at most a quarter of the smallest
+ * instances' shares of a core: 0.12 of an entry instance, and 0.3 of a control
+ * instance, of which all but the leader need not decode any. */
 static void
 a_storm_of_versions_leaves_processor_time_to_callers(void)
 {
-    enum { kRoutes = 800, kSeconds = 8, kMaxBytesPerS = 750000 };
+    enum {
+        kRoutes = 800,
+        kSeconds = 8,
+        kMaxBytesPerS = 750000,
+        kMaxControlBytesPerS = 1875000,
+    };
     FleetSim *sim = fleet_sim_new(2);
 
     fleet_sim_add_routes(sim, kRoutes);
     fleet_sim_run(sim, 3000);
     uint64_t before = fleet_sim_decoded_bytes();
+    uint64_t control_before = fleet_sim_control_decoded_bytes();
     for (uint32_t ms = 0; ms < kSeconds * 1000; ms += 60) {
         fleet_sim_configure(sim, 1000 + ms, TRUE);
         fleet_sim_run(sim, 60);
     }
     uint64_t bytes_per_s =
         (fleet_sim_decoded_bytes() - before) / kSeconds / kFleetSimEntries;
-    if (bytes_per_s > kMaxBytesPerS) {
-        g_print("\n%lu bytes a second\n", bytes_per_s);
+    uint64_t control_bytes_per_s =
+        (fleet_sim_control_decoded_bytes() - control_before) / kSeconds;
+    gboolean holds = bytes_per_s <= kMaxBytesPerS &&
+                     control_bytes_per_s <= kMaxControlBytesPerS;
+    if (!holds) {
+        g_print("\n%lu and %lu bytes a second\n", bytes_per_s,
+                control_bytes_per_s);
     }
-    CU_ASSERT(bytes_per_s <= kMaxBytesPerS);
+    CU_ASSERT(holds);
     fleet_sim_free(sim);
 }
 
