--- a/src/sapphireweir/core/event_log.c
+++ b/src/sapphireweir/core/event_log.c
@@ -22,6 +22,7 @@
     [kEventStop] = {"stop", 10, 1},
     [kEventReload] = {"reload", 10, 1},
     [kEventMessage] = {"message", 50, 1},
+    [kEventStalled] = {"stalled", 10, 1},
     [kEventConfiguration] = {"configuration", 20, 1},
     [kEventUnusable] = {"configuration_unusable", 20, 1},
     [kEventLeaseLost] = {"lease_lost", 10, 1},
--- a/src/sapphireweir/core/event_log.h
+++ b/src/sapphireweir/core/event_log.h
@@ -11,6 +11,7 @@
     kEventStop,
     kEventReload,
     kEventMessage,       /* free text from g_log */
+    kEventStalled,       /* the event loop stood still */
     kEventConfiguration, /* an entry instance applied a document */
     kEventUnusable,      /* an entry instance could not apply an update */
     kEventLeaseLost,
