Change voters only after a new leader has committed an entry

Found while looking for ways in which an acknowledged configuration could be undone. A learner became a voter as soon as the last change of members was committed, even if the new leader had not committed an entry of its own term. A former leader's change may then still be in some logs: of four voters and two learners e and f, {a, d, e} is a majority of the one list and {b, c, f} of the other, so that each could elect a leader and commit. Removals and additions already waited; promotions did not.

--- a/src/sapphireweir/core/consensus_members.c
+++ b/src/sapphireweir/core/consensus_members.c
@@ -265,6 +265,17 @@
                                 has_unresponsive_voter(c, now_us));
 }
 
+/* Returns whether a change of the member list is not committed yet, or the
+ * leader has not committed an entry of its own term: an earlier leader's
+ * change may still be in the log of some members, and then two lists, each of
+ * one change, could have majorities that do not overlap. */
+static gboolean
+membership_change_pending(const Consensus *c)
+{
+    return c->members_index > c->commit_index ||
+           c->commit_index < c->term_start_index;
+}
+
 /* Proposes to make the member from a voter, if it is a learner that has all
  * committed entries, another voter is wanted and no other membership change is
  * pending.  p is its replication state. */
@@ -274,7 +285,7 @@
 {
     ConsensusMember *m = consensus_member_find(c, from);
     if (m == NULL || m->voter || p->match_index < c->commit_index ||
-        c->members_index > c->commit_index || !may_promote(c, now_us)) {
+        membership_change_pending(c) || !may_promote(c, now_us)) {
         return;
     }
     GPtrArray *changed = g_ptr_array_new_with_free_func(consensus_member_free);
@@ -301,8 +312,7 @@
                             "this control instance does not lead");
         return FALSE;
     }
-    if (c->members_index > c->commit_index ||
-        c->commit_index < c->term_start_index) {
+    if (membership_change_pending(c)) {
         g_set_error_literal(error, CORE_ERROR, kCoreErrorConflict,
                             "an earlier membership change is under way");
         return FALSE;
