Free former configurations that only idle sessions hold

Each session kept the configuration of its last statement until the next one. An idle session now drops it at the next tick; its next statement looks up route and team anew, as before. The log line of a statement that is refused before that names the version in force.

--- a/src/sapphireweir/gateway/session.c
+++ b/src/sapphireweir/gateway/session.c
@@ -616,6 +616,18 @@
            g->sessions.length == 0 && g_hash_table_size(g->pooled_jobs) == 0;
 }
 
+/* Drops the configuration of an idle session's last statement, once there is a
+ * newer one; session_resolve looks up route and team anew. */
+static void
+drop_former_document(Session *s)
+{
+    if (s->document != s->gateway->document) {
+        g_clear_pointer(&s->document, document_unref);
+        s->route = NULL;
+        s->team = NULL;
+    }
+}
+
 /* Ends a transaction that is idle for too long, and closes an idle session if
  * required. */
 static void
@@ -634,6 +646,9 @@
         s->state = kSessionFailed;
         s->begun = FALSE;
     }
+    if (s->state == kSessionIdle) {
+        drop_former_document(s);
+    }
     if (s->state == kSessionIdle && must_close(g, now_us)) {
         void *caller = s->caller;
         session_close(s, now_us);
--- a/src/sapphireweir/gateway/session_log.c
+++ b/src/sapphireweir/gateway/session_log.c
@@ -63,7 +63,8 @@
     event_number(&line, "took_us",
                  job->arrived_us == 0 ? 0 : now_us - job->arrived_us);
     event_number(&line, "version",
-                 s->document == NULL ? 0 : s->document->version);
+                 s->document == NULL ? gateway_version(g)
+                                     : s->document->version);
     event_number(&line, "lease_left_us", lease_left_us(g, now_us));
     if (d != NULL) {
         event_text(&line, "primary", d->primary);
--- a/test/unit/test_gateway_policy.c
+++ b/test/unit/test_gateway_policy.c
@@ -397,6 +397,113 @@
     }
 }
 
+/* Decodes a document, whose text is its version, with one open route. */
+static Document *
+decode_version(const uint8_t *text, size_t bytes)
+{
+    char *copy = g_strndup((const char *)text, bytes);
+    Document *d = document_new(g_ascii_strtoull(copy, NULL, 10));
+    DocumentRoute *r = g_new0(DocumentRoute, 1);
+
+    r->host = g_strdup("host");
+    r->database = g_strdup("orders");
+    r->is_public = TRUE;
+    g_hash_table_insert(d->routes, r->host, r);
+    g_free(copy);
+    return d;
+}
+
+/* The document that keep_decoded returned last, with a reference. */
+static Document *last_decoded;
+
+/* Decodes a document and keeps a reference to it. */
+static Document *
+keep_decoded(const uint8_t *text, size_t bytes)
+{
+    last_decoded = decode_version(text, bytes);
+    return document_ref(last_decoded);
+}
+
+/* Delivers a document whose text is its version. */
+static void
+deliver_document(Gateway *g, uint64_t now_us, uint64_t version)
+{
+    Sw__Frame frame = SW__FRAME__INIT;
+    Sw__DocumentUpdate m = SW__DOCUMENT_UPDATE__INIT;
+    char text[24];
+
+    m.version = version;
+    m.text.len = (size_t)g_snprintf(text, sizeof(text), "%lu", version);
+    m.text.data = (uint8_t *)text;
+    frame.body_case = SW__FRAME__BODY_DOCUMENT_UPDATE;
+    frame.document_update = &m;
+    gateway_frame(g, now_us, "c0", &frame);
+}
+
+static void
+ignore_answer(void *ctx, void *caller, const CallerAnswer *a)
+{
+    (void)ctx;
+    (void)caller;
+    (void)a;
+}
+
+static void
+ignore_report(void *ctx, const char *to, const Sw__Frame *frame)
+{
+    (void)ctx;
+    (void)to;
+    (void)frame;
+}
+
+/* Most sessions are idle.  They must not keep the configuration of their last
+ * statement in memory: with a thousand routes it takes half a megabyte, and
+ * each idle session could keep another version. */
+static void
+idle_sessions_keep_no_former_configuration(void)
+{
+    GatewayPort port = {.add_peer = ignore_peer,
+                        .peer_send = ignore_report,
+                        .caller_answer = ignore_answer};
+    GatewayConfig config = {.id = "e0",
+                            .failure_domain = "0",
+                            .link_bytes_per_s = 1,
+                            .decode = keep_decoded};
+    Gateway *g = gateway_new(&config, &port);
+    Statement begin = {.kind = kStatementBegin, .id = "1", .text = "BEGIN"};
+    Statement rollback = {
+        .kind = kStatementRollback, .id = "2", .text = "ROLLBACK"};
+    AnswerCode code;
+    uint64_t now_us = 1000000;
+
+    deliver_document(g, now_us, 1);
+    Document *first = last_decoded;
+    Session *idle = session_open(g, now_us, g, "host", "", &code);
+    Session *busy = session_open(g, now_us, g, "host", "", &code);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(idle);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(busy);
+    session_statement(busy, now_us, &begin);
+    deliver_document(g, now_us, 2);
+    Document *second = last_decoded;
+    gateway_tick(g, now_us + 20000);
+    /* The open transaction keeps the version that it began with. */
+    CU_ASSERT_EQUAL(first->ref_count, 2);
+    session_statement(busy, now_us + 30000, &rollback);
+    gateway_tick(g, now_us + 40000);
+    CU_ASSERT_EQUAL(first->ref_count, 1);
+    session_statement(idle, now_us + 50000, &begin);
+    session_statement(idle, now_us + 50000, &rollback);
+    deliver_document(g, now_us + 60000, 3);
+    gateway_tick(g, now_us + 70000);
+    CU_ASSERT_EQUAL(second->ref_count, 1);
+    document_unref(last_decoded);
+    document_unref(second);
+    document_unref(first);
+    session_close(idle, now_us + 80000);
+    session_close(busy, now_us + 80000);
+    gateway_free(g);
+}
+
 void
 add_gateway_policy_suite(void)
 {
@@ -419,4 +526,6 @@
                 a_grant_for_another_list_is_no_lease);
     CU_add_test(s, "a stop waits for the balancer",
                 a_stop_waits_for_the_balancer);
+    CU_add_test(s, "idle sessions keep no former configuration",
+                idle_sessions_keep_no_former_configuration);
 }
