--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -5,7 +5,8 @@
 set -euo pipefail
 root=$(cd "$(dirname "$0")/.." && pwd)
 work="$root/build-mutants"
-suites=("document transfer" "fleet simulation" "gateway policy" "fleet policy")
+suites=("consensus members" "document transfer" "fleet simulation" "gateway policy"
+    "fleet policy")
 
 rm -rf "$work/source"
 mkdir -p "$work/source"
