--- a/test/support/fleet_sim.c
+++ b/test/support/fleet_sim.c
@@ -764,6 +764,74 @@
     g_array_set_size(conn->writes, 0);
 }
 
+/* ---- versions in use ---- */
+
+/* Returns the newest version that was acknowledged more than kMaxConfigDelayMs
+ * ago. */
+static uint64_t
+required_version(const FleetSim *sim)
+{
+    uint64_t limit_us = (uint64_t)kMaxConfigDelayMs * kUsPerMs;
+
+    for (guint i = sim->acked_documents->len; i > 0; i--) {
+        const AckedDocument *each =
+            &g_array_index(sim->acked_documents, AckedDocument, i - 1);
+        if (sim->now_us - each->acked_us > limit_us) {
+            return each->version;
+        }
+    }
+    return 0;
+}
+
+/* Counts a violation when an entry instance that got a frame uses a document
+ * older than required.  One that has just started may have none, but not an
+ * old one. */
+static void
+check_version_in_use(FleetSim *sim, const EntryInstance *e)
+{
+    uint64_t version = gateway_version(e->gateway);
+
+    sim->report.outdated_version +=
+        version != 0 && version < required_version(sim);
+}
+
+/* Returns how long ago the oldest document that an entry instance lacks was
+ * acknowledged, zero if it lacks none. */
+static uint64_t
+version_lag_us(const FleetSim *sim, const EntryInstance *e)
+{
+    uint64_t version = gateway_version(e->gateway);
+
+    for (guint i = 0; i < sim->acked_documents->len; i++) {
+        const AckedDocument *each =
+            &g_array_index(sim->acked_documents, AckedDocument, i);
+        if (each->version > version) {
+            return sim->now_us - each->acked_us;
+        }
+    }
+    return 0;
+}
+
+/* Counts a violation when an entry instance lacks a document that was
+ * acknowledged more than kMaxConfigDelayMs ago, and has been in contact for as
+ * long. */
+static void
+check_version_lag(FleetSim *sim, EntryInstance *e)
+{
+    uint64_t limit_us = (uint64_t)kMaxConfigDelayMs * kUsPerMs;
+
+    if (sim->partitioned[e->index % kFleetSimDomains]) {
+        e->contact_since_us = sim->now_us;
+    }
+    if (sim->now_us - e->contact_since_us < limit_us) {
+        return;
+    }
+    uint64_t lag_us = version_lag_us(sim, e);
+    sim->report.longest_version_lag_us =
+        MAX(sim->report.longest_version_lag_us, lag_us);
+    sim->report.outdated_version += lag_us > limit_us;
+}
+
 /* ---- frames ---- */
 
 /* A frame in transit between two instances. */
@@ -816,6 +884,7 @@
             if (strcmp(sim->entries[i].id, packet->to) == 0) {
                 gateway_frame(sim->entries[i].gateway, sim->now_us,
                               packet->from, packet->frame);
+                check_version_in_use(sim, &sim->entries[i]);
             }
         }
     }
@@ -1563,43 +1632,6 @@
 
 /* ---- periodic events ---- */
 
-/* Returns how long ago the oldest document that an entry instance lacks was
- * acknowledged, zero if it lacks none. */
-static uint64_t
-version_lag_us(const FleetSim *sim, const EntryInstance *e)
-{
-    uint64_t version = gateway_version(e->gateway);
-
-    for (guint i = 0; i < sim->acked_documents->len; i++) {
-        const AckedDocument *each =
-            &g_array_index(sim->acked_documents, AckedDocument, i);
-        if (each->version > version) {
-            return sim->now_us - each->acked_us;
-        }
-    }
-    return 0;
-}
-
-/* Counts a violation when an entry instance lacks a document that was
- * acknowledged more than kMaxConfigDelayMs ago, and has been in contact for as
- * long. */
-static void
-check_version(FleetSim *sim, EntryInstance *e)
-{
-    uint64_t limit_us = (uint64_t)kMaxConfigDelayMs * kUsPerMs;
-
-    if (sim->partitioned[e->index % kFleetSimDomains]) {
-        e->contact_since_us = sim->now_us;
-    }
-    if (sim->now_us - e->contact_since_us < limit_us) {
-        return;
-    }
-    uint64_t lag_us = version_lag_us(sim, e);
-    sim->report.longest_version_lag_us =
-        MAX(sim->report.longest_version_lag_us, lag_us);
-    sim->report.outdated_version += lag_us > limit_us;
-}
-
 /* Ticks all instances. */
 static void
 tick(FleetSim *sim, void *data)
@@ -1612,7 +1644,7 @@
     }
     for (uint32_t i = 0; i < kFleetSimEntries; i++) {
         gateway_tick(sim->entries[i].gateway, sim->now_us);
-        check_version(sim, &sim->entries[i]);
+        check_version_lag(sim, &sim->entries[i]);
     }
     schedule(sim, kTickUs, tick, data);
 }
--- a/test/support/fleet_sim.h
+++ b/test/support/fleet_sim.h
@@ -54,8 +54,9 @@
     /* Longest time between the acknowledgement of a document and its use, or
      * that of a newer one, by an entry instance in contact. */
     uint64_t longest_version_lag_us;
-    /* Ticks of entry instances in contact whose configuration was older than
-     * one acknowledged more than 3 s before. */
+    /* Frames that reached an entry instance whose configuration was older than
+     * one acknowledged more than 3 s before, and ticks of one that was in
+     * contact for as long. */
     uint64_t outdated_version;
 } FleetSimReport;
 
