Send a lost update of the backend servers again

A control instance sent each change of a backend server once. If the frame was lost, with a reset connection or in the first seconds of a partition, that instance never repeated it, although the reports name the revision that arrived; if all control instances' frames were lost, as when the connections of an instance are reset together, a leaving server went on getting work.

An update that no report has confirmed for 1.2 s is now sent again, from the revision that the report names.

--- a/src/sapphireweir/fleet/director_entries.c
+++ b/src/sapphireweir/fleet/director_entries.c
@@ -12,6 +12,9 @@
 enum {
     kEntryInactiveUs = 2500000, /* without a report: counts as inactive */
     kEntryExpiryUs = 30000000,  /* without a report: its state is freed */
+    /* An update of the directory that no report has confirmed for so long is
+     * sent again: two short reports and a round trip. */
+    kDirectoryResendUs = 1200000,
     kSharesIntervalUs = 500000,
     kDemandWeight = 3, /* of the old average; a new value has weight 1 */
 };
@@ -101,7 +104,7 @@
 /* Sends an entry instance the backend servers that changed since the last
  * update, or all of them if it has received none in this run. */
 static void
-send_directory(Director *d, EntryState *entry)
+send_directory(Director *d, uint64_t now_us, EntryState *entry)
 {
     Sw__Frame frame = SW__FRAME__INIT;
     Sw__DirectoryUpdate m = SW__DIRECTORY_UPDATE__INIT;
@@ -116,9 +119,30 @@
     frame.directory_update = &m;
     d->port.send(d->port.ctx, entry->id, &frame);
     entry->sent_revision = d->directory.revision;
+    entry->directory_sent_us = now_us;
     g_ptr_array_unref(list);
 }
 
+/* Handles the directory revision in an entry instance's report: sends what the
+ * instance lacks, also if that was sent before and was lost. */
+static void
+directory_handle_report(Director *d, uint64_t now_us, EntryState *entry,
+                        const Sw__EntryReport *m)
+{
+    gboolean same_run = m->directory_run == d->run_id;
+
+    if (!same_run) {
+        entry->sent_revision = 0;
+    }
+    else if (m->directory_revision < entry->sent_revision &&
+             now_us - entry->directory_sent_us > kDirectoryResendUs) {
+        entry->sent_revision = m->directory_revision;
+    }
+    if (entry->sent_revision < d->directory.revision) {
+        send_directory(d, now_us, entry);
+    }
+}
+
 typedef void (*EntryFunc)(Director *d, uint64_t now_us, EntryState *entry);
 
 /* Calls a function for each entry instance that has reported recently,
@@ -142,8 +166,7 @@
 static void
 push_directory_to(Director *d, uint64_t now_us, EntryState *entry)
 {
-    (void)now_us;
-    send_directory(d, entry);
+    send_directory(d, now_us, entry);
 }
 
 /* Sends the changed backend servers to all connected entry instances. */
@@ -393,12 +416,7 @@
         entry->failure_domain = g_strdup(m->failure_domain);
     }
     entry->link_bytes_per_s = m->link_bytes_per_s;
-    if (m->directory_run != d->run_id) {
-        entry->sent_revision = 0;
-    }
-    if (entry->sent_revision < d->directory.revision) {
-        send_directory(d, entry);
-    }
+    directory_handle_report(d, now_us, entry, m);
     documents_handle_report(d, now_us, entry, m);
     members_reply(d, entry);
     if (m->sequence <= entry->sequence) {
--- a/src/sapphireweir/fleet/director_internal.h
+++ b/src/sapphireweir/fleet/director_internal.h
@@ -58,8 +58,9 @@
     /* Directory revision that was last sent, zero: the instance has none of
      * this run. */
     uint64_t sent_revision;
-    gboolean leaving;      /* it reported that it is stopping */
-    uint64_t lease_end_us; /* latest end of any lease granted to it */
+    uint64_t directory_sent_us; /* when that was sent */
+    gboolean leaving;           /* it reported that it is stopping */
+    uint64_t lease_end_us;      /* latest end of any lease granted to it */
     /* Consensus round that must be confirmed before the next grant is sent,
      * zero: no grant is pending. */
     uint64_t pending_round;
--- a/test/support/fleet_sim.c
+++ b/test/support/fleet_sim.c
@@ -129,6 +129,7 @@
     char *id;
     Gateway *gateway;
     uint64_t contact_since_us; /* when it started or a partition ended */
+    gboolean loses_frames;     /* of control instances */
     uint64_t inbound_free_us;  /* when its link can take the next frame */
     uint64_t outbound_free_us; /* the same for frames that it sends */
 } EntryInstance;
@@ -881,7 +882,8 @@
             }
         }
         for (uint32_t i = 0; i < kFleetSimEntries; i++) {
-            if (strcmp(sim->entries[i].id, packet->to) == 0) {
+            if (strcmp(sim->entries[i].id, packet->to) == 0 &&
+                !(sim->entries[i].loses_frames && packet->from[0] == 'c')) {
                 gateway_frame(sim->entries[i].gateway, sim->now_us,
                               packet->from, packet->frame);
                 check_version_in_use(sim, &sim->entries[i]);
@@ -2104,6 +2106,14 @@
     return -1;
 }
 
+/* Loses the frames that control instances send to an entry instance, as a
+ * connection that was reset does, or ends this. */
+void
+fleet_sim_lose_control_frames(FleetSim *sim, uint32_t entry, gboolean lose)
+{
+    sim->entries[entry].loses_frames = lose;
+}
+
 /* Kills an entry instance and starts a new incarnation of it. */
 void
 fleet_sim_restart_entry(FleetSim *sim, uint32_t index)
@@ -2192,6 +2202,18 @@
     srv->draining_us = sim->now_us;
 }
 
+/* Sets a replica of a database to draining. */
+void
+fleet_sim_drain_replica(FleetSim *sim, uint32_t database)
+{
+    uint32_t primary = (uint32_t)fleet_sim_primary(sim, database);
+    BackendServer *srv =
+        &sim->servers[database][(primary + 1) % kFleetSimServersPerDatabase];
+
+    srv->draining = TRUE;
+    srv->draining_us = sim->now_us;
+}
+
 /* Restarts all entry instances with a maximum time without confirmation of the
  * configuration, after which they refuse operations with a key. */
 void
--- a/test/support/fleet_sim.h
+++ b/test/support/fleet_sim.h
@@ -79,6 +79,8 @@
 int fleet_sim_control_leader(const FleetSim *sim);
 void fleet_sim_set_primary_running(FleetSim *sim, uint32_t database,
                                    gboolean running, gboolean unreachable);
+void fleet_sim_lose_control_frames(FleetSim *sim, uint32_t entry,
+                                   gboolean lose);
 void fleet_sim_restart_entry(FleetSim *sim, uint32_t index);
 int fleet_sim_primary(const FleetSim *sim, uint32_t database);
 void fleet_sim_set_server_running(FleetSim *sim, uint32_t database,
@@ -88,6 +90,7 @@
                                  uint32_t index, gboolean paused);
 void fleet_sim_enable_sync_replication(FleetSim *sim);
 void fleet_sim_drain_primary(FleetSim *sim, uint32_t database);
+void fleet_sim_drain_replica(FleetSim *sim, uint32_t database);
 void fleet_sim_set_replica_lag(FleetSim *sim, uint64_t lag_ms);
 void fleet_sim_set_reply_loss(FleetSim *sim, uint32_t loss_percent);
 void fleet_sim_set_promotion_delay(FleetSim *sim, uint64_t delay_ms);
--- a/test/unit/test_fleet_sim.c
+++ b/test/unit/test_fleet_sim.c
@@ -410,6 +410,22 @@
     fleet_sim_run(sim, 1000);
 }
 
+/* The frames of all control instances to two entry instances are lost for a
+ * second, in which a replica reports that it is leaving. */
+static void
+directory_updates_lost(FleetSim *sim)
+{
+    fleet_sim_run(sim, 2000);
+    fleet_sim_lose_control_frames(sim, 1, TRUE);
+    fleet_sim_lose_control_frames(sim, 2, TRUE);
+    fleet_sim_run(sim, 100);
+    fleet_sim_drain_replica(sim, 0);
+    fleet_sim_run(sim, 900);
+    fleet_sim_lose_control_frames(sim, 1, FALSE);
+    fleet_sim_lose_control_frames(sim, 2, FALSE);
+    fleet_sim_run(sim, 9000);
+}
+
 /* Runs each fault with four seeds.  min_served_percent is the share of all
  * operations that must be served; a deployment requires 44 % on its worst day,
  * and the bound is higher where the fault leaves an alternative.  max_gap_ms
@@ -440,6 +456,8 @@
         {"all control instances crash", all_control_instances_crash, 80, 2500,
          0, 0, FALSE},
         {"replicas lag", replicas_lag, 90, 700, 0, 0, FALSE},
+        {"directory updates lost", directory_updates_lost, 75, 7000, 0, 0,
+         TRUE},
         {"answers lost", answers_lost, 90, 1400, 0, 0, FALSE},
         {"old primary promoted again", old_primary_is_promoted_again, 40, 7000,
          2, 2, FALSE},
