Repeat a lost state update while further changes go on

The cause of the outdated configurations, found again on the product's own way in: a control instance counted an update as lost half a second after the last one it had sent. An entry instance cannot apply updates behind a lost one, and with a change every half second or faster the lost one was not sent again: the instance had no lease and served no key until the changes ended.

What counts now is the time since the subscriber last reported progress, or since the first update that it has not reported.

Evidence: 'a lost update is sent again while changes go on' failed before (3.8 s behind after 80 changes in 4 s, bound 1 s) and passes. 111 unit tests pass.

--- a/src/sapphireweir/core/control_defs.h
+++ b/src/sapphireweir/core/control_defs.h
@@ -51,8 +51,11 @@
 /* An entry instance that receives state updates from this control
  * instance. */
 typedef struct {
-    uint64_t sent_index;   /* state index of the last update sent */
-    uint64_t sent_us;      /* time of that update */
+    uint64_t sent_index;    /* state index of the last update sent */
+    uint64_t applied_index; /* as it last reported */
+    /* When it last reported progress, or when the first update after that was
+     * sent. */
+    uint64_t progress_us;
     uint64_t last_seen_us; /* last lease request */
 } Subscriber;
 
--- a/src/sapphireweir/core/control_lease.c
+++ b/src/sapphireweir/core/control_lease.c
@@ -159,14 +159,21 @@
     if (s == NULL) {
         s = g_new0(Subscriber, 1);
         s->sent_index = applied_index;
+        s->progress_us = now_us;
         g_hash_table_insert(k->subscribers, g_strdup(id), s);
     }
     s->last_seen_us = now_us;
-    /* An update that is not applied within kResendIntervalUs counts as lost
-     * together with its connection, and is sent again. */
+    if (applied_index != s->applied_index || applied_index >= s->sent_index) {
+        s->progress_us = now_us;
+    }
+    s->applied_index = applied_index;
+    /* Without progress for kResendIntervalUs an update counts as lost together
+     * with its connection, and so do those behind it, which the subscriber
+     * cannot apply. */
     if (applied_index < s->sent_index &&
-        now_us - s->sent_us > kResendIntervalUs) {
+        now_us - s->progress_us > kResendIntervalUs) {
         s->sent_index = applied_index;
+        s->progress_us = now_us;
     }
     s->sent_index = MAX(s->sent_index, applied_index);
 }
@@ -521,8 +528,10 @@
         frame.body_case = SW__FRAME__BODY_STATE_UPDATE;
         frame.state_update = &prepared.update;
         k->port.send(k->port.ctx, id, &frame);
+        if (s->sent_index == s->applied_index) {
+            s->progress_us = now_us;
+        }
         s->sent_index = index;
-        s->sent_us = now_us;
     }
     prepared_clear(&prepared);
 }
