--- a/review/1/case.c
+++ b/review/1/case.c
@@ -5,9 +5,10 @@
 
 #include "standin.h"
 
-/* An entry process is killed.  While its members are reached directly from
- * another entry process, consumers end a failed transaction, and the next
- * write must not run inside that transaction. */
+/* An entry process is killed.  A consumer that had a session there connects
+ * to another entry process and uses a prepared name of its former session in a
+ * transaction, which fails.  The next write, of this consumer or of another
+ * one, must not run inside that transaction. */
 
 enum {
     kRounds = 4,
@@ -46,7 +47,8 @@
            a->completed ? a->mac : a->code, a->whole ? a->state : '-');
 }
 
-/* Begins a transaction, lets it fail at the proxy and ends it. */
+/* Writes in a transaction that fails, as the name s1 was prepared in an
+ * earlier session, and ends the transaction. */
 static bool
 failed_transaction(Consumer *c, const char *who, const char *end)
 {
@@ -57,7 +59,7 @@
     if (!a.completed) {
         return false;
     }
-    ask(c, who, "EXECUTE missing 17", &a, id);
+    ask(c, who, "EXECUTE s1 17", &a, id);
     ask(c, who, end, &a, id);
     return a.whole && a.state == 'I';
 }
@@ -100,17 +102,25 @@
         cannot_run("the system does not serve");
     }
     for (int i = 0; i < kRounds; i++) {
+        Answer a;
+        char id[17];
         /* entry-0 is the only entry process in the zone of the primary. */
-        if (!consumer_open(&first, 1, "rounds", "key-crew-1") ||
+        if (!consumer_open(&first, 0, "rounds", "key-crew-1") ||
             !consumer_open(&second, 1, "rounds", "key-crew-1")) {
             cannot_run("no session");
         }
+        ask(&first, "consumer-1", "PREPARE s1 READ q2c", &a, id);
+        ask(&first, "consumer-1", "EXECUTE s1 17", &a, id);
         if (kill_owner) {
             entry_signal(0, SIGKILL);
             entry_wait(0);
         }
+        consumer_close(&first);
         int64_t restart = now_ms() + kRestartMs;
         sleep_ms(100);
+        if (!consumer_open(&first, 1, "rounds", "key-crew-1")) {
+            cannot_run("no session at entry-1");
+        }
         if (i % 2 == 0) {
             /* The same session goes on after its failed transaction. */
             if (failed_transaction(&first, "consumer-1", "COMMIT")) {
