--- a/review/3/case.c
+++ b/review/3/case.c
@@ -109,7 +109,7 @@
     const char *trouble = getenv("TROUBLE");
     bool stop_entry = trouble == NULL || strcmp(trouble, "0") != 0;
     pthread_t threads[kSessions];
-    Setup setup = {2, 18, 46, "ab"};
+    Setup setup = {2, 18, 46, "ab", 0};
     int broken = 0;
 
     record_open(argc > 1 ? argv[1] : "record.txt");
--- a/review/5/case.c
+++ b/review/5/case.c
@@ -4,14 +4,18 @@
 
 #include "standin.h"
 
-/* A consumer sends a statement whose data has a line feed in it, followed by
- * what looks like another statement.  Only CR LF ends a message, so a member
- * must get this one statement, unchanged, or none. */
+/* A manifest gives a key to another tenant while a consumer with that key has
+ * a transaction open.  Later statements must not run for the former tenant. */
 
-enum { kRounds = 4 };
+enum {
+    kPauseMs = 1500,  /* between statements; tx-idle-ms is 3,000 */
+    kStatements = 5,  /* after the manifest */
+    kApplyMs = 3000,  /* config-apply-ms */
+};
 
+/* The tenant that holds the key "key-shared" is the argument. */
 static const char kManifest[] =
-    "{\"version\":1,\"routes\":[{\"name\":\"r-1\",\"host\":\"rounds\","
+    "{\"version\":%d,\"routes\":[{\"name\":\"r-1\",\"host\":\"rounds\","
     "\"path-prefix\":\"/\",\"kind\":\"primary\",\"timeout-ms\":800,"
     "\"target-latency-ms\":150,\"priority\":1,\"service\":\"svc-rounds\","
     "\"max-attempts\":2,\"public\":false}],\"services\":[{\"name\":"
@@ -19,78 +23,105 @@
     "\"protocol\":\"h1\",\"tls\":false,\"sync-replicas\":0}],\"limits\":"
     "{\"max-header-bytes\":16384,\"max-body-bytes\":262144,"
     "\"header-timeout-ms\":3000,\"idle-timeout-ms\":15000,"
-    "\"tx-idle-ms\":3000},\"tenants\":[{\"name\":\"crew\",\"api-keys\":"
-    "[\"key-crew-1\"],\"priority\":1,\"rate-per-s\":200,\"burst\":200}]}";
+    "\"tx-idle-ms\":3000},\"tenants\":["
+    "{\"name\":\"crew\",\"api-keys\":[\"key-crew-1\"%s],\"priority\":1,"
+    "\"rate-per-s\":200,\"burst\":200},"
+    "{\"name\":\"office\",\"api-keys\":[\"key-office-1\"%s],\"priority\":1,"
+    "\"rate-per-s\":200,\"burst\":200}]}";
 
-static char sent_ids[kRounds][17];
-static char sent_texts[kRounds][160];
-static char inner_ids[kRounds][17];
-static int n_sent;
+static int64_t moved_ms = -1; /* when the second manifest was acknowledged */
 static int broken;
-static int right;
+static int later;
+static char ids[kStatements + 8][17];
+static int n_ids;
+
+static int64_t
+put(int version, bool crew_holds)
+{
+    char text[2048];
+    snprintf(text, sizeof(text), kManifest, version,
+             crew_holds ? ",\"key-shared\"" : "",
+             crew_holds ? "" : ",\"key-shared\"");
+    return put_manifest(text);
+}
+
+static void
+ask(Consumer *c, const char *text, Answer *a)
+{
+    char *id = ids[n_ids++];
+    new_id(id);
+    consumer_query(c, id, text, a, 1500);
+    record("consumer: %s %s -> %s%s state %c", id, text,
+           a->completed ? "COMPLETE " : "ERROR ",
+           a->completed ? a->mac : a->code, a->whole ? a->state : '-');
+}
 
 static void
 check(const Run *run, void *arg)
 {
+    bool own = false;
     (void)arg;
-    for (int i = 0; i < n_sent; i++) {
-        if (strcmp(run->id, inner_ids[i]) == 0) {
-            record("BROKEN: a member ran %s %s, which was only part of the "
-                   "data of %s",
-                   run->id, run->text, sent_ids[i]);
-            broken++;
-        }
-        if (strcmp(run->id, sent_ids[i]) != 0) {
-            continue;
-        }
-        if (strcmp(run->text, sent_texts[i]) == 0) {
-            right++;
-            continue;
-        }
-        record("BROKEN: a member ran %s with the changed text %s", run->id,
-               run->text);
-        broken++;
+    for (int i = 0; i < n_ids; i++) {
+        own |= strcmp(run->id, ids[i]) == 0;
     }
+    if (!own || moved_ms < 0 || run->arrived_ms <= moved_ms + kApplyMs) {
+        return;
+    }
+    later++;
+    bool wrong = strcmp(run->tenant, "office") != 0;
+    record("%s: %s %s ran for tenant %s, %lld ms after the acknowledgement "
+           "of the manifest that gave its key to office",
+           wrong ? "BROKEN" : "right", run->id, run->text, run->tenant,
+           (long long)(run->arrived_ms - moved_ms));
+    broken += wrong;
 }
 
 int
 main(int argc, char **argv)
 {
     const char *trouble = getenv("TROUBLE");
-    char separator =
-        trouble != NULL && strcmp(trouble, "0") == 0 ? ' ' : '\n';
+    bool move = trouble == NULL || strcmp(trouble, "0") != 0;
     static Consumer c;
-    Setup setup = {2, 6, 23, "ab"};
+    Setup setup = {2, 6, 23, "ab", 0};
     Answer a;
 
     record_open(argc > 1 ? argv[1] : "record.txt");
     fleet_start(&setup);
-    if (put_manifest(kManifest) < 0 ||
-        !wait_until_served("rounds", "key-crew-1")) {
+    if (put(1, true) < 0 || !wait_until_served("rounds", "key-shared")) {
         cannot_run("the system does not serve");
     }
-    for (int i = 0; i < kRounds; i++) {
-        if (!consumer_open(&c, i % 2, "rounds", "key-crew-1")) {
-            cannot_run("no session");
+    if (!consumer_open(&c, 1, "rounds", "key-shared")) {
+        cannot_run("no session");
+    }
+    ask(&c, "BEGIN", &a);
+    ask(&c, "WRITE 41 first", &a);
+    if (!a.completed) {
+        cannot_run("the transaction does not begin");
+    }
+    if (move) {
+        moved_ms = put(2, false);
+        if (moved_ms < 0) {
+            cannot_run("the second manifest was not acknowledged");
+        }
+    }
+    for (int i = 0; i < kStatements; i++) {
+        sleep_ms(kPauseMs);
+        ask(&c, "WRITE 42 later", &a);
+        if (!a.completed) {
+            break;
         }
-        new_id(sent_ids[i]);
-        new_id(inner_ids[i]);
-        snprintf(sent_texts[i], sizeof(sent_texts[i]),
-                 "WRITE 51 note%cQUERY %s WRITE 52 withdrawn", separator,
-                 inner_ids[i]);
-        n_sent++;
-        consumer_query(&c, sent_ids[i], sent_texts[i], &a, 1500);
-        record("consumer: one message, %s WRITE 51 note(%s)QUERY %s WRITE 52 "
-               "withdrawn -> %s%s",
-               sent_ids[i], separator == '\n' ? "LF" : "blank", inner_ids[i],
-               a.completed ? "COMPLETE " : "ERROR ",
-               a.completed ? a.mac : a.code);
-        sleep_ms(300);
-        consumer_close(&c);
     }
+    ask(&c, "COMMIT", &a);
+    bool committed = a.completed;
+    consumer_close(&c);
     each_run(check, NULL);
-    record("%d messages sent, %d run unchanged, %d faults", n_sent, right,
+    record("transaction %s; %d statements later than %d ms after the "
+           "manifest, %d of them for the wrong tenant",
+           committed ? "committed" : "not committed", later, kApplyMs,
            broken);
     fleet_stop();
+    if (!move && !committed) {
+        return 2;
+    }
     return broken > 0 ? 1 : 0;
 }
