--- a/review/1/case.c
+++ b/review/1/case.c
@@ -12,11 +12,11 @@
 enum {
     kConsumers = 6,
     kCalmMs = 2000,
-    kDeafMs = 6500,   /* of the replica */
-    kWriteMs = 900,   /* with the replica deaf */
-    kCrashMs = 7000,  /* until a member that crashed is back */
-    kServedMs = 400,  /* that the second primary has served */
-    kWaitMs = 6000,   /* at the end */
+    kDeafMs = 6500,  /* of the replica */
+    kWriteMs = 900,  /* with the replica deaf */
+    kCrashMs = 7000, /* until a member that crashed is back */
+    kServedMs = 400, /* that the second primary has served */
+    kWaitMs = 6000,  /* at the end */
     kMaxWrites = 20000,
     kPollMs = 10,
 };
--- a/review/3/case.c
+++ b/review/3/case.c
@@ -119,8 +119,7 @@
         cannot_run("the system does not serve");
     }
     for (int i = 0; i < kSessions; i++) {
-        pthread_create(&threads[i], NULL, session_thread,
-                       (void *)(intptr_t)i);
+        pthread_create(&threads[i], NULL, session_thread, (void *)(intptr_t)i);
     }
     sleep_ms(kQuietMs);
     if (stop_entry) {
@@ -143,8 +142,8 @@
         const Cut *c = &cuts[i];
         int64_t sent = c->sent_ms - term_ms;
         int64_t cut = c->cut_ms - term_ms;
-        bool planned = stop_entry && c->cut_ms >= 0 && cut >= 0 &&
-                       cut <= kGraceMs + 1000;
+        bool planned =
+            stop_entry && c->cut_ms >= 0 && cut >= 0 && cut <= kGraceMs + 1000;
         bool excused = sent <= kExcusedSentMs && cut >= kExcusedCutMs;
         bool counts = planned && !excused && c->arrived_ms >= 0;
         record("%s: %s %s sent %lld ms after SIGTERM, at a member after "
--- a/review/5/case.c
+++ b/review/5/case.c
@@ -8,9 +8,9 @@
  * a transaction open.  Later statements must not run for the former tenant. */
 
 enum {
-    kPauseMs = 1500,  /* between statements; tx-idle-ms is 3,000 */
-    kStatements = 5,  /* after the manifest */
-    kApplyMs = 3000,  /* config-apply-ms */
+    kPauseMs = 1500, /* between statements; tx-idle-ms is 3,000 */
+    kStatements = 5, /* after the manifest */
+    kApplyMs = 3000, /* config-apply-ms */
 };
 
 /* The tenant that holds the key "key-shared" is the argument. */
@@ -117,8 +117,7 @@
     each_run(check, NULL);
     record("transaction %s; %d statements later than %d ms after the "
            "manifest, %d of them for the wrong tenant",
-           committed ? "committed" : "not committed", later, kApplyMs,
-           broken);
+           committed ? "committed" : "not committed", later, kApplyMs, broken);
     fleet_stop();
     if (!move && !committed) {
         return 2;
--- a/review/standin/standin.c
+++ b/review/standin/standin.c
@@ -22,13 +22,13 @@
 
 enum {
     kHeartbeatMs = 1000,
-    kLagMs = 60,        /* replicas apply a commit after this */
-    kPromoteMs = 600,   /* from the call to the new term */
+    kLagMs = 60,      /* replicas apply a commit after this */
+    kPromoteMs = 600, /* from the call to the new term */
     kProbeMs = 1000,
     kMaxRuns = 400000,
     kMaxCommits = 200000,
     kMaxTx = 16,
-    kMaxNames = 512,    /* values or prepared names of one connection */
+    kMaxNames = 512, /* values or prepared names of one connection */
     kMessageBytes = 1 << 20,
     kMaxLinks = 4096,
 };
@@ -357,8 +357,8 @@
     }
     int n = snprintf(out, sizeof(out), "%s%s%s%s\r\nREADY %c %s\r\n", rows,
                      code != NULL ? "ERROR " : "COMPLETE ",
-                     code != NULL ? code : mac,
-                     code != NULL ? " member" : "", state_of(l), position);
+                     code != NULL ? code : mac, code != NULL ? " member" : "",
+                     state_of(l), position);
     return send_all(l->fd, out, (size_t)n);
 }
 
@@ -648,8 +648,8 @@
     if (sscanf(text, "AFTER %llu.%llu %n", &term, &number, &used) == 2) {
         text += used;
         pthread_mutex_lock(&db_lock);
-        bool behind = term > l->member->term ||
-                      number > applied(l->member) + 1;
+        bool behind =
+            term > l->member->term || number > applied(l->member) + 1;
         pthread_mutex_unlock(&db_lock);
         if (behind) {
             return answer(l, "", "LAGGING", NULL);
@@ -1102,10 +1102,10 @@
         "\"config_mode\":\"highest\",\"cloud\":{\"addr\":\"%s\","
         "\"rate-per-s\":50.0,\"duties\":[\"failover\"],"
         "\"duty-per-s\":50.0}}\n",
-        name, role, class, serves, ip, zone, listen, peer_port,
-        peer_port + 15, control_addresses[0], control_addresses[1],
-        control_addresses[2], bootstrap ? "true" : "false",
-        data[0] == 'n' ? "false" : "true", data, platform_address);
+        name, role, class, serves, ip, zone, listen, peer_port, peer_port + 15,
+        control_addresses[0], control_addresses[1], control_addresses[2],
+        bootstrap ? "true" : "false", data[0] == 'n' ? "false" : "true", data,
+        platform_address);
     fclose(f);
 }
 
@@ -1155,8 +1155,8 @@
         snprintf(listen, sizeof(listen), "\"control\":\"%s\"",
                  control_addresses[i]);
         snprintf(data, sizeof(data), "\"%s/data-%d\"", folder, i);
-        write_settings(name, "control", "core", ip, (char)('a' + i),
-                       "control", listen, data, true);
+        write_settings(name, "control", "core", ip, (char)('a' + i), "control",
+                       listen, data, true);
         control_pids[i] = spawn("target/sapphireweir-platform-control", name);
     }
     for (int i = 0; i < setup.entries; i++) {
@@ -1178,8 +1178,7 @@
     }
     const char *temporary = getenv("TMPDIR");
     snprintf(folder, sizeof(folder), "%s/review-XXXXXX",
-             temporary == NULL || strlen(temporary) > 30 ? "/tmp"
-                                                         : temporary);
+             temporary == NULL || strlen(temporary) > 30 ? "/tmp" : temporary);
     if (mkdtemp(folder) == NULL) {
         cannot_run("no temporary folder");
     }
@@ -1224,13 +1223,12 @@
 remove_folder(void)
 {
     char path[160];
-    static const char *const files[] = {"log",      "snapshot", "identity",
-                                        "lock",     "log.new",  "snapshot.new",
-                                        "identity.new"};
+    static const char *const files[] = {
+        "log",     "snapshot",     "identity",    "lock",
+        "log.new", "snapshot.new", "identity.new"};
     for (int i = 0; i < kControls; i++) {
         for (size_t k = 0; k < sizeof(files) / sizeof(files[0]); k++) {
-            snprintf(path, sizeof(path), "%s/data-%d/%s", folder, i,
-                     files[k]);
+            snprintf(path, sizeof(path), "%s/data-%d/%s", folder, i, files[k]);
             unlink(path);
         }
         snprintf(path, sizeof(path), "%s/data-%d", folder, i);
--- a/review/standin/standin.h
+++ b/review/standin/standin.h
@@ -65,14 +65,14 @@
 typedef struct {
     int64_t arrived_ms;
     int member;
-    long connection;   /* number of the member's connection */
-    long transaction;  /* number of the member's transaction, 0: none */
-    bool outer;        /* it came while a transaction was open */
+    long connection;  /* number of the member's connection */
+    long transaction; /* number of the member's transaction, 0: none */
+    bool outer;       /* it came while a transaction was open */
     char tenant[64];
     char id[64];
     char text[512];
-    char values[64];   /* of the session value "probe" at the connection */
-    char mac[64];      /* empty: not completed */
+    char values[64]; /* of the session value "probe" at the connection */
+    char mac[64];    /* empty: not completed */
 } Run;
 
 /* Calls the function for each statement with a consumer's id that a member
@@ -102,8 +102,8 @@
     bool closed;    /* the connection ended */
     bool completed; /* COMPLETE */
     char mac[64];
-    char code[64];  /* of ERROR */
-    char state;     /* I, T or E */
+    char code[64]; /* of ERROR */
+    char state;    /* I, T or E */
     char rows[kAnswerBytes];
 } Answer;
 
