--- a/review/5/case.c
+++ b/review/5/case.c
@@ -111,6 +111,16 @@
             break;
         }
     }
+    if (move) {
+        /* For comparison: a new session with the same key. */
+        static Consumer other;
+        if (consumer_open(&other, 1, "rounds", "key-shared")) {
+            Answer second;
+            record("the next statement is that of a new session");
+            ask(&other, "WRITE 43 new", &second);
+        }
+        consumer_close(&other);
+    }
     ask(&c, "COMMIT", &a);
     bool committed = a.completed;
     consumer_close(&c);
