Answer every statement before a planned stop ends

Cause: the end of a session, and of an open transaction after half of the grace, was looked for only at a tick of 20 ms. A session whose next statement follows at once is never found idle. The program left its event loop after 85 % of the grace whatever was open, and with answers not yet sent.

Change: session_reply marks the answer behind which a session closes, so that both leave together. From half of the grace on, statements that would start or continue work are refused as not run; after 85 % what waits for a server is answered with what is known. The process ends when all answers are sent. A session with input that was not handled stays open until it is.

--- a/src/sapphireweir/gateway/gateway.h
+++ b/src/sapphireweir/gateway/gateway.h
@@ -39,6 +39,7 @@
     kRefusedAttempts,    /* all attempts were rejected */
     kRefusedDeadline,    /* the deadline passed in the queue */
     kRefusedUnconfirmed, /* the key may have been revoked meanwhile */
+    kRefusedDraining,    /* a planned shutdown leaves no time for it */
     kRefusalReasons,
 } RefusalReason;
 
--- a/src/sapphireweir/gateway/gateway_defs.h
+++ b/src/sapphireweir/gateway/gateway_defs.h
@@ -85,6 +85,9 @@
     const char *tag; /* completion tag, NULL if no backend server ran it */
     SessionState state;
     const char *position_text; /* NULL: none */
+    /* The driver closes the connection behind this answer, unless the caller
+     * has already sent more. */
+    gboolean closes;
 } CallerAnswer;
 
 typedef enum {
@@ -125,9 +128,10 @@
     void *ctx;
     /* Sends the answer to a caller's statement. */
     void (*caller_answer)(void *ctx, void *caller, const CallerAnswer *a);
-    /* Closes a caller's connection after the gateway has closed its session.
-     */
-    void (*caller_close)(void *ctx, void *caller);
+    /* Closes a caller's connection; the gateway then closes its session.
+     * Returns FALSE, and leaves it open, if the caller has sent a statement
+     * that the gateway does not know yet. */
+    gboolean (*caller_close)(void *ctx, void *caller);
     /* Returns a new link to a backend server.  Events arrive after the call
      * has returned, never during it. */
     void *(*server_open)(void *ctx, const ServerEvents *events, void *owner,
--- a/src/sapphireweir/gateway/gateway_metrics.c
+++ b/src/sapphireweir/gateway/gateway_metrics.c
@@ -48,6 +48,7 @@
         {"refused_attempts_total", n->refusals[kRefusedAttempts]},
         {"refused_deadline_total", n->refusals[kRefusedDeadline]},
         {"refused_unconfirmed_total", n->refusals[kRefusedUnconfirmed]},
+        {"refused_draining_total", n->refusals[kRefusedDraining]},
         {"in_doubt_total", n->in_doubt},
         {"timeouts_total", n->timeouts},
         {"leases_lost_total", n->leases_lost},
--- a/src/sapphireweir/gateway/session.c
+++ b/src/sapphireweir/gateway/session.c
@@ -8,7 +8,11 @@
  * an idle transaction without statements holds no connection. */
 
 enum {
-    kDrainPercent = 50, /* of the drain grace, for open transactions */
+    /* Of the drain grace: end of open transactions and of new statements. */
+    kDrainPercent = 50,
+    /* Of the drain grace: end of the wait for answers of servers.  The rest is
+     * left for sending answers to callers. */
+    kDrainLimitPercent = 85,
     /* Idle sessions are closed once the load balancer has noticed that this
      * instance is not ready.  It needs two failed probes; the time is for a
      * balancer whose probes do not arrive. */
@@ -26,6 +30,57 @@
     return s->team == NULL ? "-" : s->team->name;
 }
 
+/* ---- planned shutdown ---- */
+
+/* Tells whether a planned shutdown has used up a part of its grace. */
+static gboolean
+drain_has_used(const Gateway *g, uint64_t now_us, uint32_t percent)
+{
+    return g->drain_started_us != 0 &&
+           now_us - g->drain_started_us > g->drain_grace_us * percent / 100;
+}
+
+/* Tells whether the load balancer has noticed, or has had time to notice, that
+ * this instance has not been ready since since_us. */
+static gboolean
+balancer_noticed(const Gateway *g, uint64_t now_us, uint64_t since_us)
+{
+    return g->unready_probe_count >= kUnreadyProbesNoticed ||
+           now_us - since_us > kIdleCloseAfterUs;
+}
+
+/* Tells whether a planned shutdown has begun and the load balancer sends no
+ * new callers. */
+static gboolean
+drain_is_noticed(const Gateway *g, uint64_t now_us)
+{
+    return g->drain_started_us != 0 &&
+           balancer_noticed(g, now_us, g->drain_started_us);
+}
+
+/* Tells whether idle sessions must be closed, so that their callers connect to
+ * other instances: this instance is draining or partitioned, and the load
+ * balancer has noticed. */
+static gboolean
+must_close(const Gateway *g, uint64_t now_us)
+{
+    if (g->partitioned_since_us != 0) {
+        return balancer_noticed(g, now_us, g->partitioned_since_us);
+    }
+    return drain_is_noticed(g, now_us);
+}
+
+/* Tells whether a planned shutdown has begun, the load balancer sends no new
+ * callers, and no session is left.  Lent connections count until the wait for
+ * answers of servers has ended. */
+gboolean
+gateway_drained(const Gateway *g, uint64_t now_us)
+{
+    return drain_is_noticed(g, now_us) && g->sessions.length == 0 &&
+           (g_hash_table_size(g->pooled_jobs) == 0 ||
+            drain_has_used(g, now_us, kDrainLimitPercent));
+}
+
 /* ---- route and team ---- */
 
 /* Looks up route and team in the current document.  Returns kCodeNone, or the
@@ -61,7 +116,7 @@
              const char *key, AnswerCode *code)
 {
     *code = kCodeBusy;
-    if (g->document == NULL) {
+    if (g->document == NULL || drain_is_noticed(g, now_us)) {
         return NULL;
     }
     Session *s = g_new0(Session, 1);
@@ -151,12 +206,15 @@
 }
 
 /* Answers the open statement: logs the outcome, updates the session's state
- * and the counters, and sends the answer to the caller. */
+ * and the counters, and sends the answer to the caller.  If idle sessions must
+ * be closed, so is this one once it is idle: a caller that sends the next
+ * statement at once would otherwise never be found idle. */
 void
 session_reply(Session *s, uint64_t now_us, const CallerAnswer *a)
 {
     Gateway *g = s->gateway;
     uint64_t arrived_us = s->job.arrived_us;
+    CallerAnswer answer = *a;
 
     session_log(s, now_us, a);
     dispatch_dequeue(s);
@@ -183,7 +241,8 @@
         record_time(&g->counters.refusal, now_us, arrived_us);
     }
     if (s->caller != NULL) {
-        g->port.caller_answer(g->port.ctx, s->caller, a);
+        answer.closes = a->state == kSessionIdle && must_close(g, now_us);
+        g->port.caller_answer(g->port.ctx, s->caller, &answer);
     }
 }
 
@@ -240,6 +299,7 @@
         [kRefusedAttempts] = "every server turned it away",
         [kRefusedDeadline] = "no connection came free",
         [kRefusedUnconfirmed] = "its key cannot be confirmed",
+        [kRefusedDraining] = "the instance is shutting down",
     };
     char detail[96];
 
@@ -510,6 +570,28 @@
     forward_job(s, now_us);
 }
 
+/* Refuses a statement that would start work, or continue a transaction, when
+ * a planned shutdown leaves no more time for it.  Returns whether it did. */
+static gboolean
+refuse_draining(Session *s, uint64_t now_us)
+{
+    StatementKind kind = s->job.kind;
+    gboolean starts = kind == kStatementBegin || kind == kStatementBeginRead ||
+                      kind == kStatementRead || kind == kStatementWrite ||
+                      kind == kStatementExecute;
+    gboolean continues =
+        s->state == kSessionInTransaction && kind != kStatementRollback;
+
+    if (!drain_has_used(s->gateway, now_us, kDrainPercent) ||
+        (!continues && !starts)) {
+        return FALSE;
+    }
+    s->gateway->counters.refusals[kRefusedDraining]++;
+    session_finish(s, now_us, continues ? kCodeAborted : kCodeBusy,
+                   "not run: the instance is shutting down");
+    return TRUE;
+}
+
 /* Handles a statement of the caller.  Exactly one answer follows, during the
  * call or later; the driver must not pass the next statement before it. */
 void
@@ -529,6 +611,9 @@
                     "the transaction has failed");
         return;
     }
+    if (refuse_draining(s, now_us)) {
+        return;
+    }
     switch (st->kind) {
     case kStatementBegin:
     case kStatementBeginRead:
@@ -570,50 +655,35 @@
            (single || s->job.kind == kStatementCommit);
 }
 
-/* Ends a sent statement when its deadline passes. */
+/* Ends the wait for the answer to a sent statement. */
 static void
-job_tick(Session *s, uint64_t now_us)
+give_up_answer(Session *s, uint64_t now_us, const char *detail)
 {
-    if (!s->job.sent || now_us < s->job.deadline_us) {
-        return;
-    }
-    s->gateway->counters.timeouts++;
     session_finish(s, now_us,
                    ends_in_doubt(s)                    ? kCodeInDoubt
                    : s->state == kSessionInTransaction ? kCodeAborted
                                                        : kCodeTimeout,
-                   "no answer within the time limit");
-}
-
-/* Tells whether the load balancer has noticed, or has had time to notice, that
- * this instance has not been ready since since_us. */
-static gboolean
-balancer_noticed(const Gateway *g, uint64_t now_us, uint64_t since_us)
-{
-    return g->unready_probe_count >= kUnreadyProbesNoticed ||
-           now_us - since_us > kIdleCloseAfterUs;
+                   detail);
 }
 
-/* Tells whether idle sessions must be closed, so that their callers connect to
- * other instances: this instance is draining or partitioned, and the load
- * balancer has noticed. */
-static gboolean
-must_close(const Gateway *g, uint64_t now_us)
-{
-    uint64_t since_us = g->partitioned_since_us != 0 ? g->partitioned_since_us
-                                                     : g->drain_started_us;
-
-    return since_us != 0 && balancer_noticed(g, now_us, since_us);
-}
-
-/* Tells whether a planned shutdown has begun, the load balancer sends no new
- * callers, and no session or lent connection is left. */
-gboolean
-gateway_drained(const Gateway *g, uint64_t now_us)
+/* Ends a sent statement when its deadline passes, and any open statement at
+ * the end of a planned shutdown. */
+static void
+job_tick(Session *s, uint64_t now_us)
 {
-    return g->drain_started_us != 0 &&
-           balancer_noticed(g, now_us, g->drain_started_us) &&
-           g->sessions.length == 0 && g_hash_table_size(g->pooled_jobs) == 0;
+    if (s->job.sent && now_us >= s->job.deadline_us) {
+        s->gateway->counters.timeouts++;
+        give_up_answer(s, now_us, "no answer within the time limit");
+        return;
+    }
+    if (!drain_has_used(s->gateway, now_us, kDrainLimitPercent)) {
+        return;
+    }
+    if (s->job.sent) {
+        give_up_answer(s, now_us, "no answer before the end of the shutdown");
+        return;
+    }
+    session_refuse(s, now_us, kRefusedDraining, 0);
 }
 
 /* Drops the configuration of an idle session's last statement, once there is a
@@ -639,9 +709,7 @@
 
     if (in_transaction && s->connection != NULL &&
         (idle_us > s->document->transaction_idle_us ||
-         (g->drain_started_us != 0 &&
-          now_us - g->drain_started_us >
-              g->drain_grace_us * kDrainPercent / 100))) {
+         drain_has_used(g, now_us, kDrainPercent))) {
         connection_release(s->connection, now_us, TRUE);
         s->state = kSessionFailed;
         s->begun = FALSE;
@@ -649,10 +717,11 @@
     if (s->state == kSessionIdle) {
         drop_former_document(s);
     }
-    if (s->state == kSessionIdle && must_close(g, now_us)) {
-        void *caller = s->caller;
+    gboolean closes = s->state == kSessionIdle
+                          ? must_close(g, now_us)
+                          : drain_has_used(g, now_us, kDrainLimitPercent);
+    if (closes && g->port.caller_close(g->port.ctx, s->caller)) {
         session_close(s, now_us);
-        g->port.caller_close(g->port.ctx, caller);
     }
 }
 
--- a/test/fuzz/fuzz_peer.c
+++ b/test/fuzz/fuzz_peer.c
@@ -42,11 +42,12 @@
     (void)a;
 }
 
-static void
+static gboolean
 sink_caller_close(void *ctx, void *caller)
 {
     (void)ctx;
     (void)caller;
+    return TRUE;
 }
 
 static void *
--- a/test/platform/emulator.c
+++ b/test/platform/emulator.c
@@ -47,6 +47,9 @@
     gboolean failed;      /* an error occurred in the open transaction */
     GPtrArray *writes;    /* char *: data the open transaction has written */
     GHashTable *prepared; /* statement name -> "READ" or "WRITE" */
+    /* Runs held_text after the statement delay. */
+    struct event *delay;
+    char *held_text; /* statement that is being delayed, or NULL */
 } Client;
 
 struct EmulatorCaller {
@@ -72,6 +75,8 @@
     gboolean lose_next_answer;
     uint32_t promotion_count;
     uint32_t statements_after_drain; /* started while the member drained */
+    uint32_t statement_delay_ms;     /* of each read, write and commit */
+    GHashTable *received_ids;        /* of statements that reached a member */
 };
 
 /* ---- time ---- */
@@ -139,6 +144,8 @@
 {
     g_ptr_array_remove_fast(c->member->clients, c);
     bufferevent_free(c->bev);
+    event_free(c->delay);
+    g_free(c->held_text);
     g_ptr_array_unref(c->writes);
     g_hash_table_destroy(c->prepared);
     g_free(c);
@@ -302,7 +309,31 @@
     return TRUE;
 }
 
-/* Handles each complete line: STARTUP first, then "QUERY ID STATEMENT". */
+/* Runs a statement, or holds it back for the statement delay if a caller sent
+ * it.  Returns FALSE when the client was freed. */
+static gboolean
+receive_statement(Client *c, char *line)
+{
+    Emulator *e = c->member->e;
+    char *id = line + strlen("QUERY ");
+    char *text = strchr(id, ' ');
+    struct timeval delay = {0, (suseconds_t)e->statement_delay_ms * 1000};
+
+    if (text == NULL) {
+        return FALSE;
+    }
+    *text++ = '\0';
+    g_hash_table_add(e->received_ids, g_strdup(id));
+    if (strcmp(id, "-") == 0 || e->statement_delay_ms == 0) {
+        return run_query(c, text);
+    }
+    c->held_text = g_strdup(text);
+    event_add(c->delay, &delay);
+    return TRUE;
+}
+
+/* Handles each complete line: STARTUP first, then "QUERY ID STATEMENT".  Lines
+ * behind a statement that is held back wait for it. */
 static void
 on_client_read(struct bufferevent *bev, void *ctx)
 {
@@ -311,19 +342,33 @@
     char *line;
     gboolean connected = TRUE;
 
-    while (connected &&
+    while (connected && c->held_text == NULL &&
            (line = evbuffer_readln(in, NULL, EVBUFFER_EOL_CRLF)) != NULL) {
         if (!c->started) {
             connected = run_startup(c, line);
         }
         else {
-            char *text = strchr(line + strlen("QUERY "), ' ');
-            connected = text != NULL && run_query(c, text + 1);
+            connected = receive_statement(c, line);
         }
         free(line);
     }
 }
 
+/* Runs the statement that was held back, and the lines behind it. */
+static void
+on_statement_delay(evutil_socket_t fd, short events, void *ctx)
+{
+    Client *c = ctx;
+    char *text = g_steal_pointer(&c->held_text);
+
+    (void)fd;
+    (void)events;
+    if (run_query(c, text)) {
+        on_client_read(c->bev, c);
+    }
+    g_free(text);
+}
+
 /* Frees a client whose connection was closed. */
 static void
 on_client_event(struct bufferevent *bev, short events, void *ctx)
@@ -352,6 +397,7 @@
     c->writes = g_ptr_array_new_with_free_func(g_free);
     c->prepared =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    c->delay = evtimer_new(m->e->base, on_statement_delay, c);
     c->bev = bufferevent_socket_new(m->e->base, fd, BEV_OPT_CLOSE_ON_FREE);
     bufferevent_setcb(c->bev, on_client_read, NULL, on_client_event, c);
     bufferevent_enable(c->bev, EV_READ | EV_WRITE);
@@ -711,6 +757,8 @@
     g_mkdir_with_parents(folder, 0700);
     remove_old_data(folder);
     e->connections = g_ptr_array_new();
+    e->received_ids =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     g_snprintf(e->platform_address, sizeof(e->platform_address),
                "127.0.0.1:%u", port);
     e->platform_http = evhttp_new(e->base);
@@ -759,6 +807,7 @@
     evhttp_free(e->platform_http);
     event_base_free(e->base);
     g_ptr_array_unref(e->connections);
+    g_hash_table_destroy(e->received_ids);
     g_free(e->folder);
     g_free(e);
 }
@@ -937,6 +986,20 @@
     e->lose_next_answer = TRUE;
 }
 
+/* Makes members take delay_ms for each statement of a caller. */
+void
+emulator_set_statement_delay(Emulator *e, uint32_t delay_ms)
+{
+    e->statement_delay_ms = delay_ms;
+}
+
+/* Returns whether a statement with the id has reached a member. */
+gboolean
+emulator_received_statement(const Emulator *e, const char *id)
+{
+    return g_hash_table_contains(e->received_ids, id);
+}
+
 /* Returns how many promotion requests were accepted. */
 uint32_t
 emulator_promotion_count(const Emulator *e)
@@ -1065,6 +1128,29 @@
     return c->answer->str;
 }
 
+/* Returns how many answers have arrived since caller_request or
+ * caller_discard_answers was called. */
+uint32_t
+caller_answer_count(const EmulatorCaller *c)
+{
+    return c->ready_count;
+}
+
+/* Returns the lines of the answers that caller_answer_count counts. */
+const char *
+caller_answers(const EmulatorCaller *c)
+{
+    return c->answer->str;
+}
+
+/* Discards the answers that have arrived. */
+void
+caller_discard_answers(EmulatorCaller *c)
+{
+    g_string_truncate(c->answer, 0);
+    c->ready_count = 0;
+}
+
 /* Returns whether the entry instance has closed the connection. */
 gboolean
 caller_is_closed(const EmulatorCaller *c)
--- a/test/platform/emulator.h
+++ b/test/platform/emulator.h
@@ -53,6 +53,8 @@
 void emulator_set_member_running(Emulator *e, uint32_t i, gboolean running);
 void emulator_drain_member(Emulator *e, uint32_t i);
 void emulator_lose_next_answer(Emulator *e);
+void emulator_set_statement_delay(Emulator *e, uint32_t delay_ms);
+gboolean emulator_received_statement(const Emulator *e, const char *id);
 uint32_t emulator_promotion_count(const Emulator *e);
 gboolean emulator_member_running(const Emulator *e, uint32_t i);
 uint32_t emulator_commit_count(const Emulator *e, const char *datum);
@@ -62,6 +64,9 @@
 EmulatorCaller *caller_connect(Emulator *e, uint32_t entry);
 void caller_send(EmulatorCaller *c, const char *text);
 const char *caller_request(EmulatorCaller *c, const char *text);
+uint32_t caller_answer_count(const EmulatorCaller *c);
+const char *caller_answers(const EmulatorCaller *c);
+void caller_discard_answers(EmulatorCaller *c);
 gboolean caller_is_closed(const EmulatorCaller *c);
 void caller_close(EmulatorCaller *c);
 
--- a/test/support/fleet_sim.c
+++ b/test/support/fleet_sim.c
@@ -34,6 +34,9 @@
     kStatementsMax = 64, /* not used */
     /* Longer than all statements of a transaction at their time limits. */
     kQuiesceMs = 4000,
+    kProbeIntervalUs = 1000000, /* of the load balancer */
+    /* Of a stopping entry instance's grace: its process ends then. */
+    kMaxDrainPercent = 95,
 };
 
 /* A committed write in the log of a backend server. */
@@ -103,6 +106,8 @@
     gboolean writes;
     gboolean active;          /* an operation is in progress */
     gboolean step_scheduled;  /* an event continues the operation */
+    gboolean opening;         /* sends the first statement of its session */
+    gboolean closing;         /* its last answer closes its session */
     uint32_t attempts;        /* rejected attempts of this operation */
     uint64_t started_us;      /* start of the operation */
     uint64_t read_started_us; /* start of the statement or transaction */
@@ -130,6 +135,9 @@
     Gateway *gateway;
     uint64_t contact_since_us; /* when it started or a partition ended */
     gboolean loses_frames;     /* of control instances */
+    uint64_t stopping_us;      /* when its planned stop began, zero: never */
+    uint64_t grace_us;         /* of that stop */
+    uint64_t probed_us;        /* last probe of the load balancer */
     uint64_t inbound_free_us;  /* when its link can take the next frame */
     uint64_t outbound_free_us; /* the same for frames that it sends */
 } EntryInstance;
@@ -179,6 +187,7 @@
     gboolean quiescing;        /* callers start no operations */
     gboolean sync_replication; /* commits wait for one replica */
     uint64_t mean_pause_us;    /* of a caller between operations */
+    uint64_t extra_work_us;    /* of each statement at a server */
     /* Bandwidth of each entry instance's link, zero: unlimited. */
     uint64_t link_bytes_per_s;
     GBytes *last_read;       /* by fleet_sim_read_document, NULL: no reply */
@@ -738,8 +747,9 @@
         conn->busy_until_us =
             MAX(conn->busy_until_us, sim->now_us + kOneWayDelayUs);
         if (commands[i].kind == kCommandStatement) {
-            conn->busy_until_us = reserve_slot(
-                sim, conn->server, conn->busy_until_us, kStatementUs);
+            conn->busy_until_us =
+                reserve_slot(sim, conn->server, conn->busy_until_us,
+                             kStatementUs + sim->extra_work_us);
         }
         *c = (Command){.connection = conn,
                        .kind = commands[i].kind,
@@ -1462,13 +1472,19 @@
     send_statement(c, kStatementRead, "READ item");
 }
 
-/* Sends the first statement of an operation, also after a rejection. */
+static void open_session(FleetSim *sim, Caller *c);
+
+/* Sends the first statement of an operation, also after a rejection.  A caller
+ * whose session was closed meanwhile opens a new one. */
 static void
 start_attempt(FleetSim *sim, void *data)
 {
     Caller *c = data;
     c->step = 0;
     c->write_id = 0;
+    if (c->session == NULL) {
+        open_session(sim, c);
+    }
     send_step(sim, c);
 }
 
@@ -1554,6 +1570,20 @@
     finish_operation(c, FALSE);
 }
 
+/* Closes the session of a caller behind its last answer, unless the caller has
+ * sent a further statement or opened another session. */
+static void
+close_session(FleetSim *sim, void *data)
+{
+    Caller *c = data;
+
+    if (c->closing && c->session != NULL && !session_busy(c->session)) {
+        session_close(c->session, sim->now_us);
+        c->session = NULL;
+    }
+    c->closing = FALSE;
+}
+
 /* Records the answer to a statement and schedules its handling.  The answer to
  * a ROLLBACK after a failed transaction is only recorded. */
 static void
@@ -1562,7 +1592,11 @@
     Caller *c = caller;
 
     (void)ctx;
-    if (!c->active) {
+    if (a->closes) {
+        c->closing = TRUE;
+        schedule(c->sim, 0, close_session, c);
+    }
+    if (!c->active || c->opening) {
         return;
     }
     if (c->answer.state == kSessionFailed && c->answer.code != kCodeNone &&
@@ -1575,11 +1609,12 @@
 }
 
 /* Records that the gateway ended the caller's session. */
-static void
+static gboolean
 port_caller_close(void *ctx, void *caller)
 {
     (void)ctx;
     ((Caller *)caller)->session = NULL;
+    return TRUE;
 }
 
 /* Opens a session of a caller at the next entry instance. */
@@ -1590,14 +1625,18 @@
     char key[32];
 
     g_snprintf(key, sizeof(key), "%s-%u", kKeyPrefix, c->index % sim->teams);
-    c->entry = (c->entry + 1) % kFleetSimEntries;
+    do {
+        c->entry = (c->entry + 1) % kFleetSimEntries;
+    } while (sim->entries[c->entry].stopping_us != 0);
+    c->closing = FALSE;
     c->session = session_open(sim->entries[c->entry].gateway, sim->now_us, c,
                               kDatabaseNames[c->index % kFleetSimDatabases],
                               key, &code);
     sim->report.no_auth += code == kCodeNoAuth;
     if (c->session != NULL) {
-        /* No operation is active, so that the answer is ignored. */
+        c->opening = TRUE;
         send_statement(c, kStatementSet, "SET");
+        c->opening = FALSE;
     }
 }
 
@@ -1634,6 +1673,36 @@
 
 /* ---- periodic events ---- */
 
+/* Probes a stopping entry instance as the load balancer does, and ends its
+ * process when it has drained or its time is over.  Statements without an
+ * answer are cut off. */
+static void
+tick_stop(FleetSim *sim, uint32_t index)
+{
+    EntryInstance *e = &sim->entries[index];
+    uint64_t since_us = sim->now_us - e->stopping_us;
+
+    if (e->stopping_us == 0) {
+        return;
+    }
+    if (sim->now_us - e->probed_us >= kProbeIntervalUs) {
+        e->probed_us = sim->now_us;
+        gateway_probe(e->gateway);
+    }
+    if (!gateway_drained(e->gateway, sim->now_us) &&
+        since_us < e->grace_us * kMaxDrainPercent / 100) {
+        return;
+    }
+    for (uint32_t i = 0; i < kFleetSimCallers; i++) {
+        const Caller *c = &sim->callers[i];
+        sim->report.cut_off_by_stop += c->entry == index &&
+                                       c->session != NULL &&
+                                       session_busy(c->session);
+    }
+    sim->report.stops++;
+    fleet_sim_restart_entry(sim, index);
+}
+
 /* Ticks all instances. */
 static void
 tick(FleetSim *sim, void *data)
@@ -1647,6 +1716,7 @@
     for (uint32_t i = 0; i < kFleetSimEntries; i++) {
         gateway_tick(sim->entries[i].gateway, sim->now_us);
         check_version_lag(sim, &sim->entries[i]);
+        tick_stop(sim, i);
     }
     schedule(sim, kTickUs, tick, data);
 }
@@ -1866,6 +1936,7 @@
     e->index = i;
     e->id = id;
     e->contact_since_us = sim->now_us;
+    e->stopping_us = 0;
     e->gateway = gateway_new(&config, &port);
     for (uint32_t k = 0; k < kFleetSimDomains; k++) {
         gateway_control_add(e->gateway, 0, sim->controls[k].id);
@@ -2114,6 +2185,25 @@
     sim->entries[entry].loses_frames = lose;
 }
 
+/* Begins the planned stop of an entry instance, which starts again once it has
+ * ended. */
+void
+fleet_sim_stop_entry(FleetSim *sim, uint32_t index, uint64_t grace_ms)
+{
+    EntryInstance *e = &sim->entries[index];
+
+    e->stopping_us = sim->now_us;
+    e->grace_us = grace_ms * kUsPerMs;
+    gateway_drain(e->gateway, sim->now_us, e->grace_us);
+}
+
+/* Makes each statement take longer at backend servers by statement_ms. */
+void
+fleet_sim_set_extra_work(FleetSim *sim, uint64_t statement_ms)
+{
+    sim->extra_work_us = statement_ms * kUsPerMs;
+}
+
 /* Kills an entry instance and starts a new incarnation of it. */
 void
 fleet_sim_restart_entry(FleetSim *sim, uint32_t index)
--- a/test/support/fleet_sim.h
+++ b/test/support/fleet_sim.h
@@ -32,6 +32,7 @@
     uint64_t longest_write_gap_us;
     uint64_t replica_reads;
     uint64_t rolled_back; /* acknowledged, then discarded by a promotion */
+    uint64_t stops; /* planned stops of entry instances that have ended */
     /* Longest time that a frame waited for the network link of an entry
      * instance. */
     uint64_t longest_link_wait_us;
@@ -51,6 +52,9 @@
     uint64_t outside_transaction; /* ran outside the caller's transaction */
     /* Started at a draining server after the time it may serve. */
     uint64_t run_after_drain;
+    /* Statements without an answer at the end of an entry instance that was
+     * stopped in order. */
+    uint64_t cut_off_by_stop;
     /* Longest time between the acknowledgement of a document and its use, or
      * that of a newer one, by an entry instance in contact. */
     uint64_t longest_version_lag_us;
@@ -113,6 +117,8 @@
 uint64_t fleet_sim_largest_log(const FleetSim *sim);
 uint64_t fleet_sim_leases_lost(const FleetSim *sim);
 const Traffic *fleet_sim_traffic(const FleetSim *sim);
+void fleet_sim_stop_entry(FleetSim *sim, uint32_t index, uint64_t grace_ms);
+void fleet_sim_set_extra_work(FleetSim *sim, uint64_t statement_ms);
 void fleet_sim_set_caller_pause(FleetSim *sim, uint64_t pause_ms);
 
 #endif
--- a/test/unit/test_fleet_sim.c
+++ b/test/unit/test_fleet_sim.c
@@ -1078,6 +1078,58 @@
            t->bytes[SW__FRAME__BODY_DOCUMENT_UPDATE];
 }
 
+/* A planned stop of an entry instance must not cut off a statement that it has
+ * received: callers whose next statement follows at once are never found idle,
+ * and servers may answer more slowly than the stop allows. */
+static void
+a_planned_stop_answers_every_statement(void)
+{
+    static const struct {
+        const char *name;
+        uint64_t pause_ms;
+        uint64_t grace_ms;
+        uint64_t extra_work_ms;
+        uint32_t stops;   /* one after the other, or all at once */
+        uint32_t at_once; /* instances that stop at the same time */
+    } cases[] = {
+        {"callers with pauses", 400, 6000, 0, 6, 1},
+        {"callers without pauses", 0, 2400, 0, 2, 1},
+        {"half of the instances", 0, 2400, 0, 3, 3},
+        {"short grace", 0, 1500, 0, 1, 1},
+        {"slow servers", 0, 6000, 60, 1, 1},
+        {"answers later than the grace", 0, 500, 250, 2, 1},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        for (uint32_t seed = 1; seed <= 3; seed++) {
+            FleetSim *sim = fleet_sim_new(seed);
+            fleet_sim_set_caller_pause(sim, cases[i].pause_ms);
+            fleet_sim_set_extra_work(sim, cases[i].extra_work_ms);
+            fleet_sim_run(sim, 500);
+            for (uint32_t k = 0; k < cases[i].stops; k++) {
+                fleet_sim_stop_entry(sim, k, cases[i].grace_ms);
+                if ((k + 1) % cases[i].at_once == 0) {
+                    fleet_sim_run(sim, cases[i].grace_ms + 1000);
+                }
+            }
+            fleet_sim_quiesce(sim);
+            const FleetSimReport *r = fleet_sim_check(sim);
+            gboolean holds = r->cut_off_by_stop == 0 && r->lost == 0 &&
+                             r->duplicated == 0 && r->false_rejections == 0 &&
+                             r->stale == 0 && r->outside_transaction == 0 &&
+                             r->stops == cases[i].stops;
+            if (!holds) {
+                g_print("\n%s, seed %u: cut off %lu in %lu stops, lost %lu, "
+                        "duplicated %lu, false rejections %lu\n",
+                        cases[i].name, seed, r->cut_off_by_stop, r->stops,
+                        r->lost, r->duplicated, r->false_rejections);
+            }
+            CU_ASSERT(holds);
+            fleet_sim_free(sim);
+        }
+    }
+}
+
 /* Every caller is a team of its own, and each team uses every instance.  An
  * entry instance and the control instances may exchange 4 KB a second while
  * nothing changes. */
@@ -1126,6 +1178,8 @@
                 reads_of_the_document_stay_local);
     CU_add_test(s, "begin and first statement share a round trip",
                 begin_and_first_statement_share_a_round_trip);
+    CU_add_test(s, "a planned stop answers every statement",
+                a_planned_stop_answers_every_statement);
     CU_add_test(s, "control traffic is small at rest",
                 control_traffic_is_small_at_rest);
     CU_add_test(s, "a withdrawn key is rejected", a_withdrawn_key_is_rejected);
