Notice late work and needless refusals in a planned stop

The test of planned stops let two deliberate faults pass: sessions that are not closed behind an answer (all their statements are refused instead), and statements that start after half of the grace (answered in doubt at its end). It now bounds refusals and answers in doubt where the grace leaves time.

--- a/test/support/fleet_sim.c
+++ b/test/support/fleet_sim.c
@@ -1700,6 +1700,8 @@
                                        session_busy(c->session);
     }
     sim->report.stops++;
+    sim->report.refused_by_stop +=
+        gateway_counters(e->gateway)->refusals[kRefusedDraining];
     fleet_sim_restart_entry(sim, index);
 }
 
--- a/test/unit/test_fleet_sim.c
+++ b/test/unit/test_fleet_sim.c
@@ -1091,13 +1091,19 @@
         uint64_t extra_work_ms;
         uint32_t stops;   /* one after the other, or all at once */
         uint32_t at_once; /* instances that stop at the same time */
+        /* The balancer notices before half of the grace has passed, so that
+         * sessions are closed and no statement is refused. */
+        gboolean none_refused;
+        /* Half of the grace suffices for the statements that are open then. */
+        gboolean none_in_doubt;
     } cases[] = {
-        {"callers with pauses", 400, 6000, 0, 6, 1},
-        {"callers without pauses", 0, 2400, 0, 2, 1},
-        {"half of the instances", 0, 2400, 0, 3, 3},
-        {"short grace", 0, 1500, 0, 1, 1},
-        {"slow servers", 0, 6000, 60, 1, 1},
-        {"answers later than the grace", 0, 500, 250, 2, 1},
+        {"callers with pauses", 400, 6000, 0, 6, 1, TRUE, TRUE},
+        {"callers without pauses", 0, 2400, 0, 2, 1, TRUE, TRUE},
+        {"half of the instances", 0, 2400, 0, 3, 3, TRUE, TRUE},
+        {"short grace", 0, 1500, 0, 1, 1, FALSE, TRUE},
+        /* Statements reach their own time limit, also without a stop. */
+        {"slow servers", 0, 6000, 60, 1, 1, TRUE, FALSE},
+        {"answers later than the grace", 0, 500, 250, 2, 1, FALSE, FALSE},
     };
 
     for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
@@ -1114,15 +1120,20 @@
             }
             fleet_sim_quiesce(sim);
             const FleetSimReport *r = fleet_sim_check(sim);
-            gboolean holds = r->cut_off_by_stop == 0 && r->lost == 0 &&
-                             r->duplicated == 0 && r->false_rejections == 0 &&
-                             r->stale == 0 && r->outside_transaction == 0 &&
-                             r->stops == cases[i].stops;
+            gboolean holds =
+                r->cut_off_by_stop == 0 && r->lost == 0 &&
+                r->duplicated == 0 && r->false_rejections == 0 &&
+                r->stale == 0 && r->outside_transaction == 0 &&
+                r->stops == cases[i].stops &&
+                (r->refused_by_stop == 0 || !cases[i].none_refused) &&
+                (r->in_doubt == 0 || !cases[i].none_in_doubt);
             if (!holds) {
-                g_print("\n%s, seed %u: cut off %lu in %lu stops, lost %lu, "
-                        "duplicated %lu, false rejections %lu\n",
+                g_print("\n%s, seed %u: cut off %lu in %lu stops, refused "
+                        "%lu, in doubt %lu, lost %lu, duplicated %lu, false "
+                        "rejections %lu\n",
                         cases[i].name, seed, r->cut_off_by_stop, r->stops,
-                        r->lost, r->duplicated, r->false_rejections);
+                        r->refused_by_stop, r->in_doubt, r->lost,
+                        r->duplicated, r->false_rejections);
             }
             CU_ASSERT(holds);
             fleet_sim_free(sim);
