Close sessions at the end of a planned stop that nobody noticed

With a grace so short that the load balancer does not notice the stop, idle sessions stayed open until the process ended.

--- a/src/sapphireweir/gateway/session.c
+++ b/src/sapphireweir/gateway/session.c
@@ -70,15 +70,18 @@
     return drain_is_noticed(g, now_us);
 }
 
-/* Tells whether a planned shutdown has begun, the load balancer sends no new
- * callers, and no session is left.  Lent connections count until the wait for
- * answers of servers has ended. */
+/* Tells whether a planned shutdown has begun and no session is left.  Until
+ * the wait for answers of servers has ended, the load balancer must also send
+ * no new callers, and no connection may be lent. */
 gboolean
 gateway_drained(const Gateway *g, uint64_t now_us)
 {
-    return drain_is_noticed(g, now_us) && g->sessions.length == 0 &&
-           (g_hash_table_size(g->pooled_jobs) == 0 ||
-            drain_has_used(g, now_us, kDrainLimitPercent));
+    if (g->sessions.length > 0) {
+        return FALSE;
+    }
+    return drain_has_used(g, now_us, kDrainLimitPercent) ||
+           (drain_is_noticed(g, now_us) &&
+            g_hash_table_size(g->pooled_jobs) == 0);
 }
 
 /* ---- route and team ---- */
@@ -717,9 +720,8 @@
     if (s->state == kSessionIdle) {
         drop_former_document(s);
     }
-    gboolean closes = s->state == kSessionIdle
-                          ? must_close(g, now_us)
-                          : drain_has_used(g, now_us, kDrainLimitPercent);
+    gboolean closes = drain_has_used(g, now_us, kDrainLimitPercent) ||
+                      (s->state == kSessionIdle && must_close(g, now_us));
     if (closes && g->port.caller_close(g->port.ctx, s->caller)) {
         session_close(s, now_us);
     }
--- a/test/unit/test_fleet_sim.c
+++ b/test/unit/test_fleet_sim.c
@@ -1100,7 +1100,8 @@
         {"callers with pauses", 400, 6000, 0, 6, 1, TRUE, TRUE},
         {"callers without pauses", 0, 2400, 0, 2, 1, TRUE, TRUE},
         {"half of the instances", 0, 2400, 0, 3, 3, TRUE, TRUE},
-        {"short grace", 0, 1500, 0, 1, 1, FALSE, TRUE},
+        /* It ends before the balancer has noticed. */
+        {"short grace", 0, 1000, 0, 1, 1, FALSE, TRUE},
         /* Statements reach their own time limit, also without a stop. */
         {"slow servers", 0, 6000, 60, 1, 1, TRUE, FALSE},
         {"answers later than the grace", 0, 500, 250, 2, 1, FALSE, FALSE},
