--- a/test/unit/test_fleet_sim.c
+++ b/test/unit/test_fleet_sim.c
@@ -1101,7 +1101,7 @@
         {"callers without pauses", 0, 2400, 0, 2, 1, TRUE, TRUE},
         {"half of the instances", 0, 2400, 0, 3, 3, TRUE, TRUE},
         /* It ends before the balancer has noticed. */
-        {"short grace", 0, 1000, 0, 1, 1, FALSE, TRUE},
+        {"short grace", 0, 1000, 0, 3, 3, FALSE, TRUE},
         /* Statements reach their own time limit, also without a stop. */
         {"slow servers", 0, 6000, 60, 1, 1, TRUE, FALSE},
         {"answers later than the grace", 0, 500, 250, 2, 1, FALSE, FALSE},
