Answer operators before a control instance stops

What operators saw: a read or change of the configuration that a control instance had received got no answer when that instance was stopped in order.

--- a/src/sapphireweir/fleet/director.c
+++ b/src/sapphireweir/fleet/director.c
@@ -310,8 +310,8 @@
     return consensus_failed(d->consensus);
 }
 
-/* Starts a planned stop: transfers leadership to another voter and sends no
- * more join requests. */
+/* Starts a planned stop: transfers leadership to another voter, sends no more
+ * join requests and rejects operators' further requests. */
 void
 director_stop(Director *d, uint64_t now_us)
 {
@@ -319,6 +319,14 @@
     consensus_transfer(d->consensus, now_us);
 }
 
+/* Returns whether a planned stop has begun, another instance may lead and no
+ * operator waits for an answer. */
+gboolean
+director_stopped(const Director *d)
+{
+    return d->stopping && !director_is_leader(d) && !requests_pending(d);
+}
+
 /* Returns the committed primary of a database, or NULL.  The director owns
  * it. */
 PrimaryState *
--- a/src/sapphireweir/fleet/director.h
+++ b/src/sapphireweir/fleet/director.h
@@ -82,6 +82,7 @@
 void director_handle_frame(Director *d, uint64_t now_us, const char *from,
                            const Sw__Frame *frame);
 void director_stop(Director *d, uint64_t now_us);
+gboolean director_stopped(const Director *d);
 gboolean director_is_leader(const Director *d);
 gboolean director_failed(const Director *d);
 void director_metrics_write(const Director *d, uint64_t now_us, GString *out);
--- a/src/sapphireweir/fleet/director_internal.h
+++ b/src/sapphireweir/fleet/director_internal.h
@@ -250,6 +250,7 @@
 void requests_handle_frame(Director *d, uint64_t now_us, const char *from,
                            const Sw__Frame *frame);
 void requests_handle_applied(Director *d, uint64_t index, uint64_t term);
+gboolean requests_pending(const Director *d);
 void operator_request_free(void *request);
 
 /* director_entries.c */
--- a/src/sapphireweir/fleet/director_requests.c
+++ b/src/sapphireweir/fleet/director_requests.c
@@ -200,6 +200,19 @@
     }
 }
 
+/* Returns whether an operator waits for an answer of this instance. */
+gboolean
+requests_pending(const Director *d)
+{
+    for (GList *l = d->requests.head; l != NULL; l = l->next) {
+        const OperatorRequest *r = l->data;
+        if (r->handle != NULL) {
+            return TRUE;
+        }
+    }
+    return FALSE;
+}
+
 /* Returns a new pending request; the director owns it. */
 static OperatorRequest *
 request_add(Director *d, uint64_t now_us, RequestKind kind)
@@ -219,6 +232,11 @@
 director_put_document(Director *d, uint64_t now_us, void *request,
                       uint64_t version, const void *text, size_t bytes)
 {
+    if (d->stopping) {
+        d->port.operator_reply(d->port.ctx, request, kHttpUnavailable, NULL,
+                               0);
+        return;
+    }
     OperatorRequest *r = request_add(d, now_us, kRequestPut);
     r->handle = request;
     r->version = version;
@@ -232,6 +250,11 @@
 void
 director_get_document(Director *d, uint64_t now_us, void *request)
 {
+    if (d->stopping) {
+        d->port.operator_reply(d->port.ctx, request, kHttpUnavailable, NULL,
+                               0);
+        return;
+    }
     OperatorRequest *r = request_add(d, now_us, kRequestGet);
     r->handle = request;
     request_advance(d, now_us, r);
--- a/test/platform/emulator.c
+++ b/test/platform/emulator.c
@@ -406,18 +406,19 @@
 
 /* ---- HTTP as a client ---- */
 
-/* A request that emulator_http_request waits for. */
-typedef struct {
+/* A request whose response is awaited. */
+struct EmulatorHttpCall {
     HttpResponse response;
     gboolean done;
     struct event_base *base;
-} HttpCall;
+    struct evhttp_connection *connection;
+};
 
 /* Stores the response, if there is one, and ends the event loop. */
 static void
 on_http_response(struct evhttp_request *request, void *ctx)
 {
-    HttpCall *call = ctx;
+    EmulatorHttpCall *call = ctx;
 
     call->done = TRUE;
     if (request != NULL) {
@@ -460,21 +461,42 @@
     return c;
 }
 
+/* Starts an HTTP request, which is sent while the event loop runs.  The result
+ * is passed to emulator_http_finish. */
+EmulatorHttpCall *
+emulator_http_start(Emulator *e, const char *address, const char *method,
+                    const char *path, const char *body)
+{
+    EmulatorHttpCall *call = g_new0(EmulatorHttpCall, 1);
+
+    call->base = e->base;
+    call->connection = send_http_request(e, address, method, path, body,
+                                         on_http_response, call);
+    return call;
+}
+
+/* Runs the event loop until the response arrives, the connection is closed or
+ * the request times out, and frees the call.  The caller frees the body. */
+HttpResponse
+emulator_http_finish(EmulatorHttpCall *call)
+{
+    while (!call->done) {
+        event_base_dispatch(call->base);
+    }
+    HttpResponse response = call->response;
+    evhttp_connection_free(call->connection);
+    g_free(call);
+    return response;
+}
+
 /* Sends an HTTP request and runs the event loop until the response arrives
  * or the request times out.  The caller frees the body. */
 HttpResponse
 emulator_http_request(Emulator *e, const char *address, const char *method,
                       const char *path, const char *body)
 {
-    HttpCall call = {.base = e->base};
-    struct evhttp_connection *c = send_http_request(
-        e, address, method, path, body, on_http_response, &call);
-
-    while (!call.done) {
-        event_base_dispatch(e->base);
-    }
-    evhttp_connection_free(c);
-    return call.response;
+    return emulator_http_finish(
+        emulator_http_start(e, address, method, path, body));
 }
 
 /* Ignores the response: a lost heartbeat is not repeated. */
@@ -889,9 +911,8 @@
     g_free(boot_path);
 }
 
-/* Reaps the process of an entry instance if it has ended.  Returns FALSE while
- * it runs.  Otherwise sets exit_code, to -1 when a signal ended the
- * process. */
+/* Reaps the process of a program if it has ended.  Returns FALSE while it
+ * runs.  Otherwise sets exit_code, to -1 when a signal ended the process. */
 gboolean
 emulator_reap(Emulator *e, pid_t pid, int *exit_code)
 {
@@ -900,9 +921,9 @@
     if (waitpid(pid, &status, WNOHANG) != pid) {
         return FALSE;
     }
-    for (uint32_t i = 0; i < kEmulatorEntries; i++) {
-        if (e->entry_pids[i] == pid) {
-            e->entry_pids[i] = 0;
+    for (uint32_t i = 0; i < kEmulatorPrograms; i++) {
+        if (*program_pid(e, i) == pid) {
+            *program_pid(e, i) = 0;
         }
     }
     *exit_code = WIFEXITED(status) ? WEXITSTATUS(status) : -1;
--- a/test/platform/emulator.h
+++ b/test/platform/emulator.h
@@ -34,6 +34,13 @@
 void emulator_free(Emulator *e);
 void emulator_run_for(Emulator *e, uint32_t duration_ms);
 
+/* A request that was started and whose response is awaited. */
+typedef struct EmulatorHttpCall EmulatorHttpCall;
+
+EmulatorHttpCall *emulator_http_start(Emulator *e, const char *address,
+                                      const char *method, const char *path,
+                                      const char *body);
+HttpResponse emulator_http_finish(EmulatorHttpCall *call);
 HttpResponse emulator_http_request(Emulator *e, const char *address,
                                    const char *method, const char *path,
                                    const char *body);
--- a/test/platform/test_path.c
+++ b/test/platform/test_path.c
@@ -482,6 +482,50 @@
     emulator_set_statement_delay(emulator, 0);
 }
 
+/* Guards against a planned stop of a control instance that leaves an operator
+ * without an answer: the change was received, and the others cannot confirm it
+ * before the signal, as they stand still. */
+static void
+control_stop_answers_operators(void)
+{
+    for (uint32_t i = 0; i < kEmulatorControls; i++) {
+        uint32_t program = kEmulatorEntries + i;
+        pid_t pid = emulator_program_pid(emulator, program);
+        int exit_code = -1;
+
+        for (uint32_t k = 0; k < kEmulatorControls; k++) {
+            if (k != i) {
+                kill(emulator_program_pid(emulator, kEmulatorEntries + k),
+                     SIGSTOP);
+            }
+        }
+        EmulatorHttpCall *call = emulator_http_start(
+            emulator, emulator_control_address(emulator, i), "GET", "/config",
+            NULL);
+        emulator_run_for(emulator, 50);
+        emulator_run_for(emulator, 50);
+        kill(pid, SIGTERM);
+        emulator_run_for(emulator, 50);
+        emulator_run_for(emulator, 50);
+        for (uint32_t k = 0; k < kEmulatorControls; k++) {
+            if (k != i) {
+                kill(emulator_program_pid(emulator, kEmulatorEntries + k),
+                     SIGCONT);
+            }
+        }
+        HttpResponse r = emulator_http_finish(call);
+        CU_ASSERT(r.status == 200 || r.status == 503);
+        g_free(r.body);
+        for (int n = 0; n < 60 && !emulator_reap(emulator, pid, &exit_code);
+             n++) {
+            emulator_run_for(emulator, 100);
+        }
+        CU_ASSERT_EQUAL(exit_code, 0);
+        emulator_start_program(emulator, program);
+        emulator_run_for(emulator, 1000);
+    }
+}
+
 /* Starts the emulator for the suite.  Returns nonzero on failure. */
 static int
 start_emulator(void)
@@ -521,6 +565,8 @@
          withdrawn_key_is_refused_on_open_connections},
         {"a stop waits for transactions", stop_waits_for_transactions},
         {"a stop answers busy callers", stop_answers_busy_callers},
+        {"a stop of a control instance answers operators",
+         control_stop_answers_operators},
     };
 
     if (CU_initialize_registry() != CUE_SUCCESS) {
