Want earlier epochs' commits in the log of the next primary

Cause: succession looked only at what the present epoch had acknowledged, which entry instances report and forget with each new epoch; and the count of final logs that covers every commit speaks of the present primary's commits only.

Change: the primary's record in the replicated log carries a position that no commit acknowledged before its epoch exceeds, and a replica without it is not promoted. It holds whichever instances restart, as it is known before the promotion that needs it is asked for.

--- a/src/sapphireweir/fleet/director.c
+++ b/src/sapphireweir/fleet/director.c
@@ -40,6 +40,8 @@
     out->epoch = p->epoch;
     out->log_term = p->log_term;
     out->changing = p->changing;
+    out->acknowledged_term = p->acknowledged.term;
+    out->acknowledged_number = p->acknowledged.number;
 }
 
 /* Applies the committed primary of a database; older epochs are ignored. */
@@ -62,6 +64,7 @@
     p->epoch = m->epoch;
     p->log_term = m->log_term;
     p->changing = m->changing;
+    p->acknowledged = (Position){m->acknowledged_term, m->acknowledged_number};
     if (new_epoch) {
         p->epoch_learned_us = now_us;
         handover_finish(d, p->database);
--- a/src/sapphireweir/fleet/director_internal.h
+++ b/src/sapphireweir/fleet/director_internal.h
@@ -13,6 +13,7 @@
     uint64_t epoch;
     uint64_t log_term;         /* term in which it leads, zero: not known */
     gboolean changing;         /* this primary is being replaced */
+    Position acknowledged;     /* no commit of earlier epochs beyond it was */
     uint64_t epoch_learned_us; /* when this instance learned of the epoch */
 } PrimaryState;
 
@@ -126,6 +127,8 @@
     /* Last promotion request or error reply to one, zero: none. */
     uint64_t promotion_requested_us;
     char *target; /* id of the server to be promoted, or NULL */
+    /* No commit beyond it was acknowledged before the target leads. */
+    Position acknowledged;
     /* Last status of the old primary; valid only if the server still reports
      * itself as primary. */
     Candidate old_primary;
@@ -285,7 +288,8 @@
 gboolean handover_is_replica(const PrimaryChange *change,
                              const DirectoryServer *s, const PrimaryState *p);
 const char *handover_next_primary(Director *d, uint64_t now_us,
-                                  const PrimaryChange *change);
+                                  const PrimaryChange *change,
+                                  Position *acknowledged);
 
 /* handover.c */
 void primary_change_free(void *data);
--- a/src/sapphireweir/fleet/handover.c
+++ b/src/sapphireweir/fleet/handover.c
@@ -182,7 +182,8 @@
     PrimaryState next = {.database = change->database,
                          .primary = change->target,
                          .epoch = change->epoch + 1,
-                         .log_term = change->target_term};
+                         .log_term = change->target_term,
+                         .acknowledged = change->acknowledged};
     if (director_propose_primary(d, now_us, &next)) {
         change->completion_proposed_us = now_us;
     }
@@ -517,7 +518,8 @@
 static void
 promote(Director *d, uint64_t now_us, PrimaryChange *change)
 {
-    const char *best = handover_next_primary(d, now_us, change);
+    Position acknowledged;
+    const char *best = handover_next_primary(d, now_us, change, &acknowledged);
 
     if (best == NULL) {
         g_clear_pointer(&change->refused_server, g_free);
@@ -533,6 +535,7 @@
     }
     g_free(change->target);
     change->target = g_strdup(best);
+    change->acknowledged = acknowledged;
     change->promotion_requested_us = now_us;
     record_stage_time(d, change, kStageChoosing,
                       now_us - change->access_ended_us);
@@ -548,7 +551,8 @@
 static gboolean
 replica_caught_up(Director *d, uint64_t now_us, PrimaryChange *change)
 {
-    const char *best = handover_next_primary(d, now_us, change);
+    Position acknowledged;
+    const char *best = handover_next_primary(d, now_us, change, &acknowledged);
     const Candidate *candidate =
         best == NULL ? NULL : g_hash_table_lookup(change->candidates, best);
 
--- a/src/sapphireweir/fleet/handover_choice.c
+++ b/src/sapphireweir/fleet/handover_choice.c
@@ -31,8 +31,9 @@
            strcmp(s->id, p->primary) != 0;
 }
 
-/* Sets *out to the newest commit that entry instances acknowledged to callers.
- * Returns FALSE if an entry instance may have acknowledged a newer one without
+/* Sets *out to the newest commit that entry instances acknowledged to callers
+ * in this or, by the replicated log, in an earlier epoch.  Returns FALSE if an
+ * entry instance may have acknowledged a newer one in this epoch without
  * reporting it. */
 static gboolean
 newest_acknowledged(const Director *d, const PrimaryChange *change,
@@ -42,7 +43,7 @@
     GHashTableIter it;
     void *value;
 
-    *out = (Position){0};
+    *out = p->acknowledged;
     if (d->evidence_lost_us >= p->epoch_learned_us) {
         return FALSE;
     }
@@ -73,31 +74,54 @@
            now_us - s->last_seen_us < kMaxGoneAgeUs;
 }
 
+/* Returns a position that no commit exceeds that was acknowledged before a
+ * server with the given log leads.  The log holds all of them; its position
+ * counts where they are not known.  A server that leads already reports its
+ * new term, but the acknowledged commits are of the old primary's term at the
+ * latest. */
+static Position
+acknowledged_limit(const PrimaryState *p,
+                   const SuccessionRequirement *required, Position log)
+{
+    if (required->acknowledged_known) {
+        return required->acknowledged;
+    }
+    if (p->log_term != 0 && log.term > p->log_term) {
+        log.term = p->log_term;
+    }
+    return position_compare(log, p->acknowledged) > 0 ? log : p->acknowledged;
+}
+
 /* Returns the server to promote, or NULL while none may be promoted.  The
- * director owns the string.  If replicas store commits before they are
- * acknowledged, an unplanned change chooses the old primary itself when that
- * answers again, since no replica has more commits. */
+ * director owns the string.  Sets *acknowledged to a position that no commit
+ * exceeds that was acknowledged before it leads.  If replicas store commits
+ * before they are acknowledged, an unplanned change chooses the old primary
+ * itself when that answers again, since no replica has more commits. */
 const char *
 handover_next_primary(Director *d, uint64_t now_us,
-                      const PrimaryChange *change)
+                      const PrimaryChange *change, Position *acknowledged)
 {
     const PrimaryState *p = director_primary(d, change->database);
     guint max_count = g_hash_table_size(d->directory.servers);
     SuccessionRequirement required = {
-        .sync_replicas = handover_sync_replicas(d, change->database)};
+        .sync_replicas = handover_sync_replicas(d, change->database),
+        .acknowledged_earlier = p->acknowledged};
     GHashTableIter it;
     void *value;
     size_t count = 0;
 
+    required.acknowledged_known =
+        newest_acknowledged(d, change, &required.acknowledged);
+    *acknowledged = p->acknowledged;
     if (required.sync_replicas > 0 && !change->planned &&
         change->old_primary.valid && change->access_ended_us != 0 &&
         change->old_primary.requested_us >= change->access_ended_us) {
+        *acknowledged =
+            acknowledged_limit(p, &required, change->old_primary.log);
         return p->primary;
     }
     SuccessionReplica *replicas = g_new0(SuccessionReplica, max_count + 1);
     const char **names = g_new0(const char *, max_count + 1);
-    required.acknowledged_known =
-        newest_acknowledged(d, change, &required.acknowledged);
     g_hash_table_iter_init(&it, d->directory.servers);
     while (g_hash_table_iter_next(&it, NULL, &value)) {
         const DirectoryServer *s = value;
@@ -119,6 +143,9 @@
     }
     int best = succession_choose(replicas, count, &required);
     const char *found = best == kSuccessionWait ? NULL : names[best];
+    if (found != NULL) {
+        *acknowledged = acknowledged_limit(p, &required, replicas[best].log);
+    }
     g_free(names);
     g_free(replicas);
     return found;
--- a/src/sapphireweir/fleet/succession.c
+++ b/src/sapphireweir/fleet/succession.c
@@ -1,8 +1,8 @@
 #include "fleet/succession.h"
 
-/* Choice of the replica that becomes the next primary.  Handles the failure
+/* Choice of the replica that becomes the next primary.  Handles the failures
  * in which a primary dies while one replica lags behind and another one is
- * unreachable.  If the primary acknowledges commits alone, the most advanced
+ * unreachable, and in which two primaries die one after the other.  If the primary acknowledges commits alone, the most advanced
  * reachable replica is chosen.  If replicas store each commit before it is
  * acknowledged, a replica is chosen only if its log is certain to contain all
  * acknowledged commits. */
@@ -30,7 +30,9 @@
 }
 
 /* Returns whether enough replicas have a final log that at least one of them
- * has every acknowledged commit. */
+ * has every commit that the old primary acknowledged.  This says nothing of
+ * what its predecessors acknowledged: the replicas that stored that may be
+ * primaries now, or gone. */
 static gboolean
 covers_every_commit(const SuccessionReplica *replicas, size_t count,
                     uint32_t sync_replicas)
@@ -53,7 +55,9 @@
         return most_advanced_replica(replicas, count, FALSE);
     }
     int best = most_advanced_replica(replicas, count, TRUE);
-    if (best == kSuccessionWait) {
+    if (best == kSuccessionWait ||
+        position_compare(replicas[best].log, required->acknowledged_earlier) <
+            0) {
         return kSuccessionWait;
     }
     if (required->acknowledged_known &&
--- a/src/sapphireweir/fleet/succession.h
+++ b/src/sapphireweir/fleet/succession.h
@@ -24,6 +24,9 @@
     uint32_t sync_replicas;
     gboolean acknowledged_known; /* no newer commit can be acknowledged */
     Position acknowledged; /* newest acknowledged commit; term zero: none */
+    /* No commit beyond it was acknowledged before the old primary led; term
+     * zero: none was. */
+    Position acknowledged_earlier;
 } SuccessionRequirement;
 
 enum { kSuccessionWait = -1 }; /* no replica may be promoted yet */
--- a/src/sapphireweir/proto/sapphireweir.pb-c.c
+++ b/src/sapphireweir/proto/sapphireweir.pb-c.c
@@ -6625,7 +6625,7 @@
   (ProtobufCMessageInit) sw__fleet_command__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sw__primary_record__field_descriptors[5] =
+static const ProtobufCFieldDescriptor sw__primary_record__field_descriptors[7] =
 {
   {
     "database",
@@ -6687,8 +6687,34 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "acknowledged_term",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__PrimaryRecord, acknowledged_term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "acknowledged_number",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__PrimaryRecord, acknowledged_number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sw__primary_record__field_indices_by_name[] = {
+  6,   /* field[6] = acknowledged_number */
+  5,   /* field[5] = acknowledged_term */
   3,   /* field[3] = changing */
   0,   /* field[0] = database */
   2,   /* field[2] = epoch */
@@ -6698,7 +6724,7 @@
 static const ProtobufCIntRange sw__primary_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor sw__primary_record__descriptor =
 {
@@ -6708,7 +6734,7 @@
   "Sw__PrimaryRecord",
   "sw",
   sizeof(Sw__PrimaryRecord),
-  5,
+  7,
   sw__primary_record__field_descriptors,
   sw__primary_record__field_indices_by_name,
   1,  sw__primary_record__number_ranges,
--- a/src/sapphireweir/proto/sapphireweir.pb-c.h
+++ b/src/sapphireweir/proto/sapphireweir.pb-c.h
@@ -1137,10 +1137,15 @@
    * must finish the change before it grants the use of a primary.
    */
   protobuf_c_boolean changing;
+  /*
+   * Position that no commit acknowledged in an earlier epoch exceeds.
+   */
+  uint64_t acknowledged_term;
+  uint64_t acknowledged_number;
 };
 #define SW__PRIMARY_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sw__primary_record__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/test/unit/test_fleet_sim.c
+++ b/test/unit/test_fleet_sim.c
@@ -386,6 +386,80 @@
     fleet_sim_run(sim, 6000);
 }
 
+/* What restarts between the two changes of replica_misses_two_changes. */
+typedef enum {
+    kRestartNothing,
+    kRestartControlLeader,
+    kRestartEntries,
+    kRestartControls,
+} Restart;
+
+/* One replica receives nothing while commits are acknowledged by the other
+ * one.  The primary crashes; the other replica follows it and crashes before
+ * it has acknowledged a commit of its own.  The first replica lacks the
+ * commits of the epoch before last, and must not be promoted. */
+static void
+replica_misses_two_changes(FleetSim *sim, Restart restart)
+{
+    uint32_t primary = (uint32_t)fleet_sim_primary(sim, 0);
+    uint32_t lagging = (primary + 1) % kFleetSimServersPerDatabase;
+    uint32_t synced = (primary + 2) % kFleetSimServersPerDatabase;
+    uint32_t leader;
+
+    fleet_sim_enable_sync_replication(sim);
+    fleet_sim_set_caller_pause(sim, 60);
+    fleet_sim_run(sim, 1000);
+    fleet_sim_pause_replication(sim, 0, lagging, TRUE);
+    fleet_sim_run(sim, 1500);
+    fleet_sim_set_server_running(sim, 0, primary, FALSE, FALSE);
+    fleet_sim_run(sim, 2500);
+    leader = (uint32_t)fleet_sim_control_leader(sim);
+    for (uint32_t i = 0; i < kFleetSimDomains; i++) {
+        if (restart == kRestartControls ||
+            (restart == kRestartControlLeader && i == leader)) {
+            fleet_sim_set_control_running(sim, i, FALSE);
+            fleet_sim_set_control_running(sim, i, TRUE);
+        }
+    }
+    for (uint32_t i = 0; i < kFleetSimEntries; i++) {
+        if (restart == kRestartEntries) {
+            fleet_sim_restart_entry(sim, i);
+        }
+    }
+    fleet_sim_run(sim, restart == kRestartNothing ? 0 : 1500);
+    fleet_sim_set_server_running(sim, 0, synced, FALSE, FALSE);
+    fleet_sim_run(sim, 2500);
+    fleet_sim_pause_replication(sim, 0, lagging, FALSE);
+    fleet_sim_set_server_running(sim, 0, primary, TRUE, FALSE);
+    fleet_sim_run(sim, 500);
+    fleet_sim_set_server_running(sim, 0, synced, TRUE, FALSE);
+    fleet_sim_run(sim, 5000);
+}
+
+static void
+replica_misses_two_changes_alone(FleetSim *sim)
+{
+    replica_misses_two_changes(sim, kRestartNothing);
+}
+
+static void
+replica_misses_two_changes_leader_restarts(FleetSim *sim)
+{
+    replica_misses_two_changes(sim, kRestartControlLeader);
+}
+
+static void
+replica_misses_two_changes_entries_restart(FleetSim *sim)
+{
+    replica_misses_two_changes(sim, kRestartEntries);
+}
+
+static void
+replica_misses_two_changes_controls_restart(FleetSim *sim)
+{
+    replica_misses_two_changes(sim, kRestartControls);
+}
+
 /* A draining primary is replaced, and then all instances restart while no
  * backend server reports: what is known of the draining server comes from the
  * log alone. */
@@ -486,6 +560,16 @@
         {"two primaries crash", two_primaries_crash, 40, 7000, 2, 2, TRUE},
         {"draining server and restart", draining_server_and_restart, 75, 7000,
          1, 1, TRUE},
+        /* The servers with all commits are down for up to 6.5 s, then the
+         * limit of 7 s applies. */
+        {"replica misses two changes", replica_misses_two_changes_alone, 30,
+         13500, 1, 2, TRUE},
+        {"same, leader restarts", replica_misses_two_changes_leader_restarts,
+         30, 13500, 1, 2, TRUE},
+        {"same, entry instances restart",
+         replica_misses_two_changes_entries_restart, 30, 13500, 1, 2, TRUE},
+        {"same, all control instances restart",
+         replica_misses_two_changes_controls_restart, 30, 13500, 1, 2, TRUE},
     };
     for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
         for (uint32_t seed = 1; seed <= 4; seed++) {
