End work of a key that another team holds now

Cause: before each statement of a transaction the gateway asked whether any team holds the key. Statements that waited for a token or a server when the configuration changed were not asked about at all.

Change: the team for which the work began is compared with the one that holds the key now: before each statement of a transaction, before a statement is sent again, and for waiting statements when a configuration comes into force. A moved key is valid, so it gets ABORTED or BUSY rather than NOAUTH.

--- a/src/sapphireweir/gateway/dispatch.c
+++ b/src/sapphireweir/gateway/dispatch.c
@@ -411,7 +411,10 @@
         session_refuse(s, now_us, kRefusedAttempts, kRetryUs);
         return;
     }
-    dispatch_submit(s, now_us);
+    /* The configuration may have changed while the statement was sent. */
+    if (!session_check_key(s, now_us)) {
+        dispatch_submit(s, now_us);
+    }
 }
 
 /* Tells whether the open statement may be sent to a server now. */
--- a/src/sapphireweir/gateway/gateway_control.c
+++ b/src/sapphireweir/gateway/gateway_control.c
@@ -203,6 +203,7 @@
     event_number(&line, "version", d->version);
     event_number(&line, "routes", g_hash_table_size(d->routes));
     event_end(&line);
+    session_document_changed(g, now_us);
 }
 
 /* Answers a transfer of the configuration: it was applied, or cannot be
--- a/src/sapphireweir/gateway/gateway_internal.h
+++ b/src/sapphireweir/gateway/gateway_internal.h
@@ -359,6 +359,8 @@
 void session_refuse(Session *s, uint64_t now_us, RefusalReason reason,
                     uint64_t retry_after_us);
 void session_admitted(Session *s, uint64_t now_us);
+gboolean session_check_key(Session *s, uint64_t now_us);
+void session_document_changed(Gateway *g, uint64_t now_us);
 void session_tick(Gateway *g, uint64_t now_us);
 const char *session_team_name(const Session *s);
 
--- a/src/sapphireweir/gateway/session.c
+++ b/src/sapphireweir/gateway/session.c
@@ -492,18 +492,78 @@
     return TRUE;
 }
 
-/* Tells whether the session's key is still valid; a revoked or unconfirmed one
- * also ends an open transaction. */
-static gboolean
-key_is_valid(const Session *s, uint64_t now_us)
+/* Whether the open statement may still run for the session's team. */
+typedef enum {
+    kKeyValid,
+    kKeyRevoked, /* or not confirmed for too long */
+    kKeyMoved,   /* another team holds it now, or none did before */
+} KeyStatus;
+
+/* Compares the team for which the session's work began with the one that holds
+ * its key now. */
+static KeyStatus
+key_status(const Session *s, uint64_t now_us)
 {
     const Document *current = s->gateway->document;
 
     if (s->team != NULL && key_is_unconfirmed(s->gateway, now_us)) {
+        return kKeyRevoked;
+    }
+    if (s->document == current) {
+        return kKeyValid;
+    }
+    const DocumentTeam *holder = document_team_by_key(current, s->key);
+    if (holder == NULL) {
+        return s->team == NULL ? kKeyValid : kKeyRevoked;
+    }
+    return s->team != NULL && strcmp(holder->name, s->team->name) == 0
+               ? kKeyValid
+               : kKeyMoved;
+}
+
+/* Ends the open statement, and the transaction that it belongs to, if the key
+ * is not valid for the session's team any more.  Returns whether it did.  A
+ * key that another team holds is not reported as invalid: with the next
+ * operation the caller continues as that team. */
+gboolean
+session_check_key(Session *s, uint64_t now_us)
+{
+    gboolean in_transaction = s->state == kSessionInTransaction;
+
+    switch (key_status(s, now_us)) {
+    case kKeyValid:
         return FALSE;
+    case kKeyRevoked:
+        session_finish(s, now_us, kCodeNoAuth, "");
+        break;
+    case kKeyMoved:
+        session_finish(s, now_us, in_transaction ? kCodeAborted : kCodeBusy,
+                       "not run: the key belongs to another team now");
+        break;
+    }
+    return TRUE;
+}
+
+/* Applies a new configuration to the statements that wait for a token or a
+ * server. */
+void
+session_document_changed(Gateway *g, uint64_t now_us)
+{
+    GPtrArray *waiting = g_ptr_array_new();
+
+    for (GList *l = g->active.head; l != NULL; l = l->next) {
+        const Session *s = l->data;
+        if (!s->job.sent) {
+            g_ptr_array_add(waiting, l->data);
+        }
     }
-    return s->document == current || s->team == NULL ||
-           document_team_by_key(current, s->key) != NULL;
+    for (guint i = 0; i < waiting->len; i++) {
+        Session *s = g_ptr_array_index(waiting, i);
+        if (s->job.open && !s->job.sent) {
+            session_check_key(s, now_us);
+        }
+    }
+    g_ptr_array_unref(waiting);
 }
 
 /* Sends the open statement on the session's connection, or submits it to
@@ -566,8 +626,7 @@
             return;
         }
     }
-    else if (!key_is_valid(s, now_us)) {
-        session_finish(s, now_us, kCodeNoAuth, "");
+    else if (session_check_key(s, now_us)) {
         return;
     }
     forward_job(s, now_us);
--- a/test/support/fleet_sim.c
+++ b/test/support/fleet_sim.c
@@ -200,6 +200,9 @@
     uint32_t rate;       /* of each team, operations per second */
     uint32_t least_rate; /* not used */
     gboolean with_key;   /* whether the document contains the keys */
+    uint32_t key_moves;  /* how often each key was given to the next team */
+    uint64_t keys_moved_version; /* that moved them last, zero: none */
+    uint64_t step_pause_us;      /* between the statements of a transaction */
     uint64_t last_write_us[kFleetSimDatabases]; /* last acknowledgement */
     FleetSimReport report;
 };
@@ -399,6 +402,8 @@
     }
 }
 
+static uint64_t required_version(const FleetSim *sim);
+
 /* ---- running commands ---- */
 
 /* A command in transit to a backend server. */
@@ -494,21 +499,38 @@
     return kCodeNone;
 }
 
+/* Returns whether a team is the one that holds a caller's key, or held it
+ * before the keys moved last. */
+static gboolean
+holds_key(const FleetSim *sim, const char *team, unsigned caller,
+          uint32_t moves)
+{
+    char holder[24];
+
+    g_snprintf(holder, sizeof(holder), "%s-%u", kTeamPrefix,
+               (caller + moves) % sim->teams);
+    return strcmp(team, holder) == 0;
+}
+
 /* Counts a violation when a statement runs on a connection of another team
- * than that of its caller. */
+ * than the one that holds its caller's key.  The former holder counts until
+ * the configuration that moved the keys must be in use. */
 static void
 check_team(FleetSim *sim, const ServerConnection *conn)
 {
     const char *who = g_hash_table_lookup(conn->values, "who");
-    char team[24];
+    gboolean moved = sim->keys_moved_version != 0 &&
+                     required_version(sim) >= sim->keys_moved_version;
     unsigned index;
 
     if (conn->owner == NULL || who == NULL ||
         sscanf(who, "caller-%u", &index) != 1) {
         return;
     }
-    g_snprintf(team, sizeof(team), "%s-%u", kTeamPrefix, index % sim->teams);
-    sim->report.wrong_team += strcmp(conn->team, team) != 0;
+    sim->report.wrong_team +=
+        !holds_key(sim, conn->team, index, sim->key_moves) &&
+        (moved || sim->key_moves == 0 ||
+         !holds_key(sim, conn->team, index, sim->key_moves - 1));
 }
 
 /* Counts a violation when a statement of a caller's transaction runs outside
@@ -1252,7 +1274,7 @@
 }
 
 /* Decodes a document of the simulation: the numbers "version rate with_key
- * sync_replicas teams max_connections", separated by spaces. */
+ * sync_replicas teams max_connections key_moves", separated by spaces. */
 static Document *
 decode(const uint8_t *text, size_t bytes)
 {
@@ -1262,11 +1284,12 @@
     unsigned sync;
     unsigned teams;
     unsigned connections;
+    unsigned moves;
     char copy[64];
 
     g_strlcpy(copy, (const char *)text, MIN(bytes + 1, sizeof(copy)));
-    if (sscanf(copy, "%lu %u %u %u %u %u", &version, &rate, &with_key, &sync,
-               &teams, &connections) != 6) {
+    if (sscanf(copy, "%lu %u %u %u %u %u %u", &version, &rate, &with_key,
+               &sync, &teams, &connections, &moves) != 7) {
         return NULL;
     }
     Document *d = document_new(version);
@@ -1278,8 +1301,11 @@
         t->burst_milli = (uint64_t)rate * 1000;
         g_hash_table_insert(d->teams, t->name, t);
         if (with_key != 0) {
+            /* Teams follow each other, so that this is the key that the
+             * team got after all moves. */
+            unsigned key = (i + teams - moves % teams) % teams;
             g_hash_table_insert(d->keys,
-                                g_strdup_printf("%s-%u", kKeyPrefix, i), t);
+                                g_strdup_printf("%s-%u", kKeyPrefix, key), t);
         }
     }
     for (uint32_t i = 0; i < kFleetSimDatabases; i++) {
@@ -1543,7 +1569,8 @@
     c->step_scheduled = FALSE;
     if (code == kCodeNone && !last) {
         c->step++;
-        continue_operation(c, c->transaction ? 20 * kUsPerMs : 0, send_step);
+        continue_operation(c, c->transaction ? sim->step_pause_us : 0,
+                           send_step);
         return;
     }
     if (code == kCodeNone) {
@@ -1807,9 +1834,9 @@
     sim->version += 3;
     sim->rate = rate;
     sim->with_key = with_key;
-    g_string_append_printf(text, "%" G_GUINT64_FORMAT " %u %d %d %u %u",
+    g_string_append_printf(text, "%" G_GUINT64_FORMAT " %u %d %d %u %u %u",
                            sim->version, rate, with_key, sim->sync_replication,
-                           sim->teams, sim->max_connections);
+                           sim->teams, sim->max_connections, sim->key_moves);
     append_padding_routes(sim, text);
     if (sim->document != NULL) {
         g_bytes_unref(sim->document);
@@ -1819,6 +1846,15 @@
     send_document(sim, NULL);
 }
 
+/* Sends a new document that gives each team's key to the next team. */
+void
+fleet_sim_move_keys(FleetSim *sim)
+{
+    sim->key_moves++;
+    fleet_sim_configure(sim, sim->rate, sim->with_key);
+    sim->keys_moved_version = sim->version;
+}
+
 /* Sends a new document with further routes, which stay in later ones. */
 void
 fleet_sim_add_routes(FleetSim *sim, uint32_t count)
@@ -1985,6 +2021,7 @@
     sim->slots = kDefaultSlots;
     sim->replica_lag_us = 60 * kUsPerMs;
     sim->mean_pause_us = 400 * kUsPerMs;
+    sim->step_pause_us = 20 * kUsPerMs;
     sim->promotion_delay_us = 600 * kUsPerMs;
     for (uint32_t i = 0; i < kFleetSimControls; i++) {
         ControlInstance *c = &sim->controls[i];
@@ -2412,6 +2449,13 @@
     sim->mean_pause_us = pause_ms * kUsPerMs;
 }
 
+/* Sets the pause between the statements of a transaction. */
+void
+fleet_sim_set_step_pause(FleetSim *sim, uint64_t pause_ms)
+{
+    sim->step_pause_us = pause_ms * kUsPerMs;
+}
+
 /* Frees the simulation. */
 void
 fleet_sim_free(FleetSim *sim)
--- a/test/unit/test_fleet_sim.c
+++ b/test/unit/test_fleet_sim.c
@@ -631,6 +631,45 @@
     fleet_sim_free(sim);
 }
 
+/* A configuration gives the key of an open transaction to another team.  The
+ * transaction must not go on for the former one, and the key is valid all the
+ * time: no caller is told otherwise. */
+static void
+a_moved_key_ends_transactions_of_its_former_team(void)
+{
+    enum { kTeams = 4, kConnections = 40, kSlots = 8, kStepPauseMs = 1500 };
+    static const uint32_t moves[] = {1, 2, 3};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(moves); i++) {
+        FleetSim *sim = fleet_sim_new((uint32_t)i + 1);
+        fleet_sim_set_teams(sim, kTeams, kConnections, kSlots);
+        fleet_sim_set_step_pause(sim, kStepPauseMs);
+        fleet_sim_set_caller_pause(sim, 100);
+        fleet_sim_run(sim, 3000);
+        /* Instances that have just started may not know all teams yet. */
+        uint64_t no_auth = fleet_sim_check(sim)->no_auth;
+        for (uint32_t k = 0; k < moves[i]; k++) {
+            fleet_sim_move_keys(sim);
+            fleet_sim_run(sim, 8000);
+        }
+        const FleetSimReport *r = fleet_sim_check(sim);
+        gboolean holds = r->wrong_team == 0 && r->no_auth == no_auth &&
+                         r->outside_transaction == 0 &&
+                         r->false_rejections == 0 &&
+                         r->served * 100 >= r->operations * 80;
+        if (!holds) {
+            g_print("\n%u moves: wrong team %lu, no auth %lu, outside "
+                    "transaction %lu, false rejections %lu, %lu of %lu "
+                    "served\n",
+                    moves[i], r->wrong_team, r->no_auth - no_auth,
+                    r->outside_transaction, r->false_rejections, r->served,
+                    r->operations);
+        }
+        CU_ASSERT(holds);
+        fleet_sim_free(sim);
+    }
+}
+
 /* A withdrawn key stays withdrawn when each control instance, one after the
  * other and then all of them, and all entry instances restart. */
 static void
@@ -1279,6 +1318,8 @@
     CU_add_test(s, "control traffic is small at rest",
                 control_traffic_is_small_at_rest);
     CU_add_test(s, "a withdrawn key is rejected", a_withdrawn_key_is_rejected);
+    CU_add_test(s, "a moved key ends transactions of its former team",
+                a_moved_key_ends_transactions_of_its_former_team);
     CU_add_test(s, "a withdrawn key stays withdrawn",
                 a_withdrawn_key_stays_withdrawn);
     CU_add_test(s, "an unconfirmed key is rejected after its limit",
--- a/test/unit/test_gateway_policy.c
+++ b/test/unit/test_gateway_policy.c
@@ -324,6 +324,25 @@
     }
 }
 
+/* Delivers a lease that answers the first report, for the list of primaries
+ * with the given hash; the list itself was delivered before. */
+static void
+deliver_lease(Gateway *g, uint64_t now_us, const char *from,
+              uint64_t primaries_hash)
+{
+    Sw__Frame frame = SW__FRAME__INIT;
+    Sw__EntryGrant m = SW__ENTRY_GRANT__INIT;
+
+    m.term = 3;
+    m.revision = 2;
+    m.sequence = 1;
+    m.lease_us = 1000000;
+    m.primaries_hash = primaries_hash;
+    frame.body_case = SW__FRAME__BODY_ENTRY_GRANT;
+    frame.entry_grant = &m;
+    gateway_frame(g, now_us, from, &frame);
+}
+
 /* A grant that omits the primaries renews nothing at an instance that has
  * another list: it may not know of a withdrawn right. */
 static void
@@ -341,22 +360,13 @@
                             .add_peer = ignore_peer};
         GatewayConfig config = {
             .id = "e0", .failure_domain = "0", .link_bytes_per_s = 1};
-        Sw__Frame frame = SW__FRAME__INIT;
-        Sw__EntryGrant m = SW__ENTRY_GRANT__INIT;
         GString *text = g_string_new(NULL);
         Gateway *g = gateway_new(&config, &port);
 
         gateway_control_add(g, 0, "c0");
         deliver_grant(g, 1000000, "c0", 3, 1, FALSE);
         gateway_tick(g, 1010000);
-        m.term = 3;
-        m.revision = 2;
-        m.sequence = 1;
-        m.lease_us = 1000000;
-        m.primaries_hash = cases[i].hash;
-        frame.body_case = SW__FRAME__BODY_ENTRY_GRANT;
-        frame.entry_grant = &m;
-        gateway_frame(g, 1020000, "c0", &frame);
+        deliver_lease(g, 1020000, "c0", cases[i].hash);
         gateway_tick(g, 1030000);
         gateway_metrics_write(g, text);
         CU_ASSERT_EQUAL(strstr(text->str, "_leased 1\n") != NULL,
@@ -456,6 +466,108 @@
     (void)frame;
 }
 
+/* Decodes a document, whose text is its version.  "key" belongs to the team
+ * "crew" in version 1, to nobody in version 2 and to "office" in others. */
+static Document *
+decode_key_holder(const uint8_t *text, size_t bytes)
+{
+    static const char *const names[] = {"crew", "office"};
+    Document *d = decode_version(text, bytes);
+    DocumentRoute *closed = g_new0(DocumentRoute, 1);
+
+    closed->host = g_strdup("closed");
+    closed->database = g_strdup("orders");
+    g_hash_table_insert(d->routes, closed->host, closed);
+    for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+        DocumentTeam *t = g_new0(DocumentTeam, 1);
+        t->name = g_strdup(names[i]);
+        t->rate_milli_per_s = 1000;
+        t->burst_milli = 1000;
+        g_hash_table_insert(d->teams, t->name, t);
+        if (d->version != 2 && i == (d->version == 1 ? 0 : 1)) {
+            g_hash_table_insert(d->keys, g_strdup("key"), t);
+        }
+    }
+    return d;
+}
+
+/* Keeps a copy of the last answer, without its texts. */
+static void
+keep_answer(void *ctx, void *caller, const CallerAnswer *a)
+{
+    (void)caller;
+    *(CallerAnswer *)ctx = (CallerAnswer){.code = a->code, .state = a->state};
+}
+
+/* Guards against work that goes on for a team whose key another team, or
+ * nobody, holds since: statements that wait for a token of the team's rate,
+ * and transactions. */
+static void
+work_ends_when_its_key_moves(void)
+{
+    static const struct {
+        const char *name;
+        const char *host;
+        uint64_t from;       /* version of the document */
+        uint64_t to;         /* that follows it */
+        StatementKind first; /* waits, or begins a transaction on "host" */
+        gboolean next;       /* a READ follows in the new version */
+        AnswerCode code;
+        SessionState state;
+    } cases[] = {
+        {"waiting read, same team", "closed", 1, 1, kStatementRead, FALSE,
+         kCodeOther, kSessionIdle},
+        {"waiting read, key moved", "closed", 1, 3, kStatementRead, FALSE,
+         kCodeBusy, kSessionIdle},
+        {"waiting read, key revoked", "closed", 1, 2, kStatementRead, FALSE,
+         kCodeNoAuth, kSessionIdle},
+        {"waiting BEGIN, key moved", "closed", 1, 3, kStatementBegin, FALSE,
+         kCodeBusy, kSessionIdle},
+        {"waiting BEGIN, key revoked", "closed", 1, 2, kStatementBegin, FALSE,
+         kCodeNoAuth, kSessionIdle},
+        {"open route, key issued in a transaction", "host", 2, 3,
+         kStatementBegin, TRUE, kCodeAborted, kSessionFailed},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        CallerAnswer answer = {.code = kCodeOther};
+        GatewayPort port = {.ctx = &answer,
+                            .add_peer = ignore_peer,
+                            .peer_send = ignore_report,
+                            .caller_answer = keep_answer};
+        GatewayConfig config = {.id = "e0",
+                                .failure_domain = "0",
+                                .link_bytes_per_s = 1,
+                                .decode = decode_key_holder};
+        Gateway *g = gateway_new(&config, &port);
+        Statement first = {.kind = cases[i].first, .id = "1", .text = "READ"};
+        Statement next = {.kind = kStatementRead, .id = "2", .text = "READ"};
+        AnswerCode code;
+
+        deliver_document(g, 1000000, cases[i].from);
+        /* The leader that is asked for tokens does not answer. */
+        gateway_control_add(g, 1000000, "c0");
+        deliver_grant(g, 1000000, "c0", 3, 1, FALSE);
+        gateway_tick(g, 1010000);
+        deliver_lease(g, 1020000, "c0", 1);
+        Session *s = session_open(g, 1030000, g, cases[i].host, "key", &code);
+        CU_ASSERT_PTR_NOT_NULL_FATAL(s);
+        session_statement(s, 1030000, &first);
+        deliver_document(g, 1040000, cases[i].to);
+        if (cases[i].next) {
+            session_statement(s, 1050000, &next);
+        }
+        if (answer.code != cases[i].code || answer.state != cases[i].state) {
+            g_print("\n%s: code %d, state %d\n", cases[i].name, answer.code,
+                    answer.state);
+        }
+        CU_ASSERT_EQUAL(answer.code, cases[i].code);
+        CU_ASSERT_EQUAL(answer.state, cases[i].state);
+        session_close(s, 1060000);
+        gateway_free(g);
+    }
+}
+
 /* Most sessions are idle.  They must not keep the configuration of their last
  * statement in memory: with a thousand routes it takes half a megabyte, and
  * each idle session could keep another version. */
@@ -526,6 +638,8 @@
                 a_grant_for_another_list_is_no_lease);
     CU_add_test(s, "a stop waits for the balancer",
                 a_stop_waits_for_the_balancer);
+    CU_add_test(s, "work ends when its key moves",
+                work_ends_when_its_key_moves);
     CU_add_test(s, "idle sessions keep no former configuration",
                 idle_sessions_keep_no_former_configuration);
 }
