Reject status reports with impossible values

What operators of similar systems saw: one odd entry among those of the members, and the machines that read the list stopped following it.

Cause: a status report was checked for the type of its fields only. One with a sequence or a start that is too high outranks all reports of the server, or of the one at its address, and stays in the replicated log.

Change: names, address and numbers of a report must be ones that a server can send; numbers of a configuration are limited instead of wrapping around.

--- a/test/fuzz/fuzz_platform.c
+++ b/test/fuzz/fuzz_platform.c
@@ -55,7 +55,7 @@
     char *text = g_strndup((const char *)data, size);
     GError *error = NULL;
     Document *d = codec_parse_document(data, size, &error);
-    Sw__ServerRecord *r = codec_parse_server_report("i-1", data, size);
+    Sw__ServerRecord *r = codec_parse_server_report("i-1", data, size, 1000);
 
     g_clear_error(&error);
     document_unref(d);
--- a/test/platform/emulator.c
+++ b/test/platform/emulator.c
@@ -999,6 +999,20 @@
     e->statements_after_drain = 0;
 }
 
+/* Makes a member report the state "ready" again. */
+void
+emulator_undrain_member(Emulator *e, uint32_t i)
+{
+    e->members[i].draining = FALSE;
+}
+
+/* Returns the address of a member for entry instances. */
+const char *
+emulator_member_address(const Emulator *e, uint32_t i)
+{
+    return e->members[i].address;
+}
+
 /* Makes the member that runs the next read or write close the connection
  * instead of answering; the statement takes effect. */
 void
--- a/test/platform/emulator.h
+++ b/test/platform/emulator.h
@@ -59,6 +59,8 @@
 int emulator_primary(const Emulator *e);
 void emulator_set_member_running(Emulator *e, uint32_t i, gboolean running);
 void emulator_drain_member(Emulator *e, uint32_t i);
+void emulator_undrain_member(Emulator *e, uint32_t i);
+const char *emulator_member_address(const Emulator *e, uint32_t i);
 void emulator_lose_next_answer(Emulator *e);
 void emulator_set_statement_delay(Emulator *e, uint32_t delay_ms);
 gboolean emulator_received_statement(const Emulator *e, const char *id);
--- a/test/platform/test_path.c
+++ b/test/platform/test_path.c
@@ -261,6 +261,118 @@
     caller_close(c);
 }
 
+/* Returns whether all programs run. */
+static gboolean
+all_programs_run(void)
+{
+    int exit_code;
+
+    for (uint32_t i = 0; i < kEmulatorPrograms; i++) {
+        pid_t pid = emulator_program_pid(emulator, i);
+        if (pid == 0 || emulator_reap(emulator, pid, &exit_code)) {
+            return FALSE;
+        }
+    }
+    return TRUE;
+}
+
+/* Guards against status reports of another writer that end the instances which
+ * read them, one after the other and again after a restart, or that put a
+ * server out of use: under a server's id with a sequence that no later report
+ * exceeds, or at its address with a later start. */
+static void
+odd_reports_harm_nobody(void)
+{
+    /* %s: address of a member */
+    static const struct {
+        const char *id;
+        const char *format;
+    } reports[] = {
+        {"i-1", "{\"service\":\"orders\",\"addr\":\"%s\",\"zone\":\"z1\","
+                "\"slots\":3,\"state\":\"ready\",\"db-role\":\"replica\","
+                "\"sequence\":9223372036854775807,\"born\":1000}"},
+        {"i-2", "{\"service\":\"orders\",\"addr\":\"%s\",\"zone\":\"z2\","
+                "\"slots\":3,\"state\":\"ready\",\"db-role\":\"replica\","
+                "\"sequence\":4,\"born\":9007199254740992}"},
+        {"i-2", "{\"service\":\"orders\",\"addr\":\"%s\",\"zone\":\"z2\","
+                "\"slots\":3,\"state\":\"ready\",\"db-role\":\"replica\","
+                "\"sequence\":-1,\"born\":1000}"},
+        {"odd-1", "{\"service\":\"orders\",\"addr\":\"%s\",\"zone\":\"z0\","
+                  "\"slots\":3,\"state\":\"ready\",\"db-role\":\"replica\","
+                  "\"sequence\":4,\"born\":9007199254740992}"},
+        {"odd-2", "{\"service\":\"orders\",\"addr\":\"127.0.0.1:99999\","
+                  "\"zone\":\"z0\",\"slots\":3,\"state\":\"ready\","
+                  "\"db-role\":\"replica\",\"sequence\":4,\"born\":1000}"},
+        {"odd-3", "{\"service\":\"orders\",\"addr\":\"127.0.0.1:0\","
+                  "\"zone\":\"z0\",\"slots\":3,\"state\":\"ready\","
+                  "\"db-role\":\"primary\",\"sequence\":4,\"born\":1000}"},
+        {"odd-4", "{\"service\":\"orders\",\"addr\":\":\",\"zone\":\"z0\","
+                  "\"slots\":4294967295,\"state\":\"ready\","
+                  "\"db-role\":\"replica\",\"sequence\":4,\"born\":1000}"},
+        {"odd-5", "{\"service\":\"orders\",\"addr\":\"%s\",\"zone\":\"z0\","
+                  "\"slots\":1e400,\"state\":\"ready\",\"db-role\":"
+                  "\"replica\",\"sequence\":4,\"born\":1000}"},
+        {"odd-6", "{\"service\":\"orders\\r\\nQUERY - STEPDOWN 99\","
+                  "\"addr\":\"%s\",\"zone\":\"z0\",\"slots\":3,"
+                  "\"state\":\"ready\",\"db-role\":\"primary\","
+                  "\"sequence\":4,\"born\":1000}"},
+        {"odd-%ff\xff", "{\"service\":\"orders\",\"addr\":\"%s\","
+                        "\"zone\":\"z0\",\"slots\":3,\"state\":\"ready\","
+                        "\"db-role\":\"replica\",\"sequence\":4,"
+                        "\"born\":1000}"},
+    };
+    enum { kNesting = 200000 };
+    EmulatorCaller *c = open_session(0);
+    int primary = emulator_primary(emulator);
+    uint32_t replica = primary == 1 ? 2 : 1;
+
+    for (size_t i = 0; i < G_N_ELEMENTS(reports); i++) {
+        uint32_t at = strcmp(reports[i].id, "i-1") == 0   ? 1
+                      : strcmp(reports[i].id, "i-2") == 0 ? 2
+                                                          : replica;
+        char *path = g_strdup_printf("/instances/%s", reports[i].id);
+        char *body = g_strdup_printf(reports[i].format,
+                                     emulator_member_address(emulator, at));
+        HttpResponse r = emulator_http_request(
+            emulator, emulator_control_address(emulator, i % 3), "PUT", path,
+            body);
+        if (r.status != 400) {
+            printf("\n    %s %s: status %d\n", path, body, r.status);
+        }
+        CU_ASSERT_EQUAL(r.status, 400);
+        CU_ASSERT(all_programs_run());
+        g_free(r.body);
+        g_free(body);
+        g_free(path);
+    }
+    char *nested = g_strnfill(kNesting, '[');
+    HttpResponse r =
+        emulator_http_request(emulator, emulator_control_address(emulator, 0),
+                              "PUT", "/instances/odd-7", nested);
+    CU_ASSERT_EQUAL(r.status, 400);
+    g_free(r.body);
+    g_free(nested);
+    emulator_run_for(emulator, 500);
+    CU_ASSERT(all_programs_run());
+    for (uint32_t i = 0; i < 20; i++) {
+        CU_ASSERT_PTR_NOT_NULL(
+            strstr(caller_request(c, "QUERY m1 READ 1"), "COMPLETE"));
+    }
+    caller_close(c);
+    /* The reports of the server itself are still followed. */
+    emulator_drain_member(emulator, replica);
+    emulator_run_for(emulator, 1500);
+    emulator_drain_member(emulator, replica);
+    c = open_session(0);
+    for (uint32_t i = 0; i < 20; i++) {
+        CU_ASSERT_PTR_NOT_NULL(
+            strstr(caller_request(c, "QUERY m2 READ 1"), "COMPLETE"));
+    }
+    CU_ASSERT_EQUAL(emulator_statements_after_drain(emulator), 0);
+    emulator_undrain_member(emulator, replica);
+    caller_close(c);
+}
+
 /* Guards against statements that still reach a draining primary after another
  * member has become primary. */
 static void
@@ -559,6 +671,7 @@
         {"a lost answer is in doubt only for a write",
          lost_answer_is_in_doubt_only_for_a_write},
         {"a crashed primary is replaced", crashed_primary_is_replaced},
+        {"odd reports harm nobody", odd_reports_harm_nobody},
         {"a draining primary gets no new statements",
          draining_primary_gets_no_new_statements},
         {"a withdrawn key is refused on open connections",
--- a/test/unit/test_platform.c
+++ b/test/unit/test_platform.c
@@ -161,6 +161,9 @@
     }
 }
 
+/* Unix time at which the reports arrive. */
+static const int64_t kNowMs = INT64_C(1700000000000);
+
 static void
 invalid_reports_are_rejected(void)
 {
@@ -190,8 +193,8 @@
         {"", FALSE},
     };
     for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
-        Sw__ServerRecord *r = codec_parse_server_report("i-1", cases[i].text,
-                                                        strlen(cases[i].text));
+        Sw__ServerRecord *r = codec_parse_server_report(
+            "i-1", cases[i].text, strlen(cases[i].text), kNowMs);
         CU_ASSERT_EQUAL(r != NULL, cases[i].valid);
         if (r != NULL) {
             sw__server_record__free_unpacked(r, NULL);
@@ -199,6 +202,97 @@
     }
 }
 
+#define REPORT(service, address, zone, slots, sequence, born)                 \
+    "{\"service\":\"" service "\",\"addr\":\"" address "\",\"zone\":\"" zone  \
+    "\",\"slots\":" slots ",\"state\":\"ready\",\"db-role\":\"replica\","     \
+    "\"sequence\":" sequence ",\"born\":" born "}"
+
+/* Guards against reports of another writer that put a server out of use: one
+ * that no later report of the server exceeds, one of a later start at its
+ * address, or one with an address that cannot be connected to. */
+static void
+reports_with_impossible_values_are_rejected(void)
+{
+    static const struct {
+        const char *id;
+        const char *text;
+        gboolean valid;
+    } cases[] = {
+        {"i-1", REPORT("s", "10.0.0.1:1", "a", "3", "4", "1000000"), TRUE},
+        {"i-1", REPORT("s", "10.0.0.1:65535", "", "0", "0", "0"), TRUE},
+        /* A server whose clock is an hour ahead of ours. */
+        {"i-1", REPORT("s", "10.0.0.1:1", "a", "3", "4", "1700003600000"),
+         TRUE},
+        {"i-1", REPORT("s", "10.0.0.1:1", "a", "3", "900000", "1700000000000"),
+         TRUE},
+        {"i-1",
+         REPORT("s", "10.0.0.1:1", "a", "3", "9000000", "1700000000000"),
+         FALSE},
+        {"i-1",
+         REPORT("s", "10.0.0.1:1", "a", "3", "9223372036854775807", "0"),
+         FALSE},
+        {"i-1",
+         REPORT("s", "10.0.0.1:1", "a", "3", "99999999999999999999", "0"),
+         FALSE},
+        {"i-1", REPORT("s", "10.0.0.1:1", "a", "3", "1e400", "0"), FALSE},
+        {"i-1", REPORT("s", "10.0.0.1:1", "a", "3", "-1", "0"), FALSE},
+        {"i-1", REPORT("s", "10.0.0.1:1", "a", "3", "4", "-1"), FALSE},
+        {"i-1", REPORT("s", "10.0.0.1:1", "a", "3", "4", "1800000000000"),
+         FALSE},
+        {"i-1", REPORT("s", "10.0.0.1:1", "a", "4294967295", "4", "0"), FALSE},
+        {"i-1", REPORT("s", "10.0.0.1:1", "a", "-3", "4", "0"), FALSE},
+        {"i-1", REPORT("s", "10.0.0.1:0", "a", "3", "4", "0"), FALSE},
+        {"i-1", REPORT("s", "10.0.0.1:65536", "a", "3", "4", "0"), FALSE},
+        {"i-1", REPORT("s", "10.0.0.1:99999", "a", "3", "4", "0"), FALSE},
+        {"i-1", REPORT("s", "10.0.0.1:-1", "a", "3", "4", "0"), FALSE},
+        {"i-1", REPORT("s", "10.0.0.1", "a", "3", "4", "0"), FALSE},
+        {"i-1", REPORT("s", "0.0.0.0:1", "a", "3", "4", "0"), FALSE},
+        {"i-1", REPORT("s", "host:1", "a", "3", "4", "0"), FALSE},
+        {"i-1", REPORT("s", "[::1]:1", "a", "3", "4", "0"), FALSE},
+        {"i-1", REPORT("s s", "10.0.0.1:1", "a", "3", "4", "0"), FALSE},
+        {"i-1", REPORT("s\\r\\nx", "10.0.0.1:1", "a", "3", "4", "0"), FALSE},
+        {"i\xff", REPORT("s", "10.0.0.1:1", "a", "3", "4", "0"), FALSE},
+        {"", REPORT("s", "10.0.0.1:1", "a", "3", "4", "0"), FALSE},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        Sw__ServerRecord *r = codec_parse_server_report(
+            cases[i].id, cases[i].text, strlen(cases[i].text), kNowMs);
+        if ((r != NULL) != cases[i].valid) {
+            g_print("\n%s: %s\n", cases[i].id, cases[i].text);
+        }
+        CU_ASSERT_EQUAL(r != NULL, cases[i].valid);
+        if (r != NULL) {
+            sw__server_record__free_unpacked(r, NULL);
+        }
+    }
+}
+
+/* Numbers of a configuration that do not fit must not wrap around to ones that
+ * refuse or allow everything. */
+static void
+large_numbers_of_a_configuration_are_limited(void)
+{
+    static const char text[] =
+        "{\"version\":7,\"routes\":["
+        "{\"name\":\"r\",\"host\":\"h\",\"path-prefix\":\"/\",\"kind\":"
+        "\"primary\",\"timeout-ms\":9223372036854775807,"
+        "\"target-latency-ms\":-5,\"service\":\"s\"}],\"services\":[{"
+        "\"name\":\"s\",\"max-conns\":4294967296,\"sync-replicas\":-1}],"
+        "\"limits\":{\"tx-idle-ms\":-1},\"tenants\":[{\"name\":\"t\","
+        "\"api-keys\":[\"k\"],\"rate-per-s\":1e300,\"burst\":12}]}";
+    Document *d = codec_parse_document(text, strlen(text), NULL);
+
+    CU_ASSERT_PTR_NOT_NULL_FATAL(d);
+    CU_ASSERT(document_route(d, "h")->timeout_us >
+              (uint64_t)86400 * G_USEC_PER_SEC);
+    CU_ASSERT_EQUAL(document_route(d, "h")->target_latency_us, 0);
+    CU_ASSERT(document_database(d, "s")->max_connections >= 1000);
+    CU_ASSERT_EQUAL(document_database(d, "s")->sync_replicas, 0);
+    CU_ASSERT_EQUAL(d->transaction_idle_us, 0);
+    CU_ASSERT(document_team_by_key(d, "k")->rate_milli_per_s >= 1000000000);
+    document_unref(d);
+}
+
 void
 add_platform_suite(void)
 {
@@ -211,4 +305,8 @@
                 configurations_are_checked_as_a_whole);
     CU_add_test(s, "invalid reports are rejected",
                 invalid_reports_are_rejected);
+    CU_add_test(s, "reports with impossible values are rejected",
+                reports_with_impossible_values_are_rejected);
+    CU_add_test(s, "large numbers of a configuration are limited",
+                large_numbers_of_a_configuration_are_limited);
 }
