--- a/src/sapphireweir/fleet/succession.c
+++ b/src/sapphireweir/fleet/succession.c
@@ -2,10 +2,10 @@
 
 /* Choice of the replica that becomes the next primary.  Handles the failures
  * in which a primary dies while one replica lags behind and another one is
- * unreachable, and in which two primaries die one after the other.  If the primary acknowledges commits alone, the most advanced
- * reachable replica is chosen.  If replicas store each commit before it is
- * acknowledged, a replica is chosen only if its log is certain to contain all
- * acknowledged commits. */
+ * unreachable, and in which two primaries die one after the other.  If the
+ * primary acknowledges commits alone, the most advanced reachable replica is
+ * chosen.  If replicas store each commit before it is acknowledged, a replica
+ * is chosen only if its log is certain to contain all acknowledged commits. */
 
 /* Returns the index of the replica with the newest log position, or
  * kSuccessionWait if none is eligible.  With final_only, only logs requested
