--- a/test/platform/emulator.c
+++ b/test/platform/emulator.c
@@ -1,3 +1,5 @@
+#define _GNU_SOURCE /* prlimit */
+
 #include "emulator.h"
 
 #include <event2/buffer.h>
@@ -9,6 +11,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -71,6 +74,7 @@
     char probe_addresses[kEmulatorEntries][32];    /* serve /readyz */
     pid_t control_pids[kEmulatorControls];         /* zero: not running */
     pid_t entry_pids[kEmulatorEntries];            /* zero: not running */
+    gboolean disk_full[kEmulatorPrograms];         /* files cannot grow */
     GPtrArray *connections;                        /* EmulatorCaller, owned */
     gboolean lose_next_answer;
     uint32_t promotion_count;
@@ -661,15 +665,22 @@
 }
 
 /* Starts a program with a boot file, which holds its settings; its log goes to
- * a file beside the boot file. */
+ * a file beside the boot file.  With disk_full, its files cannot grow. */
 static pid_t
-spawn_program(const char *program, const char *boot_path)
+spawn_program(const char *program, const char *boot_path, gboolean disk_full)
 {
     char *path = g_build_filename(SAPPHIREWEIR_PLATFORM_BUILD, program, NULL);
     char *log_path = g_strconcat(boot_path, ".log", NULL);
     pid_t pid = fork();
 
     if (pid == 0) {
+        struct rlimit limit;
+        /* A write beyond the limit fails instead of ending the process. */
+        signal(SIGXFSZ, SIG_IGN);
+        if (disk_full && getrlimit(RLIMIT_FSIZE, &limit) == 0) {
+            limit.rlim_cur = 0;
+            setrlimit(RLIMIT_FSIZE, &limit);
+        }
         setenv("SAPPHIREWEIR_BOOT", boot_path, 1);
         if (freopen(log_path, "w", stdout) == NULL) {
             _exit(126);
@@ -702,7 +713,7 @@
                         e->control_addresses[2], data, e->platform_address);
 
     g_assert(g_file_set_contents(boot_path, text, -1, NULL));
-    pid_t pid = spawn_program(program, boot_path);
+    pid_t pid = spawn_program(program, boot_path, FALSE);
     g_free(text);
     g_free(boot_path);
     return pid;
@@ -907,10 +918,25 @@
     *program_pid(e, program) =
         spawn_program(entry ? "sapphireweir-platform-entry"
                             : "sapphireweir-platform-control",
-                      boot_path);
+                      boot_path, e->disk_full[program]);
     g_free(boot_path);
 }
 
+/* Makes the files of a program unable to grow, also after it was started
+ * again, or ends this. */
+void
+emulator_set_disk_full(Emulator *e, uint32_t program, gboolean full)
+{
+    pid_t pid = *program_pid(e, program);
+    struct rlimit limit;
+
+    e->disk_full[program] = full;
+    if (pid > 0 && prlimit(pid, RLIMIT_FSIZE, NULL, &limit) == 0) {
+        limit.rlim_cur = full ? 0 : limit.rlim_max;
+        prlimit(pid, RLIMIT_FSIZE, &limit, NULL);
+    }
+}
+
 /* Reaps the process of a program if it has ended.  Returns FALSE while it
  * runs.  Otherwise sets exit_code, to -1 when a signal ended the process. */
 gboolean
--- a/test/platform/test_path.c
+++ b/test/platform/test_path.c
@@ -638,6 +638,69 @@
     }
 }
 
+/* Runs the emulator, and starts programs again that have ended, as the
+ * platform does. */
+static void
+run_with_restarts(uint32_t duration_ms)
+{
+    gint64 end_us = g_get_monotonic_time() + (gint64)duration_ms * 1000;
+    int exit_code;
+
+    while (g_get_monotonic_time() < end_us) {
+        for (uint32_t i = 0; i < kEmulatorPrograms; i++) {
+            pid_t pid = emulator_program_pid(emulator, i);
+            if (pid != 0 && emulator_reap(emulator, pid, &exit_code)) {
+                emulator_start_program(emulator, i);
+            }
+        }
+        emulator_run_for(emulator, 50);
+    }
+}
+
+/* Guards against changes of the configuration that are refused, or stay
+ * without an answer, long after the disks of control instances had room again.
+ * They were full for some seconds each, one after the other, with changes
+ * going on. */
+static void
+changes_go_on_after_full_disks(void)
+{
+    enum { kFullMs = 2000, kChangeMs = 250, kAckMs = 5000, kFirst = 100 };
+    uint32_t version = kFirst;
+
+    for (uint32_t i = 0; i < kEmulatorControls; i++) {
+        emulator_set_disk_full(emulator, kEmulatorEntries + i, TRUE);
+        for (uint32_t ms = 0; ms < kFullMs; ms += kChangeMs) {
+            g_free(emulator_put_document(emulator, ++version, TRUE).body);
+            run_with_restarts(kChangeMs);
+        }
+        emulator_set_disk_full(emulator, kEmulatorEntries + i, FALSE);
+        run_with_restarts(500);
+    }
+    gint64 room_us = g_get_monotonic_time();
+    for (uint32_t i = 0; i < 2 * kEmulatorControls; i++) {
+        HttpResponse put = emulator_put_document(emulator, ++version, TRUE);
+        CU_ASSERT_EQUAL(put.status, 200);
+        g_free(put.body);
+        run_with_restarts(kChangeMs);
+    }
+    CU_ASSERT(g_get_monotonic_time() - room_us < (gint64)kAckMs * 1000);
+    char *expected = g_strdup_printf("\"version\":%u,", version);
+    for (uint32_t i = 0; i < kEmulatorControls; i++) {
+        HttpResponse got = {0};
+        for (int k = 0; k < 20 && got.status != 200; k++) {
+            g_free(got.body);
+            got = emulator_http_request(emulator,
+                                        emulator_control_address(emulator, i),
+                                        "GET", "/config", NULL);
+        }
+        CU_ASSERT_EQUAL(got.status, 200);
+        CU_ASSERT_PTR_NOT_NULL(
+            strstr(got.body == NULL ? "" : got.body, expected));
+        g_free(got.body);
+    }
+    g_free(expected);
+}
+
 /* Starts the emulator for the suite.  Returns nonzero on failure. */
 static int
 start_emulator(void)
@@ -680,6 +743,7 @@
         {"a stop answers busy callers", stop_answers_busy_callers},
         {"a stop of a control instance answers operators",
          control_stop_answers_operators},
+        {"changes go on after full disks", changes_go_on_after_full_disks},
     };
 
     if (CU_initialize_registry() != CUE_SUCCESS) {
