Refuse waiting work truthfully while keys cannot be confirmed

A statement that is sent again, or waits when a configuration arrives, was answered NOAUTH where the key is only not confirmed; it gets the same refusal as a new one. Names in status reports may be any UTF-8 without blanks and control characters: a configured service may have such a name.

--- a/src/sapphireweir/gateway/session.c
+++ b/src/sapphireweir/gateway/session.c
@@ -495,8 +495,9 @@
 /* Whether the open statement may still run for the session's team. */
 typedef enum {
     kKeyValid,
-    kKeyRevoked, /* or not confirmed for too long */
-    kKeyMoved,   /* another team holds it now, or none did before */
+    kKeyRevoked,
+    kKeyMoved, /* another team holds it now, or none did before */
+    kKeyUnconfirmed,
 } KeyStatus;
 
 /* Compares the team for which the session's work began with the one that holds
@@ -507,7 +508,7 @@
     const Document *current = s->gateway->document;
 
     if (s->team != NULL && key_is_unconfirmed(s->gateway, now_us)) {
-        return kKeyRevoked;
+        return kKeyUnconfirmed;
     }
     if (s->document == current) {
         return kKeyValid;
@@ -533,6 +534,14 @@
     switch (key_status(s, now_us)) {
     case kKeyValid:
         return FALSE;
+    case kKeyUnconfirmed:
+        if (!in_transaction) {
+            session_refuse(s, now_us, kRefusedUnconfirmed,
+                           kUnconfirmedRetryUs);
+            break;
+        }
+        session_finish(s, now_us, kCodeNoAuth, "");
+        break;
     case kKeyRevoked:
         session_finish(s, now_us, kCodeNoAuth, "");
         break;
--- a/test/unit/test_platform.c
+++ b/test/unit/test_platform.c
@@ -220,6 +220,7 @@
     } cases[] = {
         {"i-1", REPORT("s", "10.0.0.1:1", "a", "3", "4", "1000000"), TRUE},
         {"i-1", REPORT("s", "10.0.0.1:65535", "", "0", "0", "0"), TRUE},
+        {"i-1", REPORT("s\xc3\xb6", "10.0.0.1:1", "a", "3", "4", "0"), TRUE},
         /* A server whose clock is an hour ahead of ours. */
         {"i-1", REPORT("s", "10.0.0.1:1", "a", "3", "4", "1700003600000"),
          TRUE},
