Play planned stops to their end in the fault soak

The soak killed a program half a second after SIGTERM, so that no planned stop was ever seen ending, and its callers send one statement a round. A stopped program now has its whole grace, must end by itself with code 0, and callers that send statements back to back must have all of them answered.

--- a/test/platform/emulator.c
+++ b/test/platform/emulator.c
@@ -61,6 +61,9 @@
     GString *answer;      /* lines received since the last request */
     uint32_t ready_count; /* READY lines in answer; each ends one answer */
     gboolean closed;      /* by the entry instance */
+    gint64 closed_us;     /* when that was noticed */
+    void (*handler)(void *ctx); /* called after lines have arrived, or NULL */
+    void *handler_ctx;
 };
 
 struct Emulator {
@@ -671,6 +674,9 @@
 {
     char *path = g_build_filename(SAPPHIREWEIR_PLATFORM_BUILD, program, NULL);
     char *log_path = g_strconcat(boot_path, ".log", NULL);
+
+    /* The child must not write what this process has buffered. */
+    fflush(stdout);
     pid_t pid = fork();
 
     if (pid == 0) {
@@ -972,7 +978,7 @@
         "\"public\":false}],\"services\":[{\"name\":\"orders\","
         "\"max-conns\":23,\"sync-replicas\":0}],"
         "\"limits\":{\"tx-idle-ms\":3000},\"tenants\":[{\"name\":\"crew\","
-        "\"api-keys\":[\"%s\"],\"rate-per-s\":200,\"burst\":200}]}",
+        "\"api-keys\":[\"%s\"],\"rate-per-s\":2000,\"burst\":2000}]}",
         version, with_key ? "key-1" : "key-2");
 
     for (uint32_t i = 0; i < 40 && response.status != 200; i++) {
@@ -1126,6 +1132,10 @@
         c->ready_count += g_str_has_prefix(line, "READY ");
         free(line);
     }
+    if (c->handler != NULL) {
+        c->handler(c->handler_ctx);
+        return;
+    }
     event_base_loopbreak(c->e->base);
 }
 
@@ -1137,6 +1147,7 @@
     (void)bev;
     if ((events & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) {
         c->closed = TRUE;
+        c->closed_us = g_get_monotonic_time();
         event_base_loopbreak(c->e->base);
     }
 }
@@ -1189,6 +1200,22 @@
     return c->answer->str;
 }
 
+/* Sets a function that is called with ctx after lines have arrived; they do
+ * not end emulator_run_for any more. */
+void
+caller_set_handler(EmulatorCaller *c, void (*handler)(void *ctx), void *ctx)
+{
+    c->handler = handler;
+    c->handler_ctx = ctx;
+}
+
+/* Returns when the connection was closed, by g_get_monotonic_time. */
+gint64
+caller_closed_us(const EmulatorCaller *c)
+{
+    return c->closed_us;
+}
+
 /* Returns how many answers have arrived since caller_request or
  * caller_discard_answers was called. */
 uint32_t
--- a/test/platform/emulator.h
+++ b/test/platform/emulator.h
@@ -74,6 +74,10 @@
 EmulatorCaller *caller_connect(Emulator *e, uint32_t entry);
 void caller_send(EmulatorCaller *c, const char *text);
 const char *caller_request(EmulatorCaller *c, const char *text);
+/* Sets a function that is called after lines have arrived. */
+void caller_set_handler(EmulatorCaller *c, void (*handler)(void *ctx),
+                        void *ctx);
+gint64 caller_closed_us(const EmulatorCaller *c);
 uint32_t caller_answer_count(const EmulatorCaller *c);
 const char *caller_answers(const EmulatorCaller *c);
 void caller_discard_answers(EmulatorCaller *c);
--- a/test/platform/test_path.c
+++ b/test/platform/test_path.c
@@ -3,6 +3,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "busy_caller.h"
 #include "emulator.h"
 
 /* End-to-end tests of the platform programs: two entry and three control
@@ -444,64 +445,11 @@
 }
 
 enum {
-    kBatchMax = 4,
-    kStopDelayMs = 40,     /* of each statement at a member */
-    kStopGraceMs = 6000,   /* as in the emulator's settings */
-    kLossSlackUs = 200000, /* a request sent so late may be cut off */
+    kStopDelayMs = 40,    /* of each statement at a member */
+    kStopGraceMs = 6000,  /* as in the emulator's settings */
+    kStopLimitMs = 20000, /* of the test */
 };
 
-/* A caller that sends its next messages as soon as the last are answered. */
-typedef struct {
-    EmulatorCaller *connection;
-    const char *const *script; /* statements, repeated; ends with NULL */
-    uint32_t batch;            /* messages sent at once */
-    uint32_t next;             /* index into script */
-    char ids[kBatchMax][24];   /* of the messages sent last */
-    gint64 sent_us;
-    uint64_t answered;
-} BusyCaller;
-
-/* Sends a busy caller's next messages. */
-static void
-busy_caller_send(BusyCaller *b, const char *name)
-{
-    static uint32_t last_id;
-    gboolean failed = strstr(caller_answers(b->connection), "READY E") != NULL;
-
-    caller_discard_answers(b->connection);
-    b->sent_us = g_get_monotonic_time();
-    for (uint32_t i = 0; i < b->batch; i++) {
-        if (failed || b->script[b->next] == NULL) {
-            b->next = 0;
-        }
-        char *line =
-            g_strdup_printf("QUERY %s-%u %s\r\n", name, ++last_id,
-                            failed ? "ROLLBACK" : b->script[b->next++]);
-        g_snprintf(b->ids[i], sizeof(b->ids[i]), "%s-%u", name, last_id);
-        caller_send(b->connection, line);
-        g_free(line);
-    }
-}
-
-/* Returns how many statements of a busy caller were cut off when its
- * connection was closed.  One that reached no member counts only if the
- * instance had the time to read and answer it. */
-static uint32_t
-busy_caller_cut_count(const BusyCaller *b, gint64 closed_us)
-{
-    uint32_t cut = 0;
-
-    for (uint32_t i = caller_answer_count(b->connection); i < b->batch; i++) {
-        if (emulator_received_statement(emulator, b->ids[i]) ||
-            closed_us - b->sent_us > kLossSlackUs) {
-            printf("\n    %s: no answer after %ld ms\n", b->ids[i],
-                   (long)(closed_us - b->sent_us) / 1000);
-            cut++;
-        }
-    }
-    return cut;
-}
-
 /* Waits until an entry instance is ready. */
 static void
 wait_until_ready(uint32_t entry)
@@ -532,64 +480,43 @@
     static const char *const endless[] = {
         "BEGIN",  "READ 1", "READ 1", "READ 1", "READ 1", "READ 1", "READ 1",
         "READ 1", "READ 1", "READ 1", "READ 1", "READ 1", "COMMIT", NULL};
-    BusyCaller callers[] = {
-        {.script = reads, .batch = 1},        {.script = reads, .batch = 3},
-        {.script = writes, .batch = 1},       {.script = writes, .batch = 4},
-        {.script = transactions, .batch = 1}, {.script = endless, .batch = 1},
-    };
-    uint32_t cut = 0;
-    uint32_t open = G_N_ELEMENTS(callers);
+    static const struct {
+        const char *const *script;
+        uint32_t batch;
+    } cases[] = {{reads, 1},  {reads, 3},        {writes, 1},
+                 {writes, 4}, {transactions, 1}, {endless, 1}};
+    BusyCaller *callers[G_N_ELEMENTS(cases)];
     int exit_code = -1;
-    pid_t pid;
-    gint64 stopped_us = 0;
-    gint64 begun_us = g_get_monotonic_time();
     gboolean ended = FALSE;
 
     emulator_start_program(emulator, 1);
     wait_until_ready(1);
-    pid = emulator_entry_pid(emulator, 1);
+    pid_t pid = emulator_entry_pid(emulator, 1);
     emulator_set_statement_delay(emulator, kStopDelayMs);
-    for (size_t i = 0; i < G_N_ELEMENTS(callers); i++) {
-        callers[i].connection = open_session(1);
-        busy_caller_send(&callers[i], "stop");
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        callers[i] =
+            busy_caller_new(emulator, 1, cases[i].script, cases[i].batch);
+        CU_ASSERT_PTR_NOT_NULL_FATAL(callers[i]);
     }
-    begun_us = g_get_monotonic_time();
-    while (!ended || open > 0) {
-        gint64 now_us = g_get_monotonic_time();
-        if (stopped_us == 0 && now_us - begun_us > 1000000) {
-            kill(pid, SIGTERM);
-            stopped_us = now_us;
-        }
-        ended = ended || emulator_reap(emulator, pid, &exit_code);
-        for (size_t i = 0; i < G_N_ELEMENTS(callers); i++) {
-            BusyCaller *b = &callers[i];
-            if (b->connection == NULL) {
-                continue;
-            }
-            if (caller_answer_count(b->connection) >= b->batch &&
-                !caller_is_closed(b->connection)) {
-                b->answered += b->batch;
-                busy_caller_send(b, "stop");
-            }
-            if (caller_is_closed(b->connection)) {
-                cut += busy_caller_cut_count(b, now_us);
-                caller_close(b->connection);
-                b->connection = NULL;
-                open--;
-            }
-        }
-        if (now_us - begun_us > 20000000) {
-            break;
-        }
+    gint64 stopped_us = g_get_monotonic_time() + G_USEC_PER_SEC;
+    while (g_get_monotonic_time() < stopped_us) {
+        emulator_run_for(emulator, 20);
+    }
+    kill(pid, SIGTERM);
+    stopped_us = g_get_monotonic_time();
+    while (!ended &&
+           g_get_monotonic_time() - stopped_us < (gint64)kStopLimitMs * 1000) {
+        ended = emulator_reap(emulator, pid, &exit_code);
         emulator_run_for(emulator, 20);
     }
-    CU_ASSERT_EQUAL(open, 0);
-    CU_ASSERT_EQUAL(cut, 0);
     CU_ASSERT_EQUAL(exit_code, 0);
     CU_ASSERT(g_get_monotonic_time() - stopped_us <
               (gint64)kStopGraceMs * 1000);
-    for (size_t i = 0; i < G_N_ELEMENTS(callers); i++) {
-        CU_ASSERT(callers[i].answered > 10);
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        CU_ASSERT(busy_caller_is_closed(callers[i]));
+        CU_ASSERT_EQUAL(busy_caller_cut_count(callers[i]), 0);
+        CU_ASSERT(busy_caller_answered(callers[i]) > 10);
+        busy_caller_free(callers[i]);
     }
     emulator_set_statement_delay(emulator, 0);
 }
--- a/test/soak/soak.c
+++ b/test/soak/soak.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "../platform/busy_caller.h"
 #include "../platform/emulator.h"
 
 /* Soak test of the platform programs under random faults: processes are
@@ -18,6 +19,9 @@
     kMeanFaultIntervalMs = 350, /* faults last up to 2 s and thus overlap */
     kOperationIntervalMs = 3,   /* gives some 200 operations a second */
     kMaxRecoveryMs = 6000,      /* half the time that users allow */
+    kBusyCallers = 3,           /* beside those of the operations */
+    kStatementDelayMs = 3,      /* of the members */
+    kGraceMs = 6000,            /* as in the emulator's settings */
 };
 
 /* What the answer to a write says about its commit. */
@@ -46,12 +50,17 @@
     Emulator *emulator;
     GRand *rand;
     EmulatorCaller *callers[kCallers]; /* NULL: not connected */
-    GPtrArray *writes;                 /* Write */
-    GPtrArray *repairs;                /* Repair */
-    uint32_t version;                  /* of the last configuration sent */
-    uint32_t acknowledged_version;     /* of the last that was accepted */
-    uint64_t served;                   /* operations that succeeded */
-    uint64_t rejected;                 /* writes that were not committed */
+    BusyCaller *busy[kBusyCallers];    /* NULL: not connected */
+    uint32_t busy_entry[kBusyCallers]; /* entry instance of each */
+    /* End of the grace of a planned stop, zero: the program does not stop. */
+    gint64 stop_deadline_us[kEmulatorPrograms];
+    uint64_t stops;                /* planned ones that have ended */
+    GPtrArray *writes;             /* Write */
+    GPtrArray *repairs;            /* Repair */
+    uint32_t version;              /* of the last configuration sent */
+    uint32_t acknowledged_version; /* of the last that was accepted */
+    uint64_t served;               /* operations that succeeded */
+    uint64_t rejected;             /* writes that were not committed */
     uint64_t faults;
     uint64_t violations;
 } Soak;
@@ -71,6 +80,29 @@
     return (uint32_t)g_rand_int_range(s->rand, 0, (gint32)limit);
 }
 
+/* Returns whether a repair is scheduled for a member or program with an index
+ * in the range from (included) to (excluded). */
+static gboolean
+has_pending_repair(const Soak *s, gboolean is_member, uint32_t from,
+                   uint32_t to)
+{
+    for (guint i = 0; i < s->repairs->len; i++) {
+        const Repair *r = g_ptr_array_index(s->repairs, i);
+        if (r->is_member == is_member && r->target >= from && r->target < to) {
+            return TRUE;
+        }
+    }
+    return FALSE;
+}
+
+/* Returns whether a program runs and is not stopping. */
+static gboolean
+is_undisturbed(const Soak *s, uint32_t program)
+{
+    return s->stop_deadline_us[program] == 0 &&
+           !has_pending_repair(s, FALSE, program, program + 1);
+}
+
 /* ---- callers ---- */
 
 /* Returns whether an answer's error code guarantees that a write was not
@@ -241,6 +273,35 @@
     }
 }
 
+/* Connects busy callers to random entry instances, and checks those whose
+ * connection was closed: a planned stop cuts off no statement. */
+static void
+check_busy_callers(Soak *s)
+{
+    static const char *const reads[] = {"READ item", NULL};
+    static const char *const transactions[] = {"BEGIN", "READ item",
+                                               "READ item", "COMMIT", NULL};
+
+    for (uint32_t i = 0; i < kBusyCallers; i++) {
+        BusyCaller *b = s->busy[i];
+        if (b != NULL && busy_caller_is_closed(b)) {
+            if (s->stop_deadline_us[s->busy_entry[i]] != 0 &&
+                busy_caller_cut_count(b) > 0) {
+                report_violation(s, "a planned stop cut off statements", "");
+            }
+            busy_caller_free(b);
+            s->busy[i] = NULL;
+        }
+        uint32_t entry = random_below(s, kEmulatorEntries);
+        if (s->busy[i] == NULL && is_undisturbed(s, entry)) {
+            s->busy_entry[i] = entry;
+            s->busy[i] =
+                busy_caller_new(s->emulator, entry,
+                                i % 2 == 0 ? reads : transactions, 1 + i % 3);
+        }
+    }
+}
+
 /* ---- the operator ---- */
 
 /* Puts the next version of the configuration to the control instances. */
@@ -277,21 +338,6 @@
 
 /* ---- faults ---- */
 
-/* Returns whether a repair is scheduled for a member or program with an index
- * in the range from (included) to (excluded). */
-static gboolean
-has_pending_repair(const Soak *s, gboolean is_member, uint32_t from,
-                   uint32_t to)
-{
-    for (guint i = 0; i < s->repairs->len; i++) {
-        const Repair *r = g_ptr_array_index(s->repairs, i);
-        if (r->is_member == is_member && r->target >= from && r->target < to) {
-            return TRUE;
-        }
-    }
-    return FALSE;
-}
-
 /* Schedules a repair 0.2 to 2 s from now. */
 static void
 schedule_repair(Soak *s, uint32_t target, gboolean is_member, gboolean resume)
@@ -314,11 +360,15 @@
     pid_t pid = emulator_program_pid(s->emulator, program);
     uint32_t choice = random_below(s, 3);
 
-    if (control
-            ? has_pending_repair(s, FALSE, kEmulatorEntries, kEmulatorPrograms)
-            : has_pending_repair(s, FALSE, program, program + 1)) {
+    if (!is_undisturbed(s, program)) {
         return;
     }
+    for (uint32_t i = kEmulatorEntries; control && i < kEmulatorPrograms;
+         i++) {
+        if (!is_undisturbed(s, i)) {
+            return;
+        }
+    }
     if (choice == 0) {
         kill(pid, SIGSTOP);
         schedule_repair(s, program, FALSE, TRUE);
@@ -326,12 +376,60 @@
     }
     if (choice == 1) {
         kill(pid, SIGTERM);
-        emulator_run_for(s->emulator, 500);
+        s->stop_deadline_us[program] =
+            g_get_monotonic_time() + (gint64)kGraceMs * 1000;
+        return;
     }
     emulator_kill_program(s->emulator, program);
     schedule_repair(s, program, FALSE, FALSE);
 }
 
+/* Handles the ends of planned stops: a program must end by itself within its
+ * grace, and starts again. */
+static void
+check_stops(Soak *s)
+{
+    for (uint32_t i = 0; i < kEmulatorPrograms; i++) {
+        pid_t pid = emulator_program_pid(s->emulator, i);
+        gboolean late = g_get_monotonic_time() > s->stop_deadline_us[i];
+        int exit_code = 0;
+
+        if (s->stop_deadline_us[i] == 0) {
+            continue;
+        }
+        if (!emulator_reap(s->emulator, pid, &exit_code)) {
+            if (!late) {
+                continue;
+            }
+            report_violation(s, "a planned stop exceeded its grace", "");
+            emulator_kill_program(s->emulator, i);
+        }
+        if (exit_code != 0) {
+            report_violation(s, "a planned stop ended with an error", "");
+        }
+        /* Callers notice the end of their connections. */
+        emulator_run_for(s->emulator, kOperationIntervalMs);
+        emulator_run_for(s->emulator, kOperationIntervalMs);
+        check_busy_callers(s);
+        s->stop_deadline_us[i] = 0;
+        s->stops++;
+        schedule_repair(s, i, FALSE, FALSE);
+    }
+}
+
+/* Waits for the ends of all planned stops. */
+static void
+finish_stops(Soak *s)
+{
+    for (uint32_t i = 0; i < kEmulatorPrograms; i++) {
+        while (s->stop_deadline_us[i] != 0) {
+            emulator_run_for(s->emulator, kOperationIntervalMs);
+            check_busy_callers(s);
+            check_stops(s);
+        }
+    }
+}
+
 /* Crashes a random member, unless one is down already. */
 static void
 inject_member_fault(Soak *s)
@@ -447,6 +545,7 @@
     s.emulator = emulator_start(folder);
     change_configuration(&s);
     emulator_run_for(s.emulator, 1500);
+    emulator_set_statement_delay(s.emulator, kStatementDelayMs);
     gint64 end_us = g_get_monotonic_time() + (gint64)seconds * 1000000;
     gint64 next_fault_us = 0;
     while (g_get_monotonic_time() < end_us) {
@@ -457,17 +556,27 @@
             inject_fault(&s);
         }
         run_due_repairs(&s, now_us);
+        check_busy_callers(&s);
+        check_stops(&s);
         run_operation(&s);
         emulator_run_for(s.emulator, kOperationIntervalMs);
     }
+    finish_stops(&s);
     run_due_repairs(&s, G_MAXINT64);
     emulator_run_for(s.emulator, 2000);
     check_recovery(&s);
     check_writes(&s);
+    for (uint32_t i = 0; i < kBusyCallers; i++) {
+        if (s.busy[i] != NULL) {
+            busy_caller_free(s.busy[i]);
+        }
+    }
     emulator_free(s.emulator);
     printf("seed %u: %u writes, %" G_GUINT64_FORMAT " served, "
            "%" G_GUINT64_FORMAT " refused, %" G_GUINT64_FORMAT
-           " faults, %" G_GUINT64_FORMAT " violations\n",
-           seed, s.writes->len, s.served, s.rejected, s.faults, s.violations);
+           " faults, %" G_GUINT64_FORMAT " planned stops, %" G_GUINT64_FORMAT
+           " violations\n",
+           seed, s.writes->len, s.served, s.rejected, s.faults, s.stops,
+           s.violations);
     return s.violations == 0 ? 0 : 1;
 }
