Free the simulated instances' names after all gateways

make sanitize ended in "a storm of versions reaches every instance in time": a gateway that is freed ends its loans with frames to the others, whose names were freed already. The fault was in the simulation only.

--- a/test/support/fleet_sim.c
+++ b/test/support/fleet_sim.c
@@ -2460,8 +2460,11 @@
 void
 fleet_sim_free(FleetSim *sim)
 {
+    /* A gateway ends its loans with frames to the others. */
     for (uint32_t i = 0; i < kFleetSimEntries; i++) {
         gateway_free(sim->entries[i].gateway);
+    }
+    for (uint32_t i = 0; i < kFleetSimEntries; i++) {
         g_free(sim->entries[i].id);
     }
     for (uint32_t i = 0; i < kFleetSimControls; i++) {
