Find faults across all resources before they are sent

sapphireweirctl check only read the files: references, templates that nobody uses, services and teams without effect, and limits that contradict each other were found after apply, or never.

Limits follow the product's own formulas: limiter_least_burst and pool_connection_budget are now shared with the rule. diff and check print the same list of differences.

--- a/src/sapphireweir/core/entry_defs.h
+++ b/src/sapphireweir/core/entry_defs.h
@@ -89,6 +89,7 @@
                    const Sw__TokenReply *r);
 void limiter_tick(EntryCore *e, uint64_t now_us);
 uint64_t limiter_token_lifetime_us(const TeamParameters *p);
+uint32_t limiter_least_burst(uint32_t rate_per_s, uint32_t domains);
 
 /* ---- pool.c, job.c, monitor.c ---- */
 Pool *pool_get(EntryCore *e, uint64_t now_us, const char *database,
@@ -113,6 +114,7 @@
 GHashTable *position_queries_new(void);
 void pool_member_command(EntryCore *e, uint64_t now_us, const char *from,
                          const Sw__MemberCommand *c);
+uint32_t pool_connection_budget(uint32_t connections, uint32_t members);
 
 /* ---- router.c ---- */
 /* The member that router_choose selected. */
--- a/src/sapphireweir/core/limiter.c
+++ b/src/sapphireweir/core/limiter.c
@@ -112,6 +112,40 @@
     return MAX(MIN(half_burst_us, kMaxTokenLifetimeUs), kMinTokenLifetimeUs);
 }
 
+/* Returns into how many shards a team's rate is split in a fleet of so many
+ * failure domains. */
+static uint32_t
+shard_count(const TeamParameters *p, uint32_t domains)
+{
+    return CLAMP(p->burst / kBurstPerShard, 1, MAX(domains, 1));
+}
+
+/* Returns the burst of one of count shards, in millionths of a token: its part
+ * of the burst less the tokens that accrue during a token's lifetime.  A shard
+ * grants whole tokens only. */
+static uint64_t
+shard_burst_micro(const TeamParameters *p, uint32_t count)
+{
+    uint64_t withheld_micro = limiter_token_lifetime_us(p) * p->rate_per_s;
+    uint64_t burst_micro = (uint64_t)p->burst * kMicroTokensPerToken;
+
+    return (burst_micro - MIN(withheld_micro, burst_micro)) / count;
+}
+
+/* Returns the least burst with which a team of the given rate is ever granted
+ * a token, in a fleet of so many failure domains. */
+uint32_t
+limiter_least_burst(uint32_t rate_per_s, uint32_t domains)
+{
+    TeamParameters p = {.rate_per_s = rate_per_s, .burst = 1};
+
+    while (shard_burst_micro(&p, shard_count(&p, domains)) <
+           kMicroTokensPerToken) {
+        p.burst++;
+    }
+    return p.burst;
+}
+
 /* Computes the split of a team's rate.  Returns FALSE if the team is unknown
  * or no instance is live. */
 static gboolean
@@ -125,7 +159,7 @@
         return FALSE;
     }
     s->parameters = t->parameters;
-    s->count = CLAMP(t->parameters.burst / kBurstPerShard, 1, count);
+    s->count = shard_count(&t->parameters, count);
     uint32_t first = XXH3_64bits(team, strlen(team)) % count;
     for (uint32_t i = 0; i < s->count; i++) {
         s->domains[i] = domains[(first + i) % count];
@@ -147,17 +181,13 @@
 
 /* ---- owner of a shard ---- */
 
-/* Computes the rate and burst of one shard, in millionths of a token.  The
- * burst is reduced by the tokens that accrue during a token's lifetime. */
+/* Computes the rate and burst of one shard, in millionths of a token. */
 static void
 shard_parameters(const Split *s, uint64_t *rate_micro, uint64_t *burst_micro)
 {
-    uint64_t withheld_micro =
-        limiter_token_lifetime_us(&s->parameters) * s->parameters.rate_per_s;
-    uint64_t burst = (uint64_t)s->parameters.burst * kMicroTokensPerToken;
     *rate_micro =
         (uint64_t)s->parameters.rate_per_s * kMicroTokensPerToken / s->count;
-    *burst_micro = (burst - MIN(withheld_micro, burst)) / s->count;
+    *burst_micro = shard_burst_micro(&s->parameters, s->count);
 }
 
 /* Drops the shards that this instance no longer owns, if the instance view has
--- a/src/sapphireweir/core/pool.c
+++ b/src/sapphireweir/core/pool.c
@@ -145,11 +145,18 @@
  * connection limit is shared equally among its members.  A pool owner uses at
  * most half of a member's share, so that it and its successor together stay
  * within the share, and reserves one connection for the monitor. */
+uint32_t
+pool_connection_budget(uint32_t connections, uint32_t members)
+{
+    uint32_t half = connections / members / 2;
+    return half > 2 ? half - 1 : 1;
+}
+
+/* Returns the same for a pool of a database. */
 static uint32_t
 connection_budget(const DatabaseInfo *d)
 {
-    uint32_t half = d->connections / d->member_count / 2;
-    return half > 2 ? half - 1 : 1;
+    return pool_connection_budget(d->connections, d->member_count);
 }
 
 /* Starts to open a connection, which the pool owns; pool_connected receives
--- a/src/sapphireweir/ctl/main.c
+++ b/src/sapphireweir/ctl/main.c
@@ -9,6 +9,7 @@
 #include "client.h"
 #include "core/error.h"
 #include "core/schema.h"
+#include "ctl/check.h"
 #include "explain.h"
 
 /* sapphireweirctl: the operators' command line program. */
@@ -30,6 +31,9 @@
     gboolean json;
     gboolean wait;     /* until a change is applied everywhere */
     gint64 expires_ms; /* of a new key, Unix time */
+    char *against;     /* file with the version in force, for check */
+    double service_ms; /* usual service time, for check; zero: not known */
+    double lag_ms;     /* usual lag of replicas, for check; zero: not known */
     Client client;
 } Ctl;
 
@@ -315,18 +319,87 @@
 /* The run_ functions below implement one command each; arguments is
  * NULL-terminated and starts after the name of the command. */
 
-/* Checks resource files without a request to the fleet. */
+/* Reads the version in force from a file: resources as TOML, or as the JSON
+ * that get prints.  Sets whether keys are among them.  Returns NULL after an
+ * error was printed; the caller owns the result. */
+static json_t *
+load_base(char *path, gboolean *has_keys)
+{
+    char *paths[] = {path, NULL};
+    json_error_t error;
+
+    *has_keys = g_str_has_suffix(path, ".json");
+    if (!*has_keys) {
+        return load_resources(paths);
+    }
+    json_t *root = json_load_file(path, 0, &error);
+    json_t *list = json_incref(json_object_get(root, "resources"));
+    if (!json_is_array(list)) {
+        fprintf(stderr, "%s: %s\n", path,
+                root == NULL ? error.text : "has no list of resources");
+        g_clear_pointer(&list, json_decref);
+    }
+    json_decref(root);
+    return list;
+}
+
+/* Gets the version in force that files are checked with, from a file or the
+ * fleet; there may be none.  Returns FALSE after an error was printed.  The
+ * caller frees the resources. */
+static gboolean
+get_base(Ctl *c, CheckBase *base, json_t **resources)
+{
+    Reply current = {0, NULL};
+
+    if (c->against != NULL) {
+        *resources = load_base(c->against, &base->has_keys);
+    }
+    else if (c->entries != NULL) {
+        *resources = json_incref(list_current(c, "", &current));
+        base->has_keys = TRUE;
+        if (*resources == NULL) {
+            report_failure(&current);
+        }
+        json_decref(current.body);
+    }
+    else {
+        return TRUE;
+    }
+    base->resources = *resources;
+    return *resources != NULL;
+}
+
+/* Checks resource files without sending them, and compares them with the
+ * version in force if there is one. */
 static ExitCode
 run_check(Ctl *c, char **arguments)
 {
+    CheckBase base = {.now_ms = (uint64_t)g_get_real_time() / 1000};
     json_t *wanted = load_resources(arguments);
-    (void)c;
-    if (wanted == NULL) {
+    json_t *resources = NULL;
+
+    if (wanted == NULL || !get_base(c, &base, &resources)) {
+        json_decref(wanted);
         return kExitUsage;
     }
-    printf("%zu resources read\n", json_array_size(wanted));
+    ConfigCheck *check =
+        check_resources(wanted, &base, (uint64_t)(c->service_ms * 1000),
+                        (uint64_t)(c->lag_ms * 1000));
+    json_t *differences =
+        resources == NULL ? NULL
+                          : config_check_differences(wanted, resources, FALSE);
+    char *report = config_check_report(check, differences, c->json);
+    ExitCode code = check->findings->len == 0 ? kExitOk : kExitFailure;
+    if (!c->json) {
+        printf("%zu resources read\n", json_array_size(wanted));
+    }
+    fputs(report, stdout);
+    g_free(report);
+    config_check_free(check);
+    json_decref(differences);
+    json_decref(resources);
     json_decref(wanted);
-    return kExitOk;
+    return code;
 }
 
 /* Prints how the files differ from the current resources and, if send is set,
@@ -349,22 +422,15 @@
         return code;
     }
     json_t *changes = make_changes(wanted, list);
-    size_t i;
-    json_t *change;
-    json_array_foreach(changes, i, change)
-    {
-        printf("%s %s\n",
-               json_integer_or(change, "if_match", 0) == 0 ? "add   "
-                                                           : "change",
-               json_text_or(change, "key", ""));
-    }
-    if (json_array_size(changes) == 0) {
-        printf("nothing differs\n");
-    }
-    else if (send) {
+    json_t *differences = config_check_differences(wanted, list, FALSE);
+    char *text = config_check_differences_text(differences);
+    fputs(text, stdout);
+    if (send && json_array_size(changes) > 0) {
         code = send_change(c, "/admin/v1/changes",
                            json_pack("{s:O}", "changes", changes));
     }
+    g_free(text);
+    json_decref(differences);
     json_decref(changes);
     json_decref(current.body);
     json_decref(wanted);
@@ -775,8 +841,8 @@
 }
 
 static const Command commands[] = {
-    {"check", "FILE...", "check resource files without sending them", 1,
-     run_check},
+    {"check", "FILE...", "find faults in resource files without sending them",
+     1, run_check},
     {"diff", "FILE...", "show what apply would change", 1, run_diff},
     {"apply", "FILE...", "create or update the resources in the files", 1,
      run_apply},
@@ -811,7 +877,8 @@
                                commands[i].arguments, commands[i].help);
     }
     g_string_append(text, "\n\nExit codes: 0 done, 1 failed, 2 wrong input, "
-                          "3 conflict with another change");
+                          "3 conflict with another change.\n"
+                          "check: 0 no finding, 1 findings, 2 not readable");
     return g_string_free(text, FALSE);
 }
 
@@ -836,6 +903,12 @@
         {"expires-ms", 0, 0, G_OPTION_ARG_INT64, &c->expires_ms,
          "Expiry of a new key, Unix time in ms", "MS"},
         {"json", 'j', 0, G_OPTION_ARG_NONE, &c->json, "Print JSON", NULL},
+        {"against", 0, 0, G_OPTION_ARG_FILENAME, &c->against,
+         "check: the version in force, TOML, or JSON of get", "FILE"},
+        {"service-ms", 0, 0, G_OPTION_ARG_DOUBLE, &c->service_ms,
+         "check: usual service time", "MS"},
+        {"lag-ms", 0, 0, G_OPTION_ARG_DOUBLE, &c->lag_ms,
+         "check: usual lag of replicas", "MS"},
         {NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL},
     };
     char *summary = command_summary();
@@ -862,6 +935,24 @@
     return NULL;
 }
 
+/* Checks the options of check; prints an error and returns FALSE if they are
+ * wrong. */
+static gboolean
+check_options_valid(const Ctl *c)
+{
+    if (c->against != NULL && c->entries != NULL) {
+        fprintf(stderr, "--against and --entry exclude each other\n");
+        return FALSE;
+    }
+    if (!config_check_time_valid(c->service_ms) ||
+        !config_check_time_valid(c->lag_ms)) {
+        fprintf(stderr, "--service-ms and --lag-ms must be 0 to %d\n",
+                kConfigCheckMaxTimeMs);
+        return FALSE;
+    }
+    return TRUE;
+}
+
 /* Sets up the client from the options.  Prints an error and returns FALSE if
  * an option is missing or the token file cannot be read. */
 static gboolean
@@ -904,13 +995,16 @@
     if (c.actor == NULL) {
         c.actor = g_strdup(g_get_user_name());
     }
-    if (command->run != run_check && !prepare_client(&c)) {
+    gboolean check = command->run == run_check;
+    if ((check && !check_options_valid(&c)) ||
+        ((!check || c.entries != NULL) && !prepare_client(&c))) {
         return kExitUsage;
     }
     ExitCode code = command->run(&c, argv + 2);
     g_strfreev(c.entries);
     g_free(c.client.token);
     g_free(c.token_file);
+    g_free(c.against);
     g_free(c.actor);
     curl_global_cleanup();
     return (int)code;
