Check a platform document without sending it

An operator's document was checked by the control instance alone, which stops at the first error, and replaces numbers out of range without a word.

Regions and the window of rates come from the settings file if there is one; otherwise these rules find nothing. Ranges of the codec and the formula of a window are shared with the check. Options of the command line that were ignored before still are.

--- a/src/sapphireweir/core/config_check.c
+++ b/src/sapphireweir/core/config_check.c
@@ -301,6 +301,9 @@
     for (guint i = 0; i < c->teams->len; i++) {
         const CheckedTeam *t = &g_array_index(c->teams, CheckedTeam, i);
         for (guint k = 0; t->keys != NULL && t->keys[k] != NULL; k++) {
+            if (t->keys[k][0] == '\0') {
+                continue; /* it is not a text */
+            }
             const CheckedTeam *other =
                 g_hash_table_lookup(holders, t->keys[k]);
             if (other != NULL && other != t) {
--- a/src/sapphireweir/fleet/director_rates.c
+++ b/src/sapphireweir/fleet/director_rates.c
@@ -37,8 +37,8 @@
 static uint64_t
 window_limit(const Director *d, const DocumentTeam *team)
 {
-    uint64_t window_ms = d->config.rate_window_us / 1000;
-    return (team->rate_milli_per_s * window_ms / 1000 + team->burst_milli) /
+    return document_window_milli(team->rate_milli_per_s, team->burst_milli,
+                                 d->config.rate_window_us) /
            1000;
 }
 
--- a/src/sapphireweir/fleet/document.c
+++ b/src/sapphireweir/fleet/document.c
@@ -113,3 +113,13 @@
     }
     return FALSE;
 }
+
+/* Returns how many operations a team may run within a window, in thousandths;
+ * only whole ones run. */
+uint64_t
+document_window_milli(uint64_t rate_milli_per_s, uint64_t burst_milli,
+                      uint64_t window_us)
+{
+    uint64_t window_ms = window_us / 1000;
+    return rate_milli_per_s * window_ms / 1000 + burst_milli;
+}
--- a/src/sapphireweir/fleet/document.h
+++ b/src/sapphireweir/fleet/document.h
@@ -66,5 +66,7 @@
 const DocumentDatabase *document_database(const Document *d, const char *name);
 const DocumentTeam *document_team_by_key(const Document *d, const char *key);
 gboolean document_has_priorities(const Document *d);
+uint64_t document_window_milli(uint64_t rate_milli_per_s, uint64_t burst_milli,
+                               uint64_t window_us);
 
 #endif
--- a/test/fuzz/fuzz_platform.c
+++ b/test/fuzz/fuzz_platform.c
@@ -4,6 +4,7 @@
 
 #include "fuzz.h"
 #include "platform/codec.h"
+#include "platform/document_check.h"
 #include "platform/wire.h"
 
 /* Fuzzes the line codec with messages of callers and backend servers, and the
@@ -64,6 +65,10 @@
     size_t held = __sanitizer_get_current_allocated_bytes() - before;
     g_assert(held <=
              kBytesPerValue * values + kHeldFactor * size + kParsedSlackBytes);
+    /* What the codec refuses, the check must not call correct. */
+    ConfigCheck *c = document_check((const char *)data, size, NULL, 1, 1);
+    g_assert(d != NULL || c->findings->len > 0);
+    config_check_free(c);
     g_clear_error(&error);
     document_unref(d);
 }
--- a/test/unit/test_config_check.c
+++ b/test/unit/test_config_check.c
@@ -5,6 +5,8 @@
 #include "adapter/toml.h"
 #include "core/schema.h"
 #include "ctl/check.h"
+#include "platform/api.h"
+#include "platform/document_check.h"
 #include "suite.h"
 
 /* The check of a configuration before it is sent: each rule finds its fault,
@@ -58,19 +60,21 @@
     return out;
 }
 
-/* Checks that there is exactly one finding, with this path and severity and a
- * message that contains a text; with a path of NULL, that there is none. */
+/* Checks that there are count findings, one of them with this path and
+ * severity and a message that contains a text; with a path of NULL, that there
+ * is none. */
 static void
 expect_finding(const ConfigCheck *c, const char *of, const char *path,
-               FindingSeverity severity, const char *text)
+               FindingSeverity severity, const char *text, guint count)
 {
-    const ConfigFinding *f =
-        c->findings->len == 0 ? NULL : g_ptr_array_index(c->findings, 0);
-    gboolean ok = path == NULL
-                      ? f == NULL
-                      : c->findings->len == 1 && strcmp(f->path, path) == 0 &&
-                            f->severity == severity &&
-                            strstr(f->message, text) != NULL;
+    gboolean ok = path == NULL && count == 0;
+
+    for (guint i = 0; path != NULL && i < c->findings->len; i++) {
+        const ConfigFinding *f = g_ptr_array_index(c->findings, i);
+        ok = ok || (strcmp(f->path, path) == 0 && f->severity == severity &&
+                    strstr(f->message, text) != NULL);
+    }
+    ok = ok && c->findings->len == count;
 
     if (!ok) {
         char *report = config_check_report(c, NULL, FALSE);
@@ -160,6 +164,10 @@
         {REST SERVICE TEAM("") "[template.s.statements.g]\nkind = \"read\"\n"
                                "sql = \"SELECT 1\"\nworth = 1001\n",
          "template/s.statements.g", "0 to 1000", kFindingError, 0, 0},
+        {REST SERVICE TEAM("") "[template.u]\nfor = \"team\"\n"
+                               "defaults = { rate = 0 }\n"
+                               "[team.y]\ntemplate = \"u\"\n",
+         "template/u", "defaults: rate must be", kFindingError, 0, 0},
         {REST SERVICE TEAM("rate = \"5\""), "team/x", "must be an integer",
          kFindingError, 0, 0},
         {REST SERVICE TEAM("rate = 0"), "team/x", "1 to 1000000",
@@ -194,7 +202,7 @@
                                          (uint64_t)cases[i].service_ms * 1000,
                                          (uint64_t)cases[i].lag_ms * 1000);
         expect_finding(c, cases[i].text, cases[i].path, cases[i].severity,
-                       cases[i].message);
+                       cases[i].message, cases[i].path == NULL ? 0 : 1);
         config_check_free(c);
         json_decref(wanted);
     }
@@ -217,7 +225,7 @@
         json_t *wanted = resources_of(root);
         /* Service time and lag of the demo's stand-ins. */
         ConfigCheck *c = check_resources(wanted, &base, 500, 20000);
-        expect_finding(c, path, NULL, 0, "");
+        expect_finding(c, path, NULL, 0, "", 0);
         config_check_free(c);
         json_decref(wanted);
         json_decref(root);
@@ -235,6 +243,178 @@
                      (json_int_t)expires_ms, "withdrawn", withdrawn);
 }
 
+/* Adds to or replaces a part of a small correct document. */
+#define DOCUMENT(routes, services, limits, tenants)                           \
+    "{\"version\":7,\"routes\":[" routes "],\"services\":[" services          \
+    "],\"limits\":{" limits "},\"tenants\":[" tenants "]}"
+#define ROUTE(host, more)                                                     \
+    "{\"host\":\"" host "\",\"service\":\"s\",\"timeout-ms\":800" more "}"
+#define STORE(name, more) "{\"name\":\"" name "\",\"max-conns\":23" more "}"
+#define TENANT(name, key, more)                                               \
+    "{\"name\":\"" name "\",\"api-keys\":[" key "]" more "}"
+#define ONE_STORE STORE("s", "")
+#define ONE_TENANT TENANT("t", "\"k\"", ",\"rate-per-s\":9,\"burst\":9")
+
+/* As above, for the platform's documents.  The settings have the regions "n"
+ * and "e", and windows of 5 s. */
+static void
+each_fault_of_a_document_is_found(void)
+{
+    static const struct {
+        const char *text;
+        const char *path; /* NULL: correct */
+        const char *message;
+        FindingSeverity severity;
+        guint count; /* of findings; the codec may refuse the same fault */
+        uint32_t service_ms, lag_ms;
+        gboolean without_settings;
+    } cases[] = {
+        {DOCUMENT(ROUTE("h", ""), ONE_STORE, "", ONE_TENANT), .path = NULL},
+        {"{\"version\":1,\"routes\":[],\"services\":[]}", .path = NULL},
+        {DOCUMENT(ROUTE("h", ",\"public\":true"), ONE_STORE, "", ""),
+         .path = NULL},
+        {DOCUMENT(ROUTE("h", ",\"path-prefix\":\"/a\"") "," ROUTE(
+                      "h", ",\"path-prefix\":\"/b\""),
+                  ONE_STORE, "", ONE_TENANT),
+         "routes[0]", "all for \"h\" go to routes[1]", kFindingWarning,
+         .count = 1},
+        {DOCUMENT(ROUTE("h", ""), ONE_STORE "," ONE_STORE, "", ONE_TENANT),
+         "services[0]", "services[1] has the same name", kFindingWarning,
+         .count = 1},
+        {DOCUMENT(ROUTE("h", ""), ONE_STORE, "", ""), "routes[0]",
+         "none of 0 teams", kFindingWarning, .count = 1},
+        {DOCUMENT(ROUTE("h", ""), ONE_STORE, "", TENANT("t", "", "")),
+         "tenants[0]", "no valid key", kFindingWarning, .count = 1},
+        {DOCUMENT(ROUTE("h", ""), ONE_STORE, "",
+                  ONE_TENANT "," TENANT("u", "\"m\",\"k\"", "")),
+         "tenants[1].api-keys[1]", "tenants[0] has the same key",
+         kFindingError, .count = 2},
+        /* A key that is listed twice does no harm. */
+        {DOCUMENT(ROUTE("h", ""), ONE_STORE, "",
+                  TENANT("t", "\"k\",\"k\"", "")),
+         .path = NULL},
+        {DOCUMENT(ROUTE("h", ""), STORE("x", ""), "", ONE_TENANT),
+         "routes[0].service", "\"s\" does not exist", kFindingError,
+         .count = 2},
+        /* Regions of routes and teams: a pair without a common region is
+         * right as long as each has another partner. */
+        {DOCUMENT(
+             ROUTE("h", ",\"regions-allowed\":[\"n\"]") "," ROUTE(
+                 "i", ",\"regions-allowed\":[\"e\"]"),
+             ONE_STORE, "",
+             TENANT("t", "\"k\"", ",\"regions-allowed\":[\"n\"]") "," TENANT(
+                 "u", "\"m\"", ",\"regions-allowed\":[\"e\"]")),
+         .path = NULL},
+        {DOCUMENT(ROUTE("h", ",\"regions-allowed\":[\"n\"]"), ONE_STORE, "",
+                  ONE_TENANT
+                  "," TENANT("u", "\"m\"", ",\"regions-allowed\":[\"e\"]")),
+         "tenants[1]", "none of 1 routes", kFindingWarning, .count = 1},
+        {DOCUMENT(ROUTE("h", ",\"regions-allowed\":[\"e\"]"), ONE_STORE, "",
+                  TENANT("t", "\"k\"", ",\"regions-allowed\":[\"n\"]")),
+         "routes[0]", "none of 1 teams", kFindingWarning, .count = 2},
+        {DOCUMENT(ROUTE("h", ",\"regions-allowed\":[\"x\",\"y\"]"), ONE_STORE,
+                  "", ONE_TENANT),
+         "routes[0].regions-allowed", "is in x, y", kFindingError, .count = 1},
+        {DOCUMENT(ROUTE("h", ",\"regions-allowed\":[\"n\",\"y\"]"), ONE_STORE,
+                  "", ONE_TENANT),
+         "routes[0].regions-allowed[1]", "is in \"y\"", kFindingWarning,
+         .count = 1},
+        {DOCUMENT(ROUTE("h", ",\"regions-allowed\":[\"x\"]"), ONE_STORE, "",
+                  ONE_TENANT),
+         .path = NULL, .without_settings = TRUE},
+        {DOCUMENT(ROUTE("h", ",\"target-latency-ms\":801"), ONE_STORE, "",
+                  ONE_TENANT),
+         "routes[0].timeout-ms", "latency objective, 801", kFindingWarning,
+         .count = 1},
+        {DOCUMENT(ROUTE("h", ",\"target-latency-ms\":800"), ONE_STORE, "",
+                  ONE_TENANT),
+         .path = NULL, .service_ms = 800},
+        {DOCUMENT(ROUTE("h", ""), ONE_STORE, "", ONE_TENANT),
+         "routes[0].timeout-ms", "usual service time, 801", kFindingError,
+         .count = 1, .service_ms = 801},
+        {DOCUMENT(ROUTE("h", ",\"kind\":\"bounded_staleness\","
+                             "\"max-staleness-ms\":99"),
+                  ONE_STORE, "", ONE_TENANT),
+         "routes[0].max-staleness-ms", "usual lag, 100", kFindingWarning,
+         .count = 1, .lag_ms = 100},
+        {DOCUMENT(ROUTE("h", ",\"kind\":\"primary\","
+                             "\"max-staleness-ms\":99"),
+                  ONE_STORE, "", ONE_TENANT),
+         .path = NULL, .lag_ms = 100},
+        /* A window of 5 s has 0.95 operations. */
+        {DOCUMENT(ROUTE("h", ""), ONE_STORE, "",
+                  TENANT("t", "\"k\"", ",\"rate-per-s\":0.19")),
+         "tenants[0].burst", "at least 0.05", kFindingError, .count = 1},
+        {DOCUMENT(ROUTE("h", ""), ONE_STORE, "",
+                  TENANT("t", "\"k\"", ",\"rate-per-s\":0.19,\"burst\":0.05")),
+         .path = NULL},
+        {DOCUMENT(ROUTE("h", ""), ONE_STORE, "",
+                  TENANT("t", "\"k\"", ",\"rate-per-s\":0.19")),
+         .path = NULL, .without_settings = TRUE},
+        /* A rate of zero suspends a team. */
+        {DOCUMENT(ROUTE("h", ""), ONE_STORE, "", TENANT("t", "\"k\"", "")),
+         .path = NULL},
+        /* Priorities of routes differ up to 3, those of teams up to 1. */
+        {DOCUMENT(
+             ROUTE("h", ",\"priority\":5") "," ROUTE(
+                 "i", ",\"priority\":3") "," ROUTE("j", ",\"priority\":5"),
+             ONE_STORE, "", ONE_TENANT),
+         "routes[0].priority", "5 has the same effect at a server as 3",
+         kFindingWarning, .count = 1},
+        {DOCUMENT(ROUTE("h", ",\"priority\":9") "," ROUTE(
+                      "i", ",\"priority\":2") "," ROUTE("j", ""),
+                  ONE_STORE, "", ONE_TENANT),
+         .path = NULL},
+        {DOCUMENT(ROUTE("h", ""), ONE_STORE, "",
+                  TENANT("t", "\"k\"", ",\"priority\":1") "," TENANT(
+                      "u", "\"m\"", ",\"priority\":2")),
+         "tenants[1].priority", "2 has the same effect at a server as 1",
+         kFindingWarning, .count = 1},
+        {DOCUMENT(ROUTE("h", ",\"priority\":-1"), ONE_STORE, "", ONE_TENANT),
+         "routes[0].priority", "must be 0 to 2147483647", kFindingError,
+         .count = 1},
+        /* Values that the codec replaces without a word. */
+        {DOCUMENT(ROUTE("h", ",\"target-latency-ms\":150.5"), ONE_STORE, "",
+                  ONE_TENANT),
+         "routes[0].target-latency-ms", "is not an integer", kFindingError,
+         .count = 1},
+        {DOCUMENT(ROUTE("h", ""), "{\"name\":\"s\",\"max-conns\":0}", "",
+                  ONE_TENANT),
+         "services[0].max-conns", "0 is not used", kFindingError, .count = 1},
+        {DOCUMENT(ROUTE("h", ""), ONE_STORE, "\"tx-idle-ms\":\"3\"",
+                  ONE_TENANT),
+         "limits.tx-idle-ms", "is not an integer", kFindingError, .count = 1},
+        {DOCUMENT(ROUTE("h", ",\"public\":1"), ONE_STORE, "", ONE_TENANT),
+         "routes[0].public", "true or false", kFindingError, .count = 1},
+        {DOCUMENT(ROUTE("h", ",\"kind\":\"bounded\""), ONE_STORE, "",
+                  ONE_TENANT),
+         "routes[0].kind", "counts as \"primary\"", kFindingWarning,
+         .count = 1},
+        {DOCUMENT(ROUTE("h", ",\"priority\":null"), ONE_STORE, "", ONE_TENANT),
+         .path = NULL},
+        /* What the codec refuses beyond that. */
+        {DOCUMENT("7", ONE_STORE, "", ONE_TENANT), "document",
+         "lacks \"host\"", kFindingError, .count = 2},
+        {"{\"version\":0,\"routes\":7,\"services\":{}}", "document",
+         "version > 0", kFindingError, .count = 1},
+    };
+    Boot boot = {.rate_window_us = 5 * G_USEC_PER_SEC};
+    boot.domain_regions = g_hash_table_new(g_str_hash, g_str_equal);
+    g_hash_table_insert(boot.domain_regions, "d1", "n");
+    g_hash_table_insert(boot.domain_regions, "d2", "e");
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        const Boot *settings = cases[i].without_settings ? NULL : &boot;
+        ConfigCheck *c =
+            document_check(cases[i].text, strlen(cases[i].text), settings,
+                           (uint64_t)cases[i].service_ms * 1000,
+                           (uint64_t)cases[i].lag_ms * 1000);
+        expect_finding(c, cases[i].text, cases[i].path, cases[i].severity,
+                       cases[i].message, cases[i].count);
+        config_check_free(c);
+    }
+    g_hash_table_unref(boot.domain_regions);
+}
+
 /* A file that holds a part is checked with the rest of what is in force.  Only
  * the fleet's state tells which teams have keys, and a new team has none
  * yet. */
@@ -265,13 +445,13 @@
             stored_key("key/1", "x", cases[i].expires_ms, cases[i].withdrawn));
         ConfigCheck *c = check_resources(wanted, &base, 0, 0);
         expect_finding(c, "keys", cases[i].path, kFindingWarning,
-                       "no valid key");
+                       "no valid key", cases[i].path == NULL ? 0 : 1);
         config_check_free(c);
         json_decref(in_force);
     }
     CheckBase none = {.now_ms = kNowMs};
     ConfigCheck *c = check_resources(wanted, &none, 0, 0);
-    expect_finding(c, "alone", "team/new", kFindingError, "does not exist");
+    expect_finding(c, "alone", "team/new", kFindingError, "does not exist", 1);
     config_check_free(c);
     json_decref(wanted);
 }
@@ -326,6 +506,8 @@
     CU_pSuite s = CU_add_suite("config check", NULL, NULL);
     CU_add_test(s, "each fault of resources is found once",
                 each_fault_of_resources_is_found_once);
+    CU_add_test(s, "each fault of a document is found",
+                each_fault_of_a_document_is_found);
     CU_add_test(s, "the examples have no finding",
                 the_examples_have_no_finding);
     CU_add_test(s, "files are checked with the version in force",
