--- a/test/functional/test_fleet.c
+++ b/test/functional/test_fleet.c
@@ -579,6 +579,13 @@
     wait_until_healthy();
 }
 
+static void
+checks_of_a_configuration(void)
+{
+    commands_of_the_operations_page_work(fleet);
+    checks_end_with_their_exit_codes(fleet);
+}
+
 int
 main(void)
 {
@@ -602,6 +609,8 @@
          repeated_key_gets_the_first_response},
         {"the examples of docs/callers.md work",
          examples_of_the_callers_page_work},
+        {"checks of a configuration work as docs/OPERATIONS.md says",
+         checks_of_a_configuration},
         {"invalid input is refused", invalid_input_is_refused},
         {"invalid bytes on the peer port are counted", invalid_peer_bytes},
         {"a certificate is reloaded", certificate_is_reloaded},
