Decide by measured times which reads go to another failure domain

Cause: placement added a fixed 3 ms to the cost of a server in another failure domain, whatever the link is. Two domains that were equally busy exchanged up to 44 % of their reads, and two nearly idle ones 6 %, because of the noise of smoothed service times.

Change: policy/link_time.c keeps the smoothed round-trip time to each owner, from pings and from results of timed RelayRun messages (new fields RelayPing.sent_us, RelayRun.timed, RelayResult.held_us). service_us of a relayed server does not contain the round trip to its owner, that of a direct connection does, so that it is added for the former only. policy/crossing.c compares the expected times at home and elsewhere with a margin and hysteresis, and sends a share that follows the free capacity that the owners of the other domain report. gateway/crossing_gate.c carries this out where the configuration has priorities.

Behaviour that changes with priorities: - Reads leave their domain only when the expected gain is above 1.5 ms and a quarter of the time at home (half of that while work is crossing); urgent levels need up to 1.4 times that. Formerly any gain above 1 ms sufficed. - The server with the team's connections (more teams than connections) is used as before, also in another domain. - A primary at home is still left to other work if a replica elsewhere is expected to be faster with the usual penalty of 12 ms. - RelayRun and RelayResult grow by 2 and up to 6 bytes, between domains only and at most once in 100 ms for each pair of instances. Without priorities the cost contains the measured time instead of 3 ms.

--- a/src/sapphireweir/gateway/connection.c
+++ b/src/sapphireweir/gateway/connection.c
@@ -421,6 +421,7 @@
         return;
     }
     server_record_service_time(s, took_us);
+    s->service_direct = TRUE;
     concurrency_answered(&s->concurrency, now_us, took_us, s->open_statements,
                          s->connections->len + 1);
 }
--- a/src/sapphireweir/gateway/dispatch.c
+++ b/src/sapphireweir/gateway/dispatch.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "gateway/crossing_gate.h"
 #include "gateway/region_access.h"
 #include "gateway/slow_start_gate.h"
 #include "policy/connection_share.h"
@@ -151,12 +152,14 @@
         c.expected_lag_us += kUnresponsiveUs;
     }
     slow_start_gate_weigh(server, now_us, relayed, &c);
+    c.cold = slow_start_gate_is_limited(server, now_us);
+    crossing_gate_fill(s, server, now_us, relayed, &c);
     return c;
 }
 
 /* Returns the best server for the session's open statement or NULL. */
 static Server *
-choose_server(const Session *s, uint64_t now_us)
+choose_server(Session *s, uint64_t now_us)
 {
     PlacementCandidate candidates[kCandidatesMax];
     const GPtrArray *servers = s->database->servers;
@@ -165,10 +168,7 @@
     for (size_t i = 0; i < count; i++) {
         candidates[i] = candidate_of(s, g_ptr_array_index(servers, i), now_us);
     }
-    int best =
-        s->gateway->prioritized
-            ? placement_choose_spread(candidates, count, dispatch_random(s))
-            : placement_choose(candidates, count);
+    int best = crossing_gate_choose(s, now_us, candidates, count);
     return best == kPlacementNone ? NULL
                                   : g_ptr_array_index(servers, (guint)best);
 }
@@ -347,6 +347,7 @@
 
     if (region_access_relays(s, server, now_us)) {
         dispatch_dequeue(s);
+        crossing_gate_started(s, server);
         connection_run(relay_open(server, session_team_name(s), now_us), s,
                        now_us);
         return TRUE;
@@ -359,6 +360,7 @@
     }
     if (c != NULL) {
         dispatch_dequeue(s);
+        crossing_gate_started(s, server);
         connection_run(c, s, now_us);
         return TRUE;
     }
--- a/src/sapphireweir/gateway/gateway.c
+++ b/src/sapphireweir/gateway/gateway.c
@@ -81,6 +81,9 @@
     g->server_drain_us = config->server_drain_us;
     g->evacuation = evacuation_view_new(config->evacuate_us);
     g->link_bytes_per_s = config->link_bytes_per_s;
+    g->cross_domain_us_per_kb = config->cross_domain_us_per_kb;
+    g->route_bytes =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     g->decode = config->decode;
     g->events = config->events;
     g->port = *port;
@@ -127,6 +130,7 @@
     g_hash_table_destroy(g->controls);
     g_hash_table_destroy(g->rates);
     g_hash_table_destroy(g->retry_budgets);
+    g_hash_table_destroy(g->route_bytes);
     rate_pool_free(g->rate_pool);
     g_ptr_array_unref(g->closed);
     document_unref(g->document);
--- a/src/sapphireweir/gateway/gateway.h
+++ b/src/sapphireweir/gateway/gateway.h
@@ -6,6 +6,7 @@
 #include "fleet/document.h"
 #include "gateway/gateway_defs.h"
 #include "policy/admission.h"
+#include "policy/crossing.h"
 
 /* The decisions of an entry instance whose callers hold sessions: which
  * backend server runs a statement, which statements wait and which are
@@ -33,6 +34,9 @@
     /* Bandwidth of this instance's network link, of which transfers of the
      * configuration may use a part; must not be zero. */
     uint64_t link_bytes_per_s;
+    /* Microseconds of waiting that a kilobyte between failure domains is
+     * worth; zero: only times decide. */
+    uint64_t cross_domain_us_per_kb;
     /* Shares of rates are pooled only where there are so many entry
      * instances, zero: kRatePoolMinEntries. */
     uint32_t rate_pool_min_entries;
@@ -95,6 +99,10 @@
     uint64_t evacuation_closed;
     uint64_t evacuation_lists; /* lists of evacuated domains adopted */
     LevelCounters levels[kAdmissionLevels];
+    /* Sessions' statements and transactions by the reason why they were sent
+     * to another failure domain or stayed. */
+    uint64_t crossed[kCrossingReasons];
+    uint64_t kept_home[kCrossingReasons];
     Histogram operation; /* completed statements, arrival to answer */
     Histogram refusal;   /* refused statements, arrival to answer */
     Histogram queue;     /* at the owner, arrival to sending */
--- a/src/sapphireweir/gateway/gateway_internal.h
+++ b/src/sapphireweir/gateway/gateway_internal.h
@@ -9,7 +9,9 @@
 #include "gateway/rate_pool.h"
 #include "policy/admission_view.h"
 #include "policy/concurrency.h"
+#include "policy/crossing.h"
 #include "policy/freshness.h"
+#include "policy/link_time.h"
 #include "policy/rate_stock.h"
 #include "policy/slow_start.h"
 
@@ -76,7 +78,10 @@
     uint32_t opening;           /* own connections being opened */
     uint32_t open_statements;   /* sent by this instance, not yet answered */
     Concurrency concurrency;
-    uint64_t service_us;           /* smoothed time of a statement */
+    uint64_t service_us; /* smoothed time of a statement */
+    /* service_us was last measured here, with the round-trip time, and not by
+     * the owner. */
+    gboolean service_direct;
     uint32_t completed;            /* statements in the current window */
     uint64_t throughput_window_us; /* when that window began */
     /* Statements per 1000 s in the last window; zero if none were waiting. */
@@ -123,7 +128,8 @@
     Position acknowledged;
     PrimaryEvidence reported; /* last evidence in a report to the leader */
     Freshness freshness;
-    GQueue waiting; /* Session, by Job.order_us */
+    Crossing crossing; /* of reads to other failure domains */
+    GQueue waiting;    /* Session, by Job.order_us */
 };
 
 typedef enum {
@@ -152,6 +158,7 @@
     uint32_t answers_ahead;  /* answers that precede the awaited one */
     gboolean awaiting;       /* an answer is awaited */
     gboolean begin_open;     /* the awaited answer belongs to a BEGIN */
+    gboolean timed;          /* the awaited result states held_us */
     /* Of the connection at the server, by the last answer. */
     SessionState server_state;
     SlowStartPermit permit; /* of the commands without an answer */
@@ -191,6 +198,8 @@
     gboolean full_wait; /* the owner was allowed the whole wait limit */
     gboolean held;      /* waits on its connection for a cold server */
     uint32_t step;      /* admission step, see policy/admission.h */
+    CrossingDecision crossing;
+    gboolean crossing_decided; /* a server was chosen for it */
 } Job;
 
 /* The part of a team's rate that this instance may use. */
@@ -262,6 +271,8 @@
     uint64_t last_seen_us;
     uint64_t ping_sent_us;
     uint64_t avoid_until_us;
+    LinkTime link;     /* without the time that the owner spends */
+    uint64_t timed_us; /* last RelayRun whose result is timed */
 } OwnerContact;
 
 /* Reports whose sending times are kept until a grant answers them. */
@@ -278,15 +289,17 @@
     GatewayPort port;
     Document *(*decode)(const uint8_t *text, size_t bytes);
     Document *document;
-    gboolean prioritized;      /* the document has priorities */
-    GBytes *document_text;     /* the encoded form of document */
-    DocumentReceiver receiver; /* of a newer document */
-    uint64_t link_bytes_per_s; /* see GatewayConfig */
-    GHashTable *databases;     /* name -> Database, owned */
-    GHashTable *servers;       /* id -> Server, owned */
-    GHashTable *controls;      /* address -> ControlContact, owned */
-    GHashTable *rates;         /* team -> TeamRate, owned */
-    uint64_t rates_term;       /* of the leader that grants tokens */
+    gboolean prioritized;            /* the document has priorities */
+    GBytes *document_text;           /* the encoded form of document */
+    DocumentReceiver receiver;       /* of a newer document */
+    uint64_t link_bytes_per_s;       /* see GatewayConfig */
+    uint64_t cross_domain_us_per_kb; /* see GatewayConfig */
+    GHashTable *route_bytes;         /* host -> uint64_t, owned */
+    GHashTable *databases;           /* name -> Database, owned */
+    GHashTable *servers;             /* id -> Server, owned */
+    GHashTable *controls;            /* address -> ControlContact, owned */
+    GHashTable *rates;               /* team -> TeamRate, owned */
+    uint64_t rates_term;             /* of the leader that grants tokens */
     /* Changes with the operations that this leader does not know of; the one
      * whose report it has. */
     uint64_t usage_version;
@@ -379,6 +392,7 @@
 
 /* relay.c */
 gboolean relay_usable(const Server *s, uint64_t now_us);
+uint64_t relay_link_us(const Server *s, uint64_t now_us);
 Connection *relay_open(Server *s, const char *team, uint64_t now_us);
 void relay_send(Connection *c, const CommandBatch *batch,
                 const CommandBatch *after_begin, uint64_t now_us);
--- a/src/sapphireweir/gateway/gateway_metrics.c
+++ b/src/sapphireweir/gateway/gateway_metrics.c
@@ -1,3 +1,4 @@
+#include "gateway/crossing_gate.h"
 #include "gateway/slow_start_gate.h"
 
 /* Writes the counters of an entry instance in the metrics text format. */
@@ -104,6 +105,7 @@
     }
     evacuation_metrics_write(g, out);
     serverpool_metrics_write(g, out);
+    crossing_gate_metrics_write(g, out);
     for (size_t i = 0; i < G_N_ELEMENTS(times); i++) {
         histogram_write_text(times[i].histogram, times[i].name, out);
     }
--- a/src/sapphireweir/gateway/relay.c
+++ b/src/sapphireweir/gateway/relay.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "gateway/crossing_gate.h"
 #include "gateway/slow_start_gate.h"
 
 /* Connections borrowed from the entry instance that owns a backend server.
@@ -20,6 +21,9 @@
      * tick and the delay of a slow link, so that a rejection arrives in
      * time. */
     kRejectMarginUs = 60000,
+    /* Between two results that state the time spent at the owner, which takes
+     * bytes. */
+    kTimedAfterUs = 100000,
 };
 
 /* ---- owners ---- */
@@ -108,6 +112,18 @@
            g->port.peer_ready(g->port.ctx, s->owner);
 }
 
+/* Returns the expected round-trip time to the owner of a server. */
+uint64_t
+relay_link_us(const Server *s, uint64_t now_us)
+{
+    const OwnerContact *o =
+        s->owner == NULL
+            ? NULL
+            : g_hash_table_lookup(s->database->gateway->owners, s->owner);
+
+    return o == NULL ? kLinkTimeDefaultUs : link_time_us(&o->link, now_us);
+}
+
 /* ---- borrowed connections ---- */
 
 /* Returns a new connection that is borrowed from the owner of the server when
@@ -207,6 +223,19 @@
     g_free(commands);
 }
 
+/* Tells whether the next result of a server in another failure domain is to
+ * state how long the owner had the commands. */
+static gboolean
+is_timed(const Server *s, OwnerContact *o, uint64_t now_us)
+{
+    if (now_us - o->timed_us < kTimedAfterUs ||
+        strcmp(s->failure_domain, s->database->gateway->failure_domain) == 0) {
+        return FALSE;
+    }
+    o->timed_us = now_us;
+    return TRUE;
+}
+
 /* Sends the commands of the session that uses the connection to the owner,
  * which returns one result for all of them.  after_begin has the commands to
  * be run once the last of batch, a BEGIN, has succeeded; it may be empty. */
@@ -233,6 +262,8 @@
     m.step = s->job.step + 1;
     m.single = loan_ends_with_answer(s);
     m.continues = s->begun;
+    c->timed = is_timed(c->server, o, now_us);
+    m.timed = c->timed;
     frame.body_case = SW__FRAME__BODY_RELAY_RUN;
     frame.relay_run = &m;
     c->answers_ahead = 0;
@@ -325,6 +356,9 @@
         o->pending_answers > 0) {
         o->pending_answers--;
     }
+    if (c->timed && m->held_us != 0) {
+        link_time_measured(&o->link, now_us, now_us - c->sent_us, m->held_us);
+    }
     c->server->owner_wait_us = m->wait_us;
     c->server->owner_wait_updated_us = now_us;
     c->server->drain_milli_per_s = m->drain_milli_per_s;
@@ -337,6 +371,7 @@
                           m->team_admitted);
     if (m->service_us != 0) {
         c->server->service_us = m->service_us;
+        c->server->service_direct = FALSE;
     }
     switch (m->outcome) {
     case SW__RELAY_OUTCOME__RELAY_NOT_RUN:
@@ -352,6 +387,9 @@
         break;
     }
     ServerAnswer a = answer_of(m);
+    if (c->session != NULL) {
+        crossing_gate_observe(c->session, &a);
+    }
     if (m->begun && c->session != NULL) {
         c->session->begun = TRUE;
         c->begin_open = FALSE;
@@ -370,10 +408,16 @@
     Sw__RelayPing answer = SW__RELAY_PING__INIT;
 
     if (m->answer) {
-        owner_contact(g, from)->last_seen_us = now_us;
+        OwnerContact *o = owner_contact(g, from);
+        o->last_seen_us = now_us;
+        /* Only the last ping's time is certain to be an own one. */
+        if (m->sent_us != 0 && m->sent_us == o->ping_sent_us) {
+            link_time_measured(&o->link, now_us, now_us - m->sent_us, 0);
+        }
         return;
     }
     answer.answer = TRUE;
+    answer.sent_us = m->sent_us;
     frame.body_case = SW__FRAME__BODY_RELAY_PING;
     frame.relay_ping = &answer;
     send_frame(g, from, &frame);
@@ -396,6 +440,7 @@
         return;
     }
     o->avoid_until_us = now_us + kAvoidOwnerUs;
+    link_time_lost(&o->link, now_us);
     o->pending_answers = 0;
     g_hash_table_iter_init(&it, g->relays);
     while (g_hash_table_iter_next(&it, NULL, &value)) {
@@ -428,6 +473,7 @@
         return;
     }
     o->ping_sent_us = now_us;
+    ping.sent_us = now_us;
     frame.body_case = SW__FRAME__BODY_RELAY_PING;
     frame.relay_ping = &ping;
     send_frame(g, o->id, &frame);
--- a/src/sapphireweir/gateway/serverpool_internal.h
+++ b/src/sapphireweir/gateway/serverpool_internal.h
@@ -42,6 +42,7 @@
     gboolean begin_open; /* the awaited answer is that to run's BEGIN */
     gboolean begun;      /* that BEGIN has succeeded */
     gboolean held;       /* in ServerPool.held */
+    gboolean timed;      /* its result states held_us */
     uint64_t arrived_us;
     uint64_t order_us; /* queue position; the smallest runs first */
     uint64_t deadline_us;
--- a/src/sapphireweir/gateway/session_log.c
+++ b/src/sapphireweir/gateway/session_log.c
@@ -1,4 +1,4 @@
-#include "gateway/gateway_internal.h"
+#include "gateway/crossing_gate.h"
 
 /* Writes the log line of a statement. */
 
@@ -63,6 +63,7 @@
     if (s->route != NULL && s->gateway->prioritized) {
         event_number(&line, "level", dispatch_level(s));
     }
+    crossing_gate_log(s, &line);
     event_number(&line, "took_us",
                  job->arrived_us == 0 ? 0 : now_us - job->arrived_us);
     event_number(&line, "version",
--- a/src/sapphireweir/policy/admission_view.c
+++ b/src/sapphireweir/policy/admission_view.c
@@ -67,6 +67,22 @@
     v->wait_updated_us[level] = now_us;
 }
 
+/* Returns the expected wait of work of a level as it was reported. */
+uint64_t
+admission_view_reported_wait_us(const AdmissionView *v, uint64_t now_us,
+                                uint32_t level)
+{
+    uint64_t least_us = UINT64_MAX;
+
+    for (uint32_t i = level; i < kAdmissionLevels; i++) {
+        if (v->wait_updated_us[i] != 0 &&
+            now_us - v->wait_updated_us[i] < kValidUs) {
+            least_us = MIN(least_us, v->wait_us[i]);
+        }
+    }
+    return least_us == UINT64_MAX ? 0 : least_us;
+}
+
 /* Returns the expected wait of work of a level, less the time since that was
  * reported.  What was reported of a less urgent level is an upper limit. */
 uint64_t
--- a/src/sapphireweir/policy/admission_view.h
+++ b/src/sapphireweir/policy/admission_view.h
@@ -23,6 +23,8 @@
                              uint64_t wait_us);
 uint64_t admission_view_wait_us(const AdmissionView *v, uint64_t now_us,
                                 uint32_t level);
+uint64_t admission_view_reported_wait_us(const AdmissionView *v,
+                                         uint64_t now_us, uint32_t level);
 gboolean admission_view_admits(const AdmissionView *v, uint64_t now_us,
                                const char *team, uint32_t step);
 
--- a/src/sapphireweir/policy/placement.c
+++ b/src/sapphireweir/policy/placement.c
@@ -6,10 +6,9 @@
  * others.  A penalty keeps primaries free for work that only they can do. */
 
 enum {
-    kConnectCostUs = 15000,    /* a new connection's handshake */
-    kCrossDomainCostUs = 3000, /* a round trip between failure domains */
-    kPrimaryCostUs = 12000,    /* delay of a write by a read of mean size */
-    kBusyCostUs = 40000,       /* every connection is in use */
+    kConnectCostUs = 15000, /* a new connection's handshake */
+    kPrimaryCostUs = 12000, /* delay of a write by a read of mean size */
+    kBusyCostUs = 40000,    /* every connection is in use */
     /* Candidates whose costs differ by less count as equal: less than the
      * round trip between failure domains, more where there are queues. */
     kNearUs = 2000,
@@ -21,27 +20,32 @@
      * loses half of the difference in this time. */
     kServiceHalfLifeUs = 400000,
     kHalvingsMax = 20,
-    kCandidatesMax = 64,
 };
 
+/* Returns the part of the cost that the load causes, in microseconds. */
+uint64_t
+placement_wait_us(const PlacementCandidate *c)
+{
+    return c->service_us * c->open_statements / MAX(c->slots, 1) +
+           c->expected_queue_us;
+}
+
 /* Returns the expected time to the answer in microseconds, with penalties. */
 uint64_t
 placement_cost_us(const PlacementCandidate *c)
 {
-    uint32_t slots = MAX(c->slots, 1);
-    uint64_t cost_us =
-        c->service_us + c->service_us * c->open_statements / slots;
+    uint64_t cost_us = c->service_us + placement_wait_us(c);
 
     if (!c->matching_connection) {
         cost_us += c->may_connect ? kConnectCostUs : kBusyCostUs;
     }
     if (!c->same_domain) {
-        cost_us += kCrossDomainCostUs;
+        cost_us += c->link_us + c->price_us;
     }
     if (c->primary) {
         cost_us += kPrimaryCostUs;
     }
-    return cost_us + c->expected_queue_us + c->expected_lag_us;
+    return cost_us + c->expected_lag_us;
 }
 
 /* Returns the index of the usable candidate with the lowest cost, or
@@ -96,9 +100,10 @@
     return adjusted;
 }
 
-/* Returns the usable candidate to which the team's work usually goes. */
-static int
-preferred_of(const PlacementCandidate *candidates, size_t count)
+/* Returns the usable candidate to which the team's work usually goes, or
+ * kPlacementNone. */
+int
+placement_preferred(const PlacementCandidate *candidates, size_t count)
 {
     int preferred = kPlacementNone;
 
@@ -112,6 +117,28 @@
     return preferred;
 }
 
+/* Sets the cost of each candidate, UINT64_MAX of one that is not usable.
+ * count is at most kPlacementMax. */
+void
+placement_costs(const PlacementCandidate *candidates, size_t count,
+                uint64_t *costs_us)
+{
+    uint64_t shortest_us = shortest_service_us(candidates, count);
+    int preferred = placement_preferred(candidates, count);
+
+    for (size_t i = 0; i < count; i++) {
+        if (!candidates[i].usable) {
+            costs_us[i] = UINT64_MAX;
+            continue;
+        }
+        PlacementCandidate c = aged(&candidates[i], shortest_us);
+        costs_us[i] = placement_cost_us(&c);
+        if (preferred != kPlacementNone && (int)i != preferred) {
+            costs_us[i] += kAffinityUs;
+        }
+    }
+}
+
 /* Returns the index of a usable candidate, or kPlacementNone: of two random
  * ones whose costs are close to the lowest, the one with the lower cost.  With
  * the lowest cost alone, all instances that have seen the same reports choose
@@ -120,28 +147,19 @@
 placement_choose_spread(const PlacementCandidate *candidates, size_t count,
                         uint32_t random)
 {
-    uint64_t costs_us[kCandidatesMax];
-    int near[kCandidatesMax];
+    uint64_t costs_us[kPlacementMax];
+    int near[kPlacementMax];
     uint32_t near_count = 0;
     uint64_t best_us = UINT64_MAX;
     uint64_t limit_us = 0;
 
-    count = MIN(count, (size_t)kCandidatesMax);
-    uint64_t shortest_us = shortest_service_us(candidates, count);
-    int preferred = preferred_of(candidates, count);
+    count = MIN(count, (size_t)kPlacementMax);
+    placement_costs(candidates, count, costs_us);
     for (size_t i = 0; i < count; i++) {
-        if (!candidates[i].usable) {
-            continue;
-        }
-        PlacementCandidate c = aged(&candidates[i], shortest_us);
-        costs_us[i] = placement_cost_us(&c);
-        if (preferred != kPlacementNone && (int)i != preferred) {
-            costs_us[i] += kAffinityUs;
-        }
-        if (costs_us[i] < best_us) {
+        if (candidates[i].usable && costs_us[i] < best_us) {
             best_us = costs_us[i];
-            limit_us =
-                best_us + kNearUs + c.expected_queue_us / kNearQueueDivisor;
+            limit_us = best_us + kNearUs +
+                       candidates[i].expected_queue_us / kNearQueueDivisor;
         }
     }
     for (size_t i = 0; i < count; i++) {
--- a/src/sapphireweir/proto/sapphireweir.pb-c.c
+++ b/src/sapphireweir/proto/sapphireweir.pb-c.c
@@ -7024,7 +7024,7 @@
   (ProtobufCMessageInit) sw__relay_command__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sw__relay_run__field_descriptors[11] =
+static const ProtobufCFieldDescriptor sw__relay_run__field_descriptors[12] =
 {
   {
     "relay",
@@ -7158,6 +7158,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "timed",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Sw__RelayRun, timed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sw__relay_run__field_indices_by_name[] = {
   9,   /* field[9] = after_begin */
@@ -7171,11 +7183,12 @@
   10,   /* field[10] = step */
   4,   /* field[4] = target_us */
   2,   /* field[2] = team */
+  11,   /* field[11] = timed */
 };
 static const ProtobufCIntRange sw__relay_run__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor sw__relay_run__descriptor =
 {
@@ -7185,14 +7198,14 @@
   "Sw__RelayRun",
   "sw",
   sizeof(Sw__RelayRun),
-  11,
+  12,
   sw__relay_run__field_descriptors,
   sw__relay_run__field_indices_by_name,
   1,  sw__relay_run__number_ranges,
   (ProtobufCMessageInit) sw__relay_run__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sw__relay_result__field_descriptors[19] =
+static const ProtobufCFieldDescriptor sw__relay_result__field_descriptors[20] =
 {
   {
     "relay",
@@ -7422,6 +7435,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "held_us",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__RelayResult, held_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sw__relay_result__field_indices_by_name[] = {
   15,   /* field[15] = admitted */
@@ -7430,6 +7455,7 @@
   3,   /* field[3] = code_text */
   4,   /* field[4] = detail */
   17,   /* field[17] = drain_milli_per_s */
+  19,   /* field[19] = held_us */
   9,   /* field[9] = number */
   1,   /* field[1] = outcome */
   10,   /* field[10] = position */
@@ -7447,7 +7473,7 @@
 static const ProtobufCIntRange sw__relay_result__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 19 }
+  { 0, 20 }
 };
 const ProtobufCMessageDescriptor sw__relay_result__descriptor =
 {
@@ -7457,7 +7483,7 @@
   "Sw__RelayResult",
   "sw",
   sizeof(Sw__RelayResult),
-  19,
+  20,
   sw__relay_result__field_descriptors,
   sw__relay_result__field_indices_by_name,
   1,  sw__relay_result__number_ranges,
@@ -7502,7 +7528,7 @@
   (ProtobufCMessageInit) sw__relay_end__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sw__relay_ping__field_descriptors[1] =
+static const ProtobufCFieldDescriptor sw__relay_ping__field_descriptors[2] =
 {
   {
     "answer",
@@ -7516,14 +7542,27 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "sent_us",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__RelayPing, sent_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sw__relay_ping__field_indices_by_name[] = {
   0,   /* field[0] = answer */
+  1,   /* field[1] = sent_us */
 };
 static const ProtobufCIntRange sw__relay_ping__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor sw__relay_ping__descriptor =
 {
@@ -7533,7 +7572,7 @@
   "Sw__RelayPing",
   "sw",
   sizeof(Sw__RelayPing),
-  1,
+  2,
   sw__relay_ping__field_descriptors,
   sw__relay_ping__field_indices_by_name,
   1,  sw__relay_ping__number_ranges,
--- a/src/sapphireweir/proto/sapphireweir.pb-c.h
+++ b/src/sapphireweir/proto/sapphireweir.pb-c.h
@@ -1205,10 +1205,14 @@
    * zero from a sender that states none.
    */
   uint32_t step;
+  /*
+   * The result is to state held_us.
+   */
+  protobuf_c_boolean timed;
 };
 #define SW__RELAY_RUN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sw__relay_run__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0, 0, 0,NULL, 0 }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0, 0, 0,NULL, 0, 0 }
 
 
 struct  Sw__RelayResult
@@ -1248,10 +1252,15 @@
    * after_begin.
    */
   protobuf_c_boolean begun;
+  /*
+   * Time from the arrival of a timed RelayRun to the sending of this result,
+   * at least 1; zero if it was not timed.
+   */
+  uint64_t held_us;
 };
 #define SW__RELAY_RESULT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sw__relay_result__descriptor) \
-    , 0, SW__RELAY_OUTCOME__RELAY_ANSWERED, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, SW__RELAY_OUTCOME__RELAY_ANSWERED, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -1277,10 +1286,15 @@
    * False in the request, true in the reply.
    */
   protobuf_c_boolean answer;
+  /*
+   * Time of the request by the requester's clock, repeated in the reply; zero
+   * if the sender does not state it.
+   */
+  uint64_t sent_us;
 };
 #define SW__RELAY_PING__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sw__relay_ping__descriptor) \
-    , 0 }
+    , 0, 0 }
 
 
 /*
--- a/test/unit/test_gateway_policy.c
+++ b/test/unit/test_gateway_policy.c
@@ -101,7 +101,7 @@
 static void
 reads_go_to_the_candidate_of_lowest_cost(void)
 {
-    static const struct {
+    struct {
         PlacementCandidate candidates[3];
         int chosen;
     } cases[] = {
@@ -144,6 +144,9 @@
          1},
     };
     for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        for (size_t k = 0; k < 3; k++) {
+            cases[i].candidates[k].link_us = 3000;
+        }
         CU_ASSERT_EQUAL(placement_choose(cases[i].candidates, 3),
                         cases[i].chosen);
     }
--- a/test/unit/test_placement_replay.c
+++ b/test/unit/test_placement_replay.c
@@ -113,6 +113,7 @@
     return (PlacementCandidate){
         .usable = TRUE,
         .same_domain = load->same_domains || instance % kReplicas == replica,
+        .link_us = 3000,
         .matching_connection = TRUE,
         .open_statements = v->open,
         .slots = kSlots,
