Ask an owner in another domain for its load before sending work there

Cause: loads come with results only.

Change: if work waits at home and would be served earlier elsewhere, and the last report is older than 100 ms, the owner there is asked by a RelayPing (fields server and load), at most every 50 ms for each database. It states wait, service time, admission level and rates. Nothing is asked while nothing waits at home, so the calm case costs no message. The share of an instance that decides rarely grows faster.

--- a/src/sapphireweir/gateway/crossing_gate.c
+++ b/src/sapphireweir/gateway/crossing_gate.c
@@ -53,9 +53,10 @@
                                               : (uint64_t)kLinkTimeDefaultUs;
         c->price_us = is_foreign(g, server) ? price_us(s) : 0;
     }
+    c->report_age_us = now_us - server->owner_wait_updated_us;
     c->reported = relayed && g->prioritized &&
                   server->owner_wait_updated_us != 0 &&
-                  now_us - server->owner_wait_updated_us < kReportValidUs;
+                  c->report_age_us < kReportValidUs;
     if (c->reported) {
         c->admits_all = server->admission.admitted == 0 ||
                         server->admission.admitted >= kAdmissionAll;
@@ -106,8 +107,14 @@
                    ? placement_choose_spread(candidates, count, work.random)
                    : placement_choose(candidates, count);
     }
-    return crossing_choose(&s->database->crossing, now_us, candidates, count,
-                           &work, decision);
+    int chosen = crossing_choose(&s->database->crossing, now_us, candidates,
+                                 count, &work, decision);
+    if (decision->ask != kPlacementNone) {
+        relay_ask_load(
+            s, g_ptr_array_index(s->database->servers, (guint)decision->ask),
+            now_us);
+    }
+    return chosen;
 }
 
 /* Records that the open statement is sent to a server, as the first one of its
@@ -175,6 +182,7 @@
 void
 crossing_gate_metrics_write(const Gateway *g, GString *out)
 {
+    counter_write_text("loads_asked_total", g->counters.loads_asked, out);
     for (uint32_t i = kCrossingHysteresis; i < kCrossingReasons; i++) {
         gboolean goes = i >= kCrossingWait;
         char name[64];
--- a/src/sapphireweir/gateway/gateway.h
+++ b/src/sapphireweir/gateway/gateway.h
@@ -103,10 +103,11 @@
      * to another failure domain or stayed. */
     uint64_t crossed[kCrossingReasons];
     uint64_t kept_home[kCrossingReasons];
-    Histogram operation; /* completed statements, arrival to answer */
-    Histogram refusal;   /* refused statements, arrival to answer */
-    Histogram queue;     /* at the owner, arrival to sending */
-    Histogram service;   /* at the backend server, sending to answer */
+    uint64_t loads_asked; /* of owners in other domains */
+    Histogram operation;  /* completed statements, arrival to answer */
+    Histogram refusal;    /* refused statements, arrival to answer */
+    Histogram queue;      /* at the owner, arrival to sending */
+    Histogram service;    /* at the backend server, sending to answer */
 } GatewayCounters;
 
 Gateway *gateway_new(const GatewayConfig *config, const GatewayPort *port);
--- a/src/sapphireweir/gateway/gateway_internal.h
+++ b/src/sapphireweir/gateway/gateway_internal.h
@@ -401,6 +401,7 @@
                   const Sw__RelayResult *m);
 void relay_ping(Gateway *g, uint64_t now_us, const char *from,
                 const Sw__RelayPing *m);
+void relay_ask_load(const Session *s, const Server *server, uint64_t now_us);
 void relay_owner_lost(Gateway *g, uint64_t now_us, const char *owner);
 void relay_update_entries(Gateway *g, const Sw__EntryGrant *m);
 void relay_tick(Gateway *g, uint64_t now_us);
@@ -417,6 +418,8 @@
 gboolean serverpool_has_waiting(const ServerPool *pool);
 gboolean serverpool_is_empty(const ServerPool *pool);
 void serverpool_free(ServerPool *pool);
+gboolean serverpool_load(Gateway *g, const char *server, uint32_t level,
+                         const char *team, Sw__RelayLoad *out);
 void serverpool_metrics_write(const Gateway *g, GString *out);
 void pooled_job_free(void *job);
 
--- a/src/sapphireweir/gateway/relay.c
+++ b/src/sapphireweir/gateway/relay.c
@@ -399,6 +399,54 @@
     connection_answer(c, now_us, &a);
 }
 
+/* Asks the owner of a server for its load, for work like the session's. */
+void
+relay_ask_load(const Session *s, const Server *server, uint64_t now_us)
+{
+    Gateway *g = s->gateway;
+    Sw__Frame frame = SW__FRAME__INIT;
+    Sw__RelayPing ping = SW__RELAY_PING__INIT;
+    Sw__RelayLoad load = SW__RELAY_LOAD__INIT;
+
+    if (!relay_usable(server, now_us)) {
+        return;
+    }
+    load.level = dispatch_level(s);
+    load.team = (char *)session_team_name(s);
+    ping.server = server->id;
+    ping.load = &load;
+    ping.sent_us = now_us;
+    owner_contact(g, server->owner)->ping_sent_us = now_us;
+    g->counters.loads_asked++;
+    frame.body_case = SW__FRAME__BODY_RELAY_PING;
+    frame.relay_ping = &ping;
+    send_frame(g, server->owner, &frame);
+}
+
+/* Takes over the load of a server from its owner's answer to a ping. */
+static void
+load_answered(Gateway *g, uint64_t now_us, const char *from,
+              const Sw__RelayPing *m)
+{
+    Server *s = g_hash_table_lookup(g->servers, m->server);
+    const Sw__RelayLoad *load = m->load;
+
+    if (s == NULL || load == NULL || load->level >= kAdmissionLevels ||
+        g_strcmp0(s->owner, from) != 0) {
+        return;
+    }
+    s->owner_wait_updated_us = now_us;
+    s->drain_milli_per_s = load->drain_milli_per_s;
+    s->shed_milli_per_s = load->shed_milli_per_s;
+    admission_view_set_wait(&s->admission, now_us, load->level, load->wait_us);
+    s->admission.admitted = load->admitted;
+    s->admission.updated_us = now_us;
+    if (load->service_us != 0) {
+        s->service_us = load->service_us;
+        s->service_direct = FALSE;
+    }
+}
+
 /* Answers a ping of a borrower, or records an owner's answer to a ping. */
 void
 relay_ping(Gateway *g, uint64_t now_us, const char *from,
@@ -406,6 +454,7 @@
 {
     Sw__Frame frame = SW__FRAME__INIT;
     Sw__RelayPing answer = SW__RELAY_PING__INIT;
+    Sw__RelayLoad load = SW__RELAY_LOAD__INIT;
 
     if (m->answer) {
         OwnerContact *o = owner_contact(g, from);
@@ -414,8 +463,15 @@
         if (m->sent_us != 0 && m->sent_us == o->ping_sent_us) {
             link_time_measured(&o->link, now_us, now_us - m->sent_us, 0);
         }
+        load_answered(g, now_us, from, m);
         return;
     }
+    if (m->load != NULL &&
+        serverpool_load(g, m->server, m->load->level, m->load->team, &load)) {
+        load.level = m->load->level;
+        answer.server = m->server;
+        answer.load = &load;
+    }
     answer.answer = TRUE;
     answer.sent_us = m->sent_us;
     frame.body_case = SW__FRAME__BODY_RELAY_PING;
--- a/src/sapphireweir/gateway/serverpool_queue.c
+++ b/src/sapphireweir/gateway/serverpool_queue.c
@@ -305,15 +305,14 @@
     shed_hopeless(pool, now_us);
 }
 
-/* Returns the expected wait of the next work like a job. */
+/* Returns the expected wait of the next work of a level and team. */
 static uint64_t
-next_wait_us(const PooledJob *j)
+next_wait_us(ServerPool *pool, uint32_t level, const char *team)
 {
-    ServerPool *pool = j->pool;
     AdmissionWork **works = waiting_works(pool);
-    AdmissionWork next = {.level = j->work.level};
+    AdmissionWork next = {.level = level};
 
-    admission_enter(&pool->admission, &next, j->team);
+    admission_enter(&pool->admission, &next, team);
     uint64_t wait_us = admission_wait_us(&pool->admission, works,
                                          pool->waiting.length, &next);
     admission_leave(&pool->admission, &next);
@@ -321,6 +320,29 @@
     return wait_us;
 }
 
+/* Sets the load of a server for work of a level and team that has not been
+ * sent yet.  Returns FALSE if this instance has no such server. */
+gboolean
+serverpool_load(Gateway *g, const char *server, uint32_t level,
+                const char *team, Sw__RelayLoad *out)
+{
+    const Server *s = g_hash_table_lookup(g->servers, server);
+
+    if (s == NULL || s->gone || level >= kAdmissionLevels) {
+        return FALSE;
+    }
+    out->service_us = s->service_us;
+    if (s->pool == NULL) {
+        return TRUE;
+    }
+    const Admission *a = &s->pool->admission;
+    out->wait_us = next_wait_us(s->pool, level, team);
+    out->admitted = admission_admitted(a, NULL);
+    out->drain_milli_per_s = a->drain_milli_per_s;
+    out->shed_milli_per_s = a->shed_milli_per_s;
+    return TRUE;
+}
+
 /* Adds the admission level and the load to the result of a job. */
 void
 serverpool_queue_report(const PooledJob *j, Sw__RelayResult *m)
@@ -330,7 +352,7 @@
     if (!j->pool->gateway->prioritized) {
         return;
     }
-    m->wait_us = next_wait_us(j);
+    m->wait_us = next_wait_us(j->pool, j->work.level, j->team);
     m->admitted = admission_admitted(a, NULL);
     m->team_admitted = admission_admitted(a, j->team);
     m->drain_milli_per_s = a->drain_milli_per_s;
--- a/src/sapphireweir/policy/crossing.c
+++ b/src/sapphireweir/policy/crossing.c
@@ -21,11 +21,18 @@
     kActiveDivisor = 2,  /* of the margin, while work is crossing */
     kActiveUs = 1000000, /* the validity of reported loads */
     kRampUs = 4000,      /* gain above the margin for the whole share */
+    /* Age of a report from which on its owner is asked for its load, and least
+     * time between two such requests.  Without them, instances with few reads
+     * decide from reports that are up to a second old. */
+    kAskAfterUs = 100000,
+    kAskIntervalUs = 50000,
     /* Of its capacity: a server that works as much keeps its queue. */
     kBusyPermille = 900,
     /* In this time, the share grows by the part of the load for which there is
-     * room, or shrinks to zero.  Longer times do not count as more. */
+     * room, or shrinks to zero.  Longer times count as more up to the second
+     * one: instances with few reads decide rarely. */
     kShareUs = 40000,
+    kShareStepUs = 400000,
     kLongWaitPermille = 600, /* of the wait at home: a wait that is too long */
 };
 
@@ -129,7 +136,7 @@
 room_permille(Crossing *state, uint64_t now_us, const Side *here,
               const Side *there)
 {
-    uint64_t step_us = MIN(now_us - state->share_us, (uint64_t)kShareUs);
+    uint64_t step_us = MIN(now_us - state->share_us, (uint64_t)kShareStepUs);
     uint64_t share = state->share_permille;
 
     if (now_us - state->share_us > kActiveUs) {
@@ -145,7 +152,7 @@
                             MAX(here->load_milli_per_s, 1),
                         (uint64_t)kPermille);
     if (there->wait_us * kPermille > here->wait_us * kLongWaitPermille) {
-        share -= share * step_us / kShareUs;
+        share -= MIN(share * step_us / kShareUs, share);
     }
     else {
         share = MIN(share + room * step_us / kShareUs, (uint64_t)kPermille);
@@ -189,6 +196,36 @@
     return MIN(share, room_permille(state, now_us, here, there));
 }
 
+/* Returns the candidate elsewhere whose owner is to be asked for its load, or
+ * kPlacementNone: the cheapest one without its wait, if work would cross as
+ * far as that goes and the owner's last report is old. */
+static int
+owner_to_ask(Crossing *state, uint64_t now_us,
+             const PlacementCandidate *candidates, size_t count,
+             const uint64_t *costs_us, const Side *here, int preferred)
+{
+    int found = kPlacementNone;
+    uint64_t least_us = here->cost_us - MIN(here->cost_us, kMarginUs);
+
+    if (now_us - state->asked_us < kAskIntervalUs || here->wait_us == 0) {
+        return kPlacementNone;
+    }
+    for (size_t i = 0; i < count; i++) {
+        const PlacementCandidate *c = &candidates[i];
+        uint64_t cost_us = above(costs_us[i], placement_wait_us(c));
+        if (c->usable && !c->same_domain && (int)i != preferred &&
+            cost_us < least_us &&
+            (!c->reported || c->report_age_us > kAskAfterUs)) {
+            found = (int)i;
+            least_us = cost_us;
+        }
+    }
+    if (found != kPlacementNone) {
+        state->asked_us = now_us;
+    }
+    return found;
+}
+
 /* Returns the index of the server for work that several servers may run, or
  * kPlacementNone, and sets why.  count is at most kPlacementMax. */
 int
@@ -217,12 +254,14 @@
                    costs_us[i]);
     }
     *out = (CrossingDecision){FALSE, kCrossingNotBetter, home.cost_us,
-                              there.cost_us};
+                              there.cost_us, kPlacementNone};
     gboolean stranded = !home.able && (there.able || here.able);
     gboolean leaves = FALSE;
     if (!stranded && there.usable) {
         uint64_t share =
             share_permille(state, now_us, &here, &there, work, &out->reason);
+        out->ask = owner_to_ask(state, now_us, candidates, count, costs_us,
+                                &here, preferred);
         leaves = work->random % kPermille < share;
     }
     memcpy(chosen, candidates, count * sizeof(*chosen));
--- a/src/sapphireweir/policy/crossing.h
+++ b/src/sapphireweir/policy/crossing.h
@@ -30,6 +30,8 @@
     /* Expected times to the answer at home and elsewhere, without the price;
      * zero: no server there. */
     uint64_t here_us, there_us;
+    /* Candidate whose owner is to be asked for its load, or kPlacementNone. */
+    int ask;
 } CrossingDecision;
 
 /* The state of the decision for the servers of one database. */
@@ -38,6 +40,7 @@
     /* Share of the work that crosses, in thousandths, and its last change. */
     uint32_t share_permille;
     uint64_t share_us;
+    uint64_t asked_us; /* last request for a load */
 } Crossing;
 
 int crossing_choose(Crossing *state, uint64_t now_us,
--- a/src/sapphireweir/policy/placement.h
+++ b/src/sapphireweir/policy/placement.h
@@ -29,6 +29,7 @@
      * second, and whether all work is admitted. */
     gboolean reported;
     gboolean admits_all;
+    uint64_t report_age_us;    /* since then */
     uint64_t reported_wait_us; /* expected_queue_us at the time of report */
     uint64_t drain_milli_per_s;
     uint64_t shed_milli_per_s;
--- a/src/sapphireweir/proto/sapphireweir.pb-c.c
+++ b/src/sapphireweir/proto/sapphireweir.pb-c.c
@@ -2077,6 +2077,51 @@
   assert(message->base.descriptor == &sw__relay_ping__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   sw__relay_load__init
+                     (Sw__RelayLoad         *message)
+{
+  static const Sw__RelayLoad init_value = SW__RELAY_LOAD__INIT;
+  *message = init_value;
+}
+size_t sw__relay_load__get_packed_size
+                     (const Sw__RelayLoad *message)
+{
+  assert(message->base.descriptor == &sw__relay_load__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t sw__relay_load__pack
+                     (const Sw__RelayLoad *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &sw__relay_load__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t sw__relay_load__pack_to_buffer
+                     (const Sw__RelayLoad *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &sw__relay_load__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Sw__RelayLoad *
+       sw__relay_load__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Sw__RelayLoad *)
+     protobuf_c_message_unpack (&sw__relay_load__descriptor,
+                                allocator, len, data);
+}
+void   sw__relay_load__free_unpacked
+                     (Sw__RelayLoad *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &sw__relay_load__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   sw__rate_share_ask__init
                      (Sw__RateShareAsk         *message)
 {
@@ -7528,7 +7573,7 @@
   (ProtobufCMessageInit) sw__relay_end__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sw__relay_ping__field_descriptors[2] =
+static const ProtobufCFieldDescriptor sw__relay_ping__field_descriptors[4] =
 {
   {
     "answer",
@@ -7554,15 +7599,41 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "server",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sw__RelayPing, server),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "load",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Sw__RelayPing, load),
+    &sw__relay_load__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sw__relay_ping__field_indices_by_name[] = {
   0,   /* field[0] = answer */
+  3,   /* field[3] = load */
   1,   /* field[1] = sent_us */
+  2,   /* field[2] = server */
 };
 static const ProtobufCIntRange sw__relay_ping__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor sw__relay_ping__descriptor =
 {
@@ -7572,13 +7643,129 @@
   "Sw__RelayPing",
   "sw",
   sizeof(Sw__RelayPing),
-  2,
+  4,
   sw__relay_ping__field_descriptors,
   sw__relay_ping__field_indices_by_name,
   1,  sw__relay_ping__number_ranges,
   (ProtobufCMessageInit) sw__relay_ping__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor sw__relay_load__field_descriptors[7] =
+{
+  {
+    "level",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Sw__RelayLoad, level),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "team",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sw__RelayLoad, team),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wait_us",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__RelayLoad, wait_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service_us",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__RelayLoad, service_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "admitted",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Sw__RelayLoad, admitted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "drain_milli_per_s",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__RelayLoad, drain_milli_per_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "shed_milli_per_s",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__RelayLoad, shed_milli_per_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned sw__relay_load__field_indices_by_name[] = {
+  4,   /* field[4] = admitted */
+  5,   /* field[5] = drain_milli_per_s */
+  0,   /* field[0] = level */
+  3,   /* field[3] = service_us */
+  6,   /* field[6] = shed_milli_per_s */
+  1,   /* field[1] = team */
+  2,   /* field[2] = wait_us */
+};
+static const ProtobufCIntRange sw__relay_load__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor sw__relay_load__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "sw.RelayLoad",
+  "RelayLoad",
+  "Sw__RelayLoad",
+  "sw",
+  sizeof(Sw__RelayLoad),
+  7,
+  sw__relay_load__field_descriptors,
+  sw__relay_load__field_indices_by_name,
+  1,  sw__relay_load__number_ranges,
+  (ProtobufCMessageInit) sw__relay_load__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor sw__rate_share_ask__field_descriptors[3] =
 {
   {
--- a/src/sapphireweir/proto/sapphireweir.pb-c.h
+++ b/src/sapphireweir/proto/sapphireweir.pb-c.h
@@ -61,6 +61,7 @@
 typedef struct Sw__RelayResult Sw__RelayResult;
 typedef struct Sw__RelayEnd Sw__RelayEnd;
 typedef struct Sw__RelayPing Sw__RelayPing;
+typedef struct Sw__RelayLoad Sw__RelayLoad;
 typedef struct Sw__RateShareAsk Sw__RateShareAsk;
 typedef struct Sw__RateShareRequest Sw__RateShareRequest;
 typedef struct Sw__RateShareOffer Sw__RateShareOffer;
@@ -1291,10 +1292,36 @@
    * if the sender does not state it.
    */
   uint64_t sent_us;
+  /*
+   * In a request: a server that the receiver owns, whose load for work of this
+   * level and team the reply is to state.  The reply repeats server and level;
+   * it has no load if the receiver does not know the server.
+   */
+  char *server;
+  Sw__RelayLoad *load;
 };
 #define SW__RELAY_PING__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sw__relay_ping__descriptor) \
-    , 0, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, NULL }
+
+
+/*
+ * Load of a server at its owner; see RelayResult for the units.
+ */
+struct  Sw__RelayLoad
+{
+  ProtobufCMessage base;
+  uint32_t level;
+  char *team;
+  uint64_t wait_us;
+  uint64_t service_us;
+  uint32_t admitted;
+  uint64_t drain_milli_per_s;
+  uint64_t shed_milli_per_s;
+};
+#define SW__RELAY_LOAD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&sw__relay_load__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -2355,6 +2382,25 @@
 void   sw__relay_ping__free_unpacked
                      (Sw__RelayPing *message,
                       ProtobufCAllocator *allocator);
+/* Sw__RelayLoad methods */
+void   sw__relay_load__init
+                     (Sw__RelayLoad         *message);
+size_t sw__relay_load__get_packed_size
+                     (const Sw__RelayLoad   *message);
+size_t sw__relay_load__pack
+                     (const Sw__RelayLoad   *message,
+                      uint8_t             *out);
+size_t sw__relay_load__pack_to_buffer
+                     (const Sw__RelayLoad   *message,
+                      ProtobufCBuffer     *buffer);
+Sw__RelayLoad *
+       sw__relay_load__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   sw__relay_load__free_unpacked
+                     (Sw__RelayLoad *message,
+                      ProtobufCAllocator *allocator);
 /* Sw__RateShareAsk methods */
 void   sw__rate_share_ask__init
                      (Sw__RateShareAsk         *message);
@@ -2666,6 +2712,9 @@
 typedef void (*Sw__RelayPing_Closure)
                  (const Sw__RelayPing *message,
                   void *closure_data);
+typedef void (*Sw__RelayLoad_Closure)
+                 (const Sw__RelayLoad *message,
+                  void *closure_data);
 typedef void (*Sw__RateShareAsk_Closure)
                  (const Sw__RateShareAsk *message,
                   void *closure_data);
@@ -2750,6 +2799,7 @@
 extern const ProtobufCMessageDescriptor sw__relay_result__descriptor;
 extern const ProtobufCMessageDescriptor sw__relay_end__descriptor;
 extern const ProtobufCMessageDescriptor sw__relay_ping__descriptor;
+extern const ProtobufCMessageDescriptor sw__relay_load__descriptor;
 extern const ProtobufCMessageDescriptor sw__rate_share_ask__descriptor;
 extern const ProtobufCMessageDescriptor sw__rate_share_request__descriptor;
 extern const ProtobufCMessageDescriptor sw__rate_share_offer__descriptor;
--- a/test/unit/test_crossing.c
+++ b/test/unit/test_crossing.c
@@ -47,7 +47,7 @@
 
 typedef struct {
     uint32_t instance, server, level;
-    gboolean lost, rejected, crossed;
+    gboolean lost, rejected, crossed, asks; /* asks: for the load only */
     uint64_t started_us, arrives_us, arrived_us, sent_us, left_us;
 } Read;
 
@@ -65,7 +65,7 @@
 } View;
 
 typedef struct {
-    uint64_t count, in_time, crossed, crossed_urgent, urgent, sum_us;
+    uint64_t count, asks, in_time, crossed, crossed_urgent, urgent, sum_us;
     uint64_t crossed_by_second[14], by_second[14];
     uint64_t kept[kCrossingReasons];
 } Result;
@@ -132,6 +132,11 @@
     GList *after = s->queue.tail;
 
     q->arrived_us = now_us;
+    if (q->asks) {
+        q->rejected = TRUE;
+        g_queue_push_tail(&s->results, q);
+        return;
+    }
     if (wait_us(s, q->level) > kPatienceUs) {
         reject(s, q);
         return;
@@ -218,6 +223,7 @@
             former ? kLinkTimeDefaultUs : link_time_us(&v->link, now_us),
         .price_us = former ? 0 : load->price_us,
         .reported = reported,
+        .report_age_us = age_us,
         .reported_wait_us = reported ? wait : 0,
         .admits_all = v->shed_milli * 20 <= v->drain_milli,
         .drain_milli_per_s = v->drain_milli,
@@ -253,6 +259,13 @@
             continue;
         }
         g_queue_delete_link(&s->results, l);
+        if (q->asks && !q->lost) {
+            view_update(v, s, q, now_us, q->sent_us);
+        }
+        if (q->asks) {
+            g_free(q);
+            continue;
+        }
         v->open--;
         if (q->lost) {
             if (now_us >= v->avoid_us) {
@@ -270,6 +283,26 @@
     }
 }
 
+/* Asks the owner of a server for its load. */
+static void
+send_ask(const Read *q, uint32_t server, const Load *load, GQueue *sent,
+         Result *out)
+{
+    Read *ask = g_new(Read, 1);
+    uint64_t hop = hop_us(load, TRUE, q->started_us);
+
+    *ask = *q;
+    ask->asks = ask->crossed = TRUE;
+    ask->server = server;
+    out->asks++;
+    if (hop == UINT64_MAX) {
+        g_free(ask);
+        return;
+    }
+    ask->arrives_us = q->started_us + hop;
+    g_queue_push_tail(sent, ask);
+}
+
 /* Chooses the server of a new read and sends it. */
 static void
 start_read(Server *servers, uint32_t n, View views[][kServersMax],
@@ -288,6 +321,9 @@
     int chosen = former ? placement_choose_spread(c, n, work.random)
                         : crossing_choose(&states[q->instance], q->started_us,
                                           c, n, &work, &d);
+    if (!former && d.ask != kPlacementNone) {
+        send_ask(q, (uint32_t)d.ask, load, sent, out);
+    }
     if (chosen == kPlacementNone) {
         count_result(out, q, q->started_us, FALSE);
         g_free(q);
