Count bytes between failure domains by kind and reason

Cause: traffic between domains costs money, but the counters of peer links show kinds of messages only, not where they go or why.

Change: processes state their failure domain in the hello of a link (Hello.failure_domain = 3), so that each end knows whether the link crosses. Bytes on such links are counted by kind and reason: placement, owner, report, directory, document, other. RelayRun.chosen and RelayResult.chosen (2 bytes, 3 in a result, only for work that a decision sent away) tell placement from owner. The two hellos of a link are not counted, as the domain is not known before.

--- a/src/sapphireweir/adapter/peer.c
+++ b/src/sapphireweir/adapter/peer.c
@@ -63,6 +63,7 @@
     struct bufferevent *bev;
     LinkState state;
     gboolean dialed;            /* FALSE: accepted from the peer */
+    gboolean foreign;           /* the peer is in another failure domain */
     MemoryAccount *account;     /* NULL without limits */
     gboolean paused;            /* reading is, by the budget */
     char *id;                   /* of the peer, NULL until known */
@@ -106,6 +107,9 @@
     gboolean accept_paused;      /* no descriptor was left */
     Traffic sent;
     Traffic received;
+    char *failure_domain; /* of this process, NULL: not stated */
+    DomainTraffic domain_sent;
+    DomainTraffic domain_received;
     GQueue loopback; /* frames that this instance sent to itself */
     struct event *loopback_event;
 };
@@ -313,6 +317,10 @@
     bufferevent_write(l->bev, sealed, sealed_bytes + sizeof(prefix));
     l->last_sent_us = (gint64)clock_now_us();
     traffic_count(&l->peer->sent, frame, sealed_bytes + sizeof(prefix));
+    if (l->foreign) {
+        domain_traffic_count(&l->peer->domain_sent, frame,
+                             sealed_bytes + sizeof(prefix));
+    }
     g_free(sealed);
     g_free(plain);
     return TRUE;
@@ -326,6 +334,9 @@
 
     hello.instance_id = l->peer->id;
     hello.incarnation = l->peer->incarnation;
+    if (l->peer->failure_domain != NULL) {
+        hello.failure_domain = l->peer->failure_domain;
+    }
     frame.body_case = SW__FRAME__BODY_HELLO;
     frame.hello = &hello;
     link_write_frame(l, &frame);
@@ -411,6 +422,9 @@
             link_reject(l);
             return FALSE;
         }
+        const char *domain = frame->hello->failure_domain;
+        l->foreign = p->failure_domain != NULL && domain[0] != '\0' &&
+                     strcmp(domain, p->failure_domain) != 0;
         link_up(l, frame->hello);
         return TRUE;
     }
@@ -473,6 +487,10 @@
         return kFrameLinkClosed;
     }
     traffic_count(&l->peer->received, frame, sealed_bytes + sizeof(prefix));
+    if (l->foreign) {
+        domain_traffic_count(&l->peer->domain_received, frame,
+                             sealed_bytes + sizeof(prefix));
+    }
     gboolean open = link_handle_frame(l, frame);
     sw__frame__free_unpacked(frame, NULL);
     return open ? kFrameHandled : kFrameLinkClosed;
@@ -793,6 +811,15 @@
     counter_write_text("peer_unsent_frames_total", p->unsent_frames, out);
 }
 
+/* Sets the failure domain of this process, which is told to the peers.  Call it
+ * before the first link; without it, no bytes count as between domains. */
+void
+peer_set_failure_domain(Peer *p, const char *domain)
+{
+    g_free(p->failure_domain);
+    p->failure_domain = g_strdup(domain);
+}
+
 /* Returns the number of links that were closed because of invalid data. */
 uint64_t
 peer_rejected_links(const Peer *p)
@@ -800,13 +827,15 @@
     return p->rejected_links;
 }
 
-/* Appends the frames and bytes on all links by kind, in the metrics text
- * format. */
+/* Appends the frames and bytes on all links by kind, and the bytes between
+ * failure domains also by reason, in the metrics text format. */
 void
 peer_traffic_write(const Peer *p, GString *out)
 {
     traffic_write_text(&p->sent, "sent", out);
     traffic_write_text(&p->received, "received", out);
+    domain_traffic_write_text(&p->domain_sent, "sent", out);
+    domain_traffic_write_text(&p->domain_received, "received", out);
 }
 
 /* Closes all links and the port and frees the peer; no callback is called. */
@@ -831,6 +860,7 @@
         memory_budget_free(p->budget);
     }
     g_hash_table_destroy(p->remotes);
+    g_free(p->failure_domain);
     g_free(p->id);
     g_free(p);
 }
--- a/src/sapphireweir/adapter/peer.h
+++ b/src/sapphireweir/adapter/peer.h
@@ -26,6 +26,7 @@
                const uint8_t *secret, const char *listen_address,
                const PeerEvents *events, GError **error);
 void peer_free(Peer *p);
+void peer_set_failure_domain(Peer *p, const char *domain);
 void peer_set_limits(Peer *p, uint64_t memory_bytes, uint32_t max_handshakes);
 void peer_limits_write(const Peer *p, GString *out);
 uint64_t peer_rejected_links(const Peer *p);
--- a/src/sapphireweir/core/traffic.h
+++ b/src/sapphireweir/core/traffic.h
@@ -14,6 +14,26 @@
     uint64_t bytes[kTrafficKinds];
 } Traffic;
 
+/* Why bytes cross between failure domains. */
+typedef enum {
+    kTrafficPlacement, /* a decision sent work there */
+    kTrafficOwner,     /* the only server is there, or its owner */
+    kTrafficReport,
+    kTrafficDirectory,
+    kTrafficDocument,
+    kTrafficOther,
+    kTrafficReasons,
+} TrafficReason;
+
+/* Bytes between failure domains by kind and reason. */
+typedef struct {
+    uint64_t bytes[kTrafficKinds][kTrafficReasons];
+} DomainTraffic;
+
+void domain_traffic_count(DomainTraffic *t, const Sw__Frame *frame,
+                          size_t bytes);
+void domain_traffic_write_text(const DomainTraffic *t, const char *direction,
+                               GString *out);
 void traffic_count(Traffic *t, const Sw__Frame *frame, size_t bytes);
 const char *traffic_kind_name(uint32_t kind);
 uint64_t traffic_bytes(const Traffic *t);
--- a/src/sapphireweir/gateway/gateway_internal.h
+++ b/src/sapphireweir/gateway/gateway_internal.h
@@ -159,6 +159,7 @@
     gboolean awaiting;       /* an answer is awaited */
     gboolean begin_open;     /* the awaited answer belongs to a BEGIN */
     gboolean timed;          /* the awaited result states held_us */
+    gboolean chosen;         /* see RelayRun.chosen */
     /* Of the connection at the server, by the last answer. */
     SessionState server_state;
     SlowStartPermit permit; /* of the commands without an answer */
--- a/src/sapphireweir/gateway/relay.c
+++ b/src/sapphireweir/gateway/relay.c
@@ -264,6 +264,11 @@
     m.continues = s->begun;
     c->timed = is_timed(c->server, o, now_us);
     m.timed = c->timed;
+    if (s->job.crossing_decided) {
+        c->chosen = s->job.crossing.reason == kCrossingWait ||
+                    s->job.crossing.reason == kCrossingConnection;
+    }
+    m.chosen = c->chosen;
     frame.body_case = SW__FRAME__BODY_RELAY_RUN;
     frame.relay_run = &m;
     c->answers_ahead = 0;
--- a/src/sapphireweir/gateway/serverpool.c
+++ b/src/sapphireweir/gateway/serverpool.c
@@ -514,6 +514,7 @@
     j->begun = FALSE;
     j->arrived_us = now_us;
     j->timed = m->timed;
+    j->chosen = m->chosen;
     j->order_us = now_us + m->target_us;
     j->deadline_us = now_us + m->due_us;
     serverpool_queue_arrived(j, now_us, m);
--- a/src/sapphireweir/gateway/serverpool_internal.h
+++ b/src/sapphireweir/gateway/serverpool_internal.h
@@ -43,6 +43,7 @@
     gboolean begun;      /* that BEGIN has succeeded */
     gboolean held;       /* in ServerPool.held */
     gboolean timed;      /* its result states held_us */
+    gboolean chosen;     /* see RelayRun.chosen */
     uint64_t arrived_us;
     uint64_t order_us; /* queue position; the smallest runs first */
     uint64_t deadline_us;
--- a/src/sapphireweir/gateway/serverpool_job.c
+++ b/src/sapphireweir/gateway/serverpool_job.c
@@ -122,6 +122,7 @@
     m->service_us = pool->server->service_us;
     m->server_failing = pool->server->failing_since_us != 0;
     serverpool_queue_report(j, m);
+    m->chosen = j->chosen;
     m->held_us = j->timed ? MAX(now_us - j->arrived_us, (uint64_t)1) : 0;
     frame.body_case = SW__FRAME__BODY_RELAY_RESULT;
     frame.relay_result = m;
--- a/src/sapphireweir/proto/sapphireweir.pb-c.c
+++ b/src/sapphireweir/proto/sapphireweir.pb-c.c
@@ -2968,7 +2968,7 @@
   (ProtobufCMessageInit) sw__frame__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sw__hello__field_descriptors[2] =
+static const ProtobufCFieldDescriptor sw__hello__field_descriptors[3] =
 {
   {
     "instance_id",
@@ -2994,15 +2994,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "failure_domain",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sw__Hello, failure_domain),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sw__hello__field_indices_by_name[] = {
+  2,   /* field[2] = failure_domain */
   1,   /* field[1] = incarnation */
   0,   /* field[0] = instance_id */
 };
 static const ProtobufCIntRange sw__hello__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor sw__hello__descriptor =
 {
@@ -3012,7 +3025,7 @@
   "Sw__Hello",
   "sw",
   sizeof(Sw__Hello),
-  2,
+  3,
   sw__hello__field_descriptors,
   sw__hello__field_indices_by_name,
   1,  sw__hello__number_ranges,
@@ -7069,7 +7082,7 @@
   (ProtobufCMessageInit) sw__relay_command__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sw__relay_run__field_descriptors[12] =
+static const ProtobufCFieldDescriptor sw__relay_run__field_descriptors[13] =
 {
   {
     "relay",
@@ -7215,9 +7228,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "chosen",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Sw__RelayRun, chosen),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sw__relay_run__field_indices_by_name[] = {
   9,   /* field[9] = after_begin */
+  12,   /* field[12] = chosen */
   3,   /* field[3] = commands */
   8,   /* field[8] = continues */
   5,   /* field[5] = due_us */
@@ -7233,7 +7259,7 @@
 static const ProtobufCIntRange sw__relay_run__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor sw__relay_run__descriptor =
 {
@@ -7243,14 +7269,14 @@
   "Sw__RelayRun",
   "sw",
   sizeof(Sw__RelayRun),
-  12,
+  13,
   sw__relay_run__field_descriptors,
   sw__relay_run__field_indices_by_name,
   1,  sw__relay_run__number_ranges,
   (ProtobufCMessageInit) sw__relay_run__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sw__relay_result__field_descriptors[20] =
+static const ProtobufCFieldDescriptor sw__relay_result__field_descriptors[21] =
 {
   {
     "relay",
@@ -7492,10 +7518,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "chosen",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Sw__RelayResult, chosen),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sw__relay_result__field_indices_by_name[] = {
   15,   /* field[15] = admitted */
   14,   /* field[14] = begun */
+  20,   /* field[20] = chosen */
   2,   /* field[2] = code */
   3,   /* field[3] = code_text */
   4,   /* field[4] = detail */
@@ -7518,7 +7557,7 @@
 static const ProtobufCIntRange sw__relay_result__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 20 }
+  { 0, 21 }
 };
 const ProtobufCMessageDescriptor sw__relay_result__descriptor =
 {
@@ -7528,7 +7567,7 @@
   "Sw__RelayResult",
   "sw",
   sizeof(Sw__RelayResult),
-  20,
+  21,
   sw__relay_result__field_descriptors,
   sw__relay_result__field_indices_by_name,
   1,  sw__relay_result__number_ranges,
--- a/src/sapphireweir/proto/sapphireweir.pb-c.h
+++ b/src/sapphireweir/proto/sapphireweir.pb-c.h
@@ -218,10 +218,14 @@
   ProtobufCMessage base;
   char *instance_id;
   uint64_t incarnation;
+  /*
+   * Of the sender; empty if it states none.
+   */
+  char *failure_domain;
 };
 #define SW__HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sw__hello__descriptor) \
-    , (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string }
 
 
 /*
@@ -1210,10 +1214,15 @@
    * The result is to state held_us.
    */
   protobuf_c_boolean timed;
+  /*
+   * The sender chose the server, which is in another failure domain, among
+   * several; only for counters of bytes.
+   */
+  protobuf_c_boolean chosen;
 };
 #define SW__RELAY_RUN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sw__relay_run__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0, 0, 0,NULL, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0 }
 
 
 struct  Sw__RelayResult
@@ -1258,10 +1267,14 @@
    * at least 1; zero if it was not timed.
    */
   uint64_t held_us;
+  /*
+   * As in the RelayRun.
+   */
+  protobuf_c_boolean chosen;
 };
 #define SW__RELAY_RESULT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sw__relay_result__descriptor) \
-    , 0, SW__RELAY_OUTCOME__RELAY_ANSWERED, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, SW__RELAY_OUTCOME__RELAY_ANSWERED, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/test/unit/test_document_transfer.c
+++ b/test/unit/test_document_transfer.c
@@ -322,10 +322,55 @@
     g_string_free(out, TRUE);
 }
 
+/* Guards against bytes between failure domains that count for another reason,
+ * which would show a wrong cause of the costs. */
+static void
+bytes_between_domains_are_counted_by_reason(void)
+{
+    Sw__RelayRun run = SW__RELAY_RUN__INIT;
+    Sw__RelayRun chosen = SW__RELAY_RUN__INIT;
+    Sw__RelayResult result = SW__RELAY_RESULT__INIT;
+    const struct {
+        Sw__Frame__BodyCase kind;
+        void *message;
+        const char *line;
+    } cases[] = {
+        {SW__FRAME__BODY_RELAY_RUN, &run,
+         "{kind=\"relay_run\",reason=\"owner\"} 100\n"},
+        {SW__FRAME__BODY_RELAY_RUN, &chosen,
+         "{kind=\"relay_run\",reason=\"placement\"} 100\n"},
+        {SW__FRAME__BODY_RELAY_RESULT, &result,
+         "{kind=\"relay_result\",reason=\"owner\"} 100\n"},
+        {SW__FRAME__BODY_ENTRY_REPORT, NULL, "reason=\"report\"} 100\n"},
+        {SW__FRAME__BODY_DIRECTORY_UPDATE, NULL,
+         "reason=\"directory\"} 100\n"},
+        {SW__FRAME__BODY_DOCUMENT_CHUNK, NULL, "reason=\"document\"} 100\n"},
+        {SW__FRAME__BODY_CONSENSUS, NULL, "reason=\"other\"} 100\n"},
+    };
+    DomainTraffic t = {0};
+    GString *out = g_string_new(NULL);
+
+    chosen.chosen = TRUE;
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        Sw__Frame frame = SW__FRAME__INIT;
+        frame.body_case = cases[i].kind;
+        /* All members of the body are pointers. */
+        frame.relay_run = cases[i].message;
+        domain_traffic_count(&t, &frame, 100);
+    }
+    domain_traffic_write_text(&t, "sent", out);
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        CU_ASSERT_PTR_NOT_NULL(strstr(out->str, cases[i].line));
+    }
+    g_string_free(out, TRUE);
+}
+
 void
 add_document_transfer_suite(void)
 {
     CU_pSuite s = CU_add_suite("document transfer", NULL, NULL);
+    CU_add_test(s, "bytes between domains are counted by reason",
+                bytes_between_domains_are_counted_by_reason);
     CU_add_test(s, "an update arrives whole or not at all",
                 an_update_arrives_whole_or_not_at_all);
     CU_add_test(s, "transfers follow one another",
