Test that a request tells whether and why it crossed

Cause: without the reason and the expected times, an operator cannot tell a decision from work that had no choice.

Change: the slowest measured link to an owner is a metric (owner_link_slowest_us).

--- a/src/sapphireweir/gateway/crossing_gate.c
+++ b/src/sapphireweir/gateway/crossing_gate.c
@@ -177,11 +177,32 @@
     event_number(line, "there_us", decision->there_us);
 }
 
+/* Returns the longest round-trip time to an owner, as each was measured last.
+ */
+static uint64_t
+slowest_link_us(const Gateway *g)
+{
+    GHashTableIter it;
+    void *value;
+    uint64_t slowest_us = 0;
+
+    g_hash_table_iter_init(&it, g->owners);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        const OwnerContact *o = value;
+        if (o->link.updated_us != 0) {
+            slowest_us =
+                MAX(slowest_us, link_time_us(&o->link, o->link.updated_us));
+        }
+    }
+    return slowest_us;
+}
+
 /* Appends the counters of statements that crossed, or stayed although another
  * domain was expected to be faster. */
 void
 crossing_gate_metrics_write(const Gateway *g, GString *out)
 {
+    counter_write_text("owner_link_slowest_us", slowest_link_us(g), out);
     counter_write_text("loads_asked_total", g->counters.loads_asked, out);
     for (uint32_t i = kCrossingHysteresis; i < kCrossingReasons; i++) {
         gboolean goes = i >= kCrossingWait;
--- a/test/unit/test_crossing.c
+++ b/test/unit/test_crossing.c
@@ -1,6 +1,9 @@
 #include <stdio.h>
 #include <string.h>
+#include <unistd.h>
 
+#include "../support/lone_gateway.h"
+#include "ctl/explain.h"
 #include "policy/crossing.h"
 #include "policy/link_time.h"
 #include "suite.h"
@@ -573,10 +576,111 @@
     }
 }
 
+/* ---- in an entry instance ---- */
+
+/* Returns a document with the public route "h" to the database "db". */
+static Document *
+document_of(void)
+{
+    Document *d = document_new(3);
+    DocumentDatabase *b = g_new0(DocumentDatabase, 1);
+    DocumentRoute *r = g_new0(DocumentRoute, 1);
+
+    b->name = g_strdup("db");
+    b->max_connections = 40;
+    g_hash_table_insert(d->databases, b->name, b);
+    r->host = g_strdup("h");
+    r->path_prefix = g_strdup("/");
+    r->database = g_strdup("db");
+    r->consistency = kConsistencyBoundedStaleness;
+    r->timeout_us = 800000;
+    r->target_latency_us = 400000;
+    r->max_staleness_us = 5000000;
+    r->priority = 1;
+    r->is_public = TRUE;
+    g_hash_table_insert(d->routes, r->host, r);
+    return d;
+}
+
+/* Returns what explain prints about a request of the log. */
+static char *
+explain(EventLog *log, const char *request)
+{
+    GString *text = g_string_new(NULL);
+    GString *out = g_string_new(NULL);
+    const char *data;
+    char *path = NULL;
+    size_t bytes;
+
+    while ((bytes = event_log_peek(log, &data)) > 0) {
+        g_string_append_len(text, data, (gssize)bytes);
+        event_log_consume(log, bytes);
+    }
+    close(g_file_open_tmp("log-XXXXXX", &path, NULL));
+    g_file_set_contents(path, text->str, (gssize)text->len, NULL);
+    char *files[] = {path, NULL};
+    explain_files(request, files, out, NULL);
+    unlink(path);
+    g_free(path);
+    g_string_free(text, TRUE);
+    return g_string_free(out, FALSE);
+}
+
+/* Guards against a request that crossed without a trace of why, and against
+ * work without a choice that counts as one. */
+static void
+a_request_tells_whether_and_why_it_crossed(void)
+{
+    static const struct {
+        const char *domain; /* of the primary, the only server */
+        StatementKind kind;
+        gboolean crossed;
+        CrossingReason reason;
+        const char *explained;
+    } cases[] = {
+        {"b", kStatementWrite, TRUE, kCrossingOnlyServer,
+         "crossed=1 crossing=\"only_server\""},
+        {"b", kStatementRead, TRUE, kCrossingNoServer,
+         "crossed=1 crossing=\"no_server\""},
+        {"a", kStatementWrite, FALSE, kCrossingNotBetter,
+         "crossed=0 crossing=\"not_better\""},
+        {"a", kStatementRead, FALSE, kCrossingNotBetter,
+         "crossed=0 crossing=\"not_better\""},
+    };
+    static const char *const none[] = {NULL};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        EventLog *log = g_new0(EventLog, 1);
+        event_log_init(log, "entry", "e0", 5);
+        GatewayConfig config = {.failure_domain = "a", .events = log};
+        LoneGateway *l = lone_gateway_new(&config, none, document_of());
+        AnswerCode code;
+        lone_gateway_server(l, "s", cases[i].domain, 1, UINT64_MAX);
+        lone_gateway_primary(l, "db", "s", FALSE);
+        lone_gateway_run(l, 100);
+        Session *s = session_open(l->gateway, l->now_us, l, "h", "", &code);
+        CU_ASSERT_PTR_NOT_NULL_FATAL(s);
+        lone_gateway_statement(l, s, cases[i].kind, "TEXT");
+        lone_gateway_run(l, 60);
+        const GatewayCounters *after = gateway_counters(l->gateway);
+        CrossingReason reason = cases[i].reason;
+        CU_ASSERT_EQUAL(after->crossed[reason], cases[i].crossed);
+        CU_ASSERT_EQUAL(after->kept_home[reason], !cases[i].crossed);
+        char *text = explain(log, "1");
+        CU_ASSERT_PTR_NOT_NULL(strstr(text, cases[i].explained));
+        CU_ASSERT_PTR_NOT_NULL(strstr(text, " here_us="));
+        g_free(text);
+        lone_gateway_free(l);
+        g_free(log);
+    }
+}
+
 void
 add_crossing_suite(void)
 {
     CU_pSuite s = CU_add_suite("crossing", NULL, NULL);
+    CU_add_test(s, "a request tells whether and why it crossed",
+                a_request_tells_whether_and_why_it_crossed);
     CU_add_test(s, "replays keep their bounds", replays_keep_their_bounds);
     CU_add_test(s, "a price keeps work at home", a_price_keeps_work_at_home);
     CU_add_test(s, "servers at home that cannot serve are left",
