Tell a server that is worse without load from one that is only busy

Cause: a margin for waits also held back reads from a primary at home, which are left to other servers at any load, and it let 5 to 10 % of the reads cross where both domains are 85 to 90 % busy, for waits that pass by.

Change: if another domain is expected to be faster even without any wait at home (slow or lagging server, primary), a margin of 1.5 ms and a quarter of the service time applies and the share has no limit. Else, for waits, the margin is 4 ms and a quarter of the time at home.

--- a/src/sapphireweir/policy/crossing.c
+++ b/src/sapphireweir/policy/crossing.c
@@ -16,11 +16,13 @@
     kPermille = 1000,
     /* Margin by which the time elsewhere must be lower: a part for the noise
      * of smoothed times, and one that rises with the time itself. */
-    kMarginUs = 1500,
+    kMarginUs = 4000,
     kMarginDivisor = 4,
+    /* The constant part for a server that is worse without any load, too. */
+    kUnloadedMarginUs = 1500,
     kActiveDivisor = 2,  /* of the margin, while work is crossing */
     kActiveUs = 1000000, /* the validity of reported loads */
-    kRampUs = 4000,      /* gain above the margin for the whole share */
+    kRampUs = 2000,      /* gain above the margin for the whole share */
     /* Age of a report from which on its owner is asked for its load, and least
      * time between two such requests.  Without them, instances with few reads
      * decide from reports that are up to a second old. */
@@ -43,6 +45,7 @@
     uint64_t cost_us; /* the lowest, without price */
     uint64_t price_us;
     uint64_t wait_us;          /* part of cost_us */
+    uint64_t service_us;       /* part of cost_us */
     gboolean asked;            /* a result is awaited */
     gboolean reported;         /* of free_milli_per_s */
     uint64_t free_milli_per_s; /* statements */
@@ -102,6 +105,7 @@
         side->cost_us = cost_us - price_us;
         side->price_us = price_us;
         side->wait_us = wait_us;
+        side->service_us = c->service_us;
     }
     side->usable = TRUE;
     side->able = side->able || !c->failing;
@@ -162,6 +166,14 @@
     return share;
 }
 
+/* Returns the share for a gain above a margin, in thousandths. */
+static uint64_t
+ramp_permille(uint64_t gain_us, uint64_t margin)
+{
+    return MIN(above(gain_us, margin) * kPermille / kRampUs,
+               (uint64_t)kPermille);
+}
+
 /* Returns the share of the work that crosses, in thousandths, and sets the
  * reason why the rest does not. */
 static uint64_t
@@ -178,22 +190,28 @@
         *reason = kCrossingNotBetter;
         return 0;
     }
+    /* Elsewhere is better without any load at home, too: a slow or lagging
+     * server, or a primary that is left to other work. */
+    uint64_t unloaded_margin =
+        kUnloadedMarginUs + here->service_us / kMarginDivisor;
+    uint64_t unloaded =
+        ramp_permille(above(gain_us, here->wait_us), unloaded_margin);
+    uint64_t unpriced_us =
+        above(here->cost_us + here->price_us, there->cost_us);
+    if (unloaded > 0) {
+        *reason = kCrossingHysteresis;
+        return unloaded;
+    }
     if (gain_us <= margin) {
-        *reason = price_us > 0 && gain_us + price_us > margin
-                      ? kCrossingPrice
-                      : kCrossingHysteresis;
+        gboolean pays = unpriced_us > margin ||
+                        unpriced_us > here->wait_us + unloaded_margin;
+        *reason = price_us > 0 && pays ? kCrossingPrice : kCrossingHysteresis;
         return 0;
     }
     *reason = kCrossingShare;
     state->until_us[work->level] = now_us + kActiveUs;
-    uint64_t share =
-        MIN((gain_us - margin) * kPermille / kRampUs, (uint64_t)kPermille);
-    if (gain_us > here->wait_us + margin) {
-        /* Elsewhere is better without any load at home, too: a slow or
-         * lagging server, or a primary that is left to other work. */
-        return share;
-    }
-    return MIN(share, room_permille(state, now_us, here, there));
+    return MIN(ramp_permille(gain_us, margin),
+               room_permille(state, now_us, here, there));
 }
 
 /* Returns the candidate elsewhere whose owner is to be asked for its load, or
