--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -9,7 +9,7 @@
     "fleet policy" "session" "platform" "slow start" "cold servers" "regions"
     "evacuation" "evacuation at an instance" "admission"
     "placement replay" "server pool" "rates" "team rates" "share pool"
-    "evacuation core")
+    "evacuation core" "crossing")
 
 rm -rf "$work/source"
 mkdir -p "$work/source"
--- a/test/unit/test_crossing.c
+++ b/test/unit/test_crossing.c
@@ -4,6 +4,7 @@
 
 #include "../support/lone_gateway.h"
 #include "ctl/explain.h"
+#include "platform/boot.h"
 #include "policy/crossing.h"
 #include "policy/link_time.h"
 #include "suite.h"
@@ -580,6 +581,42 @@
     }
 }
 
+/* Guards against a price that is not read, or that a wrong value makes
+ * huge. */
+static void
+the_settings_state_the_price(void)
+{
+    static const struct {
+        const char *limits;
+        uint64_t us_per_kb;
+    } cases[] = {
+        {"{}", 0},
+        {"{\"cross-zone-us-per-kb\":1500}", 1500},
+        {"{\"cross-zone-us-per-kb\":2000000}", 1000000},
+        {"{\"cross-zone-us-per-kb\":-5}", 0},
+        {"{\"cross-zone-us-per-kb\":\"9\"}", 0},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        char *text = g_strdup_printf(
+            "{\"node-name\":\"n\",\"ip\":\"127.0.0.1\",\"zone\":\"a\","
+            "\"limits\":%s}",
+            cases[i].limits);
+        char *path = NULL;
+        Boot b;
+        close(g_file_open_tmp("boot-XXXXXX", &path, NULL));
+        g_file_set_contents(path, text, -1, NULL);
+        g_setenv("SAPPHIREWEIR_BOOT", path, TRUE);
+        CU_ASSERT(boot_load(&b, NULL));
+        CU_ASSERT_EQUAL(b.cross_domain_us_per_kb, cases[i].us_per_kb);
+        boot_clear(&b);
+        g_unsetenv("SAPPHIREWEIR_BOOT");
+        unlink(path);
+        g_free(path);
+        g_free(text);
+    }
+}
+
 /* ---- in an entry instance ---- */
 
 /* Returns a document with the public route "h" to the database "db". */
@@ -683,6 +720,8 @@
 add_crossing_suite(void)
 {
     CU_pSuite s = CU_add_suite("crossing", NULL, NULL);
+    CU_add_test(s, "the settings state the price",
+                the_settings_state_the_price);
     CU_add_test(s, "a request tells whether and why it crossed",
                 a_request_tells_whether_and_why_it_crossed);
     CU_add_test(s, "replays keep their bounds", replays_keep_their_bounds);
