--- a/src/sapphireweir/adapter/peer.c
+++ b/src/sapphireweir/adapter/peer.c
@@ -811,8 +811,8 @@
     counter_write_text("peer_unsent_frames_total", p->unsent_frames, out);
 }
 
-/* Sets the failure domain of this process, which is told to the peers.  Call it
- * before the first link; without it, no bytes count as between domains. */
+/* Sets the failure domain of this process, which is told to the peers.  Call
+ * it before the first link; without it, no bytes count as between domains. */
 void
 peer_set_failure_domain(Peer *p, const char *domain)
 {
