Let a price keep the product's reads at a primary at home

Cause: routing.cross_domain_us_per_kb, the price of bytes between failure domains, had no meaning in the product's programs: their router knows no waits of members and always takes a replica of the own domain if there is one.

A call that the primary refuses then goes to a replica, so that the price makes no call fail. primary_price_total counts such reads. With the default 0 nothing changes.

--- a/src/sapphireweir/adapter/settings.c
+++ b/src/sapphireweir/adapter/settings.c
@@ -109,6 +109,9 @@
     {"shared_rates", kFieldBoolean, FALSE, 0, 0, NULL,
      "rates count across the fleet; false: an equal part for each instance, "
      "for comparison only; default true"},
+    {"cross_domain_us_per_kb", kFieldInteger, FALSE, 0, 1000000, NULL,
+     "microseconds of waiting that one kilobyte between failure domains is "
+     "worth; default 0: only times decide"},
 };
 
 static const Field data_fields[] = {
@@ -422,6 +425,8 @@
         !json_is_false(json_object_get(routing, "read_replicas"));
     s->pool_owners = !json_is_false(json_object_get(routing, "pool_owners"));
     s->shared_rates = !json_is_false(json_object_get(routing, "shared_rates"));
+    s->cross_domain_us_per_kb =
+        (uint64_t)json_integer_or(routing, "cross_domain_us_per_kb", 0);
     s->max_body_bytes =
         (uint32_t)json_integer_or(limits, "body_bytes", kDefaultMaxBodyBytes);
     s->max_header_bytes = (uint32_t)json_integer_or(limits, "header_bytes",
--- a/src/sapphireweir/adapter/settings.h
+++ b/src/sapphireweir/adapter/settings.h
@@ -43,7 +43,9 @@
     gboolean log_debug;
     gboolean read_replicas; /* FALSE: all reads go to the primary */
     gboolean pool_owners;   /* FALSE: every instance has its own pools */
-    gboolean shared_rates;  /* FALSE: rates are split equally */
+    /* Microseconds of waiting that a kilobyte between domains is worth. */
+    uint64_t cross_domain_us_per_kb;
+    gboolean shared_rates; /* FALSE: rates are split equally */
     uint32_t max_body_bytes;
     uint32_t max_header_bytes;
     uint32_t max_requests;        /* open at the same time */
--- a/src/sapphireweir/core/call_defs.h
+++ b/src/sapphireweir/core/call_defs.h
@@ -54,6 +54,7 @@
     gboolean outcome_unknown;  /* a write whose earlier attempt may have run */
     int32_t member;            /* chosen member's index; -1: none */
     gboolean on_primary;       /* member is the primary */
+    gboolean kept_by_price;    /* on the primary, as a replica is elsewhere */
     gboolean replica_eligible; /* a replica was allowed to serve the read */
     MetricId primary_reason;   /* counter of reads that a primary serves for
                                 * the same reason */
--- a/src/sapphireweir/core/caller.c
+++ b/src/sapphireweir/core/caller.c
@@ -121,6 +121,23 @@
     return g_string_free(out, FALSE);
 }
 
+/* Adds the size of a call and its response to that of its service, which only
+ * a price needs. */
+static void
+observe_bytes(EntryCore *e, const Call *c, const Sw__WorkReply *r)
+{
+    uint64_t bytes = r->rows.len;
+
+    if (e->config.cross_domain_us_per_kb == 0) {
+        return;
+    }
+    for (guint i = 0; i < c->statements->len; i++) {
+        bytes += sw__statement__get_packed_size(
+            g_ptr_array_index(c->statements, i));
+    }
+    router_observe_bytes(e, c->service, bytes);
+}
+
 /* Updates the counters for a successful response to a call. */
 static void
 count_response(EntryCore *e, const Call *c, const Sw__WorkReply *r)
@@ -170,6 +187,7 @@
         .close = e->draining,
     };
     count_response(e, c, r);
+    observe_bytes(e, c, r);
     metrics_observe(&e->metrics, kHistogramRequestTime,
                     now_us - c->started_us);
     uint64_t id = c->id;
@@ -358,9 +376,11 @@
         route_to_transaction(e, now_us, c, d);
         return;
     }
-    RouteChoice choice = router_choose(e, now_us, d, c->write,
+    RouteChoice choice = router_choose(e, now_us, d, c->service, c->write,
                                        c->max_staleness_us, c->tried_members);
     c->replica_eligible = choice.eligible;
+    c->kept_by_price =
+        choice.member >= 0 && choice.reason == kMetricPrimaryPrice;
     if (choice.evacuated && choice.member < 0) {
         refuse_evacuated(e, now_us, c);
         return;
@@ -563,8 +583,11 @@
     if (d == NULL) {
         return FALSE;
     }
-    RouteChoice choice = router_choose(e, now_us, d, c->write,
-                                       c->max_staleness_us, c->tried_members);
+    /* The price does not count for a call that was refused already. */
+    uint32_t tried =
+        c->tried_members | (d->primary >= 0 ? 1u << d->primary : 0);
+    RouteChoice choice = router_choose(e, now_us, d, c->service, c->write,
+                                       c->max_staleness_us, tried);
     return choice.member >= 0 && choice.member != d->primary;
 }
 
@@ -610,6 +633,12 @@
         refuse_not_run(e, now_us, c, r);
         return;
     }
+    if (c->kept_by_price) {
+        /* The price must not make a call fail that a replica can serve. */
+        c->tried_members |= 1u << c->member;
+        call_route(e, now_us, c);
+        return;
+    }
     if (reason_is(r, waiting)) {
         c->owner_rank++;
         call_park(c, now_us);
--- a/src/sapphireweir/core/entry_core.c
+++ b/src/sapphireweir/core/entry_core.c
@@ -35,6 +35,7 @@
     e->connections = g_hash_table_new(g_int64_hash, g_int64_equal);
     e->owners = router_cache_new();
     e->avoided = router_cache_new();
+    e->service_bytes = router_cache_new();
     e->calls =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, call_free);
     e->attempts = g_hash_table_new(g_int64_hash, g_int64_equal);
@@ -60,6 +61,7 @@
     g_hash_table_destroy(e->evacuated_transactions);
     g_hash_table_destroy(e->owners);
     g_hash_table_destroy(e->avoided);
+    g_hash_table_destroy(e->service_bytes);
     g_hash_table_destroy(e->pools);
     g_hash_table_destroy(e->connections);
     limiter_free(e->limiter);
--- a/src/sapphireweir/core/entry_core.h
+++ b/src/sapphireweir/core/entry_core.h
@@ -39,6 +39,9 @@
     const char *platform_key;   /* NULL: refuses all announcements */
     int64_t wall_offset_us;     /* wall clock minus now_us */
     gboolean read_replicas;     /* FALSE: all reads go to the primary */
+    /* Microseconds of waiting that a kilobyte between failure domains is
+     * worth; zero: only times decide. */
+    uint64_t cross_domain_us_per_kb;
     /* Baselines for performance comparisons only. */
     gboolean per_instance_pools; /* no shared pools: each instance connects to
                                   * every member itself */
--- a/src/sapphireweir/core/entry_defs.h
+++ b/src/sapphireweir/core/entry_defs.h
@@ -38,6 +38,7 @@
     GHashTable *connections;      /* id -> PoolConnection, owned by its pool */
     GHashTable *owners;           /* "pool/db/member" -> OwnerEntry, owned */
     GHashTable *avoided;          /* database -> Avoidance, owned */
+    GHashTable *service_bytes;    /* service -> uint64_t, owned; smoothed */
     GHashTable *calls;            /* CallerRequest id -> Call, owned */
     GHashTable *attempts;         /* frame id -> Call in state kCallWorking */
     GHashTable *admin_calls;      /* frame id -> AdminCall, owned */
@@ -126,8 +127,9 @@
 } RouteChoice;
 
 RouteChoice router_choose(EntryCore *e, uint64_t now_us, const DatabaseInfo *d,
-                          gboolean write, uint64_t max_staleness_us,
-                          uint32_t tried_members);
+                          const char *service, gboolean write,
+                          uint64_t max_staleness_us, uint32_t tried_members);
+void router_observe_bytes(EntryCore *e, const char *service, uint64_t bytes);
 DomainAccess router_domain_access(const DatabaseInfo *d, int32_t member,
                                   uint64_t now_us);
 void router_avoid(EntryCore *e, uint64_t now_us, const char *database,
--- a/src/sapphireweir/core/metrics_defs.h
+++ b/src/sapphireweir/core/metrics_defs.h
@@ -30,6 +30,7 @@
     X(PrimaryToken, "primary_token_total", "No replica covered the token")    \
     X(PrimaryStale, "primary_stale_total", "No replica was fresh enough")     \
     X(PrimaryStrict, "primary_strict_total", "Read accepts no staleness")     \
+    X(PrimaryPrice, "primary_price_total", "Price of a replica elsewhere")    \
     X(Writes, "writes_total", "Writes acknowledged")                          \
     X(Replayed, "replayed_total", "Repeats answered from their record")       \
     X(Retries, "retries_total", "Attempts after the first")                   \
--- a/src/sapphireweir/core/router.c
+++ b/src/sapphireweir/core/router.c
@@ -1,6 +1,8 @@
 #include <string.h>
 
 #include "core/entry_defs.h"
+#include "policy/link_time.h"
+#include "policy/placement.h"
 
 /* Chooses the member of a database group that serves a request, and determines
  * the entry instances that may hold the member's pool. */
@@ -8,6 +10,11 @@
 /* How long a replica that its pool owner could not reach gets no reads. */
 enum { kAvoidMemberUs = 400000 };
 
+enum {
+    kBytesPerKb = 1000,
+    kBytesWeight = 8, /* the newest value has 1/8 of the smoothed size */
+};
+
 /* The times until which the members of a database get no reads, by member
  * index; zero if a member was never avoided. */
 typedef struct {
@@ -110,13 +117,54 @@
     return choice;
 }
 
+/* Adds the size of a service's request and response to the smoothed one. */
+void
+router_observe_bytes(EntryCore *e, const char *service, uint64_t bytes)
+{
+    uint64_t *known = g_hash_table_lookup(e->service_bytes, service);
+
+    if (known == NULL) {
+        known = g_new(uint64_t, 1);
+        *known = bytes;
+        g_hash_table_insert(e->service_bytes, g_strdup(service), known);
+        return;
+    }
+    *known = (*known * (kBytesWeight - 1) + bytes) / kBytesWeight;
+}
+
+/* Returns whether the price of the bytes keeps a read at the primary of the
+ * own failure domain, although a replica in another one may serve it. */
+static gboolean
+price_keeps_home(const EntryCore *e, const DatabaseInfo *d, int32_t primary,
+                 int32_t replica, const char *service)
+{
+    const char *own = e->config.failure_domain;
+    PlacementCandidate home = {
+        .matching_connection = TRUE, .primary = TRUE, .same_domain = TRUE};
+    PlacementCandidate away = {.matching_connection = TRUE,
+                               .link_us = kLinkTimeDefaultUs};
+
+    if (e->config.cross_domain_us_per_kb == 0 ||
+        strcmp(d->members[primary].failure_domain, own) != 0 ||
+        strcmp(d->members[replica].failure_domain, own) == 0) {
+        return FALSE;
+    }
+    const uint64_t *bytes = g_hash_table_lookup(e->service_bytes, service);
+    away.price_us = e->config.cross_domain_us_per_kb *
+                    (bytes == NULL ? (uint64_t)kBytesPerKb : *bytes) /
+                    kBytesPerKb;
+    return placement_cost_us(&home) < placement_cost_us(&away);
+}
+
 /* Chooses a member.  A read that accepts stale data goes to a replica whose
  * bit isn't set in tried_members (bit i is member i), if possible of this
  * instance's failure domain.  All other requests go to the primary, and so
- * does such a read if no replica is left. */
+ * does such a read if no replica is left, or if the primary alone is in this
+ * failure domain, was not tried, and the price of the service's bytes is too
+ * high. */
 RouteChoice
 router_choose(EntryCore *e, uint64_t now_us, const DatabaseInfo *d,
-              gboolean write, uint64_t max_staleness_us,
+              const char *service, gboolean write, uint64_t max_staleness_us,
               uint32_t tried_members)
 {
     RouteChoice choice = choose_primary(d, now_us);
@@ -126,6 +174,12 @@
     }
     choice.eligible = TRUE;
     int32_t replica = choose_replica(e, now_us, d, tried_members);
+    if (replica >= 0 && choice.member >= 0 &&
+        (tried_members & (1u << choice.member)) == 0 &&
+        price_keeps_home(e, d, choice.member, replica, service)) {
+        choice.reason = kMetricPrimaryPrice;
+        return choice;
+    }
     if (replica >= 0) {
         choice.member = replica;
         return choice;
--- a/src/sapphireweir/entry/main.c
+++ b/src/sapphireweir/entry/main.c
@@ -281,6 +281,7 @@
         .platform_key = s->platform_key,
         .wall_offset_us = clock_wall_offset_us(),
         .read_replicas = s->read_replicas,
+        .cross_domain_us_per_kb = s->cross_domain_us_per_kb,
         .per_instance_pools = !s->pool_owners,
         .per_instance_rates = !s->shared_rates,
     };
--- a/test/unit/test_ownership.c
+++ b/test/unit/test_ownership.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "core/entry_defs.h"
 #include "core/ownership.h"
 #include "suite.h"
 
@@ -88,10 +89,62 @@
     instance_view_clear(&v);
 }
 
+static uint64_t
+no_random(void *ctx)
+{
+    (void)ctx;
+    return 0;
+}
+
+/* Guards against a price of the product's programs that has no effect, or that
+ * keeps a read at a primary which has refused it. */
+static void
+a_price_keeps_reads_at_a_primary_at_home(void)
+{
+    static const struct {
+        const char *primary_domain;
+        uint64_t us_per_kb, bytes;
+        uint32_t tried;
+        int32_t member;
+    } cases[] = {
+        {"a", 0, 100000, 0, 1},     {"a", 1000, 1000, 0, 1},
+        {"a", 1000, 20000, 0, 0},   {"a", 1000, 20000, 1, 1},
+        {"b", 1000, 20000, 0, 1},   {"a", 20000, 0, 0, 0},
+        {"a", 1000000, 1000, 2, 0},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        EntryCore e = {
+            .config = {.failure_domain = "a",
+                       .read_replicas = TRUE,
+                       .cross_domain_us_per_kb = cases[i].us_per_kb},
+            .port = {.random = no_random},
+            .avoided = router_cache_new(),
+            .service_bytes = router_cache_new()};
+        DatabaseInfo d = {
+            .name = (char *)"db",
+            .members = {{(char *)"m0", (char *)cases[i].primary_domain,
+                         (char *)"x", TRUE, 0},
+                        {(char *)"m1", (char *)"c", (char *)"y", TRUE, 0}},
+            .member_count = 2,
+            .stable = TRUE};
+        if (cases[i].bytes != 0) {
+            router_observe_bytes(&e, "service", cases[i].bytes);
+        }
+        RouteChoice choice = router_choose(&e, 1, &d, "service", FALSE,
+                                           1000000, cases[i].tried);
+        CU_ASSERT_EQUAL(choice.member, cases[i].member);
+        g_hash_table_destroy(e.avoided);
+        g_hash_table_destroy(e.service_bytes);
+    }
+}
+
 void
 add_ownership_suite(void)
 {
     CU_pSuite s = CU_add_suite("ownership", NULL, NULL);
+    CU_add_test(s, "a price keeps reads at a primary at home",
+                a_price_keeps_reads_at_a_primary_at_home);
     CU_add_test(s, "instances of the same failure domain go first",
                 instances_of_the_same_failure_domain_go_first);
     CU_add_test(s, "a removed instance moves only its own resources",
