Keep a team's connections where a link is only a little slower

Cause: with more teams than connections, a team's work goes to the server that holds its connections, which costs 6 ms less than others. A measured round trip of 5 to 8 ms, usual on a busy host, instead of the fixed 3 ms would have divided that work between two servers, with a handshake of 12 ms each time.

Change: a round trip of up to 12 ms to that server counts as at most 3 ms.

--- a/src/sapphireweir/policy/crossing.c
+++ b/src/sapphireweir/policy/crossing.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "policy/link_time.h"
+
 /* Sends work to the backend servers of another failure domain.  Designed for
  * domains whose load is unequal: waves in opposite phase, a domain with few
  * servers, a burst of one domain's callers.  The expected times at home and
@@ -23,6 +25,10 @@
     kActiveDivisor = 2,  /* of the margin, while work is crossing */
     kActiveUs = 1000000, /* the validity of reported loads */
     kRampUs = 2000,      /* gain above the margin for the whole share */
+    /* A team's connections are left for a faster link only if that saves more
+     * than a handshake takes; else the load of a host, which lengthens the
+     * measured times a little, would cause new connections. */
+    kHandshakeUs = 12000,
     /* Age of a report from which on its owner is asked for its load, and least
      * time between two such requests.  Without them, instances with few reads
      * decide from reports that are up to a second old. */
@@ -244,6 +250,19 @@
     return found;
 }
 
+/* Limits the candidates to the servers of the side on which the work runs. */
+static void
+keep_side(PlacementCandidate *candidates, size_t count, int preferred,
+          gboolean foreign_only, gboolean leaves)
+{
+    for (size_t i = 0; i < count; i++) {
+        PlacementCandidate *c = &candidates[i];
+        gboolean elsewhere = !c->same_domain && (int)i != preferred;
+        c->usable = c->usable &&
+                    (foreign_only ? !c->same_domain : elsewhere == leaves);
+    }
+}
+
 /* Returns the index of the server for work that several servers may run, or
  * kPlacementNone, and sets why.  count is at most kPlacementMax. */
 int
@@ -258,10 +277,16 @@
     Side there = {0}; /* all others */
 
     count = MIN(count, (size_t)kPlacementMax);
-    int preferred = placement_preferred(candidates, count);
-    placement_costs(candidates, count, costs_us);
+    memcpy(chosen, candidates, count * sizeof(*chosen));
+    int preferred = placement_preferred(chosen, count);
+    if (preferred != kPlacementNone &&
+        chosen[preferred].link_us <= kHandshakeUs) {
+        chosen[preferred].link_us =
+            MIN(chosen[preferred].link_us, (uint64_t)kLinkTimeDefaultUs);
+    }
+    placement_costs(chosen, count, costs_us);
     for (size_t i = 0; i < count; i++) {
-        const PlacementCandidate *c = &candidates[i];
+        const PlacementCandidate *c = &chosen[i];
         if (!c->usable) {
             continue;
         }
@@ -278,20 +303,13 @@
     if (!stranded && there.usable) {
         uint64_t share =
             share_permille(state, now_us, &here, &there, work, &out->reason);
-        out->ask = owner_to_ask(state, now_us, candidates, count, costs_us,
-                                &here, preferred);
+        out->ask = owner_to_ask(state, now_us, chosen, count, costs_us, &here,
+                                preferred);
         leaves = work->random % kPermille < share;
     }
-    memcpy(chosen, candidates, count * sizeof(*chosen));
-    for (size_t i = 0; i < count; i++) {
-        gboolean elsewhere = !chosen[i].same_domain && (int)i != preferred;
-        if (stranded) {
-            /* The price never keeps work from the only servers. */
-            chosen[i].usable = chosen[i].usable && !chosen[i].same_domain;
-        }
-        else if (there.usable && here.usable) {
-            chosen[i].usable = chosen[i].usable && elsewhere == leaves;
-        }
+    if (stranded || (there.usable && here.usable)) {
+        /* The price never keeps work from the only servers. */
+        keep_side(chosen, count, preferred, stranded, leaves);
     }
     int index =
         placement_choose_spread(chosen, count, work->random / kPermille);
--- a/test/unit/test_crossing.c
+++ b/test/unit/test_crossing.c
@@ -509,17 +509,23 @@
                                       .service_us = 9000};
     static const struct {
         gboolean usable, failing, primary;
-        uint64_t lag_us, link_us, price_us;
+        uint64_t lag_us, link_us, price_us, affinity;
         gboolean crosses;
         CrossingReason reason;
     } cases[] = {
-        {TRUE, FALSE, FALSE, 0, 30000, 1000000, FALSE, kCrossingNotBetter},
-        {FALSE, FALSE, FALSE, 0, 30000, 1000000, TRUE, kCrossingNoServer},
-        {TRUE, TRUE, FALSE, 250000, 30000, 1000000, TRUE, kCrossingNoServer},
-        {TRUE, FALSE, FALSE, 250000, 30000, 1000000, FALSE, kCrossingPrice},
+        {TRUE, FALSE, FALSE, 0, 30000, 1000000, 0, FALSE, kCrossingNotBetter},
+        {FALSE, FALSE, FALSE, 0, 30000, 1000000, 0, TRUE, kCrossingNoServer},
+        {TRUE, TRUE, FALSE, 250000, 30000, 1000000, 0, TRUE,
+         kCrossingNoServer},
+        {TRUE, FALSE, FALSE, 250000, 30000, 1000000, 0, FALSE, kCrossingPrice},
         /* A primary at home is left to the work that only it can do. */
-        {TRUE, FALSE, TRUE, 0, 3000, 0, TRUE, kCrossingWait},
-        {TRUE, FALSE, TRUE, 0, 3000, 8000, FALSE, kCrossingPrice},
+        {TRUE, FALSE, TRUE, 0, 3000, 0, 0, TRUE, kCrossingWait},
+        {TRUE, FALSE, TRUE, 0, 3000, 8000, 0, FALSE, kCrossingPrice},
+        /* The team's connections are there, unless the link is slow. */
+        {TRUE, FALSE, FALSE, 0, 3000, 0, 9, TRUE, kCrossingConnection},
+        {TRUE, FALSE, FALSE, 0, 8000, 0, 9, TRUE, kCrossingConnection},
+        {TRUE, FALSE, FALSE, 0, 30000, 0, 9, FALSE, kCrossingNotBetter},
+        {TRUE, FALSE, FALSE, 0, 3000, 8000, 9, FALSE, kCrossingNotBetter},
     };
 
     for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
@@ -533,6 +539,7 @@
         c[0].primary = cases[i].primary;
         c[1].link_us = cases[i].link_us;
         c[1].price_us = cases[i].price_us;
+        c[1].affinity = cases[i].affinity;
         c[0].expected_lag_us = cases[i].lag_us;
         int chosen = crossing_choose(&state, kBeginUs, c, 2, &work, &d);
         CU_ASSERT_EQUAL(chosen, cases[i].crosses);
