--- a/src/sapphireweir/proto/sapphireweir.pb-c.c
+++ b/src/sapphireweir/proto/sapphireweir.pb-c.c
@@ -2077,6 +2077,51 @@
   assert(message->base.descriptor == &sw__relay_ping__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   sw__relay_load__init
+                     (Sw__RelayLoad         *message)
+{
+  static const Sw__RelayLoad init_value = SW__RELAY_LOAD__INIT;
+  *message = init_value;
+}
+size_t sw__relay_load__get_packed_size
+                     (const Sw__RelayLoad *message)
+{
+  assert(message->base.descriptor == &sw__relay_load__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t sw__relay_load__pack
+                     (const Sw__RelayLoad *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &sw__relay_load__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t sw__relay_load__pack_to_buffer
+                     (const Sw__RelayLoad *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &sw__relay_load__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Sw__RelayLoad *
+       sw__relay_load__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Sw__RelayLoad *)
+     protobuf_c_message_unpack (&sw__relay_load__descriptor,
+                                allocator, len, data);
+}
+void   sw__relay_load__free_unpacked
+                     (Sw__RelayLoad *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &sw__relay_load__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   sw__rate_share_ask__init
                      (Sw__RateShareAsk         *message)
 {
@@ -2923,7 +2968,7 @@
   (ProtobufCMessageInit) sw__frame__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sw__hello__field_descriptors[2] =
+static const ProtobufCFieldDescriptor sw__hello__field_descriptors[3] =
 {
   {
     "instance_id",
@@ -2949,15 +2994,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "failure_domain",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sw__Hello, failure_domain),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sw__hello__field_indices_by_name[] = {
+  2,   /* field[2] = failure_domain */
   1,   /* field[1] = incarnation */
   0,   /* field[0] = instance_id */
 };
 static const ProtobufCIntRange sw__hello__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor sw__hello__descriptor =
 {
@@ -2967,7 +3025,7 @@
   "Sw__Hello",
   "sw",
   sizeof(Sw__Hello),
-  2,
+  3,
   sw__hello__field_descriptors,
   sw__hello__field_indices_by_name,
   1,  sw__hello__number_ranges,
@@ -7024,7 +7082,7 @@
   (ProtobufCMessageInit) sw__relay_command__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sw__relay_run__field_descriptors[11] =
+static const ProtobufCFieldDescriptor sw__relay_run__field_descriptors[13] =
 {
   {
     "relay",
@@ -7158,9 +7216,34 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "timed",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Sw__RelayRun, timed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "chosen",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Sw__RelayRun, chosen),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sw__relay_run__field_indices_by_name[] = {
   9,   /* field[9] = after_begin */
+  12,   /* field[12] = chosen */
   3,   /* field[3] = commands */
   8,   /* field[8] = continues */
   5,   /* field[5] = due_us */
@@ -7171,11 +7254,12 @@
   10,   /* field[10] = step */
   4,   /* field[4] = target_us */
   2,   /* field[2] = team */
+  11,   /* field[11] = timed */
 };
 static const ProtobufCIntRange sw__relay_run__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor sw__relay_run__descriptor =
 {
@@ -7185,14 +7269,14 @@
   "Sw__RelayRun",
   "sw",
   sizeof(Sw__RelayRun),
-  11,
+  13,
   sw__relay_run__field_descriptors,
   sw__relay_run__field_indices_by_name,
   1,  sw__relay_run__number_ranges,
   (ProtobufCMessageInit) sw__relay_run__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sw__relay_result__field_descriptors[19] =
+static const ProtobufCFieldDescriptor sw__relay_result__field_descriptors[21] =
 {
   {
     "relay",
@@ -7422,14 +7506,40 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "held_us",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__RelayResult, held_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "chosen",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Sw__RelayResult, chosen),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sw__relay_result__field_indices_by_name[] = {
   15,   /* field[15] = admitted */
   14,   /* field[14] = begun */
+  20,   /* field[20] = chosen */
   2,   /* field[2] = code */
   3,   /* field[3] = code_text */
   4,   /* field[4] = detail */
   17,   /* field[17] = drain_milli_per_s */
+  19,   /* field[19] = held_us */
   9,   /* field[9] = number */
   1,   /* field[1] = outcome */
   10,   /* field[10] = position */
@@ -7447,7 +7557,7 @@
 static const ProtobufCIntRange sw__relay_result__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 19 }
+  { 0, 21 }
 };
 const ProtobufCMessageDescriptor sw__relay_result__descriptor =
 {
@@ -7457,7 +7567,7 @@
   "Sw__RelayResult",
   "sw",
   sizeof(Sw__RelayResult),
-  19,
+  21,
   sw__relay_result__field_descriptors,
   sw__relay_result__field_indices_by_name,
   1,  sw__relay_result__number_ranges,
@@ -7502,7 +7612,7 @@
   (ProtobufCMessageInit) sw__relay_end__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sw__relay_ping__field_descriptors[1] =
+static const ProtobufCFieldDescriptor sw__relay_ping__field_descriptors[4] =
 {
   {
     "answer",
@@ -7516,14 +7626,53 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "sent_us",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__RelayPing, sent_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "server",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sw__RelayPing, server),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "load",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Sw__RelayPing, load),
+    &sw__relay_load__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sw__relay_ping__field_indices_by_name[] = {
   0,   /* field[0] = answer */
+  3,   /* field[3] = load */
+  1,   /* field[1] = sent_us */
+  2,   /* field[2] = server */
 };
 static const ProtobufCIntRange sw__relay_ping__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor sw__relay_ping__descriptor =
 {
@@ -7533,13 +7682,129 @@
   "Sw__RelayPing",
   "sw",
   sizeof(Sw__RelayPing),
-  1,
+  4,
   sw__relay_ping__field_descriptors,
   sw__relay_ping__field_indices_by_name,
   1,  sw__relay_ping__number_ranges,
   (ProtobufCMessageInit) sw__relay_ping__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor sw__relay_load__field_descriptors[7] =
+{
+  {
+    "level",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Sw__RelayLoad, level),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "team",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sw__RelayLoad, team),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wait_us",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__RelayLoad, wait_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service_us",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__RelayLoad, service_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "admitted",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Sw__RelayLoad, admitted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "drain_milli_per_s",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__RelayLoad, drain_milli_per_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "shed_milli_per_s",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__RelayLoad, shed_milli_per_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned sw__relay_load__field_indices_by_name[] = {
+  4,   /* field[4] = admitted */
+  5,   /* field[5] = drain_milli_per_s */
+  0,   /* field[0] = level */
+  3,   /* field[3] = service_us */
+  6,   /* field[6] = shed_milli_per_s */
+  1,   /* field[1] = team */
+  2,   /* field[2] = wait_us */
+};
+static const ProtobufCIntRange sw__relay_load__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor sw__relay_load__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "sw.RelayLoad",
+  "RelayLoad",
+  "Sw__RelayLoad",
+  "sw",
+  sizeof(Sw__RelayLoad),
+  7,
+  sw__relay_load__field_descriptors,
+  sw__relay_load__field_indices_by_name,
+  1,  sw__relay_load__number_ranges,
+  (ProtobufCMessageInit) sw__relay_load__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor sw__rate_share_ask__field_descriptors[3] =
 {
   {
