Give scarce connections to the team that makes most of them

Change: where handshakes take a tenth of the capacity and four statements wait for each slot, a new connection goes to the team whose work in time is worth most for the slot time of handshake and work, urgent work counting one and a half times, and always behind work in time that needs none. Half of the expected wait counts then, since part of the work ahead expires unserved.

--- a/src/sapphireweir/policy/admission.c
+++ b/src/sapphireweir/policy/admission.c
@@ -31,6 +31,7 @@
     /* The expected wait varies, and waiting work is looked at many times. */
     kHopelessDivisor = 32,
     kUsedSmoothing = 16,
+    kHandshakeSmoothing = 4, /* the start of a load is noticed in 0.3 s */
     kSmoothing = 4,    /* the newest interval has 1/4 of a smoothed value */
     kShedPercent = 10, /* more is overload */
     kRaiseSteps = 32,  /* by interval, while a little work is shed */
@@ -40,7 +41,18 @@
     kTeamsKept = 512,    /* then entries of teams without work are dropped */
     kTeamPriorities = 2,
     kBusyPermille = 780, /* of the capacity; then no slot is spare */
-    kAnswerUs = 4400,    /* from the owner to the caller, between domains */
+    /* Connections are scarce from a tenth of the capacity in handshakes on,
+     * while four statements wait for each slot. */
+    kScarcePermille = 100,
+    kScarceWaiting = 4,
+    /* By this factor the estimate is too long while connections are scarce:
+     * part of the work ahead misses its objective without having run. */
+    kScarceWaitDivisor = 2,
+    kUrgentLevels = 2, /* work that counts more for a new connection */
+    kUrgentWeight = 3,
+    kPlainWeight = 2,
+    kValueScale = 1000000000,
+    kAnswerUs = 4400, /* from the owner to the caller, between domains */
     /* Left until work is too late to start: with 20 ms, 0.4 % less was in time
      * at 79 teams on 39 connections. */
     kRiskUs = 40000,
@@ -156,6 +168,20 @@
     }
 }
 
+/* Tells whether work waits for connections rather than for slots: handshakes
+ * take much of the capacity, and what waits would keep all slots busy. */
+static gboolean
+is_scarce(const Admission *a)
+{
+    uint32_t waiting = 0;
+
+    for (uint32_t i = 0; i < kAdmissionLevels; i++) {
+        waiting += a->waiting[i];
+    }
+    return a->handshakes_permille >= kScarcePermille &&
+           waiting >= kScarceWaiting * a->parallel;
+}
+
 /* Returns the start tag of the next work of a team. */
 static uint64_t
 start_tag_us(const Admission *a, const AdmissionWork *w)
@@ -224,12 +250,69 @@
            (team_connections == 0 && open * 2 < a->parallel && !is_busy(a));
 }
 
+/* Sets for each team what a new connection is worth: the work that would be in
+ * time on it, urgent work counting more, and the slot time of this work. */
+static void
+value_connections(const Admission *a, uint64_t now_us,
+                  AdmissionWork *const *works, size_t count)
+{
+    for (size_t i = 0; i < count; i++) {
+        works[i]->team->in_time = 0;
+        works[i]->team->in_time_us = 0;
+    }
+    for (size_t i = 0; i < count; i++) {
+        const AdmissionWork *w = works[i];
+        if (!is_late(a, now_us + a->connect_us, w)) {
+            w->team->in_time +=
+                w->level < kUrgentLevels ? kUrgentWeight : kPlainWeight;
+            w->team->in_time_us += a->cost_us[w->level];
+        }
+    }
+}
+
+/* Returns the order of a team's work among that which needs a new connection
+ * while connections are scarce: by what a new connection serves, for the slot
+ * time that it and this work take; the smallest goes first.  One and a half
+ * times the time of a handshake counts, since it also waits for a slot; with
+ * once its time, 79 teams on 39 connections needed 4 % more handshakes. */
+static uint64_t
+scarce_tag_us(const Admission *a, const AdmissionTeam *t)
+{
+    uint64_t took_us = a->connect_us * 3 / 2 + t->in_time_us;
+
+    return UINT32_MAX - kValueScale * (uint64_t)t->in_time / MAX(took_us, 1);
+}
+
+/* Changes the rank and the tag of work that needs a new connection, where
+ * first tells that it may go before work that needs none. */
+static void
+rank_connecting(const Admission *a, const AdmissionWork *w, gboolean first,
+                uint32_t *rank, uint64_t *tag_us)
+{
+    if (first) {
+        *tag_us += kSwitchUs;
+        return;
+    }
+    if (is_scarce(a)) {
+        *rank = *rank < kLateGroup * kAdmissionLevels
+                    ? 0
+                    : kLateGroup * kAdmissionLevels;
+        *tag_us = scarce_tag_us(a, w->team);
+    }
+    else {
+        *tag_us =
+            is_busy(a) ? UINT32_MAX - w->team->waiting : *tag_us + kSwitchUs;
+    }
+    *rank += kConnectLastRank;
+}
+
 /* Returns the index of the work to start next, or kAdmissionNone: by rank,
  * then by the team's share.  Work that needs a new connection goes behind work
  * in time that does not, once connections have used up their part of the
- * capacity; while no slot is spare, that of the team with most work waiting is
- * preferred among it.  works are in the order in which those of one team and
- * level run. */
+ * capacity or are scarce.  While they are scarce, the team whose work makes
+ * most of a connection gets it, whatever the level of its first work; while
+ * only slots are, the team with most work waiting.  works are in the order in
+ * which those of one team and level run. */
 int
 admission_pick(const Admission *a, uint64_t now_us,
                AdmissionWork *const *works, size_t count, AdmissionCheck check,
@@ -238,8 +321,12 @@
     int best = kAdmissionNone;
     uint32_t best_rank = 0;
     uint64_t best_tag_us = 0;
-    gboolean connect_first = may_connect_first(a, now_us);
-    gboolean busy = is_busy(a);
+    gboolean scarce = is_scarce(a);
+    gboolean connect_first = !scarce && may_connect_first(a, now_us);
+
+    if (scarce) {
+        value_connections(a, now_us, works, count);
+    }
 
     for (size_t i = 0; i < count; i++) {
         uint32_t rank = rank_of(a, now_us, works[i]);
@@ -253,13 +340,8 @@
         if (start == kAdmissionBlocked) {
             continue;
         }
-        if (start == kAdmissionConnect && connect_first) {
-            tag_us += kSwitchUs;
-        }
-        else if (start == kAdmissionConnect) {
-            rank += kConnectLastRank;
-            tag_us = busy ? UINT32_MAX - works[i]->team->waiting
-                          : tag_us + kSwitchUs;
+        if (start == kAdmissionConnect) {
+            rank_connecting(a, works[i], connect_first, &rank, &tag_us);
         }
         if (best == kAdmissionNone || rank < best_rank ||
             (rank == best_rank && tag_us < best_tag_us)) {
@@ -299,6 +381,7 @@
 void
 admission_connecting(Admission *a, uint64_t now_us, uint64_t connect_us)
 {
+    a->connect_us = connect_us;
     a->handshakes_us += connect_us;
     a->handshakes_paid_us = MAX(a->handshakes_paid_us, now_us) +
                             connect_us * kHandshakeParts / MAX(a->parallel, 1);
@@ -373,7 +456,8 @@
  * by the part of the capacity that more urgent levels leave (the waiting time
  * of a priority queue), but no more than with the guaranteed minimum of its
  * level.  New connections are not counted: a longer queue holds more work of a
- * team for each of them.  w may be among works or not, but has been passed to
+ * team for each of them.  While connections are scarce half of this is
+ * expected.  w may be among works or not, but has been passed to
  * admission_enter. */
 uint64_t
 admission_wait_us(const Admission *a, AdmissionWork *const *works,
@@ -389,7 +473,8 @@
     uint64_t plain_us = (ahead.urgent_us + ahead.level_us) * kPermille / left;
     uint64_t minimum_us =
         (ahead.level_us + a->cost_us[w->level]) * kMinimumPart;
-    return MIN(plain_us, minimum_us) / MAX(a->parallel, 1);
+    uint64_t wait_us = MIN(plain_us, minimum_us) / MAX(a->parallel, 1);
+    return is_scarce(a) ? wait_us / kScarceWaitDivisor : wait_us;
 }
 
 /* Returns the index of work that can no longer meet its objective, the least
@@ -538,7 +623,7 @@
     }
     a->handshakes_permille = (uint32_t)smooth(
         a->handshakes_permille, a->handshakes_us * kPermille / capacity_us,
-        kUsedSmoothing);
+        kHandshakeSmoothing);
     a->drain_milli_per_s =
         smooth(a->drain_milli_per_s, a->finished * 1000000000ULL / span_us,
                kSmoothing);
--- a/src/sapphireweir/policy/admission.h
+++ b/src/sapphireweir/policy/admission.h
@@ -35,6 +35,8 @@
     AdmissionGate gate;
     gboolean over_share; /* its gate applies instead of that of all teams */
     uint32_t scratch;
+    uint32_t in_time;    /* waiting work that a new connection would serve */
+    uint64_t in_time_us; /* its service time */
 } AdmissionTeam;
 
 /* Work that waits; the caller keeps it until admission_leave. */
@@ -62,6 +64,7 @@
     uint64_t cost_us[kAdmissionLevels];    /* smoothed service time */
     uint64_t credit_us[kAdmissionLevels];  /* of the guaranteed minimum */
     uint64_t virtual_us[kAdmissionLevels]; /* see AdmissionTeam.tag_us */
+    uint64_t connect_us;         /* of a slot, for the last connection */
     uint64_t handshakes_paid_us; /* when their part covers those so far */
     /* Current interval: */
     uint64_t interval_us;                  /* its start */
