Do not shed work because connections are being opened

Cause: at the start of an owner, and after its server was replaced, the slots are busy with handshakes. Work that missed its latency objective behind them was shed, though its time limit was far away; what was shed lowered the admission level, so that callers' instances rejected more. The expected wait did not count handshakes, was four times too long until the first tick (one slot was assumed), and several statements of one team opened a connection each. With more teams than connections, late work never ran and was rejected at its deadline, also at 0.7 of the capacity.

Change: while the work that arrives is below 95 % of the capacity, work that waits behind handshakes (after connections were added, or while they are scarce) is rejected only if its deadline cannot be met, what is rejected lowers no level, and handshakes count in the expected wait. Late work goes before new connections then, and shortly before its deadline gets one. A team opens one connection at a time where there are more teams than connections. New counter owner_kept_late_total.

--- a/src/sapphireweir/gateway/gateway.h
+++ b/src/sapphireweir/gateway/gateway.h
@@ -86,6 +86,9 @@
     uint64_t relayed; /* statements sent to the owner of a server */
     /* Statements of borrowers that this owner rejected before they ran. */
     uint64_t relays_rejected;
+    /* Statements of borrowers that this owner kept although they were expected
+     * to miss their latency objective, since connections were being opened. */
+    uint64_t relays_kept_late;
     uint64_t tokens_delayed;  /* rate tokens that were valid later */
     uint64_t tokens_returned; /* unused, sent back to the leader */
     uint64_t
--- a/src/sapphireweir/gateway/gateway_metrics.c
+++ b/src/sapphireweir/gateway/gateway_metrics.c
@@ -66,6 +66,7 @@
         {"given_back_total", n->relays_rejected},
         {"rate_tokens_delayed_total", n->tokens_delayed},
         {"rate_tokens_returned_total", n->tokens_returned},
+        {"owner_kept_late_total", n->relays_kept_late},
         {"connections_opened_total", n->connections_opened},
         {"servers", g_hash_table_size(g->servers)},
         {"connections_lost_total", n->connections_lost},
--- a/src/sapphireweir/gateway/serverpool_queue.c
+++ b/src/sapphireweir/gateway/serverpool_queue.c
@@ -20,6 +20,7 @@
 serverpool_queue_init(ServerPool *pool)
 {
     admission_init(&pool->admission, 0, pool->server->service_us);
+    pool->admission.parallel = MAX(pool->server->slots, 1);
 }
 
 /* Counts the commands of a borrower as work, and sets the level of the job
@@ -38,6 +39,7 @@
     j->work = (AdmissionWork){
         .level = MIN(level, (uint32_t)kAdmissionLevels - 1),
         .objective_us = now_us + MIN(m->target_us, m->due_us),
+        .deadline_us = j->deadline_us,
         .demoted = m->target_us >= m->due_us + kDemotionPenaltyUs,
     };
     admission_arrived(a, &j->work, j->team);
@@ -65,7 +67,7 @@
 }
 
 /* Tells whether a job that has just arrived is expected to wait for longer
- * than patience_us. */
+ * than patience_us, and is not kept nevertheless. */
 gboolean
 serverpool_queue_is_too_long(PooledJob *j, uint64_t patience_us)
 {
@@ -83,10 +85,15 @@
     if (wait_us <= patience_us) {
         return FALSE;
     }
-    /* Else the borrower only asked whether another server is better. */
-    if (j->arrived_us + wait_us > j->work.objective_us) {
-        admission_shed(&pool->admission, j->team);
+    if (j->arrived_us + wait_us <= j->work.objective_us) {
+        return TRUE; /* the borrower only asked if another server is better */
     }
+    if (admission_keeps_late(&pool->admission, j->arrived_us, wait_us,
+                             &j->work)) {
+        pool->gateway->counters.relays_kept_late++;
+        return FALSE;
+    }
+    admission_shed(&pool->admission, j->team);
     return TRUE;
 }
 
@@ -105,6 +112,18 @@
     return count;
 }
 
+/* Tells whether there are more teams than the owner may have connections.
+ * Then a team opens one at a time, so that its first statements after a start
+ * do not take the connections of several teams. */
+static gboolean
+has_few_connections(const ServerPool *pool, uint64_t now_us)
+{
+    const Document *document = pool->gateway->document;
+
+    return document != NULL && g_hash_table_size(document->teams) >
+                                   serverpool_max_connections(pool, now_us);
+}
+
 /* Tells whether a connection of a team is being opened. */
 static gboolean
 is_opening(const ServerPool *pool, const char *team)
@@ -182,7 +201,9 @@
         return kAdmissionBlocked;
     }
     if (pool->connections->len < serverpool_max_connections(pool, now_us)) {
-        return kAdmissionConnect;
+        return has_few_connections(pool, now_us) && is_opening(pool, j->team)
+                   ? kAdmissionBlocked
+                   : kAdmissionConnect;
     }
     return pooled_longest_idle(pool) != NULL && !is_opening(pool, j->team) &&
                    admission_may_displace(
@@ -206,10 +227,12 @@
         pooled_run(c, j, now_us);
         return;
     }
-    if (pool->connections->len >= serverpool_max_connections(pool, now_us)) {
+    gboolean added =
+        pool->connections->len < serverpool_max_connections(pool, now_us);
+    if (!added) {
         pooled_close(replaceable(pool));
     }
-    admission_connecting(a, now_us, kHandshakeUs);
+    admission_connecting(a, now_us, kHandshakeUs, added);
     pooled_open(pool, j, now_us);
 }
 
--- a/src/sapphireweir/policy/admission.c
+++ b/src/sapphireweir/policy/admission.c
@@ -45,9 +45,21 @@
      * while four statements wait for each slot. */
     kScarcePermille = 100,
     kScarceWaiting = 4,
-    /* By this factor the estimate is too long while connections are scarce:
-     * part of the work ahead misses its objective without having run. */
+    /* By this factor the estimate is too long while connections are scarce and
+     * there is too much work: part of the work ahead misses its objective
+     * without having run. */
     kScarceWaitDivisor = 2,
+    /* Work that arrives, of the capacity; below this it fits.  Service times
+     * include a wait for a slot, so that 0.7 of the capacity look like 0.85. */
+    kFitsPermille = 950,
+    kDemandSmoothing = 8,
+    /* Late work counts like other work in the choice of a new connection when
+     * so little is left until its deadline. */
+    kDeadlineNearUs = 300000,
+    /* Time in which the work that waited for added connections is caught up
+     * with, as a multiple of the slot time of their handshakes. */
+    kOpeningTimes = 10,
+    kHandshakesMaxPermille = 800, /* in the expected wait */
     kUrgentLevels = 2, /* work that counts more for a new connection */
     kUrgentWeight = 3,
     kPlainWeight = 2,
@@ -74,8 +86,10 @@
 void
 admission_init(Admission *a, uint64_t now_us, uint64_t service_us)
 {
-    *a = (Admission){
-        .parallel = 1, .interval_us = now_us, .gate.admitted = kAdmissionAll};
+    *a = (Admission){.parallel = 1,
+                     .demand_permille = kPermille,
+                     .interval_us = now_us,
+                     .gate.admitted = kAdmissionAll};
     a->teams = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, team_free);
     for (uint32_t i = 0; i < kAdmissionLevels; i++) {
         a->cost_us[i] = MAX(service_us, 1);
@@ -182,6 +196,35 @@
            waiting >= kScarceWaiting * a->parallel;
 }
 
+/* Tells whether the server could do all work that arrives if no connections
+ * had to be opened. */
+static gboolean
+fits(const Admission *a)
+{
+    return a->demand_permille < kFitsPermille;
+}
+
+/* Tells whether work waits because connections are being opened, and not
+ * because there is too much of it: at the start of an owner or after its
+ * server was replaced, or because connections are scarce. */
+static gboolean
+is_opening(const Admission *a, uint64_t now_us)
+{
+    return fits(a) && (now_us < a->opening_until_us || is_scarce(a));
+}
+
+/* Tells whether work that is expected to miss its objective after wait_us is
+ * kept nevertheless: while connections are opened, if its deadline can be
+ * met. */
+gboolean
+admission_keeps_late(const Admission *a, uint64_t now_us, uint64_t wait_us,
+                     const AdmissionWork *w)
+{
+    return is_opening(a, now_us) &&
+           now_us + wait_us + a->cost_us[w->level] + kAnswerUs <=
+               w->deadline_us;
+}
+
 /* Returns the start tag of the next work of a team. */
 static uint64_t
 start_tag_us(const Admission *a, const AdmissionWork *w)
@@ -250,6 +293,14 @@
            (team_connections == 0 && open * 2 < a->parallel && !is_busy(a));
 }
 
+/* Tells whether late work may use a new connection like work in time, since
+ * its deadline is near and the load is not the reason why it waits. */
+static gboolean
+is_last_chance(const Admission *a, uint64_t now_us, const AdmissionWork *w)
+{
+    return fits(a) && w->deadline_us < now_us + kDeadlineNearUs;
+}
+
 /* Sets for each team what a new connection is worth: the work that would be in
  * time on it, urgent work counting more, and the slot time of this work. */
 static void
@@ -262,9 +313,11 @@
     }
     for (size_t i = 0; i < count; i++) {
         const AdmissionWork *w = works[i];
-        if (!is_late(a, now_us + a->connect_us, w)) {
-            w->team->in_time +=
-                w->level < kUrgentLevels ? kUrgentWeight : kPlainWeight;
+        gboolean late = is_late(a, now_us + a->connect_us, w);
+        if (!late || is_last_chance(a, now_us, w)) {
+            w->team->in_time += !late && w->level < kUrgentLevels
+                                    ? kUrgentWeight
+                                    : kPlainWeight;
             w->team->in_time_us += a->cost_us[w->level];
         }
     }
@@ -311,7 +364,9 @@
  * in time that does not, once connections have used up their part of the
  * capacity or are scarce.  While they are scarce, the team whose work makes
  * most of a connection gets it, whatever the level of its first work; while
- * only slots are, the team with most work waiting.  works are in the order in
+ * only slots are, the team with most work waiting.  Late work that needs no
+ * new connection goes before work that does, if only connections are scarce:
+ * it would wait until its deadline otherwise.  works are in the order in
  * which those of one team and level run. */
 int
 admission_pick(const Admission *a, uint64_t now_us,
@@ -331,6 +386,9 @@
     for (size_t i = 0; i < count; i++) {
         uint32_t rank = rank_of(a, now_us, works[i]);
         uint64_t tag_us = start_tag_us(a, works[i]);
+        if (scarce && fits(a)) {
+            rank = MIN(rank, (uint32_t)kConnectLastRank - 1);
+        }
         if (best != kAdmissionNone &&
             (rank > best_rank ||
              (rank == best_rank && tag_us >= best_tag_us))) {
@@ -377,10 +435,16 @@
     a->credit_us[level] -= MIN(a->credit_us[level], cost_us);
 }
 
-/* Records that a connection is opened, which takes connect_us of a slot. */
+/* Records that a connection is opened, which takes connect_us of a slot: one
+ * that is added, or else one in place of another. */
 void
-admission_connecting(Admission *a, uint64_t now_us, uint64_t connect_us)
+admission_connecting(Admission *a, uint64_t now_us, uint64_t connect_us,
+                     gboolean added)
 {
+    if (added) {
+        a->opening_until_us = MAX(a->opening_until_us, now_us) +
+                              connect_us * kOpeningTimes / MAX(a->parallel, 1);
+    }
     a->connect_us = connect_us;
     a->handshakes_us += connect_us;
     a->handshakes_paid_us = MAX(a->handshakes_paid_us, now_us) +
@@ -455,9 +519,10 @@
 /* Returns the expected wait of work, in microseconds: the work ahead, divided
  * by the part of the capacity that more urgent levels leave (the waiting time
  * of a priority queue), but no more than with the guaranteed minimum of its
- * level.  New connections are not counted: a longer queue holds more work of a
- * team for each of them.  While connections are scarce half of this is
- * expected.  w may be among works or not, but has been passed to
+ * level.  If the load fits, the part of the capacity that handshakes take is
+ * not there for work.  If it does not, handshakes are not counted, since a
+ * longer queue holds more work of a team for each of them, and while
+ * connections are scarce half of this is expected.  w may be among works or not, but has been passed to
  * admission_enter. */
 uint64_t
 admission_wait_us(const Admission *a, AdmissionWork *const *works,
@@ -474,18 +539,27 @@
     uint64_t minimum_us =
         (ahead.level_us + a->cost_us[w->level]) * kMinimumPart;
     uint64_t wait_us = MIN(plain_us, minimum_us) / MAX(a->parallel, 1);
-    return is_scarce(a) ? wait_us / kScarceWaitDivisor : wait_us;
+    if (!fits(a)) {
+        return is_scarce(a) ? wait_us / kScarceWaitDivisor : wait_us;
+    }
+    return wait_us * kPermille /
+           (kPermille -
+            MIN(a->handshakes_permille, (uint32_t)kHandshakesMaxPermille));
 }
 
 /* Returns the index of work that can no longer meet its objective, the least
  * urgent and last of those, or kAdmissionNone.  Late work is not considered;
- * it runs when nothing else waits. */
+ * it runs when nothing else waits.  While connections are opened, all work
+ * may wait until its deadline. */
 int
 admission_hopeless(const Admission *a, uint64_t now_us,
                    AdmissionWork *const *works, size_t count)
 {
     int found = kAdmissionNone;
 
+    if (is_opening(a, now_us)) {
+        return kAdmissionNone;
+    }
     for (size_t i = count; i > 0; i--) {
         const AdmissionWork *w = works[i - 1];
         if (is_late(a, now_us, w) ||
@@ -578,9 +652,10 @@
 }
 
 /* Adapts the admission levels.  A team that sends several times the mean has
- * one of its own, so that others are not rejected because of it. */
+ * one of its own, so that others are not rejected because of it.  What is shed
+ * while connections are opened shows no overload and lowers none. */
 static void
-gates_tick(Admission *a)
+gates_tick(Admission *a, gboolean opening)
 {
     GHashTableIter it;
     void *value;
@@ -596,6 +671,7 @@
     g_hash_table_iter_init(&it, a->teams);
     while (g_hash_table_iter_next(&it, NULL, &value)) {
         AdmissionTeam *t = value;
+        t->gate.shed = opening ? 0 : t->gate.shed;
         t->over_share = active > 1 && t->gate.arrived_milli * active >
                                           sum_milli * kOverShareTimes;
         if (!t->over_share) {
@@ -606,6 +682,24 @@
     gate_tick(&a->gate);
 }
 
+/* Returns the service time of the work that arrived in the interval. */
+static uint64_t
+arrived_us(const Admission *a)
+{
+    GHashTableIter it;
+    void *value;
+    uint64_t sum_us = 0;
+
+    g_hash_table_iter_init(&it, a->teams);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        const AdmissionTeam *t = value;
+        for (uint32_t i = 0; i < kAdmissionLevels; i++) {
+            sum_us += t->gate.arrived[i] * a->cost_us[i];
+        }
+    }
+    return sum_us;
+}
+
 /* Ends the interval if it is over, and adapts the admission level to it. */
 void
 admission_tick(Admission *a, uint64_t now_us)
@@ -629,7 +723,10 @@
                kSmoothing);
     a->shed_milli_per_s = smooth(
         a->shed_milli_per_s, a->shed * 1000000000ULL / span_us, kSmoothing);
-    gates_tick(a);
+    a->demand_permille = (uint32_t)smooth(
+        a->demand_permille, arrived_us(a) * kPermille / capacity_us,
+        kDemandSmoothing);
+    gates_tick(a, is_opening(a, now_us));
     memset(a->started_us, 0, sizeof(a->started_us));
     a->shed = a->finished = 0;
     a->handshakes_us = 0;
--- a/src/sapphireweir/policy/admission.h
+++ b/src/sapphireweir/policy/admission.h
@@ -44,6 +44,7 @@
     uint32_t level;
     AdmissionTeam *team;
     uint64_t objective_us; /* when the answer should be there */
+    uint64_t deadline_us;  /* until then it may wait */
     gboolean demoted;      /* the sender knows that it missed its objective */
 } AdmissionWork;
 
@@ -65,6 +66,7 @@
     uint64_t credit_us[kAdmissionLevels];  /* of the guaranteed minimum */
     uint64_t virtual_us[kAdmissionLevels]; /* see AdmissionTeam.tag_us */
     uint64_t connect_us;         /* of a slot, for the last connection */
+    uint64_t opening_until_us;   /* work waits for added connections */
     uint64_t handshakes_paid_us; /* when their part covers those so far */
     /* Current interval: */
     uint64_t interval_us;                  /* its start */
@@ -74,6 +76,7 @@
     /* Last intervals: */
     uint32_t used_permille[kAdmissionLevels]; /* of the capacity, smoothed */
     uint32_t handshakes_permille;
+    uint32_t demand_permille;   /* work that arrived, of the capacity */
     uint64_t drain_milli_per_s; /* work finished, smoothed */
     uint64_t shed_milli_per_s;  /* work rejected, smoothed */
     AdmissionGate gate; /* of all teams that are not over their share */
@@ -92,7 +95,10 @@
                    AdmissionWork *const *works, size_t count,
                    AdmissionCheck check, void *ctx);
 void admission_started(Admission *a, const AdmissionWork *w);
-void admission_connecting(Admission *a, uint64_t now_us, uint64_t connect_us);
+gboolean admission_keeps_late(const Admission *a, uint64_t now_us,
+                              uint64_t wait_us, const AdmissionWork *w);
+void admission_connecting(Admission *a, uint64_t now_us, uint64_t connect_us,
+                          gboolean added);
 gboolean admission_may_displace(const Admission *a, uint64_t waited_us,
                                 uint32_t team_connections, uint32_t open);
 void admission_finished(Admission *a, const AdmissionWork *w,
--- a/test/unit/test_admission.c
+++ b/test/unit/test_admission.c
@@ -40,6 +40,14 @@
     uint32_t retries; /* of a rejected request, after 200 to 400 ms */
 } Load;
 
+/* Replays of opened connections: the server runs what was sent first, instead
+ * of what is on the first connections. */
+typedef struct {
+    uint64_t limit_us;    /* of callers */
+    uint64_t replaced_us; /* all connections are lost then, zero: never */
+    uint32_t connections; /* of the load */
+} Opening;
+
 typedef struct {
     AdmissionWork work;
     const LoadClass *class;
@@ -61,6 +69,7 @@
 
 typedef struct {
     const Load *load;
+    const Opening *opening; /* may be NULL */
     gboolean former;
     GRand *rand;       /* of the load, the same for both policies */
     GRand *other_rand; /* of retries and steps */
@@ -73,6 +82,8 @@
     AdmissionView views[kBorrowers];
     Outcome by_class[kClassesMax], by_team[kTeamsMax], all;
     uint64_t handshakes, local, early, hopeless;
+    gboolean connected;      /* all connections have been opened */
+    uint32_t least_admitted; /* admission level since then */
 } Replay;
 
 static void
@@ -166,7 +177,9 @@
 
     q->arrived_us = r->now_us;
     q->order_us = r->now_us + q->class->objective_us;
-    q->deadline_us = r->now_us + q->class->objective_us * 3;
+    q->deadline_us =
+        r->now_us + (r->opening == NULL ? q->class->objective_us * 3
+                                        : r->opening->limit_us);
     if (r->former) {
         wait_us = former_wait_us(r, q->order_us);
     }
@@ -178,14 +191,17 @@
             return;
         }
         q->work = (AdmissionWork){.level = q->step / kAdmissionSteps,
-                                  .objective_us = q->order_us};
+                                  .objective_us = q->order_us,
+                                  .deadline_us = q->deadline_us};
         admission_enter(&r->admission, &q->work, team);
         admission_arrived(&r->admission, &q->work, team);
         wait_us = admission_wait_us(&r->admission, works_of(r),
                                     r->waiting.length, &q->work);
     }
     g_queue_insert_sorted(&r->waiting, q, by_order, NULL);
-    if (wait_us > patience_us) {
+    if (wait_us > patience_us &&
+        (r->former ||
+         !admission_keeps_late(&r->admission, r->now_us, wait_us, &q->work))) {
         leave(r, q);
         r->early++;
         if (!r->former) {
@@ -299,10 +315,12 @@
         Slot *s = idle_slot(r, (int32_t)q->team);
         if (s == NULL) {
             s = idle_slot(r, -1);
+            gboolean added = s != NULL;
             s = s == NULL ? replaced_slot(r) : s;
             *s = (Slot){(int32_t)q->team, TRUE, NULL, r->now_us, kHandshakeUs};
             r->handshakes++;
-            admission_connecting(&r->admission, r->now_us, kHandshakeUs);
+            admission_connecting(&r->admission, r->now_us, kHandshakeUs,
+                                 added);
             continue;
         }
         leave(r, q);
@@ -339,18 +357,50 @@
     g_free(q);
 }
 
+static void
+run_slot(Replay *r, Slot *s)
+{
+    s->left_us -= MIN(s->left_us, (uint64_t)kStepUs);
+    if (s->left_us == 0) {
+        finish(r, s);
+    }
+}
+
+/* Runs what was sent first. */
+static void
+run_slots_in_order(Replay *r)
+{
+    Slot *busy[kOpenStatements];
+    uint32_t n = 0;
+
+    for (uint32_t i = 0; i < r->load->connections; i++) {
+        Slot *s = &r->slots[i];
+        if (s->left_us > 0) {
+            uint32_t k = n++;
+            for (; k > 0 && busy[k - 1]->since_us > s->since_us; k--) {
+                busy[k] = busy[k - 1];
+            }
+            busy[k] = s;
+        }
+    }
+    for (uint32_t i = 0; i < MIN(n, (uint32_t)kSlots); i++) {
+        run_slot(r, busy[i]);
+    }
+}
+
 static void
 run_slots(Replay *r)
 {
     uint32_t n = 0; /* the server runs the first kSlots */
+
+    if (r->opening != NULL) {
+        run_slots_in_order(r);
+        return;
+    }
     for (uint32_t i = 0; i < r->load->connections && n < kSlots; i++) {
-        Slot *s = &r->slots[i];
-        if (s->left_us > 0) {
+        if (r->slots[i].left_us > 0) {
             n++;
-            s->left_us -= MIN(s->left_us, (uint64_t)kStepUs);
-            if (s->left_us == 0) {
-                finish(r, s);
-            }
+            run_slot(r, &r->slots[i]);
         }
     }
 }
@@ -421,6 +471,32 @@
     arrive(r, q);
 }
 
+/* Loses all connections; what runs on them arrives again. */
+static void
+replace_server(Replay *r)
+{
+    for (uint32_t i = 0; i < kConnectionsMax; i++) {
+        Request *q = r->slots[i].request;
+        r->slots[i] = (Slot){.team = -1};
+        if (q != NULL) {
+            arrive(r, q);
+        }
+    }
+    r->connected = FALSE;
+}
+
+/* Notes the admission level once all connections are open. */
+static void
+note_level(Replay *r)
+{
+    if (slots_of(r, -1) == kConnectionsMax - r->load->connections) {
+        r->connected = TRUE;
+    }
+    if (r->connected) {
+        r->least_admitted = MIN(r->least_admitted, r->admission.gate.admitted);
+    }
+}
+
 /* Runs the load with one seed and adds its outcomes to r. */
 static void
 run(Replay *r, uint32_t seed)
@@ -429,17 +505,22 @@
     r->other_rand = g_rand_new_with_seed(seed + 1000);
     r->now_us = kSecondUs;
     r->service_us = kMixUs;
+    r->connected = FALSE;
     admission_init(&r->admission, r->now_us, kMixUs);
     r->admission.parallel = kSlots;
     for (uint32_t i = 0; i < kConnectionsMax; i++) {
         r->slots[i] = (Slot){.team = -1};
     }
     for (; r->now_us < 14 * kSecondUs; r->now_us += kStepUs) {
+        if (r->opening != NULL && r->now_us == r->opening->replaced_us) {
+            replace_server(r);
+        }
         offer(r);
         run_slots(r);
         if (r->now_us % 10000 == 0) {
             waiting_tick(r);
             admission_tick(&r->admission, r->now_us);
+            note_level(r);
         }
         pump(r);
     }
@@ -462,12 +543,15 @@
 
 /* Replays the load with several seeds and prints the result. */
 static Replay *
-replay(const Load *load, gboolean former, const char *name)
+replay_opening(const Load *load, const Opening *opening, gboolean former,
+               const char *name)
 {
     Replay *r = g_new0(Replay, 1);
 
     r->load = load;
+    r->opening = opening;
     r->former = former;
+    r->least_admitted = kAdmissionAll;
     for (uint32_t seed = 1; seed <= 4; seed++) {
         run(r, seed);
     }
@@ -487,6 +571,12 @@
     return r;
 }
 
+static Replay *
+replay(const Load *load, gboolean former, const char *name)
+{
+    return replay_opening(load, NULL, former, name);
+}
+
 /* Work of 3, 9 and 15 ms, most of it of the middle level. */
 #define CLASSES                                                               \
     {                                                                         \
@@ -583,6 +673,30 @@
     g_free(is);
 }
 
+/* Guards against work that is rejected because connections are being opened,
+ * although it can be served in time: at the start of an owner, and after its
+ * server was replaced. */
+static void
+opened_connections_are_no_overload(void)
+{
+    static const Opening openings[] = {
+        {1200000, 0, 78},
+        {1200000, 0, 39},
+        {1200000, 6 * kSecondUs, 78},
+        {1200000, 6 * kSecondUs, 39},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(openings); i++) {
+        Load load = {CLASSES, 311, 1, 85, 1, openings[i].connections, 0};
+        Replay *is =
+            replay_opening(&load, &openings[i], FALSE, "opened connections");
+        printf(", least level %u", is->least_admitted);
+        CU_ASSERT(is->all.rejected * 1000 <= is->all.asked * 4);
+        CU_ASSERT_EQUAL(is->least_admitted, kAdmissionAll);
+        g_free(is);
+    }
+}
+
 /* Guards against a burst whose rejected callers keep the owner busy. */
 static void
 a_burst_with_retries_is_shed_early(void)
@@ -705,6 +819,8 @@
                 urgent_work_gets_connections);
     CU_add_test(s, "changes of teams leave the total",
                 changes_of_teams_leave_the_total);
+    CU_add_test(s, "opened connections are no overload",
+                opened_connections_are_no_overload);
     CU_add_test(s, "a burst with retries is shed early",
                 a_burst_with_retries_is_shed_early);
     CU_add_test(s, "hints follow the load", hints_follow_the_load);
