Open connections to a backend server ahead of work

Cause: an owner opened connections only when work asked for them. In the first seconds after a start, a change of owner or primary, or a restart of the server, the handshakes (12 ms of a slot for each of up to 85 teams) delayed the work that waited for them.

Change: the owner opens connections ahead for 5 s after such a change, one at a time with 4 slots, in a free slot, below its limit less a tenth, for teams with a key, a rate above zero and regions that allow it, whose work reached this instance within a minute (all teams while the instance is younger than 10 s), those that prefer the server first; at a primary all of them. Never at a server that is cold, draining, evacuated or failing, and only where the configuration has priorities. A failed opening stops this for a second. policy/connection_warmup.c decides, gateway/serverpool_warmup.c opens. New counters connections_ahead_total, _used_total and _unused_total.

Result: ./build/test/unit_tests 'connection warm-up': with 78 connections and load 1 s after the start, 53 are opened ahead, none of them unused after 5 s, and 25 on demand; with 39, 35 and 4. With the usual load from time zero on hardly a slot is free, and 1 is opened ahead. All 221 unit tests pass.

--- a/src/sapphireweir/gateway/dispatch_load.c
+++ b/src/sapphireweir/gateway/dispatch_load.c
@@ -33,6 +33,7 @@
 void
 dispatch_assign_step(Session *s)
 {
+    serverpool_team_used(s->gateway, s->job.arrived_us, session_team_name(s));
     s->job.step = dispatch_level(s) * kAdmissionSteps +
                   dispatch_random(s) % (uint32_t)kAdmissionSteps;
 }
@@ -89,20 +90,27 @@
     refuse_for_load(s, now_us, server, kRefusedLevel);
 }
 
-/* Returns the score by which the team's work prefers the server (rendezvous
+/* Returns the score by which a team's work prefers the server (rendezvous
  * hashing), zero if each team can have a connection at every server. */
 uint64_t
-dispatch_affinity(const Session *s, const Server *server)
+dispatch_team_affinity(const Document *document, const char *team,
+                       const Server *server)
 {
-    const Document *document = s->gateway->document;
     uint32_t connections =
         connection_share_owner(server_connection_limit(server));
 
     if (g_hash_table_size(document->teams) <= connections) {
         return 0;
     }
-    return hash_number(
-        hash_text(server->id, hash_text(session_team_name(s), 1)), 1);
+    return hash_number(hash_text(server->id, hash_text(team, 1)), 1);
+}
+
+/* Returns the score of the server for the session's team. */
+uint64_t
+dispatch_affinity(const Session *s, const Server *server)
+{
+    return dispatch_team_affinity(s->gateway->document, session_team_name(s),
+                                  server);
 }
 
 /* Returns the retry budget of the session's route. */
--- a/src/sapphireweir/gateway/gateway.c
+++ b/src/sapphireweir/gateway/gateway.c
@@ -102,6 +102,8 @@
     g->relays = g_hash_table_new(g_int64_hash, g_int64_equal);
     g->pooled_jobs =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, pooled_job_free);
+    g->teams_used =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     g->retry_budgets =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     g->closed = g_ptr_array_new_with_free_func(connection_free);
@@ -127,6 +129,7 @@
     g_hash_table_destroy(g->controls);
     g_hash_table_destroy(g->rates);
     g_hash_table_destroy(g->retry_budgets);
+    g_hash_table_destroy(g->teams_used);
     rate_pool_free(g->rate_pool);
     g_ptr_array_unref(g->closed);
     document_unref(g->document);
@@ -342,6 +345,7 @@
     slow_start_gate_tick(g, now_us);
     evacuation_tick(g, now_us);
     dispatch_tick(g, now_us);
+    serverpool_warmup_tick(g, now_us);
     session_tick(g, now_us);
     servers_tick_gone(g, now_us);
     quiesce_check(g, now_us);
--- a/src/sapphireweir/gateway/gateway.h
+++ b/src/sapphireweir/gateway/gateway.h
@@ -74,6 +74,11 @@
     uint64_t primary_reads;
     uint64_t connections_opened;
     uint64_t connections_lost;
+    /* Opened before work asked for them; of these, used, and closed without
+     * having been used. */
+    uint64_t connections_ahead;
+    uint64_t connections_ahead_used;
+    uint64_t connections_ahead_unused;
     uint64_t lagging; /* reads rejected by a replica that was behind */
     uint64_t timeouts;
     uint64_t leases_lost; /* times that the right to primaries expired */
--- a/src/sapphireweir/gateway/gateway_control.c
+++ b/src/sapphireweir/gateway/gateway_control.c
@@ -185,6 +185,7 @@
     document_unref(g->document);
     g->document = d;
     g->prioritized = document_has_priorities(d);
+    serverpool_forget_teams(g);
     g_clear_pointer(&g->document_text, g_bytes_unref);
     g->document_text = text;
     g->counters.documents_applied++;
--- a/src/sapphireweir/gateway/gateway_internal.h
+++ b/src/sapphireweir/gateway/gateway_internal.h
@@ -9,6 +9,7 @@
 #include "gateway/rate_pool.h"
 #include "policy/admission_view.h"
 #include "policy/concurrency.h"
+#include "policy/connection_warmup.h"
 #include "policy/freshness.h"
 #include "policy/rate_stock.h"
 #include "policy/slow_start.h"
@@ -93,6 +94,7 @@
     uint64_t lagging_until_us; /* replica expected to be behind until then */
     uint64_t lagging_step_us;  /* current delay of the exponential backoff */
     ServerSlowStart slow_start;
+    ConnectionWarmup warmup; /* if this instance is the owner */
 } Server;
 
 /* What this instance observed of a database's primary. */
@@ -329,6 +331,9 @@
     uint64_t drain_started_us; /* of this instance, zero: not draining */
     uint64_t drain_grace_us;
     GHashTable *retry_budgets; /* host -> RetryBudget, owned */
+    /* Name -> uint64_t, owned: when a team last sent work to this instance,
+     * as a caller's or as a borrower's. */
+    GHashTable *teams_used;
     GatewayCounters counters;
 };
 
@@ -362,6 +367,8 @@
 uint32_t dispatch_level(const Session *s);
 uint32_t dispatch_random(const Session *s);
 uint64_t dispatch_affinity(const Session *s, const Server *server);
+uint64_t dispatch_team_affinity(const Document *document, const char *team,
+                                const Server *server);
 uint64_t dispatch_wait_us(const Session *s, const Server *server,
                           uint64_t now_us);
 gboolean dispatch_has_repeat(const Session *s);
@@ -403,6 +410,9 @@
 gboolean serverpool_has_waiting(const ServerPool *pool);
 gboolean serverpool_is_empty(const ServerPool *pool);
 void serverpool_free(ServerPool *pool);
+void serverpool_team_used(Gateway *g, uint64_t now_us, const char *team);
+void serverpool_forget_teams(Gateway *g);
+void serverpool_warmup_tick(Gateway *g, uint64_t now_us);
 void serverpool_metrics_write(const Gateway *g, GString *out);
 void pooled_job_free(void *job);
 
--- a/src/sapphireweir/gateway/region_access.c
+++ b/src/sapphireweir/gateway/region_access.c
@@ -70,6 +70,19 @@
                          g_strcmp0(server->owner, g->id) == 0);
 }
 
+/* Tells whether a team's statements may run on connections that the server's
+ * owner lends, as far as the team's own limits go. */
+gboolean
+region_access_team_relays(const Gateway *g, const DocumentTeam *team,
+                          const Server *server)
+{
+    RegionLimits limits = {.team = (const char *const *)team->regions};
+
+    return region_access(&limits, region_of_domain(g, server->failure_domain),
+                         region_of_owner(g, server),
+                         g_strcmp0(server->owner, g->id) == 0) == kRegionRelay;
+}
+
 /* Tells whether the session's open statement can be sent to the server's owner
  * now. */
 gboolean
--- a/src/sapphireweir/gateway/serverpool.c
+++ b/src/sapphireweir/gateway/serverpool.c
@@ -61,6 +61,7 @@
     if (c->state == kPooledOpening || c->awaiting) {
         pool->open--;
     }
+    pooled_ahead_ends(c, FALSE);
     slow_start_gate_lost(pool->server, &c->permit);
     g->port.server_close(g->port.ctx, c->link);
     c->link = NULL;
@@ -144,6 +145,7 @@
     histogram_observe(&g->counters.queue, now_us - j->arrived_us);
     pooled_job_dequeue(j);
     pooled_unhold(j);
+    pooled_ahead_ends(c, TRUE);
     j->connection = c;
     j->opening = NULL;
     c->job = j;
@@ -290,6 +292,9 @@
     gboolean opening = c->state == kPooledOpening;
 
     pool->gateway->counters.connections_lost++;
+    if (opening) {
+        connection_warmup_failed(&pool->server->warmup, now_us);
+    }
     if (code == kCodeTooMany || code == kCodeBusy) {
         server_refused_connection(pool->server, now_us);
     }
@@ -307,9 +312,9 @@
     pool_pump(pool, now_us);
 }
 
-/* Opens a connection for a job's team. */
-void
-pooled_open(ServerPool *pool, PooledJob *j, uint64_t now_us)
+/* Opens a connection for a team. */
+PooledConnection *
+pooled_open(ServerPool *pool, const char *team, uint64_t now_us)
 {
     static const ServerEvents events = {on_ready, on_answer, on_down};
     Gateway *g = pool->gateway;
@@ -317,16 +322,16 @@
     PooledConnection *c = g_new0(PooledConnection, 1);
 
     c->pool = pool;
-    c->team = g_strdup(j->team);
+    c->team = g_strdup(team);
     c->state = kPooledOpening;
     c->state_since_us = now_us;
     slow_start_gate_opening(pool->server, now_us, pool->connections->len);
     g_ptr_array_add(pool->connections, c);
     pool->open++;
     g->counters.connections_opened++;
-    j->opening = c;
     c->link = g->port.server_open(g->port.ctx, &events, c, s->address,
-                                  s->database->name, j->team, s->id);
+                                  s->database->name, team, s->id);
+    return c;
 }
 
 /* ---- the queue ---- */
@@ -370,7 +375,7 @@
         }
         pooled_close(c);
     }
-    pooled_open(pool, j, now_us);
+    j->opening = pooled_open(pool, j->team, now_us);
 }
 
 /* Starts waiting jobs: first those with an idle connection of their team,
@@ -410,8 +415,8 @@
 
 /* Returns the pool of a server, creating it if needed; NULL if the server is
  * not known or gone. */
-static ServerPool *
-pool_of(Gateway *g, const char *server_id)
+ServerPool *
+serverpool_of(Gateway *g, const char *server_id)
 {
     Server *s = g_hash_table_lookup(g->servers, server_id);
 
@@ -487,7 +492,7 @@
 {
     char *key = pooled_job_key(from, m->relay);
     PooledJob *j = g_hash_table_lookup(g->pooled_jobs, key);
-    ServerPool *pool = pool_of(g, m->server);
+    ServerPool *pool = serverpool_of(g, m->server);
 
     if (m->n_commands == 0 || pool == NULL || (j == NULL) != !m->continues) {
         g_free(key);
--- a/src/sapphireweir/gateway/serverpool_internal.h
+++ b/src/sapphireweir/gateway/serverpool_internal.h
@@ -26,6 +26,7 @@
     uint64_t sent_us;       /* when the open commands were sent */
     gboolean awaiting;      /* an answer is awaited */
     uint32_t answers_ahead; /* answers that precede the awaited one */
+    gboolean ahead;         /* opened before work asked for it, not used */
     gboolean dirty;         /* needs a RESET before the next loan */
     SessionState session_state;
     SlowStartPermit permit; /* of the commands without an answer */
@@ -66,7 +67,10 @@
     uint32_t open;        /* statements and handshakes in progress */
 };
 
+enum { kHandshakeUs = 12000 }; /* of a slot, for a new connection */
+
 /* serverpool.c */
+ServerPool *serverpool_of(Gateway *g, const char *server_id);
 void pooled_run(PooledConnection *c, PooledJob *j, uint64_t now_us);
 void pooled_end_loan(PooledConnection *c, uint64_t now_us);
 
@@ -93,13 +97,17 @@
 
 /* serverpool.c */
 void pooled_close(PooledConnection *c);
-void pooled_open(ServerPool *pool, PooledJob *j, uint64_t now_us);
+PooledConnection *pooled_open(ServerPool *pool, const char *team,
+                              uint64_t now_us);
 PooledConnection *pooled_idle_of_team(const ServerPool *pool,
                                       const char *team);
 PooledConnection *pooled_longest_idle(const ServerPool *pool);
 gboolean serverpool_has_room(const ServerPool *pool);
 uint32_t serverpool_max_connections(const ServerPool *pool, uint64_t now_us);
 
+/* serverpool_warmup.c */
+void pooled_ahead_ends(PooledConnection *c, gboolean used);
+
 /* serverpool_queue.c */
 void serverpool_queue_init(ServerPool *pool);
 void serverpool_queue_arrived(PooledJob *j, uint64_t now_us,
--- a/src/sapphireweir/gateway/serverpool_queue.c
+++ b/src/sapphireweir/gateway/serverpool_queue.c
@@ -6,7 +6,6 @@
  * pool, if the configuration has priorities. */
 
 enum {
-    kHandshakeUs = 12000, /* of a slot, for a new connection */
     /* Between two looks for work that has to be shed, which compare each
      * waiting job with all others. */
     kShedIntervalUs = 50000,
@@ -32,6 +31,7 @@
     uint32_t level =
         m->step == 0 ? kAdmissionMiddle : (m->step - 1) / kAdmissionSteps;
 
+    serverpool_team_used(j->pool->gateway, now_us, j->team);
     if (m->continues) {
         admission_continued(a, &j->work);
         return;
@@ -124,17 +124,17 @@
                                    serverpool_max_connections(pool, now_us);
 }
 
-/* Tells whether a connection of a team is being opened. */
-static gboolean
-is_opening(const ServerPool *pool, const char *team)
+/* Returns a connection of a team that is being opened, or NULL. */
+static const PooledConnection *
+opening_of(const ServerPool *pool, const char *team)
 {
     for (guint i = 0; i < pool->connections->len; i++) {
         const PooledConnection *c = g_ptr_array_index(pool->connections, i);
         if (c->state == kPooledOpening && strcmp(c->team, team) == 0) {
-            return TRUE;
+            return c;
         }
     }
-    return FALSE;
+    return NULL;
 }
 
 /* Returns the idle connection to be replaced by another team's, or NULL: the
@@ -201,11 +201,14 @@
         return kAdmissionBlocked;
     }
     if (pool->connections->len < serverpool_max_connections(pool, now_us)) {
-        return has_few_connections(pool, now_us) && is_opening(pool, j->team)
+        const PooledConnection *opening = opening_of(pool, j->team);
+        return opening != NULL &&
+                       (opening->ahead || has_few_connections(pool, now_us))
                    ? kAdmissionBlocked
                    : kAdmissionConnect;
     }
-    return pooled_longest_idle(pool) != NULL && !is_opening(pool, j->team) &&
+    return pooled_longest_idle(pool) != NULL &&
+                   opening_of(pool, j->team) == NULL &&
                    admission_may_displace(
                        &pool->admission, now_us - j->arrived_us,
                        connections_of(pool, j->team), pool->open)
@@ -233,7 +236,7 @@
         pooled_close(replaceable(pool));
     }
     admission_connecting(a, now_us, kHandshakeUs, added);
-    pooled_open(pool, j, now_us);
+    j->opening = pooled_open(pool, j->team, now_us);
 }
 
 /* Starts waiting jobs as far as the server has room. */
--- a/src/sapphireweir/policy/admission.c
+++ b/src/sapphireweir/policy/admission.c
@@ -50,7 +50,8 @@
      * without having run. */
     kScarceWaitDivisor = 2,
     /* Work that arrives, of the capacity; below this it fits.  Service times
-     * include a wait for a slot, so that 0.7 of the capacity look like 0.85. */
+     * include a wait for a slot, so that 0.7 of the capacity looks like 0.85.
+     */
     kFitsPermille = 950,
     kDemandSmoothing = 8,
     /* Late work counts like other work in the choice of a new connection when
@@ -451,6 +452,15 @@
                             connect_us * kHandshakeParts / MAX(a->parallel, 1);
 }
 
+/* Records that a connection is opened before work asks for it.  Work that
+ * needs a connection keeps its part of the capacity. */
+void
+admission_connecting_ahead(Admission *a, uint64_t connect_us)
+{
+    a->connect_us = connect_us;
+    a->handshakes_us += connect_us;
+}
+
 /* Records that work of a level was answered after took_us. */
 void
 admission_finished(Admission *a, const AdmissionWork *w, uint64_t took_us)
@@ -522,8 +532,8 @@
  * level.  If the load fits, the part of the capacity that handshakes take is
  * not there for work.  If it does not, handshakes are not counted, since a
  * longer queue holds more work of a team for each of them, and while
- * connections are scarce half of this is expected.  w may be among works or not, but has been passed to
- * admission_enter. */
+ * connections are scarce half of this is expected.  w may be among works or
+ * not, but has been passed to admission_enter. */
 uint64_t
 admission_wait_us(const Admission *a, AdmissionWork *const *works,
                   size_t count, const AdmissionWork *w)
--- a/src/sapphireweir/policy/admission.h
+++ b/src/sapphireweir/policy/admission.h
@@ -101,6 +101,7 @@
                           gboolean added);
 gboolean admission_may_displace(const Admission *a, uint64_t waited_us,
                                 uint32_t team_connections, uint32_t open);
+void admission_connecting_ahead(Admission *a, uint64_t connect_us);
 void admission_finished(Admission *a, const AdmissionWork *w,
                         uint64_t took_us);
 void admission_shed(Admission *a, const char *team);
