Count the statements of open transactions as load

Cause: whether the load fits was computed from the work that arrives, without the further statements of transactions that a server has begun. With many of them an overload was taken for a wait for connections, and nothing was shed.

Change: they count in the demand.

--- a/src/sapphireweir/policy/admission.c
+++ b/src/sapphireweir/policy/admission.c
@@ -158,6 +158,7 @@
 admission_continued(Admission *a, const AdmissionWork *w)
 {
     a->started_us[w->level] += a->cost_us[w->level];
+    a->continued_us += a->cost_us[w->level];
 }
 
 /* Returns the admission level, from which step on work is rejected: for a team
@@ -692,13 +693,14 @@
     gate_tick(&a->gate);
 }
 
-/* Returns the service time of the work that arrived in the interval. */
+/* Returns the service time of the work that arrived in the interval, with that
+ * of transactions under way. */
 static uint64_t
 arrived_us(const Admission *a)
 {
     GHashTableIter it;
     void *value;
-    uint64_t sum_us = 0;
+    uint64_t sum_us = a->continued_us;
 
     g_hash_table_iter_init(&it, a->teams);
     while (g_hash_table_iter_next(&it, NULL, &value)) {
@@ -740,6 +742,7 @@
     memset(a->started_us, 0, sizeof(a->started_us));
     a->shed = a->finished = 0;
     a->handshakes_us = 0;
+    a->continued_us = 0;
     a->interval_us = now_us;
     if (g_hash_table_size(a->teams) > kTeamsKept) {
         g_hash_table_foreach_remove(a->teams, is_unused, NULL);
--- a/src/sapphireweir/policy/admission.h
+++ b/src/sapphireweir/policy/admission.h
@@ -71,6 +71,7 @@
     /* Current interval: */
     uint64_t interval_us;                  /* its start */
     uint64_t started_us[kAdmissionLevels]; /* work started */
+    uint64_t continued_us;                 /* work of open transactions */
     uint64_t handshakes_us;                /* time of new connections */
     uint32_t shed, finished;               /* numbers of work units */
     /* Last intervals: */
--- a/test/unit/test_admission.c
+++ b/test/unit/test_admission.c
@@ -697,6 +697,35 @@
     }
 }
 
+/* Guards against an overload by statements of open transactions that is taken
+ * for a wait for connections. */
+static void
+open_transactions_are_load(void)
+{
+    static const struct {
+        uint32_t continued; /* statements of 10 ms in 0.1 s on 4 slots */
+        gboolean kept;
+    } cases[] = {{0, TRUE}, {30, TRUE}, {44, FALSE}};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        AdmissionWork w = {.deadline_us = 20 * kSecondUs};
+        Admission a;
+        uint64_t now_us = kSecondUs;
+        admission_init(&a, now_us, kMixUs);
+        a.parallel = kSlots;
+        for (uint32_t n = 0; n < 30; n++, now_us += kSecondUs / 10) {
+            for (uint32_t k = 0; k < cases[i].continued; k++) {
+                admission_continued(&a, &w);
+            }
+            admission_tick(&a, now_us);
+        }
+        admission_connecting(&a, now_us, kHandshakeUs, TRUE);
+        CU_ASSERT_EQUAL(admission_keeps_late(&a, now_us, kSecondUs, &w),
+                        cases[i].kept);
+        admission_clear(&a);
+    }
+}
+
 /* Guards against a burst whose rejected callers keep the owner busy. */
 static void
 a_burst_with_retries_is_shed_early(void)
@@ -821,6 +850,7 @@
                 changes_of_teams_leave_the_total);
     CU_add_test(s, "opened connections are no overload",
                 opened_connections_are_no_overload);
+    CU_add_test(s, "open transactions are load", open_transactions_are_load);
     CU_add_test(s, "a burst with retries is shed early",
                 a_burst_with_retries_is_shed_early);
     CU_add_test(s, "hints follow the load", hints_follow_the_load);
