--- a/src/sapphireweir/gateway/gateway.h
+++ b/src/sapphireweir/gateway/gateway.h
@@ -78,6 +78,11 @@
     uint64_t primary_reads;
     uint64_t connections_opened;
     uint64_t connections_lost;
+    /* Opened before work asked for them; of these, used, and closed without
+     * having been used. */
+    uint64_t connections_ahead;
+    uint64_t connections_ahead_used;
+    uint64_t connections_ahead_unused;
     uint64_t lagging; /* reads rejected by a replica that was behind */
     uint64_t timeouts;
     uint64_t leases_lost; /* times that the right to primaries expired */
@@ -90,6 +95,9 @@
     uint64_t relayed; /* statements sent to the owner of a server */
     /* Statements of borrowers that this owner rejected before they ran. */
     uint64_t relays_rejected;
+    /* Statements of borrowers that this owner kept although they were expected
+     * to miss their latency objective, since connections were being opened. */
+    uint64_t relays_kept_late;
     uint64_t tokens_delayed;  /* rate tokens that were valid later */
     uint64_t tokens_returned; /* unused, sent back to the leader */
     uint64_t
--- a/src/sapphireweir/gateway/gateway_internal.h
+++ b/src/sapphireweir/gateway/gateway_internal.h
@@ -9,6 +9,7 @@
 #include "gateway/rate_pool.h"
 #include "policy/admission_view.h"
 #include "policy/concurrency.h"
+#include "policy/connection_warmup.h"
 #include "policy/crossing.h"
 #include "policy/freshness.h"
 #include "policy/link_time.h"
@@ -98,6 +99,7 @@
     uint64_t lagging_until_us; /* replica expected to be behind until then */
     uint64_t lagging_step_us;  /* current delay of the exponential backoff */
     ServerSlowStart slow_start;
+    ConnectionWarmup warmup; /* if this instance is the owner */
 } Server;
 
 /* What this instance observed of a database's primary. */
@@ -343,6 +345,9 @@
     uint64_t drain_started_us; /* of this instance, zero: not draining */
     uint64_t drain_grace_us;
     GHashTable *retry_budgets; /* host -> RetryBudget, owned */
+    /* Name -> uint64_t, owned: when a team last sent work to this instance,
+     * as a caller's or as a borrower's. */
+    GHashTable *teams_used;
     GatewayCounters counters;
 };
 
@@ -376,6 +381,8 @@
 uint32_t dispatch_level(const Session *s);
 uint32_t dispatch_random(const Session *s);
 uint64_t dispatch_affinity(const Session *s, const Server *server);
+uint64_t dispatch_team_affinity(const Document *document, const char *team,
+                                const Server *server);
 uint64_t dispatch_wait_us(const Session *s, const Server *server,
                           uint64_t now_us);
 gboolean dispatch_has_repeat(const Session *s);
@@ -421,6 +428,9 @@
 void serverpool_free(ServerPool *pool);
 gboolean serverpool_load(Gateway *g, const char *server, uint32_t level,
                          const char *team, Sw__RelayLoad *out);
+void serverpool_team_used(Gateway *g, uint64_t now_us, const char *team);
+void serverpool_forget_teams(Gateway *g);
+void serverpool_warmup_tick(Gateway *g, uint64_t now_us);
 void serverpool_metrics_write(const Gateway *g, GString *out);
 void pooled_job_free(void *job);
 
--- a/src/sapphireweir/gateway/serverpool_queue.c
+++ b/src/sapphireweir/gateway/serverpool_queue.c
@@ -6,7 +6,6 @@
  * pool, if the configuration has priorities. */
 
 enum {
-    kHandshakeUs = 12000, /* of a slot, for a new connection */
     /* Between two looks for work that has to be shed, which compare each
      * waiting job with all others. */
     kShedIntervalUs = 50000,
@@ -20,6 +19,7 @@
 serverpool_queue_init(ServerPool *pool)
 {
     admission_init(&pool->admission, 0, pool->server->service_us);
+    pool->admission.parallel = MAX(pool->server->slots, 1);
 }
 
 /* Counts the commands of a borrower as work, and sets the level of the job
@@ -31,6 +31,7 @@
     uint32_t level =
         m->step == 0 ? kAdmissionMiddle : (m->step - 1) / kAdmissionSteps;
 
+    serverpool_team_used(j->pool->gateway, now_us, j->team);
     if (m->continues) {
         admission_continued(a, &j->work);
         return;
@@ -38,6 +39,7 @@
     j->work = (AdmissionWork){
         .level = MIN(level, (uint32_t)kAdmissionLevels - 1),
         .objective_us = now_us + MIN(m->target_us, m->due_us),
+        .deadline_us = j->deadline_us,
         .demoted = m->target_us >= m->due_us + kDemotionPenaltyUs,
     };
     admission_arrived(a, &j->work, j->team);
@@ -65,7 +67,7 @@
 }
 
 /* Tells whether a job that has just arrived is expected to wait for longer
- * than patience_us. */
+ * than patience_us, and is not kept nevertheless. */
 gboolean
 serverpool_queue_is_too_long(PooledJob *j, uint64_t patience_us)
 {
@@ -83,10 +85,15 @@
     if (wait_us <= patience_us) {
         return FALSE;
     }
-    /* Else the borrower only asked whether another server is better. */
-    if (j->arrived_us + wait_us > j->work.objective_us) {
-        admission_shed(&pool->admission, j->team);
+    if (j->arrived_us + wait_us <= j->work.objective_us) {
+        return TRUE; /* the borrower only asked if another server is better */
+    }
+    if (admission_keeps_late(&pool->admission, j->arrived_us, wait_us,
+                             &j->work)) {
+        pool->gateway->counters.relays_kept_late++;
+        return FALSE;
     }
+    admission_shed(&pool->admission, j->team);
     return TRUE;
 }
 
@@ -105,17 +112,29 @@
     return count;
 }
 
-/* Tells whether a connection of a team is being opened. */
+/* Tells whether there are more teams than the owner may have connections.
+ * Then a team opens one at a time, so that its first statements after a start
+ * do not take the connections of several teams. */
 static gboolean
-is_opening(const ServerPool *pool, const char *team)
+has_few_connections(const ServerPool *pool, uint64_t now_us)
+{
+    const Document *document = pool->gateway->document;
+
+    return document != NULL && g_hash_table_size(document->teams) >
+                                   serverpool_max_connections(pool, now_us);
+}
+
+/* Returns a connection of a team that is being opened, or NULL. */
+static const PooledConnection *
+opening_of(const ServerPool *pool, const char *team)
 {
     for (guint i = 0; i < pool->connections->len; i++) {
         const PooledConnection *c = g_ptr_array_index(pool->connections, i);
         if (c->state == kPooledOpening && strcmp(c->team, team) == 0) {
-            return TRUE;
+            return c;
         }
     }
-    return FALSE;
+    return NULL;
 }
 
 /* Returns the idle connection to be replaced by another team's, or NULL: the
@@ -182,9 +201,14 @@
         return kAdmissionBlocked;
     }
     if (pool->connections->len < serverpool_max_connections(pool, now_us)) {
-        return kAdmissionConnect;
+        const PooledConnection *opening = opening_of(pool, j->team);
+        return opening != NULL &&
+                       (opening->ahead || has_few_connections(pool, now_us))
+                   ? kAdmissionBlocked
+                   : kAdmissionConnect;
     }
-    return pooled_longest_idle(pool) != NULL && !is_opening(pool, j->team) &&
+    return pooled_longest_idle(pool) != NULL &&
+                   opening_of(pool, j->team) == NULL &&
                    admission_may_displace(
                        &pool->admission, now_us - j->arrived_us,
                        connections_of(pool, j->team), pool->open)
@@ -206,11 +230,13 @@
         pooled_run(c, j, now_us);
         return;
     }
-    if (pool->connections->len >= serverpool_max_connections(pool, now_us)) {
+    gboolean added =
+        pool->connections->len < serverpool_max_connections(pool, now_us);
+    if (!added) {
         pooled_close(replaceable(pool));
     }
-    admission_connecting(a, now_us, kHandshakeUs);
-    pooled_open(pool, j, now_us);
+    admission_connecting(a, now_us, kHandshakeUs, added);
+    j->opening = pooled_open(pool, j->team, now_us);
 }
 
 /* Starts waiting jobs as far as the server has room. */
--- a/src/sapphireweir/policy/admission.c
+++ b/src/sapphireweir/policy/admission.c
@@ -31,6 +31,7 @@
     /* The expected wait varies, and waiting work is looked at many times. */
     kHopelessDivisor = 32,
     kUsedSmoothing = 16,
+    kHandshakeSmoothing = 4, /* the start of a load is noticed in 0.3 s */
     kSmoothing = 4,    /* the newest interval has 1/4 of a smoothed value */
     kShedPercent = 10, /* more is overload */
     kRaiseSteps = 32,  /* by interval, while a little work is shed */
@@ -40,7 +41,31 @@
     kTeamsKept = 512,    /* then entries of teams without work are dropped */
     kTeamPriorities = 2,
     kBusyPermille = 780, /* of the capacity; then no slot is spare */
-    kAnswerUs = 4400,    /* from the owner to the caller, between domains */
+    /* Connections are scarce from a tenth of the capacity in handshakes on,
+     * while four statements wait for each slot. */
+    kScarcePermille = 100,
+    kScarceWaiting = 4,
+    /* By this factor the estimate is too long while connections are scarce and
+     * there is too much work: part of the work ahead misses its objective
+     * without having run. */
+    kScarceWaitDivisor = 2,
+    /* Work that arrives, of the capacity; below this it fits.  Service times
+     * include a wait for a slot, so that 0.7 of the capacity looks like 0.85.
+     */
+    kFitsPermille = 950,
+    kDemandSmoothing = 8,
+    /* Late work counts like other work in the choice of a new connection when
+     * so little is left until its deadline. */
+    kDeadlineNearUs = 300000,
+    /* Time in which the work that waited for added connections is caught up
+     * with, as a multiple of the slot time of their handshakes. */
+    kOpeningTimes = 10,
+    kHandshakesMaxPermille = 800, /* in the expected wait */
+    kUrgentLevels = 2, /* work that counts more for a new connection */
+    kUrgentWeight = 3,
+    kPlainWeight = 2,
+    kValueScale = 1000000000,
+    kAnswerUs = 4400, /* from the owner to the caller, between domains */
     /* Left until work is too late to start: with 20 ms, 0.4 % less was in time
      * at 79 teams on 39 connections. */
     kRiskUs = 40000,
@@ -62,8 +87,10 @@
 void
 admission_init(Admission *a, uint64_t now_us, uint64_t service_us)
 {
-    *a = (Admission){
-        .parallel = 1, .interval_us = now_us, .gate.admitted = kAdmissionAll};
+    *a = (Admission){.parallel = 1,
+                     .demand_permille = kPermille,
+                     .interval_us = now_us,
+                     .gate.admitted = kAdmissionAll};
     a->teams = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, team_free);
     for (uint32_t i = 0; i < kAdmissionLevels; i++) {
         a->cost_us[i] = MAX(service_us, 1);
@@ -131,6 +158,7 @@
 admission_continued(Admission *a, const AdmissionWork *w)
 {
     a->started_us[w->level] += a->cost_us[w->level];
+    a->continued_us += a->cost_us[w->level];
 }
 
 /* Returns the admission level, from which step on work is rejected: for a team
@@ -156,6 +184,49 @@
     }
 }
 
+/* Tells whether work waits for connections rather than for slots: handshakes
+ * take much of the capacity, and what waits would keep all slots busy. */
+static gboolean
+is_scarce(const Admission *a)
+{
+    uint32_t waiting = 0;
+
+    for (uint32_t i = 0; i < kAdmissionLevels; i++) {
+        waiting += a->waiting[i];
+    }
+    return a->handshakes_permille >= kScarcePermille &&
+           waiting >= kScarceWaiting * a->parallel;
+}
+
+/* Tells whether the server could do all work that arrives if no connections
+ * had to be opened. */
+static gboolean
+fits(const Admission *a)
+{
+    return a->demand_permille < kFitsPermille;
+}
+
+/* Tells whether work waits because connections are being opened, and not
+ * because there is too much of it: at the start of an owner or after its
+ * server was replaced, or because connections are scarce. */
+static gboolean
+is_opening(const Admission *a, uint64_t now_us)
+{
+    return fits(a) && (now_us < a->opening_until_us || is_scarce(a));
+}
+
+/* Tells whether work that is expected to miss its objective after wait_us is
+ * kept nevertheless: while connections are opened, if its deadline can be
+ * met. */
+gboolean
+admission_keeps_late(const Admission *a, uint64_t now_us, uint64_t wait_us,
+                     const AdmissionWork *w)
+{
+    return is_opening(a, now_us) &&
+           now_us + wait_us + a->cost_us[w->level] + kAnswerUs <=
+               w->deadline_us;
+}
+
 /* Returns the start tag of the next work of a team. */
 static uint64_t
 start_tag_us(const Admission *a, const AdmissionWork *w)
@@ -224,12 +295,81 @@
            (team_connections == 0 && open * 2 < a->parallel && !is_busy(a));
 }
 
+/* Tells whether late work may use a new connection like work in time, since
+ * its deadline is near and the load is not the reason why it waits. */
+static gboolean
+is_last_chance(const Admission *a, uint64_t now_us, const AdmissionWork *w)
+{
+    return fits(a) && w->deadline_us < now_us + kDeadlineNearUs;
+}
+
+/* Sets for each team what a new connection is worth: the work that would be in
+ * time on it, urgent work counting more, and the slot time of this work. */
+static void
+value_connections(const Admission *a, uint64_t now_us,
+                  AdmissionWork *const *works, size_t count)
+{
+    for (size_t i = 0; i < count; i++) {
+        works[i]->team->in_time = 0;
+        works[i]->team->in_time_us = 0;
+    }
+    for (size_t i = 0; i < count; i++) {
+        const AdmissionWork *w = works[i];
+        gboolean late = is_late(a, now_us + a->connect_us, w);
+        if (!late || is_last_chance(a, now_us, w)) {
+            w->team->in_time += !late && w->level < kUrgentLevels
+                                    ? kUrgentWeight
+                                    : kPlainWeight;
+            w->team->in_time_us += a->cost_us[w->level];
+        }
+    }
+}
+
+/* Returns the order of a team's work among that which needs a new connection
+ * while connections are scarce: by what a new connection serves, for the slot
+ * time that it and this work take; the smallest goes first.  One and a half
+ * times the time of a handshake counts, since it also waits for a slot; with
+ * once its time, 79 teams on 39 connections needed 4 % more handshakes. */
+static uint64_t
+scarce_tag_us(const Admission *a, const AdmissionTeam *t)
+{
+    uint64_t took_us = a->connect_us * 3 / 2 + t->in_time_us;
+
+    return UINT32_MAX - kValueScale * (uint64_t)t->in_time / MAX(took_us, 1);
+}
+
+/* Changes the rank and the tag of work that needs a new connection, where
+ * first tells that it may go before work that needs none. */
+static void
+rank_connecting(const Admission *a, const AdmissionWork *w, gboolean first,
+                uint32_t *rank, uint64_t *tag_us)
+{
+    if (first) {
+        *tag_us += kSwitchUs;
+        return;
+    }
+    if (is_scarce(a)) {
+        *rank = *rank < kLateGroup * kAdmissionLevels
+                    ? 0
+                    : kLateGroup * kAdmissionLevels;
+        *tag_us = scarce_tag_us(a, w->team);
+    }
+    else {
+        *tag_us =
+            is_busy(a) ? UINT32_MAX - w->team->waiting : *tag_us + kSwitchUs;
+    }
+    *rank += kConnectLastRank;
+}
+
 /* Returns the index of the work to start next, or kAdmissionNone: by rank,
  * then by the team's share.  Work that needs a new connection goes behind work
  * in time that does not, once connections have used up their part of the
- * capacity; while no slot is spare, that of the team with most work waiting is
- * preferred among it.  works are in the order in which those of one team and
- * level run. */
+ * capacity or are scarce.  While they are scarce, the team whose work makes
+ * most of a connection gets it, whatever the level of its first work; while
+ * only slots are, the team with most work waiting.  Late work that needs no
+ * new connection goes before work that does, if only connections are scarce:
+ * it would wait until its deadline otherwise.  works are in the order in
+ * which those of one team and level run. */
 int
 admission_pick(const Admission *a, uint64_t now_us,
                AdmissionWork *const *works, size_t count, AdmissionCheck check,
@@ -238,12 +378,19 @@
     int best = kAdmissionNone;
     uint32_t best_rank = 0;
     uint64_t best_tag_us = 0;
-    gboolean connect_first = may_connect_first(a, now_us);
-    gboolean busy = is_busy(a);
+    gboolean scarce = is_scarce(a);
+    gboolean connect_first = !scarce && may_connect_first(a, now_us);
+
+    if (scarce) {
+        value_connections(a, now_us, works, count);
+    }
 
     for (size_t i = 0; i < count; i++) {
         uint32_t rank = rank_of(a, now_us, works[i]);
         uint64_t tag_us = start_tag_us(a, works[i]);
+        if (scarce && fits(a)) {
+            rank = MIN(rank, (uint32_t)kConnectLastRank - 1);
+        }
         if (best != kAdmissionNone &&
             (rank > best_rank ||
              (rank == best_rank && tag_us >= best_tag_us))) {
@@ -253,13 +400,8 @@
         if (start == kAdmissionBlocked) {
             continue;
         }
-        if (start == kAdmissionConnect && connect_first) {
-            tag_us += kSwitchUs;
-        }
-        else if (start == kAdmissionConnect) {
-            rank += kConnectLastRank;
-            tag_us = busy ? UINT32_MAX - works[i]->team->waiting
-                          : tag_us + kSwitchUs;
+        if (start == kAdmissionConnect) {
+            rank_connecting(a, works[i], connect_first, &rank, &tag_us);
         }
         if (best == kAdmissionNone || rank < best_rank ||
             (rank == best_rank && tag_us < best_tag_us)) {
@@ -295,15 +437,31 @@
     a->credit_us[level] -= MIN(a->credit_us[level], cost_us);
 }
 
-/* Records that a connection is opened, which takes connect_us of a slot. */
+/* Records that a connection is opened, which takes connect_us of a slot: one
+ * that is added, or else one in place of another. */
 void
-admission_connecting(Admission *a, uint64_t now_us, uint64_t connect_us)
+admission_connecting(Admission *a, uint64_t now_us, uint64_t connect_us,
+                     gboolean added)
 {
+    if (added) {
+        a->opening_until_us = MAX(a->opening_until_us, now_us) +
+                              connect_us * kOpeningTimes / MAX(a->parallel, 1);
+    }
+    a->connect_us = connect_us;
     a->handshakes_us += connect_us;
     a->handshakes_paid_us = MAX(a->handshakes_paid_us, now_us) +
                             connect_us * kHandshakeParts / MAX(a->parallel, 1);
 }
 
+/* Records that a connection is opened before work asks for it.  Work that
+ * needs a connection keeps its part of the capacity. */
+void
+admission_connecting_ahead(Admission *a, uint64_t connect_us)
+{
+    a->connect_us = connect_us;
+    a->handshakes_us += connect_us;
+}
+
 /* Records that work of a level was answered after took_us. */
 void
 admission_finished(Admission *a, const AdmissionWork *w, uint64_t took_us)
@@ -372,9 +530,11 @@
 /* Returns the expected wait of work, in microseconds: the work ahead, divided
  * by the part of the capacity that more urgent levels leave (the waiting time
  * of a priority queue), but no more than with the guaranteed minimum of its
- * level.  New connections are not counted: a longer queue holds more work of a
- * team for each of them.  w may be among works or not, but has been passed to
- * admission_enter. */
+ * level.  If the load fits, the part of the capacity that handshakes take is
+ * not there for work.  If it does not, handshakes are not counted, since a
+ * longer queue holds more work of a team for each of them, and while
+ * connections are scarce half of this is expected.  w may be among works or
+ * not, but has been passed to admission_enter. */
 uint64_t
 admission_wait_us(const Admission *a, AdmissionWork *const *works,
                   size_t count, const AdmissionWork *w)
@@ -389,18 +549,28 @@
     uint64_t plain_us = (ahead.urgent_us + ahead.level_us) * kPermille / left;
     uint64_t minimum_us =
         (ahead.level_us + a->cost_us[w->level]) * kMinimumPart;
-    return MIN(plain_us, minimum_us) / MAX(a->parallel, 1);
+    uint64_t wait_us = MIN(plain_us, minimum_us) / MAX(a->parallel, 1);
+    if (!fits(a)) {
+        return is_scarce(a) ? wait_us / kScarceWaitDivisor : wait_us;
+    }
+    return wait_us * kPermille /
+           (kPermille -
+            MIN(a->handshakes_permille, (uint32_t)kHandshakesMaxPermille));
 }
 
 /* Returns the index of work that can no longer meet its objective, the least
  * urgent and last of those, or kAdmissionNone.  Late work is not considered;
- * it runs when nothing else waits. */
+ * it runs when nothing else waits.  While connections are opened, all work
+ * may wait until its deadline. */
 int
 admission_hopeless(const Admission *a, uint64_t now_us,
                    AdmissionWork *const *works, size_t count)
 {
     int found = kAdmissionNone;
 
+    if (is_opening(a, now_us)) {
+        return kAdmissionNone;
+    }
     for (size_t i = count; i > 0; i--) {
         const AdmissionWork *w = works[i - 1];
         if (is_late(a, now_us, w) ||
@@ -493,9 +663,10 @@
 }
 
 /* Adapts the admission levels.  A team that sends several times the mean has
- * one of its own, so that others are not rejected because of it. */
+ * one of its own, so that others are not rejected because of it.  What is shed
+ * while connections are opened shows no overload and lowers none. */
 static void
-gates_tick(Admission *a)
+gates_tick(Admission *a, gboolean opening)
 {
     GHashTableIter it;
     void *value;
@@ -511,6 +682,7 @@
     g_hash_table_iter_init(&it, a->teams);
     while (g_hash_table_iter_next(&it, NULL, &value)) {
         AdmissionTeam *t = value;
+        t->gate.shed = opening ? 0 : t->gate.shed;
         t->over_share = active > 1 && t->gate.arrived_milli * active >
                                           sum_milli * kOverShareTimes;
         if (!t->over_share) {
@@ -521,6 +693,25 @@
     gate_tick(&a->gate);
 }
 
+/* Returns the service time of the work that arrived in the interval, with that
+ * of transactions under way. */
+static uint64_t
+arrived_us(const Admission *a)
+{
+    GHashTableIter it;
+    void *value;
+    uint64_t sum_us = a->continued_us;
+
+    g_hash_table_iter_init(&it, a->teams);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        const AdmissionTeam *t = value;
+        for (uint32_t i = 0; i < kAdmissionLevels; i++) {
+            sum_us += t->gate.arrived[i] * a->cost_us[i];
+        }
+    }
+    return sum_us;
+}
+
 /* Ends the interval if it is over, and adapts the admission level to it. */
 void
 admission_tick(Admission *a, uint64_t now_us)
@@ -538,16 +729,20 @@
     }
     a->handshakes_permille = (uint32_t)smooth(
         a->handshakes_permille, a->handshakes_us * kPermille / capacity_us,
-        kUsedSmoothing);
+        kHandshakeSmoothing);
     a->drain_milli_per_s =
         smooth(a->drain_milli_per_s, a->finished * 1000000000ULL / span_us,
                kSmoothing);
     a->shed_milli_per_s = smooth(
         a->shed_milli_per_s, a->shed * 1000000000ULL / span_us, kSmoothing);
-    gates_tick(a);
+    a->demand_permille = (uint32_t)smooth(
+        a->demand_permille, arrived_us(a) * kPermille / capacity_us,
+        kDemandSmoothing);
+    gates_tick(a, is_opening(a, now_us));
     memset(a->started_us, 0, sizeof(a->started_us));
     a->shed = a->finished = 0;
     a->handshakes_us = 0;
+    a->continued_us = 0;
     a->interval_us = now_us;
     if (g_hash_table_size(a->teams) > kTeamsKept) {
         g_hash_table_foreach_remove(a->teams, is_unused, NULL);
