--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -8,8 +8,8 @@
 suites=("consensus members" "document transfer" "fleet simulation" "gateway policy"
     "fleet policy" "session" "platform" "slow start" "cold servers" "regions"
     "evacuation" "evacuation at an instance" "admission"
-    "placement replay" "server pool" "rates" "team rates" "share pool"
-    "evacuation core")
+    "connection warm-up" "placement replay" "server pool" "rates"
+    "team rates" "share pool" "evacuation core")
 
 rm -rf "$work/source"
 mkdir -p "$work/source"
