Load classes, their counts and their plots in sapphireweir-load

Cause: an experiment could offer constant load of statements only, and its report said how many requests were done, not how many in time.

Change: experiment files have kinds of requests (statement, worth that the fleet must give it, objective, time limit, callers that give up, transactions left idle), waves of load by failure domain, and surges of a team.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -8,10 +8,12 @@
 #           [--resources FILE.toml] [--init-sql FILE] [--databases "NAME..."]
 #           [--team NAME] [--domains "NAME NAME NAME"] [--service-us N]
 #           [--lag-ms N] [--member-connections N] [--baseline] [--trace]
+#           [--routing "SETTING=VALUE..."]
 #
 # --service-us and --lag-ms set the service time and the replication lag of
-# the stand-ins.  --baseline turns pool_owners and shared_rates off.  --trace
-# records the first entry instance in DIR/entry.trace.
+# the stand-ins.  --baseline turns pool_owners and shared_rates off; --routing
+# gives the entry instances settings of the table "routing" one by one.
+# --trace records the first entry instance in DIR/entry.trace.
 #
 # DIR/endpoints.json holds the addresses, the path of the operator's token
 # file, a team's key, the fault interfaces of the stand-ins and the ids of all
@@ -34,6 +36,7 @@
 team="parish"
 domains=(suva nadi lautoka)
 baseline=0
+settings=""
 trace=0
 member_connections=8
 while [ $# -gt 0 ]; do
@@ -49,6 +52,7 @@
     --team) team=$2; shift 2 ;;
     --domains) read -ra domains <<<"$2"; shift 2 ;;
     --baseline) baseline=1; shift ;;
+    --routing) settings=$2; shift 2 ;;
     --trace) trace=1; shift ;;
     --member-connections) member_connections=$2; shift 2 ;;
     --quiet) quiet=1; shift ;;
@@ -62,6 +66,13 @@
 [routing]
 pool_owners = false
 shared_rates = false"
+elif [ -n "$settings" ]; then
+    routing="
+[routing]"
+    for setting in $settings; do
+        routing+="
+${setting%%=*} = ${setting#*=}"
+    done
 fi
 
 rm -rf "$dir"
@@ -158,6 +169,7 @@
 
 entry_http=()
 entry_ids=()
+entry_domains=()
 for i in 0 1 2; do
     for n in $(seq 1 "$per_domain"); do
         id="entry-${domains[$i]}-$n"
@@ -165,6 +177,7 @@
         free_port; peer=$port
         entry_http+=("$http")
         entry_ids+=("$id")
+        entry_domains+=("${domains[$i]}")
         cat >"$id.toml" <<TOML
 [instance]
 id = "$id"
@@ -250,6 +263,7 @@
 entry_json=""
 for i in "${!entry_http[@]}"; do
     entry_json+="{\"id\":\"${entry_ids[$i]}\",\
+\"failure_domain\":\"${entry_domains[$i]}\",\
 \"address\":\"127.0.0.1:${entry_http[$i]}\"},"
 done
 control_json=""
--- a/scripts/install_deps.sh
+++ b/scripts/install_deps.sh
@@ -10,6 +10,7 @@
     clang-format
     clang-tidy
     curl
+    gnuplot-nox
     jq
     libclang-rt-14-dev
     libcunit1-dev
--- a/src/tools/load/check.c
+++ b/src/tools/load/check.c
@@ -51,7 +51,8 @@
     for (guint i = 0; i < r->records->len && g_get_monotonic_time() < end_us;
          i++) {
         const Record *record = g_ptr_array_index(r->records, i);
-        if (!record->write || record->outcome == kOutcomeRateLimited) {
+        if (record->write_id == NULL ||
+            record->outcome == kOutcomeRateLimited) {
             continue;
         }
         const TeamRun *t = g_ptr_array_index(r->teams, record->team);
--- a/src/tools/load/experiment.h
+++ b/src/tools/load/experiment.h
@@ -5,30 +5,60 @@
 #include <jansson.h>
 #include <stdint.h>
 
-enum { kMaxOperations = 12 };
+enum { kMaxMix = 12 };
 
-/* One statement of a team's mix. */
+/* One kind of request: a statement, and how its callers use it. */
 typedef struct {
+    char *name;
     char *statement;
     gboolean write;
     gboolean reads_own_write; /* must return the session's last write */
-    double weight;            /* relative to the others of the mix */
-} Operation;
+    int32_t worth; /* that the fleet must give the statement; -1: any */
+    uint32_t objective_ms;     /* latency objective; zero: none */
+    uint32_t timeout_ms;       /* sent with each request; zero: none sent */
+    uint32_t give_up_percent;  /* of the requests: the caller gives up */
+    uint32_t give_up_after_ms; /* below the time limit */
+    uint32_t idle_percent;     /* of the requests: in a transaction that is
+                                * left idle before its commit */
+    uint32_t idle_ms;          /* for this long */
+} Kind;
+
+/* A kind in the mix of a team. */
+typedef struct {
+    uint32_t kind; /* index in the experiment's kinds */
+    double weight; /* relative to the others of the mix */
+} KindWeight;
 
 /* The offered load of one team; times are in seconds from the start of the
  * measured part. */
 typedef struct {
     char *name;
-    double offered_per_s;
-    uint32_t rate_per_s; /* the team's rate limit in the fleet */
+    double offered_per_s; /* outside of surges, averaged over the waves */
+    uint32_t rate_per_s;  /* the team's rate limit in the fleet */
     uint32_t burst;
     int32_t entry; /* index of the preferred entry instance; -1: random */
     double begin_s;
     double end_s;
-    Operation operations[kMaxOperations];
-    uint32_t operation_count;
+    KindWeight mix[kMaxMix];
+    uint32_t mix_count;
 } TeamLoad;
 
+/* The load of the callers in a failure domain follows a sine. */
+typedef struct {
+    char *failure_domain;
+    double amplitude; /* 0 to 1, relative to the average */
+    double period_s;
+    double phase; /* 0 to 1, in periods at the start of the measured part */
+} Wave;
+
+/* A team offers a multiple of its usual load for a time. */
+typedef struct {
+    char *team;
+    double multiple;
+    double begin_s;
+    double end_s;
+} Surge;
+
 /* A fault that is injected at a given time of the run. */
 typedef struct {
     double at_s;    /* since the start of the measured part */
@@ -48,7 +78,10 @@
     double warmup_s; /* load before the measured part */
     double duration_s;
     uint32_t seed;     /* of the random numbers */
+    GPtrArray *kinds;  /* Kind */
     GPtrArray *teams;  /* TeamLoad */
+    GPtrArray *waves;  /* Wave */
+    GPtrArray *surges; /* Surge */
     GPtrArray *faults; /* Fault */
 } Experiment;
 
--- a/src/tools/load/report.c
+++ b/src/tools/load/report.c
@@ -4,13 +4,7 @@
 #include "core/schema.h"
 #include "run.h"
 
-/* Report of a run as text, JSON and an SVG plot. */
-
-enum {
-    kPlotWidth = 900, /* pixels */
-    kPlotHeight = 300,
-    kPlotMargin = 40,
-};
+/* Report of a run as text and JSON. */
 
 /* ---- counters of the entry instances ---- */
 
@@ -124,11 +118,12 @@
     return whole == 0 ? 0 : (double)part / (double)whole;
 }
 
-/* Returns TRUE when the offered load of a team is within its rate limit. */
+/* Returns TRUE when the offered load of a team is within its rate limit at all
+ * times. */
 static gboolean
 within_rate(const TeamRun *t)
 {
-    return t->load->offered_per_s <= t->load->rate_per_s;
+    return t->peak_per_s <= t->load->rate_per_s;
 }
 
 /* Returns the results of one team; the caller owns the object. */
@@ -265,67 +260,3 @@
                json_real_value(json_object_get(t, "p99_ms")));
     }
 }
-
-/* ---- plot ---- */
-
-/* Returns the value of one plotted series: 0 acknowledged writes, 1
- * acknowledged reads, 2 all other responses. */
-static uint32_t
-second_value(const SecondCounts *s, int series)
-{
-    return series == 0   ? s->writes_done
-           : series == 1 ? s->reads_done
-                         : s->not_done;
-}
-
-/* Adds the line of one series to the SVG; max_value is at the top. */
-static void
-plot_line(const Run *r, GString *svg, int series, const char *colour,
-          uint32_t max_value)
-{
-    g_string_append_printf(svg, "<polyline fill='none' stroke='%s' points='",
-                           colour);
-    for (uint32_t i = 0; i + 1 < r->second_count; i++) {
-        double x = kPlotMargin + (double)i * (kPlotWidth - 2 * kPlotMargin) /
-                                     MAX(r->second_count - 1, 1);
-        double y = kPlotHeight - kPlotMargin -
-                   (double)second_value(&r->seconds[i], series) *
-                       (kPlotHeight - 2 * kPlotMargin) / MAX(max_value, 1);
-        g_string_append_printf(svg, "%.1f,%.1f ", x, y);
-    }
-    g_string_append(svg, "'/>\n");
-}
-
-/* Writes the responses per second as an SVG file.  Returns FALSE when the file
- * cannot be written. */
-gboolean
-report_plot(const Run *r, const char *path)
-{
-    static const char *const colours[] = {"#1f5fa8", "#2c9f5b", "#c0392b"};
-    static const char *const names[] = {"writes", "reads", "refused"};
-    GString *svg = g_string_new(NULL);
-    uint32_t max_value = 1;
-
-    for (uint32_t i = 0; i < r->second_count; i++) {
-        for (int series = 0; series < 3; series++) {
-            max_value = MAX(max_value, second_value(&r->seconds[i], series));
-        }
-    }
-    g_string_append_printf(
-        svg,
-        "<svg xmlns='http://www.w3.org/2000/svg' width='%d' height='%d' "
-        "font-family='sans-serif' font-size='12'>\n"
-        "<text x='%d' y='20'>%s: answers a second, up to %u</text>\n",
-        kPlotWidth, kPlotHeight, kPlotMargin, r->experiment->name, max_value);
-    for (int series = 0; series < 3; series++) {
-        plot_line(r, svg, series, colours[series], max_value);
-        g_string_append_printf(svg,
-                               "<text x='%d' y='%d' fill='%s'>%s</text>\n",
-                               kPlotMargin + 90 * series, kPlotHeight - 12,
-                               colours[series], names[series]);
-    }
-    g_string_append(svg, "</svg>\n");
-    gboolean ok = g_file_set_contents(path, svg->str, (gssize)svg->len, NULL);
-    g_string_free(svg, TRUE);
-    return ok;
-}
--- a/src/tools/load/run.c
+++ b/src/tools/load/run.c
@@ -3,10 +3,10 @@
 #include <event2/buffer.h>
 #include <event2/http.h>
 #include <math.h>
-#include <signal.h>
 #include <string.h>
 
 #include "core/schema.h"
+#include "offered.h"
 
 /* The open-loop driver: requests are sent at random times that do not depend
  * on earlier responses. */
@@ -28,18 +28,31 @@
     gboolean healthy; /* result of the last health check, at first TRUE */
     uint32_t count;   /* connections, idle and in use */
     char *address;    /* host:port */
+    int32_t domain;   /* index in the run's domains */
 } EntryLink;
 
-/* One request that has no response yet. */
+/* What a request in flight is part of. */
+typedef enum {
+    kStepSingle, /* a request of its own */
+    kStepOpen,   /* of a transaction: open, run, left idle, commit */
+    kStepRun,
+    kStepIdle,
+    kStepCommit,
+} Step;
+
+/* One request that has no result yet. */
 typedef struct {
     Run *run;
     TeamRun *team;
     EntryLink *link;
     struct evhttp_connection *connection;
     LoadSession *session;
-    const Operation *operation;
+    const Kind *kind;
     Record *record;
     char *sent_id; /* write id that the request stores or looks up */
+    Step step;
+    char *transaction;   /* id, from kStepRun on */
+    struct event *timer; /* of giving up, or of the idle time; or NULL */
 } InFlightRequest;
 
 static uint64_t
@@ -131,6 +144,22 @@
     return g_ptr_array_index(r->entries, start);
 }
 
+/* Returns a random healthy entry instance of a failure domain, or any other
+ * one when the domain has none. */
+static EntryLink *
+pick_entry_of(Run *r, int32_t domain)
+{
+    guint start = (guint)g_rand_int_range(r->rand, 0, (gint)r->entries->len);
+    for (guint i = 0; i < r->entries->len; i++) {
+        EntryLink *l =
+            g_ptr_array_index(r->entries, (start + i) % r->entries->len);
+        if (l->healthy && l->domain == domain) {
+            return l;
+        }
+    }
+    return pick_entry(r, -1);
+}
+
 /* ---- sessions ---- */
 
 /* Returns a session of the team that has no request in flight, and marks it as
@@ -179,13 +208,13 @@
     json_array_foreach((json_t *)rows, i, row)
     {
         const char *green = json_text_or(row, "green", "");
-        if (f->operation->reads_own_write && strcmp(green, f->sent_id) != 0) {
+        if (f->kind->reads_own_write && strcmp(green, f->sent_id) != 0) {
             f->team->foreign_rows++;
         }
         found = found || strcmp(green, f->sent_id) == 0;
     }
     f->team->reads++;
-    if (f->operation->reads_own_write && f->session->last_write_id != NULL &&
+    if (f->kind->reads_own_write && f->session->last_write_id != NULL &&
         strcmp(f->session->last_write_id, f->sent_id) == 0 && !found) {
         f->team->stale_reads++;
     }
@@ -221,29 +250,6 @@
     return kOutcomeUnknown;
 }
 
-/* Counts a response in its second of the measured part. */
-static void
-count_second(Run *r, const Record *record)
-{
-    if (record->response_us < r->measure_start_us) {
-        return;
-    }
-    uint64_t second = (record->response_us - r->measure_start_us) / 1000000;
-    if (second >= r->second_count) {
-        return;
-    }
-    SecondCounts *s = &r->seconds[second];
-    if (record->outcome != kOutcomeDone) {
-        s->not_done++;
-    }
-    else if (record->write) {
-        s->writes_done++;
-    }
-    else {
-        s->reads_done++;
-    }
-}
-
 /* Counts a response for its team; requests of the warm-up are left out. */
 static void
 count_outcome(InFlightRequest *f)
@@ -251,14 +257,14 @@
     TeamRun *t = f->team;
     Record *record = f->record;
 
-    count_second(f->run, record);
     if (!record->measured) {
         return;
     }
     switch (record->outcome) {
     case kOutcomeDone:
         t->done++;
-        histogram_observe(&t->latency, record->response_us - record->sent_us);
+        histogram_observe(&t->latency, record->response_us - record->sent_us -
+                                           record->idle_us);
         break;
     case kOutcomeNotRun:
         t->not_run++;
@@ -269,6 +275,9 @@
     case kOutcomeUnknown:
         t->unknown++;
         break;
+    case kOutcomeAbandoned:
+    case kOutcomeNotSent:
+        break; /* reported by classes.c only */
     }
 }
 
@@ -286,88 +295,103 @@
     g_hash_table_insert(r->failure_counts, name, GSIZE_TO_POINTER(count + 1));
 }
 
-/* Handles the response to a request; request is NULL when there was none.
- * Frees the in-flight request. */
+/* Records the outcome of a request and frees it.  status and body are those of
+ * the last response; status is zero if there was none. */
 static void
-on_response(struct evhttp_request *request, void *ctx)
+finish_request(InFlightRequest *f, Outcome outcome, int status,
+               const json_t *body)
 {
-    InFlightRequest *f = ctx;
-    int status =
-        request == NULL ? 0 : evhttp_request_get_response_code(request);
-    json_t *body = NULL;
-    gboolean reusable = status != 0;
-
-    if (status != 0) {
-        struct evbuffer *in = evhttp_request_get_input_buffer(request);
-        size_t size = evbuffer_get_length(in);
-        body =
-            json_loadb((const char *)evbuffer_pullup(in, -1), size, 0, NULL);
-        const char *close = evhttp_find_header(
-            evhttp_request_get_input_headers(request), "Connection");
-        reusable = close == NULL || g_ascii_strcasecmp(close, "close") != 0;
-    }
     f->record->response_us = now_us();
-    f->record->outcome = outcome_of(status, body);
-    if (f->record->outcome == kOutcomeDone) {
-        if (f->operation->write) {
-            g_free(f->session->last_write_id);
-            f->session->last_write_id = g_strdup(f->record->write_id);
-        }
-        else {
-            check_read(f, body);
-        }
-        store_session_token(f, request);
-    }
+    f->record->outcome = outcome;
     count_outcome(f);
-    if (f->record->measured && f->record->outcome != kOutcomeDone) {
+    if (f->record->measured && outcome != kOutcomeDone &&
+        outcome != kOutcomeAbandoned) {
         count_reason(f->run, status, body);
     }
     f->session->busy = FALSE;
-    release_connection(f->link, f->connection, reusable);
     f->run->in_flight--;
-    json_decref(body);
+    if (f->timer != NULL) {
+        event_free(f->timer);
+    }
+    g_free(f->transaction);
     g_free(f->sent_id);
     g_free(f);
 }
 
 /* ---- requests ---- */
 
-/* Picks a statement of the team's mix at random, by weight. */
-static const Operation *
-pick_operation(Run *r, const TeamLoad *t)
+/* Picks a kind of the team's mix at random, by weight. */
+static uint32_t
+pick_kind(Run *r, const TeamLoad *t)
 {
     double total = 0;
-    for (uint32_t i = 0; i < t->operation_count; i++) {
-        total += t->operations[i].weight;
+    for (uint32_t i = 0; i < t->mix_count; i++) {
+        total += t->mix[i].weight;
     }
     double at = g_rand_double(r->rand) * total;
-    for (uint32_t i = 0; i < t->operation_count; i++) {
-        at -= t->operations[i].weight;
+    for (uint32_t i = 0; i < t->mix_count; i++) {
+        at -= t->mix[i].weight;
         if (at < 0) {
-            return &t->operations[i];
+            return t->mix[i].kind;
         }
     }
-    return &t->operations[0];
+    return t->mix[0].kind;
+}
+
+/* Returns the arguments of the demo's statements; the caller owns them. */
+static json_t *
+make_args(const Kind *k, const char *write_id)
+{
+    if (k->write) {
+        return json_pack("{s:s, s:s, s:s}", "green", write_id, "day", "d1",
+                         "note", "n");
+    }
+    if (k->reads_own_write) {
+        return json_pack("{s:s}", "green", write_id);
+    }
+    return json_pack("{s:s}", "day", "d0");
 }
 
-/* Returns the JSON body of a request with the arguments of the demo's
- * statements; the caller frees it. */
+/* Returns the JSON body of a request's present step; the caller frees it. */
 static char *
-make_body(const Operation *o, const char *write_id)
+make_body(const InFlightRequest *f)
 {
-    if (o->write) {
-        return g_strdup_printf("{\"args\":{\"green\":\"%s\",\"day\":\"d1\","
-                               "\"note\":\"n\"}}",
-                               write_id);
+    json_t *body = json_object();
+    if (f->step == kStepSingle || f->step == kStepRun) {
+        json_object_set_new(body, "args", make_args(f->kind, f->sent_id));
+    }
+    if (f->step == kStepRun) {
+        json_object_set_new(body, "statement",
+                            json_string(f->kind->statement));
     }
-    if (o->reads_own_write) {
-        return g_strdup_printf("{\"args\":{\"green\":\"%s\"}}", write_id);
+    char *text = json_dumps(body, JSON_COMPACT);
+    json_decref(body);
+    return text;
+}
+
+/* Returns the path of a request's present step; the caller frees it. */
+static char *
+make_path(const InFlightRequest *f)
+{
+    const char *service = f->session->service;
+    switch (f->step) {
+    case kStepOpen:
+        return g_strdup_printf("/v1/%s/transactions/open", service);
+    case kStepRun:
+        return g_strdup_printf("/v1/%s/transactions/%s/run", service,
+                               f->transaction);
+    case kStepIdle:
+    case kStepCommit:
+        return g_strdup_printf("/v1/%s/transactions/%s/commit", service,
+                               f->transaction);
+    case kStepSingle:
+        break;
     }
-    return g_strdup("{\"args\":{\"day\":\"d0\"}}");
+    return g_strdup_printf("/v1/%s/%s", service, f->kind->statement);
 }
 
-/* Adds the credentials, the session token, and for a write the idempotency
- * key. */
+/* Adds the credentials, the time limit, the session token, and for a write
+ * outside of transactions the idempotency key. */
 static void
 add_headers(const InFlightRequest *f, struct evhttp_request *request)
 {
@@ -376,178 +400,244 @@
 
     evhttp_add_header(h, "Host", f->link->address);
     evhttp_add_header(h, "Authorization", authorization);
+    if (f->kind->timeout_ms != 0) {
+        char *timeout = g_strdup_printf("%u", f->kind->timeout_ms);
+        evhttp_add_header(h, "Request-Timeout-Ms", timeout);
+        g_free(timeout);
+    }
     if (f->session->token != NULL) {
         evhttp_add_header(h, "Session-Token", f->session->token);
     }
-    if (f->operation->write) {
+    if (f->kind->write && f->step == kStepSingle) {
         evhttp_add_header(h, "Idempotency-Key", f->record->write_id);
     }
     g_free(authorization);
 }
 
-/* Sends one request of a team.  At the connection limit the request is dropped
- * and counted in dropped_requests. */
+static void on_response(struct evhttp_request *request, void *ctx);
+
+/* Sends the present step of a request over its connection. */
 static void
-send_request(Run *r, TeamRun *t, uint32_t team)
+send_step(InFlightRequest *f)
 {
-    EntryLink *l = pick_entry(r, t->load->entry);
-    struct evhttp_connection *connection = acquire_connection(l);
-    uint64_t sent_us = now_us();
-    gboolean measured = sent_us >= r->measure_start_us;
-
-    if (measured) {
-        t->offered++;
-    }
-    if (connection == NULL) {
-        r->dropped_requests++;
-        return;
-    }
-    InFlightRequest *f = g_new0(InFlightRequest, 1);
-    Record *record = g_new0(Record, 1);
-    *f = (InFlightRequest){r,
-                           t,
-                           l,
-                           connection,
-                           acquire_session(r, t),
-                           pick_operation(r, t->load),
-                           record,
-                           NULL};
-    *record = (Record){.team = team,
-                       .write = f->operation->write,
-                       .measured = measured,
-                       .sent_us = sent_us,
-                       .outcome = kOutcomeUnknown};
-    if (record->write) {
-        record->write_id = g_strdup_printf("%s-%" G_GUINT64_FORMAT, r->run_id,
-                                           ++r->write_count);
-    }
-    f->sent_id = g_strdup(record->write ? record->write_id
-                          : f->session->last_write_id == NULL
-                              ? "none"
-                              : f->session->last_write_id);
-    record->service = f->session->service;
-    g_ptr_array_add(r->records, record);
     struct evhttp_request *request = evhttp_request_new(on_response, f);
+    char *body = make_body(f);
+    char *path = make_path(f);
+
     add_headers(f, request);
-    char *body = make_body(f->operation, f->sent_id);
     evbuffer_add(evhttp_request_get_output_buffer(request), body,
                  strlen(body));
-    g_free(body);
-    char *path = g_strdup_printf("/v1/%s/%s", f->session->service,
-                                 f->operation->statement);
-    r->in_flight++;
-    evhttp_make_request(connection, request, EVHTTP_REQ_POST, path);
+    evhttp_make_request(f->connection, request, EVHTTP_REQ_POST, path);
     g_free(path);
+    free(body);
 }
 
-/* ---- faults ---- */
-
-/* Sends a command to the command port of a stand-in; errors are ignored. */
+/* Commits a transaction after its idle time, through any entry instance of the
+ * caller's failure domain. */
 static void
-post_fault(Run *r, const char *address, const char *body)
+on_idle_end(evutil_socket_t fd, short what, void *ctx)
 {
-    char *url = g_strdup_printf("http://%s", address);
-    char *entries[] = {url, NULL};
-    Client c = {entries, (char *)"", NULL};
-    json_t *parsed = json_loads(body, 0, NULL);
-    Reply reply = client_post(&c, "/fault", parsed, NULL);
-    json_decref(reply.body);
-    json_decref(parsed);
-    g_free(url);
-    (void)r;
+    InFlightRequest *f = ctx;
+    (void)fd;
+    (void)what;
+    f->step = kStepCommit;
+    f->link = pick_entry_of(f->run, f->record->domain);
+    f->connection = acquire_connection(f->link);
+    if (f->connection == NULL) {
+        finish_request(f, kOutcomeUnknown, 0, NULL);
+        return;
+    }
+    send_step(f);
 }
 
-/* Sets the simulated duration of statements to zero on all stand-ins, so that
- * the checks after the run take less time. */
-void
-run_clear_service_time(Run *r)
+/* Closes the connection of a request whose caller no longer waits. */
+static void
+on_give_up(evutil_socket_t fd, short what, void *ctx)
 {
-    size_t i;
-    json_t *s;
-    json_array_foreach(json_object_get(r->endpoints, "standins"), i, s)
-    {
-        post_fault(r, json_text_or(s, "faults", ""), "{\"service_us\":0}");
-    }
+    InFlightRequest *f = ctx;
+    (void)fd;
+    (void)what;
+    f->link->count--;
+    evhttp_connection_free(f->connection);
+    finish_request(f, kOutcomeAbandoned, 0, NULL);
 }
 
-/* Returns the address of a member's command port, or NULL when the member is
- * unknown. */
-static const char *
-member_command_address(Run *r, const char *database, const char *member)
+/* Starts the timer of a request. */
+static void
+start_timer(InFlightRequest *f, event_callback_fn callback, uint32_t after_ms)
 {
-    size_t i;
-    json_t *s;
-    json_array_foreach(json_object_get(r->endpoints, "standins"), i, s)
-    {
-        if (strcmp(json_text_or(s, "database", ""), database) == 0 &&
-            strcmp(json_text_or(s, "member", ""), member) == 0) {
-            return json_text_or(s, "faults", NULL);
+    struct timeval after = {(time_t)(after_ms / 1000),
+                            (suseconds_t)(after_ms % 1000) * 1000};
+    f->timer = evtimer_new(f->run->base, callback, f);
+    event_add(f->timer, &after);
+}
+
+/* Takes the next step of a transaction after a successful response.  Returns
+ * FALSE if there is none. */
+static gboolean
+continue_transaction(InFlightRequest *f, const json_t *body)
+{
+    switch (f->step) {
+    case kStepOpen:
+        f->transaction = g_strdup(json_text_or(body, "transaction", ""));
+        f->step = kStepRun;
+        f->link = pick_entry_of(f->run, f->record->domain);
+        f->connection = acquire_connection(f->link);
+        if (f->connection == NULL) {
+            finish_request(f, kOutcomeUnknown, 0, NULL);
+            return TRUE;
         }
+        send_step(f);
+        return TRUE;
+    case kStepRun:
+        f->step = kStepIdle;
+        f->record->idle_us = (uint64_t)f->kind->idle_ms * 1000;
+        start_timer(f, on_idle_end, f->kind->idle_ms);
+        return TRUE;
+    case kStepIdle:
+    case kStepCommit:
+    case kStepSingle:
+        break;
     }
-    return NULL;
+    return FALSE;
 }
 
-/* Returns the id of a database's current primary, m1 when the lookup fails.
- * The caller frees it. */
-static char *
-current_primary(Run *r, const char *database)
+/* Checks the response to a request that is done, and updates its session. */
+static void
+apply_response(InFlightRequest *f, struct evhttp_request *request,
+               const json_t *body)
 {
-    char *path = g_strdup_printf("/admin/v1/resources/primary/%s", database);
-    Reply reply = client_get(&r->client, path);
-    char *name = g_strdup(
-        json_text_or(json_object_get(reply.body, "spec"), "member", "m1"));
-    json_decref(reply.body);
-    g_free(path);
-    return name;
+    if (f->kind->write) {
+        g_free(f->session->last_write_id);
+        f->session->last_write_id = g_strdup(f->record->write_id);
+    }
+    else if (f->step == kStepSingle) {
+        check_read(f, body);
+    }
+    store_session_token(f, request);
 }
 
-/* Sends a signal to a process of the fleet, by its name in the endpoints file;
- * an unknown name is ignored. */
+/* Handles the response to a request; request is NULL when there was none.
+ * Frees the in-flight request unless its transaction goes on. */
 static void
-signal_process(Run *r, const char *name, int number)
+on_response(struct evhttp_request *request, void *ctx)
+{
+    InFlightRequest *f = ctx;
+    int status =
+        request == NULL ? 0 : evhttp_request_get_response_code(request);
+    json_t *body = NULL;
+    gboolean reusable = status != 0;
+
+    if (status != 0) {
+        struct evbuffer *in = evhttp_request_get_input_buffer(request);
+        size_t size = evbuffer_get_length(in);
+        body =
+            json_loadb((const char *)evbuffer_pullup(in, -1), size, 0, NULL);
+        const char *close = evhttp_find_header(
+            evhttp_request_get_input_headers(request), "Connection");
+        reusable = close == NULL || g_ascii_strcasecmp(close, "close") != 0;
+    }
+    release_connection(f->link, f->connection, reusable);
+    Outcome outcome = outcome_of(status, body);
+    if (outcome != kOutcomeDone || !continue_transaction(f, body)) {
+        if (outcome == kOutcomeDone) {
+            apply_response(f, request, body);
+        }
+        finish_request(f, outcome, status, body);
+    }
+    json_decref(body);
+}
+
+/* Returns the entry instance for a team's next request.  Its failure domain is
+ * the preferred one's, or follows the waves; without either, any instance gets
+ * the request, and its domain is the caller's. */
+static EntryLink *
+pick_caller(Run *r, const TeamRun *t, double at_s, int32_t *domain)
 {
-    const json_t *pids = json_object_get(r->endpoints, "pids");
-    pid_t pid = (pid_t)json_integer_value(json_object_get(pids, name));
-    if (pid > 1) {
-        kill(pid, number);
+    const Experiment *x = r->experiment;
+    EntryLink *l;
+
+    if (t->load->entry >= 0 || x->waves->len == 0) {
+        l = pick_entry(r, t->load->entry);
+        *domain = t->domain >= 0 ? t->domain : l->domain;
+        return l;
     }
+    *domain = (int32_t)offered_pick_domain(x, r->domains, at_s,
+                                           g_rand_double(r->rand));
+    return pick_entry_of(r, *domain);
 }
 
-/* Injects a fault and marks it as done.  The target "primary" is resolved at
- * this time. */
+/* Returns TRUE for the given share of calls, at random. */
+static gboolean
+draw_percent(Run *r, uint32_t percent)
+{
+    return percent > 0 && g_rand_int_range(r->rand, 0, 100) < (gint32)percent;
+}
+
+/* Sends one request of a team.  At the connection limit the request is dropped
+ * and counted in dropped_requests. */
 static void
-inject_fault(Run *r, Fault *f)
+send_request(Run *r, TeamRun *t, uint32_t team, double at_s)
 {
-    gboolean primary = strcmp(f->target, "primary") == 0;
-    char *target =
-        primary ? current_primary(r, f->database) : g_strdup(f->target);
+    int32_t domain;
+    EntryLink *l = pick_caller(r, t, at_s, &domain);
+    struct evhttp_connection *connection = acquire_connection(l);
+    uint32_t kind = pick_kind(r, t->load);
+    const Kind *k = g_ptr_array_index(r->experiment->kinds, kind);
+    uint64_t sent_us = now_us();
+    gboolean measured = sent_us >= r->measure_start_us;
+    Record *record = g_new0(Record, 1);
 
-    if (strcmp(f->kind, "signal") == 0 && primary) {
-        char *name = g_strdup_printf("standin-%s-%s", f->database, target);
-        signal_process(r, name, f->signal);
-        g_free(name);
+    *record = (Record){.team = team,
+                       .kind = kind,
+                       .domain = domain,
+                       .write = k->write,
+                       .measured = measured,
+                       .sent_us = sent_us,
+                       .outcome = kOutcomeUnknown};
+    g_ptr_array_add(r->records, record);
+    if (measured) {
+        t->offered++;
     }
-    else if (strcmp(f->kind, "signal") == 0) {
-        signal_process(r, target, f->signal);
+    if (connection == NULL) {
+        record->outcome = kOutcomeNotSent;
+        r->dropped_requests++;
+        return;
     }
-    else {
-        const char *address = member_command_address(r, f->database, target);
-        if (address != NULL) {
-            post_fault(r, address, f->body);
-        }
+    InFlightRequest *f = g_new0(InFlightRequest, 1);
+    *f = (InFlightRequest){.run = r,
+                           .team = t,
+                           .link = l,
+                           .connection = connection,
+                           .session = acquire_session(r, t),
+                           .kind = k,
+                           .record = record,
+                           .step = kStepSingle};
+    if (record->write) {
+        record->write_id = g_strdup_printf("%s-%" G_GUINT64_FORMAT, r->run_id,
+                                           ++r->write_count);
+    }
+    f->sent_id = g_strdup(record->write ? record->write_id
+                          : f->session->last_write_id == NULL
+                              ? "none"
+                              : f->session->last_write_id);
+    record->service = f->session->service;
+    r->in_flight++;
+    if (draw_percent(r, k->idle_percent)) {
+        f->step = kStepOpen;
     }
-    if (r->first_fault_us == 0) {
-        r->first_fault_us = now_us();
+    else if (draw_percent(r, k->give_up_percent)) {
+        start_timer(f, on_give_up, k->give_up_after_ms);
     }
-    f->done = TRUE;
-    g_free(target);
+    send_step(f);
 }
 
 /* ---- main loop ---- */
 
-/* Sends the requests whose arrival time has come.  The gaps between arrivals
- * are exponentially distributed (a Poisson process per team); arrivals outside
- * the team's time range are skipped. */
+/* Sends the requests whose arrival time has come.  The arrivals of a team are
+ * a Poisson process of its peak rate; each is kept with the probability that
+ * makes the rate the offered one (thinning, Lewis and Shedler 1979).  In the
+ * warm-up the load is that of the start of the measured part. */
 static void
 send_due_requests(Run *r, uint64_t at_us)
 {
@@ -556,30 +646,19 @@
                       : (double)(at_us - r->measure_start_us) / 1000000;
     for (guint i = 0; i < r->teams->len; i++) {
         TeamRun *t = g_ptr_array_index(r->teams, i);
+        double now_per_s =
+            offered_per_s(r->experiment, t->load, r->domains, t->domain, at_s);
         while (t->next_arrival_us <= at_us) {
-            double gap =
-                -log(1 - g_rand_double(r->rand)) / t->load->offered_per_s;
+            double gap = -log(1 - g_rand_double(r->rand)) / t->peak_per_s;
             t->next_arrival_us += (uint64_t)(gap * 1000000) + 1;
-            if (at_s >= t->load->begin_s && at_s < t->load->end_s) {
-                send_request(r, t, i);
+            if (now_per_s >= t->peak_per_s ||
+                g_rand_double(r->rand) * t->peak_per_s < now_per_s) {
+                send_request(r, t, i, at_s);
             }
         }
     }
 }
 
-/* Injects the faults whose time has come. */
-static void
-inject_due_faults(Run *r, uint64_t at_us)
-{
-    for (guint i = 0; i < r->experiment->faults->len; i++) {
-        Fault *f = g_ptr_array_index(r->experiment->faults, i);
-        if (!f->done &&
-            at_us >= r->measure_start_us + (uint64_t)(f->at_s * 1000000)) {
-            inject_fault(r, f);
-        }
-    }
-}
-
 /* Runs health checks, requests and faults.  After the end of the measured
  * part, stops the loop once no request is in flight or kMaxDrainS has
  * elapsed. */
@@ -596,7 +675,7 @@
     }
     if (at_us < r->end_us) {
         send_due_requests(r, at_us);
-        inject_due_faults(r, at_us);
+        faults_inject_due(r, at_us);
         return;
     }
     if (r->in_flight == 0 ||
@@ -659,9 +738,21 @@
     return ok;
 }
 
-/* Adds an entry instance, given as host:port. */
+/* Returns the index of a failure domain, which is added if it is new. */
+static int32_t
+domain_index(Run *r, const char *name)
+{
+    guint i;
+    if (!g_ptr_array_find_with_equal_func(r->domains, name, g_str_equal, &i)) {
+        g_ptr_array_add(r->domains, g_strdup(name));
+        i = r->domains->len - 1;
+    }
+    return (int32_t)i;
+}
+
+/* Adds an entry instance, given as host:port, and its failure domain. */
 static void
-add_entry(Run *r, const char *address)
+add_entry(Run *r, const char *address, const char *domain)
 {
     char **parts = g_strsplit(address, ":", 2);
     EntryLink *l = g_new0(EntryLink, 1);
@@ -670,15 +761,30 @@
     l->port = (uint16_t)g_ascii_strtoull(parts[1], NULL, 10);
     l->address = g_strdup(address);
     l->healthy = TRUE;
+    l->domain = domain_index(r, domain);
     g_queue_init(&l->idle);
     g_ptr_array_add(r->entries, l);
     g_strfreev(parts);
 }
 
+/* Returns the failure domain of a team's preferred entry instance, -1 if it
+ * has none. */
+static int32_t
+preferred_domain(const Run *r, const TeamLoad *t)
+{
+    if (t->entry < 0) {
+        return -1;
+    }
+    const EntryLink *l =
+        g_ptr_array_index(r->entries, (guint)t->entry % r->entries->len);
+    return l->domain;
+}
+
 /* Prepares a run: issues a key to every team, waits kKeyPropagationUs for the
  * keys to reach the entry instances, and sets the times of the run and of the
  * first arrivals.  The run must have its experiment, endpoints and client.
- * Returns FALSE and sets error when a key cannot be issued. */
+ * Returns FALSE and sets error when a key cannot be issued, or when the fleet
+ * lacks what the experiment needs. */
 gboolean
 run_start(Run *r, GError **error)
 {
@@ -696,16 +802,21 @@
     r->entries = g_ptr_array_new();
     r->teams = g_ptr_array_new_with_free_func(team_run_free);
     r->records = g_ptr_array_new_with_free_func(record_free);
-    r->second_count = (uint32_t)x->duration_s + 1;
-    r->seconds = g_new0(SecondCounts, r->second_count);
+    r->domains = g_ptr_array_new_with_free_func(g_free);
     json_array_foreach(json_object_get(r->endpoints, "entries"), i, entry)
     {
-        add_entry(r, json_text_or(entry, "address", ""));
+        add_entry(r, json_text_or(entry, "address", ""),
+                  json_text_or(entry, "failure_domain", "unknown"));
+    }
+    if (!fleet_check(r, error)) {
+        return FALSE;
     }
     for (guint k = 0; k < x->teams->len; k++) {
         TeamRun *t = g_new0(TeamRun, 1);
         t->load = g_ptr_array_index(x->teams, k);
         t->sessions = g_ptr_array_new_with_free_func(session_free);
+        t->domain = preferred_domain(r, t->load);
+        t->peak_per_s = offered_peak_per_s(x, t->load, r->domains, t->domain);
         g_ptr_array_add(r->teams, t);
         if (!issue_key(r, t, error)) {
             return FALSE;
@@ -729,7 +840,7 @@
     g_hash_table_destroy(r->failure_counts);
     g_ptr_array_unref(r->teams);
     g_ptr_array_unref(r->records);
-    g_free(r->seconds);
+    g_ptr_array_unref(r->domains);
     g_free(r->run_id);
     g_rand_free(r->rand);
 }
--- a/src/tools/load/run.h
+++ b/src/tools/load/run.h
@@ -6,23 +6,20 @@
 #include "core/metrics.h"
 #include "experiment.h"
 #include "sapphireweir/ctl/client.h"
-
-/* Outcome of a request, from the status and body of its response. */
-typedef enum {
-    kOutcomeDone,
-    kOutcomeNotRun,      /* refused, and reported as certainly not run */
-    kOutcomeRateLimited, /* refused by the team's rate limit */
-    kOutcomeUnknown,     /* reported as unknown, or no response */
-} Outcome;
+#include "tally.h"
 
 /* One request with its result; kept for the checks after the run.  Times are
  * of the monotonic clock. */
 typedef struct {
-    uint32_t team; /* index in the run's teams */
+    uint32_t team;  /* index in the run's teams */
+    uint32_t kind;  /* index in the experiment's kinds */
+    int32_t domain; /* of the caller, index in the run's domains */
     gboolean write;
     gboolean measured; /* sent after the warm-up */
     uint64_t sent_us;
-    uint64_t response_us; /* response or timeout, zero: neither so far */
+    uint64_t response_us; /* response, timeout or giving up; zero: none so
+                           * far */
+    uint64_t idle_us;     /* that the caller left its transaction idle */
     Outcome outcome;
     char *write_id;      /* unique value that the write stores; NULL: a read */
     const char *service; /* borrowed from the experiment */
@@ -41,6 +38,8 @@
 typedef struct {
     const TeamLoad *load;
     char *key;                /* API key that the run issued to the team */
+    int32_t domain;           /* of all its callers; -1: any */
+    double peak_per_s;        /* most that it offers at any time */
     uint64_t next_arrival_us; /* when the next request is sent */
     GPtrArray *sessions;      /* LoadSession */
     Histogram latency;        /* of the requests done, in microseconds */
@@ -54,13 +53,6 @@
     uint64_t foreign_rows; /* with a write id other than the requested one */
 } TeamRun;
 
-/* Responses within one second, for the plot. */
-typedef struct {
-    uint32_t writes_done;
-    uint32_t reads_done;
-    uint32_t not_done; /* every outcome other than done */
-} SecondCounts;
-
 /* State and results of one run. */
 typedef struct {
     struct event_base *base;
@@ -68,11 +60,10 @@
     json_t *endpoints;
     Client client;
     GRand *rand;
-    GPtrArray *entries;    /* EntryLink */
-    GPtrArray *teams;      /* TeamRun */
-    GPtrArray *records;    /* Record */
-    SecondCounts *seconds; /* one element per second of the measured part */
-    uint32_t second_count;
+    GPtrArray *entries; /* EntryLink */
+    GPtrArray *teams;   /* TeamRun */
+    GPtrArray *records; /* Record */
+    GPtrArray *domains; /* names of the entries' failure domains */
     uint64_t measure_start_us;
     uint64_t end_us;    /* end of the measured part */
     uint32_t in_flight; /* requests without a response so far */
@@ -93,9 +84,15 @@
 
 gboolean run_start(Run *r, GError **error);
 void run_loop(Run *r);
-void run_clear_service_time(Run *r);
 void run_clear(Run *r);
 
+/* fleet.c */
+gboolean fleet_check(Run *r, GError **error);
+
+/* faults.c */
+void faults_inject_due(Run *r, uint64_t at_us);
+void faults_clear_service_time(Run *r);
+
 /* check.c */
 void check_writes(Run *r);
 void check_rates(Run *r);
@@ -111,6 +108,9 @@
 json_t *report_make(Run *r, const RunCounters *before,
                     const RunCounters *after);
 void report_print(const json_t *report);
-gboolean report_plot(const Run *r, const char *path);
+
+/* classes.c */
+void classes_add(const Run *r, json_t *report);
+void classes_print(const json_t *report);
 
 #endif
