Leave items of lower priority out of a queue's expected wait

Cause: fair_queue_wait_us added the cost of all queued items of the request's team, also of those that the request goes before because of its worth. Under overload an owner refused urgent requests ("the deadline cannot be met") for the time that less urgent requests of their team would wait.

Change: only items of the same or a higher priority count.

Result: unit test "the wait leaves out items of lower priority".

--- a/src/sapphireweir/core/fair_queue.c
+++ b/src/sapphireweir/core/fair_queue.c
@@ -225,15 +225,34 @@
     return q->length;
 }
 
+/* Returns the cost of the entries that go before a new one of a priority. */
+static uint64_t
+team_queue_cost_before_us(const TeamQueue *t, uint32_t priority)
+{
+    uint64_t cost_us = t->queued_us;
+    for (const GList *l = t->entries.tail; l != NULL; l = l->prev) {
+        const QueueEntry *e = l->data;
+        if (e->priority >= priority) {
+            break;
+        }
+        cost_us -= e->cost_us;
+    }
+    return cost_us;
+}
+
 /* Returns the estimated service time in microseconds that is granted before a
- * new item of the team starts: the costs of all queued items of the team
- * itself, and of each other team as much as its weight entitles it to
- * meanwhile. */
+ * new item of the team starts: the costs of the team's own queued items of the
+ * same or a higher priority, and of each other team as much as its weight
+ * entitles it to meanwhile.  Items of a lower priority are left out since the
+ * new item goes before them; with them, urgent requests were refused for the
+ * time that less urgent ones of their team would wait. */
 uint64_t
-fair_queue_wait_us(const FairQueue *q, const char *team, uint32_t weight)
+fair_queue_wait_us(const FairQueue *q, const char *team, uint32_t weight,
+                   uint32_t priority)
 {
     TeamQueue *own = g_hash_table_lookup(q->teams, team);
-    uint64_t own_us = own == NULL ? 0 : own->queued_us;
+    uint64_t own_us =
+        own == NULL ? 0 : team_queue_cost_before_us(own, priority);
     uint64_t wait_us = own_us;
 
     weight = MAX(weight, 1);
--- a/src/sapphireweir/core/fair_queue.h
+++ b/src/sapphireweir/core/fair_queue.h
@@ -18,6 +18,6 @@
                       const void *ctx);
 uint32_t fair_queue_length(const FairQueue *q);
 uint64_t fair_queue_wait_us(const FairQueue *q, const char *team,
-                            uint32_t weight);
+                            uint32_t weight, uint32_t priority);
 
 #endif
--- a/src/sapphireweir/core/pool.c
+++ b/src/sapphireweir/core/pool.c
@@ -441,7 +441,8 @@
 {
     const DatabaseInfo *d = pool_database(p);
     uint64_t wait_us =
-        fair_queue_wait_us(p->queue, r->team, weight) / MAX(d->slots, 1);
+        fair_queue_wait_us(p->queue, r->team, weight, r->worth) /
+        MAX(d->slots, 1);
     return wait_us + p->service_us < r->deadline_us;
 }
 
--- a/test/unit/test_fair_queue.c
+++ b/test/unit/test_fair_queue.c
@@ -92,13 +92,37 @@
     }
     /* A team without queued items waits for about one item of the other team,
      * whose items cost 1000 us each. */
-    CU_ASSERT(fair_queue_wait_us(q, "quiet", 1) <= 2000);
-    CU_ASSERT(fair_queue_wait_us(q, "loud", 1) >= 500000);
+    CU_ASSERT(fair_queue_wait_us(q, "quiet", 1, 1) <= 2000);
+    CU_ASSERT(fair_queue_wait_us(q, "loud", 1, 1) >= 500000);
     CU_ASSERT(fair_queue_remove(q, item_a));
     CU_ASSERT_EQUAL(fair_queue_length(q), 499);
     fair_queue_free(q);
 }
 
+/* Requests that go before the rest of their team must not be refused for the
+ * rest's wait. */
+static void
+the_wait_leaves_out_items_of_lower_priority(void)
+{
+    static const struct {
+        uint32_t priority;
+        uint64_t expected_us;
+    } cases[] = {{1, 500000}, {2, 3000}, {3, 3000}, {4, 0}};
+    FairQueue *q = fair_queue_new(1000);
+
+    for (int i = 0; i < 497; i++) {
+        fair_queue_push(q, "a", 1, 1, 1000, item_a);
+    }
+    for (int i = 0; i < 3; i++) {
+        fair_queue_push(q, "a", 1, 3, 1000, item_b);
+    }
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        CU_ASSERT_EQUAL(fair_queue_wait_us(q, "a", 1, cases[i].priority),
+                        cases[i].expected_us);
+    }
+    fair_queue_free(q);
+}
+
 void
 add_fair_queue_suite(void)
 {
@@ -109,6 +133,8 @@
                 a_full_team_queue_does_not_block_other_teams);
     CU_add_test(s, "items of higher priority go first in a team",
                 items_of_higher_priority_go_first_in_a_team);
+    CU_add_test(s, "the wait leaves out items of lower priority",
+                the_wait_leaves_out_items_of_lower_priority);
     CU_add_test(s, "a team without queued items waits briefly",
                 a_team_without_queued_items_waits_briefly);
 }
