Refuse forwarded requests of an unknown verb

Cause: a control instance answered any forwarded request that is neither a document to store nor an order as a read, with 200 and the document. A verb of another release was thus taken for done by its origin.

Change: it answers 400, changes nothing and counts forwards_refused_total.

Result: the test 'fleet simulation / unknown forwarded requests are refused' fails without the check and passes with it.

--- a/src/sapphireweir/fleet/director_internal.h
+++ b/src/sapphireweir/fleet/director_internal.h
@@ -242,6 +242,7 @@
     Evacuations evacuations;
     GHashTable *orders;          /* domain -> DomainOrders, owned */
     uint64_t evacuation_changes; /* effective orders applied */
+    uint64_t forwards_refused;   /* forwarded requests of an unknown verb */
     uint64_t replayed_index;     /* last log index at the start */
 
     GHashTable *entries; /* id -> EntryState, owned */
--- a/src/sapphireweir/fleet/director_metrics.c
+++ b/src/sapphireweir/fleet/director_metrics.c
@@ -33,6 +33,7 @@
     counter_write_text("domains_evacuated", evacuations_count(&d->evacuations),
                        out);
     counter_write_text("evacuation_changes_total", d->evacuation_changes, out);
+    counter_write_text("forwards_refused_total", d->forwards_refused, out);
     counter_write_text("changes_under_way", g_hash_table_size(d->changes),
                        out);
     counter_write_text("rate_tokens_granted_total", d->rate_counters.granted,
--- a/src/sapphireweir/fleet/director_requests.c
+++ b/src/sapphireweir/fleet/director_requests.c
@@ -11,9 +11,14 @@
     kOperatorTimeoutUs = 1500000, /* clients give up after about a second */
     kHttpOk = 200,
     kHttpNotModified = 304, /* the origin has the newest document */
+    kHttpBadRequest = 400,
     kHttpUnavailable = 503,
 };
 
+/* Verbs of forwarded requests. */
+static const char kPutVerb[] = "document-put";
+static const char kGetVerb[] = "document-get";
+
 /* Frees an OperatorRequest; usable as a GDestroyNotify. */
 void
 operator_request_free(void *request)
@@ -102,7 +107,7 @@
         r->version = d->document_version;
     }
     g_snprintf(version, sizeof(version), "%" G_GUINT64_FORMAT, r->version);
-    m.verb = r->kind == kRequestPut ? "document-put" : "document-get";
+    m.verb = (char *)(r->kind == kRequestPut ? kPutVerb : kGetVerb);
     m.key = version;
     if (r->text != NULL) {
         m.body.data = (uint8_t *)g_bytes_get_data(r->text, &m.body.len);
@@ -282,16 +287,40 @@
     }
 }
 
+/* Refuses a forwarded request whose verb this release does not know, such as
+ * one of a later release.  Its origin must not take an answer to something
+ * else for its own. */
+static void
+refuse_forwarded(Director *d, const char *from, uint64_t id)
+{
+    static const char text[] = "unknown request";
+    Sw__Frame frame = SW__FRAME__INIT;
+    Sw__AdminReply reply = SW__ADMIN_REPLY__INIT;
+
+    d->forwards_refused++;
+    reply.status = kHttpBadRequest;
+    reply.body.data = (uint8_t *)text;
+    reply.body.len = strlen(text);
+    frame.request_id = id;
+    frame.body_case = SW__FRAME__BODY_ADMIN_REPLY;
+    frame.admin_reply = &reply;
+    d->port.send(d->port.ctx, from, &frame);
+}
+
 /* Handles a request that another control instance forwarded. */
 static void
 handle_forwarded(Director *d, uint64_t now_us, const char *from, uint64_t id,
                  const Sw__AdminRequest *m)
 {
-    gboolean put = strcmp(m->verb, "document-put") == 0;
+    gboolean put = strcmp(m->verb, kPutVerb) == 0;
 
     if (director_order_handle(d, now_us, from, id, m)) {
         return;
     }
+    if (!put && strcmp(m->verb, kGetVerb) != 0) {
+        refuse_forwarded(d, from, id);
+        return;
+    }
     OperatorRequest *r =
         operator_request_add(d, now_us, put ? kRequestPut : kRequestGet);
     r->origin = g_strdup(from);
--- a/test/support/fleet_sim.c
+++ b/test/support/fleet_sim.c
@@ -38,6 +38,7 @@
     kProbeIntervalUs = 1000000, /* of the load balancer */
     /* Of a stopping entry instance's grace: its process ends then. */
     kMaxDrainPercent = 95,
+    kForwardId = 1 << 30, /* of requests of fleet_sim_forward */
 };
 
 /* A committed write in the log of a backend server. */
@@ -196,6 +197,7 @@
     /* Bandwidth of each entry instance's link, zero: unlimited. */
     uint64_t link_bytes_per_s;
     GBytes *last_read;       /* by fleet_sim_read_document, NULL: no reply */
+    uint32_t forward_status; /* of the last fleet_sim_forward, or zero */
     uint32_t padding_routes; /* further routes in the document's text */
     Traffic traffic;         /* between all instances */
     uint64_t version;        /* of the last document sent */
@@ -962,6 +964,16 @@
             1) != 0;
 }
 
+/* Records the reply to fleet_sim_forward. */
+static void
+record_reply(FleetSim *sim, const Sw__Frame *f)
+{
+    if (f->body_case == SW__FRAME__BODY_ADMIN_REPLY &&
+        f->request_id == kForwardId) {
+        sim->forward_status = f->admin_reply->status;
+    }
+}
+
 /* Passes a frame to its recipient, unless a partition drops it. */
 static void
 packet_arrive(FleetSim *sim, void *data)
@@ -971,6 +983,7 @@
     if (reachable(sim, packet->from_domain, packet->to_domain) &&
         !is_split(sim, packet->from, packet->to) &&
         !is_cut(sim, packet->from, packet->to)) {
+        record_reply(sim, packet->frame);
         for (uint32_t i = 0; i < kFleetSimControls; i++) {
             ControlInstance *c = &sim->controls[i];
             if (c->director != NULL && strcmp(c->id, packet->to) == 0) {
@@ -1985,6 +1998,30 @@
     director_flush(c->director, sim->now_us);
 }
 
+/* Sends the control leader a request as another control instance forwards it,
+ * and runs until the reply.  Returns its status, zero if there is none within
+ * two seconds. */
+uint32_t
+fleet_sim_forward(FleetSim *sim, const char *verb, const char *key)
+{
+    uint32_t leader = (uint32_t)fleet_sim_control_leader(sim);
+    Sw__Frame frame = SW__FRAME__INIT;
+    Sw__AdminRequest m = SW__ADMIN_REQUEST__INIT;
+
+    m.verb = (char *)verb;
+    m.key = (char *)key;
+    frame.request_id = kForwardId;
+    frame.body_case = SW__FRAME__BODY_ADMIN_REQUEST;
+    frame.admin_request = &m;
+    sim->forward_status = 0;
+    packet_send(sim, sim->controls[(leader + 1) % kFleetSimDomains].id,
+                sim->controls[leader].id, &frame);
+    for (uint32_t ms = 0; ms < 2000 && sim->forward_status == 0; ms += 20) {
+        fleet_sim_run(sim, 20);
+    }
+    return sim->forward_status;
+}
+
 /* Returns the text of the last successful read, NULL if there is none. */
 const char *
 fleet_sim_last_read(const FleetSim *sim)
--- a/test/support/fleet_sim.h
+++ b/test/support/fleet_sim.h
@@ -114,6 +114,7 @@
 void fleet_sim_set_link_bandwidth(FleetSim *sim, uint64_t bytes_per_s);
 void fleet_sim_add_routes(FleetSim *sim, uint32_t count);
 void fleet_sim_read_document(FleetSim *sim, uint32_t control);
+uint32_t fleet_sim_forward(FleetSim *sim, const char *verb, const char *key);
 const char *fleet_sim_last_read(const FleetSim *sim);
 const char *fleet_sim_sent_document(const FleetSim *sim);
 uint64_t fleet_sim_oldest_version(const FleetSim *sim);
--- a/test/unit/test_fleet_sim.c
+++ b/test/unit/test_fleet_sim.c
@@ -1115,6 +1115,38 @@
     fleet_sim_free(sim);
 }
 
+/* Guards against a request of another release that is answered as a read, so
+ * that its origin takes it for done. */
+static void
+unknown_forwarded_requests_are_refused(void)
+{
+    static const struct {
+        const char *verb;
+        const char *key;
+        uint32_t status;
+    } cases[] = {
+        {"document-get", "0", 200},  {"document-drop", "0", 400},
+        {"document-get ", "0", 400}, {"", "", 400},
+        {"member-add", "c9", 400},   {"document-put", "0", 200},
+    };
+    FleetSim *sim = fleet_sim_new(3);
+    uint64_t refused = 0;
+
+    fleet_sim_run(sim, 2000);
+    uint32_t leader = (uint32_t)fleet_sim_control_leader(sim);
+    uint64_t version = fleet_sim_acked_version(sim);
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        uint32_t status = fleet_sim_forward(sim, cases[i].verb, cases[i].key);
+        CU_ASSERT_EQUAL(status, cases[i].status);
+        refused += cases[i].status == 400;
+    }
+    CU_ASSERT_EQUAL(
+        fleet_sim_control_metric(sim, leader, "forwards_refused_total"),
+        refused);
+    CU_ASSERT_EQUAL(fleet_sim_acked_version(sim), version);
+    fleet_sim_free(sim);
+}
+
 /* A control instance joins that takes 0.4 s for each frame, and the others no
  * longer have the first entries of the log.  It gets the snapshot once, though
  * it answers earlier rounds meanwhile; as much again is allowed for the
@@ -1368,6 +1400,8 @@
                 an_instance_that_starts_in_a_storm_gets_a_configuration);
     CU_add_test(s, "a slow instance gets the log once",
                 a_slow_instance_gets_the_log_once);
+    CU_add_test(s, "unknown forwarded requests are refused",
+                unknown_forwarded_requests_are_refused);
     CU_add_test(s, "a slow instance gets the snapshot once",
                 a_slow_instance_gets_the_snapshot_once);
     CU_add_test(s, "the log of many large versions stays small",
