Test cold servers and regions with the platform's own programs

Cause: slow start and limits by region were tested in simulations and with single instances only, not with the programs and their connections.

Change: the emulator restarts members as new runs that state cold-left-ms, counts the commands that arrive within a second, and takes regions of the failure domains. The suite 'cold servers and regions' of platform_tests checks the bound of a cold server over both entry processes, that limited statements of routes and teams stay inside, that an owner outside is not used, and that what no server inside can run is refused at once with the reason. platform_tests takes the name of a suite.

--- a/test/platform/emulator.c
+++ b/test/platform/emulator.c
@@ -25,6 +25,7 @@
     kHttpTimeoutMs = 3000,
     kMemberSlots = 3, /* concurrent statements that a member reports */
     kDefaultRatePerS = 200,
+    kBornMs = 1000, /* first run of a member */
 };
 
 /* An emulated database server. */
@@ -42,6 +43,9 @@
     GPtrArray *log;          /* char *: datum of each committed write */
     GPtrArray *clients;      /* of Client */
     uint32_t statements;     /* reads, writes and commits received */
+    uint32_t born;           /* start of its run, as it reports it */
+    gint64 cold_until_us;    /* of its run, as it reports it */
+    GArray *arrivals_us;     /* gint64: when commands of callers arrived */
     struct event *heartbeat; /* periodic timer */
 } Member;
 
@@ -74,6 +78,7 @@
     struct event_base *base;
     char *folder;
     const char *limits; /* "limits" in boot files, JSON text; not owned */
+    const char *zones;  /* "zones" in boot files, as limits */
     Member members[kEmulatorMembers];
     struct evhttp *platform_http; /* receives promotion requests */
     char platform_address[32];
@@ -343,6 +348,19 @@
     return TRUE;
 }
 
+/* Records the time of a command that counts in the limit of a cold server: all
+ * but those of control instances. */
+static void
+count_arrival(Member *m, const char *text)
+{
+    gint64 now_us = g_get_monotonic_time();
+
+    if (!g_str_has_prefix(text, "STATUS") &&
+        !g_str_has_prefix(text, "STEPDOWN")) {
+        g_array_append_val(m->arrivals_us, now_us);
+    }
+}
+
 /* Runs a statement, or holds it back for the statement delay if a caller sent
  * it.  Returns FALSE when the client was freed. */
 static gboolean
@@ -357,6 +375,7 @@
         return FALSE;
     }
     *text++ = '\0';
+    count_arrival(c->member, text);
     g_hash_table_add(e->received_ids, g_strdup(id));
     if (strcmp(id, "-") == 0 || e->statement_delay_ms == 0) {
         return run_query(c, text);
@@ -550,6 +569,7 @@
     Member *m = ctx;
     char path[64];
     char body[400];
+    gint64 cold_us = m->cold_until_us - g_get_monotonic_time();
 
     (void)fd;
     (void)events;
@@ -561,11 +581,12 @@
     g_snprintf(body, sizeof(body),
                "{\"service\":\"orders\",\"addr\":\"%s\",\"zone\":\"z%u\","
                "\"version\":\"v1\",\"slots\":%d,\"state\":\"%s\","
-               "\"cold-left-ms\":0,\"db-role\":\"%s\",\"sequence\":%lu,"
+               "\"cold-left-ms\":%ld,\"db-role\":\"%s\",\"sequence\":%lu,"
                "\"born\":%u}",
                m->address, m->index, kMemberSlots,
                m->draining ? "draining" : "ready",
-               m->primary ? "primary" : "replica", m->sequence, 1000);
+               (long)(MAX(cold_us, 0) / 1000),
+               m->primary ? "primary" : "replica", m->sequence, m->born);
     struct evhttp_connection *c = send_http_request(
         m->e, m->e->control_addresses[m->sequence % kEmulatorControls], "PUT",
         path, body, on_heartbeat_response, NULL);
@@ -681,6 +702,8 @@
     m->running = TRUE;
     m->primary = i == 0;
     m->term = 1;
+    m->born = kBornMs;
+    m->arrivals_us = g_array_new(FALSE, FALSE, sizeof(gint64));
     m->log = g_ptr_array_new_with_free_func(g_free);
     m->clients = g_ptr_array_new();
     g_snprintf(m->id, sizeof(m->id), "i-%u", i);
@@ -737,18 +760,19 @@
               const char *listen, const char *data)
 {
     char *boot_path = g_strdup_printf("%s/%s.json", e->folder, name);
-    char *text = g_strdup_printf(
-        "{\"node-name\":\"%s\",\"ip\":\"%s\",\"zone\":\"z%u\","
-        "\"listen\":{%s},\"port-range\":[%u,%u],"
-        "\"seeds\":[\"%s\",\"%s\",\"%s\"],\"bootstrap\":true,"
-        "\"fault-tolerance\":{\"machines\":1},"
-        "\"bounds\":{\"grace-s\":6,\"quota-window-s\":5},"
-        "\"zones\":{\"z0\":\"r\",\"z1\":\"r\",\"z2\":\"r\"},"
-        "\"limits\":%s,"
-        "\"data-dir\":%s,\"cloud\":{\"addr\":\"%s\"}}",
-        name, ip, domain, listen, peer_port, peer_port,
-        e->control_addresses[0], e->control_addresses[1],
-        e->control_addresses[2], e->limits, data, e->platform_address);
+    char *text =
+        g_strdup_printf("{\"node-name\":\"%s\",\"ip\":\"%s\",\"zone\":\"z%u\","
+                        "\"listen\":{%s},\"port-range\":[%u,%u],"
+                        "\"seeds\":[\"%s\",\"%s\",\"%s\"],\"bootstrap\":true,"
+                        "\"fault-tolerance\":{\"machines\":1},"
+                        "\"bounds\":{\"grace-s\":6,\"quota-window-s\":5},"
+                        "\"zones\":%s,"
+                        "\"limits\":%s,"
+                        "\"data-dir\":%s,\"cloud\":{\"addr\":\"%s\"}}",
+                        name, ip, domain, listen, peer_port, peer_port,
+                        e->control_addresses[0], e->control_addresses[1],
+                        e->control_addresses[2], e->zones, e->limits, data,
+                        e->platform_address);
 
     g_assert(g_file_set_contents(boot_path, text, -1, NULL));
     pid_t pid = spawn_program(program, boot_path, FALSE);
@@ -813,10 +837,11 @@
     }
 }
 
-/* As emulator_start, with the given "limits" in the boot files: a JSON text,
- * which must outlive the emulator. */
+/* As emulator_start, with the given "zones" (regions by failure domain) and
+ * "limits" in the boot files: JSON texts, which must outlive the emulator. */
 Emulator *
-emulator_start_with_limits(const char *folder, const char *limits)
+emulator_start_with_settings(const char *folder, const char *zones,
+                             const char *limits)
 {
     Emulator *e = g_new0(Emulator, 1);
     uint16_t port = free_port("127.0.0.1");
@@ -825,6 +850,7 @@
     e->base = event_base_new();
     e->rate_per_s = kDefaultRatePerS;
     e->folder = g_strdup(folder);
+    e->zones = zones;
     e->limits = limits;
     g_mkdir_with_parents(folder, 0700);
     remove_old_data(folder);
@@ -843,6 +869,14 @@
     return e;
 }
 
+/* As emulator_start, with the given "limits" in the boot files. */
+Emulator *
+emulator_start_with_limits(const char *folder, const char *limits)
+{
+    return emulator_start_with_settings(
+        folder, "{\"z0\":\"r\",\"z1\":\"r\",\"z2\":\"r\"}", limits);
+}
+
 /* Starts the HTTP server for promotion requests, the members and the programs.
  * Boot files, logs and data go into folder.  The caller calls
  * emulator_free. */
@@ -884,6 +918,7 @@
         evconnlistener_free(m->listener);
         g_ptr_array_unref(m->clients);
         g_ptr_array_unref(m->log);
+        g_array_unref(m->arrivals_us);
     }
     evhttp_free(e->platform_http);
     event_base_free(e->base);
@@ -1011,14 +1046,32 @@
     return TRUE;
 }
 
-/* Puts a small configuration, retrying at the next control instance up to
- * 40 times until one answers 200.  The configuration accepts "key-1", or
+/* Puts a configuration, retrying at the next control instance up to 40 times
+ * until one answers 200.  Returns the last status. */
+int
+emulator_put_text(Emulator *e, const char *body)
+{
+    HttpResponse response = {0};
+
+    for (uint32_t i = 0; i < 40 && response.status != 200; i++) {
+        g_free(response.body);
+        response = emulator_http_request(
+            e, e->control_addresses[i % kEmulatorControls], "PUT", "/config",
+            body);
+        if (response.status != 200) {
+            emulator_run_for(e, 100);
+        }
+    }
+    g_free(response.body);
+    return response.status;
+}
+
+/* Puts a small configuration, as emulator_put_text.  It accepts "key-1", or
  * "key-2" without with_key.  Returns the last status with the document that
  * was sent as body, which the caller frees. */
 HttpResponse
 emulator_put_document(Emulator *e, uint32_t version, gboolean with_key)
 {
-    HttpResponse response = {0};
     char *body = g_strdup_printf(
         "{\"version\":%u,\"routes\":[{\"name\":\"r\",\"host\":\"shop\","
         "\"path-prefix\":\"/\",\"kind\":\"read_your_writes\","
@@ -1030,18 +1083,7 @@
         "\"api-keys\":[\"%s\"],\"rate-per-s\":%u,\"burst\":%u}]}",
         version, with_key ? "key-1" : "key-2", e->rate_per_s, e->rate_per_s);
 
-    for (uint32_t i = 0; i < 40 && response.status != 200; i++) {
-        g_free(response.body);
-        response = emulator_http_request(
-            e, e->control_addresses[i % kEmulatorControls], "PUT", "/config",
-            body);
-        if (response.status != 200) {
-            emulator_run_for(e, 100);
-        }
-    }
-    g_free(response.body);
-    response.body = body;
-    return response;
+    return (HttpResponse){emulator_put_text(e, body), body};
 }
 
 /* Evacuates or restores the failure domain of a member, retrying at the next
@@ -1114,6 +1156,46 @@
     }
 }
 
+/* Starts a member again as a new run, which closes its connections and reports
+ * that it stays cold for cold_ms. */
+void
+emulator_restart_member(Emulator *e, uint32_t i, uint32_t cold_ms)
+{
+    Member *m = &e->members[i];
+
+    emulator_set_member_running(e, i, FALSE);
+    m->born++;
+    m->cold_until_us = g_get_monotonic_time() + (gint64)cold_ms * 1000;
+    g_array_set_size(m->arrivals_us, 0);
+    emulator_set_member_running(e, i, TRUE);
+}
+
+/* Returns how many commands arrived at a member within any second since it was
+ * started, or since emulator_clear_arrivals. */
+uint32_t
+emulator_max_arrivals(const Emulator *e, uint32_t i)
+{
+    const GArray *all = e->members[i].arrivals_us;
+    guint first = 0;
+    guint most = 0;
+
+    for (guint k = 0; k < all->len; k++) {
+        while (g_array_index(all, gint64, first) + G_USEC_PER_SEC <=
+               g_array_index(all, gint64, k)) {
+            first++;
+        }
+        most = MAX(most, k - first + 1);
+    }
+    return most;
+}
+
+/* Begins the count of emulator_max_arrivals anew. */
+void
+emulator_clear_arrivals(Emulator *e, uint32_t i)
+{
+    g_array_set_size(e->members[i].arrivals_us, 0);
+}
+
 /* Makes a member report the state "draining" from its next heartbeat on, and
  * resets the counter of emulator_statements_after_drain. */
 void
--- a/test/platform/emulator.h
+++ b/test/platform/emulator.h
@@ -32,6 +32,8 @@
 
 Emulator *emulator_start(const char *folder);
 Emulator *emulator_start_with_limits(const char *folder, const char *limits);
+Emulator *emulator_start_with_settings(const char *folder, const char *zones,
+                                       const char *limits);
 void emulator_free(Emulator *e);
 void emulator_run_for(Emulator *e, uint32_t duration_ms);
 
@@ -45,6 +47,7 @@
 HttpResponse emulator_http_request(Emulator *e, const char *address,
                                    const char *method, const char *path,
                                    const char *body);
+int emulator_put_text(Emulator *e, const char *body);
 HttpResponse emulator_put_document(Emulator *e, uint32_t version,
                                    gboolean with_key);
 const char *emulator_control_address(const Emulator *e, uint32_t i);
@@ -61,6 +64,9 @@
 
 int emulator_primary(const Emulator *e);
 void emulator_set_member_running(Emulator *e, uint32_t i, gboolean running);
+void emulator_restart_member(Emulator *e, uint32_t i, uint32_t cold_ms);
+uint32_t emulator_max_arrivals(const Emulator *e, uint32_t i);
+void emulator_clear_arrivals(Emulator *e, uint32_t i);
 void emulator_drain_member(Emulator *e, uint32_t i);
 void emulator_undrain_member(Emulator *e, uint32_t i);
 const char *emulator_member_address(const Emulator *e, uint32_t i);
--- a/test/platform/test_path.c
+++ b/test/platform/test_path.c
@@ -6,6 +6,7 @@
 #include "busy_caller.h"
 #include "emulator.h"
 #include "test_evacuation.h"
+#include "test_placement.h"
 
 /* End-to-end tests of the platform programs: two entry and three control
  * instances as real processes, everything around them emulated.  The tests
@@ -644,8 +645,9 @@
     return 0;
 }
 
+/* Runs all suites, or the one that is named. */
 int
-main(void)
+main(int argc, char **argv)
 {
     static const struct {
         const char *name;
@@ -682,8 +684,18 @@
         CU_add_test(s, tests[i].name, tests[i].test);
     }
     add_evacuation_tests();
+    add_placement_tests();
     CU_basic_set_mode(CU_BRM_VERBOSE);
-    CU_basic_run_tests();
+    if (argc < 2) {
+        CU_basic_run_tests();
+    }
+    else if (CU_get_suite(argv[1]) != NULL) {
+        CU_basic_run_suite(CU_get_suite(argv[1]));
+    }
+    else {
+        printf("no suite %s\n", argv[1]);
+        return 1;
+    }
     unsigned failed = CU_get_number_of_failures();
     printf("%u passed, %u failed\n",
            CU_get_number_of_tests_run() - CU_get_number_of_tests_failed(),
