Test restarts of servers that happen as their owner is lost

Cause: an answer through the owner of a server's connections counts as contact. A server that restarts without an outage while its owner becomes unreachable thus gets work of instances without a connection of their own as if it were warm.

--- a/test/unit/test_cold_servers.c
+++ b/test/unit/test_cold_servers.c
@@ -134,6 +134,45 @@
     fleet_sim_run(sim, 4000);
 }
 
+/* The owners become unreachable, and the servers restart without an outage at
+ * about that time: instances without a connection of their own got an answer
+ * through the owner just before. */
+static void
+restart_at_loss_of_owners(FleetSim *sim, int before_ms)
+{
+    if (before_ms >= 0) {
+        fleet_sim_partition_entries(sim, TRUE);
+        fleet_sim_run(sim, (uint64_t)before_ms);
+        restart_domain(sim, 2);
+    }
+    else {
+        restart_domain(sim, 2);
+        fleet_sim_run(sim, (uint64_t)-before_ms);
+        fleet_sim_partition_entries(sim, TRUE);
+    }
+    fleet_sim_run(sim, kColdMs);
+    fleet_sim_partition_entries(sim, FALSE);
+    fleet_sim_run(sim, 3000);
+}
+
+static void
+restart_with_the_loss(FleetSim *sim)
+{
+    restart_at_loss_of_owners(sim, 0);
+}
+
+static void
+restart_after_the_loss(FleetSim *sim)
+{
+    restart_at_loss_of_owners(sim, 150);
+}
+
+static void
+restart_before_the_loss(FleetSim *sim)
+{
+    restart_at_loss_of_owners(sim, -20);
+}
+
 /* Runs a course and checks the bound and the guarantees. */
 static void
 check_course(const char *name, Course course, gboolean reported, uint32_t seed)
@@ -191,6 +230,23 @@
     }
 }
 
+/* Guards against instances that learn of a restart only by the next report,
+ * after they have sent the new run what they like. */
+static void
+unnoticed_restarts_are_limited(void)
+{
+    enum { kSeeds = 2 };
+
+    for (uint32_t seed = 1; seed <= kSeeds; seed++) {
+        check_course("restart with the loss", restart_with_the_loss,
+                     seed % 2 == 1, seed);
+        check_course("restart after the loss", restart_after_the_loss,
+                     seed % 2 == 1, seed);
+        check_course("restart before the loss", restart_before_the_loss,
+                     seed % 2 == 1, seed);
+    }
+}
+
 /* Guards against a limit where operators set none. */
 static void
 no_limit_changes_nothing(void)
@@ -390,6 +446,8 @@
 
     CU_add_test(s, "cold servers get their limit at most",
                 cold_servers_get_their_limit_at_most);
+    CU_add_test(s, "unnoticed restarts are limited",
+                unnoticed_restarts_are_limited);
     CU_add_test(s, "no limit changes nothing", no_limit_changes_nothing);
     CU_add_test(s, "a new owner pauses", a_new_owner_pauses);
     CU_add_test(s, "an owner without lease uses its direct share",
