Report lent shares of rates as used

Cause: a leader that hears again from an instance reserves its share no longer, while a borrower may spend a loan of that share for up to 2 s more, and what was run with it counts in the team's window for 5 s.

Change: an instance reports for each team the share that others got from it, lent or as tokens, and for how long their use may still count (EntryReport.lent_shares and lent_version, EntryGrant.lent_version). The leader reserves these shares while any instance is out of contact, also after the lender has restarted. It only adds to what was reserved. Metrics rate_reserved_entries and rate_lent_reports_total.

In the fleet simulation, 'lent shares count at the leader' fails without the report.

--- a/src/sapphireweir/fleet/director_entries.c
+++ b/src/sapphireweir/fleet/director_entries.c
@@ -29,6 +29,7 @@
     g_hash_table_destroy(entry->demand);
     g_hash_table_destroy(entry->shares);
     g_hash_table_destroy(entry->usage);
+    g_hash_table_destroy(entry->lent);
     g_free(entry->failure_domain);
     g_free(entry->id);
     g_free(entry);
@@ -56,6 +57,8 @@
             g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
         entry->usage = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
                                              (GDestroyNotify)g_array_unref);
+        entry->lent =
+            g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
         g_hash_table_insert(d->entries, entry->id, entry);
     }
     else {
@@ -68,6 +71,8 @@
     /* What the former incarnation reported stays in the rate windows. */
     g_hash_table_remove_all(entry->usage);
     entry->usage_version = 0;
+    /* What the former incarnation lent stays lent. */
+    entry->lent_version = 0;
     entry->incarnation = incarnation;
     entry->sequence = 0;
     entry->granted_sequence = 0;
@@ -314,6 +319,7 @@
         rates_append_shares(d, now_us, entry, shares);
         m.usage_version =
             entry->usage_term == m.term ? entry->usage_version : 0;
+        m.lent_version = entry->lent_version;
         m.n_shares = shares->len;
         m.shares = (Sw__TeamShare **)shares->pdata;
     }
@@ -446,6 +452,7 @@
     record_evidence(entry, now_us, m);
     record_demand(entry, m);
     rates_handle_usage(d, now_us, entry, m);
+    rates_handle_lent(d, now_us, entry, m);
     if (director_is_leader(d)) {
         entry->pending_received_us = now_us;
         entry->pending_round = consensus_read_begin(d->consensus, now_us);
--- a/src/sapphireweir/fleet/director_internal.h
+++ b/src/sapphireweir/fleet/director_internal.h
@@ -81,8 +81,17 @@
     GHashTable *usage;
     uint64_t usage_term;    /* of the leader that they were reported to */
     uint64_t usage_version; /* of that report */
+    GHashTable *lent;       /* team -> LentShare, owned */
+    uint64_t lent_version;  /* of the report that they are from */
+    gboolean reserved;      /* its shares are, by the last search */
 } EntryState;
 
+/* A share that an entry instance gave to others while it had no leader. */
+typedef struct {
+    uint32_t share_micro;
+    uint64_t until_us; /* operations of others may count until then */
+} LentShare;
+
 /* Operations that an entry instance admitted at about the same time. */
 typedef struct {
     uint64_t used_us;
@@ -96,6 +105,7 @@
     uint64_t returned; /* unused and credited */
     uint64_t refused;
     uint64_t usage_reports;
+    uint64_t lent_reports; /* of shares that others may still use */
 } RateCounters;
 
 typedef enum {
@@ -358,6 +368,8 @@
                           uint64_t request_id, const Sw__TokenRequest *m);
 void rates_handle_usage(Director *d, uint64_t now_us, EntryState *entry,
                         const Sw__EntryReport *m);
+void rates_handle_lent(Director *d, uint64_t now_us, EntryState *entry,
+                       const Sw__EntryReport *m);
 void rates_tick(Director *d, uint64_t now_us);
 void rates_append_shares(const Director *d, uint64_t now_us, EntryState *entry,
                          GPtrArray *list);
--- a/src/sapphireweir/fleet/director_metrics.c
+++ b/src/sapphireweir/fleet/director_metrics.c
@@ -46,6 +46,10 @@
                        out);
     counter_write_text("rate_usage_reports_total",
                        d->rate_counters.usage_reports, out);
+    counter_write_text("rate_reserved_entries",
+                       director_is_leader(d) ? d->reservations->len : 0, out);
+    counter_write_text("rate_lent_reports_total",
+                       d->rate_counters.lent_reports, out);
     for (int i = 0; i < kFailoverStageCount; i++) {
         histogram_write_text(&d->stage_times[i], names[i], out);
     }
--- a/src/sapphireweir/fleet/director_rates.c
+++ b/src/sapphireweir/fleet/director_rates.c
@@ -27,6 +27,9 @@
     /* Between two searches for instances whose tokens are reserved; the
      * margin of kFallbackAfterUs over kGrantTimeoutUs is longer. */
     kReservationsRefreshUs = 50000,
+    /* Longest time that a lent share may count: a loan, the life of a token
+     * and the window, see share_pool_counted_us; 5 percent for the clocks. */
+    kMaxLentUs = 8000000,
 };
 
 /* Flag of a share in EntryState.shares: the team is near its limit. */
@@ -58,6 +61,35 @@
     return (may_fall_back && !entry->leaving) || usage_unknown;
 }
 
+/* Tells whether a lent share counts no longer; a GHRFunc. */
+static gboolean
+lent_has_ended(void *key, void *value, void *ctx)
+{
+    (void)key;
+    return ((const LentShare *)value)->until_us <= *(const uint64_t *)ctx;
+}
+
+/* Adds the instances in contact that lent shares.  Others may use those
+ * without this leader's knowledge, as long as any instance is out of
+ * contact; all others have reported what they used. */
+static void
+add_lenders(Director *d, uint64_t now_us)
+{
+    GHashTableIter it;
+    void *value;
+    gboolean unknown_use = d->reservations->len > 0;
+
+    g_hash_table_iter_init(&it, d->entries);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        EntryState *entry = value;
+        g_hash_table_foreach_remove(entry->lent, lent_has_ended, &now_us);
+        if (unknown_use && !entry->reserved &&
+            g_hash_table_size(entry->lent) > 0) {
+            g_ptr_array_add(d->reservations, entry);
+        }
+    }
+}
+
 /* Collects the entry instances for which tokens are reserved, usually none, so
  * that a token request need not walk through all entry instances. */
 static void
@@ -73,32 +105,50 @@
     g_ptr_array_set_size(d->reservations, 0);
     g_hash_table_iter_init(&it, d->entries);
     while (g_hash_table_iter_next(&it, NULL, &value)) {
-        if (has_reservation(d, now_us, value)) {
-            g_ptr_array_add(d->reservations, value);
+        EntryState *entry = value;
+        entry->reserved = has_reservation(d, now_us, entry);
+        if (entry->reserved) {
+            g_ptr_array_add(d->reservations, entry);
         }
     }
+    add_lenders(d, now_us);
+}
+
+/* Returns the part of a team's limit, in millionths, that is reserved because
+ * of one instance: the share that it was granted last if it is out of contact,
+ * and one that it gave to others. */
+static uint64_t
+reserved_share(const Director *d, const EntryState *entry, const char *team)
+{
+    uint32_t entry_count =
+        MAX(g_hash_table_size(d->entries), d->reported_entries);
+    const LentShare *lent = g_hash_table_lookup(entry->lent, team);
+    uint64_t lent_micro = lent == NULL ? 0 : lent->share_micro;
+    void *share = NULL;
+
+    if (!entry->reserved) {
+        return lent_micro;
+    }
+    if (!g_hash_table_lookup_extended(entry->shares, team, NULL, &share)) {
+        return MAX(lent_micro, kShareTotalMicro / MAX(entry_count, 1));
+    }
+    return MAX(lent_micro, GPOINTER_TO_UINT(share) & ~kShareNearLimit);
 }
 
 /* Returns the part of a team's limit that may be used, or may have been used
  * lately, without this leader's tokens: the shares that this leader granted
- * last to the instances with a reservation.  An instance that this leader has
- * granted no share counts with an equal part, since the shares granted by the
- * former leader are not known. */
+ * last to the instances with a reservation, and those that others have lent.
+ * An instance that this leader has granted no share counts with an equal part,
+ * since the shares granted by the former leader are not known. */
 static uint64_t
 reserved_tokens(Director *d, uint64_t now_us, const char *team, uint64_t limit)
 {
-    uint32_t entry_count =
-        MAX(g_hash_table_size(d->entries), d->reported_entries);
     uint64_t reserved_micro = 0;
 
     refresh_reservations(d, now_us);
     for (guint i = 0; i < d->reservations->len; i++) {
-        const EntryState *entry = g_ptr_array_index(d->reservations, i);
-        void *share = NULL;
         reserved_micro +=
-            g_hash_table_lookup_extended(entry->shares, team, NULL, &share)
-                ? GPOINTER_TO_UINT(share) & ~kShareNearLimit
-                : kShareTotalMicro / MAX(entry_count, 1);
+            reserved_share(d, g_ptr_array_index(d->reservations, i), team);
     }
     return limit * MIN(reserved_micro, (uint64_t)kShareTotalMicro) /
            kShareTotalMicro;
@@ -241,6 +291,33 @@
     }
 }
 
+/* Handles what an entry instance reports of shares that others may use.  It
+ * adds to what the instance, or a former incarnation, has reported before. */
+void
+rates_handle_lent(Director *d, uint64_t now_us, EntryState *entry,
+                  const Sw__EntryReport *m)
+{
+    if (m->n_lent_shares == 0 || m->lent_version == entry->lent_version) {
+        return;
+    }
+    entry->lent_version = m->lent_version;
+    d->next_reservations_us = 0;
+    d->rate_counters.lent_reports++;
+    for (size_t i = 0; i < m->n_lent_shares; i++) {
+        const Sw__LentShare *each = m->lent_shares[i];
+        LentShare *kept = g_hash_table_lookup(entry->lent, each->team);
+        if (kept == NULL) {
+            kept = g_new0(LentShare, 1);
+            g_hash_table_insert(entry->lent, g_strdup(each->team), kept);
+        }
+        kept->share_micro =
+            MAX(kept->share_micro,
+                MIN(each->share_micro, (uint32_t)kShareTotalMicro));
+        kept->until_us = MAX(
+            kept->until_us, now_us + MIN(each->left_us, (uint64_t)kMaxLentUs));
+    }
+}
+
 /* Credits tokens that an entry instance returns. */
 static void
 return_tokens(Director *d, uint64_t now_us, RateWindow *w,
--- a/src/sapphireweir/gateway/gateway_internal.h
+++ b/src/sapphireweir/gateway/gateway_internal.h
@@ -291,6 +291,7 @@
      * whose report it has. */
     uint64_t usage_version;
     uint64_t usage_acked;
+    uint64_t lent_acked;   /* lent_version that the present leader has */
     RatePool *rate_pool;   /* shares of rates, without a leader */
     EntryList *entries;    /* entry instances that may lend connections */
     gboolean owners_stale; /* servers or entries changed */
--- a/src/sapphireweir/gateway/gateway_report.c
+++ b/src/sapphireweir/gateway/gateway_report.c
@@ -153,6 +153,7 @@
     size_t demand = report->n_demand;
     gboolean partial = report->evidence_partial;
     Sw__RateUsage *usage = report->rate_usage;
+    size_t lent = report->n_lent_shares;
 
     frame.body_case = SW__FRAME__BODY_ENTRY_REPORT;
     frame.entry_report = report;
@@ -169,6 +170,7 @@
         report->evidence_partial = full && partial;
         report->n_demand = full ? demand : 0;
         report->rate_usage = full ? usage : NULL;
+        report->n_lent_shares = full ? lent : 0;
         g->port.peer_send(g->port.ctx, c->address, &frame);
     }
     report->rate_usage = usage;
@@ -185,6 +187,7 @@
     Sw__EntryReport report = SW__ENTRY_REPORT__INIT;
     GPtrArray *evidence_list = g_ptr_array_new();
     GPtrArray *demand_list = g_ptr_array_new();
+    GPtrArray *lent_list = g_ptr_array_new_with_free_func(g_free);
     gboolean leader_known = leader_is_known(g, now_us);
 
     g->sequence++;
@@ -212,12 +215,19 @@
     if (leader_known && g->usage_acked != g->usage_version) {
         report.rate_usage = team_rates_usage(g, now_us);
     }
+    report.lent_version = rate_pool_lent_version(g->rate_pool);
+    if (report.lent_version != g->lent_acked) {
+        rate_pool_append_lent(g->rate_pool, now_us, lent_list);
+    }
+    report.n_lent_shares = lent_list->len;
+    report.lent_shares = (Sw__LentShare **)lent_list->pdata;
     report.n_evidence = evidence_list->len;
     report.evidence = (Sw__PrimaryEvidence **)evidence_list->pdata;
     report.n_demand = demand_list->len;
     report.demand = (Sw__TeamDemand **)demand_list->pdata;
     report_send(g, leader_known, &report);
     team_rates_usage_free(report.rate_usage);
+    g_ptr_array_unref(lent_list);
     g_ptr_array_unref(demand_list);
     g_ptr_array_unref(evidence_list);
     g_free(demands);
--- a/src/sapphireweir/gateway/rate_pool.c
+++ b/src/sapphireweir/gateway/rate_pool.c
@@ -63,7 +63,8 @@
     gboolean share_known; /* a leader has granted share_micro */
     uint32_t share_micro;
     SharePool pool;
-    uint64_t begun;          /* RatePool.counters.begun when pool began */
+    uint32_t given_micro; /* largest share that was given and still counts */
+    uint64_t begun;       /* RatePool.counters.begun when pool began */
     uint64_t taken_alone_us; /* from the local bucket, zero: never */
     uint64_t demand_us;      /* last time that a token was wanted here */
     uint64_t empty_until_us; /* the pooling instance has none before */
@@ -86,7 +87,8 @@
     gboolean collect_new;
     uint64_t collected_new_us;
     uint64_t next_request;
-    uint32_t probes; /* sent in this tick */
+    uint64_t lent_version; /* changes with what was given of the own shares */
+    uint32_t probes;       /* sent in this tick */
     TokenBucket requests;
     TokenBucket replies;
     RatePoolCounters counters;
@@ -154,6 +156,38 @@
     g_free(p);
 }
 
+/* Returns the number of the present state of what others got of this
+ * instance's shares, zero if they got nothing. */
+uint64_t
+rate_pool_lent_version(const RatePool *p)
+{
+    return p->lent_version;
+}
+
+/* Appends the shares of which others got something whose use may still count,
+ * as Sw__LentShare that the list owns; their names stay the pool's. */
+void
+rate_pool_append_lent(const RatePool *p, uint64_t now_us, GPtrArray *list)
+{
+    GHashTableIter it;
+    void *value;
+
+    g_hash_table_iter_init(&it, p->teams);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        const PoolTeam *t = value;
+        uint64_t left_us = share_pool_counted_us(&t->pool, now_us);
+        if (left_us == 0 || t->given_micro == 0) {
+            continue;
+        }
+        Sw__LentShare *each = g_new(Sw__LentShare, 1);
+        sw__lent_share__init(each);
+        each->team = t->team;
+        each->share_micro = t->given_micro;
+        each->left_us = left_us;
+        g_ptr_array_add(list, each);
+    }
+}
+
 /* Returns the counters since the start, owned by the pool. */
 const RatePoolCounters *
 rate_pool_counters(const RatePool *p)
@@ -462,6 +496,17 @@
 
 /* ---- messages of other instances ---- */
 
+/* Records that another instance got the own share of a team, or tokens of it,
+ * for the report to the leader. */
+static void
+share_given(RatePool *p, uint64_t now_us, PoolTeam *t)
+{
+    gboolean counts = share_pool_counted_us(&t->pool, now_us) > 0;
+
+    t->given_micro = MAX(counts ? t->given_micro : 0, t->share_micro);
+    p->lent_version++;
+}
+
 /* Fills in the offer for one team that a member asks for. */
 static void
 offer_fill(RatePool *p, uint64_t now_us, const Member *from,
@@ -476,6 +521,7 @@
     pool_team_prepare(p, now_us, t, team);
     if (ask->lend) {
         gboolean prolonged = share_pool_is_lent(&t->pool, now_us);
+        share_given(p, now_us, t);
         if (share_pool_lend(&t->pool, now_us, from->hash, &offer)) {
             p->counters.shares_lent += !prolonged;
             out->rate_micro = offer.amount.rate_micro_per_s;
@@ -488,6 +534,7 @@
     }
     p->collect_new |= now_us - t->demand_us > kDemandKeptUs;
     t->demand_us = now_us;
+    share_given(p, now_us, t);
     out->tokens = share_pool_grant(&t->pool, now_us, ask->tokens);
     p->counters.tokens_granted += out->tokens;
     if (out->tokens < ask->tokens) {
--- a/src/sapphireweir/gateway/rate_pool.h
+++ b/src/sapphireweir/gateway/rate_pool.h
@@ -47,6 +47,9 @@
 void rate_pool_reply(RatePool *p, uint64_t now_us, const char *from,
                      uint64_t request_id, const Sw__RateShareReply *m);
 uint32_t rate_pool_members(const RatePool *p, uint64_t now_us);
+uint64_t rate_pool_lent_version(const RatePool *p);
+void rate_pool_append_lent(const RatePool *p, uint64_t now_us,
+                           GPtrArray *list);
 const RatePoolCounters *rate_pool_counters(const RatePool *p);
 
 #endif
--- a/src/sapphireweir/gateway/team_rates.c
+++ b/src/sapphireweir/gateway/team_rates.c
@@ -498,6 +498,7 @@
     g->rates_term = term;
     g->usage_version++;
     g->usage_acked = 0;
+    g->lent_acked = 0;
     g->report_due_us = now_us;
     g_hash_table_iter_init(&it, g->rates);
     while (g_hash_table_iter_next(&it, NULL, &value)) {
@@ -570,6 +571,7 @@
     }
     else {
         g->usage_acked = m->usage_version;
+        g->lent_acked = m->lent_version;
     }
     for (size_t i = 0; i < m->n_shares; i++) {
         rate_pool_set_share(g->rate_pool, now_us, m->shares[i]->team,
--- a/src/sapphireweir/policy/share_pool.c
+++ b/src/sapphireweir/policy/share_pool.c
@@ -216,6 +216,7 @@
     p->lent_to = borrower;
     p->lent_until_us =
         MAX(p->lent_until_us, now_us + kShareLoanUs + kShareLoanMarginUs);
+    p->given_until_us = MAX(p->given_until_us, p->lent_until_us);
     return TRUE;
 }
 
@@ -306,6 +307,9 @@
         p->level_micro <= 0 ? 0 : (uint64_t)p->level_micro / kShareTokenMicro;
     uint32_t granted = (uint32_t)MIN((uint64_t)wanted, whole);
     p->level_micro -= (int64_t)granted * kShareTokenMicro;
+    if (granted > 0) {
+        p->given_until_us = MAX(p->given_until_us, now_us);
+    }
     return granted;
 }
 
@@ -352,6 +356,18 @@
     return p->next_free_us - now_us;
 }
 
+/* Returns how long operations of others with the own share may still count in
+ * the team's window, zero if none does.  The borrower of a share may grant a
+ * token just before the loan ends, which is used within its life. */
+uint64_t
+share_pool_counted_us(const SharePool *p, uint64_t now_us)
+{
+    uint64_t until_us = p->given_until_us + kWindowUs;
+
+    return p->given_until_us == 0 || until_us <= now_us ? 0
+                                                        : until_us - now_us;
+}
+
 /* Returns a member's rendezvous score for a team, from the hashes of both
  * names.  The reachable member with the highest one pools the team's shares,
  * so that the loss of a member moves only the teams that it pooled. */
--- a/src/sapphireweir/policy/share_pool.h
+++ b/src/sapphireweir/policy/share_pool.h
@@ -50,6 +50,9 @@
     uint32_t tokens; /* taken from another instance's pool */
     uint64_t tokens_until_us;
     uint64_t next_free_us; /* time of the last token that was promised */
+    /* Until when others may use what they got of the own share: while it is
+     * lent, and for the life of granted tokens; zero: never. */
+    uint64_t given_until_us;
 } SharePool;
 
 void share_pool_init(SharePool *p, uint64_t now_us);
@@ -68,6 +71,7 @@
 uint32_t share_pool_grant(SharePool *p, uint64_t now_us, uint32_t wanted);
 uint64_t share_pool_wait_us(SharePool *p, uint64_t now_us, gboolean alone);
 uint64_t share_pool_promise_us(SharePool *p, uint64_t now_us);
+uint64_t share_pool_counted_us(const SharePool *p, uint64_t now_us);
 uint64_t share_pool_score(uint64_t team, uint64_t member);
 
 #endif
--- a/src/sapphireweir/proto/sapphireweir.pb-c.c
+++ b/src/sapphireweir/proto/sapphireweir.pb-c.c
@@ -1267,6 +1267,51 @@
   assert(message->base.descriptor == &sw__rate_usage__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   sw__lent_share__init
+                     (Sw__LentShare         *message)
+{
+  static const Sw__LentShare init_value = SW__LENT_SHARE__INIT;
+  *message = init_value;
+}
+size_t sw__lent_share__get_packed_size
+                     (const Sw__LentShare *message)
+{
+  assert(message->base.descriptor == &sw__lent_share__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t sw__lent_share__pack
+                     (const Sw__LentShare *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &sw__lent_share__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t sw__lent_share__pack_to_buffer
+                     (const Sw__LentShare *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &sw__lent_share__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Sw__LentShare *
+       sw__lent_share__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Sw__LentShare *)
+     protobuf_c_message_unpack (&sw__lent_share__descriptor,
+                                allocator, len, data);
+}
+void   sw__lent_share__free_unpacked
+                     (Sw__LentShare *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &sw__lent_share__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   sw__entry_report__init
                      (Sw__EntryReport         *message)
 {
@@ -5517,7 +5562,71 @@
   (ProtobufCMessageInit) sw__rate_usage__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sw__entry_report__field_descriptors[19] =
+static const ProtobufCFieldDescriptor sw__lent_share__field_descriptors[3] =
+{
+  {
+    "team",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sw__LentShare, team),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "share_micro",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Sw__LentShare, share_micro),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "left_us",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__LentShare, left_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned sw__lent_share__field_indices_by_name[] = {
+  2,   /* field[2] = left_us */
+  1,   /* field[1] = share_micro */
+  0,   /* field[0] = team */
+};
+static const ProtobufCIntRange sw__lent_share__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor sw__lent_share__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "sw.LentShare",
+  "LentShare",
+  "Sw__LentShare",
+  "sw",
+  sizeof(Sw__LentShare),
+  3,
+  sw__lent_share__field_descriptors,
+  sw__lent_share__field_indices_by_name,
+  1,  sw__lent_share__number_ranges,
+  (ProtobufCMessageInit) sw__lent_share__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor sw__entry_report__field_descriptors[21] =
 {
   {
     "failure_domain",
@@ -5747,6 +5856,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "lent_shares",
+    22,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sw__EntryReport, n_lent_shares),
+    offsetof(Sw__EntryReport, lent_shares),
+    &sw__lent_share__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lent_version",
+    23,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__EntryReport, lent_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sw__entry_report__field_indices_by_name[] = {
   13,   /* field[13] = controls_hash */
@@ -5763,16 +5896,19 @@
   1,   /* field[1] = incarnation */
   12,   /* field[12] = incoming_version */
   6,   /* field[6] = leaving */
+  19,   /* field[19] = lent_shares */
+  20,   /* field[20] = lent_version */
   11,   /* field[11] = link_bytes_per_s */
   14,   /* field[14] = primaries_hash */
   17,   /* field[17] = rate_usage */
   2,   /* field[2] = sequence */
   18,   /* field[18] = usage_version */
 };
-static const ProtobufCIntRange sw__entry_report__number_ranges[1 + 1] =
+static const ProtobufCIntRange sw__entry_report__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 19 }
+  { 22, 19 },
+  { 0, 21 }
 };
 const ProtobufCMessageDescriptor sw__entry_report__descriptor =
 {
@@ -5782,10 +5918,10 @@
   "Sw__EntryReport",
   "sw",
   sizeof(Sw__EntryReport),
-  19,
+  21,
   sw__entry_report__field_descriptors,
   sw__entry_report__field_indices_by_name,
-  1,  sw__entry_report__number_ranges,
+  2,  sw__entry_report__number_ranges,
   (ProtobufCMessageInit) sw__entry_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
@@ -6045,7 +6181,7 @@
   (ProtobufCMessageInit) sw__evacuated_domain__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sw__entry_grant__field_descriptors[17] =
+static const ProtobufCFieldDescriptor sw__entry_grant__field_descriptors[18] =
 {
   {
     "sequence",
@@ -6251,6 +6387,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "lent_version",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__EntryGrant, lent_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sw__entry_grant__field_indices_by_name[] = {
   5,   /* field[5] = controls */
@@ -6263,6 +6411,7 @@
   14,   /* field[14] = evacuations_hash */
   15,   /* field[15] = evacuations_revision */
   1,   /* field[1] = lease_us */
+  17,   /* field[17] = lent_version */
   2,   /* field[2] = primaries */
   12,   /* field[12] = primaries_hash */
   8,   /* field[8] = revision */
@@ -6274,7 +6423,7 @@
 static const ProtobufCIntRange sw__entry_grant__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 17 }
+  { 0, 18 }
 };
 const ProtobufCMessageDescriptor sw__entry_grant__descriptor =
 {
@@ -6284,7 +6433,7 @@
   "Sw__EntryGrant",
   "sw",
   sizeof(Sw__EntryGrant),
-  17,
+  18,
   sw__entry_grant__field_descriptors,
   sw__entry_grant__field_indices_by_name,
   1,  sw__entry_grant__number_ranges,
--- a/src/sapphireweir/proto/sapphireweir.pb-c.h
+++ b/src/sapphireweir/proto/sapphireweir.pb-c.h
@@ -43,6 +43,7 @@
 typedef struct Sw__TeamDemand Sw__TeamDemand;
 typedef struct Sw__TeamUsage Sw__TeamUsage;
 typedef struct Sw__RateUsage Sw__RateUsage;
+typedef struct Sw__LentShare Sw__LentShare;
 typedef struct Sw__EntryReport Sw__EntryReport;
 typedef struct Sw__EntryRecord Sw__EntryRecord;
 typedef struct Sw__PrimaryGrant Sw__PrimaryGrant;
@@ -770,6 +771,26 @@
     , 0, 0, 0,NULL, 0 }
 
 
+/*
+ * A share of a team's rate that an entry instance has lent, or from which it
+ * granted tokens, while it had no leader.
+ */
+struct  Sw__LentShare
+{
+  ProtobufCMessage base;
+  char *team;
+  uint32_t share_micro;
+  /*
+   * Time in which operations of others with this share may count in the
+   * team's window.
+   */
+  uint64_t left_us;
+};
+#define SW__LENT_SHARE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&sw__lent_share__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0 }
+
+
 /*
  * Periodic report of an entry instance to the control instances.
  */
@@ -834,10 +855,19 @@
    * Changes with the operations that rate_usage would contain.
    */
   uint64_t usage_version;
+  /*
+   * Sent until a grant names lent_version.
+   */
+  size_t n_lent_shares;
+  Sw__LentShare **lent_shares;
+  /*
+   * Changes with lent_shares; zero: nothing was lent.
+   */
+  uint64_t lent_version;
 };
 #define SW__ENTRY_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sw__entry_report__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, NULL, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, NULL, 0, 0,NULL, 0 }
 
 
 struct  Sw__EntryRecord
@@ -976,10 +1006,14 @@
    * Newest usage_version of the receiver whose rate_usage the leader has.
    */
   uint64_t usage_version;
+  /*
+   * Newest lent_version of the receiver whose lent_shares the leader has.
+   */
+  uint64_t lent_version;
 };
 #define SW__ENTRY_GRANT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sw__entry_grant__descriptor) \
-    , 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0, 0, 0, 0,NULL, 0, 0, 0, 0,NULL, 0, 0, 0 }
+    , 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0, 0, 0, 0,NULL, 0, 0, 0, 0,NULL, 0, 0, 0, 0 }
 
 
 typedef enum {
@@ -1999,6 +2033,25 @@
 void   sw__rate_usage__free_unpacked
                      (Sw__RateUsage *message,
                       ProtobufCAllocator *allocator);
+/* Sw__LentShare methods */
+void   sw__lent_share__init
+                     (Sw__LentShare         *message);
+size_t sw__lent_share__get_packed_size
+                     (const Sw__LentShare   *message);
+size_t sw__lent_share__pack
+                     (const Sw__LentShare   *message,
+                      uint8_t             *out);
+size_t sw__lent_share__pack_to_buffer
+                     (const Sw__LentShare   *message,
+                      ProtobufCBuffer     *buffer);
+Sw__LentShare *
+       sw__lent_share__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   sw__lent_share__free_unpacked
+                     (Sw__LentShare *message,
+                      ProtobufCAllocator *allocator);
 /* Sw__EntryReport methods */
 void   sw__entry_report__init
                      (Sw__EntryReport         *message);
@@ -2598,6 +2651,9 @@
 typedef void (*Sw__RateUsage_Closure)
                  (const Sw__RateUsage *message,
                   void *closure_data);
+typedef void (*Sw__LentShare_Closure)
+                 (const Sw__LentShare *message,
+                  void *closure_data);
 typedef void (*Sw__EntryReport_Closure)
                  (const Sw__EntryReport *message,
                   void *closure_data);
@@ -2718,6 +2774,7 @@
 extern const ProtobufCMessageDescriptor sw__team_demand__descriptor;
 extern const ProtobufCMessageDescriptor sw__team_usage__descriptor;
 extern const ProtobufCMessageDescriptor sw__rate_usage__descriptor;
+extern const ProtobufCMessageDescriptor sw__lent_share__descriptor;
 extern const ProtobufCMessageDescriptor sw__entry_report__descriptor;
 extern const ProtobufCMessageDescriptor sw__entry_record__descriptor;
 extern const ProtobufCMessageDescriptor sw__primary_grant__descriptor;
--- a/test/support/fleet_sim.c
+++ b/test/support/fleet_sim.c
@@ -2714,6 +2714,14 @@
     return count;
 }
 
+/* Isolates an entry instance from all control instances, or ends this. */
+void
+fleet_sim_set_isolated(FleetSim *sim, uint32_t entry, gboolean isolated)
+{
+    sim->entries[entry].cut_controls =
+        isolated ? (1U << kFleetSimControls) - 1 : 0;
+}
+
 /* Drops all frames between an entry instance and a control instance. */
 void
 fleet_sim_cut_from_control(FleetSim *sim, uint32_t entry, uint32_t control)
--- a/test/support/fleet_sim.h
+++ b/test/support/fleet_sim.h
@@ -149,6 +149,7 @@
 void fleet_sim_order_give_up(const FleetSimOrder *order);
 void fleet_sim_cut_from_control(FleetSim *sim, uint32_t entry,
                                 uint32_t control);
+void fleet_sim_set_isolated(FleetSim *sim, uint32_t entry, gboolean isolated);
 void fleet_sim_order(FleetSim *sim, uint32_t domain, gboolean evacuated);
 gboolean fleet_sim_order_acked(const FleetSim *sim, uint32_t domain);
 uint64_t fleet_sim_statements_in_domain(const FleetSim *sim, uint32_t domain,
--- a/test/unit/test_fleet_sim.c
+++ b/test/unit/test_fleet_sim.c
@@ -876,6 +876,52 @@
     }
 }
 
+/* Two of six instances lose the control instances and pool their shares; the
+ * one that has lent its share returns.  Guards against a leader that no longer
+ * counts that share, although the other one may still use it, and against one
+ * that counts it for ever. */
+static void
+lent_shares_count_at_the_leader(void)
+{
+    enum { kRate = 100, kMaxInWindow = (kRate * 5 + kRate) * 11 / 10 + 20 };
+    static const char gauge[] = "rate_reserved_entries";
+
+    for (uint32_t seed = 1; seed <= 6; seed++) {
+        FleetSim *sim = fleet_sim_new(seed);
+        uint32_t pair[] = {seed % kFleetSimEntries,
+                           (seed + 1) % kFleetSimEntries};
+        fleet_sim_configure(sim, kRate, TRUE);
+        fleet_sim_set_caller_pause(sim, 5);
+        fleet_sim_run(sim, 8000);
+        fleet_sim_clear_run_times(sim);
+        fleet_sim_set_isolated(sim, pair[0], TRUE);
+        fleet_sim_set_isolated(sim, pair[1], TRUE);
+        fleet_sim_run(sim, 8000);
+        uint32_t leader = (uint32_t)fleet_sim_control_leader(sim);
+        CU_ASSERT_EQUAL(fleet_sim_control_metric(sim, leader, gauge), 2);
+        uint32_t lender = fleet_sim_entry_metric(
+                              sim, pair[0], "rate_pool_shares_lent_total") > 0
+                              ? 0
+                              : 1;
+        CU_ASSERT(fleet_sim_entry_metric(sim, pair[lender],
+                                         "rate_pool_shares_lent_total") > 0);
+        fleet_sim_set_isolated(sim, pair[lender], FALSE);
+        fleet_sim_run(sim, 2000);
+        CU_ASSERT_EQUAL(fleet_sim_control_metric(sim, leader, gauge), 2);
+        /* Also after the instance has been replaced by its next one. */
+        fleet_sim_restart_entry(sim, pair[lender]);
+        fleet_sim_run(sim, 1500);
+        CU_ASSERT_EQUAL(fleet_sim_control_metric(sim, leader, gauge), 2);
+        fleet_sim_run(sim, 6500);
+        CU_ASSERT_EQUAL(fleet_sim_control_metric(sim, leader, gauge), 1);
+        fleet_sim_set_isolated(sim, pair[1 - lender], FALSE);
+        fleet_sim_run(sim, 3000);
+        CU_ASSERT_EQUAL(fleet_sim_control_metric(sim, leader, gauge), 0);
+        CU_ASSERT(fleet_sim_max_in_rate_window(sim) <= kMaxInWindow);
+        fleet_sim_free(sim);
+    }
+}
+
 /* Adds many routes and then changes the configuration every 60 ms. */
 static void
 many_routes_then_a_storm(FleetSim *sim)
@@ -1429,6 +1475,8 @@
                 guarantees_hold_with_priorities);
     CU_add_test(s, "rates hold while instances are partitioned",
                 rates_hold_while_instances_are_partitioned);
+    CU_add_test(s, "lent shares count at the leader",
+                lent_shares_count_at_the_leader);
     CU_add_test(s, "pooled rates hold while pools split and join",
                 pooled_rates_hold_while_pools_split_and_join);
     CU_add_test(s, "a team gets its rate and no more",
--- a/test/unit/test_share_pool.c
+++ b/test/unit/test_share_pool.c
@@ -1,4 +1,5 @@
 #include <stdlib.h>
+#include <string.h>
 
 #include "core/message.h"
 #include "core/token_bucket.h"
@@ -24,6 +25,7 @@
     kOneWayUs = 1400,
     kStartUs = 10 * kUsPerS,       /* when the leader is lost */
     kReservedUs = 3300 * kUsPerMs, /* until it has noticed */
+    kNoticedUs = 2500 * kUsPerMs,  /* as its reports tell the leader */
     kWindowUs = 5 * kUsPerS,
     kFaultSteps = 150, /* one fault every 300 ms */
     kFaultStride = 7,
@@ -87,11 +89,20 @@
     GArray *packets;         /* Packet */
     GArray *waiting;         /* Operation */
     GArray *runs[kTeams];    /* uint64_t: times, once shares are reserved */
+    GArray *used_by[kTeams]; /* uint32_t: the instances that ran them */
+    uint32_t uncounted; /* operations beyond what the leader reserves then */
     uint64_t wanted[kTeams]; /* the same, operations offered */
     uint32_t offered, admitted;
     uint32_t too_early; /* pooled before the leader has reserved it */
 } Replay;
 
+/* Tells whether the leader knows an instance to be in contact. */
+static gboolean
+is_in_contact(const Replay *r, const Instance *e)
+{
+    return r->now_us - e->contact_us < kNoticedUs;
+}
+
 static uint64_t
 draw(Replay *r, uint64_t below)
 {
@@ -186,6 +197,7 @@
                                      .burst_milli = kRate * 1000};
         g_hash_table_insert(r->document.teams, r->names[t], &r->teams[t]);
         r->runs[t] = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+        r->used_by[t] = g_array_new(FALSE, FALSE, sizeof(uint32_t));
         for (uint32_t c = 0; c < kCallerInstances * 2; c++) {
             demand[draw(r, kEntries)] += 1 + c;
         }
@@ -206,6 +218,50 @@
     }
 }
 
+/* Returns what the leader reserves of a team's rate, in millionths: shares of
+ * the instances without contact and those that others report as lent. */
+static uint64_t
+reserved_micro(const Replay *r, uint32_t team)
+{
+    uint64_t sum = 0;
+
+    for (uint32_t i = 0; i < kLost; i++) {
+        const Instance *e = &r->instances[i];
+        GPtrArray *lent = g_ptr_array_new_with_free_func(g_free);
+        uint64_t share = 0;
+        rate_pool_append_lent(e->pool, r->now_us, lent);
+        for (guint k = 0; k < lent->len; k++) {
+            const Sw__LentShare *each = g_ptr_array_index(lent, k);
+            if (strcmp(each->team, r->names[team]) == 0) {
+                share = each->share_micro;
+            }
+        }
+        sum += is_in_contact(r, e) ? share : MAX(share, e->share[team]);
+        g_ptr_array_unref(lent);
+    }
+    return sum;
+}
+
+/* Counts operations beyond what the leader reserves.  It does not know those
+ * of the last window that instances without contact ran; the others have
+ * reported theirs. */
+static void
+check_reserved(Replay *r, uint32_t team)
+{
+    const GArray *runs = r->runs[team];
+    uint64_t unknown = 0;
+
+    for (guint i = runs->len; i > 0; i--) {
+        if (g_array_index(runs, uint64_t, i - 1) + kWindowUs <= r->now_us) {
+            break;
+        }
+        uint32_t by = g_array_index(r->used_by[team], uint32_t, i - 1);
+        unknown += !is_in_contact(r, &r->instances[by]);
+    }
+    uint64_t reserved = reserved_micro(r, team) * kRate * 6 / kShareTotalMicro;
+    r->uncounted += unknown > reserved;
+}
+
 /* Tries to run an operation; returns FALSE if there is no token. */
 static gboolean
 try_operation(Replay *r, const Operation *o)
@@ -234,6 +290,10 @@
     r->admitted++;
     if (r->now_us >= kStartUs + kReservedUs) {
         g_array_append_val(r->runs[o->team], r->now_us);
+        g_array_append_val(r->used_by[o->team], o->instance);
+        if (r->faults->leader_returns) {
+            check_reserved(r, o->team);
+        }
     }
     return TRUE;
 }
@@ -388,6 +448,10 @@
             ran * 100 / attainable, beyond, bytes);
     CU_ASSERT(beyond == 0 || !r->faults->pooled);
     CU_ASSERT_EQUAL(r->too_early, 0);
+    if (r->uncounted > 0) {
+        g_print(", %u uncounted", r->uncounted);
+    }
+    CU_ASSERT_EQUAL(r->uncounted, 0);
     /* The counters of former incarnations are lost. */
     CU_ASSERT(received <= granted || r->faults->restarts);
     CU_ASSERT(ran * 100 / attainable >= r->faults->min_percent);
@@ -406,6 +470,7 @@
     }
     for (uint32_t t = 0; t < kTeams; t++) {
         g_array_unref(r->runs[t]);
+        g_array_unref(r->used_by[t]);
     }
     g_array_unref(r->packets);
     g_array_unref(r->waiting);
@@ -553,6 +618,52 @@
     }
 }
 
+/* Guards against a report that ends while others still use what they got of
+ * the share: until the end of a loan, a token granted just before that end
+ * for 0.5 s, and each operation for a window of 5 s. */
+static void
+given_shares_count_until_their_last_use(void)
+{
+    static const struct {
+        gboolean lends;    /* at the start */
+        uint32_t wanted;   /* tokens, from a level of two */
+        uint64_t again_ms; /* the loan is prolonged, zero: it is not */
+        uint64_t now_ms;
+        uint64_t left_ms;
+    } cases[] = {
+        {FALSE, 0, 0, 0, 0},         {TRUE, 0, 0, 0, 7600},
+        {TRUE, 0, 0, 2500, 5100},    {TRUE, 0, 0, 7600, 0},
+        {TRUE, 0, 1500, 2000, 7100}, {FALSE, 1, 0, 0, 5500},
+        {FALSE, 1, 0, 5499, 1},      {FALSE, 1, 0, 5500, 0},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        ShareAmount own = {kShareTokenMicro, 2 * kShareTokenMicro};
+        ShareOffer offer;
+        SharePool p;
+        share_pool_init(&p, kStartUs - 2 * kUsPerS);
+        share_pool_set_own(&p, kStartUs - 2 * kUsPerS, &own);
+        if (cases[i].lends) {
+            share_pool_lend(&p, kStartUs, 1, &offer);
+        }
+        if (cases[i].again_ms != 0) {
+            share_pool_lend(&p, kStartUs + cases[i].again_ms * kUsPerMs, 1,
+                            &offer);
+        }
+        CU_ASSERT_EQUAL(share_pool_grant(&p, kStartUs, cases[i].wanted),
+                        cases[i].wanted);
+        CU_ASSERT_EQUAL(
+            share_pool_counted_us(&p, kStartUs + cases[i].now_ms * kUsPerMs),
+            cases[i].left_ms * kUsPerMs);
+        /* The leader's return ends nothing that others hold. */
+        share_pool_end(&p, kStartUs + cases[i].now_ms * kUsPerMs);
+        CU_ASSERT_EQUAL(
+            share_pool_counted_us(&p, kStartUs + cases[i].now_ms * kUsPerMs),
+            cases[i].left_ms * kUsPerMs);
+        share_pool_clear(&p);
+    }
+}
+
 /* A token of another pool is debited there; guards against one that is used
  * after its life, when it no longer counts in the lender's window. */
 static void
@@ -637,6 +748,8 @@
 {
     CU_pSuite s = CU_add_suite("share pool", NULL, NULL);
     CU_add_test(s, "a share has one holder", a_share_has_one_holder);
+    CU_add_test(s, "given shares count until their last use",
+                given_shares_count_until_their_last_use);
     CU_add_test(s, "tokens of others expire", tokens_of_others_expire);
     CU_add_test(s, "unexpected messages have no effect",
                 unexpected_messages_have_no_effect);
