Test rate limits while most instances are isolated

Where a team is above its limit before, its instances refuse for a while without asking, and then hold no lease.

A leader that reserves half of what it granted is not noticed by this test, since isolated instances lose their lease.

--- a/test/unit/test_fleet_sim.c
+++ b/test/unit/test_fleet_sim.c
@@ -826,6 +826,41 @@
     }
 }
 
+/* A team is near its limit, and wants several times its rate from the moment on
+ * at which all instances but two are isolated from the control instances.
+ * Guards against instances that use their whole shares before the leader has
+ * noticed, while it still grants the whole rate to the others: up to 737
+ * operations in a window.  A team that is above its limit before does not show
+ * this, since its instances then refuse for a while without asking. */
+static void
+rates_hold_while_most_instances_are_isolated(void)
+{
+    enum { kRate = 100, kMaxInWindow = (kRate * 5 + kRate) * 11 / 10 + 20 };
+    enum { kConnected = 2 };
+
+    for (uint32_t seed = 1; seed <= 6; seed++) {
+        FleetSim *sim = fleet_sim_new(seed);
+        fleet_sim_configure(sim, kRate, TRUE);
+        fleet_sim_set_caller_pause(sim, 320);
+        fleet_sim_run(sim, 9000);
+        for (uint32_t i = kConnected; i < kFleetSimEntries; i++) {
+            fleet_sim_set_isolated(sim, (seed + i) % kFleetSimEntries, TRUE);
+        }
+        fleet_sim_set_caller_pause(sim, 5);
+        fleet_sim_run(sim, 7000);
+        for (uint32_t i = 0; i < kFleetSimEntries; i++) {
+            fleet_sim_set_isolated(sim, i, FALSE);
+        }
+        fleet_sim_run(sim, 6000);
+        uint32_t in_window = fleet_sim_max_in_rate_window(sim);
+        if (in_window > kMaxInWindow) {
+            g_print("\nseed %u: %u in a window\n", seed, in_window);
+        }
+        CU_ASSERT(in_window <= kMaxInWindow);
+        fleet_sim_free(sim);
+    }
+}
+
 /* Runs a simulation for steps of 250 ms and records after each of them how
  * many operations pooled shares have admitted. */
 static void
@@ -1475,6 +1510,8 @@
                 guarantees_hold_with_priorities);
     CU_add_test(s, "rates hold while instances are partitioned",
                 rates_hold_while_instances_are_partitioned);
+    CU_add_test(s, "rates hold while most instances are isolated",
+                rates_hold_while_most_instances_are_isolated);
     CU_add_test(s, "lent shares count at the leader",
                 lent_shares_count_at_the_leader);
     CU_add_test(s, "pooled rates hold while pools split and join",
