Test an evacuation that leaves too little capacity

Cause: no test showed where the load goes and what is refused when the domains that remain cannot serve all of it.

Change: 'a lack of capacity is spread and shed by priority' in the simulated fleet, also with all callers in one domain. The simulation counts operations by the priority of their team.

No product code was changed.

--- a/test/support/fleet_sim.c
+++ b/test/support/fleet_sim.c
@@ -223,6 +223,9 @@
         uint64_t evacuated_us;
     } wanted[kFleetSimDomains];
     uint64_t statements[kFleetSimDomains][kFleetSimEntries];
+    uint64_t outcomes[2][2]; /* operations by priority and success */
+    /* Of the entry instances that callers use; kFleetSimDomains: any. */
+    uint32_t callers_domain;
     uint64_t last_write_us[kFleetSimDatabases]; /* last acknowledgement */
     FleetSimReport report;
 };
@@ -1540,6 +1543,14 @@
     session_statement(c->session, c->sim->now_us, &st);
 }
 
+/* Returns the priority of the team that holds a caller's key, where documents
+ * have priorities: zero is the more urgent one. */
+static uint32_t
+priority_of(const Caller *c)
+{
+    return (c->index + c->sim->key_moves) % c->sim->teams % 2;
+}
+
 /* Ends an operation and schedules the caller's next one. */
 static void
 finish_operation(Caller *c, gboolean served)
@@ -1549,6 +1560,7 @@
     c->active = FALSE;
     sim->report.served += served;
     sim->report.refused += !served;
+    sim->outcomes[priority_of(c)][served]++;
     schedule(sim,
              sim->mean_pause_us / 2 +
                  random_number(sim) % (sim->mean_pause_us + 1),
@@ -1771,7 +1783,9 @@
     g_snprintf(key, sizeof(key), "%s-%u", kKeyPrefix, c->index % sim->teams);
     do {
         c->entry = (c->entry + 1) % kFleetSimEntries;
-    } while (sim->entries[c->entry].stopping_us != 0);
+    } while (sim->entries[c->entry].stopping_us != 0 ||
+             (sim->callers_domain != kFleetSimDomains &&
+              c->entry % kFleetSimDomains != sim->callers_domain));
     c->closing = FALSE;
     c->session = session_open(sim->entries[c->entry].gateway, sim->now_us, c,
                               kDatabaseNames[c->index % kFleetSimDatabases],
@@ -2194,6 +2208,7 @@
     sim->writes =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
     sim->teams = 1;
+    sim->callers_domain = kFleetSimDomains;
     sim->max_connections = kDefaultMaxConnections;
     sim->slots = kDefaultSlots;
     sim->replica_lag_us = 60 * kUsPerMs;
@@ -2806,6 +2821,21 @@
     return sim->statements[domain][entry];
 }
 
+/* Makes callers open new sessions in one failure domain only. */
+void
+fleet_sim_gather_callers(FleetSim *sim, uint32_t domain)
+{
+    sim->callers_domain = domain;
+}
+
+/* Returns how many operations of the callers with a priority, 0 or 1, have
+ * ended, served or not. */
+uint64_t
+fleet_sim_outcomes(const FleetSim *sim, uint32_t priority, gboolean served)
+{
+    return sim->outcomes[priority][served];
+}
+
 /* Returns the value of a metric, G_MAXUINT64 if there is none. */
 static uint64_t
 metric_value(const GString *text, const char *name)
--- a/test/support/fleet_sim.h
+++ b/test/support/fleet_sim.h
@@ -154,6 +154,9 @@
 gboolean fleet_sim_order_acked(const FleetSim *sim, uint32_t domain);
 uint64_t fleet_sim_statements_in_domain(const FleetSim *sim, uint32_t domain,
                                         uint32_t entry);
+void fleet_sim_gather_callers(FleetSim *sim, uint32_t domain);
+uint64_t fleet_sim_outcomes(const FleetSim *sim, uint32_t priority,
+                            gboolean served);
 uint64_t fleet_sim_control_metric(const FleetSim *sim, uint32_t control,
                                   const char *name);
 uint64_t fleet_sim_entry_metric(const FleetSim *sim, uint32_t entry,
--- a/test/unit/test_evacuation.c
+++ b/test/unit/test_evacuation.c
@@ -635,6 +635,85 @@
     fleet_sim_free(sim);
 }
 
+/* What happened in a time. */
+typedef struct {
+    uint64_t served[2]; /* operations by priority */
+    uint64_t refused[2];
+    uint64_t statements[kFleetSimDomains];
+} LoadCounts;
+
+/* Runs for a time and counts. */
+static LoadCounts
+count_load(FleetSim *sim, uint64_t for_ms)
+{
+    LoadCounts counts[2] = {0};
+
+    for (uint32_t i = 0; i < 2; i++) {
+        for (uint32_t p = 0; p < 2; p++) {
+            counts[i].served[p] = fleet_sim_outcomes(sim, p, TRUE);
+            counts[i].refused[p] = fleet_sim_outcomes(sim, p, FALSE);
+        }
+        for (uint32_t d = 0; d < kFleetSimDomains; d++) {
+            counts[i].statements[d] = statements_in_domain(sim, d);
+        }
+        if (i == 0) {
+            fleet_sim_run(sim, for_ms);
+        }
+    }
+    for (uint32_t p = 0; p < 2; p++) {
+        counts[1].served[p] -= counts[0].served[p];
+        counts[1].refused[p] -= counts[0].refused[p];
+    }
+    for (uint32_t d = 0; d < kFleetSimDomains; d++) {
+        counts[1].statements[d] -= counts[0].statements[d];
+    }
+    return counts[1];
+}
+
+/* The domains that remain have two thirds of the capacity, and less than the
+ * load.  Guards against a load that piles up in the domain next to the callers
+ * while the other one has room, and against urgent work that is shed like the
+ * rest. */
+static void
+a_lack_of_capacity_is_spread_and_shed_by_priority(void)
+{
+    enum { kRunMs = 6000, kEvacuationMs = 6000 };
+
+    fleet_sim_use_priorities(TRUE);
+    for (uint32_t seed = 1; seed <= 6; seed++) {
+        FleetSim *sim = fleet_sim_new(seed);
+        fleet_sim_set_teams(sim, 3, 24, 3);
+        fleet_sim_set_extra_work(sim, 30);
+        fleet_sim_set_caller_pause(sim, 25);
+        if (seed % 2 == 0) {
+            fleet_sim_gather_callers(sim, kDomain + 1);
+        }
+        fleet_sim_run(sim, 6000);
+        LoadCounts before = count_load(sim, kRunMs);
+        fleet_sim_order(sim, kDomain, TRUE);
+        fleet_sim_run(sim, kEvacuationMs);
+        LoadCounts after = count_load(sim, kRunMs);
+        uint64_t most = MAX(after.statements[1], after.statements[2]);
+        uint64_t least = MIN(after.statements[1], after.statements[2]);
+        if (least * 10 < most * 9 || after.refused[0] > 0) {
+            printf("\n    seed %u: served %lu + %lu, refused %lu + %lu, "
+                   "statements %lu and %lu\n",
+                   seed, after.served[0], after.served[1], after.refused[0],
+                   after.refused[1], after.statements[1], after.statements[2]);
+        }
+        CU_ASSERT_EQUAL(after.statements[kDomain], 0);
+        CU_ASSERT(least * 10 >= most * 9);
+        /* The capacity does not suffice for what was served before. */
+        CU_ASSERT(after.served[0] + after.served[1] <
+                  before.served[0] + before.served[1]);
+        CU_ASSERT(after.refused[1] * 10 > after.served[1]);
+        CU_ASSERT(after.refused[0] * 100 <= after.served[0]);
+        CU_ASSERT(after.served[0] * 10 >= before.served[0] * 8);
+        fleet_sim_free(sim);
+    }
+    fleet_sim_use_priorities(FALSE);
+}
+
 void
 add_evacuation_suite(void)
 {
@@ -643,6 +722,8 @@
                 an_order_applies_only_at_its_revision);
     CU_add_test(s, "a domain is evacuated under faults",
                 a_domain_is_evacuated_under_faults);
+    CU_add_test(s, "a lack of capacity is spread and shed by priority",
+                a_lack_of_capacity_is_spread_and_shed_by_priority);
     CU_add_test(s, "retries make one change", retries_make_one_change);
     CU_add_test(s, "a delayed order changes nothing",
                 a_delayed_order_changes_nothing);
