--- a/test/unit/test_fleet_sim.c
+++ b/test/unit/test_fleet_sim.c
@@ -826,8 +826,8 @@
     }
 }
 
-/* A team is near its limit, and wants several times its rate from the moment on
- * at which all instances but two are isolated from the control instances.
+/* A team is near its limit, and wants several times its rate once all
+ * instances but two are isolated from the control instances.
  * Guards against instances that use their whole shares before the leader has
  * noticed, while it still grants the whole rate to the others: up to 737
  * operations in a window.  A team that is above its limit before does not show
