Reserve lent shares only for takers out of contact

Cause: the leader reserved all lent shares while any instance was out of contact, also one that had nothing of them, such as a lost machine. A team below its limit then lost up to the lent part of its rate for 7.6 s.

Change: the report names who borrowed a share or got tokens, and, where tokens were granted, the sum of the shares held.

--- a/src/sapphireweir/fleet/director.c
+++ b/src/sapphireweir/fleet/director.c
@@ -260,6 +260,7 @@
     d->shares = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
                                       (GDestroyNotify)g_hash_table_destroy);
     d->reservations = g_ptr_array_new();
+    d->entries_by_hash = g_hash_table_new(g_int64_hash, g_int64_equal);
     d->rate_windows =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     g_queue_init(&d->requests);
@@ -273,6 +274,7 @@
     g_queue_clear_full(&d->requests, operator_request_free);
     g_hash_table_destroy(d->rate_windows);
     g_ptr_array_unref(d->reservations);
+    g_hash_table_destroy(d->entries_by_hash);
     g_hash_table_destroy(d->shares);
     document_unref(d->decoded_document);
     documents_clear(d);
--- a/src/sapphireweir/fleet/director_entries.c
+++ b/src/sapphireweir/fleet/director_entries.c
@@ -57,8 +57,9 @@
             g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
         entry->usage = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
                                              (GDestroyNotify)g_array_unref);
-        entry->lent =
-            g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+        entry->lent = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+                                            lent_share_free);
+        entry->hash = hash_text(id, 0);
         g_hash_table_insert(d->entries, entry->id, entry);
     }
     else {
@@ -510,6 +511,7 @@
         0) {
         d->evidence_lost_us = now_us;
         g_ptr_array_set_size(d->reservations, 0); /* borrows entries */
+        g_hash_table_remove_all(d->entries_by_hash);
         d->next_reservations_us = 0;
     }
     if (d->led_since_us != 0) {
--- a/src/sapphireweir/fleet/director_internal.h
+++ b/src/sapphireweir/fleet/director_internal.h
@@ -83,6 +83,7 @@
     uint64_t usage_version; /* of that report */
     GHashTable *lent;       /* team -> LentShare, owned */
     uint64_t lent_version;  /* of the report that they are from */
+    uint64_t hash;          /* of its id, as other instances name it */
     gboolean reserved;      /* its shares are, by the last search */
 } EntryState;
 
@@ -90,6 +91,7 @@
 typedef struct {
     uint32_t share_micro;
     uint64_t until_us; /* operations of others may count until then */
+    GArray *takers;    /* uint64_t: hashes of their ids; empty: not known */
 } LentShare;
 
 /* Operations that an entry instance admitted at about the same time. */
@@ -276,7 +278,8 @@
     uint64_t next_expiry_us;  /* of servers that are gone */
     uint64_t logged_revision; /* directory revision proposed to the log */
     uint64_t next_shares_us;
-    GPtrArray *reservations; /* EntryState, see refresh_reservations */
+    GPtrArray *reservations;     /* EntryState, see refresh_reservations */
+    GHashTable *entries_by_hash; /* the same time: hash -> EntryState */
     uint64_t next_reservations_us;
     uint32_t reported_entries; /* entry instances of the former leader */
     gboolean rates_known;      /* kEventRatesKnown was logged in this term */
@@ -368,6 +371,7 @@
                           uint64_t request_id, const Sw__TokenRequest *m);
 void rates_handle_usage(Director *d, uint64_t now_us, EntryState *entry,
                         const Sw__EntryReport *m);
+void lent_share_free(void *lent);
 void rates_handle_lent(Director *d, uint64_t now_us, EntryState *entry,
                        const Sw__EntryReport *m);
 void rates_tick(Director *d, uint64_t now_us);
--- a/src/sapphireweir/fleet/director_rates.c
+++ b/src/sapphireweir/fleet/director_rates.c
@@ -30,6 +30,7 @@
     /* Longest time that a lent share may count: a loan, the life of a token
      * and the window, see share_pool_counted_us; 5 percent for the clocks. */
     kMaxLentUs = 8000000,
+    kTakersMax = 400, /* of one share: some reports of a whole pool */
 };
 
 /* Flag of a share in EntryState.shares: the team is near its limit. */
@@ -69,8 +70,15 @@
     return ((const LentShare *)value)->until_us <= *(const uint64_t *)ctx;
 }
 
-/* Adds the instances in contact that lent shares.  Others may use those
- * without this leader's knowledge, as long as any instance is out of
+/* Frees a LentShare; usable as a GDestroyNotify. */
+void
+lent_share_free(void *lent)
+{
+    g_array_unref(((LentShare *)lent)->takers);
+    g_free(lent);
+}
+
+/* Adds the instances in contact that lent shares, while any instance is out of
  * contact; all others have reported what they used. */
 static void
 add_lenders(Director *d, uint64_t now_us)
@@ -79,9 +87,11 @@
     void *value;
     gboolean unknown_use = d->reservations->len > 0;
 
+    g_hash_table_remove_all(d->entries_by_hash);
     g_hash_table_iter_init(&it, d->entries);
     while (g_hash_table_iter_next(&it, NULL, &value)) {
         EntryState *entry = value;
+        g_hash_table_insert(d->entries_by_hash, &entry->hash, entry);
         g_hash_table_foreach_remove(entry->lent, lent_has_ended, &now_us);
         if (unknown_use && !entry->reserved &&
             g_hash_table_size(entry->lent) > 0) {
@@ -114,6 +124,33 @@
     add_lenders(d, now_us);
 }
 
+/* Tells whether an instance with a hash is out of contact, or not known. */
+static gboolean
+is_out_of_contact(const Director *d, uint64_t hash)
+{
+    const EntryState *entry = g_hash_table_lookup(d->entries_by_hash, &hash);
+
+    return entry == NULL || entry->reserved;
+}
+
+/* Returns how much of a team's limit, in millionths, others may use of what an
+ * instance gave them, without having reported it to this leader. */
+static uint64_t
+lent_share(const Director *d, const EntryState *entry, const char *team)
+{
+    const LentShare *lent = g_hash_table_lookup(entry->lent, team);
+
+    if (lent == NULL) {
+        return 0;
+    }
+    for (guint i = 0; i < lent->takers->len; i++) {
+        if (is_out_of_contact(d, g_array_index(lent->takers, uint64_t, i))) {
+            return lent->share_micro;
+        }
+    }
+    return lent->takers->len == 0 ? lent->share_micro : 0;
+}
+
 /* Returns the part of a team's limit, in millionths, that is reserved because
  * of one instance: the share that it was granted last if it is out of contact,
  * and one that it gave to others. */
@@ -122,8 +159,7 @@
 {
     uint32_t entry_count =
         MAX(g_hash_table_size(d->entries), d->reported_entries);
-    const LentShare *lent = g_hash_table_lookup(entry->lent, team);
-    uint64_t lent_micro = lent == NULL ? 0 : lent->share_micro;
+    uint64_t lent_micro = lent_share(d, entry, team);
     void *share = NULL;
 
     if (!entry->reserved) {
@@ -291,6 +327,21 @@
     }
 }
 
+/* Adds the takers of a report to a lent share.  If those of either are not
+ * known, or if there are too many, the sum counts as not known. */
+static void
+add_takers(LentShare *kept, const Sw__LentShare *m, gboolean known)
+{
+    gboolean unknown = m->n_takers == 0 || (known && kept->takers->len == 0) ||
+                       m->n_takers + kept->takers->len > kTakersMax;
+
+    if (unknown) {
+        g_array_set_size(kept->takers, 0);
+        return;
+    }
+    g_array_append_vals(kept->takers, m->takers, (guint)m->n_takers);
+}
+
 /* Handles what an entry instance reports of shares that others may use.  It
  * adds to what the instance, or a former incarnation, has reported before. */
 void
@@ -306,13 +357,16 @@
     for (size_t i = 0; i < m->n_lent_shares; i++) {
         const Sw__LentShare *each = m->lent_shares[i];
         LentShare *kept = g_hash_table_lookup(entry->lent, each->team);
+        gboolean known = kept != NULL;
         if (kept == NULL) {
             kept = g_new0(LentShare, 1);
+            kept->takers = g_array_new(FALSE, FALSE, sizeof(uint64_t));
             g_hash_table_insert(entry->lent, g_strdup(each->team), kept);
         }
         kept->share_micro =
             MAX(kept->share_micro,
                 MIN(each->share_micro, (uint32_t)kShareTotalMicro));
+        add_takers(kept, each, known);
         kept->until_us = MAX(
             kept->until_us, now_us + MIN(each->left_us, (uint64_t)kMaxLentUs));
     }
--- a/src/sapphireweir/gateway/rate_pool.c
+++ b/src/sapphireweir/gateway/rate_pool.c
@@ -63,8 +63,11 @@
     gboolean share_known; /* a leader has granted share_micro */
     uint32_t share_micro;
     SharePool pool;
-    uint32_t given_micro; /* largest share that was given and still counts */
-    uint64_t begun;       /* RatePool.counters.begun when pool began */
+    /* What others got and still counts: the largest sum of shares that it was
+     * taken from, and hashes of the takers (uint64_t). */
+    uint64_t given_micro;
+    GArray *takers;
+    uint64_t begun;          /* RatePool.counters.begun when pool began */
     uint64_t taken_alone_us; /* from the local bucket, zero: never */
     uint64_t demand_us;      /* last time that a token was wanted here */
     uint64_t empty_until_us; /* the pooling instance has none before */
@@ -107,6 +110,7 @@
 {
     PoolTeam *t = data;
     share_pool_clear(&t->pool);
+    g_array_unref(t->takers);
     g_free(t->team);
     g_free(t);
 }
@@ -165,7 +169,7 @@
 }
 
 /* Appends the shares of which others got something whose use may still count,
- * as Sw__LentShare that the list owns; their names stay the pool's. */
+ * as Sw__LentShare that the list owns; names and takers stay the pool's. */
 void
 rate_pool_append_lent(const RatePool *p, uint64_t now_us, GPtrArray *list)
 {
@@ -182,7 +186,10 @@
         Sw__LentShare *each = g_new(Sw__LentShare, 1);
         sw__lent_share__init(each);
         each->team = t->team;
-        each->share_micro = t->given_micro;
+        each->share_micro =
+            (uint32_t)MIN(t->given_micro, (uint64_t)kMicrosPerSecond);
+        each->n_takers = t->takers->len;
+        each->takers = (uint64_t *)(void *)t->takers->data;
         each->left_us = left_us;
         g_ptr_array_add(list, each);
     }
@@ -231,6 +238,7 @@
         t->team = g_strdup(name);
         t->hash = hash_text(name, 0);
         share_pool_init(&t->pool, now_us);
+        t->takers = g_array_new(FALSE, FALSE, sizeof(uint64_t));
         g_hash_table_insert(p->teams, t->team, t);
     }
     return t;
@@ -496,15 +504,39 @@
 
 /* ---- messages of other instances ---- */
 
-/* Records that another instance got the own share of a team, or tokens of it,
- * for the report to the leader. */
-static void
-share_given(RatePool *p, uint64_t now_us, PoolTeam *t)
+/* Returns the sum of the shares that a team's pool holds, in millionths and
+ * rounded up: all of them may be in the tokens that it grants. */
+static uint64_t
+held_share(const PoolTeam *t)
 {
-    gboolean counts = share_pool_counted_us(&t->pool, now_us) > 0;
+    uint64_t whole = t->limit.rate_micro_per_s * kShareCutPercent / 100;
+    uint64_t held = share_pool_held_micro_per_s(&t->pool);
 
-    t->given_micro = MAX(counts ? t->given_micro : 0, t->share_micro);
+    return whole == 0 ? kMicrosPerSecond
+                      : MAX((uint64_t)((unsigned __int128)held *
+                                       kMicrosPerSecond / whole) +
+                                1,
+                            t->share_micro);
+}
+
+/* Records that a member gets the own share of a team, or tokens, for the
+ * report to the leader. */
+static void
+share_given(RatePool *p, uint64_t now_us, PoolTeam *t, const Member *to,
+            uint64_t share_micro)
+{
+    if (share_pool_counted_us(&t->pool, now_us) == 0) {
+        t->given_micro = 0;
+        g_array_set_size(t->takers, 0);
+    }
+    t->given_micro = MAX(t->given_micro, share_micro);
     p->lent_version++;
+    for (guint i = 0; i < t->takers->len; i++) {
+        if (g_array_index(t->takers, uint64_t, i) == to->hash) {
+            return;
+        }
+    }
+    g_array_append_val(t->takers, to->hash);
 }
 
 /* Fills in the offer for one team that a member asks for. */
@@ -521,7 +553,7 @@
     pool_team_prepare(p, now_us, t, team);
     if (ask->lend) {
         gboolean prolonged = share_pool_is_lent(&t->pool, now_us);
-        share_given(p, now_us, t);
+        share_given(p, now_us, t, from, t->share_micro);
         if (share_pool_lend(&t->pool, now_us, from->hash, &offer)) {
             p->counters.shares_lent += !prolonged;
             out->rate_micro = offer.amount.rate_micro_per_s;
@@ -534,7 +566,7 @@
     }
     p->collect_new |= now_us - t->demand_us > kDemandKeptUs;
     t->demand_us = now_us;
-    share_given(p, now_us, t);
+    share_given(p, now_us, t, from, held_share(t));
     out->tokens = share_pool_grant(&t->pool, now_us, ask->tokens);
     p->counters.tokens_granted += out->tokens;
     if (out->tokens < ask->tokens) {
--- a/src/sapphireweir/policy/share_pool.c
+++ b/src/sapphireweir/policy/share_pool.c
@@ -356,6 +356,18 @@
     return p->next_free_us - now_us;
 }
 
+/* Returns the rate of the own share, lent or not, and of all loans. */
+uint64_t
+share_pool_held_micro_per_s(const SharePool *p)
+{
+    uint64_t sum = p->own.rate_micro_per_s;
+
+    for (guint i = 0; i < p->loans->len; i++) {
+        sum += g_array_index(p->loans, ShareLoan, i).amount.rate_micro_per_s;
+    }
+    return sum;
+}
+
 /* Returns how long operations of others with the own share may still count in
  * the team's window, zero if none does.  The borrower of a share may grant a
  * token just before the loan ends, which is used within its life. */
--- a/src/sapphireweir/policy/share_pool.h
+++ b/src/sapphireweir/policy/share_pool.h
@@ -71,6 +71,7 @@
 uint32_t share_pool_grant(SharePool *p, uint64_t now_us, uint32_t wanted);
 uint64_t share_pool_wait_us(SharePool *p, uint64_t now_us, gboolean alone);
 uint64_t share_pool_promise_us(SharePool *p, uint64_t now_us);
+uint64_t share_pool_held_micro_per_s(const SharePool *p);
 uint64_t share_pool_counted_us(const SharePool *p, uint64_t now_us);
 uint64_t share_pool_score(uint64_t team, uint64_t member);
 
--- a/src/sapphireweir/proto/sapphireweir.pb-c.c
+++ b/src/sapphireweir/proto/sapphireweir.pb-c.c
@@ -5562,7 +5562,7 @@
   (ProtobufCMessageInit) sw__rate_usage__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sw__lent_share__field_descriptors[3] =
+static const ProtobufCFieldDescriptor sw__lent_share__field_descriptors[4] =
 {
   {
     "team",
@@ -5600,16 +5600,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "takers",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Sw__LentShare, n_takers),
+    offsetof(Sw__LentShare, takers),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sw__lent_share__field_indices_by_name[] = {
   2,   /* field[2] = left_us */
   1,   /* field[1] = share_micro */
+  3,   /* field[3] = takers */
   0,   /* field[0] = team */
 };
 static const ProtobufCIntRange sw__lent_share__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor sw__lent_share__descriptor =
 {
@@ -5619,7 +5632,7 @@
   "Sw__LentShare",
   "sw",
   sizeof(Sw__LentShare),
-  3,
+  4,
   sw__lent_share__field_descriptors,
   sw__lent_share__field_indices_by_name,
   1,  sw__lent_share__number_ranges,
--- a/src/sapphireweir/proto/sapphireweir.pb-c.h
+++ b/src/sapphireweir/proto/sapphireweir.pb-c.h
@@ -772,8 +772,8 @@
 
 
 /*
- * A share of a team's rate that an entry instance has lent, or from which it
- * granted tokens, while it had no leader.
+ * A share of a team's rate that an entry instance has lent, or the shares that
+ * it held and granted tokens of, while it had no leader.
  */
 struct  Sw__LentShare
 {
@@ -781,14 +781,19 @@
   char *team;
   uint32_t share_micro;
   /*
-   * Time in which operations of others with this share may count in the
-   * team's window.
+   * Time in which operations of the takers may count in the team's window.
    */
   uint64_t left_us;
+  /*
+   * Hashes of the ids of the entry instances that borrowed the share or got
+   * tokens.  Empty: not known.
+   */
+  size_t n_takers;
+  uint64_t *takers;
 };
 #define SW__LENT_SHARE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sw__lent_share__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0,NULL }
 
 
 /*
