--- a/src/sapphireweir/gateway/rate_pool.c
+++ b/src/sapphireweir/gateway/rate_pool.c
@@ -63,6 +63,10 @@
     gboolean share_known; /* a leader has granted share_micro */
     uint32_t share_micro;
     SharePool pool;
+    /* What others got and still counts: the largest sum of shares that it was
+     * taken from, and hashes of the takers (uint64_t). */
+    uint64_t given_micro;
+    GArray *takers;
     uint64_t begun;          /* RatePool.counters.begun when pool began */
     uint64_t taken_alone_us; /* from the local bucket, zero: never */
     uint64_t demand_us;      /* last time that a token was wanted here */
@@ -86,7 +90,8 @@
     gboolean collect_new;
     uint64_t collected_new_us;
     uint64_t next_request;
-    uint32_t probes; /* sent in this tick */
+    uint64_t lent_version; /* changes with what was given of the own shares */
+    uint32_t probes;       /* sent in this tick */
     TokenBucket requests;
     TokenBucket replies;
     RatePoolCounters counters;
@@ -105,6 +110,7 @@
 {
     PoolTeam *t = data;
     share_pool_clear(&t->pool);
+    g_array_unref(t->takers);
     g_free(t->team);
     g_free(t);
 }
@@ -154,6 +160,41 @@
     g_free(p);
 }
 
+/* Returns the number of the present state of what others got of this
+ * instance's shares, zero if they got nothing. */
+uint64_t
+rate_pool_lent_version(const RatePool *p)
+{
+    return p->lent_version;
+}
+
+/* Appends the shares of which others got something whose use may still count,
+ * as Sw__LentShare that the list owns; names and takers stay the pool's. */
+void
+rate_pool_append_lent(const RatePool *p, uint64_t now_us, GPtrArray *list)
+{
+    GHashTableIter it;
+    void *value;
+
+    g_hash_table_iter_init(&it, p->teams);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        const PoolTeam *t = value;
+        uint64_t left_us = share_pool_counted_us(&t->pool, now_us);
+        if (left_us == 0 || t->given_micro == 0) {
+            continue;
+        }
+        Sw__LentShare *each = g_new(Sw__LentShare, 1);
+        sw__lent_share__init(each);
+        each->team = t->team;
+        each->share_micro =
+            (uint32_t)MIN(t->given_micro, (uint64_t)kMicrosPerSecond);
+        each->n_takers = t->takers->len;
+        each->takers = (uint64_t *)(void *)t->takers->data;
+        each->left_us = left_us;
+        g_ptr_array_add(list, each);
+    }
+}
+
 /* Returns the counters since the start, owned by the pool. */
 const RatePoolCounters *
 rate_pool_counters(const RatePool *p)
@@ -197,6 +238,7 @@
         t->team = g_strdup(name);
         t->hash = hash_text(name, 0);
         share_pool_init(&t->pool, now_us);
+        t->takers = g_array_new(FALSE, FALSE, sizeof(uint64_t));
         g_hash_table_insert(p->teams, t->team, t);
     }
     return t;
@@ -462,6 +504,41 @@
 
 /* ---- messages of other instances ---- */
 
+/* Returns the sum of the shares that a team's pool holds, in millionths and
+ * rounded up: all of them may be in the tokens that it grants. */
+static uint64_t
+held_share(const PoolTeam *t)
+{
+    uint64_t whole = t->limit.rate_micro_per_s * kShareCutPercent / 100;
+    uint64_t held = share_pool_held_micro_per_s(&t->pool);
+
+    return whole == 0 ? kMicrosPerSecond
+                      : MAX((uint64_t)((unsigned __int128)held *
+                                       kMicrosPerSecond / whole) +
+                                1,
+                            t->share_micro);
+}
+
+/* Records that a member gets the own share of a team, or tokens, for the
+ * report to the leader. */
+static void
+share_given(RatePool *p, uint64_t now_us, PoolTeam *t, const Member *to,
+            uint64_t share_micro)
+{
+    if (share_pool_counted_us(&t->pool, now_us) == 0) {
+        t->given_micro = 0;
+        g_array_set_size(t->takers, 0);
+    }
+    t->given_micro = MAX(t->given_micro, share_micro);
+    p->lent_version++;
+    for (guint i = 0; i < t->takers->len; i++) {
+        if (g_array_index(t->takers, uint64_t, i) == to->hash) {
+            return;
+        }
+    }
+    g_array_append_val(t->takers, to->hash);
+}
+
 /* Fills in the offer for one team that a member asks for. */
 static void
 offer_fill(RatePool *p, uint64_t now_us, const Member *from,
@@ -476,6 +553,7 @@
     pool_team_prepare(p, now_us, t, team);
     if (ask->lend) {
         gboolean prolonged = share_pool_is_lent(&t->pool, now_us);
+        share_given(p, now_us, t, from, t->share_micro);
         if (share_pool_lend(&t->pool, now_us, from->hash, &offer)) {
             p->counters.shares_lent += !prolonged;
             out->rate_micro = offer.amount.rate_micro_per_s;
@@ -488,6 +566,7 @@
     }
     p->collect_new |= now_us - t->demand_us > kDemandKeptUs;
     t->demand_us = now_us;
+    share_given(p, now_us, t, from, held_share(t));
     out->tokens = share_pool_grant(&t->pool, now_us, ask->tokens);
     p->counters.tokens_granted += out->tokens;
     if (out->tokens < ask->tokens) {
--- a/test/support/fleet_sim.c
+++ b/test/support/fleet_sim.c
@@ -38,6 +38,7 @@
     kProbeIntervalUs = 1000000, /* of the load balancer */
     /* Of a stopping entry instance's grace: its process ends then. */
     kMaxDrainPercent = 95,
+    kForwardId = 1 << 30, /* of requests of fleet_sim_forward */
 };
 
 /* A committed write in the log of a backend server. */
@@ -196,6 +197,7 @@
     /* Bandwidth of each entry instance's link, zero: unlimited. */
     uint64_t link_bytes_per_s;
     GBytes *last_read;       /* by fleet_sim_read_document, NULL: no reply */
+    uint32_t forward_status; /* of the last fleet_sim_forward, or zero */
     uint32_t padding_routes; /* further routes in the document's text */
     Traffic traffic;         /* between all instances */
     uint64_t version;        /* of the last document sent */
@@ -221,6 +223,9 @@
         uint64_t evacuated_us;
     } wanted[kFleetSimDomains];
     uint64_t statements[kFleetSimDomains][kFleetSimEntries];
+    uint64_t outcomes[2][2]; /* operations by priority and success */
+    /* Of the entry instances that callers use; kFleetSimDomains: any. */
+    uint32_t callers_domain;
     uint64_t last_write_us[kFleetSimDatabases]; /* last acknowledgement */
     FleetSimReport report;
 };
@@ -962,6 +967,16 @@
             1) != 0;
 }
 
+/* Records the reply to fleet_sim_forward. */
+static void
+record_reply(FleetSim *sim, const Sw__Frame *f)
+{
+    if (f->body_case == SW__FRAME__BODY_ADMIN_REPLY &&
+        f->request_id == kForwardId) {
+        sim->forward_status = f->admin_reply->status;
+    }
+}
+
 /* Passes a frame to its recipient, unless a partition drops it. */
 static void
 packet_arrive(FleetSim *sim, void *data)
@@ -971,6 +986,7 @@
     if (reachable(sim, packet->from_domain, packet->to_domain) &&
         !is_split(sim, packet->from, packet->to) &&
         !is_cut(sim, packet->from, packet->to)) {
+        record_reply(sim, packet->frame);
         for (uint32_t i = 0; i < kFleetSimControls; i++) {
             ControlInstance *c = &sim->controls[i];
             if (c->director != NULL && strcmp(c->id, packet->to) == 0) {
@@ -1527,6 +1543,14 @@
     session_statement(c->session, c->sim->now_us, &st);
 }
 
+/* Returns the priority of the team that holds a caller's key, where documents
+ * have priorities: zero is the more urgent one. */
+static uint32_t
+priority_of(const Caller *c)
+{
+    return (c->index + c->sim->key_moves) % c->sim->teams % 2;
+}
+
 /* Ends an operation and schedules the caller's next one. */
 static void
 finish_operation(Caller *c, gboolean served)
@@ -1536,6 +1560,7 @@
     c->active = FALSE;
     sim->report.served += served;
     sim->report.refused += !served;
+    sim->outcomes[priority_of(c)][served]++;
     schedule(sim,
              sim->mean_pause_us / 2 +
                  random_number(sim) % (sim->mean_pause_us + 1),
@@ -1758,7 +1783,9 @@
     g_snprintf(key, sizeof(key), "%s-%u", kKeyPrefix, c->index % sim->teams);
     do {
         c->entry = (c->entry + 1) % kFleetSimEntries;
-    } while (sim->entries[c->entry].stopping_us != 0);
+    } while (sim->entries[c->entry].stopping_us != 0 ||
+             (sim->callers_domain != kFleetSimDomains &&
+              c->entry % kFleetSimDomains != sim->callers_domain));
     c->closing = FALSE;
     c->session = session_open(sim->entries[c->entry].gateway, sim->now_us, c,
                               kDatabaseNames[c->index % kFleetSimDatabases],
@@ -1985,6 +2012,30 @@
     director_flush(c->director, sim->now_us);
 }
 
+/* Sends the control leader a request as another control instance forwards it,
+ * and runs until the reply.  Returns its status, zero if there is none within
+ * two seconds. */
+uint32_t
+fleet_sim_forward(FleetSim *sim, const char *verb, const char *key)
+{
+    uint32_t leader = (uint32_t)fleet_sim_control_leader(sim);
+    Sw__Frame frame = SW__FRAME__INIT;
+    Sw__AdminRequest m = SW__ADMIN_REQUEST__INIT;
+
+    m.verb = (char *)verb;
+    m.key = (char *)key;
+    frame.request_id = kForwardId;
+    frame.body_case = SW__FRAME__BODY_ADMIN_REQUEST;
+    frame.admin_request = &m;
+    sim->forward_status = 0;
+    packet_send(sim, sim->controls[(leader + 1) % kFleetSimDomains].id,
+                sim->controls[leader].id, &frame);
+    for (uint32_t ms = 0; ms < 2000 && sim->forward_status == 0; ms += 20) {
+        fleet_sim_run(sim, 20);
+    }
+    return sim->forward_status;
+}
+
 /* Returns the text of the last successful read, NULL if there is none. */
 const char *
 fleet_sim_last_read(const FleetSim *sim)
@@ -2157,6 +2208,7 @@
     sim->writes =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
     sim->teams = 1;
+    sim->callers_domain = kFleetSimDomains;
     sim->max_connections = kDefaultMaxConnections;
     sim->slots = kDefaultSlots;
     sim->replica_lag_us = 60 * kUsPerMs;
@@ -2677,6 +2729,14 @@
     return count;
 }
 
+/* Isolates an entry instance from all control instances, or ends this. */
+void
+fleet_sim_set_isolated(FleetSim *sim, uint32_t entry, gboolean isolated)
+{
+    sim->entries[entry].cut_controls =
+        isolated ? (1U << kFleetSimControls) - 1 : 0;
+}
+
 /* Drops all frames between an entry instance and a control instance. */
 void
 fleet_sim_cut_from_control(FleetSim *sim, uint32_t entry, uint32_t control)
@@ -2761,6 +2821,21 @@
     return sim->statements[domain][entry];
 }
 
+/* Makes callers open new sessions in one failure domain only. */
+void
+fleet_sim_gather_callers(FleetSim *sim, uint32_t domain)
+{
+    sim->callers_domain = domain;
+}
+
+/* Returns how many operations of the callers with a priority, 0 or 1, have
+ * ended, served or not. */
+uint64_t
+fleet_sim_outcomes(const FleetSim *sim, uint32_t priority, gboolean served)
+{
+    return sim->outcomes[priority][served];
+}
+
 /* Returns the value of a metric, G_MAXUINT64 if there is none. */
 static uint64_t
 metric_value(const GString *text, const char *name)
--- a/test/support/fleet_sim.h
+++ b/test/support/fleet_sim.h
@@ -114,6 +114,7 @@
 void fleet_sim_set_link_bandwidth(FleetSim *sim, uint64_t bytes_per_s);
 void fleet_sim_add_routes(FleetSim *sim, uint32_t count);
 void fleet_sim_read_document(FleetSim *sim, uint32_t control);
+uint32_t fleet_sim_forward(FleetSim *sim, const char *verb, const char *key);
 const char *fleet_sim_last_read(const FleetSim *sim);
 const char *fleet_sim_sent_document(const FleetSim *sim);
 uint64_t fleet_sim_oldest_version(const FleetSim *sim);
@@ -148,10 +149,14 @@
 void fleet_sim_order_give_up(const FleetSimOrder *order);
 void fleet_sim_cut_from_control(FleetSim *sim, uint32_t entry,
                                 uint32_t control);
+void fleet_sim_set_isolated(FleetSim *sim, uint32_t entry, gboolean isolated);
 void fleet_sim_order(FleetSim *sim, uint32_t domain, gboolean evacuated);
 gboolean fleet_sim_order_acked(const FleetSim *sim, uint32_t domain);
 uint64_t fleet_sim_statements_in_domain(const FleetSim *sim, uint32_t domain,
                                         uint32_t entry);
+void fleet_sim_gather_callers(FleetSim *sim, uint32_t domain);
+uint64_t fleet_sim_outcomes(const FleetSim *sim, uint32_t priority,
+                            gboolean served);
 uint64_t fleet_sim_control_metric(const FleetSim *sim, uint32_t control,
                                   const char *name);
 uint64_t fleet_sim_entry_metric(const FleetSim *sim, uint32_t entry,
--- a/test/unit/test_fleet_sim.c
+++ b/test/unit/test_fleet_sim.c
@@ -826,6 +826,41 @@
     }
 }
 
+/* A team is near its limit, and wants several times its rate once all
+ * instances but two are isolated from the control instances.
+ * Guards against instances that use their whole shares before the leader has
+ * noticed, while it still grants the whole rate to the others: up to 737
+ * operations in a window.  A team that is above its limit before does not show
+ * this, since its instances then refuse for a while without asking. */
+static void
+rates_hold_while_most_instances_are_isolated(void)
+{
+    enum { kRate = 100, kMaxInWindow = (kRate * 5 + kRate) * 11 / 10 + 20 };
+    enum { kConnected = 2 };
+
+    for (uint32_t seed = 1; seed <= 6; seed++) {
+        FleetSim *sim = fleet_sim_new(seed);
+        fleet_sim_configure(sim, kRate, TRUE);
+        fleet_sim_set_caller_pause(sim, 320);
+        fleet_sim_run(sim, 9000);
+        for (uint32_t i = kConnected; i < kFleetSimEntries; i++) {
+            fleet_sim_set_isolated(sim, (seed + i) % kFleetSimEntries, TRUE);
+        }
+        fleet_sim_set_caller_pause(sim, 5);
+        fleet_sim_run(sim, 7000);
+        for (uint32_t i = 0; i < kFleetSimEntries; i++) {
+            fleet_sim_set_isolated(sim, i, FALSE);
+        }
+        fleet_sim_run(sim, 6000);
+        uint32_t in_window = fleet_sim_max_in_rate_window(sim);
+        if (in_window > kMaxInWindow) {
+            g_print("\nseed %u: %u in a window\n", seed, in_window);
+        }
+        CU_ASSERT(in_window <= kMaxInWindow);
+        fleet_sim_free(sim);
+    }
+}
+
 /* Runs a simulation for steps of 250 ms and records after each of them how
  * many operations pooled shares have admitted. */
 static void
@@ -876,6 +911,52 @@
     }
 }
 
+/* Two of six instances lose the control instances and pool their shares; the
+ * one that has lent its share returns.  Guards against a leader that no longer
+ * counts that share, although the other one may still use it, and against one
+ * that counts it for ever. */
+static void
+lent_shares_count_at_the_leader(void)
+{
+    enum { kRate = 100, kMaxInWindow = (kRate * 5 + kRate) * 11 / 10 + 20 };
+    static const char gauge[] = "rate_reserved_entries";
+
+    for (uint32_t seed = 1; seed <= 6; seed++) {
+        FleetSim *sim = fleet_sim_new(seed);
+        uint32_t pair[] = {seed % kFleetSimEntries,
+                           (seed + 1) % kFleetSimEntries};
+        fleet_sim_configure(sim, kRate, TRUE);
+        fleet_sim_set_caller_pause(sim, 5);
+        fleet_sim_run(sim, 8000);
+        fleet_sim_clear_run_times(sim);
+        fleet_sim_set_isolated(sim, pair[0], TRUE);
+        fleet_sim_set_isolated(sim, pair[1], TRUE);
+        fleet_sim_run(sim, 8000);
+        uint32_t leader = (uint32_t)fleet_sim_control_leader(sim);
+        CU_ASSERT_EQUAL(fleet_sim_control_metric(sim, leader, gauge), 2);
+        uint32_t lender = fleet_sim_entry_metric(
+                              sim, pair[0], "rate_pool_shares_lent_total") > 0
+                              ? 0
+                              : 1;
+        CU_ASSERT(fleet_sim_entry_metric(sim, pair[lender],
+                                         "rate_pool_shares_lent_total") > 0);
+        fleet_sim_set_isolated(sim, pair[lender], FALSE);
+        fleet_sim_run(sim, 2000);
+        CU_ASSERT_EQUAL(fleet_sim_control_metric(sim, leader, gauge), 2);
+        /* Also after the instance has been replaced by its next one. */
+        fleet_sim_restart_entry(sim, pair[lender]);
+        fleet_sim_run(sim, 1500);
+        CU_ASSERT_EQUAL(fleet_sim_control_metric(sim, leader, gauge), 2);
+        fleet_sim_run(sim, 6500);
+        CU_ASSERT_EQUAL(fleet_sim_control_metric(sim, leader, gauge), 1);
+        fleet_sim_set_isolated(sim, pair[1 - lender], FALSE);
+        fleet_sim_run(sim, 3000);
+        CU_ASSERT_EQUAL(fleet_sim_control_metric(sim, leader, gauge), 0);
+        CU_ASSERT(fleet_sim_max_in_rate_window(sim) <= kMaxInWindow);
+        fleet_sim_free(sim);
+    }
+}
+
 /* Adds many routes and then changes the configuration every 60 ms. */
 static void
 many_routes_then_a_storm(FleetSim *sim)
@@ -1115,6 +1196,38 @@
     fleet_sim_free(sim);
 }
 
+/* Guards against a request of another release that is answered as a read, so
+ * that its origin takes it for done. */
+static void
+unknown_forwarded_requests_are_refused(void)
+{
+    static const struct {
+        const char *verb;
+        const char *key;
+        uint32_t status;
+    } cases[] = {
+        {"document-get", "0", 200},  {"document-drop", "0", 400},
+        {"document-get ", "0", 400}, {"", "", 400},
+        {"member-add", "c9", 400},   {"document-put", "0", 200},
+    };
+    FleetSim *sim = fleet_sim_new(3);
+    uint64_t refused = 0;
+
+    fleet_sim_run(sim, 2000);
+    uint32_t leader = (uint32_t)fleet_sim_control_leader(sim);
+    uint64_t version = fleet_sim_acked_version(sim);
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        uint32_t status = fleet_sim_forward(sim, cases[i].verb, cases[i].key);
+        CU_ASSERT_EQUAL(status, cases[i].status);
+        refused += cases[i].status == 400;
+    }
+    CU_ASSERT_EQUAL(
+        fleet_sim_control_metric(sim, leader, "forwards_refused_total"),
+        refused);
+    CU_ASSERT_EQUAL(fleet_sim_acked_version(sim), version);
+    fleet_sim_free(sim);
+}
+
 /* A control instance joins that takes 0.4 s for each frame, and the others no
  * longer have the first entries of the log.  It gets the snapshot once, though
  * it answers earlier rounds meanwhile; as much again is allowed for the
@@ -1368,6 +1481,8 @@
                 an_instance_that_starts_in_a_storm_gets_a_configuration);
     CU_add_test(s, "a slow instance gets the log once",
                 a_slow_instance_gets_the_log_once);
+    CU_add_test(s, "unknown forwarded requests are refused",
+                unknown_forwarded_requests_are_refused);
     CU_add_test(s, "a slow instance gets the snapshot once",
                 a_slow_instance_gets_the_snapshot_once);
     CU_add_test(s, "the log of many large versions stays small",
@@ -1395,6 +1510,10 @@
                 guarantees_hold_with_priorities);
     CU_add_test(s, "rates hold while instances are partitioned",
                 rates_hold_while_instances_are_partitioned);
+    CU_add_test(s, "rates hold while most instances are isolated",
+                rates_hold_while_most_instances_are_isolated);
+    CU_add_test(s, "lent shares count at the leader",
+                lent_shares_count_at_the_leader);
     CU_add_test(s, "pooled rates hold while pools split and join",
                 pooled_rates_hold_while_pools_split_and_join);
     CU_add_test(s, "a team gets its rate and no more",
--- a/test/unit/test_share_pool.c
+++ b/test/unit/test_share_pool.c
@@ -1,5 +1,7 @@
 #include <stdlib.h>
+#include <string.h>
 
+#include "core/hash.h"
 #include "core/message.h"
 #include "core/token_bucket.h"
 #include "gateway/rate_pool.h"
@@ -24,6 +26,7 @@
     kOneWayUs = 1400,
     kStartUs = 10 * kUsPerS,       /* when the leader is lost */
     kReservedUs = 3300 * kUsPerMs, /* until it has noticed */
+    kNoticedUs = 2500 * kUsPerMs,  /* as its reports tell the leader */
     kWindowUs = 5 * kUsPerS,
     kFaultSteps = 150, /* one fault every 300 ms */
     kFaultStride = 7,
@@ -87,11 +90,20 @@
     GArray *packets;         /* Packet */
     GArray *waiting;         /* Operation */
     GArray *runs[kTeams];    /* uint64_t: times, once shares are reserved */
+    GArray *used_by[kTeams]; /* uint32_t: the instances that ran them */
+    uint32_t uncounted; /* operations beyond what the leader reserves then */
     uint64_t wanted[kTeams]; /* the same, operations offered */
     uint32_t offered, admitted;
     uint32_t too_early; /* pooled before the leader has reserved it */
 } Replay;
 
+/* Tells whether the leader knows an instance to be in contact. */
+static gboolean
+is_in_contact(const Replay *r, const Instance *e)
+{
+    return r->now_us - e->contact_us < kNoticedUs;
+}
+
 static uint64_t
 draw(Replay *r, uint64_t below)
 {
@@ -186,6 +198,7 @@
                                      .burst_milli = kRate * 1000};
         g_hash_table_insert(r->document.teams, r->names[t], &r->teams[t]);
         r->runs[t] = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+        r->used_by[t] = g_array_new(FALSE, FALSE, sizeof(uint32_t));
         for (uint32_t c = 0; c < kCallerInstances * 2; c++) {
             demand[draw(r, kEntries)] += 1 + c;
         }
@@ -206,6 +219,67 @@
     }
 }
 
+/* Tells whether an instance that got something of a share is out of
+ * contact. */
+static gboolean
+has_taker_without_contact(const Replay *r, const Sw__LentShare *m)
+{
+    for (uint32_t i = 0; i < kLost; i++) {
+        for (size_t k = 0; k < m->n_takers; k++) {
+            if (m->takers[k] == hash_text(r->instances[i].id, 0) &&
+                !is_in_contact(r, &r->instances[i])) {
+                return TRUE;
+            }
+        }
+    }
+    return FALSE;
+}
+
+/* Returns what the leader reserves of a team's rate, in millionths: shares of
+ * the instances without contact and those that others report as lent. */
+static uint64_t
+reserved_micro(const Replay *r, uint32_t team)
+{
+    uint64_t sum = 0;
+
+    for (uint32_t i = 0; i < kLost; i++) {
+        const Instance *e = &r->instances[i];
+        GPtrArray *lent = g_ptr_array_new_with_free_func(g_free);
+        uint64_t share = 0;
+        rate_pool_append_lent(e->pool, r->now_us, lent);
+        for (guint k = 0; k < lent->len; k++) {
+            const Sw__LentShare *each = g_ptr_array_index(lent, k);
+            if (strcmp(each->team, r->names[team]) == 0 &&
+                has_taker_without_contact(r, each)) {
+                share = each->share_micro;
+            }
+        }
+        sum += is_in_contact(r, e) ? share : MAX(share, e->share[team]);
+        g_ptr_array_unref(lent);
+    }
+    return sum;
+}
+
+/* Counts operations beyond what the leader reserves.  It does not know those
+ * of the last window that instances without contact ran; the others have
+ * reported theirs. */
+static void
+check_reserved(Replay *r, uint32_t team)
+{
+    const GArray *runs = r->runs[team];
+    uint64_t unknown = 0;
+
+    for (guint i = runs->len; i > 0; i--) {
+        if (g_array_index(runs, uint64_t, i - 1) + kWindowUs <= r->now_us) {
+            break;
+        }
+        uint32_t by = g_array_index(r->used_by[team], uint32_t, i - 1);
+        unknown += !is_in_contact(r, &r->instances[by]);
+    }
+    uint64_t reserved = reserved_micro(r, team) * kRate * 6 / kShareTotalMicro;
+    r->uncounted += unknown > reserved;
+}
+
 /* Tries to run an operation; returns FALSE if there is no token. */
 static gboolean
 try_operation(Replay *r, const Operation *o)
@@ -234,6 +308,10 @@
     r->admitted++;
     if (r->now_us >= kStartUs + kReservedUs) {
         g_array_append_val(r->runs[o->team], r->now_us);
+        g_array_append_val(r->used_by[o->team], o->instance);
+        if (r->faults->leader_returns) {
+            check_reserved(r, o->team);
+        }
     }
     return TRUE;
 }
@@ -388,6 +466,10 @@
             ran * 100 / attainable, beyond, bytes);
     CU_ASSERT(beyond == 0 || !r->faults->pooled);
     CU_ASSERT_EQUAL(r->too_early, 0);
+    if (r->uncounted > 0) {
+        g_print(", %u uncounted", r->uncounted);
+    }
+    CU_ASSERT_EQUAL(r->uncounted, 0);
     /* The counters of former incarnations are lost. */
     CU_ASSERT(received <= granted || r->faults->restarts);
     CU_ASSERT(ran * 100 / attainable >= r->faults->min_percent);
@@ -406,6 +488,7 @@
     }
     for (uint32_t t = 0; t < kTeams; t++) {
         g_array_unref(r->runs[t]);
+        g_array_unref(r->used_by[t]);
     }
     g_array_unref(r->packets);
     g_array_unref(r->waiting);
@@ -553,6 +636,52 @@
     }
 }
 
+/* Guards against a report that ends while others still use what they got of
+ * the share: until the end of a loan, a token granted just before that end
+ * for 0.5 s, and each operation for a window of 5 s. */
+static void
+given_shares_count_until_their_last_use(void)
+{
+    static const struct {
+        gboolean lends;    /* at the start */
+        uint32_t wanted;   /* tokens, from a level of two */
+        uint64_t again_ms; /* the loan is prolonged, zero: it is not */
+        uint64_t now_ms;
+        uint64_t left_ms;
+    } cases[] = {
+        {FALSE, 0, 0, 0, 0},         {TRUE, 0, 0, 0, 7600},
+        {TRUE, 0, 0, 2500, 5100},    {TRUE, 0, 0, 7600, 0},
+        {TRUE, 0, 1500, 2000, 7100}, {FALSE, 1, 0, 0, 5500},
+        {FALSE, 1, 0, 5499, 1},      {FALSE, 1, 0, 5500, 0},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        ShareAmount own = {kShareTokenMicro, 2 * kShareTokenMicro};
+        ShareOffer offer;
+        SharePool p;
+        share_pool_init(&p, kStartUs - 2 * kUsPerS);
+        share_pool_set_own(&p, kStartUs - 2 * kUsPerS, &own);
+        if (cases[i].lends) {
+            share_pool_lend(&p, kStartUs, 1, &offer);
+        }
+        if (cases[i].again_ms != 0) {
+            share_pool_lend(&p, kStartUs + cases[i].again_ms * kUsPerMs, 1,
+                            &offer);
+        }
+        CU_ASSERT_EQUAL(share_pool_grant(&p, kStartUs, cases[i].wanted),
+                        cases[i].wanted);
+        CU_ASSERT_EQUAL(
+            share_pool_counted_us(&p, kStartUs + cases[i].now_ms * kUsPerMs),
+            cases[i].left_ms * kUsPerMs);
+        /* The leader's return ends nothing that others hold. */
+        share_pool_end(&p, kStartUs + cases[i].now_ms * kUsPerMs);
+        CU_ASSERT_EQUAL(
+            share_pool_counted_us(&p, kStartUs + cases[i].now_ms * kUsPerMs),
+            cases[i].left_ms * kUsPerMs);
+        share_pool_clear(&p);
+    }
+}
+
 /* A token of another pool is debited there; guards against one that is used
  * after its life, when it no longer counts in the lender's window. */
 static void
@@ -632,11 +761,81 @@
     }
 }
 
+/* Guards against a report that leaves out an instance that got something of a
+ * share, or that has less than the shares which its tokens came from. */
+static void
+takers_of_a_share_are_reported(void)
+{
+    static const struct {
+        const char *from;
+        gboolean lends;  /* else it asks for a token */
+        uint32_t shares; /* in the report afterwards */
+        size_t takers;
+        uint32_t share_micro;
+    } steps[] = {
+        {"e2", FALSE, 0, 0, 0}, /* there is no token: it gets nothing */
+        {"e1", TRUE, 1, 1, 200000},
+        {"e1", TRUE, 1, 1, 200000},
+        {"e3", FALSE, 1, 2, 200000},
+    };
+    DocumentTeam team = {
+        .name = "t0", .rate_milli_per_s = 14000, .burst_milli = 14000};
+    Document document = {.teams = g_hash_table_new(g_str_hash, g_str_equal)};
+    uint32_t sent = 0;
+    GatewayPort port = {
+        .ctx = &sent, .peer_send = count_frame, .peer_ready = port_ready};
+    RatePool *p = rate_pool_new("e0", 1, &port, NULL);
+    EntryList *list = entry_list_new();
+
+    g_hash_table_insert(document.teams, team.name, &team);
+    for (uint32_t i = 1; i <= 3; i++) {
+        char id[16];
+        g_snprintf(id, sizeof(id), "e%u", i);
+        entry_list_add(list, id, "a");
+    }
+    rate_pool_set_entries(p, list);
+    rate_pool_set_share(p, kStartUs, "t0", 200000);
+    rate_pool_set_contact(p, kStartUs, kStartUs - 4 * kUsPerS);
+    CU_ASSERT_EQUAL(rate_pool_lent_version(p), 0);
+    for (size_t i = 0; i < G_N_ELEMENTS(steps); i++) {
+        uint64_t now_us = kStartUs + i * kUsPerMs;
+        uint64_t version = rate_pool_lent_version(p);
+        Sw__RateShareAsk ask = SW__RATE_SHARE_ASK__INIT;
+        Sw__RateShareAsk *asks[] = {&ask};
+        Sw__RateShareRequest request = SW__RATE_SHARE_REQUEST__INIT;
+        GPtrArray *lent = g_ptr_array_new_with_free_func(g_free);
+        ask.team = "t0";
+        ask.lend = steps[i].lends;
+        ask.tokens = !steps[i].lends;
+        request.n_asks = 1;
+        request.asks = asks;
+        rate_pool_request(p, now_us, steps[i].from, i + 1, &request,
+                          &document);
+        CU_ASSERT(rate_pool_lent_version(p) > version);
+        rate_pool_append_lent(p, now_us, lent);
+        CU_ASSERT_EQUAL(lent->len, steps[i].shares);
+        for (guint k = 0; k < lent->len; k++) {
+            const Sw__LentShare *each = g_ptr_array_index(lent, k);
+            CU_ASSERT_EQUAL(each->n_takers, steps[i].takers);
+            CU_ASSERT(each->share_micro >= steps[i].share_micro);
+            CU_ASSERT(each->share_micro <= steps[i].share_micro + 2);
+        }
+        g_ptr_array_unref(lent);
+    }
+    rate_pool_free(p);
+    entry_list_free(list);
+    g_hash_table_destroy(document.teams);
+}
+
 void
 add_share_pool_suite(void)
 {
     CU_pSuite s = CU_add_suite("share pool", NULL, NULL);
     CU_add_test(s, "a share has one holder", a_share_has_one_holder);
+    CU_add_test(s, "given shares count until their last use",
+                given_shares_count_until_their_last_use);
+    CU_add_test(s, "takers of a share are reported",
+                takers_of_a_share_are_reported);
     CU_add_test(s, "tokens of others expire", tokens_of_others_expire);
     CU_add_test(s, "unexpected messages have no effect",
                 unexpected_messages_have_no_effect);
