Limit the memory of the product's peer links

Cause: entry and control instances kept frames of 64 MiB and 128 MiB of unsent bytes for each link, whatever limits.memory_mb said.

Change: both programs call peer_set_limits with a quarter of the memory, but room for a log entry with the largest request body, and 512 accepted links that are not up. The counters of the peer links are on /metrics.

New tests in test/clients: "peers send too much" fails on the code before; "a legal frame of the maximum size is received" (17 MiB, one peer) passes before and after.

--- a/src/sapphireweir/adapter/settings.c
+++ b/src/sapphireweir/adapter/settings.c
@@ -25,6 +25,12 @@
     kDefaultMaxRequests = 4096,
     kDefaultMemoryMb = 256,
     kMiB = 1 << 20,
+    kPeerShare = 4, /* of the memory is for peer links */
+    /* Of a log entry beyond the request body that it holds. */
+    kEntryOverheadBytes = kMiB,
+    /* The processes of a large fleet connect at the same time after the
+     * restart of one; more than these take the place of the oldest. */
+    kMaxPeerHandshakes = 512,
     kDefaultMaxConnections = 4096,
     kDefaultMessageTimeoutMs = 10000,
     kDefaultSendTimeoutMs = 10000,
@@ -88,7 +94,8 @@
     {"requests", kFieldInteger, FALSE, 1, 1000000, NULL,
      "open at once, default 4096"},
     {"memory_mb", kFieldInteger, FALSE, 16, 1 << 20, NULL,
-     "MiB of the process; HTTP clients may use half; default 256"},
+     "MiB of the process; HTTP clients may use half, peer links a quarter; "
+     "default 256"},
     {"connections", kFieldInteger, FALSE, 1, 1000000, NULL,
      "of HTTP clients, fewer if descriptors are short; default 4096"},
     {"message_timeout_ms", kFieldInteger, FALSE, 100, 600000, NULL,
@@ -431,6 +438,11 @@
     s->client_memory_bytes =
         (uint64_t)json_integer_or(limits, "memory_mb", kDefaultMemoryMb) *
         kMiB / 2;
+    s->peer_memory_bytes =
+        MAX((uint64_t)json_integer_or(limits, "memory_mb", kDefaultMemoryMb) *
+                kMiB / kPeerShare,
+            (uint64_t)s->max_body_bytes + kEntryOverheadBytes);
+    s->max_peer_handshakes = kMaxPeerHandshakes;
     s->max_connections = (uint32_t)json_integer_or(limits, "connections",
                                                    kDefaultMaxConnections);
     s->message_timeout_us =
--- a/src/sapphireweir/adapter/settings.h
+++ b/src/sapphireweir/adapter/settings.h
@@ -48,6 +48,8 @@
     uint32_t max_header_bytes;
     uint32_t max_requests;        /* open at the same time */
     uint64_t client_memory_bytes; /* that HTTP clients may use */
+    uint64_t peer_memory_bytes;   /* that peer links may use */
+    uint32_t max_peer_handshakes; /* accepted peer links that are not up */
     uint32_t max_connections;     /* of HTTP clients */
     uint64_t message_timeout_us;  /* of a request that began to arrive */
     uint64_t send_timeout_us;     /* of a response that is not read */
--- a/src/sapphireweir/control/main.c
+++ b/src/sapphireweir/control/main.c
@@ -170,6 +170,7 @@
             "sapphireweir_commit_index %" G_GUINT64_FORMAT "\n",
             control_core_leads(c->core), control_core_commit_index(c->core));
         http_write_metrics(c->http, text);
+        peer_limits_write(c->peer, text);
         respond_text(c, r->id, 200, text->str);
         g_string_free(text, TRUE);
         return;
@@ -282,7 +283,11 @@
     c->flush = evtimer_new(c->base, on_flush, c);
     c->peer = peer_new(c->base, s->id, program_random(NULL), s->secret,
                        s->peer_address, &peer_events, error);
-    if (c->peer == NULL || !start_core(c, bootstrap, error)) {
+    if (c->peer == NULL) {
+        return FALSE;
+    }
+    peer_set_limits(c->peer, s->peer_memory_bytes, s->max_peer_handshakes);
+    if (!start_core(c, bootstrap, error)) {
         return FALSE;
     }
     c->http = http_new(c->base, &http, &http_events, error);
--- a/src/sapphireweir/entry/main.c
+++ b/src/sapphireweir/entry/main.c
@@ -127,6 +127,7 @@
     CallerResponse whole = *response;
 
     http_write_metrics(e->http, text);
+    peer_limits_write(e->peer, text);
     whole.body = text->str;
     whole.body_bytes = text->len;
     http_respond(e->http, request_id, &whole);
@@ -344,6 +345,7 @@
     if (e->peer == NULL) {
         return FALSE;
     }
+    peer_set_limits(e->peer, s->peer_memory_bytes, s->max_peer_handshakes);
     if (!create_core(e, incarnation, error)) {
         return FALSE;
     }
--- a/test/clients/test_http_clients.c
+++ b/test/clients/test_http_clients.c
@@ -5,12 +5,15 @@
 #include <netinet/in.h>
 #include <poll.h>
 #include <signal.h>
+#include <sodium.h>
 #include <stdio.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include "adapter/peer.h"
+
 /* Clients that are not trusted, at the HTTP ports of sapphireweir-entry and
  * sapphireweir-control.  The tests check that the program lives, that its
  * resident memory and its open descriptors stay under a bound, and that it
@@ -52,6 +55,7 @@
 typedef struct {
     pid_t pid;
     uint16_t port;
+    uint16_t peer_port;
     uint32_t descriptors; /* open ones without clients */
 } Program;
 
@@ -212,6 +216,7 @@
         g_build_filename(SAPPHIREWEIR_BUILD, program_names[kind], NULL);
     uint16_t peer = free_port();
     programs[kind].port = free_port();
+    programs[kind].peer_port = peer;
     char *text = g_strdup_printf(
         "[instance]\nid = \"one\"\nfailure_domain = \"d0\"\n"
         "[listen]\nhttp = \"127.0.0.1:%u\"\npeer = \"127.0.0.1:%u\"\n"
@@ -614,6 +619,109 @@
     CU_ASSERT(stop_program(kEntry));
 }
 
+static void
+ignore_frame(void *ctx, const char *from, const Sw__Frame *frame)
+{
+    (void)ctx;
+    (void)from;
+    (void)frame;
+}
+
+static void
+count_lost_link(void *ctx, const char *peer)
+{
+    (void)peer;
+    (*(uint32_t *)ctx)++;
+}
+
+/* Lets at most kMaxPeers peers that know the cluster's secret send frames to a
+ * program for kCrowdMs, and returns how often a link was lost.  Sets the most
+ * memory that the program held. */
+static uint32_t
+run_peers(ProgramKind kind, uint32_t count, uint32_t frame_bytes,
+          uint64_t *most_bytes)
+{
+    enum { kMaxPeers = 2 };
+    uint8_t secret[32];
+    uint32_t lost = 0;
+    PeerEvents events = {
+        .ctx = &lost, .frame = ignore_frame, .down = count_lost_link};
+    struct event_base *base = event_base_new();
+    Peer *peers[kMaxPeers];
+    Sw__Frame frame = SW__FRAME__INIT;
+    Sw__RelayRun run = SW__RELAY_RUN__INIT;
+    char address[64];
+
+    memset(secret, 0x55, sizeof(secret));
+    g_snprintf(address, sizeof(address), "127.0.0.1:%u",
+               programs[kind].peer_port);
+    frame.body_case = SW__FRAME__BODY_RELAY_RUN;
+    frame.relay_run = &run;
+    run.server = g_strnfill(frame_bytes, 'x');
+    *most_bytes = 0;
+    for (uint32_t i = 0; i < count; i++) {
+        char id[16];
+        char listen[32];
+        g_snprintf(id, sizeof(id), "peer-%u", i);
+        g_snprintf(listen, sizeof(listen), "127.0.0.1:%u", free_port());
+        peers[i] = peer_new(base, id, 1, secret, listen, &events, NULL);
+        g_assert(peers[i] != NULL);
+        peer_set_address(peers[i], "one", address);
+    }
+    gint64 end_us = g_get_monotonic_time() + kCrowdMs * 1000;
+    while (g_get_monotonic_time() < end_us) {
+        struct timeval step = {0, kStepUs};
+        for (uint32_t i = 0; i < count; i++) {
+            if (peer_ready(peers[i], "one")) {
+                peer_send(peers[i], "one", &frame);
+            }
+        }
+        event_base_loopexit(base, &step);
+        event_base_dispatch(base);
+        *most_bytes = MAX(*most_bytes, resident_bytes(kind));
+    }
+    uint32_t lost_before_end = lost;
+    for (uint32_t i = 0; i < count; i++) {
+        peer_free(peers[i]);
+    }
+    event_base_free(base);
+    g_free(run.server);
+    return lost_before_end;
+}
+
+/* Guards against a peer that knows the secret and sends frames larger than
+ * the memory of the settings. */
+static void
+peers_send_too_much(void)
+{
+    for (int kind = 0; kind < kProgramCount; kind++) {
+        uint64_t most_bytes;
+        CU_ASSERT_FATAL(start_program((ProgramKind)kind));
+        uint32_t lost =
+            run_peers((ProgramKind)kind, 2, 48 * kMiB, &most_bytes);
+        printf("\n    %s: %" G_GUINT64_FORMAT " KiB, %u links lost ",
+               program_names[kind], most_bytes / 1024, lost);
+        CU_ASSERT(most_bytes <= kMaxResidentBytes);
+        CU_ASSERT(serves((ProgramKind)kind));
+        CU_ASSERT(stop_program((ProgramKind)kind));
+    }
+}
+
+/* Guards against limits that reject a legal frame: a log entry with the
+ * largest configuration. */
+static void
+a_legal_frame_of_the_maximum_size_is_received(void)
+{
+    for (int kind = 0; kind < kProgramCount; kind++) {
+        uint64_t most_bytes;
+        CU_ASSERT_FATAL(start_program((ProgramKind)kind));
+        CU_ASSERT_EQUAL(
+            run_peers((ProgramKind)kind, 1, 17 * kMiB, &most_bytes), 0);
+        CU_ASSERT(serves((ProgramKind)kind));
+        CU_ASSERT(stop_program((ProgramKind)kind));
+    }
+}
+
 /* Runs all tests, or the one that is named. */
 int
 main(int argc, char **argv)
@@ -634,9 +742,12 @@
         {"a legal message of the maximum size is served",
          a_legal_message_of_the_maximum_size_is_served},
         {"idle connections cost little", idle_connections_cost_little},
+        {"peers send too much", peers_send_too_much},
+        {"a legal frame of the maximum size is received",
+         a_legal_frame_of_the_maximum_size_is_received},
     };
 
-    if (CU_initialize_registry() != CUE_SUCCESS) {
+    if (sodium_init() < 0 || CU_initialize_registry() != CUE_SUCCESS) {
         return 1;
     }
     CU_pSuite s = CU_add_suite("HTTP clients", NULL, NULL);
--- a/test/unit/test_settings.c
+++ b/test/unit/test_settings.c
@@ -78,10 +78,46 @@
     g_free(folder);
 }
 
+/* Guards against peer links that use more than a quarter of the memory, and
+ * against a largest request body that no peer accepts. */
+static void
+peer_links_get_a_quarter_of_the_memory(void)
+{
+    static const struct {
+        const char *limits;
+        uint64_t peer_bytes;
+    } cases[] = {
+        {"", 64 << 20},
+        {"[limits]\nmemory_mb = 1000\n", 250 << 20},
+        {"[limits]\nmemory_mb = 16\n", 4 << 20},
+        {"[limits]\nmemory_mb = 16\nbody_bytes = 33554432\n", 33 << 20},
+    };
+    folder = g_dir_make_tmp("sapphireweir-settings-XXXXXX", NULL);
+    char *secret = write_file("secret", SECRET "\n");
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        char *text =
+            g_strdup_printf(HEAD LISTEN "%s", secret, cases[i].limits);
+        char *path = write_file("settings.toml", text);
+        Settings s;
+        CU_ASSERT_FATAL(settings_load(path, kSettingsControl, &s, NULL));
+        CU_ASSERT_EQUAL(s.peer_memory_bytes, cases[i].peer_bytes);
+        settings_clear(&s);
+        unlink(path);
+        g_free(path);
+        g_free(text);
+    }
+    unlink(secret);
+    rmdir(folder);
+    g_free(secret);
+    g_free(folder);
+}
+
 void
 add_settings_suite(void)
 {
     CU_pSuite s = CU_add_suite("settings", NULL, NULL);
     CU_add_test(s, "files are checked as a whole",
                 files_are_checked_as_a_whole);
+    CU_add_test(s, "peer links get a quarter of the memory",
+                peer_links_get_a_quarter_of_the_memory);
 }
