Bound the JSON that an entry instance parses

Cause: callers and operators could send 15 MiB of "0,", whose parsed values take far more memory than the text. The platform programs already scanned for that.

Bodies of callers and operators and announcements with more than 400,000 values, or nested deeper than 64, are answered 400.

New unit test "bodies of callers are bounded".

--- a/src/sapphireweir/core/admin.c
+++ b/src/sapphireweir/core/admin.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "core/entry_defs.h"
+#include "core/json_bounds.h"
 #include "core/schema.h"
 
 /* The operators' HTTP interface of an entry instance.  Each request is
@@ -330,6 +331,11 @@
         dispatch_get(e, now_us, r, path);
         return;
     }
+    if (!json_bounds_hold(r->body, r->body_bytes)) {
+        bad_request(e, r,
+                    "the body has too many values or is nested too deep");
+        return;
+    }
     json_error_t error;
     json_t *body = json_loadb(r->body_bytes == 0 ? "{}" : r->body,
                               r->body_bytes == 0 ? 2 : r->body_bytes,
@@ -433,8 +439,9 @@
     }
     SchemaErrors errors;
     GError *error = NULL;
-    json_t *body =
-        json_loadb(r->body_bytes == 0 ? "" : r->body, r->body_bytes, 0, NULL);
+    json_t *body = json_bounds_hold(r->body, r->body_bytes)
+                       ? json_loadb(r->body, r->body_bytes, 0, NULL)
+                       : NULL;
     schema_errors_init(&errors);
     schema_check_object(body, announcement_fields,
                         G_N_ELEMENTS(announcement_fields), "announcement",
--- a/src/sapphireweir/core/call_parse.c
+++ b/src/sapphireweir/core/call_parse.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "core/call_defs.h"
+#include "core/json_bounds.h"
 #include "core/schema.h"
 
 /* Parses and authenticates a caller's HTTP request.  The result is a Call, or
@@ -366,6 +367,11 @@
     if (r->body_bytes == 0) {
         return json_object();
     }
+    if (!json_bounds_hold(r->body, r->body_bytes)) {
+        refuse(refusal, 400, "json",
+               "the body has too many values or is nested too deep");
+        return NULL;
+    }
     body = json_loadb(r->body, r->body_bytes, JSON_REJECT_DUPLICATES, &error);
     if (!json_is_object(body)) {
         refuse(refusal, 400, "json",
--- a/test/clients/test_http_clients.c
+++ b/test/clients/test_http_clients.c
@@ -7,6 +7,7 @@
 #include <signal.h>
 #include <sodium.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
@@ -44,6 +45,9 @@
                               "message_timeout_ms = 1000\n"
                               "send_timeout_ms = 1000\n"
                               "bytes_per_s = 100000\n";
+static const char kLargeBodies[] = "[limits]\n"
+                                   "memory_mb = 64\n"
+                                   "body_bytes = 16777216\n";
 static const char kManyConnections[] = "[limits]\n"
                                        "connections = 800\n";
 
@@ -202,6 +206,23 @@
     return (uint64_t)pages * (uint64_t)sysconf(_SC_PAGESIZE);
 }
 
+/* Returns the most memory that a program ever held, zero if it has ended. */
+static uint64_t
+peak_bytes(ProgramKind kind)
+{
+    char path[64];
+    char *text = NULL;
+    unsigned long kib = 0;
+
+    g_snprintf(path, sizeof(path), "/proc/%d/status", (int)programs[kind].pid);
+    if (g_file_get_contents(path, &text, NULL, NULL)) {
+        const char *line = strstr(text, "VmHWM:");
+        kib = line == NULL ? 0 : strtoul(line + strlen("VmHWM:"), NULL, 10);
+    }
+    g_free(text);
+    return (uint64_t)kib * 1024;
+}
+
 /* Starts a program alone, with settings in a folder of the build tree that end
  * with the given [limits], and waits until it serves. */
 static gboolean
@@ -619,6 +640,50 @@
     CU_ASSERT(stop_program(kEntry));
 }
 
+/* Guards against JSON that takes far more memory than its text: 15 MiB of
+ * "0," made an entry instance hold more than four times its memory. */
+static void
+json_of_many_small_values(void)
+{
+    static const struct {
+        const char *path;
+        const char *repeat;
+    } cases[] = {
+        {"/admin/v1/changes", "0,"},
+        {"/admin/v1/changes", "[],"},
+        {"/admin/v1/changes", "{\"a\":"},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        GString *body = g_string_new("{\"changes\":[");
+        char zeros[65];
+        uint64_t most_bytes = 0;
+
+        memset(zeros, '5', 64);
+        zeros[64] = '\0';
+        while (body->len < 15 * kMiB) {
+            g_string_append(body, cases[i].repeat);
+        }
+        g_string_append(body, "0]}");
+        char *text = g_strdup_printf(
+            "POST %s HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\n"
+            "Operation-Id: a\r\nConnection: close\r\n"
+            "Content-Length: %zu\r\n\r\n%s",
+            cases[i].path, zeros, body->len, body->str);
+        CU_ASSERT_FATAL(start_with_limits(kEntry, kLargeBodies));
+        char *answer = request(kEntry, text, strlen(text));
+        most_bytes = peak_bytes(kEntry);
+        printf("\n    %s: %" G_GUINT64_FORMAT " KiB, %.12s ", cases[i].repeat,
+               most_bytes / 1024, answer);
+        CU_ASSERT(most_bytes <= kMaxResidentBytes);
+        CU_ASSERT(serves(kEntry));
+        CU_ASSERT(stop_program(kEntry));
+        g_free(answer);
+        g_free(text);
+        g_string_free(body, TRUE);
+    }
+}
+
 static void
 ignore_frame(void *ctx, const char *from, const Sw__Frame *frame)
 {
@@ -742,6 +807,7 @@
         {"a legal message of the maximum size is served",
          a_legal_message_of_the_maximum_size_is_served},
         {"idle connections cost little", idle_connections_cost_little},
+        {"JSON of many small values", json_of_many_small_values},
         {"peers send too much", peers_send_too_much},
         {"a legal frame of the maximum size is received",
          a_legal_frame_of_the_maximum_size_is_received},
--- a/test/fuzz/fuzz_platform.c
+++ b/test/fuzz/fuzz_platform.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "core/json_bounds.h"
 #include "fuzz.h"
 #include "platform/codec.h"
 #include "platform/wire.h"
@@ -54,7 +55,7 @@
     GError *error = NULL;
     size_t values = 0;
 
-    if (!codec_json_is_bounded((const char *)data, size)) {
+    if (!json_bounds_hold((const char *)data, size)) {
         return;
     }
     for (size_t i = 0; i < size; i++) {
--- a/test/unit/test_client_limits.c
+++ b/test/unit/test_client_limits.c
@@ -2,7 +2,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "platform/codec.h"
+#include "../support/system.h"
+#include "core/json_bounds.h"
 #include "platform/wire.h"
 #include "suite.h"
 
@@ -104,12 +105,50 @@
         for (uint32_t k = 0; k < cases[i].count; k++) {
             g_string_append(text, cases[i].repeat);
         }
-        CU_ASSERT_EQUAL(codec_json_is_bounded(text->str, text->len),
+        CU_ASSERT_EQUAL(json_bounds_hold(text->str, text->len),
                         cases[i].bounded);
         g_string_free(text, TRUE);
     }
 }
 
+/* Guards against an entry instance that parses the body of a caller's request
+ * whatever it contains. */
+static void
+bodies_of_callers_are_bounded(void)
+{
+    static const struct {
+        const char *repeat;
+        uint32_t count;
+        gboolean bounded;
+    } cases[] = {
+        {"[", 60, TRUE},
+        {"[", 64, FALSE},
+        {"0,", 399000, TRUE},
+        {"0,", 400001, FALSE},
+    };
+    static const char key[] = "key-of-crews-0001";
+    System *s = system_new(1, 1, 1);
+
+    system_add_team(s, "crews", 1000, 1000, key);
+    system_run(s, 6000000);
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        GString *body = g_string_new("{\"args\":[");
+        for (uint32_t k = 0; k < cases[i].count; k++) {
+            g_string_append(body, cases[i].repeat);
+        }
+        uint64_t id =
+            system_call(s, 0, "/v1/s0/put", key, "k", NULL, body->str);
+        system_run(s, 100000);
+        const SystemAnswer *a = system_answer(s, id);
+        CU_ASSERT_PTR_NOT_NULL_FATAL(a);
+        CU_ASSERT_EQUAL(a->status, 400);
+        CU_ASSERT_EQUAL(strstr(a->body, "too many values") == NULL,
+                        cases[i].bounded);
+        g_string_free(body, TRUE);
+    }
+    system_free(s);
+}
+
 void
 add_client_limits_suite(void)
 {
@@ -118,4 +157,6 @@
     CU_add_test(s, "the longest message is read", the_longest_message_is_read);
     CU_add_test(s, "JSON is bounded before it is parsed",
                 json_is_bounded_before_it_is_parsed);
+    CU_add_test(s, "bodies of callers are bounded",
+                bodies_of_callers_are_bounded);
 }
