Limit HTTP clients by source address and by team

Cause: on the product's HTTP ports one address could use all connections, and one team all the memory that clients may use.

Change: new setting limits.connections_per_source; by default an address may use the whole, since all callers may come from one load balancer. If it is set, the address gets that part of the memory too, and one of its own connections gives way to its next one, also at the platform programs. A team may use three quarters of the clients' memory: the core reports the team of a request through EntryPort.caller_team. A connection over the limit of its team or source is closed only if it still is when its turn comes, so that no more are closed than needed.

--- a/src/sapphireweir/adapter/http.c
+++ b/src/sapphireweir/adapter/http.c
@@ -282,6 +282,17 @@
                       status_text(response->status), NULL);
 }
 
+/* Sets the team of an open request, whose share of the memory then counts for
+ * its connection; NULL: none. */
+void
+http_set_team(Http *h, uint64_t request_id, const char *team)
+{
+    const OpenRequest *o = g_hash_table_lookup(h->open_requests, &request_id);
+    if (o != NULL) {
+        http_clients_set_team(h->clients, o->connection, team);
+    }
+}
+
 /* ---- setup and shutdown ---- */
 
 /* Creates the server and opens its port.  Fails with kCoreErrorIo if the port
@@ -308,6 +319,7 @@
     HttpClientLimits limits = {
         .memory_bytes = settings->memory_bytes,
         .max_connections = settings->max_connections,
+        .max_source_connections = settings->max_source_connections,
         .message_bytes = (uint64_t)settings->max_header_bytes +
                          settings->max_body_bytes + kReadSlackBytes,
         .message_timeout_us = settings->message_timeout_us,
--- a/src/sapphireweir/adapter/http.h
+++ b/src/sapphireweir/adapter/http.h
@@ -27,9 +27,10 @@
     uint32_t max_requests; /* open at the same time; above: status 503 */
     uint64_t memory_bytes; /* that clients may make the process hold */
     uint32_t max_connections;
-    uint64_t message_timeout_us; /* of a request that began to arrive */
-    uint64_t send_timeout_us;    /* of a response that is not read */
-    uint64_t min_bytes_per_s;    /* of both */
+    uint32_t max_source_connections; /* of one source address */
+    uint64_t message_timeout_us;     /* of a request that began to arrive */
+    uint64_t send_timeout_us;        /* of a response that is not read */
+    uint64_t min_bytes_per_s;        /* of both */
 } HttpSettings;
 
 Http *http_new(struct event_base *base, const HttpSettings *settings,
@@ -38,6 +39,7 @@
 gboolean http_reload_tls(Http *h, GError **error);
 void http_respond(Http *h, uint64_t request_id,
                   const CallerResponse *response);
+void http_set_team(Http *h, uint64_t request_id, const char *team);
 void http_stop_listening(Http *h);
 void http_write_metrics(const Http *h, GString *out);
 
--- a/src/sapphireweir/adapter/http_clients.c
+++ b/src/sapphireweir/adapter/http_clients.c
@@ -382,10 +382,10 @@
     }
 }
 
-/* Returns the connection that has been idle longest between two requests, or
- * NULL. */
+/* Returns the connection that has been idle longest between two requests, of
+ * one source address unless that is NULL, or NULL. */
 static HttpClient *
-longest_idle(const HttpClients *h)
+longest_idle(const HttpClients *h, const char *source)
 {
     HttpClient *best = NULL;
     GHashTableIter it;
@@ -396,6 +396,8 @@
         HttpClient *c = value;
         if (!c->request_open && !c->closing && !is_receiving(c) &&
             !is_sending(c) &&
+            (source == NULL ||
+             strcmp(memory_account_source(c->account), source) == 0) &&
             (best == NULL || c->opened_us < best->opened_us)) {
             best = c;
         }
@@ -404,8 +406,8 @@
 }
 
 /* Opens the account of a new connection; when all are in use, closes one that
- * has sent no request, or an idle one, in its favour.  Returns NULL if none
- * is. */
+ * has sent no request, or an idle one, in its favour; one of the same source
+ * address when that uses all that it may.  Returns NULL if none is. */
 static MemoryAccount *
 open_account(HttpClients *h, uint64_t now_us, const char *source)
 {
@@ -413,9 +415,11 @@
     if (a != NULL) {
         return a;
     }
-    MemoryAccount *stalled = memory_budget_stalled(h->budget);
-    HttpClient *victim =
-        stalled == NULL ? longest_idle(h) : memory_account_owner(stalled);
+    const char *only =
+        memory_budget_source_is_full(h->budget, source) ? source : NULL;
+    MemoryAccount *stalled = memory_budget_stalled(h->budget, source);
+    HttpClient *victim = stalled == NULL ? longest_idle(h, only)
+                                         : memory_account_owner(stalled);
     if (victim == NULL) {
         return NULL;
     }
@@ -478,6 +482,11 @@
     }
     while ((c = g_queue_pop_head(&h->changed)) != NULL) {
         c->queued = 0;
+        if (c->verdict == kMemoryClose) {
+            /* Those closed just now may have been enough for its team or
+             * source. */
+            update_account(c, now_us);
+        }
         if (c->verdict == kMemoryClose) {
             client_close(c, now_us, "it holds too much memory");
             continue;
@@ -591,7 +600,16 @@
     h->limits = *limits;
     h->limits.max_connections = limit_by_descriptors(limits->max_connections);
     MemoryLimits memory = {.total_bytes = limits->memory_bytes,
-                           .max_connections = h->limits.max_connections};
+                           .max_connections = h->limits.max_connections,
+                           .team_bytes = limits->memory_bytes / 4 * 3};
+    uint32_t source = limits->max_source_connections;
+    /* All callers may come from the address of a load balancer, so an address
+     * has a limit of its own only if the settings give it one. */
+    if (source != 0 && source < h->limits.max_connections) {
+        memory.max_source_connections = source;
+        memory.source_bytes =
+            limits->memory_bytes / h->limits.max_connections * source;
+    }
     h->closed = closed;
     h->ctx = ctx;
     h->budget = memory_budget_new(&memory);
@@ -668,6 +686,18 @@
     memory_account_busy(c->account, FALSE);
 }
 
+/* Sets the team of a connection's present request, whose limit counts for the
+ * connection until the next one; NULL: none. */
+void
+http_clients_set_team(HttpClients *h, struct evhttp_connection *connection,
+                      const char *team)
+{
+    HttpClient *c = client_find(h, connection);
+    if (c != NULL) {
+        memory_account_set_team(c->account, team);
+    }
+}
+
 /* Appends the counters in the metrics text format. */
 void
 http_clients_write_metrics(const HttpClients *h, GString *out)
--- a/src/sapphireweir/adapter/http_clients.h
+++ b/src/sapphireweir/adapter/http_clients.h
@@ -11,8 +11,11 @@
 typedef struct HttpClients HttpClients;
 
 typedef struct {
-    uint64_t memory_bytes;       /* for all clients; zero: no limit */
-    uint32_t max_connections;    /* at the same time; zero: no limit */
+    uint64_t memory_bytes;    /* for all clients; zero: no limit */
+    uint32_t max_connections; /* at the same time; zero: no limit */
+    /* Of one source address, which also gets this part of the memory; zero or
+     * max_connections: no limit. */
+    uint32_t max_source_connections;
     uint64_t message_bytes;      /* of one request, with its headers */
     uint64_t message_timeout_us; /* without a byte of a request that began */
     uint64_t send_timeout_us;    /* without the client reading a byte */
@@ -34,6 +37,9 @@
                           struct evhttp_connection *connection);
 void http_clients_respond(HttpClients *h,
                           struct evhttp_connection *connection);
+void http_clients_set_team(HttpClients *h,
+                           struct evhttp_connection *connection,
+                           const char *team);
 void http_clients_write_metrics(const HttpClients *h, GString *out);
 
 #endif
--- a/src/sapphireweir/adapter/settings.c
+++ b/src/sapphireweir/adapter/settings.c
@@ -98,6 +98,9 @@
      "default 256"},
     {"connections", kFieldInteger, FALSE, 1, 1000000, NULL,
      "of HTTP clients, fewer if descriptors are short; default 4096"},
+    {"connections_per_source", kFieldInteger, FALSE, 1, 1000000, NULL,
+     "of HTTP clients from one address, which may then use this part of their "
+     "memory; default: all"},
     {"message_timeout_ms", kFieldInteger, FALSE, 100, 600000, NULL,
      "without a byte of a request, or without one at the start; default "
      "10000"},
@@ -445,6 +448,8 @@
     s->max_peer_handshakes = kMaxPeerHandshakes;
     s->max_connections = (uint32_t)json_integer_or(limits, "connections",
                                                    kDefaultMaxConnections);
+    s->max_source_connections = (uint32_t)json_integer_or(
+        limits, "connections_per_source", s->max_connections);
     s->message_timeout_us =
         read_ms_as_us(limits, "message_timeout_ms", kDefaultMessageTimeoutMs);
     s->send_timeout_us =
--- a/src/sapphireweir/adapter/settings.h
+++ b/src/sapphireweir/adapter/settings.h
@@ -46,17 +46,18 @@
     gboolean shared_rates;  /* FALSE: rates are split equally */
     uint32_t max_body_bytes;
     uint32_t max_header_bytes;
-    uint32_t max_requests;        /* open at the same time */
-    uint64_t client_memory_bytes; /* that HTTP clients may use */
-    uint64_t peer_memory_bytes;   /* that peer links may use */
-    uint32_t max_peer_handshakes; /* accepted peer links that are not up */
-    uint32_t max_connections;     /* of HTTP clients */
-    uint64_t message_timeout_us;  /* of a request that began to arrive */
-    uint64_t send_timeout_us;     /* of a response that is not read */
-    uint64_t min_bytes_per_s;     /* of both */
-    uint64_t lease_us;            /* control lease of an entry instance */
-    uint64_t heartbeat_us;        /* interval of the consensus leader */
-    uint64_t election_min_us;     /* range of the random election timeout */
+    uint32_t max_requests;           /* open at the same time */
+    uint64_t client_memory_bytes;    /* that HTTP clients may use */
+    uint64_t peer_memory_bytes;      /* that peer links may use */
+    uint32_t max_peer_handshakes;    /* accepted peer links that are not up */
+    uint32_t max_connections;        /* of HTTP clients */
+    uint32_t max_source_connections; /* of one source address, of these */
+    uint64_t message_timeout_us;     /* of a request that began to arrive */
+    uint64_t send_timeout_us;        /* of a response that is not read */
+    uint64_t min_bytes_per_s;        /* of both */
+    uint64_t lease_us;               /* control lease of an entry instance */
+    uint64_t heartbeat_us;           /* interval of the consensus leader */
+    uint64_t election_min_us;        /* range of the random election timeout */
     uint64_t election_max_us;
     uint32_t snapshot_interval_entries; /* log entries between two snapshots */
     /* A backend server without an announcement for longer is missing. */
--- a/src/sapphireweir/adapter/trace.c
+++ b/src/sapphireweir/adapter/trace.c
@@ -314,8 +314,17 @@
     return value;
 }
 
-/* Returns a port that records each action, except peer addresses, and forwards
- * it to target.  The trace must outlive the port. */
+/* Forwards a request's team.  It is not recorded, since it follows from the
+ * events and changes no decision of the core. */
+static void
+on_caller_team(void *ctx, uint64_t request_id, const char *team)
+{
+    Trace *t = ctx;
+    t->target.caller_team(t->target.ctx, request_id, team);
+}
+
+/* Returns a port that records each action, except peer addresses and teams,
+ * and forwards it to target.  The trace must outlive the port. */
 EntryPort
 trace_port(Trace *t, const EntryPort *target)
 {
@@ -330,5 +339,6 @@
         .backend_cancel = on_cancel,
         .backend_close = on_close,
         .random = on_random,
+        .caller_team = target->caller_team == NULL ? NULL : on_caller_team,
     };
 }
--- a/src/sapphireweir/control/main.c
+++ b/src/sapphireweir/control/main.c
@@ -264,6 +264,7 @@
         .max_requests = s->max_requests,
         .memory_bytes = s->client_memory_bytes,
         .max_connections = s->max_connections,
+        .max_source_connections = s->max_source_connections,
         .message_timeout_us = s->message_timeout_us,
         .send_timeout_us = s->send_timeout_us,
         .min_bytes_per_s = s->min_bytes_per_s,
--- a/src/sapphireweir/core/caller.c
+++ b/src/sapphireweir/core/caller.c
@@ -412,6 +412,10 @@
         MIN(e->retry_budget_milli + kRetryBudgetPerRequestMilli,
             kMaxRetryBudgetMilli);
     g_hash_table_insert(e->calls, &c->id, c);
+    if (e->port.caller_team != NULL) {
+        e->port.caller_team(e->port.ctx, c->id,
+                            c->open_route ? NULL : c->team);
+    }
     /* Ending a transaction needs no rate token. */
     gboolean ends_transaction =
         c->kind == kCallCommit || c->kind == kCallRollback;
--- a/src/sapphireweir/entry/main.c
+++ b/src/sapphireweir/entry/main.c
@@ -145,6 +145,13 @@
     http_respond(e->http, request_id, response);
 }
 
+static void
+port_caller_team(void *ctx, uint64_t request_id, const char *team)
+{
+    Entry *e = ctx;
+    http_set_team(e->http, request_id, team);
+}
+
 static gboolean
 port_send(void *ctx, const char *to, const Sw__Frame *frame)
 {
@@ -270,6 +277,7 @@
         .backend_cancel = port_backend_cancel,
         .backend_close = port_backend_close,
         .random = program_random,
+        .caller_team = port_caller_team,
     };
     EntryConfig config = {
         .id = s->id,
@@ -329,6 +337,7 @@
         .max_requests = s->max_requests,
         .memory_bytes = s->client_memory_bytes,
         .max_connections = s->max_connections,
+        .max_source_connections = s->max_source_connections,
         .message_timeout_us = s->message_timeout_us,
         .send_timeout_us = s->send_timeout_us,
         .min_bytes_per_s = s->min_bytes_per_s,
--- a/src/sapphireweir/policy/memory_budget.c
+++ b/src/sapphireweir/policy/memory_budget.c
@@ -344,6 +344,9 @@
 {
     MemoryBudget *b = a->source->budget;
 
+    if (a->team != NULL && g_strcmp0(a->team->name, team) == 0) {
+        return;
+    }
     if (a->team != NULL) {
         group_leave(b->teams, a->team, a->held_bytes);
         a->team = NULL;
@@ -370,15 +373,37 @@
     a->admitted = admitted ? 1 : 0;
 }
 
-/* Returns the connection to close in favour of a new one when all are in use:
- * the one that has waited longest without a complete request.  An ordinary
+/* Returns whether a source address uses all connections that one may. */
+gboolean
+memory_budget_source_is_full(const MemoryBudget *b, const char *source)
+{
+    const Group *g = g_hash_table_lookup(b->sources, source);
+
+    return g != NULL && b->limits.max_source_connections != 0 &&
+           g->connections >= b->limits.max_source_connections;
+}
+
+/* Returns the source address of the connection. */
+const char *
+memory_account_source(const MemoryAccount *a)
+{
+    return a->source->name;
+}
+
+/* Returns the connection to close in favour of a new one from a source address
+ * when all are in use: the one that has waited longest without a complete
+ * request, of that source if the source uses all that it may.  An ordinary
  * client sends its request at once, so a crowd that sends nothing does not
  * keep it out.  NULL: all have sent a request. */
 MemoryAccount *
-memory_budget_stalled(MemoryBudget *b)
+memory_budget_stalled(MemoryBudget *b, const char *source)
 {
+    const Group *only = memory_budget_source_is_full(b, source)
+                            ? g_hash_table_lookup(b->sources, source)
+                            : NULL;
+
     for (MemoryAccount *a = b->oldest; a != NULL; a = a->newer) {
-        if (!a->admitted && !a->busy) {
+        if (!a->admitted && !a->busy && (only == NULL || a->source == only)) {
             b->stats.stalled++;
             return a;
         }
--- a/src/sapphireweir/policy/memory_budget.h
+++ b/src/sapphireweir/policy/memory_budget.h
@@ -51,7 +51,10 @@
 void memory_account_set_team(MemoryAccount *a, const char *team);
 void memory_account_admit(MemoryAccount *a);
 void memory_account_set_admitted(MemoryAccount *a, gboolean admitted);
-MemoryAccount *memory_budget_stalled(MemoryBudget *b);
+MemoryAccount *memory_budget_stalled(MemoryBudget *b, const char *source);
+gboolean memory_budget_source_is_full(const MemoryBudget *b,
+                                      const char *source);
+const char *memory_account_source(const MemoryAccount *a);
 MemoryStats memory_budget_stats(const MemoryBudget *b);
 void memory_stats_write(const MemoryStats *s, const char *listener,
                         GString *out);
--- a/src/sapphireweir/port/entry.h
+++ b/src/sapphireweir/port/entry.h
@@ -80,6 +80,9 @@
     void (*backend_close)(void *ctx, uint64_t connection);
     /* Returns a random number. */
     uint64_t (*random)(void *ctx);
+    /* Reports the team that an open request was authenticated for, NULL if it
+     * needs no key.  May be NULL. */
+    void (*caller_team)(void *ctx, uint64_t request_id, const char *team);
 } EntryPort;
 
 #endif
--- a/test/support/system.c
+++ b/test/support/system.c
@@ -180,6 +180,14 @@
     g_hash_table_replace(n->system->answers, key, a);
 }
 
+static void
+port_caller_team(void *ctx, uint64_t request_id, const char *team)
+{
+    SystemEntry *n = ctx;
+    (void)request_id;
+    g_strlcpy(n->last_team, team == NULL ? "-" : team, sizeof(n->last_team));
+}
+
 static void
 port_peer_address(void *ctx, const char *id, const char *address)
 {
@@ -275,6 +283,7 @@
         .backend_cancel = port_backend_close,
         .backend_close = port_backend_close,
         .random = port_random,
+        .caller_team = port_caller_team,
     };
     EntryConfig config = {
         .id = n->id,
--- a/test/support/system.h
+++ b/test/support/system.h
@@ -22,6 +22,7 @@
     uint32_t index;
     char *id;
     char *domain;
+    char last_team[64];            /* that its core reported; "-": none */
     EntryCore *core;               /* NULL: not running */
     uint64_t incarnation;          /* number of starts */
     gboolean partitioned;          /* nothing passes in or out */
--- a/test/unit/test_client_limits.c
+++ b/test/unit/test_client_limits.c
@@ -149,6 +149,33 @@
     system_free(s);
 }
 
+/* Guards against requests whose memory counts for no team or for another. */
+static void
+requests_count_for_their_team(void)
+{
+    static const struct {
+        const char *path;
+        const char *key;
+        const char *team;
+    } cases[] = {
+        {"/v1/s0/put", "key-of-crews-0001", "crews"},
+        {"/v1/s0/free", NULL, "-"},
+        {"/v1/s0/put", "key-of-others-001", "others"},
+        {"/v1/s0/put", "key-of-nobody-001", "others"}, /* no further report */
+    };
+    System *s = system_new(1, 1, 1);
+
+    system_add_team(s, "crews", 1000, 1000, "key-of-crews-0001");
+    system_add_team(s, "others", 1000, 1000, "key-of-others-001");
+    system_run(s, 6000000);
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        system_call(s, 0, cases[i].path, cases[i].key, "k", NULL,
+                    "{\"args\":{\"v\":\"x\"}}");
+        CU_ASSERT_STRING_EQUAL(s->entries[0].last_team, cases[i].team);
+    }
+    system_free(s);
+}
+
 void
 add_client_limits_suite(void)
 {
@@ -157,6 +184,8 @@
     CU_add_test(s, "the longest message is read", the_longest_message_is_read);
     CU_add_test(s, "JSON is bounded before it is parsed",
                 json_is_bounded_before_it_is_parsed);
+    CU_add_test(s, "requests count for their team",
+                requests_count_for_their_team);
     CU_add_test(s, "bodies of callers are bounded",
                 bodies_of_callers_are_bounded);
 }
