Show the pressure of HTTP clients in sapphireweirctl status

Cause: an operator had to read /metrics of every instance to see how close its clients are to the limits.

Change: entry instances report connections and memory in use, their limits, and what was rejected and closed since the start, by reason, with their lease requests; control instances report it to the leader once a second. The leader shows it in the status, not replicated; older instances are "not reported".

The unit test "a team uses its part only" checks the numbers.

--- a/src/sapphireweir/adapter/http.c
+++ b/src/sapphireweir/adapter/http.c
@@ -34,6 +34,7 @@
     GHashTable *open_requests; /* id -> OpenRequest */
     GHashTable *connections;   /* evhttp_connection -> id of its request */
     uint64_t next_id;
+    uint64_t rejected_requests; /* while max_requests were open */
 };
 
 enum {
@@ -188,6 +189,7 @@
     if (g_hash_table_size(h->open_requests) >= h->settings.max_requests) {
         http_clients_respond(h->clients,
                              evhttp_request_get_connection(request));
+        h->rejected_requests++;
         reject_busy(request);
         g_free(path);
         return;
@@ -381,6 +383,15 @@
     }
 }
 
+/* Sets what the clients use of the limits, and how many were rejected or
+ * closed, and why. */
+void
+http_client_pressure(const Http *h, Sw__ClientPressure *out)
+{
+    http_clients_pressure(h->clients, out);
+    out->rejected_requests = h->rejected_requests;
+}
+
 /* Appends the counters of the server's connections in the metrics text
  * format. */
 void
--- a/src/sapphireweir/adapter/http.h
+++ b/src/sapphireweir/adapter/http.h
@@ -41,6 +41,7 @@
                   const CallerResponse *response);
 void http_set_team(Http *h, uint64_t request_id, const char *team);
 void http_stop_listening(Http *h);
+void http_client_pressure(const Http *h, Sw__ClientPressure *out);
 void http_write_metrics(const Http *h, GString *out);
 
 #endif
--- a/src/sapphireweir/adapter/http_clients.c
+++ b/src/sapphireweir/adapter/http_clients.c
@@ -38,6 +38,26 @@
     uint64_t bytes;       /* received or sent since since_us */
 } Transfer;
 
+/* Why a connection is closed. */
+typedef enum {
+    kCloseReplaced,
+    kCloseNoRequest,
+    kCloseSlowRequest,
+    kCloseUnreadResponse,
+    kCloseTooLarge,
+    kClosePressure,
+    kCloseReasons, /* their number; also: not at all */
+} CloseReason;
+
+static const char *const close_texts[kCloseReasons] = {
+    [kCloseReplaced] = "too many connections",
+    [kCloseNoRequest] = "no request after connecting",
+    [kCloseSlowRequest] = "a request arrives too slowly",
+    [kCloseUnreadResponse] = "a response is not read",
+    [kCloseTooLarge] = "it holds too much memory",
+    [kClosePressure] = "callers hold too much memory",
+};
+
 /* How much is read from a connection before evhttp takes it. */
 typedef enum {
     kReadUnlimited, /* none set yet; a watermark costs a buffer callback */
@@ -76,14 +96,14 @@
     void *ctx;
     MemoryBudget *budget;
     struct evconnlistener *listener;
-    GHashTable *open;      /* set of HttpClient by connection, owned */
-    GPtrArray *accepted;   /* bufferevents that have no HttpClient yet */
-    GQueue changed;        /* HttpClient whose limits must be applied */
-    struct event *apply;   /* runs on_apply in this iteration */
-    struct event *sweep;   /* runs on_sweep every kSweepMs */
-    uint64_t logged_us;    /* last log line */
-    uint64_t closed_count; /* connections closed by a limit */
-    uint64_t timeouts;     /* of these, for a time-out */
+    GHashTable *open;    /* set of HttpClient by connection, owned */
+    GPtrArray *accepted; /* bufferevents that have no HttpClient yet */
+    GQueue changed;      /* HttpClient whose limits must be applied */
+    struct event *apply; /* runs on_apply in this iteration */
+    struct event *sweep; /* runs on_sweep every kSweepMs */
+    uint64_t logged_us;  /* last log line */
+    uint64_t close_counts[kCloseReasons]; /* connections closed by a limit */
+    uint64_t rejected;                    /* while all were in use */
 };
 
 /* ---- limits of one connection ---- */
@@ -259,6 +279,26 @@
     c->exchange = NULL;
 }
 
+/* Returns the number of connections that a limit closed or rejected. */
+static uint64_t
+closed_count(const HttpClients *h)
+{
+    uint64_t count = h->rejected;
+    for (size_t i = 0; i < kCloseReasons; i++) {
+        count += h->close_counts[i];
+    }
+    return count;
+}
+
+/* Returns the number of connections that were closed as too slow. */
+static uint64_t
+timeout_count(const HttpClients *h)
+{
+    return h->close_counts[kCloseNoRequest] +
+           h->close_counts[kCloseSlowRequest] +
+           h->close_counts[kCloseUnreadResponse];
+}
+
 /* Logs that a limit was reached, at most once in kLogIntervalUs. */
 static void
 log_limit(HttpClients *h, uint64_t now_us, const char *reason)
@@ -269,7 +309,7 @@
         g_message("closed a caller's connection: %s; %u connections hold "
                   "%" G_GUINT64_FORMAT " bytes, %" G_GUINT64_FORMAT
                   " closed so far",
-                  reason, s.connections, s.held_bytes, h->closed_count);
+                  reason, s.connections, s.held_bytes, closed_count(h));
     }
 }
 
@@ -283,7 +323,7 @@
 
 /* Closes a connection.  Must not be called from a callback of evhttp. */
 static void
-client_close(HttpClient *c, uint64_t now_us, const char *reason)
+client_close(HttpClient *c, uint64_t now_us, CloseReason reason)
 {
     HttpClients *h = c->clients;
 
@@ -291,8 +331,8 @@
         return;
     }
     c->closing = 1;
-    h->closed_count++;
-    log_limit(h, now_us, reason);
+    h->close_counts[reason]++;
+    log_limit(h, now_us, close_texts[reason]);
     close_bufferevent(client_bev(c));
 }
 
@@ -339,28 +379,29 @@
                                 now_us - t->since_us > allowed_us);
 }
 
-/* Returns the reason for which a connection has to be closed now, or NULL. */
-static const char *
+/* Returns the reason for which a connection has to be closed now, or
+ * kCloseReasons. */
+static CloseReason
 late_reason(const HttpClient *c, uint64_t now_us)
 {
     const HttpClientLimits *l = &c->clients->limits;
 
     if (!c->admitted && now_us - c->opened_us > l->message_timeout_us &&
         !is_receiving(c) && !is_sending(c)) {
-        return "no request after connecting";
+        return kCloseNoRequest;
     }
     if (c->exchange == NULL) {
-        return NULL;
+        return kCloseReasons;
     }
     if (transfer_late(&c->exchange->in, now_us, l->message_timeout_us,
                       l->min_bytes_per_s)) {
-        return "a request arrives too slowly";
+        return kCloseSlowRequest;
     }
     if (transfer_late(&c->exchange->out, now_us, l->send_timeout_us,
                       l->min_bytes_per_s)) {
-        return "a response is not read";
+        return kCloseUnreadResponse;
     }
-    return NULL;
+    return kCloseReasons;
 }
 
 /* ---- accepting ---- */
@@ -423,7 +464,7 @@
     if (victim == NULL) {
         return NULL;
     }
-    client_close(victim, now_us, "too many connections");
+    client_close(victim, now_us, kCloseReplaced);
     return memory_account_open(h->budget, now_us, source);
 }
 
@@ -445,8 +486,8 @@
     evhttp_connection_get_peer(connection, &address, &port);
     MemoryAccount *a = open_account(h, now_us, address == NULL ? "" : address);
     if (a == NULL) {
-        h->closed_count++;
-        log_limit(h, now_us, "too many connections");
+        h->rejected++;
+        log_limit(h, now_us, close_texts[kCloseReplaced]);
         close_bufferevent(bev);
         return;
     }
@@ -488,15 +529,14 @@
             update_account(c, now_us);
         }
         if (c->verdict == kMemoryClose) {
-            client_close(c, now_us, "it holds too much memory");
+            client_close(c, now_us, kCloseTooLarge);
             continue;
         }
         apply_read_limit(c);
         release_exchange(c);
     }
     while ((victim = memory_budget_victim(h->budget, now_us)) != NULL) {
-        client_close(memory_account_owner(victim), now_us,
-                     "callers hold too much memory");
+        client_close(memory_account_owner(victim), now_us, kClosePressure);
     }
 }
 
@@ -550,7 +590,7 @@
     g_hash_table_iter_init(&it, h->open);
     while (g_hash_table_iter_next(&it, NULL, &value)) {
         HttpClient *c = value;
-        if (late_reason(c, now_us) != NULL) {
+        if (late_reason(c, now_us) != kCloseReasons) {
             g_ptr_array_add(late, c);
             continue;
         }
@@ -562,7 +602,6 @@
     /* A close frees the client that it concerns only. */
     for (guint i = 0; i < late->len; i++) {
         HttpClient *c = g_ptr_array_index(late, i);
-        h->timeouts++;
         client_close(c, now_us, late_reason(c, now_us));
     }
     g_ptr_array_unref(late);
@@ -698,6 +737,25 @@
     }
 }
 
+/* Sets what the clients use of the limits, and how many were rejected or
+ * closed, and why. */
+void
+http_clients_pressure(const HttpClients *h, Sw__ClientPressure *out)
+{
+    MemoryStats s = memory_budget_stats(h->budget);
+
+    sw__client_pressure__init(out);
+    out->connections = s.connections;
+    out->max_connections = h->limits.max_connections;
+    out->held_bytes = s.held_bytes;
+    out->max_bytes = h->limits.memory_bytes;
+    out->rejected_connections = h->rejected;
+    out->closed_replaced = h->close_counts[kCloseReplaced];
+    out->closed_slow = timeout_count(h);
+    out->closed_memory =
+        h->close_counts[kCloseTooLarge] + h->close_counts[kClosePressure];
+}
+
 /* Appends the counters in the metrics text format. */
 void
 http_clients_write_metrics(const HttpClients *h, GString *out)
@@ -711,5 +769,5 @@
         "%" G_GUINT64_FORMAT "\n"
         "sapphireweir_client_timeouts_total{listener=\"http\"} "
         "%" G_GUINT64_FORMAT "\n",
-        h->closed_count, h->timeouts);
+        closed_count(h), timeout_count(h));
 }
--- a/src/sapphireweir/adapter/http_clients.h
+++ b/src/sapphireweir/adapter/http_clients.h
@@ -7,6 +7,8 @@
 #include <glib.h>
 #include <stdint.h>
 
+#include "proto/sapphireweir.pb-c.h"
+
 /* The connections of an HTTP server whose clients are not trusted. */
 typedef struct HttpClients HttpClients;
 
@@ -40,6 +42,7 @@
 void http_clients_set_team(HttpClients *h,
                            struct evhttp_connection *connection,
                            const char *team);
+void http_clients_pressure(const HttpClients *h, Sw__ClientPressure *out);
 void http_clients_write_metrics(const HttpClients *h, GString *out);
 
 #endif
--- a/src/sapphireweir/control/main.c
+++ b/src/sapphireweir/control/main.c
@@ -73,6 +73,9 @@
     uint64_t now_us = clock_now_us();
     (void)fd;
     (void)events;
+    Sw__ClientPressure clients;
+    http_client_pressure(c->http, &clients);
+    control_core_set_clients(c->core, &clients);
     control_core_tick(c->core, now_us);
     schedule_flush(c);
     if (c->stop_deadline_us != 0 &&
--- a/src/sapphireweir/core/control_admin.c
+++ b/src/sapphireweir/core/control_admin.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "core/control_clients.h"
 #include "core/control_defs.h"
 #include "core/error.h"
 #include "core/schema.h"
@@ -297,28 +298,32 @@
         json_array_append_new(
             list,
             json_pack(
-                "{s:s, s:s, s:b, s:I, s:I}", "id", i->id, "failure_domain",
-                i->failure_domain, "draining", i->draining, "applied_index",
+                "{s:s, s:s, s:b, s:I, s:I, s:o}", "id", i->id,
+                "failure_domain", i->failure_domain, "draining", i->draining,
+                "applied_index",
                 (json_int_t)(t == NULL ? 0 : t->applied_index), "silent_ms",
                 (json_int_t)(t == NULL ? -1
                                        : (int64_t)((now_us - t->last_seen_us) /
-                                                   1000))));
+                                                   1000)),
+                "clients",
+                control_clients_to_json(t == NULL ? NULL : &t->clients)));
     }
     return list;
 }
 
 /* Returns the control instances as JSON. */
 static json_t *
-status_members(const ControlCore *k)
+status_members(const ControlCore *k, uint64_t now_us)
 {
     json_t *list = json_array();
     const GPtrArray *members = consensus_members(k->consensus);
     for (guint i = 0; i < members->len; i++) {
         const ConsensusMember *m = g_ptr_array_index(members, i);
-        json_array_append_new(list,
-                              json_pack("{s:s, s:s, s:s, s:b}", "id", m->id,
-                                        "disk", m->disk, "failure_domain",
-                                        m->failure_domain, "voter", m->voter));
+        json_array_append_new(
+            list, json_pack("{s:s, s:s, s:s, s:b, s:o}", "id", m->id, "disk",
+                            m->disk, "failure_domain", m->failure_domain,
+                            "voter", m->voter, "clients",
+                            control_clients_of_control(k, now_us, m->id)));
     }
     return list;
 }
@@ -350,12 +355,12 @@
 admin_status(ControlCore *k, uint64_t now_us, const char *to,
              uint64_t request_id)
 {
-    json_t *body =
-        json_pack("{s:s, s:I, s:I, s:o, s:o, s:o}", "leader", k->id, "term",
-                  (json_int_t)consensus_term(k->consensus), "commit_index",
-                  (json_int_t)consensus_commit_index(k->consensus), "control",
-                  status_members(k), "instances", status_instances(k, now_us),
-                  "evacuations", status_evacuations(k));
+    json_t *body = json_pack(
+        "{s:s, s:I, s:I, s:o, s:o, s:o}", "leader", k->id, "term",
+        (json_int_t)consensus_term(k->consensus), "commit_index",
+        (json_int_t)consensus_commit_index(k->consensus), "control",
+        status_members(k, now_us), "instances", status_instances(k, now_us),
+        "evacuations", status_evacuations(k));
     control_reply_admin(k, to, request_id, 200, body);
 }
 
--- a/src/sapphireweir/core/control_core.c
+++ b/src/sapphireweir/core/control_core.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "core/control_clients.h"
 #include "core/control_defs.h"
 #include "core/error.h"
 #include "core/message.h"
@@ -243,6 +244,9 @@
     k->consensus = consensus_new(config->id, config->disk, &config->timing,
                                  &consensus_port);
     instance_view_init(&k->view);
+    k->controls =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    sw__client_pressure__init(&k->clients);
     k->instances = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
                                          instance_tracker_free);
     k->members =
@@ -276,6 +280,7 @@
     g_hash_table_destroy(k->subscribers);
     g_hash_table_destroy(k->members);
     g_hash_table_destroy(k->instances);
+    g_hash_table_destroy(k->controls);
     instance_view_clear(&k->view);
     consensus_free(k->consensus);
     state_free(k->state);
@@ -464,6 +469,9 @@
             k->port.send(k->port.ctx, consensus_leader(k->consensus), frame);
         }
         break;
+    case SW__FRAME__BODY_CLIENT_PRESSURE:
+        control_clients_record(k, now_us, from, frame->client_pressure);
+        break;
     case SW__FRAME__BODY_MEMBER_RESULT:
         promotion_handle_result(k, now_us, frame->member_result);
         break;
@@ -506,6 +514,7 @@
     k->metrics.counters[kMetricElections] = consensus_elections(k->consensus);
     update_leadership(k, now_us);
     control_expire_admin_changes(k, now_us);
+    control_clients_report(k, now_us);
     if (now_us >= k->next_expiry_scan_us) {
         k->next_expiry_scan_us = now_us + kExpiryScanIntervalUs;
         g_hash_table_foreach_remove(k->forwards, forward_expired, &now_us);
--- a/src/sapphireweir/core/control_core.h
+++ b/src/sapphireweir/core/control_core.h
@@ -42,6 +42,8 @@
 void control_core_frame(ControlCore *k, uint64_t now_us, const char *from,
                         const Sw__Frame *frame);
 void control_core_tick(ControlCore *k, uint64_t now_us);
+void control_core_set_clients(ControlCore *k,
+                              const Sw__ClientPressure *clients);
 void control_core_flush(ControlCore *k, uint64_t now_us);
 void control_core_stop(ControlCore *k, uint64_t now_us);
 
--- a/src/sapphireweir/core/control_defs.h
+++ b/src/sapphireweir/core/control_defs.h
@@ -20,7 +20,9 @@
     kDistributeIdleIntervalUs = 50000, /* while the state is unchanged */
     kUpdateChangesMax = 2000,          /* with more, the full state is sent */
     kExpiryScanIntervalUs = 250000,
-    kGroupScanIntervalUs = 250000, /* time to check every group once */
+    kClientsReportIntervalUs = 1000000, /* to the leader */
+    kClientsReportMaxAgeUs = 5000000,   /* older ones are not shown */
+    kGroupScanIntervalUs = 250000,      /* time to check every group once */
 };
 
 /* Data of the leader about an entry instance; not replicated. */
@@ -28,10 +30,18 @@
     char *id;
     uint64_t incarnation;
     uint64_t last_seen_us;
-    uint64_t applied_index; /* log index of its copy of the state */
-    uint64_t proposed_us;   /* last proposal of its resource; zero: none */
+    uint64_t applied_index;     /* log index of its copy of the state */
+    uint64_t proposed_us;       /* last proposal of its resource; zero: none */
+    Sw__ClientPressure clients; /* as it reported last */
 } InstanceTracker;
 
+/* Data of the leader about the clients of another control instance; not
+ * replicated. */
+typedef struct {
+    uint64_t last_seen_us;
+    Sw__ClientPressure clients;
+} ControlTracker;
+
 /* Data of the leader about a member of a database group; not replicated. */
 typedef struct {
     uint64_t last_seen_us; /* last health report */
@@ -114,6 +124,7 @@
     InstanceView view; /* entry instances in the replicated state */
 
     GHashTable *instances;   /* id -> InstanceTracker */
+    GHashTable *controls;    /* id -> ControlTracker */
     GHashTable *members;     /* "db/member" -> MemberTracker */
     GHashTable *subscribers; /* id -> Subscriber */
     GHashTable *promotions;  /* database -> PromotionTracker */
@@ -127,6 +138,8 @@
     uint64_t leader_since_us; /* zero: does not lead */
     gboolean stopping;
     uint64_t next_expiry_scan_us;
+    Sw__ClientPressure clients; /* of the own HTTP port */
+    uint64_t clients_report_at_us;
     uint64_t last_distributed_us;
     uint64_t distributed_index;   /* state index at that time */
     GHashTable *urgent_databases; /* names to check in every tick */
--- a/src/sapphireweir/core/control_lease.c
+++ b/src/sapphireweir/core/control_lease.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "core/control_clients.h"
 #include "core/control_defs.h"
 #include "core/schema.h"
 
@@ -140,6 +141,9 @@
     }
     t->last_seen_us = now_us;
     t->applied_index = r->applied_index;
+    if (r->clients != NULL) {
+        control_clients_copy(&t->clients, r->clients);
+    }
     for (size_t i = 0; i < r->n_health; i++) {
         record_health(k, now_us, r->health[i]);
     }
--- a/src/sapphireweir/core/entry_core.c
+++ b/src/sapphireweir/core/entry_core.c
@@ -30,6 +30,7 @@
     derive_key(config->secret, "sapphireweir session token", e->keys.token);
     e->catalog = catalog_new();
     e->lease = lease_client_new(e);
+    sw__client_pressure__init(&e->clients);
     e->limiter = limiter_new(e, caller_admission_result, e);
     e->pools = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, pool_free);
     e->connections = g_hash_table_new(g_int64_hash, g_int64_equal);
@@ -333,6 +334,13 @@
     lease_leave(e, now_us);
 }
 
+/* Sets what the clients of the HTTP port use, for the next lease request. */
+void
+entry_core_set_clients(EntryCore *e, const Sw__ClientPressure *clients)
+{
+    e->clients = *clients;
+}
+
 /* Returns the status that a driver needs for a planned shutdown. */
 EntryStatus
 entry_core_status(const EntryCore *e, uint64_t now_us)
--- a/src/sapphireweir/core/entry_core.h
+++ b/src/sapphireweir/core/entry_core.h
@@ -74,6 +74,7 @@
 void entry_core_drain(EntryCore *e, uint64_t now_us);
 void entry_core_leave(EntryCore *e, uint64_t now_us);
 
+void entry_core_set_clients(EntryCore *e, const Sw__ClientPressure *clients);
 EntryStatus entry_core_status(const EntryCore *e, uint64_t now_us);
 gboolean entry_core_has_left(const EntryCore *e);
 Metrics *entry_core_metrics(EntryCore *e);
--- a/src/sapphireweir/core/entry_defs.h
+++ b/src/sapphireweir/core/entry_defs.h
@@ -33,6 +33,7 @@
     Metrics metrics;
     Catalog *catalog;
     LeaseClient *lease;
+    Sw__ClientPressure clients; /* of the HTTP port, for lease requests */
     Limiter *limiter;
     GHashTable *pools;            /* "db/member" -> Pool, owned */
     GHashTable *connections;      /* id -> PoolConnection, owned by its pool */
--- a/src/sapphireweir/core/lease.c
+++ b/src/sapphireweir/core/lease.c
@@ -133,6 +133,7 @@
     r.applied_index = catalog_index(e->catalog);
     r.draining = e->draining;
     r.leaving = l->leaving;
+    r.clients = &e->clients;
     r.n_health = pool_health(e, now_us, health);
     r.health = (Sw__MemberHealth **)health->pdata;
     entry_send(e, lease_control(e), entry_next_frame_id(e),
--- a/src/sapphireweir/ctl/main.c
+++ b/src/sapphireweir/ctl/main.c
@@ -16,7 +16,8 @@
 enum {
     kMaxWaitMs = 20000, /* for a change to be applied by all instances */
     kWaitPollIntervalMs = 50,
-    kKeyBytes = 32,      /* random part of a team's key */
+    kKeyBytes = 32, /* random part of a team's key */
+    kKiB = 1 << 10,
     kMaxTextBytes = 256, /* buffer for a key as text */
 };
 
@@ -578,8 +579,46 @@
     }
 }
 
-/* Prints the consensus leader, all control and entry instances, and the
- * evacuated failure domains. */
+/* Prints what the HTTP clients of instances use of the limits, and how many
+ * connections and requests were rejected or closed since their start. */
+static void
+print_clients(const json_t *instances)
+{
+    size_t i;
+    json_t *item;
+
+    json_array_foreach(instances, i, item)
+    {
+        const json_t *c = json_object_get(item, "clients");
+        const json_t *rejected = json_object_get(c, "rejected");
+        const json_t *closed = json_object_get(c, "closed");
+        if (!json_is_object(c)) {
+            printf("%-20s not reported\n", json_text_or(item, "id", ""));
+            continue;
+        }
+        char *connections =
+            g_strdup_printf("%" G_GINT64_FORMAT "/%" G_GINT64_FORMAT,
+                            json_integer_or(c, "connections", 0),
+                            json_integer_or(c, "max_connections", 0));
+        char *kib = g_strdup_printf("%" G_GINT64_FORMAT "/%" G_GINT64_FORMAT,
+                                    json_integer_or(c, "held_bytes", 0) / kKiB,
+                                    json_integer_or(c, "max_bytes", 0) / kKiB);
+        printf("%-20s %12s %14s %10" G_GINT64_FORMAT " %8" G_GINT64_FORMAT
+               " %8" G_GINT64_FORMAT " %8" G_GINT64_FORMAT
+               " %8" G_GINT64_FORMAT "\n",
+               json_text_or(item, "id", ""), connections, kib,
+               json_integer_or(rejected, "connections", 0),
+               json_integer_or(rejected, "requests", 0),
+               json_integer_or(closed, "replaced", 0),
+               json_integer_or(closed, "too_slow", 0),
+               json_integer_or(closed, "too_much_memory", 0));
+        g_free(connections);
+        g_free(kib);
+    }
+}
+
+/* Prints the consensus leader, all control and entry instances with the use of
+ * their limits for clients, and the evacuated failure domains. */
 static ExitCode
 run_status(Ctl *c, char **arguments)
 {
@@ -614,6 +653,13 @@
                    json_integer_or(item, "silent_ms", 0),
                    json_flag(item, "draining") ? "  draining" : "");
         }
+        printf("\n%-20s %12s %14s %19s %26s\n%-20s %12s %14s %10s %8s %8s "
+               "%8s %8s\n",
+               "", "", "", "REJECTED", "CLOSED", "CLIENTS OF", "CONNECTIONS",
+               "MEMORY KIB", "CONNECTS", "REQUESTS", "REPLACED", "TOO SLOW",
+               "MEMORY");
+        print_clients(json_object_get(r.body, "control"));
+        print_clients(json_object_get(r.body, "instances"));
         print_evacuations(r.body);
     }
     json_decref(r.body);
--- a/src/sapphireweir/entry/main.c
+++ b/src/sapphireweir/entry/main.c
@@ -77,6 +77,9 @@
     uint64_t now_us = clock_now_us();
     (void)fd;
     (void)events;
+    Sw__ClientPressure clients;
+    http_client_pressure(e->http, &clients);
+    entry_core_set_clients(e->core, &clients);
     trace_tick(e->trace, now_us);
     entry_core_tick(e->core, now_us);
     if (e->drain_started_us != 0) {
--- a/src/sapphireweir/proto/sapphireweir.pb-c.c
+++ b/src/sapphireweir/proto/sapphireweir.pb-c.c
@@ -322,6 +322,51 @@
   assert(message->base.descriptor == &sw__lease_request__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   sw__client_pressure__init
+                     (Sw__ClientPressure         *message)
+{
+  static const Sw__ClientPressure init_value = SW__CLIENT_PRESSURE__INIT;
+  *message = init_value;
+}
+size_t sw__client_pressure__get_packed_size
+                     (const Sw__ClientPressure *message)
+{
+  assert(message->base.descriptor == &sw__client_pressure__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t sw__client_pressure__pack
+                     (const Sw__ClientPressure *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &sw__client_pressure__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t sw__client_pressure__pack_to_buffer
+                     (const Sw__ClientPressure *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &sw__client_pressure__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Sw__ClientPressure *
+       sw__client_pressure__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Sw__ClientPressure *)
+     protobuf_c_message_unpack (&sw__client_pressure__descriptor,
+                                allocator, len, data);
+}
+void   sw__client_pressure__free_unpacked
+                     (Sw__ClientPressure *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &sw__client_pressure__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   sw__lease_reply__init
                      (Sw__LeaseReply         *message)
 {
@@ -2482,7 +2527,7 @@
   assert(message->base.descriptor == &sw__fleet_snapshot__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor sw__frame__field_descriptors[32] =
+static const ProtobufCFieldDescriptor sw__frame__field_descriptors[33] =
 {
   {
     "request_id",
@@ -2868,12 +2913,25 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "client_pressure",
+    33,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sw__Frame, body_case),
+    offsetof(Sw__Frame, client_pressure),
+    &sw__client_pressure__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sw__frame__field_indices_by_name[] = {
   8,   /* field[8] = admin_reply */
   7,   /* field[7] = admin_request */
   17,   /* field[17] = announcement */
   18,   /* field[18] = cancel_work */
+  32,   /* field[32] = client_pressure */
   3,   /* field[3] = consensus */
   21,   /* field[21] = directory_update */
   28,   /* field[28] = document_chunk */
@@ -2906,7 +2964,7 @@
 static const ProtobufCIntRange sw__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 32 }
+  { 0, 33 }
 };
 const ProtobufCMessageDescriptor sw__frame__descriptor =
 {
@@ -2916,7 +2974,7 @@
   "Sw__Frame",
   "sw",
   sizeof(Sw__Frame),
-  32,
+  33,
   sw__frame__field_descriptors,
   sw__frame__field_indices_by_name,
   1,  sw__frame__number_ranges,
@@ -3412,7 +3470,7 @@
   (ProtobufCMessageInit) sw__member_health__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sw__lease_request__field_descriptors[11] =
+static const ProtobufCFieldDescriptor sw__lease_request__field_descriptors[12] =
 {
   {
     "instance_id",
@@ -3546,9 +3604,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "clients",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Sw__LeaseRequest, clients),
+    &sw__client_pressure__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sw__lease_request__field_indices_by_name[] = {
   4,   /* field[4] = applied_index */
+  11,   /* field[11] = clients */
   5,   /* field[5] = draining */
   1,   /* field[1] = failure_domain */
   10,   /* field[10] = forwarded */
@@ -3563,7 +3634,7 @@
 static const ProtobufCIntRange sw__lease_request__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor sw__lease_request__descriptor =
 {
@@ -3573,13 +3644,155 @@
   "Sw__LeaseRequest",
   "sw",
   sizeof(Sw__LeaseRequest),
-  11,
+  12,
   sw__lease_request__field_descriptors,
   sw__lease_request__field_indices_by_name,
   1,  sw__lease_request__number_ranges,
   (ProtobufCMessageInit) sw__lease_request__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor sw__client_pressure__field_descriptors[9] =
+{
+  {
+    "connections",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Sw__ClientPressure, connections),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "max_connections",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Sw__ClientPressure, max_connections),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "held_bytes",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__ClientPressure, held_bytes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "max_bytes",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__ClientPressure, max_bytes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rejected_connections",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__ClientPressure, rejected_connections),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rejected_requests",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__ClientPressure, rejected_requests),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "closed_replaced",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__ClientPressure, closed_replaced),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "closed_slow",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__ClientPressure, closed_slow),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "closed_memory",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__ClientPressure, closed_memory),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned sw__client_pressure__field_indices_by_name[] = {
+  8,   /* field[8] = closed_memory */
+  6,   /* field[6] = closed_replaced */
+  7,   /* field[7] = closed_slow */
+  0,   /* field[0] = connections */
+  2,   /* field[2] = held_bytes */
+  3,   /* field[3] = max_bytes */
+  1,   /* field[1] = max_connections */
+  4,   /* field[4] = rejected_connections */
+  5,   /* field[5] = rejected_requests */
+};
+static const ProtobufCIntRange sw__client_pressure__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 9 }
+};
+const ProtobufCMessageDescriptor sw__client_pressure__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "sw.ClientPressure",
+  "ClientPressure",
+  "Sw__ClientPressure",
+  "sw",
+  sizeof(Sw__ClientPressure),
+  9,
+  sw__client_pressure__field_descriptors,
+  sw__client_pressure__field_indices_by_name,
+  1,  sw__client_pressure__number_ranges,
+  (ProtobufCMessageInit) sw__client_pressure__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor sw__lease_reply__field_descriptors[5] =
 {
   {
--- a/src/sapphireweir/proto/sapphireweir.pb-c.h
+++ b/src/sapphireweir/proto/sapphireweir.pb-c.h
@@ -22,6 +22,7 @@
 typedef struct Sw__ConsensusMessage Sw__ConsensusMessage;
 typedef struct Sw__MemberHealth Sw__MemberHealth;
 typedef struct Sw__LeaseRequest Sw__LeaseRequest;
+typedef struct Sw__ClientPressure Sw__ClientPressure;
 typedef struct Sw__LeaseReply Sw__LeaseReply;
 typedef struct Sw__Change Sw__Change;
 typedef struct Sw__StateUpdate Sw__StateUpdate;
@@ -161,7 +162,8 @@
   SW__FRAME__BODY_DOCUMENT_CHUNK = 29,
   SW__FRAME__BODY_DOCUMENT_RECEIPT = 30,
   SW__FRAME__BODY_RATE_SHARE_REQUEST = 31,
-  SW__FRAME__BODY_RATE_SHARE_REPLY = 32
+  SW__FRAME__BODY_RATE_SHARE_REPLY = 32,
+  SW__FRAME__BODY_CLIENT_PRESSURE = 33
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(SW__FRAME__BODY__CASE)
 } Sw__Frame__BodyCase;
 
@@ -202,6 +204,10 @@
     Sw__DocumentReceipt *document_receipt;
     Sw__RateShareRequest *rate_share_request;
     Sw__RateShareReply *rate_share_reply;
+    /*
+     * Sent by a control instance to the leader.
+     */
+    Sw__ClientPressure *client_pressure;
   };
 };
 #define SW__FRAME__INIT \
@@ -337,10 +343,48 @@
    * Set by a control instance that forwards the request to the leader.
    */
   protobuf_c_boolean forwarded;
+  Sw__ClientPressure *clients;
 };
 #define SW__LEASE_REQUEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sw__lease_request__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0, (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0, (char *)protobuf_c_empty_string, 0, NULL }
+
+
+/*
+ * What the clients of an instance's HTTP port use of its limits, and how many
+ * of them it rejected or closed since its start.
+ */
+struct  Sw__ClientPressure
+{
+  ProtobufCMessage base;
+  uint32_t connections;
+  uint32_t max_connections;
+  uint64_t held_bytes;
+  uint64_t max_bytes;
+  /*
+   * New connections, while all were in use.
+   */
+  uint64_t rejected_connections;
+  /*
+   * Requests, while too many were open.
+   */
+  uint64_t rejected_requests;
+  /*
+   * Connections closed in favour of new ones.
+   */
+  uint64_t closed_replaced;
+  /*
+   * Closed after a time-out, or as too slow.
+   */
+  uint64_t closed_slow;
+  /*
+   * Closed because they, their team or source, or all held too much memory.
+   */
+  uint64_t closed_memory;
+};
+#define SW__CLIENT_PRESSURE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&sw__client_pressure__descriptor) \
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Sw__LeaseReply
@@ -1600,6 +1644,25 @@
 void   sw__lease_request__free_unpacked
                      (Sw__LeaseRequest *message,
                       ProtobufCAllocator *allocator);
+/* Sw__ClientPressure methods */
+void   sw__client_pressure__init
+                     (Sw__ClientPressure         *message);
+size_t sw__client_pressure__get_packed_size
+                     (const Sw__ClientPressure   *message);
+size_t sw__client_pressure__pack
+                     (const Sw__ClientPressure   *message,
+                      uint8_t             *out);
+size_t sw__client_pressure__pack_to_buffer
+                     (const Sw__ClientPressure   *message,
+                      ProtobufCBuffer     *buffer);
+Sw__ClientPressure *
+       sw__client_pressure__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   sw__client_pressure__free_unpacked
+                     (Sw__ClientPressure *message,
+                      ProtobufCAllocator *allocator);
 /* Sw__LeaseReply methods */
 void   sw__lease_reply__init
                      (Sw__LeaseReply         *message);
@@ -2535,6 +2598,9 @@
 typedef void (*Sw__LeaseRequest_Closure)
                  (const Sw__LeaseRequest *message,
                   void *closure_data);
+typedef void (*Sw__ClientPressure_Closure)
+                 (const Sw__ClientPressure *message,
+                  void *closure_data);
 typedef void (*Sw__LeaseReply_Closure)
                  (const Sw__LeaseReply *message,
                   void *closure_data);
@@ -2697,6 +2763,7 @@
 extern const ProtobufCMessageDescriptor sw__consensus_message__descriptor;
 extern const ProtobufCMessageDescriptor sw__member_health__descriptor;
 extern const ProtobufCMessageDescriptor sw__lease_request__descriptor;
+extern const ProtobufCMessageDescriptor sw__client_pressure__descriptor;
 extern const ProtobufCMessageDescriptor sw__lease_reply__descriptor;
 extern const ProtobufCMessageDescriptor sw__change__descriptor;
 extern const ProtobufCMessageDescriptor sw__state_update__descriptor;
--- a/test/functional/test_fleet.c
+++ b/test/functional/test_fleet.c
@@ -535,6 +535,50 @@
     return code == 0;
 }
 
+/* Returns whether the status has the use of the limits by the clients of all
+ * control and entry instances. */
+static gboolean
+status_has_all_clients(void *ctx)
+{
+    static const char *const lists[] = {"control", "instances"};
+    char *output = NULL;
+    int code = fleet_ctl(fleet, &output, "--json", "status", NULL);
+    json_t *status = output == NULL ? NULL : json_loads(output, 0, NULL);
+    gboolean all = code == 0;
+
+    (void)ctx;
+    for (size_t i = 0; i < G_N_ELEMENTS(lists); i++) {
+        const json_t *list = json_object_get(status, lists[i]);
+        all = all && json_array_size(list) > 0;
+        for (size_t k = 0; k < json_array_size(list); k++) {
+            const json_t *c =
+                json_object_get(json_array_get(list, k), "clients");
+            all = all &&
+                  json_integer_value(json_object_get(c, "max_connections")) >
+                      0 &&
+                  json_integer_value(json_object_get(c, "max_bytes")) > 0;
+        }
+    }
+    json_decref(status);
+    g_free(output);
+    return all;
+}
+
+/* Guards against a status without the pressure at some instance, such as a
+ * control instance that does not lead. */
+static void
+status_shows_pressure(void)
+{
+    char *output = NULL;
+
+    CU_ASSERT(fleet_wait(status_has_all_clients, NULL, kMaxWaitMs));
+    CU_ASSERT_EQUAL(fleet_ctl(fleet, &output, "status", NULL), 0);
+    CU_ASSERT_PTR_NOT_NULL(strstr(output, "CLIENTS OF"));
+    CU_ASSERT_PTR_NULL(strstr(output, "not reported"));
+    printf("\n%s", output);
+    g_free(output);
+}
+
 /* After SIGKILL to the leader of the control instances, another one leads;
  * changes and writes succeed again. */
 static void
@@ -594,6 +638,7 @@
         const char *name;
         CU_TestFunc test;
     } tests[] = {
+        {"the status shows the pressure of clients", status_shows_pressure},
         {"a write is read through any entry instance",
          write_is_read_through_any_instance},
         {"a session reads its writes despite replica lag",
--- a/test/unit/test_http.c
+++ b/test/unit/test_http.c
@@ -160,6 +160,15 @@
             close(fds[k]);
         }
         CU_ASSERT_EQUAL(closed, cases[i].closed);
+        Sw__ClientPressure p;
+        http_client_pressure(s.http, &p);
+        CU_ASSERT_EQUAL(p.max_connections, kMaxClients);
+        CU_ASSERT_EQUAL(p.max_bytes, 64 * kMiB);
+        CU_ASSERT_EQUAL(p.connections, 1 + cases[i].requests - closed);
+        CU_ASSERT(p.held_bytes > (p.connections - 1) * 16 * kMiB);
+        CU_ASSERT_EQUAL(p.closed_memory, closed);
+        CU_ASSERT_EQUAL(p.closed_slow + p.closed_replaced, 0);
+        CU_ASSERT_EQUAL(p.rejected_connections + p.rejected_requests, 0);
         CU_ASSERT_FALSE(is_closed(other));
         close(other);
         http_free(s.http);
