Bound the memory of an unpacked frame

Cause: a frame of a peer link was limited by its bytes only. Empty messages of 2 bytes become structures of 56 bytes and more: a frame of 2 MiB with a million of them made a program hold 130,508 KiB (entry) and 127,196 KiB (control).

Change: a link unpacks a frame with an allocator that fails beyond the size of the largest frame and a quarter more, and is closed then. fuzz_peer unpacks in the same way and checks that a frame takes no more memory than it may.

--- a/src/sapphireweir/adapter/peer.c
+++ b/src/sapphireweir/adapter/peer.c
@@ -289,6 +289,15 @@
                                : (size_t)kHelloMaxBytes;
 }
 
+/* Returns the memory that an unpacked frame may take: that of the largest
+ * frame, and a part for its structures. */
+static size_t
+max_unpacked_bytes(const Link *l)
+{
+    size_t bytes = max_frame_bytes(l);
+    return bytes + bytes / 4;
+}
+
 /* Encrypts a frame and queues it on a link.  Returns FALSE if it is larger
  * than the limit. */
 static gboolean
@@ -465,7 +474,8 @@
     evbuffer_drain(in, sealed_bytes);
     bufferevent_setwatermark(l->bev, EV_READ, 0, kReadAheadBytes);
     if (valid) {
-        frame = sw__frame__unpack(NULL, plain_bytes, plain);
+        frame = message_unpack_bounded(&sw__frame__descriptor, plain,
+                                       plain_bytes, max_unpacked_bytes(l));
     }
     g_free(plain);
     if (frame == NULL) {
--- a/test/clients/test_http_clients.c
+++ b/test/clients/test_http_clients.c
@@ -760,11 +760,11 @@
     (*(uint32_t *)ctx)++;
 }
 
-/* Lets at most kMaxPeers peers that know the cluster's secret send frames to a
- * program for kCrowdMs, and returns how often a link was lost.  Sets the most
+/* Lets at most kMaxPeers peers that know the cluster's secret send a frame to a
+ * program again and again for kCrowdMs, and returns how often a link was lost.  Sets the most
  * memory that the program held. */
 static uint32_t
-run_peers(ProgramKind kind, uint32_t count, uint32_t frame_bytes,
+run_peers(ProgramKind kind, uint32_t count, const Sw__Frame *frame,
           uint64_t *most_bytes)
 {
     enum { kMaxPeers = 2 };
@@ -774,16 +774,11 @@
         .ctx = &lost, .frame = ignore_frame, .down = count_lost_link};
     struct event_base *base = event_base_new();
     Peer *peers[kMaxPeers];
-    Sw__Frame frame = SW__FRAME__INIT;
-    Sw__RelayRun run = SW__RELAY_RUN__INIT;
     char address[64];
 
     memset(secret, 0x55, sizeof(secret));
     g_snprintf(address, sizeof(address), "127.0.0.1:%u",
                programs[kind].peer_port);
-    frame.body_case = SW__FRAME__BODY_RELAY_RUN;
-    frame.relay_run = &run;
-    run.server = g_strnfill(frame_bytes, 'x');
     *most_bytes = 0;
     for (uint32_t i = 0; i < count; i++) {
         char id[16];
@@ -799,7 +794,7 @@
         struct timeval step = {0, kStepUs};
         for (uint32_t i = 0; i < count; i++) {
             if (peer_ready(peers[i], "one")) {
-                peer_send(peers[i], "one", &frame);
+                peer_send(peers[i], "one", frame);
             }
         }
         event_base_loopexit(base, &step);
@@ -811,10 +806,57 @@
         peer_free(peers[i]);
     }
     event_base_free(base);
-    g_free(run.server);
     return lost_before_end;
 }
 
+/* Runs peers that send a frame with one long value. */
+static uint32_t
+run_peers_with_text(ProgramKind kind, uint32_t count, uint32_t frame_bytes,
+                    uint64_t *most_bytes)
+{
+    Sw__Frame frame = SW__FRAME__INIT;
+    Sw__RelayRun run = SW__RELAY_RUN__INIT;
+
+    frame.body_case = SW__FRAME__BODY_RELAY_RUN;
+    frame.relay_run = &run;
+    run.server = g_strnfill(frame_bytes, 'x');
+    uint32_t lost = run_peers(kind, count, &frame, most_bytes);
+    g_free(run.server);
+    return lost;
+}
+
+/* Guards against a frame that takes far more memory than its bytes: 2 MiB that
+ * hold a million empty messages. */
+static void
+frames_of_many_small_values(void)
+{
+    enum { kValues = 1000000 };
+    Sw__Change change = SW__CHANGE__INIT;
+    Sw__Change **changes = g_new(Sw__Change *, kValues);
+    Sw__Frame frame = SW__FRAME__INIT;
+    Sw__StateUpdate update = SW__STATE_UPDATE__INIT;
+
+    for (uint32_t i = 0; i < kValues; i++) {
+        changes[i] = &change;
+    }
+    frame.body_case = SW__FRAME__BODY_STATE_UPDATE;
+    frame.state_update = &update;
+    update.n_changes = kValues;
+    update.changes = changes;
+    for (int kind = 0; kind < kProgramCount; kind++) {
+        uint64_t most_bytes;
+        CU_ASSERT_FATAL(start_program((ProgramKind)kind));
+        run_peers((ProgramKind)kind, 1, &frame, &most_bytes);
+        most_bytes = peak_bytes((ProgramKind)kind);
+        printf("\n    %s: %" G_GUINT64_FORMAT " KiB ", program_names[kind],
+               most_bytes / 1024);
+        CU_ASSERT(most_bytes <= kMaxResidentBytes);
+        CU_ASSERT(serves((ProgramKind)kind));
+        CU_ASSERT(stop_program((ProgramKind)kind));
+    }
+    g_free(changes);
+}
+
 /* Guards against a peer that knows the secret and sends frames larger than
  * the memory of the settings. */
 static void
@@ -824,7 +866,7 @@
         uint64_t most_bytes;
         CU_ASSERT_FATAL(start_program((ProgramKind)kind));
         uint32_t lost =
-            run_peers((ProgramKind)kind, 2, 48 * kMiB, &most_bytes);
+            run_peers_with_text((ProgramKind)kind, 2, 48 * kMiB, &most_bytes);
         printf("\n    %s: %" G_GUINT64_FORMAT " KiB, %u links lost ",
                program_names[kind], most_bytes / 1024, lost);
         CU_ASSERT(most_bytes <= kMaxResidentBytes);
@@ -842,7 +884,8 @@
         uint64_t most_bytes;
         CU_ASSERT_FATAL(start_program((ProgramKind)kind));
         CU_ASSERT_EQUAL(
-            run_peers((ProgramKind)kind, 1, 17 * kMiB, &most_bytes), 0);
+            run_peers_with_text((ProgramKind)kind, 1, 17 * kMiB, &most_bytes),
+            0);
         CU_ASSERT(serves((ProgramKind)kind));
         CU_ASSERT(stop_program((ProgramKind)kind));
     }
@@ -871,6 +914,7 @@
         {"idle connections cost little", idle_connections_cost_little},
         {"JSON of many small values", json_of_many_small_values},
         {"peers send too much", peers_send_too_much},
+        {"frames of many small values", frames_of_many_small_values},
         {"a legal frame of the maximum size is received",
          a_legal_frame_of_the_maximum_size_is_received},
     };
--- a/test/fuzz/fuzz_peer.c
+++ b/test/fuzz/fuzz_peer.c
@@ -1,5 +1,7 @@
+#include <sanitizer/allocator_interface.h>
 #include <string.h>
 
+#include "core/message.h"
 #include "discard_storage.h"
 #include "fleet/director.h"
 #include "fuzz.h"
@@ -9,13 +11,15 @@
 /* Fuzzes what the platform's entry and control instances receive from other
  * instances: sequences of valid frames in any order and state.  The entry
  * instance's backend servers accept each connection and answer each command
- * with a code that the input chooses. */
+ * with a code that the input chooses.  Second property: an unpacked frame
+ * takes no more memory than it may. */
 
 enum {
     kStepUs = 30000, /* between frames */
     kLinksMax = 64,
     kCodes = kCodeOther + 1,
     kSenders = 3,
+    kMaxUnpackedBytes = 64 << 10,
 };
 
 static const char *const kSenderNames[kSenders] = {"e1", "c0", "c1"};
@@ -269,6 +273,20 @@
     gateway_tick(g, now_us + kStepUs / 2);
 }
 
+/* Unpacks a frame as a peer link does, and checks that it takes no more memory
+ * than it may. */
+static Sw__Frame *
+unpack_frame(const uint8_t *data, size_t bytes)
+{
+    size_t before = __sanitizer_get_current_allocated_bytes();
+    Sw__Frame *frame = message_unpack_bounded(&sw__frame__descriptor, data,
+                                              bytes, kMaxUnpackedBytes);
+
+    g_assert(__sanitizer_get_current_allocated_bytes() - before <=
+             kMaxUnpackedBytes);
+    return frame;
+}
+
 /* The first byte selects the instance.  Each frame follows two bytes with its
  * length and one that selects its sender and the servers' answers. */
 int
@@ -286,7 +304,7 @@
     while (at + 3 <= size) {
         size_t bytes =
             MIN(((size_t)data[at] << 8) | data[at + 1], size - at - 3);
-        Sw__Frame *frame = sw__frame__unpack(NULL, bytes, data + at + 3);
+        Sw__Frame *frame = unpack_frame(data + at + 3, bytes);
         if (frame != NULL) {
             deliver(g, d, now_us, data[at + 2], frame);
             sw__frame__free_unpacked(frame, NULL);
