Count header lines, and fuzz the HTTP server and the peer port

Cause: the fuzz targets of the HTTP side and of peer links did not check that a connection makes the process hold no more than its account records.

Change: fuzz_http and fuzz_link send the bytes of one connection to the real server and to the peer port, in pieces, and compare the allocated memory with the account. fuzz_http found that evhttp's list of headers was not counted: 3,000 headers of 2 bytes exceed the account. adapter/header_lines counts the lines that may be headers, 112 bytes each, for both program families. scripts/fuzz.sh takes the number of jobs from JOBS.

New unit tests "lines of headers are counted" and "frames are bounded when unpacked".

--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Builds the fuzz targets with clang, ASan and UBSan and runs each with a
-# fixed seed, by default 15 seconds with seed 1: fuzz.sh [SECONDS] [SEED]
+# fixed seed, by default 15 seconds with seed 1: fuzz.sh [SECONDS] [SEED].  The
+# environment variable JOBS limits the build's jobs.
 set -euo pipefail
 root=$(cd "$(dirname "$0")/.." && pwd)
 seconds=${1:-15}
@@ -8,10 +9,10 @@
 build="$root/build-fuzz"
 cmake -S "$root" -B "$build" -DFUZZ=ON -DCMAKE_C_COMPILER=clang \
     -DCMAKE_CXX_COMPILER=clang++ >/dev/null
-cmake --build "$build" -j "$(nproc)" --target \
+cmake --build "$build" -j "${JOBS:-$(nproc)}" --target \
     fuzz_token fuzz_entry fuzz_settings fuzz_control fuzz_platform \
-    fuzz_peer >/dev/null
-for target in token entry settings control platform peer; do
+    fuzz_peer fuzz_http fuzz_link >/dev/null
+for target in token entry settings control platform peer http link; do
     corpus="$build/corpus-$target"
     mkdir -p "$corpus"
     cp "$root/test/fuzz/seeds/$target"/* "$corpus" 2>/dev/null || true
--- a/src/sapphireweir/adapter/http.c
+++ b/src/sapphireweir/adapter/http.c
@@ -324,6 +324,7 @@
         .max_source_connections = settings->max_source_connections,
         .message_bytes = (uint64_t)settings->max_header_bytes +
                          settings->max_body_bytes + kReadSlackBytes,
+        .header_bytes = settings->max_header_bytes,
         .message_timeout_us = settings->message_timeout_us,
         .send_timeout_us = settings->send_timeout_us,
         .min_bytes_per_s = settings->min_bytes_per_s,
--- a/src/sapphireweir/adapter/http_clients.c
+++ b/src/sapphireweir/adapter/http_clients.c
@@ -9,6 +9,7 @@
 #include <sys/resource.h>
 
 #include "adapter/clock.h"
+#include "adapter/header_lines.h"
 #include "policy/memory_budget.h"
 
 /* Limits what the clients of an HTTP server make the process hold.  The bytes
@@ -71,6 +72,7 @@
 typedef struct {
     struct evbuffer_cb_entry *output_cb;
     uint64_t consumed_bytes; /* input that is part of the present request */
+    HeaderLines headers;     /* of the present request */
     Transfer in;
     Transfer out;
 } Exchange;
@@ -205,8 +207,14 @@
 static uint64_t
 held_bytes(const HttpClient *c)
 {
-    return input_bytes(c) + output_bytes(c) +
-           (c->exchange == NULL ? 0 : c->exchange->consumed_bytes);
+    uint64_t bytes = input_bytes(c) + output_bytes(c);
+
+    if (c->exchange != NULL) {
+        bytes += c->exchange->consumed_bytes +
+                 header_lines_cost(&c->exchange->headers,
+                                   c->clients->limits.header_bytes);
+    }
+    return bytes;
 }
 
 /* Updates the account of a connection. */
@@ -235,6 +243,9 @@
     if (length == 0 && !c->request_open) {
         /* The response is sent, and evhttp frees the request. */
         x->consumed_bytes = 0;
+        x->headers = (HeaderLines){0};
+        header_lines_add(&x->headers, bufferevent_get_input(client_bev(c)),
+                         input_bytes(c));
         transfer_progress(&x->in, now_us, 0, input_bytes(c));
         queue_change(c);
     }
@@ -257,6 +268,7 @@
     }
     Exchange *x = c->exchange;
     x->consumed_bytes += info->n_deleted;
+    header_lines_add(&x->headers, buffer, info->n_added);
     gboolean idle = c->request_open || length + x->consumed_bytes == 0;
     transfer_progress(&x->in, now_us, info->n_added, idle ? 0 : 1);
     update_account(c, now_us);
--- a/src/sapphireweir/adapter/http_clients.h
+++ b/src/sapphireweir/adapter/http_clients.h
@@ -19,6 +19,7 @@
      * max_connections: no limit. */
     uint32_t max_source_connections;
     uint64_t message_bytes;      /* of one request, with its headers */
+    uint64_t header_bytes;       /* of its headers, without line ends */
     uint64_t message_timeout_us; /* without a byte of a request that began */
     uint64_t send_timeout_us;    /* without the client reading a byte */
     uint64_t min_bytes_per_s;    /* of both, beyond the time-outs */
--- a/test/unit/test_client_limits.c
+++ b/test/unit/test_client_limits.c
@@ -3,7 +3,9 @@
 #include <string.h>
 
 #include "../support/system.h"
+#include "adapter/header_lines.h"
 #include "core/json_bounds.h"
+#include "core/message.h"
 #include "platform/wire.h"
 #include "suite.h"
 
@@ -111,6 +113,84 @@
     }
 }
 
+/* Guards against headers that are not counted when they arrive in pieces, and
+ * against bodies that count as headers. */
+static void
+lines_of_headers_are_counted(void)
+{
+    static const struct {
+        const char *text;
+        uint32_t lines;
+    } cases[] = {
+        {"", 0},
+        {"GET / HTTP/1.1\r\nHost: x\r\nA: b\r\n\r\n", 2},
+        {"a:\nb:\n:\n", 3},
+        {"a: b\r\n c: d\r\n\te: f\r\n", 1},
+        {"{\n  \"a\": 1,\n  \"b\": 2\n}\n", 0},
+        {"a: b", 0},
+        {"a\nb\n", 0},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        size_t bytes = strlen(cases[i].text);
+        for (size_t piece = 1; piece <= bytes + 1; piece++) {
+            struct evbuffer *in = evbuffer_new();
+            HeaderLines l = {0};
+            for (size_t at = 0; at < bytes; at += piece) {
+                size_t n = MIN(piece, bytes - at);
+                /* Each piece is a part of its own in the buffer. */
+                evbuffer_add_reference(in, cases[i].text + at, n, NULL, NULL);
+                header_lines_add(&l, in, n);
+            }
+            CU_ASSERT_EQUAL(l.count, cases[i].lines);
+            HeaderLines all = {0};
+            header_lines_add(&all, in, bytes);
+            CU_ASSERT_EQUAL(all.count, cases[i].lines);
+            evbuffer_free(in);
+        }
+    }
+    CU_ASSERT_EQUAL(header_lines_cost(&(HeaderLines){.count = 3}, 4), 224);
+}
+
+/* Guards against a frame whose parts take far more memory than its bytes, and
+ * against a limit that rejects an ordinary frame. */
+static void
+frames_are_bounded_when_unpacked(void)
+{
+    static const struct {
+        uint32_t changes; /* empty ones, 2 bytes each */
+        size_t max_bytes;
+        gboolean accepted;
+    } cases[] = {
+        {10, 64 << 10, TRUE},    {2000, 1 << 20, TRUE},
+        {2000, 64 << 10, FALSE}, {100000, 1 << 20, FALSE},
+        {0, 16, FALSE},
+    };
+    Sw__Change change = SW__CHANGE__INIT;
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        Sw__StateUpdate update = SW__STATE_UPDATE__INIT;
+        Sw__Change **changes = g_new(Sw__Change *, cases[i].changes + 1);
+        for (uint32_t k = 0; k < cases[i].changes; k++) {
+            changes[k] = &change;
+        }
+        update.n_changes = cases[i].changes;
+        update.changes = changes;
+        size_t bytes = sw__state_update__get_packed_size(&update);
+        uint8_t *packed = g_malloc(bytes + 1);
+        sw__state_update__pack(&update, packed);
+        Sw__StateUpdate *got = message_unpack_bounded(
+            &sw__state_update__descriptor, packed, bytes, cases[i].max_bytes);
+        CU_ASSERT_EQUAL(got != NULL, cases[i].accepted);
+        CU_ASSERT(got == NULL || got->n_changes == cases[i].changes);
+        if (got != NULL) {
+            sw__state_update__free_unpacked(got, NULL);
+        }
+        g_free(packed);
+        g_free(changes);
+    }
+}
+
 /* Guards against an entry instance that parses the body of a caller's request
  * whatever it contains. */
 static void
@@ -186,6 +266,10 @@
                 json_is_bounded_before_it_is_parsed);
     CU_add_test(s, "requests count for their team",
                 requests_count_for_their_team);
+    CU_add_test(s, "lines of headers are counted",
+                lines_of_headers_are_counted);
+    CU_add_test(s, "frames are bounded when unpacked",
+                frames_are_bounded_when_unpacked);
     CU_add_test(s, "bodies of callers are bounded",
                 bodies_of_callers_are_bounded);
 }
