Keep the account of a request after "100 Continue"

Cause: an interim response counted as the response to a request. The account of the connection forgot the request, and no time limit applied to a body that was announced with "Expect: 100-continue" and not sent. Found by fuzz_http.

Change: the product's ports end a request when the server responds to it, the platform's ports ignore the output of an interim response.

--- a/src/sapphireweir/adapter/http_clients.c
+++ b/src/sapphireweir/adapter/http_clients.c
@@ -83,8 +83,9 @@
     struct evhttp_connection *connection;
     MemoryAccount *account;
     Exchange *exchange; /* NULL: idle */
-    uint64_t opened_us : 56;
+    uint64_t opened_us : 55;
     uint64_t request_open : 1; /* complete, and not responded to */
+    uint64_t responded : 1;    /* the response has begun */
     uint64_t admitted : 1;     /* has sent a complete request */
     uint64_t closing : 1;      /* is about to be closed */
     uint64_t queued : 1;       /* is in HttpClients.changed */
@@ -240,8 +241,10 @@
     size_t length = evbuffer_get_length(buffer);
 
     transfer_progress(&x->out, now_us, info->n_deleted, length);
-    if (length == 0 && !c->request_open) {
+    /* An interim response, "100 Continue", does not end the request. */
+    if (length == 0 && c->responded) {
         /* The response is sent, and evhttp frees the request. */
+        c->responded = 0;
         x->consumed_bytes = 0;
         x->headers = (HeaderLines){0};
         header_lines_add(&x->headers, bufferevent_get_input(client_bev(c)),
@@ -614,7 +617,10 @@
     /* A close frees the client that it concerns only. */
     for (guint i = 0; i < late->len; i++) {
         HttpClient *c = g_ptr_array_index(late, i);
-        client_close(c, now_us, late_reason(c, now_us));
+        CloseReason reason = late_reason(c, now_us);
+        if (reason != kCloseReasons) {
+            client_close(c, now_us, reason);
+        }
     }
     g_ptr_array_unref(late);
     event_active(h->apply, EV_TIMEOUT, 0);
@@ -734,6 +740,7 @@
         return;
     }
     c->request_open = 0;
+    c->responded = 1;
     memory_account_busy(c->account, FALSE);
 }
 
--- a/test/clients/test_http_clients.c
+++ b/test/clients/test_http_clients.c
@@ -486,6 +486,18 @@
     FALSE,
     FALSE,
     FALSE};
+/* The body of the second request is announced and not sent. */
+static const Crowd expecting = {
+    "bodies after 100 Continue that stop",
+    60,
+    "GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n"
+    "POST /v1/a/b HTTP/1.1\r\nHost: x\r\nContent-Length: 1048576\r\n"
+    "Expect: 100-continue\r\n\r\n",
+    NULL,
+    1000,
+    FALSE,
+    TRUE,
+    FALSE};
 static const Crowd slow_bodies = {
     "slow bodies",
     60,
@@ -540,6 +552,7 @@
 bodies_that_stop_part_way(void)
 {
     run_crowd(&partial_bodies);
+    run_crowd(&expecting);
 }
 
 static void
@@ -760,9 +773,9 @@
     (*(uint32_t *)ctx)++;
 }
 
-/* Lets at most kMaxPeers peers that know the cluster's secret send a frame to a
- * program again and again for kCrowdMs, and returns how often a link was lost.  Sets the most
- * memory that the program held. */
+/* Lets at most kMaxPeers peers that know the cluster's secret send a frame to
+ * a program again and again for kCrowdMs, and returns how often a link was
+ * lost.  Sets the most memory that the program held. */
 static uint32_t
 run_peers(ProgramKind kind, uint32_t count, const Sw__Frame *frame,
           uint64_t *most_bytes)
--- a/test/fuzz/fuzz_http.c
+++ b/test/fuzz/fuzz_http.c
@@ -10,8 +10,8 @@
 #include "fuzz.h"
 
 /* Fuzzes the HTTP server with the bytes of one connection.  Property: the
- * connection makes the process hold no more than its account records.  libevent
- * rounds buffers up to powers of two, hence the factor. */
+ * connection makes the process hold no more than its account records.
+ * libevent rounds buffers up to powers of two, hence the factor. */
 
 enum {
     kHeldFactor = 2,
--- a/test/fuzz/fuzz_link.c
+++ b/test/fuzz/fuzz_link.c
@@ -13,8 +13,9 @@
 #include "fuzz.h"
 
 /* Fuzzes the port for peer links with the bytes of a sender that need not know
- * the secret.  Property: a link makes the process hold no more than its account
- * records.  libevent rounds buffers up to powers of two, hence the factor. */
+ * the secret.  Property: a link makes the process hold no more than its
+ * account records.  libevent rounds buffers up to powers of two, hence the
+ * factor. */
 
 enum {
     kHeldFactor = 2,
--- a/test/platform/test_clients.c
+++ b/test/platform/test_clients.c
@@ -410,6 +410,10 @@
     /* Bodies that stop part-way. */
     {kControlPort, 30, PUT("15728640"), NULL, 1000, .during_fds = 50,
      .after_fds = 10},
+    {kControlPort, 30,
+     "PUT /config HTTP/1.1\r\nExpect: 100-continue\r\n"
+     "Content-Length: 15728640\r\n\r\n",
+     NULL, 1000, .reads = TRUE, .during_fds = 50, .after_fds = 10},
     {kControlPort, 20, CHUNKED, "40\r\n" FILL "\r\n", 64 * kMiB,
      .during_fds = 50, .after_fds = 50},
     /* JSON of many small values, which take more memory than their text. */
