--- a/src/sapphireweir/adapter/http.c
+++ b/src/sapphireweir/adapter/http.c
@@ -34,6 +34,7 @@
     GHashTable *open_requests; /* id -> OpenRequest */
     GHashTable *connections;   /* evhttp_connection -> id of its request */
     uint64_t next_id;
+    uint64_t rejected_requests; /* while max_requests were open */
 };
 
 enum {
@@ -188,6 +189,7 @@
     if (g_hash_table_size(h->open_requests) >= h->settings.max_requests) {
         http_clients_respond(h->clients,
                              evhttp_request_get_connection(request));
+        h->rejected_requests++;
         reject_busy(request);
         g_free(path);
         return;
@@ -282,6 +284,17 @@
                       status_text(response->status), NULL);
 }
 
+/* Sets the team of an open request, whose share of the memory then counts for
+ * its connection; NULL: none. */
+void
+http_set_team(Http *h, uint64_t request_id, const char *team)
+{
+    const OpenRequest *o = g_hash_table_lookup(h->open_requests, &request_id);
+    if (o != NULL) {
+        http_clients_set_team(h->clients, o->connection, team);
+    }
+}
+
 /* ---- setup and shutdown ---- */
 
 /* Creates the server and opens its port.  Fails with kCoreErrorIo if the port
@@ -308,8 +321,10 @@
     HttpClientLimits limits = {
         .memory_bytes = settings->memory_bytes,
         .max_connections = settings->max_connections,
+        .max_source_connections = settings->max_source_connections,
         .message_bytes = (uint64_t)settings->max_header_bytes +
                          settings->max_body_bytes + kReadSlackBytes,
+        .header_bytes = settings->max_header_bytes,
         .message_timeout_us = settings->message_timeout_us,
         .send_timeout_us = settings->send_timeout_us,
         .min_bytes_per_s = settings->min_bytes_per_s,
@@ -369,6 +384,15 @@
     }
 }
 
+/* Sets what the clients use of the limits, and how many were rejected or
+ * closed, and why. */
+void
+http_client_pressure(const Http *h, Sw__ClientPressure *out)
+{
+    http_clients_pressure(h->clients, out);
+    out->rejected_requests = h->rejected_requests;
+}
+
 /* Appends the counters of the server's connections in the metrics text
  * format. */
 void
--- a/src/sapphireweir/control/main.c
+++ b/src/sapphireweir/control/main.c
@@ -73,6 +73,9 @@
     uint64_t now_us = clock_now_us();
     (void)fd;
     (void)events;
+    Sw__ClientPressure clients;
+    http_client_pressure(c->http, &clients);
+    control_core_set_clients(c->core, &clients);
     control_core_tick(c->core, now_us);
     schedule_flush(c);
     if (c->stop_deadline_us != 0 &&
@@ -170,6 +173,7 @@
             "sapphireweir_commit_index %" G_GUINT64_FORMAT "\n",
             control_core_leads(c->core), control_core_commit_index(c->core));
         http_write_metrics(c->http, text);
+        peer_limits_write(c->peer, text);
         respond_text(c, r->id, 200, text->str);
         g_string_free(text, TRUE);
         return;
@@ -263,6 +267,7 @@
         .max_requests = s->max_requests,
         .memory_bytes = s->client_memory_bytes,
         .max_connections = s->max_connections,
+        .max_source_connections = s->max_source_connections,
         .message_timeout_us = s->message_timeout_us,
         .send_timeout_us = s->send_timeout_us,
         .min_bytes_per_s = s->min_bytes_per_s,
@@ -282,7 +287,11 @@
     c->flush = evtimer_new(c->base, on_flush, c);
     c->peer = peer_new(c->base, s->id, program_random(NULL), s->secret,
                        s->peer_address, &peer_events, error);
-    if (c->peer == NULL || !start_core(c, bootstrap, error)) {
+    if (c->peer == NULL) {
+        return FALSE;
+    }
+    peer_set_limits(c->peer, s->peer_memory_bytes, s->max_peer_handshakes);
+    if (!start_core(c, bootstrap, error)) {
         return FALSE;
     }
     c->http = http_new(c->base, &http, &http_events, error);
--- a/src/sapphireweir/entry/main.c
+++ b/src/sapphireweir/entry/main.c
@@ -77,6 +77,9 @@
     uint64_t now_us = clock_now_us();
     (void)fd;
     (void)events;
+    Sw__ClientPressure clients;
+    http_client_pressure(e->http, &clients);
+    entry_core_set_clients(e->core, &clients);
     trace_tick(e->trace, now_us);
     entry_core_tick(e->core, now_us);
     if (e->drain_started_us != 0) {
@@ -127,6 +130,7 @@
     CallerResponse whole = *response;
 
     http_write_metrics(e->http, text);
+    peer_limits_write(e->peer, text);
     whole.body = text->str;
     whole.body_bytes = text->len;
     http_respond(e->http, request_id, &whole);
@@ -144,6 +148,13 @@
     http_respond(e->http, request_id, response);
 }
 
+static void
+port_caller_team(void *ctx, uint64_t request_id, const char *team)
+{
+    Entry *e = ctx;
+    http_set_team(e->http, request_id, team);
+}
+
 static gboolean
 port_send(void *ctx, const char *to, const Sw__Frame *frame)
 {
@@ -269,6 +280,7 @@
         .backend_cancel = port_backend_cancel,
         .backend_close = port_backend_close,
         .random = program_random,
+        .caller_team = port_caller_team,
     };
     EntryConfig config = {
         .id = s->id,
@@ -329,6 +341,7 @@
         .max_requests = s->max_requests,
         .memory_bytes = s->client_memory_bytes,
         .max_connections = s->max_connections,
+        .max_source_connections = s->max_source_connections,
         .message_timeout_us = s->message_timeout_us,
         .send_timeout_us = s->send_timeout_us,
         .min_bytes_per_s = s->min_bytes_per_s,
@@ -345,6 +358,7 @@
     if (e->peer == NULL) {
         return FALSE;
     }
+    peer_set_limits(e->peer, s->peer_memory_bytes, s->max_peer_handshakes);
     if (!create_core(e, incarnation, error)) {
         return FALSE;
     }
--- a/test/clients/test_http_clients.c
+++ b/test/clients/test_http_clients.c
@@ -5,12 +5,16 @@
 #include <netinet/in.h>
 #include <poll.h>
 #include <signal.h>
+#include <sodium.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include "adapter/peer.h"
+
 /* Clients that are not trusted, at the HTTP ports of sapphireweir-entry and
  * sapphireweir-control.  The tests check that the program lives, that its
  * resident memory and its open descriptors stay under a bound, and that it
@@ -21,6 +25,7 @@
     kMiB = 1 << 20,
     kMaxResidentBytes = 64 * kMiB, /* the settings give the program 64 MB */
     kMaxConnections = 40,          /* in the settings */
+    kMaxSourceConnections = 10,    /* in those that limit a source */
     kSpareDescriptors = 4, /* for requests of the test itself, and the like */
     kCrowdMs = 3000,       /* clients send for this long */
     kQuietMs = 3000,       /* then they send nothing */
@@ -29,6 +34,10 @@
     kStartWaitMs = 10000,
     kMaxClients = 300,
     kRequestTimeoutMs = 5000,
+    kIdleConnections = 700,
+    /* Of resident memory, each; a tenth more than before there were limits. */
+    kMaxIdleBytes = 2265,
+    kPageBytes = 64 << 10, /* the largest page of the processors in use */
 };
 
 static const char kLimits[] = "[limits]\n"
@@ -37,6 +46,17 @@
                               "message_timeout_ms = 1000\n"
                               "send_timeout_ms = 1000\n"
                               "bytes_per_s = 100000\n";
+static const char kSourceLimits[] = "[limits]\n"
+                                    "memory_mb = 64\n"
+                                    "connections = 40\n"
+                                    "connections_per_source = 10\n"
+                                    "message_timeout_ms = 60000\n"
+                                    "bytes_per_s = 1\n";
+static const char kLargeBodies[] = "[limits]\n"
+                                   "memory_mb = 64\n"
+                                   "body_bytes = 16777216\n";
+static const char kManyConnections[] = "[limits]\n"
+                                       "connections = 800\n";
 
 typedef enum { kEntry, kControl, kProgramCount } ProgramKind;
 
@@ -46,6 +66,7 @@
 typedef struct {
     pid_t pid;
     uint16_t port;
+    uint16_t peer_port;
     uint32_t descriptors; /* open ones without clients */
 } Program;
 
@@ -95,13 +116,20 @@
     }
 }
 
-/* Returns a connection to a program's HTTP port, -1 if it is refused. */
+/* Returns a connection from a loopback address to a program's HTTP port, -1 if
+ * it is refused. */
 static int
-connect_to(ProgramKind kind)
+connect_from(ProgramKind kind, in_addr_t source)
 {
     struct sockaddr_in at = {.sin_family = AF_INET};
+    struct sockaddr_in from = {.sin_family = AF_INET};
     int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
 
+    from.sin_addr.s_addr = htonl(source);
+    if (bind(fd, (struct sockaddr *)&from, sizeof(from)) != 0) {
+        close(fd);
+        return -1;
+    }
     at.sin_port = htons(programs[kind].port);
     at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     if (connect(fd, (struct sockaddr *)&at, sizeof(at)) != 0 &&
@@ -112,15 +140,22 @@
     return fd;
 }
 
+static int
+connect_to(ProgramKind kind)
+{
+    return connect_from(kind, INADDR_LOOPBACK);
+}
+
 /* Sends a whole request, which must ask for the connection to be closed, and
  * returns the answer, "" if there is none.  The caller frees it. */
 static char *
-request(ProgramKind kind, const char *text, size_t bytes)
+request_from(ProgramKind kind, in_addr_t source, const char *text,
+             size_t bytes)
 {
     GString *answer = g_string_new(NULL);
     gint64 end_us = g_get_monotonic_time() + kRequestTimeoutMs * 1000;
     size_t sent_bytes = 0;
-    int fd = connect_to(kind);
+    int fd = connect_from(kind, source);
 
     while (fd >= 0 && g_get_monotonic_time() < end_us) {
         char buffer[4096];
@@ -144,19 +179,31 @@
     return g_string_free(answer, FALSE);
 }
 
-/* Returns whether a program answers an ordinary request. */
+static char *
+request(ProgramKind kind, const char *text, size_t bytes)
+{
+    return request_from(kind, INADDR_LOOPBACK, text, bytes);
+}
+
+/* Returns whether a program answers an ordinary request from an address. */
 static gboolean
-serves(ProgramKind kind)
+serves_from(ProgramKind kind, in_addr_t source)
 {
     static const char text[] =
         "GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
-    char *answer = request(kind, text, sizeof(text) - 1);
+    char *answer = request_from(kind, source, text, sizeof(text) - 1);
     gboolean ok = g_str_has_prefix(answer, "HTTP/1.1 200") &&
                   strstr(answer, "sapphireweir_client_held_bytes") != NULL;
     g_free(answer);
     return ok;
 }
 
+static gboolean
+serves(ProgramKind kind)
+{
+    return serves_from(kind, INADDR_LOOPBACK);
+}
+
 /* Returns the number of open descriptors of a program. */
 static uint32_t
 count_descriptors(ProgramKind kind)
@@ -192,10 +239,27 @@
     return (uint64_t)pages * (uint64_t)sysconf(_SC_PAGESIZE);
 }
 
-/* Starts a program alone, with settings in a folder of the build tree, and
- * waits until it serves. */
+/* Returns the most memory that a program ever held, zero if it has ended. */
+static uint64_t
+peak_bytes(ProgramKind kind)
+{
+    char path[64];
+    char *text = NULL;
+    unsigned long kib = 0;
+
+    g_snprintf(path, sizeof(path), "/proc/%d/status", (int)programs[kind].pid);
+    if (g_file_get_contents(path, &text, NULL, NULL)) {
+        const char *line = strstr(text, "VmHWM:");
+        kib = line == NULL ? 0 : strtoul(line + strlen("VmHWM:"), NULL, 10);
+    }
+    g_free(text);
+    return (uint64_t)kib * 1024;
+}
+
+/* Starts a program alone, with settings in a folder of the build tree that end
+ * with the given [limits], and waits until it serves. */
 static gboolean
-start_program(ProgramKind kind)
+start_with_limits(ProgramKind kind, const char *limits)
 {
     char *dir = g_build_filename(SAPPHIREWEIR_BUILD, "clients",
                                  program_names[kind], NULL);
@@ -206,14 +270,15 @@
         g_build_filename(SAPPHIREWEIR_BUILD, program_names[kind], NULL);
     uint16_t peer = free_port();
     programs[kind].port = free_port();
+    programs[kind].peer_port = peer;
     char *text = g_strdup_printf(
         "[instance]\nid = \"one\"\nfailure_domain = \"d0\"\n"
         "[listen]\nhttp = \"127.0.0.1:%u\"\npeer = \"127.0.0.1:%u\"\n"
         "[cluster]\nname = \"clients\"\nsecret_file = \"%s\"\n"
         "[[control]]\nid = \"one\"\nfailure_domain = \"d0\"\n"
         "address = \"127.0.0.1:%u\"\n%s%s%s%s%s%s%s",
-        programs[kind].port, peer, secret, kind == kControl ? peer : 1,
-        kLimits, kind == kControl ? "[data]\nfolder = \"" : "",
+        programs[kind].port, peer, secret, kind == kControl ? peer : 1, limits,
+        kind == kControl ? "[data]\nfolder = \"" : "",
         kind == kControl ? data : "", kind == kControl ? "\"\n" : "",
         kind == kEntry ? "[operator]\ntoken_file = \"" : "",
         kind == kEntry ? secret : "", kind == kEntry ? "\"\n" : "");
@@ -249,6 +314,12 @@
     return ready;
 }
 
+static gboolean
+start_program(ProgramKind kind)
+{
+    return start_with_limits(kind, kLimits);
+}
+
 /* Stops a program.  Returns whether it still ran. */
 static gboolean
 stop_program(ProgramKind kind)
@@ -316,9 +387,12 @@
 }
 
 /* Connects the crowds, lets them send and then be quiet, and checks the
- * program all the time and at the end. */
+ * program, which has the given [limits], all the time and at the end.  It may
+ * keep that many connections at a time, and of those that are quiet. */
 static void
-run_crowds(ProgramKind kind, const Crowd *const *crowds, size_t crowd_count)
+run_crowds_with_limits(ProgramKind kind, const Crowd *const *crowds,
+                       size_t crowd_count, const char *limits,
+                       uint32_t max_connections, uint32_t max_quiet)
 {
     static Client clients[kMaxClients];
     uint32_t count = 0;
@@ -326,7 +400,7 @@
     uint32_t most_descriptors = 0;
     uint32_t unanswered = 0;
 
-    CU_ASSERT_FATAL(start_program(kind));
+    CU_ASSERT_FATAL(start_with_limits(kind, limits));
     for (size_t i = 0; i < crowd_count; i++) {
         for (uint32_t k = 0; k < crowds[i]->connections; k++) {
             clients[count++] = (Client){crowds[i], connect_to(kind), 0, 0, 0};
@@ -350,7 +424,8 @@
         now_us = g_get_monotonic_time();
     }
     uint32_t after = count_descriptors(kind);
-    gboolean serves_after = serves(kind);
+    gboolean serves_after =
+        serves(kind) && serves_from(kind, INADDR_LOOPBACK + 1);
     for (uint32_t i = 0; i < count; i++) {
         unanswered +=
             clients[i].crowd->answered && clients[i].received_bytes == 0;
@@ -367,11 +442,19 @@
     CU_ASSERT(serves_after);
     CU_ASSERT(most_bytes <= kMaxResidentBytes);
     CU_ASSERT(most_descriptors <= programs[kind].descriptors +
-                                      kMaxConnections + kSpareDescriptors);
-    CU_ASSERT(after <= programs[kind].descriptors + kSpareDescriptors);
+                                      max_connections + kSpareDescriptors);
+    CU_ASSERT(after <=
+              programs[kind].descriptors + max_quiet + kSpareDescriptors);
     CU_ASSERT_EQUAL(unanswered, 0);
 }
 
+static void
+run_crowds(ProgramKind kind, const Crowd *const *crowds, size_t crowd_count)
+{
+    run_crowds_with_limits(kind, crowds, crowd_count, kLimits, kMaxConnections,
+                           0);
+}
+
 /* Runs one crowd at each program. */
 static void
 run_crowd(const Crowd *crowd)
@@ -403,6 +486,18 @@
     FALSE,
     FALSE,
     FALSE};
+/* The body of the second request is announced and not sent. */
+static const Crowd expecting = {
+    "bodies after 100 Continue that stop",
+    60,
+    "GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n"
+    "POST /v1/a/b HTTP/1.1\r\nHost: x\r\nContent-Length: 1048576\r\n"
+    "Expect: 100-continue\r\n\r\n",
+    NULL,
+    1000,
+    FALSE,
+    TRUE,
+    FALSE};
 static const Crowd slow_bodies = {
     "slow bodies",
     60,
@@ -457,6 +552,7 @@
 bodies_that_stop_part_way(void)
 {
     run_crowd(&partial_bodies);
+    run_crowd(&expecting);
 }
 
 static void
@@ -489,6 +585,22 @@
     run_crowds(kControl, large, G_N_ELEMENTS(large));
 }
 
+/* Guards against one source address that uses all connections, or all the
+ * memory that clients may use.  No time limit ends the crowds. */
+static void
+a_source_uses_its_part_only(void)
+{
+    static const Crowd *const crowds[] = {&silent, &partial_bodies};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(crowds); i++) {
+        for (int kind = 0; kind < kProgramCount; kind++) {
+            run_crowds_with_limits((ProgramKind)kind, &crowds[i], 1,
+                                   kSourceLimits, kMaxSourceConnections,
+                                   kMaxSourceConnections);
+        }
+    }
+}
+
 /* Guards against requests that are kept when their client has gone.  Without
  * control an operator's change waits for 6 s. */
 static void
@@ -558,26 +670,277 @@
     g_string_free(text, TRUE);
 }
 
+/* Opens connections that send one request each and then stay idle, and
+ * returns how many got an answer. */
+static uint32_t
+connect_idle(ProgramKind kind, int *fds, uint32_t count)
+{
+    static const char text[] = "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n";
+    uint32_t answered = 0;
+
+    for (uint32_t i = 0; i < count; i++) {
+        char buffer[4096];
+        fds[i] = connect_to(kind);
+        struct pollfd p = {fds[i], POLLOUT, 0};
+        poll(&p, 1, kRequestTimeoutMs);
+        CU_ASSERT(send(fds[i], text, sizeof(text) - 1, MSG_NOSIGNAL) > 0);
+        p.events = POLLIN;
+        poll(&p, 1, kRequestTimeoutMs);
+        answered += recv(fds[i], buffer, sizeof(buffer), 0) > 0;
+    }
+    return answered;
+}
+
+/* Guards against accounts that cost more than the connections: idle ones held
+ * 2,516 bytes when their records were not freed between requests. */
+static void
+idle_connections_cost_little(void)
+{
+    static int fds[kIdleConnections];
+
+    CU_ASSERT_FATAL(start_with_limits(kEntry, kManyConnections));
+    uint64_t before_bytes = resident_bytes(kEntry);
+    CU_ASSERT_EQUAL(connect_idle(kEntry, fds, kIdleConnections),
+                    kIdleConnections);
+    usleep(kQuietMs * 1000 / 2);
+    uint64_t more_bytes = resident_bytes(kEntry) - before_bytes;
+    printf("\n    %" G_GUINT64_FORMAT " bytes each ",
+           more_bytes / kIdleConnections);
+    CU_ASSERT(more_bytes <= kIdleConnections * kMaxIdleBytes + kPageBytes);
+    CU_ASSERT(serves(kEntry));
+    for (uint32_t i = 0; i < kIdleConnections; i++) {
+        close(fds[i]);
+    }
+    CU_ASSERT(stop_program(kEntry));
+}
+
+/* Guards against JSON that takes far more memory than its text: 15 MiB of
+ * "0," made an entry instance hold more than four times its memory. */
+static void
+json_of_many_small_values(void)
+{
+    static const struct {
+        const char *path;
+        const char *repeat;
+    } cases[] = {
+        {"/admin/v1/changes", "0,"},
+        {"/admin/v1/changes", "[],"},
+        {"/admin/v1/changes", "{\"a\":"},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        GString *body = g_string_new("{\"changes\":[");
+        char zeros[65];
+        uint64_t most_bytes = 0;
+
+        memset(zeros, '5', 64);
+        zeros[64] = '\0';
+        while (body->len < 15 * kMiB) {
+            g_string_append(body, cases[i].repeat);
+        }
+        g_string_append(body, "0]}");
+        char *text = g_strdup_printf(
+            "POST %s HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\n"
+            "Operation-Id: a\r\nConnection: close\r\n"
+            "Content-Length: %zu\r\n\r\n%s",
+            cases[i].path, zeros, body->len, body->str);
+        CU_ASSERT_FATAL(start_with_limits(kEntry, kLargeBodies));
+        char *answer = request(kEntry, text, strlen(text));
+        most_bytes = peak_bytes(kEntry);
+        printf("\n    %s: %" G_GUINT64_FORMAT " KiB, %.12s ", cases[i].repeat,
+               most_bytes / 1024, answer);
+        CU_ASSERT(most_bytes <= kMaxResidentBytes);
+        CU_ASSERT(serves(kEntry));
+        CU_ASSERT(stop_program(kEntry));
+        g_free(answer);
+        g_free(text);
+        g_string_free(body, TRUE);
+    }
+}
+
+static void
+ignore_frame(void *ctx, const char *from, const Sw__Frame *frame)
+{
+    (void)ctx;
+    (void)from;
+    (void)frame;
+}
+
+static void
+count_lost_link(void *ctx, const char *peer)
+{
+    (void)peer;
+    (*(uint32_t *)ctx)++;
+}
+
+/* Lets at most kMaxPeers peers that know the cluster's secret send a frame to
+ * a program again and again for kCrowdMs, and returns how often a link was
+ * lost.  Sets the most memory that the program held. */
+static uint32_t
+run_peers(ProgramKind kind, uint32_t count, const Sw__Frame *frame,
+          uint64_t *most_bytes)
+{
+    enum { kMaxPeers = 2 };
+    uint8_t secret[32];
+    uint32_t lost = 0;
+    PeerEvents events = {
+        .ctx = &lost, .frame = ignore_frame, .down = count_lost_link};
+    struct event_base *base = event_base_new();
+    Peer *peers[kMaxPeers];
+    char address[64];
+
+    memset(secret, 0x55, sizeof(secret));
+    g_snprintf(address, sizeof(address), "127.0.0.1:%u",
+               programs[kind].peer_port);
+    *most_bytes = 0;
+    for (uint32_t i = 0; i < count; i++) {
+        char id[16];
+        char listen[32];
+        g_snprintf(id, sizeof(id), "peer-%u", i);
+        g_snprintf(listen, sizeof(listen), "127.0.0.1:%u", free_port());
+        peers[i] = peer_new(base, id, 1, secret, listen, &events, NULL);
+        g_assert(peers[i] != NULL);
+        peer_set_address(peers[i], "one", address);
+    }
+    gint64 end_us = g_get_monotonic_time() + kCrowdMs * 1000;
+    while (g_get_monotonic_time() < end_us) {
+        struct timeval step = {0, kStepUs};
+        for (uint32_t i = 0; i < count; i++) {
+            if (peer_ready(peers[i], "one")) {
+                peer_send(peers[i], "one", frame);
+            }
+        }
+        event_base_loopexit(base, &step);
+        event_base_dispatch(base);
+        *most_bytes = MAX(*most_bytes, resident_bytes(kind));
+    }
+    uint32_t lost_before_end = lost;
+    for (uint32_t i = 0; i < count; i++) {
+        peer_free(peers[i]);
+    }
+    event_base_free(base);
+    return lost_before_end;
+}
+
+/* Runs peers that send a frame with one long value. */
+static uint32_t
+run_peers_with_text(ProgramKind kind, uint32_t count, uint32_t frame_bytes,
+                    uint64_t *most_bytes)
+{
+    Sw__Frame frame = SW__FRAME__INIT;
+    Sw__RelayRun run = SW__RELAY_RUN__INIT;
+
+    frame.body_case = SW__FRAME__BODY_RELAY_RUN;
+    frame.relay_run = &run;
+    run.server = g_strnfill(frame_bytes, 'x');
+    uint32_t lost = run_peers(kind, count, &frame, most_bytes);
+    g_free(run.server);
+    return lost;
+}
+
+/* Guards against a frame that takes far more memory than its bytes: 2 MiB that
+ * hold a million empty messages. */
+static void
+frames_of_many_small_values(void)
+{
+    enum { kValues = 1000000 };
+    Sw__Change change = SW__CHANGE__INIT;
+    Sw__Change **changes = g_new(Sw__Change *, kValues);
+    Sw__Frame frame = SW__FRAME__INIT;
+    Sw__StateUpdate update = SW__STATE_UPDATE__INIT;
+
+    for (uint32_t i = 0; i < kValues; i++) {
+        changes[i] = &change;
+    }
+    frame.body_case = SW__FRAME__BODY_STATE_UPDATE;
+    frame.state_update = &update;
+    update.n_changes = kValues;
+    update.changes = changes;
+    for (int kind = 0; kind < kProgramCount; kind++) {
+        uint64_t most_bytes;
+        CU_ASSERT_FATAL(start_program((ProgramKind)kind));
+        run_peers((ProgramKind)kind, 1, &frame, &most_bytes);
+        most_bytes = peak_bytes((ProgramKind)kind);
+        printf("\n    %s: %" G_GUINT64_FORMAT " KiB ", program_names[kind],
+               most_bytes / 1024);
+        CU_ASSERT(most_bytes <= kMaxResidentBytes);
+        CU_ASSERT(serves((ProgramKind)kind));
+        CU_ASSERT(stop_program((ProgramKind)kind));
+    }
+    g_free(changes);
+}
+
+/* Guards against a peer that knows the secret and sends frames larger than
+ * the memory of the settings. */
+static void
+peers_send_too_much(void)
+{
+    for (int kind = 0; kind < kProgramCount; kind++) {
+        uint64_t most_bytes;
+        CU_ASSERT_FATAL(start_program((ProgramKind)kind));
+        uint32_t lost =
+            run_peers_with_text((ProgramKind)kind, 2, 48 * kMiB, &most_bytes);
+        printf("\n    %s: %" G_GUINT64_FORMAT " KiB, %u links lost ",
+               program_names[kind], most_bytes / 1024, lost);
+        CU_ASSERT(most_bytes <= kMaxResidentBytes);
+        CU_ASSERT(serves((ProgramKind)kind));
+        CU_ASSERT(stop_program((ProgramKind)kind));
+    }
+}
+
+/* Guards against limits that reject a legal frame: a log entry with the
+ * largest configuration. */
+static void
+a_legal_frame_of_the_maximum_size_is_received(void)
+{
+    for (int kind = 0; kind < kProgramCount; kind++) {
+        uint64_t most_bytes;
+        CU_ASSERT_FATAL(start_program((ProgramKind)kind));
+        CU_ASSERT_EQUAL(
+            run_peers_with_text((ProgramKind)kind, 1, 17 * kMiB, &most_bytes),
+            0);
+        CU_ASSERT(serves((ProgramKind)kind));
+        CU_ASSERT(stop_program((ProgramKind)kind));
+    }
+}
+
+/* Runs all tests, or the one that is named. */
 int
-main(void)
+main(int argc, char **argv)
 {
-    if (CU_initialize_registry() != CUE_SUCCESS) {
+    static const struct {
+        const char *name;
+        CU_TestFunc test;
+    } tests[] = {
+        {"pipelined requests without reading",
+         pipelined_requests_without_reading},
+        {"headers that arrive slowly", headers_that_arrive_slowly},
+        {"bodies that stop part-way", bodies_that_stop_part_way},
+        {"bodies that arrive slowly", bodies_that_arrive_slowly},
+        {"messages over the limit", messages_over_the_limit},
+        {"more connections than allowed", more_connections_than_allowed},
+        {"two kinds at once", two_kinds_at_once},
+        {"a source uses its part only", a_source_uses_its_part_only},
+        {"abandoned requests are freed", abandoned_requests_are_freed},
+        {"a legal message of the maximum size is served",
+         a_legal_message_of_the_maximum_size_is_served},
+        {"idle connections cost little", idle_connections_cost_little},
+        {"JSON of many small values", json_of_many_small_values},
+        {"peers send too much", peers_send_too_much},
+        {"frames of many small values", frames_of_many_small_values},
+        {"a legal frame of the maximum size is received",
+         a_legal_frame_of_the_maximum_size_is_received},
+    };
+
+    if (sodium_init() < 0 || CU_initialize_registry() != CUE_SUCCESS) {
         return 1;
     }
     CU_pSuite s = CU_add_suite("HTTP clients", NULL, NULL);
-    CU_add_test(s, "pipelined requests without reading",
-                pipelined_requests_without_reading);
-    CU_add_test(s, "headers that arrive slowly", headers_that_arrive_slowly);
-    CU_add_test(s, "bodies that stop part-way", bodies_that_stop_part_way);
-    CU_add_test(s, "bodies that arrive slowly", bodies_that_arrive_slowly);
-    CU_add_test(s, "messages over the limit", messages_over_the_limit);
-    CU_add_test(s, "more connections than allowed",
-                more_connections_than_allowed);
-    CU_add_test(s, "two kinds at once", two_kinds_at_once);
-    CU_add_test(s, "abandoned requests are freed",
-                abandoned_requests_are_freed);
-    CU_add_test(s, "a legal message of the maximum size is served",
-                a_legal_message_of_the_maximum_size_is_served);
+    for (size_t i = 0; i < G_N_ELEMENTS(tests); i++) {
+        if (argc < 2 || strcmp(argv[1], tests[i].name) == 0) {
+            CU_add_test(s, tests[i].name, tests[i].test);
+        }
+    }
     CU_basic_set_mode(CU_BRM_VERBOSE);
     CU_basic_run_tests();
     unsigned failed = CU_get_number_of_tests_failed();
--- a/test/unit/test_client_limits.c
+++ b/test/unit/test_client_limits.c
@@ -2,7 +2,10 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "platform/codec.h"
+#include "../support/system.h"
+#include "adapter/header_lines.h"
+#include "core/json_bounds.h"
+#include "core/message.h"
 #include "platform/wire.h"
 #include "suite.h"
 
@@ -104,12 +107,155 @@
         for (uint32_t k = 0; k < cases[i].count; k++) {
             g_string_append(text, cases[i].repeat);
         }
-        CU_ASSERT_EQUAL(codec_json_is_bounded(text->str, text->len),
+        CU_ASSERT_EQUAL(json_bounds_hold(text->str, text->len),
                         cases[i].bounded);
         g_string_free(text, TRUE);
     }
 }
 
+/* Guards against headers that are not counted when they arrive in pieces, and
+ * against bodies that count as headers. */
+static void
+lines_of_headers_are_counted(void)
+{
+    static const struct {
+        const char *text;
+        uint32_t lines;
+    } cases[] = {
+        {"", 0},
+        {"GET / HTTP/1.1\r\nHost: x\r\nA: b\r\n\r\n", 2},
+        {"a:\nb:\n:\n", 3},
+        {"a: b\r\n c: d\r\n\te: f\r\n", 1},
+        {"{\n  \"a\": 1,\n  \"b\": 2\n}\n", 0},
+        {"a: b", 0},
+        {"a\nb\n", 0},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        size_t bytes = strlen(cases[i].text);
+        for (size_t piece = 1; piece <= bytes + 1; piece++) {
+            struct evbuffer *in = evbuffer_new();
+            HeaderLines l = {0};
+            for (size_t at = 0; at < bytes; at += piece) {
+                size_t n = MIN(piece, bytes - at);
+                /* Each piece is a part of its own in the buffer. */
+                evbuffer_add_reference(in, cases[i].text + at, n, NULL, NULL);
+                header_lines_add(&l, in, n);
+            }
+            CU_ASSERT_EQUAL(l.count, cases[i].lines);
+            HeaderLines all = {0};
+            header_lines_add(&all, in, bytes);
+            CU_ASSERT_EQUAL(all.count, cases[i].lines);
+            evbuffer_free(in);
+        }
+    }
+    CU_ASSERT_EQUAL(header_lines_cost(&(HeaderLines){.count = 3}, 4), 224);
+}
+
+/* Guards against a frame whose parts take far more memory than its bytes, and
+ * against a limit that rejects an ordinary frame. */
+static void
+frames_are_bounded_when_unpacked(void)
+{
+    static const struct {
+        uint32_t changes; /* empty ones, 2 bytes each */
+        size_t max_bytes;
+        gboolean accepted;
+    } cases[] = {
+        {10, 64 << 10, TRUE},    {2000, 1 << 20, TRUE},
+        {2000, 64 << 10, FALSE}, {100000, 1 << 20, FALSE},
+        {0, 16, FALSE},
+    };
+    Sw__Change change = SW__CHANGE__INIT;
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        Sw__StateUpdate update = SW__STATE_UPDATE__INIT;
+        Sw__Change **changes = g_new(Sw__Change *, cases[i].changes + 1);
+        for (uint32_t k = 0; k < cases[i].changes; k++) {
+            changes[k] = &change;
+        }
+        update.n_changes = cases[i].changes;
+        update.changes = changes;
+        size_t bytes = sw__state_update__get_packed_size(&update);
+        uint8_t *packed = g_malloc(bytes + 1);
+        sw__state_update__pack(&update, packed);
+        Sw__StateUpdate *got = message_unpack_bounded(
+            &sw__state_update__descriptor, packed, bytes, cases[i].max_bytes);
+        CU_ASSERT_EQUAL(got != NULL, cases[i].accepted);
+        CU_ASSERT(got == NULL || got->n_changes == cases[i].changes);
+        if (got != NULL) {
+            sw__state_update__free_unpacked(got, NULL);
+        }
+        g_free(packed);
+        g_free(changes);
+    }
+}
+
+/* Guards against an entry instance that parses the body of a caller's request
+ * whatever it contains. */
+static void
+bodies_of_callers_are_bounded(void)
+{
+    static const struct {
+        const char *repeat;
+        uint32_t count;
+        gboolean bounded;
+    } cases[] = {
+        {"[", 60, TRUE},
+        {"[", 64, FALSE},
+        {"0,", 399000, TRUE},
+        {"0,", 400001, FALSE},
+    };
+    static const char key[] = "key-of-crews-0001";
+    System *s = system_new(1, 1, 1);
+
+    system_add_team(s, "crews", 1000, 1000, key);
+    system_run(s, 6000000);
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        GString *body = g_string_new("{\"args\":[");
+        for (uint32_t k = 0; k < cases[i].count; k++) {
+            g_string_append(body, cases[i].repeat);
+        }
+        uint64_t id =
+            system_call(s, 0, "/v1/s0/put", key, "k", NULL, body->str);
+        system_run(s, 100000);
+        const SystemAnswer *a = system_answer(s, id);
+        CU_ASSERT_PTR_NOT_NULL_FATAL(a);
+        CU_ASSERT_EQUAL(a->status, 400);
+        CU_ASSERT_EQUAL(strstr(a->body, "too many values") == NULL,
+                        cases[i].bounded);
+        g_string_free(body, TRUE);
+    }
+    system_free(s);
+}
+
+/* Guards against requests whose memory counts for no team or for another. */
+static void
+requests_count_for_their_team(void)
+{
+    static const struct {
+        const char *path;
+        const char *key;
+        const char *team;
+    } cases[] = {
+        {"/v1/s0/put", "key-of-crews-0001", "crews"},
+        {"/v1/s0/free", NULL, "-"},
+        {"/v1/s0/put", "key-of-others-001", "others"},
+        {"/v1/s0/put", "key-of-nobody-001", "others"}, /* no further report */
+    };
+    System *s = system_new(1, 1, 1);
+
+    system_add_team(s, "crews", 1000, 1000, "key-of-crews-0001");
+    system_add_team(s, "others", 1000, 1000, "key-of-others-001");
+    system_run(s, 6000000);
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        system_call(s, 0, cases[i].path, cases[i].key, "k", NULL,
+                    "{\"args\":{\"v\":\"x\"}}");
+        CU_ASSERT_STRING_EQUAL(s->entries[0].last_team, cases[i].team);
+    }
+    system_free(s);
+}
+
 void
 add_client_limits_suite(void)
 {
@@ -118,4 +264,12 @@
     CU_add_test(s, "the longest message is read", the_longest_message_is_read);
     CU_add_test(s, "JSON is bounded before it is parsed",
                 json_is_bounded_before_it_is_parsed);
+    CU_add_test(s, "requests count for their team",
+                requests_count_for_their_team);
+    CU_add_test(s, "lines of headers are counted",
+                lines_of_headers_are_counted);
+    CU_add_test(s, "frames are bounded when unpacked",
+                frames_are_bounded_when_unpacked);
+    CU_add_test(s, "bodies of callers are bounded",
+                bodies_of_callers_are_bounded);
 }
