Consensus: wait for room instead of failing on a full disk

Cause: every failed write of the log made the instance fail for good, so a disk that was full for some seconds ended the process again and again.

Change: the storage reports a write without room (ENOSPC, EDQUOT, EFBIG) apart from other errors, after it has cut the log back to its durable length; the records stay pending. The consensus then drops the messages of the batch, hands over leadership if it leads, handles no message and starts no election, and repeats the sync every 100 ms. Any other error, a failed sync included, still fails the instance, and the log is cut back first so that the next process does not read what was not durable.

--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -5,8 +5,8 @@
 set -euo pipefail
 root=$(cd "$(dirname "$0")/.." && pwd)
 work="$root/build-mutants"
-suites=("consensus members" "document transfer" "fleet simulation" "gateway policy"
-    "fleet policy" "session" "platform" "slow start" "cold servers" "regions"
+suites=("consensus" "disk" "disk full" "consensus members" "document transfer"
+    "fleet simulation" "gateway policy" "fleet policy" "session" "platform" "slow start" "cold servers" "regions"
     "evacuation" "evacuation at an instance" "admission"
     "placement replay" "server pool" "rates" "team rates" "share pool"
     "evacuation core")
--- a/src/sapphireweir/adapter/disk.c
+++ b/src/sapphireweir/adapter/disk.c
@@ -26,7 +26,12 @@
  * payload (u32), the type (one byte) and the payload; integers are
  * little-endian.  An incomplete or damaged record at the end of the log is an
  * interrupted write and is truncated.  If a valid record follows it, the log
- * is corrupt and the folder is refused, unless truncate_at_damage is set. */
+ * is corrupt and the folder is refused, unless truncate_at_damage is set.
+ *
+ * A write that fails for lack of room is undone: the log is cut back to its
+ * durable length, and the pending records are written again by the next sync.
+ * Any other error is final, since after a failed sync it is unknown what the
+ * page cache holds. */
 
 enum {
     kRecordHeaderBytes = 9,      /* length, checksum and type */
@@ -48,7 +53,9 @@
     char *identity;
     int lock_fd;
     int log_fd;
+    uint64_t log_bytes; /* durable length of the log */
     gboolean is_new;
+    DiskIo io;
     GByteArray *pending;  /* encoded records not yet written to the log */
     ConsensusSaved saved; /* state as loaded by disk_open */
     uint64_t syncs;
@@ -85,40 +92,107 @@
     return ok;
 }
 
-/* Writes all bytes.  On FALSE errno has the reason. */
-static gboolean
-write_all(int fd, const void *data, size_t size)
+/* Returns what a failed open or write means for the storage.  EFBIG is the
+ * limit of a file's size; as with a full disk, the file stays as it was. */
+static StorageResult
+result_of_error(int error)
 {
-    const uint8_t *next = data;
-    while (size > 0) {
-        ssize_t written = write(fd, next, size);
-        if (written < 0 && errno == EINTR) {
+    return error == ENOSPC || error == EDQUOT || error == EFBIG
+               ? kStorageNoRoom
+               : kStorageFailed;
+}
+
+/* Writes all bytes, and stores in written how many were.  On FALSE errno has
+ * the reason. */
+static gboolean
+write_all(const Disk *d, int fd, const void *data, size_t size,
+          size_t *written)
+{
+    *written = 0;
+    while (*written < size) {
+        const uint8_t *next = (const uint8_t *)data + *written;
+        ssize_t bytes = d->io.write == NULL ? write(fd, next, size - *written)
+                                            : d->io.write(d->io.ctx, fd, next,
+                                                          size - *written);
+        if (bytes < 0 && errno == EINTR) {
             continue;
         }
-        if (written <= 0) {
+        if (bytes <= 0) {
+            errno = bytes == 0 ? EIO : errno;
             return FALSE;
         }
-        next += written;
-        size -= (size_t)written;
+        *written += (size_t)bytes;
     }
     return TRUE;
 }
 
-/* Replaces a file atomically: writes a temporary file, syncs it and renames
- * it into place.  On FALSE errno has the reason. */
+/* Makes what was written to a file durable.  On FALSE errno has the reason. */
 static gboolean
-replace_file(const Disk *d, const char *name, const void *data, size_t size)
+sync_file(const Disk *d, int fd)
+{
+    return (d->io.sync == NULL ? fdatasync(fd) : d->io.sync(d->io.ctx, fd)) ==
+           0;
+}
+
+/* Returns the path of the file that is to replace a file in the folder; the
+ * caller frees it. */
+static char *
+build_new_path(const Disk *d, const char *name)
 {
     char *path = build_path(d, name);
-    char *temporary = g_strconcat(path, ".new", NULL);
-    int fd = open(temporary, O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
-    gboolean ok = fd >= 0 && write_all(fd, data, size) && fsync(fd) == 0;
+    char *new_path = g_strconcat(path, ".new", NULL);
+    g_free(path);
+    return new_path;
+}
+
+/* Removes the file that was to replace a file, and keeps errno. */
+static void
+remove_new_file(const Disk *d, const char *name)
+{
+    int error = errno;
+    char *path = build_new_path(d, name);
+    unlink(path);
+    g_free(path);
+    errno = error;
+}
+
+/* Writes and syncs the file that is to replace a file; on failure removes it.
+ * errno then has the reason. */
+static StorageResult
+write_new_file(const Disk *d, const char *name, const void *data, size_t size)
+{
+    char *path = build_new_path(d, name);
+    int fd = open(path, O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
+    size_t written = 0;
+    StorageResult result = kStorageOk;
 
+    if (fd < 0 || !write_all(d, fd, data, size, &written)) {
+        result = result_of_error(errno);
+    }
+    else if (!sync_file(d, fd)) {
+        result = kStorageFailed;
+    }
+    int error = errno;
     if (fd >= 0) {
         close(fd);
     }
-    ok = ok && rename(temporary, path) == 0 && sync_folder(d);
-    g_free(temporary);
+    errno = error;
+    if (result != kStorageOk) {
+        remove_new_file(d, name);
+    }
+    g_free(path);
+    return result;
+}
+
+/* Renames the new file into the place of the old one, durably.  On FALSE errno
+ * has the reason. */
+static gboolean
+commit_new_file(const Disk *d, const char *name)
+{
+    char *path = build_path(d, name);
+    char *new_path = build_new_path(d, name);
+    gboolean ok = rename(new_path, path) == 0 && sync_folder(d);
+    g_free(new_path);
     g_free(path);
     return ok;
 }
@@ -358,6 +432,7 @@
          * its records must be durable before this one relies on them. */
         ok = set_io_error(error, "sync", path);
     }
+    d->log_bytes = offset;
     g_free(data);
     g_free(path);
     return ok;
@@ -428,7 +503,9 @@
     json_t *all = json_pack("{s:s, s:s, s:s}", "identity", identity,
                             "instance", s->instance_id, "cluster", s->cluster);
     char *text = json_dumps(all, JSON_INDENT(2));
-    gboolean ok = replace_file(d, "identity", text, strlen(text));
+    gboolean ok =
+        write_new_file(d, "identity", text, strlen(text)) == kStorageOk &&
+        commit_new_file(d, "identity");
     free(text);
     json_decref(all);
     if (!ok) {
@@ -497,6 +574,7 @@
     d->folder = g_strdup(settings->folder);
     d->lock_fd = -1;
     d->log_fd = -1;
+    d->io = settings->io;
     d->pending = g_byte_array_new();
     d->saved.entries = g_ptr_array_new_with_free_func(consensus_entry_free);
     if (g_mkdir_with_parents(d->folder, 0700) != 0) {
@@ -504,8 +582,15 @@
         disk_close(d);
         return NULL;
     }
-    if (!acquire_lock(d, error) || !load_identity(d, settings, error) ||
-        !load_snapshot(d, error) ||
+    if (!acquire_lock(d, error)) {
+        disk_close(d);
+        return NULL;
+    }
+    /* A process that was killed while it wrote them may have left these; on a
+     * full disk their room is needed. */
+    remove_new_file(d, "snapshot");
+    remove_new_file(d, "log");
+    if (!load_identity(d, settings, error) || !load_snapshot(d, error) ||
         !load_log(d, settings->truncate_at_damage, error)) {
         disk_close(d);
         return NULL;
@@ -605,25 +690,86 @@
     return TRUE;
 }
 
-/* Writes the pending records to the log and makes them durable. */
+/* Removes what was written beyond the durable length of the log, so that
+ * neither this process nor the next one takes it as durable.  Returns FALSE if
+ * that is not certain. */
 static gboolean
+cut_back_log(const Disk *d)
+{
+    return ftruncate(d->log_fd, (off_t)d->log_bytes) == 0 &&
+           fsync(d->log_fd) == 0;
+}
+
+/* Writes the pending records to the log and makes them durable.  Without room
+ * they stay pending. */
+static StorageResult
 port_sync(void *ctx)
 {
     Disk *d = ctx;
-    gboolean ok = write_all(d->log_fd, d->pending->data, d->pending->len) &&
-                  fdatasync(d->log_fd) == 0;
-    if (!ok) {
+    size_t written;
+    StorageResult result = kStorageOk;
+
+    if (!write_all(d, d->log_fd, d->pending->data, d->pending->len,
+                   &written)) {
+        result = result_of_error(errno);
+    }
+    else if (!sync_file(d, d->log_fd)) {
+        result = kStorageFailed;
+    }
+    if (result == kStorageOk) {
+        d->log_bytes += written;
+        g_byte_array_set_size(d->pending, 0);
+        d->syncs++;
+        return kStorageOk;
+    }
+    int error = errno;
+    if (written > 0 && !cut_back_log(d)) {
+        result = kStorageFailed;
+    }
+    if (result == kStorageFailed) {
         g_critical("cannot write the log in %s: %s", d->folder,
-                   g_strerror(errno));
+                   g_strerror(error));
+        g_byte_array_set_size(d->pending, 0);
     }
+    return result;
+}
+
+/* Writes the files that are to replace the snapshot and the log.  Leaves none
+ * behind unless both are complete, so that an old log is not kept beside a new
+ * snapshot for lack of room. */
+static StorageResult
+write_new_files(const Disk *d, const GByteArray *snapshot,
+                const GByteArray *log)
+{
+    StorageResult result =
+        write_new_file(d, "snapshot", snapshot->data, snapshot->len);
+    if (result != kStorageOk) {
+        return result;
+    }
+    result = write_new_file(d, "log", log->data, log->len);
+    if (result != kStorageOk) {
+        remove_new_file(d, "snapshot");
+    }
+    return result;
+}
+
+/* Opens the log after it was replaced by one of so many bytes, which includes
+ * all pending records. */
+static gboolean
+reopen_log(Disk *d, uint64_t bytes)
+{
+    char *path = build_path(d, "log");
+    close(d->log_fd);
+    d->log_fd = open(path, O_RDWR | O_APPEND | O_CLOEXEC);
+    d->log_bytes = bytes;
     g_byte_array_set_size(d->pending, 0);
-    d->syncs++;
-    return ok;
+    g_free(path);
+    return d->log_fd >= 0;
 }
 
 /* Replaces the snapshot, then the log by one with the current vote and the
  * given entries. */
-static gboolean
+static StorageResult
 port_save_snapshot(void *ctx, uint64_t index, uint64_t term, GBytes *snapshot,
                    const GPtrArray *entries)
 {
@@ -631,36 +777,34 @@
     size_t size;
     const void *data = g_bytes_get_data(snapshot, &size);
     GByteArray *payload = g_byte_array_new();
-    GByteArray *out = g_byte_array_new();
+    GByteArray *new_snapshot = g_byte_array_new();
+    GByteArray *new_log = g_byte_array_new();
 
     append_u64(payload, index);
     append_u64(payload, term);
     g_byte_array_append(payload, data, (guint)size);
-    append_record(out, kRecordSnapshot, payload);
-    gboolean ok = replace_file(d, "snapshot", out->data, out->len);
-
+    append_record(new_snapshot, kRecordSnapshot, payload);
     /* The vote and the given entries include all pending records, which need
      * not be written again. */
-    g_byte_array_set_size(out, 0);
-    encode_vote(out, d->vote_term, d->voted_for);
+    encode_vote(new_log, d->vote_term, d->voted_for);
     for (guint i = 0; i < entries->len; i++) {
         const ConsensusEntry *e = g_ptr_array_index(entries, i);
-        encode_entry(out, e->index, e->term, e->command);
+        encode_entry(new_log, e->index, e->term, e->command);
     }
-    ok = ok && replace_file(d, "log", out->data, out->len);
-    g_byte_array_unref(out);
-    g_byte_array_unref(payload);
-    if (!ok) {
+    StorageResult result = write_new_files(d, new_snapshot, new_log);
+    if (result == kStorageOk &&
+        (!commit_new_file(d, "snapshot") || !commit_new_file(d, "log") ||
+         !reopen_log(d, new_log->len))) {
+        result = kStorageFailed;
+    }
+    if (result == kStorageFailed) {
         g_critical("cannot write a snapshot in %s: %s", d->folder,
                    g_strerror(errno));
-        return FALSE;
     }
-    g_byte_array_set_size(d->pending, 0);
-    close(d->log_fd);
-    char *path = build_path(d, "log");
-    d->log_fd = open(path, O_RDWR | O_APPEND | O_CLOEXEC);
-    g_free(path);
-    return d->log_fd >= 0;
+    g_byte_array_unref(new_log);
+    g_byte_array_unref(new_snapshot);
+    g_byte_array_unref(payload);
+    return result;
 }
 
 /* Returns the storage port of the folder; valid until disk_close. */
--- a/src/sapphireweir/adapter/disk.h
+++ b/src/sapphireweir/adapter/disk.h
@@ -3,12 +3,21 @@
 
 #include <glib.h>
 #include <stdint.h>
+#include <sys/types.h>
 
 #include "core/consensus_defs.h"
 #include "port/storage.h"
 
 typedef struct Disk Disk;
 
+/* Replaces system calls, so that a test can limit the room.  The members work
+ * as write(2) and fdatasync(2), which are used for those that are NULL. */
+typedef struct {
+    void *ctx;
+    ssize_t (*write)(void *ctx, int fd, const void *data, size_t size);
+    int (*sync)(void *ctx, int fd);
+} DiskIo;
+
 /* The strings are borrowed for the call of disk_open. */
 typedef struct {
     const char *folder;
@@ -20,6 +29,7 @@
      * that damage is always in a write that was never acknowledged. */
     gboolean truncate_at_damage;
     gboolean bootstrap; /* create a new folder as an initial voter's */
+    DiskIo io;          /* for tests; zero: the system calls */
 } DiskSettings;
 
 Disk *disk_open(const DiskSettings *settings, GError **error);
--- a/src/sapphireweir/core/consensus.c
+++ b/src/sapphireweir/core/consensus.c
@@ -9,7 +9,12 @@
  * confirmed by a round of heartbeats (ReadIndex), membership changes of one
  * member at a time that start as a learner, and leadership transfer.
  * Messages are sent only in consensus_flush, after all writes that they
- * depend on have been synced. */
+ * depend on have been synced.
+ *
+ * While the storage has no room, the instance is suspended: it behaves like
+ * one whose sync takes long and whose messages are lost meanwhile.  What it
+ * has in memory, votes and entries included, stays as it is and is known to
+ * nobody until the sync has succeeded. */
 
 enum {
     kAppendEntriesMax = 256,
@@ -21,6 +26,7 @@
     kLargeAppendBytes = 64 << 10,
     kLargeResendIntervalUs = 1000000,
     kFirstElectionDivisor = 3, /* of election_min_us; see consensus_start */
+    kStorageRetryIntervalUs = 100000, /* between tries to write without room */
 };
 
 static void
@@ -419,6 +425,131 @@
     }
 }
 
+/* ---- storage without room ---- */
+
+/* Sends the queued messages. */
+static void
+send_queued(Consensus *c)
+{
+    while (c->outbox.length > 0) {
+        Outgoing *o = g_queue_pop_head(&c->outbox);
+        c->port.send(c->port.ctx, o->to, o->message);
+        outgoing_free(o);
+    }
+}
+
+/* Returns the voter that is to lead next: of those that replied within the
+ * minimum election timeout the one with the longest confirmed log, since a
+ * voter whose storage has no room replies nothing.  NULL: there is none. */
+static const char *
+find_successor(Consensus *c, uint64_t now_us)
+{
+    const char *best = NULL;
+    uint64_t best_match = 0;
+
+    for (guint i = 0; i < c->members->len; i++) {
+        const ConsensusMember *m = g_ptr_array_index(c->members, i);
+        const Progress *p = consensus_progress_of(c, m->id);
+        if (!m->voter || strcmp(m->id, c->id) == 0 || p == NULL ||
+            now_us - p->acked_us > c->timing.election_min_us) {
+            continue;
+        }
+        if (best == NULL || p->match_index > best_match) {
+            best = m->id;
+            best_match = p->match_index;
+        }
+    }
+    return best;
+}
+
+/* Commands another voter to start an election.  The command promises nothing
+ * of this instance's log or vote, so it may be sent although the storage has
+ * no room; the term in it must be durable, however. */
+static void
+hand_over(Consensus *c, uint64_t now_us)
+{
+    const char *to = find_successor(c, now_us);
+    Sw__ConsensusMessage m =
+        message_init(SW__CONSENSUS_KIND__CONSENSUS_TIMEOUT_NOW);
+
+    if (to != NULL && c->term <= c->saved_term) {
+        queue_message(c, to, &m);
+        send_queued(c);
+    }
+}
+
+/* Stops taking part in the consensus until the storage has room: drops the
+ * queued messages, which depend on what is not durable, and hands over the
+ * leadership if this instance leads.  Until resume no message is handled
+ * (consensus_receive) and no election started (consensus_tick), so nothing
+ * more is written. */
+static void
+suspend(Consensus *c, uint64_t now_us)
+{
+    g_queue_clear_full(&c->outbox, outgoing_free);
+    c->storage_retry_us = now_us + kStorageRetryIntervalUs;
+    if (c->no_room) {
+        return;
+    }
+    c->no_room = TRUE;
+    c->suspensions++;
+    if (c->role == kConsensusLeader) {
+        hand_over(c, now_us);
+    }
+    become_follower(c, now_us, c->term);
+}
+
+/* Takes part again after all writes have become durable.  The leader is
+ * forgotten: its term may be higher than the own one. */
+static void
+resume(Consensus *c, uint64_t now_us)
+{
+    c->no_room = FALSE;
+    set_leader(c, NULL);
+    election_reset(c, now_us);
+}
+
+/* Notes the leader that a message shows while this instance is suspended, so
+ * that requests can be forwarded.  Nothing of the message is stored or
+ * answered. */
+static void
+observe_leader(Consensus *c, uint64_t now_us, const char *from,
+               const Sw__ConsensusMessage *m)
+{
+    if ((m->kind == SW__CONSENSUS_KIND__CONSENSUS_APPEND ||
+         m->kind == SW__CONSENSUS_KIND__CONSENSUS_SNAPSHOT) &&
+        m->term >= c->term) {
+        set_leader(c, from);
+        c->leader_last_seen_us = now_us;
+    }
+}
+
+/* Handles the result of making the writes durable. */
+static void
+handle_storage_result(Consensus *c, uint64_t now_us, StorageResult result)
+{
+    if (result == kStorageNoRoom) {
+        suspend(c, now_us);
+        return;
+    }
+    consensus_fail_unless(c, result == kStorageOk);
+    if (result == kStorageOk && c->no_room) {
+        resume(c, now_us);
+    }
+}
+
+/* Saves the latest snapshot, which is a leader's, with the log. */
+static void
+save_received_snapshot(Consensus *c, uint64_t now_us)
+{
+    StorageResult result = c->port.storage.save_snapshot(
+        c->port.storage.ctx, c->snapshot_index, c->snapshot_term, c->snapshot,
+        c->entries);
+
+    c->snapshot_unsaved = result != kStorageOk;
+    handle_storage_result(c, now_us, result);
+}
+
 /* ---- receiving ---- */
 
 /* Returns whether a candidate's log is at least as complete as the log of
@@ -669,11 +800,9 @@
     c->members_index = c->snapshot_members_index;
     c->port.members_changed(c->port.ctx, c->members);
     c->dirty = TRUE;
-    consensus_fail_unless(
-        c, c->port.storage.save_snapshot(c->port.storage.ctx, m->prev_index,
-                                         m->prev_term, snapshot, c->entries));
     g_bytes_unref(snapshot);
     queue_message(c, from, &reply);
+    save_received_snapshot(c, now_us);
 }
 
 /* Returns whether a kind of message is dropped if its term is still higher
@@ -733,6 +862,10 @@
         !sender_is_member(c, from, m)) {
         return;
     }
+    if (c->no_room) {
+        observe_leader(c, now_us, from, m);
+        return;
+    }
     if (may_raise_term(c, now_us, m)) {
         become_follower(c, now_us, m->term);
     }
@@ -780,13 +913,19 @@
 /* Runs the timers: starts elections and heartbeats, and ends a leadership
  * transfer that timed out.  A leader without replies from a majority for
  * election_max_us steps down.  A learner starts no election; at its deadline
- * it only forgets the leader. */
+ * it only forgets the leader, and so does an instance without room. */
 void
 consensus_tick(Consensus *c, uint64_t now_us)
 {
     if (c->failed) {
         return;
     }
+    if (c->no_room) {
+        if (now_us - c->leader_last_seen_us > c->timing.election_max_us) {
+            set_leader(c, NULL);
+        }
+        return;
+    }
     if (c->role == kConsensusLeader) {
         uint64_t acked_us = majority_value(c, progress_acked_us, now_us);
         if (now_us > acked_us &&
@@ -814,13 +953,32 @@
     }
 }
 
+/* Makes all writes durable; without room it tries again only after
+ * kStorageRetryIntervalUs. */
+static void
+sync_storage(Consensus *c, uint64_t now_us)
+{
+    if (c->no_room && now_us < c->storage_retry_us) {
+        return;
+    }
+    if (c->snapshot_unsaved) {
+        save_received_snapshot(c, now_us);
+        return;
+    }
+    handle_storage_result(c, now_us,
+                          c->port.storage.sync(c->port.storage.ctx));
+}
+
 /* Syncs the storage if anything was written.  Returns FALSE if the storage
- * has failed; the queued messages are then dropped. */
+ * has failed or has no room; the queued messages are then dropped. */
 static gboolean
-sync_if_dirty(Consensus *c)
+sync_if_dirty(Consensus *c, uint64_t now_us)
 {
     if (c->dirty && !c->failed) {
-        consensus_fail_unless(c, c->port.storage.sync(c->port.storage.ctx));
+        sync_storage(c, now_us);
+    }
+    if (c->no_room && !c->failed) {
+        return FALSE;
     }
     if (c->failed) {
         g_queue_clear_full(&c->outbox, outgoing_free);
@@ -830,6 +988,7 @@
     }
     c->dirty = FALSE;
     c->synced_index = consensus_last_index(c);
+    c->saved_term = c->term;
     return TRUE;
 }
 
@@ -839,21 +998,17 @@
 void
 consensus_flush(Consensus *c, uint64_t now_us)
 {
-    if (!sync_if_dirty(c)) {
+    if (!sync_if_dirty(c, now_us)) {
         return;
     }
     if (c->role == kConsensusLeader) {
         advance_commit(c);
     }
-    while (c->outbox.length > 0) {
-        Outgoing *o = g_queue_pop_head(&c->outbox);
-        c->port.send(c->port.ctx, o->to, o->message);
-        outgoing_free(o);
-    }
+    send_queued(c);
     consensus_log_apply(c, now_us);
-    consensus_snapshot_if_needed(c);
+    consensus_snapshot_if_needed(c, now_us);
     if (c->dirty) {
-        sync_if_dirty(c);
+        sync_if_dirty(c, now_us);
     }
     /* A leader that was removed steps down once its removal is committed. */
     if (c->role == kConsensusLeader && !consensus_self_is_voter(c) &&
@@ -994,12 +1149,12 @@
 /* Returns whether this instance has applied an entry of the current leader's
  * term.  Before that, such as after a restart, its state can lack changes that
  * were acknowledged, and even changes that it had applied before the
- * restart. */
+ * restart.  So can that of an instance whose storage has no room. */
 gboolean
 consensus_is_current(const Consensus *c)
 {
     uint64_t term = 0;
-    return c->leader != NULL &&
+    return c->leader != NULL && !c->no_room &&
            consensus_log_term(c, c->applied_index, &term) && term == c->term;
 }
 
@@ -1011,6 +1166,35 @@
     return c->failed;
 }
 
+/* Returns whether the storage has no room for what was written; the instance
+ * takes no part in the consensus until it has. */
+gboolean
+consensus_no_room(const Consensus *c)
+{
+    return c->no_room;
+}
+
+/* Returns how often the storage had no room, each time until it had again. */
+uint64_t
+consensus_suspensions(const Consensus *c)
+{
+    return c->suspensions;
+}
+
+/* Returns the number of snapshots of the own state that were written. */
+uint64_t
+consensus_snapshots(const Consensus *c)
+{
+    return c->snapshots;
+}
+
+/* Returns the number of tries to write a snapshot that had no room. */
+uint64_t
+consensus_snapshots_postponed(const Consensus *c)
+{
+    return c->snapshots_postponed;
+}
+
 /* Starts from the saved state.  If the log is empty, the members of
  * bootstrap become the first voters; if bootstrap is NULL, the instance waits
  * until it is added as a learner.  Returns FALSE with kCoreErrorCorrupt if
--- a/src/sapphireweir/core/consensus_internal.h
+++ b/src/sapphireweir/core/consensus_internal.h
@@ -53,6 +53,18 @@
     gboolean pre_voting; /* collecting the votes before an election */
     gboolean failed;     /* storage failed; the instance does nothing more */
     gboolean dirty;      /* storage has writes that are not synced */
+    uint64_t saved_term; /* the term is durable up to this one */
+
+    /* The storage has no room for what was written.  Until it has, this
+     * instance sends no messages and handles none; see suspend. */
+    gboolean no_room;
+    gboolean snapshot_unsaved;    /* the latest snapshot is a leader's and is
+                                   * not durable */
+    uint64_t storage_retry_us;    /* when to try again to write */
+    uint64_t snapshot_retry_us;   /* when to try again to write a snapshot */
+    uint64_t suspensions;         /* how often there was no room */
+    uint64_t snapshots;           /* own snapshots written */
+    uint64_t snapshots_postponed; /* own snapshots without room */
 
     GPtrArray *entries;    /* ConsensusEntry, from offset + 1 on */
     uint64_t offset;       /* index of the last discarded entry */
@@ -105,7 +117,7 @@
 void consensus_snapshot_set(Consensus *c, GBytes *snapshot, uint64_t index,
                             uint64_t term);
 void consensus_log_apply(Consensus *c, uint64_t now_us);
-void consensus_snapshot_if_needed(Consensus *c);
+void consensus_snapshot_if_needed(Consensus *c, uint64_t now_us);
 gboolean consensus_log_load(Consensus *c, uint64_t now_us,
                             const ConsensusSaved *saved, GError **error);
 
--- a/src/sapphireweir/core/consensus_log.c
+++ b/src/sapphireweir/core/consensus_log.c
@@ -17,6 +17,9 @@
     /* Size of the entries after which a snapshot is written, even if they are
      * fewer than snapshot_interval_entries. */
     kSnapshotIntervalBytes = 8 << 20,
+    /* Until a snapshot is tried again for which there was no room.  Each try
+     * copies the whole state. */
+    kSnapshotRetryIntervalUs = 1000000,
 };
 
 /* Creates a log entry; takes ownership of the reference to command. */
@@ -240,16 +243,16 @@
     }
 }
 
-/* Returns the index after which entries stay in the log although the snapshot
- * includes them. */
+/* Returns the index after which entries stay in the log although a snapshot
+ * up to snapshot_index includes them. */
 static uint64_t
-keep_entries_after(const Consensus *c)
+keep_entries_after(const Consensus *c, uint64_t snapshot_index)
 {
-    uint64_t index = c->snapshot_index;
+    uint64_t index = snapshot_index;
     size_t bytes = 0;
 
     while (index > c->offset &&
-           c->snapshot_index - index < kEntriesKeptBeforeSnapshot) {
+           snapshot_index - index < kEntriesKeptBeforeSnapshot) {
         bytes += g_bytes_get_size(consensus_log_entry(c, index)->command);
         if (bytes > kBytesKeptBeforeSnapshot) {
             break;
@@ -259,11 +262,10 @@
     return index;
 }
 
-/* Discards entries that the snapshot includes, except the last ones. */
+/* Discards the entries up to an index. */
 static void
-drop_entries_before_snapshot(Consensus *c)
+drop_entries_to(Consensus *c, uint64_t keep_after)
 {
-    uint64_t keep_after = keep_entries_after(c);
     uint64_t term = 0;
 
     if (keep_after <= c->offset) {
@@ -275,31 +277,63 @@
     c->offset_term = term;
 }
 
+/* Saves a snapshot up to the last applied entry, together with the entries
+ * after keep_after. */
+static StorageResult
+save_snapshot(Consensus *c, uint64_t term, GBytes *snapshot,
+              uint64_t keep_after)
+{
+    GPtrArray *kept = g_ptr_array_new();
+
+    for (uint64_t i = keep_after + 1; i <= consensus_last_index(c); i++) {
+        g_ptr_array_add(kept, consensus_log_entry(c, i));
+    }
+    StorageResult result = c->port.storage.save_snapshot(
+        c->port.storage.ctx, c->applied_index, term, snapshot, kept);
+    g_ptr_array_unref(kept);
+    return result;
+}
+
 /* Writes a snapshot if snapshot_interval_entries entries, or entries of
- * kSnapshotIntervalBytes, have been applied since the last one. */
+ * kSnapshotIntervalBytes, have been applied since the last one.  Without room
+ * the last snapshot and the log stay in force, and it is tried again after
+ * kSnapshotRetryIntervalUs. */
 void
-consensus_snapshot_if_needed(Consensus *c)
+consensus_snapshot_if_needed(Consensus *c, uint64_t now_us)
 {
     uint64_t term = 0;
+    gboolean new_members = c->members_index <= c->applied_index;
     gboolean due = c->applied_index - c->snapshot_index >=
                        c->timing.snapshot_interval_entries ||
                    c->bytes_after_snapshot >= kSnapshotIntervalBytes;
 
-    if (!due || !consensus_log_term(c, c->applied_index, &term)) {
+    if (!due || now_us < c->snapshot_retry_us ||
+        !consensus_log_term(c, c->applied_index, &term)) {
         return;
     }
-    if (c->members_index <= c->applied_index) {
-        consensus_members_copy(c->members, c->snapshot_members);
-        c->snapshot_members_index = c->members_index;
-    }
     GBytes *state = c->port.dump(c->port.ctx);
-    GBytes *snapshot =
-        snapshot_pack(c->snapshot_members, c->snapshot_members_index, state);
-    consensus_snapshot_set(c, snapshot, c->applied_index, term);
-    drop_entries_before_snapshot(c);
-    consensus_fail_unless(c, c->port.storage.save_snapshot(
-                                 c->port.storage.ctx, c->snapshot_index, term,
-                                 snapshot, c->entries));
+    GBytes *snapshot = snapshot_pack(
+        new_members ? c->members : c->snapshot_members,
+        new_members ? c->members_index : c->snapshot_members_index, state);
+    uint64_t keep_after = keep_entries_after(c, c->applied_index);
+    switch (save_snapshot(c, term, snapshot, keep_after)) {
+    case kStorageOk:
+        if (new_members) {
+            consensus_members_copy(c->members, c->snapshot_members);
+            c->snapshot_members_index = c->members_index;
+        }
+        consensus_snapshot_set(c, snapshot, c->applied_index, term);
+        drop_entries_to(c, keep_after);
+        c->snapshots++;
+        break;
+    case kStorageNoRoom:
+        c->snapshot_retry_us = now_us + kSnapshotRetryIntervalUs;
+        c->snapshots_postponed++;
+        break;
+    case kStorageFailed:
+        consensus_fail_unless(c, FALSE);
+        break;
+    }
     g_bytes_unref(snapshot);
     g_bytes_unref(state);
 }
@@ -342,6 +376,7 @@
             consensus_entry_new(e->index, e->term, g_bytes_ref(e->command)));
     }
     c->synced_index = consensus_last_index(c);
+    c->saved_term = c->term;
     consensus_members_recompute(c, now_us);
     return TRUE;
 }
--- a/test/fuzz/discard_storage.h
+++ b/test/fuzz/discard_storage.h
@@ -32,7 +32,7 @@
     return TRUE;
 }
 
-static gboolean
+static StorageResult
 save_snapshot(void *ctx, uint64_t index, uint64_t term, GBytes *snapshot,
               const GPtrArray *entries)
 {
@@ -41,14 +41,14 @@
     (void)term;
     (void)snapshot;
     (void)entries;
-    return TRUE;
+    return kStorageOk;
 }
 
-static gboolean
+static StorageResult
 sync_nothing(void *ctx)
 {
     (void)ctx;
-    return TRUE;
+    return kStorageOk;
 }
 
 static const StoragePort kDiscardStorage = {
--- a/test/support/control_fleet.c
+++ b/test/support/control_fleet.c
@@ -125,28 +125,36 @@
 }
 
 /* Makes all that was written durable. */
-static gboolean
+static StorageResult
 disk_sync(void *ctx)
 {
     FleetNode *n = ctx;
     if (n->disk.fail_syncs) {
-        return FALSE;
+        return kStorageFailed;
+    }
+    if (n->disk.full) {
+        n->disk.refused_syncs++;
+        return kStorageNoRoom;
     }
     n->disk.syncs++;
     if (n->fleet->discard_disk_writes) {
-        return TRUE;
+        return kStorageOk;
     }
     saved_copy(&n->disk.written, &n->disk.synced);
-    return TRUE;
+    return kStorageOk;
 }
 
 /* Replaces the log by a snapshot and the entries after it, and syncs. */
-static gboolean
+static StorageResult
 disk_save_snapshot(void *ctx, uint64_t index, uint64_t term, GBytes *snapshot,
                    const GPtrArray *entries)
 {
     FleetNode *n = ctx;
     ConsensusSaved *w = &n->disk.written;
+    if (n->disk.full || n->disk.refuse_snapshots) {
+        n->disk.refused_snapshots++;
+        return kStorageNoRoom;
+    }
     if (w->snapshot != NULL) {
         g_bytes_unref(w->snapshot);
     }
--- a/test/support/control_fleet.h
+++ b/test/support/control_fleet.h
@@ -19,6 +19,11 @@
     ConsensusSaved written; /* the next sync makes this durable */
     uint64_t syncs;
     gboolean fail_syncs; /* until the next crash */
+    /* Without room nothing that was written becomes durable. */
+    gboolean full;
+    gboolean refuse_snapshots; /* only these have no room */
+    uint64_t refused_syncs;
+    uint64_t refused_snapshots;
 } FakeDisk;
 
 typedef struct ControlFleet ControlFleet;
--- a/test/support/fleet_sim.c
+++ b/test/support/fleet_sim.c
@@ -1152,7 +1152,7 @@
 }
 
 /* Replaces the log by a snapshot and the entries after it. */
-static gboolean
+static StorageResult
 store_snapshot(void *ctx, uint64_t index, uint64_t term, GBytes *snapshot,
                const GPtrArray *entries)
 {
@@ -1170,15 +1170,15 @@
     c->saved.snapshot = g_bytes_ref(snapshot);
     c->saved.snapshot_index = index;
     c->saved.snapshot_term = term;
-    return TRUE;
+    return kStorageOk;
 }
 
 /* Does nothing: all that was written survives a restart. */
-static gboolean
+static StorageResult
 store_sync(void *ctx)
 {
     (void)ctx;
-    return TRUE;
+    return kStorageOk;
 }
 
 /* Records the acknowledgement of a document; request is its version. */
--- a/test/unit/test_consensus.c
+++ b/test/unit/test_consensus.c
@@ -89,7 +89,7 @@
     for (uint32_t i = 0; i < f->count; i++) {
         down += f->nodes[i].core == NULL ? 1 : 0;
     }
-    switch (g_rand_int_range(f->rand, 0, 7)) {
+    switch (g_rand_int_range(f->rand, 0, 8)) {
     case 0:
         f->nodes[node].partitioned = !f->nodes[node].partitioned;
         break;
@@ -107,6 +107,9 @@
             control_fleet_crash(f, node);
         }
         break;
+    case 5:
+        f->nodes[node].disk.full = !f->nodes[node].disk.full;
+        break;
     default:
         for (uint32_t i = 0; i < f->count; i++) {
             if (f->nodes[i].core == NULL) {
@@ -126,6 +129,7 @@
     f->max_delay_us = 2000;
     for (uint32_t i = 0; i < f->count; i++) {
         f->nodes[i].partitioned = FALSE;
+        f->nodes[i].disk.full = FALSE;
         if (f->nodes[i].core == NULL) {
             control_fleet_start(f, i, TRUE);
         }
