Control instances: refuse changes and show the state while a disk is full

Cause: an instance that waits for room must say so: operators' changes would otherwise wait for their deadline, and entry instances for state updates that cannot come.

Change: a change that was neither proposed nor forwarded is refused with 503, the reason and a retry time. Lease requests get no reply, so that entry instances change to another control instance. No join requests are sent. Metrics disk_full, disk_full_total, snapshots_postponed_total and changes_refused_disk_full_total; one log line for each change of state. snapshots_total counts those that were written.

--- a/src/sapphireweir/control/main.c
+++ b/src/sapphireweir/control/main.c
@@ -166,9 +166,11 @@
         g_string_append_printf(
             text,
             "# TYPE sapphireweir_leads gauge\nsapphireweir_leads %d\n"
+            "# TYPE sapphireweir_disk_full gauge\nsapphireweir_disk_full %d\n"
             "# TYPE sapphireweir_commit_index gauge\n"
             "sapphireweir_commit_index %" G_GUINT64_FORMAT "\n",
-            control_core_leads(c->core), control_core_commit_index(c->core));
+            control_core_leads(c->core), control_core_no_room(c->core),
+            control_core_commit_index(c->core));
         http_write_metrics(c->http, text);
         respond_text(c, r->id, 200, text->str);
         g_string_free(text, TRUE);
--- a/src/sapphireweir/core/control_admin.c
+++ b/src/sapphireweir/core/control_admin.c
@@ -8,7 +8,12 @@
  * applied.  The reply to a read is sent after a consensus round has confirmed
  * the leader, so that it includes every change accepted before the read. */
 
-enum { kAuditLinesMax = 1000 /* lines in one reply */ };
+enum {
+    kAuditLinesMax = 1000, /* lines in one reply */
+    /* Hint to operators whose change met a full disk; longer than a transfer
+     * of leadership takes. */
+    kNoRoomRetryMs = 1000,
+};
 
 /* Sends an operator an error reply. */
 static void
@@ -174,12 +179,36 @@
                         json_pack("{s:s}", "detail", "under way"));
 }
 
+static gboolean
+is_change(const Sw__AdminRequest *r)
+{
+    return verb_is(r, "apply") || verb_is(r, "member-add") ||
+           verb_is(r, "member-remove");
+}
+
+/* Refuses a change, which has had no effect, as the data folder has no
+ * room. */
+static void
+refuse_without_room(ControlCore *k, const char *to, uint64_t request_id)
+{
+    char *detail = g_strdup_printf(
+        "the disk of control instance %s is full; nothing was changed", k->id);
+    control_reply_admin(k, to, request_id, 503,
+                        json_pack("{s:s, s:i}", "detail", detail,
+                                  "retry_after_ms", kNoRoomRetryMs));
+    g_free(detail);
+}
+
 /* Handles an operator's request, or forwards it if this instance does not
  * lead. */
 void
 control_handle_admin_request(ControlCore *k, uint64_t now_us, const char *from,
                              uint64_t request_id, const Sw__AdminRequest *r)
 {
+    if (consensus_no_room(k->consensus) && is_change(r)) {
+        refuse_without_room(k, from, request_id);
+        return;
+    }
     if (!control_core_leads(k)) {
         Sw__Frame frame = SW__FRAME__INIT;
         Sw__AdminRequest copy = *r;
--- a/src/sapphireweir/core/control_core.c
+++ b/src/sapphireweir/core/control_core.c
@@ -149,7 +149,6 @@
 {
     ControlCore *k = ctx;
     char *text = state_dump(k->state);
-    metrics_count(&k->metrics, kMetricSnapshots);
     return g_bytes_new_with_free_func(text, strlen(text), free, text);
 }
 
@@ -498,6 +497,31 @@
               consensus_term(k->consensus));
 }
 
+/* Updates the metrics of the storage, and logs when its room runs out and
+ * when it has room again. */
+static void
+update_storage(ControlCore *k)
+{
+    uint64_t *counters = k->metrics.counters;
+    gboolean no_room = consensus_no_room(k->consensus);
+
+    counters[kMetricDiskFull] = consensus_suspensions(k->consensus);
+    counters[kMetricSnapshots] = consensus_snapshots(k->consensus);
+    counters[kMetricSnapshotsPostponed] =
+        consensus_snapshots_postponed(k->consensus);
+    if (no_room == k->no_room) {
+        return;
+    }
+    k->no_room = no_room;
+    if (no_room) {
+        g_warning("the data folder has no room; this instance takes no part "
+                  "in the consensus until it has");
+        return;
+    }
+    g_message("the data folder has room; this instance takes part in the "
+              "consensus again");
+}
+
 /* Runs the timers; must be called every few milliseconds. */
 void
 control_core_tick(ControlCore *k, uint64_t now_us)
@@ -528,6 +552,7 @@
     serve_confirmed_reads(k, now_us);
     control_distribute(k, now_us);
     consensus_flush(k->consensus, now_us);
+    update_storage(k);
 }
 
 /* Starts a planned stop by transferring leadership to another voter. */
@@ -545,6 +570,14 @@
     return consensus_failed(k->consensus);
 }
 
+/* Returns whether the data folder has no room for what was written.  The
+ * instance then takes no part in the consensus and refuses changes. */
+gboolean
+control_core_no_room(const ControlCore *k)
+{
+    return consensus_no_room(k->consensus);
+}
+
 /* Returns whether this instance is the leader. */
 gboolean
 control_core_leads(const ControlCore *k)
--- a/src/sapphireweir/core/control_core.h
+++ b/src/sapphireweir/core/control_core.h
@@ -46,6 +46,7 @@
 void control_core_stop(ControlCore *k, uint64_t now_us);
 
 gboolean control_core_failed(const ControlCore *k);
+gboolean control_core_no_room(const ControlCore *k);
 gboolean control_core_leads(const ControlCore *k);
 uint64_t control_core_term(const ControlCore *k);
 uint32_t control_core_voter_count(const ControlCore *k);
--- a/src/sapphireweir/core/control_defs.h
+++ b/src/sapphireweir/core/control_defs.h
@@ -125,6 +125,7 @@
     GHashTable *forwards;   /* id of the forwarded request -> Forward */
     uint64_t last_forward_id;
     uint64_t leader_since_us; /* zero: does not lead */
+    gboolean no_room;         /* as last logged; see consensus_no_room */
     gboolean stopping;
     uint64_t next_expiry_scan_us;
     uint64_t last_distributed_us;
--- a/src/sapphireweir/core/control_lease.c
+++ b/src/sapphireweir/core/control_lease.c
@@ -180,11 +180,16 @@
 
 /* Handles a lease request of an entry instance, or forwards it if this
  * instance does not lead.  An entry instance that sends its requests to this
- * instance directly also receives its state updates from here. */
+ * instance directly also receives its state updates from here.  Without room
+ * in the storage there are none, so its requests get no reply and it follows
+ * another control instance. */
 void
 control_handle_lease_request(ControlCore *k, uint64_t now_us, const char *from,
                              uint64_t request_id, const Sw__LeaseRequest *r)
 {
+    if (consensus_no_room(k->consensus)) {
+        return;
+    }
     if (!r->forwarded) {
         subscribe(k, now_us, from, r->applied_index);
     }
--- a/src/sapphireweir/core/event_log.c
+++ b/src/sapphireweir/core/event_log.c
@@ -47,6 +47,8 @@
     [kEventServerWarm] = {"server_warm", 20, 1},
     [kEventEvacuation] = {"evacuation", 20, 1},
     [kEventAdmission] = {"admission", 20, 1},
+    [kEventDiskFull] = {"disk_full", 10, 1},
+    [kEventDiskRoom] = {"disk_room", 10, 1},
     [kEventDropped] = {"dropped", 20, 1},
 };
 
--- a/src/sapphireweir/core/event_log.h
+++ b/src/sapphireweir/core/event_log.h
@@ -36,6 +36,8 @@
     kEventServerWarm,      /* they no longer are */
     kEventEvacuation,      /* a failure domain was evacuated or restored */
     kEventAdmission,       /* work at a server began or ceased to be limited */
+    kEventDiskFull,        /* a control instance's data folder has no room */
+    kEventDiskRoom,        /* it has room again */
     kEventDropped,         /* number of lines that were dropped */
     kEventKinds,           /* number of kinds */
 } EventKind;
--- a/src/sapphireweir/core/metrics_defs.h
+++ b/src/sapphireweir/core/metrics_defs.h
@@ -52,7 +52,10 @@
     X(Elections, "elections_total", "Elections started")                      \
     X(Commits, "log_commits_total", "Log entries applied")                    \
     X(Snapshots, "snapshots_total", "Snapshots written")                      \
+    X(SnapshotsPostponed, "snapshots_postponed_total",                        \
+      "Snapshots that did not fit on the disk")                               \
     X(Syncs, "syncs_total", "Disk syncs")                                     \
+    X(DiskFull, "disk_full_total", "Times the data folder had no room")       \
     X(Promotions, "promotions_total", "Promotions finished")                  \
     X(EvacuationMoves, "evacuation_moves_total",                              \
       "Changes of a primary begun by an evacuation")                          \
--- a/src/sapphireweir/fleet/director.c
+++ b/src/sapphireweir/fleet/director.c
@@ -481,6 +481,24 @@
     event_end(&line);
 }
 
+/* Logs when the storage has no room any more, and when it has again. */
+static void
+update_storage(Director *d, uint64_t now_us)
+{
+    gboolean no_room = consensus_no_room(d->consensus);
+    EventLine line;
+
+    if (no_room == d->no_room) {
+        return;
+    }
+    d->no_room = no_room;
+    event_begin(&line, d->config.events, now_us,
+                no_room ? kEventDiskFull : kEventDiskRoom);
+    event_number(&line, "term", consensus_term(d->consensus));
+    event_number(&line, "index", consensus_commit_index(d->consensus));
+    event_end(&line);
+}
+
 /* Runs all timers; must be called every few milliseconds. */
 void
 director_tick(Director *d, uint64_t now_us)
@@ -524,4 +542,5 @@
     entries_grant_confirmed(d, now_us);
     requests_tick(d, now_us);
     consensus_flush(d->consensus, now_us);
+    update_storage(d, now_us);
 }
--- a/src/sapphireweir/fleet/director.h
+++ b/src/sapphireweir/fleet/director.h
@@ -26,6 +26,13 @@
     uint64_t requested_us; /* when the request was sent */
 } DirectorStatus;
 
+enum {
+    /* Reply to an operator whose change was refused, and had no effect, as the
+     * data folder of this instance has no room.  The driver passes it on as
+     * 503 with the reason. */
+    kDirectorReplyNoRoom = 507,
+};
+
 /* Callbacks into the driver; ctx is passed to each as its first argument.
  * Strings and frames are valid only during the call. */
 typedef struct {
@@ -35,9 +42,10 @@
     /* Reports the address of another control instance that was added. */
     void (*add_peer)(void *ctx, const char *address);
     uint64_t (*random)(void *ctx);
-    /* Replies to an operator's request with an HTTP status and the reply's
-     * body; text may be NULL.  request is the handle that was passed to
-     * director_put_document, director_get_document or director_evacuate. */
+    /* Replies to an operator's request with an HTTP status, or with
+     * kDirectorReplyNoRoom, and the reply's body; text may be NULL.  request
+     * is the handle that was passed to director_put_document,
+     * director_get_document or director_evacuate. */
     void (*operator_reply)(void *ctx, void *request, uint32_t status,
                            const void *text, size_t bytes);
     /* Requests a backend server's status; the driver passes the reply to
--- a/src/sapphireweir/fleet/director_internal.h
+++ b/src/sapphireweir/fleet/director_internal.h
@@ -271,6 +271,8 @@
     gboolean rates_known;      /* kEventRatesKnown was logged in this term */
     RateCounters rate_counters;
     gboolean stopping;
+    gboolean no_room;              /* as last logged; see consensus_no_room */
+    uint64_t changes_without_room; /* refused for that reason */
     Histogram stage_times[kFailoverStageCount]; /* of unplanned changes, us */
     Histogram planned_times;                    /* whole planned changes, us */
 };
--- a/src/sapphireweir/fleet/director_members.c
+++ b/src/sapphireweir/fleet/director_members.c
@@ -192,7 +192,7 @@
 
 /* Runs the timers of the membership: the leader removes unresponsive members,
  * any other instance sends join requests after kJoinAfterUs without contact
- * with a leader. */
+ * with a leader, unless its storage has no room. */
 void
 members_tick(Director *d, uint64_t now_us)
 {
@@ -204,7 +204,7 @@
         return;
     }
     if (now_us - d->leader_seen_us < kJoinAfterUs || d->stopping ||
-        now_us < d->next_join_us) {
+        consensus_no_room(d->consensus) || now_us < d->next_join_us) {
         return;
     }
     d->next_join_us = now_us + kJoinIntervalUs;
--- a/src/sapphireweir/fleet/director_metrics.c
+++ b/src/sapphireweir/fleet/director_metrics.c
@@ -25,6 +25,13 @@
     counter_write_text("configuration_version", d->document_version, out);
     counter_write_text("entries_outdated", outdated, out);
     counter_write_text("configuration_lag_us", longest_lag_us, out);
+    counter_write_text("disk_full", consensus_no_room(d->consensus), out);
+    counter_write_text("disk_full_total", consensus_suspensions(d->consensus),
+                       out);
+    counter_write_text("snapshots_postponed_total",
+                       consensus_snapshots_postponed(d->consensus), out);
+    counter_write_text("changes_refused_disk_full_total",
+                       d->changes_without_room, out);
     counter_write_text("control_voters", consensus_voter_count(d->consensus),
                        out);
     counter_write_text("entries", g_hash_table_size(d->entries), out);
--- a/src/sapphireweir/fleet/director_requests.c
+++ b/src/sapphireweir/fleet/director_requests.c
@@ -136,6 +136,16 @@
     }
 }
 
+/* Returns whether a request of an operator is a change that this instance has
+ * to refuse, as its storage has no room.  Not so if it was proposed or
+ * forwarded, since it may have had an effect. */
+static gboolean
+is_refused_without_room(const Director *d, const OperatorRequest *r)
+{
+    return consensus_no_room(d->consensus) && r->kind != kRequestGet &&
+           r->handle != NULL && r->index == 0 && r->forward_id == 0;
+}
+
 /* Proposes, confirms, forwards or answers a request, whichever can be done
  * next.  An answer frees the request. */
 static void
@@ -147,6 +157,11 @@
         operator_request_reply(d, r, kHttpUnavailable, NULL, 0);
         return;
     }
+    if (is_refused_without_room(d, r)) {
+        d->changes_without_room++;
+        operator_request_reply(d, r, kDirectorReplyNoRoom, NULL, 0);
+        return;
+    }
     if (r->kind == kRequestOrder) {
         director_order_advance(d, now_us, r);
         return;
