--- a/test/platform/test_path.c
+++ b/test/platform/test_path.c
@@ -567,11 +567,12 @@
 }
 
 /* Runs the emulator, and starts programs again that have ended, as the
- * platform does. */
-static void
+ * platform does.  Returns how many had ended. */
+static uint32_t
 run_with_restarts(uint32_t duration_ms)
 {
     gint64 end_us = g_get_monotonic_time() + (gint64)duration_ms * 1000;
+    uint32_t exits = 0;
     int exit_code;
 
     while (g_get_monotonic_time() < end_us) {
@@ -579,38 +580,74 @@
             pid_t pid = emulator_program_pid(emulator, i);
             if (pid != 0 && emulator_reap(emulator, pid, &exit_code)) {
                 emulator_start_program(emulator, i);
+                exits++;
             }
         }
         emulator_run_for(emulator, 50);
     }
+    return exits;
+}
+
+/* Checks what an instance with a full disk answers, once it has met that: a
+ * change is refused with the reason, a read has the newest version, and the
+ * metrics show the state. */
+static void
+check_answers_without_room(uint32_t control, uint32_t version,
+                           const char *document)
+{
+    const char *address = emulator_control_address(emulator, control);
+    char *newest = g_strdup_printf("\"version\":%u,", version);
+    HttpResponse put =
+        emulator_http_request(emulator, address, "PUT", "/config", document);
+    HttpResponse got =
+        emulator_http_request(emulator, address, "GET", "/config", NULL);
+    HttpResponse metrics =
+        emulator_http_request(emulator, address, "GET", "/metrics", NULL);
+
+    CU_ASSERT_EQUAL(put.status, 503);
+    CU_ASSERT_PTR_NOT_NULL(strstr(put.body, "disk of this control instance"));
+    CU_ASSERT_PTR_NOT_NULL(strstr(put.body, "\"retry-after-ms\":1000"));
+    CU_ASSERT_EQUAL(got.status, 200);
+    CU_ASSERT_PTR_NOT_NULL(strstr(got.body, newest));
+    CU_ASSERT_PTR_NOT_NULL(strstr(metrics.body, "disk_full 1\n"));
+    g_free(metrics.body);
+    g_free(got.body);
+    g_free(put.body);
+    g_free(newest);
 }
 
 /* Guards against changes of the configuration that are refused, or stay
  * without an answer, long after the disks of control instances had room again.
  * They were full for some seconds each, one after the other, with changes
- * going on. */
+ * going on.  Guards also against a process that ends meanwhile. */
 static void
 changes_go_on_after_full_disks(void)
 {
     enum { kFullMs = 2000, kChangeMs = 250, kAckMs = 5000, kFirst = 100 };
     uint32_t version = kFirst;
+    uint32_t exits = 0;
 
     for (uint32_t i = 0; i < kEmulatorControls; i++) {
         emulator_set_disk_full(emulator, kEmulatorEntries + i, TRUE);
+        char *document = NULL;
         for (uint32_t ms = 0; ms < kFullMs; ms += kChangeMs) {
-            g_free(emulator_put_document(emulator, ++version, TRUE).body);
-            run_with_restarts(kChangeMs);
+            g_free(document);
+            document = emulator_put_document(emulator, ++version, TRUE).body;
+            exits += run_with_restarts(kChangeMs);
         }
+        check_answers_without_room(i, version, document);
+        g_free(document);
         emulator_set_disk_full(emulator, kEmulatorEntries + i, FALSE);
-        run_with_restarts(500);
+        exits += run_with_restarts(500);
     }
     gint64 room_us = g_get_monotonic_time();
     for (uint32_t i = 0; i < 2 * kEmulatorControls; i++) {
         HttpResponse put = emulator_put_document(emulator, ++version, TRUE);
         CU_ASSERT_EQUAL(put.status, 200);
         g_free(put.body);
-        run_with_restarts(kChangeMs);
+        exits += run_with_restarts(kChangeMs);
     }
+    CU_ASSERT_EQUAL(exits, 0);
     CU_ASSERT(g_get_monotonic_time() - room_us < (gint64)kAckMs * 1000);
     char *expected = g_strdup_printf("\"version\":%u,", version);
     for (uint32_t i = 0; i < kEmulatorControls; i++) {
@@ -629,6 +666,32 @@
     g_free(expected);
 }
 
+/* Guards against changes that are acknowledged while no majority can write,
+ * and against instances that end then or do not take part again. */
+static void
+changes_go_on_after_all_disks_were_full(void)
+{
+    enum { kAckMs = 6000, kFirst = 200 };
+
+    for (uint32_t i = 0; i < kEmulatorControls; i++) {
+        emulator_set_disk_full(emulator, kEmulatorEntries + i, TRUE);
+    }
+    HttpResponse put = emulator_put_document(emulator, kFirst, TRUE);
+    CU_ASSERT_EQUAL(put.status, 503);
+    g_free(put.body);
+    uint32_t exits = run_with_restarts(100);
+    for (uint32_t i = 0; i < kEmulatorControls; i++) {
+        emulator_set_disk_full(emulator, kEmulatorEntries + i, FALSE);
+    }
+    gint64 room_us = g_get_monotonic_time();
+    put = emulator_put_document(emulator, kFirst + 1, TRUE);
+    CU_ASSERT_EQUAL(put.status, 200);
+    CU_ASSERT(g_get_monotonic_time() - room_us < (gint64)kAckMs * 1000);
+    g_free(put.body);
+    exits += run_with_restarts(100);
+    CU_ASSERT_EQUAL(exits, 0);
+}
+
 /* Starts the emulator for the suite.  Returns nonzero on failure. */
 static int
 start_emulator(void)
@@ -672,6 +735,8 @@
         {"a stop of a control instance answers operators",
          control_stop_answers_operators},
         {"changes go on after full disks", changes_go_on_after_full_disks},
+        {"changes go on after all disks were full",
+         changes_go_on_after_all_disks_were_full},
     };
 
     if (CU_initialize_registry() != CUE_SUCCESS) {
