Give each listener of the test emulator a port of its own

The emulator picks a peer port for all instances, then a port for each listener of an instance, which is free until the programs start. Ports that were chosen before are skipped now.

--- a/test/platform/emulator.c
+++ b/test/platform/emulator.c
@@ -688,6 +688,21 @@
     return ntohs(at.sin_port);
 }
 
+/* Returns a port that is free on an IPv4 address and is none of two others.
+ * Those are free as well until the programs start, so that free_port may
+ * return them: an entry instance once got its peer port for the probes, and
+ * ended. */
+static uint16_t
+other_free_port(const char *host, uint16_t first, uint16_t second)
+{
+    uint16_t port = free_port(host);
+
+    while (port == first || port == second) {
+        port = free_port(host);
+    }
+    return port;
+}
+
 /* Opens a member's port and starts its heartbeat; member 0 is primary. */
 static void
 start_member(Emulator *e, uint32_t i)
@@ -794,7 +809,7 @@
     for (uint32_t i = 0; i < kEmulatorControls; i++) {
         g_snprintf(ip, sizeof(ip), "127.0.1.%u", i + 1);
         g_snprintf(e->control_addresses[i], sizeof(e->control_addresses[i]),
-                   "%s:%u", ip, free_port(ip));
+                   "%s:%u", ip, other_free_port(ip, peer_port, 0));
     }
     for (uint32_t i = 0; i < kEmulatorControls; i++) {
         char *data = g_strdup_printf("\"%s/data-%u\"", e->folder, i);
@@ -810,10 +825,11 @@
     for (uint32_t i = 0; i < kEmulatorEntries; i++) {
         g_snprintf(ip, sizeof(ip), "127.0.2.%u", i + 1);
         g_snprintf(name, sizeof(name), "entry-%u", i);
+        uint16_t caller_port = other_free_port(ip, peer_port, 0);
         g_snprintf(e->caller_addresses[i], sizeof(e->caller_addresses[i]),
-                   "%s:%u", ip, free_port(ip));
+                   "%s:%u", ip, caller_port);
         g_snprintf(e->probe_addresses[i], sizeof(e->probe_addresses[i]),
-                   "%s:%u", ip, free_port(ip));
+                   "%s:%u", ip, other_free_port(ip, peer_port, caller_port));
         g_snprintf(listen, sizeof(listen),
                    "\"frontend\":\"%s\",\"ready\":\"%s\"",
                    e->caller_addresses[i], e->probe_addresses[i]);
