--- a/src/sapphireweir/adapter/http_clients.c
+++ b/src/sapphireweir/adapter/http_clients.c
@@ -353,7 +353,7 @@
 
 /* Sets how much is read from a connection.  No limit is set before one has an
  * effect: evhttp takes the input of a request as it arrives, and the callback
- * of a watermark costs 48 bytes for as long as the connection lives. */
+ * of a watermark costs 48 bytes while the connection is open. */
 static void
 apply_read_limit(HttpClient *c)
 {
--- a/src/sapphireweir/core/consensus.c
+++ b/src/sapphireweir/core/consensus.c
@@ -462,9 +462,9 @@
     return best;
 }
 
-/* Commands another voter to start an election.  The command promises nothing
- * of this instance's log or vote, so it may be sent although the storage has
- * no room; the term in it must be durable, however. */
+/* Commands another voter to start an election.  The command does not depend on
+ * this instance's log or vote, so it may be sent although the storage has no
+ * room; the term in it must be durable, however. */
 static void
 hand_over(Consensus *c, uint64_t now_us)
 {
--- a/src/sapphireweir/policy/crossing.c
+++ b/src/sapphireweir/policy/crossing.c
@@ -10,9 +10,8 @@
  * elsewhere decide.  Many instances decide from reports that are up to a
  * second old, so that only a share of the work goes, as far as the other
  * domain has free capacity; if all of it went, the load would swing between
- * the domains.  A gain that is within the noise of the estimates moves
- * nothing, so that two domains that are equally busy do not swap their
- * load. */
+ * the domains.  A gain within the noise of the estimates does not
+ * count, so that two equally busy domains do not exchange load. */
 
 enum {
     kPermille = 1000,
--- a/test/clients/test_http_clients.c
+++ b/test/clients/test_http_clients.c
@@ -16,7 +16,7 @@
 #include "adapter/peer.h"
 
 /* Clients that are not trusted, at the HTTP ports of sapphireweir-entry and
- * sapphireweir-control.  The tests check that the program lives, that its
+ * sapphireweir-control.  The tests check that the program runs, that its
  * resident memory and its open descriptors stay under a bound, and that it
  * answers an ordinary request while the clients are still connected.  They
  * guard against a process that exhausts its memory or its descriptors. */
@@ -386,7 +386,7 @@
     c->received_bytes += c->crowd->reads ? (size_t)MAX(got, 0) : 0;
 }
 
-/* Connects the crowds, lets them send and then be quiet, and checks the
+/* Connects the crowds, lets them send and then stay idle, and checks the
  * program, which has the given [limits], all the time and at the end.  It may
  * keep that many connections at a time, and of those that are quiet. */
 static void
--- a/test/platform/test_clients.c
+++ b/test/platform/test_clients.c
@@ -17,7 +17,7 @@
 #include "emulator.h"
 
 /* Clients that are not trusted, at each port of the platform programs.  The
- * tests check that the program lives, that its resident memory and its open
+ * tests check that the program runs, that its resident memory and its open
  * descriptors stay under a bound, and that it answers an ordinary request
  * afterwards. */
 
--- a/test/unit/test_crossing.c
+++ b/test/unit/test_crossing.c
@@ -454,7 +454,7 @@
     /* Guards against reads that are sent into a cut again and again, and
      * against an overloaded domain that is not relieved after it. */
     {{.name = "a cut link", {1, 1}, {115, 50}, .cut = TRUE}, 0.15, 0},
-    /* Guards against work that is exchanged for nothing. */
+    /* Guards against work that is exchanged without a gain. */
     {{.name = "both full", {1, 1}, {120, 120}}, 0.05, 1},
     /* Guards against shares that follow the waves too late. */
     {{.name = "opposite waves", {1, 1}, {130, 40}, .wave_s = 3}, 0.25, 0},
--- a/test/unit/test_evacuation.c
+++ b/test/unit/test_evacuation.c
@@ -671,9 +671,9 @@
 }
 
 /* The domains that remain have two thirds of the capacity, and less than the
- * load.  Guards against a load that piles up in the domain next to the callers
- * while the other one has room, and against urgent work that is shed like the
- * rest. */
+ * load.  Guards against a load that concentrates in the domain next to the
+ * callers while the other one has room, and against urgent work that is shed
+ * like the rest. */
 static void
 a_lack_of_capacity_is_spread_and_shed_by_priority(void)
 {
