Limit a source address while a backlog is accepted

Until then one address held as many connections as the process allows in all. The sample of the test usually missed this moment.

Where an address may not use all connections, accepting now pauses after each connection until its address is checked.

The new test suspends the process while 60 clients connect and counts its descriptors without a pause: 49 to 52 where 24 to 26 are allowed in 3 of 3 runs before, 20 to 22 after (3 runs).

--- a/src/sapphireweir/adapter/http_clients.c
+++ b/src/sapphireweir/adapter/http_clients.c
@@ -99,12 +99,13 @@
     void *ctx;
     MemoryBudget *budget;
     struct evconnlistener *listener;
-    GHashTable *open;    /* set of HttpClient by connection, owned */
-    GPtrArray *accepted; /* bufferevents that have no HttpClient yet */
-    GQueue changed;      /* HttpClient whose limits must be applied */
-    struct event *apply; /* runs on_apply in this iteration */
-    struct event *sweep; /* runs on_sweep every kSweepMs */
-    uint64_t logged_us;  /* last log line */
+    GHashTable *open;        /* set of HttpClient by connection, owned */
+    GPtrArray *accepted;     /* bufferevents that have no HttpClient yet */
+    gboolean limits_sources; /* an address may not use all connections */
+    GQueue changed;          /* HttpClient whose limits must be applied */
+    struct event *apply;     /* runs on_apply in this iteration */
+    struct event *sweep;     /* runs on_sweep every kSweepMs */
+    uint64_t logged_us;      /* last log line */
     uint64_t close_counts[kCloseReasons]; /* connections closed by a limit */
     uint64_t rejected;                    /* while all were in use */
 };
@@ -663,6 +664,7 @@
     /* All callers may come from the address of a load balancer, so an address
      * has a limit of its own only if the settings give it one. */
     if (source != 0 && source < h->limits.max_connections) {
+        h->limits_sources = TRUE;
         memory.max_source_connections = source;
         memory.source_bytes =
             limits->memory_bytes / h->limits.max_connections * source;
@@ -701,15 +703,17 @@
 }
 
 /* Notes a connection that evhttp is accepting.  Accepting pauses until it is
- * adopted, when all connections are in use: evhttp accepts a whole backlog in
- * one go. */
+ * adopted, when all connections are in use or one source address may not use
+ * all: evhttp accepts a whole backlog in one go, and the address of a
+ * connection is known only afterwards. */
 void
 http_clients_accept(HttpClients *h, struct bufferevent *bev)
 {
     g_ptr_array_add(h->accepted, bev);
     event_active(h->apply, EV_TIMEOUT, 0);
-    if (h->listener != NULL && g_hash_table_size(h->open) + h->accepted->len >=
-                                   h->limits.max_connections) {
+    if (h->listener != NULL &&
+        (h->limits_sources || g_hash_table_size(h->open) + h->accepted->len >=
+                                  h->limits.max_connections)) {
         evconnlistener_disable(h->listener);
     }
 }
--- a/test/clients/test_http_clients.c
+++ b/test/clients/test_http_clients.c
@@ -601,6 +601,41 @@
     }
 }
 
+/* Guards against a source address that holds all connections for a moment: a
+ * program that finds a backlog of connections accepted it as a whole before it
+ * looked at their addresses.  The program is suspended while the clients
+ * connect; its descriptors are then counted without a pause. */
+static void
+a_backlog_of_one_source_is_limited(void)
+{
+    enum { kClients = 60, kWatchMs = 300 };
+    int fds[kClients];
+
+    for (int k = 0; k < kProgramCount; k++) {
+        ProgramKind kind = (ProgramKind)k;
+        uint32_t most = 0;
+        CU_ASSERT_FATAL(start_with_limits(kind, kSourceLimits));
+        kill(programs[kind].pid, SIGSTOP);
+        for (int i = 0; i < kClients; i++) {
+            fds[i] = connect_to(kind);
+        }
+        kill(programs[kind].pid, SIGCONT);
+        gint64 end_us = g_get_monotonic_time() + kWatchMs * 1000;
+        while (g_get_monotonic_time() < end_us) {
+            most = MAX(most, count_descriptors(kind));
+        }
+        for (int i = 0; i < kClients; i++) {
+            close(fds[i]);
+        }
+        printf("\n    %s: %u descriptors, %u without clients ",
+               program_names[kind], most, programs[kind].descriptors);
+        CU_ASSERT(most <= programs[kind].descriptors + kMaxSourceConnections +
+                              kSpareDescriptors);
+        CU_ASSERT(serves_from(kind, INADDR_LOOPBACK + 1));
+        CU_ASSERT(stop_program(kind));
+    }
+}
+
 /* Guards against requests that are kept when their client has gone.  Without
  * control an operator's change waits for 6 s. */
 static void
@@ -921,6 +956,8 @@
         {"more connections than allowed", more_connections_than_allowed},
         {"two kinds at once", two_kinds_at_once},
         {"a source uses its part only", a_source_uses_its_part_only},
+        {"a backlog of one source is limited",
+         a_backlog_of_one_source_is_limited},
         {"abandoned requests are freed", abandoned_requests_are_freed},
         {"a legal message of the maximum size is served",
          a_legal_message_of_the_maximum_size_is_served},
