Serve a new team at once

After the start of the demo fleet a team of rate 400 that offered 2 requests a second got 429 for 3 s. Cause: the first list of failure domains counts as a change of all shard owners, and a new owner grants nothing for 4 s, until the lease of a previous owner must have expired. A new team has no previous owner.

The catalog records the log index at which a team was created. If nothing that determines the owner of a shard has changed in the log since, no other instance can have granted tokens of the team: an instance whose state lacks the team grants none. The bucket then starts full. A full state, a change of the team, its template, the failure domains or the owner's own entry, and the departure of an instance that ranks above it keep the 4 s.

Not changed: after a restart of the whole fleet, teams that existed before still wait for 4 s.

--- a/src/sapphireweir/core/catalog.c
+++ b/src/sapphireweir/core/catalog.c
@@ -12,17 +12,21 @@
  * were built from changes. */
 
 struct Catalog {
-    char *cluster;           /* NULL: no state received yet */
-    uint64_t index;          /* log index of the last applied update */
-    GHashTable *resources;   /* key -> Resource, owned */
-    InstanceView view;       /* live entry instances */
-    uint64_t known_since_us; /* departures has none before this time */
-    GQueue departures;       /* of Departure, owned, oldest first */
-    GHashTable *services;    /* name -> ServiceInfo */
-    GHashTable *teams;       /* name -> TeamInfo */
-    GHashTable *keys;        /* id -> KeyInfo */
-    GHashTable *databases;   /* name -> DatabaseInfo */
-    GHashTable *evacuations; /* failure domain -> Evacuation, owned */
+    char *cluster;              /* NULL: no state received yet */
+    uint64_t index;             /* log index of the last applied update */
+    GHashTable *resources;      /* key -> Resource, owned */
+    InstanceView view;          /* live entry instances */
+    uint64_t known_since_us;    /* departures has none before this time */
+    uint64_t known_since_index; /* log index at that time */
+    GQueue departures;          /* of Departure, owned, oldest first */
+    GHashTable *services;       /* name -> ServiceInfo */
+    GHashTable *teams;          /* name -> TeamInfo */
+    GHashTable *keys;           /* id -> KeyInfo */
+    GHashTable *databases;      /* name -> DatabaseInfo */
+    GHashTable *evacuations;    /* failure domain -> Evacuation, owned */
+    /* Team -> log index of its creation, owned; only teams whose creation this
+     * catalog has seen. */
+    GHashTable *creations;
 };
 
 /* An evacuated failure domain. */
@@ -36,6 +40,7 @@
 typedef struct {
     InstanceInfo *instance; /* as before the departure, owned */
     uint64_t at_us;         /* when this catalog learned of it */
+    uint64_t index;         /* its log index */
 } Departure;
 
 enum { kMaxDepartures = 1024 };
@@ -112,6 +117,8 @@
     c->keys = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, key_free);
     c->databases =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, database_free);
+    c->creations =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     c->evacuations =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     instance_view_init(&c->view);
@@ -125,6 +132,7 @@
 {
     g_queue_clear_full(&c->departures, departure_free);
     instance_view_clear(&c->view);
+    g_hash_table_destroy(c->creations);
     g_hash_table_destroy(c->evacuations);
     g_hash_table_destroy(c->databases);
     g_hash_table_destroy(c->keys);
@@ -142,6 +150,22 @@
     return c->index;
 }
 
+/* Returns the last departure of an instance that ranked above a live instance
+ * for a resource, or NULL if none is recorded. */
+static const Departure *
+last_outranking(const Catalog *c, const char *resource,
+                const char *failure_domain, const InstanceInfo *current)
+{
+    for (GList *l = c->departures.tail; l != NULL; l = l->prev) {
+        const Departure *d = l->data;
+        if (ownership_outranks(resource, failure_domain, d->instance,
+                               current)) {
+            return d;
+        }
+    }
+    return NULL;
+}
+
 /* Returns the latest time, in microseconds, at which the current owner of a
  * resource can have become its owner: the last departure of an instance that
  * ranked above the owner, or known_since_us if no such departure is recorded.
@@ -154,14 +178,49 @@
     if (current == NULL) {
         return UINT64_MAX;
     }
-    for (GList *l = c->departures.tail; l != NULL; l = l->prev) {
-        const Departure *d = l->data;
-        if (ownership_outranks(resource, failure_domain, d->instance,
-                               current)) {
-            return MAX(d->at_us, c->known_since_us);
-        }
+    const Departure *d = last_outranking(c, resource, failure_domain, current);
+    return d == NULL ? c->known_since_us : MAX(d->at_us, c->known_since_us);
+}
+
+/* Returns the log index of the last change of a resource, zero if it does not
+ * exist. */
+static uint64_t
+changed_index(const Catalog *c, const char *key)
+{
+    const Resource *r = g_hash_table_lookup(c->resources, key);
+    return r == NULL ? 0 : r->index;
+}
+
+/* Returns whether the live instance owner has owned a resource of a team ever
+ * since the team was created, whatever state the other instances have: nothing
+ * that determines the owner has changed since.  An instance whose state lacks
+ * the team acts for it in nothing. */
+gboolean
+catalog_owner_since_creation(const Catalog *c, const char *team,
+                             const char *resource, const char *failure_domain,
+                             const char *owner)
+{
+    const InstanceInfo *current = instance_view_find(&c->view, owner);
+    const uint64_t *created = g_hash_table_lookup(c->creations, team);
+
+    if (current == NULL || created == NULL ||
+        c->known_since_index > *created) {
+        return FALSE;
     }
-    return c->known_since_us;
+    char *key = g_strdup_printf("team/%s", team);
+    char *owner_key = g_strdup_printf("instance/%s", owner);
+    const Resource *r = g_hash_table_lookup(c->resources, key);
+    char *template_key = g_strdup_printf(
+        "template/%s", r == NULL ? "" : json_text_or(r->spec, "template", ""));
+    gboolean unchanged = r != NULL && r->index <= *created &&
+                         changed_index(c, owner_key) <= *created &&
+                         changed_index(c, template_key) <= *created &&
+                         changed_index(c, "fleet/main") <= *created;
+    g_free(template_key);
+    g_free(owner_key);
+    g_free(key);
+    const Departure *d = last_outranking(c, resource, failure_domain, current);
+    return unchanged && (d == NULL || d->index <= *created);
 }
 
 /* Returns the live entry instances; the view remains owned by c. */
@@ -183,7 +242,7 @@
 /* Records the departure of an instance that is removed (spec is NULL) or
  * begins to drain; does nothing for other changes of an instance. */
 static void
-record_departure(Catalog *c, uint64_t now_us, const char *id,
+record_departure(Catalog *c, uint64_t now_us, uint64_t index, const char *id,
                  const json_t *spec)
 {
     const InstanceInfo *old = instance_view_find(&c->view, id);
@@ -192,21 +251,41 @@
         return;
     }
     Departure *d = g_new(Departure, 1);
-    *d = (Departure){instance_info_copy(old), now_us};
+    *d = (Departure){instance_info_copy(old), now_us, index};
     g_queue_push_tail(&c->departures, d);
     if (c->departures.length > kMaxDepartures) {
         Departure *oldest = g_queue_pop_head(&c->departures);
         c->known_since_us = MAX(c->known_since_us, oldest->at_us);
+        c->known_since_index = MAX(c->known_since_index, oldest->index);
         departure_free(oldest);
     }
 }
 
+/* Records the creation of a team, or forgets it when the team is deleted. */
+static void
+record_creation(Catalog *c, uint64_t index, const char *key,
+                const json_t *spec)
+{
+    const char *team = resource_name_of(key);
+
+    if (spec == NULL) {
+        g_hash_table_remove(c->creations, team);
+        return;
+    }
+    if (g_hash_table_contains(c->resources, key)) {
+        return;
+    }
+    uint64_t *created = g_new(uint64_t, 1);
+    *created = index;
+    g_hash_table_replace(c->creations, g_strdup(team), created);
+}
+
 /* Drops the typed records that were built from a resource, and updates the
  * view of live instances.  Must be called before the resource changes to
  * spec. */
 static void
-invalidate_records(Catalog *c, uint64_t now_us, ResourceKind kind,
-                   const char *key, const json_t *spec)
+invalidate_records(Catalog *c, uint64_t now_us, uint64_t index,
+                   ResourceKind kind, const char *key, const json_t *spec)
 {
     const char *name = resource_name_of(key);
     switch (kind) {
@@ -219,6 +298,7 @@
         break;
     case kResourceTeam:
         g_hash_table_remove(c->teams, name);
+        record_creation(c, index, key, spec);
         break;
     case kResourceKey:
         g_hash_table_remove(c->keys, name);
@@ -232,12 +312,13 @@
         break;
     }
     case kResourceInstance:
-        record_departure(c, now_us, name, spec);
+        record_departure(c, now_us, index, name, spec);
         instance_view_set(&c->view, name, spec);
         break;
     case kResourceFleet:
         c->view.version++;
         c->known_since_us = now_us;
+        c->known_since_index = index;
         break;
     case kResourceEvacuation:
         g_hash_table_remove_all(c->databases);
@@ -281,7 +362,7 @@
         json_decref(spec);
         return;
     }
-    invalidate_records(c, now_us, kind, w->key, spec);
+    invalidate_records(c, now_us, w->index, kind, w->key, spec);
     if (kind == kResourceEvacuation) {
         record_evacuation(c, now_us, resource_name_of(w->key), w->version,
                           spec == NULL);
@@ -394,6 +475,11 @@
                          spec == NULL ? NULL : json_incref(spec));
         }
     }
+    if (update->full) {
+        /* It does not say whether a team existed before. */
+        g_hash_table_remove_all(c->creations);
+        c->known_since_index = update->to_index;
+    }
     /* A full state has no change for an evacuation that ended. */
     g_hash_table_foreach_remove(c->evacuations, evacuation_ended, c);
     g_ptr_array_unref(specs);
--- a/src/sapphireweir/core/catalog.h
+++ b/src/sapphireweir/core/catalog.h
@@ -15,6 +15,10 @@
 uint64_t catalog_index(const Catalog *c);
 uint64_t catalog_owner_since_us(const Catalog *c, const char *resource,
                                 const char *failure_domain, const char *owner);
+gboolean catalog_owner_since_creation(const Catalog *c, const char *team,
+                                      const char *resource,
+                                      const char *failure_domain,
+                                      const char *owner);
 const InstanceView *catalog_view(const Catalog *c);
 const Resource *catalog_resource(const Catalog *c, const char *key);
 uint32_t catalog_evacuation_count(const Catalog *c);
--- a/src/sapphireweir/core/limiter.c
+++ b/src/sapphireweir/core/limiter.c
@@ -49,6 +49,7 @@
 typedef struct {
     TokenBucket bucket;
     uint64_t usable_from_us; /* previous owner's lease has expired by then */
+    gboolean only_owner;     /* there is no previous owner; usable at once */
     uint32_t shard_count;    /* of the Split that the bucket is for */
 } Shard;
 
@@ -220,7 +221,9 @@
 }
 
 /* Returns an owned shard, creating it if necessary.  A new bucket is empty
- * and isn't used until the lease of the previous owner must have expired. */
+ * and isn't used until the lease of the previous owner must have expired.  If
+ * there is no previous owner since the team is new, the bucket is full and
+ * used at once. */
 static Shard *
 shard_get(EntryCore *e, uint64_t now_us, const char *team, const Split *s,
           uint32_t shard)
@@ -240,16 +243,25 @@
     /* After a change of the split the delay starts now, since other
      * instances may still grant tokens by the old split. */
     uint64_t since_us = now_us;
+    gboolean only_owner = FALSE;
     if (found == NULL) {
         char *resource = g_strdup_printf("limit/%s", name);
         since_us = catalog_owner_since_us(e->catalog, resource,
                                           s->domains[shard], e->config.id);
+        only_owner = catalog_owner_since_creation(
+            e->catalog, team, resource, s->domains[shard], e->config.id);
         g_free(resource);
     }
     found = g_new0(Shard, 1);
     found->usable_from_us = since_us + kTakeoverDelayUs;
+    found->only_owner = only_owner;
     found->shard_count = s->count;
-    token_bucket_init(&found->bucket, found->usable_from_us, rate, burst);
+    token_bucket_init(&found->bucket,
+                      only_owner ? now_us : found->usable_from_us, rate,
+                      burst);
+    if (only_owner) {
+        token_bucket_fill(&found->bucket);
+    }
     g_hash_table_replace(l->shards, name, found);
     return found;
 }
@@ -270,7 +282,8 @@
     }
     reply.owner = TRUE;
     Shard *shard = shard_get(e, now_us, r->team, &s, r->shard);
-    if (now_us < shard->usable_from_us + s.parameters.lease_grace_us) {
+    if (!shard->only_owner &&
+        now_us < shard->usable_from_us + s.parameters.lease_grace_us) {
         reply.retry_after_us =
             shard->usable_from_us + s.parameters.lease_grace_us - now_us;
         return reply;
--- a/src/sapphireweir/core/token_bucket.c
+++ b/src/sapphireweir/core/token_bucket.c
@@ -39,6 +39,14 @@
     };
 }
 
+/* Fills the bucket: no tokens of it have been granted before. */
+void
+token_bucket_fill(TokenBucket *b)
+{
+    b->level_micro = b->capacity_micro;
+    b->remainder = 0;
+}
+
 /* Changes the rate and capacity from now_us on, and limits the level to the
  * new capacity. */
 void
--- a/src/sapphireweir/core/token_bucket.h
+++ b/src/sapphireweir/core/token_bucket.h
@@ -17,6 +17,7 @@
 
 void token_bucket_init(TokenBucket *b, uint64_t now_us,
                        uint64_t rate_micro_per_s, uint64_t capacity_micro);
+void token_bucket_fill(TokenBucket *b);
 void token_bucket_set(TokenBucket *b, uint64_t now_us,
                       uint64_t rate_micro_per_s, uint64_t capacity_micro);
 uint32_t token_bucket_take(TokenBucket *b, uint64_t now_us, uint32_t wanted);
--- a/test/unit/test_catalog.c
+++ b/test/unit/test_catalog.c
@@ -101,6 +101,86 @@
     catalog_free(c);
 }
 
+#define MEMBER                                                                \
+    "{\"failure_domain\":\"d\",\"peer_address\":\"a:1\",\"http_address\":"    \
+    "\"a:2\",\"incarnation\":1,\"draining\":false}"
+
+/* Guards against an owner that counts as the only one of a new team although
+ * another instance, perhaps without news of its successor, may have granted
+ * the team's tokens. */
+static void
+only_changes_after_the_creation_count(void)
+{
+    static const TestChange start[] = {
+        {"fleet/main", "{\"failure_domains\":[\"d\"]}", 1},
+        {"template/t", "{\"for\":\"team\"}", 2},
+        {"instance/a", MEMBER, 3},
+        {"instance/b", MEMBER, 3}};
+    static const TestChange known_team[] = {{"team/x", TEAM(5), 4}};
+    static const struct {
+        TestChange changes[3]; /* after the start */
+        gboolean full;         /* the state arrives again afterwards */
+        gboolean only_owner;
+    } cases[] = {
+        {{{"team/x", TEAM(5), 10}}, FALSE, TRUE},
+        {{{"team/x", TEAM(5), 10}}, TRUE, FALSE},
+        {{{"team/x", TEAM(5), 10}, {"team/x", TEAM(6), 11}}, FALSE, FALSE},
+        {{{"team/x", TEAM(5), 10}, {"team/y", TEAM(6), 11}}, FALSE, TRUE},
+        {{{"fleet/main", "{\"failure_domains\":[\"d\"]}", 10},
+          {"team/x", TEAM(5), 10}},
+         FALSE,
+         TRUE},
+        {{{"team/x", TEAM(5), 10},
+          {"fleet/main", "{\"failure_domains\":[\"d\"]}", 11}},
+         FALSE,
+         FALSE},
+        {{{"team/x", TEAM(5), 10}, {"template/t", "{\"for\":\"team\"}", 11}},
+         FALSE,
+         FALSE},
+        /* The owner joins after the creation, or another one leaves. */
+        {{{"team/x", TEAM(5), 10}, {"instance/a", MEMBER, 11}}, FALSE, FALSE},
+        {{{"instance/b", NULL, 9}, {"team/x", TEAM(5), 10}}, FALSE, TRUE},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        Catalog *c = catalog_new();
+        size_t count = 0;
+        while (count < 3 && cases[i].changes[count].key != NULL) {
+            count++;
+        }
+        CU_ASSERT(apply_update(c, "x", TRUE, 0, 3, start, 4));
+        CU_ASSERT(apply_update(c, "x", FALSE, 3, 12, cases[i].changes, count));
+        if (cases[i].full) {
+            CU_ASSERT(apply_update(c, "x", TRUE, 0, 13, start, 4));
+            CU_ASSERT(apply_update(c, "x", TRUE, 0, 14, known_team, 1));
+        }
+        gboolean only =
+            catalog_owner_since_creation(c, "x", "limit/x/0", "d", "a");
+        if (only != cases[i].only_owner) {
+            printf("\n    case %zu: %d\n", i, only);
+        }
+        CU_ASSERT_EQUAL(only, cases[i].only_owner);
+        catalog_free(c);
+    }
+    /* The departure of the instance that ranks first counts. */
+    static const TestChange team[] = {{"team/x", TEAM(5), 10}};
+    static const TestChange left[2][1] = {{{"instance/a", NULL, 12}},
+                                          {{"instance/b", NULL, 12}}};
+    uint32_t sole = 0;
+    for (int i = 0; i < 2; i++) {
+        Catalog *c = catalog_new();
+        CU_ASSERT(apply_update(c, "x", TRUE, 0, 3, start, 4));
+        CU_ASSERT(apply_update(c, "x", FALSE, 3, 10, team, 1));
+        CU_ASSERT(apply_update(c, "x", FALSE, 10, 12, left[i], 1));
+        sole += catalog_owner_since_creation(c, "x", "limit/x/0", "d",
+                                             i == 0 ? "b" : "a")
+                    ? 1
+                    : 0;
+        catalog_free(c);
+    }
+    CU_ASSERT_EQUAL(sole, 1);
+}
+
 void
 add_catalog_suite(void)
 {
@@ -109,4 +189,6 @@
                 older_updates_change_nothing);
     CU_add_test(s, "invalid updates are rejected",
                 invalid_updates_are_rejected);
+    CU_add_test(s, "only changes after the creation count",
+                only_changes_after_the_creation_count);
 }
--- a/test/unit/test_limiter.c
+++ b/test/unit/test_limiter.c
@@ -248,6 +248,48 @@
     load_free(&l);
 }
 
+/* Guards against a new team that gets nothing of its rate for the 4 s in which
+ * a new shard owner waits for a previous one, and against too many admissions
+ * if instances leave and join while the team is created. */
+static void
+a_new_team_is_served_at_once(void)
+{
+    for (uint32_t seed = 50; seed < 56; seed++) {
+        gboolean faults = seed > 50;
+        Load l = {.s = system_new(6, 1, seed), .rate = 400, .burst = 24};
+        l.admitted = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+        l.open = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+        if (faults) {
+            system_entry_crash(l.s, seed % 6);
+            system_run(l.s, 5000000);
+            system_entry_start(l.s, seed % 6);
+        }
+        /* A change of the failure domains changes owners. */
+        system_apply(l.s, "[{\"key\":\"fleet/main\",\"spec\":"
+                          "{\"failure_domains\":[\"d0\",\"d1\",\"d2\"]}}]");
+        system_add_team(l.s, "crews", 400, 24, "key-of-crews-0001");
+        system_run(l.s, 200000);
+        for (uint32_t ms = 0; ms < 6000; ms += 5) {
+            if (faults && ms == 600) {
+                system_entry_crash(l.s, (seed + 1) % 6);
+            }
+            if (faults && ms == 2000) {
+                l.s->entries[(seed + 2) % 6].partitioned = TRUE;
+                system_entry_start(l.s, (seed + 1) % 6);
+            }
+            for (uint32_t i = 0; i < 6 && (faults || ms % 500 == 0); i++) {
+                send_request(&l, i);
+            }
+            system_run(l.s, 5000);
+            collect_answers(&l);
+        }
+        CU_ASSERT(l.admitted->len > 24);
+        CU_ASSERT(faults || l.refused == 0);
+        CU_ASSERT(worst_excess(&l, 5000) <= 0);
+        load_free(&l);
+    }
+}
+
 void
 add_limiter_suite(void)
 {
@@ -263,4 +305,6 @@
                 the_whole_burst_is_available_at_once);
     CU_add_test(s, "a crashed shard owner causes no refusals within the rate",
                 a_crashed_shard_owner_causes_no_refusals_within_the_rate);
+    CU_add_test(s, "a new team is served at once",
+                a_new_team_is_served_at_once);
 }
