Reject a burst that never holds one token

A team of burst 1 was accepted and none of its requests was served: a shard withholds from the burst what its rate adds during the lifetime of a token, and grants whole tokens. sapphireweirctl check reported it, the control instances did not.

The control leader now rejects such a change with 422 and names the least burst, also where a template or the failure domains cause it. The check runs before the change is proposed and not in state_apply, which must decide alike in all versions and on old log entries. A repeat of an applied operation still gets its stored outcome. Serving a burst of 1 was ruled out: a token in flight must be inside the ceiling.

--- a/src/sapphireweir/core/control_admin.c
+++ b/src/sapphireweir/core/control_admin.c
@@ -4,6 +4,7 @@
 #include "core/control_defs.h"
 #include "core/error.h"
 #include "core/schema.h"
+#include "core/team_check.h"
 
 /* Requests of operators.  The reply to a change is sent when its log entry is
  * applied.  The reply to a read is sent after a consensus round has confirmed
@@ -65,8 +66,27 @@
     g_queue_push_tail(&k->pending_changes, p);
 }
 
-/* Proposes an operator's change.  Replies at once only if the change cannot be
- * proposed. */
+/* Replies that a change would leave a team without any service, if so.  A
+ * repeat of an applied operation gets the stored outcome instead.  Returns
+ * whether it has replied. */
+static gboolean
+reject_unserved_team(ControlCore *k, const char *from, uint64_t request_id,
+                     const char *operation_id, const json_t *changes)
+{
+    if (state_operation(k->state, operation_id) != NULL) {
+        return FALSE;
+    }
+    char *reason = team_check_bursts(k->state, changes);
+    if (reason == NULL) {
+        return FALSE;
+    }
+    reply_error(k, from, request_id, 422, reason);
+    g_free(reason);
+    return TRUE;
+}
+
+/* Proposes an operator's change.  Replies at once only if the change is
+ * rejected here or cannot be proposed. */
 static void
 admin_apply(ControlCore *k, uint64_t now_us, const char *from,
             uint64_t request_id, const Sw__AdminRequest *r)
@@ -88,6 +108,10 @@
                     "instance, server and primary are the system's own");
         return;
     }
+    if (reject_unserved_team(k, from, request_id, r->operation_id, changes)) {
+        json_decref(changes);
+        return;
+    }
     int64_t wall_us = (int64_t)now_us + k->config.wall_offset_us;
     json_t *command = json_pack("{s:s, s:s, s:I, s:o}", "operation",
                                 r->operation_id, "actor", r->actor, "time_ms",
