Do not take a request's deadline for a lost connection

Trace (give-ups, each loss printed): all were reads whose statement had run for 30 to 201 ms when the deadline of the request came. The timeout of a statement is the time left to the deadline, and the owner took it for an unresponsive connection: it named the wrong reason, and dropped all older idle connections as well.

The job ends with the reason "deadline", not run; the idle connections stay; pool_deadline_total counts it. A commit that was sent, a repeat of a recorded write and an interactive transaction have the outcomes that they had.

--- a/src/sapphireweir/core/job.c
+++ b/src/sapphireweir/core/job.c
@@ -701,14 +701,13 @@
     pool_dispatch(p, now_us);
 }
 
-/* Handles the loss of the job's connection; unresponsive is TRUE if the
- * connection was dropped because a query timed out.  The outcome is unknown if
+/* Handles the loss of the job's connection.  The outcome is unknown if
  * the commit of a write was sent, now or in an earlier execution.  Otherwise
  * nothing has been committed, and a job whose connection was unresponsive may
  * be restarted on another connection, unless it belongs to an interactive
  * transaction. */
 void
-job_connection_lost(Job *j, uint64_t now_us, gboolean unresponsive)
+job_connection_lost(Job *j, uint64_t now_us, ConnectionLoss loss)
 {
     gboolean in_transaction = j->request->kind == SW__WORK_KIND__WORK_RUN ||
                               j->request->kind == SW__WORK_KIND__WORK_COMMIT ||
@@ -725,7 +724,13 @@
                    "the connection was lost and the transaction undone");
         return;
     }
-    gboolean restart = unresponsive && j->requeues < kMaxJobRequeues &&
+    if (loss == kLossDeadline) {
+        job_finish(j, now_us, SW__WORK_STATUS__WORK_NOT_RUN, "deadline",
+                   "it did not end before its deadline and was undone");
+        return;
+    }
+    gboolean restart = loss == kLossUnresponsive &&
+                       j->requeues < kMaxJobRequeues &&
                        now_us + j->pool->service_us < j->deadline_us;
     if (restart) {
         requeue(j, now_us);
--- a/src/sapphireweir/core/metrics_defs.h
+++ b/src/sapphireweir/core/metrics_defs.h
@@ -38,6 +38,8 @@
     X(Relayed, "relayed_total", "Work sent to another pool owner")            \
     X(PoolConnects, "pool_connects_total", "Backend connections opened")      \
     X(PoolUnresponsive, "pool_silent_total", "Connections dropped as silent") \
+    X(PoolDeadline, "pool_deadline_total",                                    \
+      "Statements ended at their request's deadline")                         \
     X(PoolLost, "pool_lost_total", "Backend connections lost")                \
     X(CommitWaits, "commit_waits_total", "Commits that awaited a majority")   \
     X(CommitUnconfirmed, "commit_unheld_total",                               \
--- a/src/sapphireweir/core/pool.c
+++ b/src/sapphireweir/core/pool.c
@@ -202,7 +202,7 @@
     }
     if (job != NULL) {
         job->connection = NULL;
-        job_connection_lost(job, now_us, FALSE);
+        job_connection_lost(job, now_us, kLossClosed);
     }
 }
 
@@ -728,20 +728,29 @@
 }
 
 /* Drops a connection whose query timed out and lets its job restart on another
- * one. */
+ * one.  A query that ran for a short time only and timed out because its job
+ * has reached the deadline says nothing about the connections. */
 static void
-drop_unresponsive(Pool *p, uint64_t now_us, PoolConnection *c)
+drop_timed_out(Pool *p, uint64_t now_us, PoolConnection *c)
 {
     Job *job = c->job;
-    metrics_count(&p->core->metrics, kMetricPoolUnresponsive);
-    /* A middlebox (NAT or firewall) that has lost the state of this connection
-     * has probably lost that of all older ones, so idle ones are dropped. */
-    p->suspect_before_us = MAX(p->suspect_before_us, c->opened_us + 1);
+    gboolean deadline = job != NULL && now_us >= job->deadline_us &&
+                        now_us - c->query_sent_us < kQueryTimeoutUs;
+
+    metrics_count(&p->core->metrics,
+                  deadline ? kMetricPoolDeadline : kMetricPoolUnresponsive);
+    if (!deadline) {
+        /* A middlebox (NAT or firewall) that has lost the state of this
+         * connection has probably lost that of all older ones, so idle ones
+         * are dropped. */
+        p->suspect_before_us = MAX(p->suspect_before_us, c->opened_us + 1);
+    }
     c->job = NULL;
     pool_connection_drop(c, now_us);
     if (job != NULL) {
         job->connection = NULL;
-        job_connection_lost(job, now_us, TRUE);
+        job_connection_lost(job, now_us,
+                            deadline ? kLossDeadline : kLossUnresponsive);
     }
 }
 
@@ -770,7 +779,7 @@
             pool_connection_drop(c, now_us);
             continue;
         }
-        drop_unresponsive(p, now_us, c);
+        drop_timed_out(p, now_us, c);
     }
 }
 
--- a/src/sapphireweir/core/pool_defs.h
+++ b/src/sapphireweir/core/pool_defs.h
@@ -49,6 +49,13 @@
     kConnectionBusy, /* runs a job or holds an interactive transaction */
 } ConnectionState;
 
+/* Why a job lost its connection. */
+typedef enum {
+    kLossClosed,
+    kLossUnresponsive, /* a query had no result for too long */
+    kLossDeadline,     /* the job reached its deadline during a short query */
+} ConnectionLoss;
+
 /* One connection to a backend server. */
 typedef struct {
     uint64_t id;
@@ -242,7 +249,7 @@
 void job_free(Job *j);
 void job_start(Job *j, uint64_t now_us, PoolConnection *c);
 void job_result(Job *j, uint64_t now_us, const BackendResult *result);
-void job_connection_lost(Job *j, uint64_t now_us, gboolean unresponsive);
+void job_connection_lost(Job *j, uint64_t now_us, ConnectionLoss loss);
 void job_finish(Job *j, uint64_t now_us, Sw__WorkStatus status,
                 const char *reason, const char *detail);
 void job_majority_check(Pool *p, uint64_t now_us);
