demo.sh: stop rounds without waiting for single processes

functional_tests once ended with "the demo fleet did not stop cleanly": 60 s after the entry instances had exited the script had not signalled the control instances.

By reading, the script does nothing between the two but "wait PID" for each entry instance, so one of these did not return although its process had ended. While entry instances take 1 to 2 s to stop, no other child ends that could wake it.

The script now asks the shell which processes of a round still run, every 0.1 s, so no state of a single process can hold it, and a process that ended earlier is no longer signalled by its number. It names the processes that still run after each 20 s, which would show the cause if it is elsewhere.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -107,6 +107,39 @@
     names+=("$name")
 }
 
+# Sets left to the processes of a round that run, as indexes of pids.
+running_in() {
+    jobs -rp >"$dir/running"
+    mapfile -t running <"$dir/running"
+    left=()
+    for i in "${!pids[@]}"; do
+        case "${names[$i]} ${running[*]} " in
+        "$1"*" ${pids[$i]} "*) left+=("$i") ;;
+        esac
+    done
+}
+
+# Stops the processes of a round.  Asks the shell which of them still run
+# instead of waiting for one after the other: a "wait PID" that misses the exit
+# of its process sleeps until another child ends, and the other children of
+# this script end only when they are told to.
+stop_round() {
+    local ticks=0 i left running
+    running_in "$1"
+    for i in "${left[@]}"; do
+        kill -TERM "${pids[$i]}" 2>/dev/null || true
+    done
+    while running_in "$1" && [ ${#left[@]} -gt 0 ]; do
+        ticks=$((ticks + 1))
+        if [ $((ticks % 200)) -eq 0 ]; then
+            for i in "${left[@]}"; do
+                echo "demo: ${names[$i]} (${pids[$i]}) still runs" >&2
+            done
+        fi
+        sleep 0.1
+    done
+}
+
 stopping=0
 stop_all() {
     [ $stopping -eq 1 ] && return
@@ -115,16 +148,7 @@
     # Entry instances finish their requests before the control instances and
     # the databases stop.
     for round in entry control standin; do
-        for i in "${!pids[@]}"; do
-            case "${names[$i]}" in
-            $round*) kill -TERM "${pids[$i]}" 2>/dev/null || true ;;
-            esac
-        done
-        for i in "${!pids[@]}"; do
-            case "${names[$i]}" in
-            $round*) wait "${pids[$i]}" 2>/dev/null || true ;;
-            esac
-        done
+        stop_round $round
     done
     [ $quiet -eq 1 ] || echo "demo: stopped"
     exit 0
