Number forwarded requests from the run's random number

Each control process numbered the requests that it forwards from 1, and a link is named by the instance, so that the leader's answer to a former process was taken for that to a request of the new one.

--- a/src/sapphireweir/fleet/director.c
+++ b/src/sapphireweir/fleet/director.c
@@ -244,6 +244,8 @@
     d->port = *port;
     d->run_id = port->random(port->ctx) | 1;
     d->last_transfer = d->run_id;
+    /* A reply to a former process of this instance has another number. */
+    d->last_forward_id = d->run_id;
     d->consensus = consensus_new(config->id, config->disk, &config->timing,
                                  &consensus_port);
     consensus_keep_odd_voters(d->consensus);
--- a/test/unit/test_fleet_sim.c
+++ b/test/unit/test_fleet_sim.c
@@ -1228,6 +1228,38 @@
     fleet_sim_free(sim);
 }
 
+/* A control instance forwards an order and restarts before the leader has it.
+ * The answer to the order must not be taken for that to a read which the new
+ * process has forwarded: both numbered their requests from 1. */
+static void
+answers_to_a_former_process_are_ignored(void)
+{
+    enum { kLeaderDelayMs = 200 };
+
+    for (uint32_t seed = 1; seed <= 4; seed++) {
+        FleetSim *sim = fleet_sim_new(seed);
+        fleet_sim_run(sim, 2000);
+        uint32_t leader = (uint32_t)fleet_sim_control_leader(sim);
+        uint32_t follower = (leader + 1) % kFleetSimDomains;
+
+        fleet_sim_delay_control(sim, leader, kLeaderDelayMs);
+        fleet_sim_order_once(sim, follower, 0, TRUE);
+        fleet_sim_run(sim, 40);
+        fleet_sim_set_control_running(sim, follower, FALSE);
+        fleet_sim_set_control_running(sim, follower, TRUE);
+        fleet_sim_run(sim, 100);
+        fleet_sim_read_document(sim, follower);
+        for (uint32_t ms = 0; ms < 1500 && fleet_sim_last_read(sim) == NULL;
+             ms += 10) {
+            fleet_sim_run(sim, 10);
+        }
+        CU_ASSERT_PTR_NOT_NULL_FATAL(fleet_sim_last_read(sim));
+        CU_ASSERT_STRING_EQUAL(fleet_sim_last_read(sim),
+                               fleet_sim_sent_document(sim));
+        fleet_sim_free(sim);
+    }
+}
+
 /* A control instance joins that takes 0.4 s for each frame, and the others no
  * longer have the first entries of the log.  It gets the snapshot once, though
  * it answers earlier rounds meanwhile; as much again is allowed for the
@@ -1483,6 +1515,8 @@
                 a_slow_instance_gets_the_log_once);
     CU_add_test(s, "unknown forwarded requests are refused",
                 unknown_forwarded_requests_are_refused);
+    CU_add_test(s, "answers to a former process are ignored",
+                answers_to_a_former_process_are_ignored);
     CU_add_test(s, "a slow instance gets the snapshot once",
                 a_slow_instance_gets_the_snapshot_once);
     CU_add_test(s, "the log of many large versions stays small",
