Ignore older records of a server at entry instances

Entry instances ordered the records of a server by its start only, so that a control instance that had been isolated and restarted, and sends what its log has, brought a draining server, or one that had left, back into use until its next change. Records are now ordered by start and sequence, by the rule of the directories of control instances, and older ones are counted (server_records_older_total).

--- a/src/sapphireweir/gateway/gateway.h
+++ b/src/sapphireweir/gateway/gateway.h
@@ -92,6 +92,8 @@
     uint64_t documents_applied;
     uint64_t documents_unusable;
     uint64_t documents_repeated;
+    /* Directory records of a server older than what was known, ignored. */
+    uint64_t server_records_older;
     uint64_t relayed; /* statements sent to the owner of a server */
     /* Statements of borrowers that this owner rejected before they ran. */
     uint64_t relays_rejected;
--- a/src/sapphireweir/gateway/gateway_control.c
+++ b/src/sapphireweir/gateway/gateway_control.c
@@ -51,8 +51,23 @@
     }
 }
 
-/* Applies a directory record to a server, creating it if needed.  Records of
- * an older run are ignored. */
+/* Returns whether a record is older than what is known of its server, by the
+ * rule of the control instances' directories.  A control instance that was
+ * isolated or has restarted may send one. */
+static gboolean
+record_is_older(const Server *s, const Sw__ServerRecord *r)
+{
+    if (s->born_ms != r->born_ms) {
+        return r->born_ms < s->born_ms;
+    }
+    if (s->gone) {
+        return r->sequence <= s->sequence;
+    }
+    return r->sequence < s->sequence && !r->gone;
+}
+
+/* Applies a directory record to a server, creating it if needed.  Older
+ * records are ignored. */
 static void
 server_update(Gateway *g, uint64_t now_us, const Sw__ServerRecord *r)
 {
@@ -71,7 +86,8 @@
         concurrency_init(&s->concurrency);
         g_hash_table_insert(g->servers, s->id, s);
     }
-    else if (r->born_ms < s->born_ms) {
+    else if (record_is_older(s, r)) {
+        g->counters.server_records_older++;
         return;
     }
     gboolean moved =
@@ -91,6 +107,8 @@
     s->address = g_strdup(r->address);
     s->failure_domain = g_strdup(r->failure_domain);
     slow_start_gate_record(s, now_us, r, s->born_ms != r->born_ms);
+    s->sequence =
+        s->born_ms == r->born_ms ? MAX(s->sequence, r->sequence) : r->sequence;
     s->born_ms = r->born_ms;
     s->slots = r->slots;
     if (r->draining && !s->draining) {
--- a/src/sapphireweir/gateway/gateway_internal.h
+++ b/src/sapphireweir/gateway/gateway_internal.h
@@ -59,8 +59,9 @@
     char *address;
     char *failure_domain;
     Database *database;
-    int64_t born_ms; /* start time of its run; a larger one is newer */
-    uint32_t slots;  /* statements that it runs at the same time */
+    int64_t born_ms;   /* start time of its run; a larger one is newer */
+    uint64_t sequence; /* in that run, of the newest report received */
+    uint32_t slots;    /* statements that it runs at the same time */
     gboolean draining;
     uint64_t draining_us; /* when this instance learned of the drain */
     gboolean gone;
--- a/src/sapphireweir/gateway/gateway_metrics.c
+++ b/src/sapphireweir/gateway/gateway_metrics.c
@@ -83,6 +83,7 @@
         {"configuration_version", gateway_version(g)},
         {"configuration_applied_total", n->documents_applied},
         {"configuration_unusable_total", n->documents_unusable},
+        {"server_records_older_total", n->server_records_older},
         {"configuration_repeated_total", n->documents_repeated},
         {"rate_pool_begun_total", r->begun},
         {"rate_pool_taken_total", r->taken},
--- a/test/unit/test_session.c
+++ b/test/unit/test_session.c
@@ -211,7 +211,8 @@
 
 /* Delivers the record of a server of the database. */
 static void
-deliver_server(Gateway *g, uint64_t now_us, char *id, gboolean gone)
+deliver_record(Gateway *g, uint64_t now_us, char *id, uint64_t sequence,
+               gboolean draining, gboolean gone)
 {
     Sw__Frame frame = SW__FRAME__INIT;
     Sw__DirectoryUpdate directory = SW__DIRECTORY_UPDATE__INIT;
@@ -225,7 +226,8 @@
     server.failure_domain = "0";
     server.primary = TRUE;
     server.slots = 3;
-    server.sequence = gone ? 2 : 1;
+    server.sequence = sequence;
+    server.draining = draining;
     server.gone = gone;
     directory.run = 1;
     directory.revision = 1;
@@ -238,6 +240,12 @@
     g_free(address);
 }
 
+static void
+deliver_server(Gateway *g, uint64_t now_us, char *id, gboolean gone)
+{
+    deliver_record(g, now_us, id, gone ? 2 : 1, FALSE, gone);
+}
+
 /* Delivers the configuration, the primary p0 and the lease to use it. */
 static void
 make_usable(Gateway *g, uint64_t now_us)
@@ -572,6 +580,64 @@
     }
 }
 
+/* A control instance that restarts sends the servers as its log has them,
+ * which may be older than what the others have sent: a draining server, or
+ * one that left, was used again. */
+static void
+older_records_of_a_server_are_ignored(void)
+{
+    typedef struct {
+        uint64_t sequence;
+        gboolean draining;
+        gboolean gone;
+    } Record;
+    static const struct {
+        const char *name;
+        Record records[2];
+        gboolean used; /* the server gets statements afterwards */
+    } cases[] = {
+        {"drains, older record", {{5, TRUE, FALSE}, {3, FALSE, FALSE}}, FALSE},
+        {"drains, then not", {{5, TRUE, FALSE}, {6, FALSE, FALSE}}, TRUE},
+        {"left, older record", {{5, FALSE, TRUE}, {3, FALSE, FALSE}}, FALSE},
+        {"left, record of the same report",
+         {{5, FALSE, TRUE}, {5, FALSE, FALSE}},
+         FALSE},
+        {"left, then reports", {{5, FALSE, TRUE}, {6, FALSE, FALSE}}, TRUE},
+        {"older record that it left",
+         {{5, FALSE, FALSE}, {3, FALSE, TRUE}},
+         FALSE},
+    };
+    static const Statement write = {.kind = kStatementWrite,
+                                    .id = "1",
+                                    .text = "WRITE 1 x",
+                                    .prepared_text = "",
+                                    .arguments = ""};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        FakeServer *f = g_new0(FakeServer, 1);
+        Gateway *g = gateway_of(f);
+        uint64_t now_us = 1100000;
+        AnswerCode code;
+        Session *s = session_open(g, now_us, f, "host", "", &code);
+
+        CU_ASSERT_PTR_NOT_NULL_FATAL(s);
+        for (size_t n = 0; n < 2; n++) {
+            const Record *r = &cases[i].records[n];
+            deliver_record(g, now_us, "p0", r->sequence, r->draining, r->gone);
+        }
+        now_us += 8000000; /* longer than a draining server is used */
+        session_statement(s, now_us, &write);
+        deliver_answers(f, now_us);
+        if ((f->committed == 1) != cases[i].used) {
+            g_print("\n%s: %u committed\n", cases[i].name, f->committed);
+        }
+        CU_ASSERT_EQUAL(f->committed == 1, cases[i].used);
+        session_close(s, now_us);
+        gateway_free(g);
+        g_free(f);
+    }
+}
+
 void
 add_session_suite(void)
 {
@@ -585,4 +651,6 @@
                 replaced_servers_are_forgotten);
     CU_add_test(s, "the directory forgets servers that left",
                 the_directory_forgets_servers_that_left);
+    CU_add_test(s, "older records of a server are ignored",
+                older_records_of_a_server_are_ignored);
 }
