Consider all servers of a database

A statement considered the first 32 servers of its database. With the primary behind them all writes were refused, "no server can be used"; replicas behind them were never read. The lists of candidates now have room for all servers.

Test: "a primary among many servers is found" (suite session), 32 to 200 other servers failed before.

--- a/src/sapphireweir/gateway/dispatch.c
+++ b/src/sapphireweir/gateway/dispatch.c
@@ -12,7 +12,6 @@
  * is refused at once, so that the caller can try another instance. */
 
 enum {
-    kCandidatesMax = 32,
     kAttemptsMax = 4,
     kWaitPercent = 90, /* of the latency objective: limit of the wait */
     /* Of server_drain_us: time in which new work may start.  The rest is left
@@ -161,14 +160,14 @@
 static Server *
 choose_server(Session *s, uint64_t now_us)
 {
-    PlacementCandidate candidates[kCandidatesMax];
     const GPtrArray *servers = s->database->servers;
-    size_t count = MIN(servers->len, (guint)kCandidatesMax);
+    PlacementCandidate *candidates = g_new(PlacementCandidate, servers->len);
 
-    for (size_t i = 0; i < count; i++) {
+    for (guint i = 0; i < servers->len; i++) {
         candidates[i] = candidate_of(s, g_ptr_array_index(servers, i), now_us);
     }
-    int best = crossing_gate_choose(s, now_us, candidates, count);
+    int best = crossing_gate_choose(s, now_us, candidates, servers->len);
+    g_free(candidates);
     return best == kPlacementNone ? NULL
                                   : g_ptr_array_index(servers, (guint)best);
 }
--- a/src/sapphireweir/gateway/evacuation.c
+++ b/src/sapphireweir/gateway/evacuation.c
@@ -13,7 +13,6 @@
 enum {
     kPermille = 1000,
     kSampleUs = 100000, /* interval between samples of the open statements */
-    kSpreadMax = 32,    /* servers among which reads are spread */
     kBusyWeight = 8,    /* a sample has 1/8 of the smoothed value */
 };
 
@@ -176,10 +175,9 @@
 evacuation_preferred(const Session *s)
 {
     const Database *d = s->database;
-    EvacuationServer list[kSpreadMax];
-    size_t count = MIN(d->servers->len, (guint)kSpreadMax);
+    EvacuationServer *list = g_new(EvacuationServer, d->servers->len);
 
-    for (size_t i = 0; i < count; i++) {
+    for (guint i = 0; i < d->servers->len; i++) {
         const Server *server = g_ptr_array_index(d->servers, i);
         list[i] = (EvacuationServer){
             .slots = server->slots,
@@ -188,8 +186,9 @@
                        g_strcmp0(server->id, d->primary) == 0};
     }
     int picked = evacuation_pick(
-        list, count,
+        list, d->servers->len,
         hash_number(s->job.arrived_us, hash_number(s->number, 1)));
+    g_free(list);
     return picked == kEvacuationNoServer
                ? NULL
                : g_ptr_array_index(d->servers, (guint)picked);
--- a/src/sapphireweir/policy/crossing.c
+++ b/src/sapphireweir/policy/crossing.c
@@ -262,21 +262,17 @@
     }
 }
 
-/* Returns the index of the server for work that several servers may run, or
- * kPlacementNone, and sets why.  count is at most kPlacementMax. */
-int
-crossing_choose(Crossing *state, uint64_t now_us,
-                const PlacementCandidate *candidates, size_t count,
-                const CrossingWork *work, CrossingDecision *out)
+/* See crossing_choose; chosen is a copy of the candidates, which it changes,
+ * and costs_us has room for as many. */
+static int
+choose(Crossing *state, uint64_t now_us, const PlacementCandidate *candidates,
+       PlacementCandidate *chosen, uint64_t *costs_us, size_t count,
+       const CrossingWork *work, CrossingDecision *out)
 {
-    PlacementCandidate chosen[kPlacementMax];
-    uint64_t costs_us[kPlacementMax];
     Side home = {0};  /* servers of the own domain */
     Side here = {0};  /* and that with the team's connections */
     Side there = {0}; /* all others */
 
-    count = MIN(count, (size_t)kPlacementMax);
-    memcpy(chosen, candidates, count * sizeof(*chosen));
     int preferred = placement_preferred(chosen, count);
     if (preferred != kPlacementNone &&
         chosen[preferred].link_us <= kHandshakeUs) {
@@ -326,6 +322,24 @@
     return index;
 }
 
+/* Returns the index of the server for work that several servers may run, or
+ * kPlacementNone, and sets why. */
+int
+crossing_choose(Crossing *state, uint64_t now_us,
+                const PlacementCandidate *candidates, size_t count,
+                const CrossingWork *work, CrossingDecision *out)
+{
+    PlacementCandidate *chosen =
+        g_memdup2(candidates, count * sizeof(*candidates));
+    uint64_t *costs_us = g_new(uint64_t, count);
+    int index =
+        choose(state, now_us, candidates, chosen, costs_us, count, work, out);
+
+    g_free(costs_us);
+    g_free(chosen);
+    return index;
+}
+
 /* Returns the name of a reason as in log lines and metrics. */
 const char *
 crossing_reason_name(CrossingReason reason)
--- a/src/sapphireweir/policy/placement.c
+++ b/src/sapphireweir/policy/placement.c
@@ -117,8 +117,7 @@
     return preferred;
 }
 
-/* Sets the cost of each candidate, UINT64_MAX of one that is not usable.
- * count is at most kPlacementMax. */
+/* Sets the cost of each candidate, UINT64_MAX of one that is not usable. */
 void
 placement_costs(const PlacementCandidate *candidates, size_t count,
                 uint64_t *costs_us)
@@ -147,13 +146,13 @@
 placement_choose_spread(const PlacementCandidate *candidates, size_t count,
                         uint32_t random)
 {
-    uint64_t costs_us[kPlacementMax];
-    int near[kPlacementMax];
+    uint64_t *costs_us = g_new(uint64_t, count);
+    int *near = g_new(int, count);
     uint32_t near_count = 0;
+    int chosen = kPlacementNone;
     uint64_t best_us = UINT64_MAX;
     uint64_t limit_us = 0;
 
-    count = MIN(count, (size_t)kPlacementMax);
     placement_costs(candidates, count, costs_us);
     for (size_t i = 0; i < count; i++) {
         if (candidates[i].usable && costs_us[i] < best_us) {
@@ -167,10 +166,12 @@
             near[near_count++] = (int)i;
         }
     }
-    if (near_count == 0) {
-        return kPlacementNone;
+    if (near_count > 0) {
+        int first = near[random % near_count];
+        int second = near[(random / near_count) % near_count];
+        chosen = costs_us[second] < costs_us[first] ? second : first;
     }
-    int first = near[random % near_count];
-    int second = near[(random / near_count) % near_count];
-    return costs_us[second] < costs_us[first] ? second : first;
+    g_free(near);
+    g_free(costs_us);
+    return chosen;
 }
--- a/src/sapphireweir/policy/placement.h
+++ b/src/sapphireweir/policy/placement.h
@@ -35,10 +35,7 @@
     uint64_t shed_milli_per_s;
 } PlacementCandidate;
 
-enum {
-    kPlacementNone = -1,
-    kPlacementMax = 64, /* candidates that are considered */
-};
+enum { kPlacementNone = -1 };
 
 uint64_t placement_cost_us(const PlacementCandidate *c);
 uint64_t placement_wait_us(const PlacementCandidate *c);
--- a/test/unit/test_session.c
+++ b/test/unit/test_session.c
@@ -281,10 +281,10 @@
     gateway_frame(g, now_us + kTickUs, "c0", &frame);
 }
 
-/* Returns an instance to which replaced servers were announced before the
- * one that is the primary. */
+/* Returns an instance to which other servers, which have left if gone is set,
+ * were announced before the one that is the primary. */
 static Gateway *
-gateway_after(FakeServer *f, uint32_t replaced)
+gateway_after(FakeServer *f, uint32_t others, gboolean gone)
 {
     GatewayPort port = {.ctx = f,
                         .caller_answer = caller_answer,
@@ -302,10 +302,12 @@
     char id[16];
 
     gateway_control_add(g, 0, "c0");
-    for (uint32_t i = 0; i < replaced; i++) {
+    for (uint32_t i = 0; i < others; i++) {
         g_snprintf(id, sizeof(id), "r%u", i);
         deliver_server(g, 0, id, FALSE);
-        deliver_server(g, 0, id, TRUE);
+        if (gone) {
+            deliver_server(g, 0, id, TRUE);
+        }
     }
     make_usable(g, 1000000);
     return g;
@@ -314,7 +316,7 @@
 static Gateway *
 gateway_of(FakeServer *f)
 {
-    return gateway_after(f, 0);
+    return gateway_after(f, 0, TRUE);
 }
 
 /* Sends a statement of a session and delivers what follows from it. */
@@ -513,7 +515,7 @@
 
     for (size_t i = 0; i < G_N_ELEMENTS(counts); i++) {
         FakeServer *f = g_new0(FakeServer, 1);
-        Gateway *g = gateway_after(f, counts[i]);
+        Gateway *g = gateway_after(f, counts[i], TRUE);
         uint64_t now_us = 1100000;
         AnswerCode code;
         Session *s = session_open(g, now_us, f, "host", "", &code);
@@ -580,6 +582,30 @@
     }
 }
 
+/* Only the first 32 servers of a database were considered: with a primary
+ * behind them its writes were refused. */
+static void
+a_primary_among_many_servers_is_found(void)
+{
+    static const uint32_t counts[] = {0, 31, 32, 63, 64, 200};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(counts); i++) {
+        FakeServer *f = g_new0(FakeServer, 1);
+        Gateway *g = gateway_after(f, counts[i], FALSE);
+        uint64_t now_us = 1100000;
+        AnswerCode code;
+        Session *s = session_open(g, now_us, f, "host", "", &code);
+
+        CU_ASSERT_PTR_NOT_NULL_FATAL(s);
+        say(f, s, now_us, kStatementWrite, "WRITE 1 x", "");
+        CU_ASSERT_EQUAL(f->answer.code, kCodeNone);
+        CU_ASSERT_EQUAL(f->committed, 1);
+        session_close(s, now_us);
+        gateway_free(g);
+        g_free(f);
+    }
+}
+
 /* A control instance that restarts sends the servers as its log has them,
  * which may be older than what the others have sent: a draining server, or
  * one that left, was used again. */
@@ -651,6 +677,8 @@
                 replaced_servers_are_forgotten);
     CU_add_test(s, "the directory forgets servers that left",
                 the_directory_forgets_servers_that_left);
+    CU_add_test(s, "a primary among many servers is found",
+                a_primary_among_many_servers_is_found);
     CU_add_test(s, "older records of a server are ignored",
                 older_records_of_a_server_are_ignored);
 }
