Count rate tokens that a full stock loses

A stock keeps tokens for 64 times of use. Further ones were dropped, which is safe but was not counted (now rate_tokens_lost_total). The stock now returns their number. Test: "tokens without room are reported" (suite rates); it does not compile on the code before.

--- a/src/sapphireweir/gateway/gateway.h
+++ b/src/sapphireweir/gateway/gateway.h
@@ -102,6 +102,7 @@
     uint64_t relays_kept_late;
     uint64_t tokens_delayed;  /* rate tokens that were valid later */
     uint64_t tokens_returned; /* unused, sent back to the leader */
+    uint64_t tokens_lost;     /* unused, with no room to keep them */
     uint64_t
         cold_waits; /* statements held in a transaction at a cold server */
     /* Connections to servers of evacuated domains that were closed at the end
--- a/src/sapphireweir/gateway/gateway_metrics.c
+++ b/src/sapphireweir/gateway/gateway_metrics.c
@@ -67,6 +67,7 @@
         {"given_back_total", n->relays_rejected},
         {"rate_tokens_delayed_total", n->tokens_delayed},
         {"rate_tokens_returned_total", n->tokens_returned},
+        {"rate_tokens_lost_total", n->tokens_lost},
         {"owner_kept_late_total", n->relays_kept_late},
         {"connections_opened_total", n->connections_opened},
         {"connections_ahead_total", n->connections_ahead},
--- a/src/sapphireweir/gateway/team_rates.c
+++ b/src/sapphireweir/gateway/team_rates.c
@@ -355,7 +355,8 @@
 
     if (r != NULL && s->job.token_us != 0 &&
         s->job.token_term == g->rates_term) {
-        rate_stock_give_back(&r->stock, s->job.token_us);
+        g->counters.tokens_lost +=
+            rate_stock_give_back(&r->stock, s->job.token_us);
     }
 }
 
@@ -442,16 +443,18 @@
 {
     uint32_t spare = MIN(m->spare, m->granted);
     uint32_t wanted = m->granted - spare;
+    uint64_t lost = 0;
 
     if (m->n_delays_us == 0) {
-        rate_stock_add(&r->stock, now_us, 0, m->taken_us, wanted);
+        lost += rate_stock_add(&r->stock, now_us, 0, m->taken_us, wanted);
     }
     for (size_t i = 0; i < m->n_delays_us && i < wanted; i++) {
-        rate_stock_add(&r->stock, now_us, m->delays_us[i],
-                       m->taken_us + m->delays_us[i], 1);
+        lost += rate_stock_add(&r->stock, now_us, m->delays_us[i],
+                               m->taken_us + m->delays_us[i], 1);
         g->counters.tokens_delayed += m->delays_us[i] > 0;
     }
-    rate_stock_add(&r->stock, now_us, 0, m->spare_taken_us, spare);
+    lost += rate_stock_add(&r->stock, now_us, 0, m->spare_taken_us, spare);
+    g->counters.tokens_lost += lost;
 }
 
 /* Handles the leader's answer to a token request: admits waiting sessions, and
--- a/src/sapphireweir/policy/rate_stock.c
+++ b/src/sapphireweir/policy/rate_stock.c
@@ -46,9 +46,9 @@
 }
 
 /* Adds tokens that may be used after a delay.  Those accounted for the same
- * time are usable together.  If there is no room, they are lost, which is
- * safe: they count as used. */
-void
+ * time are usable together.  Returns the tokens that are lost as there is no
+ * room, which is safe: they count as used. */
+uint32_t
 rate_stock_add(RateStock *s, uint64_t now_us, uint64_t delay_us,
                uint64_t taken_us, uint32_t count)
 {
@@ -60,11 +60,11 @@
             s->batches[i].expiry_us > now_us) {
             s->batches[i].count += count;
             s->total += count;
-            return;
+            return 0;
         }
     }
     if (count == 0 || s->batch_count == kRateStockBatches) {
-        return;
+        return count;
     }
     while (at > 0 && s->batches[at - 1].ready_us > ready_us) {
         at--;
@@ -75,22 +75,25 @@
         (RateBatch){ready_us, ready_us + kRateTokenKeptUs, taken_us, count};
     s->batch_count++;
     s->total += count;
+    return 0;
 }
 
 /* Adds the token of an operation that did not run, only to be returned to the
  * leader: another operation would run too long after the time for which the
- * token is accounted. */
-void
+ * token is accounted.  Returns the tokens that are lost; see
+ * rate_stock_add. */
+uint32_t
 rate_stock_give_back(RateStock *s, uint64_t taken_us)
 {
     if (s->batch_count == kRateStockBatches) {
-        return;
+        return 1;
     }
     memmove(&s->batches[1], &s->batches[0],
             s->batch_count * sizeof(s->batches[0]));
     s->batches[0] = (RateBatch){0, 0, taken_us, 1};
     s->batch_count++;
     s->total++;
+    return 0;
 }
 
 /* Takes a token that may be used now; sets the time for which the leader
--- a/src/sapphireweir/policy/rate_stock.h
+++ b/src/sapphireweir/policy/rate_stock.h
@@ -34,9 +34,9 @@
     uint32_t other[kRateUsageBins];   /* which the present leader lacks */
 } RateUsage;
 
-void rate_stock_add(RateStock *s, uint64_t now_us, uint64_t delay_us,
-                    uint64_t taken_us, uint32_t count);
-void rate_stock_give_back(RateStock *s, uint64_t taken_us);
+uint32_t rate_stock_add(RateStock *s, uint64_t now_us, uint64_t delay_us,
+                        uint64_t taken_us, uint32_t count);
+uint32_t rate_stock_give_back(RateStock *s, uint64_t taken_us);
 gboolean rate_stock_take(RateStock *s, uint64_t now_us, uint64_t *taken_us);
 uint64_t rate_stock_ready_us(const RateStock *s, uint32_t index);
 gboolean rate_stock_has_expired(const RateStock *s, uint64_t now_us);
--- a/test/unit/test_rates.c
+++ b/test/unit/test_rates.c
@@ -489,6 +489,21 @@
     CU_ASSERT_EQUAL(s.total, 0);
 }
 
+/* Guards against tokens that are dropped unnoticed when a stock is full. */
+static void
+tokens_without_room_are_reported(void)
+{
+    RateStock s = {0};
+    uint32_t lost = 0;
+
+    for (uint32_t i = 0; i < kRateStockBatches + 3; i++) {
+        lost += rate_stock_add(&s, 5000, i, i + 1, 2);
+    }
+    CU_ASSERT_EQUAL(lost, 6);
+    CU_ASSERT_EQUAL(rate_stock_give_back(&s, 9), 1);
+    CU_ASSERT_EQUAL(s.total, 2 * kRateStockBatches);
+}
+
 /* The control leader is killed while a team is at its limit.  Guards against a
  * new leader that does not know when the former one's tokens were used: up to
  * 660 operations in a window of 600.  What exceeds the limit now are the
@@ -538,6 +553,8 @@
                 returned_tokens_are_credited_once);
     CU_add_test(s, "old tokens are returned and not used",
                 old_tokens_are_returned_and_not_used);
+    CU_add_test(s, "tokens without room are reported",
+                tokens_without_room_are_reported);
     CU_add_test(s, "a limit is kept when the leader is killed",
                 a_limit_is_kept_when_the_leader_is_killed);
 }
