Request the shares of all teams that an instance pools

A request for shares names at most 64 teams, always the first of the table, so that the shares of the others were not pooled. The next request continues where the last one ended, as soon as that is answered. An offer that is not accepted as there are too many loans now counts as ignored.

Test: "shares of any number of teams are requested" (suite share pool); before, 64 of 68 and 64 of 270 teams were asked for.

--- a/src/sapphireweir/gateway/rate_pool.c
+++ b/src/sapphireweir/gateway/rate_pool.c
@@ -54,6 +54,7 @@
     uint64_t requested_us;
     uint64_t next_probe_us;
     uint64_t next_collect_us;
+    uint32_t collected; /* teams that the last requests for shares named */
 } Member;
 
 /* A team as this instance pools it or uses it. */
@@ -464,8 +465,9 @@
 }
 
 /* Requests the shares of all teams with demand that this instance pools from
- * one member; a request without teams only finds out whether the member can be
- * used. */
+ * one member.  Teams that do not fit into one request follow in the next, once
+ * this one is answered.  A request without teams only finds out whether the
+ * member can be used. */
 static void
 collect_from(RatePool *p, uint64_t now_us, Member *m, gboolean usable)
 {
@@ -474,6 +476,7 @@
     Sw__RateShareAsk *list[kAskedTeamsMax];
     GHashTableIter it;
     void *value;
+    uint32_t pooled = 0;
 
     g_hash_table_iter_init(&it, p->teams);
     while (usable && request.n_asks < kAskedTeamsMax &&
@@ -481,7 +484,7 @@
         PoolTeam *t = value;
         if (t->demand_us == 0 || now_us - t->demand_us > kDemandKeptUs ||
             t->begun != p->counters.begun ||
-            pooling_member(p, now_us, t) != NULL) {
+            pooling_member(p, now_us, t) != NULL || pooled++ < m->collected) {
             continue;
         }
         Sw__RateShareAsk *ask = &asks[request.n_asks];
@@ -491,15 +494,23 @@
         list[request.n_asks++] = ask;
     }
     request.asks = list;
+    if (request.n_asks == 0 && m->collected > 0) {
+        m->collected = 0;
+        m->next_collect_us = now_us + kCollectEveryUs;
+        return;
+    }
     if (request.n_asks == 0) {
         if (now_us < m->next_probe_us || p->probes >= kProbesPerTick) {
             return;
         }
         p->probes++;
     }
-    if (send_request(p, now_us, m, &request)) {
-        m->next_collect_us = now_us + kCollectEveryUs;
+    if (!send_request(p, now_us, m, &request)) {
+        return;
     }
+    gboolean more = request.n_asks == kAskedTeamsMax;
+    m->collected = more ? m->collected + kAskedTeamsMax : 0;
+    m->next_collect_us = more ? now_us : now_us + kCollectEveryUs;
 }
 
 /* ---- messages of other instances ---- */
@@ -654,9 +665,10 @@
         p->counters.ignored++;
         return;
     }
-    if (o->rate_micro > 0) {
-        share_pool_accept(&t->pool, now_us, from->hash, &offer,
-                          from->requested_us);
+    if (o->rate_micro > 0 &&
+        !share_pool_accept(&t->pool, now_us, from->hash, &offer,
+                           from->requested_us)) {
+        p->counters.ignored++;
     }
     if (o->tokens > 0) {
         share_pool_receive(&t->pool, now_us, o->tokens, from->requested_us);
@@ -788,6 +800,7 @@
         Member *m = value;
         if (collect_new) {
             m->next_collect_us = now_us;
+            m->collected = 0;
         }
         member_tick(p, now_us, m);
     }
--- a/test/unit/test_share_pool.c
+++ b/test/unit/test_share_pool.c
@@ -761,6 +761,85 @@
     }
 }
 
+/* The requests for shares that a pool has sent to its only other member. */
+typedef struct {
+    GHashTable *teams;   /* names that were asked for, owned */
+    uint64_t request_id; /* of the open request, zero: none */
+} Asked;
+
+static void
+record_asks(void *ctx, const char *to, const Sw__Frame *frame)
+{
+    Asked *a = ctx;
+    const Sw__RateShareRequest *m = frame->rate_share_request;
+
+    (void)to;
+    a->request_id = frame->request_id;
+    for (size_t i = 0; i < m->n_asks; i++) {
+        if (m->asks[i]->lend) {
+            g_hash_table_add(a->teams, g_strdup(m->asks[i]->team));
+        }
+    }
+}
+
+/* A request names at most 64 teams.  The shares of those beyond were never
+ * requested, always the same ones. */
+static void
+shares_of_any_number_of_teams_are_requested(void)
+{
+    static const uint32_t counts[] = {1, 60, 128, 500};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(counts); i++) {
+        Asked asked = {.teams = g_hash_table_new_full(g_str_hash, g_str_equal,
+                                                      g_free, NULL)};
+        GatewayPort port = {
+            .ctx = &asked, .peer_send = record_asks, .peer_ready = port_ready};
+        RatePool *p = rate_pool_new("e0", 1, &port, NULL);
+        EntryList *list = entry_list_new();
+        Sw__RateShareReply reply = SW__RATE_SHARE_REPLY__INIT;
+        uint32_t pooled = 0;
+
+        reply.without_leader = TRUE;
+        entry_list_add(list, "e0", "a");
+        entry_list_add(list, "e1", "a");
+        rate_pool_tick(p, kUsPerS, 0);
+        rate_pool_set_entries(p, list);
+        for (uint64_t now_us = kStartUs; now_us < kStartUs + 6 * kUsPerS;
+             now_us += kTickUs) {
+            rate_pool_tick(p, now_us, kStartUs);
+            for (uint32_t t = 0; t < counts[i]; t++) {
+                char name[16];
+                DocumentTeam team = {.name = name,
+                                     .rate_milli_per_s = kRate * 1000,
+                                     .burst_milli = kRate * 1000};
+                uint64_t wait_us;
+                g_snprintf(name, sizeof(name), "t%u", t);
+                rate_pool_take(p, now_us, &team, 1, &wait_us);
+            }
+            if (asked.request_id != 0) {
+                uint64_t id = asked.request_id;
+                asked.request_id = 0;
+                rate_pool_reply(p, now_us + kUsPerMs, "e1", id, &reply);
+            }
+        }
+        for (uint32_t t = 0; t < counts[i]; t++) {
+            char name[16];
+            g_snprintf(name, sizeof(name), "t%u", t);
+            uint64_t hash = hash_text(name, 0);
+            pooled += share_pool_score(hash, hash_text("e0", 0)) >
+                      share_pool_score(hash, hash_text("e1", 0));
+        }
+        if (g_hash_table_size(asked.teams) != pooled) {
+            g_print("\n%u teams: %u of %u requested\n", counts[i],
+                    g_hash_table_size(asked.teams), pooled);
+        }
+        CU_ASSERT_EQUAL(g_hash_table_size(asked.teams), pooled);
+        entry_list_free(list);
+        rate_pool_free(p);
+        g_hash_table_destroy(asked.teams);
+    }
+}
+
 /* Guards against a report that leaves out an instance that got something of a
  * share, or that has less than the shares which its tokens came from. */
 static void
@@ -836,6 +915,8 @@
                 given_shares_count_until_their_last_use);
     CU_add_test(s, "takers of a share are reported",
                 takers_of_a_share_are_reported);
+    CU_add_test(s, "shares of any number of teams are requested",
+                shares_of_any_number_of_teams_are_requested);
     CU_add_test(s, "tokens of others expire", tokens_of_others_expire);
     CU_add_test(s, "unexpected messages have no effect",
                 unexpected_messages_have_no_effect);
