Cut long texts of log lines instead of leaving them out

A text of more than about 100 bytes was left out of its line without a trace, as room for six bytes of each was required; long warnings became empty lines. A text now gets up to half of the room that is left, and is cut beyond that.

--- a/src/sapphireweir/core/event_log.c
+++ b/src/sapphireweir/core/event_log.c
@@ -9,6 +9,8 @@
 
 enum { kMicrosPerSecond = 1000000 };
 
+static const char kCutMark[] = "...";
+
 /* Name of each event, its maximum number of lines per second (budget), and
  * its sampling interval: one event in this many is written.  Served requests
  * are sampled.  With the budgets, all other events together take at most 2 %
@@ -103,15 +105,31 @@
     }
 }
 
-/* Appends text as a JSON string.  Escapes every byte outside printable
- * ASCII. */
+/* Returns the length of a byte in a JSON string. */
+static size_t
+escaped_bytes(guchar c)
+{
+    return c == '"' || c == '\\' ? 2 : c < ' ' || c >= 0x7f ? 6 : 1;
+}
+
+/* Appends text as a JSON string.  Escapes every byte outside printable ASCII.
+ * A text that takes more than max_bytes is cut, which three dots show. */
 static void
-put_quoted(EventLine *line, const char *text)
+put_quoted(EventLine *line, const char *text, size_t max_bytes)
 {
     char escaped[8];
+    size_t bytes = 0;
+    size_t kept = 0; /* bytes of text with room for the dots behind them */
 
+    for (const char *at = text; *at != '\0' && bytes <= max_bytes; at++) {
+        bytes += escaped_bytes((guchar)*at);
+        if (bytes + strlen(kCutMark) <= max_bytes) {
+            kept = (size_t)(at - text) + 1;
+        }
+    }
+    const char *end = bytes <= max_bytes ? NULL : text + kept;
     put(line, "\"", 1);
-    for (; *text != '\0'; text++) {
+    for (; *text != '\0' && text != end; text++) {
         guchar c = (guchar)*text;
         if (c == '"' || c == '\\') {
             escaped[0] = '\\';
@@ -126,6 +144,9 @@
             put(line, text, 1);
         }
     }
+    if (end != NULL) {
+        put(line, kCutMark, strlen(kCutMark));
+    }
     put(line, "\"", 1);
 }
 
@@ -146,7 +167,7 @@
         return;
     }
     put(line, "{\"event\":", strlen("{\"event\":"));
-    put_quoted(line, kEvents[kind].name);
+    put_quoted(line, kEvents[kind].name, kEventLineBytes);
     event_text(line, "program", log->program);
     event_text(line, "instance", log->instance);
     event_number(line, "time_us",
@@ -159,24 +180,26 @@
 put_name(EventLine *line, const char *name)
 {
     put(line, ",", 1);
-    put_quoted(line, name);
+    put_quoted(line, name, kEventLineBytes);
     put(line, ":", 1);
 }
 
-/* Adds a text field; NULL counts as an empty text.  Omits a field that may
- * not fit. */
+/* Adds a text field; NULL counts as an empty text.  The text gets at most half
+ * of the room that is left, so that later fields fit, and is cut if it is
+ * longer. */
 void
 event_text(EventLine *line, const char *name, const char *value)
 {
     const char *text = value == NULL ? "" : value;
-    /* In the worst case every byte becomes a \u escape. */
-    size_t worst = strlen(name) + 6 * strlen(text) + 6;
+    /* Quotes, colon, comma, and the end of the line. */
+    size_t taken = line->used + strlen(name) + 8;
 
-    if (line->log == NULL || line->used + worst + 2 > sizeof(line->text)) {
+    if (line->log == NULL ||
+        taken + 2 * strlen(kCutMark) > sizeof(line->text)) {
         return;
     }
     put_name(line, name);
-    put_quoted(line, text);
+    put_quoted(line, text, (sizeof(line->text) - taken) / 2);
 }
 
 /* Adds a numeric field.  Omits a field that does not fit. */
