Check the key again after the answer to BEGIN

The first statement of a transaction is sent to a server once its BEGIN was answered. If the key moved to another team or was withdrawn meanwhile, the statement still ran for the former team: it counts as sent since the BEGIN, so that the change of the configuration did not end it. The same held for a statement that is sent again as the server did not know its prepared statement.

--- a/src/sapphireweir/gateway/session_answer.c
+++ b/src/sapphireweir/gateway/session_answer.c
@@ -68,7 +68,9 @@
     if (s->begun) {
         if (a->state == kSessionInTransaction &&
             (a->code == kCodeNoStatement) && s->job.attempts++ == 0) {
-            slow_start_gate_run(c, s, now_us);
+            if (!session_check_key(s, now_us)) {
+                slow_start_gate_run(c, s, now_us);
+            }
             return;
         }
         session_finish(s, now_us, kCodeAborted, a->code_text);
@@ -221,7 +223,10 @@
     if (c->begin_open && a->code == kCodeNone) {
         c->begin_open = FALSE;
         s->begun = TRUE;
-        slow_start_gate_run(c, s, now_us);
+        /* The configuration may have changed since the BEGIN was sent. */
+        if (!session_check_key(s, now_us)) {
+            slow_start_gate_run(c, s, now_us);
+        }
         return;
     }
     if (a->code == kCodeNone) {
