Release a replaced primary after recording the new one

A grant with a new epoch released the work at the old primary first. Work that had not run was dispatched again at once, to the old primary, unless an earlier grant or the end of the lease had made that unusable. Commits there were answered as in doubt, so none was acknowledged wrongly.

--- a/src/sapphireweir/gateway/gateway_control.c
+++ b/src/sapphireweir/gateway/gateway_control.c
@@ -315,7 +315,6 @@
         return;
     }
     if (m->epoch > d->epoch) {
-        gateway_primary_release(d, now_us);
         freshness_clear(&d->freshness);
         d->acknowledged = (Position){0};
         g_free(d->primary);
@@ -325,6 +324,8 @@
         d->unusable_since_us = 0;
         clear_failures(g, m->primary);
         log_primary(d, now_us, kEventPrimary);
+        /* Last, since work that has not run is dispatched again. */
+        gateway_primary_release(d, now_us);
     }
     if (m->quiescing != d->quiescing) {
         d->quiescing = m->quiescing;
