Play random orders against a reference model

Sessions, connections (of the instance itself, lent by it or by another one), keys, changes of primary and stops are played in random orders at one entry instance, and promotions in the fleet simulation; a small model states which statement may run where, which commit is in whose log and which answer may be given. lone_gateway got hooks by which a test plays servers and peers.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 BUILD ?= build
 SEED ?= 1
 
-.PHONY: all deps build run test unit platform clients functional http-clients fault-soak \
+.PHONY: all deps build run test unit model platform clients functional http-clients fault-soak \
 	fault-soak-short lint format sanitize soak bench capacity fuzz mutants clean
 
 all: build
@@ -21,6 +21,12 @@
 unit: build
 	./$(BUILD)/test/unit_tests
 
+# Plays more random orders against the reference model than the unit tests do,
+# from a seed on; ORDERS=1 plays one again: make model SEED=1 ORDERS=1000000
+model: build
+	SAPPHIREWEIR_MODEL_SEED=$(SEED) SAPPHIREWEIR_MODEL_ORDERS=$(or $(ORDERS),1000000) \
+		./$(BUILD)/test/unit_tests model
+
 platform: build
 	./$(BUILD)/test/platform_tests
 
--- a/test/support/lone_gateway.c
+++ b/test/support/lone_gateway.c
@@ -60,13 +60,25 @@
     }
 }
 
+static void
+link_free(void *data)
+{
+    LoneLink *link = data;
+    g_free(link->team);
+    g_free(link->server);
+    g_free(link);
+}
+
 /* ---- port ---- */
 
 static void
 port_caller_answer(void *ctx, void *caller, const CallerAnswer *a)
 {
     LoneGateway *l = ctx;
-    (void)caller;
+    if (l->hooks != NULL) {
+        l->hooks->answer(l->ctx, caller, a);
+        return;
+    }
     l->answer = *a;
     g_free(l->detail);
     l->detail = g_strdup(a->detail);
@@ -76,9 +88,8 @@
 static gboolean
 port_caller_close(void *ctx, void *caller)
 {
-    (void)ctx;
-    (void)caller;
-    return FALSE;
+    LoneGateway *l = ctx;
+    return l->hooks != NULL && l->hooks->close(l->ctx, caller);
 }
 
 static void *
@@ -91,8 +102,8 @@
 
     (void)address;
     (void)database;
-    (void)team;
-    (void)server_id;
+    link->team = g_strdup(team);
+    link->server = g_strdup(server_id);
     link->events = events;
     link->owner = owner;
     g_ptr_array_add(l->links, link);
@@ -109,6 +120,10 @@
     for (size_t i = 0; i < count; i++) {
         CommandKind kind = commands[i].kind;
         g_array_append_val(l->sent_us, l->now_us);
+        if (l->hooks != NULL) {
+            l->hooks->command(l->ctx, link, &commands[i]);
+            continue;
+        }
         if (kind == kCommandBegin || kind == kCommandBeginRead) {
             link->in_transaction = TRUE;
         }
@@ -117,14 +132,17 @@
             link->in_transaction = FALSE;
         }
     }
-    link->unanswered += (uint32_t)count;
+    link->unanswered += l->hooks == NULL ? (uint32_t)count : 0;
 }
 
 static void
 port_server_close(void *ctx, void *link)
 {
-    (void)ctx;
+    LoneGateway *l = ctx;
     ((LoneLink *)link)->owner = NULL;
+    if (l->hooks != NULL) {
+        l->hooks->closed(l->ctx, link);
+    }
 }
 
 static void
@@ -132,7 +150,9 @@
 {
     LoneGateway *l = ctx;
 
-    (void)to;
+    if (l->hooks != NULL) {
+        l->hooks->frame(l->ctx, to, frame);
+    }
     switch (frame->body_case) {
     case SW__FRAME__BODY_ENTRY_REPORT:
         l->report = frame->entry_report->sequence;
@@ -164,9 +184,9 @@
 static gboolean
 port_peer_ready(void *ctx, const char *address)
 {
-    (void)ctx;
+    const LoneGateway *l = ctx;
     (void)address;
-    return TRUE;
+    return !l->peers_down;
 }
 
 /* ---- time ---- */
@@ -221,6 +241,9 @@
         uint64_t report = l->report;
         l->now_us += kUsPerMs;
         step_links(l);
+        if (l->hooks != NULL) {
+            l->hooks->step(l->ctx);
+        }
         if (l->token_request != 0) {
             answer_token_request(l);
         }
@@ -295,7 +318,7 @@
 
     primary.database = (char *)database;
     primary.primary = (char *)server;
-    primary.epoch = 1;
+    primary.epoch = l->epoch;
     primary.quiescing = quiescing;
     m.term = 1;
     m.revision = ++l->revision;
@@ -392,7 +415,8 @@
     l->now_us = 5000000;
     l->grants = entries != NULL;
     l->entries = entries;
-    l->links = g_ptr_array_new_with_free_func(g_free);
+    l->epoch = 1;
+    l->links = g_ptr_array_new_with_free_func(link_free);
     l->sent_us = g_array_new(FALSE, FALSE, sizeof(uint64_t));
     l->gateway = gateway_new(&own, &port);
     gateway_control_add(l->gateway, l->now_us, "c0");
--- a/test/support/lone_gateway.h
+++ b/test/support/lone_gateway.h
@@ -8,15 +8,30 @@
  * frame that the instance sends. */
 
 typedef struct LoneGateway LoneGateway;
+typedef struct LoneLink LoneLink;
 
-/* A connection to a backend server. */
+/* Replaces what the instance plays by default; ctx is LoneGateway.ctx. */
 typedef struct {
+    /* Takes a command, to be answered through LoneLink.events. */
+    void (*command)(void *ctx, LoneLink *link, const ServerCommand *c);
+    void (*closed)(void *ctx, LoneLink *link); /* by the gateway */
+    void (*frame)(void *ctx, const char *to, const Sw__Frame *frame);
+    void (*answer)(void *ctx, void *caller, const CallerAnswer *a);
+    gboolean (*close)(void *ctx, void *caller);
+    void (*step)(void *ctx); /* once a millisecond */
+} LoneHooks;
+
+/* A connection to a backend server. */
+struct LoneLink {
     const ServerEvents *events;
     void *owner; /* passed to events; NULL: closed */
     gboolean accepted;
     uint32_t unanswered; /* commands */
     gboolean in_transaction;
-} LoneLink;
+    char *team;
+    char *server;
+    void *model; /* of LoneHooks */
+};
 
 struct LoneGateway {
     Gateway *gateway;
@@ -37,6 +52,10 @@
     CallerAnswer answer;    /* to the last statement of a session */
     char *detail;           /* of that answer */
     uint32_t answers;       /* to statements of sessions */
+    uint64_t epoch;         /* of the primary that is granted */
+    gboolean peers_down;    /* no link to another entry instance */
+    const LoneHooks *hooks; /* NULL: none */
+    void *ctx;              /* of the hooks */
 };
 
 LoneGateway *lone_gateway_new(const GatewayConfig *config,
