--- a/src/sapphireweir/gateway/rate_pool.c
+++ b/src/sapphireweir/gateway/rate_pool.c
@@ -665,9 +665,8 @@
         p->counters.ignored++;
         return;
     }
-    if (o->rate_micro > 0 &&
-        !share_pool_accept(&t->pool, now_us, from->hash, &offer,
-                           from->requested_us)) {
+    if (o->rate_micro > 0 && !share_pool_accept(&t->pool, now_us, from->hash,
+                                                &offer, from->requested_us)) {
         p->counters.ignored++;
     }
     if (o->tokens > 0) {
