--- a/src/sapphireweir/gateway/gateway.h
+++ b/src/sapphireweir/gateway/gateway.h
@@ -92,6 +92,8 @@
     uint64_t documents_applied;
     uint64_t documents_unusable;
     uint64_t documents_repeated;
+    /* Directory records of a server older than what was known, ignored. */
+    uint64_t server_records_older;
     uint64_t relayed; /* statements sent to the owner of a server */
     /* Statements of borrowers that this owner rejected before they ran. */
     uint64_t relays_rejected;
@@ -100,6 +102,7 @@
     uint64_t relays_kept_late;
     uint64_t tokens_delayed;  /* rate tokens that were valid later */
     uint64_t tokens_returned; /* unused, sent back to the leader */
+    uint64_t tokens_lost;     /* unused, with no room to keep them */
     uint64_t
         cold_waits; /* statements held in a transaction at a cold server */
     /* Connections to servers of evacuated domains that were closed at the end
