Count bytes and work between failure domains in the product's own programs

Cause: sapphireweir-entry and sapphireweir-control did not tell the links their failure domain and did not write the counters of the links, so that only the platform programs showed what crosses between domains and why.

Change: both programs state their domain in the hello and write cross_domain_sent_bytes_total and cross_domain_received_bytes_total (and the peer counters by kind) on their metrics addresses. WorkRequest and WorkReply state whether the sender chose a member elsewhere although a primary at home could serve the read; their bytes count as placement then, else as owner. Lease requests and replies count as report, state updates as document. sapphireweir-entry counts the work that it sends to members of other domains as crossed_total by reason.

Result: unit tests, suites ownership (4 tests) and document transfer (8) pass; the new cases do not build without the change. Without `chosen`, a frame has the same size as before.

--- a/src/sapphireweir/control/main.c
+++ b/src/sapphireweir/control/main.c
@@ -176,6 +176,7 @@
             control_core_commit_index(c->core));
         http_write_metrics(c->http, text);
         peer_limits_write(c->peer, text);
+        peer_traffic_write(c->peer, text);
         respond_text(c, r->id, 200, text->str);
         g_string_free(text, TRUE);
         return;
@@ -293,6 +294,7 @@
         return FALSE;
     }
     peer_set_limits(c->peer, s->peer_memory_bytes, s->max_peer_handshakes);
+    peer_set_failure_domain(c->peer, s->failure_domain);
     if (!start_core(c, bootstrap, error)) {
         return FALSE;
     }
--- a/src/sapphireweir/core/call_defs.h
+++ b/src/sapphireweir/core/call_defs.h
@@ -56,6 +56,7 @@
     gboolean on_primary;       /* member is the primary */
     gboolean kept_by_price;    /* on the primary, as a replica is elsewhere */
     gboolean replica_eligible; /* a replica was allowed to serve the read */
+    CrossingReason crossing;   /* see RouteChoice */
     MetricId primary_reason;   /* counter of reads that a primary serves for
                                 * the same reason */
     uint64_t frame_id;         /* of the current attempt */
--- a/src/sapphireweir/core/caller.c
+++ b/src/sapphireweir/core/caller.c
@@ -257,6 +257,7 @@
     r->repeatable = c->repeatable;
     r->open_route = c->open_route;
     r->database_term = c->write ? d->term : 0;
+    r->chosen = c->crossing == kCrossingWait;
 }
 
 /* Puts a call into state kCallWorking for an attempt that is sent to an
@@ -379,6 +380,7 @@
     RouteChoice choice = router_choose(e, now_us, d, c->service, c->write,
                                        c->max_staleness_us, c->tried_members);
     c->replica_eligible = choice.eligible;
+    c->crossing = choice.crossing;
     c->kept_by_price =
         choice.member >= 0 && choice.reason == kMetricPrimaryPrice;
     if (choice.evacuated && choice.member < 0) {
@@ -399,6 +401,7 @@
     for (uint32_t i = 0; i < count; i++) {
         uint32_t rank = (c->owner_rank + i) % count;
         if (call_send(e, now_us, c, d, owners[rank]->id)) {
+            router_count_crossed(e, d, choice.member, choice.crossing);
             return;
         }
     }
--- a/src/sapphireweir/core/entry_core.c
+++ b/src/sapphireweir/core/entry_core.c
@@ -154,6 +154,13 @@
 {
     GString *text = g_string_new(NULL);
     metrics_write_text(&e->metrics, text);
+    for (uint32_t i = kCrossingWait; i < kCrossingReasons; i++) {
+        g_string_append_printf(
+            text,
+            "sapphireweir_crossed_total{reason=\"%s\"} %" G_GUINT64_FORMAT
+            "\n",
+            crossing_reason_name((CrossingReason)i), e->crossed[i]);
+    }
     g_string_append_printf(text,
                            "# TYPE sapphireweir_lease_valid gauge\n"
                            "sapphireweir_lease_valid %d\n"
--- a/src/sapphireweir/core/entry_defs.h
+++ b/src/sapphireweir/core/entry_defs.h
@@ -6,6 +6,7 @@
 #include "core/fair_queue.h"
 #include "core/session_token.h"
 #include "core/token_bucket.h"
+#include "policy/crossing.h"
 #include "policy/domain_access.h"
 
 /* Internal to the entry core; shared by its modules. */
@@ -51,6 +52,7 @@
     uint64_t evacuation_logged_us; /* last log line of rejected work */
     uint64_t last_connection_id;
     uint64_t last_frame_id;
+    uint64_t crossed[kCrossingReasons]; /* work to other failure domains */
     uint64_t retry_budget_milli; /* retries left, in thousandths of one */
     gboolean draining;
     /* Version of the instance view and index of the state for which the owned
@@ -127,11 +129,15 @@
                          * domain is evacuated */
     MetricId reason;    /* counter of reads that the primary serves for the
                          * same reason; unused if a replica was chosen */
+    CrossingReason crossing; /* why the work leaves the failure domain, if
+                              * the member is in another one */
 } RouteChoice;
 
 RouteChoice router_choose(EntryCore *e, uint64_t now_us, const DatabaseInfo *d,
                           const char *service, gboolean write,
                           uint64_t max_staleness_us, uint32_t tried_members);
+void router_count_crossed(EntryCore *e, const DatabaseInfo *d, int32_t member,
+                          CrossingReason reason);
 void router_observe_bytes(EntryCore *e, const char *service, uint64_t bytes);
 DomainAccess router_domain_access(const DatabaseInfo *d, int32_t member,
                                   uint64_t now_us);
--- a/src/sapphireweir/core/job.c
+++ b/src/sapphireweir/core/job.c
@@ -93,6 +93,7 @@
     reply.status = status;
     reply.reason = (char *)reason;
     reply.detail = (char *)detail;
+    reply.chosen = j->request->chosen;
     if (status == SW__WORK_STATUS__WORK_DONE) {
         rows = json_dumps(j->recorded_results != NULL ? j->recorded_results
                                                       : j->results,
--- a/src/sapphireweir/core/pool.c
+++ b/src/sapphireweir/core/pool.c
@@ -367,12 +367,13 @@
 /* Sends the reply that a work request did not run. */
 static void
 refuse(EntryCore *e, uint64_t now_us, const char *origin, uint64_t frame_id,
-       const char *reason, const char *detail)
+       const Sw__WorkRequest *r, const char *reason, const char *detail)
 {
     Sw__WorkReply reply = SW__WORK_REPLY__INIT;
     reply.status = SW__WORK_STATUS__WORK_NOT_RUN;
     reply.reason = (char *)reason;
     reply.detail = (char *)detail;
+    reply.chosen = r->chosen;
     entry_work_reply(e, now_us, origin, frame_id, &reply);
 }
 
@@ -512,7 +513,7 @@
     }
     const char *unfit = unfit_reason(p, now_us, r);
     if (unfit != NULL) {
-        refuse(e, now_us, origin, frame_id, unfit,
+        refuse(e, now_us, origin, frame_id, r, unfit,
                "this member cannot serve it now");
         return;
     }
@@ -520,7 +521,7 @@
     uint32_t weight = t == NULL ? 1 : t->parameters.weight;
     if (!deadline_can_be_met(p, r, weight)) {
         metrics_count(&e->metrics, kMetricRefusedQueue);
-        refuse(e, now_us, origin, frame_id, "overload",
+        refuse(e, now_us, origin, frame_id, r, "overload",
                "the deadline cannot be met");
         return;
     }
--- a/src/sapphireweir/core/router.c
+++ b/src/sapphireweir/core/router.c
@@ -63,6 +63,14 @@
            (tried_members & (1u << i)) == 0;
 }
 
+/* Returns whether a member is in another failure domain than this instance. */
+static gboolean
+is_foreign(const EntryCore *e, const DatabaseInfo *d, int32_t member)
+{
+    return strcmp(d->members[member].failure_domain,
+                  e->config.failure_domain) != 0;
+}
+
 /* Returns a usable replica of this instance's failure domain, or a random one
  * if there is none in it, or -1 if there is none at all.  Excludes avoided
  * replicas and those in tried_members. */
@@ -79,8 +87,7 @@
         if (avoided || !replica_may_serve(d, i, tried_members)) {
             continue;
         }
-        if (strcmp(d->members[i].failure_domain, e->config.failure_domain) ==
-            0) {
+        if (!is_foreign(e, d, (int32_t)i)) {
             return (int32_t)i;
         }
         others[count++] = (int32_t)i;
@@ -107,7 +114,7 @@
 choose_primary(const DatabaseInfo *d, uint64_t now_us)
 {
     RouteChoice choice = {stable_primary(d), FALSE, FALSE,
-                          kMetricPrimaryStrict};
+                          kMetricPrimaryStrict, kCrossingOnlyServer};
 
     if (choice.member >= 0) {
         DomainAccess access = router_domain_access(d, choice.member, now_us);
@@ -135,18 +142,14 @@
 /* Returns whether the price of the bytes keeps a read at the primary of the
  * own failure domain, although a replica in another one may serve it. */
 static gboolean
-price_keeps_home(const EntryCore *e, const DatabaseInfo *d, int32_t primary,
-                 int32_t replica, const char *service)
+price_keeps_home(const EntryCore *e, const char *service)
 {
-    const char *own = e->config.failure_domain;
     PlacementCandidate home = {
         .matching_connection = TRUE, .primary = TRUE, .same_domain = TRUE};
     PlacementCandidate away = {.matching_connection = TRUE,
                                .link_us = kLinkTimeDefaultUs};
 
-    if (e->config.cross_domain_us_per_kb == 0 ||
-        strcmp(d->members[primary].failure_domain, own) != 0 ||
-        strcmp(d->members[replica].failure_domain, own) == 0) {
+    if (e->config.cross_domain_us_per_kb == 0) {
         return FALSE;
     }
     const uint64_t *bytes = g_hash_table_lookup(e->service_bytes, service);
@@ -173,21 +176,37 @@
         return choice;
     }
     choice.eligible = TRUE;
+    choice.crossing = kCrossingNoServer;
     int32_t replica = choose_replica(e, now_us, d, tried_members);
-    if (replica >= 0 && choice.member >= 0 &&
-        (tried_members & (1u << choice.member)) == 0 &&
-        price_keeps_home(e, d, choice.member, replica, service)) {
-        choice.reason = kMetricPrimaryPrice;
+    if (replica < 0) {
+        choice.reason = kMetricPrimaryNoReplica;
         return choice;
     }
-    if (replica >= 0) {
-        choice.member = replica;
+    gboolean leaves_home =
+        choice.member >= 0 && (tried_members & (1u << choice.member)) == 0 &&
+        !is_foreign(e, d, choice.member) && is_foreign(e, d, replica);
+    if (leaves_home && price_keeps_home(e, service)) {
+        choice.reason = kMetricPrimaryPrice;
         return choice;
     }
-    choice.reason = kMetricPrimaryNoReplica;
+    choice.member = replica;
+    if (leaves_home) {
+        choice.crossing = kCrossingWait;
+    }
     return choice;
 }
 
+/* Counts work that is sent to a member, if that is in another failure
+ * domain. */
+void
+router_count_crossed(EntryCore *e, const DatabaseInfo *d, int32_t member,
+                     CrossingReason reason)
+{
+    if (is_foreign(e, d, member)) {
+        e->crossed[reason]++;
+    }
+}
+
 /* Owner and successors of one member's pool, as of a version of the instance
  * view. */
 typedef struct {
--- a/src/sapphireweir/core/traffic.c
+++ b/src/sapphireweir/core/traffic.c
@@ -72,16 +72,21 @@
     case SW__FRAME__BODY_RELAY_PING:
         return frame->relay_ping->load != NULL ? kTrafficPlacement
                                                : kTrafficOwner;
-    case SW__FRAME__BODY_RELAY_END:
     case SW__FRAME__BODY_WORK_REQUEST:
+        return frame->work_request->chosen ? kTrafficPlacement : kTrafficOwner;
     case SW__FRAME__BODY_WORK_REPLY:
+        return frame->work_reply->chosen ? kTrafficPlacement : kTrafficOwner;
+    case SW__FRAME__BODY_RELAY_END:
     case SW__FRAME__BODY_CANCEL_WORK:
         return kTrafficOwner;
     case SW__FRAME__BODY_ENTRY_REPORT:
     case SW__FRAME__BODY_ENTRY_GRANT:
+    case SW__FRAME__BODY_LEASE_REQUEST:
+    case SW__FRAME__BODY_LEASE_REPLY:
         return kTrafficReport;
     case SW__FRAME__BODY_DIRECTORY_UPDATE:
         return kTrafficDirectory;
+    case SW__FRAME__BODY_STATE_UPDATE:
     case SW__FRAME__BODY_DOCUMENT_UPDATE:
     case SW__FRAME__BODY_DOCUMENT_CHUNK:
     case SW__FRAME__BODY_DOCUMENT_RECEIPT:
--- a/src/sapphireweir/entry/main.c
+++ b/src/sapphireweir/entry/main.c
@@ -131,6 +131,7 @@
 
     http_write_metrics(e->http, text);
     peer_limits_write(e->peer, text);
+    peer_traffic_write(e->peer, text);
     whole.body = text->str;
     whole.body_bytes = text->len;
     http_respond(e->http, request_id, &whole);
@@ -359,6 +360,7 @@
         return FALSE;
     }
     peer_set_limits(e->peer, s->peer_memory_bytes, s->max_peer_handshakes);
+    peer_set_failure_domain(e->peer, s->failure_domain);
     if (!create_core(e, incarnation, error)) {
         return FALSE;
     }
--- a/src/sapphireweir/proto/sapphireweir.pb-c.c
+++ b/src/sapphireweir/proto/sapphireweir.pb-c.c
@@ -4372,7 +4372,7 @@
   (ProtobufCMessageInit) sw__statement__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sw__work_request__field_descriptors[17] =
+static const ProtobufCFieldDescriptor sw__work_request__field_descriptors[18] =
 {
   {
     "kind",
@@ -4578,9 +4578,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "chosen",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Sw__WorkRequest, chosen),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sw__work_request__field_indices_by_name[] = {
   8,   /* field[8] = args_hash */
+  17,   /* field[17] = chosen */
   1,   /* field[1] = database */
   16,   /* field[16] = database_term */
   12,   /* field[12] = deadline_us */
@@ -4601,7 +4614,7 @@
 static const ProtobufCIntRange sw__work_request__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 17 }
+  { 0, 18 }
 };
 const ProtobufCMessageDescriptor sw__work_request__descriptor =
 {
@@ -4611,14 +4624,14 @@
   "Sw__WorkRequest",
   "sw",
   sizeof(Sw__WorkRequest),
-  17,
+  18,
   sw__work_request__field_descriptors,
   sw__work_request__field_indices_by_name,
   1,  sw__work_request__number_ranges,
   (ProtobufCMessageInit) sw__work_request__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sw__work_reply__field_descriptors[9] =
+static const ProtobufCFieldDescriptor sw__work_reply__field_descriptors[10] =
 {
   {
     "status",
@@ -4728,8 +4741,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "chosen",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Sw__WorkReply, chosen),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sw__work_reply__field_indices_by_name[] = {
+  9,   /* field[9] = chosen */
   5,   /* field[5] = detail */
   3,   /* field[3] = position */
   4,   /* field[4] = reason */
@@ -4743,7 +4769,7 @@
 static const ProtobufCIntRange sw__work_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor sw__work_reply__descriptor =
 {
@@ -4753,7 +4779,7 @@
   "Sw__WorkReply",
   "sw",
   sizeof(Sw__WorkReply),
-  9,
+  10,
   sw__work_reply__field_descriptors,
   sw__work_reply__field_indices_by_name,
   1,  sw__work_reply__number_ranges,
--- a/src/sapphireweir/proto/sapphireweir.pb-c.h
+++ b/src/sapphireweir/proto/sapphireweir.pb-c.h
@@ -532,10 +532,14 @@
    * Term of the database in the sender's state; zero: not checked.
    */
   uint64_t database_term;
+  /*
+   * As in RelayRun.
+   */
+  protobuf_c_boolean chosen;
 };
 #define SW__WORK_REQUEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sw__work_request__descriptor) \
-    , SW__WORK_KIND__WORK_READ, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0,NULL, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , SW__WORK_KIND__WORK_READ, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0,NULL, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 struct  Sw__WorkReply
@@ -553,10 +557,14 @@
   char *transaction_id;
   protobuf_c_boolean replayed;
   uint64_t retry_after_us;
+  /*
+   * As in the WorkRequest.
+   */
+  protobuf_c_boolean chosen;
 };
 #define SW__WORK_REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sw__work_reply__descriptor) \
-    , SW__WORK_STATUS__WORK_DONE, {0,NULL}, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
+    , SW__WORK_STATUS__WORK_DONE, {0,NULL}, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 /*
--- a/test/unit/test_document_transfer.c
+++ b/test/unit/test_document_transfer.c
@@ -330,6 +330,10 @@
     Sw__RelayRun run = SW__RELAY_RUN__INIT;
     Sw__RelayRun chosen = SW__RELAY_RUN__INIT;
     Sw__RelayResult result = SW__RELAY_RESULT__INIT;
+    Sw__WorkRequest request = SW__WORK_REQUEST__INIT;
+    Sw__WorkRequest chosen_request = SW__WORK_REQUEST__INIT;
+    Sw__WorkReply reply = SW__WORK_REPLY__INIT;
+    Sw__WorkReply chosen_reply = SW__WORK_REPLY__INIT;
     const struct {
         Sw__Frame__BodyCase kind;
         void *message;
@@ -341,6 +345,18 @@
          "{kind=\"relay_run\",reason=\"placement\"} 100\n"},
         {SW__FRAME__BODY_RELAY_RESULT, &result,
          "{kind=\"relay_result\",reason=\"owner\"} 100\n"},
+        {SW__FRAME__BODY_WORK_REQUEST, &request,
+         "{kind=\"work_request\",reason=\"owner\"} 100\n"},
+        {SW__FRAME__BODY_WORK_REQUEST, &chosen_request,
+         "{kind=\"work_request\",reason=\"placement\"} 100\n"},
+        {SW__FRAME__BODY_WORK_REPLY, &reply,
+         "{kind=\"work_reply\",reason=\"owner\"} 100\n"},
+        {SW__FRAME__BODY_WORK_REPLY, &chosen_reply,
+         "{kind=\"work_reply\",reason=\"placement\"} 100\n"},
+        {SW__FRAME__BODY_LEASE_REQUEST, NULL,
+         "{kind=\"lease_request\",reason=\"report\"} 100\n"},
+        {SW__FRAME__BODY_STATE_UPDATE, NULL,
+         "{kind=\"state_update\",reason=\"document\"} 100\n"},
         {SW__FRAME__BODY_ENTRY_REPORT, NULL, "reason=\"report\"} 100\n"},
         {SW__FRAME__BODY_DIRECTORY_UPDATE, NULL,
          "reason=\"directory\"} 100\n"},
@@ -350,7 +366,7 @@
     DomainTraffic t = {0};
     GString *out = g_string_new(NULL);
 
-    chosen.chosen = TRUE;
+    chosen.chosen = chosen_request.chosen = chosen_reply.chosen = TRUE;
     for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
         Sw__Frame frame = SW__FRAME__INIT;
         frame.body_case = cases[i].kind;
--- a/test/unit/test_ownership.c
+++ b/test/unit/test_ownership.c
@@ -97,7 +97,8 @@
 }
 
 /* Guards against a price of the product's programs that has no effect, or that
- * keeps a read at a primary which has refused it. */
+ * keeps a read at a primary which has refused it, and against work that counts
+ * as a choice to leave the domain where there is none. */
 static void
 a_price_keeps_reads_at_a_primary_at_home(void)
 {
@@ -106,11 +107,19 @@
         uint64_t us_per_kb, bytes;
         uint32_t tried;
         int32_t member;
+        gboolean write;
+        CrossingReason crossing; /* kCrossingNotBetter: it stays at home */
     } cases[] = {
-        {"a", 0, 100000, 0, 1},     {"a", 1000, 1000, 0, 1},
-        {"a", 1000, 20000, 0, 0},   {"a", 1000, 20000, 1, 1},
-        {"b", 1000, 20000, 0, 1},   {"a", 20000, 0, 0, 0},
-        {"a", 1000000, 1000, 2, 0},
+        {"a", 0, 100000, 0, 1, FALSE, kCrossingWait},
+        {"a", 1000, 1000, 0, 1, FALSE, kCrossingWait},
+        {"a", 1000, 20000, 0, 0, FALSE, kCrossingNotBetter},
+        {"a", 1000, 20000, 1, 1, FALSE, kCrossingNoServer},
+        {"b", 1000, 20000, 0, 1, FALSE, kCrossingNoServer},
+        {"a", 20000, 0, 0, 0, FALSE, kCrossingNotBetter},
+        {"a", 1000000, 1000, 2, 0, FALSE, kCrossingNotBetter},
+        {"b", 0, 0, 2, 0, FALSE, kCrossingNoServer},
+        {"a", 0, 0, 0, 0, TRUE, kCrossingNotBetter},
+        {"b", 0, 0, 0, 0, TRUE, kCrossingOnlyServer},
     };
 
     for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
@@ -131,9 +140,14 @@
         if (cases[i].bytes != 0) {
             router_observe_bytes(&e, "service", cases[i].bytes);
         }
-        RouteChoice choice = router_choose(&e, 1, &d, "service", FALSE,
-                                           1000000, cases[i].tried);
+        RouteChoice choice = router_choose(
+            &e, 1, &d, "service", cases[i].write, 1000000, cases[i].tried);
         CU_ASSERT_EQUAL(choice.member, cases[i].member);
+        router_count_crossed(&e, &d, choice.member, choice.crossing);
+        for (uint32_t k = 0; k < kCrossingReasons; k++) {
+            CU_ASSERT_EQUAL(e.crossed[k],
+                            k != kCrossingNotBetter && k == cases[i].crossing);
+        }
         g_hash_table_destroy(e.avoided);
         g_hash_table_destroy(e.service_bytes);
     }
