Count slots that interactive transactions hold in the expected wait

Transactions may hold all slots of a primary between their statements, and the expected wait counted these slots as free: requests were queued and rejected only at their deadline.

The owner keeps the average time for which transactions hold a slot. An open one is expected to end after the rest of it, at the latest at its deadlines. New requests are rejected at once if the slots that become free in time cannot serve them, queued ones as soon as no slot is expected in time.

A transaction older than the average counts as about to end, so that an estimate does not reject work that a slot may still serve; such work can still wait to its deadline.

--- a/src/sapphireweir/core/job.c
+++ b/src/sapphireweir/core/job.c
@@ -339,6 +339,7 @@
         c->transaction = NULL;
         j->transaction = NULL;
         t->job = NULL;
+        slot_hold_record(&t->pool->hold, now_us - t->opened_us);
         pool_transaction_free(t);
     }
     pool_connection_release(c, now_us);
@@ -456,6 +457,7 @@
         t->key_id = g_strdup(j->request->key_id);
         t->connection = j->connection;
         t->idle_deadline_us = now_us + kTransactionIdleTimeoutUs;
+        t->opened_us = j->started_us;
         t->end_deadline_us = now_us + kMaxTransactionUs;
         j->connection->transaction = t;
         j->connection->job = NULL;
--- a/src/sapphireweir/core/pool.c
+++ b/src/sapphireweir/core/pool.c
@@ -198,6 +198,7 @@
     c->transaction = NULL;
     connection_remove(c);
     if (t != NULL) {
+        slot_hold_record(&t->pool->hold, now_us - t->opened_us);
         pool_transaction_free(t);
     }
     if (job != NULL) {
@@ -298,15 +299,15 @@
            catalog_key_valid(k, entry_wall_ms(e, now_us));
 }
 
-/* Returns whether a job would probably miss its deadline if started now.  For
- * fair_queue_find: item is a Job, ctx points to the current time in
- * microseconds. */
+/* Returns whether a job would probably miss its deadline.  For
+ * fair_queue_find: item is a Job, ctx points to the earliest time in
+ * microseconds at which it can start. */
 static gboolean
 job_is_late(const void *item, const void *ctx)
 {
     const Job *j = item;
-    const uint64_t *now_us = ctx;
-    return *now_us + j->pool->service_us >= j->deadline_us;
+    const uint64_t *start_us = ctx;
+    return *start_us + j->pool->service_us >= j->deadline_us;
 }
 
 /* Returns whether a job may start now; otherwise finishes it with a
@@ -441,15 +442,43 @@
     return NULL;
 }
 
+/* Returns after how long a slot is expected for a request, behind queued_us of
+ * work and beside the interactive transactions. */
+static uint64_t
+expected_wait_us(Pool *p, uint64_t now_us, uint32_t slots, uint64_t queued_us)
+{
+    GHashTableIter it;
+    void *value;
+
+    if (g_hash_table_size(p->transactions) == 0) {
+        return queued_us / MAX(slots, 1);
+    }
+    GArray *left_us = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    g_hash_table_iter_init(&it, p->transactions);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        const PoolTransaction *t = value;
+        uint64_t end_us = t->job == NULL
+                              ? MIN(t->idle_deadline_us, t->end_deadline_us)
+                              : t->end_deadline_us;
+        uint64_t each_us = slot_hold_left_us(&p->hold, now_us - t->opened_us,
+                                             MAX(end_us, now_us) - now_us);
+        g_array_append_val(left_us, each_us);
+    }
+    uint64_t wait_us = slot_wait_us(left_us, slots, queued_us);
+    g_array_unref(left_us);
+    return wait_us;
+}
+
 /* Returns whether a request can probably be completed before its deadline,
  * after the queued jobs that would be served before it. */
 static gboolean
-deadline_can_be_met(Pool *p, const Sw__WorkRequest *r, uint32_t weight)
+deadline_can_be_met(Pool *p, uint64_t now_us, const Sw__WorkRequest *r,
+                    uint32_t weight)
 {
     const DatabaseInfo *d = pool_database(p);
-    uint64_t wait_us =
-        fair_queue_wait_us(p->queue, r->team, weight, r->worth) /
-        MAX(d->slots, 1);
+    uint64_t wait_us = expected_wait_us(
+        p, now_us, d->slots,
+        fair_queue_wait_us(p->queue, r->team, weight, r->worth));
     return wait_us + p->service_us < r->deadline_us;
 }
 
@@ -518,7 +547,7 @@
     }
     const TeamInfo *t = catalog_team(e->catalog, r->team);
     uint32_t weight = t == NULL ? 1 : t->parameters.weight;
-    if (!deadline_can_be_met(p, r, weight)) {
+    if (!deadline_can_be_met(p, now_us, r, weight)) {
         metrics_count(&e->metrics, kMetricRefusedQueue);
         refuse(e, now_us, origin, frame_id, "overload",
                "the deadline cannot be met");
@@ -558,6 +587,7 @@
 pool_transaction_end(PoolTransaction *t, uint64_t now_us)
 {
     PoolConnection *c = t->connection;
+    slot_hold_record(&t->pool->hold, now_us - t->opened_us);
     pool_transaction_free(t);
     if (c != NULL) {
         c->transaction = NULL;
@@ -788,8 +818,15 @@
 static void
 queue_refuse_late(Pool *p, uint64_t now_us)
 {
+    const DatabaseInfo *d = pool_database(p);
+    uint64_t start_us = now_us;
     Job *late;
-    while ((late = fair_queue_find(p->queue, job_is_late, &now_us)) != NULL) {
+
+    if (fair_queue_length(p->queue) > 0 && d != NULL) {
+        start_us += expected_wait_us(p, now_us, d->slots, 0);
+    }
+    while ((late = fair_queue_find(p->queue, job_is_late, &start_us)) !=
+           NULL) {
         fair_queue_remove(p->queue, late);
         metrics_count(&p->core->metrics, kMetricRefusedQueue);
         job_finish(late, now_us, SW__WORK_STATUS__WORK_NOT_RUN, "deadline",
--- a/src/sapphireweir/core/pool_defs.h
+++ b/src/sapphireweir/core/pool_defs.h
@@ -2,6 +2,7 @@
 #define SAPPHIREWEIR_CORE_POOL_DEFS_H
 
 #include "core/entry_defs.h"
+#include "policy/slot_wait.h"
 
 /* Internal to the pool owner; shared by pool.c, job.c and monitor.c.  The pool
  * owner of a member (a backend server of a database group) is the entry
@@ -81,6 +82,7 @@
     char *key_id;
     PoolConnection *connection;
     Job *job;                  /* its running request, NULL between requests */
+    uint64_t opened_us;        /* when it took its slot */
     uint64_t idle_deadline_us; /* by which the next request must arrive */
     uint64_t end_deadline_us;  /* by which the transaction must end */
     gboolean wrote;            /* unused */
@@ -198,6 +200,7 @@
     GPtrArray *awaiting_majority; /* Job whose commit waits for a majority */
     uint32_t connecting_count;
     uint64_t service_us;        /* moving average of the jobs' service time */
+    SlotHold hold;              /* of interactive transactions */
     uint64_t last_work_us;      /* last work request; zero: none yet */
     uint64_t next_connect_us;   /* no connection attempt before */
     uint64_t suspect_before_us; /* idle connections opened earlier are
