--- a/src/sapphireweir/policy/slot_wait.c
+++ b/src/sapphireweir/policy/slot_wait.c
@@ -1,9 +1,9 @@
 #include "policy/slot_wait.h"
 
-/* The expected wait for a slot of a server while interactive transactions hold
- * slots between their statements.  The load: callers open a transaction, think,
- * and commit seconds later.  Counted as free, the held slots make a request
- * wait until its deadline that could have been rejected at once. */
+/* The expected wait for a slot of a server while interactive transactions
+ * hold slots between their statements.  The load: callers open a transaction,
+ * think, and commit seconds later.  Counted as free, the held slots make a
+ * request wait until its deadline that could have been rejected at once. */
 
 enum { kAverageOver = 8 }; /* the latest transaction has the weight 1/8 */
 
@@ -36,11 +36,11 @@
     return x < y ? -1 : x > y ? 1 : 0;
 }
 
-/* Returns after how long a slot is expected for a request, behind queued_us of
- * work.  held_left_us (uint64_t) has an element for each slot that is held: the
- * time until it is free; the other slots are free now.  A slot serves from when
- * it is free: with n slots free until then, the work ends at the time t for
- * which n * t less the sum of their times is queued_us. */
+/* Returns after how long a slot is expected for a request, behind queued_us
+ * of work.  held_left_us (uint64_t) has an element for each slot that is held:
+ * the time until it is free; the other slots are free now.  A slot serves from
+ * when it is free: with n slots free until then, the work ends at the time t
+ * for which n * t less the sum of their times is queued_us. */
 uint64_t
 slot_wait_us(const GArray *held_left_us, uint32_t slots, uint64_t queued_us)
 {
--- a/test/unit/test_planned_change.c
+++ b/test/unit/test_planned_change.c
@@ -193,9 +193,9 @@
     }
 }
 
-/* Guards against a second change, perhaps back to the evacuated domain, because
- * the replicas of a machine under load are slow to follow a new primary that
- * serves. */
+/* Guards against a second change, perhaps back to the evacuated domain,
+ * because the replicas of a machine under load are slow to follow a new
+ * primary that serves. */
 static void
 slow_replicas_cause_no_second_change(void)
 {
