Confirm the run of a server after a first connection

An answer through the owner within the last second counted as contact with the current run.

Only contact over own connections counts now. A first connection without it is limited until a control instance answers with a report of the same run that arrived after the connection was accepted (ServerQuery, ServerAnswer), or for 1.5 s.

A status request to the server was ruled out, since its reply does not name the run.

--- a/src/sapphireweir/core/traffic.c
+++ b/src/sapphireweir/core/traffic.c
@@ -81,6 +81,8 @@
     case SW__FRAME__BODY_ENTRY_GRANT:
         return kTrafficReport;
     case SW__FRAME__BODY_DIRECTORY_UPDATE:
+    case SW__FRAME__BODY_SERVER_QUERY:
+    case SW__FRAME__BODY_SERVER_ANSWER:
         return kTrafficDirectory;
     case SW__FRAME__BODY_DOCUMENT_UPDATE:
     case SW__FRAME__BODY_DOCUMENT_CHUNK:
--- a/src/sapphireweir/fleet/director.c
+++ b/src/sapphireweir/fleet/director.c
@@ -248,6 +248,7 @@
                                  &consensus_port);
     consensus_keep_odd_voters(d->consensus);
     directory_init(&d->directory);
+    queries_init(d);
     evacuations_init(&d->evacuations);
     d->orders = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     d->primaries = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
@@ -284,6 +285,7 @@
     g_hash_table_destroy(d->primaries);
     g_hash_table_destroy(d->orders);
     evacuations_clear(&d->evacuations);
+    g_hash_table_destroy(d->queries);
     directory_clear(&d->directory);
     consensus_free(d->consensus);
     g_clear_pointer(&d->document, g_bytes_unref);
@@ -412,6 +414,10 @@
     case SW__FRAME__BODY_DIRECTORY_UPDATE:
         servers_handle_update(d, now_us, frame->directory_update);
         break;
+    case SW__FRAME__BODY_SERVER_QUERY:
+        queries_handle(d, now_us, from, frame->request_id,
+                       frame->server_query);
+        break;
     case SW__FRAME__BODY_TOKEN_REQUEST:
         rates_handle_request(d, now_us, from, frame->request_id,
                              frame->token_request);
@@ -511,6 +517,7 @@
     requests_tick(d, now_us);
     entries_tick(d, now_us);
     servers_expire(d, now_us);
+    queries_tick(d, now_us);
     if (d->led_since_us != 0) {
         servers_tick(d, now_us);
         handover_tick(d, now_us);
--- a/src/sapphireweir/fleet/director_internal.h
+++ b/src/sapphireweir/fleet/director_internal.h
@@ -4,6 +4,7 @@
 #include "fleet/director.h"
 #include "fleet/document_transfer.h"
 #include "fleet/evacuations.h"
+#include "policy/slow_start.h"
 
 /* Types and functions that the director's source files share. */
 
@@ -100,6 +101,14 @@
     uint32_t count;
 } UsedTokens;
 
+/* A request of an entry instance for the next report of a server's run. */
+typedef struct {
+    char *entry;
+    uint64_t request_id;
+    SlowStartKnown asked;
+    uint64_t received_us;
+} ServerQuery;
+
 /* Counters of the rate limits at this instance. */
 typedef struct {
     uint64_t granted;
@@ -257,6 +266,12 @@
     uint64_t forwards_refused;   /* forwarded requests of an unknown verb */
     uint64_t replayed_index;     /* last log index at the start */
 
+    /* Server id -> GPtrArray of ServerQuery, owned. */
+    GHashTable *queries;
+    uint64_t next_query_expiry_us;
+    uint64_t queries_received;
+    uint64_t queries_answered;
+
     GHashTable *entries; /* id -> EntryState, owned */
     GHashTable *changes; /* database -> PrimaryChange, owned */
     GHashTable *peers;   /* addresses of control instances, owned */
@@ -308,6 +323,13 @@
 void servers_handle_update(Director *d, uint64_t now_us,
                            const Sw__DirectoryUpdate *m);
 
+/* director_queries.c */
+void queries_init(Director *d);
+void queries_handle(Director *d, uint64_t now_us, const char *from,
+                    uint64_t request_id, const Sw__ServerQuery *m);
+void queries_reported(Director *d, uint64_t now_us, const char *server);
+void queries_tick(Director *d, uint64_t now_us);
+
 /* director_documents.c */
 void documents_add_applied(Director *d, uint64_t now_us);
 void documents_clear(Director *d);
--- a/src/sapphireweir/fleet/director_servers.c
+++ b/src/sapphireweir/fleet/director_servers.c
@@ -48,6 +48,7 @@
         return;
     }
     broadcast_server(d, now_us, report->id);
+    queries_reported(d, now_us, report->id);
     if (d->directory.revision != old_revision) {
         entries_push_directory(d, now_us);
     }
@@ -77,7 +78,9 @@
     uint64_t old_revision = d->directory.revision;
 
     for (size_t i = 0; i < m->n_servers; i++) {
-        directory_apply_report(&d->directory, now_us, m->servers[i]);
+        if (directory_apply_report(&d->directory, now_us, m->servers[i])) {
+            queries_reported(d, now_us, m->servers[i]->id);
+        }
     }
     if (d->directory.revision != old_revision) {
         entries_push_directory(d, now_us);
--- a/src/sapphireweir/gateway/connection.c
+++ b/src/sapphireweir/gateway/connection.c
@@ -401,6 +401,7 @@
     }
     s->opening--;
     server_answered(s, now_us);
+    slow_start_gate_contact(s, now_us);
     s->avoid_until_us = 0;
     c->state = kConnectionIdle;
     c->state_since_us = now_us;
@@ -446,6 +447,9 @@
     Server *s = c->server;
 
     server_answered(s, now_us);
+    if (c->relay == 0) {
+        slow_start_gate_contact(s, now_us);
+    }
     c->server_state = a->state;
     if (!c->awaiting) {
         connection_down(c, now_us, kCodeOther);
--- a/src/sapphireweir/gateway/gateway.h
+++ b/src/sapphireweir/gateway/gateway.h
@@ -102,6 +102,10 @@
     uint64_t tokens_returned; /* unused, sent back to the leader */
     uint64_t
         cold_waits; /* statements held in a transaction at a cold server */
+    /* Requests for a report of a server to which a first connection was
+     * opened, and those that confirmed its run. */
+    uint64_t server_queries;
+    uint64_t runs_confirmed;
     /* Connections to servers of evacuated domains that were closed at the end
      * of the time for open work, with and without a session. */
     uint64_t evacuation_closed;
--- a/src/sapphireweir/gateway/gateway_control.c
+++ b/src/sapphireweir/gateway/gateway_control.c
@@ -91,6 +91,8 @@
     s->address = g_strdup(r->address);
     s->failure_domain = g_strdup(r->failure_domain);
     slow_start_gate_record(s, now_us, r, s->born_ms != r->born_ms);
+    s->sequence =
+        s->born_ms == r->born_ms ? MAX(s->sequence, r->sequence) : r->sequence;
     s->born_ms = r->born_ms;
     s->slots = r->slots;
     if (r->draining && !s->draining) {
@@ -120,6 +122,18 @@
     }
 }
 
+/* Handles the answer to a request for a server's report. */
+static void
+handle_server_answer(Gateway *g, uint64_t now_us, uint64_t query,
+                     const Sw__ServerAnswer *m)
+{
+    if (m->record == NULL) {
+        return;
+    }
+    server_update(g, now_us, m->record);
+    slow_start_gate_answered(g, query, m->record);
+}
+
 /* ---- configuration ---- */
 
 /* Returns the encoded document of an update, to be unreferenced by the caller.
@@ -493,6 +507,10 @@
     case SW__FRAME__BODY_DIRECTORY_UPDATE:
         handle_directory(g, now_us, c, frame->directory_update);
         break;
+    case SW__FRAME__BODY_SERVER_ANSWER:
+        handle_server_answer(g, now_us, frame->request_id,
+                             frame->server_answer);
+        break;
     case SW__FRAME__BODY_TOKEN_REPLY:
         team_rates_reply(g, now_us, frame->request_id, frame->token_reply);
         break;
--- a/src/sapphireweir/gateway/gateway_internal.h
+++ b/src/sapphireweir/gateway/gateway_internal.h
@@ -37,11 +37,13 @@
 /* Slow start of a backend server, see slow_start_gate.c. */
 typedef struct {
     SlowStartRun run;
+    SlowStartContact contact;
     SlowStartWindow owner;  /* requests on connections that are lent */
     SlowStartWindow direct; /* requests of own sessions */
     uint32_t lost_owner;    /* behind which a connection was closed */
     uint32_t lost_direct;
     uint64_t owner_since_us; /* zero: another instance is the owner */
+    uint64_t query;          /* open request for a report, zero: none */
     uint64_t cost_milli;     /* smoothed requests of a batch, thousandths */
     uint64_t now_us;         /* time of the last tick */
     gboolean cold;           /* as last logged */
@@ -59,8 +61,9 @@
     char *address;
     char *failure_domain;
     Database *database;
-    int64_t born_ms; /* start time of its run; a larger one is newer */
-    uint32_t slots;  /* statements that it runs at the same time */
+    int64_t born_ms;   /* start time of its run; a larger one is newer */
+    uint64_t sequence; /* of its newest report known here */
+    uint32_t slots;    /* statements that it runs at the same time */
     gboolean draining;
     uint64_t draining_us; /* when this instance learned of the drain */
     gboolean gone;
@@ -314,6 +317,7 @@
     GHashTable *owners;    /* id -> OwnerContact, owned */
     GHashTable *relays;    /* number -> borrowed Connection, not owned */
     uint64_t next_relay;
+    uint64_t last_query;     /* number of the last request for a report */
     GHashTable *pooled_jobs; /* key (see pooled_job_key) -> PooledJob, owned */
     GQueue sessions;
     GQueue active;           /* sessions with an open job */
--- a/src/sapphireweir/gateway/gateway_metrics.c
+++ b/src/sapphireweir/gateway/gateway_metrics.c
@@ -54,6 +54,8 @@
         {"refused_region_total", n->refusals[kRefusedRegion]},
         {"refused_cold_total", n->refusals[kRefusedCold]},
         {"cold_waits_total", n->cold_waits},
+        {"server_queries_total", n->server_queries},
+        {"server_runs_confirmed_total", n->runs_confirmed},
         {"servers_cold", slow_start_gate_cold_servers(g)},
         {"refused_evacuated_total", n->refusals[kRefusedEvacuated]},
         {"refused_level_total", n->refusals[kRefusedLevel]},
--- a/src/sapphireweir/gateway/serverpool.c
+++ b/src/sapphireweir/gateway/serverpool.c
@@ -197,6 +197,7 @@
 
     pool->open--;
     server_answered(pool->server, now_us);
+    slow_start_gate_contact(pool->server, now_us);
     pool->server->avoid_until_us = 0;
     c->state = kPooledIdle;
     c->state_since_us = now_us;
@@ -226,6 +227,7 @@
     PooledJob *j = c->job;
 
     server_answered(pool->server, now_us);
+    slow_start_gate_contact(pool->server, now_us);
     c->session_state = a->state;
     if (!c->awaiting || (j == NULL && c->state != kPooledRollingBack)) {
         pooled_close(c);
--- a/src/sapphireweir/gateway/slow_start_gate.c
+++ b/src/sapphireweir/gateway/slow_start_gate.c
@@ -65,7 +65,8 @@
     if (d == NULL) {
         return SLOW_START_UNLIMITED;
     }
-    if (slow_start_may_be_new(&s->slow_start.run, now_us, d->cold_start_us)) {
+    if (slow_start_may_be_new(&s->slow_start.run, &s->slow_start.contact,
+                              now_us, d->cold_start_us)) {
         return d->cold_milli_per_s;
     }
     return slow_start_allowed_milli(d->cold_milli_per_s, cold_until_us(s, d),
@@ -121,6 +122,7 @@
 
     if (new_run) {
         *run = (SlowStartRun){.seen_us = now_us};
+        s->slow_start.contact.unproven_us = 0;
     }
     if (r->cold_case != SW__SERVER_RECORD__COLD_COLD_LEFT_MS) {
         return;
@@ -144,8 +146,85 @@
 void
 slow_start_gate_opening(Server *s, uint64_t now_us, guint open)
 {
-    if (open == 0 && slow_start_contact_is_old(s->last_answer_us, now_us)) {
-        slow_start_gate_broken(s, now_us);
+    if (open == 0 && slow_start_opened(&s->slow_start.contact, now_us)) {
+        /* An earlier request proves nothing for this connection. */
+        s->slow_start.query = 0;
+    }
+}
+
+/* Returns the control instance that was in contact last, NULL if there is
+ * none. */
+static const ControlContact *
+control_to_ask(const Gateway *g)
+{
+    const ControlContact *best = NULL;
+    GHashTableIter it;
+    void *value;
+
+    g_hash_table_iter_init(&it, g->controls);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        const ControlContact *c = value;
+        if (best == NULL || c->last_seen_us > best->last_seen_us) {
+            best = c;
+        }
+    }
+    return best;
+}
+
+/* Requests the next report of the server's run. */
+static void
+ask_for_report(Server *s)
+{
+    Gateway *g = s->database->gateway;
+    const ControlContact *c = control_to_ask(g);
+    Sw__Frame frame = SW__FRAME__INIT;
+    Sw__ServerQuery m = SW__SERVER_QUERY__INIT;
+
+    if (c == NULL) {
+        return;
+    }
+    s->slow_start.contact.asked = TRUE;
+    s->slow_start.query = ++g->last_query;
+    g->counters.server_queries++;
+    m.server = s->id;
+    m.born_ms = s->born_ms;
+    m.sequence = s->sequence;
+    frame.request_id = s->slow_start.query;
+    frame.body_case = SW__FRAME__BODY_SERVER_QUERY;
+    frame.server_query = &m;
+    g->port.peer_send(g->port.ctx, c->address, &frame);
+}
+
+/* Records that the server accepted or answered on a connection that this
+ * instance opened. */
+void
+slow_start_gate_contact(Server *s, uint64_t now_us)
+{
+    const DocumentDatabase *d = limited_database(s);
+
+    if (slow_start_contact(&s->slow_start.contact, now_us) && d != NULL &&
+        d->cold_start_us != 0) {
+        ask_for_report(s);
+    }
+}
+
+/* Handles the answer to a request for a report; its record was applied.
+ * Answers to former requests, or of another run than the known one, are
+ * ignored.  A server's runs follow one another, so a report of the known run
+ * that was made after the connections were opened shows that they lead to
+ * it. */
+void
+slow_start_gate_answered(Gateway *g, uint64_t query, const Sw__ServerRecord *r)
+{
+    Server *s = g_hash_table_lookup(g->servers, r->id);
+
+    if (s == NULL || query == 0 || s->slow_start.query != query) {
+        return;
+    }
+    s->slow_start.query = 0;
+    if (r->born_ms == s->born_ms && !r->gone) {
+        g->counters.runs_confirmed++;
+        s->slow_start.contact.unproven_us = 0;
     }
 }
 
--- a/src/sapphireweir/gateway/slow_start_gate.h
+++ b/src/sapphireweir/gateway/slow_start_gate.h
@@ -12,6 +12,9 @@
                             const Sw__ServerRecord *r, gboolean new_run);
 void slow_start_gate_broken(Server *s, uint64_t now_us);
 void slow_start_gate_opening(Server *s, uint64_t now_us, guint open);
+void slow_start_gate_contact(Server *s, uint64_t now_us);
+void slow_start_gate_answered(Gateway *g, uint64_t query,
+                              const Sw__ServerRecord *r);
 void slow_start_gate_set_owner(Server *s, uint64_t now_us, gboolean is_owner);
 void slow_start_gate_tick(Gateway *g, uint64_t now_us);
 uint64_t slow_start_gate_cold_servers(const Gateway *g);
--- a/src/sapphireweir/policy/slow_start.c
+++ b/src/sapphireweir/policy/slow_start.c
@@ -62,22 +62,62 @@
     return until_us;
 }
 
+/* Tells whether an event was so recent that a run that began before it may not
+ * have reported yet; zero: there was none. */
+static gboolean
+is_unreported(uint64_t event_us, uint64_t now_us)
+{
+    return event_us != 0 && now_us - event_us < kMayBeNewUs;
+}
+
 /* Tells whether a server may have restarted without having reported yet, since
- * a connection to it broke lately. */
+ * a connection to it broke lately, or since the first one was opened and the
+ * run that it leads to is not confirmed. */
 gboolean
-slow_start_may_be_new(const SlowStartRun *run, uint64_t now_us,
-                      uint64_t cold_start_us)
+slow_start_may_be_new(const SlowStartRun *run, const SlowStartContact *contact,
+                      uint64_t now_us, uint64_t cold_start_us)
 {
-    return cold_start_us != 0 && run->broken_us != 0 &&
-           now_us - run->broken_us < kMayBeNewUs;
+    return cold_start_us != 0 && (is_unreported(run->broken_us, now_us) ||
+                                  is_unreported(contact->unproven_us, now_us));
 }
 
-/* Tells whether a server may have restarted unnoticed since its last answer,
- * when there is no open connection that would have broken. */
+/* Records that a connection is opened while there is no open one, which would
+ * have broken in a restart.  Only contact of this instance counts: another one
+ * that lends its connections may have got its last answer before a restart.
+ * Tells whether the run that it leads to must be confirmed, by a report that
+ * is requested only once the server has accepted the connection. */
 gboolean
-slow_start_contact_is_old(uint64_t last_answer_us, uint64_t now_us)
+slow_start_opened(SlowStartContact *contact, uint64_t now_us)
 {
-    return now_us - last_answer_us > kContactUs;
+    if (now_us - contact->answered_us <= kContactUs) {
+        return FALSE;
+    }
+    contact->unproven_us = now_us;
+    contact->asked = FALSE;
+    return TRUE;
+}
+
+/* Records that the server accepted or answered on a connection of this
+ * instance.  Tells whether a report must be requested to learn which run it
+ * is. */
+gboolean
+slow_start_contact(SlowStartContact *contact, uint64_t now_us)
+{
+    contact->answered_us = now_us;
+    return !contact->asked && is_unreported(contact->unproven_us, now_us);
+}
+
+/* Tells whether what a control instance knows of a server answers a request
+ * for a later report than the asked one: such a report, or one that the run is
+ * cold, gone or replaced.  A report of an earlier run does not, as the newer
+ * one may have been replaced as well. */
+gboolean
+slow_start_answers(const SlowStartKnown *known, const SlowStartKnown *asked)
+{
+    if (known->born_ms != asked->born_ms) {
+        return known->born_ms > asked->born_ms;
+    }
+    return known->gone || known->cold || known->sequence > asked->sequence;
 }
 
 /* Returns how many requests a server may get from all instances together, in
--- a/src/sapphireweir/policy/slow_start.h
+++ b/src/sapphireweir/policy/slow_start.h
@@ -24,6 +24,15 @@
     uint64_t restored_us; /* end of its domain's evacuation, zero: never */
 } SlowStartRun;
 
+/* Contact of this instance with a server over connections of its own. */
+typedef struct {
+    uint64_t answered_us; /* last answer, zero: never */
+    /* When a connection was opened that may lead to a run that has not been
+     * reported yet, zero: none. */
+    uint64_t unproven_us;
+    gboolean asked; /* a report was requested for that connection */
+} SlowStartContact;
+
 /* What an instance knows of who owns a server's connections. */
 typedef struct {
     uint64_t named_us;       /* when it was named the owner, zero: it is not */
@@ -31,6 +40,15 @@
     uint64_t lease_until_us; /* end of that lease */
 } SlowStartOwner;
 
+/* What is known of a server's run at a control instance, or by the entry
+ * instance that asks for a later report of it. */
+typedef struct {
+    int64_t born_ms;   /* identifies the run; a larger one is newer */
+    uint64_t sequence; /* of its newest report */
+    gboolean cold;     /* by that report */
+    gboolean gone;
+} SlowStartKnown;
+
 /* How many requests one sender may send. */
 typedef struct {
     gboolean limited;
@@ -54,9 +72,13 @@
 
 uint64_t slow_start_cold_until_us(const SlowStartRun *run,
                                   uint64_t cold_start_us);
-gboolean slow_start_may_be_new(const SlowStartRun *run, uint64_t now_us,
-                               uint64_t cold_start_us);
-gboolean slow_start_contact_is_old(uint64_t last_answer_us, uint64_t now_us);
+gboolean slow_start_may_be_new(const SlowStartRun *run,
+                               const SlowStartContact *contact,
+                               uint64_t now_us, uint64_t cold_start_us);
+gboolean slow_start_opened(SlowStartContact *contact, uint64_t now_us);
+gboolean slow_start_contact(SlowStartContact *contact, uint64_t now_us);
+gboolean slow_start_answers(const SlowStartKnown *known,
+                            const SlowStartKnown *asked);
 uint64_t slow_start_allowed_milli(uint64_t limit_milli, uint64_t cold_until_us,
                                   uint64_t now_us, uint64_t capacity_milli);
 uint32_t slow_start_weight_milli(uint64_t allowed_milli,
--- a/src/sapphireweir/proto/sapphireweir.pb-c.c
+++ b/src/sapphireweir/proto/sapphireweir.pb-c.c
@@ -1717,6 +1717,96 @@
   assert(message->base.descriptor == &sw__directory_update__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   sw__server_query__init
+                     (Sw__ServerQuery         *message)
+{
+  static const Sw__ServerQuery init_value = SW__SERVER_QUERY__INIT;
+  *message = init_value;
+}
+size_t sw__server_query__get_packed_size
+                     (const Sw__ServerQuery *message)
+{
+  assert(message->base.descriptor == &sw__server_query__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t sw__server_query__pack
+                     (const Sw__ServerQuery *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &sw__server_query__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t sw__server_query__pack_to_buffer
+                     (const Sw__ServerQuery *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &sw__server_query__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Sw__ServerQuery *
+       sw__server_query__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Sw__ServerQuery *)
+     protobuf_c_message_unpack (&sw__server_query__descriptor,
+                                allocator, len, data);
+}
+void   sw__server_query__free_unpacked
+                     (Sw__ServerQuery *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &sw__server_query__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   sw__server_answer__init
+                     (Sw__ServerAnswer         *message)
+{
+  static const Sw__ServerAnswer init_value = SW__SERVER_ANSWER__INIT;
+  *message = init_value;
+}
+size_t sw__server_answer__get_packed_size
+                     (const Sw__ServerAnswer *message)
+{
+  assert(message->base.descriptor == &sw__server_answer__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t sw__server_answer__pack
+                     (const Sw__ServerAnswer *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &sw__server_answer__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t sw__server_answer__pack_to_buffer
+                     (const Sw__ServerAnswer *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &sw__server_answer__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Sw__ServerAnswer *
+       sw__server_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Sw__ServerAnswer *)
+     protobuf_c_message_unpack (&sw__server_answer__descriptor,
+                                allocator, len, data);
+}
+void   sw__server_answer__free_unpacked
+                     (Sw__ServerAnswer *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &sw__server_answer__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   sw__document_update__init
                      (Sw__DocumentUpdate         *message)
 {
@@ -2617,7 +2707,7 @@
   assert(message->base.descriptor == &sw__fleet_snapshot__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor sw__frame__field_descriptors[33] =
+static const ProtobufCFieldDescriptor sw__frame__field_descriptors[35] =
 {
   {
     "request_id",
@@ -3015,6 +3105,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "server_query",
+    34,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sw__Frame, body_case),
+    offsetof(Sw__Frame, server_query),
+    &sw__server_query__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "server_answer",
+    35,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sw__Frame, body_case),
+    offsetof(Sw__Frame, server_answer),
+    &sw__server_answer__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sw__frame__field_indices_by_name[] = {
   8,   /* field[8] = admin_reply */
@@ -3045,6 +3159,8 @@
   25,   /* field[25] = relay_result */
   24,   /* field[24] = relay_run */
   0,   /* field[0] = request_id */
+  34,   /* field[34] = server_answer */
+  33,   /* field[33] = server_query */
   6,   /* field[6] = state_update */
   12,   /* field[12] = token_reply */
   11,   /* field[11] = token_request */
@@ -3054,7 +3170,7 @@
 static const ProtobufCIntRange sw__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 33 }
+  { 0, 35 }
 };
 const ProtobufCMessageDescriptor sw__frame__descriptor =
 {
@@ -3064,7 +3180,7 @@
   "Sw__Frame",
   "sw",
   sizeof(Sw__Frame),
-  33,
+  35,
   sw__frame__field_descriptors,
   sw__frame__field_indices_by_name,
   1,  sw__frame__number_ranges,
@@ -6969,6 +7085,108 @@
   (ProtobufCMessageInit) sw__directory_update__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor sw__server_query__field_descriptors[3] =
+{
+  {
+    "server",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sw__ServerQuery, server),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "born_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__ServerQuery, born_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sequence",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__ServerQuery, sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned sw__server_query__field_indices_by_name[] = {
+  1,   /* field[1] = born_ms */
+  2,   /* field[2] = sequence */
+  0,   /* field[0] = server */
+};
+static const ProtobufCIntRange sw__server_query__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor sw__server_query__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "sw.ServerQuery",
+  "ServerQuery",
+  "Sw__ServerQuery",
+  "sw",
+  sizeof(Sw__ServerQuery),
+  3,
+  sw__server_query__field_descriptors,
+  sw__server_query__field_indices_by_name,
+  1,  sw__server_query__number_ranges,
+  (ProtobufCMessageInit) sw__server_query__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor sw__server_answer__field_descriptors[1] =
+{
+  {
+    "record",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Sw__ServerAnswer, record),
+    &sw__server_record__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned sw__server_answer__field_indices_by_name[] = {
+  0,   /* field[0] = record */
+};
+static const ProtobufCIntRange sw__server_answer__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor sw__server_answer__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "sw.ServerAnswer",
+  "ServerAnswer",
+  "Sw__ServerAnswer",
+  "sw",
+  sizeof(Sw__ServerAnswer),
+  1,
+  sw__server_answer__field_descriptors,
+  sw__server_answer__field_indices_by_name,
+  1,  sw__server_answer__number_ranges,
+  (ProtobufCMessageInit) sw__server_answer__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor sw__document_update__field_descriptors[4] =
 {
   {
--- a/src/sapphireweir/proto/sapphireweir.pb-c.h
+++ b/src/sapphireweir/proto/sapphireweir.pb-c.h
@@ -53,6 +53,8 @@
 typedef struct Sw__EntryGrant Sw__EntryGrant;
 typedef struct Sw__ServerRecord Sw__ServerRecord;
 typedef struct Sw__DirectoryUpdate Sw__DirectoryUpdate;
+typedef struct Sw__ServerQuery Sw__ServerQuery;
+typedef struct Sw__ServerAnswer Sw__ServerAnswer;
 typedef struct Sw__DocumentUpdate Sw__DocumentUpdate;
 typedef struct Sw__DocumentPart Sw__DocumentPart;
 typedef struct Sw__DocumentChunk Sw__DocumentChunk;
@@ -165,7 +167,9 @@
   SW__FRAME__BODY_DOCUMENT_RECEIPT = 30,
   SW__FRAME__BODY_RATE_SHARE_REQUEST = 31,
   SW__FRAME__BODY_RATE_SHARE_REPLY = 32,
-  SW__FRAME__BODY_CLIENT_PRESSURE = 33
+  SW__FRAME__BODY_CLIENT_PRESSURE = 33,
+  SW__FRAME__BODY_SERVER_QUERY = 34,
+  SW__FRAME__BODY_SERVER_ANSWER = 35
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(SW__FRAME__BODY__CASE)
 } Sw__Frame__BodyCase;
 
@@ -210,6 +214,8 @@
      * Sent by a control instance to the leader.
      */
     Sw__ClientPressure *client_pressure;
+    Sw__ServerQuery *server_query;
+    Sw__ServerAnswer *server_answer;
   };
 };
 #define SW__FRAME__INIT \
@@ -1133,6 +1139,40 @@
     , 0, 0, 0, 0,NULL }
 
 
+/*
+ * Asks a control instance for the next report of a backend server's run, to
+ * learn whether a connection opened before leads to that run.  Answered as soon
+ * as a later report than those known at its arrival is there, at once if the
+ * run is cold, gone or replaced, and not at all if none arrives.
+ */
+struct  Sw__ServerQuery
+{
+  ProtobufCMessage base;
+  char *server;
+  int64_t born_ms;
+  /*
+   * Newest report of this run that the sender knows.
+   */
+  uint64_t sequence;
+};
+#define SW__SERVER_QUERY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&sw__server_query__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0 }
+
+
+/*
+ * Answers the ServerQuery with the same request_id.
+ */
+struct  Sw__ServerAnswer
+{
+  ProtobufCMessage base;
+  Sw__ServerRecord *record;
+};
+#define SW__SERVER_ANSWER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&sw__server_answer__descriptor) \
+    , NULL }
+
+
 /*
  * One version of the document, the whole configuration.
  */
@@ -2326,6 +2366,44 @@
 void   sw__directory_update__free_unpacked
                      (Sw__DirectoryUpdate *message,
                       ProtobufCAllocator *allocator);
+/* Sw__ServerQuery methods */
+void   sw__server_query__init
+                     (Sw__ServerQuery         *message);
+size_t sw__server_query__get_packed_size
+                     (const Sw__ServerQuery   *message);
+size_t sw__server_query__pack
+                     (const Sw__ServerQuery   *message,
+                      uint8_t             *out);
+size_t sw__server_query__pack_to_buffer
+                     (const Sw__ServerQuery   *message,
+                      ProtobufCBuffer     *buffer);
+Sw__ServerQuery *
+       sw__server_query__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   sw__server_query__free_unpacked
+                     (Sw__ServerQuery *message,
+                      ProtobufCAllocator *allocator);
+/* Sw__ServerAnswer methods */
+void   sw__server_answer__init
+                     (Sw__ServerAnswer         *message);
+size_t sw__server_answer__get_packed_size
+                     (const Sw__ServerAnswer   *message);
+size_t sw__server_answer__pack
+                     (const Sw__ServerAnswer   *message,
+                      uint8_t             *out);
+size_t sw__server_answer__pack_to_buffer
+                     (const Sw__ServerAnswer   *message,
+                      ProtobufCBuffer     *buffer);
+Sw__ServerAnswer *
+       sw__server_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   sw__server_answer__free_unpacked
+                     (Sw__ServerAnswer *message,
+                      ProtobufCAllocator *allocator);
 /* Sw__DocumentUpdate methods */
 void   sw__document_update__init
                      (Sw__DocumentUpdate         *message);
@@ -2822,6 +2900,12 @@
 typedef void (*Sw__DirectoryUpdate_Closure)
                  (const Sw__DirectoryUpdate *message,
                   void *closure_data);
+typedef void (*Sw__ServerQuery_Closure)
+                 (const Sw__ServerQuery *message,
+                  void *closure_data);
+typedef void (*Sw__ServerAnswer_Closure)
+                 (const Sw__ServerAnswer *message,
+                  void *closure_data);
 typedef void (*Sw__DocumentUpdate_Closure)
                  (const Sw__DocumentUpdate *message,
                   void *closure_data);
@@ -2931,6 +3015,8 @@
 extern const ProtobufCMessageDescriptor sw__entry_grant__descriptor;
 extern const ProtobufCMessageDescriptor sw__server_record__descriptor;
 extern const ProtobufCMessageDescriptor sw__directory_update__descriptor;
+extern const ProtobufCMessageDescriptor sw__server_query__descriptor;
+extern const ProtobufCMessageDescriptor sw__server_answer__descriptor;
 extern const ProtobufCMessageDescriptor sw__document_update__descriptor;
 extern const ProtobufCMessageDescriptor sw__document_part__descriptor;
 extern const ProtobufCMessageDescriptor sw__document_chunk__descriptor;
--- a/test/support/lone_gateway.c
+++ b/test/support/lone_gateway.c
@@ -140,6 +140,10 @@
     case SW__FRAME__BODY_TOKEN_REQUEST:
         l->token_request = frame->request_id;
         break;
+    case SW__FRAME__BODY_SERVER_QUERY:
+        l->server_queries++;
+        l->server_query = frame->request_id;
+        break;
     case SW__FRAME__BODY_RELAY_RUN:
         l->relayed++;
         break;
@@ -251,16 +255,13 @@
     deliver(l, "c0", &frame);
 }
 
-/* Reports a backend server of the database "db"; cold_left_ms UINT64_MAX: its
- * report does not state it. */
-void
-lone_gateway_server(LoneGateway *l, const char *id, const char *domain,
-                    int64_t born_ms, uint64_t cold_left_ms)
+/* Returns the record of a server of the database "db"; see
+ * lone_gateway_server. */
+static Sw__ServerRecord
+server_record(const char *id, const char *domain, int64_t born_ms,
+              uint64_t cold_left_ms)
 {
-    Sw__Frame frame = SW__FRAME__INIT;
-    Sw__DirectoryUpdate m = SW__DIRECTORY_UPDATE__INIT;
     Sw__ServerRecord r = SW__SERVER_RECORD__INIT;
-    Sw__ServerRecord *list[1] = {&r};
 
     r.id = (char *)id;
     r.database = (char *)"db";
@@ -272,6 +273,37 @@
         r.cold_case = SW__SERVER_RECORD__COLD_COLD_LEFT_MS;
         r.cold_left_ms = cold_left_ms;
     }
+    return r;
+}
+
+/* Answers a ServerQuery. */
+void
+lone_gateway_server_answer(LoneGateway *l, uint64_t query, const char *id,
+                           const char *domain, int64_t born_ms,
+                           uint64_t cold_left_ms)
+{
+    Sw__Frame frame = SW__FRAME__INIT;
+    Sw__ServerAnswer m = SW__SERVER_ANSWER__INIT;
+    Sw__ServerRecord r = server_record(id, domain, born_ms, cold_left_ms);
+
+    m.record = &r;
+    frame.request_id = query;
+    frame.body_case = SW__FRAME__BODY_SERVER_ANSWER;
+    frame.server_answer = &m;
+    deliver(l, "c0", &frame);
+}
+
+/* Reports a backend server of the database "db"; cold_left_ms UINT64_MAX: its
+ * report does not state it. */
+void
+lone_gateway_server(LoneGateway *l, const char *id, const char *domain,
+                    int64_t born_ms, uint64_t cold_left_ms)
+{
+    Sw__Frame frame = SW__FRAME__INIT;
+    Sw__DirectoryUpdate m = SW__DIRECTORY_UPDATE__INIT;
+    Sw__ServerRecord r = server_record(id, domain, born_ms, cold_left_ms);
+    Sw__ServerRecord *list[1] = {&r};
+
     m.run = 1;
     m.revision = ++l->directory;
     m.full = l->directory == 1;
--- a/test/support/lone_gateway.h
+++ b/test/support/lone_gateway.h
@@ -28,15 +28,17 @@
     const char *const *entries; /* "ID DOMAIN", NULL at the end */
     Document *document;         /* for the decoder, one reference owned */
     GPtrArray *links;           /* LoneLink, owned, also closed ones */
-    GArray *sent_us;        /* uint64_t: time of each command to a server */
-    uint32_t relayed;       /* RelayRun frames sent */
-    uint32_t not_run;       /* RelayResult frames that say so */
-    uint32_t answered;      /* those with an answer */
-    uint64_t relay;         /* number of the last RelayRun received */
-    uint64_t token_request; /* open one, zero: none */
-    CallerAnswer answer;    /* to the last statement of a session */
-    char *detail;           /* of that answer */
-    uint32_t answers;       /* to statements of sessions */
+    GArray *sent_us;         /* uint64_t: time of each command to a server */
+    uint32_t relayed;        /* RelayRun frames sent */
+    uint32_t not_run;        /* RelayResult frames that say so */
+    uint32_t answered;       /* those with an answer */
+    uint64_t relay;          /* number of the last RelayRun received */
+    uint64_t token_request;  /* open one, zero: none */
+    uint32_t server_queries; /* ServerQuery frames sent */
+    uint64_t server_query;   /* request_id of the last one */
+    CallerAnswer answer;     /* to the last statement of a session */
+    char *detail;            /* of that answer */
+    uint32_t answers;        /* to statements of sessions */
 };
 
 LoneGateway *lone_gateway_new(const GatewayConfig *config,
@@ -46,6 +48,9 @@
 void lone_gateway_configure(LoneGateway *l, Document *document);
 void lone_gateway_server(LoneGateway *l, const char *id, const char *domain,
                          int64_t born_ms, uint64_t cold_left_ms);
+void lone_gateway_server_answer(LoneGateway *l, uint64_t query, const char *id,
+                                const char *domain, int64_t born_ms,
+                                uint64_t cold_left_ms);
 void lone_gateway_primary(LoneGateway *l, const char *database,
                           const char *server, gboolean quiescing);
 void lone_gateway_relay(LoneGateway *l, const char *server, uint64_t relay,
--- a/test/unit/test_cold_servers.c
+++ b/test/unit/test_cold_servers.c
@@ -235,7 +235,7 @@
 static void
 unnoticed_restarts_are_limited(void)
 {
-    enum { kSeeds = 2 };
+    enum { kSeeds = 10 };
 
     for (uint32_t seed = 1; seed <= kSeeds; seed++) {
         check_course("restart with the loss", restart_with_the_loss,
@@ -415,6 +415,48 @@
     lone_gateway_free(l);
 }
 
+/* Guards against a limit that stays after a report has shown that the first
+ * connection leads to a warm run, against answers that end it without showing
+ * that, and against requests where no slow start is configured. */
+static void
+a_later_report_ends_the_limit(void)
+{
+    static const struct {
+        gboolean configured;
+        gboolean answered;
+        uint64_t before; /* how many requests earlier the answered one is */
+        int64_t born_ms;
+        uint64_t cold_left_ms;
+        gboolean limited;
+    } cases[] = {
+        {TRUE, FALSE, 0, 1, 0, TRUE},   {TRUE, TRUE, 0, 1, 0, FALSE},
+        {TRUE, TRUE, 0, 1, 9000, TRUE}, {TRUE, TRUE, 0, 2, 9000, TRUE},
+        {TRUE, TRUE, 1, 1, 0, TRUE},    {FALSE, FALSE, 0, 1, 0, FALSE},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        GatewayConfig config = {.failure_domain = "a"};
+        Document *document = cold_document();
+        document->limits_cold_servers = cases[i].configured;
+        LoneGateway *l = lone_gateway_new(&config, kOwner, document);
+        lone_gateway_server(l, "s", "a", 1, 0);
+        lone_gateway_run(l, 2500);
+        relay_for(l, 200);
+        CU_ASSERT_EQUAL(l->server_queries, cases[i].configured);
+        if (cases[i].answered) {
+            lone_gateway_server_answer(l, l->server_query - cases[i].before,
+                                       "s", "a", cases[i].born_ms,
+                                       cases[i].cold_left_ms);
+        }
+        g_array_set_size(l->sent_us, 0);
+        relay_for(l, 1000);
+        CU_ASSERT_EQUAL(lone_gateway_most_in_a_second(l) <= 14,
+                        cases[i].limited);
+        CU_ASSERT_EQUAL(l->server_queries, cases[i].configured);
+        lone_gateway_free(l);
+    }
+}
+
 /* Guards against a restart that counts only once the new run reports, and
  * against a first report that is read as warm. */
 static void
@@ -458,6 +500,8 @@
                 statements_of_transactions_wait);
     CU_add_test(s, "a first connection is limited",
                 a_first_connection_is_limited);
+    CU_add_test(s, "a later report ends the limit",
+                a_later_report_ends_the_limit);
     CU_add_test(s, "a restart is cold at once", a_restart_is_cold_at_once);
     CU_add_test(s, "reads go to warm servers", reads_go_to_warm_servers);
 }
--- a/test/unit/test_slow_start.c
+++ b/test/unit/test_slow_start.c
@@ -435,6 +435,60 @@
     directory_clear(&d);
 }
 
+/* Guards against first connections that count as known runs without a report,
+ * and against a request for each answer. */
+static void
+first_connections_need_a_report(void)
+{
+    static const struct {
+        uint64_t answered_ms; /* zero: never */
+        uint64_t opened_ms;
+        uint64_t ready_ms;
+        gboolean may_be_new;
+        gboolean asks;
+    } cases[] = {
+        {0, 5000, 5010, TRUE, TRUE},      {3999, 5000, 5010, TRUE, TRUE},
+        {4000, 5000, 5010, FALSE, FALSE}, {0, 5000, 6499, TRUE, TRUE},
+        {0, 5000, 6500, FALSE, FALSE},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        SlowStartRun run = {.seen_us = kUsPerMs};
+        SlowStartContact contact = {cases[i].answered_ms * kUsPerMs, 0, FALSE};
+        uint64_t ready_us = cases[i].ready_ms * kUsPerMs;
+        CU_ASSERT_EQUAL(
+            slow_start_opened(&contact, cases[i].opened_ms * kUsPerMs),
+            cases[i].answered_ms == 0 || cases[i].may_be_new);
+        CU_ASSERT_EQUAL(
+            slow_start_may_be_new(&run, &contact, ready_us, kUsPerS),
+            cases[i].may_be_new);
+        CU_ASSERT(!slow_start_may_be_new(&run, &contact, ready_us, 0));
+        CU_ASSERT_EQUAL(slow_start_contact(&contact, ready_us), cases[i].asks);
+        contact.asked = TRUE;
+        CU_ASSERT(!slow_start_contact(&contact, ready_us));
+    }
+}
+
+/* Guards against a report from before the request that counts as later. */
+static void
+only_later_reports_answer(void)
+{
+    static const struct {
+        SlowStartKnown known;
+        gboolean answers;
+    } cases[] = {
+        {{7, 20, FALSE, FALSE}, FALSE}, {{7, 21, FALSE, FALSE}, TRUE},
+        {{7, 20, TRUE, FALSE}, TRUE},   {{7, 20, FALSE, TRUE}, TRUE},
+        {{8, 1, FALSE, FALSE}, TRUE},   {{6, 30, TRUE, TRUE}, FALSE},
+    };
+    SlowStartKnown asked = {.born_ms = 7, .sequence = 20};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        CU_ASSERT_EQUAL(slow_start_answers(&cases[i].known, &asked),
+                        cases[i].answers);
+    }
+}
+
 void
 add_slow_start_suite(void)
 {
@@ -452,6 +506,9 @@
                 a_batch_above_the_share_is_never_sent);
     CU_add_test(s, "owners pause and need a lease",
                 owners_pause_and_need_a_lease);
+    CU_add_test(s, "first connections need a report",
+                first_connections_need_a_report);
+    CU_add_test(s, "only later reports answer", only_later_reports_answer);
     CU_add_test(s, "settings and reports are parsed",
                 settings_and_reports_are_parsed);
     CU_add_test(s, "the directory subtracts the time it held a record",
