--- a/src/sapphireweir/core/traffic.c
+++ b/src/sapphireweir/core/traffic.c
@@ -85,6 +85,8 @@
     case SW__FRAME__BODY_LEASE_REPLY:
         return kTrafficReport;
     case SW__FRAME__BODY_DIRECTORY_UPDATE:
+    case SW__FRAME__BODY_SERVER_QUERY:
+    case SW__FRAME__BODY_SERVER_ANSWER:
         return kTrafficDirectory;
     case SW__FRAME__BODY_STATE_UPDATE:
     case SW__FRAME__BODY_DOCUMENT_UPDATE:
