Count statements without an answer as a wait before work crosses domains

Cause: an instance with few reads learns of a queue only from results of its own reads.

Change: the oldest statement that was sent after the last report and has no answer counts as a wait of twice the time since then, less 1.5 times the usual time. Less urgent statements and those of a transaction that has begun do not count. The wait of a busy server falls by a quarter of the report's age. No messages change.

--- a/src/sapphireweir/gateway/crossing_gate.c
+++ b/src/sapphireweir/gateway/crossing_gate.c
@@ -37,6 +37,29 @@
            (bytes == NULL ? (uint64_t)kBytesPerKb : *bytes) / kBytesPerKb;
 }
 
+/* Returns the time since the oldest statement was sent to the owner of a
+ * server that waits there for a connection as the open one would, zero if
+ * there is none.  Less urgent statements wait longer, those of a transaction
+ * that has begun do not wait, and a report contains those sent before. */
+static uint64_t
+unanswered_us(const Session *s, const Server *server, uint64_t now_us)
+{
+    uint64_t oldest_us = now_us;
+
+    if (server->open_statements == 0) {
+        return 0;
+    }
+    for (guint i = 0; i < server->relays->len; i++) {
+        const Connection *c = g_ptr_array_index(server->relays, i);
+        if (c->awaiting && c->session != NULL && !c->session->begun &&
+            c->sent_us > server->owner_wait_updated_us &&
+            dispatch_level(c->session) <= dispatch_level(s)) {
+            oldest_us = MIN(oldest_us, c->sent_us);
+        }
+    }
+    return now_us - oldest_us;
+}
+
 /* Sets the round-trip time, price and load of a candidate. */
 void
 crossing_gate_fill(const Session *s, const Server *server, uint64_t now_us,
@@ -62,6 +85,7 @@
                         server->admission.admitted >= kAdmissionAll;
         c->reported_wait_us = admission_view_reported_wait_us(
             &server->admission, now_us, dispatch_level(s));
+        c->unanswered_us = unanswered_us(s, server, now_us);
         c->drain_milli_per_s = server->drain_milli_per_s;
         c->shed_milli_per_s = server->shed_milli_per_s;
     }
--- a/src/sapphireweir/policy/crossing.c
+++ b/src/sapphireweir/policy/crossing.c
@@ -33,8 +33,12 @@
      * decide from reports that are up to a second old. */
     kAskAfterUs = 100000,
     kAskIntervalUs = 50000,
-    /* Of its capacity: a server that works as much keeps its queue. */
+    /* Of its capacity: a server that works as much mostly keeps its queue. */
     kBusyPermille = 900,
+    kBusyAgeDivisor = 4, /* of the age, which shortens the queue of such */
+    /* A statement without a wait may take as much of the mean time. */
+    kUsualPercent = 150,
+    kWaitPerWaited = 2, /* see wait_at_us */
     /* In this time, the share grows by the part of the load for which there is
      * room, or shrinks to zero.  Longer times count as more up to the second
      * one: instances with few reads decide rarely. */
@@ -65,19 +69,34 @@
     return (uint64_t)MAX(c->slots, 1) * 1000000000 / MAX(c->service_us, 1);
 }
 
-/* Returns the expected wait for a server.  Where its owner has reported one,
- * that contains the statements of this instance.  placement subtracts the time
- * since the report, but the queue of a server without free capacity does not
- * become shorter in that time. */
+/* Returns the expected wait for a server as its owner last reported it.
+ * placement subtracts the time since the report, but the queue of a server
+ * without free capacity becomes shorter more slowly, if at all. */
 static uint64_t
-wait_at_us(const PlacementCandidate *c)
+reported_wait_us(const PlacementCandidate *c)
 {
-    if (!c->reported) {
-        return placement_wait_us(c);
-    }
     uint64_t busy = capacity_milli_per_s(c) * kBusyPermille / kPermille;
-    return c->drain_milli_per_s >= busy ? c->reported_wait_us
-                                        : c->expected_queue_us;
+    uint64_t less_us = c->report_age_us / kBusyAgeDivisor;
+
+    return c->drain_milli_per_s < busy
+               ? c->expected_queue_us
+               : c->reported_wait_us - MIN(c->reported_wait_us, less_us);
+}
+
+/* Returns the expected wait for a server.  A report contains the statements of
+ * this instance, but it may be old: an instance with few reads learns of a
+ * longer queue first from a statement that is not answered yet.  At a random
+ * moment, such a statement has half of its wait before it. */
+static uint64_t
+wait_at_us(const PlacementCandidate *c)
+{
+    uint64_t wait_us =
+        c->reported ? reported_wait_us(c) : placement_wait_us(c);
+    uint64_t usual_us = c->service_us * kUsualPercent / 100 +
+                        (c->same_domain ? 0 : c->link_us);
+    uint64_t waited_us = c->unanswered_us - MIN(c->unanswered_us, usual_us);
+
+    return MAX(wait_us, waited_us * kWaitPerWaited);
 }
 
 /* Adds the capacity and load of a usable server, as its owner reported. */
--- a/src/sapphireweir/policy/placement.h
+++ b/src/sapphireweir/policy/placement.h
@@ -33,6 +33,9 @@
     uint64_t reported_wait_us; /* expected_queue_us at the time of report */
     uint64_t drain_milli_per_s;
     uint64_t shed_milli_per_s;
+    /* Since the oldest statement of at least the same urgency was sent that
+     * has no answer and that the last report does not contain; zero: none. */
+    uint64_t unanswered_us;
 } PlacementCandidate;
 
 enum {
