Look up backend servers by address in an index

The directory keeps an index from address to servers, gone ones included.

The unit test compares random reports and expiries with a scan of a list.

--- a/src/sapphireweir/fleet/directory.c
+++ b/src/sapphireweir/fleet/directory.c
@@ -39,6 +39,8 @@
 {
     d->servers =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, server_free);
+    d->by_address = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+                                          (GDestroyNotify)g_ptr_array_unref);
     d->revision = 0;
 }
 
@@ -46,9 +48,38 @@
 void
 directory_clear(Directory *d)
 {
+    g_hash_table_destroy(d->by_address);
     g_hash_table_destroy(d->servers);
 }
 
+/* Adds a server to the index by address. */
+static void
+index_add(Directory *d, DirectoryServer *s)
+{
+    GPtrArray *same = g_hash_table_lookup(d->by_address, s->address);
+
+    if (same == NULL) {
+        same = g_ptr_array_new();
+        g_hash_table_insert(d->by_address, g_strdup(s->address), same);
+    }
+    g_ptr_array_add(same, s);
+}
+
+/* Removes a server from the index by address, before its address changes or it
+ * is freed. */
+static void
+index_remove(Directory *d, DirectoryServer *s)
+{
+    GPtrArray *same = g_hash_table_lookup(d->by_address, s->address);
+
+    if (same == NULL || !g_ptr_array_remove_fast(same, s)) {
+        return;
+    }
+    if (same->len == 0) {
+        g_hash_table_remove(d->by_address, s->address);
+    }
+}
+
 /* Returns a backend server, including one that is gone, or NULL.  The
  * directory owns it. */
 DirectoryServer *
@@ -85,14 +116,11 @@
 static void
 mark_older_servers_gone(Directory *d, const DirectoryServer *newer)
 {
-    GHashTableIter it;
-    void *value;
+    const GPtrArray *same = g_hash_table_lookup(d->by_address, newer->address);
 
-    g_hash_table_iter_init(&it, d->servers);
-    while (g_hash_table_iter_next(&it, NULL, &value)) {
-        DirectoryServer *s = value;
-        if (s != newer && !s->gone && s->born_ms <= newer->born_ms &&
-            strcmp(s->address, newer->address) == 0) {
+    for (guint i = 0; same != NULL && i < same->len; i++) {
+        DirectoryServer *s = g_ptr_array_index(same, i);
+        if (s != newer && !s->gone && s->born_ms <= newer->born_ms) {
             s->gone = TRUE;
             s->changed_revision = ++d->revision;
         }
@@ -103,14 +131,11 @@
 static gboolean
 newer_server_has_address(const Directory *d, const Sw__ServerRecord *r)
 {
-    GHashTableIter it;
-    void *value;
+    const GPtrArray *same = g_hash_table_lookup(d->by_address, r->address);
 
-    g_hash_table_iter_init(&it, d->servers);
-    while (g_hash_table_iter_next(&it, NULL, &value)) {
-        DirectoryServer *s = value;
-        if (!s->gone && s->born_ms > r->born_ms && strcmp(s->id, r->id) != 0 &&
-            strcmp(s->address, r->address) == 0) {
+    for (guint i = 0; same != NULL && i < same->len; i++) {
+        const DirectoryServer *s = g_ptr_array_index(same, i);
+        if (!s->gone && s->born_ms > r->born_ms && strcmp(s->id, r->id) != 0) {
             return TRUE;
         }
     }
@@ -148,7 +173,7 @@
 /* Applies a report to a server.  Returns TRUE when a value changed that entry
  * instances must be notified of. */
 static gboolean
-server_apply_report(DirectoryServer *s, uint64_t now_us,
+server_apply_report(Directory *d, DirectoryServer *s, uint64_t now_us,
                     const Sw__ServerRecord *r)
 {
     gboolean changed = s->born_ms != r->born_ms;
@@ -167,7 +192,12 @@
     s->primary = r->primary;
     s->slots = r->slots;
     changed |= replace_string(&s->database, r->database);
-    changed |= replace_string(&s->address, r->address);
+    if (strcmp(s->address, r->address) != 0) {
+        index_remove(d, s);
+        replace_string(&s->address, r->address);
+        index_add(d, s);
+        changed = TRUE;
+    }
     changed |= replace_string(&s->failure_domain, r->failure_domain);
     return changed;
 }
@@ -194,9 +224,10 @@
         s->address = g_strdup("");
         s->failure_domain = g_strdup("");
         g_hash_table_insert(d->servers, s->id, s);
+        index_add(d, s);
     }
     s->last_seen_us = now_us;
-    if (server_apply_report(s, now_us, r)) {
+    if (server_apply_report(d, s, now_us, r)) {
         s->changed_revision = ++d->revision;
     }
     if (!s->gone) {
@@ -226,6 +257,7 @@
         }
         else if (now_us - s->gone_us >= kGoneKeptUs &&
                  !is_needed(ctx, s->id)) {
+            index_remove(d, s);
             g_hash_table_iter_remove(&it);
         }
     }
--- a/src/sapphireweir/fleet/directory.h
+++ b/src/sapphireweir/fleet/directory.h
@@ -29,6 +29,8 @@
  * instances must be notified of. */
 typedef struct {
     GHashTable *servers; /* id -> DirectoryServer, owned */
+    /* address -> GPtrArray of the servers with it, gone ones included */
+    GHashTable *by_address;
     uint64_t revision;
 } Directory;
 
--- a/test/unit/test_fleet_policy.c
+++ b/test/unit/test_fleet_policy.c
@@ -446,6 +446,143 @@
     directory_clear(&d);
 }
 
+enum { kModelIds = 12, kModelAddresses = 5 };
+
+/* A server of the model, whose directory is a list without an index. */
+typedef struct {
+    gboolean known;
+    int64_t born_ms;
+    uint64_t sequence;
+    uint32_t address;
+    gboolean gone;
+    uint64_t gone_us;
+} ModelServer;
+
+/* Applies a report to the model by a scan of all its servers, by the rules of
+ * directory_apply_report.  Returns whether the report counts. */
+static gboolean
+model_apply(ModelServer *all, uint32_t id, int64_t born_ms, uint64_t sequence,
+            uint32_t address, gboolean gone)
+{
+    ModelServer *s = &all[id];
+
+    if (s->known && (born_ms < s->born_ms ||
+                     (born_ms == s->born_ms && sequence <= s->sequence &&
+                      !(gone && !s->gone)))) {
+        return FALSE;
+    }
+    for (uint32_t i = 0; !s->known && i < kModelIds; i++) {
+        if (gone || (all[i].known && !all[i].gone &&
+                     all[i].born_ms > born_ms && all[i].address == address)) {
+            return FALSE;
+        }
+    }
+    *s = (ModelServer){TRUE, born_ms, sequence, address, gone, s->gone_us};
+    for (uint32_t i = 0; !gone && i < kModelIds; i++) {
+        if (i != id && all[i].known && all[i].born_ms <= born_ms &&
+            all[i].address == address) {
+            all[i].gone = TRUE;
+        }
+    }
+    return TRUE;
+}
+
+/* Forgets the servers of the model that have been gone for 600 s. */
+static void
+model_expire(ModelServer *all, uint64_t now_us)
+{
+    for (uint32_t i = 0; i < kModelIds; i++) {
+        if (!all[i].known || !all[i].gone) {
+            all[i].gone_us = 0;
+        }
+        else if (all[i].gone_us == 0) {
+            all[i].gone_us = now_us;
+        }
+        else if (now_us - all[i].gone_us >= UINT64_C(600000000)) {
+            all[i] = (ModelServer){0};
+        }
+    }
+}
+
+static gboolean
+never_needed(const void *ctx, const char *id)
+{
+    (void)ctx;
+    (void)id;
+    return FALSE;
+}
+
+/* Returns whether the index by address holds each server once, and no
+ * others. */
+static gboolean
+index_is_complete(const Directory *d)
+{
+    GHashTableIter it;
+    void *value;
+    guint indexed = 0;
+
+    g_hash_table_iter_init(&it, d->by_address);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        indexed += ((const GPtrArray *)value)->len;
+    }
+    g_hash_table_iter_init(&it, d->servers);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        const DirectoryServer *s = value;
+        GPtrArray *same = g_hash_table_lookup(d->by_address, s->address);
+        if (same == NULL || !g_ptr_array_find(same, s, NULL)) {
+            return FALSE;
+        }
+    }
+    return indexed == g_hash_table_size(d->servers);
+}
+
+/* Guards against an index by address that disagrees with the servers: a server
+ * that keeps a taken address, or a lookup of one that was forgotten. */
+static void
+the_index_by_address_agrees_with_a_scan(void)
+{
+    ModelServer model[kModelIds] = {0};
+    GRand *rand = g_rand_new_with_seed(7);
+    Directory d;
+    uint32_t differences = 0;
+
+    directory_init(&d);
+    for (uint64_t now_us = 1000000; now_us < UINT64_C(100000000000);
+         now_us += g_rand_int_range(rand, 0, 50) == 0 ? 700000000 : 1000000) {
+        uint32_t id = (uint32_t)g_rand_int_range(rand, 0, kModelIds);
+        uint32_t place = (uint32_t)g_rand_int_range(rand, 0, kModelAddresses);
+        int64_t born_ms =
+            (int64_t)(now_us / 1000) - g_rand_int_range(rand, 0, 300) * 1000;
+        uint64_t sequence = (uint64_t)g_rand_int_range(rand, 1, 50);
+        gboolean gone = g_rand_int_range(rand, 0, 5) == 0;
+        char name[16];
+        char address[16];
+
+        if (model[id].known && g_rand_boolean(rand)) {
+            born_ms = model[id].born_ms;
+            sequence += model[id].sequence / 2;
+        }
+        g_snprintf(name, sizeof(name), "i-%u", id);
+        g_snprintf(address, sizeof(address), "10.0.0.%u:1", place);
+        Sw__ServerRecord r = report(name, born_ms, sequence, address);
+        r.gone = gone;
+        differences += directory_apply_report(&d, now_us, &r) !=
+                       model_apply(model, id, born_ms, sequence, place, gone);
+        directory_expire(&d, now_us, never_needed, NULL);
+        model_expire(model, now_us);
+        differences += !index_is_complete(&d);
+        for (uint32_t i = 0; i < kModelIds; i++) {
+            g_snprintf(name, sizeof(name), "i-%u", i);
+            const DirectoryServer *s = directory_find(&d, name);
+            differences += (s != NULL) != model[i].known ||
+                           (s != NULL && s->gone != model[i].gone);
+        }
+    }
+    CU_ASSERT_EQUAL(differences, 0);
+    directory_clear(&d);
+    g_rand_free(rand);
+}
+
 void
 add_fleet_policy_suite(void)
 {
@@ -467,6 +604,8 @@
                 a_team_within_its_limit_is_not_refused);
     CU_add_test(s, "a lowered limit still grants tokens",
                 a_lowered_limit_still_grants_tokens);
+    CU_add_test(s, "the index by address agrees with a scan",
+                the_index_by_address_agrees_with_a_scan);
     CU_add_test(s, "older reports change nothing",
                 older_reports_change_nothing);
 }
