Collect reports of backend servers that change nothing

Every status report of a server went to every other control instance as a whole record in a frame of its own, whether or not it changed anything: servers x reports a second x control instances.

Reports that change nothing are collected for 100 ms and share a frame, in which a server takes its id, run, sequence, age and a hash of its record. Changes, and a committed primary's report of another role, are sent at once together with what was collected. Whole records follow for 2 s after a change, while a server is cold and every 3 s. The age is subtracted from last_seen_us, so that a role or a gone replica counts no longer than before.

--- a/src/sapphireweir/fleet/director.c
+++ b/src/sapphireweir/fleet/director.c
@@ -248,6 +248,7 @@
                                  &consensus_port);
     consensus_keep_odd_voters(d->consensus);
     directory_init(&d->directory);
+    d->collected = g_ptr_array_new_with_free_func(g_free);
     evacuations_init(&d->evacuations);
     d->orders = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     d->primaries = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
@@ -284,6 +285,7 @@
     g_hash_table_destroy(d->primaries);
     g_hash_table_destroy(d->orders);
     evacuations_clear(&d->evacuations);
+    g_ptr_array_unref(d->collected);
     directory_clear(&d->directory);
     consensus_free(d->consensus);
     g_clear_pointer(&d->document, g_bytes_unref);
@@ -510,6 +512,7 @@
     members_tick(d, now_us);
     requests_tick(d, now_us);
     entries_tick(d, now_us);
+    servers_exchange_tick(d, now_us);
     servers_expire(d, now_us);
     if (d->led_since_us != 0) {
         servers_tick(d, now_us);
--- a/src/sapphireweir/fleet/director_internal.h
+++ b/src/sapphireweir/fleet/director_internal.h
@@ -110,6 +110,12 @@
     uint64_t lent_reports; /* of shares that others may still use */
 } RateCounters;
 
+/* Counters of what this instance sent the others of backend servers. */
+typedef struct {
+    uint64_t records;   /* whole ones */
+    uint64_t confirmed; /* reports that changed nothing, without a record */
+} ServerCounters;
+
 typedef enum {
     kChangeProbing,   /* requests the servers' status, revokes nothing yet */
     kChangeQuiescing, /* planned only: no new work starts, open work ends */
@@ -235,6 +241,11 @@
     DirectorPort port;
     Consensus *consensus;
     Directory directory;
+    /* Ids of servers whose last report changed nothing and is not sent to the
+     * other control instances yet; owned. */
+    GPtrArray *collected;
+    uint64_t collect_until_us;
+    ServerCounters server_counters;
     uint64_t run_id; /* random; directory revisions restart with each run */
 
     uint64_t document_version;
@@ -304,6 +315,7 @@
 GPtrArray *servers_since(const Director *d, uint64_t now_us,
                          uint64_t revision);
 void servers_tick(Director *d, uint64_t now_us);
+void servers_exchange_tick(Director *d, uint64_t now_us);
 void servers_expire(Director *d, uint64_t now_us);
 void servers_handle_update(Director *d, uint64_t now_us,
                            const Sw__DirectoryUpdate *m);
--- a/src/sapphireweir/fleet/director_metrics.c
+++ b/src/sapphireweir/fleet/director_metrics.c
@@ -37,6 +37,10 @@
     counter_write_text("entries", g_hash_table_size(d->entries), out);
     counter_write_text("servers", g_hash_table_size(d->directory.servers),
                        out);
+    counter_write_text("server_records_sent_total", d->server_counters.records,
+                       out);
+    counter_write_text("server_reports_confirmed_total",
+                       d->server_counters.confirmed, out);
     counter_write_text("domains_evacuated", evacuations_count(&d->evacuations),
                        out);
     counter_write_text("evacuation_changes_total", d->evacuation_changes, out);
--- a/src/sapphireweir/fleet/directory.c
+++ b/src/sapphireweir/fleet/directory.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "core/hash.h"
+
 /* How long a server that is gone is remembered.  A report that a partition
  * delayed may arrive after its server has stopped, and would bring a server
  * back that is not known any more. */
@@ -226,8 +228,9 @@
         g_hash_table_insert(d->servers, s->id, s);
         index_add(d, s);
     }
-    s->last_seen_us = now_us;
+    s->last_seen_us = now_us - MIN(r->age_ms * kMicrosPerMilli, now_us);
     if (server_apply_report(d, s, now_us, r)) {
+        s->changed_us = now_us;
         s->changed_revision = ++d->revision;
     }
     if (!s->gone) {
@@ -236,6 +239,59 @@
     return TRUE;
 }
 
+/* Returns a hash of what a server's record states, without its run, its
+ * sequence and the time that it stays cold. */
+static uint32_t
+state_hash(const DirectoryServer *s)
+{
+    uint64_t flags = (s->draining ? 1 : 0) + (s->primary ? 2 : 0) +
+                     (s->gone ? 4 : 0) + (s->reports_cold ? 8 : 0);
+
+    return (uint32_t)hash_text(
+        s->database,
+        hash_text(s->address, hash_text(s->failure_domain,
+                                        hash_number(s->slots, flags + 1))));
+}
+
+/* Returns the time since a server's last report, rounded up, so that a report
+ * never counts for longer at another instance. */
+uint64_t
+directory_age_ms(const DirectoryServer *s, uint64_t now_us)
+{
+    return (now_us - MIN(s->last_seen_us, now_us) + kMicrosPerMilli - 1) /
+           kMicrosPerMilli;
+}
+
+/* Fills in that a server has reported its record again.  The result borrows
+ * the server's id. */
+void
+directory_fill_seen(const DirectoryServer *s, uint64_t now_us,
+                    Sw__ServerSeen *out)
+{
+    sw__server_seen__init(out);
+    out->id = s->id;
+    out->born_ms = s->born_ms;
+    out->sequence = s->sequence;
+    out->age_ms = directory_age_ms(s, now_us);
+    out->state = state_hash(s);
+}
+
+/* Applies that a server has reported its record again.  Returns FALSE when
+ * that is outdated, or this directory has another record of the server. */
+gboolean
+directory_apply_seen(Directory *d, uint64_t now_us, const Sw__ServerSeen *seen)
+{
+    DirectoryServer *s = directory_find(d, seen->id);
+
+    if (s == NULL || s->born_ms != seen->born_ms ||
+        seen->sequence <= s->sequence || state_hash(s) != seen->state) {
+        return FALSE;
+    }
+    s->sequence = seen->sequence;
+    s->last_seen_us = now_us - MIN(seen->age_ms * kMicrosPerMilli, now_us);
+    return TRUE;
+}
+
 /* Forgets the servers that have been gone for kGoneKeptUs, except those for
  * which is_needed returns TRUE; ctx is passed to it. */
 void
--- a/src/sapphireweir/fleet/directory.h
+++ b/src/sapphireweir/fleet/directory.h
@@ -23,6 +23,9 @@
     uint64_t cold_until_us;    /* as stated last, zero: warm */
     uint64_t last_seen_us;     /* last report, zero: none in this run */
     uint64_t changed_revision; /* directory revision of its last change */
+    uint64_t changed_us;       /* when a report last changed it */
+    uint64_t exchanged_us;     /* when control instances last exchanged it */
+    gboolean collected;        /* its last report is to be exchanged */
 } DirectoryServer;
 
 /* All known backend servers; revision grows with each change that entry
@@ -38,11 +41,16 @@
 void directory_clear(Directory *d);
 gboolean directory_apply_report(Directory *d, uint64_t now_us,
                                 const Sw__ServerRecord *report);
+gboolean directory_apply_seen(Directory *d, uint64_t now_us,
+                              const Sw__ServerSeen *seen);
 void directory_expire(Directory *d, uint64_t now_us,
                       gboolean (*is_needed)(const void *ctx, const char *id),
                       const void *ctx);
 DirectoryServer *directory_find(const Directory *d, const char *id);
 void directory_fill_record(const DirectoryServer *s, uint64_t now_us,
                            Sw__ServerRecord *out);
+void directory_fill_seen(const DirectoryServer *s, uint64_t now_us,
+                         Sw__ServerSeen *out);
+uint64_t directory_age_ms(const DirectoryServer *s, uint64_t now_us);
 
 #endif
--- a/src/sapphireweir/proto/sapphireweir.pb-c.c
+++ b/src/sapphireweir/proto/sapphireweir.pb-c.c
@@ -1672,6 +1672,51 @@
   assert(message->base.descriptor == &sw__server_record__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   sw__server_seen__init
+                     (Sw__ServerSeen         *message)
+{
+  static const Sw__ServerSeen init_value = SW__SERVER_SEEN__INIT;
+  *message = init_value;
+}
+size_t sw__server_seen__get_packed_size
+                     (const Sw__ServerSeen *message)
+{
+  assert(message->base.descriptor == &sw__server_seen__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t sw__server_seen__pack
+                     (const Sw__ServerSeen *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &sw__server_seen__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t sw__server_seen__pack_to_buffer
+                     (const Sw__ServerSeen *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &sw__server_seen__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Sw__ServerSeen *
+       sw__server_seen__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Sw__ServerSeen *)
+     protobuf_c_message_unpack (&sw__server_seen__descriptor,
+                                allocator, len, data);
+}
+void   sw__server_seen__free_unpacked
+                     (Sw__ServerSeen *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &sw__server_seen__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   sw__directory_update__init
                      (Sw__DirectoryUpdate         *message)
 {
@@ -6724,7 +6769,7 @@
   (ProtobufCMessageInit) sw__entry_grant__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sw__server_record__field_descriptors[11] =
+static const ProtobufCFieldDescriptor sw__server_record__field_descriptors[12] =
 {
   {
     "id",
@@ -6858,9 +6903,22 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "age_ms",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__ServerRecord, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sw__server_record__field_indices_by_name[] = {
   2,   /* field[2] = address */
+  11,   /* field[11] = age_ms */
   6,   /* field[6] = born_ms */
   10,   /* field[10] = cold_left_ms */
   1,   /* field[1] = database */
@@ -6875,7 +6933,7 @@
 static const ProtobufCIntRange sw__server_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor sw__server_record__descriptor =
 {
@@ -6885,14 +6943,104 @@
   "Sw__ServerRecord",
   "sw",
   sizeof(Sw__ServerRecord),
-  11,
+  12,
   sw__server_record__field_descriptors,
   sw__server_record__field_indices_by_name,
   1,  sw__server_record__number_ranges,
   (ProtobufCMessageInit) sw__server_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sw__directory_update__field_descriptors[4] =
+static const ProtobufCFieldDescriptor sw__server_seen__field_descriptors[5] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sw__ServerSeen, id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "born_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__ServerSeen, born_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sequence",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__ServerSeen, sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__ServerSeen, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "state",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Sw__ServerSeen, state),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned sw__server_seen__field_indices_by_name[] = {
+  3,   /* field[3] = age_ms */
+  1,   /* field[1] = born_ms */
+  0,   /* field[0] = id */
+  2,   /* field[2] = sequence */
+  4,   /* field[4] = state */
+};
+static const ProtobufCIntRange sw__server_seen__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor sw__server_seen__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "sw.ServerSeen",
+  "ServerSeen",
+  "Sw__ServerSeen",
+  "sw",
+  sizeof(Sw__ServerSeen),
+  5,
+  sw__server_seen__field_descriptors,
+  sw__server_seen__field_indices_by_name,
+  1,  sw__server_seen__number_ranges,
+  (ProtobufCMessageInit) sw__server_seen__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor sw__directory_update__field_descriptors[5] =
 {
   {
     "run",
@@ -6942,17 +7090,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "seen",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sw__DirectoryUpdate, n_seen),
+    offsetof(Sw__DirectoryUpdate, seen),
+    &sw__server_seen__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sw__directory_update__field_indices_by_name[] = {
   2,   /* field[2] = full */
   1,   /* field[1] = revision */
   0,   /* field[0] = run */
+  4,   /* field[4] = seen */
   3,   /* field[3] = servers */
 };
 static const ProtobufCIntRange sw__directory_update__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor sw__directory_update__descriptor =
 {
@@ -6962,7 +7123,7 @@
   "Sw__DirectoryUpdate",
   "sw",
   sizeof(Sw__DirectoryUpdate),
-  4,
+  5,
   sw__directory_update__field_descriptors,
   sw__directory_update__field_indices_by_name,
   1,  sw__directory_update__number_ranges,
--- a/src/sapphireweir/proto/sapphireweir.pb-c.h
+++ b/src/sapphireweir/proto/sapphireweir.pb-c.h
@@ -52,6 +52,7 @@
 typedef struct Sw__EvacuatedDomain Sw__EvacuatedDomain;
 typedef struct Sw__EntryGrant Sw__EntryGrant;
 typedef struct Sw__ServerRecord Sw__ServerRecord;
+typedef struct Sw__ServerSeen Sw__ServerSeen;
 typedef struct Sw__DirectoryUpdate Sw__DirectoryUpdate;
 typedef struct Sw__DocumentUpdate Sw__DocumentUpdate;
 typedef struct Sw__DocumentPart Sw__DocumentPart;
@@ -1099,6 +1100,10 @@
    * The server has left.
    */
   protobuf_c_boolean gone;
+  /*
+   * Time since the server reported this, if a control instance held it.
+   */
+  uint64_t age_ms;
   Sw__ServerRecord__ColdCase cold_case;
   union {
     uint64_t cold_left_ms;
@@ -1106,7 +1111,27 @@
 };
 #define SW__SERVER_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sw__server_record__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, SW__SERVER_RECORD__COLD__NOT_SET, {0} }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, SW__SERVER_RECORD__COLD__NOT_SET, {0} }
+
+
+/*
+ * Tells that a backend server has reported what its last record states.
+ */
+struct  Sw__ServerSeen
+{
+  ProtobufCMessage base;
+  char *id;
+  int64_t born_ms;
+  uint64_t sequence;
+  uint64_t age_ms;
+  /*
+   * Hash of the record; a receiver that has another record ignores this.
+   */
+  uint32_t state;
+};
+#define SW__SERVER_SEEN__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&sw__server_seen__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 /*
@@ -1127,10 +1152,15 @@
   protobuf_c_boolean full;
   size_t n_servers;
   Sw__ServerRecord **servers;
+  /*
+   * Between control instances only.  Precedes the servers in time.
+   */
+  size_t n_seen;
+  Sw__ServerSeen **seen;
 };
 #define SW__DIRECTORY_UPDATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sw__directory_update__descriptor) \
-    , 0, 0, 0, 0,NULL }
+    , 0, 0, 0, 0,NULL, 0,NULL }
 
 
 /*
@@ -2307,6 +2337,25 @@
 void   sw__server_record__free_unpacked
                      (Sw__ServerRecord *message,
                       ProtobufCAllocator *allocator);
+/* Sw__ServerSeen methods */
+void   sw__server_seen__init
+                     (Sw__ServerSeen         *message);
+size_t sw__server_seen__get_packed_size
+                     (const Sw__ServerSeen   *message);
+size_t sw__server_seen__pack
+                     (const Sw__ServerSeen   *message,
+                      uint8_t             *out);
+size_t sw__server_seen__pack_to_buffer
+                     (const Sw__ServerSeen   *message,
+                      ProtobufCBuffer     *buffer);
+Sw__ServerSeen *
+       sw__server_seen__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   sw__server_seen__free_unpacked
+                     (Sw__ServerSeen *message,
+                      ProtobufCAllocator *allocator);
 /* Sw__DirectoryUpdate methods */
 void   sw__directory_update__init
                      (Sw__DirectoryUpdate         *message);
@@ -2819,6 +2868,9 @@
 typedef void (*Sw__ServerRecord_Closure)
                  (const Sw__ServerRecord *message,
                   void *closure_data);
+typedef void (*Sw__ServerSeen_Closure)
+                 (const Sw__ServerSeen *message,
+                  void *closure_data);
 typedef void (*Sw__DirectoryUpdate_Closure)
                  (const Sw__DirectoryUpdate *message,
                   void *closure_data);
@@ -2930,6 +2982,7 @@
 extern const ProtobufCMessageDescriptor sw__evacuated_domain__descriptor;
 extern const ProtobufCMessageDescriptor sw__entry_grant__descriptor;
 extern const ProtobufCMessageDescriptor sw__server_record__descriptor;
+extern const ProtobufCMessageDescriptor sw__server_seen__descriptor;
 extern const ProtobufCMessageDescriptor sw__directory_update__descriptor;
 extern const ProtobufCMessageDescriptor sw__document_update__descriptor;
 extern const ProtobufCMessageDescriptor sw__document_part__descriptor;
--- a/test/unit/test_fleet_policy.c
+++ b/test/unit/test_fleet_policy.c
@@ -446,6 +446,53 @@
     directory_clear(&d);
 }
 
+/* Guards against a confirmation that makes an instance take an older or another
+ * record for the present one, and against a role that counts as more recent
+ * than it was reported. */
+static void
+a_confirmed_record_keeps_its_age(void)
+{
+    static const struct {
+        const char *id;
+        int64_t born_ms;
+        uint64_t sequence;
+        gboolean draining; /* in the confirmed record */
+        gboolean applied;
+    } cases[] = {
+        {"i-1", 100, 6, FALSE, TRUE},  {"i-1", 100, 5, FALSE, FALSE},
+        {"i-1", 99, 6, FALSE, FALSE},  {"i-1", 101, 6, FALSE, FALSE},
+        {"i-2", 100, 6, FALSE, FALSE}, {"i-1", 100, 6, TRUE, FALSE},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        Sw__ServerRecord r = report("i-1", 100, 5, "10.0.0.1:1");
+        Sw__ServerRecord sent = report(cases[i].id, cases[i].born_ms,
+                                       cases[i].sequence, "10.0.0.1:1");
+        Sw__ServerSeen seen;
+        Directory from;
+        Directory to;
+
+        directory_init(&from);
+        directory_init(&to);
+        sent.draining = cases[i].draining;
+        directory_apply_report(&from, 1000000, &sent);
+        directory_fill_seen(directory_find(&from, cases[i].id), 1040000,
+                            &seen);
+        r.age_ms = 10;
+        directory_apply_report(&to, 1000000, &r);
+        const DirectoryServer *s = directory_find(&to, "i-1");
+        CU_ASSERT_EQUAL(s->last_seen_us, 990000);
+        uint64_t revision = to.revision;
+        CU_ASSERT_EQUAL(directory_apply_seen(&to, 1050000, &seen),
+                        cases[i].applied);
+        CU_ASSERT_EQUAL(s->last_seen_us, cases[i].applied ? 1010000 : 990000);
+        CU_ASSERT_EQUAL(s->sequence, cases[i].applied ? 6 : 5);
+        CU_ASSERT_EQUAL(to.revision, revision);
+        directory_clear(&to);
+        directory_clear(&from);
+    }
+}
+
 enum { kModelIds = 12, kModelAddresses = 5 };
 
 /* A server of the model, whose directory is a list without an index. */
@@ -604,6 +651,8 @@
                 a_team_within_its_limit_is_not_refused);
     CU_add_test(s, "a lowered limit still grants tokens",
                 a_lowered_limit_still_grants_tokens);
+    CU_add_test(s, "a confirmed record keeps its age",
+                a_confirmed_record_keeps_its_age);
     CU_add_test(s, "the index by address agrees with a scan",
                 the_index_by_address_agrees_with_a_scan);
     CU_add_test(s, "older reports change nothing",
--- a/test/unit/test_fleet_sim.c
+++ b/test/unit/test_fleet_sim.c
@@ -1318,6 +1318,29 @@
     }
 }
 
+/* Guards against a record of each server, about 100 bytes, in a frame to each
+ * other control instance for each report.  Six servers report every 400 ms to
+ * one of three control instances. */
+static void
+reports_without_a_change_send_no_records(void)
+{
+    enum { kSeconds = 10, kBytesPerReport = 60 };
+    FleetSim *sim = fleet_sim_new(5);
+
+    fleet_sim_run(sim, 5000);
+    const Traffic *t = fleet_sim_traffic(sim);
+    uint64_t before = t->bytes[SW__FRAME__BODY_DIRECTORY_UPDATE];
+    fleet_sim_run(sim, kSeconds * 1000);
+    uint64_t sent = t->bytes[SW__FRAME__BODY_DIRECTORY_UPDATE] - before;
+    uint64_t reports = kFleetSimDatabases * kFleetSimServersPerDatabase *
+                       kSeconds * 1000 / 400;
+    if (sent > reports * (kFleetSimDomains - 1) * kBytesPerReport) {
+        g_print("\n%lu bytes for %lu reports\n", sent, reports);
+    }
+    CU_ASSERT(sent <= reports * (kFleetSimDomains - 1) * kBytesPerReport);
+    fleet_sim_free(sim);
+}
+
 /* An operator reads a large document from each control instance.  Those that
  * have the newest version need not get its text from the leader. */
 static void
@@ -1491,6 +1514,8 @@
                 one_half_of_an_even_group_leads);
     CU_add_test(s, "reads of the document stay local",
                 reads_of_the_document_stay_local);
+    CU_add_test(s, "reports without a change send no records",
+                reports_without_a_change_send_no_records);
     CU_add_test(s, "begin and first statement share a round trip",
                 begin_and_first_statement_share_a_round_trip);
     CU_add_test(s, "a planned stop answers every statement",
