Keep the lists of grants until they change

Each grant recomputed the hash of all primaries, the list of the active entry instances with its hash, and their number: per second (instances x reports) x (instances + databases).

The director keeps both lists. Committed primaries and the phases of changes invalidate the first; the second is built again when a report makes an instance active, inactive or of another failure domain, and when the first of the instances would be inactive without a further report.

--- a/src/sapphireweir/fleet/director.c
+++ b/src/sapphireweir/fleet/director.c
@@ -60,6 +60,7 @@
         g_hash_table_insert(d->primaries, p->database, p);
     }
     gboolean new_epoch = m->epoch > p->epoch;
+    d->grant_lists.primaries_valid = FALSE;
     g_free(p->primary);
     p->primary = g_strdup(m->primary);
     p->epoch = m->epoch;
@@ -255,6 +256,8 @@
                                          primary_state_free);
     d->entries =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, entry_state_free);
+    d->grant_lists.primaries = g_ptr_array_new_with_free_func(g_free);
+    d->grant_lists.entries = g_ptr_array_new_with_free_func(g_free);
     d->changes = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
                                        primary_change_free);
     d->peers = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -280,6 +283,8 @@
     document_unref(d->decoded_document);
     documents_clear(d);
     g_hash_table_destroy(d->peers);
+    g_ptr_array_unref(d->grant_lists.entries);
+    g_ptr_array_unref(d->grant_lists.primaries);
     g_hash_table_destroy(d->changes);
     g_hash_table_destroy(d->entries);
     g_hash_table_destroy(d->primaries);
@@ -472,6 +477,7 @@
     d->announced = FALSE;
     d->logged_revision = 0;
     g_hash_table_remove_all(d->changes);
+    d->grant_lists.primaries_valid = FALSE;
     g_hash_table_remove_all(d->shares);
     g_hash_table_remove_all(d->rate_windows);
     d->next_reservations_us = 0;
--- a/src/sapphireweir/fleet/director_entries.c
+++ b/src/sapphireweir/fleet/director_entries.c
@@ -96,21 +96,6 @@
            now_us - entry->last_seen_us < kEntryInactiveUs && !entry->leaving;
 }
 
-/* Returns the number of active entry instances. */
-uint32_t
-entries_count(const Director *d, uint64_t now_us)
-{
-    GHashTableIter it;
-    void *value;
-    uint32_t count = 0;
-
-    g_hash_table_iter_init(&it, d->entries);
-    while (g_hash_table_iter_next(&it, NULL, &value)) {
-        count += entry_is_active(value, now_us);
-    }
-    return count;
-}
-
 /* ---- backend servers ---- */
 
 /* Sends an entry instance the backend servers that changed since the last
@@ -218,62 +203,62 @@
     out->quiescing = handover_is_quiescing(d, p->database);
 }
 
-/* Returns a hash of all primaries and their states, whatever their order; zero
- * if there are none. */
-static uint64_t
-primaries_hash(const Director *d)
+/* Builds the list of primaries and its hash, whatever their order; zero if
+ * there are none.  Everything that a grant states of a primary follows from
+ * the committed primaries and the phases of their changes, whose writers
+ * invalidate the list. */
+static void
+primaries_build(Director *d)
 {
+    GrantLists *lists = &d->grant_lists;
     GHashTableIter it;
     void *value;
-    uint64_t hash = 0;
 
+    g_ptr_array_set_size(lists->primaries, 0);
+    lists->primaries_hash = 0;
+    lists->primaries_valid = TRUE;
     g_hash_table_iter_init(&it, d->primaries);
     while (g_hash_table_iter_next(&it, NULL, &value)) {
-        Sw__PrimaryGrant each;
-        primary_grant_fill(d, value, &each);
-        uint64_t state =
-            each.epoch * 4 + (each.closing ? 2 : 0) + (each.quiescing ? 1 : 0);
-        hash += hash_text(each.database,
-                          hash_text(each.primary, hash_number(state, 1)));
+        Sw__PrimaryGrant *each = g_new(Sw__PrimaryGrant, 1);
+        primary_grant_fill(d, value, each);
+        g_ptr_array_add(lists->primaries, each);
+        uint64_t state = each->epoch * 4 + (each->closing ? 2 : 0) +
+                         (each->quiescing ? 1 : 0);
+        lists->primaries_hash += hash_text(
+            each->database, hash_text(each->primary, hash_number(state, 1)));
     }
-    return hash;
 }
 
 /* Fills in the hash of the primaries, and the primaries themselves unless the
- * receiver reported the same hash.  The list owns the records, which borrow
- * the director's strings. */
+ * receiver reported the same hash.  The director owns the list. */
 static void
-grant_primaries(const Director *d, uint64_t known_hash, Sw__EntryGrant *m,
-                GPtrArray *list)
+grant_primaries(Director *d, uint64_t known_hash, Sw__EntryGrant *m)
 {
-    GHashTableIter it;
-    void *value;
+    GrantLists *lists = &d->grant_lists;
 
-    m->primaries_hash = primaries_hash(d);
-    if (m->primaries_hash == known_hash) {
-        return;
+    if (!lists->primaries_valid) {
+        primaries_build(d);
     }
-    g_hash_table_iter_init(&it, d->primaries);
-    while (g_hash_table_iter_next(&it, NULL, &value)) {
-        Sw__PrimaryGrant *each = g_new(Sw__PrimaryGrant, 1);
-        primary_grant_fill(d, value, each);
-        g_ptr_array_add(list, each);
+    m->primaries_hash = lists->primaries_hash;
+    if (m->primaries_hash != known_hash) {
+        m->n_primaries = lists->primaries->len;
+        m->primaries = (Sw__PrimaryGrant **)lists->primaries->pdata;
     }
-    m->n_primaries = list->len;
-    m->primaries = (Sw__PrimaryGrant **)list->pdata;
 }
 
-/* Fills in the hash of the active entry instances, and the instances
- * themselves if the receiver reported another hash.  The list owns the
- * records, which borrow the director's strings. */
+/* Builds the list of active entry instances and its hash.  It is valid until
+ * the first of them would be inactive without a further report, or until a
+ * report makes one active or inactive or changes its failure domain. */
 static void
-grant_entries(const Director *d, uint64_t now_us, const EntryState *entry,
-              Sw__EntryGrant *m, GPtrArray *list)
+entries_build(Director *d, uint64_t now_us)
 {
+    GrantLists *lists = &d->grant_lists;
     GHashTableIter it;
     void *value;
     EntryList *all = entry_list_new();
 
+    g_ptr_array_set_size(lists->entries, 0);
+    lists->entries_valid_until_us = now_us + kEntryInactiveUs;
     g_hash_table_iter_init(&it, d->entries);
     while (g_hash_table_iter_next(&it, NULL, &value)) {
         const EntryState *each = value;
@@ -282,15 +267,34 @@
             sw__entry_record__init(r);
             r->id = each->id;
             r->failure_domain = each->failure_domain;
-            g_ptr_array_add(list, r);
+            g_ptr_array_add(lists->entries, r);
             entry_list_add(all, each->id, each->failure_domain);
+            lists->entries_valid_until_us =
+                MIN(lists->entries_valid_until_us,
+                    each->last_seen_us + kEntryInactiveUs);
         }
     }
-    m->entries_hash = all->hash;
+    lists->entries_hash = all->hash;
     entry_list_free(all);
+}
+
+/* Fills in the number and the hash of the active entry instances, and the
+ * instances themselves if the receiver reported another hash.  The director
+ * owns the list. */
+static void
+grant_entries(Director *d, uint64_t now_us, const EntryState *entry,
+              Sw__EntryGrant *m)
+{
+    GrantLists *lists = &d->grant_lists;
+
+    if (now_us >= lists->entries_valid_until_us) {
+        entries_build(d, now_us);
+    }
+    m->entry_count = lists->entries->len;
+    m->entries_hash = lists->entries_hash;
     if (m->entries_hash != entry->entries_hash) {
-        m->n_entries = list->len;
-        m->entries = (Sw__EntryRecord **)list->pdata;
+        m->n_entries = lists->entries->len;
+        m->entries = (Sw__EntryRecord **)lists->entries->pdata;
     }
 }
 
@@ -301,9 +305,7 @@
 {
     Sw__Frame frame = SW__FRAME__INIT;
     Sw__EntryGrant m = SW__ENTRY_GRANT__INIT;
-    GPtrArray *primaries = g_ptr_array_new_with_free_func(g_free);
     GPtrArray *shares = g_ptr_array_new_with_free_func(g_free);
-    GPtrArray *entries = g_ptr_array_new_with_free_func(g_free);
     GPtrArray *evacuated =
         director_grant_evacuations(d, now_us, entry->evacuations_hash, &m);
 
@@ -311,12 +313,10 @@
     m.term = consensus_term(d->consensus);
     m.revision = ++d->grant_revision;
     m.document_version = d->document_version;
-    grant_primaries(d, sequence == 0 ? 0 : entry->primaries_hash, &m,
-                    primaries);
+    grant_primaries(d, sequence == 0 ? 0 : entry->primaries_hash, &m);
     if (sequence != 0) {
         m.lease_us = d->config.lease_us;
-        m.entry_count = entries_count(d, now_us);
-        grant_entries(d, now_us, entry, &m, entries);
+        grant_entries(d, now_us, entry, &m);
         rates_append_shares(d, now_us, entry, shares);
         m.usage_version =
             entry->usage_term == m.term ? entry->usage_version : 0;
@@ -328,9 +328,7 @@
     frame.entry_grant = &m;
     d->port.send(d->port.ctx, entry->id, &frame);
     g_ptr_array_unref(evacuated);
-    g_ptr_array_unref(entries);
     g_ptr_array_unref(shares);
-    g_ptr_array_unref(primaries);
 }
 
 static void
@@ -426,6 +424,7 @@
                       const Sw__EntryReport *m)
 {
     EntryState *entry = entry_state_ensure(d, now_us, from, m->incarnation);
+    gboolean was_active = entry_is_active(entry, now_us);
 
     entry->last_seen_us = now_us;
     entry->leaving = m->leaving;
@@ -440,6 +439,10 @@
     if (g_strcmp0(entry->failure_domain, m->failure_domain) != 0) {
         g_free(entry->failure_domain);
         entry->failure_domain = g_strdup(m->failure_domain);
+        d->grant_lists.entries_valid_until_us = 0;
+    }
+    if (entry_is_active(entry, now_us) != was_active) {
+        d->grant_lists.entries_valid_until_us = 0;
     }
     entry->link_bytes_per_s = m->link_bytes_per_s;
     directory_handle_report(d, now_us, entry, m);
--- a/src/sapphireweir/fleet/director_internal.h
+++ b/src/sapphireweir/fleet/director_internal.h
@@ -110,6 +110,17 @@
     uint64_t lent_reports; /* of shares that others may still use */
 } RateCounters;
 
+/* The lists of grants, until what they are made of changes.  The records borrow
+ * the director's strings. */
+typedef struct {
+    gboolean primaries_valid;
+    uint64_t primaries_hash;
+    GPtrArray *primaries;            /* Sw__PrimaryGrant, owned */
+    uint64_t entries_valid_until_us; /* zero: not valid */
+    uint64_t entries_hash;
+    GPtrArray *entries; /* Sw__EntryRecord of the active instances, owned */
+} GrantLists;
+
 /* Counters of what this instance sent the others of backend servers. */
 typedef struct {
     uint64_t records;   /* whole ones */
@@ -270,7 +281,8 @@
 
     GHashTable *entries; /* id -> EntryState, owned */
     GHashTable *changes; /* database -> PrimaryChange, owned */
-    GHashTable *peers;   /* addresses of control instances, owned */
+    GrantLists grant_lists;
+    GHashTable *peers; /* addresses of control instances, owned */
     /* team -> (entry id -> share in millionths), owned */
     GHashTable *shares;
     GQueue requests; /* OperatorRequest, owned */
@@ -378,7 +390,6 @@
 void entries_push_evacuations(Director *d, uint64_t now_us);
 void entries_push_directory(Director *d, uint64_t now_us);
 void entries_tick(Director *d, uint64_t now_us);
-uint32_t entries_count(const Director *d, uint64_t now_us);
 
 /* director_rates.c */
 void rates_handle_request(Director *d, uint64_t now_us, const char *from,
--- a/src/sapphireweir/fleet/handover.c
+++ b/src/sapphireweir/fleet/handover.c
@@ -70,6 +70,7 @@
 handover_finish(Director *d, const char *database)
 {
     g_hash_table_remove(d->changes, database);
+    d->grant_lists.primaries_valid = FALSE;
 }
 
 /* Writes an event of a change to the event log, with the time since the change
@@ -93,8 +94,10 @@
 
 /* Starts a phase of a change. */
 static void
-phase_set(PrimaryChange *change, uint64_t now_us, ChangePhase phase)
+phase_set(Director *d, uint64_t now_us, PrimaryChange *change,
+          ChangePhase phase)
 {
+    d->grant_lists.primaries_valid = FALSE;
     change->phase = phase;
     change->phase_started_us = now_us;
 }
@@ -257,9 +260,11 @@
     change->started_us = now_us;
     change->candidates =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-    phase_set(change, now_us, p->changing ? kChangeClosing : kChangeProbing);
+    phase_set(d, now_us, change,
+              p->changing ? kChangeClosing : kChangeProbing);
     change->changing_proposed = p->changing;
     g_hash_table_insert(d->changes, change->database, change);
+    d->grant_lists.primaries_valid = FALSE;
     log_change(d, now_us, change, reason, p->primary);
     request_statuses(d, now_us, change);
 }
@@ -456,7 +461,7 @@
     const PrimaryState *p = director_primary(d, change->database);
 
     record_stage_time(d, change, kStageProbing, now_us - change->started_us);
-    phase_set(change, now_us, kChangeClosing);
+    phase_set(d, now_us, change, kChangeClosing);
     log_change(d, now_us, change, "rights withdrawn", p->primary);
     if (!change->changing_proposed) {
         PrimaryState changing = *p;
@@ -541,7 +546,7 @@
     }
     if (!may_keep && replicas_are_ready(d, now_us, change)) {
         if (change->planned) {
-            phase_set(change, now_us, kChangeQuiescing);
+            phase_set(d, now_us, change, kChangeQuiescing);
             entries_push_primaries(d, now_us);
             return TRUE;
         }
@@ -586,7 +591,7 @@
     change->promotion_requested_us = now_us;
     record_stage_time(d, change, kStageChoosing,
                       now_us - change->access_ended_us);
-    phase_set(change, now_us, kChangePromoting);
+    phase_set(d, now_us, change, kChangePromoting);
     log_change(d, now_us, change, "promotion asked for", best);
     d->port.promote(d->port.ctx, change->database, best,
                     consensus_term(d->consensus));
@@ -728,7 +733,7 @@
         change->refused_server = g_strdup(change->target);
         g_hash_table_remove_all(change->candidates);
         request_statuses(d, now_us, change);
-        phase_set(change, now_us, kChangeClosing);
+        phase_set(d, now_us, change, kChangeClosing);
         return;
     }
     if (s != NULL && now_us - change->status_requested_us > kStatusRetryUs) {
@@ -754,7 +759,7 @@
     if (status == kHttpConflict) {
         g_free(change->refused_server);
         change->refused_server = g_strdup(server);
-        phase_set(change, now_us, kChangeClosing);
+        phase_set(d, now_us, change, kChangeClosing);
         return;
     }
     change->promotion_unconfirmed = TRUE;
@@ -804,6 +809,7 @@
     while (g_hash_table_iter_next(&it, NULL, &value)) {
         if (!change_step(d, now_us, value)) {
             g_hash_table_iter_remove(&it);
+            d->grant_lists.primaries_valid = FALSE;
         }
     }
 }
