Share frames to entry instances among changes of servers

Each change of a server was sent to each entry instance at once, with a scan of all servers for each: the start of a fleet or the return of a failure domain cost (servers x entry instances) frames from every control instance.

Changes that end no use wait 20 ms and share a frame; one that ends the use of a server (gone, draining, another run or address) is sent at once with what waits. Entry instances that lack the same records share one scan.

The unit test tells the two kinds of change apart.

--- a/src/sapphireweir/fleet/director_entries.c
+++ b/src/sapphireweir/fleet/director_entries.c
@@ -16,6 +16,8 @@
      * sent again: two short reports and a round trip. */
     kDirectoryResendUs = 1200000,
     kSharesIntervalUs = 500000,
+    /* Changes of servers that end no use share a frame for so long. */
+    kDirectoryShareUs = 20000,
     kDemandWeight = 3, /* of the old average; a new value has weight 1 */
 };
 
@@ -87,25 +89,32 @@
     return entry;
 }
 
+/* Returns whether an entry instance has reported recently. */
+static gboolean
+entry_is_connected(const EntryState *entry, uint64_t now_us)
+{
+    return entry->last_seen_us != 0 &&
+           now_us - entry->last_seen_us < kEntryInactiveUs;
+}
+
 /* Returns whether an entry instance has reported recently and is not
  * leaving. */
 gboolean
 entry_is_active(const EntryState *entry, uint64_t now_us)
 {
-    return entry->last_seen_us != 0 &&
-           now_us - entry->last_seen_us < kEntryInactiveUs && !entry->leaving;
+    return entry_is_connected(entry, now_us) && !entry->leaving;
 }
 
 /* ---- backend servers ---- */
 
-/* Sends an entry instance the backend servers that changed since the last
- * update, or all of them if it has received none in this run. */
+/* Sends an entry instance the records of the backend servers that changed
+ * since the last update. */
 static void
-send_directory(Director *d, uint64_t now_us, EntryState *entry)
+send_records(Director *d, uint64_t now_us, EntryState *entry,
+             const GPtrArray *list)
 {
     Sw__Frame frame = SW__FRAME__INIT;
     Sw__DirectoryUpdate m = SW__DIRECTORY_UPDATE__INIT;
-    GPtrArray *list = servers_since(d, now_us, entry->sent_revision);
 
     m.run = d->run_id;
     m.revision = d->directory.revision;
@@ -117,6 +126,16 @@
     d->port.send(d->port.ctx, entry->id, &frame);
     entry->sent_revision = d->directory.revision;
     entry->directory_sent_us = now_us;
+}
+
+/* Sends an entry instance the backend servers that changed since the last
+ * update, or all of them if it has received none in this run. */
+static void
+send_directory(Director *d, uint64_t now_us, EntryState *entry)
+{
+    GPtrArray *list = servers_since(d, now_us, entry->sent_revision);
+
+    send_records(d, now_us, entry, list);
     g_ptr_array_unref(list);
 }
 
@@ -153,24 +172,55 @@
     g_hash_table_iter_init(&it, d->entries);
     while (g_hash_table_iter_next(&it, NULL, &value)) {
         EntryState *entry = value;
-        if (entry->last_seen_us != 0 &&
-            now_us - entry->last_seen_us < kEntryInactiveUs) {
+        if (entry_is_connected(entry, now_us)) {
             func(d, now_us, entry);
         }
     }
 }
 
+/* Sends the changed backend servers to all connected entry instances that lack
+ * some.  Most lack the same ones. */
 static void
-push_directory_to(Director *d, uint64_t now_us, EntryState *entry)
+push_directory(Director *d, uint64_t now_us)
 {
-    send_directory(d, now_us, entry);
+    GHashTableIter it;
+    void *value;
+    GPtrArray *list = NULL;
+    uint64_t since = 0;
+
+    d->directory_push_us = 0;
+    g_hash_table_iter_init(&it, d->entries);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        EntryState *entry = value;
+        if (!entry_is_connected(entry, now_us) ||
+            entry->sent_revision >= d->directory.revision) {
+            continue;
+        }
+        if (list == NULL || since != entry->sent_revision) {
+            g_clear_pointer(&list, g_ptr_array_unref);
+            since = entry->sent_revision;
+            list = servers_since(d, now_us, since);
+        }
+        send_records(d, now_us, entry, list);
+    }
+    g_clear_pointer(&list, g_ptr_array_unref);
 }
 
-/* Sends the changed backend servers to all connected entry instances. */
+/* Sends the backend servers that changed after a revision to all connected
+ * entry instances: at once if the use of one has ended, otherwise after
+ * kDirectoryShareUs, together with what changes until then. */
 void
-entries_push_directory(Director *d, uint64_t now_us)
+entries_directory_changed(Director *d, uint64_t now_us, uint64_t old_revision)
 {
-    for_each_connected_entry(d, now_us, push_directory_to);
+    if (d->directory.revision == old_revision) {
+        return;
+    }
+    if (d->directory.ended_revision > old_revision) {
+        push_directory(d, now_us);
+    }
+    else if (d->directory_push_us == 0) {
+        d->directory_push_us = now_us + kDirectoryShareUs;
+    }
 }
 
 /* Sends the current document to all connected entry instances. */
@@ -523,12 +573,15 @@
     return now_us - entry->last_seen_us > kEntryExpiryUs;
 }
 
-/* Continues document transfers.  Every kSharesIntervalUs, frees the state of
+/* Continues document transfers and sends changed servers.  Every kSharesIntervalUs, frees the state of
  * expired entry instances and, on the leader, recomputes the rate shares. */
 void
 entries_tick(Director *d, uint64_t now_us)
 {
     for_each_connected_entry(d, now_us, documents_tick);
+    if (d->directory_push_us != 0 && now_us >= d->directory_push_us) {
+        push_directory(d, now_us);
+    }
     if (now_us < d->next_shares_us) {
         return;
     }
--- a/src/sapphireweir/fleet/director_internal.h
+++ b/src/sapphireweir/fleet/director_internal.h
@@ -258,6 +258,9 @@
     GPtrArray *collected;
     uint64_t collect_until_us;
     ServerCounters server_counters;
+    /* When changed servers are sent to the entry instances, zero: none are to
+     * be. */
+    uint64_t directory_push_us;
     uint64_t run_id; /* random; directory revisions restart with each run */
 
     uint64_t document_version;
@@ -390,7 +393,8 @@
 void entries_push_primaries(Director *d, uint64_t now_us);
 void entries_push_document(Director *d, uint64_t now_us);
 void entries_push_evacuations(Director *d, uint64_t now_us);
-void entries_push_directory(Director *d, uint64_t now_us);
+void entries_directory_changed(Director *d, uint64_t now_us,
+                               uint64_t old_revision);
 void entries_tick(Director *d, uint64_t now_us);
 
 /* director_rates.c */
--- a/src/sapphireweir/fleet/director_servers.c
+++ b/src/sapphireweir/fleet/director_servers.c
@@ -143,9 +143,7 @@
         return;
     }
     exchange_servers(d, now_us, s);
-    if (d->directory.revision != old_revision) {
-        entries_push_directory(d, now_us);
-    }
+    entries_directory_changed(d, now_us, old_revision);
 }
 
 /* Handles a backend server's message that it has stopped, like a status report
@@ -180,9 +178,7 @@
                 now_us;
         }
     }
-    if (d->directory.revision != old_revision) {
-        entries_push_directory(d, now_us);
-    }
+    entries_directory_changed(d, now_us, old_revision);
 }
 
 /* ---- the replicated log ---- */
--- a/src/sapphireweir/fleet/directory.c
+++ b/src/sapphireweir/fleet/directory.c
@@ -44,6 +44,7 @@
     d->by_address = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
                                           (GDestroyNotify)g_ptr_array_unref);
     d->revision = 0;
+    d->ended_revision = 0;
 }
 
 /* Frees all servers of the directory, but not the directory itself. */
@@ -125,6 +126,7 @@
         if (s != newer && !s->gone && s->born_ms <= newer->born_ms) {
             s->gone = TRUE;
             s->changed_revision = ++d->revision;
+            d->ended_revision = d->revision;
         }
     }
 }
@@ -204,6 +206,16 @@
     return changed;
 }
 
+/* Returns whether a report ends the use of a server as it is known. */
+static gboolean
+report_ends_use(const DirectoryServer *s, const Sw__ServerRecord *r)
+{
+    return !s->gone &&
+           (r->gone || (r->draining && !s->draining) ||
+            s->born_ms != r->born_ms || strcmp(s->address, r->address) != 0 ||
+            strcmp(s->database, r->database) != 0);
+}
+
 /* Applies a status report.  Returns FALSE when it is outdated or describes an
  * unknown server that is gone or replaced.  If it changes the server, the
  * directory's revision grows. */
@@ -212,6 +224,7 @@
                        const Sw__ServerRecord *r)
 {
     DirectoryServer *s = directory_find(d, r->id);
+    gboolean ends_use = s != NULL && report_ends_use(s, r);
 
     if (s != NULL && !report_is_newer(s, r)) {
         return FALSE;
@@ -232,6 +245,9 @@
     if (server_apply_report(d, s, now_us, r)) {
         s->changed_us = now_us;
         s->changed_revision = ++d->revision;
+        if (ends_use) {
+            d->ended_revision = d->revision;
+        }
     }
     if (!s->gone) {
         mark_older_servers_gone(d, s);
--- a/src/sapphireweir/fleet/directory.h
+++ b/src/sapphireweir/fleet/directory.h
@@ -35,6 +35,9 @@
     /* address -> GPtrArray of the servers with it, gone ones included */
     GHashTable *by_address;
     uint64_t revision;
+    /* Of the last change that ended the use of a server: it is gone, draining,
+     * or another run or address. */
+    uint64_t ended_revision;
 } Directory;
 
 void directory_init(Directory *d);
--- a/test/unit/test_fleet_policy.c
+++ b/test/unit/test_fleet_policy.c
@@ -566,6 +566,49 @@
     g_rand_free(rand);
 }
 
+/* Guards against a delay of the changes that end the use of a server, and
+ * against those that end none being sent one by one. */
+static void
+changes_that_end_a_use_are_told_apart(void)
+{
+    static const struct {
+        const char *id;
+        int64_t born_ms;
+        const char *address;
+        gboolean draining;
+        gboolean gone;
+        gboolean primary;
+        gboolean changes;
+        gboolean ends;
+    } steps[] = {
+        {"i-1", 100, "a:1", FALSE, FALSE, FALSE, TRUE, FALSE}, /* new */
+        {"i-1", 100, "a:1", FALSE, FALSE, FALSE, FALSE, FALSE},
+        {"i-1", 100, "a:1", FALSE, FALSE, TRUE, TRUE, FALSE},
+        {"i-1", 100, "a:1", TRUE, FALSE, TRUE, TRUE, TRUE},
+        {"i-1", 100, "a:1", FALSE, FALSE, TRUE, TRUE, FALSE},
+        {"i-1", 100, "a:2", FALSE, FALSE, TRUE, TRUE, TRUE},
+        {"i-1", 200, "a:2", FALSE, FALSE, TRUE, TRUE, TRUE}, /* new run */
+        {"i-1", 200, "a:2", FALSE, TRUE, TRUE, TRUE, TRUE},
+        {"i-1", 300, "a:2", FALSE, FALSE, TRUE, TRUE, FALSE}, /* returns */
+        {"i-2", 400, "a:2", FALSE, FALSE, FALSE, TRUE, TRUE}, /* replaces */
+    };
+    Directory d;
+
+    directory_init(&d);
+    for (size_t i = 0; i < G_N_ELEMENTS(steps); i++) {
+        Sw__ServerRecord r =
+            report(steps[i].id, steps[i].born_ms, i + 1, steps[i].address);
+        uint64_t revision = d.revision;
+        r.draining = steps[i].draining;
+        r.gone = steps[i].gone;
+        r.primary = steps[i].primary;
+        CU_ASSERT(directory_apply_report(&d, i + 1, &r));
+        CU_ASSERT_EQUAL(d.revision > revision, steps[i].changes);
+        CU_ASSERT_EQUAL(d.ended_revision > revision, steps[i].ends);
+    }
+    directory_clear(&d);
+}
+
 enum { kModelIds = 12, kModelAddresses = 5 };
 
 /* A server of the model, whose directory is a list without an index. */
@@ -725,6 +768,8 @@
     CU_add_test(s, "a lowered limit still grants tokens",
                 a_lowered_limit_still_grants_tokens);
     CU_add_test(s, "a watch changes no verdict", a_watch_changes_no_verdict);
+    CU_add_test(s, "changes that end a use are told apart",
+                changes_that_end_a_use_are_told_apart);
     CU_add_test(s, "a confirmed record keeps its age",
                 a_confirmed_record_keeps_its_age);
     CU_add_test(s, "the index by address agrees with a scan",
