Send few copies of the directory to instances that do not confirm it

A report that named another run of the control instance caused a full copy of the directory each time, and one that named an older revision a copy every 1.2 s. While a link or a control instance is slow, such reports are only late, and each copy makes them later: with 240 servers a copy has 10 KB, and each control instance sends it.

A copy follows only when nothing was confirmed for 1.2 s, then 2.4 s, then every 4.8 s, from the first update that was not confirmed. That also ends a gap: further changes no longer postpone a lost update.

--- a/src/sapphireweir/fleet/director_entries.c
+++ b/src/sapphireweir/fleet/director_entries.c
@@ -13,8 +13,11 @@
     kEntryInactiveUs = 2500000, /* without a report: counts as inactive */
     kEntryExpiryUs = 30000000,  /* without a report: its state is freed */
     /* An update of the directory that no report has confirmed for so long is
-     * sent again: two short reports and a round trip. */
+     * sent again: two short reports and a round trip.  The time doubles up to
+     * the limit while the instance confirms nothing, since a slow link or a
+     * slow control instance gets more work by each copy. */
     kDirectoryResendUs = 1200000,
+    kMaxDirectoryResendUs = 4800000,
     kSharesIntervalUs = 500000,
     /* Changes of servers that end no use share a frame for so long. */
     kDirectoryShareUs = 20000,
@@ -81,6 +84,8 @@
     entry->granted_sequence = 0;
     entry->grant_reported_us = now_us;
     entry->sent_revision = 0;
+    entry->confirmed_revision = 0;
+    entry->unconfirmed_since_us = 0;
     document_transfer_reset(&entry->transfer);
     entry->shares_sent_us = 0;
     entry->document_version = 0;
@@ -125,7 +130,9 @@
     frame.directory_update = &m;
     d->port.send(d->port.ctx, entry->id, &frame);
     entry->sent_revision = d->directory.revision;
-    entry->directory_sent_us = now_us;
+    if (entry->unconfirmed_since_us == 0) {
+        entry->unconfirmed_since_us = now_us;
+    }
 }
 
 /* Sends an entry instance the backend servers that changed since the last
@@ -140,20 +147,35 @@
 }
 
 /* Handles the directory revision in an entry instance's report: sends what the
- * instance lacks, also if that was sent before and was lost. */
+ * instance lacks, also if that was sent before and was lost.  An instance that
+ * has not confirmed anything may just be receiving it, so its reports alone
+ * cause no copy; one that states less than before has lost what it had. */
 static void
 directory_handle_report(Director *d, uint64_t now_us, EntryState *entry,
                         const Sw__EntryReport *m)
 {
-    gboolean same_run = m->directory_run == d->run_id;
+    uint64_t confirmed =
+        m->directory_run == d->run_id ? m->directory_revision : 0;
 
-    if (!same_run) {
-        entry->sent_revision = 0;
+    if (confirmed >= entry->sent_revision) {
+        entry->unconfirmed_since_us = 0;
+        entry->resend_after_us = kDirectoryResendUs;
+    }
+    else if (confirmed < entry->confirmed_revision) {
+        entry->sent_revision = confirmed;
+        entry->unconfirmed_since_us = now_us;
+    }
+    else if (confirmed > entry->confirmed_revision) {
+        entry->unconfirmed_since_us = now_us;
     }
-    else if (m->directory_revision < entry->sent_revision &&
-             now_us - entry->directory_sent_us > kDirectoryResendUs) {
-        entry->sent_revision = m->directory_revision;
+    else if (now_us - entry->unconfirmed_since_us > entry->resend_after_us) {
+        entry->sent_revision = confirmed;
+        entry->unconfirmed_since_us = now_us;
+        entry->resend_after_us =
+            MIN(entry->resend_after_us * 2, (uint64_t)kMaxDirectoryResendUs);
+        d->server_counters.resends++;
     }
+    entry->confirmed_revision = confirmed;
     if (entry->sent_revision < d->directory.revision) {
         send_directory(d, now_us, entry);
     }
--- a/src/sapphireweir/fleet/director_internal.h
+++ b/src/sapphireweir/fleet/director_internal.h
@@ -63,9 +63,13 @@
     /* Directory revision that was last sent, zero: the instance has none of
      * this run. */
     uint64_t sent_revision;
-    uint64_t directory_sent_us; /* when that was sent */
-    gboolean leaving;           /* it reported that it is stopping */
-    uint64_t lease_end_us;      /* latest end of any lease granted to it */
+    uint64_t confirmed_revision; /* that its last report stated */
+    /* Since when it has confirmed nothing of what was sent, zero: it has all;
+     * and how long that may last before it is sent again. */
+    uint64_t unconfirmed_since_us;
+    uint64_t resend_after_us;
+    gboolean leaving;      /* it reported that it is stopping */
+    uint64_t lease_end_us; /* latest end of any lease granted to it */
     /* Consensus round that must be confirmed before the next grant is sent,
      * zero: no grant is pending. */
     uint64_t pending_round;
@@ -126,6 +130,7 @@
 typedef struct {
     uint64_t records;   /* whole ones */
     uint64_t confirmed; /* reports that changed nothing, without a record */
+    uint64_t resends;   /* updates that an entry instance did not confirm */
 } ServerCounters;
 
 typedef enum {
--- a/test/unit/test_fleet_sim.c
+++ b/test/unit/test_fleet_sim.c
@@ -1341,6 +1341,32 @@
     fleet_sim_free(sim);
 }
 
+/* Guards against work that a slow control instance gets because it is slow:
+ * reports reach it 2.5 s late, so that a restarted entry instance seems to lack
+ * the directory for as long.  It needs one copy; the others in the bound are
+ * what the control instances send each other at rest. */
+static void
+a_slow_instance_sends_few_copies_of_its_directory(void)
+{
+    enum { kMaxFrames = 70 };
+    FleetSim *sim = fleet_sim_new(8);
+
+    fleet_sim_run(sim, 3000);
+    fleet_sim_delay_control(sim, 1, 2500);
+    const Traffic *t = fleet_sim_traffic(sim);
+    uint64_t before = t->frames[SW__FRAME__BODY_DIRECTORY_UPDATE];
+    for (uint32_t i = 0; i < kFleetSimEntries; i++) {
+        fleet_sim_restart_entry(sim, i);
+    }
+    fleet_sim_run(sim, 6000);
+    uint64_t sent = t->frames[SW__FRAME__BODY_DIRECTORY_UPDATE] - before;
+    if (sent > kMaxFrames) {
+        g_print("\n%lu frames\n", sent);
+    }
+    CU_ASSERT(sent <= kMaxFrames);
+    fleet_sim_free(sim);
+}
+
 /* An operator reads a large document from each control instance.  Those that
  * have the newest version need not get its text from the leader. */
 static void
@@ -1514,6 +1540,8 @@
                 one_half_of_an_even_group_leads);
     CU_add_test(s, "reads of the document stay local",
                 reads_of_the_document_stay_local);
+    CU_add_test(s, "a slow instance sends few copies of its directory",
+                a_slow_instance_sends_few_copies_of_its_directory);
     CU_add_test(s, "reports without a change send no records",
                 reports_without_a_change_send_no_records);
     CU_add_test(s, "begin and first statement share a round trip",
