Send the primaries once for each event that changes them

Each change of a primary sent a grant with all primaries to each entry instance at once: databases that change x entry instances x databases. The loss of a failure domain changes many in one tick and one commit, and the start of a fleet adopted one primary for each commit.

The grant is sent at the end of the event that is handled, a tick, a frame or a flush, which is the same call; the first primaries of all databases are proposed together.

--- a/src/sapphireweir/fleet/director.c
+++ b/src/sapphireweir/fleet/director.c
@@ -113,7 +113,7 @@
             event_end(&line);
         }
         if (primary_changed) {
-            entries_push_primaries(d, now_us);
+            entries_push_primaries(d);
         }
     }
 }
@@ -442,6 +442,7 @@
     default:
         break;
     }
+    entries_event_end(d, now_us);
 }
 
 /* Handles a backend server's reply to request_status. */
@@ -527,6 +528,7 @@
         servers_tick(d, now_us);
         handover_tick(d, now_us);
     }
+    entries_event_end(d, now_us);
 }
 
 /* Sends the document and grants to all entry instances as soon as a new
@@ -551,10 +553,12 @@
 director_flush(Director *d, uint64_t now_us)
 {
     consensus_flush(d->consensus, now_us);
+    entries_event_end(d, now_us);
     update_leadership(d, now_us);
     announce_leadership(d, now_us);
     entries_grant_confirmed(d, now_us);
     requests_tick(d, now_us);
     consensus_flush(d->consensus, now_us);
+    entries_event_end(d, now_us);
     update_storage(d, now_us);
 }
--- a/src/sapphireweir/fleet/director_entries.c
+++ b/src/sapphireweir/fleet/director_entries.c
@@ -409,11 +409,23 @@
     send_grant(d, now_us, entry, 0);
 }
 
-/* Sends the primaries to all connected entry instances, without a lease. */
+/* Sends the primaries to all connected entry instances, without a lease, at the
+ * end of the event that is handled: it may change many of them, and each grant
+ * lists all. */
 void
-entries_push_primaries(Director *d, uint64_t now_us)
+entries_push_primaries(Director *d)
 {
-    for_each_connected_entry(d, now_us, push_primaries_to);
+    d->primaries_push = TRUE;
+}
+
+/* Ends the handling of an event; see entries_push_primaries. */
+void
+entries_event_end(Director *d, uint64_t now_us)
+{
+    if (d->primaries_push) {
+        d->primaries_push = FALSE;
+        for_each_connected_entry(d, now_us, push_primaries_to);
+    }
 }
 
 /* Begins the consensus round after which an entry instance's lease is
--- a/src/sapphireweir/fleet/director_internal.h
+++ b/src/sapphireweir/fleet/director_internal.h
@@ -292,7 +292,8 @@
     GHashTable *changes;         /* database -> PrimaryChange, owned */
     GHashTable *suspect_watches; /* database -> SuspectWatch, owned */
     GrantLists grant_lists;
-    GHashTable *peers; /* addresses of control instances, owned */
+    gboolean primaries_push; /* they are sent at the end of this event */
+    GHashTable *peers;       /* addresses of control instances, owned */
     /* team -> (entry id -> share in millionths), owned */
     GHashTable *shares;
     GQueue requests; /* OperatorRequest, owned */
@@ -395,7 +396,8 @@
                            const Sw__EntryReport *m);
 void entries_grant_confirmed(Director *d, uint64_t now_us);
 void entries_renew_leases(Director *d, uint64_t now_us);
-void entries_push_primaries(Director *d, uint64_t now_us);
+void entries_push_primaries(Director *d);
+void entries_event_end(Director *d, uint64_t now_us);
 void entries_push_document(Director *d, uint64_t now_us);
 void entries_push_evacuations(Director *d, uint64_t now_us);
 void entries_directory_changed(Director *d, uint64_t now_us,
--- a/src/sapphireweir/fleet/handover.c
+++ b/src/sapphireweir/fleet/handover.c
@@ -397,25 +397,36 @@
 
 /* Proposes the reported primary of each database that has none in the
  * replicated log yet.  Waits while the log has uncommitted entries, since one
- * of them may be this proposal. */
+ * of them may be such a proposal; the databases without a primary are proposed
+ * together, so that a new fleet waits for one commit. */
 static void
 adopt_primaries(Director *d, uint64_t now_us)
 {
+    GHashTable *proposed = NULL; /* database, borrowed */
     GHashTableIter it;
     void *value;
 
+    if (consensus_commit_index(d->consensus) !=
+        consensus_last_index(d->consensus)) {
+        return;
+    }
     g_hash_table_iter_init(&it, d->directory.servers);
     while (g_hash_table_iter_next(&it, NULL, &value)) {
         const DirectoryServer *s = value;
-        if (s->primary && !s->gone && !s->draining &&
-            director_primary(d, s->database) == NULL &&
-            consensus_commit_index(d->consensus) ==
-                consensus_last_index(d->consensus)) {
+        if (!s->primary || s->gone || s->draining ||
+            director_primary(d, s->database) != NULL) {
+            continue;
+        }
+        if (proposed == NULL) {
+            proposed = g_hash_table_new(g_str_hash, g_str_equal);
+        }
+        if (g_hash_table_add(proposed, s->database)) {
             PrimaryState first = {
                 .database = s->database, .primary = s->id, .epoch = 1};
             director_propose_primary(d, now_us, &first);
         }
     }
+    g_clear_pointer(&proposed, g_hash_table_destroy);
 }
 
 /* ---- phases ---- */
@@ -476,7 +487,7 @@
         change->changing_proposed =
             director_propose_primary(d, now_us, &changing);
     }
-    entries_push_primaries(d, now_us);
+    entries_push_primaries(d);
     request_statuses(d, now_us, change);
 }
 
@@ -553,7 +564,7 @@
     if (!may_keep && replicas_are_ready(d, now_us, change)) {
         if (change->planned) {
             phase_set(d, now_us, change, kChangeQuiescing);
-            entries_push_primaries(d, now_us);
+            entries_push_primaries(d);
             return TRUE;
         }
         revoke_access(d, now_us, change);
--- a/test/bench/director_cost.c
+++ b/test/bench/director_cost.c
@@ -23,6 +23,7 @@
     kFullEvidenceReports = 4,
     kStartUs = 4000000, /* the servers appear and get primaries */
     kIdleUs = 5000000,
+    kFailureUs = 500000, /* all primaries stop at once */
     kNameBytes = 24,
 };
 
@@ -50,6 +51,7 @@
     uint32_t entry_count;
     uint32_t database_count;
     Entry *entries;
+    GPtrArray *requested; /* ids of servers whose status was requested */
 } Bench;
 
 /* Records what an entry instance is sent. */
@@ -109,7 +111,35 @@
 }
 
 static void
-ignore_status(void *ctx, const char *server, const char *database,
+record_request(void *ctx, const char *server, const char *database,
+               const char *address)
+{
+    Bench *b = ctx;
+    (void)database;
+    (void)address;
+    g_ptr_array_add(b->requested, g_strdup(server));
+}
+
+/* Answers all requests for the status of a server, as replicas with the same
+ * log. */
+static void
+answer_requests(Bench *b)
+{
+    DirectorStatus status = {.responded = TRUE,
+                             .log_valid = TRUE,
+                             .log = {1, 10},
+                             .term = 1,
+                             .requested_us = b->now_us};
+
+    for (guint i = 0; i < b->requested->len; i++) {
+        director_handle_status(b->director, b->now_us,
+                               g_ptr_array_index(b->requested, i), &status);
+    }
+    g_ptr_array_set_size(b->requested, 0);
+}
+
+static void
+ignore_server(void *ctx, const char *server, const char *database,
               const char *address)
 {
     (void)ctx;
@@ -123,7 +153,7 @@
                  const char *address, uint64_t term)
 {
     (void)term;
-    ignore_status(ctx, server, database, address);
+    ignore_server(ctx, server, database, address);
 }
 
 static void
@@ -131,7 +161,7 @@
                  uint64_t fence)
 {
     (void)fence;
-    ignore_status(ctx, server, database, "");
+    ignore_server(ctx, server, database, "");
 }
 
 /* Sends an entry instance's report, all evidence with every fourth one. */
@@ -229,6 +259,7 @@
                 report_server(b, i, b->now_us / kServerReportUs + 1);
             }
         }
+        answer_requests(b);
         director_flush(b->director, b->now_us);
         director_tick(b->director, b->now_us);
         director_flush(b->director, b->now_us);
@@ -244,7 +275,7 @@
                          .add_peer = ignore_peer,
                          .random = same_number,
                          .operator_reply = ignore_reply,
-                         .request_status = ignore_status,
+                         .request_status = record_request,
                          .step_down = ignore_step_down,
                          .promote = ignore_promotion,
                          .storage = kDiscardStorage};
@@ -290,6 +321,17 @@
     memset(&b->traffic, 0, sizeof(b->traffic));
 }
 
+/* Discards messages of the log. */
+static void
+drop_message(const char *domain, GLogLevelFlags level, const char *text,
+             void *data)
+{
+    (void)domain;
+    (void)level;
+    (void)text;
+    (void)data;
+}
+
 int
 main(int argc, char **argv)
 {
@@ -303,6 +345,8 @@
     b.entry_count = (uint32_t)atoi(argv[2]);
     b.database_count = (uint32_t)atoi(argv[3]);
     b.confirm_delay_us = (uint64_t)atoi(argv[4]) * 1000;
+    g_log_set_handler(NULL, G_LOG_LEVEL_MESSAGE, drop_message, NULL);
+    b.requested = g_ptr_array_new_with_free_func(g_free);
     b.entries = g_new0(Entry, b.entry_count + 1);
     for (uint32_t i = 0; i < b.entry_count; i++) {
         g_snprintf(b.entries[i].id, kNameBytes, "e%u", i);
@@ -312,7 +356,15 @@
     bench_print(&b, "start");
     bench_run(&b, kIdleUs);
     bench_print(&b, "idle");
+    for (uint32_t i = 0; i < b.database_count; i++) {
+        char id[kNameBytes];
+        g_snprintf(id, sizeof(id), "server-%u", i * kServersPerDatabase);
+        director_handle_server_leave(b.director, b.now_us, id);
+    }
+    bench_run(&b, kFailureUs);
+    bench_print(&b, "failure");
     director_free(b.director);
+    g_ptr_array_unref(b.requested);
     g_free(b.entries);
     return 0;
 }
