Keep the connections of all backend servers at control instances

Backend servers keep the HTTP connection of their reports open. With the default of 128 connections, the one idle longest gives way to a new one. If more than 128 servers report to one control instance, that is always the one of the next report: each report finds its connection closed and comes again over a new one. A control instance gets there when others are slow or gone, since servers send a report that is not answered within 1 s to the next one; so the overload keeps itself up.

--- a/test/unit/test_client_limits.c
+++ b/test/unit/test_client_limits.c
@@ -1,11 +1,13 @@
 #include <event2/buffer.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "../support/system.h"
 #include "adapter/header_lines.h"
 #include "core/json_bounds.h"
 #include "core/message.h"
+#include "platform/boot.h"
 #include "platform/wire.h"
 #include "suite.h"
 
@@ -256,6 +258,42 @@
     system_free(s);
 }
 
+/* Guards against a control instance that closes the connection of each report
+ * of a backend server, as there are more servers than connections. */
+static void
+a_control_instance_keeps_the_connections_of_servers(void)
+{
+    static const struct {
+        const char *listen;
+        const char *limits;
+        uint32_t connections;
+    } cases[] = {
+        {"control", "\"max-fds\":1000", 400},
+        {"control", "\"max-fds\":300", 128},
+        {"control", "\"max-fds\":1000,\"http-connections\":40", 40},
+        {"ready", "\"max-fds\":1000", 128},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        char *text = g_strdup_printf(
+            "{\"node-name\":\"n\",\"ip\":\"127.0.0.1\",\"listen\":"
+            "{\"%s\":\"127.0.0.1:1\"},\"limits\":{%s}}",
+            cases[i].listen, cases[i].limits);
+        char *path = NULL;
+        Boot b;
+        close(g_file_open_tmp("boot-XXXXXX", &path, NULL));
+        g_file_set_contents(path, text, -1, NULL);
+        g_setenv("SAPPHIREWEIR_BOOT", path, TRUE);
+        CU_ASSERT(boot_load(&b, NULL));
+        CU_ASSERT_EQUAL(b.limits.max_http_connections, cases[i].connections);
+        boot_clear(&b);
+        g_unsetenv("SAPPHIREWEIR_BOOT");
+        unlink(path);
+        g_free(path);
+        g_free(text);
+    }
+}
+
 void
 add_client_limits_suite(void)
 {
@@ -270,6 +308,8 @@
                 lines_of_headers_are_counted);
     CU_add_test(s, "frames are bounded when unpacked",
                 frames_are_bounded_when_unpacked);
+    CU_add_test(s, "a control instance keeps the connections of servers",
+                a_control_instance_keeps_the_connections_of_servers);
     CU_add_test(s, "bodies of callers are bounded",
                 bodies_of_callers_are_bounded);
 }
