Send few changes of servers at once, share frames beyond

Waiting 20 ms with each change that ends no use delays the first records of a fleet that starts, for which statements queue.

--- a/src/sapphireweir/fleet/director_entries.c
+++ b/src/sapphireweir/fleet/director_entries.c
@@ -19,7 +19,11 @@
     kDirectoryResendUs = 1200000,
     kMaxDirectoryResendUs = 4800000,
     kSharesIntervalUs = 500000,
-    /* Changes of servers that end no use share a frame for so long. */
+    kPushWindowUs = 1000000,
+    /* So many changes of servers that end no use are sent at once in a second.
+     * Further ones share a frame for kDirectoryShareUs, which is too long for
+     * the first records of a fleet that starts: statements queue for them. */
+    kDirectoryPushesPerS = 16,
     kDirectoryShareUs = 20000,
     kDemandWeight = 3, /* of the old average; a new value has weight 1 */
 };
@@ -229,17 +233,26 @@
 }
 
 /* Sends the backend servers that changed after a revision to all connected
- * entry instances: at once if the use of one has ended, otherwise after
- * kDirectoryShareUs, together with what changes until then. */
+ * entry instances: at once if the use of one has ended or few were sent in this
+ * second, otherwise after kDirectoryShareUs, together with what changes until
+ * then. */
 void
 entries_directory_changed(Director *d, uint64_t now_us, uint64_t old_revision)
 {
     if (d->directory.revision == old_revision) {
         return;
     }
+    if (now_us - d->push_second_us >= kPushWindowUs) {
+        d->push_second_us = now_us;
+        d->pushes_at_once = 0;
+    }
     if (d->directory.ended_revision > old_revision) {
         push_directory(d, now_us);
     }
+    else if (d->pushes_at_once < kDirectoryPushesPerS) {
+        d->pushes_at_once++;
+        push_directory(d, now_us);
+    }
     else if (d->directory_push_us == 0) {
         d->directory_push_us = now_us + kDirectoryShareUs;
     }
--- a/src/sapphireweir/fleet/director_internal.h
+++ b/src/sapphireweir/fleet/director_internal.h
@@ -266,6 +266,9 @@
     /* When changed servers are sent to the entry instances, zero: none are to
      * be. */
     uint64_t directory_push_us;
+    /* Changes that ended no use and were sent at once since push_second_us. */
+    uint32_t pushes_at_once;
+    uint64_t push_second_us;
     uint64_t run_id; /* random; directory revisions restart with each run */
 
     uint64_t document_version;
@@ -292,8 +295,9 @@
     GHashTable *changes;         /* database -> PrimaryChange, owned */
     GHashTable *suspect_watches; /* database -> SuspectWatch, owned */
     GrantLists grant_lists;
-    gboolean primaries_push; /* they are sent at the end of this event */
-    GHashTable *peers;       /* addresses of control instances, owned */
+    uint64_t next_adoption_us; /* of first primaries */
+    gboolean primaries_push;   /* they are sent at the end of this event */
+    GHashTable *peers;         /* addresses of control instances, owned */
     /* team -> (entry id -> share in millionths), owned */
     GHashTable *shares;
     GQueue requests; /* OperatorRequest, owned */
