Adopt first primaries every 100 ms at most

Each first primary that was committed sent all primaries to all entry instances, so that the start of many databases cost databases x databases x entry instances. The first one is proposed at once, the others of the next 100 ms together.

--- a/src/sapphireweir/fleet/handover.c
+++ b/src/sapphireweir/fleet/handover.c
@@ -28,7 +28,8 @@
     kProposalRetryUs = 500000, /* after a proposal that was not committed */
     /* After a promotion request got no reply, or an error other than 409. */
     kPromotionRetryUs = 150000,
-    kMaxRoleAgeUs = 300000, /* older reports of a role are ignored */
+    kAdoptionIntervalUs = 100000, /* first primaries are proposed together */
+    kMaxRoleAgeUs = 300000,       /* older reports of a role are ignored */
     kHttpOk = 200,
     kHttpConflict = 409, /* the platform refuses to promote that server */
 };
@@ -398,7 +399,8 @@
 /* Proposes the reported primary of each database that has none in the
  * replicated log yet.  Waits while the log has uncommitted entries, since one
  * of them may be such a proposal; the databases without a primary are proposed
- * together, so that a new fleet waits for one commit. */
+ * together, so that a new fleet waits for few commits and its instances get
+ * few lists. */
 static void
 adopt_primaries(Director *d, uint64_t now_us)
 {
@@ -406,8 +408,9 @@
     GHashTableIter it;
     void *value;
 
-    if (consensus_commit_index(d->consensus) !=
-        consensus_last_index(d->consensus)) {
+    if (now_us < d->next_adoption_us ||
+        consensus_commit_index(d->consensus) !=
+            consensus_last_index(d->consensus)) {
         return;
     }
     g_hash_table_iter_init(&it, d->directory.servers);
@@ -426,7 +429,10 @@
             director_propose_primary(d, now_us, &first);
         }
     }
-    g_clear_pointer(&proposed, g_hash_table_destroy);
+    if (proposed != NULL) {
+        d->next_adoption_us = now_us + kAdoptionIntervalUs;
+        g_hash_table_destroy(proposed);
+    }
 }
 
 /* ---- phases ---- */
