--- a/src/sapphireweir/fleet/director.c
+++ b/src/sapphireweir/fleet/director.c
@@ -60,6 +60,7 @@
         g_hash_table_insert(d->primaries, p->database, p);
     }
     gboolean new_epoch = m->epoch > p->epoch;
+    d->grant_lists.primaries_valid = FALSE;
     g_free(p->primary);
     p->primary = g_strdup(m->primary);
     p->epoch = m->epoch;
@@ -112,7 +113,7 @@
             event_end(&line);
         }
         if (primary_changed) {
-            entries_push_primaries(d, now_us);
+            entries_push_primaries(d);
         }
     }
 }
@@ -251,12 +252,17 @@
     consensus_keep_odd_voters(d->consensus);
     directory_init(&d->directory);
     queries_init(d);
+    d->collected = g_ptr_array_new_with_free_func(g_free);
     evacuations_init(&d->evacuations);
     d->orders = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     d->primaries = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
                                          primary_state_free);
     d->entries =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, entry_state_free);
+    d->suspect_watches =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    d->grant_lists.primaries = g_ptr_array_new_with_free_func(g_free);
+    d->grant_lists.entries = g_ptr_array_new_with_free_func(g_free);
     d->changes = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
                                        primary_change_free);
     d->peers = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -282,12 +288,16 @@
     document_unref(d->decoded_document);
     documents_clear(d);
     g_hash_table_destroy(d->peers);
+    g_hash_table_destroy(d->suspect_watches);
+    g_ptr_array_unref(d->grant_lists.entries);
+    g_ptr_array_unref(d->grant_lists.primaries);
     g_hash_table_destroy(d->changes);
     g_hash_table_destroy(d->entries);
     g_hash_table_destroy(d->primaries);
     g_hash_table_destroy(d->orders);
     evacuations_clear(&d->evacuations);
     g_hash_table_destroy(d->queries);
+    g_ptr_array_unref(d->collected);
     directory_clear(&d->directory);
     consensus_free(d->consensus);
     g_clear_pointer(&d->document, g_bytes_unref);
@@ -440,6 +450,7 @@
     default:
         break;
     }
+    entries_event_end(d, now_us);
 }
 
 /* Handles a backend server's reply to request_status. */
@@ -478,6 +489,7 @@
     d->announced = FALSE;
     d->logged_revision = 0;
     g_hash_table_remove_all(d->changes);
+    d->grant_lists.primaries_valid = FALSE;
     g_hash_table_remove_all(d->shares);
     g_hash_table_remove_all(d->rate_windows);
     d->next_reservations_us = 0;
@@ -518,12 +530,14 @@
     members_tick(d, now_us);
     requests_tick(d, now_us);
     entries_tick(d, now_us);
+    servers_exchange_tick(d, now_us);
     servers_expire(d, now_us);
     queries_tick(d, now_us);
     if (d->led_since_us != 0) {
         servers_tick(d, now_us);
         handover_tick(d, now_us);
     }
+    entries_event_end(d, now_us);
 }
 
 /* Sends the document and grants to all entry instances as soon as a new
@@ -548,10 +562,12 @@
 director_flush(Director *d, uint64_t now_us)
 {
     consensus_flush(d->consensus, now_us);
+    entries_event_end(d, now_us);
     update_leadership(d, now_us);
     announce_leadership(d, now_us);
     entries_grant_confirmed(d, now_us);
     requests_tick(d, now_us);
     consensus_flush(d->consensus, now_us);
+    entries_event_end(d, now_us);
     update_storage(d, now_us);
 }
--- a/src/sapphireweir/fleet/director_entries.c
+++ b/src/sapphireweir/fleet/director_entries.c
@@ -13,9 +13,18 @@
     kEntryInactiveUs = 2500000, /* without a report: counts as inactive */
     kEntryExpiryUs = 30000000,  /* without a report: its state is freed */
     /* An update of the directory that no report has confirmed for so long is
-     * sent again: two short reports and a round trip. */
+     * sent again: two short reports and a round trip.  The time doubles up to
+     * the limit while the instance confirms nothing, since a slow link or a
+     * slow control instance gets more work by each copy. */
     kDirectoryResendUs = 1200000,
+    kMaxDirectoryResendUs = 4800000,
     kSharesIntervalUs = 500000,
+    kPushWindowUs = 1000000,
+    /* So many changes of servers that end no use are sent at once in a second.
+     * Further ones share a frame for kDirectoryShareUs, which is too long for
+     * the first records of a fleet that starts: statements queue for them. */
+    kDirectoryPushesPerS = 16,
+    kDirectoryShareUs = 20000,
     kDemandWeight = 3, /* of the old average; a new value has weight 1 */
 };
 
@@ -79,6 +88,8 @@
     entry->granted_sequence = 0;
     entry->grant_reported_us = now_us;
     entry->sent_revision = 0;
+    entry->confirmed_revision = 0;
+    entry->unconfirmed_since_us = 0;
     document_transfer_reset(&entry->transfer);
     entry->shares_sent_us = 0;
     entry->document_version = 0;
@@ -87,40 +98,32 @@
     return entry;
 }
 
-/* Returns whether an entry instance has reported recently and is not
- * leaving. */
-gboolean
-entry_is_active(const EntryState *entry, uint64_t now_us)
+/* Returns whether an entry instance has reported recently. */
+static gboolean
+entry_is_connected(const EntryState *entry, uint64_t now_us)
 {
     return entry->last_seen_us != 0 &&
-           now_us - entry->last_seen_us < kEntryInactiveUs && !entry->leaving;
+           now_us - entry->last_seen_us < kEntryInactiveUs;
 }
 
-/* Returns the number of active entry instances. */
-uint32_t
-entries_count(const Director *d, uint64_t now_us)
+/* Returns whether an entry instance has reported recently and is not
+ * leaving. */
+gboolean
+entry_is_active(const EntryState *entry, uint64_t now_us)
 {
-    GHashTableIter it;
-    void *value;
-    uint32_t count = 0;
-
-    g_hash_table_iter_init(&it, d->entries);
-    while (g_hash_table_iter_next(&it, NULL, &value)) {
-        count += entry_is_active(value, now_us);
-    }
-    return count;
+    return entry_is_connected(entry, now_us) && !entry->leaving;
 }
 
 /* ---- backend servers ---- */
 
-/* Sends an entry instance the backend servers that changed since the last
- * update, or all of them if it has received none in this run. */
+/* Sends an entry instance the records of the backend servers that changed
+ * since the last update. */
 static void
-send_directory(Director *d, uint64_t now_us, EntryState *entry)
+send_records(Director *d, uint64_t now_us, EntryState *entry,
+             const GPtrArray *list)
 {
     Sw__Frame frame = SW__FRAME__INIT;
     Sw__DirectoryUpdate m = SW__DIRECTORY_UPDATE__INIT;
-    GPtrArray *list = servers_since(d, now_us, entry->sent_revision);
 
     m.run = d->run_id;
     m.revision = d->directory.revision;
@@ -131,25 +134,52 @@
     frame.directory_update = &m;
     d->port.send(d->port.ctx, entry->id, &frame);
     entry->sent_revision = d->directory.revision;
-    entry->directory_sent_us = now_us;
+    if (entry->unconfirmed_since_us == 0) {
+        entry->unconfirmed_since_us = now_us;
+    }
+}
+
+/* Sends an entry instance the backend servers that changed since the last
+ * update, or all of them if it has received none in this run. */
+static void
+send_directory(Director *d, uint64_t now_us, EntryState *entry)
+{
+    GPtrArray *list = servers_since(d, now_us, entry->sent_revision);
+
+    send_records(d, now_us, entry, list);
     g_ptr_array_unref(list);
 }
 
 /* Handles the directory revision in an entry instance's report: sends what the
- * instance lacks, also if that was sent before and was lost. */
+ * instance lacks, also if that was sent before and was lost.  An instance that
+ * has not confirmed anything may just be receiving it, so its reports alone
+ * cause no copy; one that states less than before has lost what it had. */
 static void
 directory_handle_report(Director *d, uint64_t now_us, EntryState *entry,
                         const Sw__EntryReport *m)
 {
-    gboolean same_run = m->directory_run == d->run_id;
+    uint64_t confirmed =
+        m->directory_run == d->run_id ? m->directory_revision : 0;
 
-    if (!same_run) {
-        entry->sent_revision = 0;
+    if (confirmed >= entry->sent_revision) {
+        entry->unconfirmed_since_us = 0;
+        entry->resend_after_us = kDirectoryResendUs;
+    }
+    else if (confirmed < entry->confirmed_revision) {
+        entry->sent_revision = confirmed;
+        entry->unconfirmed_since_us = now_us;
     }
-    else if (m->directory_revision < entry->sent_revision &&
-             now_us - entry->directory_sent_us > kDirectoryResendUs) {
-        entry->sent_revision = m->directory_revision;
+    else if (confirmed > entry->confirmed_revision) {
+        entry->unconfirmed_since_us = now_us;
     }
+    else if (now_us - entry->unconfirmed_since_us > entry->resend_after_us) {
+        entry->sent_revision = confirmed;
+        entry->unconfirmed_since_us = now_us;
+        entry->resend_after_us =
+            MIN(entry->resend_after_us * 2, (uint64_t)kMaxDirectoryResendUs);
+        d->server_counters.resends++;
+    }
+    entry->confirmed_revision = confirmed;
     if (entry->sent_revision < d->directory.revision) {
         send_directory(d, now_us, entry);
     }
@@ -168,24 +198,64 @@
     g_hash_table_iter_init(&it, d->entries);
     while (g_hash_table_iter_next(&it, NULL, &value)) {
         EntryState *entry = value;
-        if (entry->last_seen_us != 0 &&
-            now_us - entry->last_seen_us < kEntryInactiveUs) {
+        if (entry_is_connected(entry, now_us)) {
             func(d, now_us, entry);
         }
     }
 }
 
+/* Sends the changed backend servers to all connected entry instances that lack
+ * some.  Most lack the same ones. */
 static void
-push_directory_to(Director *d, uint64_t now_us, EntryState *entry)
+push_directory(Director *d, uint64_t now_us)
 {
-    send_directory(d, now_us, entry);
+    GHashTableIter it;
+    void *value;
+    GPtrArray *list = NULL;
+    uint64_t since = 0;
+
+    d->directory_push_us = 0;
+    g_hash_table_iter_init(&it, d->entries);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        EntryState *entry = value;
+        if (!entry_is_connected(entry, now_us) ||
+            entry->sent_revision >= d->directory.revision) {
+            continue;
+        }
+        if (list == NULL || since != entry->sent_revision) {
+            g_clear_pointer(&list, g_ptr_array_unref);
+            since = entry->sent_revision;
+            list = servers_since(d, now_us, since);
+        }
+        send_records(d, now_us, entry, list);
+    }
+    g_clear_pointer(&list, g_ptr_array_unref);
 }
 
-/* Sends the changed backend servers to all connected entry instances. */
+/* Sends the backend servers that changed after a revision to all connected
+ * entry instances: at once if the use of one has ended or few were sent in this
+ * second, otherwise after kDirectoryShareUs, together with what changes until
+ * then. */
 void
-entries_push_directory(Director *d, uint64_t now_us)
+entries_directory_changed(Director *d, uint64_t now_us, uint64_t old_revision)
 {
-    for_each_connected_entry(d, now_us, push_directory_to);
+    if (d->directory.revision == old_revision) {
+        return;
+    }
+    if (now_us - d->push_second_us >= kPushWindowUs) {
+        d->push_second_us = now_us;
+        d->pushes_at_once = 0;
+    }
+    if (d->directory.ended_revision > old_revision) {
+        push_directory(d, now_us);
+    }
+    else if (d->pushes_at_once < kDirectoryPushesPerS) {
+        d->pushes_at_once++;
+        push_directory(d, now_us);
+    }
+    else if (d->directory_push_us == 0) {
+        d->directory_push_us = now_us + kDirectoryShareUs;
+    }
 }
 
 /* Sends the current document to all connected entry instances. */
@@ -218,62 +288,62 @@
     out->quiescing = handover_is_quiescing(d, p->database);
 }
 
-/* Returns a hash of all primaries and their states, whatever their order; zero
- * if there are none. */
-static uint64_t
-primaries_hash(const Director *d)
+/* Builds the list of primaries and its hash, whatever their order; zero if
+ * there are none.  Everything that a grant states of a primary follows from
+ * the committed primaries and the phases of their changes, whose writers
+ * invalidate the list. */
+static void
+primaries_build(Director *d)
 {
+    GrantLists *lists = &d->grant_lists;
     GHashTableIter it;
     void *value;
-    uint64_t hash = 0;
 
+    g_ptr_array_set_size(lists->primaries, 0);
+    lists->primaries_hash = 0;
+    lists->primaries_valid = TRUE;
     g_hash_table_iter_init(&it, d->primaries);
     while (g_hash_table_iter_next(&it, NULL, &value)) {
-        Sw__PrimaryGrant each;
-        primary_grant_fill(d, value, &each);
-        uint64_t state =
-            each.epoch * 4 + (each.closing ? 2 : 0) + (each.quiescing ? 1 : 0);
-        hash += hash_text(each.database,
-                          hash_text(each.primary, hash_number(state, 1)));
-    }
-    return hash;
+        Sw__PrimaryGrant *each = g_new(Sw__PrimaryGrant, 1);
+        primary_grant_fill(d, value, each);
+        g_ptr_array_add(lists->primaries, each);
+        uint64_t state = each->epoch * 4 + (each->closing ? 2 : 0) +
+                         (each->quiescing ? 1 : 0);
+        lists->primaries_hash += hash_text(
+            each->database, hash_text(each->primary, hash_number(state, 1)));
+    }
 }
 
 /* Fills in the hash of the primaries, and the primaries themselves unless the
- * receiver reported the same hash.  The list owns the records, which borrow
- * the director's strings. */
+ * receiver reported the same hash.  The director owns the list. */
 static void
-grant_primaries(const Director *d, uint64_t known_hash, Sw__EntryGrant *m,
-                GPtrArray *list)
+grant_primaries(Director *d, uint64_t known_hash, Sw__EntryGrant *m)
 {
-    GHashTableIter it;
-    void *value;
+    GrantLists *lists = &d->grant_lists;
 
-    m->primaries_hash = primaries_hash(d);
-    if (m->primaries_hash == known_hash) {
-        return;
+    if (!lists->primaries_valid) {
+        primaries_build(d);
     }
-    g_hash_table_iter_init(&it, d->primaries);
-    while (g_hash_table_iter_next(&it, NULL, &value)) {
-        Sw__PrimaryGrant *each = g_new(Sw__PrimaryGrant, 1);
-        primary_grant_fill(d, value, each);
-        g_ptr_array_add(list, each);
+    m->primaries_hash = lists->primaries_hash;
+    if (m->primaries_hash != known_hash) {
+        m->n_primaries = lists->primaries->len;
+        m->primaries = (Sw__PrimaryGrant **)lists->primaries->pdata;
     }
-    m->n_primaries = list->len;
-    m->primaries = (Sw__PrimaryGrant **)list->pdata;
 }
 
-/* Fills in the hash of the active entry instances, and the instances
- * themselves if the receiver reported another hash.  The list owns the
- * records, which borrow the director's strings. */
+/* Builds the list of active entry instances and its hash.  It is valid until
+ * the first of them would be inactive without a further report, or until a
+ * report makes one active or inactive or changes its failure domain. */
 static void
-grant_entries(const Director *d, uint64_t now_us, const EntryState *entry,
-              Sw__EntryGrant *m, GPtrArray *list)
+entries_build(Director *d, uint64_t now_us)
 {
+    GrantLists *lists = &d->grant_lists;
     GHashTableIter it;
     void *value;
     EntryList *all = entry_list_new();
 
+    g_ptr_array_set_size(lists->entries, 0);
+    lists->entries_valid_until_us = now_us + kEntryInactiveUs;
     g_hash_table_iter_init(&it, d->entries);
     while (g_hash_table_iter_next(&it, NULL, &value)) {
         const EntryState *each = value;
@@ -282,15 +352,34 @@
             sw__entry_record__init(r);
             r->id = each->id;
             r->failure_domain = each->failure_domain;
-            g_ptr_array_add(list, r);
+            g_ptr_array_add(lists->entries, r);
             entry_list_add(all, each->id, each->failure_domain);
+            lists->entries_valid_until_us =
+                MIN(lists->entries_valid_until_us,
+                    each->last_seen_us + kEntryInactiveUs);
         }
     }
-    m->entries_hash = all->hash;
+    lists->entries_hash = all->hash;
     entry_list_free(all);
+}
+
+/* Fills in the number and the hash of the active entry instances, and the
+ * instances themselves if the receiver reported another hash.  The director
+ * owns the list. */
+static void
+grant_entries(Director *d, uint64_t now_us, const EntryState *entry,
+              Sw__EntryGrant *m)
+{
+    GrantLists *lists = &d->grant_lists;
+
+    if (now_us >= lists->entries_valid_until_us) {
+        entries_build(d, now_us);
+    }
+    m->entry_count = lists->entries->len;
+    m->entries_hash = lists->entries_hash;
     if (m->entries_hash != entry->entries_hash) {
-        m->n_entries = list->len;
-        m->entries = (Sw__EntryRecord **)list->pdata;
+        m->n_entries = lists->entries->len;
+        m->entries = (Sw__EntryRecord **)lists->entries->pdata;
     }
 }
 
@@ -301,9 +390,7 @@
 {
     Sw__Frame frame = SW__FRAME__INIT;
     Sw__EntryGrant m = SW__ENTRY_GRANT__INIT;
-    GPtrArray *primaries = g_ptr_array_new_with_free_func(g_free);
     GPtrArray *shares = g_ptr_array_new_with_free_func(g_free);
-    GPtrArray *entries = g_ptr_array_new_with_free_func(g_free);
     GPtrArray *evacuated =
         director_grant_evacuations(d, now_us, entry->evacuations_hash, &m);
 
@@ -311,12 +398,10 @@
     m.term = consensus_term(d->consensus);
     m.revision = ++d->grant_revision;
     m.document_version = d->document_version;
-    grant_primaries(d, sequence == 0 ? 0 : entry->primaries_hash, &m,
-                    primaries);
+    grant_primaries(d, sequence == 0 ? 0 : entry->primaries_hash, &m);
     if (sequence != 0) {
         m.lease_us = d->config.lease_us;
-        m.entry_count = entries_count(d, now_us);
-        grant_entries(d, now_us, entry, &m, entries);
+        grant_entries(d, now_us, entry, &m);
         rates_append_shares(d, now_us, entry, shares);
         m.usage_version =
             entry->usage_term == m.term ? entry->usage_version : 0;
@@ -328,9 +413,7 @@
     frame.entry_grant = &m;
     d->port.send(d->port.ctx, entry->id, &frame);
     g_ptr_array_unref(evacuated);
-    g_ptr_array_unref(entries);
     g_ptr_array_unref(shares);
-    g_ptr_array_unref(primaries);
 }
 
 static void
@@ -339,11 +422,23 @@
     send_grant(d, now_us, entry, 0);
 }
 
-/* Sends the primaries to all connected entry instances, without a lease. */
+/* Sends the primaries to all connected entry instances, without a lease, at the
+ * end of the event that is handled: it may change many of them, and each grant
+ * lists all. */
+void
+entries_push_primaries(Director *d)
+{
+    d->primaries_push = TRUE;
+}
+
+/* Ends the handling of an event; see entries_push_primaries. */
 void
-entries_push_primaries(Director *d, uint64_t now_us)
+entries_event_end(Director *d, uint64_t now_us)
 {
-    for_each_connected_entry(d, now_us, push_primaries_to);
+    if (d->primaries_push) {
+        d->primaries_push = FALSE;
+        for_each_connected_entry(d, now_us, push_primaries_to);
+    }
 }
 
 /* Begins the consensus round after which an entry instance's lease is
@@ -367,17 +462,39 @@
 
 /* ---- reports ---- */
 
+/* Records when the evidence on a primary last stated a failure. */
+static void
+watch_failure(Director *d, uint64_t now_us, const char *database,
+              uint64_t failing_us)
+{
+    SuspectWatch *watch;
+
+    if (failing_us == 0) {
+        return;
+    }
+    watch = g_hash_table_lookup(d->suspect_watches, database);
+    if (watch == NULL) {
+        watch = g_new0(SuspectWatch, 1);
+        g_hash_table_insert(d->suspect_watches, g_strdup(database), watch);
+    }
+    suspect_watch_record(watch, now_us, failing_us);
+}
+
 /* Stores a report's evidence on each primary.  That of a database which the
  * report omits as unchanged counts as received again. */
 static void
-record_evidence(EntryState *entry, uint64_t now_us, const Sw__EntryReport *m)
+record_evidence(Director *d, EntryState *entry, uint64_t now_us,
+                const Sw__EntryReport *m)
 {
     GHashTableIter it;
+    void *key;
     void *value;
 
     g_hash_table_iter_init(&it, entry->evidence);
-    while (m->evidence_partial && g_hash_table_iter_next(&it, NULL, &value)) {
-        ((EntryEvidence *)value)->received_us = now_us;
+    while (m->evidence_partial && g_hash_table_iter_next(&it, &key, &value)) {
+        EntryEvidence *kept = value;
+        kept->received_us = now_us;
+        watch_failure(d, now_us, key, kept->failing_us);
     }
     for (size_t i = 0; i < m->n_evidence; i++) {
         const Sw__PrimaryEvidence *e = m->evidence[i];
@@ -387,6 +504,7 @@
             kept = g_new0(EntryEvidence, 1);
             g_hash_table_insert(entry->evidence, g_strdup(e->database), kept);
         }
+        watch_failure(d, now_us, e->database, e->failing_us);
         *kept = (EntryEvidence){
             .epoch = e->epoch,
             .recorded_us = now_us,
@@ -426,6 +544,7 @@
                       const Sw__EntryReport *m)
 {
     EntryState *entry = entry_state_ensure(d, now_us, from, m->incarnation);
+    gboolean was_active = entry_is_active(entry, now_us);
 
     entry->last_seen_us = now_us;
     entry->leaving = m->leaving;
@@ -440,6 +559,10 @@
     if (g_strcmp0(entry->failure_domain, m->failure_domain) != 0) {
         g_free(entry->failure_domain);
         entry->failure_domain = g_strdup(m->failure_domain);
+        d->grant_lists.entries_valid_until_us = 0;
+    }
+    if (entry_is_active(entry, now_us) != was_active) {
+        d->grant_lists.entries_valid_until_us = 0;
     }
     entry->link_bytes_per_s = m->link_bytes_per_s;
     directory_handle_report(d, now_us, entry, m);
@@ -450,7 +573,7 @@
         return;
     }
     entry->sequence = m->sequence;
-    record_evidence(entry, now_us, m);
+    record_evidence(d, entry, now_us, m);
     record_demand(entry, m);
     rates_handle_usage(d, now_us, entry, m);
     rates_handle_lent(d, now_us, entry, m);
@@ -497,12 +620,15 @@
     return now_us - entry->last_seen_us > kEntryExpiryUs;
 }
 
-/* Continues document transfers.  Every kSharesIntervalUs, frees the state of
+/* Continues document transfers and sends changed servers.  Every kSharesIntervalUs, frees the state of
  * expired entry instances and, on the leader, recomputes the rate shares. */
 void
 entries_tick(Director *d, uint64_t now_us)
 {
     for_each_connected_entry(d, now_us, documents_tick);
+    if (d->directory_push_us != 0 && now_us >= d->directory_push_us) {
+        push_directory(d, now_us);
+    }
     if (now_us < d->next_shares_us) {
         return;
     }
--- a/src/sapphireweir/fleet/director_internal.h
+++ b/src/sapphireweir/fleet/director_internal.h
@@ -5,6 +5,7 @@
 #include "fleet/document_transfer.h"
 #include "fleet/evacuations.h"
 #include "policy/slow_start.h"
+#include "policy/suspect.h"
 
 /* Types and functions that the director's source files share. */
 
@@ -63,9 +64,13 @@
     /* Directory revision that was last sent, zero: the instance has none of
      * this run. */
     uint64_t sent_revision;
-    uint64_t directory_sent_us; /* when that was sent */
-    gboolean leaving;           /* it reported that it is stopping */
-    uint64_t lease_end_us;      /* latest end of any lease granted to it */
+    uint64_t confirmed_revision; /* that its last report stated */
+    /* Since when it has confirmed nothing of what was sent, zero: it has all;
+     * and how long that may last before it is sent again. */
+    uint64_t unconfirmed_since_us;
+    uint64_t resend_after_us;
+    gboolean leaving;      /* it reported that it is stopping */
+    uint64_t lease_end_us; /* latest end of any lease granted to it */
     /* Consensus round that must be confirmed before the next grant is sent,
      * zero: no grant is pending. */
     uint64_t pending_round;
@@ -119,6 +124,24 @@
     uint64_t lent_reports; /* of shares that others may still use */
 } RateCounters;
 
+/* The lists of grants, until what they are made of changes.  The records borrow
+ * the director's strings. */
+typedef struct {
+    gboolean primaries_valid;
+    uint64_t primaries_hash;
+    GPtrArray *primaries;            /* Sw__PrimaryGrant, owned */
+    uint64_t entries_valid_until_us; /* zero: not valid */
+    uint64_t entries_hash;
+    GPtrArray *entries; /* Sw__EntryRecord of the active instances, owned */
+} GrantLists;
+
+/* Counters of what this instance sent the others of backend servers. */
+typedef struct {
+    uint64_t records;   /* whole ones */
+    uint64_t confirmed; /* reports that changed nothing, without a record */
+    uint64_t resends;   /* updates that an entry instance did not confirm */
+} ServerCounters;
+
 typedef enum {
     kChangeProbing,   /* requests the servers' status, revokes nothing yet */
     kChangeQuiescing, /* planned only: no new work starts, open work ends */
@@ -244,6 +267,17 @@
     DirectorPort port;
     Consensus *consensus;
     Directory directory;
+    /* Ids of servers whose last report changed nothing and is not sent to the
+     * other control instances yet; owned. */
+    GPtrArray *collected;
+    uint64_t collect_until_us;
+    ServerCounters server_counters;
+    /* When changed servers are sent to the entry instances, zero: none are to
+     * be. */
+    uint64_t directory_push_us;
+    /* Changes that ended no use and were sent at once since push_second_us. */
+    uint32_t pushes_at_once;
+    uint64_t push_second_us;
     uint64_t run_id; /* random; directory revisions restart with each run */
 
     uint64_t document_version;
@@ -272,9 +306,13 @@
     uint64_t queries_received;
     uint64_t queries_answered;
 
-    GHashTable *entries; /* id -> EntryState, owned */
-    GHashTable *changes; /* database -> PrimaryChange, owned */
-    GHashTable *peers;   /* addresses of control instances, owned */
+    GHashTable *entries;         /* id -> EntryState, owned */
+    GHashTable *changes;         /* database -> PrimaryChange, owned */
+    GHashTable *suspect_watches; /* database -> SuspectWatch, owned */
+    GrantLists grant_lists;
+    uint64_t next_adoption_us; /* of first primaries */
+    gboolean primaries_push;   /* they are sent at the end of this event */
+    GHashTable *peers;         /* addresses of control instances, owned */
     /* team -> (entry id -> share in millionths), owned */
     GHashTable *shares;
     GQueue requests; /* OperatorRequest, owned */
@@ -319,6 +357,7 @@
 GPtrArray *servers_since(const Director *d, uint64_t now_us,
                          uint64_t revision);
 void servers_tick(Director *d, uint64_t now_us);
+void servers_exchange_tick(Director *d, uint64_t now_us);
 void servers_expire(Director *d, uint64_t now_us);
 void servers_handle_update(Director *d, uint64_t now_us,
                            const Sw__DirectoryUpdate *m);
@@ -383,12 +422,13 @@
                            const Sw__EntryReport *m);
 void entries_grant_confirmed(Director *d, uint64_t now_us);
 void entries_renew_leases(Director *d, uint64_t now_us);
-void entries_push_primaries(Director *d, uint64_t now_us);
+void entries_push_primaries(Director *d);
+void entries_event_end(Director *d, uint64_t now_us);
 void entries_push_document(Director *d, uint64_t now_us);
 void entries_push_evacuations(Director *d, uint64_t now_us);
-void entries_push_directory(Director *d, uint64_t now_us);
+void entries_directory_changed(Director *d, uint64_t now_us,
+                               uint64_t old_revision);
 void entries_tick(Director *d, uint64_t now_us);
-uint32_t entries_count(const Director *d, uint64_t now_us);
 
 /* director_rates.c */
 void rates_handle_request(Director *d, uint64_t now_us, const char *from,
--- a/src/sapphireweir/fleet/director_metrics.c
+++ b/src/sapphireweir/fleet/director_metrics.c
@@ -40,6 +40,12 @@
     counter_write_text("server_queries_total", d->queries_received, out);
     counter_write_text("server_queries_answered_total", d->queries_answered,
                        out);
+    counter_write_text("server_records_sent_total", d->server_counters.records,
+                       out);
+    counter_write_text("server_reports_confirmed_total",
+                       d->server_counters.confirmed, out);
+    counter_write_text("directory_resends_total", d->server_counters.resends,
+                       out);
     counter_write_text("domains_evacuated", evacuations_count(&d->evacuations),
                        out);
     counter_write_text("evacuation_changes_total", d->evacuation_changes, out);
--- a/src/sapphireweir/fleet/director_queries.c
+++ b/src/sapphireweir/fleet/director_queries.c
@@ -11,6 +11,7 @@
     /* An entry instance limits an unconfirmed server no longer than this. */
     kQueryKeptUs = 1500000,
     kExpiryIntervalUs = 500000,
+    kAgeStepUs = 1000, /* reports state their age in milliseconds */
 };
 
 static void
@@ -104,6 +105,15 @@
     query_free(q);
 }
 
+/* Returns whether a server's last report reached the first control instance
+ * after a request came.  Reports that change nothing are collected there, so
+ * that one of the former run may arrive later. */
+static gboolean
+is_later(const DirectoryServer *s, const ServerQuery *q)
+{
+    return s->last_seen_us > q->received_us + kAgeStepUs;
+}
+
 /* Answers the requests that a server's new report allows to. */
 void
 queries_reported(Director *d, uint64_t now_us, const char *server)
@@ -117,7 +127,9 @@
     SlowStartKnown known = known_of(s, now_us);
     for (guint i = list->len; i > 0; i--) {
         const ServerQuery *q = g_ptr_array_index(list, i - 1);
-        if (slow_start_answers(&known, &q->asked)) {
+        gboolean other = known.born_ms != q->asked.born_ms || known.cold;
+        if (slow_start_answers(&known, &q->asked) &&
+            (other || known.gone || is_later(s, q))) {
             send_answer(d, now_us, s, q);
             g_ptr_array_remove_index_fast(list, i - 1);
         }
--- a/src/sapphireweir/fleet/directory.c
+++ b/src/sapphireweir/fleet/directory.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "core/hash.h"
+
 /* How long a server that is gone is remembered.  A report that a partition
  * delayed may arrive after its server has stopped, and would bring a server
  * back that is not known any more. */
@@ -39,16 +41,48 @@
 {
     d->servers =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, server_free);
+    d->by_address = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+                                          (GDestroyNotify)g_ptr_array_unref);
     d->revision = 0;
+    d->ended_revision = 0;
 }
 
 /* Frees all servers of the directory, but not the directory itself. */
 void
 directory_clear(Directory *d)
 {
+    g_hash_table_destroy(d->by_address);
     g_hash_table_destroy(d->servers);
 }
 
+/* Adds a server to the index by address. */
+static void
+index_add(Directory *d, DirectoryServer *s)
+{
+    GPtrArray *same = g_hash_table_lookup(d->by_address, s->address);
+
+    if (same == NULL) {
+        same = g_ptr_array_new();
+        g_hash_table_insert(d->by_address, g_strdup(s->address), same);
+    }
+    g_ptr_array_add(same, s);
+}
+
+/* Removes a server from the index by address, before its address changes or it
+ * is freed. */
+static void
+index_remove(Directory *d, DirectoryServer *s)
+{
+    GPtrArray *same = g_hash_table_lookup(d->by_address, s->address);
+
+    if (same == NULL || !g_ptr_array_remove_fast(same, s)) {
+        return;
+    }
+    if (same->len == 0) {
+        g_hash_table_remove(d->by_address, s->address);
+    }
+}
+
 /* Returns a backend server, including one that is gone, or NULL.  The
  * directory owns it. */
 DirectoryServer *
@@ -85,16 +119,14 @@
 static void
 mark_older_servers_gone(Directory *d, const DirectoryServer *newer)
 {
-    GHashTableIter it;
-    void *value;
+    const GPtrArray *same = g_hash_table_lookup(d->by_address, newer->address);
 
-    g_hash_table_iter_init(&it, d->servers);
-    while (g_hash_table_iter_next(&it, NULL, &value)) {
-        DirectoryServer *s = value;
-        if (s != newer && !s->gone && s->born_ms <= newer->born_ms &&
-            strcmp(s->address, newer->address) == 0) {
+    for (guint i = 0; same != NULL && i < same->len; i++) {
+        DirectoryServer *s = g_ptr_array_index(same, i);
+        if (s != newer && !s->gone && s->born_ms <= newer->born_ms) {
             s->gone = TRUE;
             s->changed_revision = ++d->revision;
+            d->ended_revision = d->revision;
         }
     }
 }
@@ -103,14 +135,11 @@
 static gboolean
 newer_server_has_address(const Directory *d, const Sw__ServerRecord *r)
 {
-    GHashTableIter it;
-    void *value;
+    const GPtrArray *same = g_hash_table_lookup(d->by_address, r->address);
 
-    g_hash_table_iter_init(&it, d->servers);
-    while (g_hash_table_iter_next(&it, NULL, &value)) {
-        DirectoryServer *s = value;
-        if (!s->gone && s->born_ms > r->born_ms && strcmp(s->id, r->id) != 0 &&
-            strcmp(s->address, r->address) == 0) {
+    for (guint i = 0; same != NULL && i < same->len; i++) {
+        const DirectoryServer *s = g_ptr_array_index(same, i);
+        if (!s->gone && s->born_ms > r->born_ms && strcmp(s->id, r->id) != 0) {
             return TRUE;
         }
     }
@@ -148,7 +177,7 @@
 /* Applies a report to a server.  Returns TRUE when a value changed that entry
  * instances must be notified of. */
 static gboolean
-server_apply_report(DirectoryServer *s, uint64_t now_us,
+server_apply_report(Directory *d, DirectoryServer *s, uint64_t now_us,
                     const Sw__ServerRecord *r)
 {
     gboolean changed = s->born_ms != r->born_ms;
@@ -167,11 +196,26 @@
     s->primary = r->primary;
     s->slots = r->slots;
     changed |= replace_string(&s->database, r->database);
-    changed |= replace_string(&s->address, r->address);
+    if (strcmp(s->address, r->address) != 0) {
+        index_remove(d, s);
+        replace_string(&s->address, r->address);
+        index_add(d, s);
+        changed = TRUE;
+    }
     changed |= replace_string(&s->failure_domain, r->failure_domain);
     return changed;
 }
 
+/* Returns whether a report ends the use of a server as it is known. */
+static gboolean
+report_ends_use(const DirectoryServer *s, const Sw__ServerRecord *r)
+{
+    return !s->gone &&
+           (r->gone || (r->draining && !s->draining) ||
+            s->born_ms != r->born_ms || strcmp(s->address, r->address) != 0 ||
+            strcmp(s->database, r->database) != 0);
+}
+
 /* Applies a status report.  Returns FALSE when it is outdated or describes an
  * unknown server that is gone or replaced.  If it changes the server, the
  * directory's revision grows. */
@@ -180,6 +224,7 @@
                        const Sw__ServerRecord *r)
 {
     DirectoryServer *s = directory_find(d, r->id);
+    gboolean ends_use = s != NULL && report_ends_use(s, r);
 
     if (s != NULL && !report_is_newer(s, r)) {
         return FALSE;
@@ -194,10 +239,15 @@
         s->address = g_strdup("");
         s->failure_domain = g_strdup("");
         g_hash_table_insert(d->servers, s->id, s);
+        index_add(d, s);
     }
-    s->last_seen_us = now_us;
-    if (server_apply_report(s, now_us, r)) {
+    s->last_seen_us = now_us - MIN(r->age_ms * kMicrosPerMilli, now_us);
+    if (server_apply_report(d, s, now_us, r)) {
+        s->changed_us = now_us;
         s->changed_revision = ++d->revision;
+        if (ends_use) {
+            d->ended_revision = d->revision;
+        }
     }
     if (!s->gone) {
         mark_older_servers_gone(d, s);
@@ -205,6 +255,59 @@
     return TRUE;
 }
 
+/* Returns a hash of what a server's record states, without its run, its
+ * sequence and the time that it stays cold. */
+static uint32_t
+state_hash(const DirectoryServer *s)
+{
+    uint64_t flags = (s->draining ? 1 : 0) + (s->primary ? 2 : 0) +
+                     (s->gone ? 4 : 0) + (s->reports_cold ? 8 : 0);
+
+    return (uint32_t)hash_text(
+        s->database,
+        hash_text(s->address, hash_text(s->failure_domain,
+                                        hash_number(s->slots, flags + 1))));
+}
+
+/* Returns the time since a server's last report, rounded up, so that a report
+ * never counts for longer at another instance. */
+uint64_t
+directory_age_ms(const DirectoryServer *s, uint64_t now_us)
+{
+    return (now_us - MIN(s->last_seen_us, now_us) + kMicrosPerMilli - 1) /
+           kMicrosPerMilli;
+}
+
+/* Fills in that a server has reported its record again.  The result borrows
+ * the server's id. */
+void
+directory_fill_seen(const DirectoryServer *s, uint64_t now_us,
+                    Sw__ServerSeen *out)
+{
+    sw__server_seen__init(out);
+    out->id = s->id;
+    out->born_ms = s->born_ms;
+    out->sequence = s->sequence;
+    out->age_ms = directory_age_ms(s, now_us);
+    out->state = state_hash(s);
+}
+
+/* Applies that a server has reported its record again.  Returns FALSE when
+ * that is outdated, or this directory has another record of the server. */
+gboolean
+directory_apply_seen(Directory *d, uint64_t now_us, const Sw__ServerSeen *seen)
+{
+    DirectoryServer *s = directory_find(d, seen->id);
+
+    if (s == NULL || s->born_ms != seen->born_ms ||
+        seen->sequence <= s->sequence || state_hash(s) != seen->state) {
+        return FALSE;
+    }
+    s->sequence = seen->sequence;
+    s->last_seen_us = now_us - MIN(seen->age_ms * kMicrosPerMilli, now_us);
+    return TRUE;
+}
+
 /* Forgets the servers that have been gone for kGoneKeptUs, except those for
  * which is_needed returns TRUE; ctx is passed to it. */
 void
@@ -226,6 +329,7 @@
         }
         else if (now_us - s->gone_us >= kGoneKeptUs &&
                  !is_needed(ctx, s->id)) {
+            index_remove(d, s);
             g_hash_table_iter_remove(&it);
         }
     }
--- a/src/sapphireweir/fleet/handover.c
+++ b/src/sapphireweir/fleet/handover.c
@@ -1,7 +1,6 @@
 #include <string.h>
 
 #include "fleet/director_internal.h"
-#include "policy/suspect.h"
 
 /* Handover of a database from one primary to the next: the changes of
  * primary.  The leader first requests the replicas' status, then revokes the
@@ -29,7 +28,8 @@
     kProposalRetryUs = 500000, /* after a proposal that was not committed */
     /* After a promotion request got no reply, or an error other than 409. */
     kPromotionRetryUs = 150000,
-    kMaxRoleAgeUs = 300000, /* older reports of a role are ignored */
+    kAdoptionIntervalUs = 100000, /* first primaries are proposed together */
+    kMaxRoleAgeUs = 300000,       /* older reports of a role are ignored */
     kHttpOk = 200,
     kHttpConflict = 409, /* the platform refuses to promote that server */
 };
@@ -70,6 +70,7 @@
 handover_finish(Director *d, const char *database)
 {
     g_hash_table_remove(d->changes, database);
+    d->grant_lists.primaries_valid = FALSE;
 }
 
 /* Writes an event of a change to the event log, with the time since the change
@@ -93,8 +94,10 @@
 
 /* Starts a phase of a change. */
 static void
-phase_set(PrimaryChange *change, uint64_t now_us, ChangePhase phase)
+phase_set(Director *d, uint64_t now_us, PrimaryChange *change,
+          ChangePhase phase)
 {
+    d->grant_lists.primaries_valid = FALSE;
     change->phase = phase;
     change->phase_started_us = now_us;
 }
@@ -257,9 +260,11 @@
     change->started_us = now_us;
     change->candidates =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-    phase_set(change, now_us, p->changing ? kChangeClosing : kChangeProbing);
+    phase_set(d, now_us, change,
+              p->changing ? kChangeClosing : kChangeProbing);
     change->changing_proposed = p->changing;
     g_hash_table_insert(d->changes, change->database, change);
+    d->grant_lists.primaries_valid = FALSE;
     log_change(d, now_us, change, reason, p->primary);
     request_statuses(d, now_us, change);
 }
@@ -269,6 +274,13 @@
 static SuspectVerdict
 evaluate_primary(const Director *d, uint64_t now_us, const PrimaryState *p)
 {
+    const SuspectWatch *watch =
+        g_hash_table_lookup(d->suspect_watches, p->database);
+
+    if (watch == NULL ||
+        !suspect_watch_due(watch, now_us, kMaxEvidenceAgeUs)) {
+        return kSuspectNone;
+    }
     SuspectEvidence *evidence =
         g_new0(SuspectEvidence, g_hash_table_size(d->entries) + 1);
     GHashTableIter it;
@@ -386,25 +398,41 @@
 
 /* Proposes the reported primary of each database that has none in the
  * replicated log yet.  Waits while the log has uncommitted entries, since one
- * of them may be this proposal. */
+ * of them may be such a proposal; the databases without a primary are proposed
+ * together, so that a new fleet waits for few commits and its instances get
+ * few lists. */
 static void
 adopt_primaries(Director *d, uint64_t now_us)
 {
+    GHashTable *proposed = NULL; /* database, borrowed */
     GHashTableIter it;
     void *value;
 
+    if (now_us < d->next_adoption_us ||
+        consensus_commit_index(d->consensus) !=
+            consensus_last_index(d->consensus)) {
+        return;
+    }
     g_hash_table_iter_init(&it, d->directory.servers);
     while (g_hash_table_iter_next(&it, NULL, &value)) {
         const DirectoryServer *s = value;
-        if (s->primary && !s->gone && !s->draining &&
-            director_primary(d, s->database) == NULL &&
-            consensus_commit_index(d->consensus) ==
-                consensus_last_index(d->consensus)) {
+        if (!s->primary || s->gone || s->draining ||
+            director_primary(d, s->database) != NULL) {
+            continue;
+        }
+        if (proposed == NULL) {
+            proposed = g_hash_table_new(g_str_hash, g_str_equal);
+        }
+        if (g_hash_table_add(proposed, s->database)) {
             PrimaryState first = {
                 .database = s->database, .primary = s->id, .epoch = 1};
             director_propose_primary(d, now_us, &first);
         }
     }
+    if (proposed != NULL) {
+        d->next_adoption_us = now_us + kAdoptionIntervalUs;
+        g_hash_table_destroy(proposed);
+    }
 }
 
 /* ---- phases ---- */
@@ -456,7 +484,7 @@
     const PrimaryState *p = director_primary(d, change->database);
 
     record_stage_time(d, change, kStageProbing, now_us - change->started_us);
-    phase_set(change, now_us, kChangeClosing);
+    phase_set(d, now_us, change, kChangeClosing);
     log_change(d, now_us, change, "rights withdrawn", p->primary);
     if (!change->changing_proposed) {
         PrimaryState changing = *p;
@@ -465,7 +493,7 @@
         change->changing_proposed =
             director_propose_primary(d, now_us, &changing);
     }
-    entries_push_primaries(d, now_us);
+    entries_push_primaries(d);
     request_statuses(d, now_us, change);
 }
 
@@ -541,8 +569,8 @@
     }
     if (!may_keep && replicas_are_ready(d, now_us, change)) {
         if (change->planned) {
-            phase_set(change, now_us, kChangeQuiescing);
-            entries_push_primaries(d, now_us);
+            phase_set(d, now_us, change, kChangeQuiescing);
+            entries_push_primaries(d);
             return TRUE;
         }
         revoke_access(d, now_us, change);
@@ -586,7 +614,7 @@
     change->promotion_requested_us = now_us;
     record_stage_time(d, change, kStageChoosing,
                       now_us - change->access_ended_us);
-    phase_set(change, now_us, kChangePromoting);
+    phase_set(d, now_us, change, kChangePromoting);
     log_change(d, now_us, change, "promotion asked for", best);
     d->port.promote(d->port.ctx, change->database, best,
                     consensus_term(d->consensus));
@@ -728,7 +756,7 @@
         change->refused_server = g_strdup(change->target);
         g_hash_table_remove_all(change->candidates);
         request_statuses(d, now_us, change);
-        phase_set(change, now_us, kChangeClosing);
+        phase_set(d, now_us, change, kChangeClosing);
         return;
     }
     if (s != NULL && now_us - change->status_requested_us > kStatusRetryUs) {
@@ -754,7 +782,7 @@
     if (status == kHttpConflict) {
         g_free(change->refused_server);
         change->refused_server = g_strdup(server);
-        phase_set(change, now_us, kChangeClosing);
+        phase_set(d, now_us, change, kChangeClosing);
         return;
     }
     change->promotion_unconfirmed = TRUE;
@@ -804,6 +832,7 @@
     while (g_hash_table_iter_next(&it, NULL, &value)) {
         if (!change_step(d, now_us, value)) {
             g_hash_table_iter_remove(&it);
+            d->grant_lists.primaries_valid = FALSE;
         }
     }
 }
--- a/test/unit/test_fleet_policy.c
+++ b/test/unit/test_fleet_policy.c
@@ -446,6 +446,306 @@
     directory_clear(&d);
 }
 
+/* Guards against a confirmation that makes an instance take an older or another
+ * record for the present one, and against a role that counts as more recent
+ * than it was reported. */
+static void
+a_confirmed_record_keeps_its_age(void)
+{
+    static const struct {
+        const char *id;
+        int64_t born_ms;
+        uint64_t sequence;
+        gboolean draining; /* in the confirmed record */
+        gboolean applied;
+    } cases[] = {
+        {"i-1", 100, 6, FALSE, TRUE},  {"i-1", 100, 5, FALSE, FALSE},
+        {"i-1", 99, 6, FALSE, FALSE},  {"i-1", 101, 6, FALSE, FALSE},
+        {"i-2", 100, 6, FALSE, FALSE}, {"i-1", 100, 6, TRUE, FALSE},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        Sw__ServerRecord r = report("i-1", 100, 5, "10.0.0.1:1");
+        Sw__ServerRecord sent = report(cases[i].id, cases[i].born_ms,
+                                       cases[i].sequence, "10.0.0.1:1");
+        Sw__ServerSeen seen;
+        Directory from;
+        Directory to;
+
+        directory_init(&from);
+        directory_init(&to);
+        sent.draining = cases[i].draining;
+        directory_apply_report(&from, 1000000, &sent);
+        directory_fill_seen(directory_find(&from, cases[i].id), 1040000,
+                            &seen);
+        r.age_ms = 10;
+        directory_apply_report(&to, 1000000, &r);
+        const DirectoryServer *s = directory_find(&to, "i-1");
+        CU_ASSERT_EQUAL(s->last_seen_us, 990000);
+        uint64_t revision = to.revision;
+        CU_ASSERT_EQUAL(directory_apply_seen(&to, 1050000, &seen),
+                        cases[i].applied);
+        CU_ASSERT_EQUAL(s->last_seen_us, cases[i].applied ? 1010000 : 990000);
+        CU_ASSERT_EQUAL(s->sequence, cases[i].applied ? 6 : 5);
+        CU_ASSERT_EQUAL(to.revision, revision);
+        directory_clear(&to);
+        directory_clear(&from);
+    }
+}
+
+/* Guards against a watch that leaves out evidence which states a failure: the
+ * verdict of a scan must be the same with and without the watch, at each tick,
+ * on evidence that arrives, is confirmed, gets lost and becomes too old. */
+static void
+a_watch_changes_no_verdict(void)
+{
+    enum {
+        kInstances = 5,
+        kTicks = 200000,
+        kTickUs = 10000,
+        kMaxAgeUs = 800000,
+    };
+    struct {
+        SuspectEvidence last;
+        uint64_t received_us;
+        uint64_t silent_until_us;
+    } instances[kInstances] = {0};
+    GRand *rand = g_rand_new_with_seed(11);
+    SuspectWatch watch = {0};
+    uint32_t verdicts[kSuspectPartitioned + 1] = {0};
+    uint32_t scans = 0;
+    uint32_t differences = 0;
+
+    for (uint64_t now_us = kMaxAgeUs * 2; now_us < (uint64_t)kTicks * kTickUs;
+         now_us += kTickUs) {
+        SuspectEvidence list[kInstances];
+        size_t count = 0;
+        gboolean outage = now_us / 3000000 % 2 == 0;
+
+        for (size_t i = 0; i < kInstances; i++) {
+            if (g_rand_int_range(rand, 0, 500) == 0) {
+                instances[i].silent_until_us =
+                    now_us + (uint64_t)g_rand_int_range(rand, 0, 2000000);
+            }
+            if (now_us < instances[i].silent_until_us ||
+                g_rand_int_range(rand, 0, 25) != 0) {
+                continue;
+            }
+            if (g_rand_int_range(rand, 0, 3) != 0) {
+                gboolean fails = outage && g_rand_int_range(rand, 0, 4) != 0;
+                instances[i].last = (SuspectEvidence){
+                    .answered = !fails || g_rand_boolean(rand),
+                    .failing_us =
+                        fails ? (uint64_t)g_rand_int_range(rand, 1, 1200000)
+                              : 0,
+                    .answered_age_us =
+                        (uint64_t)g_rand_int_range(rand, 0, 700000)};
+            }
+            instances[i].received_us = now_us;
+            suspect_watch_record(&watch, now_us, instances[i].last.failing_us);
+        }
+        for (size_t i = 0; i < kInstances; i++) {
+            uint64_t age_us = now_us - instances[i].received_us;
+            if (instances[i].received_us != 0 && age_us <= kMaxAgeUs) {
+                list[count] = instances[i].last;
+                list[count].answered_age_us += age_us;
+                list[count].failing_age_us = age_us + list[count].failing_us;
+                count++;
+            }
+        }
+        SuspectVerdict full = suspect_evaluate(list, count);
+        gboolean due = suspect_watch_due(&watch, now_us, kMaxAgeUs);
+        scans += due;
+        verdicts[full]++;
+        differences += (due ? full : kSuspectNone) != full;
+    }
+    CU_ASSERT_EQUAL(differences, 0);
+    CU_ASSERT(verdicts[kSuspectDead] > 1000);
+    CU_ASSERT(verdicts[kSuspectPartitioned] > 1000);
+    CU_ASSERT(scans < kTicks * 3 / 4);
+    g_rand_free(rand);
+}
+
+/* Guards against a delay of the changes that end the use of a server, and
+ * against those that end none being sent one by one. */
+static void
+changes_that_end_a_use_are_told_apart(void)
+{
+    static const struct {
+        const char *id;
+        int64_t born_ms;
+        const char *address;
+        gboolean draining;
+        gboolean gone;
+        gboolean primary;
+        gboolean changes;
+        gboolean ends;
+    } steps[] = {
+        {"i-1", 100, "a:1", FALSE, FALSE, FALSE, TRUE, FALSE}, /* new */
+        {"i-1", 100, "a:1", FALSE, FALSE, FALSE, FALSE, FALSE},
+        {"i-1", 100, "a:1", FALSE, FALSE, TRUE, TRUE, FALSE},
+        {"i-1", 100, "a:1", TRUE, FALSE, TRUE, TRUE, TRUE},
+        {"i-1", 100, "a:1", FALSE, FALSE, TRUE, TRUE, FALSE},
+        {"i-1", 100, "a:2", FALSE, FALSE, TRUE, TRUE, TRUE},
+        {"i-1", 200, "a:2", FALSE, FALSE, TRUE, TRUE, TRUE}, /* new run */
+        {"i-1", 200, "a:2", FALSE, TRUE, TRUE, TRUE, TRUE},
+        {"i-1", 300, "a:2", FALSE, FALSE, TRUE, TRUE, FALSE}, /* returns */
+        {"i-2", 400, "a:2", FALSE, FALSE, FALSE, TRUE, TRUE}, /* replaces */
+    };
+    Directory d;
+
+    directory_init(&d);
+    for (size_t i = 0; i < G_N_ELEMENTS(steps); i++) {
+        Sw__ServerRecord r =
+            report(steps[i].id, steps[i].born_ms, i + 1, steps[i].address);
+        uint64_t revision = d.revision;
+        r.draining = steps[i].draining;
+        r.gone = steps[i].gone;
+        r.primary = steps[i].primary;
+        CU_ASSERT(directory_apply_report(&d, i + 1, &r));
+        CU_ASSERT_EQUAL(d.revision > revision, steps[i].changes);
+        CU_ASSERT_EQUAL(d.ended_revision > revision, steps[i].ends);
+    }
+    directory_clear(&d);
+}
+
+enum { kModelIds = 12, kModelAddresses = 5 };
+
+/* A server of the model, whose directory is a list without an index. */
+typedef struct {
+    gboolean known;
+    int64_t born_ms;
+    uint64_t sequence;
+    uint32_t address;
+    gboolean gone;
+    uint64_t gone_us;
+} ModelServer;
+
+/* Applies a report to the model by a scan of all its servers, by the rules of
+ * directory_apply_report.  Returns whether the report counts. */
+static gboolean
+model_apply(ModelServer *all, uint32_t id, int64_t born_ms, uint64_t sequence,
+            uint32_t address, gboolean gone)
+{
+    ModelServer *s = &all[id];
+
+    if (s->known && (born_ms < s->born_ms ||
+                     (born_ms == s->born_ms && sequence <= s->sequence &&
+                      !(gone && !s->gone)))) {
+        return FALSE;
+    }
+    for (uint32_t i = 0; !s->known && i < kModelIds; i++) {
+        if (gone || (all[i].known && !all[i].gone &&
+                     all[i].born_ms > born_ms && all[i].address == address)) {
+            return FALSE;
+        }
+    }
+    *s = (ModelServer){TRUE, born_ms, sequence, address, gone, s->gone_us};
+    for (uint32_t i = 0; !gone && i < kModelIds; i++) {
+        if (i != id && all[i].known && all[i].born_ms <= born_ms &&
+            all[i].address == address) {
+            all[i].gone = TRUE;
+        }
+    }
+    return TRUE;
+}
+
+/* Forgets the servers of the model that have been gone for 600 s. */
+static void
+model_expire(ModelServer *all, uint64_t now_us)
+{
+    for (uint32_t i = 0; i < kModelIds; i++) {
+        if (!all[i].known || !all[i].gone) {
+            all[i].gone_us = 0;
+        }
+        else if (all[i].gone_us == 0) {
+            all[i].gone_us = now_us;
+        }
+        else if (now_us - all[i].gone_us >= UINT64_C(600000000)) {
+            all[i] = (ModelServer){0};
+        }
+    }
+}
+
+static gboolean
+never_needed(const void *ctx, const char *id)
+{
+    (void)ctx;
+    (void)id;
+    return FALSE;
+}
+
+/* Returns whether the index by address holds each server once, and no
+ * others. */
+static gboolean
+index_is_complete(const Directory *d)
+{
+    GHashTableIter it;
+    void *value;
+    guint indexed = 0;
+
+    g_hash_table_iter_init(&it, d->by_address);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        indexed += ((const GPtrArray *)value)->len;
+    }
+    g_hash_table_iter_init(&it, d->servers);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        const DirectoryServer *s = value;
+        GPtrArray *same = g_hash_table_lookup(d->by_address, s->address);
+        if (same == NULL || !g_ptr_array_find(same, s, NULL)) {
+            return FALSE;
+        }
+    }
+    return indexed == g_hash_table_size(d->servers);
+}
+
+/* Guards against an index by address that disagrees with the servers: a server
+ * that keeps a taken address, or a lookup of one that was forgotten. */
+static void
+the_index_by_address_agrees_with_a_scan(void)
+{
+    ModelServer model[kModelIds] = {0};
+    GRand *rand = g_rand_new_with_seed(7);
+    Directory d;
+    uint32_t differences = 0;
+
+    directory_init(&d);
+    for (uint64_t now_us = 1000000; now_us < UINT64_C(100000000000);
+         now_us += g_rand_int_range(rand, 0, 50) == 0 ? 700000000 : 1000000) {
+        uint32_t id = (uint32_t)g_rand_int_range(rand, 0, kModelIds);
+        uint32_t place = (uint32_t)g_rand_int_range(rand, 0, kModelAddresses);
+        int64_t born_ms =
+            (int64_t)(now_us / 1000) - g_rand_int_range(rand, 0, 300) * 1000;
+        uint64_t sequence = (uint64_t)g_rand_int_range(rand, 1, 50);
+        gboolean gone = g_rand_int_range(rand, 0, 5) == 0;
+        char name[16];
+        char address[16];
+
+        if (model[id].known && g_rand_boolean(rand)) {
+            born_ms = model[id].born_ms;
+            sequence += model[id].sequence / 2;
+        }
+        g_snprintf(name, sizeof(name), "i-%u", id);
+        g_snprintf(address, sizeof(address), "10.0.0.%u:1", place);
+        Sw__ServerRecord r = report(name, born_ms, sequence, address);
+        r.gone = gone;
+        differences += directory_apply_report(&d, now_us, &r) !=
+                       model_apply(model, id, born_ms, sequence, place, gone);
+        directory_expire(&d, now_us, never_needed, NULL);
+        model_expire(model, now_us);
+        differences += !index_is_complete(&d);
+        for (uint32_t i = 0; i < kModelIds; i++) {
+            g_snprintf(name, sizeof(name), "i-%u", i);
+            const DirectoryServer *s = directory_find(&d, name);
+            differences += (s != NULL) != model[i].known ||
+                           (s != NULL && s->gone != model[i].gone);
+        }
+    }
+    CU_ASSERT_EQUAL(differences, 0);
+    directory_clear(&d);
+    g_rand_free(rand);
+}
+
 void
 add_fleet_policy_suite(void)
 {
@@ -467,6 +767,13 @@
                 a_team_within_its_limit_is_not_refused);
     CU_add_test(s, "a lowered limit still grants tokens",
                 a_lowered_limit_still_grants_tokens);
+    CU_add_test(s, "a watch changes no verdict", a_watch_changes_no_verdict);
+    CU_add_test(s, "changes that end a use are told apart",
+                changes_that_end_a_use_are_told_apart);
+    CU_add_test(s, "a confirmed record keeps its age",
+                a_confirmed_record_keeps_its_age);
+    CU_add_test(s, "the index by address agrees with a scan",
+                the_index_by_address_agrees_with_a_scan);
     CU_add_test(s, "older reports change nothing",
                 older_reports_change_nothing);
 }
