Repeat the first directory of an entry instance sooner

An entry instance that starts while frames to it are lost had to wait up to 2.4 s after the loss ended for a copy of the directory, since the time between copies doubles from 1.2 s. 'an instance that starts late avoids the domain' failed: no work was relayed to it within 3 s.

--- a/src/sapphireweir/fleet/director_entries.c
+++ b/src/sapphireweir/fleet/director_entries.c
@@ -18,6 +18,9 @@
      * slow control instance gets more work by each copy. */
     kDirectoryResendUs = 1200000,
     kMaxDirectoryResendUs = 4800000,
+    /* An instance that has nothing of this run cannot serve without it: the
+     * interval of short reports and a round trip. */
+    kFirstDirectoryResendUs = 600000,
     kSharesIntervalUs = 500000,
     kPushWindowUs = 1000000,
     /* So many changes of servers that end no use are sent at once in a second.
@@ -163,7 +166,8 @@
 
     if (confirmed >= entry->sent_revision) {
         entry->unconfirmed_since_us = 0;
-        entry->resend_after_us = kDirectoryResendUs;
+        entry->resend_after_us =
+            confirmed == 0 ? kFirstDirectoryResendUs : kDirectoryResendUs;
     }
     else if (confirmed < entry->confirmed_revision) {
         entry->sent_revision = confirmed;
