Send all evidence only when the leader lacks some

Every fourth report of an entry instance listed its evidence on all databases, in case an earlier report was lost: instances x databases a second at the leader.

A report that omits evidence states a hash of the sequences of the reports that last listed each database. The leader compares it with what it received and asks for all evidence in its grant. Either side of an earlier version gets what it got.

The new test loses reports of five entry instances: each time the leader asks, and then no more.

--- a/src/sapphireweir/fleet/director_entries.c
+++ b/src/sapphireweir/fleet/director_entries.c
@@ -80,6 +80,8 @@
     /* lease_end_us is kept: the leases of the former incarnation may still be
      * valid. */
     g_hash_table_remove_all(entry->evidence);
+    entry->evidence_hash = 0;
+    entry->evidence_wanted = FALSE;
     g_hash_table_remove_all(entry->demand);
     /* What the former incarnation reported stays in the rate windows. */
     g_hash_table_remove_all(entry->usage);
@@ -410,6 +412,8 @@
         m.usage_version =
             entry->usage_term == m.term ? entry->usage_version : 0;
         m.lent_version = entry->lent_version;
+        m.evidence_checked = TRUE;
+        m.evidence_wanted = entry->evidence_wanted;
         m.n_shares = shares->len;
         m.shares = (Sw__TeamShare **)shares->pdata;
     }
@@ -484,8 +488,23 @@
     suspect_watch_record(watch, now_us, failing_us);
 }
 
+/* Removes the evidence from the hash, when a report lists all of it. */
+static void
+evidence_hash_reset(EntryState *entry)
+{
+    GHashTableIter it;
+    void *value;
+
+    g_hash_table_iter_init(&it, entry->evidence);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        ((EntryEvidence *)value)->mark = 0;
+    }
+    entry->evidence_hash = 0;
+}
+
 /* Stores a report's evidence on each primary.  That of a database which the
- * report omits as unchanged counts as received again. */
+ * report omits as unchanged counts as received again.  All evidence is asked
+ * for when a report that listed some was lost. */
 static void
 record_evidence(Director *d, EntryState *entry, uint64_t now_us,
                 const Sw__EntryReport *m)
@@ -500,6 +519,9 @@
         kept->received_us = now_us;
         watch_failure(d, now_us, key, kept->failing_us);
     }
+    if (!m->evidence_partial && m->n_evidence > 0) {
+        evidence_hash_reset(entry);
+    }
     for (size_t i = 0; i < m->n_evidence; i++) {
         const Sw__PrimaryEvidence *e = m->evidence[i];
         EntryEvidence *kept =
@@ -509,6 +531,8 @@
             g_hash_table_insert(entry->evidence, g_strdup(e->database), kept);
         }
         watch_failure(d, now_us, e->database, e->failing_us);
+        uint64_t mark = hash_text(e->database, hash_number(m->sequence, 1));
+        entry->evidence_hash += mark - kept->mark;
         *kept = (EntryEvidence){
             .epoch = e->epoch,
             .recorded_us = now_us,
@@ -519,8 +543,12 @@
             .released_epoch = e->released_epoch,
             .open_work = e->open_work,
             .acknowledged = {e->acknowledged_term, e->acknowledged_number},
+            .mark = mark,
         };
     }
+    entry->evidence_wanted = m->evidence_hash != 0 &&
+                             m->evidence_hash != (entry->evidence_hash | 1);
+    d->evidence_requests += entry->evidence_wanted;
 }
 
 /* Updates the smoothed demand of each team with a report's demand. */
--- a/src/sapphireweir/fleet/director_internal.h
+++ b/src/sapphireweir/fleet/director_internal.h
@@ -34,6 +34,7 @@
     uint64_t released_epoch;
     uint32_t open_work;    /* sessions that hold a connection to the primary */
     Position acknowledged; /* newest commit acknowledged to a caller */
+    uint64_t mark;         /* its part of evidence_hash */
 } EntryEvidence;
 
 /* State of an entry instance, from its reports and the messages to it. */
@@ -75,6 +76,8 @@
     uint64_t pending_round;
     uint64_t pending_received_us; /* when the report to be granted arrived */
     GHashTable *evidence;         /* database -> EntryEvidence, owned */
+    uint64_t evidence_hash;       /* see EntryReport, without the bit */
+    gboolean evidence_wanted;     /* some of it was lost */
     /* team -> smoothed demand in thousandths of an operation per second, as
      * uint64_t; owned. */
     GHashTable *demand;
@@ -263,6 +266,7 @@
     GPtrArray *collected;
     uint64_t collect_until_us;
     ServerCounters server_counters;
+    uint64_t evidence_requests; /* reports after which all was asked for */
     /* When changed servers are sent to the entry instances, zero: none are to
      * be. */
     uint64_t directory_push_us;
--- a/src/sapphireweir/fleet/director_metrics.c
+++ b/src/sapphireweir/fleet/director_metrics.c
@@ -43,6 +43,7 @@
                        d->server_counters.confirmed, out);
     counter_write_text("directory_resends_total", d->server_counters.resends,
                        out);
+    counter_write_text("evidence_requests_total", d->evidence_requests, out);
     counter_write_text("domains_evacuated", evacuations_count(&d->evacuations),
                        out);
     counter_write_text("evacuation_changes_total", d->evacuation_changes, out);
--- a/src/sapphireweir/gateway/gateway_control.c
+++ b/src/sapphireweir/gateway/gateway_control.c
@@ -425,6 +425,8 @@
         g_free(g->leader);
         g->leader = g_strdup(from->address);
     }
+    g->evidence_checked = m->evidence_checked;
+    g->evidence_wanted |= m->evidence_wanted;
     g->granted_sequence = m->sequence;
     g->entry_count = MAX(m->entry_count, 1);
     g->granted_report_us = g->report_sent_us[m->sequence % kReportsKept];
--- a/src/sapphireweir/gateway/gateway_internal.h
+++ b/src/sapphireweir/gateway/gateway_internal.h
@@ -129,6 +129,7 @@
     /* Newest commit in this epoch that was acknowledged to a caller. */
     Position acknowledged;
     PrimaryEvidence reported; /* last evidence in a report to the leader */
+    uint64_t evidence_mark;   /* its part of evidence_hash */
     Freshness freshness;
     Crossing crossing; /* of reads to other failure domains */
     GQueue waiting;    /* Session, by Job.order_us */
@@ -329,6 +330,9 @@
     uint64_t controls_hash;     /* of the last list of control instances */
     uint64_t primaries_hash;    /* of the last list of primaries */
     char *evidence_leader;      /* that has all evidence, or NULL */
+    uint64_t evidence_hash;     /* see EntryReport */
+    gboolean evidence_checked;  /* the leader compares it */
+    gboolean evidence_wanted;   /* and asks for all evidence */
     uint64_t lease_until_us;
     gboolean leased;          /* holds a lease, as last logged */
     uint64_t leased_since_us; /* when it got a lease, after none */
--- a/src/sapphireweir/gateway/gateway_report.c
+++ b/src/sapphireweir/gateway/gateway_report.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "core/hash.h"
 #include "gateway/gateway_internal.h"
 
 /* Reports of an entry instance to the control instances: failures and answers
@@ -14,8 +15,8 @@
     /* A leader counts as known for this long after the report that its last
      * grant answers: two report intervals and an answer. */
     kLeaderContactUs = 600000,
-    /* All evidence is sent with every fourth report, in case that one was
-     * lost. */
+    /* A leader that does not compare evidence_hash gets all evidence with
+     * every fourth report, in case that one was lost. */
     kFullEvidenceReports = 4,
     /* Control instances that do not lead get every second report; a contact
      * is lost after three to four intervals. */
@@ -114,19 +115,27 @@
         if (!partial || must_report(&e, &d->reported)) {
             evidence_fill(d, now_us, &e, &records[list->len]);
             g_ptr_array_add(list, &records[list->len]);
+            uint64_t mark = hash_text(d->name, hash_number(g->sequence, 1));
+            g->evidence_hash += mark - d->evidence_mark;
+            d->evidence_mark = mark;
         }
         d->reported = e;
     }
 }
 
-/* Tells whether this report may omit evidence that the leader has.  Every
- * kFullEvidenceReports reports, and to a new leader, all of it is sent. */
+/* Tells whether this report may omit evidence that the leader has.  All of it
+ * is sent to a new leader, to one that asks for it, and every
+ * kFullEvidenceReports reports to one that cannot tell what it lacks. */
 static gboolean
 evidence_may_be_partial(Gateway *g, gboolean leader_known)
 {
     if (leader_known && g_strcmp0(g->evidence_leader, g->leader) == 0) {
-        return g->sequence % kFullEvidenceReports != 0;
+        gboolean wanted = g->evidence_wanted;
+        g->evidence_wanted = FALSE;
+        return !wanted && (g->evidence_checked ||
+                           g->sequence % kFullEvidenceReports != 0);
     }
+    g->evidence_wanted = FALSE;
     g_free(g->evidence_leader);
     g->evidence_leader = leader_known ? g_strdup(g->leader) : NULL;
     return FALSE;
@@ -152,6 +161,7 @@
     size_t evidence = report->n_evidence;
     size_t demand = report->n_demand;
     gboolean partial = report->evidence_partial;
+    uint64_t evidence_hash = report->evidence_hash;
     Sw__RateUsage *usage = report->rate_usage;
     size_t lent = report->n_lent_shares;
 
@@ -168,6 +178,7 @@
         }
         report->n_evidence = full ? evidence : 0;
         report->evidence_partial = full && partial;
+        report->evidence_hash = full ? evidence_hash : 0;
         report->n_demand = full ? demand : 0;
         report->rate_usage = full ? usage : NULL;
         report->n_lent_shares = full ? lent : 0;
@@ -195,6 +206,7 @@
     report.evidence_partial = evidence_may_be_partial(g, leader_known);
     evidence_collect(g, now_us, report.evidence_partial, evidence,
                      evidence_list);
+    report.evidence_hash = report.evidence_partial ? g->evidence_hash | 1 : 0;
     size_t count = team_rates_demand(g, now_us, demands);
     for (size_t i = 0; i < count; i++) {
         g_ptr_array_add(demand_list, &demands[i]);
--- a/src/sapphireweir/proto/sapphireweir.pb-c.c
+++ b/src/sapphireweir/proto/sapphireweir.pb-c.c
@@ -5955,7 +5955,7 @@
   (ProtobufCMessageInit) sw__lent_share__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sw__entry_report__field_descriptors[21] =
+static const ProtobufCFieldDescriptor sw__entry_report__field_descriptors[22] =
 {
   {
     "failure_domain",
@@ -6209,6 +6209,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "evidence_hash",
+    24,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__EntryReport, evidence_hash),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sw__entry_report__field_indices_by_name[] = {
   13,   /* field[13] = controls_hash */
@@ -6219,6 +6231,7 @@
   9,   /* field[9] = entries_hash */
   16,   /* field[16] = evacuations_hash */
   7,   /* field[7] = evidence */
+  21,   /* field[21] = evidence_hash */
   15,   /* field[15] = evidence_partial */
   0,   /* field[0] = failure_domain */
   10,   /* field[10] = granted_sequence */
@@ -6237,7 +6250,7 @@
 {
   { 1, 0 },
   { 22, 19 },
-  { 0, 21 }
+  { 0, 22 }
 };
 const ProtobufCMessageDescriptor sw__entry_report__descriptor =
 {
@@ -6247,7 +6260,7 @@
   "Sw__EntryReport",
   "sw",
   sizeof(Sw__EntryReport),
-  21,
+  22,
   sw__entry_report__field_descriptors,
   sw__entry_report__field_indices_by_name,
   2,  sw__entry_report__number_ranges,
@@ -6510,7 +6523,7 @@
   (ProtobufCMessageInit) sw__evacuated_domain__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sw__entry_grant__field_descriptors[18] =
+static const ProtobufCFieldDescriptor sw__entry_grant__field_descriptors[20] =
 {
   {
     "sequence",
@@ -6728,6 +6741,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "evidence_checked",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Sw__EntryGrant, evidence_checked),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "evidence_wanted",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Sw__EntryGrant, evidence_wanted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sw__entry_grant__field_indices_by_name[] = {
   5,   /* field[5] = controls */
@@ -6739,6 +6776,8 @@
   13,   /* field[13] = evacuated */
   14,   /* field[14] = evacuations_hash */
   15,   /* field[15] = evacuations_revision */
+  18,   /* field[18] = evidence_checked */
+  19,   /* field[19] = evidence_wanted */
   1,   /* field[1] = lease_us */
   17,   /* field[17] = lent_version */
   2,   /* field[2] = primaries */
@@ -6752,7 +6791,7 @@
 static const ProtobufCIntRange sw__entry_grant__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 18 }
+  { 0, 20 }
 };
 const ProtobufCMessageDescriptor sw__entry_grant__descriptor =
 {
@@ -6762,7 +6801,7 @@
   "Sw__EntryGrant",
   "sw",
   sizeof(Sw__EntryGrant),
-  18,
+  20,
   sw__entry_grant__field_descriptors,
   sw__entry_grant__field_indices_by_name,
   1,  sw__entry_grant__number_ranges,
--- a/src/sapphireweir/proto/sapphireweir.pb-c.h
+++ b/src/sapphireweir/proto/sapphireweir.pb-c.h
@@ -919,10 +919,15 @@
    * Changes with lent_shares; zero: nothing was lent.
    */
   uint64_t lent_version;
+  /*
+   * With evidence_partial: hash of the sequences of the reports that last
+   * listed the evidence on each database, this one included.  Zero: not given.
+   */
+  uint64_t evidence_hash;
 };
 #define SW__ENTRY_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sw__entry_report__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, NULL, 0, 0,NULL, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, NULL, 0, 0,NULL, 0, 0 }
 
 
 struct  Sw__EntryRecord
@@ -1065,10 +1070,16 @@
    * Newest lent_version of the receiver whose lent_shares the leader has.
    */
   uint64_t lent_version;
+  /*
+   * The sender compares evidence_hash, and asks for all evidence when it lacks
+   * some.
+   */
+  protobuf_c_boolean evidence_checked;
+  protobuf_c_boolean evidence_wanted;
 };
 #define SW__ENTRY_GRANT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sw__entry_grant__descriptor) \
-    , 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0, 0, 0, 0,NULL, 0, 0, 0, 0,NULL, 0, 0, 0, 0 }
+    , 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0, 0, 0, 0,NULL, 0, 0, 0, 0,NULL, 0, 0, 0, 0, 0, 0 }
 
 
 typedef enum {
--- a/test/bench/director_cost.c
+++ b/test/bench/director_cost.c
@@ -10,17 +10,17 @@
 /* Runs one control instance of the platform, which leads alone, with the
  * reports of many entry instances and backend servers, in virtual time, and
  * prints the frames and bytes that it sends:
- *   director_cost CONTROLS ENTRIES DATABASES CONFIRM_MS
+ *   director_cost CONTROLS ENTRIES DATABASES CONFIRM_MS FULL_EVERY
  * Its instructions are counted by valgrind --tool=callgrind.  An entry
  * instance confirms an update of the directory CONFIRM_MS after it was
- * sent. */
+ * sent, and reports all evidence with every FULL_EVERYth report; zero: with
+ * the first one only, as nothing changes or is lost. */
 
 enum {
     kServersPerDatabase = 3,
     kTickUs = 10000,
     kEntryReportUs = 250000,
     kServerReportUs = 1000000,
-    kFullEvidenceReports = 4,
     kStartUs = 4000000, /* the servers appear and get primaries */
     kIdleUs = 5000000,
     kFailureUs = 500000, /* all primaries stop at once */
@@ -46,6 +46,8 @@
 typedef struct {
     Director *director;
     Traffic traffic;
+    Traffic received; /* reports of entry instances */
+    uint32_t full_every;
     uint64_t now_us;
     uint64_t confirm_delay_us;
     uint32_t entry_count;
@@ -193,7 +195,9 @@
     report.controls_hash = e->controls_hash;
     report.primaries_hash = e->primaries_hash;
     report.evacuations_hash = e->evacuations_hash;
-    report.evidence_partial = e->sequence % kFullEvidenceReports != 0;
+    report.evidence_partial =
+        e->sequence > 1 &&
+        (b->full_every == 0 || e->sequence % b->full_every != 0);
     for (uint32_t i = 0; i < b->database_count; i++) {
         sw__primary_evidence__init(&records[i]);
         g_snprintf(names[i], kNameBytes, "db%u", i);
@@ -207,6 +211,7 @@
     report.evidence = list;
     frame.body_case = SW__FRAME__BODY_ENTRY_REPORT;
     frame.entry_report = &report;
+    traffic_count(&b->received, &frame, sw__frame__get_packed_size(&frame));
     director_handle_frame(b->director, b->now_us, e->id, &frame);
     g_free(names);
     g_free(list);
@@ -306,19 +311,27 @@
     g_ptr_array_unref(saved.entries);
 }
 
-/* Prints the traffic since the last call. */
+/* Prints traffic and sets it to zero. */
 static void
-bench_print(Bench *b, const char *phase)
+traffic_print(Traffic *t, const char *phase, const char *direction)
 {
     for (uint32_t k = 0; k < kTrafficKinds; k++) {
-        if (b->traffic.frames[k] > 0) {
-            printf("%s %s: %" G_GUINT64_FORMAT " frames, %" G_GUINT64_FORMAT
-                   " bytes\n",
-                   phase, traffic_kind_name(k), b->traffic.frames[k],
-                   b->traffic.bytes[k]);
+        if (t->frames[k] > 0) {
+            printf("%s, %s %s: %" G_GUINT64_FORMAT
+                   " frames, %" G_GUINT64_FORMAT " bytes\n",
+                   phase, direction, traffic_kind_name(k), t->frames[k],
+                   t->bytes[k]);
         }
     }
-    memset(&b->traffic, 0, sizeof(b->traffic));
+    memset(t, 0, sizeof(*t));
+}
+
+/* Prints the traffic since the last call. */
+static void
+bench_print(Bench *b, const char *phase)
+{
+    traffic_print(&b->traffic, phase, "sent");
+    traffic_print(&b->received, phase, "received");
 }
 
 /* Discards messages of the log. */
@@ -337,8 +350,10 @@
 {
     Bench b = {0};
 
-    if (argc != 5) {
-        fprintf(stderr, "usage: %s CONTROLS ENTRIES DATABASES CONFIRM_MS\n",
+    if (argc != 6) {
+        fprintf(stderr,
+                "usage: %s CONTROLS ENTRIES DATABASES CONFIRM_MS "
+                "FULL_EVERY\n",
                 argv[0]);
         return 2;
     }
@@ -347,6 +362,7 @@
     b.confirm_delay_us = (uint64_t)atoi(argv[4]) * 1000;
     g_log_set_handler(NULL, G_LOG_LEVEL_MESSAGE, drop_message, NULL);
     b.requested = g_ptr_array_new_with_free_func(g_free);
+    b.full_every = (uint32_t)atoi(argv[5]);
     b.entries = g_new0(Entry, b.entry_count + 1);
     for (uint32_t i = 0; i < b.entry_count; i++) {
         g_snprintf(b.entries[i].id, kNameBytes, "e%u", i);
--- a/test/unit/test_fleet_sim.c
+++ b/test/unit/test_fleet_sim.c
@@ -1341,6 +1341,38 @@
     fleet_sim_free(sim);
 }
 
+/* Guards against a leader that keeps evidence of a report before one that was
+ * lost: it must ask for all evidence then, until it has it, and never
+ * otherwise. */
+static void
+lost_evidence_is_asked_for(void)
+{
+    static const char kRequests[] = "evidence_requests_total";
+    FleetSim *sim = fleet_sim_new(9);
+
+    fleet_sim_run(sim, 4000);
+    int leader = fleet_sim_control_leader(sim);
+    CU_ASSERT_FATAL(leader >= 0);
+    uint32_t index = (uint32_t)leader;
+    uint64_t before = fleet_sim_control_metric(sim, index, kRequests);
+    fleet_sim_run(sim, 3000);
+    CU_ASSERT_EQUAL(fleet_sim_control_metric(sim, index, kRequests), before);
+    for (uint32_t i = 0; i < 5; i++) {
+        fleet_sim_set_isolated(sim, i, TRUE);
+        fleet_sim_run(sim, 300);
+        fleet_sim_set_isolated(sim, i, FALSE);
+        fleet_sim_run(sim, 1000);
+    }
+    uint64_t asked = fleet_sim_control_metric(sim, index, kRequests) - before;
+    CU_ASSERT(asked >= 3);
+    CU_ASSERT(asked <= 15);
+    fleet_sim_run(sim, 3000);
+    CU_ASSERT_EQUAL(fleet_sim_control_metric(sim, index, kRequests),
+                    before + asked);
+    CU_ASSERT_EQUAL(fleet_sim_control_leader(sim), leader);
+    fleet_sim_free(sim);
+}
+
 /* Guards against work that a slow control instance gets because it is slow:
  * reports reach it 2.5 s late, so that a restarted entry instance seems to lack
  * the directory for as long.  It needs one copy; the others in the bound are
@@ -1540,6 +1572,7 @@
                 one_half_of_an_even_group_leads);
     CU_add_test(s, "reads of the document stay local",
                 reads_of_the_document_stay_local);
+    CU_add_test(s, "lost evidence is asked for", lost_evidence_is_asked_for);
     CU_add_test(s, "a slow instance sends few copies of its directory",
                 a_slow_instance_sends_few_copies_of_its_directory);
     CU_add_test(s, "reports without a change send no records",
