--- a/src/sapphireweir/fleet/director_entries.c
+++ b/src/sapphireweir/fleet/director_entries.c
@@ -239,9 +239,9 @@
 }
 
 /* Sends the backend servers that changed after a revision to all connected
- * entry instances: at once if the use of one has ended or few were sent in this
- * second, otherwise after kDirectoryShareUs, together with what changes until
- * then. */
+ * entry instances: at once if the use of one has ended or few were sent in
+ * this second, otherwise after kDirectoryShareUs, together with what changes
+ * until then. */
 void
 entries_directory_changed(Director *d, uint64_t now_us, uint64_t old_revision)
 {
@@ -430,9 +430,9 @@
     send_grant(d, now_us, entry, 0);
 }
 
-/* Sends the primaries to all connected entry instances, without a lease, at the
- * end of the event that is handled: it may change many of them, and each grant
- * lists all. */
+/* Sends the primaries to all connected entry instances, without a lease, at
+ * the end of the event that is handled: it may change many of them, and each
+ * grant lists all. */
 void
 entries_push_primaries(Director *d)
 {
@@ -652,8 +652,9 @@
     return now_us - entry->last_seen_us > kEntryExpiryUs;
 }
 
-/* Continues document transfers and sends changed servers.  Every kSharesIntervalUs, frees the state of
- * expired entry instances and, on the leader, recomputes the rate shares. */
+/* Continues document transfers and sends changed servers.  Every
+ * kSharesIntervalUs, frees the state of expired entry instances and, on the
+ * leader, recomputes the rate shares. */
 void
 entries_tick(Director *d, uint64_t now_us)
 {
--- a/src/sapphireweir/fleet/director_internal.h
+++ b/src/sapphireweir/fleet/director_internal.h
@@ -118,8 +118,8 @@
     uint64_t lent_reports; /* of shares that others may still use */
 } RateCounters;
 
-/* The lists of grants, until what they are made of changes.  The records borrow
- * the director's strings. */
+/* The lists of grants, until what they are made of changes.  The records
+ * borrow the director's strings. */
 typedef struct {
     gboolean primaries_valid;
     uint64_t primaries_hash;
