--- a/src/sapphireweir/fleet/directory.c
+++ b/src/sapphireweir/fleet/directory.c
@@ -91,6 +91,14 @@
     return g_hash_table_lookup(d->servers, id);
 }
 
+/* Returns the time at which something of an age happened, zero at the
+ * earliest. */
+static uint64_t
+time_before(uint64_t now_us, uint64_t age_ms)
+{
+    return now_us - MIN(age_ms, now_us / kMicrosPerMilli) * kMicrosPerMilli;
+}
+
 /* Returns whether a report is newer than the last one of its server.  A report
  * that the same run has stopped counts as newer even with an old sequence. */
 static gboolean
@@ -241,7 +249,7 @@
         g_hash_table_insert(d->servers, s->id, s);
         index_add(d, s);
     }
-    s->last_seen_us = now_us - MIN(r->age_ms * kMicrosPerMilli, now_us);
+    s->last_seen_us = time_before(now_us, r->age_ms);
     if (server_apply_report(d, s, now_us, r)) {
         s->changed_us = now_us;
         s->changed_revision = ++d->revision;
@@ -304,7 +312,7 @@
         return FALSE;
     }
     s->sequence = seen->sequence;
-    s->last_seen_us = now_us - MIN(seen->age_ms * kMicrosPerMilli, now_us);
+    s->last_seen_us = time_before(now_us, seen->age_ms);
     return TRUE;
 }
 
--- a/test/unit/test_fleet_policy.c
+++ b/test/unit/test_fleet_policy.c
@@ -488,6 +488,10 @@
         CU_ASSERT_EQUAL(s->last_seen_us, cases[i].applied ? 1010000 : 990000);
         CU_ASSERT_EQUAL(s->sequence, cases[i].applied ? 6 : 5);
         CU_ASSERT_EQUAL(to.revision, revision);
+        r.sequence = 7;
+        r.age_ms = UINT64_MAX / 1000 + 1; /* would wrap to a recent time */
+        CU_ASSERT(directory_apply_report(&to, 2000000, &r));
+        CU_ASSERT_EQUAL(s->last_seen_us, 0);
         directory_clear(&to);
         directory_clear(&from);
     }
