--- a/src/sapphireweir/fleet/director_entries.c
+++ b/src/sapphireweir/fleet/director_entries.c
@@ -18,6 +18,9 @@
      * slow control instance gets more work by each copy. */
     kDirectoryResendUs = 1200000,
     kMaxDirectoryResendUs = 4800000,
+    /* An instance that has nothing of this run cannot serve without it: the
+     * interval of short reports and a round trip. */
+    kFirstDirectoryResendUs = 600000,
     kSharesIntervalUs = 500000,
     kPushWindowUs = 1000000,
     /* So many changes of servers that end no use are sent at once in a second.
@@ -77,6 +80,8 @@
     /* lease_end_us is kept: the leases of the former incarnation may still be
      * valid. */
     g_hash_table_remove_all(entry->evidence);
+    entry->evidence_hash = 0;
+    entry->evidence_wanted = FALSE;
     g_hash_table_remove_all(entry->demand);
     /* What the former incarnation reported stays in the rate windows. */
     g_hash_table_remove_all(entry->usage);
@@ -163,7 +168,8 @@
 
     if (confirmed >= entry->sent_revision) {
         entry->unconfirmed_since_us = 0;
-        entry->resend_after_us = kDirectoryResendUs;
+        entry->resend_after_us =
+            confirmed == 0 ? kFirstDirectoryResendUs : kDirectoryResendUs;
     }
     else if (confirmed < entry->confirmed_revision) {
         entry->sent_revision = confirmed;
@@ -233,9 +239,9 @@
 }
 
 /* Sends the backend servers that changed after a revision to all connected
- * entry instances: at once if the use of one has ended or few were sent in this
- * second, otherwise after kDirectoryShareUs, together with what changes until
- * then. */
+ * entry instances: at once if the use of one has ended or few were sent in
+ * this second, otherwise after kDirectoryShareUs, together with what changes
+ * until then. */
 void
 entries_directory_changed(Director *d, uint64_t now_us, uint64_t old_revision)
 {
@@ -406,6 +412,8 @@
         m.usage_version =
             entry->usage_term == m.term ? entry->usage_version : 0;
         m.lent_version = entry->lent_version;
+        m.evidence_checked = TRUE;
+        m.evidence_wanted = entry->evidence_wanted;
         m.n_shares = shares->len;
         m.shares = (Sw__TeamShare **)shares->pdata;
     }
@@ -422,9 +430,9 @@
     send_grant(d, now_us, entry, 0);
 }
 
-/* Sends the primaries to all connected entry instances, without a lease, at the
- * end of the event that is handled: it may change many of them, and each grant
- * lists all. */
+/* Sends the primaries to all connected entry instances, without a lease, at
+ * the end of the event that is handled: it may change many of them, and each
+ * grant lists all. */
 void
 entries_push_primaries(Director *d)
 {
@@ -480,8 +488,23 @@
     suspect_watch_record(watch, now_us, failing_us);
 }
 
+/* Removes the evidence from the hash, when a report lists all of it. */
+static void
+evidence_hash_reset(EntryState *entry)
+{
+    GHashTableIter it;
+    void *value;
+
+    g_hash_table_iter_init(&it, entry->evidence);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        ((EntryEvidence *)value)->mark = 0;
+    }
+    entry->evidence_hash = 0;
+}
+
 /* Stores a report's evidence on each primary.  That of a database which the
- * report omits as unchanged counts as received again. */
+ * report omits as unchanged counts as received again.  All evidence is asked
+ * for when a report that listed some was lost. */
 static void
 record_evidence(Director *d, EntryState *entry, uint64_t now_us,
                 const Sw__EntryReport *m)
@@ -496,6 +519,9 @@
         kept->received_us = now_us;
         watch_failure(d, now_us, key, kept->failing_us);
     }
+    if (!m->evidence_partial && m->n_evidence > 0) {
+        evidence_hash_reset(entry);
+    }
     for (size_t i = 0; i < m->n_evidence; i++) {
         const Sw__PrimaryEvidence *e = m->evidence[i];
         EntryEvidence *kept =
@@ -505,6 +531,8 @@
             g_hash_table_insert(entry->evidence, g_strdup(e->database), kept);
         }
         watch_failure(d, now_us, e->database, e->failing_us);
+        uint64_t mark = hash_text(e->database, hash_number(m->sequence, 1));
+        entry->evidence_hash += mark - kept->mark;
         *kept = (EntryEvidence){
             .epoch = e->epoch,
             .recorded_us = now_us,
@@ -515,8 +543,12 @@
             .released_epoch = e->released_epoch,
             .open_work = e->open_work,
             .acknowledged = {e->acknowledged_term, e->acknowledged_number},
+            .mark = mark,
         };
     }
+    entry->evidence_wanted = m->evidence_hash != 0 &&
+                             m->evidence_hash != (entry->evidence_hash | 1);
+    d->evidence_requests += entry->evidence_wanted;
 }
 
 /* Updates the smoothed demand of each team with a report's demand. */
@@ -620,8 +652,9 @@
     return now_us - entry->last_seen_us > kEntryExpiryUs;
 }
 
-/* Continues document transfers and sends changed servers.  Every kSharesIntervalUs, frees the state of
- * expired entry instances and, on the leader, recomputes the rate shares. */
+/* Continues document transfers and sends changed servers.  Every
+ * kSharesIntervalUs, frees the state of expired entry instances and, on the
+ * leader, recomputes the rate shares. */
 void
 entries_tick(Director *d, uint64_t now_us)
 {
--- a/src/sapphireweir/fleet/director_internal.h
+++ b/src/sapphireweir/fleet/director_internal.h
@@ -35,6 +35,7 @@
     uint64_t released_epoch;
     uint32_t open_work;    /* sessions that hold a connection to the primary */
     Position acknowledged; /* newest commit acknowledged to a caller */
+    uint64_t mark;         /* its part of evidence_hash */
 } EntryEvidence;
 
 /* State of an entry instance, from its reports and the messages to it. */
@@ -76,6 +77,8 @@
     uint64_t pending_round;
     uint64_t pending_received_us; /* when the report to be granted arrived */
     GHashTable *evidence;         /* database -> EntryEvidence, owned */
+    uint64_t evidence_hash;       /* see EntryReport, without the bit */
+    gboolean evidence_wanted;     /* some of it was lost */
     /* team -> smoothed demand in thousandths of an operation per second, as
      * uint64_t; owned. */
     GHashTable *demand;
@@ -124,8 +127,8 @@
     uint64_t lent_reports; /* of shares that others may still use */
 } RateCounters;
 
-/* The lists of grants, until what they are made of changes.  The records borrow
- * the director's strings. */
+/* The lists of grants, until what they are made of changes.  The records
+ * borrow the director's strings. */
 typedef struct {
     gboolean primaries_valid;
     uint64_t primaries_hash;
@@ -272,6 +275,7 @@
     GPtrArray *collected;
     uint64_t collect_until_us;
     ServerCounters server_counters;
+    uint64_t evidence_requests; /* reports after which all was asked for */
     /* When changed servers are sent to the entry instances, zero: none are to
      * be. */
     uint64_t directory_push_us;
