--- a/src/sapphireweir/fleet/director_internal.h
+++ b/src/sapphireweir/fleet/director_internal.h
@@ -304,7 +304,7 @@
     uint64_t forwards_refused;   /* forwarded requests of an unknown verb */
     uint64_t replayed_index;     /* last log index at the start */
 
-    /* Server id -> GPtrArray of ServerQuery, owned. */
+    /* Server id -> (entry instance -> ServerQuery), owned. */
     GHashTable *queries;
     uint64_t next_query_expiry_us;
     uint64_t queries_received;
--- a/src/sapphireweir/fleet/director_queries.c
+++ b/src/sapphireweir/fleet/director_queries.c
@@ -1,5 +1,3 @@
-#include <string.h>
-
 #include "fleet/director_internal.h"
 
 /* Requests of entry instances for the next report of a backend server's run.
@@ -27,7 +25,7 @@
 queries_init(Director *d)
 {
     d->queries = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-                                       (GDestroyNotify)g_ptr_array_unref);
+                                       (GDestroyNotify)g_hash_table_destroy);
 }
 
 /* Returns what this instance knows of a server. */
@@ -62,20 +60,14 @@
 static void
 query_add(Director *d, const char *server, ServerQuery *query)
 {
-    GPtrArray *list = g_hash_table_lookup(d->queries, server);
+    GHashTable *list = g_hash_table_lookup(d->queries, server);
 
     if (list == NULL) {
-        list = g_ptr_array_new_with_free_func(query_free);
+        list =
+            g_hash_table_new_full(g_str_hash, g_str_equal, NULL, query_free);
         g_hash_table_insert(d->queries, g_strdup(server), list);
     }
-    for (guint i = 0; i < list->len; i++) {
-        const ServerQuery *q = g_ptr_array_index(list, i);
-        if (strcmp(q->entry, query->entry) == 0) {
-            g_ptr_array_remove_index_fast(list, i);
-            break;
-        }
-    }
-    g_ptr_array_add(list, query);
+    g_hash_table_replace(list, query->entry, query);
 }
 
 /* Handles a request of an entry instance: answers it, or keeps it until a
@@ -105,40 +97,57 @@
     query_free(q);
 }
 
-/* Returns whether a server's last report reached the first control instance
- * after a request came.  Reports that change nothing are collected there, so
- * that one of the former run may arrive later. */
+/* Returns whether what is known of a server answers a request, which came
+ * before its last report reached any control instance.  A report that changes
+ * nothing is collected before it is passed on, so that one of a former run may
+ * arrive after the request. */
 static gboolean
-is_later(const DirectoryServer *s, const ServerQuery *q)
+answers_later(const DirectoryServer *s, const SlowStartKnown *known,
+              const ServerQuery *q)
 {
-    return s->last_seen_us > q->received_us + kAgeStepUs;
+    gboolean changed =
+        known->born_ms != q->asked.born_ms || known->cold || known->gone;
+
+    return slow_start_answers(known, &q->asked) &&
+           (changed || s->last_seen_us > q->received_us + kAgeStepUs);
 }
 
-/* Answers the requests that a server's new report allows to. */
+/* Answers the requests for which a server's new report suffices. */
 void
 queries_reported(Director *d, uint64_t now_us, const char *server)
 {
-    GPtrArray *list = g_hash_table_lookup(d->queries, server);
+    GHashTable *list = g_hash_table_lookup(d->queries, server);
     const DirectoryServer *s = directory_find(&d->directory, server);
+    GHashTableIter it;
+    void *value;
 
     if (list == NULL || s == NULL) {
         return;
     }
     SlowStartKnown known = known_of(s, now_us);
-    for (guint i = list->len; i > 0; i--) {
-        const ServerQuery *q = g_ptr_array_index(list, i - 1);
-        gboolean other = known.born_ms != q->asked.born_ms || known.cold;
-        if (slow_start_answers(&known, &q->asked) &&
-            (other || known.gone || is_later(s, q))) {
+    g_hash_table_iter_init(&it, list);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        const ServerQuery *q = value;
+        if (answers_later(s, &known, q)) {
             send_answer(d, now_us, s, q);
-            g_ptr_array_remove_index_fast(list, i - 1);
+            g_hash_table_iter_remove(&it);
         }
     }
-    if (list->len == 0) {
+    if (g_hash_table_size(list) == 0) {
         g_hash_table_remove(d->queries, server);
     }
 }
 
+/* Tells whether the answer to a request would be of no use any more; a
+ * GHRFunc. */
+static gboolean
+query_has_expired(void *key, void *value, void *ctx)
+{
+    (void)key;
+    return *(const uint64_t *)ctx - ((const ServerQuery *)value)->received_us >
+           kQueryKeptUs;
+}
+
 /* Forgets requests whose answer would be of no use any more. */
 void
 queries_tick(Director *d, uint64_t now_us)
@@ -152,14 +161,9 @@
     d->next_query_expiry_us = now_us + kExpiryIntervalUs;
     g_hash_table_iter_init(&it, d->queries);
     while (g_hash_table_iter_next(&it, NULL, &value)) {
-        GPtrArray *list = value;
-        for (guint i = list->len; i > 0; i--) {
-            const ServerQuery *q = g_ptr_array_index(list, i - 1);
-            if (now_us - q->received_us > kQueryKeptUs) {
-                g_ptr_array_remove_index_fast(list, i - 1);
-            }
-        }
-        if (list->len == 0) {
+        GHashTable *list = value;
+        g_hash_table_foreach_remove(list, query_has_expired, &now_us);
+        if (g_hash_table_size(list) == 0) {
             g_hash_table_iter_remove(&it);
         }
     }
--- a/test/unit/test_cold_servers.c
+++ b/test/unit/test_cold_servers.c
@@ -424,7 +424,7 @@
     static const struct {
         gboolean configured;
         gboolean answered;
-        uint64_t before; /* how many requests earlier the answered one is */
+        uint64_t other; /* difference of the answered request's number */
         int64_t born_ms;
         uint64_t cold_left_ms;
         gboolean limited;
@@ -444,7 +444,7 @@
         relay_for(l, 200);
         CU_ASSERT_EQUAL(l->server_queries, cases[i].configured);
         if (cases[i].answered) {
-            lone_gateway_server_answer(l, l->server_query - cases[i].before,
+            lone_gateway_server_answer(l, l->server_query + cases[i].other,
                                        "s", "a", cases[i].born_ms,
                                        cases[i].cold_left_ms);
         }
