Print how long a platform test waited for an order

platform_tests, suite evacuation, once got no answer to an order. By reading, a control instance answers an order within 1.5 s, also without a leader, while its event loop runs; so either the loop stood still, for example in a sync of its log beside the tests of full disks, or the connection or the instance ended. The elapsed time tells the two apart; the check is unchanged.

--- a/test/platform/test_evacuation.c
+++ b/test/platform/test_evacuation.c
@@ -110,12 +110,16 @@
     for (size_t i = 0; i <= G_N_ELEMENTS(cases); i++) {
         gboolean last = i == G_N_ELEMENTS(cases);
         int wanted = last ? 400 : cases[i].status;
+        gint64 sent_us = g_get_monotonic_time();
         HttpResponse r = emulator_http_request(
             emulator, emulator_control_address(emulator, i % 3),
             last ? "POST" : cases[i].method, last ? path : cases[i].path,
             NULL);
         if (r.status != wanted) {
-            printf("\n    case %zu: status %d\n", i, r.status);
+            /* Without a status, the time tells a closed connection from a
+             * control instance that stands still. */
+            printf("\n    case %zu: status %d after %" G_GINT64_FORMAT " ms\n",
+                   i, r.status, (g_get_monotonic_time() - sent_us) / 1000);
         }
         CU_ASSERT_EQUAL(r.status, wanted);
         g_free(r.body);
