Limit the weight of one long transaction in the expected wait

A transaction that its caller leaves idle holds its slot for up to 20 s. It raised the average by an eighth of that, so that work beside short transactions was expected to wait for 2.5 s and was rejected although a slot would have been free at once.

A transaction counts with at most twice the average. slot wait / the rest of the average is left has such a case.

--- a/src/sapphireweir/policy/slot_wait.c
+++ b/src/sapphireweir/policy/slot_wait.c
@@ -5,17 +5,26 @@
  * think, and commit seconds later.  Counted as free, the held slots make a
  * request wait until its deadline that could have been rejected at once. */
 
-enum { kAverageOver = 8 }; /* the latest transaction has the weight 1/8 */
+enum {
+    kAverageOver = 8, /* the latest transaction has the weight 1/8 */
+    /* A transaction counts with at most so many times the average.  One that
+     * was left idle until its deadline, up to 20 s, would otherwise make work
+     * be rejected that short transactions leave room for. */
+    kLongestFactor = 2,
+};
 
 /* Adds the time for which a transaction held its slot to the moving
  * average. */
 void
 slot_hold_record(SlotHold *h, uint64_t held_us)
 {
+    if (h->average_us == 0) {
+        h->average_us = held_us;
+        return;
+    }
+    uint64_t counted_us = MIN(held_us, h->average_us * kLongestFactor);
     h->average_us =
-        h->average_us == 0
-            ? held_us
-            : (h->average_us * (kAverageOver - 1) + held_us) / kAverageOver;
+        (h->average_us * (kAverageOver - 1) + counted_us) / kAverageOver;
 }
 
 /* Returns for how much longer a transaction that has held its slot for held_us
--- a/test/unit/test_slot_wait.c
+++ b/test/unit/test_slot_wait.c
@@ -43,6 +43,8 @@
     }
 }
 
+/* Guards against one transaction that was left idle for long and then makes
+ * work be rejected beside short ones. */
 static void
 the_rest_of_the_average_is_left(void)
 {
@@ -54,8 +56,10 @@
     CU_ASSERT_EQUAL(slot_hold_left_us(&h, 400, 9000), 600);
     CU_ASSERT_EQUAL(slot_hold_left_us(&h, 400, 500), 500);
     CU_ASSERT_EQUAL(slot_hold_left_us(&h, 1001, 9000), 0);
-    slot_hold_record(&h, 9000);
-    CU_ASSERT_EQUAL(slot_hold_left_us(&h, 0, 9000), 2000);
+    slot_hold_record(&h, 1800);
+    CU_ASSERT_EQUAL(slot_hold_left_us(&h, 0, 9000), 1100);
+    slot_hold_record(&h, 20000000);
+    CU_ASSERT_EQUAL(slot_hold_left_us(&h, 0, 9000), 1237);
 }
 
 /* Sends a request of the team and runs the system for a time. */
