--- a/test/unit/test_crossing_replay.c
+++ b/test/unit/test_crossing_replay.c
@@ -49,8 +49,8 @@
     uint32_t fewer;
     uint32_t burst[kDomains]; /* percent from second 4 to 8 */
     uint32_t wave_s; /* period of waves in opposite phase, zero: none */
-    /* Crossings are worth it: the mean time must become shorter, but more reads
-     * than with the previous policy may cross. */
+    /* Crossings are worth it: the mean time must become shorter, but more
+     * reads than with the previous policy may cross. */
     gboolean gains;
     /* Both domains always have work for their servers, so that these must
      * serve as many reads as with the previous policy while the load lasts. */
