--- a/test/unit/test_rates.c
+++ b/test/unit/test_rates.c
@@ -538,6 +538,39 @@
     }
 }
 
+/* The load of a team is at one instance; the leader is killed and that
+ * instance is isolated at the same time, while the others use the rest of the
+ * limit at the next leader.  Guards against a leader that reserves less for an
+ * instance out of contact than the former leader granted it: up to 721
+ * operations in a window of 600, of which operators allow 680. */
+static void
+a_share_of_a_former_leader_is_reserved(void)
+{
+    enum { kRate = 100, kMaxInWindow = 680 };
+
+    for (uint32_t seed = 1; seed <= 6; seed++) {
+        FleetSim *sim = fleet_sim_new(seed);
+        fleet_sim_configure(sim, kRate, TRUE);
+        fleet_sim_set_caller_pause(sim, 1000);
+        fleet_sim_gather_callers(sim, 0);
+        fleet_sim_run(sim, 8000);
+        fleet_sim_stop_entry(sim, 3, 4000);
+        fleet_sim_run(sim, 4000);
+        fleet_sim_clear_run_times(sim);
+        fleet_sim_set_caller_pause(sim, 5);
+        fleet_sim_set_control_running(
+            sim, (uint32_t)fleet_sim_control_leader(sim), FALSE);
+        fleet_sim_set_isolated(sim, 0, TRUE);
+        fleet_sim_run(sim, 9000);
+        uint32_t in_window = fleet_sim_max_in_rate_window(sim);
+        if (in_window > kMaxInWindow) {
+            g_print("\nseed %u: %u in a window\n", seed, in_window);
+        }
+        CU_ASSERT(in_window <= kMaxInWindow);
+        fleet_sim_free(sim);
+    }
+}
+
 void
 add_rates_suite(void)
 {
@@ -557,4 +590,6 @@
                 tokens_without_room_are_reported);
     CU_add_test(s, "a limit is kept when the leader is killed",
                 a_limit_is_kept_when_the_leader_is_killed);
+    CU_add_test(s, "a share of a former leader is reserved",
+                a_share_of_a_former_leader_is_reserved);
 }
