Wait in a test until replicas serve reads

Since a new team is served at once, the demo fleet is ready some 3 s earlier, and in the first second no owner knows the age of its replica's data, so that reads go to the primary (by reading: data_as_of_us is zero; the counters of a failed run were not caught).

--- a/test/functional/test_fleet.c
+++ b/test/functional/test_fleet.c
@@ -140,17 +140,43 @@
     response_clear(&w);
 }
 
+/* Returns the number of reads that replicas have served. */
+static int64_t
+replica_reads(void)
+{
+    int64_t sum = 0;
+
+    for (size_t i = 0; i < fleet_entry_count(fleet); i++) {
+        sum += fleet_metric(fleet, i, "reads_replica_total");
+    }
+    return sum;
+}
+
+/* Returns whether a replica serves a read through the entry instance with
+ * index ctx. */
+static gboolean
+replica_serves(void *ctx)
+{
+    int64_t before = replica_reads();
+    HttpResponse r = find(GPOINTER_TO_SIZE(ctx), "find-stale", NULL, "Nasova");
+
+    response_clear(&r);
+    return replica_reads() > before;
+}
+
 /* With the token of a write, a read on another entry instance shows the
- * write although all replicas lag by 500 ms. */
+ * write although all replicas lag by 500 ms.  In the first second of the fleet
+ * the age of the replicas' data is not known yet, and all reads go to the
+ * primary. */
 static void
 session_reads_its_writes_despite_lag(void)
 {
-    fleet_set_fault(fleet, "m2", "{\"lag_ms\":500}");
-    fleet_set_fault(fleet, "m3", "{\"lag_ms\":500}");
-    int64_t before = 0;
     for (size_t i = 0; i < fleet_entry_count(fleet); i++) {
-        before += fleet_metric(fleet, i, "reads_replica_total");
+        CU_ASSERT(fleet_wait(replica_serves, GSIZE_TO_POINTER(i), kMaxWaitMs));
     }
+    fleet_set_fault(fleet, "m2", "{\"lag_ms\":500}");
+    fleet_set_fault(fleet, "m3", "{\"lag_ms\":500}");
+    int64_t before = replica_reads();
     for (int i = 0; i < 12; i++) {
         char green[16];
         g_snprintf(green, sizeof(green), "lag-%d", i);
@@ -166,11 +192,7 @@
         response_clear(&r);
         response_clear(&w);
     }
-    int64_t after = 0;
-    for (size_t i = 0; i < fleet_entry_count(fleet); i++) {
-        after += fleet_metric(fleet, i, "reads_replica_total");
-    }
-    CU_ASSERT(after - before >= 12);
+    CU_ASSERT(replica_reads() - before >= 12);
     fleet_set_fault(fleet, "m2", "{\"lag_ms\":0}");
     fleet_set_fault(fleet, "m3", "{\"lag_ms\":0}");
 }
