--- a/test/support/control_fleet.c
+++ b/test/support/control_fleet.c
@@ -36,141 +36,6 @@
                                                  : 0;
 }
 
-/* ---- fake disk ---- */
-
-/* Releases the contents, but not the structure itself. */
-static void
-saved_clear(ConsensusSaved *s)
-{
-    g_free(s->voted_for);
-    if (s->snapshot != NULL) {
-        g_bytes_unref(s->snapshot);
-    }
-    if (s->entries != NULL) {
-        g_ptr_array_unref(s->entries);
-    }
-    *s = (ConsensusSaved){0};
-}
-
-static void
-saved_init(ConsensusSaved *s)
-{
-    *s = (ConsensusSaved){0};
-    s->entries = g_ptr_array_new_with_free_func(consensus_entry_free);
-}
-
-/* Replaces the contents of to by a deep copy of from. */
-static void
-saved_copy(const ConsensusSaved *from, ConsensusSaved *to)
-{
-    saved_clear(to);
-    saved_init(to);
-    to->term = from->term;
-    to->voted_for = g_strdup(from->voted_for);
-    to->snapshot_index = from->snapshot_index;
-    to->snapshot_term = from->snapshot_term;
-    to->snapshot = from->snapshot == NULL ? NULL : g_bytes_ref(from->snapshot);
-    for (guint i = 0; i < from->entries->len; i++) {
-        const ConsensusEntry *e = g_ptr_array_index(from->entries, i);
-        g_ptr_array_add(
-            to->entries,
-            consensus_entry_new(e->index, e->term, g_bytes_ref(e->command)));
-    }
-}
-
-static gboolean
-disk_save_vote(void *ctx, uint64_t term, const char *voted_for)
-{
-    FleetNode *n = ctx;
-    g_free(n->disk.written.voted_for);
-    n->disk.written.voted_for = g_strdup(voted_for);
-    n->disk.written.term = term;
-    return TRUE;
-}
-
-/* Removes all entries whose log index is index or higher. */
-static void
-truncate_entries(GPtrArray *entries, uint64_t index)
-{
-    while (entries->len > 0) {
-        const ConsensusEntry *last =
-            g_ptr_array_index(entries, entries->len - 1);
-        if (last->index < index) {
-            return;
-        }
-        g_ptr_array_set_size(entries, (gint)entries->len - 1);
-    }
-}
-
-/* Writes an entry, replacing all entries from its log index on. */
-static gboolean
-disk_save_entry(void *ctx, uint64_t index, uint64_t term, GBytes *command)
-{
-    FleetNode *n = ctx;
-    if (n->fleet->discard_disk_writes) {
-        return TRUE;
-    }
-    truncate_entries(n->disk.written.entries, index);
-    g_ptr_array_add(n->disk.written.entries,
-                    consensus_entry_new(index, term, g_bytes_ref(command)));
-    return TRUE;
-}
-
-static gboolean
-disk_save_truncate(void *ctx, uint64_t from_index)
-{
-    FleetNode *n = ctx;
-    truncate_entries(n->disk.written.entries, from_index);
-    return TRUE;
-}
-
-/* Makes all that was written durable. */
-static StorageResult
-disk_sync(void *ctx)
-{
-    FleetNode *n = ctx;
-    if (n->disk.fail_syncs) {
-        return kStorageFailed;
-    }
-    if (n->disk.full) {
-        n->disk.refused_syncs++;
-        return kStorageNoRoom;
-    }
-    n->disk.syncs++;
-    if (n->fleet->discard_disk_writes) {
-        return kStorageOk;
-    }
-    saved_copy(&n->disk.written, &n->disk.synced);
-    return kStorageOk;
-}
-
-/* Replaces the log by a snapshot and the entries after it, and syncs. */
-static StorageResult
-disk_save_snapshot(void *ctx, uint64_t index, uint64_t term, GBytes *snapshot,
-                   const GPtrArray *entries)
-{
-    FleetNode *n = ctx;
-    ConsensusSaved *w = &n->disk.written;
-    if (n->disk.full || n->disk.refuse_snapshots) {
-        n->disk.refused_snapshots++;
-        return kStorageNoRoom;
-    }
-    if (w->snapshot != NULL) {
-        g_bytes_unref(w->snapshot);
-    }
-    w->snapshot = g_bytes_ref(snapshot);
-    w->snapshot_index = index;
-    w->snapshot_term = term;
-    g_ptr_array_set_size(w->entries, 0);
-    for (guint i = 0; i < entries->len; i++) {
-        const ConsensusEntry *e = g_ptr_array_index(entries, i);
-        g_ptr_array_add(
-            w->entries,
-            consensus_entry_new(e->index, e->term, g_bytes_ref(e->command)));
-    }
-    return disk_sync(n);
-}
-
 /* ---- fake network ---- */
 
 /* Returns the index of a control instance, -1 when the id is not one. */
@@ -293,8 +158,7 @@
         n->index = i;
         n->id = g_strdup_printf("control-%u", i);
         n->disk_identity = g_strdup_printf("disk-%u", i);
-        saved_init(&n->disk.synced);
-        saved_init(&n->disk.written);
+        fake_disk_init(&n->disk);
     }
     return f;
 }
@@ -308,8 +172,7 @@
         if (n->core != NULL) {
             control_core_free(n->core);
         }
-        saved_clear(&n->disk.synced);
-        saved_clear(&n->disk.written);
+        fake_disk_clear(&n->disk);
         g_free(n->id);
         g_free(n->disk_identity);
     }
@@ -345,8 +208,7 @@
         .send = port_send,
         .peer_address = port_peer_address,
         .random = port_random,
-        .storage = {n, disk_save_vote, disk_save_entry, disk_save_truncate,
-                    disk_save_snapshot, disk_sync},
+        .storage = fake_disk_port(&n->disk),
     };
     GPtrArray *members = g_ptr_array_new_with_free_func(consensus_member_free);
     GError *error = NULL;
@@ -357,7 +219,8 @@
                                      "127.0.0.1:1", "d", TRUE));
     }
     n->core = control_core_new(&config, &port);
-    saved_copy(&n->disk.synced, &n->disk.written);
+    n->disk.discard_writes = f->discard_disk_writes;
+    fake_disk_lose_power(&n->disk);
     if (!control_core_start(n->core, f->now_us, &n->disk.synced,
                             bootstrap ? members : NULL, &error)) {
         g_error("start: %s", error->message);
@@ -386,10 +249,8 @@
     char *identity = g_strconcat(n->disk_identity, "+", NULL);
     g_free(n->disk_identity);
     n->disk_identity = identity;
-    saved_clear(&n->disk.synced);
-    saved_init(&n->disk.synced);
-    saved_clear(&n->disk.written);
-    saved_init(&n->disk.written);
+    fake_disk_clear(&n->disk);
+    fake_disk_init(&n->disk);
 }
 
 /* Returns TRUE when the recipient runs and neither side is partitioned. */
--- a/test/support/control_fleet.h
+++ b/test/support/control_fleet.h
@@ -6,6 +6,7 @@
 
 #include "core/consensus.h"
 #include "core/control_core.h"
+#include "fake_disk.h"
 
 /* Several control cores in one process, with a simulated network, simulated
  * disks and operators.  The test sets the virtual time and the random seed;
@@ -13,19 +14,6 @@
 
 enum { kFleetNodesMax = 9 };
 
-/* A simulated disk.  When its instance crashes, only synced data stays. */
-typedef struct {
-    ConsensusSaved synced;
-    ConsensusSaved written; /* the next sync makes this durable */
-    uint64_t syncs;
-    gboolean fail_syncs; /* until the next crash */
-    /* Without room nothing that was written becomes durable. */
-    gboolean full;
-    gboolean refuse_snapshots; /* only these have no room */
-    uint64_t refused_syncs;
-    uint64_t refused_snapshots;
-} FakeDisk;
-
 typedef struct ControlFleet ControlFleet;
 
 typedef struct {
