--- a/test/support/director_fleet.c
+++ b/test/support/director_fleet.c
@@ -10,7 +10,6 @@
     kDelayUs = 1400, /* of a frame, one way */
     kDelaySpreadUs = 600,
     kDialUs = 5000, /* until a new link is up */
-    kFirstVoters = 3,
 };
 
 /* A frame in transit between two control instances. */
@@ -194,6 +193,9 @@
         n->disk_identity = g_strdup_printf("disk-%u", i);
         fake_disk_init(&n->disk);
     }
+    for (uint32_t i = 0; i < kDirectorSeeds; i++) {
+        f->seeds[i] = i;
+    }
     return f;
 }
 
@@ -217,8 +219,8 @@
     g_free(f);
 }
 
-/* Starts an instance from what its disk holds.  Its settings name the first
- * kFirstVoters instances; with bootstrap these form a new group. */
+/* Starts an instance from what its disk holds.  With bootstrap the seeds form
+ * a new group. */
 void
 director_fleet_start(DirectorFleet *f, uint32_t node, gboolean bootstrap)
 {
@@ -242,18 +244,19 @@
                          .operator_reply = port_operator_reply,
                          .storage = fake_disk_port(&n->disk)};
     GPtrArray *members = g_ptr_array_new_with_free_func(consensus_member_free);
+    gboolean is_seed = FALSE;
     GError *error = NULL;
 
-    for (uint32_t i = 0; i < kFirstVoters; i++) {
-        g_ptr_array_add(members, consensus_member_new(
-                                     f->nodes[i].id, f->nodes[i].disk_identity,
-                                     f->nodes[i].id, "", TRUE));
-    }
     n->director = director_new(&config, &port);
-    for (uint32_t i = 0; i < kFirstVoters; i++) {
-        director_add_peer(n->director, f->nodes[i].id);
+    for (uint32_t i = 0; i < kDirectorSeeds; i++) {
+        const DirectorNode *seed = &f->nodes[f->seeds[i]];
+        director_add_peer(n->director, seed->id);
+        g_ptr_array_add(members,
+                        consensus_member_new(seed->id, seed->disk_identity,
+                                             seed->id, "", TRUE));
+        is_seed = is_seed || seed == n;
     }
-    gboolean first = bootstrap && node < kFirstVoters;
+    gboolean first = bootstrap && is_seed;
     if (!director_start(n->director, f->now_us, &n->disk.written,
                         first ? members : NULL, &error)) {
         g_error("start: %s", error->message);
--- a/test/support/director_fleet.h
+++ b/test/support/director_fleet.h
@@ -10,7 +10,7 @@
 /* The control instances of a fleet in one process and in virtual time, with
  * simulated disks, links and operators.  Times are in microseconds. */
 
-enum { kDirectorNodesMax = 9 };
+enum { kDirectorNodesMax = 9, kDirectorSeeds = 3 };
 
 typedef struct DirectorFleet DirectorFleet;
 
@@ -47,8 +47,11 @@
     /* Delivery of the last frame from one to the other. */
     uint64_t last_delivery_us[kDirectorNodesMax][kDirectorNodesMax];
     uint32_t max_failures; /* that the instances tolerate */
-    GHashTable *leaders;   /* term -> node index + 1 */
-    gboolean two_leaders;  /* two led in the same term: a violation */
+    /* Instances that the settings name; the first ones unless a test changes
+     * them.  An instance reads them when it starts. */
+    uint32_t seeds[kDirectorSeeds];
+    GHashTable *leaders;  /* term -> node index + 1 */
+    gboolean two_leaders; /* two led in the same term: a violation */
 };
 
 DirectorFleet *director_fleet_new(uint32_t count, uint32_t max_failures,
--- a/test/unit/test_director_faults.c
+++ b/test/unit/test_director_faults.c
@@ -4,27 +4,43 @@
 #include "suite.h"
 
 /* Control instances under random faults that overlap: processes end, machines
- * lose power or disks, instances are partitioned, freeze and stop in turn.
- * Acknowledged configurations must survive, and once all instances run and
- * reach each other, each answers reads. */
+ * lose power or disks or are replaced, instances are partitioned, freeze and
+ * stop in turn.  Acknowledged configurations must survive, and once all
+ * instances run and reach each other, each answers reads. */
 
 enum {
-    kNodes = 6,
+    kInstances = 6,    /* that run at a time */
+    kReplacements = 3, /* further ones, at addresses of their own */
+    kNodes = kInstances + kReplacements,
     kMaxFailures = 2,
+    kStepUs = 20000,
     kCatchUpUs = 6000000, /* an instance counts as failed so long */
     kCalmUs = 5000000,    /* without faults, then all must work */
     kReadUs = 1000000,    /* an operator's patience */
+    kStopUs = 1600000,    /* limit of a planned stop */
+    kMeanFaultIntervalUs = 1200000,
 };
 
+/* An instance during a run. */
+typedef struct {
+    gboolean in_use;          /* it is one of the fleet's present ones */
+    uint64_t failed_until_us; /* it counts as failed */
+    uint64_t start_us;        /* when it starts again; zero: it runs */
+    uint64_t repair_us;       /* when it thaws or is reachable again */
+    uint64_t stop_us;         /* end of a planned stop; zero: none */
+} Instance;
+
 /* A run of one seed. */
 typedef struct {
     DirectorFleet *fleet;
     GRand *rand;
-    uint64_t failed_until_us[kNodes];
-    uint64_t version;       /* last one sent */
-    uint64_t acked_version; /* highest one acknowledged */
-    GPtrArray *puts;        /* DirectorCall, and */
-    GArray *versions;       /* uint64_t, the version of each */
+    Instance instances[kNodes];
+    uint32_t replaced;        /* of kReplacements */
+    uint32_t put_interval_us; /* mean time between changes */
+    uint64_t version;         /* last one sent */
+    uint64_t acked_version;   /* highest one acknowledged */
+    GPtrArray *puts;          /* DirectorCall, and */
+    GArray *versions;         /* uint64_t, the version of each */
 } Run;
 
 static uint32_t
@@ -33,15 +49,38 @@
     return (uint32_t)g_rand_int_range(r->rand, 0, (gint32)limit);
 }
 
+static gboolean
+is_running(const Run *r, uint32_t node)
+{
+    return r->fleet->nodes[node].director != NULL &&
+           !r->fleet->nodes[node].frozen;
+}
+
+/* ---- the operator ---- */
+
+/* Sends the next version to a random instance. */
+static void
+put_next(Run *r)
+{
+    uint32_t node = below(r, kNodes);
+
+    if (is_running(r, node)) {
+        r->version++;
+        g_ptr_array_add(
+            r->puts, (void *)director_fleet_put(r->fleet, node, r->version));
+        g_array_append_val(r->versions, r->version);
+    }
+}
+
 /* Notes which changes were acknowledged. */
 static void
 collect_acks(Run *r)
 {
     for (guint i = r->puts->len; i > 0; i--) {
         const DirectorCall *call = g_ptr_array_index(r->puts, i - 1);
+        uint64_t version = g_array_index(r->versions, uint64_t, i - 1);
         if (call->status == 200) {
-            r->acked_version = MAX(
-                r->acked_version, g_array_index(r->versions, uint64_t, i - 1));
+            r->acked_version = MAX(r->acked_version, version);
         }
         if (call->status != 0) {
             g_ptr_array_remove_index_fast(r->puts, i - 1);
@@ -50,50 +89,89 @@
     }
 }
 
-/* Runs the fleet while an operator changes the configuration. */
+/* ---- repairs ---- */
+
+/* Starts an instance with settings that name three others, or itself, of the
+ * present ones. */
 static void
-run_for(Run *r, uint64_t us)
+start(Run *r, uint32_t node)
 {
-    uint64_t end_us = r->fleet->now_us + us;
+    DirectorFleet *f = r->fleet;
 
-    while (r->fleet->now_us < end_us) {
-        uint32_t node = below(r, kNodes);
-        if (r->fleet->nodes[node].director != NULL &&
-            !r->fleet->nodes[node].frozen) {
-            r->version++;
-            g_ptr_array_add(r->puts, (void *)director_fleet_put(r->fleet, node,
-                                                                r->version));
-            g_array_append_val(r->versions, r->version);
+    for (uint32_t i = 0; i < kDirectorSeeds;) {
+        f->seeds[i] = below(r, kNodes);
+        gboolean again = !r->instances[f->seeds[i]].in_use;
+        for (uint32_t k = 0; k < i; k++) {
+            again = again || f->seeds[k] == f->seeds[i];
         }
-        uint64_t step_us = 20000 + below(r, 400) * 1000;
-        director_fleet_run(r->fleet, MIN(step_us, end_us - r->fleet->now_us));
-        collect_acks(r);
+        i += !again;
     }
+    director_fleet_start(f, node, FALSE);
 }
 
-static uint32_t
-count_failed(const Run *r)
+/* Ends planned stops, starts instances and ends what is due to be repaired. */
+static void
+repair(Run *r, uint64_t now_us)
 {
-    uint32_t count = 0;
-
     for (uint32_t i = 0; i < kNodes; i++) {
-        count += r->failed_until_us[i] > r->fleet->now_us;
+        DirectorNode *n = &r->fleet->nodes[i];
+        Instance *at = &r->instances[i];
+        if (at->stop_us != 0 &&
+            (now_us >= at->stop_us || director_stopped(n->director))) {
+            director_fleet_kill(r->fleet, i, FALSE);
+            at->stop_us = 0;
+        }
+        if (at->start_us != 0 && now_us >= at->start_us &&
+            n->director == NULL) {
+            start(r, i);
+            at->start_us = 0;
+        }
+        if (at->repair_us != 0 && now_us >= at->repair_us) {
+            n->frozen = FALSE;
+            director_fleet_partition(r->fleet, i, 0);
+            at->repair_us = 0;
+        }
+    }
+}
+
+/* Runs the fleet while an operator changes the configuration, without new
+ * faults. */
+static void
+run_for(Run *r, uint64_t us)
+{
+    uint64_t end_us = r->fleet->now_us + us;
+
+    while (r->fleet->now_us < end_us) {
+        if (below(r, r->put_interval_us / kStepUs) == 0) {
+            put_next(r);
+        }
+        director_fleet_run(r->fleet, kStepUs);
+        repair(r, r->fleet->now_us);
+        collect_acks(r);
     }
-    return count;
 }
 
-/* Picks an instance that may fail now, -1 if none may. */
+/* ---- faults ---- */
+
+/* Returns an instance that may fail now, -1 if none may. */
 static int
 pick(Run *r)
 {
+    uint64_t now_us = r->fleet->now_us;
     uint32_t node = below(r, kNodes);
+    uint32_t failed = 0;
 
-    return count_failed(r) >= kMaxFailures ||
-                   r->failed_until_us[node] > r->fleet->now_us
+    for (uint32_t i = 0; i < kNodes; i++) {
+        failed +=
+            r->instances[i].in_use && r->instances[i].failed_until_us > now_us;
+    }
+    return failed >= kMaxFailures || !r->instances[node].in_use ||
+                   r->instances[node].failed_until_us > now_us
                ? -1
                : (int)node;
 }
 
+/* Returns the random length of an outage. */
 static uint64_t
 outage_us(Run *r)
 {
@@ -102,232 +180,248 @@
     return lengths_ms[below(r, G_N_ELEMENTS(lengths_ms))] * 1000;
 }
 
-/* Up to two instances end and start again; with their disks, or without. */
+/* Ends the process of an instance, which starts again after us. */
 static void
-lose_some(Run *r, gboolean disks)
+crash(Run *r, uint32_t node, uint64_t us, gboolean lose_disk)
 {
-    int nodes[kMaxFailures];
-    uint64_t us = outage_us(r);
-    gboolean power = below(r, 2) == 0;
-
-    for (int i = 0; i < kMaxFailures; i++) {
-        nodes[i] = i == 0 || below(r, 2) == 0 ? pick(r) : -1;
-        if (nodes[i] >= 0) {
-            r->failed_until_us[nodes[i]] = r->fleet->now_us + us + kCatchUpUs;
-            director_fleet_kill(r->fleet, (uint32_t)nodes[i], power);
-            if (disks) {
-                director_fleet_lose_disk(r->fleet, (uint32_t)nodes[i]);
-            }
-        }
-    }
-    run_for(r, us);
-    for (int i = 0; i < kMaxFailures; i++) {
-        if (nodes[i] >= 0) {
-            director_fleet_start(r->fleet, (uint32_t)nodes[i], FALSE);
-        }
+    Instance *at = &r->instances[node];
+
+    director_fleet_kill(r->fleet, node, below(r, 2) == 0);
+    if (lose_disk) {
+        director_fleet_lose_disk(r->fleet, node);
     }
+    at->stop_us = 0;
+    at->repair_us = 0;
+    director_fleet_partition(r->fleet, node, 0);
+    at->start_us = r->fleet->now_us + us;
+    at->failed_until_us = at->start_us + kCatchUpUs;
 }
 
-/* All instances end at once and start within a second or two; as many as may
- * fail lose their disks. */
+/* Replaces an instance by an empty one at another address. */
 static void
-lose_all(Run *r, gboolean disks)
+replace(Run *r, uint32_t node)
 {
-    uint64_t delays_us[kNodes];
-    uint64_t start_us = r->fleet->now_us;
-    gboolean power = below(r, 2) == 0;
+    uint32_t next = kInstances + r->replaced;
 
-    for (uint32_t i = 0; i < kNodes; i++) {
-        director_fleet_kill(r->fleet, i, power);
-        delays_us[i] = 200000 + below(r, 1300) * 1000;
+    if (r->replaced == kReplacements) {
+        return;
     }
-    for (int i = 0; disks && i < kMaxFailures; i++) {
-        int node = pick(r);
-        if (node >= 0) {
-            r->failed_until_us[node] = r->fleet->now_us + 1500000 + kCatchUpUs;
-            director_fleet_lose_disk(r->fleet, (uint32_t)node);
-        }
+    r->replaced++;
+    director_fleet_kill(r->fleet, node, TRUE);
+    r->instances[node] = (Instance){0};
+    r->instances[next].in_use = TRUE;
+    r->instances[next].start_us = r->fleet->now_us + G_USEC_PER_SEC;
+    r->instances[next].failed_until_us =
+        r->instances[next].start_us + kCatchUpUs;
+}
+
+/* Begins a fault of one instance, if it may fail now. */
+static void
+inject(Run *r)
+{
+    int picked = pick(r);
+    uint64_t now_us = r->fleet->now_us;
+    uint64_t us = outage_us(r);
+
+    if (picked < 0) {
+        return;
     }
-    while (r->fleet->now_us < start_us + 1600000) {
-        for (uint32_t i = 0; i < kNodes; i++) {
-            if (r->fleet->nodes[i].director == NULL &&
-                r->fleet->now_us >= start_us + delays_us[i]) {
-                director_fleet_start(r->fleet, i, FALSE);
-            }
-        }
-        run_for(r, 20000);
+    uint32_t node = (uint32_t)picked;
+    Instance *at = &r->instances[node];
+    at->failed_until_us = now_us + us + kCatchUpUs;
+    switch (below(r, 8)) {
+    case 0:
+    case 1:
+    case 2:
+        crash(r, node, us, TRUE);
+        break;
+    case 3:
+        crash(r, node, us, FALSE);
+        break;
+    case 4:
+        director_fleet_partition(r->fleet, node, 1 + node);
+        at->repair_us = now_us + us;
+        break;
+    case 5:
+        r->fleet->nodes[node].frozen = TRUE;
+        at->repair_us = now_us + us;
+        break;
+    case 6:
+        replace(r, node);
+        break;
+    default:
+        director_stop(r->fleet->nodes[node].director, now_us);
+        at->stop_us = now_us + kStopUs;
+        at->start_us = now_us + us;
+        break;
     }
 }
 
-/* Partitions up to two instances from the others. */
+/* All instances end at once and start within two seconds.  With lose_disks as
+ * many as may fail lose their disks. */
 static void
-cut_some(Run *r)
+crash_all(Run *r, gboolean lose_disks)
 {
-    uint64_t us = outage_us(r);
+    gboolean lost[kNodes] = {FALSE};
 
-    for (uint32_t i = 0; i < kMaxFailures; i++) {
+    for (int i = 0; lose_disks && i < kMaxFailures; i++) {
         int node = pick(r);
         if (node >= 0) {
-            r->failed_until_us[node] = r->fleet->now_us + us + kCatchUpUs;
-            director_fleet_partition(r->fleet, (uint32_t)node, 1);
+            r->instances[node].failed_until_us = UINT64_MAX;
+            lost[node] = TRUE;
         }
     }
-    run_for(r, us);
     for (uint32_t i = 0; i < kNodes; i++) {
-        director_fleet_partition(r->fleet, i, 0);
+        if (r->instances[i].in_use) {
+            crash(r, i, 200000 + below(r, 1300) * 1000, lost[i]);
+        }
     }
 }
 
-/* Divides the instances into two halves. */
+/* Divides the instances into two halves for a while. */
 static void
 split(Run *r)
 {
     uint64_t us = outage_us(r);
+    uint32_t cut = 0;
 
-    for (uint32_t cut = 0; cut < kNodes / 2;) {
+    while (cut < kInstances / 2) {
         uint32_t node = below(r, kNodes);
-        if (r->fleet->nodes[node].group == 0) {
+        if (r->instances[node].in_use && r->fleet->nodes[node].group != 1) {
             director_fleet_partition(r->fleet, node, 1);
             cut++;
         }
     }
-    run_for(r, us);
     for (uint32_t i = 0; i < kNodes; i++) {
-        director_fleet_partition(r->fleet, i, 0);
-        r->failed_until_us[i] = r->fleet->now_us + kCatchUpUs;
-    }
-}
-
-static void
-freeze(Run *r)
-{
-    int node = pick(r);
-    uint64_t us = outage_us(r);
-
-    if (node < 0) {
-        return;
+        Instance *at = &r->instances[i];
+        if (at->in_use) {
+            at->repair_us = MAX(at->repair_us, r->fleet->now_us + us);
+            at->failed_until_us =
+                MAX(at->failed_until_us, at->repair_us + kCatchUpUs);
+        }
     }
-    r->failed_until_us[node] = r->fleet->now_us + us + kCatchUpUs;
-    r->fleet->nodes[node].frozen = TRUE;
-    run_for(r, us);
-    r->fleet->nodes[node].frozen = FALSE;
 }
 
-/* Stops all instances in turn, some at a time. */
+/* Stops all instances in turn, at_once at a time. */
 static void
 roll(Run *r, uint32_t at_once)
 {
-    for (uint32_t from = 0; from < kNodes; from += at_once) {
-        uint64_t end_us = r->fleet->now_us + 1600000;
-        uint32_t to = MIN(from + at_once, (uint32_t)kNodes);
-        for (uint32_t i = from; i < to; i++) {
-            director_stop(r->fleet->nodes[i].director, r->fleet->now_us);
-        }
-        gboolean runs = TRUE;
-        while (runs) {
-            run_for(r, 60000);
-            runs = FALSE;
-            for (uint32_t i = from; i < to; i++) {
-                DirectorNode *n = &r->fleet->nodes[i];
-                if (n->director != NULL && (director_stopped(n->director) ||
-                                            r->fleet->now_us > end_us)) {
-                    director_fleet_kill(r->fleet, i, FALSE);
-                }
-                runs = runs || n->director != NULL;
-            }
+    uint32_t waiting = 0;
+
+    for (uint32_t i = 0; i < kNodes; i++) {
+        Instance *at = &r->instances[i];
+        if (!at->in_use) {
+            continue;
         }
-        run_for(r, 900000);
-        for (uint32_t i = from; i < to; i++) {
-            director_fleet_start(r->fleet, i, FALSE);
+        director_stop(r->fleet->nodes[i].director, r->fleet->now_us);
+        at->stop_us = r->fleet->now_us + kStopUs;
+        at->start_us = r->fleet->now_us + 900000;
+        if (++waiting % at_once == 0) {
+            run_for(r, kStopUs + kCatchUpUs);
         }
-        run_for(r, kCatchUpUs);
     }
+    run_for(r, kStopUs + kCatchUpUs);
 }
 
-static void
-inject(Run *r)
-{
-    switch (below(r, 8)) {
-    case 0:
-    case 1:
-        lose_some(r, TRUE);
-        break;
-    case 2:
-        lose_some(r, FALSE);
-        break;
-    case 3:
-        lose_all(r, FALSE);
-        break;
-    case 4:
-        cut_some(r);
-        break;
-    case 5:
-        split(r);
-        break;
-    case 6:
-        freeze(r);
-        break;
-    default:
-        run_for(r, outage_us(r));
-        break;
-    }
-}
+/* ---- the run ---- */
 
 /* Reads the configuration at each instance; returns the number of those that
- * do not answer, or with an older version than was acknowledged. */
+ * do not answer, or answer with an older version than was acknowledged. */
 static uint32_t
 count_bad_reads(Run *r, uint32_t seed)
 {
-    const DirectorCall *calls[kNodes];
+    const DirectorCall *calls[kNodes] = {NULL};
     uint32_t bad = 0;
 
     for (uint32_t i = 0; i < kNodes; i++) {
-        calls[i] = director_fleet_get(r->fleet, i);
+        if (r->instances[i].in_use) {
+            calls[i] = director_fleet_get(r->fleet, i);
+        }
     }
     director_fleet_run(r->fleet, kReadUs);
     for (uint32_t i = 0; i < kNodes; i++) {
-        if (director_fleet_version(calls[i]) < r->acked_version ||
-            calls[i]->status != 200) {
-            printf(
-                "seed %u, instance %u: status %u, version %" G_GUINT64_FORMAT
-                " of %" G_GUINT64_FORMAT "\n",
-                seed, i, calls[i]->status, director_fleet_version(calls[i]),
-                r->acked_version);
+        const DirectorCall *call = calls[i];
+        if (call != NULL &&
+            director_fleet_version(call) < MAX(r->acked_version, 1)) {
+            printf("seed %u, instance %u: status %u, version "
+                   "%" G_GUINT64_FORMAT ", acknowledged %" G_GUINT64_FORMAT
+                   "\n",
+                   seed, i, call->status, director_fleet_version(call),
+                   r->acked_version);
             bad++;
         }
     }
     return bad;
 }
 
+/* Injects faults at random times for us. */
+static void
+run_with_faults(Run *r, uint64_t us)
+{
+    uint64_t end_us = r->fleet->now_us + us;
+
+    while (r->fleet->now_us < end_us) {
+        run_for(r, kStepUs);
+        if (below(r, kMeanFaultIntervalUs / kStepUs) == 0) {
+            inject(r);
+        }
+    }
+}
+
+/* Waits until all instances run and reach each other. */
+static void
+run_until_repaired(Run *r)
+{
+    for (uint32_t i = 0; i < kNodes; i++) {
+        while (r->instances[i].failed_until_us > r->fleet->now_us) {
+            run_for(r, kStepUs);
+        }
+    }
+}
+
+/* Plays the faults of one seed; returns the number of violations. */
 static uint32_t
 play(uint32_t seed)
 {
+    static const uint32_t intervals_us[] = {100000, 400000, 1500000, 5000000};
     Run r = {.fleet = director_fleet_new(kNodes, kMaxFailures, seed),
+             .put_interval_us =
+                 intervals_us[seed % G_N_ELEMENTS(intervals_us)],
              .rand = g_rand_new_with_seed(seed + 1),
              .puts = g_ptr_array_new(),
              .versions = g_array_new(FALSE, FALSE, sizeof(uint64_t))};
 
-    for (uint32_t i = 0; i < kNodes; i++) {
+    for (uint32_t i = 0; i < kInstances; i++) {
+        r.instances[i].in_use = TRUE;
         director_fleet_start(r.fleet, i, TRUE);
     }
     run_for(&r, 3000000);
-    uint32_t faults = 3 + below(&r, 10);
-    for (uint32_t i = 0; i < faults; i++) {
-        inject(&r);
-        run_for(&r, below(&r, 3000) * 1000);
+    while (r.acked_version == 0) {
+        put_next(&r);
+        run_for(&r, 500000);
     }
-    run_for(&r, kCatchUpUs + 1000000);
-    if (below(&r, 2) == 0) {
-        lose_all(&r, TRUE);
-        run_for(&r, kCatchUpUs + 1000000);
-    }
-    if (below(&r, 2) == 0) {
-        roll(&r, 1 + below(&r, kMaxFailures));
+    for (uint32_t rounds = 1 + below(&r, 3); rounds > 0; rounds--) {
+        run_with_faults(&r, (5 + below(&r, 25)) * (uint64_t)G_USEC_PER_SEC);
+        switch (below(&r, 4)) {
+        case 0:
+            split(&r);
+            break;
+        case 1:
+            crash_all(&r, FALSE);
+            break;
+        case 2:
+            crash_all(&r, TRUE);
+            break;
+        default:
+            run_until_repaired(&r);
+            roll(&r, 1 + below(&r, kMaxFailures));
+            break;
+        }
+        run_for(&r, below(&r, 9) * (uint64_t)G_USEC_PER_SEC);
     }
-    director_fleet_run(r.fleet, kCalmUs);
-    collect_acks(&r);
-    uint32_t bad = count_bad_reads(&r, seed);
-    bad += r.fleet->two_leaders;
+    run_until_repaired(&r);
+    run_for(&r, kCalmUs);
+    uint32_t bad = count_bad_reads(&r, seed) + r.fleet->two_leaders;
     g_ptr_array_unref(r.puts);
     g_array_unref(r.versions);
     g_rand_free(r.rand);
