Show why a control instance knows no leader and refuses operators

New log lines leader_unknown, leader_known and operator_refused; new counters for consensus messages that are dropped because of the disk or the sender that they name, for elections, and for operators' requests refused by reason. No decision changes.

--- a/src/sapphireweir/core/consensus.c
+++ b/src/sapphireweir/core/consensus.c
@@ -330,7 +330,7 @@
             replicate_to(c, now_us, m->id);
         }
     }
-    if (consensus_self_is_voter(c) && consensus_majority(c) == 1) {
+    if (consensus_is_voter(c) && consensus_majority(c) == 1) {
         c->confirmed_round = c->round;
     }
 }
@@ -851,6 +851,18 @@
     return strcmp(member->disk, m->from_disk) == 0;
 }
 
+/* Counts a message that is dropped because of its sender. */
+static void
+count_sender_drop(Consensus *c, const char *from)
+{
+    if (consensus_member_find(c, from) == NULL) {
+        c->drops.from_unknown++;
+    }
+    else {
+        c->drops.from_other_disk++;
+    }
+}
+
 /* Handles a message of another control instance.  Drops a message that is
  * addressed to another disk or comes from a disk that is not in the member
  * list: a replaced disk has lost the votes and entries it confirmed. */
@@ -858,8 +870,15 @@
 consensus_receive(Consensus *c, uint64_t now_us, const char *from,
                   const Sw__ConsensusMessage *m)
 {
-    if (c->failed || strcmp(m->to_disk, c->disk) != 0 ||
-        !sender_is_member(c, from, m)) {
+    if (c->failed) {
+        return;
+    }
+    if (strcmp(m->to_disk, c->disk) != 0) {
+        c->drops.to_other_disk++;
+        return;
+    }
+    if (!sender_is_member(c, from, m)) {
+        count_sender_drop(c, from);
         return;
     }
     if (c->no_room) {
@@ -896,7 +915,7 @@
         on_snapshot(c, now_us, from, m);
         break;
     case SW__CONSENSUS_KIND__CONSENSUS_TIMEOUT_NOW:
-        if (m->term == c->term && consensus_self_is_voter(c)) {
+        if (m->term == c->term && consensus_is_voter(c)) {
             /* Makes request_votes mark the requests as part of a transfer. */
             g_free(c->transfer_to);
             c->transfer_to = g_strdup(c->id);
@@ -941,7 +960,7 @@
         }
         return;
     }
-    if (!consensus_self_is_voter(c)) {
+    if (!consensus_is_voter(c)) {
         if (now_us >= c->election_deadline_us) {
             set_leader(c, NULL);
         }
@@ -1011,7 +1030,7 @@
         sync_if_dirty(c, now_us);
     }
     /* A leader that was removed steps down once its removal is committed. */
-    if (c->role == kConsensusLeader && !consensus_self_is_voter(c) &&
+    if (c->role == kConsensusLeader && !consensus_is_voter(c) &&
         c->members_index <= c->commit_index) {
         become_follower(c, now_us, c->term);
     }
@@ -1146,6 +1165,13 @@
     return c->elections;
 }
 
+/* Returns how many messages were dropped, by reason; the instance owns it. */
+const ConsensusDrops *
+consensus_drops(const Consensus *c)
+{
+    return &c->drops;
+}
+
 /* Returns whether this instance has applied an entry of the current leader's
  * term.  Before that, such as after a restart, its state can lack changes that
  * were acknowledged, and even changes that it had applied before the
--- a/src/sapphireweir/core/consensus.h
+++ b/src/sapphireweir/core/consensus.h
@@ -44,6 +44,7 @@
 uint64_t consensus_commit_index(const Consensus *c);
 uint64_t consensus_last_index(const Consensus *c);
 uint64_t consensus_elections(const Consensus *c);
+const ConsensusDrops *consensus_drops(const Consensus *c);
 gboolean consensus_is_current(const Consensus *c);
 gboolean consensus_failed(const Consensus *c);
 gboolean consensus_no_room(const Consensus *c);
@@ -53,6 +54,7 @@
 const GPtrArray *consensus_members(const Consensus *c);
 uint64_t consensus_member_last_seen_us(Consensus *c, const char *id);
 gboolean consensus_is_member(const Consensus *c);
+gboolean consensus_is_voter(const Consensus *c);
 uint32_t consensus_voter_count(const Consensus *c);
 
 #endif
--- a/src/sapphireweir/core/consensus_defs.h
+++ b/src/sapphireweir/core/consensus_defs.h
@@ -68,6 +68,13 @@
     StoragePort storage;
 } ConsensusPort;
 
+/* Messages of other instances that were dropped, by reason. */
+typedef struct {
+    uint64_t to_other_disk;   /* addressed to another disk of this instance */
+    uint64_t from_other_disk; /* the member list has another disk for it */
+    uint64_t from_unknown;    /* the sender is not in the member list */
+} ConsensusDrops;
+
 typedef struct {
     uint64_t heartbeat_us;    /* interval of a leader's heartbeats */
     uint64_t election_min_us; /* range of the random election timeout */
--- a/src/sapphireweir/core/consensus_internal.h
+++ b/src/sapphireweir/core/consensus_internal.h
@@ -96,6 +96,7 @@
      * that voter, its own id during its election; otherwise NULL. */
     char *transfer_to;
     uint64_t elections; /* elections started, for the metrics */
+    ConsensusDrops drops;
 
     GQueue outbox; /* Outgoing, owned */
 };
@@ -123,7 +124,6 @@
 
 /* consensus_members.c */
 ConsensusMember *consensus_member_find(const Consensus *c, const char *id);
-gboolean consensus_self_is_voter(const Consensus *c);
 uint32_t consensus_majority(const Consensus *c);
 json_t *consensus_members_to_json(const GPtrArray *members);
 void consensus_members_from_json(const json_t *list, GPtrArray *out);
--- a/src/sapphireweir/core/consensus_members.c
+++ b/src/sapphireweir/core/consensus_members.c
@@ -66,7 +66,7 @@
 
 /* Returns whether this instance, with this disk, is a voter. */
 gboolean
-consensus_self_is_voter(const Consensus *c)
+consensus_is_voter(const Consensus *c)
 {
     ConsensusMember *m = consensus_member_find(c, c->id);
     return m != NULL && m->voter && strcmp(m->disk, c->disk) == 0;
--- a/src/sapphireweir/core/event_log.h
+++ b/src/sapphireweir/core/event_log.h
@@ -26,6 +26,9 @@
     kEventAnswered,        /* a request that was served; sampled */
     kEventLeads,           /* a control instance became the leader */
     kEventFollows,         /* a control instance ceased to lead */
+    kEventLeaderUnknown,   /* a control instance hears of no leader */
+    kEventLeaderKnown,     /* it does again */
+    kEventOperatorRefused, /* an operator's request was not carried out */
     kEventRatesKnown,      /* a leader knows the use before its time */
     kEventChange,          /* a step of the change of a primary */
     kEventMember,          /* a change of the control instances */
--- a/src/sapphireweir/fleet/director.c
+++ b/src/sapphireweir/fleet/director.c
@@ -5,6 +5,12 @@
 /* The core of the director: the replicated state, start and stop, and the
  * handling of incoming events. */
 
+enum {
+    /* Without a known leader for so long, which is more than an election
+     * takes, an instance logs it. */
+    kLeaderUnknownUs = 1000000,
+};
+
 static void
 primary_state_free(void *data)
 {
@@ -470,6 +476,41 @@
     handover_handle_promotion(d, now_us, database, server, status);
 }
 
+/* Logs when no leader has been known for longer than an election takes, with
+ * what an election depends on, and when one is known again. */
+static void
+log_known_leader(Director *d, uint64_t now_us)
+{
+    const char *leader = consensus_leader(d->consensus);
+    const ConsensusDrops *drops = consensus_drops(d->consensus);
+    EventLine line;
+
+    if (leader != NULL && d->leader_unknown_us != 0) {
+        event_begin(&line, d->config.events, now_us, kEventLeaderKnown);
+        event_text(&line, "leader", leader);
+        event_number(&line, "term", consensus_term(d->consensus));
+        event_number(&line, "unknown_us", now_us - d->leader_unknown_us);
+        event_end(&line);
+        d->leader_unknown_us = 0;
+    }
+    if (leader != NULL || d->leader_unknown_us != 0 ||
+        now_us - d->leader_seen_us < kLeaderUnknownUs) {
+        return;
+    }
+    d->leader_unknown_us = d->leader_seen_us;
+    event_begin(&line, d->config.events, now_us, kEventLeaderUnknown);
+    event_number(&line, "term", consensus_term(d->consensus));
+    event_number(&line, "index", consensus_last_index(d->consensus));
+    event_number(&line, "version", d->document_version);
+    event_number(&line, "voters", consensus_voter_count(d->consensus));
+    event_number(&line, "votes", consensus_is_voter(d->consensus));
+    event_number(&line, "elections", consensus_elections(d->consensus));
+    event_number(&line, "dropped_to_other_disk", drops->to_other_disk);
+    event_number(&line, "dropped_from_other_disk", drops->from_other_disk);
+    event_number(&line, "dropped_from_unknown", drops->from_unknown);
+    event_end(&line);
+}
+
 /* Records when a leader was last known, and resets the leader's state when
  * this instance starts or stops leading. */
 static void
@@ -481,6 +522,7 @@
     if (consensus_leader(d->consensus) != NULL) {
         d->leader_seen_us = now_us;
     }
+    log_known_leader(d, now_us);
     if (leads == (d->led_since_us != 0)) {
         return;
     }
--- a/src/sapphireweir/fleet/director_internal.h
+++ b/src/sapphireweir/fleet/director_internal.h
@@ -216,6 +216,17 @@
     kRequestOrder, /* to evacuate or restore a failure domain */
 } RequestKind;
 
+/* Why an operator's request was not carried out. */
+typedef enum {
+    kRefusedNoLeader, /* none is known */
+    kRefusedDeadline, /* a known leader did not answer in time */
+    kRefusedLostLead,
+    kRefusedNoDocument,
+    kRefusedStopping,
+    kRefusedNoRoom, /* a change, and the disk is full */
+    kOperatorRefusals,
+} OperatorRefusal;
+
 /* A pending operator's request, received by this instance or forwarded to
  * this leader by another control instance. */
 typedef struct {
@@ -225,6 +236,7 @@
     uint64_t origin_id; /* request id at the origin */
     uint64_t version;   /* put: version of the new document */
     GBytes *text;       /* put: its text; get: NULL */
+    uint64_t received_us;
     uint64_t deadline_us;
     uint64_t index;      /* put: log index of the proposal, zero: none */
     uint64_t term;       /* put: term of the proposal */
@@ -329,6 +341,8 @@
      * or stopped leading. */
     uint64_t evidence_lost_us;
     uint64_t leader_seen_us; /* when the group last had a known leader */
+    /* Since when none was known, as last logged; zero: one is known. */
+    uint64_t leader_unknown_us;
     uint64_t next_join_us;
     uint64_t next_removal_us;
     uint64_t next_server_log_us;
@@ -342,8 +356,8 @@
     gboolean rates_known;      /* kEventRatesKnown was logged in this term */
     RateCounters rate_counters;
     gboolean stopping;
-    gboolean no_room;              /* as last logged; see consensus_no_room */
-    uint64_t changes_without_room; /* refused for that reason */
+    gboolean no_room; /* as last logged; see consensus_no_room */
+    uint64_t refusals[kOperatorRefusals];
     Histogram stage_times[kFailoverStageCount]; /* of unplanned changes, us */
     Histogram planned_times;                    /* whole planned changes, us */
 };
--- a/src/sapphireweir/fleet/director_metrics.c
+++ b/src/sapphireweir/fleet/director_metrics.c
@@ -13,6 +13,15 @@
         [kStageChoosing] = "failover_choosing_us",
         [kStagePromotion] = "failover_promotion_us",
     };
+    static const char *const refusals[kOperatorRefusals] = {
+        [kRefusedNoLeader] = "operator_refused_no_leader_total",
+        [kRefusedDeadline] = "operator_refused_deadline_total",
+        [kRefusedLostLead] = "operator_refused_lost_lead_total",
+        [kRefusedNoDocument] = "operator_refused_no_document_total",
+        [kRefusedStopping] = "operator_refused_stopping_total",
+        [kRefusedNoRoom] = "changes_refused_disk_full_total",
+    };
+    const ConsensusDrops *drops = consensus_drops(d->consensus);
     uint64_t last_index = consensus_last_index(d->consensus);
     uint64_t commit_index = consensus_commit_index(d->consensus);
     uint64_t longest_lag_us;
@@ -30,10 +39,22 @@
                        out);
     counter_write_text("snapshots_postponed_total",
                        consensus_snapshots_postponed(d->consensus), out);
-    counter_write_text("changes_refused_disk_full_total",
-                       d->changes_without_room, out);
     counter_write_text("control_voters", consensus_voter_count(d->consensus),
                        out);
+    counter_write_text("leader_known", consensus_leader(d->consensus) != NULL,
+                       out);
+    counter_write_text("votes", consensus_is_voter(d->consensus), out);
+    counter_write_text("elections_total", consensus_elections(d->consensus),
+                       out);
+    counter_write_text("consensus_dropped_to_other_disk_total",
+                       drops->to_other_disk, out);
+    counter_write_text("consensus_dropped_from_other_disk_total",
+                       drops->from_other_disk, out);
+    counter_write_text("consensus_dropped_from_unknown_total",
+                       drops->from_unknown, out);
+    for (int i = 0; i < kOperatorRefusals; i++) {
+        counter_write_text(refusals[i], d->refusals[i], out);
+    }
     counter_write_text("entries", g_hash_table_size(d->entries), out);
     counter_write_text("servers", g_hash_table_size(d->directory.servers),
                        out);
--- a/src/sapphireweir/fleet/director_requests.c
+++ b/src/sapphireweir/fleet/director_requests.c
@@ -55,6 +55,48 @@
     operator_request_free(r);
 }
 
+/* Counts and logs that a request is not carried out. */
+static void
+count_refusal(Director *d, uint64_t now_us, const OperatorRequest *r,
+              OperatorRefusal refusal)
+{
+    static const char *const reasons[kOperatorRefusals] = {
+        [kRefusedNoLeader] = "no leader is known",
+        [kRefusedDeadline] = "the leader did not answer in time",
+        [kRefusedLostLead] = "this instance does not lead any more",
+        [kRefusedNoDocument] = "there is no configuration",
+        [kRefusedStopping] = "this instance stops",
+        [kRefusedNoRoom] = "the disk of this instance is full",
+    };
+    static const char *const kinds[] = {[kRequestGet] = "read",
+                                        [kRequestPut] = "change",
+                                        [kRequestOrder] = "order"};
+    EventLine line;
+
+    d->refusals[refusal]++;
+    event_begin(&line, d->config.events, now_us, kEventOperatorRefused);
+    event_text(&line, "request", kinds[r->kind]);
+    event_text(&line, "reason", reasons[refusal]);
+    event_text(&line, "from", r->origin == NULL ? "operator" : r->origin);
+    event_text(&line, "leader", consensus_leader(d->consensus));
+    event_number(&line, "version", r->version);
+    event_number(&line, "waited_us", now_us - r->received_us);
+    event_end(&line);
+}
+
+/* Replies that a request is not carried out, for a reason that is counted and
+ * logged, and frees it. */
+static void
+refuse_request(Director *d, uint64_t now_us, OperatorRequest *r,
+               OperatorRefusal refusal)
+{
+    count_refusal(d, now_us, r, refusal);
+    operator_request_reply(d, r,
+                           refusal == kRefusedNoRoom ? kDirectorReplyNoRoom
+                                                     : kHttpUnavailable,
+                           NULL, 0);
+}
+
 /* Returns a pending request that already proposed the same document in this
  * term, or NULL.  Prevents a repeated request from entering the log twice. */
 static const OperatorRequest *
@@ -124,14 +166,14 @@
 /* Answers a read after a majority has confirmed that this leader still
  * leads. */
 static void
-reply_document(Director *d, OperatorRequest *r)
+reply_document(Director *d, uint64_t now_us, OperatorRequest *r)
 {
     size_t size = 0;
     const void *text =
         d->document == NULL ? NULL : g_bytes_get_data(d->document, &size);
 
     if (text == NULL) {
-        operator_request_reply(d, r, kHttpUnavailable, NULL, 0);
+        refuse_request(d, now_us, r, kRefusedNoDocument);
     }
     else if (r->origin != NULL && r->version == d->document_version) {
         operator_request_reply(d, r, kHttpNotModified, NULL, 0);
@@ -159,12 +201,12 @@
     const char *leader = consensus_leader(d->consensus);
 
     if (now_us >= r->deadline_us) {
-        operator_request_reply(d, r, kHttpUnavailable, NULL, 0);
+        refuse_request(d, now_us, r,
+                       leader == NULL ? kRefusedNoLeader : kRefusedDeadline);
         return;
     }
     if (is_refused_without_room(d, r)) {
-        d->changes_without_room++;
-        operator_request_reply(d, r, kDirectorReplyNoRoom, NULL, 0);
+        refuse_request(d, now_us, r, kRefusedNoRoom);
         return;
     }
     if (r->kind == kRequestOrder) {
@@ -173,7 +215,7 @@
     }
     if (!director_is_leader(d)) {
         if (r->index != 0 || r->round != 0 || r->origin != NULL) {
-            operator_request_reply(d, r, kHttpUnavailable, NULL, 0);
+            refuse_request(d, now_us, r, kRefusedLostLead);
             return;
         }
         if (leader != NULL && g_strcmp0(r->forwarded_to, leader) != 0) {
@@ -194,7 +236,7 @@
         r->round = consensus_read_begin(d->consensus, now_us);
     }
     else if (consensus_read_ready(d->consensus, r->round)) {
-        reply_document(d, r);
+        reply_document(d, now_us, r);
     }
 }
 
@@ -248,11 +290,24 @@
 {
     OperatorRequest *r = g_new0(OperatorRequest, 1);
     r->kind = kind;
+    r->received_us = now_us;
     r->deadline_us = now_us + kOperatorTimeoutUs;
     g_queue_push_tail(&d->requests, r);
     return r;
 }
 
+/* Begins to handle a request of an operator of this instance, unless it
+ * stops. */
+static void
+request_begin(Director *d, uint64_t now_us, OperatorRequest *r)
+{
+    if (d->stopping) {
+        refuse_request(d, now_us, r, kRefusedStopping);
+        return;
+    }
+    request_advance(d, now_us, r);
+}
+
 /* Proposes a document that the caller has validated; the text is copied.
  * Calls operator_reply with request, possibly before it returns: with 200 once
  * this or a higher version is committed, with 503 if that could not be
@@ -261,16 +316,11 @@
 director_put_document(Director *d, uint64_t now_us, void *request,
                       uint64_t version, const void *text, size_t bytes)
 {
-    if (d->stopping) {
-        d->port.operator_reply(d->port.ctx, request, kHttpUnavailable, NULL,
-                               0);
-        return;
-    }
     OperatorRequest *r = operator_request_add(d, now_us, kRequestPut);
     r->handle = request;
     r->version = version;
     r->text = g_bytes_new(text, bytes);
-    request_advance(d, now_us, r);
+    request_begin(d, now_us, r);
 }
 
 /* Reads the newest document.  Calls operator_reply with request later: with
@@ -279,14 +329,9 @@
 void
 director_get_document(Director *d, uint64_t now_us, void *request)
 {
-    if (d->stopping) {
-        d->port.operator_reply(d->port.ctx, request, kHttpUnavailable, NULL,
-                               0);
-        return;
-    }
     OperatorRequest *r = operator_request_add(d, now_us, kRequestGet);
     r->handle = request;
-    request_advance(d, now_us, r);
+    request_begin(d, now_us, r);
 }
 
 /* Discards the reply to a request whose client has disconnected; the request
