Follow a leader that the own member list does not have

What operators saw: the configuration could not be read back, at some control instances or at all of them, and for good. Reads waited for a leader until the operator had given up.

Cause: consensus_receive dropped every message whose sender's disk was not the one in the receiver's own member list, appends and vote requests of the leader included. An instance learns a new list only from the leader. The same for an instance that was away while the leader's disk was replaced.

Change: only replies are checked against the member list, since a replaced disk has lost the votes and entries that it confirmed. The candidate or leader that counts them uses its own list. Requests are handled whoever sends them, as in Raft: terms, the completeness of the log and the disk that a message is addressed to keep them safe.

--- a/src/sapphireweir/core/consensus.c
+++ b/src/sapphireweir/core/consensus.c
@@ -835,20 +835,30 @@
     return TRUE;
 }
 
-/* Returns whether a message comes from a member and from the disk that the
- * member list has for it.  Accepts appends and snapshots of an unknown
- * sender. */
+/* Returns whether a kind of message confirms something that the sender's disk
+ * holds: a vote or entries. */
 static gboolean
-sender_is_member(const Consensus *c, const char *from,
-                 const Sw__ConsensusMessage *m)
+is_reply(Sw__ConsensusKind kind)
 {
-    ConsensusMember *member = consensus_member_find(c, from);
-    if (member == NULL) {
-        /* A new learner has an empty log and knows no members yet. */
-        return m->kind == SW__CONSENSUS_KIND__CONSENSUS_APPEND ||
-               m->kind == SW__CONSENSUS_KIND__CONSENSUS_SNAPSHOT;
-    }
-    return strcmp(member->disk, m->from_disk) == 0;
+    return kind == SW__CONSENSUS_KIND__CONSENSUS_PRE_VOTE_REPLY ||
+           kind == SW__CONSENSUS_KIND__CONSENSUS_VOTE_REPLY ||
+           kind == SW__CONSENSUS_KIND__CONSENSUS_APPEND_REPLY ||
+           kind == SW__CONSENSUS_KIND__CONSENSUS_SNAPSHOT_REPLY;
+}
+
+/* Returns whether a message of this sender is handled.  A reply must come from
+ * a member and from the disk that the member list has for it: a replaced disk
+ * has lost the votes and entries that it confirmed.  Anybody may send
+ * requests.  A leader and its voters may have a later member list than this
+ * instance, which gets that list only by following the leader. */
+static gboolean
+sender_is_accepted(const Consensus *c, const char *from,
+                   const Sw__ConsensusMessage *m)
+{
+    const ConsensusMember *member = consensus_member_find(c, from);
+
+    return !is_reply(m->kind) ||
+           (member != NULL && strcmp(member->disk, m->from_disk) == 0);
 }
 
 /* Counts a message that is dropped because of its sender. */
@@ -864,8 +874,8 @@
 }
 
 /* Handles a message of another control instance.  Drops a message that is
- * addressed to another disk or comes from a disk that is not in the member
- * list: a replaced disk has lost the votes and entries it confirmed. */
+ * addressed to another disk, and a reply of a disk that is not in the member
+ * list. */
 void
 consensus_receive(Consensus *c, uint64_t now_us, const char *from,
                   const Sw__ConsensusMessage *m)
@@ -877,7 +887,7 @@
         c->drops.to_other_disk++;
         return;
     }
-    if (!sender_is_member(c, from, m)) {
+    if (!sender_is_accepted(c, from, m)) {
         count_sender_drop(c, from);
         return;
     }
