Refuse operators' requests that surely cannot be carried out at once

What operators saw: silence. A request waited 1.5 s for a leader, or for the answer of one, and operators give up after a second. So a 503 that would have sent them to another control instance never arrived. Where the leader had no configuration, the other instances forwarded a read to it again with each tick until the same deadline.

Change: without a known leader for a second, which is longer than an election takes, requests are refused at once; reads end after 0.9 s; a leader that has no configuration says so and the read is not forwarded again.

--- a/src/sapphireweir/fleet/director.c
+++ b/src/sapphireweir/fleet/director.c
@@ -5,12 +5,6 @@
 /* The core of the director: the replicated state, start and stop, and the
  * handling of incoming events. */
 
-enum {
-    /* Without a known leader for so long, which is more than an election
-     * takes, an instance logs it. */
-    kLeaderUnknownUs = 1000000,
-};
-
 static void
 primary_state_free(void *data)
 {
--- a/src/sapphireweir/fleet/director_internal.h
+++ b/src/sapphireweir/fleet/director_internal.h
@@ -216,6 +216,12 @@
     kRequestOrder, /* to evacuate or restore a failure domain */
 } RequestKind;
 
+enum {
+    /* Without a known leader for so long, which is more than an election
+     * takes, an instance logs it and refuses operators. */
+    kLeaderUnknownUs = 1000000,
+};
+
 /* Why an operator's request was not carried out. */
 typedef enum {
     kRefusedNoLeader, /* none is known */
--- a/src/sapphireweir/fleet/director_requests.c
+++ b/src/sapphireweir/fleet/director_requests.c
@@ -8,7 +8,9 @@
  * instances forward requests to the leader. */
 
 enum {
-    kOperatorTimeoutUs = 1500000, /* clients give up after about a second */
+    /* Operators give up after about a second, and later if they send much. */
+    kReadTimeoutUs = 900000,
+    kChangeTimeoutUs = 1500000,
     kHttpOk = 200,
     kHttpNotModified = 304, /* the origin has the newest document */
     kHttpBadRequest = 400,
@@ -55,19 +57,20 @@
     operator_request_free(r);
 }
 
+static const char *const kRefusalReasons[kOperatorRefusals] = {
+    [kRefusedNoLeader] = "no leader is known",
+    [kRefusedDeadline] = "the leader did not answer in time",
+    [kRefusedLostLead] = "this instance does not lead any more",
+    [kRefusedNoDocument] = "there is no configuration",
+    [kRefusedStopping] = "this instance stops",
+    [kRefusedNoRoom] = "the disk of this instance is full",
+};
+
 /* Counts and logs that a request is not carried out. */
 static void
 count_refusal(Director *d, uint64_t now_us, const OperatorRequest *r,
               OperatorRefusal refusal)
 {
-    static const char *const reasons[kOperatorRefusals] = {
-        [kRefusedNoLeader] = "no leader is known",
-        [kRefusedDeadline] = "the leader did not answer in time",
-        [kRefusedLostLead] = "this instance does not lead any more",
-        [kRefusedNoDocument] = "there is no configuration",
-        [kRefusedStopping] = "this instance stops",
-        [kRefusedNoRoom] = "the disk of this instance is full",
-    };
     static const char *const kinds[] = {[kRequestGet] = "read",
                                         [kRequestPut] = "change",
                                         [kRequestOrder] = "order"};
@@ -76,7 +79,7 @@
     d->refusals[refusal]++;
     event_begin(&line, d->config.events, now_us, kEventOperatorRefused);
     event_text(&line, "request", kinds[r->kind]);
-    event_text(&line, "reason", reasons[refusal]);
+    event_text(&line, "reason", kRefusalReasons[refusal]);
     event_text(&line, "from", r->origin == NULL ? "operator" : r->origin);
     event_text(&line, "leader", consensus_leader(d->consensus));
     event_number(&line, "version", r->version);
@@ -85,16 +88,20 @@
 }
 
 /* Replies that a request is not carried out, for a reason that is counted and
- * logged, and frees it. */
+ * logged, and frees it.  The control instance that forwarded a request gets a
+ * text only if it is not to forward it again. */
 static void
 refuse_request(Director *d, uint64_t now_us, OperatorRequest *r,
                OperatorRefusal refusal)
 {
+    const char *reason = kRefusalReasons[refusal];
+    gboolean tell = r->origin == NULL || refusal == kRefusedNoDocument;
+
     count_refusal(d, now_us, r, refusal);
     operator_request_reply(d, r,
                            refusal == kRefusedNoRoom ? kDirectorReplyNoRoom
                                                      : kHttpUnavailable,
-                           NULL, 0);
+                           tell ? reason : NULL, tell ? strlen(reason) : 0);
 }
 
 /* Returns a pending request that already proposed the same document in this
@@ -193,6 +200,16 @@
            r->handle != NULL && r->index == 0 && r->forward_id == 0;
 }
 
+/* Returns whether a request cannot be answered in time: no leader has been
+ * known for longer than an election takes, and none has the request. */
+static gboolean
+is_without_leader(const Director *d, uint64_t now_us, const OperatorRequest *r)
+{
+    return consensus_leader(d->consensus) == NULL &&
+           now_us - d->leader_seen_us >= kLeaderUnknownUs &&
+           (r->kind == kRequestGet || (r->forward_id == 0 && r->index == 0));
+}
+
 /* Proposes, confirms, forwards or answers a request, whichever can be done
  * next.  An answer frees the request. */
 static void
@@ -205,6 +222,10 @@
                        leader == NULL ? kRefusedNoLeader : kRefusedDeadline);
         return;
     }
+    if (is_without_leader(d, now_us, r)) {
+        refuse_request(d, now_us, r, kRefusedNoLeader);
+        return;
+    }
     if (is_refused_without_room(d, r)) {
         refuse_request(d, now_us, r, kRefusedNoRoom);
         return;
@@ -291,7 +312,8 @@
     OperatorRequest *r = g_new0(OperatorRequest, 1);
     r->kind = kind;
     r->received_us = now_us;
-    r->deadline_us = now_us + kOperatorTimeoutUs;
+    r->deadline_us =
+        now_us + (kind == kRequestGet ? kReadTimeoutUs : kChangeTimeoutUs);
     g_queue_push_tail(&d->requests, r);
     return r;
 }
@@ -412,6 +434,10 @@
             director_order_reply_received(d, now_us, r, m);
             return;
         }
+        if (m->status == kHttpUnavailable && m->body.len > 0) {
+            refuse_request(d, now_us, r, kRefusedNoDocument);
+            return;
+        }
         if (m->status == kHttpUnavailable && now_us < r->deadline_us) {
             /* requests_tick retries it, possibly with a new leader. */
             g_clear_pointer(&r->forwarded_to, g_free);
--- a/test/unit/test_director_faults.c
+++ b/test/unit/test_director_faults.c
@@ -567,6 +567,65 @@
     }
 }
 
+/* ---- reads that cannot be answered ---- */
+
+/* A state in which no instance can confirm the configuration. */
+typedef struct {
+    const char *name;
+    gboolean configured;     /* there is a configuration */
+    uint32_t killed;         /* instances that end, the leader among them */
+    gboolean leader_freezes; /* with all but one of the followers killed */
+    uint64_t wait_us;        /* from then to the read */
+    uint64_t limit_us;       /* for the answer, after the read */
+} UnanswerableRead;
+
+/* A read that surely cannot be answered is refused at once, and any before its
+ * operator gives up. */
+static void
+test_reads_refused_in_time(void)
+{
+    static const UnanswerableRead cases[] = {
+        {"no configuration", FALSE, 0, FALSE, 0, 50000},
+        {"no majority for long", TRUE, 4, FALSE, 3000000, 20000},
+        {"no majority since now", TRUE, 4, FALSE, 0, kReadUs},
+        {"no majority for a moment", TRUE, 4, FALSE, 600000, kReadUs},
+        {"the leader stands still", TRUE, 0, TRUE, 0, kReadUs},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        const UnanswerableRead *k = &cases[i];
+        DirectorFleet *f = director_fleet_new(kInstances, kMaxFailures, 1);
+
+        for (uint32_t n = 0; n < kInstances; n++) {
+            director_fleet_start(f, n, TRUE);
+        }
+        director_fleet_run(f, 3000000);
+        uint32_t leader = director_fleet_leader(f)->index;
+        if (k->configured) {
+            director_fleet_put(f, leader, 1);
+            director_fleet_run(f, 500000);
+        }
+        for (uint32_t n = 0; n < k->killed; n++) {
+            director_fleet_kill(f, (leader + n) % kInstances, FALSE);
+        }
+        for (uint32_t n = 1; k->leader_freezes && n < kInstances - 1; n++) {
+            director_fleet_kill(f, (leader + n) % kInstances, FALSE);
+        }
+        f->nodes[leader].frozen = k->leader_freezes;
+        director_fleet_run(f, k->wait_us + 1000);
+        const DirectorCall *call =
+            director_fleet_get(f, (leader + kInstances - 1) % kInstances);
+        director_fleet_run(f, 2 * kReadUs);
+        CU_ASSERT_EQUAL(call->status, 503);
+        if (call->answered_us - call->sent_us >= k->limit_us) {
+            printf("%s: answered after %" G_GUINT64_FORMAT " us\n", k->name,
+                   call->answered_us - call->sent_us);
+            CU_FAIL("answered too late");
+        }
+        director_fleet_free(f);
+    }
+}
+
 /* Registers the suite. */
 void
 add_director_faults_suite(void)
@@ -579,4 +638,6 @@
                 test_replaced_leader_is_heard);
     CU_add_test(s, "lost disks leave too few voters",
                 test_voters_after_lost_disks);
+    CU_add_test(s, "a read is refused after its operator has given up",
+                test_reads_refused_in_time);
 }
