--- a/test/unit/test_director_faults.c
+++ b/test/unit/test_director_faults.c
@@ -626,6 +626,30 @@
     }
 }
 
+/* An instance whose seeds are gone, and whose disk was lost, is found by the
+ * members that still list it. */
+static void
+test_join_without_seeds(void)
+{
+    DirectorFleet *f = director_fleet_new(kNodes, kMaxFailures, 1);
+
+    for (uint32_t i = 0; i < kInstances; i++) {
+        director_fleet_start(f, i, TRUE);
+    }
+    director_fleet_run(f, 3000000);
+    director_fleet_put(f, director_fleet_leader(f)->index, 1);
+    director_fleet_run(f, 500000);
+    uint32_t node = (director_fleet_leader(f)->index + 1) % kInstances;
+    for (uint32_t i = 0; i < kDirectorSeeds; i++) {
+        f->seeds[i] = kInstances + i;
+    }
+    restart(f, node, G_USEC_PER_SEC, TRUE);
+    const DirectorCall *call = director_fleet_get(f, node);
+    director_fleet_run(f, kReadUs);
+    CU_ASSERT_EQUAL(call->status, 200);
+    director_fleet_free(f);
+}
+
 /* Registers the suite. */
 void
 add_director_faults_suite(void)
@@ -640,4 +664,6 @@
                 test_voters_after_lost_disks);
     CU_add_test(s, "a read is refused after its operator has given up",
                 test_reads_refused_in_time);
+    CU_add_test(s, "an instance without a disk knows only seeds that are gone",
+                test_join_without_seeds);
 }
