Soak: control instances lose their disks, and each must answer reads

The soak ended processes of control instances but never lost a disk, and read the configuration back at one random instance, where no answer counted as allowed. Now half of the killed control instances return with an empty disk, no other one fails until they have caught up, and at the end each instance must answer.

--- a/test/platform/emulator.c
+++ b/test/platform/emulator.c
@@ -1028,6 +1028,24 @@
     g_free(boot_path);
 }
 
+/* Removes the files of a control instance that does not run. */
+void
+emulator_lose_disk(Emulator *e, uint32_t program)
+{
+    char *folder =
+        g_strdup_printf("%s/data-%u", e->folder, program - kEmulatorEntries);
+    GDir *dir = g_dir_open(folder, 0, NULL);
+    const char *name;
+
+    while (dir != NULL && (name = g_dir_read_name(dir)) != NULL) {
+        char *path = g_build_filename(folder, name, NULL);
+        g_assert_cmpint(unlink(path), ==, 0);
+        g_free(path);
+    }
+    g_clear_pointer(&dir, g_dir_close);
+    g_free(folder);
+}
+
 /* Makes the files of a program unable to grow, also after it was started
  * again, or ends this. */
 void
--- a/test/platform/emulator.h
+++ b/test/platform/emulator.h
@@ -58,6 +58,7 @@
 pid_t emulator_program_pid(const Emulator *e, uint32_t program);
 void emulator_kill_program(Emulator *e, uint32_t program);
 void emulator_start_program(Emulator *e, uint32_t program);
+void emulator_lose_disk(Emulator *e, uint32_t program);
 void emulator_set_disk_full(Emulator *e, uint32_t program, gboolean full);
 pid_t emulator_entry_pid(const Emulator *e, uint32_t i);
 gboolean emulator_reap(Emulator *e, pid_t pid, int *exit_code);
--- a/test/soak/soak.c
+++ b/test/soak/soak.c
@@ -7,8 +7,8 @@
 #include "../platform/emulator.h"
 
 /* Soak test of the platform programs under random faults: processes are
- * killed, paused, terminated and restarted, database servers crash and
- * return, answers are lost, the configuration changes, and failure domains are
+ * killed, paused, terminated and restarted, control instances lose their
+ * disks, database servers crash and return, answers are lost, the configuration changes, and failure domains are
  * evacuated and restored.  The seed selects
  * the faults and the operations.  At the end the answer to each write is
  * compared with the log of the emulated servers.
@@ -27,6 +27,9 @@
     kBusyRatePerS = 2000,       /* more than the busy callers use */
     kEvacuateMs = 5000,         /* limit of an evacuation, by the settings */
     kEvacuationSlackMs = 300,   /* of this process, beside that limit */
+    kCatchUpMs = 6000,          /* of an instance that has lost its disk */
+    kReadTries = 20,            /* of the configuration, at the end */
+    kReadPauseMs = 250,
 };
 
 /* What the answer to a write says about its commit. */
@@ -83,6 +86,9 @@
     uint64_t rejected;             /* writes that were not committed */
     uint64_t faults;
     Evacuation evacuation;
+    GRand *disk_rand;   /* its numbers do not change the other faults */
+    gint64 catch_up_us; /* until then no control instance may fail */
+    uint64_t disks_lost;
     uint64_t violations;
 } Soak;
 
@@ -337,16 +343,14 @@
     g_free(put.body);
 }
 
-/* Checks that a random control instance, if it answers, serves no
- * configuration older than the last accepted one. */
-static void
-read_configuration(Soak *s)
+/* Checks that a control instance, if it answers, serves no configuration older
+ * than the last accepted one.  Returns whether it answers. */
+static gboolean
+read_configuration(Soak *s, uint32_t control)
 {
     HttpResponse got = emulator_http_request(
-        s->emulator,
-        emulator_control_address(s->emulator,
-                                 random_below(s, kEmulatorControls)),
-        "GET", "/config", NULL);
+        s->emulator, emulator_control_address(s->emulator, control), "GET",
+        "/config", NULL);
     unsigned version = 0;
 
     if (got.status == 200 &&
@@ -355,6 +359,7 @@
         report_violation(s, "an older configuration was read back", got.body);
     }
     g_free(got.body);
+    return got.status == 200;
 }
 
 /* Evacuates or restores a domain.  Since one control instance at most is down
@@ -416,8 +421,9 @@
 }
 
 /* Pauses, terminates or kills a random program, or kills it while it stops.
- * At most one control instance is down at a time, which is what users require
- * the system to tolerate; all entry instances may be down. */
+ * At most one control instance is down at a time, or has not caught up after
+ * it lost its disk, which is what users require the system to tolerate; all
+ * entry instances may be down. */
 static void
 inject_program_fault(Soak *s)
 {
@@ -429,6 +435,9 @@
     if (!is_undisturbed(s, program)) {
         return;
     }
+    if (control && g_get_monotonic_time() < s->catch_up_us) {
+        return;
+    }
     for (uint32_t i = kEmulatorEntries; control && i < kEmulatorPrograms;
          i++) {
         if (!is_undisturbed(s, i)) {
@@ -451,6 +460,11 @@
         emulator_run_for(s->emulator, kKillAfterStopMs);
     }
     emulator_kill_program(s->emulator, program);
+    if (control && g_rand_boolean(s->disk_rand)) {
+        emulator_lose_disk(s->emulator, program);
+        s->disks_lost++;
+        s->catch_up_us = g_get_monotonic_time() + (gint64)kCatchUpMs * 1000;
+    }
     schedule_repair(s, program, FALSE, FALSE);
 }
 
@@ -532,7 +546,7 @@
         change_configuration(s);
         break;
     default:
-        read_configuration(s);
+        read_configuration(s, random_below(s, kEmulatorControls));
         break;
     }
 }
@@ -598,7 +612,23 @@
         report_violation(
             s, "fewer than 50 operations served after all repairs", "");
     }
-    read_configuration(s);
+}
+
+/* Checks that each control instance serves the configuration. */
+static void
+check_configuration(Soak *s)
+{
+    for (uint32_t i = 0; i < kEmulatorControls; i++) {
+        gboolean answered = FALSE;
+        for (int k = 0; k < kReadTries && !answered; k++) {
+            answered = read_configuration(s, i);
+            emulator_run_for(s->emulator, answered ? 0 : kReadPauseMs);
+        }
+        if (!answered) {
+            report_violation(s, "the configuration was not read back",
+                             emulator_control_address(s->emulator, i));
+        }
+    }
 }
 
 int
@@ -610,7 +640,8 @@
     Soak s = {.rand = g_rand_new_with_seed(seed),
               .writes = g_ptr_array_new(),
               .repairs = g_ptr_array_new(),
-              .evacuation = {.rand = g_rand_new_with_seed(seed + 1000000)}};
+              .evacuation = {.rand = g_rand_new_with_seed(seed + 1000000)},
+              .disk_rand = g_rand_new_with_seed(seed + 2000000)};
 
     g_snprintf(folder, sizeof(folder), "build/soak-%u", seed);
     s.emulator = emulator_start(folder);
@@ -646,6 +677,7 @@
     }
     emulator_run_for(s.emulator, 2000);
     check_recovery(&s);
+    check_configuration(&s);
     check_writes(&s);
     for (uint32_t i = 0; i < kBusyCallers; i++) {
         if (s.busy[i] != NULL) {
@@ -656,9 +688,11 @@
     printf("seed %u: %u writes, %" G_GUINT64_FORMAT " served, "
            "%" G_GUINT64_FORMAT " refused, %" G_GUINT64_FORMAT
            " faults, %" G_GUINT64_FORMAT " planned stops, %" G_GUINT64_FORMAT
-           " evacuations, %" G_GUINT64_FORMAT " violations\n",
+           " evacuations, %" G_GUINT64_FORMAT " disks lost, %" G_GUINT64_FORMAT
+           " violations\n",
            seed, s.writes->len, s.served, s.rejected, s.faults, s.stops,
-           s.evacuation.count, s.violations);
+           s.evacuation.count, s.disks_lost, s.violations);
+    g_rand_free(s.disk_rand);
     g_rand_free(s.evacuation.rand);
     return s.violations == 0 ? 0 : 1;
 }
