--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -5,7 +5,7 @@
 set -euo pipefail
 root=$(cd "$(dirname "$0")/.." && pwd)
 work="$root/build-mutants"
-suites=("consensus" "disk" "disk full" "consensus members" "document transfer"
+suites=("consensus" "disk" "disk full" "director faults" "consensus members" "document transfer"
     "fleet simulation" "gateway policy" "fleet policy" "session" "model" "platform" "slow start" "cold servers" "regions"
     "evacuation" "evacuation at an instance" "admission"
     "connection warm-up" "placement replay" "server pool" "rates"
