--- a/test/unit/test_consensus.c
+++ b/test/unit/test_consensus.c
@@ -13,6 +13,7 @@
     kChangesPerRun = 150, /* accepted changes after which a run ends */
     kOperators = 3,
     kMaxAttempts = 60, /* of a request that must be accepted */
+    kInvalidRequests = 8,
 };
 
 /* An operator that resends a change under the same operation id until it is
@@ -433,6 +434,41 @@
     control_fleet_free(f);
 }
 
+/* A reply to a request that the former process of an instance forwarded
+ * arrives after the restart.  It must not answer one of another operator's
+ * requests, which here are invalid. */
+static void
+a_reply_to_a_former_process_answers_no_other_request(void)
+{
+    ControlFleet *f = control_fleet_new(3, 10);
+    start_all(f);
+    uint32_t leader = control_fleet_leader(f)->index;
+    uint32_t restarted = (leader + 1) % 3;
+    uint32_t other = (leader + 2) % 3;
+
+    /* The leader cannot commit the change before the restart. */
+    f->nodes[other].partitioned = TRUE;
+    control_fleet_admin(
+        f, restarted, 501, "apply", "valid",
+        "[{\"key\":\"team/z\",\"spec\":{\"template\":\"t\"}}]");
+    control_fleet_crash(f, restarted);
+    control_fleet_run(f, 10000);
+    control_fleet_start(f, restarted, FALSE);
+    while (control_core_leader(f->nodes[restarted].core) == NULL) {
+        control_fleet_run(f, 1000);
+    }
+    for (uint64_t id = 502; id < 502 + kInvalidRequests; id++) {
+        control_fleet_admin(f, restarted, id, "apply", "invalid",
+                            "[{\"key\":\"nothing/z\",\"spec\":{}}]");
+    }
+    control_fleet_run(f, 200000);
+    CU_ASSERT_EQUAL(control_fleet_leader(f)->index, leader);
+    for (uint64_t id = 502; id < 502 + kInvalidRequests; id++) {
+        CU_ASSERT_NOT_EQUAL(control_fleet_status(f, id), 200);
+    }
+    control_fleet_free(f);
+}
+
 void
 add_consensus_suite(void)
 {
@@ -449,4 +485,6 @@
                 a_planned_stop_transfers_leadership);
     CU_add_test(s, "a restart of all instances loses no change",
                 a_restart_of_all_instances_loses_no_change);
+    CU_add_test(s, "a reply to a former process answers no other request",
+                a_reply_to_a_former_process_answers_no_other_request);
 }
