--- a/src/sapphireweir/core/consensus_internal.h
+++ b/src/sapphireweir/core/consensus_internal.h
@@ -133,6 +133,8 @@
 void consensus_progress_add_missing(Consensus *c, uint64_t now_us);
 void consensus_members_apply(Consensus *c, uint64_t now_us,
                              const ConsensusEntry *e);
+uint64_t consensus_members_at(const Consensus *c, uint64_t index,
+                              GPtrArray *out);
 void consensus_members_recompute(Consensus *c, uint64_t now_us);
 void consensus_promote_learner(Consensus *c, uint64_t now_us, const char *from,
                                const Progress *p);
--- a/src/sapphireweir/core/consensus_log.c
+++ b/src/sapphireweir/core/consensus_log.c
@@ -302,7 +302,6 @@
 consensus_snapshot_if_needed(Consensus *c, uint64_t now_us)
 {
     uint64_t term = 0;
-    gboolean new_members = c->members_index <= c->applied_index;
     gboolean due = c->applied_index - c->snapshot_index >=
                        c->timing.snapshot_interval_entries ||
                    c->bytes_after_snapshot >= kSnapshotIntervalBytes;
@@ -311,17 +310,17 @@
         !consensus_log_term(c, c->applied_index, &term)) {
         return;
     }
+    /* A later list is not committed and may be truncated. */
+    GPtrArray *members = g_ptr_array_new_with_free_func(consensus_member_free);
+    uint64_t members_index =
+        consensus_members_at(c, c->applied_index, members);
     GBytes *state = c->port.dump(c->port.ctx);
-    GBytes *snapshot = snapshot_pack(
-        new_members ? c->members : c->snapshot_members,
-        new_members ? c->members_index : c->snapshot_members_index, state);
+    GBytes *snapshot = snapshot_pack(members, members_index, state);
     uint64_t keep_after = keep_entries_after(c, c->applied_index);
     switch (save_snapshot(c, term, snapshot, keep_after)) {
     case kStorageOk:
-        if (new_members) {
-            consensus_members_copy(c->members, c->snapshot_members);
-            c->snapshot_members_index = c->members_index;
-        }
+        consensus_members_copy(members, c->snapshot_members);
+        c->snapshot_members_index = members_index;
         consensus_snapshot_set(c, snapshot, c->applied_index, term);
         drop_entries_to(c, keep_after);
         c->snapshots++;
@@ -336,6 +335,7 @@
     }
     g_bytes_unref(snapshot);
     g_bytes_unref(state);
+    g_ptr_array_unref(members);
 }
 
 /* Loads the saved term, vote, snapshot and entries.  Returns FALSE with
--- a/src/sapphireweir/core/consensus_members.c
+++ b/src/sapphireweir/core/consensus_members.c
@@ -214,21 +214,33 @@
     c->port.members_changed(c->port.ctx, c->members);
 }
 
+/* Replaces the content of out by the member list in force at a log index that
+ * is not below the snapshot's.  Returns the index of that list. */
+uint64_t
+consensus_members_at(const Consensus *c, uint64_t index, GPtrArray *out)
+{
+    for (uint64_t i = index; i > c->offset; i--) {
+        const ConsensusEntry *e = consensus_log_entry(c, i);
+        if (consensus_entry_kind(e) == kEntryMembers) {
+            members_read_entry(e, out);
+            return i;
+        }
+    }
+    consensus_members_copy(c->snapshot_members, out);
+    return c->snapshot_members_index;
+}
+
 /* Applies the last member list in the log, or the list of the snapshot if the
  * log has none.  Must be called after a truncation and after loading the
  * log. */
 void
 consensus_members_recompute(Consensus *c, uint64_t now_us)
 {
-    for (guint i = c->entries->len; i > 0; i--) {
-        ConsensusEntry *e = g_ptr_array_index(c->entries, i - 1);
-        if (consensus_entry_kind(e) == kEntryMembers) {
-            consensus_members_apply(c, now_us, e);
-            return;
-        }
+    c->members_index =
+        consensus_members_at(c, consensus_last_index(c), c->members);
+    if (c->role == kConsensusLeader) {
+        consensus_progress_add_missing(c, now_us);
     }
-    consensus_members_copy(c->snapshot_members, c->members);
-    c->members_index = c->snapshot_members_index;
     c->port.members_changed(c->port.ctx, c->members);
 }
 
