--- a/src/sapphireweir/core/control_core.c
+++ b/src/sapphireweir/core/control_core.c
@@ -295,6 +295,9 @@
                    const ConsensusSaved *saved, const GPtrArray *bootstrap,
                    GError **error)
 {
+    /* A former process forwarded fewer requests than microseconds passed, so
+     * that a reply to one of these has another number. */
+    k->last_forward_id = now_us;
     return consensus_start(k->consensus, now_us, saved, bootstrap, error);
 }
 
