Count transfers of the configuration, and log outdated instances without a leader

Each control instance now counts the transfers that it began, those of the version that it had sent last, and those that it began without leading; one that knows no leader also logs outdated entry instances. No decision changes.

--- a/src/sapphireweir/fleet/director_documents.c
+++ b/src/sapphireweir/fleet/director_documents.c
@@ -256,6 +256,9 @@
         !consensus_is_current(d->consensus)) {
         return;
     }
+    d->document_counters.begun++;
+    d->document_counters.repeated += t->version == d->document_version;
+    d->document_counters.helped += !director_is_leader(d);
     document_transfer_begin(t, now_us, ++d->last_transfer,
                             encoded_update_from(d, entry->document_version),
                             g_bytes_get_size(d->document));
@@ -355,8 +358,9 @@
     return count;
 }
 
-/* Logs on the leader when an entry instance has lacked a document for longer
- * than kOutdatedUs, and when that has ended. */
+/* Logs when an entry instance has lacked a document for longer than
+ * kOutdatedUs, and when that has ended.  Only the leader does, or each control
+ * instance that knows no leader. */
 static void
 log_outdated(Director *d, uint64_t now_us, EntryState *entry)
 {
@@ -364,7 +368,8 @@
     gboolean outdated = lag_us > kOutdatedUs;
     EventLine line;
 
-    if (!director_is_leader(d) || outdated == entry->outdated) {
+    if ((!director_is_leader(d) && consensus_leader(d->consensus) != NULL) ||
+        outdated == entry->outdated) {
         return;
     }
     entry->outdated = outdated;
--- a/src/sapphireweir/fleet/director_internal.h
+++ b/src/sapphireweir/fleet/director_internal.h
@@ -263,6 +263,13 @@
     kFailoverStageCount,
 } FailoverStage;
 
+/* Transfers of the document that were begun. */
+typedef struct {
+    uint64_t begun;
+    uint64_t repeated; /* of the version that was sent last */
+    uint64_t helped;   /* by an instance that does not lead */
+} DocumentCounters;
+
 struct Director {
     char *id;
     char *failure_domain;
@@ -296,8 +303,9 @@
     GArray *applied_documents;     /* AppliedDocument, oldest first */
     EncodedUpdate *whole_document; /* the document, NULL: not encoded yet */
     uint64_t last_transfer;        /* id of the last document transfer */
-    GHashTable *rate_windows;      /* team -> RateWindow, owned, leader only */
-    GHashTable *primaries;         /* database -> PrimaryState, owned */
+    DocumentCounters document_counters;
+    GHashTable *rate_windows; /* team -> RateWindow, owned, leader only */
+    GHashTable *primaries;    /* database -> PrimaryState, owned */
     Evacuations evacuations;
     GHashTable *orders;          /* domain -> DomainOrders, owned */
     uint64_t evacuation_changes; /* effective orders applied */
--- a/src/sapphireweir/fleet/director_metrics.c
+++ b/src/sapphireweir/fleet/director_metrics.c
@@ -25,6 +25,12 @@
     counter_write_text("configuration_version", d->document_version, out);
     counter_write_text("entries_outdated", outdated, out);
     counter_write_text("configuration_lag_us", longest_lag_us, out);
+    counter_write_text("configuration_transfers_total",
+                       d->document_counters.begun, out);
+    counter_write_text("configuration_transfers_repeated_total",
+                       d->document_counters.repeated, out);
+    counter_write_text("configuration_transfers_helped_total",
+                       d->document_counters.helped, out);
     counter_write_text("disk_full", consensus_no_room(d->consensus), out);
     counter_write_text("disk_full_total", consensus_suspensions(d->consensus),
                        out);
