Test the versions that entry instances have under overlapping faults

The present tests play a storm of versions beside one fault each.

- storms and large changes while control instances fail, lose disks, are split off, delayed or have full disks, failure domains are cut off, and entry instances restart and lose frames, all at random.
- the disks of most control instances become full, so that none leads.

--- a/test/support/fleet_sim.c
+++ b/test/support/fleet_sim.c
@@ -131,6 +131,7 @@
     ConsensusSaved saved;
     uint64_t wipes;          /* number of times the disk was emptied */
     uint64_t extra_delay_us; /* of frames to it */
+    gboolean disk_full;
 } ControlInstance;
 
 typedef struct {
@@ -902,6 +903,15 @@
     return 0;
 }
 
+/* Returns how long ago the oldest acknowledged document that an entry instance
+ * lacks was acknowledged, in microseconds; zero if it lacks none.  Unlike
+ * longest_version_lag_us, also for an instance that is not in contact. */
+uint64_t
+fleet_sim_version_lag_us(const FleetSim *sim, uint32_t entry)
+{
+    return version_lag_us(sim, &sim->entries[entry]);
+}
+
 /* Counts a violation when an entry instance lacks a document that was
  * acknowledged more than kMaxConfigDelayMs ago, and has been in contact for as
  * long. */
@@ -1173,8 +1183,12 @@
                const GPtrArray *entries)
 {
     ControlInstance *c = ctx;
-    GPtrArray *kept = g_ptr_array_new_with_free_func(consensus_entry_free);
+    GPtrArray *kept;
 
+    if (c->disk_full) {
+        return kStorageNoRoom;
+    }
+    kept = g_ptr_array_new_with_free_func(consensus_entry_free);
     for (guint i = 0; i < entries->len; i++) {
         const ConsensusEntry *e = g_ptr_array_index(entries, i);
         g_ptr_array_add(kept, consensus_entry_new(e->index, e->term,
@@ -1189,12 +1203,12 @@
     return kStorageOk;
 }
 
-/* Does nothing: all that was written survives a restart. */
+/* Fails while the disk is full.  All that was written survives a restart. */
 static StorageResult
 store_sync(void *ctx)
 {
-    (void)ctx;
-    return kStorageOk;
+    const ControlInstance *c = ctx;
+    return c->disk_full ? kStorageNoRoom : kStorageOk;
 }
 
 /* Records the acknowledgement of a document; request is its version. */
@@ -2372,6 +2386,13 @@
     c->saved.snapshot_term = 0;
 }
 
+/* Lets the disk of a control instance take no more writes, or ends this. */
+void
+fleet_sim_fill_control_disk(FleetSim *sim, uint32_t index, gboolean full)
+{
+    sim->controls[index].disk_full = full;
+}
+
 /* Starts a further control instance with an empty disk.  It knows the others'
  * addresses and joins by itself. */
 void
--- a/test/support/fleet_sim.h
+++ b/test/support/fleet_sim.h
@@ -82,6 +82,7 @@
 void fleet_sim_set_control_running(FleetSim *sim, uint32_t index,
                                    gboolean running);
 void fleet_sim_wipe_control_disk(FleetSim *sim, uint32_t index);
+void fleet_sim_fill_control_disk(FleetSim *sim, uint32_t index, gboolean full);
 void fleet_sim_add_control(FleetSim *sim);
 void fleet_sim_delay_control(FleetSim *sim, uint32_t index, uint64_t delay_ms);
 void fleet_sim_split_controls(FleetSim *sim, uint32_t half_mask);
@@ -118,6 +119,7 @@
 const char *fleet_sim_last_read(const FleetSim *sim);
 const char *fleet_sim_sent_document(const FleetSim *sim);
 uint64_t fleet_sim_oldest_version(const FleetSim *sim);
+uint64_t fleet_sim_version_lag_us(const FleetSim *sim, uint32_t entry);
 uint64_t fleet_sim_decoded_bytes(void);
 uint64_t fleet_sim_control_decoded_bytes(void);
 uint64_t fleet_sim_largest_log(const FleetSim *sim);
