Send committed configurations also while no control instance leads

Cause: a control instance sent a configuration only if it knew a leader and had applied an entry of its term. A version that was acknowledged just before the last leader was lost stayed where it was until another one led, although every control instance ran, had it, and was in contact with the entry instances that lacked it.

Control instances that know no leader now help an entry instance that has an older document. Theirs is committed, so it replaces an older one even if it is not the newest. One without any document still waits for a current control instance: it would begin to serve by one that may be outdated. The last leader, as long as no later term is known, helps first, after 0.3 s: it has all that was acknowledged.

--- a/src/sapphireweir/fleet/director.c
+++ b/src/sapphireweir/fleet/director.c
@@ -485,6 +485,7 @@
         return;
     }
     d->led_since_us = leads ? MAX(now_us, 1) : 0;
+    d->led_term = leads ? consensus_term(d->consensus) : d->led_term;
     d->evidence_lost_us = now_us;
     d->announced = FALSE;
     d->logged_revision = 0;
--- a/src/sapphireweir/fleet/director_documents.c
+++ b/src/sapphireweir/fleet/director_documents.c
@@ -8,7 +8,7 @@
  * sends each version as a delta from the version that the instance has.  The
  * other control instances send it, one after the other, only to an instance
  * that makes no progress and receives it from nobody, since the leader may be
- * unreachable from there. */
+ * unreachable from there, or there may be none. */
 
 enum {
     /* How long an instance is stuck before the first control instance other
@@ -241,6 +241,18 @@
            now_us - entry->incoming_seen_us < kIncomingUs;
 }
 
+/* Returns whether an entry instance may get the document of this control
+ * instance although that is not current.  The document is committed, so it is
+ * better than an older one; while no leader is known, no other instance may be
+ * able to send it.  An entry instance without any would begin to serve by an
+ * outdated one, and waits for a current control instance. */
+static gboolean
+takes_outdated(const Director *d, const EntryState *entry)
+{
+    return consensus_leader(d->consensus) == NULL &&
+           entry->document_version != 0;
+}
+
 /* Starts to send the current document to an entry instance, unless the
  * instance has that version, receives one from another control instance or has
  * not answered an earlier transfer. */
@@ -253,7 +265,7 @@
         entry->document_version >= d->document_version ||
         gets_from_another(entry, now_us) ||
         !document_transfer_may_begin(t, now_us) ||
-        !consensus_is_current(d->consensus)) {
+        (!consensus_is_current(d->consensus) && !takes_outdated(d, entry))) {
         return;
     }
     d->document_counters.begun++;
@@ -299,21 +311,35 @@
     return rank;
 }
 
-/* Returns whether this control instance should send the document to an entry
- * instance that lacks it. */
-static gboolean
-may_send(const Director *d, uint64_t now_us, const EntryState *entry)
+/* Returns how long an entry instance must be stuck before this control
+ * instance, which does not lead, helps it. */
+static uint64_t
+help_delay_us(const Director *d, const EntryState *entry)
 {
     uint64_t delay_us = entry->document_version == 0
                             ? (uint64_t)kFirstHelpDelayUs
                             : (uint64_t)kHelpDelayUs;
 
+    if (consensus_leader(d->consensus) == NULL && d->led_term != 0 &&
+        d->led_term == consensus_term(d->consensus)) {
+        /* The last leader has every version that was acknowledged.  Another
+         * instance may send an older one, and a second transfer would
+         * follow. */
+        return kFirstHelpDelayUs;
+    }
+    return delay_us + help_rank(d, entry) * kHelpStepUs;
+}
+
+/* Returns whether this control instance should send the document to an entry
+ * instance that lacks it. */
+static gboolean
+may_send(const Director *d, uint64_t now_us, const EntryState *entry)
+{
     if (director_is_leader(d)) {
         return TRUE;
     }
     return entry->stuck_since_us != 0 &&
-           now_us - entry->stuck_since_us >
-               delay_us + help_rank(d, entry) * kHelpStepUs;
+           now_us - entry->stuck_since_us > help_delay_us(d, entry);
 }
 
 /* ---- how far entry instances are behind ---- */
--- a/src/sapphireweir/fleet/director_internal.h
+++ b/src/sapphireweir/fleet/director_internal.h
@@ -332,6 +332,7 @@
     uint64_t grant_revision; /* of the newest grant that was sent */
     gboolean announced;      /* this leader has notified entry instances */
     uint64_t led_since_us;   /* zero: this instance does not lead */
+    uint64_t led_term;       /* last term in which it led, zero: none */
     /* When acknowledgements of commits may last have been missed: an entry
      * instance failed before it had reported them, or this instance started
      * or stopped leading. */
