Deliver answers that a tick gives, by one rule for elapsed time

Callers saw: a GET of /config at a control instance without a known leader waits for the deadline of 1.5 s, and one in ten such readers then had its connection closed without the answer (503) that was ready.

Cause: the tick reads the clock once. Within it the director answers an operator, the output callback reads the clock again and records that the response is unread since then, and the check of the time limits, still with the time of the tick, subtracts the later from the earlier time in unsigned numbers. The connection is closed as one that has not read for centuries. Only every tenth tick of 10 ms checks the limits, hence one in ten.

Change: core/elapsed.h has the time from one reading of the clock to another, zero when the second is earlier. A transfer that began after the time of the check has used up none of its limit, whatever the order of the readings, so the fix does not depend on which callback runs in a tick.

Test: client_tests, suite "HTTP listener", answers a request after the time of the tick was taken. It is deterministic, and not among the unit tests since both sets of HTTP limits define the same function names.

--- a/src/sapphireweir/policy/domain_access.c
+++ b/src/sapphireweir/policy/domain_access.c
@@ -1,5 +1,7 @@
 #include "policy/domain_access.h"
 
+#include "core/elapsed.h"
+
 /* Evacuation of a failure domain: an operator takes the backend servers of a
  * domain out of service while callers write to a primary there and hold open
  * transactions.  Replicas of the domain get no new work at once.  A primary
@@ -20,13 +22,6 @@
     kWaitUs = 5000000,
 };
 
-/* Returns the time since an evacuation, zero if now_us is earlier. */
-static uint64_t
-elapsed_us(uint64_t evacuated_us, uint64_t now_us)
-{
-    return now_us > evacuated_us ? now_us - evacuated_us : 0;
-}
-
 /* Returns whether a planned change can replace the primary by a member outside
  * the evacuated domains: one of these is usable, and the usable replicas
  * include the majority of the members that must be fenced.  Without that
@@ -54,7 +49,7 @@
                        int32_t primary, uint64_t now_us)
 {
     return primary >= 0 && members[primary].evacuated_us != 0 &&
-           elapsed_us(members[primary].evacuated_us, now_us) >= kMoveUs &&
+           elapsed_us(now_us, members[primary].evacuated_us) >= kMoveUs &&
            domain_access_can_move(members, count, primary);
 }
 
@@ -72,7 +67,7 @@
         !domain_access_can_move(members, count, primary)) {
         return kDomainClosed;
     }
-    uint64_t us = elapsed_us(evacuated_us, now_us);
+    uint64_t us = elapsed_us(now_us, evacuated_us);
     if (us < kServedUs) {
         return kDomainServed;
     }
@@ -85,7 +80,7 @@
 gboolean
 domain_access_ends_transactions(uint64_t evacuated_us, uint64_t now_us)
 {
-    return evacuated_us != 0 && elapsed_us(evacuated_us, now_us) >= kServedUs;
+    return evacuated_us != 0 && elapsed_us(now_us, evacuated_us) >= kServedUs;
 }
 
 /* Returns whether connections to such a member must be closed although a
@@ -94,5 +89,5 @@
 domain_access_ends_connections(uint64_t evacuated_us, uint64_t now_us)
 {
     return evacuated_us != 0 &&
-           elapsed_us(evacuated_us, now_us) >= kConnectionsUs;
+           elapsed_us(now_us, evacuated_us) >= kConnectionsUs;
 }
--- a/src/sapphireweir/policy/link_time.c
+++ b/src/sapphireweir/policy/link_time.c
@@ -2,6 +2,8 @@
 
 #include <glib.h>
 
+#include "core/elapsed.h"
+
 /* The round-trip time to an instance of another failure domain.  Designed for
  * a link that becomes slow, loses answers or is cut and later heals, while
  * most links are rarely used: an estimate without measurements returns to the
@@ -48,7 +50,7 @@
 static void
 age(LinkTime *l, uint64_t now_us)
 {
-    uint64_t age_us = now_us > l->updated_us ? now_us - l->updated_us : 0;
+    uint64_t age_us = elapsed_us(now_us, l->updated_us);
 
     if (l->updated_us == 0) {
         l->round_trip_us = kLinkTimeDefaultUs;
--- a/test/platform/test_clients.c
+++ b/test/platform/test_clients.c
@@ -15,6 +15,7 @@
 #include "adapter/peer.h"
 #include "core/message.h"
 #include "emulator.h"
+#include "test_http_listener.h"
 
 /* Clients that are not trusted, at each port of the platform programs.  The
  * tests check that the program runs, that its resident memory and its open
@@ -744,10 +745,13 @@
     if (CU_initialize_registry() != CUE_SUCCESS) {
         return 1;
     }
-    CU_pSuite s =
-        CU_add_suite("untrusted clients", start_emulator, stop_emulator);
+    add_http_listener_suite(argc < 2 ? NULL : argv[1]);
+    CU_pSuite s = NULL;
     for (size_t i = 0; i < G_N_ELEMENTS(tests); i++) {
         if (argc < 2 || strcmp(argv[1], tests[i].name) == 0) {
+            s = s == NULL ? CU_add_suite("untrusted clients", start_emulator,
+                                         stop_emulator)
+                          : s;
             CU_add_test(s, tests[i].name, tests[i].test);
         }
     }
--- /dev/null
+++ b/test/platform/test_http_listener.c
@@ -0,0 +1,197 @@
+#include "test_http_listener.h"
+
+#include <CUnit/Basic.h>
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <netinet/in.h>
+#include <signal.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "adapter/clock.h"
+#include "platform/http_clients.h"
+
+/* The limits of an HTTP listener, with clients and ticks of the test itself in
+ * one event loop and no process. */
+
+enum {
+    kMiB = 1 << 20,
+    kStepMs = 10,
+    kMaxSteps = 200,
+};
+
+typedef struct {
+    struct event_base *base;
+    HttpClients *clients;
+    uint16_t port;
+    struct evhttp_request *waiting; /* its response comes later */
+} Listener;
+
+static Listener listener;
+
+/* Keeps a request, as the control interface does until the director answers. */
+static void
+on_request(struct evhttp_request *request, void *ctx)
+{
+    Listener *l = ctx;
+
+    http_clients_pending(l->clients, request);
+    l->waiting = request;
+}
+
+/* Starts the listener for the suite.  The program ends without freeing it. */
+static int
+start_listener(void)
+{
+    static const BootLimits limits = {.max_http_connections = 8,
+                                      .startup_timeout_us = 1000000,
+                                      .message_timeout_us = 1000000,
+                                      .send_timeout_us = 1000000,
+                                      .min_bytes_per_s = 100000};
+    struct sockaddr_in at;
+    socklen_t length = sizeof(at);
+
+    signal(SIGPIPE, SIG_IGN);
+    listener.base = event_base_new();
+    struct evhttp *http = evhttp_new(listener.base);
+    evhttp_set_gencb(http, on_request, &listener);
+    struct evhttp_bound_socket *bound =
+        evhttp_bind_socket_with_handle(http, "127.0.0.1", 0);
+    if (bound == NULL || getsockname(evhttp_bound_socket_get_fd(bound),
+                                     (struct sockaddr *)&at, &length) != 0) {
+        return 1;
+    }
+    listener.port = ntohs(at.sin_port);
+    listener.clients =
+        http_clients_new(listener.base, http, &limits, 8 * kMiB, kMiB);
+    http_clients_set_listener(listener.clients,
+                              evhttp_bound_socket_get_listener(bound));
+    return 0;
+}
+
+static void
+run_step(void)
+{
+    struct timeval step = {0, kStepMs * 1000};
+    event_base_loopexit(listener.base, &step);
+    event_base_dispatch(listener.base);
+}
+
+/* Connects a client. */
+static int
+client_connect(void)
+{
+    struct sockaddr_in at = {.sin_family = AF_INET};
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+    at.sin_port = htons(listener.port);
+    at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    CU_ASSERT_EQUAL(connect(fd, (struct sockaddr *)&at, sizeof(at)), 0);
+    return fd;
+}
+
+/* Sends a request and returns its connection once the request waits for its
+ * response. */
+static int
+client_request(void)
+{
+    static const char text[] = "GET /config HTTP/1.1\r\nHost: x\r\n\r\n";
+    int fd = client_connect();
+
+    listener.waiting = NULL;
+    CU_ASSERT_EQUAL(send(fd, text, strlen(text), MSG_NOSIGNAL),
+                    (ssize_t)strlen(text));
+    for (uint32_t i = 0; i < kMaxSteps && listener.waiting == NULL; i++) {
+        run_step();
+    }
+    CU_ASSERT_PTR_NOT_NULL_FATAL(listener.waiting);
+    return fd;
+}
+
+/* Responds to the waiting request. */
+static void
+respond(void)
+{
+    struct evbuffer *body = evbuffer_new();
+
+    evbuffer_add(body, "{}", 2);
+    evhttp_send_reply(listener.waiting, HTTP_OK, NULL, body);
+    evbuffer_free(body);
+}
+
+/* Returns what a client receives until the end of a response's body, until the
+ * connection is closed or for some seconds.  The caller frees it. */
+static char *
+client_read(int fd)
+{
+    GString *text = g_string_new(NULL);
+    char buffer[4096];
+    ssize_t got = -1;
+
+    for (uint32_t i = 0; i < kMaxSteps && got != 0 &&
+                         !g_str_has_suffix(text->str, "\r\n\r\n{}");
+         i++) {
+        run_step();
+        got = recv(fd, buffer, sizeof(buffer), MSG_DONTWAIT);
+        g_string_append_len(text, buffer, MAX(got, 0));
+    }
+    return g_string_free(text, FALSE);
+}
+
+/* Returns whether the metrics have a line. */
+static gboolean
+metrics_have(const char *line)
+{
+    GString *text = g_string_new("\n");
+
+    http_clients_metrics_write(listener.clients, text);
+    char *whole = g_strdup_printf("\n%s\n", line);
+    gboolean have = strstr(text->str, whole) != NULL;
+    g_free(whole);
+    g_string_free(text, TRUE);
+    return have;
+}
+
+/* Guards against an answer that is cut off by the check of the time limits: it
+ * was written in a tick, after the tick had read the clock, so that its start
+ * lay ahead of the time of the check. */
+static void
+an_answer_given_in_a_tick_reaches_the_operator(void)
+{
+    int fd = client_request();
+    uint64_t now_us = clock_now_us();
+
+    while (clock_now_us() == now_us) {
+    }
+    respond();
+    http_clients_tick(listener.clients, now_us);
+    char *text = client_read(fd);
+    CU_ASSERT(g_str_has_prefix(text, "HTTP/1.1 200 "));
+    CU_ASSERT(g_str_has_suffix(text, "{}"));
+    CU_ASSERT(metrics_have("sapphireweir_http_timeouts_total 0"));
+    g_free(text);
+    close(fd);
+    run_step();
+}
+
+void
+add_http_listener_suite(const char *only)
+{
+    static const struct {
+        const char *name;
+        CU_TestFunc test;
+    } tests[] = {
+        {"an answer given in a tick reaches the operator",
+         an_answer_given_in_a_tick_reaches_the_operator},
+    };
+    CU_pSuite s = NULL;
+
+    for (size_t i = 0; i < G_N_ELEMENTS(tests); i++) {
+        if (only == NULL || strcmp(only, tests[i].name) == 0) {
+            s = s == NULL ? CU_add_suite("HTTP listener", start_listener, NULL)
+                          : s;
+            CU_add_test(s, tests[i].name, tests[i].test);
+        }
+    }
+}
