Let pressure that begins within an event last before it closes connections

What clients would see: an operator's upload that was under way when a tick began a large answer to somebody else was closed at once, although pressure has to last for a second first.

The answer is recorded in the memory budget with the time of its output callback, which puts the budget under pressure from then on; the tick then asks for a victim with its own, earlier time, and the difference of unsigned numbers is larger than any limit.

Change: the budget takes the elapsed time by core/elapsed.h.

Tests: a table in the unit suite "memory budget", and an upload beside an answer of a tick in the suite "HTTP listener" of client_tests.

Not seen on real processes.

--- a/src/sapphireweir/policy/memory_budget.c
+++ b/src/sapphireweir/policy/memory_budget.c
@@ -1,5 +1,7 @@
 #include "policy/memory_budget.h"
 
+#include "core/elapsed.h"
+
 /* Load pattern: clients that are not trusted make a process hold memory, with
  * many messages of legal size at once, with requests whose answers they do not
  * read, or with thousands of connections.  An entry process held 1.7 GB after
@@ -292,8 +294,8 @@
     gboolean over = b->limits.total_bytes != 0 &&
                     b->stats.held_bytes > b->limits.total_bytes;
 
-    if (!over &&
-        !(b->stats.pressure && now_us - b->pressure_since_us > kPressureUs)) {
+    if (!over && !(b->stats.pressure &&
+                   elapsed_us(now_us, b->pressure_since_us) > kPressureUs)) {
         return NULL;
     }
     for (MemoryAccount *a = b->oldest; a != NULL; a = a->newer) {
--- a/test/platform/test_http_listener.c
+++ b/test/platform/test_http_listener.c
@@ -17,6 +17,8 @@
 
 enum {
     kMiB = 1 << 20,
+    kMemoryBytes = 8 * kMiB, /* of all connections */
+    kUploadBytes = 128 << 10,
     kStepMs = 10,
     kMaxSteps = 200,
 };
@@ -63,8 +65,8 @@
         return 1;
     }
     listener.port = ntohs(at.sin_port);
-    listener.clients =
-        http_clients_new(listener.base, http, &limits, 8 * kMiB, kMiB);
+    listener.clients = http_clients_new(listener.base, http, &limits,
+                                        kMemoryBytes, kMemoryBytes);
     http_clients_set_listener(listener.clients,
                               evhttp_bound_socket_get_listener(bound));
     return 0;
@@ -91,6 +93,12 @@
     return fd;
 }
 
+static void
+client_send(int fd, const char *text, size_t bytes)
+{
+    CU_ASSERT_EQUAL(send(fd, text, bytes, MSG_NOSIGNAL), (ssize_t)bytes);
+}
+
 /* Sends a request and returns its connection once the request waits for its
  * response. */
 static int
@@ -100,8 +108,7 @@
     int fd = client_connect();
 
     listener.waiting = NULL;
-    CU_ASSERT_EQUAL(send(fd, text, strlen(text), MSG_NOSIGNAL),
-                    (ssize_t)strlen(text));
+    client_send(fd, text, strlen(text));
     for (uint32_t i = 0; i < kMaxSteps && listener.waiting == NULL; i++) {
         run_step();
     }
@@ -109,13 +116,16 @@
     return fd;
 }
 
-/* Responds to the waiting request. */
+/* Responds to the waiting request with spaces and an empty object. */
 static void
-respond(void)
+respond(size_t spaces)
 {
     struct evbuffer *body = evbuffer_new();
+    char *text = g_strnfill(spaces, ' ');
 
+    evbuffer_add(body, text, spaces);
     evbuffer_add(body, "{}", 2);
+    g_free(text);
     evhttp_send_reply(listener.waiting, HTTP_OK, NULL, body);
     evbuffer_free(body);
 }
@@ -129,12 +139,13 @@
     char buffer[4096];
     ssize_t got = -1;
 
-    for (uint32_t i = 0; i < kMaxSteps && got != 0 &&
-                         !g_str_has_suffix(text->str, "\r\n\r\n{}");
+    for (uint32_t i = 0;
+         i < kMaxSteps && got != 0 && !g_str_has_suffix(text->str, "{}");
          i++) {
         run_step();
-        got = recv(fd, buffer, sizeof(buffer), MSG_DONTWAIT);
-        g_string_append_len(text, buffer, MAX(got, 0));
+        while ((got = recv(fd, buffer, sizeof(buffer), MSG_DONTWAIT)) > 0) {
+            g_string_append_len(text, buffer, got);
+        }
     }
     return g_string_free(text, FALSE);
 }
@@ -164,7 +175,7 @@
 
     while (clock_now_us() == now_us) {
     }
-    respond();
+    respond(0);
     http_clients_tick(listener.clients, now_us);
     char *text = client_read(fd);
     CU_ASSERT(g_str_has_prefix(text, "HTTP/1.1 200 "));
@@ -175,6 +186,50 @@
     run_step();
 }
 
+/* Guards against a request that is closed as soon as pressure begins: a large
+ * answer to another connection puts the listener under pressure after the time
+ * of the tick that asks whether pressure has lasted. */
+static void
+a_request_is_received_beside_an_answer_of_a_tick(void)
+{
+    char *body = g_strnfill(kUploadBytes, ' ');
+    char *head = g_strdup_printf("PUT /config HTTP/1.1\r\nHost: x\r\n"
+                                 "Content-Length: %u\r\n\r\n",
+                                 2 * kUploadBytes);
+    int reader = client_request();
+    int writer = client_connect();
+
+    client_send(writer, head, strlen(head));
+    client_send(writer, body, kUploadBytes);
+    run_step();
+    uint64_t now_us = clock_now_us();
+    while (clock_now_us() == now_us) {
+    }
+    respond(kMemoryBytes / 10 * 9);
+    http_clients_tick(listener.clients, now_us);
+    char *text = client_read(reader);
+    CU_ASSERT(g_str_has_suffix(text, "{}"));
+    g_free(text);
+    listener.waiting = NULL;
+    client_send(writer, body, kUploadBytes);
+    for (uint32_t i = 0; i < kMaxSteps && listener.waiting == NULL; i++) {
+        run_step();
+        http_clients_tick(listener.clients, clock_now_us());
+    }
+    CU_ASSERT_PTR_NOT_NULL(listener.waiting);
+    CU_ASSERT(metrics_have(
+        "sapphireweir_client_victims_total{listener=\"http\"} 0"));
+    if (listener.waiting != NULL) {
+        respond(0);
+        run_step();
+    }
+    close(reader);
+    close(writer);
+    run_step();
+    g_free(head);
+    g_free(body);
+}
+
 void
 add_http_listener_suite(const char *only)
 {
@@ -184,6 +239,8 @@
     } tests[] = {
         {"an answer given in a tick reaches the operator",
          an_answer_given_in_a_tick_reaches_the_operator},
+        {"a request is received beside an answer of a tick",
+         a_request_is_received_beside_an_answer_of_a_tick},
     };
     CU_pSuite s = NULL;
 
--- a/test/unit/test_memory_budget.c
+++ b/test/unit/test_memory_budget.c
@@ -192,6 +192,38 @@
     memory_budget_free(b);
 }
 
+/* Guards against a connection that is closed at once although pressure has
+ * just begun: what it holds was recorded within the event that asks for a
+ * victim, after the event had read the clock. */
+static void
+pressure_from_a_later_reading_has_not_lasted(void)
+{
+    static const struct {
+        uint64_t recorded_us; /* when pressure begins */
+        uint64_t asked_us;
+        gboolean closes;
+    } cases[] = {
+        {2000 * kUsPerMs, 2000 * kUsPerMs - 1, FALSE},
+        {2000 * kUsPerMs, 1000 * kUsPerMs, FALSE},
+        {2000 * kUsPerMs, 2000 * kUsPerMs, FALSE},
+        {2000 * kUsPerMs, 3000 * kUsPerMs, FALSE},
+        {2000 * kUsPerMs, 3000 * kUsPerMs + 1, TRUE},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        MemoryLimits limits = {.total_bytes = 4 * kMiB, .max_connections = 4};
+        MemoryBudget *b = memory_budget_new(&limits);
+        MemoryAccount *a = memory_account_open(b, 0, "a");
+
+        CU_ASSERT_EQUAL(
+            memory_account_set(a, cases[i].recorded_us, 3500 * kKiB),
+            kMemoryPause);
+        CU_ASSERT_PTR_EQUAL(memory_budget_victim(b, cases[i].asked_us),
+                            cases[i].closes ? a : NULL);
+        memory_budget_free(b);
+    }
+}
+
 void
 add_memory_budget_suite(void)
 {
@@ -203,4 +235,6 @@
     CU_add_test(s, "single limits apply", single_limits_apply);
     CU_add_test(s, "connections are limited", connections_are_limited);
     CU_add_test(s, "victims are idle first", victims_are_idle_first);
+    CU_add_test(s, "pressure from a later reading has not lasted",
+                pressure_from_a_later_reading_has_not_lasted);
 }
