--- a/src/sapphireweir/adapter/http_clients.c
+++ b/src/sapphireweir/adapter/http_clients.c
@@ -10,6 +10,7 @@
 
 #include "adapter/clock.h"
 #include "adapter/header_lines.h"
+#include "core/elapsed.h"
 #include "policy/memory_budget.h"
 
 /* Limits what the clients of an HTTP server make the process hold.  The bytes
@@ -319,7 +320,8 @@
 static void
 log_limit(HttpClients *h, uint64_t now_us, const char *reason)
 {
-    if (h->logged_us == 0 || now_us - h->logged_us >= kLogIntervalUs) {
+    if (h->logged_us == 0 ||
+        elapsed_us(now_us, h->logged_us) >= kLogIntervalUs) {
         MemoryStats s = memory_budget_stats(h->budget);
         h->logged_us = now_us;
         g_message("closed a caller's connection: %s; %u connections hold "
@@ -391,8 +393,9 @@
     uint64_t allowed_us =
         timeout_us + t->bytes * kMicrosPerSecond / MAX(min_bytes_per_s, 1);
 
-    return t->since_us != 0 && (now_us - t->progress_us > timeout_us ||
-                                now_us - t->since_us > allowed_us);
+    return t->since_us != 0 &&
+           (elapsed_us(now_us, t->progress_us) > timeout_us ||
+            elapsed_us(now_us, t->since_us) > allowed_us);
 }
 
 /* Returns the reason for which a connection has to be closed now, or
@@ -402,7 +405,8 @@
 {
     const HttpClientLimits *l = &c->clients->limits;
 
-    if (!c->admitted && now_us - c->opened_us > l->message_timeout_us &&
+    if (!c->admitted &&
+        elapsed_us(now_us, c->opened_us) > l->message_timeout_us &&
         !is_receiving(c) && !is_sending(c)) {
         return kCloseNoRequest;
     }
--- a/test/unit/test_http.c
+++ b/test/unit/test_http.c
@@ -6,6 +6,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "adapter/clock.h"
 #include "adapter/http.h"
 #include "suite.h"
 
@@ -25,27 +26,47 @@
     const char *team; /* of the next requests */
     char *body;       /* of all responses */
     size_t response_bytes;
+    gboolean waits;      /* requests are not responded to at once */
+    uint64_t waiting_id; /* last request without a response */
 } Server;
 
-/* Responds to a request of the present team. */
 static void
-on_request(void *ctx, const CallerRequest *r)
+respond(Server *s, uint64_t id)
 {
-    Server *s = ctx;
     CallerResponse response = {.status = 200,
                                .content_type = "text/plain",
                                .body = s->body,
                                .body_bytes = s->response_bytes};
+    http_respond(s->http, id, &response);
+}
+
+/* Responds to a request of the present team, unless the server waits. */
+static void
+on_request(void *ctx, const CallerRequest *r)
+{
+    Server *s = ctx;
+
     s->requests++;
     http_set_team(s->http, r->id, s->team);
-    http_respond(s->http, r->id, &response);
+    if (s->waits) {
+        s->waiting_id = r->id;
+        return;
+    }
+    respond(s, r->id);
 }
 
+/* Responds to the request that waits, as work does that an abandoned request
+ * made way for; at a later time than the event that found it abandoned. */
 static void
 on_abandoned(void *ctx, uint64_t request_id)
 {
-    (void)ctx;
+    Server *s = ctx;
+    uint64_t now_us = clock_now_us();
+
     (void)request_id;
+    while (clock_now_us() == now_us) {
+    }
+    respond(s, s->waiting_id);
 }
 
 /* Returns a port that is free now. */
@@ -178,9 +199,52 @@
     }
 }
 
+/* Guards against a response that is cut off by the check of the time limits:
+ * it began within the check, when a request was found abandoned, after the
+ * check had read the clock. */
+static void
+a_response_that_begins_in_the_sweep_is_sent(void)
+{
+    struct event_base *base = event_base_new();
+    Server s = {.body = g_malloc0(kMiB), .response_bytes = 2, .waits = TRUE};
+    HttpEvents events = {&s, on_request, on_abandoned};
+    uint16_t port = free_port();
+    char *address = g_strdup_printf("127.0.0.1:%u", port);
+    HttpSettings settings = {.address = address,
+                             .max_body_bytes = kMiB,
+                             .max_header_bytes = 16 << 10,
+                             .max_requests = kMaxClients,
+                             .memory_bytes = 64 * kMiB,
+                             .max_connections = kMaxClients,
+                             .message_timeout_us = 60000000,
+                             .send_timeout_us = 60000000,
+                             .min_bytes_per_s = 1};
+    char text[256] = "";
+
+    s.http = http_new(base, &settings, &events, NULL);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(s.http);
+    int abandoned = send_request(&s, base, port);
+    int waiting = send_request(&s, base, port);
+    close(abandoned);
+    run_for(base, 300);
+    CU_ASSERT(recv(waiting, text, sizeof(text) - 1, MSG_DONTWAIT) > 0);
+    CU_ASSERT(g_str_has_prefix(text, "HTTP/1.1 200 "));
+    Sw__ClientPressure p;
+    http_client_pressure(s.http, &p);
+    CU_ASSERT_EQUAL(p.closed_slow, 0);
+    CU_ASSERT_FALSE(is_closed(waiting));
+    close(waiting);
+    http_free(s.http);
+    event_base_free(base);
+    g_free(s.body);
+    g_free(address);
+}
+
 void
 add_http_suite(void)
 {
     CU_pSuite s = CU_add_suite("HTTP server", NULL, NULL);
     CU_add_test(s, "a team uses its part only", a_team_uses_its_part_only);
+    CU_add_test(s, "a response that begins in the sweep is sent",
+                a_response_that_begins_in_the_sweep_is_sent);
 }
