Name the limit and the client of closed and refused connections

The metrics get client_limits_total with the labels listener and limit; the present names and values stay. The HTTP server of the other programs, whose line named the reason already, adds the client and the same metric.

Tests: "a limit that acts is named" (client_tests, suite "HTTP listener": six cases of a listener without processes), "a closed caller is named" (client_tests, with a real entry process), "lines on limits are bounded and complete" (unit suite "client limits"), and checks in "a team uses its part only" (unit suite "HTTP server").

--- a/src/sapphireweir/adapter/http_clients.c
+++ b/src/sapphireweir/adapter/http_clients.c
@@ -51,13 +51,17 @@
     kCloseReasons, /* their number; also: not at all */
 } CloseReason;
 
-static const char *const close_texts[kCloseReasons] = {
-    [kCloseReplaced] = "too many connections",
-    [kCloseNoRequest] = "no request after connecting",
-    [kCloseSlowRequest] = "a request arrives too slowly",
-    [kCloseUnreadResponse] = "a response is not read",
-    [kCloseTooLarge] = "it holds too much memory",
-    [kClosePressure] = "callers hold too much memory",
+/* Names of the reasons, in the log and in the metrics. */
+static const struct {
+    const char *text;
+    const char *label;
+} close_names[kCloseReasons] = {
+    [kCloseReplaced] = {"too many connections", "made-room"},
+    [kCloseNoRequest] = {"no request after connecting", "no-request"},
+    [kCloseSlowRequest] = {"a request arrives too slowly", "slow-request"},
+    [kCloseUnreadResponse] = {"a response is not read", "unread-output"},
+    [kCloseTooLarge] = {"it holds too much memory", "over-limit"},
+    [kClosePressure] = {"callers hold too much memory", "memory-pressure"},
 };
 
 /* How much is read from a connection before evhttp takes it. */
@@ -316,18 +320,25 @@
            h->close_counts[kCloseUnreadResponse];
 }
 
-/* Logs that a limit was reached, at most once in kLogIntervalUs. */
+/* Logs that a limit closed or rejected a connection, at most once in
+ * kLogIntervalUs. */
 static void
-log_limit(HttpClients *h, uint64_t now_us, const char *reason)
+log_limit(HttpClients *h, uint64_t now_us, CloseReason reason,
+          struct evhttp_connection *connection)
 {
     if (h->logged_us == 0 ||
         elapsed_us(now_us, h->logged_us) >= kLogIntervalUs) {
         MemoryStats s = memory_budget_stats(h->budget);
+        char *address = NULL;
+        uint16_t port = 0;
+        evhttp_connection_get_peer(connection, &address, &port);
         h->logged_us = now_us;
         g_message("closed a caller's connection: %s; %u connections hold "
                   "%" G_GUINT64_FORMAT " bytes, %" G_GUINT64_FORMAT
-                  " closed so far",
-                  reason, s.connections, s.held_bytes, closed_count(h));
+                  " closed so far; client %s:%u",
+                  close_names[reason].text, s.connections, s.held_bytes,
+                  closed_count(h), address == NULL ? "unknown" : address,
+                  port);
     }
 }
 
@@ -350,7 +361,7 @@
     }
     c->closing = 1;
     h->close_counts[reason]++;
-    log_limit(h, now_us, close_texts[reason]);
+    log_limit(h, now_us, reason, c->connection);
     close_bufferevent(client_bev(c));
 }
 
@@ -507,7 +518,7 @@
     MemoryAccount *a = open_account(h, now_us, address == NULL ? "" : address);
     if (a == NULL) {
         h->rejected++;
-        log_limit(h, now_us, close_texts[kCloseReplaced]);
+        log_limit(h, now_us, kCloseReplaced, connection);
         close_bufferevent(bev);
         return;
     }
@@ -783,6 +794,16 @@
         h->close_counts[kCloseTooLarge] + h->close_counts[kClosePressure];
 }
 
+/* Appends how many connections a limit has closed or rejected. */
+static void
+write_limit_count(const char *label, uint64_t count, GString *out)
+{
+    g_string_append_printf(out,
+                           "sapphireweir_client_limits_total{listener="
+                           "\"http\",limit=\"%s\"} %" G_GUINT64_FORMAT "\n",
+                           label, count);
+}
+
 /* Appends the counters in the metrics text format. */
 void
 http_clients_write_metrics(const HttpClients *h, GString *out)
@@ -797,4 +818,8 @@
         "sapphireweir_client_timeouts_total{listener=\"http\"} "
         "%" G_GUINT64_FORMAT "\n",
         closed_count(h), timeout_count(h));
+    for (size_t i = 0; i < kCloseReasons; i++) {
+        write_limit_count(close_names[i].label, h->close_counts[i], out);
+    }
+    write_limit_count("refused", h->rejected, out);
 }
--- a/test/platform/test_clients.c
+++ b/test/platform/test_clients.c
@@ -595,6 +595,45 @@
     caller_close(c);
 }
 
+/* Guards against a closed caller of which the log and the metrics tell neither
+ * the limit nor the address. */
+static void
+a_closed_caller_is_named(void)
+{
+    static const char limits_line[] =
+        "sapphireweir_client_limits_total{listener=\"callers\","
+        "limit=\"no-request\"} ";
+    struct sockaddr_in at;
+    socklen_t length = sizeof(at);
+    char *log = NULL;
+    gboolean logged = FALSE;
+    int fd = connect_to(port_address(kCallerPort));
+
+    getsockname(fd, (struct sockaddr *)&at, &length);
+    char *text = g_strdup_printf(
+        "; last client 127.0.0.1:%u: no complete request in time",
+        ntohs(at.sin_port));
+    /* Until the line that may be due for earlier tests, and the next one. */
+    for (uint32_t i = 0; i < 250 && !logged; i++) {
+        emulator_run_for(emulator, 100);
+        g_file_get_contents(SAPPHIREWEIR_BUILD
+                            "/platform-clients/entry-0.json.log",
+                            &log, NULL, NULL);
+        logged = log != NULL && strstr(log, text) != NULL;
+        g_free(log);
+        log = NULL;
+    }
+    CU_ASSERT(logged);
+    HttpResponse r = emulator_http_request(emulator, port_address(kProbePort),
+                                           "GET", "/metrics", "");
+    const char *count = r.body == NULL ? NULL : strstr(r.body, limits_line);
+    CU_ASSERT(count != NULL &&
+              g_ascii_strtoull(count + strlen(limits_line), NULL, 10) > 0);
+    g_free(r.body);
+    g_free(text);
+    close(fd);
+}
+
 /* Returns the processor time that a process has used, in seconds. */
 static double
 cpu_seconds(pid_t pid)
@@ -732,6 +771,7 @@
     } tests[] = {
         {"the largest messages are served", largest_messages_are_served},
         {"idle sessions stay open", idle_sessions_stay_open},
+        {"a closed caller is named", a_closed_caller_is_named},
         {"malformed messages never run", malformed_messages_never_run},
         {"crowds of callers", crowds_of_callers},
         {"crowds at the probe port", crowds_at_the_probe_port},
--- a/test/platform/test_http_listener.c
+++ b/test/platform/test_http_listener.c
@@ -5,6 +5,7 @@
 #include <event2/buffer.h>
 #include <netinet/in.h>
 #include <signal.h>
+#include <stdio.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -19,6 +20,7 @@
     kMiB = 1 << 20,
     kMemoryBytes = 8 * kMiB, /* of all connections */
     kUploadBytes = 128 << 10,
+    kMaxConnections = 8,
     kStepMs = 10,
     kMaxSteps = 200,
 };
@@ -32,7 +34,8 @@
 
 static Listener listener;
 
-/* Keeps a request, as the control interface does until the director answers. */
+/* Keeps a request, as the control interface does until the director
+ * answers. */
 static void
 on_request(struct evhttp_request *request, void *ctx)
 {
@@ -42,11 +45,12 @@
     l->waiting = request;
 }
 
-/* Starts the listener for the suite.  The program ends without freeing it. */
-static int
+/* Starts a listener for the next test.  The program ends without freeing
+ * it. */
+static void
 start_listener(void)
 {
-    static const BootLimits limits = {.max_http_connections = 8,
+    static const BootLimits limits = {.max_http_connections = kMaxConnections,
                                       .startup_timeout_us = 1000000,
                                       .message_timeout_us = 1000000,
                                       .send_timeout_us = 1000000,
@@ -60,16 +64,14 @@
     evhttp_set_gencb(http, on_request, &listener);
     struct evhttp_bound_socket *bound =
         evhttp_bind_socket_with_handle(http, "127.0.0.1", 0);
-    if (bound == NULL || getsockname(evhttp_bound_socket_get_fd(bound),
-                                     (struct sockaddr *)&at, &length) != 0) {
-        return 1;
-    }
+    g_assert(bound != NULL);
+    getsockname(evhttp_bound_socket_get_fd(bound), (struct sockaddr *)&at,
+                &length);
     listener.port = ntohs(at.sin_port);
     listener.clients = http_clients_new(listener.base, http, &limits,
                                         kMemoryBytes, kMemoryBytes);
     http_clients_set_listener(listener.clients,
                               evhttp_bound_socket_get_listener(bound));
-    return 0;
 }
 
 static void
@@ -230,6 +232,110 @@
     g_free(body);
 }
 
+/* ---- log lines ---- */
+
+static GString *log_lines;
+
+/* Log handler: collects the messages. */
+static void
+collect_message(const char *domain, GLogLevelFlags level, const char *message,
+                void *data)
+{
+    (void)domain;
+    (void)level;
+    (void)data;
+    g_string_append_printf(log_lines, "%s\n", message);
+}
+
+/* Connects clients that send a text, and returns the last connection. */
+static int
+connect_clients(uint32_t count, const char *text)
+{
+    int fd = -1;
+
+    for (uint32_t i = 0; i < count; i++) {
+        fd = client_connect();
+        client_send(fd, text, strlen(text));
+        run_step();
+    }
+    return fd;
+}
+
+/* Guards against a closed connection of which neither the limit nor the client
+ * is known. */
+static void
+a_limit_that_acts_is_named(void)
+{
+    static const char request[] = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+    static const struct {
+        uint32_t clients;
+        const char *text;     /* that each sends */
+        size_t respond_bytes; /* to the last request; zero: it waits */
+        uint64_t advance_us;  /* until the tick */
+        const char *limit;
+        uint32_t count;
+        const char *logged;
+        int32_t last; /* client, counted back from the last one */
+    } cases[] = {
+        {1, "", 0, 1100000, "no-request", 1, "no complete request in time", 0},
+        {3, "GET", 0, 1100000, "no-request", 3, "no complete request in time",
+         -1},
+        {1, request, 1, 121000000, "idle", 1, "idle", 0},
+        {1, request, kMemoryBytes / 2, 1100000, "unread-output", 1,
+         "output not read in time", 0},
+        {kMaxConnections + 1, "", 0, 0, "made-room", 1, "made room", -1},
+        {kMaxConnections + 2, request, 0, 0, "refused", 2, "refused", 0},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        start_listener();
+        log_lines = g_string_new(NULL);
+        GLogFunc former = g_log_set_default_handler(collect_message, NULL);
+        int fd = connect_clients(cases[i].clients, cases[i].text);
+        if (cases[i].respond_bytes > 0) {
+            respond(cases[i].respond_bytes);
+            run_step();
+        }
+        for (uint32_t k = 0; k < 3; k++) {
+            http_clients_tick(listener.clients, clock_now_us() +
+                                                    cases[i].advance_us +
+                                                    k * G_USEC_PER_SEC);
+        }
+        g_log_set_default_handler(former, NULL);
+
+        char *metric = g_strdup_printf("sapphireweir_client_limits_total{"
+                                       "listener=\"http\",limit=\"%s\"} %u",
+                                       cases[i].limit, cases[i].count);
+        CU_ASSERT(metrics_have(metric));
+        char *start = g_strdup_printf(
+            "http: limits for clients closed or refused %u connections; ",
+            cases[i].count);
+        CU_ASSERT(g_str_has_prefix(log_lines->str, start));
+        struct sockaddr_in at;
+        socklen_t length = sizeof(at);
+        getsockname(fd, (struct sockaddr *)&at, &length);
+        char *end =
+            cases[i].last < 0
+                ? g_strdup_printf("; %s %u; last client 127.0.0.1:",
+                                  cases[i].logged, cases[i].count)
+                : g_strdup_printf("; %s %u; last client 127.0.0.1:%u: %s\n",
+                                  cases[i].logged, cases[i].count,
+                                  ntohs(at.sin_port), cases[i].logged);
+        CU_ASSERT_PTR_NOT_NULL(strstr(log_lines->str, end));
+        /* One line, whatever the number of ticks. */
+        CU_ASSERT_PTR_EQUAL(strchr(log_lines->str, '\n'),
+                            log_lines->str + log_lines->len - 1);
+        if (CU_get_number_of_failure_records() > 0) {
+            printf("\n    case %zu: %s", i, log_lines->str);
+        }
+        g_free(metric);
+        g_free(start);
+        g_free(end);
+        g_string_free(log_lines, TRUE);
+        close(fd);
+    }
+}
+
 void
 add_http_listener_suite(const char *only)
 {
@@ -241,13 +347,16 @@
          an_answer_given_in_a_tick_reaches_the_operator},
         {"a request is received beside an answer of a tick",
          a_request_is_received_beside_an_answer_of_a_tick},
+        {"a limit that acts is named", a_limit_that_acts_is_named},
     };
     CU_pSuite s = NULL;
 
     for (size_t i = 0; i < G_N_ELEMENTS(tests); i++) {
         if (only == NULL || strcmp(only, tests[i].name) == 0) {
-            s = s == NULL ? CU_add_suite("HTTP listener", start_listener, NULL)
-                          : s;
+            s = s == NULL
+                    ? CU_add_suite_with_setup_and_teardown(
+                          "HTTP listener", NULL, NULL, start_listener, NULL)
+                    : s;
             CU_add_test(s, tests[i].name, tests[i].test);
         }
     }
--- a/test/unit/test_client_limits.c
+++ b/test/unit/test_client_limits.c
@@ -8,6 +8,7 @@
 #include "core/json_bounds.h"
 #include "core/message.h"
 #include "platform/boot.h"
+#include "platform/client_log.h"
 #include "platform/wire.h"
 #include "suite.h"
 
@@ -294,6 +295,70 @@
     }
 }
 
+/* Log handler: keeps the last message, and counts them. */
+static char last_message[512];
+static uint32_t messages;
+
+static void
+keep_message(const char *domain, GLogLevelFlags level, const char *message,
+             void *data)
+{
+    (void)domain;
+    (void)level;
+    (void)data;
+    g_strlcpy(last_message, message, sizeof(last_message));
+    messages++;
+}
+
+/* Guards against as many lines as clients, and against a line that misses what
+ * happened while none could be written. */
+static void
+lines_on_limits_are_bounded_and_complete(void)
+{
+    static const struct {
+        uint64_t now_us;
+        ClientLimit limit; /* that acts before the line */
+        uint32_t count;
+        const char *address;
+        const char *line; /* NULL: none */
+    } steps[] = {
+        {1000000, kLimitIdle, 0, NULL, NULL},
+        {1000000, kLimitAcceptPaused, 1, NULL,
+         "x: limits for clients closed or refused 1 connections; 4096 bytes "
+         "held by 2; accept paused 1"},
+        {10999999, kLimitIdle, 2, "127.0.0.1:7", NULL},
+        {11000000, kLimitPressure, 3, "127.0.0.1:8",
+         "x: limits for clients closed or refused 5 connections; 4096 bytes "
+         "held by 2; under memory pressure 3, idle 2; last client "
+         "127.0.0.1:8: under memory pressure"},
+        {25000000, kLimitAcceptPaused, 0, NULL, NULL},
+        {25000000, kLimitAcceptPaused, 1, NULL,
+         "x: limits for clients closed or refused 1 connections; 4096 bytes "
+         "held by 2; accept paused 1"},
+        {35000000, kLimitOverLimit, 1, "255.255.255.255:65535",
+         "x: limits for clients closed or refused 1 connections; 4096 bytes "
+         "held by 2; over its limit 1; last client 255.255.255.255:65535: "
+         "over its limit"},
+    };
+    MemoryStats stats = {.held_bytes = 4096, .connections = 2};
+    ClientLog l = {0};
+    GLogFunc former = g_log_set_default_handler(keep_message, NULL);
+
+    for (size_t i = 0; i < G_N_ELEMENTS(steps); i++) {
+        for (uint32_t k = 0; k < steps[i].count; k++) {
+            client_log_count(&l, steps[i].limit, steps[i].address);
+        }
+        messages = 0;
+        client_log_write(&l, steps[i].now_us, "x", &stats);
+        CU_ASSERT_EQUAL(messages, steps[i].line == NULL ? 0 : 1);
+        if (steps[i].line != NULL) {
+            CU_ASSERT_STRING_EQUAL(last_message, steps[i].line);
+        }
+    }
+    g_log_set_default_handler(former, NULL);
+    CU_ASSERT_EQUAL(client_log_timeouts(&l), 2);
+}
+
 void
 add_client_limits_suite(void)
 {
@@ -312,4 +377,6 @@
                 a_control_instance_keeps_the_connections_of_servers);
     CU_add_test(s, "bodies of callers are bounded",
                 bodies_of_callers_are_bounded);
+    CU_add_test(s, "lines on limits are bounded and complete",
+                lines_on_limits_are_bounded_and_complete);
 }
--- a/test/unit/test_http.c
+++ b/test/unit/test_http.c
@@ -131,6 +131,33 @@
     return got == 0 || (got < 0 && errno != EAGAIN);
 }
 
+/* Log handler: keeps the last message. */
+static char last_message[512];
+
+static void
+keep_message(const char *domain, GLogLevelFlags level, const char *message,
+             void *data)
+{
+    (void)domain;
+    (void)level;
+    (void)data;
+    g_strlcpy(last_message, message, sizeof(last_message));
+}
+
+/* Returns whether the metrics have a line. */
+static gboolean
+metrics_have(const Http *http, const char *line)
+{
+    GString *text = g_string_new("\n");
+    char *whole = g_strdup_printf("\n%s\n", line);
+
+    http_write_metrics(http, text);
+    gboolean have = strstr(text->str, whole) != NULL;
+    g_free(whole);
+    g_string_free(text, TRUE);
+    return have;
+}
+
 /* Guards against a team that uses all the memory that clients may use, and
  * against limits that close more of its connections than needed, or those of
  * another team.  A team may use 48 of 64 MiB. */
@@ -169,6 +196,8 @@
 
         s.http = http_new(base, &settings, &events, NULL);
         CU_ASSERT_PTR_NOT_NULL_FATAL(s.http);
+        last_message[0] = '\0';
+        GLogFunc former = g_log_set_default_handler(keep_message, NULL);
         int other = send_request(&s, base, port);
         s.team = cases[i].team;
         s.response_bytes = kResponseBytes;
@@ -180,7 +209,19 @@
             closed += is_closed(fds[k]);
             close(fds[k]);
         }
+        g_log_set_default_handler(former, NULL);
         CU_ASSERT_EQUAL(closed, cases[i].closed);
+        char *limit =
+            g_strdup_printf("sapphireweir_client_limits_total{"
+                            "listener=\"http\",limit=\"over-limit\"} %u",
+                            closed);
+        CU_ASSERT(metrics_have(s.http, limit));
+        g_free(limit);
+        CU_ASSERT_EQUAL(
+            closed > 0,
+            g_str_has_prefix(last_message, "closed a caller's connection: it "
+                                           "holds too much memory; ") &&
+                strstr(last_message, "; client 127.0.0.1:") != NULL);
         Sw__ClientPressure p;
         http_client_pressure(s.http, &p);
         CU_ASSERT_EQUAL(p.max_connections, kMaxClients);
