--- a/test/unit/test_configuration_faults.c
+++ b/test/unit/test_configuration_faults.c
@@ -410,9 +410,9 @@
     return longest_ms;
 }
 
-/* The disks of a majority of the control instances become full just after a
- * version was acknowledged, so that none of them leads.  All run and reach each
- * other and the entry instances, which must get that version in time. */
+/* The disks of most control instances become full just after a version was
+ * acknowledged, so that none of them leads.  All run and reach each other and
+ * the entry instances, which must get that version in time. */
 static void
 a_version_arrives_although_no_control_instance_leads(void)
 {
