Commit bounds of rate shares, so that a new leader reserves them

Cause: a new leader reserved an equal part of a team's rate for an instance out of contact, since it did not know the share that the former leader had granted, which may be larger. With the load of a team at one instance that is isolated when the leader is lost, up to 721 operations ran in a window of 600, of which 680 are allowed (test "a share of a former leader is reserved", red since it was written).

Change: a share is granted only up to a bound that is committed to the replicated log, so each later leader knows it. A bound is raised before the larger share is granted, and lowered once the instance has confirmed less. A leader reserves the bound of each instance out of contact, also of one that it knows from the log only, unless the whole fleet has restarted. A share that never arrived no longer replaces the larger one before it in what is reserved.

Left open: shares of several divisions may add up to more than the limit; docs/design/rates-pool.md.

--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -9,7 +9,7 @@
     "fleet simulation" "gateway policy" "fleet policy" "session" "model" "platform" "slow start" "cold servers" "regions"
     "evacuation" "evacuation at an instance" "admission"
     "connection warm-up" "placement replay" "server pool" "rates"
-    "team rates" "share pool" "evacuation core" "crossing" "crossing replay")
+    "team rates" "share bounds" "share pool" "evacuation core" "crossing" "crossing replay")
 
 rm -rf "$work/source"
 mkdir -p "$work/source"
--- a/src/sapphireweir/fleet/director.c
+++ b/src/sapphireweir/fleet/director.c
@@ -101,6 +101,7 @@
     if (m->evacuation != NULL) {
         director_apply_evacuation(d, now_us, index, m->evacuation);
     }
+    rates_apply_bounds(d, term, m->share_bounds, m->n_share_bounds);
     servers_apply(d, m->servers, m->n_servers);
     sw__fleet_command__free_unpacked(m, NULL);
     requests_handle_applied(d, index, term);
@@ -130,6 +131,7 @@
     GPtrArray *list = g_ptr_array_new();
     GPtrArray *servers = servers_since(d, 0, 0);
     GPtrArray *evacuations = evacuations_records(&d->evacuations);
+    GPtrArray *bounds = share_records_of(&d->share_bounds);
     GHashTableIter it;
     void *value;
 
@@ -152,9 +154,12 @@
     m.servers = (Sw__ServerRecord **)servers->pdata;
     m.n_evacuations = evacuations->len;
     m.evacuations = (Sw__EvacuationRecord **)evacuations->pdata;
+    m.n_share_bounds = bounds->len;
+    m.share_bounds = (Sw__ShareBoundsRecord **)bounds->pdata;
     size_t size = sw__fleet_snapshot__get_packed_size(&m);
     uint8_t *packed = g_malloc(size + 1);
     sw__fleet_snapshot__pack(&m, packed);
+    g_ptr_array_unref(bounds);
     g_ptr_array_unref(evacuations);
     g_ptr_array_unref(servers);
     g_ptr_array_unref(list);
@@ -184,6 +189,9 @@
         apply_primary(d, now_us, m->primaries[i]);
     }
     evacuations_restore(&d->evacuations, m->evacuations, m->n_evacuations);
+    share_bounds_clear(&d->share_bounds);
+    share_bounds_init(&d->share_bounds);
+    share_records_apply(&d->share_bounds, m->share_bounds, m->n_share_bounds);
     servers_apply(d, m->servers, m->n_servers);
     sw__fleet_snapshot__free_unpacked(m, NULL);
     return TRUE;
@@ -254,6 +262,10 @@
     queries_init(d);
     d->collected = g_ptr_array_new_with_free_func(g_free);
     evacuations_init(&d->evacuations);
+    share_bounds_init(&d->share_bounds);
+    d->unknown_entries = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    d->recent_bounds =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
     d->orders = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     d->primaries = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
                                          primary_state_free);
@@ -296,6 +308,9 @@
     g_hash_table_destroy(d->primaries);
     g_hash_table_destroy(d->orders);
     evacuations_clear(&d->evacuations);
+    share_bounds_clear(&d->share_bounds);
+    g_array_unref(d->unknown_entries);
+    g_hash_table_destroy(d->recent_bounds);
     g_hash_table_destroy(d->queries);
     g_ptr_array_unref(d->collected);
     directory_clear(&d->directory);
@@ -317,6 +332,7 @@
     gboolean ok =
         consensus_start(d->consensus, now_us, saved, bootstrap, error);
     d->replayed_index = consensus_last_index(d->consensus);
+    d->replayed_term = consensus_term(d->consensus);
     return ok;
 }
 
@@ -490,11 +506,8 @@
     d->logged_revision = 0;
     g_hash_table_remove_all(d->changes);
     d->grant_lists.primaries_valid = FALSE;
-    g_hash_table_remove_all(d->shares);
     g_hash_table_remove_all(d->rate_windows);
-    d->next_reservations_us = 0;
-    d->reported_entries = 0;
-    d->rates_known = FALSE;
+    rates_leadership_changed(d);
     event_begin(&line, d->config.events, now_us,
                 leads ? kEventLeads : kEventFollows);
     event_number(&line, "term", consensus_term(d->consensus));
--- a/src/sapphireweir/fleet/director_entries.c
+++ b/src/sapphireweir/fleet/director_entries.c
@@ -66,7 +66,7 @@
         entry->demand =
             g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
         entry->shares =
-            g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+            g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
         entry->usage = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
                                              (GDestroyNotify)g_array_unref);
         entry->lent = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
@@ -96,7 +96,7 @@
     entry->confirmed_revision = 0;
     entry->unconfirmed_since_us = 0;
     document_transfer_reset(&entry->transfer);
-    entry->shares_sent_us = 0;
+    rates_entry_restarted(entry);
     entry->document_version = 0;
     entry->incoming_version = 0;
     entry->stuck_since_us = 0;
@@ -408,7 +408,7 @@
     if (sequence != 0) {
         m.lease_us = d->config.lease_us;
         grant_entries(d, now_us, entry, &m);
-        rates_append_shares(d, now_us, entry, shares);
+        rates_append_shares(d, now_us, entry, sequence, shares);
         m.usage_version =
             entry->usage_term == m.term ? entry->usage_version : 0;
         m.lent_version = entry->lent_version;
@@ -578,6 +578,9 @@
     EntryState *entry = entry_state_ensure(d, now_us, from, m->incarnation);
     gboolean was_active = entry_is_active(entry, now_us);
 
+    if (entry->last_seen_us == 0 && m->granted_sequence > 0) {
+        d->former_grant_seen = TRUE;
+    }
     entry->last_seen_us = now_us;
     entry->leaving = m->leaving;
     entry->entries_hash = m->entries_hash;
@@ -587,6 +590,7 @@
     if (m->granted_sequence > entry->granted_sequence) {
         entry->granted_sequence = m->granted_sequence;
         entry->grant_reported_us = now_us;
+        rates_handle_receipt(entry);
     }
     if (g_strcmp0(entry->failure_domain, m->failure_domain) != 0) {
         g_free(entry->failure_domain);
--- a/src/sapphireweir/fleet/director_internal.h
+++ b/src/sapphireweir/fleet/director_internal.h
@@ -4,6 +4,7 @@
 #include "fleet/director.h"
 #include "fleet/document_transfer.h"
 #include "fleet/evacuations.h"
+#include "fleet/share_records.h"
 #include "policy/slow_start.h"
 #include "policy/suspect.h"
 
@@ -82,9 +83,11 @@
     /* team -> smoothed demand in thousandths of an operation per second, as
      * uint64_t; owned. */
     GHashTable *demand;
-    /* team -> last granted share, in millionths; with kShareNearLimit */
-    GHashTable *shares;
+    GHashTable *shares;      /* team -> ShareHold of this leader, owned */
     uint64_t shares_sent_us; /* when all shares were last sent */
+    /* Of the report that was answered with them; zero: its receipt would not
+     * show that the instance has them. */
+    uint64_t shares_sequence;
     /* Operations that it admitted without this leader's tokens: team -> GArray
      * of UsedTokens; owned. */
     GHashTable *usage;
@@ -124,7 +127,8 @@
     uint64_t returned; /* unused and credited */
     uint64_t refused;
     uint64_t usage_reports;
-    uint64_t lent_reports; /* of shares that others may still use */
+    uint64_t lent_reports;  /* of shares that others may still use */
+    uint64_t bound_changes; /* proposed, of the bounds of shares */
 } RateCounters;
 
 /* The lists of grants, until what they are made of changes.  The records
@@ -303,6 +307,7 @@
     uint64_t evacuation_changes; /* effective orders applied */
     uint64_t forwards_refused;   /* forwarded requests of an unknown verb */
     uint64_t replayed_index;     /* last log index at the start */
+    uint64_t replayed_term;      /* term at the start */
 
     /* Server id -> (entry instance -> ServerQuery), owned. */
     GHashTable *queries;
@@ -322,8 +327,10 @@
     GQueue requests; /* OperatorRequest, owned */
     uint64_t last_forward_id;
     uint64_t grant_revision; /* of the newest grant that was sent */
-    gboolean announced;      /* this leader has notified entry instances */
-    uint64_t led_since_us;   /* zero: this instance does not lead */
+    /* This leader has notified entry instances; it has applied what former
+     * leaders committed. */
+    gboolean announced;
+    uint64_t led_since_us; /* zero: this instance does not lead */
     /* When acknowledgements of commits may last have been missed: an entry
      * instance failed before it had reported them, or this instance started
      * or stopped leading. */
@@ -339,7 +346,18 @@
     GHashTable *entries_by_hash; /* the same time: hash -> EntryState */
     uint64_t next_reservations_us;
     uint32_t reported_entries; /* entry instances of the former leader */
-    gboolean rates_known;      /* kEventRatesKnown was logged in this term */
+    ShareBounds share_bounds;  /* as committed in the replicated log */
+    uint64_t bounds_index;     /* of their last proposal, zero: none */
+    uint32_t bounds_first;     /* instance at which the next one begins */
+    /* Hashes of entry instances with bounds that have not reported to this
+     * instance, as uint64_t; see refresh_reservations. */
+    GArray *unknown_entries;
+    /* Hashes of entry instances whose bounds were set in a later term than
+     * that at the start of this process, as uint64_t, owned; and whether one
+     * had a grant when it first reported to this process. */
+    GHashTable *recent_bounds;
+    gboolean former_grant_seen;
+    gboolean rates_known; /* kEventRatesKnown was logged in this term */
     RateCounters rate_counters;
     gboolean stopping;
     gboolean no_room;              /* as last logged; see consensus_no_room */
@@ -442,9 +460,14 @@
 void lent_share_free(void *lent);
 void rates_handle_lent(Director *d, uint64_t now_us, EntryState *entry,
                        const Sw__EntryReport *m);
+void rates_apply_bounds(Director *d, uint64_t term,
+                        Sw__ShareBoundsRecord *const *records, size_t count);
+void rates_leadership_changed(Director *d);
+void rates_entry_restarted(EntryState *entry);
+void rates_handle_receipt(EntryState *entry);
 void rates_tick(Director *d, uint64_t now_us);
 void rates_append_shares(const Director *d, uint64_t now_us, EntryState *entry,
-                         GPtrArray *list);
+                         uint64_t sequence, GPtrArray *list);
 gboolean entry_is_active(const EntryState *entry, uint64_t now_us);
 
 /* director_members.c */
--- a/src/sapphireweir/fleet/director_metrics.c
+++ b/src/sapphireweir/fleet/director_metrics.c
@@ -67,6 +67,9 @@
                        director_is_leader(d) ? d->reservations->len : 0, out);
     counter_write_text("rate_lent_reports_total",
                        d->rate_counters.lent_reports, out);
+    counter_write_text("rate_share_bounds", d->share_bounds.count, out);
+    counter_write_text("rate_share_bound_changes_total",
+                       d->rate_counters.bound_changes, out);
     for (int i = 0; i < kFailoverStageCount; i++) {
         histogram_write_text(&d->stage_times[i], names[i], out);
     }
--- a/src/sapphireweir/fleet/director_rates.c
+++ b/src/sapphireweir/fleet/director_rates.c
@@ -1,3 +1,4 @@
+#include "core/hash.h"
 #include "fleet/director_internal.h"
 #include "policy/rate_stock.h"
 #include "policy/rate_window.h"
@@ -5,7 +6,9 @@
 
 /* The teams' rate limits at the leader: a sliding window for each team, from
  * which entry instances request tokens, and the shares of each limit that
- * they fall back to while they cannot reach the leader. */
+ * they fall back to while they cannot reach the leader.  Bounds of these are
+ * committed before they are granted, so that the next leader knows them; see
+ * policy/share_bounds.c. */
 
 enum {
     kPercent = 100,
@@ -31,11 +34,14 @@
      * and the window, see share_pool_counted_us; 5 percent for the clocks. */
     kMaxLentUs = 8000000,
     kTakersMax = 400, /* of one share: some reports of a whole pool */
+    /* Until a leader forgets the bounds of an instance that has not reported
+     * to it, as it does those that have stopped reporting. */
+    kUnknownEntryUs = 30000000,
+    /* After the last report of an instance that is leaving: its operations
+     * have left the window. */
+    kLeftEntryUs = 8000000,
 };
 
-/* Flag of a share in EntryState.shares: the team is near its limit. */
-static const uint32_t kShareNearLimit = UINT32_C(1) << 31;
-
 /* Returns the number of operations that a team may run within a window; each
  * takes one token. */
 static uint64_t
@@ -100,6 +106,55 @@
     }
 }
 
+/* Applies committed bounds of shares. */
+void
+rates_apply_bounds(Director *d, uint64_t term,
+                   Sw__ShareBoundsRecord *const *records, size_t count)
+{
+    share_records_apply(&d->share_bounds, records, count);
+    for (size_t i = 0; i < count; i++) {
+        uint64_t hash = records[i]->entry;
+        if (!share_bounds_has_entry(&d->share_bounds, hash)) {
+            g_hash_table_remove(d->recent_bounds, &hash);
+        }
+        else if (term > d->replayed_term) {
+            g_hash_table_add(d->recent_bounds, g_memdup2(&hash, sizeof(hash)));
+        }
+    }
+}
+
+/* Tells whether an instance with bounds that has not reported to this control
+ * instance may still run.  After a restart of the whole fleet, bounds of the
+ * former instances would else take the limits for as long as these are waited
+ * for; a fleet that went on shows by the grants that it has. */
+static gboolean
+may_still_run(const Director *d, const uint64_t *hash)
+{
+    return d->former_grant_seen ||
+           g_hash_table_contains(d->recent_bounds, hash);
+}
+
+/* Collects the instances with bounds that have not reported to this control
+ * instance, which cannot tell yet whether they have ended. */
+static void
+add_unknown_entries(Director *d, uint64_t now_us)
+{
+    GHashTableIter it;
+    void *hash;
+
+    g_array_set_size(d->unknown_entries, 0);
+    if (now_us - d->led_since_us >= kUnknownEntryUs) {
+        return;
+    }
+    g_hash_table_iter_init(&it, d->share_bounds.entries);
+    while (g_hash_table_iter_next(&it, &hash, NULL)) {
+        if (!g_hash_table_contains(d->entries_by_hash, hash) &&
+            may_still_run(d, hash)) {
+            g_array_append_vals(d->unknown_entries, hash, 1);
+        }
+    }
+}
+
 /* Collects the entry instances for which tokens are reserved, usually none, so
  * that a token request need not walk through all entry instances. */
 static void
@@ -122,6 +177,7 @@
         }
     }
     add_lenders(d, now_us);
+    add_unknown_entries(d, now_us);
 }
 
 /* Tells whether an instance with a hash is out of contact, or not known. */
@@ -152,30 +208,30 @@
 }
 
 /* Returns the part of a team's limit, in millionths, that is reserved because
- * of one instance: the share that it was granted last if it is out of contact,
- * and one that it gave to others. */
+ * of one instance: the share that it may hold if it is out of contact, and one
+ * that it gave to others. */
 static uint64_t
 reserved_share(const Director *d, const EntryState *entry, const char *team)
 {
     uint32_t entry_count =
         MAX(g_hash_table_size(d->entries), d->reported_entries);
     uint64_t lent_micro = lent_share(d, entry, team);
-    void *share = NULL;
 
     if (!entry->reserved) {
         return lent_micro;
     }
-    if (!g_hash_table_lookup_extended(entry->shares, team, NULL, &share)) {
-        return MAX(lent_micro, kShareTotalMicro / MAX(entry_count, 1));
-    }
-    return MAX(lent_micro, GPOINTER_TO_UINT(share) & ~kShareNearLimit);
+    uint32_t bound =
+        share_bounds_get(&d->share_bounds, entry->hash, hash_text(team, 0));
+    uint32_t own =
+        share_hold_reserved(g_hash_table_lookup(entry->shares, team), bound,
+                            kShareTotalMicro / MAX(entry_count, 1));
+    return MAX(lent_micro, own);
 }
 
 /* Returns the part of a team's limit that may be used, or may have been used
- * lately, without this leader's tokens: the shares that this leader granted
- * last to the instances with a reservation, and those that others have lent.
- * An instance that this leader has granted no share counts with an equal part,
- * since the shares granted by the former leader are not known. */
+ * lately, without this leader's tokens: the shares that instances with a
+ * reservation may hold, whichever leader granted them, and those that others
+ * have lent. */
 static uint64_t
 reserved_tokens(Director *d, uint64_t now_us, const char *team, uint64_t limit)
 {
@@ -186,6 +242,11 @@
         reserved_micro +=
             reserved_share(d, g_ptr_array_index(d->reservations, i), team);
     }
+    for (guint i = 0; i < d->unknown_entries->len; i++) {
+        reserved_micro += share_bounds_get(
+            &d->share_bounds, g_array_index(d->unknown_entries, uint64_t, i),
+            hash_text(team, 0));
+    }
     return limit * MIN(reserved_micro, (uint64_t)kShareTotalMicro) /
            kShareTotalMicro;
 }
@@ -418,8 +479,9 @@
 }
 
 /* Handles an entry instance's request for tokens of a team.  Requests that
- * reach an instance that does not lead, or that name an unknown team, get no
- * reply, and neither do those that only return tokens. */
+ * reach an instance that does not lead, or does not know yet what former
+ * leaders committed, or that name an unknown team, get no reply, and neither
+ * do those that only return tokens. */
 void
 rates_handle_request(Director *d, uint64_t now_us, const char *from,
                      uint64_t request_id, const Sw__TokenRequest *m)
@@ -427,8 +489,8 @@
     Sw__Frame frame = SW__FRAME__INIT;
     Sw__TokenReply reply = SW__TOKEN_REPLY__INIT;
     uint64_t delays_us[kRateTokensMax];
-    const DocumentTeam *team =
-        director_is_leader(d) ? find_team(d, now_us, m->team) : NULL;
+    gboolean answers = director_is_leader(d) && d->announced;
+    const DocumentTeam *team = answers ? find_team(d, now_us, m->team) : NULL;
 
     if (team == NULL) {
         return;
@@ -465,33 +527,80 @@
     return share >> shift << shift;
 }
 
+/* Tells whether this leader knows all bounds that former ones committed, and
+ * the demand of most entry instances. */
+static gboolean
+may_grant_shares(const Director *d, uint64_t now_us)
+{
+    return now_us - d->led_since_us >= kSharesSettleUs && d->announced;
+}
+
+/* Returns what this leader knows of an instance's share, created if needed. */
+static ShareHold *
+hold_ensure(uint64_t now_us, EntryState *entry, const char *team,
+            uint32_t bound)
+{
+    ShareHold *h = g_hash_table_lookup(entry->shares, team);
+
+    if (h == NULL) {
+        ShareHold hold = share_hold_new(now_us, bound);
+        h = g_memdup2(&hold, sizeof(hold));
+        g_hash_table_insert(entry->shares, g_strdup(team), h);
+    }
+    return h;
+}
+
+/* Begins a list of all shares of an entry instance in the answer to a report.
+ * Its receipt counts only once the instance has reported to this leader: only
+ * then it ignores grants of a former one, which might answer the same
+ * report. */
+static void
+begin_list(const Director *d, uint64_t now_us, EntryState *entry,
+           uint64_t sequence)
+{
+    GHashTableIter it;
+    void *hold;
+
+    entry->shares_sent_us = now_us;
+    entry->shares_sequence =
+        entry->usage_term == consensus_term(d->consensus) ? sequence : 0;
+    g_hash_table_iter_init(&it, entry->shares);
+    while (g_hash_table_iter_next(&it, NULL, &hold)) {
+        share_hold_list_begun(hold);
+    }
+}
+
 /* Appends an entry instance's shares to a list, as Sw__TeamShare that the list
- * owns, and records them as the last granted ones.  Shares that were granted
- * already are left out, except every kSharesRefreshUs. */
+ * owns, for the answer to the report with a sequence, and records them as the
+ * last granted ones.  Shares that were granted already are left out, except
+ * every kSharesRefreshUs. */
 void
 rates_append_shares(const Director *d, uint64_t now_us, EntryState *entry,
-                    GPtrArray *list)
+                    uint64_t sequence, GPtrArray *list)
 {
     gboolean all = now_us - entry->shares_sent_us >= kSharesRefreshUs;
     GHashTableIter it;
     void *team;
     void *table;
 
-    if (now_us - d->led_since_us < kSharesSettleUs) {
+    if (!may_grant_shares(d, now_us)) {
         return;
     }
     if (all) {
-        entry->shares_sent_us = now_us;
+        begin_list(d, now_us, entry, sequence);
     }
     g_hash_table_iter_init(&it, d->shares);
     while (g_hash_table_iter_next(&it, &team, &table)) {
-        uint32_t share = round_share(
-            GPOINTER_TO_UINT(g_hash_table_lookup(table, entry->id)));
+        uint32_t bound = share_bounds_get(&d->share_bounds, entry->hash,
+                                          hash_text(team, 0));
+        ShareHold *h = hold_ensure(now_us, entry, team, bound);
+        uint32_t share =
+            share_hold_usable(h, bound,
+                              round_share(GPOINTER_TO_UINT(
+                                  g_hash_table_lookup(table, entry->id))));
         gboolean near_limit = is_near_limit(d, now_us, team);
-        void *granted =
-            GUINT_TO_POINTER(share | (near_limit ? kShareNearLimit : 0));
         if (share == 0 ||
-            (!all && g_hash_table_lookup(entry->shares, team) == granted)) {
+            (!all && h->sent_micro == share && h->near_limit == near_limit)) {
             continue;
         }
         Sw__TeamShare *each = g_new(Sw__TeamShare, 1);
@@ -500,10 +609,180 @@
         each->share_micro = share;
         each->crowded = near_limit;
         g_ptr_array_add(list, each);
-        g_hash_table_replace(entry->shares, g_strdup(team), granted);
+        share_hold_sent(h, share, near_limit, all);
     }
 }
 
+/* Handles a report of a new grant by an entry instance. */
+void
+rates_handle_receipt(EntryState *entry)
+{
+    GHashTableIter it;
+    void *hold;
+
+    if (entry->shares_sequence == 0 ||
+        entry->granted_sequence != entry->shares_sequence) {
+        return;
+    }
+    entry->shares_sequence = 0;
+    g_hash_table_iter_init(&it, entry->shares);
+    while (g_hash_table_iter_next(&it, NULL, &hold)) {
+        share_hold_confirmed(hold);
+    }
+}
+
+/* Records that an entry instance has restarted and has no shares. */
+void
+rates_entry_restarted(EntryState *entry)
+{
+    GHashTableIter it;
+    void *hold;
+
+    entry->shares_sent_us = 0;
+    entry->shares_sequence = 0;
+    g_hash_table_iter_init(&it, entry->shares);
+    while (g_hash_table_iter_next(&it, NULL, &hold)) {
+        share_hold_restarted(hold);
+    }
+}
+
+/* Resets the state of the rates when this instance starts or stops leading;
+ * shares that it granted in a former term may have been replaced since. */
+void
+rates_leadership_changed(Director *d)
+{
+    GHashTableIter it;
+    void *value;
+
+    g_hash_table_remove_all(d->shares);
+    g_hash_table_iter_init(&it, d->entries);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        EntryState *entry = value;
+        g_hash_table_remove_all(entry->shares);
+        entry->shares_sent_us = 0;
+        entry->shares_sequence = 0;
+    }
+    d->bounds_index = 0;
+    d->next_reservations_us = 0;
+    d->reported_entries = 0;
+    d->rates_known = FALSE;
+}
+
+/* Appends the changed bounds of an entry instance's shares to a list, up to a
+ * number.  Returns the number of those appended. */
+static uint32_t
+add_changed_bounds(Director *d, uint64_t now_us, EntryState *entry,
+                   uint32_t max_count, GPtrArray *records)
+{
+    GHashTableIter it;
+    void *team;
+    void *table;
+    uint32_t count = 0;
+
+    g_hash_table_iter_init(&it, d->shares);
+    while (count < max_count && g_hash_table_iter_next(&it, &team, &table)) {
+        uint64_t team_hash = hash_text(team, 0);
+        uint32_t bound =
+            share_bounds_get(&d->share_bounds, entry->hash, team_hash);
+        ShareHold *h = hold_ensure(now_us, entry, team, bound);
+        uint32_t next =
+            share_hold_next_bound(h, now_us, bound,
+                                  round_share(GPOINTER_TO_UINT(
+                                      g_hash_table_lookup(table, entry->id))));
+        if (next != bound) {
+            share_records_add(records, entry->hash, team_hash, next);
+            count++;
+        }
+    }
+    return count;
+}
+
+/* Appends the removal of all bounds of an instance that has ended to a list,
+ * up to a number.  Returns the number of those appended. */
+static uint32_t
+add_ended_bounds(const Director *d, uint64_t now_us, uint64_t entry_hash,
+                 GHashTable *teams, uint32_t max_count, GPtrArray *records)
+{
+    const EntryState *entry =
+        g_hash_table_lookup(d->entries_by_hash, &entry_hash);
+    gboolean ended =
+        entry == NULL
+            ? now_us - d->led_since_us >= kUnknownEntryUs
+            : entry->leaving && now_us - entry->last_seen_us >= kLeftEntryUs;
+    GHashTableIter it;
+    void *team;
+    uint32_t count = 0;
+
+    if (!ended) {
+        return 0;
+    }
+    g_hash_table_iter_init(&it, teams);
+    while (count < max_count && g_hash_table_iter_next(&it, &team, NULL)) {
+        share_records_add(records, entry_hash, *(const uint64_t *)team, 0);
+        count++;
+    }
+    return count;
+}
+
+/* Appends the changed bounds of all active entry instances to a list.  Each
+ * call begins at another instance, so that none waits for long while there are
+ * too many changes.  Returns the number of changes. */
+static uint32_t
+add_all_changed_bounds(Director *d, uint64_t now_us, GPtrArray *records)
+{
+    GPtrArray *active = g_ptr_array_new();
+    GHashTableIter it;
+    void *value;
+    uint32_t count = 0;
+
+    g_hash_table_iter_init(&it, d->entries);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        if (entry_is_active(value, now_us)) {
+            g_ptr_array_add(active, value);
+        }
+    }
+    d->bounds_first++;
+    for (guint i = 0; i < active->len; i++) {
+        EntryState *entry =
+            g_ptr_array_index(active, (i + d->bounds_first) % active->len);
+        count += add_changed_bounds(d, now_us, entry,
+                                    kShareBoundChangesMax - count, records);
+    }
+    g_ptr_array_unref(active);
+    return count;
+}
+
+/* Proposes the changes of the bounds of shares to the replicated log, one
+ * batch after the other. */
+static void
+propose_bounds(Director *d, uint64_t now_us)
+{
+    Sw__FleetCommand command = SW__FLEET_COMMAND__INIT;
+    GHashTableIter it;
+    void *key;
+    void *value;
+
+    if (!may_grant_shares(d, now_us) ||
+        d->bounds_index > consensus_commit_index(d->consensus)) {
+        return;
+    }
+    d->next_reservations_us = 0; /* entries_by_hash must be complete */
+    refresh_reservations(d, now_us);
+    GPtrArray *records = share_records_new();
+    uint32_t count = add_all_changed_bounds(d, now_us, records);
+    g_hash_table_iter_init(&it, d->share_bounds.entries);
+    while (g_hash_table_iter_next(&it, &key, &value)) {
+        count += add_ended_bounds(d, now_us, *(const uint64_t *)key, value,
+                                  kShareBoundChangesMax - count, records);
+    }
+    command.n_share_bounds = records->len;
+    command.share_bounds = (Sw__ShareBoundsRecord **)records->pdata;
+    if (count > 0 && director_propose(d, now_us, &command, &d->bounds_index)) {
+        d->rate_counters.bound_changes += count;
+    }
+    g_ptr_array_unref(records);
+}
+
 /* Sets the active entry instances' shares of a team's limit by their
  * demand. */
 static void
@@ -600,4 +879,5 @@
         divide_team_rate(d, now_us, team);
     }
     g_hash_table_destroy(names);
+    propose_bounds(d, now_us);
 }
--- a/src/sapphireweir/proto/sapphireweir.pb-c.c
+++ b/src/sapphireweir/proto/sapphireweir.pb-c.c
@@ -2572,6 +2572,51 @@
   assert(message->base.descriptor == &sw__fleet_command__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   sw__share_bounds_record__init
+                     (Sw__ShareBoundsRecord         *message)
+{
+  static const Sw__ShareBoundsRecord init_value = SW__SHARE_BOUNDS_RECORD__INIT;
+  *message = init_value;
+}
+size_t sw__share_bounds_record__get_packed_size
+                     (const Sw__ShareBoundsRecord *message)
+{
+  assert(message->base.descriptor == &sw__share_bounds_record__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t sw__share_bounds_record__pack
+                     (const Sw__ShareBoundsRecord *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &sw__share_bounds_record__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t sw__share_bounds_record__pack_to_buffer
+                     (const Sw__ShareBoundsRecord *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &sw__share_bounds_record__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Sw__ShareBoundsRecord *
+       sw__share_bounds_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Sw__ShareBoundsRecord *)
+     protobuf_c_message_unpack (&sw__share_bounds_record__descriptor,
+                                allocator, len, data);
+}
+void   sw__share_bounds_record__free_unpacked
+                     (Sw__ShareBoundsRecord *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &sw__share_bounds_record__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   sw__evacuation_order__init
                      (Sw__EvacuationOrder         *message)
 {
@@ -8880,7 +8925,7 @@
   (ProtobufCMessageInit) sw__rate_share_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sw__fleet_command__field_descriptors[4] =
+static const ProtobufCFieldDescriptor sw__fleet_command__field_descriptors[5] =
 {
   {
     "document",
@@ -8930,17 +8975,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "share_bounds",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sw__FleetCommand, n_share_bounds),
+    offsetof(Sw__FleetCommand, share_bounds),
+    &sw__share_bounds_record__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sw__fleet_command__field_indices_by_name[] = {
   0,   /* field[0] = document */
   3,   /* field[3] = evacuation */
   1,   /* field[1] = primary */
   2,   /* field[2] = servers */
+  4,   /* field[4] = share_bounds */
 };
 static const ProtobufCIntRange sw__fleet_command__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor sw__fleet_command__descriptor =
 {
@@ -8950,13 +9008,77 @@
   "Sw__FleetCommand",
   "sw",
   sizeof(Sw__FleetCommand),
-  4,
+  5,
   sw__fleet_command__field_descriptors,
   sw__fleet_command__field_indices_by_name,
   1,  sw__fleet_command__number_ranges,
   (ProtobufCMessageInit) sw__fleet_command__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor sw__share_bounds_record__field_descriptors[3] =
+{
+  {
+    "entry",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Sw__ShareBoundsRecord, entry),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "teams",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Sw__ShareBoundsRecord, n_teams),
+    offsetof(Sw__ShareBoundsRecord, teams),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "bounds_micro",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Sw__ShareBoundsRecord, n_bounds_micro),
+    offsetof(Sw__ShareBoundsRecord, bounds_micro),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned sw__share_bounds_record__field_indices_by_name[] = {
+  2,   /* field[2] = bounds_micro */
+  0,   /* field[0] = entry */
+  1,   /* field[1] = teams */
+};
+static const ProtobufCIntRange sw__share_bounds_record__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor sw__share_bounds_record__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "sw.ShareBoundsRecord",
+  "ShareBoundsRecord",
+  "Sw__ShareBoundsRecord",
+  "sw",
+  sizeof(Sw__ShareBoundsRecord),
+  3,
+  sw__share_bounds_record__field_descriptors,
+  sw__share_bounds_record__field_indices_by_name,
+  1,  sw__share_bounds_record__number_ranges,
+  (ProtobufCMessageInit) sw__share_bounds_record__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor sw__evacuation_order__field_descriptors[3] =
 {
   {
@@ -9227,7 +9349,7 @@
   (ProtobufCMessageInit) sw__primary_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sw__fleet_snapshot__field_descriptors[4] =
+static const ProtobufCFieldDescriptor sw__fleet_snapshot__field_descriptors[5] =
 {
   {
     "document",
@@ -9277,17 +9399,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "share_bounds",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sw__FleetSnapshot, n_share_bounds),
+    offsetof(Sw__FleetSnapshot, share_bounds),
+    &sw__share_bounds_record__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sw__fleet_snapshot__field_indices_by_name[] = {
   0,   /* field[0] = document */
   3,   /* field[3] = evacuations */
   1,   /* field[1] = primaries */
   2,   /* field[2] = servers */
+  4,   /* field[4] = share_bounds */
 };
 static const ProtobufCIntRange sw__fleet_snapshot__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor sw__fleet_snapshot__descriptor =
 {
@@ -9297,7 +9432,7 @@
   "Sw__FleetSnapshot",
   "sw",
   sizeof(Sw__FleetSnapshot),
-  4,
+  5,
   sw__fleet_snapshot__field_descriptors,
   sw__fleet_snapshot__field_indices_by_name,
   1,  sw__fleet_snapshot__number_ranges,
--- a/src/sapphireweir/proto/sapphireweir.pb-c.h
+++ b/src/sapphireweir/proto/sapphireweir.pb-c.h
@@ -72,6 +72,7 @@
 typedef struct Sw__RateShareOffer Sw__RateShareOffer;
 typedef struct Sw__RateShareReply Sw__RateShareReply;
 typedef struct Sw__FleetCommand Sw__FleetCommand;
+typedef struct Sw__ShareBoundsRecord Sw__ShareBoundsRecord;
 typedef struct Sw__EvacuationOrder Sw__EvacuationOrder;
 typedef struct Sw__EvacuationRecord Sw__EvacuationRecord;
 typedef struct Sw__PrimaryRecord Sw__PrimaryRecord;
@@ -1599,10 +1600,39 @@
   size_t n_servers;
   Sw__ServerRecord **servers;
   Sw__EvacuationOrder *evacuation;
+  /*
+   * Changed bounds.
+   */
+  size_t n_share_bounds;
+  Sw__ShareBoundsRecord **share_bounds;
 };
 #define SW__FLEET_COMMAND__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sw__fleet_command__descriptor) \
-    , NULL, NULL, 0,NULL, NULL }
+    , NULL, NULL, 0,NULL, NULL, 0,NULL }
+
+
+/*
+ * Bounds of the shares of rates that an entry instance may hold.
+ */
+struct  Sw__ShareBoundsRecord
+{
+  ProtobufCMessage base;
+  /*
+   * Hash of the instance's id.
+   */
+  uint64_t entry;
+  /*
+   * Hashes of the teams' names and, in the same order, the bounds in
+   * millionths of their limits; zero: there is none any more.
+   */
+  size_t n_teams;
+  uint64_t *teams;
+  size_t n_bounds_micro;
+  uint32_t *bounds_micro;
+};
+#define SW__SHARE_BOUNDS_RECORD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&sw__share_bounds_record__descriptor) \
+    , 0, 0,NULL, 0,NULL }
 
 
 /*
@@ -1687,10 +1717,12 @@
   Sw__ServerRecord **servers;
   size_t n_evacuations;
   Sw__EvacuationRecord **evacuations;
+  size_t n_share_bounds;
+  Sw__ShareBoundsRecord **share_bounds;
 };
 #define SW__FLEET_SNAPSHOT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sw__fleet_snapshot__descriptor) \
-    , NULL, 0,NULL, 0,NULL, 0,NULL }
+    , NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
 /* Sw__Frame methods */
@@ -2776,6 +2808,25 @@
 void   sw__fleet_command__free_unpacked
                      (Sw__FleetCommand *message,
                       ProtobufCAllocator *allocator);
+/* Sw__ShareBoundsRecord methods */
+void   sw__share_bounds_record__init
+                     (Sw__ShareBoundsRecord         *message);
+size_t sw__share_bounds_record__get_packed_size
+                     (const Sw__ShareBoundsRecord   *message);
+size_t sw__share_bounds_record__pack
+                     (const Sw__ShareBoundsRecord   *message,
+                      uint8_t             *out);
+size_t sw__share_bounds_record__pack_to_buffer
+                     (const Sw__ShareBoundsRecord   *message,
+                      ProtobufCBuffer     *buffer);
+Sw__ShareBoundsRecord *
+       sw__share_bounds_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   sw__share_bounds_record__free_unpacked
+                     (Sw__ShareBoundsRecord *message,
+                      ProtobufCAllocator *allocator);
 /* Sw__EvacuationOrder methods */
 void   sw__evacuation_order__init
                      (Sw__EvacuationOrder         *message);
@@ -3025,6 +3076,9 @@
 typedef void (*Sw__FleetCommand_Closure)
                  (const Sw__FleetCommand *message,
                   void *closure_data);
+typedef void (*Sw__ShareBoundsRecord_Closure)
+                 (const Sw__ShareBoundsRecord *message,
+                  void *closure_data);
 typedef void (*Sw__EvacuationOrder_Closure)
                  (const Sw__EvacuationOrder *message,
                   void *closure_data);
@@ -3105,6 +3159,7 @@
 extern const ProtobufCMessageDescriptor sw__rate_share_offer__descriptor;
 extern const ProtobufCMessageDescriptor sw__rate_share_reply__descriptor;
 extern const ProtobufCMessageDescriptor sw__fleet_command__descriptor;
+extern const ProtobufCMessageDescriptor sw__share_bounds_record__descriptor;
 extern const ProtobufCMessageDescriptor sw__evacuation_order__descriptor;
 extern const ProtobufCMessageDescriptor sw__evacuation_record__descriptor;
 extern const ProtobufCMessageDescriptor sw__primary_record__descriptor;
--- a/test/unit/test_rates.c
+++ b/test/unit/test_rates.c
@@ -538,15 +538,80 @@
     }
 }
 
-/* The load of a team is at one instance; the leader is killed and that
- * instance is isolated at the same time, while the others use the rest of the
- * limit at the next leader.  Guards against a leader that reserves less for an
- * instance out of contact than the former leader granted it: up to 721
- * operations in a window of 600, of which operators allow 680. */
+/* Brings the load of a team to instance 0, then isolates it from all control
+ * instances and loses the leader, or restarts all control instances, while the
+ * others use the rest of the limit at the next leader.  Returns the most
+ * operations within a window. */
+static uint32_t
+lose_leader_and_loaded_instance(uint32_t seed, gboolean restart_all)
+{
+    enum { kRate = 100 };
+    FleetSim *sim = fleet_sim_new(seed);
+
+    fleet_sim_configure(sim, kRate, TRUE);
+    fleet_sim_set_caller_pause(sim, 1000);
+    fleet_sim_gather_callers(sim, 0);
+    fleet_sim_run(sim, 8000);
+    fleet_sim_stop_entry(sim, 3, 4000);
+    fleet_sim_run(sim, 4000);
+    fleet_sim_clear_run_times(sim);
+    fleet_sim_set_caller_pause(sim, 5);
+    int leader = fleet_sim_control_leader(sim);
+    for (int i = 0; i < kFleetSimDomains; i++) {
+        if (restart_all || i == leader) {
+            fleet_sim_set_control_running(sim, (uint32_t)i, FALSE);
+        }
+    }
+    fleet_sim_set_isolated(sim, 0, TRUE);
+    fleet_sim_run(sim, 200);
+    for (int i = 0; restart_all && i < kFleetSimDomains; i++) {
+        fleet_sim_set_control_running(sim, (uint32_t)i, TRUE);
+    }
+    fleet_sim_run(sim, 8800);
+    uint32_t in_window = fleet_sim_max_in_rate_window(sim);
+    fleet_sim_free(sim);
+    return in_window;
+}
+
+/* Guards against a leader that reserves less for an instance out of contact
+ * than the former leader granted it: up to 721 operations in a window of 600,
+ * of which operators allow 680. */
 static void
 a_share_of_a_former_leader_is_reserved(void)
 {
-    enum { kRate = 100, kMaxInWindow = 680 };
+    enum { kMaxInWindow = 680 };
+
+    for (uint32_t seed = 1; seed <= 6; seed++) {
+        uint32_t in_window = lose_leader_and_loaded_instance(seed, FALSE);
+        if (in_window > kMaxInWindow) {
+            g_print("\nseed %u: %u in a window\n", seed, in_window);
+        }
+        CU_ASSERT(in_window <= kMaxInWindow);
+    }
+}
+
+/* Guards against a new leader that reserves nothing for an instance which it
+ * knows from the log only. */
+static void
+a_share_is_reserved_after_a_restart_of_control(void)
+{
+    enum { kMaxInWindow = 680 };
+
+    for (uint32_t seed = 1; seed <= 6; seed++) {
+        uint32_t in_window = lose_leader_and_loaded_instance(seed, TRUE);
+        if (in_window > kMaxInWindow) {
+            g_print("\nseed %u: %u in a window\n", seed, in_window);
+        }
+        CU_ASSERT(in_window <= kMaxInWindow);
+    }
+}
+
+/* All instances end and start again, and the one with the load does not come
+ * back.  Guards against a new leader that reserves the limit for it. */
+static void
+a_fleet_that_restarts_serves_at_once(void)
+{
+    enum { kRate = 100, kSeconds = 9 };
 
     for (uint32_t seed = 1; seed <= 6; seed++) {
         FleetSim *sim = fleet_sim_new(seed);
@@ -556,17 +621,27 @@
         fleet_sim_run(sim, 8000);
         fleet_sim_stop_entry(sim, 3, 4000);
         fleet_sim_run(sim, 4000);
-        fleet_sim_clear_run_times(sim);
         fleet_sim_set_caller_pause(sim, 5);
-        fleet_sim_set_control_running(
-            sim, (uint32_t)fleet_sim_control_leader(sim), FALSE);
+        fleet_sim_gather_callers(sim, 1);
         fleet_sim_set_isolated(sim, 0, TRUE);
-        fleet_sim_run(sim, 9000);
-        uint32_t in_window = fleet_sim_max_in_rate_window(sim);
-        if (in_window > kMaxInWindow) {
-            g_print("\nseed %u: %u in a window\n", seed, in_window);
+        for (uint32_t i = 0; i < kFleetSimDomains; i++) {
+            fleet_sim_set_control_running(sim, i, FALSE);
         }
-        CU_ASSERT(in_window <= kMaxInWindow);
+        fleet_sim_run(sim, 200);
+        for (uint32_t i = 0; i < kFleetSimEntries; i++) {
+            fleet_sim_restart_entry(sim, i);
+        }
+        fleet_sim_run(sim, 100);
+        for (uint32_t i = 0; i < kFleetSimDomains; i++) {
+            fleet_sim_set_control_running(sim, i, TRUE);
+        }
+        uint64_t before = fleet_sim_check(sim)->served;
+        fleet_sim_run(sim, kSeconds * 1000);
+        uint64_t served = fleet_sim_check(sim)->served - before;
+        if (served < kRate * kSeconds * 8 / 10) {
+            g_print("\nseed %u: %u served\n", seed, (unsigned)served);
+        }
+        CU_ASSERT(served >= kRate * kSeconds * 8 / 10);
         fleet_sim_free(sim);
     }
 }
@@ -592,4 +667,8 @@
                 a_limit_is_kept_when_the_leader_is_killed);
     CU_add_test(s, "a share of a former leader is reserved",
                 a_share_of_a_former_leader_is_reserved);
+    CU_add_test(s, "a share is reserved after a restart of control",
+                a_share_is_reserved_after_a_restart_of_control);
+    CU_add_test(s, "a fleet that restarts serves at once",
+                a_fleet_that_restarts_serves_at_once);
 }
