--- a/test/soak/soak.c
+++ b/test/soak/soak.c
@@ -8,10 +8,11 @@
 
 /* Soak test of the platform programs under random faults: processes are
  * killed, paused, terminated and restarted, control instances lose their
- * disks, database servers crash and return, answers are lost, the configuration changes, and failure domains are
- * evacuated and restored.  The seed selects
- * the faults and the operations.  At the end the answer to each write is
- * compared with the log of the emulated servers.
+ * disks, database servers crash and return, answers are lost, the
+ * configuration changes, and failure domains are evacuated and restored.  The
+ * seed selects the faults and the operations.  At the end the answer to each
+ * write is compared with the log of the emulated servers, and each control
+ * instance must serve the configuration.
  *
  * Usage: fault_soak [SEED [SECONDS]] */
 
--- a/test/unit/test_director_faults.c
+++ b/test/unit/test_director_faults.c
@@ -443,8 +443,8 @@
     }
 }
 
-/* Replays seeds that failed, see docs/incidents/configuration-not-read-back.md:
- * in 6257 no instance answered, in the others one did not. */
+/* Replays seeds that failed: in 6257 no instance answered, in the others one
+ * did not. */
 static void
 test_failed_seeds(void)
 {
