--- a/src/sapphireweir/fleet/director.c
+++ b/src/sapphireweir/fleet/director.c
@@ -415,6 +415,7 @@
 {
     switch (frame->body_case) {
     case SW__FRAME__BODY_CONSENSUS:
+        /* An instance that lost its disk may know no other one. */
         director_add_peer(d, from);
         consensus_receive(d->consensus, now_us, from, frame->consensus);
         break;
