--- a/review/8/case.c
+++ b/review/8/case.c
@@ -1,56 +1,51 @@
-/* One team asks for far more than its limit, and all processes are killed and
- * started again at once.  The members must not run more of its requests in any
- * window than the limit with its overshoot and slack allows. */
+/* Two shapes that a caller prepares under two names must be run as they were
+ * prepared.  The names at the members are a 64-bit FNV-1a hash of the shape;
+ * the two shapes of the disturbed run are a published pair with one hash. */
 
 #include "../lib-2/harness.h"
 
-enum {
-    kRatePerS = 40, /* and the burst */
-    kWindowS = 5,   /* bounds.quota-window-s */
-    kSlack = 20,    /* bounds.quota-slack */
-    kBeforeMs = 9000,
-    kAfterMs = 9000,
-    kDownMs = 500, /* the site's days: down_s 0.52 to 1.5 */
-};
+static const char *const kSameHash[] = {"8yn0iYCKYHlIj4-BwPqk",
+                                        "GReLUrM4wMqfg9yzV3KQ"};
+static const char *const kOtherHash[] = {"8yn0iYCKYHlIj4-BwPqk",
+                                         "GReLUrM4wMqfg9yzV3KR"};
 
-/* bounds.quota-overshoot is 0.1. */
-static const uint32_t kAllowed =
-    (kRatePerS * kWindowS + kRatePerS) * 11 / 10 + kSlack;
-
-static GArray *arrivals_us; /* gint64 */
+static const char *wanted_shape; /* of the EXECUTE that is open */
+static uint32_t executed;
+static uint32_t wrong;
 
+/* Keeps the shapes that are prepared on each connection, and compares that of
+ * an EXECUTE with what the caller prepared. */
 static gboolean
 on_statement(Client *c, char *line)
 {
-    gint64 now_us = g_get_monotonic_time();
+    char **fields = g_strsplit(line, " ", 6); /* QUERY id verb name ... */
+    guint count = g_strv_length(fields);
+    const char *verb = count > 2 ? fields[2] : "";
 
-    if (!g_str_has_prefix(line, "QUERY - ")) {
-        g_array_append_val(arrivals_us, now_us);
+    if (c->values == NULL) {
+        c->values =
+            g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     }
-    return emulator_receive(c, line);
-}
-
-/* Sends one read after the other for a time. */
-static void
-press(Emulator *e, uint32_t duration_ms)
-{
-    static uint32_t number;
-    gint64 end_us = g_get_monotonic_time() + (gint64)duration_ms * 1000;
-    EmulatorCaller *c = NULL;
-    char text[40];
-
-    while (g_get_monotonic_time() < end_us) {
-        if (c == NULL || caller_is_closed(c)) {
-            g_clear_pointer(&c, caller_close);
-            c = connect_until_ready(e, 0, 200);
-            continue;
+    if (strcmp(verb, "PREPARE") == 0 && count == 6) {
+        record("member %s: %s", c->member->id, line);
+        g_hash_table_replace(c->values, g_strdup(fields[3]),
+                             g_strdup(fields[5]));
+    }
+    else if (strcmp(verb, "RESET") == 0) {
+        g_hash_table_remove_all(c->values);
+    }
+    else if (strcmp(verb, "EXECUTE") == 0 && count > 3) {
+        const char *shape = g_hash_table_lookup(c->values, fields[3]);
+        record("member %s: %s, which is of shape %s", c->member->id, line,
+               shape == NULL ? "(unknown)" : shape);
+        executed++;
+        if (shape != NULL && strcmp(shape, wanted_shape) != 0) {
+            wrong++;
+            record("PINNED: the caller prepared the shape %s", wanted_shape);
         }
-        g_snprintf(text, sizeof(text), "QUERY q%u READ 1a4", ++number);
-        caller_request(c, text);
-        run_whole(e, 1);
     }
-    g_clear_pointer(&c, caller_close);
-    record("%u statements sent so far, %u ran", number, arrivals_us->len);
+    g_strfreev(fields);
+    return emulator_receive(c, line);
 }
 
 int
@@ -60,53 +55,37 @@
         return 2;
     }
     Emulator *e = case_start(argv);
-    guint first = 0;
-    guint most = 0;
-    gint64 most_us = 0;
+    const char *const *shapes = trouble ? kSameHash : kOtherHash;
+    char text[96];
 
     for (uint32_t i = 3; i < kEmulatorMembers; i++) {
         e->members[i].running = FALSE;
     }
-    arrivals_us = g_array_new(FALSE, FALSE, sizeof(gint64));
-    statement_hook = on_statement;
-    e->rate_per_s = kRatePerS;
     HttpResponse put = emulator_put_document(e, 7, TRUE);
     g_free(put.body);
     record("operator: PUT /config version 7 -> %d", put.status);
-    EmulatorCaller *c =
-        put.status == 200 ? connect_until_ready(e, 0, 10000) : NULL;
+    if (put.status != 200 || !write_until_done(e, 0, "before", 10000)) {
+        return case_end(e, 2);
+    }
+    statement_hook = on_statement;
+    EmulatorCaller *c = connect_until_ready(e, 0, 3000);
     if (c == NULL) {
         return case_end(e, 2);
     }
-    caller_close(c);
-    /* Config-apply-ms and a window, so that the limit binds. */
-    run_whole(e, 8000);
-    press(e, kBeforeMs);
-    if (trouble) {
-        record("all processes are killed");
-        for (uint32_t i = 0; i < kEmulatorPrograms; i++) {
-            emulator_kill_program(e, i);
-        }
-        run_whole(e, kDownMs);
-        for (uint32_t i = 0; i < kEmulatorPrograms; i++) {
-            emulator_start_program(e, i);
+    for (int i = 0; i < 2; i++) {
+        g_snprintf(text, sizeof(text), "QUERY p%d PREPARE s%d WRITE %s", i, i,
+                   shapes[i]);
+        if (strstr(request(c, text), "COMPLETE") == NULL) {
+            return case_end(e, 2);
         }
-        record("all processes are started again");
     }
-    press(e, kAfterMs);
-    for (guint i = 0; i < arrivals_us->len; i++) {
-        gint64 now_us = g_array_index(arrivals_us, gint64, i);
-        while (g_array_index(arrivals_us, gint64, first) +
-                   kWindowS * G_USEC_PER_SEC <= now_us) {
-            first++;
-        }
-        if (i - first + 1 > most) {
-            most = i - first + 1;
-            most_us = now_us;
-        }
+    request(c, "QUERY t1 BEGIN");
+    for (int i = 0; i < 2; i++) {
+        wanted_shape = shapes[i];
+        g_snprintf(text, sizeof(text), "QUERY t%d EXECUTE s%d 1a4 data%d",
+                   i + 2, i, i);
+        request(c, text);
     }
-    record("%sat most %u requests ran in %d s, until %.1f ms; allowed %u",
-           most > kAllowed ? "QUOTA: " : "", most, kWindowS,
-           (double)(most_us - record_start_us) / 1000, kAllowed);
-    return case_end(e, most > kAllowed ? 1 : most > 0 ? 0 : 2);
+    gboolean done = strstr(request(c, "QUERY t4 COMMIT"), "COMPLETE") != NULL;
+    return case_end(e, wrong > 0 ? 1 : executed == 2 && done ? 0 : 2);
 }
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -10,8 +10,9 @@
     test/platform/emulator.h >target/review/emulator.h
 sed -e 's/m->address, m->index, kMemberSlots/m->address, m->index % 3, kMemberSlots/' \
     -e 's/^receive_statement(Client \*c, char \*line)$/emulator_receive(Client *c, char *line)/' \
+    -e 's/^log_append(Emulator \*e, const char \*datum)$/emulator_log_append(Emulator *e, const char *datum)/' \
     -e 's/^    GHashTable \*prepared; .*$/&\n    GHashTable *values; \/* set on the connection, or NULL *\//' \
-    -e 's/^\/\* ---- time ---- \*\/$/static gboolean receive_statement(Client *c, char *line);\n\n&/' \
+    -e 's/^\/\* ---- time ---- \*\/$/static gboolean receive_statement(Client *c, char *line);\nstatic void log_append(Emulator *e, const char *datum);\n\n&/' \
     test/platform/emulator.c >target/review/emulator.c
 flags=$(pkg-config --cflags --libs libevent glib-2.0)
 for name in 6 7 8 9 10; do
--- a/review/lib-2/harness.h
+++ b/review/lib-2/harness.h
@@ -26,6 +26,16 @@
 static gint64 record_start_us;
 static gboolean trouble = TRUE;
 
+/* Called for each committed write, if it is set; appends it to the members'
+ * logs. */
+static void (*append_hook)(Emulator *e, const char *datum);
+
+static void
+log_append(Emulator *e, const char *datum)
+{
+    (append_hook == NULL ? emulator_log_append : append_hook)(e, datum);
+}
+
 /* Appends a line with the time in milliseconds to record.txt. */
 static void __attribute__((format(printf, 1, 2)))
 record(const char *format, ...)
