--- a/review/7/case.c
+++ b/review/7/case.c
@@ -19,9 +19,8 @@
     char *zone; /* value of "zone", NULL if it was not set */
 } CallerSession;
 
-static CallerSession sessions[] = {{'a', NULL, NULL},
-                             {'b', NULL, NULL},
-                             {'c', NULL, NULL}};
+static CallerSession sessions[] = {
+    {'a', NULL, NULL}, {'b', NULL, NULL}, {'c', NULL, NULL}};
 static GRand *rand_;
 static gboolean grey;
 static uint32_t failed;   /* requests that the member failed */
@@ -32,9 +31,8 @@
 static void
 check_values(const Client *c, const char *id, const char *text)
 {
-    const char *has = c->values == NULL
-                          ? NULL
-                          : g_hash_table_lookup(c->values, "zone");
+    const char *has =
+        c->values == NULL ? NULL : g_hash_table_lookup(c->values, "zone");
 
     for (size_t i = 0; i < G_N_ELEMENTS(sessions); i++) {
         const CallerSession *s = &sessions[i];
@@ -45,8 +43,9 @@
         if (g_strcmp0(has, s->zone) != 0) {
             wrong++;
             record("PINNED: %s runs \"%s\" of caller %c (id %s) with zone=%s, "
-                   "acknowledged was zone=%s", c->member->id, text, s->name,
-                   id, has == NULL ? "(not set)" : has,
+                   "acknowledged was zone=%s",
+                   c->member->id, text, s->name, id,
+                   has == NULL ? "(not set)" : has,
                    s->zone == NULL ? "(not set)" : s->zone);
         }
     }
@@ -73,8 +72,8 @@
     }
     if (strcmp(verb, "SET") == 0 && count == 5) {
         if (c->values == NULL) {
-            c->values = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-                                              g_free);
+            c->values =
+                g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
         }
         g_hash_table_replace(c->values, g_strdup(fields[3]),
                              g_strdup(fields[4]));
@@ -172,6 +171,7 @@
         round_of_statements(e);
     }
     record("%u requests failed by the member, %u statements of callers "
-           "compared, %u with wrong values", failed, compared, wrong);
+           "compared, %u with wrong values",
+           failed, compared, wrong);
     return case_end(e, wrong > 0 ? 1 : compared > 0 ? 0 : 2);
 }
--- a/review/lib-2/harness.h
+++ b/review/lib-2/harness.h
@@ -147,9 +147,9 @@
         if (c == NULL) {
             continue;
         }
-        char *text = g_strdup_printf("QUERY w%u WRITE 1a4 %s", ++number, datum);
-        gboolean done =
-            strstr(request(c, text), "COMPLETE 7.proof") != NULL;
+        char *text =
+            g_strdup_printf("QUERY w%u WRITE 1a4 %s", ++number, datum);
+        gboolean done = strstr(request(c, text), "COMPLETE 7.proof") != NULL;
         g_free(text);
         caller_close(c);
         if (done) {
