Name prepared statements at servers by a cryptographic digest

Cause: the name at backend servers was the kind and a 64-bit FNV-1a hash of the text, for which collisions can be computed.

Direct, own and borrowed connections all get their names there.

--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -6,7 +6,7 @@
 root=$(cd "$(dirname "$0")/.." && pwd)
 work="$root/build-mutants"
 suites=("consensus" "disk" "disk full" "director faults" "consensus members" "document transfer"
-    "fleet simulation" "gateway policy" "fleet policy" "session" "model" "platform" "slow start" "cold servers" "regions"
+    "fleet simulation" "gateway policy" "fleet policy" "session" "session setup" "model" "platform" "slow start" "cold servers" "regions"
     "evacuation" "evacuation at an instance" "admission"
     "connection warm-up" "placement replay" "server pool" "rates"
     "team rates" "share pool" "evacuation core" "crossing" "crossing replay")
--- a/src/sapphireweir/gateway/session.c
+++ b/src/sapphireweir/gateway/session.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "gateway/prepared_name.h"
 #include "gateway/slow_start_gate.h"
 
 /* A caller's session: its values, its prepared statements and at most one open
@@ -502,19 +503,6 @@
 
 /* ---- statements for a server ---- */
 
-/* Returns the name of a prepared statement at backend servers, which is the
- * same for all sessions that prepare the same text.  Free it with g_free(). */
-static char *
-canonical_name(const Prepared *p)
-{
-    guint64 hash = 14695981039346656037ULL; /* FNV-1a */
-    for (const char *c = p->text; *c != '\0'; c++) {
-        hash = (hash ^ (guint8)*c) * 1099511628211ULL;
-    }
-    return g_strdup_printf("%c%016" G_GINT64_MODIFIER "x",
-                           p->writes ? 'w' : 'r', hash);
-}
-
 /* Fills in what the job sends to a server.  Returns FALSE for an EXECUTE of an
  * unknown prepared statement. */
 static gboolean
@@ -533,7 +521,7 @@
     if (p == NULL) {
         return FALSE;
     }
-    job->prepared = canonical_name(p);
+    job->prepared = prepared_name(p->text, p->writes);
     job->prepared_text = g_strdup(p->text);
     job->writes = p->writes;
     job->text =
--- a/test/unit/test_model.c
+++ b/test/unit/test_model.c
@@ -44,6 +44,7 @@
     uint32_t transaction; /* zero: none */
     gboolean writes;
     uint64_t values;    /* hash of the session's values */
+    const char *shape;  /* text of the prepared statement that it executes */
     gboolean relayed;   /* sent to the owner for the team that may run it */
     uint32_t committed; /* times */
     uint32_t server;    /* that committed it */
@@ -57,11 +58,10 @@
     uint32_t transaction;
     SessionState state;
     GHashTable *values;
-    GArray *writes; /* uint32_t: acknowledged in the transaction */
-    gboolean prepared;
-    gboolean prepared_writes;
-    AnswerCode code; /* of the last answer */
-    gboolean closes; /* it ends the session */
+    GArray *writes;       /* uint32_t: acknowledged in the transaction */
+    const char *prepared; /* text of the statement "p", NULL: none */
+    AnswerCode code;      /* of the last answer */
+    gboolean closes;      /* it ends the session */
 } Caller;
 
 /* A command on its way to a server. */
@@ -272,6 +272,10 @@
     if (values_hash(s->values) != r->values) {
         violated(m, "a statement runs with other values", index);
     }
+    if (r->kind == kStatementExecute &&
+        g_strcmp0(g_hash_table_lookup(s->prepared, c->name), r->shape) != 0) {
+        violated(m, "another prepared statement runs", index);
+    }
     if (r->transaction == 0 ? s->state != kSessionIdle
                             : s->state != kSessionInTransaction) {
         violated(m, "a statement runs outside of its transaction, or in one",
@@ -586,7 +590,8 @@
                               kKeyNames[c->number % kKeys], &code);
     c->state = kSessionIdle;
     c->transaction = 0;
-    c->prepared = c->closes = FALSE;
+    c->prepared = NULL;
+    c->closes = FALSE;
     g_hash_table_remove_all(c->values);
 }
 
@@ -615,8 +620,10 @@
                 .caller = c->number,
                 .transaction = c->transaction,
                 .writes = kind == kStatementWrite ||
-                          (kind == kStatementExecute && c->prepared_writes),
-                .values = values_hash(c->values)};
+                          (kind == kStatementExecute && c->prepared != NULL &&
+                           c->prepared[0] == 'w'),
+                .values = values_hash(c->values),
+                .shape = kind == kStatementExecute ? c->prepared : NULL};
     uint32_t index = m->records->len;
 
     g_array_append_val(m->records, r);
@@ -644,8 +651,7 @@
         g_hash_table_replace(c->values, g_strdup(name), g_strdup(value));
     }
     if (kind == kStatementPrepare) {
-        c->prepared = TRUE;
-        c->prepared_writes = value[0] == 'w';
+        c->prepared = value;
     }
 }
 
@@ -672,6 +678,9 @@
 {
     static const char *const values[] = {"1", "2", "3"};
     static const char *const names[] = {"a", "b", "c"};
+    /* The last two have the same 64-bit FNV-1a hash. */
+    static const char *const shapes[] = {"w x", "r x", "8yn0iYCKYHlIj4-BwPqk",
+                                         "GReLUrM4wMqfg9yzV3KQ"};
     static const StatementKind ends[] = {kStatementCommit, kStatementCommit,
                                          kStatementRollback};
     uint32_t chance = draw(m, 64);
@@ -698,10 +707,10 @@
         say(m, c, kStatementSet, names[draw(m, 3)], values[draw(m, 3)]);
     }
     else if (chance < 11) {
-        say(m, c, kStatementPrepare, "p", draw(m, 2) == 0 ? "w x" : "r x");
+        say(m, c, kStatementPrepare, "p", shapes[draw(m, 4)]);
     }
     else if (chance < 18) {
-        say(m, c, kStatementExecute, c->prepared ? "p" : "q", "");
+        say(m, c, kStatementExecute, c->prepared != NULL ? "p" : "q", "");
     }
     else if (chance < 20) {
         say(m, c, kStatementDeallocate, "q", "");
