--- a/src/sapphireweir/gateway/connection.c
+++ b/src/sapphireweir/gateway/connection.c
@@ -4,11 +4,12 @@
 
 /* Connections to backend servers.  A connection belongs to one team and is
  * bound to one session at a time, for a statement or a whole transaction.
- * The session's values and prepared statements are set up on the connection
- * just before use; the connection records which ones it already has. */
+ * Where its state is not that of the session, the session's values and
+ * prepared statements are set up on it first, and the statement is sent once
+ * the server has acknowledged all of them: sent along, it would run also
+ * where the server rejected one. */
 
 enum {
-    kPreparedMax = 64, /* per connection; more cause a RESET */
     /* A new connection is reserved for so long for the work that it was opened
      * for. */
     kUnservedKeptUs = 100000,
@@ -44,12 +45,7 @@
 connection_free(void *connection)
 {
     Connection *c = connection;
-    if (c->values != NULL) {
-        g_hash_table_destroy(c->values);
-    }
-    if (c->prepared != NULL) {
-        g_hash_table_destroy(c->prepared);
-    }
+    server_session_clear(&c->server_session);
     g_free(c->team);
     g_free(c->owner);
     g_free(c);
@@ -102,6 +98,39 @@
     g_ptr_array_add(g->closed, c);
 }
 
+/* ---- setting up a session's state ---- */
+
+/* Returns the commands that set up what a session's open statement needs.
+ * They are valid until the next call. */
+static const CommandBatch *
+needed_state(const Session *s)
+{
+    static CommandBatch needed;
+    const Job *job = &s->job;
+    GHashTableIter it;
+    void *name;
+    void *value;
+
+    command_batch_clear(&needed);
+    if (s->values != NULL) {
+        g_hash_table_iter_init(&it, s->values);
+        while (g_hash_table_iter_next(&it, &name, &value)) {
+            command_batch_add(&needed, (ServerCommand){.kind = kCommandSet,
+                                                       .name = name,
+                                                       .value = value});
+        }
+    }
+    if (job->prepared != NULL) {
+        command_batch_add(&needed, (ServerCommand){.kind = kCommandPrepare,
+                                                   .name = job->prepared,
+                                                   .value = job->prepared_text,
+                                                   .writes = job->writes});
+    }
+    return &needed;
+}
+
+/* ---- idle connections ---- */
+
 /* Returns an idle connection of a team or NULL. */
 Connection *
 server_idle_connection(const Server *s, const char *team)
@@ -115,6 +144,31 @@
     return NULL;
 }
 
+/* Returns the idle connection that a session's open statement would use, or
+ * NULL: one that has the session's state already, else the one that has been
+ * idle longest. */
+Connection *
+server_connection_for(const Server *server, Session *s)
+{
+    const char *team = session_team_name(s);
+    const CommandBatch *needed = needed_state(s);
+    Connection *best = NULL;
+
+    for (guint i = 0; i < server->connections->len; i++) {
+        Connection *c = g_ptr_array_index(server->connections, i);
+        if (c->state != kConnectionIdle || strcmp(c->team, team) != 0) {
+            continue;
+        }
+        if (server_session_matches(&c->server_session, needed, FALSE)) {
+            return c;
+        }
+        if (best == NULL || c->state_since_us < best->state_since_us) {
+            best = c;
+        }
+    }
+    return best;
+}
+
 /* Returns the connection that has been idle longest or NULL.  A connection
  * that has served nothing yet is skipped for kUnservedKeptUs. */
 Connection *
@@ -133,93 +187,6 @@
     return oldest;
 }
 
-/* ---- setting up a session's state ---- */
-
-/* Tells whether the connection needs a RESET before it serves the session:
- * its values are not known, it has a value that the session does not set, or
- * it has too many prepared statements. */
-static gboolean
-needs_reset(const Connection *c, const Session *s)
-{
-    GHashTableIter it;
-    void *name;
-
-    if (c->values_unknown) {
-        return TRUE;
-    }
-    if (c->prepared != NULL &&
-        g_hash_table_size(c->prepared) >= kPreparedMax) {
-        return TRUE;
-    }
-    if (c->values == NULL) {
-        return FALSE;
-    }
-    g_hash_table_iter_init(&it, c->values);
-    while (g_hash_table_iter_next(&it, &name, NULL)) {
-        if (s->values == NULL || !g_hash_table_contains(s->values, name)) {
-            return TRUE;
-        }
-    }
-    return FALSE;
-}
-
-/* Adds the commands that give the connection the session's values, after a
- * RESET if one is needed. */
-static void
-add_values(Connection *c, const Session *s, CommandBatch *batch)
-{
-    GHashTableIter it;
-    void *name;
-    void *value;
-
-    if (!s->begun && needs_reset(c, s)) {
-        command_batch_add(batch, (ServerCommand){.kind = kCommandReset});
-        g_clear_pointer(&c->values, g_hash_table_destroy);
-        g_clear_pointer(&c->prepared, g_hash_table_destroy);
-        c->values_unknown = FALSE;
-    }
-    if (s->values == NULL) {
-        return;
-    }
-    if (c->values == NULL) {
-        c->values =
-            g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-    }
-    g_hash_table_iter_init(&it, s->values);
-    while (g_hash_table_iter_next(&it, &name, &value)) {
-        const char *current = g_hash_table_lookup(c->values, name);
-        if (current != NULL && strcmp(current, value) == 0) {
-            continue;
-        }
-        command_batch_add(batch, (ServerCommand){.kind = kCommandSet,
-                                                 .name = name,
-                                                 .value = value});
-        g_hash_table_replace(c->values, g_strdup(name), g_strdup(value));
-    }
-}
-
-/* Adds the command that prepares the job's prepared statement, unless the
- * connection has it already. */
-static void
-add_prepared(Connection *c, const Job *job, CommandBatch *batch)
-{
-    if (job->prepared == NULL) {
-        return;
-    }
-    if (c->prepared == NULL) {
-        c->prepared =
-            g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-    }
-    if (g_hash_table_contains(c->prepared, job->prepared)) {
-        return;
-    }
-    command_batch_add(batch, (ServerCommand){.kind = kCommandPrepare,
-                                             .name = job->prepared,
-                                             .value = job->prepared_text,
-                                             .writes = job->writes});
-    g_hash_table_add(c->prepared, g_strdup(job->prepared));
-}
-
 /* ---- running ---- */
 
 /* Returns the position that the server must have reached to serve the
@@ -236,15 +203,15 @@
     return after;
 }
 
-/* Sends the commands; the awaited answer is that to the last command.  The
- * owner of a borrowed connection also gets the commands that follow a
- * BEGIN. */
+/* Sends the commands.  The owner of a borrowed connection also gets those that
+ * follow a BEGIN, and sends one result for all. */
 static void
 batch_send(Connection *c, const CommandBatch *batch,
            const CommandBatch *after_begin, uint64_t now_us)
 {
     Gateway *g = c->gateway;
-    c->answers_ahead = (uint32_t)batch->count - 1;
+
+    c->answers_left = c->relay != 0 ? 1 : (uint32_t)batch->count;
     c->awaiting = TRUE;
     c->sent_us = now_us;
     c->server->open_statements++;
@@ -257,58 +224,75 @@
     g->port.server_send(g->port.ctx, c->link, batch->commands, batch->count);
 }
 
-/* Returns how many commands connection_run sends for the session's open
- * statement, with those behind a BEGIN; it may return a few too many. */
+/* Returns how many commands connection_run and what follows it send for the
+ * session's open statement. */
 uint32_t
-connection_commands(const Connection *c, const Session *s)
+connection_commands(Connection *c, const Session *s)
 {
-    gboolean resets = !s->begun && needs_reset(c, s);
-    uint32_t count = 1;
-    GHashTableIter it;
-    void *name;
-    void *value;
+    gboolean begins = s->state == kSessionInTransaction && !s->begun;
 
-    count += resets;
-    count += s->state == kSessionInTransaction && !s->begun;
-    count += s->job.prepared != NULL &&
-             (resets || c->prepared == NULL ||
-              !g_hash_table_contains(c->prepared, s->job.prepared));
-    if (s->values == NULL) {
-        return count;
-    }
-    g_hash_table_iter_init(&it, s->values);
-    while (g_hash_table_iter_next(&it, &name, &value)) {
-        const char *current =
-            c->values == NULL ? NULL : g_hash_table_lookup(c->values, name);
-        count += resets || g_strcmp0(current, value) != 0;
-    }
-    return count;
+    return server_session_count(&c->server_session, needed_state(s),
+                                s->begun) +
+           begins + 1;
 }
 
-/* Adds the session's open statement, preceded by its PREPARE if needed. */
+/* Adds the session's open statement. */
 static void
-add_statement(Connection *c, const Job *job, Position after,
-              CommandBatch *batch)
+add_statement(const Job *job, Position after, CommandBatch *batch)
 {
-    add_prepared(c, job, batch);
     command_batch_add(batch, (ServerCommand){.kind = kCommandStatement,
                                              .id = job->id,
                                              .text = job->text,
                                              .after = after});
 }
 
+/* Adds the session's BEGIN. */
+static void
+add_begin(Connection *c, Session *s, uint64_t now_us, CommandBatch *batch)
+{
+    Position after = {0};
+
+    if (s->read_only) {
+        after = required_position(s, c->server, now_us);
+    }
+    command_batch_add(batch,
+                      (ServerCommand){.kind = s->read_only ? kCommandBeginRead
+                                                           : kCommandBegin,
+                                      .after = after});
+    c->begin_open = TRUE;
+    s->at_primary = !s->read_only || after.term == 0;
+}
+
+/* Returns the position that the open statement needs, which is part of a
+ * transaction that a server has begun, or of none. */
+static Position
+statement_position(Session *s, const Server *server, uint64_t now_us)
+{
+    Position after = {0};
+
+    if (s->begun) {
+        return after;
+    }
+    if (!s->job.writes) {
+        after = required_position(s, server, now_us);
+    }
+    s->at_primary = after.term == 0;
+    return after;
+}
+
 /* Binds the connection to a session and sends the session's open statement.
- * No statement is sent to a server behind an unanswered BEGIN: if the server
- * rejected that, a read behind it would run outside the transaction.  The
- * owner of a borrowed connection gets both and waits for the answer to the
- * BEGIN, which saves a round trip between the instances. */
+ * On a direct connection this takes a round trip for each step: the session's
+ * state, unless the connection has it, together with the BEGIN, if there is
+ * one; then the statement.  No statement is sent behind an unanswered BEGIN:
+ * if the server rejected that, a read behind it would run outside the
+ * transaction.  The owner of a borrowed connection gets everything at once,
+ * takes the same steps and sends one result. */
 void
 connection_run(Connection *c, Session *s, uint64_t now_us)
 {
     static CommandBatch batch;
     static CommandBatch after_begin;
     Job *job = &s->job;
-    Position after = {0};
     gboolean begins = s->state == kSessionInTransaction && !s->begun;
 
     command_batch_clear(&batch);
@@ -316,34 +300,31 @@
     c->state = kConnectionBound;
     c->state_since_us = now_us;
     c->session = s;
-    c->served++;
+    c->begin_open = FALSE;
     s->connection = c;
     job->sent = TRUE;
     job->server = c->server;
     job->opening = NULL;
     job->with_begin = begins && c->relay != 0;
-    add_values(c, s, &batch);
+    if (!server_session_add(&c->server_session, needed_state(s), s->begun,
+                            &batch)) {
+        session_setup_rejected(s, now_us, kCodeOther);
+        return;
+    }
+    job->setting_up = c->relay == 0 && batch.count > 0;
+    c->gateway->counters.session_setups += job->setting_up;
+    c->served += begins || !job->setting_up;
     if (begins) {
-        after = s->read_only ? required_position(s, c->server, now_us) : after;
-        command_batch_add(
-            &batch, (ServerCommand){.kind = s->read_only ? kCommandBeginRead
-                                                         : kCommandBegin,
-                                    .after = after});
-        c->begin_open = TRUE;
-        s->at_primary = !s->read_only || after.term == 0;
-        if (job->with_begin) {
-            add_statement(c, job, (Position){0}, &after_begin);
-        }
+        add_begin(c, s, now_us, &batch);
     }
-    else {
-        if (!s->begun && !job->writes) {
-            after = required_position(s, c->server, now_us);
-        }
-        if (!s->begun) {
-            s->at_primary = after.term == 0;
+    if (job->with_begin) {
+        add_statement(job, (Position){0}, &after_begin);
+    }
+    else if (!begins) {
+        Position after = statement_position(s, c->server, now_us);
+        if (!job->setting_up) {
+            add_statement(job, after, &batch);
         }
-        add_statement(c, job, after, &batch);
-        c->begin_open = FALSE;
     }
     batch_send(c, &batch, &after_begin, now_us);
 }
@@ -367,6 +348,7 @@
         connection_close(c);
         return;
     }
+    server_session_trim(&c->server_session);
     if (c->server_state == kSessionIdle) {
         c->state = kConnectionIdle;
         dispatch_pump(c->server, now_us);
@@ -379,9 +361,9 @@
     }
     slow_start_gate_take(c->server, now_us, FALSE, 1, &c->permit);
     /* It is unspecified whether values survive a rollback. */
-    c->values_unknown = TRUE;
+    server_session_forget(&c->server_session);
     c->state = kConnectionRollingBack;
-    c->answers_ahead = 0;
+    c->answers_left = 1;
     c->awaiting = TRUE;
     c->sent_us = now_us;
     c->server->open_statements++;
@@ -439,7 +421,31 @@
     freshness_add(&d->freshness, c->sent_us, a->position);
 }
 
-/* Handles one answer of the server. */
+/* Handles the answer to a command that sets up the session's state. */
+static void
+setup_answered(Connection *c, const ServerAnswer *a)
+{
+    const Session *s = c->session;
+    SessionState expected =
+        s != NULL && s->begun ? kSessionInTransaction : kSessionIdle;
+
+    if (!server_session_answered(&c->server_session, a, expected)) {
+        server_rejected_setup(c->server, a);
+    }
+}
+
+/* Handles the answer to a ROLLBACK. */
+static void
+rollback_answered(Connection *c, uint64_t now_us)
+{
+    if (c->server_state != kSessionIdle) {
+        connection_close(c);
+        return;
+    }
+    connection_release(c, now_us);
+}
+
+/* Handles one answer of the server, or the result of an owner. */
 void
 connection_answer(void *connection, uint64_t now_us, const ServerAnswer *a)
 {
@@ -455,22 +461,18 @@
         connection_down(c, now_us, kCodeOther);
         return;
     }
-    if (c->answers_ahead > 0) {
-        c->answers_ahead--;
-        if (a->code != kCodeNone) {
-            /* A value or prepared statement was rejected, so the statement
-             * may run with a different state from the caller's. */
-            g_warning(
-                "server %s rejected a session value or prepared statement: %s",
-                s->id, a->code_text);
-            c->values_unknown = TRUE;
-        }
+    gboolean setup =
+        c->relay == 0 && server_session_is_open(&c->server_session);
+    if (setup) {
+        setup_answered(c, a);
+    }
+    if (--c->answers_left > 0) {
         return;
     }
     c->awaiting = FALSE;
     s->open_statements--;
     slow_start_gate_return(s, now_us, &c->permit);
-    if (a->code == kCodeNone && !c->begin_open) {
+    if (a->code == kCodeNone && !c->begin_open && !setup) {
         record_service_time(c, now_us);
     }
     if (a->code == kCodeBusy) {
@@ -478,16 +480,22 @@
     }
     record_position(c, a, now_us);
     if (c->state == kConnectionRollingBack) {
-        if (c->server_state != kSessionIdle) {
-            connection_close(c);
-            return;
-        }
-        connection_release(c, now_us);
+        rollback_answered(c, now_us);
+        return;
+    }
+    if (c->session == NULL) {
         return;
     }
-    if (c->session != NULL) {
-        session_answer(c->session, now_us, a);
+    if (c->server_session.rejection != kCodeNone) {
+        session_setup_rejected(c->session, now_us,
+                               c->server_session.rejection);
+        return;
+    }
+    if (setup) {
+        session_set_up(c->session, now_us);
+        return;
     }
+    session_answer(c->session, now_us, a);
 }
 
 /* Handles the loss of the connection, or its refusal with a code. */
--- a/src/sapphireweir/gateway/dispatch.c
+++ b/src/sapphireweir/gateway/dispatch.c
@@ -76,8 +76,8 @@
 }
 
 /* Tells whether a server may serve the session's open statement. */
-static gboolean
-server_may_serve(const Session *s, const Server *server, uint64_t now_us)
+gboolean
+dispatch_may_serve(const Session *s, const Server *server, uint64_t now_us)
 {
     const Database *d = s->database;
     Position after;
@@ -120,7 +120,7 @@
     gboolean primary = server == database_primary(d, now_us);
     gboolean relayed = region_access_relays(s, server, now_us);
     PlacementCandidate c = {
-        .usable = server_may_serve(s, server, now_us) &&
+        .usable = dispatch_may_serve(s, server, now_us) &&
                   now_us >= server->avoid_until_us &&
                   (!relayed || dispatch_is_admitted(s, server, now_us)),
         .primary = primary,
@@ -181,7 +181,7 @@
 
     for (guint i = 0; i < servers->len; i++) {
         const Server *server = g_ptr_array_index(servers, i);
-        if (server_may_serve(s, server, now_us) &&
+        if (dispatch_may_serve(s, server, now_us) &&
             now_us >= server->avoid_until_us && relay_usable(server, now_us) &&
             !dispatch_is_admitted(s, server, now_us)) {
             return server;
@@ -252,7 +252,7 @@
     }
     for (guint i = 0; i < d->servers->len; i++) {
         const Server *server = g_ptr_array_index(d->servers, i);
-        if (server_may_serve(s, server, now_us)) {
+        if (dispatch_may_serve(s, server, now_us)) {
             throughput_milli_per_s += server_throughput_milli_per_s(server);
         }
     }
@@ -342,7 +342,7 @@
 static gboolean
 start_at(Session *s, Server *server, uint64_t now_us)
 {
-    Connection *c = server_idle_connection(server, session_team_name(s));
+    Connection *c = server_connection_for(server, s);
 
     if (region_access_relays(s, server, now_us)) {
         dispatch_dequeue(s);
@@ -458,6 +458,8 @@
     Job *job = &s->job;
 
     job->sent = FALSE;
+    job->setting_up = FALSE;
+    job->held = FALSE;
     job->attempts++;
     job->retry_at_us = now_us + delay_us;
     if (job->attempts >= kAttemptsMax ||
@@ -475,7 +477,8 @@
 static gboolean
 may_start_at(const Session *s, const Server *server, uint64_t now_us)
 {
-    return now_us >= s->job.retry_at_us && server_may_serve(s, server, now_us);
+    return now_us >= s->job.retry_at_us &&
+           dispatch_may_serve(s, server, now_us);
 }
 
 /* Tells whether a statement may open a connection: below the connection limit
--- a/src/sapphireweir/gateway/gateway.h
+++ b/src/sapphireweir/gateway/gateway.h
@@ -58,6 +58,7 @@
     kRefusedCold,        /* the limit on a cold server leaves no time for it */
     kRefusedEvacuated,   /* only evacuated servers could run it */
     kRefusedLevel,       /* the servers' owners admit only more urgent work */
+    kRefusedSetup,       /* no answer to the session's state in time */
     kRefusalReasons,
 } RefusalReason;
 
@@ -95,6 +96,10 @@
     /* Directory records of a server older than what was known, ignored. */
     uint64_t server_records_older;
     uint64_t relayed; /* statements sent to the owner of a server */
+    /* Times that a connection got a session's state before the statement, and
+     * that the server rejected a part of it. */
+    uint64_t session_setups;
+    uint64_t session_setups_rejected;
     /* Statements of borrowers that this owner rejected before they ran. */
     uint64_t relays_rejected;
     /* Statements of borrowers that this owner kept although they were expected
--- a/src/sapphireweir/gateway/gateway_internal.h
+++ b/src/sapphireweir/gateway/gateway_internal.h
@@ -7,6 +7,7 @@
 #include "gateway/command_batch.h"
 #include "gateway/gateway.h"
 #include "gateway/rate_pool.h"
+#include "gateway/server_session.h"
 #include "policy/admission_view.h"
 #include "policy/concurrency.h"
 #include "policy/connection_warmup.h"
@@ -156,16 +157,15 @@
     ConnectionState state;
     Session *session;
     uint64_t state_since_us;
-    uint32_t served;         /* statements run on it */
-    uint64_t sent_us;        /* when the open statement was sent */
-    gboolean values_unknown; /* needs a RESET before the next session */
-    GHashTable *values;      /* name -> value set at the server */
-    GHashTable *prepared;    /* canonical names prepared at the server */
-    uint32_t answers_ahead;  /* answers that precede the awaited one */
-    gboolean awaiting;       /* an answer is awaited */
-    gboolean begin_open;     /* the awaited answer belongs to a BEGIN */
-    gboolean timed;          /* the awaited result states held_us */
-    gboolean chosen;         /* see RelayRun.chosen */
+    uint32_t served;  /* statements run on it */
+    uint64_t sent_us; /* when the open statement was sent */
+    /* Of a borrowed connection: what its owner was told to set up. */
+    ServerSession server_session;
+    uint32_t answers_left; /* to the commands that were sent */
+    gboolean awaiting;     /* answers are awaited */
+    gboolean begin_open;   /* the awaited answer belongs to a BEGIN */
+    gboolean timed;        /* the awaited result states held_us */
+    gboolean chosen;       /* see RelayRun.chosen */
     /* Of the connection at the server, by the last answer. */
     SessionState server_state;
     SlowStartPermit permit; /* of the commands without an answer */
@@ -187,7 +187,8 @@
     char *prepared_text; /* text of that prepared statement */
     gboolean writes;
     gboolean needs_primary;
-    gboolean sent;
+    gboolean sent;       /* it, or what must precede it, to a server */
+    gboolean setting_up; /* only the session's state was sent for it so far */
     gboolean with_begin; /* sent together with the transaction's BEGIN */
     Server *server;      /* last server that the statement was sent to */
     gboolean charged;    /* a rate token was taken for it */
@@ -374,6 +375,8 @@
 
 /* dispatch.c */
 uint64_t dispatch_max_wait_us(const Session *s);
+gboolean dispatch_may_serve(const Session *s, const Server *server,
+                            uint64_t now_us);
 void dispatch_submit(Session *s, uint64_t now_us);
 void dispatch_dequeue(Session *s);
 void dispatch_pump(Server *server, uint64_t now_us);
@@ -404,6 +407,7 @@
 void server_failed(Server *s, uint64_t now_us, uint64_t since_us,
                    gboolean opening);
 void server_refused_connection(Server *s, uint64_t now_us);
+void server_rejected_setup(const Server *s, const ServerAnswer *a);
 void server_check_unresponsive(Server *s, uint64_t now_us, uint64_t sent_us);
 void server_record_service_time(Server *s, uint64_t took_us);
 
@@ -471,8 +475,9 @@
 void connection_run(Connection *c, Session *s, uint64_t now_us);
 void connection_release(Connection *c, uint64_t now_us);
 void connection_free(void *connection);
-uint32_t connection_commands(const Connection *c, const Session *s);
+uint32_t connection_commands(Connection *c, const Session *s);
 Connection *server_idle_connection(const Server *s, const char *team);
+Connection *server_connection_for(const Server *server, Session *s);
 Connection *server_oldest_idle(const Server *s, uint64_t now_us);
 
 /* session.c */
@@ -488,6 +493,8 @@
 
 /* session_answer.c */
 void session_answer(Session *s, uint64_t now_us, const ServerAnswer *a);
+void session_set_up(Session *s, uint64_t now_us);
+void session_setup_rejected(Session *s, uint64_t now_us, AnswerCode code);
 void session_connection_lost(Session *s, uint64_t now_us);
 void session_abort_at_primary(Session *s, uint64_t now_us);
 gboolean session_may_change(const Session *s);
--- a/src/sapphireweir/gateway/relay.c
+++ b/src/sapphireweir/gateway/relay.c
@@ -271,7 +271,6 @@
     m.chosen = c->chosen;
     frame.body_case = SW__FRAME__BODY_RELAY_RUN;
     frame.relay_run = &m;
-    c->answers_ahead = 0;
     g->counters.relayed++;
     if (o->pending_answers++ == 0) {
         o->last_seen_us = now_us;
@@ -392,6 +391,7 @@
         break;
     }
     ServerAnswer a = answer_of(m);
+    server_session_all_done(&c->server_session);
     if (c->session != NULL) {
         crossing_gate_observe(c->session, &a);
     }
--- a/src/sapphireweir/gateway/server.c
+++ b/src/sapphireweir/gateway/server.c
@@ -72,6 +72,15 @@
     s->connect_after_us = now_us + kFullPauseUs + (mixed >> 32) % kFullPauseUs;
 }
 
+/* Records that the server rejected a part of a session's state. */
+void
+server_rejected_setup(const Server *s, const ServerAnswer *a)
+{
+    s->database->gateway->counters.session_setups_rejected++;
+    g_warning("server %s rejected a session value or prepared statement: %s",
+              s->id, a->code_text);
+}
+
 /* Marks a server as failing when an answer to a command or connection attempt
  * sent at sent_us (zero: none awaited) is overdue, and triggers an early
  * report to the control leader when the failure lasts. */
--- a/src/sapphireweir/gateway/serverpool.c
+++ b/src/sapphireweir/gateway/serverpool.c
@@ -26,11 +26,14 @@
 /* ---- connections ---- */
 
 static void pool_pump(ServerPool *pool, uint64_t now_us);
+static void setup_rejected(PooledJob *j, uint64_t now_us, AnswerCode code);
+static void on_down(void *owner, uint64_t now_us, AnswerCode code);
 
 static void
 pooled_free(void *connection)
 {
     PooledConnection *c = connection;
+    server_session_clear(&c->server_session);
     g_free(c->team);
     g_free(c);
 }
@@ -47,6 +50,37 @@
     }
 }
 
+/* Counts the commands that a connection has sent: with a statement, BEGIN or
+ * ROLLBACK as one of the server's, else as setting up a session's state. */
+static void
+pooled_count(PooledConnection *c, gboolean statement)
+{
+    c->awaiting = TRUE;
+    c->counted = statement;
+    if (statement) {
+        c->pool->open++;
+    }
+    else {
+        c->pool->setups++;
+    }
+}
+
+/* Ends the count of the commands that a connection awaits answers to. */
+static void
+pooled_uncount(PooledConnection *c)
+{
+    if (!c->awaiting) {
+        return;
+    }
+    c->awaiting = FALSE;
+    if (c->counted) {
+        c->pool->open--;
+    }
+    else {
+        c->pool->setups--;
+    }
+}
+
 /* Closes a connection and detaches its job; its memory is freed in the next
  * tick. */
 void
@@ -58,14 +92,14 @@
     if (c->link == NULL) {
         return;
     }
-    if (c->state == kPooledOpening || c->awaiting) {
+    if (c->state == kPooledOpening) {
         pool->open--;
     }
+    pooled_uncount(c);
     pooled_ahead_ends(c, FALSE);
     slow_start_gate_lost(pool->server, &c->permit);
     g->port.server_close(g->port.ctx, c->link);
     c->link = NULL;
-    c->awaiting = FALSE;
     detach_opening(c);
     if (c->job != NULL) {
         c->job->connection = NULL;
@@ -86,7 +120,7 @@
     c->job = NULL;
     c->state = kPooledIdle;
     c->state_since_us = now_us;
-    c->dirty = TRUE;
+    server_session_trim(&c->server_session);
     if (c->session_state == kSessionIdle) {
         return;
     }
@@ -96,50 +130,65 @@
         return;
     }
     slow_start_gate_take(c->pool->server, now_us, TRUE, 1, &c->permit);
+    /* It is unspecified whether values survive a rollback. */
+    server_session_forget(&c->server_session);
     c->state = kPooledRollingBack;
-    c->awaiting = TRUE;
-    c->answers_ahead = 0;
+    c->answers_left = 1;
     c->sent_us = now_us;
-    c->pool->open++;
+    pooled_count(c, TRUE);
     g->port.server_send(g->port.ctx, c->link, &rollback, 1);
 }
 
-/* Sends commands of a borrower, preceded by a RESET if the connection may have
- * state of an earlier loan.  The awaited answer is that to the last one. */
+/* Appends a borrower's commands, except those that set up the session's
+ * state. */
 static void
-pooled_send(PooledConnection *c, Sw__RelayCommand *const *list, size_t count,
-            uint64_t now_us)
+add_commands(Sw__RelayCommand *const *list, size_t count, CommandBatch *batch)
+{
+    for (size_t i = 0; i < count; i++) {
+        ServerCommand command = pooled_command(list[i]);
+        if (!server_session_changes(command.kind)) {
+            command_batch_add(batch, command);
+        }
+    }
+}
+
+/* Sends commands; the connection awaits the answers to all of them. */
+static void
+pooled_send(PooledConnection *c, const CommandBatch *batch, uint64_t now_us)
 {
-    static CommandBatch batch;
     Gateway *g = c->pool->gateway;
 
+    c->sent_us = now_us;
+    c->answers_left = (uint32_t)batch->count;
+    pooled_count(c, !server_session_is_open(&c->server_session));
+    g->port.server_send(g->port.ctx, c->link, batch->commands, batch->count);
+}
+
+/* Sends what follows the session's state, or the BEGIN, of a job. */
+void
+pooled_send_rest(PooledConnection *c, PooledJob *j, uint64_t now_us)
+{
+    static CommandBatch batch;
+    const Sw__RelayRun *m = j->run;
+
     command_batch_clear(&batch);
-    if (c->dirty) {
-        command_batch_add(&batch, (ServerCommand){.kind = kCommandReset});
-        c->dirty = FALSE;
+    j->setting_up = FALSE;
+    if (j->begun) {
+        add_commands(m->after_begin, m->n_after_begin, &batch);
     }
-    for (size_t i = 0; i < count; i++) {
-        const Sw__RelayCommand *r = list[i];
-        command_batch_add(&batch, (ServerCommand){.kind = (CommandKind)r->kind,
-                                                  .id = r->id,
-                                                  .text = r->text,
-                                                  .name = r->name,
-                                                  .value = r->value,
-                                                  .writes = r->writes,
-                                                  .after = {r->after_term,
-                                                            r->after_number}});
+    else {
+        add_commands(m->commands, m->n_commands, &batch);
     }
-    c->sent_us = now_us;
-    c->awaiting = TRUE;
-    c->answers_ahead = (uint32_t)batch.count - 1;
-    c->pool->open++;
-    g->port.server_send(g->port.ctx, c->link, batch.commands, batch.count);
+    pooled_send(c, &batch, now_us);
 }
 
-/* Sends a job's commands. */
+/* Runs a job in the same steps as connection_run does: the session's state,
+ * unless the connection has it, together with the BEGIN, if there is one; then
+ * the statement. */
 void
 pooled_run(PooledConnection *c, PooledJob *j, uint64_t now_us)
 {
+    static CommandBatch batch;
     Gateway *g = c->pool->gateway;
 
     histogram_observe(&g->counters.queue, now_us - j->arrived_us);
@@ -154,20 +203,59 @@
     j->begin_open = j->run->n_after_begin > 0;
     slow_start_gate_take(c->pool->server, now_us, TRUE, pooled_cost(c, j),
                          &c->permit);
-    pooled_send(c, j->run->commands, j->run->n_commands, now_us);
+    command_batch_clear(&batch);
+    if (!server_session_add(&c->server_session, pooled_job_needed(j),
+                            j->run->continues, &batch)) {
+        slow_start_gate_return(c->pool->server, now_us, &c->permit);
+        setup_rejected(j, now_us, kCodeOther);
+        return;
+    }
+    j->setting_up = batch.count > 0;
+    g->counters.session_setups += j->setting_up;
+    if (!j->setting_up) {
+        pooled_send_rest(c, j, now_us);
+        return;
+    }
+    if (j->begin_open) {
+        add_commands(j->run->commands, j->run->n_commands, &batch);
+    }
+    pooled_send(c, &batch, now_us);
 }
 
-/* Returns an idle connection of a team or NULL. */
+/* Tells whether connection a, which has not the session's state, is better
+ * used for it than b: connections without a session's state are kept for
+ * sessions that need none. */
+static gboolean
+is_better(const PooledConnection *a, const PooledConnection *b)
+{
+    gboolean a_clean = server_session_is_clean(&a->server_session);
+    gboolean b_clean = server_session_is_clean(&b->server_session);
+
+    return a_clean == b_clean ? a->state_since_us < b->state_since_us
+                              : b_clean;
+}
+
+/* Returns the idle connection that a job would use, or NULL: one that has the
+ * session's state already, else the one that has been idle longest. */
 PooledConnection *
-pooled_idle_of_team(const ServerPool *pool, const char *team)
+pooled_idle_for(ServerPool *pool, const PooledJob *j)
 {
+    const CommandBatch *needed = pooled_job_needed(j);
+    PooledConnection *best = NULL;
+
     for (guint i = 0; i < pool->connections->len; i++) {
         PooledConnection *c = g_ptr_array_index(pool->connections, i);
-        if (c->state == kPooledIdle && strcmp(c->team, team) == 0) {
+        if (c->state != kPooledIdle || strcmp(c->team, j->team) != 0) {
+            continue;
+        }
+        if (server_session_matches(&c->server_session, needed, FALSE)) {
             return c;
         }
+        if (best == NULL || is_better(c, best)) {
+            best = c;
+        }
     }
-    return NULL;
+    return best;
 }
 
 /* Returns the connection that has been idle longest or NULL. */
@@ -218,62 +306,87 @@
     pooled_job_enqueue(j);
 }
 
-/* Handles one answer of the server. */
+/* Handles a part of the session's state that the server rejected with a code.
+ * The job's statement has not been sent.  A rejection other than BUSY leaves
+ * it open what the connection is good for, so that it is closed. */
 static void
-on_answer(void *owner, uint64_t now_us, const ServerAnswer *a)
+setup_rejected(PooledJob *j, uint64_t now_us, AnswerCode code)
 {
-    PooledConnection *c = owner;
-    ServerPool *pool = c->pool;
-    PooledJob *j = c->job;
-
-    server_answered(pool->server, now_us);
-    slow_start_gate_contact(pool->server, now_us);
-    c->session_state = a->state;
-    if (!c->awaiting || (j == NULL && c->state != kPooledRollingBack)) {
+    PooledConnection *c = j->connection;
+    ServerAnswer a = {.code = code == kCodeMalformed ? code : kCodeBusy,
+                      .detail = "not run: the server rejected a session "
+                                "value or prepared statement",
+                      .state = c->session_state};
+
+    j->begin_open = FALSE;
+    j->setting_up = FALSE;
+    if (j->run->continues) {
+        /* The borrower ends the transaction. */
+        sw__relay_run__free_unpacked(j->run, NULL);
+        j->run = NULL;
+        pooled_job_answer(j, now_us, &a);
+    }
+    else if (code == kCodeBusy) {
+        requeue_job(j, now_us);
+    }
+    else if (code == kCodeMalformed) {
+        /* Other servers would reject it as well. */
+        pooled_job_answer(j, now_us, &a);
+        pooled_job_remove(j);
+        pooled_end_loan(c, now_us);
+    }
+    else {
+        pooled_job_reject(j, now_us);
         pooled_close(c);
-        return;
     }
-    if (c->answers_ahead > 0) {
-        c->answers_ahead--;
-        if (a->code != kCodeNone) {
-            g_warning(
-                "server %s rejected a session value or prepared statement: %s",
-                pool->server->id, a->code_text);
-            c->dirty = TRUE;
-        }
-        return;
+}
+
+/* Handles the answer to a command that sets up the state of a job's
+ * session. */
+static void
+setup_answered(PooledConnection *c, const PooledJob *j, const ServerAnswer *a)
+{
+    SessionState expected =
+        j->run->continues ? kSessionInTransaction : kSessionIdle;
+
+    if (!server_session_answered(&c->server_session, a, expected)) {
+        server_rejected_setup(c->pool->server, a);
     }
-    c->awaiting = FALSE;
-    pool->open--;
-    if (c->state == kPooledRollingBack) {
-        slow_start_gate_return(pool->server, now_us, &c->permit);
-        if (a->state == kSessionIdle) {
-            c->state = kPooledIdle;
-        }
-        else {
-            pooled_close(c);
-        }
-        pool_pump(pool, now_us);
-        return;
+}
+
+/* Handles the answer to a ROLLBACK. */
+static void
+rollback_answered(PooledConnection *c, uint64_t now_us, const ServerAnswer *a)
+{
+    slow_start_gate_return(c->pool->server, now_us, &c->permit);
+    if (a->state == kSessionIdle) {
+        c->state = kPooledIdle;
     }
-    j->last_answer_us = now_us;
-    if (j->begin_open && a->code == kCodeNone) {
-        j->begin_open = FALSE;
-        j->begun = TRUE;
-        pooled_send(c, j->run->after_begin, j->run->n_after_begin, now_us);
-        return;
+    else {
+        pooled_close(c);
+    }
+}
+
+/* Handles the answer to a job's statement, or to a BEGIN that failed. */
+static void
+job_answered(PooledJob *j, uint64_t now_us, const ServerAnswer *a)
+{
+    ServerPool *pool = j->pool;
+    PooledConnection *c = j->connection;
+    gboolean single = j->run->single;
+
+    if (a->code == kCodeNoStatement) {
+        /* The server has dropped what it had acknowledged. */
+        server_session_forget(&c->server_session);
     }
-    slow_start_gate_return(pool->server, now_us, &c->permit);
     if (a->code == kCodeBusy && !j->run->continues && !j->begun) {
         requeue_job(j, now_us);
-        pool_pump(pool, now_us);
         return;
     }
     if (a->code == kCodeNone) {
         server_record_service_time(pool->server, now_us - c->sent_us);
         admission_finished(&pool->admission, &j->work, now_us - c->sent_us);
     }
-    gboolean single = j->run->single;
     sw__relay_run__free_unpacked(j->run, NULL);
     j->run = NULL;
     pooled_job_answer(j, now_us, a);
@@ -281,6 +394,85 @@
         pooled_job_remove(j);
         pooled_end_loan(c, now_us);
     }
+}
+
+/* Tells whether a job whose session state is set up may send its statement: if
+ * the server has room, or the job waits no longer, as it continues a
+ * transaction or has been counted by the limit of a cold server. */
+static gboolean
+may_send_now(const PooledJob *j, uint64_t now_us)
+{
+    const ServerPool *pool = j->pool;
+
+    return serverpool_has_room(pool) || !j->setting_up || j->run->continues ||
+           slow_start_gate_is_limited(pool->server, now_us);
+}
+
+/* Handles the last answer to the commands that were sent for a job.  setup:
+ * it is that to a command that sets up the session's state. */
+static void
+job_continue(PooledJob *j, uint64_t now_us, const ServerAnswer *a,
+             gboolean setup)
+{
+    PooledConnection *c = j->connection;
+
+    if (c->server_session.rejection == kCodeNone && j->begin_open &&
+        a->code == kCodeNone) {
+        j->begin_open = FALSE;
+        j->begun = TRUE;
+        setup = TRUE;
+    }
+    if (c->server_session.rejection == kCodeNone && setup) {
+        if (may_send_now(j, now_us)) {
+            pooled_send_rest(c, j, now_us);
+        }
+        else {
+            pooled_ready(j);
+        }
+        return;
+    }
+    slow_start_gate_return(j->pool->server, now_us, &c->permit);
+    if (c->server_session.rejection != kCodeNone) {
+        setup_rejected(j, now_us, c->server_session.rejection);
+        return;
+    }
+    job_answered(j, now_us, a);
+}
+
+/* Handles one answer of the server. */
+static void
+on_answer(void *owner, uint64_t now_us, const ServerAnswer *a)
+{
+    PooledConnection *c = owner;
+    ServerPool *pool = c->pool;
+    PooledJob *j = c->job;
+
+    server_answered(pool->server, now_us);
+    slow_start_gate_contact(pool->server, now_us);
+    c->session_state = a->state;
+    if (!c->awaiting) {
+        on_down(c, now_us, kCodeOther);
+        return;
+    }
+    if (j == NULL && c->state != kPooledRollingBack) {
+        pooled_close(c);
+        return;
+    }
+    gboolean setup = j != NULL && server_session_is_open(&c->server_session);
+    if (setup) {
+        setup_answered(c, j, a);
+    }
+    if (--c->answers_left > 0) {
+        return;
+    }
+    pooled_uncount(c);
+    if (c->state == kPooledRollingBack) {
+        rollback_answered(c, now_us, a);
+    }
+    else {
+        j->last_answer_us = now_us;
+        job_continue(j, now_us, a, setup);
+    }
     pool_pump(pool, now_us);
 }
 
@@ -345,6 +537,17 @@
     return pool->open < MAX(pool->server->slots, 1) + kExtraStatements;
 }
 
+/* Tells whether a job may be started on an idle connection: its statement may
+ * be sent, or the session's state set up for it. */
+gboolean
+pooled_may_start(PooledConnection *c, const PooledJob *j, uint64_t now_us)
+{
+    return server_session_matches(&c->server_session, pooled_job_needed(j),
+                                  FALSE)
+               ? serverpool_has_room(c->pool)
+               : serverpool_may_set_up(c->pool, now_us);
+}
+
 /* Returns how many connections may be open.  For a while after the server
  * refused one, none may be added. */
 uint32_t
@@ -387,6 +590,7 @@
 {
     GList *next;
 
+    pooled_ready_pump(pool, now_us);
     if (!pooled_run_held(pool, now_us)) {
         return;
     }
@@ -394,15 +598,18 @@
         serverpool_queue_pump(pool, now_us);
         return;
     }
-    for (GList *l = pool->waiting.head; l != NULL && serverpool_has_room(pool);
-         l = next) {
+    for (GList *l = pool->waiting.head; l != NULL; l = next) {
         PooledJob *j = l->data;
-        PooledConnection *c = pooled_idle_of_team(pool, j->team);
+        PooledConnection *c = pooled_idle_for(pool, j);
         next = l->next;
-        if (c != NULL && now_us >= j->retry_at_us &&
-            pooled_may_send(c, j, now_us)) {
-            pooled_run(c, j, now_us);
+        if (c == NULL || now_us < j->retry_at_us ||
+            !pooled_may_send(c, j, now_us)) {
+            continue;
+        }
+        if (!pooled_may_start(c, j, now_us)) {
+            break;
         }
+        pooled_run(c, j, now_us);
     }
     for (GList *l = pool->waiting.head; l != NULL && serverpool_has_room(pool);
          l = l->next) {
@@ -678,15 +885,24 @@
     server_check_unresponsive(pool->server, now_us, oldest_us);
 }
 
+/* Tells whether a job may go on waiting: it can run in time, and the server
+ * works and may be used. */
+gboolean
+pooled_may_wait(const PooledJob *j, uint64_t now_us)
+{
+    const Server *s = j->pool->server;
+    gboolean failing = s->failing_since_us != 0 &&
+                       now_us - s->failing_since_us > kFailingMaxWaitUs;
+
+    return !failing && !s->gone && now_us < j->deadline_us &&
+           evacuation_may_start(s, now_us);
+}
+
 /* Moves jobs that have missed their latency objective behind those that can
- * still meet theirs.  Rejects jobs that cannot run in time or wait for a
- * failing server. */
+ * still meet theirs.  Rejects jobs that must not wait any longer. */
 static void
 waiting_tick(ServerPool *pool, uint64_t now_us)
 {
-    const Server *s = pool->server;
-    gboolean failing = s->failing_since_us != 0 &&
-                       now_us - s->failing_since_us > kFailingMaxWaitUs;
     GPtrArray *jobs = g_ptr_array_new();
 
     for (GList *l = pool->waiting.head; l != NULL; l = l->next) {
@@ -694,8 +910,7 @@
     }
     for (guint i = 0; i < jobs->len; i++) {
         PooledJob *j = g_ptr_array_index(jobs, i);
-        if (failing || s->gone || now_us >= j->deadline_us ||
-            !evacuation_may_start(s, now_us)) {
+        if (!pooled_may_wait(j, now_us)) {
             pooled_job_reject(j, now_us);
             continue;
         }
@@ -723,6 +938,7 @@
     end_jobs(pool->gateway, now_us, is_idle_too_long, pool);
     waiting_tick(pool, now_us);
     pooled_held_tick(pool, now_us);
+    pooled_ready_tick(pool, now_us);
     serverpool_queue_tick(pool, now_us);
     pool_pump(pool, now_us);
 }
@@ -781,6 +997,7 @@
     }
     g_queue_clear(&pool->waiting);
     g_queue_clear(&pool->held);
+    g_queue_clear(&pool->ready);
     admission_clear(&pool->admission);
     g_ptr_array_unref(pool->connections);
     g_ptr_array_unref(pool->closed);
--- a/src/sapphireweir/gateway/serverpool_cold.c
+++ b/src/sapphireweir/gateway/serverpool_cold.c
@@ -5,17 +5,22 @@
  * the owner's share allows them.  Those of a transaction that runs already
  * keep their connection meanwhile and go before new work. */
 
-/* Returns how many requests the server gets when a job's commands are sent,
- * with a RESET and with those behind a BEGIN. */
+/* Returns how many requests the server gets when a job is run: those that set
+ * up the session's state, and the job's other commands. */
 uint32_t
-pooled_cost(const PooledConnection *c, const PooledJob *j)
+pooled_cost(PooledConnection *c, const PooledJob *j)
 {
-    return (uint32_t)(c->dirty + j->run->n_commands + j->run->n_after_begin);
+    const CommandBatch *needed = pooled_job_needed(j);
+    size_t all = j->run->n_commands + j->run->n_after_begin;
+
+    return server_session_count(&c->server_session, needed,
+                                j->run->continues) +
+           (uint32_t)(all - needed->count);
 }
 
 /* Tells whether the server's limit allows a job's commands now. */
 gboolean
-pooled_may_send(const PooledConnection *c, const PooledJob *j, uint64_t now_us)
+pooled_may_send(PooledConnection *c, const PooledJob *j, uint64_t now_us)
 {
     return slow_start_gate_wait_us(c->pool->server, now_us, TRUE,
                                    pooled_cost(c, j)) == 0;
--- a/src/sapphireweir/gateway/serverpool_job.c
+++ b/src/sapphireweir/gateway/serverpool_job.c
@@ -68,12 +68,46 @@
 {
     pooled_job_dequeue(j);
     pooled_unhold(j);
+    pooled_unready(j);
     if (j->connection != NULL) {
         j->connection->job = NULL;
     }
     g_hash_table_remove(j->pool->gateway->pooled_jobs, j->key);
 }
 
+/* Returns a borrower's command, which borrows its strings. */
+ServerCommand
+pooled_command(const Sw__RelayCommand *c)
+{
+    return (ServerCommand){.kind = (CommandKind)c->kind,
+                           .id = c->id,
+                           .text = c->text,
+                           .name = c->name,
+                           .value = c->value,
+                           .writes = c->writes,
+                           .after = {c->after_term, c->after_number}};
+}
+
+/* Returns the commands of a job that set up its session's state.  They are
+ * valid until the next call. */
+const CommandBatch *
+pooled_job_needed(const PooledJob *j)
+{
+    static CommandBatch needed;
+    const Sw__RelayRun *m = j->run;
+
+    command_batch_clear(&needed);
+    for (size_t i = 0; i < m->n_commands + m->n_after_begin; i++) {
+        ServerCommand c = pooled_command(
+            i < m->n_commands ? m->commands[i]
+                              : m->after_begin[i - m->n_commands]);
+        if (server_session_changes(c.kind)) {
+            command_batch_add(&needed, c);
+        }
+    }
+    return &needed;
+}
+
 /* ---- expected waits ---- */
 
 /* Returns the throughput of a server, in thousandths of a statement per
@@ -176,11 +210,12 @@
 }
 
 /* Reports a job as lost, whose commands may have run, and removes it.  Held
- * commands have not run. */
+ * commands have not run, nor has a statement whose session was still being set
+ * up. */
 void
 pooled_job_lost(PooledJob *j, uint64_t now_us)
 {
-    if (j->held) {
+    if (j->held || j->setting_up) {
         pooled_job_reject(j, now_us);
         return;
     }
--- a/src/sapphireweir/gateway/serverpool_queue.c
+++ b/src/sapphireweir/gateway/serverpool_queue.c
@@ -185,13 +185,13 @@
     const StartCheck *check = ctx;
     ServerPool *pool = check->pool;
     const Server *s = pool->server;
-    const PooledJob *j = job_of(check->works[index]);
+    PooledJob *j = job_of(check->works[index]);
     uint64_t now_us = check->now_us;
 
     if (now_us < j->retry_at_us || (!j->run->single && !check->transactions)) {
         return kAdmissionBlocked;
     }
-    const PooledConnection *idle = pooled_idle_of_team(pool, j->team);
+    PooledConnection *idle = pooled_idle_for(pool, j);
     if (idle != NULL) {
         return pooled_may_send(idle, j, now_us) ? kAdmissionMatched
                                                 : kAdmissionBlocked;
@@ -222,7 +222,7 @@
 {
     ServerPool *pool = j->pool;
     Admission *a = &pool->admission;
-    PooledConnection *c = pooled_idle_of_team(pool, j->team);
+    PooledConnection *c = pooled_idle_for(pool, j);
 
     if (c != NULL) {
         admission_started(a, &j->work);
@@ -239,11 +239,23 @@
     j->opening = pooled_open(pool, j->team, now_us);
 }
 
-/* Starts waiting jobs as far as the server has room. */
+/* Tells whether a job that was chosen may be started now. */
+static gboolean
+may_begin(PooledJob *j, uint64_t now_us)
+{
+    PooledConnection *c = pooled_idle_for(j->pool, j);
+
+    return c == NULL ? serverpool_has_room(j->pool)
+                     : pooled_may_start(c, j, now_us);
+}
+
+/* Starts waiting jobs as far as the server has room, or their sessions' state
+ * may be set up ahead. */
 void
 serverpool_queue_pump(ServerPool *pool, uint64_t now_us)
 {
-    while (pool->waiting.length > 0 && serverpool_has_room(pool)) {
+    while (pool->waiting.length > 0 && (serverpool_has_room(pool) ||
+                                        serverpool_may_set_up(pool, now_us))) {
         uint32_t max_held =
             serverpool_max_connections(pool, now_us) * kIdlePercent / 100;
         StartCheck check = {
@@ -257,7 +269,7 @@
         PooledJob *j =
             chosen == kAdmissionNone ? NULL : job_of(check.works[chosen]);
         g_free(check.works);
-        if (j == NULL) {
+        if (j == NULL || !may_begin(j, now_us)) {
             return;
         }
         job_begin(j, now_us);
--- a/src/sapphireweir/gateway/session.c
+++ b/src/sapphireweir/gateway/session.c
@@ -22,6 +22,9 @@
     kMaxRateRetryUs = 5000000, /* upper limit of the retry hint to callers */
     /* Retry hint; another instance may be in contact with the leader. */
     kUnconfirmedRetryUs = 1000000,
+    /* Retry hint after a server stopped answering; by then it answers again or
+     * is avoided. */
+    kSetupRetryUs = 1000000,
     /* Memory of a kept value or prepared statement beside its texts. */
     kKeptOverheadBytes = 96,
 };
@@ -349,6 +352,7 @@
         [kRefusedCold] = "the server is still cold",
         [kRefusedEvacuated] = "failure domain is evacuated",
         [kRefusedLevel] = "more urgent work fills the servers",
+        [kRefusedSetup] = "the server did not take over the session's values",
     };
     char detail[96];
 
@@ -780,15 +784,21 @@
 static void
 job_tick(Session *s, uint64_t now_us)
 {
+    gboolean sent = s->job.sent && !s->job.setting_up;
+
     if (s->job.sent && now_us >= s->job.deadline_us) {
         s->gateway->counters.timeouts++;
+        if (!sent) {
+            session_refuse(s, now_us, kRefusedSetup, kSetupRetryUs);
+            return;
+        }
         give_up_answer(s, now_us, "no answer within the time limit");
         return;
     }
     if (!drain_has_used(s->gateway, now_us, kDrainLimitPercent)) {
         return;
     }
-    if (s->job.sent) {
+    if (sent) {
         give_up_answer(s, now_us, "no answer before the end of the shutdown");
         return;
     }
--- a/src/sapphireweir/gateway/session_answer.c
+++ b/src/sapphireweir/gateway/session_answer.c
@@ -63,7 +63,8 @@
     uint64_t delay_us = 0;
 
     if (a->code == kCodeNoStatement) {
-        g_clear_pointer(&c->prepared, g_hash_table_destroy);
+        /* The server has dropped what it had acknowledged. */
+        server_session_forget(&c->server_session);
     }
     if (s->begun) {
         if (a->state == kSessionInTransaction &&
@@ -240,6 +241,56 @@
     answer_error(s, now_us, a);
 }
 
+/* Continues with the open statement once the server has acknowledged the
+ * session's state.  Meanwhile the configuration may have changed, and the
+ * server may not be used any more. */
+void
+session_set_up(Session *s, uint64_t now_us)
+{
+    Connection *c = s->connection;
+
+    if (session_check_key(s, now_us)) {
+        return;
+    }
+    if (!s->begun && !dispatch_may_serve(s, c->server, now_us)) {
+        s->connection = NULL;
+        c->session = NULL;
+        connection_release(c, now_us);
+        dispatch_retry(s, now_us, 0);
+        return;
+    }
+    slow_start_gate_run(c, s, now_us);
+}
+
+/* Handles a value or prepared statement of the session that the server
+ * rejected with a code.  The open statement has not been sent.  A rejection
+ * other than BUSY leaves it open what the connection is good for, so that it
+ * is closed. */
+void
+session_setup_rejected(Session *s, uint64_t now_us, AnswerCode code)
+{
+    static const char detail[] = "not run: the server rejected a session "
+                                 "value or prepared statement";
+    static const ServerAnswer busy = {.code = kCodeBusy};
+    Connection *c = s->connection;
+
+    if (s->begun) {
+        session_finish(s, now_us, kCodeAborted, detail);
+        return;
+    }
+    if (code == kCodeMalformed) {
+        /* Other servers would reject it as well. */
+        session_finish(s, now_us, kCodeMalformed, detail);
+        return;
+    }
+    if (code != kCodeBusy) {
+        connection_close(c);
+        dispatch_retry(s, now_us, kBusyRetryUs);
+        return;
+    }
+    answer_not_run(s, now_us, &busy);
+}
+
 /* Handles the loss of the session's connection, which is already closed.  A
  * statement that was sent with the transaction's BEGIN may have run and is not
  * repeated. */
@@ -256,7 +307,12 @@
         s->begun = FALSE;
         return;
     }
-    if (begun && (job->kind != kStatementCommit || job->held)) {
+    if (job->setting_up && !begun) {
+        dispatch_retry(s, now_us, 0);
+        return;
+    }
+    if (begun &&
+        (job->kind != kStatementCommit || job->held || job->setting_up)) {
         session_finish(s, now_us, kCodeAborted, "the connection was lost");
         return;
     }
--- a/test/unit/test_model.c
+++ b/test/unit/test_model.c
@@ -10,14 +10,14 @@
 /* Random orders of statements, lost connections and answers, changes of keys
  * and of the primary, and stops, against a reference model of the rules: what
  * may run where and for whom, which commit is in whose log, and which answer
- * may be given.  Guards against an answer that is mistaken for that of another
- * command, a connection that is reused with a transaction open or with other
- * values, work for a team that no longer holds the key, and work that a stop
- * cuts off.  The owner of the servers' connections is this instance, another
- * one, or cannot be reached.
+ * may be given.  Guards against an answer that is mistaken for that of
+ * another command, a connection that is reused with a transaction open or
+ * with other values, also where a server rejects some, work for a team that
+ * no longer holds the key, and work that a stop cuts off.  The owner of the
+ * servers' connections is this instance, another one, or cannot be reached.
  *
- * SAPPHIREWEIR_MODEL_SEED and _ORDERS select the orders; the order with seed n
- * is the same in each run. */
+ * SAPPHIREWEIR_MODEL_SEED and _ORDERS select the orders; the order with seed
+ * n is the same in each run. */
 
 enum {
     kOrders = 10000,
@@ -27,6 +27,7 @@
     kTeams = 2,
     kUsPerMs = 1000,
     kManyValues = 170,
+    kRejectedSetup = 200, /* one of so many commands that set up a session */
     kTimeoutMs = 300,
     kGraceMs = 200, /* of a stop; ends before the time limit of statements */
     kGraceUsedMs = kGraceMs * 95 / 100,
@@ -299,7 +300,14 @@
 run_command(Model *m, LoneLink *link, const Command *c, ServerAnswer *a)
 {
     ServerSide *s = side_of(m, link);
+    gboolean setup = c->kind == kCommandReset || c->kind == kCommandSet ||
+                     c->kind == kCommandPrepare;
 
+    if (setup && draw(m, kRejectedSetup) == 0) {
+        a->code = draw(m, 2) == 0 ? kCodeBusy : kCodeFailed;
+        a->state = s->state;
+        return;
+    }
     switch (c->kind) {
     case kCommandReset:
         g_hash_table_remove_all(s->values);
--- a/test/unit/test_serverpool.c
+++ b/test/unit/test_serverpool.c
@@ -17,6 +17,7 @@
     GString *sent; /* ids of the statements in the order of sending */
     GQueue busy;   /* numbers of links with an unanswered statement */
     uint32_t rejected, admitted;
+    uint32_t setups; /* commands that set up a session's state */
 } Owner;
 
 static uint32_t route_priority; /* of the decoded document */
@@ -62,6 +63,7 @@
     g_string_append(o->sent, last->id == NULL ? "" : last->id);
     for (size_t i = 0; i < count; i++) {
         g_queue_push_tail(&o->busy, link);
+        o->setups += commands[i].kind == kCommandSet;
     }
 }
 
@@ -89,6 +91,29 @@
     (void)ctx, (void)address;
 }
 
+/* Reports the server with a number of slots. */
+static void
+report_server(Owner *o, uint32_t slots, uint64_t sequence)
+{
+    Sw__Frame frame = SW__FRAME__INIT;
+    Sw__DirectoryUpdate directory = SW__DIRECTORY_UPDATE__INIT;
+    Sw__ServerRecord server = SW__SERVER_RECORD__INIT;
+    Sw__ServerRecord *servers[] = {&server};
+
+    server.id = "s";
+    server.database = "d";
+    server.address = "a";
+    server.failure_domain = "0";
+    server.slots = slots;
+    server.sequence = sequence;
+    directory.full = TRUE;
+    directory.n_servers = 1;
+    directory.servers = servers;
+    frame.body_case = SW__FRAME__BODY_DIRECTORY_UPDATE;
+    frame.directory_update = &directory;
+    gateway_frame(o->gateway, kBase, "c0", &frame);
+}
+
 static Owner *
 owner_new(uint32_t priority, uint32_t slots)
 {
@@ -103,9 +128,6 @@
     uint8_t version = 1;
     Sw__Frame frame = SW__FRAME__INIT;
     Sw__DocumentUpdate document = SW__DOCUMENT_UPDATE__INIT;
-    Sw__DirectoryUpdate directory = SW__DIRECTORY_UPDATE__INIT;
-    Sw__ServerRecord server = SW__SERVER_RECORD__INIT;
-    Sw__ServerRecord *servers[] = {&server};
     Sw__EntryGrant grant = SW__ENTRY_GRANT__INIT;
 
     route_priority = priority;
@@ -117,17 +139,7 @@
     frame.body_case = SW__FRAME__BODY_DOCUMENT_UPDATE;
     frame.document_update = &document;
     gateway_frame(o->gateway, kBase, "c0", &frame);
-    server.id = "s";
-    server.database = "d";
-    server.address = "a";
-    server.failure_domain = "0";
-    server.slots = slots;
-    directory.full = TRUE;
-    directory.n_servers = 1;
-    directory.servers = servers;
-    frame.body_case = SW__FRAME__BODY_DIRECTORY_UPDATE;
-    frame.directory_update = &directory;
-    gateway_frame(o->gateway, kBase, "c0", &frame);
+    report_server(o, slots, 0);
     /* No work starts before a list of evacuated domains is known. */
     frame.body_case = SW__FRAME__BODY_ENTRY_GRANT;
     grant.term = 1;
@@ -147,25 +159,30 @@
     g_free(o);
 }
 
-/* Delivers a borrower's statement, named by a letter.  level: of the work, or
- * kAdmissionNone for an older sender. */
+/* Delivers a borrower's statement, named by a letter, for a session with a
+ * value or none, NULL.  level: of the work, or kAdmissionNone for an older
+ * sender. */
 static void
-run(Owner *o, uint64_t now_us, char name, int level, uint64_t target_ms,
-    gboolean transaction)
+run_with(Owner *o, uint64_t now_us, char name, int level, uint64_t target_ms,
+         gboolean transaction, char *value)
 {
     char id[2] = {name, '\0'};
+    Sw__RelayCommand set = SW__RELAY_COMMAND__INIT;
     Sw__RelayCommand command = SW__RELAY_COMMAND__INIT;
-    Sw__RelayCommand *commands[] = {&command};
+    Sw__RelayCommand *commands[] = {&set, &command};
     Sw__RelayRun m = SW__RELAY_RUN__INIT;
     Sw__Frame frame = SW__FRAME__INIT;
 
+    set.kind = kCommandSet;
+    set.name = "zone";
+    set.value = value;
     command.kind = kCommandStatement;
     command.id = id;
     m.relay = (uint64_t)name;
     m.server = "s";
     m.team = "t";
-    m.n_commands = 1;
-    m.commands = commands;
+    m.n_commands = value == NULL ? 1 : 2;
+    m.commands = value == NULL ? &commands[1] : commands;
     m.target_us = target_ms * kMs;
     m.due_us = 5000 * kMs;
     m.patience_us = 5000 * kMs;
@@ -177,6 +194,13 @@
     gateway_frame(o->gateway, now_us, "e1", &frame);
 }
 
+static void
+run(Owner *o, uint64_t now_us, char name, int level, uint64_t target_ms,
+    gboolean transaction)
+{
+    run_with(o, now_us, name, level, target_ms, transaction, NULL);
+}
+
 /* Accepts all connections and answers the oldest open command. */
 static void
 answer(Owner *o, uint64_t now_us, SessionState state)
@@ -237,22 +261,30 @@
     }
 }
 
+/* Delivers a borrower's message that a loan has ended. */
+static void
+end_loan(Owner *o, uint64_t now_us, char name)
+{
+    Sw__Frame frame = SW__FRAME__INIT;
+    Sw__RelayEnd end = SW__RELAY_END__INIT;
+
+    end.relay = (uint64_t)name;
+    frame.body_case = SW__FRAME__BODY_RELAY_END;
+    frame.relay_end = &end;
+    gateway_frame(o->gateway, now_us, "e1", &frame);
+}
+
 /* Guards against work that is run for a caller that has gone. */
 static void
 work_of_a_gone_caller_leaves_the_queue(void)
 {
     Owner *o = owner_new(2, 1);
-    Sw__Frame frame = SW__FRAME__INIT;
-    Sw__RelayEnd end = SW__RELAY_END__INIT;
     uint64_t now_us = kBase + kMs;
 
     run(o, now_us, 'a', 4, 400, FALSE);
     run(o, now_us, 'b', 4, 410, FALSE);
     run(o, now_us, 'c', 4, 420, FALSE);
-    end.relay = 'b';
-    frame.body_case = SW__FRAME__BODY_RELAY_END;
-    frame.relay_end = &end;
-    gateway_frame(o->gateway, now_us, "e1", &frame);
+    end_loan(o, now_us, 'b');
     for (uint32_t k = 0; k < 8; k++) {
         now_us += 5 * kMs;
         accept_links(o, now_us);
@@ -292,6 +324,70 @@
     owner_free(o);
 }
 
+/* Guards against a wait for the session's state behind the wait in the queue,
+ * and against statements beyond what the server has room for (two, of one
+ * slot) once that state is set up. */
+static void
+state_is_set_up_ahead_of_the_statement(void)
+{
+    static const struct {
+        const char *name;
+        gboolean ends;   /* the borrower ends the loan before there is room */
+        gboolean breaks; /* the connection is lost before there is room */
+        gboolean late;   /* there is no room before the deadline */
+        const char *sent;
+        uint32_t rejected;
+    } cases[] = {
+        {"room", FALSE, FALSE, FALSE, "abcdef", 0},
+        {"loan ended", TRUE, FALSE, FALSE, "abcde", 0},
+        {"connection lost", FALSE, TRUE, FALSE, "abcde", 1},
+        {"deadline", FALSE, FALSE, TRUE, "abcde", 1},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases) * 2; i++) {
+        /* With and without priorities. */
+        Owner *o = owner_new(i % 2 == 0 ? 2 : 0, 3);
+        uint64_t now_us = kBase + kMs;
+
+        for (char name = 'a'; name <= 'c'; name++) {
+            run(o, now_us, name, 4, 400, FALSE);
+        }
+        accept_links(o, now_us);
+        CU_ASSERT_EQUAL(o->busy.length, 3);
+        for (uint32_t k = 0; k < 3; k++) {
+            answer(o, now_us, kSessionIdle);
+        }
+        report_server(o, 1, 1);
+        run(o, now_us, 'd', 4, 400, FALSE);
+        run(o, now_us, 'e', 4, 400, FALSE);
+        run_with(o, now_us, 'f', 4, 400, FALSE, "north");
+        CU_ASSERT_EQUAL(o->setups, 1);
+        CU_ASSERT_EQUAL_FATAL(o->busy.length, 3);
+        guint link = GPOINTER_TO_UINT(g_queue_pop_tail(&o->busy));
+        static const ServerAnswer done = {.state = kSessionIdle};
+        o->events->answer(o->owners[link], now_us, &done);
+        CU_ASSERT_STRING_EQUAL(o->sent->str, "abcde");
+        if (cases[i / 2].ends) {
+            end_loan(o, now_us, 'f');
+        }
+        if (cases[i / 2].breaks) {
+            o->events->down(o->owners[link], now_us, kCodeOther);
+        }
+        if (cases[i / 2].late) {
+            now_us += 5000 * kMs;
+            gateway_tick(o->gateway, now_us);
+        }
+        answer(o, now_us, kSessionIdle);
+        answer(o, now_us, kSessionIdle);
+        if (strcmp(o->sent->str, cases[i / 2].sent) != 0) {
+            g_print("\n%s: sent %s\n", cases[i / 2].name, o->sent->str);
+        }
+        CU_ASSERT_STRING_EQUAL(o->sent->str, cases[i / 2].sent);
+        CU_ASSERT_EQUAL(o->rejected, cases[i / 2].rejected);
+        owner_free(o);
+    }
+}
+
 void
 add_serverpool_suite(void)
 {
@@ -302,4 +398,6 @@
                 work_of_a_gone_caller_leaves_the_queue);
     CU_add_test(s, "idle transactions leave connections to others",
                 idle_transactions_leave_connections_to_others);
+    CU_add_test(s, "state is set up ahead of the statement",
+                state_is_set_up_ahead_of_the_statement);
 }
--- a/test/unit/test_session_setup.c
+++ b/test/unit/test_session_setup.c
@@ -9,7 +9,7 @@
  * statements that run with other values than the caller's, or as another
  * prepared statement than the caller's. */
 
-enum { kUsPerMs = 1000, kUsers = 3, kAnswerMs = 60 };
+enum { kUsPerMs = 1000, kUsers = 3, kAnswerMs = 500 };
 
 /* How an instance reaches the server's connections. */
 typedef enum {
@@ -38,6 +38,15 @@
     char *value;
 } CommandCopy;
 
+/* What the server does with the next commands of a kind. */
+typedef struct {
+    CommandKind kind;
+    AnswerCode code;    /* kCodeNone: answered as done */
+    gboolean runs;      /* it takes effect all the same */
+    gboolean lost;      /* the connection is lost instead of the answer */
+    SessionState state; /* that the answer names in place of kSessionIdle */
+} Fault;
+
 /* A caller, and what was acknowledged to it. */
 typedef struct {
     char name; /* first letter of the ids of its statements */
@@ -46,6 +55,7 @@
     GHashTable *prepared; /* name -> text */
     gboolean in_transaction;
     const char *shape; /* that the open EXECUTE names, NULL: none */
+    uint32_t ran;      /* times that the open statement ran */
     uint32_t answers;
     AnswerCode code; /* of the last answer */
 } User;
@@ -56,9 +66,12 @@
     User users[kUsers];
     GPtrArray *sides; /* Side, owned */
     GQueue packets;   /* Sw__Frame, owned */
-    uint32_t ran;     /* statements of callers */
-    uint32_t wrong;   /* those with another state than the caller's */
-    uint32_t number;  /* of the last statement */
+    Fault fault;
+    uint32_t faults;   /* left */
+    uint32_t commands; /* that the server got */
+    uint32_t ran;      /* statements of callers */
+    uint32_t wrong;    /* those with another state than the caller's */
+    uint32_t number;   /* of the last statement */
 } World;
 
 static GHashTable *
@@ -152,8 +165,9 @@
 check_statement(World *w, const Side *s, const CommandCopy *c,
                 const char *shape)
 {
-    const User *u = &w->users[c->id[0] - 'a'];
+    User *u = &w->users[c->id[0] - 'a'];
 
+    u->ran++;
     w->ran++;
     w->wrong += !strings_equal(s->values, u->values) ||
                 g_strcmp0(shape, u->shape) != 0 ||
@@ -211,22 +225,50 @@
     }
 }
 
+/* Runs a command, or does what the fault of its kind says.  Returns FALSE if
+ * the connection was lost. */
+static gboolean
+handle_command(World *w, LoneLink *link, const CommandCopy *c)
+{
+    Side *s = link->model;
+    gboolean faulty = w->faults > 0 && w->fault.kind == c->kind;
+    ServerAnswer a = {.code_text = "",
+                      .detail = "",
+                      .position = {1, 1},
+                      .position_text = "1.1"};
+
+    w->commands++;
+    if (!faulty || w->fault.runs) {
+        run_command(w, s, c, &a);
+    }
+    a.state = s->state;
+    if (faulty) {
+        w->faults--;
+        a.code = w->fault.code;
+        a.state = w->fault.state == kSessionIdle ? s->state : w->fault.state;
+    }
+    if (faulty && w->fault.lost) {
+        void *owner = link->owner;
+        g_queue_clear_full(&s->commands, command_free);
+        s->state = kSessionIdle;
+        link->events->down(owner, w->l->now_us, kCodeOther);
+        return FALSE;
+    }
+    link->events->answer(link->owner, w->l->now_us, &a);
+    return link->owner != NULL;
+}
+
 /* Answers the commands of a connection in order. */
 static void
 answer_commands(World *w, LoneLink *link)
 {
+    gboolean open = link->owner != NULL && link->accepted;
     CommandCopy *c;
 
-    while (link->owner != NULL && link->accepted &&
+    while (open &&
            (c = g_queue_pop_head(&side_of(w, link)->commands)) != NULL) {
-        ServerAnswer a = {.code_text = "",
-                          .detail = "",
-                          .position = {1, 1},
-                          .position_text = "1.1"};
-        run_command(w, link->model, c, &a);
-        a.state = ((Side *)link->model)->state;
+        open = handle_command(w, link, c);
         command_free(c);
-        link->events->answer(link->owner, w->l->now_us, &a);
     }
 }
 
@@ -321,6 +363,7 @@
     u->shape = kind == kStatementExecute
                    ? g_hash_table_lookup(u->prepared, name)
                    : NULL;
+    u->ran = 0;
     session_statement(u->session, w->l->now_us, &st);
     for (uint32_t ms = 0; ms < kAnswerMs && u->answers == before; ms++) {
         lone_gateway_run(w->l, 1);
@@ -452,10 +495,180 @@
     }
 }
 
+/* ---- session values ---- */
+
+/* Runs a single statement and checks that its answer is true. */
+static void
+run_single(World *w, User *u, StatementKind kind, const char *name)
+{
+    AnswerCode code = say(w, u, kind, name, "");
+
+    CU_ASSERT_EQUAL(u->ran, code == kCodeNone);
+    CU_ASSERT_NOT_EQUAL(code, kCodeInDoubt);
+    CU_ASSERT_FALSE(u->in_transaction);
+}
+
+/* Runs a transaction in which a value is set, unless the caller is the last
+ * one, which sets none. */
+static void
+run_transaction(World *w, User *u, const char *name)
+{
+    say(w, u, kStatementBegin, "", "");
+    say(w, u, kStatementWrite, "", "");
+    if (u->in_transaction && u != &w->users[kUsers - 1]) {
+        say(w, u, kStatementSet, "zone", u->name == 'a' ? "east" : "west");
+        say(w, u, kStatementExecute, name, "");
+    }
+    if (u->in_transaction) {
+        say(w, u, kStatementCommit, "", "");
+    }
+    if (u->code != kCodeNone) {
+        CU_ASSERT_NOT_EQUAL(u->code, kCodeInDoubt);
+        say(w, u, kStatementRollback, "", "");
+    }
+}
+
+/* Lets all callers run statements, with faults of the server. */
+static void
+run_all(World *w, const Fault *fault, uint32_t faults)
+{
+    static const StatementKind kinds[] = {kStatementRead, kStatementWrite,
+                                          kStatementExecute};
+
+    for (uint32_t i = 0; i < kUsers * G_N_ELEMENTS(kinds); i++) {
+        User *u = &w->users[i % kUsers];
+        w->fault = *fault;
+        w->faults = faults;
+        run_single(w, u, kinds[i / kUsers], "p");
+    }
+    for (uint32_t i = 0; i < kUsers; i++) {
+        w->faults = faults;
+        run_transaction(w, &w->users[i], "p");
+    }
+    w->faults = 0;
+}
+
+/* A statement ran with another caller's values, or without its own, if the
+ * server had rejected the RESET or SET sent ahead of it.  No rejection or lost
+ * answer may do that, on any path, and the callers learn the truth. */
+static void
+rejected_setups_stop_the_statement(void)
+{
+    static const CommandKind kinds[] = {kCommandReset, kCommandSet,
+                                        kCommandPrepare, kCommandBegin,
+                                        kCommandRollback};
+    static const Fault faults[] = {
+        {.code = kCodeBusy},
+        {.code = kCodeFailed},
+        {.code = kCodeFailed, .runs = TRUE},
+        {.code = kCodeTimeout, .runs = TRUE},
+        {.code = kCodeMalformed},
+        {.code = kCodeOther},
+        {.code = kCodeNoStatement},
+        {.runs = TRUE, .state = kSessionInTransaction},
+        {.code = kCodeMalformed, .state = kSessionFailed},
+        {.lost = TRUE},
+        {.lost = TRUE, .runs = TRUE},
+    };
+    static const uint32_t counts[] = {1, 2, 1000};
+    static const uint32_t cases =
+        G_N_ELEMENTS(kinds) * G_N_ELEMENTS(faults) * G_N_ELEMENTS(counts);
+
+    for (uint32_t i = 0; i < cases * kPaths; i++) {
+        Path path = (Path)(i / cases);
+        uint32_t count = counts[i % cases % G_N_ELEMENTS(counts)];
+        uint32_t k = i % cases / G_N_ELEMENTS(counts);
+        Fault fault = faults[k % G_N_ELEMENTS(faults)];
+        World *w = world_new(path);
+
+        fault.kind = kinds[k / G_N_ELEMENTS(faults)];
+        for (uint32_t u = 0; u < kUsers; u++) {
+            say(w, &w->users[u], kStatementPrepare, "p", u == 0 ? "x" : "y");
+        }
+        say(w, &w->users[0], kStatementSet, "zone", "north");
+        say(w, &w->users[1], kStatementSet, "zone", "south");
+        run_all(w, &fault, 0);
+        run_all(w, &fault, count);
+        lone_gateway_run(w->l, 1000);
+        CU_ASSERT_EQUAL(w->wrong, 0);
+        if (w->wrong > 0) {
+            g_print("%s, kind %d, fault %u, %u times: %u of %u\n",
+                    kPathNames[path], fault.kind,
+                    k % (uint32_t)G_N_ELEMENTS(faults), count, w->wrong,
+                    w->ran);
+        }
+        /* Once the server works again, so do the sessions. */
+        for (uint32_t u = 0; u < kUsers; u++) {
+            CU_ASSERT_EQUAL(say(w, &w->users[u], kStatementWrite, "", ""),
+                            kCodeNone);
+        }
+        CU_ASSERT_EQUAL(w->wrong, 0);
+        world_free(w);
+    }
+}
+
+/* A server that says that a prepared statement is not known has dropped what
+ * it acknowledged: values as well as prepared statements are set up again. */
+static void
+dropped_state_is_set_up_again(void)
+{
+    for (uint32_t i = 0; i < kPaths * 2; i++) {
+        World *w = world_new((Path)(i / 2));
+        gboolean transaction = i % 2 == 1;
+        User *u = &w->users[0];
+
+        say(w, u, kStatementSet, "zone", "north");
+        say(w, u, kStatementPrepare, "p", "x");
+        if (transaction) {
+            say(w, u, kStatementBegin, "", "");
+        }
+        CU_ASSERT_EQUAL(say(w, u, kStatementExecute, "p", ""), kCodeNone);
+        for (guint k = 0; k < w->sides->len; k++) {
+            Side *s = g_ptr_array_index(w->sides, k);
+            g_hash_table_remove_all(s->values);
+            g_hash_table_remove_all(s->prepared);
+        }
+        CU_ASSERT_EQUAL(say(w, u, kStatementExecute, "p", ""), kCodeNone);
+        CU_ASSERT_EQUAL(w->wrong, 0);
+        CU_ASSERT_EQUAL(u->in_transaction, transaction);
+        world_free(w);
+    }
+}
+
+/* A connection that has the session's state gets the statement at once. */
+static void
+known_state_is_not_set_up_again(void)
+{
+    for (uint32_t path = 0; path < kPaths; path++) {
+        World *w = world_new((Path)path);
+        User *u = &w->users[0];
+
+        say(w, u, kStatementSet, "zone", "north");
+        say(w, u, kStatementPrepare, "p", "x");
+        CU_ASSERT_EQUAL(say(w, u, kStatementExecute, "p", ""), kCodeNone);
+        CU_ASSERT_EQUAL(w->commands, 3);
+        CU_ASSERT_EQUAL(say(w, u, kStatementExecute, "p", ""), kCodeNone);
+        CU_ASSERT_EQUAL(say(w, u, kStatementWrite, "", ""), kCodeNone);
+        CU_ASSERT_EQUAL(w->commands, 5);
+        say(w, u, kStatementBegin, "", "");
+        CU_ASSERT_EQUAL(say(w, u, kStatementExecute, "p", ""), kCodeNone);
+        CU_ASSERT_EQUAL(say(w, u, kStatementCommit, "", ""), kCodeNone);
+        CU_ASSERT_EQUAL(w->commands, 8);
+        CU_ASSERT_EQUAL(w->wrong, 0);
+        world_free(w);
+    }
+}
+
 void
 add_session_setup_suite(void)
 {
     CU_pSuite s = CU_add_suite("session setup", NULL, NULL);
     CU_add_test(s, "prepared statements keep their text",
                 prepared_statements_keep_their_text);
+    CU_add_test(s, "rejected setups stop the statement",
+                rejected_setups_stop_the_statement);
+    CU_add_test(s, "dropped state is set up again",
+                dropped_state_is_set_up_again);
+    CU_add_test(s, "known state is not set up again",
+                known_state_is_not_set_up_again);
 }
