Tell records of a server apart by their flags, not by a hash of them

Cause: control instances confirm a report without news by a 32-bit hash of what the record states. A receiver whose record differs in draining or role, but has the same hash, took over the sequence and ignored later copies of the drain. Found while looking for identities that are a hash alone; not seen by callers.

Change: the flags, which alone change during a run of a server, are the low bits of the digest.

Result: 'a drain is not taken for a confirmation' uses an address found by search (two records of one hash); it failed before and passes.

--- a/src/sapphireweir/fleet/directory.c
+++ b/src/sapphireweir/fleet/directory.c
@@ -22,6 +22,7 @@
      * an end that is too early would end the limit on a cold server. */
     kColdLaterUs = 100000,
     kColdEarlierUs = 500000,
+    kStateFlagBits = 4, /* of a state digest */
 };
 
 static void
@@ -263,18 +264,21 @@
     return TRUE;
 }
 
-/* Returns a hash of what a server's record states, without its run, its
- * sequence and the time that it stays cold. */
+/* Returns a digest of what a server's record states, without its run, its
+ * sequence and the time that it stays cold.  The low bits are the flags, which
+ * change during a run, so that no two records of a run that differ in them
+ * have one digest; the others are a hash. */
 static uint32_t
-state_hash(const DirectoryServer *s)
+state_digest(const DirectoryServer *s)
 {
-    uint64_t flags = (s->draining ? 1 : 0) + (s->primary ? 2 : 0) +
+    uint32_t flags = (s->draining ? 1 : 0) + (s->primary ? 2 : 0) +
                      (s->gone ? 4 : 0) + (s->reports_cold ? 8 : 0);
-
-    return (uint32_t)hash_text(
+    uint32_t hash = (uint32_t)hash_text(
         s->database,
-        hash_text(s->address, hash_text(s->failure_domain,
-                                        hash_number(s->slots, flags + 1))));
+        hash_text(s->address,
+                  hash_text(s->failure_domain, hash_number(s->slots, 1))));
+
+    return hash << kStateFlagBits | flags;
 }
 
 /* Returns the time since a server's last report, rounded up, so that a report
@@ -297,7 +301,7 @@
     out->born_ms = s->born_ms;
     out->sequence = s->sequence;
     out->age_ms = directory_age_ms(s, now_us);
-    out->state = state_hash(s);
+    out->state = state_digest(s);
 }
 
 /* Applies that a server has reported its record again.  Returns FALSE when
@@ -308,7 +312,7 @@
     DirectoryServer *s = directory_find(d, seen->id);
 
     if (s == NULL || s->born_ms != seen->born_ms ||
-        seen->sequence <= s->sequence || state_hash(s) != seen->state) {
+        seen->sequence <= s->sequence || state_digest(s) != seen->state) {
         return FALSE;
     }
     s->sequence = seen->sequence;
--- a/test/unit/test_fleet_policy.c
+++ b/test/unit/test_fleet_policy.c
@@ -497,6 +497,35 @@
     }
 }
 
+/* A control instance took over the sequence of a draining server's report
+ * without the drain, and then ignored it: what the records state was compared
+ * by a hash of 32 bits, which those of this address share. */
+static void
+a_drain_is_not_taken_for_a_confirmation(void)
+{
+    for (uint32_t flags = 0; flags < 4; flags++) {
+        Sw__ServerRecord known = report("i-1", 100, 5, "a7735596895");
+        Sw__ServerRecord sent = report("i-1", 100, 6, "a7735596895");
+        Sw__ServerSeen seen;
+        Directory from;
+        Directory to;
+
+        directory_init(&from);
+        directory_init(&to);
+        known.database = sent.database = "db";
+        known.failure_domain = sent.failure_domain = "0";
+        known.slots = sent.slots = 3;
+        sent.draining = (flags & 1) != 0;
+        sent.primary = (flags & 2) != 0;
+        directory_apply_report(&to, 1000000, &known);
+        directory_apply_report(&from, 1000000, &sent);
+        directory_fill_seen(directory_find(&from, "i-1"), 1000000, &seen);
+        CU_ASSERT_EQUAL(directory_apply_seen(&to, 1000000, &seen), flags == 0);
+        directory_clear(&to);
+        directory_clear(&from);
+    }
+}
+
 /* Guards against a watch that leaves out evidence which states a failure: the
  * verdict of a scan must be the same with and without the watch, at each tick,
  * on evidence that arrives, is confirmed, gets lost and becomes too old. */
@@ -776,6 +805,8 @@
                 changes_that_end_a_use_are_told_apart);
     CU_add_test(s, "a confirmed record keeps its age",
                 a_confirmed_record_keeps_its_age);
+    CU_add_test(s, "a drain is not taken for a confirmation",
+                a_drain_is_not_taken_for_a_confirmation);
     CU_add_test(s, "the index by address agrees with a scan",
                 the_index_by_address_agrees_with_a_scan);
     CU_add_test(s, "older reports change nothing",
