Keep a statement that waits for room from being sent twice

A borrower that continued a loan whose statement was set up and waited for room left the job in the list of ready ones, so that the owner sent its commands again; found by reading, our own borrowers never do it. 'a ready statement that is replaced runs once' failed before and passes.

--- a/src/sapphireweir/gateway/serverpool.c
+++ b/src/sapphireweir/gateway/serverpool.c
@@ -194,6 +194,7 @@
     histogram_observe(&g->counters.queue, now_us - j->arrived_us);
     pooled_job_dequeue(j);
     pooled_unhold(j);
+    pooled_unready(j);
     pooled_ahead_ends(c, TRUE);
     j->connection = c;
     j->opening = NULL;
--- a/test/unit/test_serverpool.c
+++ b/test/unit/test_serverpool.c
@@ -324,6 +324,53 @@
     owner_free(o);
 }
 
+/* A borrower that continues a loan whose statement still waits for room must
+ * not make the owner send it twice. */
+static void
+a_ready_statement_that_is_replaced_runs_once(void)
+{
+    Owner *o = owner_new(2, 3);
+    uint64_t now_us = kBase + kMs;
+    static const ServerAnswer done = {.state = kSessionIdle};
+    Sw__RelayCommand command = SW__RELAY_COMMAND__INIT;
+    Sw__RelayCommand *commands[] = {&command};
+    Sw__RelayRun m = SW__RELAY_RUN__INIT;
+    Sw__Frame frame = SW__FRAME__INIT;
+
+    for (char name = 'a'; name <= 'c'; name++) {
+        run(o, now_us, name, 4, 400, FALSE);
+    }
+    accept_links(o, now_us);
+    for (uint32_t k = 0; k < 3; k++) {
+        answer(o, now_us, kSessionIdle);
+    }
+    report_server(o, 1, 1);
+    run(o, now_us, 'd', 4, 400, FALSE);
+    run(o, now_us, 'e', 4, 400, FALSE);
+    run_with(o, now_us, 'f', 4, 400, FALSE, "north");
+    guint link = GPOINTER_TO_UINT(g_queue_pop_tail(&o->busy));
+    o->events->answer(o->owners[link], now_us, &done);
+    command.kind = kCommandStatement;
+    command.id = "g";
+    m.relay = 'f';
+    m.server = "s";
+    m.team = "t";
+    m.n_commands = 1;
+    m.commands = commands;
+    m.due_us = 5000 * kMs;
+    m.continues = TRUE;
+    frame.body_case = SW__FRAME__BODY_RELAY_RUN;
+    frame.relay_run = &m;
+    gateway_frame(o->gateway, now_us, "e1", &frame);
+    for (uint32_t k = 0; k < 4; k++) {
+        now_us += kMs;
+        gateway_tick(o->gateway, now_us);
+        answer(o, now_us, kSessionIdle);
+    }
+    CU_ASSERT_STRING_EQUAL(o->sent->str, "abcdeg");
+    owner_free(o);
+}
+
 /* Guards against a wait for the session's state behind the wait in the queue,
  * and against statements beyond what the server has room for (two, of one
  * slot) once that state is set up. */
@@ -398,6 +445,8 @@
                 work_of_a_gone_caller_leaves_the_queue);
     CU_add_test(s, "idle transactions leave connections to others",
                 idle_transactions_leave_connections_to_others);
+    CU_add_test(s, "a ready statement that is replaced runs once",
+                a_ready_statement_that_is_replaced_runs_once);
     CU_add_test(s, "state is set up ahead of the statement",
                 state_is_set_up_ahead_of_the_statement);
 }
