--- a/src/sapphireweir/gateway/serverpool.c
+++ b/src/sapphireweir/gateway/serverpool.c
@@ -223,9 +223,9 @@
     pooled_send(c, &batch, now_us);
 }
 
-/* Tells whether connection a, which has not the session's state, is better
- * used for it than b: connections without a session's state are kept for
- * sessions that need none. */
+/* Tells whether connection a is better used than b for a session whose state
+ * neither has.  Connections without values are kept for sessions that need
+ * none, then the one that has been idle longest is used. */
 static gboolean
 is_better(const PooledConnection *a, const PooledConnection *b)
 {
@@ -409,21 +409,21 @@
            slow_start_gate_is_limited(pool->server, now_us);
 }
 
-/* Handles the last answer to the commands that were sent for a job.  setup:
- * it is that to a command that sets up the session's state. */
+/* Handles the last answer to the commands that were sent for a job.
+ * answers_setup: it is that to a command that sets up the session's state. */
 static void
 job_continue(PooledJob *j, uint64_t now_us, const ServerAnswer *a,
-             gboolean setup)
+             gboolean answers_setup)
 {
     PooledConnection *c = j->connection;
+    gboolean accepted = c->server_session.rejection == kCodeNone;
+    gboolean begins = j->begin_open && a->code == kCodeNone;
 
-    if (c->server_session.rejection == kCodeNone && j->begin_open &&
-        a->code == kCodeNone) {
+    if (accepted && begins) {
         j->begin_open = FALSE;
         j->begun = TRUE;
-        setup = TRUE;
     }
-    if (c->server_session.rejection == kCodeNone && setup) {
+    if (accepted && (begins || answers_setup)) {
         if (may_send_now(j, now_us)) {
             pooled_send_rest(c, j, now_us);
         }
@@ -433,7 +433,7 @@
         return;
     }
     slow_start_gate_return(j->pool->server, now_us, &c->permit);
-    if (c->server_session.rejection != kCodeNone) {
+    if (!accepted) {
         setup_rejected(j, now_us, c->server_session.rejection);
         return;
     }
@@ -608,6 +608,7 @@
             continue;
         }
         if (!pooled_may_start(c, j, now_us)) {
+            /* Later jobs must not go before this one. */
             break;
         }
         pooled_run(c, j, now_us);
