Test that names alone are not trusted and that setups leave room

Two deliberate faults of test/mutants were noticed by no test: prepared statements compared by name alone, and setups counted as statements. 'names alone are not trusted' and 'setups leave room for statements' notice them.

--- a/test/unit/test_serverpool.c
+++ b/test/unit/test_serverpool.c
@@ -324,6 +324,30 @@
     owner_free(o);
 }
 
+/* Guards against setups of sessions' state that count as statements: a server
+ * with one slot has room for two of these beside one of those. */
+static void
+setups_leave_room_for_statements(void)
+{
+    Owner *o = owner_new(2, 3);
+    uint64_t now_us = kBase + kMs;
+
+    for (char name = 'a'; name <= 'c'; name++) {
+        run(o, now_us, name, 4, 400, FALSE);
+    }
+    accept_links(o, now_us);
+    for (uint32_t k = 0; k < 3; k++) {
+        answer(o, now_us, kSessionIdle);
+    }
+    report_server(o, 1, 1);
+    run_with(o, now_us, 'f', 4, 400, FALSE, "north");
+    CU_ASSERT_EQUAL(o->setups, 1);
+    run(o, now_us, 'd', 4, 400, FALSE);
+    run(o, now_us, 'e', 4, 400, FALSE);
+    CU_ASSERT_STRING_EQUAL(o->sent->str, "abcde");
+    owner_free(o);
+}
+
 /* A borrower that continues a loan whose statement still waits for room must
  * not make the owner send it twice. */
 static void
@@ -445,6 +469,8 @@
                 work_of_a_gone_caller_leaves_the_queue);
     CU_add_test(s, "idle transactions leave connections to others",
                 idle_transactions_leave_connections_to_others);
+    CU_add_test(s, "setups leave room for statements",
+                setups_leave_room_for_statements);
     CU_add_test(s, "a ready statement that is replaced runs once",
                 a_ready_statement_that_is_replaced_runs_once);
     CU_add_test(s, "state is set up ahead of the statement",
--- a/test/unit/test_session_setup.c
+++ b/test/unit/test_session_setup.c
@@ -2,6 +2,7 @@
 
 #include "../support/lone_gateway.h"
 #include "core/message.h"
+#include "gateway/server_session.h"
 #include "suite.h"
 
 /* Session values and prepared statements on the connections to a backend
@@ -495,6 +496,38 @@
     }
 }
 
+/* A name that is known for another text does not count as the needed
+ * statement: outside of a transaction all is dropped first, inside of one the
+ * statement cannot run. */
+static void
+names_alone_are_not_trusted(void)
+{
+    static const ServerAnswer done = {.code = kCodeNone};
+    ServerSession s = {0};
+    CommandBatch needed = {0};
+    CommandBatch batch = {0};
+    ServerCommand prepare = {
+        .kind = kCommandPrepare, .name = "p", .value = "x"};
+
+    command_batch_add(&needed, prepare);
+    CU_ASSERT(server_session_add(&s, &needed, FALSE, &batch));
+    CU_ASSERT(server_session_answered(&s, &done, kSessionIdle));
+    CU_ASSERT(server_session_matches(&s, &needed, FALSE));
+    needed.commands[0].value = "y";
+    CU_ASSERT_FALSE(server_session_matches(&s, &needed, FALSE));
+    CU_ASSERT_FALSE(server_session_matches(&s, &needed, TRUE));
+    command_batch_clear(&batch);
+    CU_ASSERT_FALSE(server_session_add(&s, &needed, TRUE, &batch));
+    CU_ASSERT_EQUAL(batch.count, 0);
+    CU_ASSERT(server_session_add(&s, &needed, FALSE, &batch));
+    CU_ASSERT_EQUAL_FATAL(batch.count, 2);
+    CU_ASSERT_EQUAL(batch.commands[0].kind, kCommandReset);
+    CU_ASSERT_EQUAL(batch.commands[1].kind, kCommandPrepare);
+    server_session_clear(&s);
+    g_free(needed.commands);
+    g_free(batch.commands);
+}
+
 /* ---- session values ---- */
 
 /* Runs a single statement and checks that its answer is true. */
@@ -665,6 +698,7 @@
     CU_pSuite s = CU_add_suite("session setup", NULL, NULL);
     CU_add_test(s, "prepared statements keep their text",
                 prepared_statements_keep_their_text);
+    CU_add_test(s, "names alone are not trusted", names_alone_are_not_trusted);
     CU_add_test(s, "rejected setups stop the statement",
                 rejected_setups_stop_the_statement);
     CU_add_test(s, "dropped state is set up again",
